--- /dev/null
+++ b/src/entry/_lib/readBody.ts
@@ -0,0 +1,15 @@
+import { Either } from "purify-ts";
+import { BodyError, HttpRequest } from "../../ports/index.js";
+import { CallerError } from "../callerError/index.js";
+
+/** Reads a request's body, turning what can go wrong into the caller's error. */
+export async function readBody(req: HttpRequest, limitBytes: number): Promise<Either<CallerError, Uint8Array>> {
+    return (await req.body(limitBytes)).mapLeft(err => toCallerError(err, limitBytes));
+}
+
+function toCallerError(err: BodyError, limitBytes: number): CallerError {
+    if (err.reason === "too-large") {
+        return new CallerError(413, "body-too-large", `the body has more than ${limitBytes} bytes`);
+    }
+    return new CallerError(408, "body-incomplete", "the body did not come whole");
+}
--- /dev/null
+++ b/src/entry/admitRequest/index.ts
@@ -0,0 +1,67 @@
+import { Either, Left, Right } from "purify-ts";
+import { ClassView, WorkspaceView } from "../../control/index.js";
+import { PoolId } from "../../ids/index.js";
+import { findHeader, HttpRequest } from "../../ports/index.js";
+import { CLASS_HEADER } from "../../protocol/index.js";
+import { CallerError } from "../callerError/index.js";
+import { EntryContext } from "../entryContext/index.js";
+import { PresentedKey, readKey } from "../readKey/index.js";
+
+/** A caller that was let in. */
+export interface Admission {
+    readonly key: PresentedKey;
+    readonly workspace: WorkspaceView;
+}
+
+const RETRY_SOON_MS = 1_000;
+const RETRY_OTHER_HOST_MS = 500;
+
+/**
+ * Lets a caller in by its key. The workspace comes from the key alone.
+ *
+ * Guards against an entry cut off from the control processes: past its freshness lease it could accept a key that was
+ * withdrawn, so that it refuses all new work until it has a view again.
+ */
+export function admitRequest(ctx: EntryContext, req: HttpRequest): Either<CallerError, Admission> {
+    return readKey(req).chain(key => {
+        if (ctx.isDraining()) return Left(unavailable("draining", "this host is stopping", RETRY_OTHER_HOST_MS));
+        if (!ctx.control.isFresh()) {
+            return Left(
+                unavailable("stale-view", "this host has lost touch with the control processes", RETRY_SOON_MS),
+            );
+        }
+        if (ctx.requests.size >= ctx.limits.requests) {
+            return Left(unavailable("over-capacity", "too many requests are under way on this host", RETRY_SOON_MS));
+        }
+        const access = ctx.control.findKey(key.hash);
+        if (!access) return Left(new CallerError(401, "key-unknown", "the key is unknown or was withdrawn"));
+        return Right({ key, workspace: access.workspace });
+    });
+}
+
+/**
+ * Chooses the service class: the one the caller names, else the workspace's default.
+ *
+ * @param named - A class named in the body; the header goes before it.
+ */
+export function chooseClass(
+    req: HttpRequest,
+    workspace: WorkspaceView,
+    named: string | undefined,
+): Either<CallerError, ClassView> {
+    const name = findHeader(req.headers, CLASS_HEADER) ?? named ?? workspace.defaultClass;
+    const found = workspace.classes.find(view => view.name === name);
+    if (found) return Right(found);
+    const known = workspace.classes.map(view => view.name).join(", ");
+    return Left(new CallerError(400, "class-unknown", `the workspace has the classes ${known}`));
+}
+
+/** Refuses a model or service that the workspace may not use. */
+export function checkPool(workspace: WorkspaceView, pool: PoolId): Either<CallerError, PoolId> {
+    if (workspace.pools.length === 0 || workspace.pools.includes(pool)) return Right(pool);
+    return Left(new CallerError(404, "pool-unknown", `the workspace has no model or service ${pool.slice(0, 128)}`));
+}
+
+function unavailable(type: string, message: string, retryAfterMs: number): CallerError {
+    return new CallerError(503, type, message, "not-run", retryAfterMs);
+}
--- /dev/null
+++ b/src/entry/controlAccess/index.ts
@@ -0,0 +1,35 @@
+import { Either } from "purify-ts";
+import { EntryCommand, EntryView, KeyView, WorkspaceView } from "../../control/index.js";
+import { KeyHash } from "../../ids/index.js";
+
+/** A command that got no answer from the control processes. */
+export class ControlAccessError extends Error {
+    /** @param mayCommit - False only when the command can't have been taken in. */
+    constructor(readonly mayCommit: boolean, detail: string) {
+        super(detail);
+    }
+}
+
+/** A key in force, with its workspace. */
+export interface KeyAccess {
+    readonly key: KeyView;
+    readonly workspace: WorkspaceView;
+}
+
+/** What an entry knows of the control state, and how it changes it. */
+export abstract class ControlAccess {
+    /** True while the freshness lease runs: the view is at most a few seconds behind. */
+    abstract isFresh(): boolean;
+
+    /** Finds a key in force. */
+    abstract findKey(hash: KeyHash): KeyAccess | undefined;
+
+    /** The entries that the holder has heard from lately, this one among them. */
+    abstract entries(): readonly EntryView[];
+
+    /** Hands a command to the holder and gives the state machine's answer. */
+    abstract command(command: EntryCommand, timeoutMs: number): Promise<Either<ControlAccessError, unknown>>;
+
+    /** Calls back after each change of the view. */
+    abstract onViewChange(listener: () => void): void;
+}
--- /dev/null
+++ b/src/entry/prepareChat/index.ts
@@ -0,0 +1,76 @@
+import { Either, Left, Right } from "purify-ts";
+import { ClassView, WorkspaceView } from "../../control/index.js";
+import { PoolId } from "../../ids/index.js";
+import { HttpRequest } from "../../ports/index.js";
+import { ChatRequest, chatRequestSchema } from "../../protocol/index.js";
+import { readBody } from "../_lib/readBody.js";
+import { Admission, checkPool, chooseClass } from "../admitRequest/index.js";
+import { CallerError } from "../callerError/index.js";
+import { EntryContext } from "../entryContext/index.js";
+import { hashPrefixes } from "../hashPrefixes/index.js";
+import { refuseKeyInContent } from "../readKey/index.js";
+
+/** A chat request that was found good. */
+export interface PreparedChat {
+    readonly workspace: WorkspaceView;
+    readonly classView: ClassView;
+    readonly pool: PoolId;
+    readonly chat: ChatRequest;
+    readonly maxTokens: number;
+    /** An estimate; the engine counts the true number. */
+    readonly promptTokens: number;
+    readonly prefixes: readonly string[];
+}
+
+const CHARACTERS_PER_TOKEN = 4;
+
+/** Reads and checks a chat request. */
+export async function prepareChat(
+    ctx: EntryContext,
+    req: HttpRequest,
+    { key, workspace }: Admission,
+): Promise<Either<CallerError, PreparedChat>> {
+    const body = await readBody(req, ctx.limits.bodyBytes);
+    return body.chain(parseChat)
+        .chain(chat => refuseKeyInContent(JSON.stringify(chat), key).map(() => chat))
+        .chain(chat => {
+            const named = typeof chat.service_tier === "string" ? chat.service_tier : undefined;
+            const pool = chat.model as PoolId;
+            return checkPool(workspace, pool).chain(() =>
+                chooseClass(req, workspace, named).map(classView => describeChat(ctx, workspace, classView, chat))
+            );
+        });
+}
+
+function describeChat(
+    ctx: EntryContext,
+    workspace: WorkspaceView,
+    classView: ClassView,
+    chat: ChatRequest,
+): PreparedChat {
+    const contents = chat.messages.map(message => message.content);
+    const characters = contents.reduce((sum, content) => sum + content.length, 0);
+    return {
+        workspace,
+        classView,
+        chat,
+        pool: chat.model as PoolId,
+        maxTokens: chat.max_tokens ?? ctx.limits.defaultMaxTokens,
+        promptTokens: Math.ceil(characters / CHARACTERS_PER_TOKEN),
+        prefixes: hashPrefixes(contents),
+    };
+}
+
+function parseChat(body: Uint8Array): Either<CallerError, ChatRequest> {
+    let value: unknown;
+    try {
+        value = JSON.parse(Buffer.from(body).toString("utf8"));
+    }
+    catch {
+        return Left(new CallerError(400, "malformed", "the body is not JSON"));
+    }
+    const parsed = chatRequestSchema.safeParse(value);
+    if (parsed.success) return Right(parsed.data);
+    const issue = parsed.error.issues[0];
+    return Left(new CallerError(400, "malformed", `${issue.path.join(".") || "body"}: ${issue.message}`));
+}
--- /dev/null
+++ b/src/entry/refusalError/index.ts
@@ -0,0 +1,26 @@
+import { Refusal, RefusalReason } from "../../dispatch/index.js";
+import { Outcome } from "../../protocol/index.js";
+import { CallerError } from "../callerError/index.js";
+
+const UNAVAILABLE = 503;
+const TOO_MANY = 429;
+
+const MESSAGES: Record<RefusalReason, string> = {
+    "no-upstream": "no upstream serves this model or service at present",
+    "over-capacity": "the class target can't be met at the present load",
+    "shed": "the place was needed for a higher tier",
+    "wait-expired": "no upstream became free within the longest wait of the class",
+    "over-limit": "the workspace has used up its limit for this window",
+    "draining": "this host is stopping",
+    "cancelled": "the request was cancelled",
+};
+
+/**
+ * Turns a dispatcher's refusal into the caller's error.
+ *
+ * @param outcome - "not-run" unless an earlier attempt has run.
+ */
+export function toRefusalError(refusal: Refusal, outcome: Outcome): CallerError {
+    const status = refusal.reason === "over-limit" ? TOO_MANY : UNAVAILABLE;
+    return new CallerError(status, refusal.reason, MESSAGES[refusal.reason], outcome, refusal.retryAfterMs);
+}
--- /dev/null
+++ b/src/entry/runService/index.ts
@@ -0,0 +1,183 @@
+import { Grant, Refusal, Ticket } from "../../dispatch/index.js";
+import { UpstreamId } from "../../ids/index.js";
+import { PeerIdentity } from "../../wire/index.js";
+import { CallerError } from "../callerError/index.js";
+import { CallRecord, openCall } from "../callRecord/index.js";
+import { EntryContext } from "../entryContext/index.js";
+import { PreparedService } from "../prepareService/index.js";
+import { toRefusalError } from "../refusalError/index.js";
+import { RunningRequest } from "../runningRequest/index.js";
+import { sendService, ServiceAnswer, ServiceCallError } from "../sendService/index.js";
+
+const RETRY_AFTER_FAILURE_MS = 1_000;
+
+/** A service call's final word. */
+export type ServiceResult =
+    | { readonly kind: "answer"; readonly answer: ServiceAnswer; readonly replayed: boolean; }
+    | { readonly kind: "error"; readonly err: CallerError; };
+
+/**
+ * Brings a service call to its final answer. A call that must not be repeated is sent once; another may be sent again
+ * elsewhere after a failure.
+ */
+export async function runService(
+    ctx: EntryContext,
+    prepared: PreparedService,
+    run: RunningRequest,
+    self: PeerIdentity,
+): Promise<ServiceResult> {
+    if (!prepared.call) return runRepeatable(ctx, prepared, run, self);
+    const waitMs = prepared.classView.maxWaitMs;
+    const opened = await openCall(ctx, prepared.workspace.id, prepared.call, run, self, waitMs);
+    if (opened.isLeft()) return failed(opened.extract() as CallerError);
+    const call = opened.unsafeCoerce();
+    if (call.kind === "answered") return { kind: "answer", answer: call.answer, replayed: true };
+    return runOnce(ctx, prepared, run, self, call.record);
+}
+
+/** The answer is committed before it is given, so that a resend gets the same one. */
+async function runOnce(
+    ctx: EntryContext,
+    prepared: PreparedService,
+    run: RunningRequest,
+    self: PeerIdentity,
+    record: CallRecord,
+): Promise<ServiceResult> {
+    const avoid: UpstreamId[] = [];
+    for (;;) {
+        const decision = await ctx.dispatcher.submit(makeTicket(prepared, run, self, avoid), run.signal);
+        if (decision.isLeft()) {
+            await record.finish("not-run");
+            return failed(refusalFor(run, decision.extract() as Refusal, false));
+        }
+        const grant = decision.extract() as Grant;
+        if (run.isCancelled) {
+            completeGrant(ctx, run, grant, "unused");
+            await record.finish("not-run");
+            return failed(stoppedError(run, false));
+        }
+        run.mustFinish = true;
+        const result = await sendGranted(ctx, prepared, run, grant);
+        if (result.isRight()) {
+            const answer = result.unsafeCoerce();
+            await record.finish("answered", answer);
+            return { kind: "answer", answer, replayed: false };
+        }
+        const err = result.extract() as ServiceCallError;
+        if (err.mayHaveRun) {
+            await record.finish("unknown");
+            return failed(unknownError());
+        }
+        run.mustFinish = false;
+        avoid.push(grant.upstream);
+        if (avoid.length < ctx.limits.attempts) continue;
+        await record.finish("not-run");
+        return failed(upstreamError(false));
+    }
+}
+
+async function runRepeatable(
+    ctx: EntryContext,
+    prepared: PreparedService,
+    run: RunningRequest,
+    self: PeerIdentity,
+): Promise<ServiceResult> {
+    const avoid: UpstreamId[] = [];
+    let mayHaveRun = false;
+    for (;;) {
+        const decision = await ctx.dispatcher.submit(makeTicket(prepared, run, self, avoid), run.signal);
+        if (decision.isLeft()) return failed(refusalFor(run, decision.extract() as Refusal, mayHaveRun));
+        const grant = decision.extract() as Grant;
+        const result = await sendGranted(ctx, prepared, run, grant);
+        if (result.isRight()) return { kind: "answer", answer: result.unsafeCoerce(), replayed: false };
+        mayHaveRun ||= (result.extract() as ServiceCallError).mayHaveRun;
+        if (run.isCancelled) return failed(stoppedError(run, mayHaveRun));
+        avoid.push(grant.upstream);
+        if (avoid.length >= ctx.limits.attempts) return failed(upstreamError(mayHaveRun));
+    }
+}
+
+async function sendGranted(ctx: EntryContext, prepared: PreparedService, run: RunningRequest, grant: Grant) {
+    run.note(`granted ${grant.upstream} after ${Math.round(grant.waitedMs)} ms: ${grant.reason}`);
+    ctx.metrics.histogram("wait_ms", grant.waitedMs, {
+        workspace: run.identity.workspace,
+        class: run.identity.className,
+    });
+    const result = await sendService(ctx, prepared, run, grant);
+    result.ifLeft(err => run.note(`${grant.upstream} failed: ${err.message}`));
+    completeGrant(ctx, run, grant, result.isRight() ? "answered" : "failed");
+    return result;
+}
+
+function completeGrant(
+    ctx: EntryContext,
+    run: RunningRequest,
+    grant: Grant,
+    outcome: "answered" | "failed" | "unused",
+): void {
+    ctx.dispatcher.complete({
+        request: run.identity.id,
+        upstream: grant.upstream,
+        outcome,
+        promptTokens: 0,
+        cachedTokens: 0,
+        completionTokens: 0,
+    });
+}
+
+function makeTicket(
+    { classView, workspace, pool, call }: PreparedService,
+    run: RunningRequest,
+    self: PeerIdentity,
+    avoid: readonly UpstreamId[],
+): Ticket {
+    return {
+        request: run.identity.id,
+        origin: self.host,
+        workspace: workspace.id,
+        className: classView.name,
+        tier: classView.tier,
+        weight: workspace.weight,
+        pool,
+        promptTokens: 0,
+        maxTokens: 1,
+        firstTokenMs: classView.firstTokenMs,
+        tokenMs: classView.tokenMs,
+        maxWaitMs: classView.maxWaitMs,
+        guaranteedShare: classView.guaranteedShare,
+        ageMs: run.ageMs(),
+        prefixes: [],
+        resumable: false,
+        repeatable: call === undefined,
+        avoid,
+        resumeOffset: 0,
+    };
+}
+
+function failed(err: CallerError): ServiceResult {
+    return { kind: "error", err };
+}
+
+function refusalFor(run: RunningRequest, refusal: Refusal, mayHaveRun: boolean): CallerError {
+    run.note(`refused: ${refusal.reason}, ${refusal.detail}`);
+    if (run.isCancelled) return stoppedError(run, mayHaveRun);
+    return toRefusalError(refusal, mayHaveRun ? "unknown" : "not-run");
+}
+
+function stoppedError(run: RunningRequest, mayHaveRun: boolean): CallerError {
+    const outcome = mayHaveRun ? "unknown" : "not-run";
+    if (run.cancelReason === "key-withdrawn") {
+        return new CallerError(401, "key-withdrawn", "the key was withdrawn while the call was under way", outcome);
+    }
+    return new CallerError(503, run.cancelReason ?? "stopped", "the call was stopped", outcome, RETRY_AFTER_FAILURE_MS);
+}
+
+function unknownError(): CallerError {
+    const message = "the call was sent and its answer is lost; it is not run again under this idempotency key";
+    return new CallerError(502, "outcome-unknown", message, "unknown");
+}
+
+function upstreamError(mayHaveRun: boolean): CallerError {
+    const outcome = mayHaveRun ? "unknown" : "not-run";
+    return new CallerError(502, "upstream-failed", "the service's upstreams failed", outcome, RETRY_AFTER_FAILURE_MS);
+}
--- /dev/null
+++ b/src/entry/sendService/index.ts
@@ -0,0 +1,99 @@
+import { Either, Left, Right } from "purify-ts";
+import { Grant } from "../../dispatch/index.js";
+import { findHeader, HttpReply } from "../../ports/index.js";
+import { REQUEST_ID_HEADER } from "../../protocol/index.js";
+import { EntryContext } from "../entryContext/index.js";
+import { PreparedService } from "../prepareService/index.js";
+import { RunningRequest } from "../runningRequest/index.js";
+
+/** A service call without a whole answer. */
+export class ServiceCallError extends Error {
+    /** @param mayHaveRun - False only when no byte of the call can have left. */
+    constructor(readonly mayHaveRun: boolean, detail: string) {
+        super(detail);
+    }
+}
+
+/** A service's whole answer. */
+export interface ServiceAnswer {
+    readonly status: number;
+    readonly contentType: string;
+    readonly body: Uint8Array;
+}
+
+/**
+ * Sends a call to the granted service and reads its whole answer.
+ *
+ * Guards against a pooled connection that has gone silent, on which a call may have arrived or not: a call that must not be
+ * repeated goes over a connection of its own. Guards against crossed answers: where the service repeats the request's
+ * id, it must be this one.
+ */
+export async function sendService(
+    ctx: EntryContext,
+    prepared: PreparedService,
+    run: RunningRequest,
+    grant: Grant,
+): Promise<Either<ServiceCallError, ServiceAnswer>> {
+    const { limits } = ctx;
+    const sent = await ctx.http.send({
+        address: grant.address,
+        method: prepared.method,
+        path: prepared.path,
+        headers: [
+            ...prepared.headers,
+            [REQUEST_ID_HEADER, run.identity.id],
+            ["content-length", String(prepared.body.length)],
+        ],
+        body: prepared.body,
+        fresh: prepared.call !== undefined,
+        connectTimeoutMs: limits.connectMs,
+        headTimeoutMs: limits.serviceMs,
+        signal: run.signal,
+    });
+    if (sent.isLeft()) {
+        const err = sent.extract();
+        return Left(new ServiceCallError(err.mayHaveLeft, err.message));
+    }
+    return readAnswer(sent.unsafeCoerce(), run, limits.bodyBytes, limits.serviceMs, ctx);
+}
+
+async function readAnswer(
+    reply: HttpReply,
+    run: RunningRequest,
+    limitBytes: number,
+    limitMs: number,
+    { clock }: EntryContext,
+): Promise<Either<ServiceCallError, ServiceAnswer>> {
+    const echoed = findHeader(reply.headers, REQUEST_ID_HEADER);
+    if (echoed !== undefined && echoed !== run.identity.id) {
+        reply.reset();
+        return Left(new ServiceCallError(true, `the answer is that of ${echoed}`));
+    }
+    const limit = clock.after(limitMs, () => reply.reset());
+    const body = await readWhole(reply, limitBytes);
+    limit.cancel();
+    return body.map(bytes => ({
+        status: reply.status,
+        contentType: findHeader(reply.headers, "content-type") ?? "application/octet-stream",
+        body: bytes,
+    }));
+}
+
+async function readWhole(reply: HttpReply, limitBytes: number): Promise<Either<ServiceCallError, Uint8Array>> {
+    const chunks: Uint8Array[] = [];
+    let size = 0;
+    try {
+        for await (const chunk of reply.body) {
+            size += chunk.length;
+            chunks.push(chunk);
+            if (size > limitBytes) {
+                reply.reset();
+                return Left(new ServiceCallError(true, `the answer has more than ${limitBytes} bytes`));
+            }
+        }
+    }
+    catch (err) {
+        return Left(new ServiceCallError(true, (err as Error).message));
+    }
+    return Right(Buffer.concat(chunks));
+}
--- /dev/null
+++ b/src/entry/serveService/index.ts
@@ -0,0 +1,88 @@
+import { RequestId } from "../../ids/index.js";
+import { HttpRequest, HttpResponse } from "../../ports/index.js";
+import { OUTCOME_HEADER, REQUEST_HEADER } from "../../protocol/index.js";
+import { PeerIdentity } from "../../wire/index.js";
+import { admitRequest } from "../admitRequest/index.js";
+import { CallerError, sendCallerError } from "../callerError/index.js";
+import { EntryContext } from "../entryContext/index.js";
+import { PreparedService, prepareService } from "../prepareService/index.js";
+import { RunningRequest } from "../runningRequest/index.js";
+import { runService, ServiceResult } from "../runService/index.js";
+
+/** Says that the answer is that of an earlier call with the same idempotency key. */
+const REPLAYED_HEADER = "x-sequoiamux-replayed";
+
+/** Answers one service call, from its first byte to its last. */
+export async function serveService(
+    ctx: EntryContext,
+    req: HttpRequest,
+    res: HttpResponse,
+    id: RequestId,
+    self: PeerIdentity,
+): Promise<void> {
+    const admission = admitRequest(ctx, req);
+    if (admission.isLeft()) return sendCallerError(res, admission.extract() as CallerError, id);
+    const { key, workspace } = admission.unsafeCoerce();
+    const checked = await prepareService(ctx, req, { key, workspace });
+    if (checked.isLeft()) return sendCallerError(res, checked.extract() as CallerError, id);
+    const prepared = checked.unsafeCoerce();
+    const run = new RunningRequest({
+        id,
+        workspace: workspace.id,
+        keyHash: key.hash,
+        className: prepared.classView.name,
+        pool: prepared.pool,
+    }, ctx.clock);
+    ctx.requests.add(run);
+    req.closed.addEventListener("abort", () => run.cancel("caller-gone"));
+    try {
+        const result = await runService(ctx, prepared, run, self);
+        await recordRun(ctx, prepared, result);
+        sendResult(res, id, result);
+        noteEnd(ctx, run, result);
+    }
+    finally {
+        ctx.requests.finish(run);
+    }
+}
+
+/** A replayed answer is not billed again. */
+async function recordRun(ctx: EntryContext, prepared: PreparedService, result: ServiceResult): Promise<void> {
+    if (result.kind === "error" || result.replayed) return;
+    await ctx.meter.record({
+        workspace: prepared.workspace.id,
+        pool: prepared.pool,
+        class: prepared.classView.name,
+        requests: 1,
+        prompt_tokens: 0,
+        completion_tokens: 0,
+    });
+}
+
+function sendResult(res: HttpResponse, id: RequestId, result: ServiceResult): void {
+    if (result.kind === "error") return sendCallerError(res, result.err, id);
+    const { status, contentType, body } = result.answer;
+    res.head(status, [
+        ["content-type", contentType],
+        ["content-length", String(body.length)],
+        [REQUEST_HEADER, id],
+        [OUTCOME_HEADER, "answered"],
+        ...(result.replayed ? [[REPLAYED_HEADER, "true"] as const] : []),
+    ]);
+    res.end(body);
+}
+
+function noteEnd(ctx: EntryContext, run: RunningRequest, result: ServiceResult): void {
+    const outcome = result.kind === "error" ? result.err.outcome : "answered";
+    run.note(`outcome: ${outcome}`);
+    const tags = { workspace: run.identity.workspace, class: run.identity.className };
+    ctx.metrics.histogram("total_ms", run.ageMs(), tags);
+    ctx.metrics.count("requests", 1, { ...tags, outcome });
+    ctx.logger.info("request-ended", {
+        request: run.identity.id,
+        ...tags,
+        pool: run.identity.pool,
+        outcome,
+        ms: Math.round(run.ageMs()),
+    });
+}
--- a/src/wire/peerChannel/index.ts
+++ b/src/wire/peerChannel/index.ts
@@ -85,6 +85,12 @@
     private ended = false;
     private identity: PeerIdentity | undefined;
     private whenReady: () => void = () => undefined;
+    private whenEnded: () => void = () => undefined;
+
+    /** Settles once the channel has ended. */
+    readonly closed = new Promise<void>(resolve => {
+        this.whenEnded = resolve;
+    });
 
     /** Settles once the peer's hello has come, or the channel has ended without one. */
     readonly ready = new Promise<void>(resolve => {
@@ -155,6 +161,7 @@
             this.settle(id, Left(new PeerError("lost", true, "connection ended")));
         }
         this.whenReady();
+        this.whenEnded();
     }
 
     private async readFrames(): Promise<void> {
