Settings from INI, JSON log lines, StatsD metrics with histograms in the process

The ini library drops the first of two equal names without a word; read without bracketed arrays it keeps both, so that a doubled name is an error line instead.

Ruled out: a global formatter for debug (it would change every other user of the library in the process); the line goes past the prefix as second argument instead. A histogram for each set of tags without a bound: 40,000 workspaces would each make several; beyond the bound they are counted in one series.

--- a/src/logging/index.ts
+++ b/src/logging/index.ts
@@ -1,3 +1,4 @@
 /** Logs as JSON lines. */
+export * from "./jsonLogger/index.js";
 export * from "./logger/index.js";
 export * from "./silentLogger/index.js";
--- a/src/metrics/index.ts
+++ b/src/metrics/index.ts
@@ -1,3 +1,5 @@
 /** Counters, levels and histograms, sent as StatsD and kept in the process. */
+export * from "./histogramTable/index.js";
 export * from "./metrics/index.js";
 export * from "./noMetrics/index.js";
+export * from "./statsdMetrics/index.js";
--- /dev/null
+++ b/src/settings/_lib/rows.ts
@@ -0,0 +1,40 @@
+import { z } from "zod";
+import { controlSchema, entrySchema, Settings } from "../schema/index.js";
+import { SettingInfo, settingRegistry } from "./setting.js";
+
+/** One setting of one role. */
+export interface SettingRow {
+    readonly section: string;
+    /** Its name in the file, such as `heartbeat_ms`. */
+    readonly name: string;
+    /** Its name in the code, such as `heartbeatMs`. */
+    readonly key: string;
+    readonly info: SettingInfo;
+}
+
+const SCHEMAS = { entry: entrySchema, control: controlSchema } as const;
+
+/**
+ * The settings of a role, in the order of the schema.
+ *
+ * @example
+ * listRows("entry").length;
+ */
+export function listRows(role: Settings["role"]): SettingRow[] {
+    return Object.entries(SCHEMAS[role].shape).flatMap(([section, inner]) => {
+        if (!(inner instanceof z.ZodObject)) return [];
+        return Object.entries(inner.shape as Record<string, z.ZodType>).map(([key, schema]) => {
+            return { section, name: toIniName(key), key, info: settingRegistry.get(schema)! };
+        });
+    });
+}
+
+/**
+ * Turns a name of the code into one of the file.
+ *
+ * @example
+ * toIniName("heartbeatMs"); // "heartbeat_ms"
+ */
+export function toIniName(key: string): string {
+    return key.replace(/[A-Z]/g, letter => `_${letter.toLowerCase()}`);
+}
--- /dev/null
+++ b/src/settings/parseSettings/test.ts
@@ -0,0 +1,132 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { parseSettings } from "./index.js";
+
+const ENTRY = `
+role = entry
+[host]
+id = vogar-1 ; a comment
+zone = vogar
+region = sudurnes
+[listen]
+callers = 10.20.4.11:8080
+upstreams = 10.20.4.11:8090
+peers = 10.20.4.11:7000
+admin = 10.20.4.11:7100
+[control]
+members = keflavik-1@10.20.1.11:7001, vogar-1@10.20.4.11:7001
+`;
+
+const CONTROL = `
+role = control
+[host]
+id = vogar-1
+zone = vogar
+region = sudurnes
+[listen]
+peers = 10.20.4.11:7001
+operators = 10.20.4.11:7101
+[control]
+members = vogar-1@10.20.4.11:7001
+[data]
+folder = /var/lib/sequoiamux
+[platform]
+`;
+
+function listProblems(text: string): string[] {
+    return parseSettings(text, "x.ini").caseOf({ Left: errs => errs.map(err => err.message), Right: () => [] });
+}
+
+function parseWell(text: string) {
+    return parseSettings(text, "x.ini").mapLeft(errs => errs.join("\n")).unsafeCoerce();
+}
+
+describe("parseSettings", () => {
+    describe("a good file", () => {
+        it("gives an entry's settings with defaults", () => {
+            const settings = parseWell(ENTRY);
+            assert.equal(settings.role, "entry");
+            assert.deepEqual(settings.listen.peers, { host: "10.20.4.11", port: 7000 });
+            assert.equal(settings.control.members.length, 2);
+            assert.equal(settings.usage.windowMs, 60_000);
+            assert.equal(settings.metrics.statsd, undefined);
+        });
+
+        it("gives a control process's settings", () => {
+            const settings = parseWell(CONTROL);
+            assert.ok(settings.role === "control");
+            assert.equal(settings.data.folder, "/var/lib/sequoiamux");
+            assert.equal(settings.timing.leaseMs, 900);
+        });
+    });
+
+    describe("a mistake", () => {
+        const mistakes: readonly (readonly [name: string, text: string, problem: RegExp])[] = [
+            ["no role", "[host]\nid = a", /^x\.ini: role: expected entry or control$/],
+            [
+                "an unknown section",
+                `${ENTRY}[limts]\nqueued = 1`,
+                /^x\.ini: \[limts\] unknown section for the role entry/,
+            ],
+            [
+                "an unknown name",
+                `${ENTRY}[limits]\nqueue = 1`,
+                /^x\.ini: \[limits\] queue: unknown name, expected one of body/,
+            ],
+            ["a name before any section", `queued = 1\n${ENTRY}`, /queued: unknown name, expected a section/],
+            ["a name that stands twice", `${ENTRY}[log]\nlevel = info\nlevel = warn`, /\[log\] level: stands twice/],
+            ["a bad number", `${ENTRY}[limits]\nqueued = many`, /queued: expected a whole number from 1.*found "many"/],
+            [
+                "a number out of bounds",
+                `${ENTRY}[usage]\nwindow_ms = 5`,
+                /window_ms: expected a whole number from 1000/,
+            ],
+            ["a name without a value", `${ENTRY}[metrics]\nstatsd`, /statsd: expected IP:port, found "true"/],
+            ["a DNS name", ENTRY.replace("10.20.4.11:7100", "host.example:7100"), /admin: expected IP:port/],
+            [
+                "two listeners on one port",
+                ENTRY.replace(":8090", ":8080"),
+                /upstreams: expected another address than that of callers/,
+            ],
+            ["an entry without control addresses", ENTRY.replace(/members.*/, ""), /members: missing, expected 1 to 9/],
+            [
+                "a control host listed twice",
+                ENTRY.replace("vogar-1@", "keflavik-1@"),
+                /members: expected 1 to 9 different/,
+            ],
+            ["a control process without data folder", CONTROL.replace(/folder.*/, ""), /\[data\] folder: missing/],
+            [
+                "a control process that is no member",
+                CONTROL.replace("id = vogar-1", "id = vogar-2"),
+                /expected this host, vogar-2/,
+            ],
+            [
+                "a lease longer than an election",
+                `${CONTROL}[timing]\nlease_ms = 950`,
+                /lease_ms: expected at most election_ms/,
+            ],
+            [
+                "a silence below two heartbeats",
+                `${ENTRY}[timing]\nsilence_ms = 900`,
+                /silence_ms: expected at least twice/,
+            ],
+            [
+                "a section of the other role",
+                `${ENTRY}[data]\nfolder = x`,
+                /\[data\] unknown section for the role entry/,
+            ],
+        ];
+        for (const [name, text, problem] of mistakes) {
+            it(`is one line: ${name}`, () => {
+                const problems = listProblems(text);
+                assert.equal(problems.length, 1, problems.join("\n"));
+                assert.match(problems[0], problem);
+            });
+        }
+
+        it("does not hide another", () => {
+            const problems = listProblems(`${ENTRY}[limits]\nqueued = many\nbody = 1\n[log]\nlevel = loud`);
+            assert.equal(problems.length, 3);
+        });
+    });
+});
--- /dev/null
+++ b/src/settings/schema/index.ts
@@ -0,0 +1,207 @@
+import { z } from "zod";
+import { HostId, ZoneId } from "../../ids/index.js";
+import {
+    folderPath,
+    ipAddress,
+    memberList,
+    name,
+    oneOf,
+    optional,
+    required,
+    wholeNumber,
+    withDefault,
+} from "../_lib/setting.js";
+
+const HOUR_MS = 3_600_000;
+const MOST_BYTES = 64 * 1024 * 1024;
+
+const span = wholeNumber(1, 24 * HOUR_MS);
+
+const host = z.object({
+    id: required(name<HostId>(), "The host's name, different on each host. It keeps its name over restarts."),
+    zone: required(name<ZoneId>(), "The availability zone that the host stands in."),
+    region: required(name<string>(), "The region that the zone belongs to."),
+});
+
+const control = z.object({
+    members: required(
+        memberList,
+        "The control processes with their peer listeners, the same list on each host. Three or five, in different zones.",
+    ),
+});
+
+const usage = z.object({
+    windowMs: withDefault(
+        wholeNumber(1_000, 24 * HOUR_MS),
+        "60000",
+        "Length of a usage window in milliseconds; the same on each host. Windows start at whole multiples of it since the epoch.",
+    ),
+});
+
+const metrics = z.object({
+    statsd: optional(
+        ipAddress,
+        "Where figures go as StatsD packets. Without it, histograms are kept in the process only.",
+    ),
+    prefix: withDefault(name<string>(), "sequoiamux.", "Put before the name of each figure."),
+    series: withDefault(
+        wholeNumber(1, 100_000),
+        "1000",
+        "The most histograms kept in the process, one for each name and set of tags; what comes beyond is counted together.",
+    ),
+});
+
+const log = z.object({
+    level: withDefault(
+        oneOf("debug", "info", "warn", "error"),
+        "info",
+        "The lowest level written. The environment variable DEBUG adds namespaces `sequoiamux:<role>:<level>`.",
+    ),
+});
+
+const peerTiming = {
+    heartbeatMs: withDefault(
+        span,
+        "500",
+        "A ping goes to a peer when nothing else has for this long, in milliseconds.",
+    ),
+    silenceMs: withDefault(
+        span,
+        "2000",
+        "A connection between own processes is reset when nothing came for this long, in milliseconds. At least twice the heartbeat.",
+    ),
+};
+
+const stop = {
+    graceMs: withDefault(
+        span,
+        "600000",
+        "The longest a planned stop waits for work under way, in milliseconds; beyond it the process ends with exit code 3.",
+    ),
+};
+
+/** The settings of an entry process. */
+export const entrySchema = z.object({
+    role: z.literal("entry"),
+    host,
+    listen: z.object({
+        callers: required(ipAddress, "Where callers send requests, behind the platform's balancer."),
+        upstreams: required(ipAddress, "Where upstreams announce themselves."),
+        peers: required(ipAddress, "Where the system's other processes connect."),
+        admin: required(ipAddress, "Health, readiness and the operator tool. Keep it on the operators' network."),
+    }),
+    control,
+    limits: z.object({
+        bodyBytes: withDefault(wholeNumber(1_024, MOST_BYTES), "4194304", "The largest request body, in bytes."),
+        headerBytes: withDefault(
+            wholeNumber(1_024, 1_048_576),
+            "16384",
+            "The largest sum of a request's header lines, in bytes.",
+        ),
+        headerTimeoutMs: withDefault(span, "10000", "How long a caller may take to send its headers, in milliseconds."),
+        requestTimeoutMs: withDefault(
+            span,
+            "30000",
+            "How long a caller may take to send a whole request, in milliseconds.",
+        ),
+        connections: withDefault(wholeNumber(1, 1_000_000), "4096", "The most connections of callers at a time."),
+        queued: withDefault(
+            wholeNumber(1, 1_000_000),
+            "2048",
+            "The most requests that wait for an upstream at a time; the lowest tier is refused first.",
+        ),
+    }),
+    timing: z.object(peerTiming),
+    streams: z.object({
+        firstByteMs: withDefault(
+            span,
+            "15000",
+            "An upstream that sent nothing this long after a request left is given up for it, in milliseconds.",
+        ),
+        tokenStallMs: withDefault(
+            span,
+            "5000",
+            "A stream without a token for this long is continued elsewhere, in milliseconds.",
+        ),
+    }),
+    stop: z.object({
+        ...stop,
+        balancerMs: withDefault(
+            wholeNumber(0, HOUR_MS),
+            "5000",
+            "How long a stopping entry still takes new requests after it reports itself not ready, in milliseconds: the time that the balancer needs to notice.",
+        ),
+    }),
+    usage,
+    metrics,
+    log,
+});
+
+/** The settings of a control process. */
+export const controlSchema = z.object({
+    role: z.literal("control"),
+    host,
+    listen: z.object({
+        peers: required(ipAddress, "Where the system's other processes connect; other hosts list it in `members`."),
+        operators: required(ipAddress, "Health, readiness and the operator tool. Keep it on the operators' network."),
+    }),
+    control,
+    data: z.object({
+        folder: required(
+            folderPath,
+            "The data folder, on a disk that keeps what was synced. One process has it at a time.",
+        ),
+        segmentBytes: withDefault(
+            wholeNumber(65_536, MOST_BYTES),
+            "8388608",
+            "The size at which the log goes on in a new file, in bytes.",
+        ),
+        snapshotEntries: withDefault(
+            wholeNumber(100, 10_000_000),
+            "20000",
+            "A snapshot is written, and the log cut, after this many entries.",
+        ),
+    }),
+    platform: z.object({
+        address: optional(
+            ipAddress,
+            "The platform's interface for orders of upstreams and for usage reports. Without it neither is sent.",
+        ),
+    }),
+    timing: z.object({
+        ...peerTiming,
+        electionMs: withDefault(
+            span,
+            "1000",
+            "A voter that heard no leader for this long (and up to twice as long, by chance) asks for an election, in milliseconds.",
+        ),
+        leaseMs: withDefault(
+            span,
+            "900",
+            "How long a quorum's answer lets the holder act, in milliseconds from when its question left. At most the election time less the drift margin.",
+        ),
+        driftMs: withDefault(
+            span,
+            "100",
+            "How far the clocks of two hosts may drift apart during one lease, in milliseconds.",
+        ),
+        freshnessLeaseMs: withDefault(
+            span,
+            "3000",
+            "How long an entry may go on with its view after it asked the holder for changes, in milliseconds. A withdrawn key stops within this time, whatever is cut off.",
+        ),
+    }),
+    stop: z.object(stop),
+    usage,
+    metrics,
+    log,
+});
+
+/** What an entry process is started with. */
+export type EntrySettings = z.output<typeof entrySchema>;
+
+/** What a control process is started with. */
+export type ControlSettings = z.output<typeof controlSchema>;
+
+/** What a daemon is started with; `role` says which of the two. */
+export type Settings = EntrySettings | ControlSettings;
