Sample settings for both deployments

Cause: the product needs files that an operator can start from: 7 entries and 3 control processes for the Utility (4 zones of sudurnes) and for the Consortium (3 zones of om-north). A test parses each, and checks that the files of a deployment agree (members, listeners, window).

--- a/src/settings/parseSettings/test.ts
+++ b/src/settings/parseSettings/test.ts
@@ -1,5 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { FileDisk, formatAddress } from "../../ports/index.js";
+import { Settings } from "../schema/index.js";
 import { parseSettings } from "./index.js";
 
 const ENTRY = `
@@ -130,3 +132,45 @@
         });
     });
 });
+
+describe("the sample files", () => {
+    const disk = new FileDisk("settings");
+
+    async function readSamples(folder: string): Promise<Settings[]> {
+        const samples: Settings[] = [];
+        for (const name of await disk.list(folder)) {
+            const text = Buffer.from((await disk.read(`${folder}/${name}`))!).toString();
+            samples.push(parseSettings(text, name).mapLeft(errs => new Error(errs.join("\n"))).unsafeCoerce());
+        }
+        return samples;
+    }
+
+    for (const [folder, zones] of [["utility", 4], ["consortium", 3]] as const) {
+        describe(folder, () => {
+            it("have 7 entries in all zones and 3 control processes", async () => {
+                const samples = await readSamples(folder);
+                assert.equal(samples.filter(({ role }) => role === "entry").length, 7);
+                assert.equal(samples.filter(({ role }) => role === "control").length, 3);
+                assert.equal(new Set(samples.map(({ host }) => host.zone)).size, zones);
+                assert.equal(new Set(samples.map(({ host }) => host.region)).size, 1);
+            });
+
+            it("agree with each other", async () => {
+                const samples = await readSamples(folder);
+                const listed = samples[0].control.members.map(member =>
+                    `${member.host}@${formatAddress(member.address)}`
+                );
+                const listening = samples
+                    .filter(({ role }) => role === "control")
+                    .map(({ host, listen }) => `${host.id}@${formatAddress(listen.peers)}`);
+                assert.deepEqual([...listed].sort(), listening.sort());
+                for (const { control, usage } of samples) {
+                    assert.deepEqual(control.members, samples[0].control.members);
+                    assert.equal(usage.windowMs, samples[0].usage.windowMs);
+                }
+                const addresses = samples.flatMap(({ listen }) => Object.values(listen).map(formatAddress));
+                assert.equal(new Set(addresses).size, addresses.length);
+            });
+        });
+    }
+});
--- a/src/settings/schema/index.ts
+++ b/src/settings/schema/index.ts
@@ -18,7 +18,7 @@
 const span = wholeNumber(1, 24 * HOUR_MS);
 
 const host = z.object({
-    id: required(name<HostId>(), "The host's name, different on each host. It keeps its name over restarts."),
+    id: required(name<HostId>(), "The host's name, kept over restarts; the host's entry and control process share it."),
     zone: required(name<ZoneId>(), "The availability zone that the host stands in."),
     region: required(name<string>(), "The region that the zone belongs to."),
 });
