--- a/src/entry/admitRequest/index.ts
+++ b/src/entry/admitRequest/index.ts
@@ -24,7 +24,7 @@
  */
 export function admitRequest(ctx: EntryContext, req: HttpRequest): Either<CallerError, Admission> {
     return readKey(req).chain(key => {
-        if (ctx.isDraining()) return Left(unavailable("draining", "this host is stopping", RETRY_OTHER_HOST_MS));
+        if (ctx.isRefusing()) return Left(unavailable("draining", "this host is stopping", RETRY_OTHER_HOST_MS));
         if (!ctx.control.isFresh()) {
             return Left(
                 unavailable("stale-view", "this host has lost touch with the control processes", RETRY_SOON_MS),
@@ -33,9 +33,9 @@
         if (ctx.requests.size >= ctx.limits.requests) {
             return Left(unavailable("over-capacity", "too many requests are under way on this host", RETRY_SOON_MS));
         }
-        const access = ctx.control.findKey(key.hash);
-        if (!access) return Left(new CallerError(401, "key-unknown", "the key is unknown or was withdrawn"));
-        return Right({ key, workspace: access.workspace });
+        const workspace = ctx.control.findWorkspace(key.hash);
+        if (!workspace) return Left(new CallerError(401, "key-unknown", "the key is unknown or was withdrawn"));
+        return Right({ key, workspace });
     });
 }
 
--- a/src/entry/controlAccess/index.ts
+++ b/src/entry/controlAccess/index.ts
@@ -1,5 +1,5 @@
 import { Either } from "purify-ts";
-import { EntryCommand, EntryView, KeyView, WorkspaceView } from "../../control/index.js";
+import { EntryCommand, EntryView, WorkspaceView } from "../../control/index.js";
 import { KeyHash } from "../../ids/index.js";
 
 /** A command that got no answer from the control processes. */
@@ -10,19 +10,13 @@
     }
 }
 
-/** A key in force, with its workspace. */
-export interface KeyAccess {
-    readonly key: KeyView;
-    readonly workspace: WorkspaceView;
-}
-
 /** What an entry knows of the control state, and how it changes it. */
 export abstract class ControlAccess {
     /** True while the freshness lease runs: the view is at most a few seconds behind. */
     abstract isFresh(): boolean;
 
-    /** Finds a key in force. */
-    abstract findKey(hash: KeyHash): KeyAccess | undefined;
+    /** Finds the workspace of a key in force. */
+    abstract findWorkspace(hash: KeyHash): WorkspaceView | undefined;
 
     /** The entries that the holder has heard from lately, this one among them. */
     abstract entries(): readonly EntryView[];
--- a/src/entry/entryContext/index.ts
+++ b/src/entry/entryContext/index.ts
@@ -55,6 +55,8 @@
     readonly metrics: Metrics;
     readonly logger: Logger;
     readonly limits: EntryLimits;
-    /** True once a planned stop has begun. */
+    /** True once a planned stop has begun: the balancer should send no more callers. */
     readonly isDraining: () => boolean;
+    /** True once the balancer has had time to notice: new requests are refused. */
+    readonly isRefusing: () => boolean;
 }
--- /dev/null
+++ b/src/entry/entryProcess/index.ts
@@ -0,0 +1,246 @@
+import { ControlClient, ViewCache } from "../../control/index.js";
+import { LocalDispatcher } from "../../dispatch/index.js";
+import { ZoneId } from "../../ids/index.js";
+import { Lifecycle } from "../../lifecycle/index.js";
+import { Logger } from "../../logging/index.js";
+import { Metrics } from "../../metrics/index.js";
+import {
+    Address,
+    Clock,
+    DEFAULT_HTTP_LIMITS,
+    formatAddress,
+    Http,
+    HttpLimits,
+    Listener,
+    Network,
+    Random,
+} from "../../ports/index.js";
+import { UpstreamRegistry } from "../../upstream/index.js";
+import { PeerIdentity, PeerLink, PeerRouter, PeerTiming, servePeers } from "../../wire/index.js";
+import { AnnouncementSpreader } from "../announcementSpreader/index.js";
+import { EntryContext, EntryLimits } from "../entryContext/index.js";
+import { FleetControl } from "../fleetControl/index.js";
+import { FleetDispatcher } from "../fleetDispatcher/index.js";
+import { PeerBatchHolder } from "../peerBatchHolder/index.js";
+import { PeerDirectory } from "../peerDirectory/index.js";
+import { RequestRegistry } from "../requestRegistry/index.js";
+import { serveAnnouncements } from "../serveAnnouncements/index.js";
+import { serveCallers } from "../serveCallers/index.js";
+import { OpenSpendGate } from "../spendGate/index.js";
+import { TicketServer } from "../ticketServer/index.js";
+import { UsageKeeper } from "../usageKeeper/index.js";
+import { UsageMeter } from "../usageMeter/index.js";
+
+/** What an entry process is made of. */
+export interface EntryOptions {
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly network: Network;
+    readonly http: Http;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+    readonly self: PeerIdentity;
+    readonly zone: ZoneId;
+    readonly region: string;
+    readonly callers: Address;
+    readonly upstreams: Address;
+    readonly peers: Address;
+    readonly controlPeers: readonly Address[];
+    readonly callerLimits: HttpLimits;
+    readonly limits: EntryLimits;
+    readonly timing: PeerTiming;
+    readonly windowMs: number;
+    /** How long a stopping entry still takes new requests, until the balancer has noticed, in milliseconds. */
+    readonly balancerMs: number;
+}
+
+const VIEW_POLL_MS = 10;
+const BACKLOG_POLL_MS = 50;
+
+/**
+ * An entry: takes callers' requests and upstreams' announcements, owns the queues of some pools, meters usage.
+ *
+ * @example
+ * const entry = await EntryProcess.start(options);
+ * await entry.drain(600_000);
+ * await entry.close();
+ */
+export class EntryProcess {
+    readonly requests = new RequestRegistry();
+    readonly registry: UpstreamRegistry;
+    readonly control: FleetControl;
+    readonly local: LocalDispatcher;
+    readonly dispatcher: FleetDispatcher;
+    readonly meter: UsageMeter;
+    private readonly lifecycle = new Lifecycle();
+    private readonly router = new PeerRouter();
+    private readonly client: ControlClient;
+    private readonly directory: PeerDirectory;
+    private readonly spreader: AnnouncementSpreader;
+    private announcedDrain = false;
+    private refusing = false;
+    private callerListener: Listener | undefined;
+
+    private constructor(private readonly options: EntryOptions) {
+        const { clock, random, self, zone, region } = options;
+        const cache = new ViewCache();
+        this.client = this.makeClient(cache);
+        this.control = new FleetControl(this.client, cache);
+        this.directory = new PeerDirectory({
+            ...options,
+            router: this.router,
+            control: this.control,
+            lifecycle: this.lifecycle,
+        });
+        this.registry = new UpstreamRegistry({ clock });
+        this.local = new LocalDispatcher({ clock, random, registry: this.registry, zone });
+        this.dispatcher = new FleetDispatcher({
+            clock,
+            self: self.host,
+            region,
+            directory: this.directory,
+            local: this.local,
+        });
+        this.spreader = new AnnouncementSpreader(this.registry, this.directory, region, self.host);
+        this.meter = new UsageMeter({
+            ...options,
+            holder: new PeerBatchHolder(this.directory, self),
+            control: this.control,
+        });
+    }
+
+    /**
+     * Starts an entry. Its callers' port opens only once it has a view read through the holder of the control lease.
+     *
+     * @throws NetworkError when an address is taken.
+     */
+    static async start(options: EntryOptions, signal?: AbortSignal): Promise<EntryProcess> {
+        const entry = new EntryProcess(options);
+        try {
+            await entry.open(signal);
+        }
+        catch (err) {
+            await entry.close();
+            throw err;
+        }
+        return entry;
+    }
+
+    /** Where callers are served; undefined until there is a view. */
+    get callerAddress(): Address | undefined {
+        return this.callerListener?.address;
+    }
+
+    get isDraining(): boolean {
+        return this.announcedDrain;
+    }
+
+    /**
+     * Prepares a planned stop: lets the balancer notice, hands the queues over, and lets all work under way end.
+     *
+     * @param graceMs - The longest to wait, in milliseconds.
+     * @returns Whether all work has ended.
+     */
+    async drain(graceMs: number): Promise<boolean> {
+        const { clock, balancerMs, logger } = this.options;
+        this.announcedDrain = true;
+        this.client.setDraining(true);
+        logger.info("drain-started", { requests: this.requests.size });
+        await clock.sleep(balancerMs);
+        this.refusing = true;
+        this.local.drain();
+        const limit = new AbortController();
+        const timer = clock.after(graceMs, () => limit.abort());
+        await Promise.race([this.requests.idle(), clock.sleep(graceMs, limit.signal)]);
+        while (this.meter.backlog > 0 && !limit.signal.aborted) await clock.sleep(BACKLOG_POLL_MS);
+        timer.cancel();
+        logger.info("drain-ended", { requests: this.requests.size, batches: this.meter.backlog });
+        return this.requests.size === 0 && this.meter.backlog === 0;
+    }
+
+    /** Ends everything at once. */
+    close(): Promise<void> {
+        return this.lifecycle.close();
+    }
+
+    private async open(signal?: AbortSignal): Promise<void> {
+        const { lifecycle, options } = this;
+        const { logger } = options;
+        const onError = (err: unknown): void => logger.error("task-failed", { problem: String((err as Error).stack) });
+        const keeper = new UsageKeeper(options.clock, this.control);
+        keeper.addTo(this.router);
+        this.spreader.addTo(this.router);
+        this.dispatcher.addTo(this.router);
+        new TicketServer(this.local, request => this.dispatcher.preemptHere(request)).addTo(this.router);
+        this.dispatcher.onPreempt(request => this.requests.cancel(request, "preempted"));
+        this.control.onViewChange(() => this.requests.cancelWithdrawn(hash => !!this.control.findWorkspace(hash)));
+        lifecycle.own(() => this.local.close());
+        const peers = await servePeers({ ...options, address: options.peers, router: this.router });
+        lifecycle.own(() => peers.close());
+        lifecycle.run(running => this.client.run(running), onError);
+        lifecycle.run(running => this.dispatcher.run(running), onError);
+        lifecycle.run(running => this.meter.run(running), onError);
+        lifecycle.run(running => keeper.run(running), onError);
+        const upstreams = await options.http.serve(
+            options.upstreams,
+            DEFAULT_HTTP_LIMITS,
+            serveAnnouncements(announcement => this.spreader.take(announcement)),
+        );
+        lifecycle.own(() => upstreams.close());
+        await this.awaitView(signal);
+        await this.openCallers();
+    }
+
+    private async awaitView(signal?: AbortSignal): Promise<void> {
+        while (!this.control.isFresh() && !signal?.aborted && !this.lifecycle.isClosing) {
+            await this.options.clock.sleep(VIEW_POLL_MS);
+        }
+    }
+
+    private async openCallers(): Promise<void> {
+        const { options } = this;
+        const listener = await options.http.serve(
+            options.callers,
+            options.callerLimits,
+            serveCallers(this.context(), options.self),
+        );
+        this.callerListener = listener;
+        this.lifecycle.own(() => listener.close());
+        options.logger.info("entry-ready", { callers: formatAddress(listener.address) });
+    }
+
+    private context(): EntryContext {
+        return {
+            ...this.options,
+            control: this.control,
+            dispatcher: this.dispatcher,
+            requests: this.requests,
+            meter: this.meter,
+            spendGate: new OpenSpendGate(),
+            isDraining: () => this.announcedDrain,
+            isRefusing: () => this.refusing,
+        };
+    }
+
+    private makeClient(cache: ViewCache): ControlClient {
+        const { options } = this;
+        const links = options.controlPeers.map(address => {
+            const link = new PeerLink({ ...options, address, router: this.router });
+            this.lifecycle.run(signal => link.run(signal), () => undefined);
+            return link;
+        });
+        return new ControlClient({
+            links,
+            clock: options.clock,
+            random: options.random,
+            self: {
+                host: options.self.host,
+                incarnation: options.self.incarnation,
+                zone: options.zone,
+                peerAddress: formatAddress(options.peers),
+            },
+            cache,
+            onChange: () => this.control.viewChanged(),
+        });
+    }
+}
--- a/src/entry/serveChat/index.ts
+++ b/src/entry/serveChat/index.ts
@@ -62,7 +62,7 @@
         return sendCallerError(res, err, run.identity.id);
     }
     // The key may have been withdrawn while the limit was asked for.
-    if (!ctx.control.findKey(run.identity.keyHash)) run.cancel("key-withdrawn");
+    if (!ctx.control.findWorkspace(run.identity.keyHash)) run.cancel("key-withdrawn");
     const chatAnswer = {
         request: run.identity.id,
         model: prepared.chat.model,
