Stand-ins of engines, plain services and the platform, first form

The daemon needs something to talk to that speaks the published protocol over real TCP and in memory.

--- /dev/null
+++ b/src/emulator/index.ts
@@ -0,0 +1,23 @@
+/** Stand-ins for engines, plain services and the platform, over the ports: in memory or on real TCP. */
+export { type StandInPorts } from "./_lib/standInPorts.js";
+export * from "./announcer/index.js";
+export * from "./answerText/index.js";
+export * from "./batch/index.js";
+export * from "./controlApi/index.js";
+export * from "./emulatorSettings/index.js";
+export * from "./engineFaults/index.js";
+export * from "./engineStandIn/index.js";
+export * from "./fleet/index.js";
+export * from "./keyWatch/index.js";
+export * from "./kvTransfer/index.js";
+export * from "./orderDesk/index.js";
+export * from "./orderLog/index.js";
+export * from "./platformStandIn/index.js";
+export * from "./prefixes/index.js";
+export * from "./runLedger/index.js";
+export * from "./serviceFaults/index.js";
+export * from "./serviceStandIn/index.js";
+export * from "./standInSet/index.js";
+export * from "./upstreamState/index.js";
+export * from "./usageDesk/index.js";
+export * from "./weightStore/index.js";
