--- /dev/null
+++ b/src/control/entryCommandSchema/index.ts
@@ -0,0 +1,50 @@
+import { z } from "zod";
+import { usageLineSchema } from "../../protocol/index.js";
+import { EntryCommand } from "../command/index.js";
+
+const name = z.string().min(1).max(256);
+const run = { host: name, incarnation: name };
+const call = { workspace: name, key: name, request: name };
+const answer = z.looseObject({
+    status: z.int(),
+    contentType: z.string(),
+    body: z.instanceof(Uint8Array),
+});
+
+const entryCommandSchema = z.discriminatedUnion("kind", [
+    z.looseObject({ kind: z.literal("call.begin"), ...call, digest: name, ...run }),
+    z.looseObject({
+        kind: z.literal("call.finish"),
+        ...call,
+        outcome: z.enum(["answered", "unknown", "not-run"]),
+        answer: answer.optional(),
+    }).refine(command => command.outcome !== "answered" || command.answer !== undefined, "an answer is missing"),
+    z.looseObject({ kind: z.literal("call.abandon"), ...run }),
+    z.looseObject({
+        kind: z.literal("usage.batch"),
+        ...run,
+        sequence: z.int().min(1),
+        sums: z.array(z.looseObject({ window: z.int().min(0), line: usageLineSchema.loose() })),
+    }),
+    z.looseObject({
+        kind: z.literal("spend.reserve"),
+        workspace: name,
+        window: z.int().min(0),
+        ...run,
+        sequence: z.int().min(1),
+        tokens: z.int().min(0),
+    }),
+]);
+
+/**
+ * Reads a command as an entry sent it, before it may enter the log: what is in the log must be fit to apply.
+ * Fields that this version does not know are kept.
+ *
+ * @throws Error that names the first field that does not fit.
+ */
+export function parseEntryCommand(body: unknown): EntryCommand {
+    const parsed = entryCommandSchema.safeParse(body);
+    if (parsed.success) return parsed.data as unknown as EntryCommand;
+    const { path, message } = parsed.error.issues[0];
+    throw new Error(`malformed command: ${path.join(".")} ${message}`);
+}
--- /dev/null
+++ b/src/control/memoryControlLog/index.ts
@@ -0,0 +1,160 @@
+import { Either, Left, Right } from "purify-ts";
+import { ControlLog, ProposeError, StateMachine } from "../../consensus/index.js";
+import { FencingToken, HostId, LogIndex } from "../../ids/index.js";
+import { Clock } from "../../ports/index.js";
+import { decodeValue, encodeValue } from "../../wire/index.js";
+
+/**
+ * What becomes of entries. `apply`: committed, and answered. `lose-answer`: committed, but the proposer is told that the entry is
+ * lost. `lose`: neither.
+ */
+export type ProposalFate = "apply" | "lose-answer" | "lose";
+
+interface Entry {
+    readonly bytes: Uint8Array;
+    readonly proposedAt: number;
+}
+
+/**
+ * A group of control logs inside one process, without replication or disk: for tests of what stands on the log.
+ *
+ * @example
+ * const group = new MemoryLogGroup(clock);
+ * const log = group.join("control-1" as HostId, new ControlState());
+ * group.elect("control-1" as HostId);
+ */
+export class MemoryLogGroup {
+    readonly entries: Entry[] = [];
+    fate: ProposalFate = "apply";
+    private readonly members = new Map<HostId, MemoryControlLog>();
+    private leader: HostId | undefined;
+    private token = 0;
+
+    constructor(readonly clock: Clock) {}
+
+    get holder(): HostId | undefined {
+        return this.leader;
+    }
+
+    /** Adds a replica and applies what is committed. */
+    join(host: HostId, state: StateMachine): MemoryControlLog {
+        const log = new MemoryControlLog(this, host, state);
+        this.members.set(host, log);
+        log.catchUp();
+        return log;
+    }
+
+    /** Makes a replica the holder. One that was isolated before keeps its lease until that runs out. */
+    elect(host: HostId): void {
+        const before = this.leader && this.members.get(this.leader);
+        this.leader = host;
+        this.token++;
+        if (before && !before.isIsolated) before.setLease(-Infinity);
+        this.members.get(host)!.startTerm(this.token as FencingToken);
+    }
+
+    /** Cuts a replica off: its lease runs out, it learns of no entries, and what it proposes is lost. */
+    isolate(host: HostId, leaseLeftMs: number): void {
+        this.members.get(host)!.isolate(leaseLeftMs);
+    }
+
+    /** Ends a replica's isolation; a deposed holder learns that it is one. */
+    heal(host: HostId): void {
+        this.members.get(host)!.heal(this.leader === host);
+    }
+
+    commit(entry: Entry): void {
+        this.entries.push(entry);
+        for (const member of this.members.values()) member.catchUp();
+    }
+}
+
+/** One replica of a `MemoryLogGroup`. */
+export class MemoryControlLog extends ControlLog {
+    private readonly listeners = new Set<(holds: boolean) => void>();
+    private applied = 0;
+    private leaseUntil = -Infinity;
+    private token = 0 as FencingToken;
+    private isolated = false;
+    private lastResult: unknown;
+
+    constructor(
+        private readonly group: MemoryLogGroup,
+        private readonly host: HostId,
+        private readonly state: StateMachine,
+    ) {
+        super();
+    }
+
+    get isIsolated(): boolean {
+        return this.isolated;
+    }
+
+    async propose(command: unknown): Promise<Either<ProposeError, unknown>> {
+        const { group, host } = this;
+        if (this.isolated) return Left(new ProposeError("lost", true, undefined));
+        if (group.holder !== host) return Left(new ProposeError("not-holder", false, group.holder));
+        if (group.fate === "lose") return Left(new ProposeError("lost", true, host));
+        group.commit({ bytes: encodeValue(command), proposedAt: group.clock.now() });
+        const result = this.lastResult;
+        if (group.fate === "lose-answer") return Left(new ProposeError("lost", true, host));
+        return Right(result);
+    }
+
+    holdsLease(): boolean {
+        return this.group.clock.monotonic() < this.leaseUntil;
+    }
+
+    fencingToken(): FencingToken {
+        return this.token;
+    }
+
+    holder(): HostId | undefined {
+        return this.isolated ? undefined : this.group.holder;
+    }
+
+    appliedIndex(): LogIndex {
+        return this.applied as LogIndex;
+    }
+
+    onHolderChange(listener: (holds: boolean) => void): () => void {
+        this.listeners.add(listener);
+        return () => this.listeners.delete(listener);
+    }
+
+    catchUp(): void {
+        if (this.isolated) return;
+        while (this.applied < this.group.entries.length) {
+            const { bytes, proposedAt } = this.group.entries[this.applied++];
+            const index = this.applied as LogIndex;
+            this.lastResult = decodeValue(encodeValue(this.state.apply(decodeValue(bytes), { index, proposedAt })));
+        }
+    }
+
+    startTerm(token: FencingToken): void {
+        this.token = token;
+        this.setLease(Infinity);
+    }
+
+    setLease(until: number): void {
+        this.leaseUntil = until;
+        this.tellListeners();
+    }
+
+    isolate(leaseLeftMs: number): void {
+        this.isolated = true;
+        if (!this.holdsLease()) return;
+        this.leaseUntil = this.group.clock.monotonic() + leaseLeftMs;
+        this.group.clock.after(leaseLeftMs, () => this.tellListeners());
+    }
+
+    heal(isHolder: boolean): void {
+        this.isolated = false;
+        this.catchUp();
+        this.setLease(isHolder ? Infinity : -Infinity);
+    }
+
+    private tellListeners(): void {
+        for (const listener of this.listeners) listener(this.holdsLease());
+    }
+}
--- /dev/null
+++ b/src/control/state/index.ts
@@ -0,0 +1,154 @@
+import { ApplyContext, StateMachine } from "../../consensus/index.js";
+import { Revision } from "../../ids/index.js";
+import { CallLedger, CallRecord } from "../../ledger/index.js";
+import { OrderBook, OrderIntentCommand, OrderOutcomeCommand, OrderSnapshot } from "../../order/index.js";
+import {
+    CloseWindowCommand,
+    ReportedCommand,
+    SpendBook,
+    SpendSnapshot,
+    UsageBook,
+    UsageSnapshot,
+} from "../../usage/index.js";
+import { ChangeOutcome, ConfigChange, RegistrySnapshot, WorkspaceRegistry } from "../../workspace/index.js";
+import { EntryCommand, ReserveCommand } from "../command/index.js";
+import { ViewChange } from "../view/index.js";
+import { ViewHistory } from "../viewHistory/index.js";
+
+/** The version of the snapshot's layout. Fields may be added without raising it. */
+const SNAPSHOT_VERSION = 1;
+
+/** What may stand in the control log. */
+export type ControlCommand =
+    | EntryCommand
+    | ConfigChange
+    | CloseWindowCommand
+    | ReportedCommand
+    | OrderIntentCommand
+    | OrderOutcomeCommand;
+
+/** The answer to a command whose kind this version does not know. A newer version must not propose a new kind before each
+ * replica runs it: replicas that skip a command would differ from those that do not. */
+export interface UnsupportedResult {
+    readonly state: "unsupported";
+}
+
+interface ControlSnapshot {
+    readonly version: number;
+    readonly registry: RegistrySnapshot;
+    readonly calls: readonly CallRecord[];
+    readonly usage: UsageSnapshot;
+    readonly spend: SpendSnapshot;
+    readonly orders: OrderSnapshot;
+}
+
+/**
+ * All that the control log keeps alike on its replicas.
+ *
+ * @example
+ * const state = new ControlState();
+ * const log = await ReplicatedLog.open({ state, ...options });
+ */
+export class ControlState extends StateMachine {
+    readonly registry = new WorkspaceRegistry();
+    readonly ledger = new CallLedger();
+    readonly usage = new UsageBook();
+    readonly spend = new SpendBook();
+    readonly orders = new OrderBook();
+    private readonly history = new ViewHistory();
+    private readonly listeners = new Set<() => void>();
+
+    /** The revision of the configuration. */
+    get revision(): Revision {
+        return this.registry.revision;
+    }
+
+    apply(command: unknown, context: ApplyContext): unknown {
+        return this.applyCommand(command as ControlCommand, context);
+    }
+
+    /** What entries at a revision need to know; everything when the history does not reach back so far. */
+    changeSince(revision: number): ViewChange {
+        return this.history.changeSince(revision, this.registry);
+    }
+
+    /** Calls back after each change of the configuration's revision; gives a way to stop that. */
+    onRevision(listener: () => void): () => void {
+        this.listeners.add(listener);
+        return () => this.listeners.delete(listener);
+    }
+
+    snapshot(): unknown {
+        return {
+            version: SNAPSHOT_VERSION,
+            registry: this.registry.snapshot(),
+            calls: this.ledger.snapshot(),
+            usage: this.usage.snapshot(),
+            spend: this.spend.snapshot(),
+            orders: this.orders.snapshot(),
+        } satisfies ControlSnapshot;
+    }
+
+    /** @throws Error when the snapshot's layout is newer than this version knows. */
+    restore(snapshot: unknown): void {
+        const { version, registry, calls, usage, spend, orders } = snapshot as ControlSnapshot;
+        if (version > SNAPSHOT_VERSION) throw new Error(`a snapshot of version ${version}`);
+        this.registry.restore(registry);
+        this.ledger.restore(calls);
+        this.usage.restore(usage);
+        this.spend.restore(spend);
+        this.orders.restore(orders);
+        this.history.restart(this.revision);
+        this.tellListeners();
+    }
+
+    private applyCommand(command: ControlCommand, context: ApplyContext): unknown {
+        switch (command.kind) {
+            case "call.begin":
+                return this.ledger.begin(command, context);
+            case "call.finish":
+                return this.ledger.finish(command, context);
+            case "call.abandon":
+                return this.ledger.abandon(command, context);
+            case "usage.batch":
+                return this.usage.count(command, context);
+            case "usage.close":
+                this.spend.forgetWindows(command.window);
+                return this.usage.close(command, context);
+            case "usage.reported":
+                return this.usage.markReported(command, context);
+            case "spend.reserve":
+                return this.reserve(command, context);
+            case "order.intent":
+                return this.orders.intend(command, context);
+            case "order.outcome":
+                return this.orders.finish(command, context);
+            case "template.put":
+            case "workspace.create":
+            case "workspace.limit":
+            case "workspace.remove":
+            case "key.grant":
+            case "key.withdraw":
+                return this.change(command, context);
+            default:
+                return { state: "unsupported" } satisfies UnsupportedResult;
+        }
+    }
+
+    private reserve(command: ReserveCommand, context: ApplyContext): unknown {
+        return this.spend.reserve(command, this.registry.tokenLimit(command.workspace), context);
+    }
+
+    private change(change: ConfigChange, context: ApplyContext): ChangeOutcome["result"] {
+        const { result, touched } = this.registry.apply(change, context);
+        if (touched) {
+            this.history.note(this.revision, touched);
+            this.tellListeners();
+        }
+        return result;
+    }
+
+    private tellListeners(): void {
+        for (const listener of this.listeners) listener();
+    }
+}
--- a/src/control/view/index.ts
+++ b/src/control/view/index.ts
@@ -63,6 +63,8 @@
     readonly waitMs: number;
     /** The entry is about to stop: no new tickets should go to it. */
     readonly draining: boolean;
+    /** `entriesVersion` of the last answer: the holder then leaves out a list of entries that is still the same. */
+    readonly entriesVersion?: string;
 }
 
 /** Another entry, as the holder knows it from its pulls. */
@@ -78,6 +80,9 @@
 export interface ViewPullReply {
     readonly change?: ViewChange;
     readonly leaseMs: number;
-    /** The entries that the holder has heard from lately. */
+    /** The entries that the holder has heard from lately; empty with `entriesUnchanged`. */
     readonly entries: readonly EntryView[];
+    readonly entriesVersion?: string;
+    /** The list is the one of `entriesVersion`, which the entry has. */
+    readonly entriesUnchanged?: boolean;
 }
--- /dev/null
+++ b/src/usage/index.ts
@@ -0,0 +1,4 @@
+/** Usage windows: each batch counted once, figures frozen when a window closes, limits shared out among hosts. */
+export * from "./sequenceSet/index.js";
+export * from "./spendBook/index.js";
+export * from "./usageBook/index.js";
--- /dev/null
+++ b/src/usage/spendBook/index.ts
@@ -0,0 +1,136 @@
+import type { ApplyContext } from "../../consensus/index.js";
+import type { ReserveCommand, ReserveResult } from "../../control/index.js";
+import type { WindowStart, WorkspaceId } from "../../ids/index.js";
+
+/** Answers remembered for each run of an entry, for resends. */
+const ANSWERS_KEPT = 1_024;
+/** A run of an entry that has asked for nothing for this long is forgotten, in milliseconds. */
+const RUN_RETENTION_MS = 7 * 24 * 3_600_000;
+/** Windows further than this from the proposer's wall time are refused, in milliseconds. */
+const WINDOW_REACH_MS = 32 * 24 * 3_600_000;
+
+interface RememberedGrant {
+    readonly sequence: number;
+    readonly granted: number;
+}
+
+/** What one run of an entry asked for. */
+export interface SpendRun {
+    readonly host: string;
+    readonly incarnation: string;
+    /** The most recent ones, in the order they were applied. */
+    readonly grants: readonly RememberedGrant[];
+    /** The highest number whose answer is no longer remembered. */
+    readonly forgottenTo: number;
+    readonly at: number;
+}
+
+/** Tokens of one workspace given out in one window. */
+export interface Reservation {
+    readonly window: WindowStart;
+    readonly workspace: WorkspaceId;
+    readonly tokens: number;
+}
+
+export interface SpendSnapshot {
+    readonly runs: readonly SpendRun[];
+    readonly reservations: readonly Reservation[];
+}
+
+/**
+ * Shares out each workspace's limit among the hosts, so that the sum over hosts never passes it. Tokens that a lost host
+ * had taken stay taken until the window ends: too little is spent rather than too much.
+ *
+ * @example
+ * const { granted } = book.reserve(command, limit, context);
+ */
+export class SpendBook {
+    private readonly runs = new Map<string, SpendRun>();
+    private readonly windows = new Map<WindowStart, Map<WorkspaceId, number>>();
+
+    /**
+     * Takes tokens out of a limit.
+     *
+     * @param command - Who asks for how many.
+     * @param limit - The workspace's limit for a window, in tokens; undefined for none.
+     */
+    reserve(command: ReserveCommand, limit: number | undefined, context: ApplyContext): ReserveResult {
+        const run = this.findRun(command, context);
+        const earlier = run.grants.find(grant => grant.sequence === command.sequence);
+        if (earlier) return { granted: earlier.granted };
+        // The answer to so old a question is gone. Granting nothing can't pass the limit; granting again could.
+        if (command.sequence <= run.forgottenTo) return { granted: 0 };
+        const granted = this.take(command, limit, context);
+        this.remember(run, { sequence: command.sequence, granted }, context);
+        return { granted };
+    }
+
+    /** How many tokens are given out. */
+    reserved(window: WindowStart, workspace: WorkspaceId): number {
+        return this.windows.get(window)?.get(workspace) ?? 0;
+    }
+
+    /** Forgets windows up to and with this one. */
+    forgetWindows(upTo: WindowStart): void {
+        for (const window of this.windows.keys()) {
+            if (window <= upTo) this.windows.delete(window);
+        }
+    }
+
+    snapshot(): SpendSnapshot {
+        const reservations = [...this.windows].flatMap(([window, spent]) =>
+            [...spent].map(([workspace, tokens]) => ({ window, workspace, tokens }))
+        );
+        return { runs: [...this.runs.values()], reservations };
+    }
+
+    restore(snapshot: SpendSnapshot): void {
+        this.runs.clear();
+        this.windows.clear();
+        for (const run of snapshot.runs) this.runs.set(nameRun(run), run);
+        for (const { window, workspace, tokens } of snapshot.reservations) {
+            this.spentIn(window).set(workspace, tokens);
+        }
+    }
+
+    private take(
+        { workspace, window, tokens }: ReserveCommand,
+        limit: number | undefined,
+        context: ApplyContext,
+    ): number {
+        if (Math.abs(window - context.proposedAt) > WINDOW_REACH_MS) return 0;
+        const spent = this.spentIn(window);
+        const taken = spent.get(workspace) ?? 0;
+        const granted = limit === undefined ? tokens : Math.max(0, Math.min(tokens, limit - taken));
+        if (granted > 0) spent.set(workspace, taken + granted);
+        return granted;
+    }
+
+    private spentIn(window: WindowStart): Map<WorkspaceId, number> {
+        const spent = this.windows.get(window) ?? new Map<WorkspaceId, number>();
+        this.windows.set(window, spent);
+        return spent;
+    }
+
+    private findRun({ host, incarnation }: ReserveCommand, context: ApplyContext): SpendRun {
+        const known = this.runs.get(nameRun({ host, incarnation }));
+        return known ?? { host, incarnation, grants: [], forgottenTo: 0, at: context.proposedAt };
+    }
+
+    private remember(run: SpendRun, grant: RememberedGrant, context: ApplyContext): void {
+        const grants = [...run.grants, grant];
+        const dropped = grants.length > ANSWERS_KEPT ? grants.splice(0, grants.length - ANSWERS_KEPT) : [];
+        const forgottenTo = Math.max(run.forgottenTo, ...dropped.map(({ sequence }) => sequence));
+        const name = nameRun(run);
+        this.runs.delete(name);
+        this.runs.set(name, { ...run, grants, forgottenTo, at: context.proposedAt });
+        for (const [oldest, { at }] of this.runs) {
+            if (context.proposedAt - at <= RUN_RETENTION_MS) return;
+            this.runs.delete(oldest);
+        }
+    }
+}
+
+function nameRun({ host, incarnation }: { host: string; incarnation: string; }): string {
+    return `${host} ${incarnation}`;
+}
