--- /dev/null
+++ b/src/daemon/daemonPorts/index.ts
@@ -0,0 +1,23 @@
+import { Lifecycle } from "../../lifecycle/index.js";
+import { Logger } from "../../logging/index.js";
+import { Metrics } from "../../metrics/index.js";
+import { Clock, Http, Network, Random } from "../../ports/index.js";
+import { PeerIdentity } from "../../wire/index.js";
+
+/** What a daemon takes from the machine, and who it is. */
+export interface DaemonPorts {
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly network: Network;
+    readonly http: Http;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+    readonly self: PeerIdentity;
+}
+
+/** A daemon that runs. */
+export interface DaemonProcess {
+    readonly lifecycle: Lifecycle;
+    /** Prepares a planned stop; false when work was left at the end of the grace period. */
+    drain(): Promise<boolean>;
+}
--- a/src/emulator/prefixes/index.ts
+++ b/src/emulator/prefixes/index.ts
@@ -1,27 +1,2 @@
-import { createHash } from "node:crypto";
-import { PromptMessage } from "../answerText/index.js";
-
-/** How many characters of prompt one cache block holds. */
-export const PREFIX_BLOCK_CHARACTERS = 256;
-/** How many tokens one cache block holds. */
-export const PREFIX_BLOCK_TOKENS = 64;
-const HASH_CHARACTERS = 16;
-
-/**
- * The names that cache events give to a prompt's prefixes. The prompt is the text of each message, `role\ncontent\n`,
- * one after the other; the prefix of n blocks is named by the first 16 hex digits of SHA-256 over the name of the
- * prefix of n - 1 blocks followed by the n-th block. A last block that is not full has no name.
- *
- * @param prompt - The messages as the engine gets them.
- * @returns The names, the shortest prefix first.
- */
-export function hashPrefixes(prompt: readonly PromptMessage[]): string[] {
-    const text = prompt.map(({ role, content }) => `${role}\n${content}\n`).join("");
-    const names: string[] = [];
-    for (let end = PREFIX_BLOCK_CHARACTERS; end <= text.length; end += PREFIX_BLOCK_CHARACTERS) {
-        const block = text.slice(end - PREFIX_BLOCK_CHARACTERS, end);
-        const parent = names.length > 0 ? names[names.length - 1] : "";
-        names.push(createHash("sha256").update(parent + block).digest("hex").slice(0, HASH_CHARACTERS));
-    }
-    return names;
-}
+/** The names of cached prefixes, as the published protocol has them. */
+export { hashPrefixes, PREFIX_BLOCK_CHARACTERS, PREFIX_BLOCK_TOKENS } from "../../protocol/index.js";
--- a/src/entry/index.ts
+++ b/src/entry/index.ts
@@ -1,4 +1,3 @@
 /** The entry processes: callers' connections, streams, retries, meters, and the queues that they own. */
 export { DEFAULT_ENTRY_LIMITS, type EntryLimits } from "./entryContext/index.js";
 export * from "./entryProcess/index.js";
-export { hashKey } from "./readKey/index.js";
--- a/src/entry/prepareChat/index.ts
+++ b/src/entry/prepareChat/index.ts
@@ -2,12 +2,11 @@
 import { ClassView, WorkspaceView } from "../../control/index.js";
 import { PoolId } from "../../ids/index.js";
 import { HttpRequest } from "../../ports/index.js";
-import { ChatRequest, chatRequestSchema } from "../../protocol/index.js";
+import { ChatRequest, chatRequestSchema, hashPrefixes } from "../../protocol/index.js";
 import { readBody } from "../_lib/readBody.js";
 import { Admission, checkPool, chooseClass } from "../admitRequest/index.js";
 import { CallerError } from "../callerError/index.js";
 import { EntryContext } from "../entryContext/index.js";
-import { hashPrefixes } from "../hashPrefixes/index.js";
 import { refuseKeyInContent } from "../readKey/index.js";
 
 /** A chat request that was found good. */
@@ -23,6 +22,8 @@
 }
 
 const CHARACTERS_PER_TOKEN = 4;
+/** How many prefixes of a prompt are told apart; more add little to the choice of an upstream. */
+const MOST_PREFIXES = 24;
 
 /** Reads and checks a chat request. */
 export async function prepareChat(
@@ -57,7 +58,7 @@
         pool: chat.model as PoolId,
         maxTokens: chat.max_tokens ?? ctx.limits.defaultMaxTokens,
         promptTokens: Math.ceil(characters / CHARACTERS_PER_TOKEN),
-        prefixes: hashPrefixes(contents),
+        prefixes: hashPrefixes(chat.messages, MOST_PREFIXES),
     };
 }
 
--- a/src/entry/readKey/index.ts
+++ b/src/entry/readKey/index.ts
@@ -1,7 +1,7 @@
-import { createHash } from "node:crypto";
 import { Either, Left, Right } from "purify-ts";
 import { KeyHash } from "../../ids/index.js";
 import { findHeader, HttpRequest } from "../../ports/index.js";
+import { hashKey } from "../../workspace/index.js";
 import { CallerError } from "../callerError/index.js";
 
 /** The form of a key: `sqx_` and 32 hex digits. */
@@ -14,16 +14,6 @@
     readonly hash: KeyHash;
 }
 
-/**
- * Turns a key into what is stored and compared.
- *
- * @example
- * hashKey("sqx_00112233445566778899aabbccddeeff");
- */
-export function hashKey(text: string): KeyHash {
-    return createHash("sha256").update(text.toLowerCase()).digest("hex") as KeyHash;
-}
-
 /**
  * Reads the key from `Authorization: Bearer …`, the only place where it may stand.
  *
--- a/src/protocol/index.ts
+++ b/src/protocol/index.ts
@@ -3,3 +3,4 @@
 export * from "./caller/index.js";
 export * from "./engine/index.js";
 export * from "./platform/index.js";
+export * from "./prefixes/index.js";
