--- a/src/order/orderBook/index.ts
+++ b/src/order/orderBook/index.ts
@@ -9,10 +9,16 @@
 export type PlatformOrderBody = Omit<PlatformOrder, "order_id" | "fencing_token">;
 export type EngineOrderBody = Omit<EngineOrder, "order_id" | "fencing_token">;
 
-/** Whom an order goes to, and what it says. `address`: the engine's `IP:port`. */
+/** Whom an order goes to, and what it says. `address`: the engine's `IP:port`; `checksFence`: it refuses old fencing tokens. */
 export type OrderTarget =
     | { readonly to: "platform"; readonly body: PlatformOrderBody; }
-    | { readonly to: "engine"; readonly address: string; readonly upstream: string; readonly body: EngineOrderBody; };
+    | {
+        readonly to: "engine";
+        readonly address: string;
+        readonly upstream: string;
+        readonly checksFence: boolean;
+        readonly body: EngineOrderBody;
+    };
 
 /** Commits that an order will be sent. */
 export interface OrderIntentCommand {
