--- a/src/control/index.ts
+++ b/src/control/index.ts
@@ -2,6 +2,7 @@
 export * from "./command/index.js";
 export * from "./connectionSender/index.js";
 export * from "./controlClient/index.js";
+export * from "./controlProcess/index.js";
 export * from "./controlService/index.js";
 export * from "./entryCommandSchema/index.js";
 export * from "./entrySweeper/index.js";
--- a/src/daemon/runControl/index.ts
+++ b/src/daemon/runControl/index.ts
@@ -1,9 +1,8 @@
-import { ReplicatedLog } from "../../consensus/index.js";
-import { ControlService, ControlState } from "../../control/index.js";
+import { DEFAULT_LOG_TIMING, LogTiming } from "../../consensus/index.js";
+import { ControlProcess, NoPurchases, PlatformAccess } from "../../control/index.js";
 import { Lifecycle } from "../../lifecycle/index.js";
 import { DEFAULT_HTTP_LIMITS, FileDisk } from "../../ports/index.js";
 import { ControlSettings } from "../../settings/index.js";
-import { PeerRouter, servePeers } from "../../wire/index.js";
 import { DaemonPorts, DaemonProcess } from "../daemonPorts/index.js";
 import { serveHealth } from "../serveHealth/index.js";
 
@@ -14,40 +13,45 @@
  * @param settings - Checked settings.
  */
 export async function runControl(ports: DaemonPorts, settings: ControlSettings): Promise<DaemonProcess> {
-    const { listen, control, data, timing } = settings;
+    const { listen, control, data, timing, usage } = settings;
     const lifecycle = new Lifecycle();
     const disk = new FileDisk(data.folder);
     await disk.makeFolder("");
-    const lock = await disk.lock();
-    lifecycle.own(() => lock.release());
-    const router = new PeerRouter();
-    const state = new ControlState();
-    const log = await ReplicatedLog.open({
+    const running = await ControlProcess.start({
         ...ports,
         disk,
-        router,
-        address: listen.peers,
-        bootstrap: control.members,
-        stateMachine: state,
+        peers: listen.peers,
+        members: control.members,
+        logTiming: toLogTiming(settings),
         timing,
-    });
-    lifecycle.own(() => log.close());
-    const service = new ControlService({
-        log,
-        state,
-        clock: ports.clock,
-        router,
         viewLeaseMs: timing.freshnessLeaseMs,
+        windowMs: usage.windowMs,
+        windowGraceMs: usage.graceMs,
+        platform: toPlatformAccess(settings),
     });
-    lifecycle.own(() => service.close());
-    const peers = await servePeers({ ...ports, address: listen.peers, router, timing });
-    lifecycle.own(() => peers.close());
-    const health = await ports.http.serve(
-        listen.operators,
-        DEFAULT_HTTP_LIMITS,
-        serveHealth(() => log.holder() !== undefined),
-    );
+    lifecycle.own(() => running.close());
+    const health = await ports.http.serve(listen.operators, DEFAULT_HTTP_LIMITS, serveHealth(() => running.isReady));
     lifecycle.own(() => health.close());
-    await log.start();
     return { lifecycle, drain: async () => true };
 }
+
+function toLogTiming({ timing, data }: ControlSettings): LogTiming {
+    return {
+        ...DEFAULT_LOG_TIMING,
+        leaseMs: timing.electionMs,
+        electionSpreadMs: timing.electionMs,
+        heartbeatMs: Math.min(DEFAULT_LOG_TIMING.heartbeatMs, timing.electionMs / 4),
+        snapshotEntries: data.snapshotEntries,
+        segmentBytes: data.segmentBytes,
+    };
+}
+
+function toPlatformAccess({ platform }: ControlSettings): PlatformAccess | undefined {
+    if (!platform.address) return undefined;
+    return {
+        address: platform.address,
+        checksFence: platform.checksFence === "yes",
+        purchasePolicy: new NoPurchases(),
+        purchasePeriodMs: platform.purchaseMs,
+    };
+}
--- a/src/settings/schema/index.ts
+++ b/src/settings/schema/index.ts
@@ -167,6 +167,12 @@
             ipAddress,
             "The platform's interface for orders of upstreams and for usage reports. Without it neither is sent.",
         ),
+        checksFence: withDefault(
+            oneOf("yes", "no"),
+            "no",
+            "Whether the platform refuses orders and reports with an old fencing token. With `no`, a new holder waits until nothing of the old one can still arrive.",
+        ),
+        purchaseMs: withDefault(span, "10000", "How often purchases of upstreams are planned, in milliseconds."),
     }),
     timing: z.object({
         ...peerTiming,
@@ -192,7 +198,13 @@
         ),
     }),
     stop: z.object(stop),
-    usage,
+    usage: usage.extend({
+        graceMs: withDefault(
+            wholeNumber(0, HOUR_MS),
+            "5000",
+            "How long after its end a window still takes usage, in milliseconds; what comes later is an adjustment in a later window.",
+        ),
+    }),
     metrics,
     log,
 });
