--- /dev/null
+++ b/src/dispatch/admission/index.ts
@@ -0,0 +1,58 @@
+import { WaitingTicket } from "../waiting/index.js";
+
+/** What is known of a ticket's prospects. */
+export interface AdmissionContext {
+    /** Monotonic time, in milliseconds. */
+    readonly now: number;
+    /** How long it will probably wait for a slot from now on, in milliseconds. */
+    readonly waitMs: number;
+    /** From sending to the first token, as a rule, in milliseconds. */
+    readonly firstTokenMs: number;
+}
+
+/** Says how far a ticket's first token is expected to miss its target. */
+export abstract class AdmissionPolicy {
+    /**
+     * Judges a new ticket or one that waits already.
+     *
+     * @returns By how much it would be late, in milliseconds; zero or less: it may wait.
+     */
+    abstract expectedLatenessMs(waiting: WaitingTicket, context: AdmissionContext): number;
+}
+
+/** Baseline: everything may wait until its bound. */
+export class AcceptAllAdmission extends AdmissionPolicy {
+    expectedLatenessMs(): number {
+        return 0;
+    }
+}
+
+/** How cautious the prediction is. */
+export interface AdmissionMargins {
+    /** A new ticket is refused when its predicted time is more than this share of its target. */
+    readonly newShare: number;
+    /** A waiting ticket has queued for a while already: it is shed only for a clearer miss. */
+    readonly waitingShare: number;
+}
+
+/** A mean wait is refused at nine tenths of the target, since half of the real ones are longer. */
+export const DEFAULT_ADMISSION_MARGINS: AdmissionMargins = { newShare: 0.9, waitingShare: 1.1 };
+
+/** Refuses what would miss its target: an early refusal lets the caller go elsewhere, and the slot serves another. */
+export class PredictedWaitAdmission extends AdmissionPolicy {
+    constructor(private readonly margins: AdmissionMargins = DEFAULT_ADMISSION_MARGINS) {
+        super();
+    }
+
+    expectedLatenessMs(waiting: WaitingTicket, context: AdmissionContext): number {
+        const { ticket } = waiting;
+        // The caller of a resumed answer has part of it: a refusal now would break the answer in the middle.
+        if (ticket.resumeOffset > 0) return 0;
+        const ageMs = context.now - waiting.arrivedAt;
+        const isNew = ageMs <= ticket.ageMs;
+        const share = isNew ? this.margins.newShare : this.margins.waitingShare;
+        const startMs = ageMs + context.waitMs;
+        const targetMissMs = startMs + context.firstTokenMs - share * ticket.firstTokenMs;
+        return Math.max(targetMissMs, startMs - ticket.maxWaitMs);
+    }
+}
--- a/src/dispatch/dispatcher/index.ts
+++ b/src/dispatch/dispatcher/index.ts
@@ -20,7 +20,11 @@
     /** Tells what became of a granted request. Must be called once for each grant. */
     abstract complete(completion: Completion): void;
 
-    /** Tells that a granted request has got tokens, so that pace and load are known while it runs. */
+    /**
+     * Tells that a granted request has got tokens, so that pace and load are known while it runs.
+     *
+     * @param tokens - How many more since the last call.
+     */
     abstract progress(request: RequestId, tokens: number): void;
 
     /**
--- /dev/null
+++ b/src/dispatch/order/tierQueue/index.ts
@@ -0,0 +1,141 @@
+import { WorkspaceId } from "../../../ids/index.js";
+import { Heap } from "../../_lib/heap.js";
+import { WaitingTicket } from "../../waiting/index.js";
+
+interface WorkspaceQueue {
+    readonly workspace: WorkspaceId;
+    weight: number;
+    /** Tokens served for each unit of weight. */
+    counter: number;
+    waitingCost: number;
+    readonly tickets: Heap<WaitingTicket>;
+}
+
+/** Counters of idle workspaces are dropped, once the tier has caught up with them, when there are this many. */
+const IDLE_SWEEP_AT = 256;
+
+/**
+ * The waiting tickets of one tier. Workspaces take turns by the tokens they got for their weight (a virtual token
+ * counter each); within a workspace the earliest deadline goes first. A workspace that was idle starts at the level of
+ * the others: time without requests earns no credit, else it could hold the pool for as long as it had been away.
+ */
+export class TierQueue {
+    private readonly queues = new Map<WorkspaceId, WorkspaceQueue>();
+    private readonly active = new Heap<WorkspaceQueue>((a, b) => a.counter < b.counter);
+    private readonly byTarget = new Heap<WaitingTicket>((a, b) => a.targetAt < b.targetAt);
+    private activeWeight = 0;
+    private level = 0;
+    private totalCost = 0;
+
+    get size(): number {
+        return this.byTarget.size;
+    }
+
+    /** The predicted cost of all its waiting tickets, in tokens. */
+    get cost(): number {
+        return this.totalCost;
+    }
+
+    /** When the tightest of its targets is due; Infinity when it is empty. */
+    get tightestTargetAt(): number {
+        return this.byTarget.first?.targetAt ?? Infinity;
+    }
+
+    /** The largest share of capacity that a waiting class may count on. */
+    get guaranteedShare(): number {
+        return this.active.first?.tickets.first?.ticket.guaranteedShare ?? 0;
+    }
+
+    values(): readonly WaitingTicket[] {
+        return this.byTarget.values();
+    }
+
+    add(waiting: WaitingTicket): void {
+        const queue = this.findQueue(waiting);
+        queue.tickets.add(waiting);
+        queue.waitingCost += waiting.cost;
+        this.totalCost += waiting.cost;
+        this.byTarget.add(waiting);
+        if (queue.tickets.size === 1) this.activate(queue, waiting.ticket.weight);
+    }
+
+    remove(waiting: WaitingTicket): boolean {
+        const queue = this.queues.get(waiting.ticket.workspace);
+        if (!queue?.tickets.remove(waiting)) return false;
+        queue.waitingCost -= waiting.cost;
+        this.totalCost -= waiting.cost;
+        this.byTarget.remove(waiting);
+        if (queue.tickets.size === 0) this.deactivate(queue);
+        return true;
+    }
+
+    /** Takes out the next ticket and charges its workspace with the predicted cost. */
+    takeNext(): WaitingTicket | undefined {
+        const queue = this.active.first;
+        const waiting = queue?.tickets.first;
+        if (!queue || !waiting) return undefined;
+        this.level = queue.counter;
+        this.charge(queue, waiting.cost);
+        this.remove(waiting);
+        return waiting;
+    }
+
+    /** Charges a workspace with the difference between the real cost and the predicted one. */
+    correctCost(waiting: WaitingTicket, realCost: number): void {
+        const queue = this.queues.get(waiting.ticket.workspace);
+        if (queue) this.charge(queue, realCost - waiting.cost);
+    }
+
+    /**
+     * The predicted cost of what this tier will grant before a ticket, in tokens: all that waits, but not more than the
+     * others get while its own workspace works off what it has waiting.
+     */
+    costAhead(waiting: WaitingTicket): number {
+        const queue = this.queues.get(waiting.ticket.workspace);
+        const isWaiting = queue !== undefined && queue.tickets.size > 0;
+        const weight = waiting.ticket.weight;
+        const allWeight = this.activeWeight + (isWaiting ? 0 : weight);
+        const ownCost = isWaiting ? queue.waitingCost : 0;
+        return Math.min(this.totalCost, ownCost * allWeight / weight + (allWeight / weight - 1) * waiting.cost);
+    }
+
+    private findQueue(waiting: WaitingTicket): WorkspaceQueue {
+        const { workspace, weight } = waiting.ticket;
+        const known = this.queues.get(workspace);
+        if (known) return known;
+        this.sweepIdle();
+        const queue: WorkspaceQueue = {
+            workspace,
+            weight,
+            counter: 0,
+            waitingCost: 0,
+            tickets: new Heap((a, b) => a.targetAt < b.targetAt),
+        };
+        this.queues.set(workspace, queue);
+        return queue;
+    }
+
+    private activate(queue: WorkspaceQueue, weight: number): void {
+        queue.weight = weight;
+        queue.counter = Math.max(queue.counter, this.active.first?.counter ?? this.level);
+        this.activeWeight += weight;
+        this.active.add(queue);
+    }
+
+    private deactivate(queue: WorkspaceQueue): void {
+        this.active.remove(queue);
+        this.activeWeight -= queue.weight;
+    }
+
+    private charge(queue: WorkspaceQueue, cost: number): void {
+        queue.counter += cost / queue.weight;
+        this.active.update(queue);
+    }
+
+    private sweepIdle(): void {
+        if (this.queues.size < 2 * this.active.size + IDLE_SWEEP_AT) return;
+        for (const queue of [...this.queues.values()]) {
+            if (queue.tickets.size === 0 && queue.counter <= this.level) this.queues.delete(queue.workspace);
+        }
+    }
+}
--- /dev/null
+++ b/src/dispatch/policies/index.ts
@@ -0,0 +1,46 @@
+import { Random } from "../../ports/index.js";
+import {
+    ExpectedTimeChoice,
+    MedianStragglerPolicy,
+    NoStragglerPolicy,
+    PrefixIndex,
+    RoundRobinChoice,
+    StragglerPolicy,
+    UpstreamChoice,
+} from "../../upstream/index.js";
+import { AcceptAllAdmission, AdmissionPolicy, PredictedWaitAdmission } from "../admission/index.js";
+import { FifoOrder, OrderPolicy, TierFairOrder } from "../order/index.js";
+import { NoPreemption, PreemptionPolicy, TierPreemption } from "../preemption/index.js";
+
+/** What a policy may draw on when it is made for a pool. */
+export interface PolicyParts {
+    readonly random: Random;
+    readonly prefixes: PrefixIndex;
+}
+
+/** Makes the policies of a pool. */
+export interface DispatchPolicies {
+    readonly createOrder: () => OrderPolicy;
+    readonly createAdmission: () => AdmissionPolicy;
+    readonly createPreemption: () => PreemptionPolicy;
+    readonly createStragglers: () => StragglerPolicy;
+    readonly createChoice: (parts: PolicyParts) => UpstreamChoice;
+}
+
+/** What runs in production. */
+export const DEFAULT_POLICIES: DispatchPolicies = {
+    createOrder: () => new TierFairOrder(),
+    createAdmission: () => new PredictedWaitAdmission(),
+    createPreemption: () => new TierPreemption(),
+    createStragglers: () => new MedianStragglerPolicy(),
+    createChoice: parts => new ExpectedTimeChoice(parts.prefixes),
+};
+
+/** The simplest of each, to measure the others against. */
+export const BASELINE_POLICIES: DispatchPolicies = {
+    createOrder: () => new FifoOrder(),
+    createAdmission: () => new AcceptAllAdmission(),
+    createPreemption: () => new NoPreemption(),
+    createStragglers: () => new NoStragglerPolicy(),
+    createChoice: () => new RoundRobinChoice(),
+};
--- /dev/null
+++ b/src/dispatch/poolQueue/index.ts
@@ -0,0 +1,390 @@
+import PQueue from "p-queue";
+import { Either, Left, Right } from "purify-ts";
+import { PoolId, RequestId, ZoneId } from "../../ids/index.js";
+import { Clock, Random } from "../../ports/index.js";
+import {
+    PoolMembers,
+    PrefixIndex,
+    StragglerPolicy,
+    Upstream,
+    UpstreamChoice,
+    UpstreamLoad,
+} from "../../upstream/index.js";
+import { AdmissionPolicy } from "../admission/index.js";
+import { LengthEstimator } from "../lengths/index.js";
+import { DispatchObserver } from "../observer/index.js";
+import { OrderContext, OrderPolicy } from "../order/index.js";
+import { PoolOutlook } from "../outlook/index.js";
+import { DispatchPolicies } from "../policies/index.js";
+import { PreemptionPolicy } from "../preemption/index.js";
+import { walkProspects } from "../prospects/index.js";
+import { RunningRequest, RunningSet } from "../running/index.js";
+import { Completion, Grant, Refusal, RefusalReason, Ticket } from "../ticket/index.js";
+import { TicketQueue, TicketQueueOptions } from "../ticketQueue/index.js";
+import { costInTokens, makeWaitingTicket, WaitingTicket } from "../waiting/index.js";
+
+/** What a pool's queue works with. */
+export interface PoolQueueOptions {
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly pool: PoolId;
+    readonly zone: ZoneId;
+    readonly members: PoolMembers;
+    readonly prefixes: PrefixIndex;
+    readonly lengths: LengthEstimator;
+    readonly policies: DispatchPolicies;
+    readonly observer: DispatchObserver;
+    readonly preempt: (request: RequestId) => void;
+    /** Monotonic time since when upstreams could have been heard of, in milliseconds. */
+    readonly startedAt: number;
+}
+
+interface Waiter {
+    readonly settle: (decision: Either<Refusal, Grant>) => void;
+    readonly stopListening: () => void;
+}
+
+/** A grant not used within this time has lost its slot's moment: the upstream may have left since. */
+const GRANT_VALID_MS = 500;
+/** A pool without upstreams lets requests wait for this long, since upstreams announce twice a second. */
+const EMPTY_GRACE_MS = 2_000;
+/** How soon a preempted request gives its slot, in milliseconds. */
+const PREEMPTION_MS = 50;
+const RETRY_LEAST_MS = 100;
+const RETRY_MOST_MS = 60_000;
+const MOST_CANDIDATES = 32;
+/** Tokens between two looks at a running request's pace. */
+const PACE_TOKENS = 8;
+/** Waiting tickets looked at for preemption in one tick. */
+const MOST_AT_RISK = 64;
+
+/**
+ * The queue of one pool. p-queue runs one task for each granted request, from the grant to its completion; its
+ * concurrency is what runs plus what the upstreams can take now, and its queue class holds the order.
+ */
+export class PoolQueue {
+    private readonly order: OrderPolicy;
+    private readonly admission: AdmissionPolicy;
+    private readonly preemption: PreemptionPolicy;
+    private readonly stragglers: StragglerPolicy;
+    private readonly choice: UpstreamChoice;
+    private readonly tickets: TicketQueue;
+    private readonly queue: PQueue<TicketQueue, TicketQueueOptions>;
+    private readonly waiters = new Map<WaitingTicket, Waiter>();
+    private readonly running = new RunningSet();
+    private readonly outlook = new PoolOutlook();
+    private heldSlots = 0;
+    private lastUsableAt: number;
+
+    constructor(private readonly options: PoolQueueOptions) {
+        const { policies, random, prefixes } = options;
+        this.order = policies.createOrder();
+        this.admission = policies.createAdmission();
+        this.preemption = policies.createPreemption();
+        this.stragglers = policies.createStragglers();
+        this.choice = policies.createChoice({ random, prefixes });
+        const tickets = new TicketQueue(this.order, () => this.readOrderContext());
+        this.tickets = tickets;
+        // p-queue makes its queue itself and passes no arguments.
+        const queueClass = function(): TicketQueue {
+            return tickets;
+        } as unknown as new() => TicketQueue;
+        this.queue = new PQueue<TicketQueue, TicketQueueOptions>({ queueClass, autoStart: false });
+        this.lastUsableAt = options.startedAt;
+        this.updateConcurrency();
+    }
+
+    /** Whether nothing waits and nothing runs. */
+    get isIdle(): boolean {
+        return this.waiters.size === 0 && this.running.size === 0;
+    }
+
+    get waitingCount(): number {
+        return this.waiters.size;
+    }
+
+    get runningCount(): number {
+        return this.running.size;
+    }
+
+    /** As `Dispatcher.submit`. */
+    submit(ticket: Ticket, signal: AbortSignal): Promise<Either<Refusal, Grant>> {
+        const now = this.options.clock.monotonic();
+        const left = Math.max(1, ticket.maxTokens - ticket.resumeOffset);
+        const waiting = makeWaitingTicket(ticket, now, this.options.lengths.predictMean(ticket, left));
+        this.outlook.learnArrival(waiting, now);
+        this.options.observer.queued(waiting);
+        const refusal = signal.aborted ? refuse(waiting, "cancelled", 0, "the caller has gone") : this.judge(waiting);
+        if (refusal) {
+            this.options.observer.refused(waiting, refusal);
+            return Promise.resolve(Left(refusal));
+        }
+        return new Promise(resolve => {
+            const onAbort = (): void => this.refuseWaiting(waiting, "cancelled", 0, "the caller has gone");
+            signal.addEventListener("abort", onAbort, { once: true });
+            const stopListening = (): void => signal.removeEventListener("abort", onAbort);
+            this.waiters.set(waiting, { settle: resolve, stopListening });
+            this.enqueue(waiting);
+            if (this.waiters.has(waiting)) this.preemptFor(waiting, this.ticketsAhead(waiting));
+        });
+    }
+
+    /** As `Dispatcher.complete`. */
+    complete(completion: Completion): void {
+        const now = this.options.clock.monotonic();
+        const running = this.running.get(completion.request);
+        if (!running || running.load.upstream.id !== completion.upstream) return;
+        this.running.remove(running);
+        running.load.markEnded(now);
+        this.learn(running, completion, now);
+        this.options.members.refresh(running.load);
+        running.release();
+        this.updateConcurrency();
+    }
+
+    /** As `Dispatcher.progress`. */
+    progress(request: RequestId, tokens: number): void {
+        const running = this.running.get(request);
+        if (!running) return;
+        const now = this.options.clock.monotonic();
+        running.tokens += tokens;
+        if (running.paceFrom === undefined) {
+            running.paceFrom = { at: now, tokens: running.tokens };
+            return;
+        }
+        const seen = running.tokens - running.paceFrom.tokens;
+        if (seen < PACE_TOKENS) return;
+        running.load.learnPace((now - running.paceFrom.at) / seen);
+        running.paceFrom = { at: now, tokens: running.tokens };
+    }
+
+    /**
+     * Counts a request that runs by another owner's grant, so that a new owner of the queue does not fill its slot again.
+     */
+    adopt(ticket: Ticket, grant: Grant): void {
+        const load = this.options.members.get(grant.upstream);
+        if (!load || this.running.get(ticket.request)) return;
+        const now = this.options.clock.monotonic();
+        load.markSent(now);
+        const waiting = makeWaitingTicket(ticket, now, this.options.lengths.predictMean(ticket, ticket.maxTokens));
+        this.running.add({ waiting, load, grantedAt: now, tokens: 0, isPreempted: false, release: () => undefined });
+        this.options.members.refresh(load);
+        this.updateConcurrency();
+    }
+
+    /** Takes over a change that the registry told of. */
+    updateUpstream(upstream: Upstream): void {
+        this.options.members.update(upstream);
+        this.updateConcurrency();
+    }
+
+    /** What time alone brings: expiry, shedding, preemption, stragglers, back-off ends. */
+    tick(): void {
+        const { members, observer } = this.options;
+        for (const load of this.stragglers.review(members.all)) observer.ejected(load.upstream.id);
+        members.refreshAll();
+        this.updateConcurrency();
+        this.shed();
+        this.preemptForThoseAtRisk();
+    }
+
+    /** Refuses all that waits, as the process is about to stop: another entry takes the queue over. */
+    drain(): void {
+        for (const waiting of [...this.waiters.keys()]) this.refuseWaiting(waiting, "draining", 0, "the entry stops");
+    }
+
+    private enqueue(waiting: WaitingTicket): void {
+        // Rejects never: `start` catches nothing and throws nothing. A ticket that is withdrawn leaves it pending.
+        void this.queue.add(() => this.start(waiting), { waiting });
+    }
+
+    private start(waiting: WaitingTicket): Promise<void> {
+        const load = this.chooseUpstream(waiting);
+        if (!load) {
+            this.options.members.refreshAll();
+            this.updateConcurrency();
+            this.enqueue(waiting);
+            return Promise.resolve();
+        }
+        return new Promise(resolve => {
+            const release = (): void => {
+                this.heldSlots--;
+                resolve();
+            };
+            this.heldSlots++;
+            this.grant(waiting, load.load, load.reason, release);
+        });
+    }
+
+    private grant(waiting: WaitingTicket, load: UpstreamLoad, reason: string, release: () => void): void {
+        const now = this.options.clock.monotonic();
+        const { ticket } = waiting;
+        load.markSent(now);
+        this.options.members.refresh(load);
+        this.options.prefixes.record(ticket.prefixes, load.upstream.id);
+        this.running.add({ waiting, load, grantedAt: now, tokens: 0, isPreempted: false, release });
+        const grant: Grant = {
+            request: ticket.request,
+            upstream: load.upstream.id,
+            address: load.upstream.address,
+            validMs: GRANT_VALID_MS,
+            priority: ticket.tier,
+            waitedMs: now - waiting.arrivedAt,
+            reason,
+        };
+        this.options.observer.granted(waiting, grant);
+        this.takeWaiter(waiting)?.settle(Right(grant));
+    }
+
+    private chooseUpstream(waiting: WaitingTicket) {
+        const { ticket } = waiting;
+        const { members, random, prefixes, zone, pool } = this.options;
+        const sampled = members.candidates(MOST_CANDIDATES, random);
+        const holders = prefixes.likelyHolders(ticket.prefixes).map(id => members.get(id));
+        const known = holders.filter((load): load is UpstreamLoad => load !== undefined && members.isFree(load));
+        const all = [...new Set([...sampled, ...known])];
+        const untried = all.filter(load => !ticket.avoid.includes(load.upstream.id));
+        const candidates = untried.length > 0 ? untried : all;
+        if (candidates.length === 0) return undefined;
+        const { promptTokens } = ticket;
+        const request = {
+            pool,
+            prefixes: ticket.prefixes,
+            promptTokens,
+            predictedTokens: waiting.predictedTokens,
+            zone,
+        };
+        return this.choice.choose(candidates, request);
+    }
+
+    private judge(waiting: WaitingTicket): Refusal | undefined {
+        const now = this.options.clock.monotonic();
+        if (this.options.members.usableSlots === 0) {
+            if (now - this.lastUsableAt < EMPTY_GRACE_MS) return undefined;
+            return refuse(waiting, "no-upstream", EMPTY_GRACE_MS, "no upstream of the pool is ready");
+        }
+        const waitMs = this.predictWait(waiting);
+        const { firstTokenMs } = this.outlook;
+        const lateMs = this.admission.expectedLatenessMs(waiting, { now, waitMs, firstTokenMs });
+        if (lateMs <= 0) return undefined;
+        return refuse(waiting, "over-capacity", lateMs, `predicted wait ${Math.round(waitMs)} ms`);
+    }
+
+    private predictWait(waiting: WaitingTicket): number {
+        const { members, clock } = this.options;
+        const costAhead = this.order.costAhead(waiting);
+        if (members.freeSlots > 0 && costAhead === 0) return 0;
+        if (this.canPreemptFor(waiting, costAhead)) return PREEMPTION_MS;
+        const slots = members.usableSlots;
+        const rate = this.outlook.drainRate(waiting.ticket.tier, slots, clock.monotonic());
+        return this.outlook.releaseMs(slots) + costAhead / rate;
+    }
+
+    private canPreemptFor(waiting: WaitingTicket, costAhead: number): boolean {
+        if (!this.preemption.isEnabled) return false;
+        const needed = costAhead / this.outlook.meanCost + 1 - this.running.pendingPreemptions;
+        return this.running.countPreemptible(waiting.ticket.tier) >= Math.max(1, needed);
+    }
+
+    private ticketsAhead(waiting: WaitingTicket): number {
+        return this.order.costAhead(waiting) / this.outlook.meanCost;
+    }
+
+    private preemptFor(waiting: WaitingTicket, ahead: number): void {
+        const { tier } = waiting.ticket;
+        const isCovered = this.running.pendingPreemptions > ahead;
+        if (!this.preemption.isEnabled || isCovered || this.running.countPreemptible(tier) === 0) return;
+        const waitMs = (ahead + 1) * this.outlook.releaseMs(this.options.members.usableSlots);
+        const now = this.options.clock.monotonic();
+        const context = { now, waitMs, firstTokenMs: this.outlook.firstTokenMs };
+        const victim = this.preemption.pickVictim(waiting, this.running, context);
+        if (!victim) return;
+        this.running.markPreempted(victim);
+        this.options.observer.preempted(victim.waiting, waiting);
+        this.options.preempt(victim.waiting.ticket.request);
+    }
+
+    private preemptForThoseAtRisk(): void {
+        if (!this.preemption.isEnabled || this.waiters.size === 0) return;
+        let ahead = 0;
+        for (const waiting of this.order.highestTierFirst()) {
+            if (ahead >= MOST_AT_RISK || this.running.countPreemptible(waiting.ticket.tier) === 0) return;
+            this.preemptFor(waiting, ahead++);
+        }
+    }
+
+    private shed(): void {
+        if (this.waiters.size === 0) return;
+        const now = this.options.clock.monotonic();
+        const { outlook } = this;
+        const { usableSlots } = this.options.members;
+        const releaseMs = outlook.releaseMs(usableSlots);
+        walkProspects(this.order.highestTierFirst(), { now, usableSlots, outlook }, (waiting, waitMs) => {
+            if (now >= waiting.expiresAt) {
+                this.refuseWaiting(waiting, "wait-expired", releaseMs, "waited as long as its class may");
+                return false;
+            }
+            if (usableSlots === 0) return true;
+            const context = { now, waitMs, firstTokenMs: outlook.firstTokenMs };
+            const lateMs = this.admission.expectedLatenessMs(waiting, context);
+            if (lateMs <= 0) return true;
+            this.refuseWaiting(waiting, "shed", lateMs, `predicted wait ${Math.round(waitMs)} ms`);
+            return false;
+        });
+    }
+
+    private refuseWaiting(waiting: WaitingTicket, reason: RefusalReason, retryMs: number, detail: string): void {
+        const waiter = this.takeWaiter(waiting);
+        if (!waiter) return;
+        this.tickets.withdraw(waiting);
+        const refusal = refuse(waiting, reason, retryMs, detail);
+        this.options.observer.refused(waiting, refusal);
+        waiter.settle(Left(refusal));
+    }
+
+    private takeWaiter(waiting: WaitingTicket): Waiter | undefined {
+        const waiter = this.waiters.get(waiting);
+        this.waiters.delete(waiting);
+        waiter?.stopListening();
+        return waiter;
+    }
+
+    private learn(running: RunningRequest, completion: Completion, now: number): void {
+        const { waiting, load } = running;
+        const cost = costInTokens(completion.promptTokens - completion.cachedTokens, completion.completionTokens);
+        this.order.correctCost(waiting, completion.outcome === "unused" ? 0 : cost);
+        if (completion.outcome === "failed") load.markFailed(now);
+        if (completion.outcome !== "answered") return;
+        load.markHealthy();
+        if (completion.tokenMs !== undefined) load.learnPace(completion.tokenMs);
+        this.outlook.learnCompletion(completion, now - running.grantedAt, cost);
+        if (waiting.ticket.resumeOffset === 0) {
+            this.options.lengths.learn(waiting.ticket, completion.completionTokens);
+        }
+    }
+
+    private updateConcurrency(): void {
+        const { members, clock } = this.options;
+        if (members.usableSlots > 0) this.lastUsableAt = clock.monotonic();
+        const concurrency = this.heldSlots + members.freeSlots;
+        if (concurrency === 0) {
+            this.queue.pause();
+            return;
+        }
+        if (this.queue.concurrency !== concurrency) this.queue.concurrency = concurrency;
+        this.queue.start();
+    }
+
+    private readOrderContext(): OrderContext {
+        return {
+            now: this.options.clock.monotonic(),
+            releaseMs: this.outlook.releaseMs(this.options.members.usableSlots),
+            firstTokenMs: this.outlook.firstTokenMs,
+        };
+    }
+}
+
+function refuse(waiting: WaitingTicket, reason: RefusalReason, retryMs: number, detail: string): Refusal {
+    const retryAfterMs = Math.round(Math.min(RETRY_MOST_MS, Math.max(RETRY_LEAST_MS, retryMs)));
+    return { request: waiting.ticket.request, reason, retryAfterMs, detail };
+}
--- /dev/null
+++ b/src/upstream/load/index.ts
@@ -0,0 +1,146 @@
+import { Upstream } from "../upstream/index.js";
+
+interface Sample {
+    readonly at: number;
+    readonly outstanding: number;
+}
+
+/** Longer than any load report is late. */
+const HISTORY_MS = 10_000;
+const PACE_WEIGHT = 0.2;
+const FAILURE_BACKOFF_MS = 500;
+const FAILURE_BACKOFF_MOST_MS = 30_000;
+
+/**
+ * One upstream's load as the owner of a pool's queue sees it: what it sent itself is known exactly, what others sent
+ * only from the upstream's own reports, which are late.
+ *
+ * A report counts requests that have ended since, and misses those that were sent since. Taken as it is, it would send
+ * each burst to the engine that was idle a second ago. So the report is compared with what this process had outstanding
+ * when it was measured, and only the difference, the load of others, is added to what is outstanding now.
+ */
+export class UpstreamLoad {
+    private readonly history: Sample[] = [];
+    private own = 0;
+    private paceMs: number | undefined;
+    private paces = 0;
+    private failures = 0;
+    private closedUntil = 0;
+    /** Ejected as a straggler: gets single probes only. */
+    ejected = false;
+    /** Monotonic time of the last probe of an ejected upstream, in milliseconds. */
+    probedAt = 0;
+
+    constructor(readonly upstream: Upstream) {}
+
+    /** How many requests of this process run there. */
+    get ownOutstanding(): number {
+        return this.own;
+    }
+
+    /** Smoothed time between tokens, in milliseconds; undefined until one was seen. */
+    get tokenMs(): number | undefined {
+        return this.paceMs;
+    }
+
+    /** How many times the pace was seen. */
+    get paceCount(): number {
+        return this.paces;
+    }
+
+    /** Requests that run or queue there now, by the best guess. */
+    get outstanding(): number {
+        return this.own + this.foreign();
+    }
+
+    /**
+     * How many more requests it can start at once.
+     *
+     * @param now - Monotonic time, in milliseconds.
+     */
+    freeSlots(now: number): number {
+        if (!this.upstream.isGrantable || now < this.closedUntil) return 0;
+        if (this.ejected) return this.own === 0 && this.isProbeDue(now) ? 1 : 0;
+        return Math.max(0, this.upstream.slots - this.outstanding);
+    }
+
+    /** How many requests of ours it can run at once, busy or not. */
+    usableSlots(now: number): number {
+        if (!this.upstream.isGrantable || now < this.closedUntil || this.ejected) return 0;
+        return Math.max(0, this.upstream.slots - this.foreign());
+    }
+
+    /** A request was sent. */
+    markSent(now: number): void {
+        this.own++;
+        if (this.ejected) this.probedAt = now;
+        this.remember(now);
+    }
+
+    /** A request ended, however. */
+    markEnded(now: number): void {
+        this.own = Math.max(0, this.own - 1);
+        this.remember(now);
+    }
+
+    /** The upstream answered: it is not failing. */
+    markHealthy(): void {
+        this.failures = 0;
+        this.closedUntil = 0;
+    }
+
+    /** The upstream failed a request: it rests, twice as long each time. */
+    markFailed(now: number): void {
+        const restMs = Math.min(FAILURE_BACKOFF_MOST_MS, FAILURE_BACKOFF_MS * 2 ** this.failures);
+        this.failures = Math.min(this.failures + 1, 10);
+        this.closedUntil = now + restMs;
+    }
+
+    /** Learns the time between tokens that a request saw, in milliseconds. */
+    learnPace(tokenMs: number): void {
+        this.paces++;
+        this.paceMs = this.paceMs === undefined ? tokenMs : this.paceMs + PACE_WEIGHT * (tokenMs - this.paceMs);
+    }
+
+    /** Starts the pace anew, as for a probe of an ejected upstream. */
+    forgetPace(): void {
+        this.paceMs = undefined;
+        this.paces = 0;
+    }
+
+    private isProbeDue(now: number): boolean {
+        return now - this.probedAt >= PROBE_EVERY_MS;
+    }
+
+    private foreign(): number {
+        const { running, queued } = this.upstream.announcement.load;
+        return Math.max(0, running + queued - this.ownAt(this.upstream.loadMeasuredAt));
+    }
+
+    /** The most that this process had outstanding around a moment: a report races with what was just sent or ended. */
+    private ownAt(at: number): number {
+        let most = 0;
+        for (let index = this.history.length - 1; index >= 0; index--) {
+            const sample = this.history[index];
+            if (sample.at > at + FLIGHT_MS) continue;
+            most = Math.max(most, sample.outstanding);
+            if (sample.at <= at - FLIGHT_MS) break;
+        }
+        return most;
+    }
+
+    private remember(now: number): void {
+        const last = this.history.at(-1);
+        if (last?.at === now) this.history.pop();
+        this.history.push({ at: now, outstanding: this.own });
+        if (this.history.length < HISTORY_TRIM) return;
+        const firstKept = this.history.findIndex(sample => sample.at >= now - HISTORY_MS);
+        this.history.splice(0, Math.max(firstKept - 1, this.history.length - HISTORY_TRIM / 2));
+    }
+}
+
+/** How far a request's flight can shift it against a report, in milliseconds. */
+const FLIGHT_MS = 20;
+/** How often an ejected upstream gets one request to show its pace, in milliseconds. */
+export const PROBE_EVERY_MS = 2_000;
+const HISTORY_TRIM = 256;
--- /dev/null
+++ b/src/upstream/members/index.ts
@@ -0,0 +1,122 @@
+import { PoolId, UpstreamId } from "../../ids/index.js";
+import { Clock, Random } from "../../ports/index.js";
+import { UpstreamLoad } from "../load/index.js";
+import { UpstreamRegistry } from "../registry/index.js";
+import { Upstream } from "../upstream/index.js";
+
+/**
+ * The upstreams of one pool with their load. The count of free slots is kept as a sum, so that a decision does not
+ * cost more when the pool is large.
+ */
+export class PoolMembers {
+    private readonly clock: Clock;
+    private readonly loads = new Map<UpstreamId, UpstreamLoad>();
+    private readonly free = new Map<UpstreamId, number>();
+    private readonly usable = new Map<UpstreamId, number>();
+    private order: UpstreamLoad[] = [];
+    private freeTotal = 0;
+    private usableTotal = 0;
+
+    /** @param options - The pool and what is known of upstreams. */
+    constructor(
+        private readonly options: {
+            readonly clock: Clock;
+            readonly registry: UpstreamRegistry;
+            readonly pool: PoolId;
+        },
+    ) {
+        this.clock = options.clock;
+        for (const upstream of options.registry.list(options.pool)) this.update(upstream);
+    }
+
+    /** Slots that can take a request now, over the pool. */
+    get freeSlots(): number {
+        return this.freeTotal;
+    }
+
+    /** All members that were not forgotten. */
+    get all(): readonly UpstreamLoad[] {
+        return this.order;
+    }
+
+    /** Slots of the members that may get work, busy or not. */
+    get usableSlots(): number {
+        return this.usableTotal;
+    }
+
+    get(id: UpstreamId): UpstreamLoad | undefined {
+        return this.loads.get(id);
+    }
+
+    /** Takes over a change that the registry told of. */
+    update(upstream: Upstream): void {
+        if (!upstream.pools.includes(this.options.pool)) {
+            this.remove(upstream.id);
+            return;
+        }
+        const known = this.loads.get(upstream.id);
+        if (known?.upstream === upstream) {
+            this.refresh(known);
+            return;
+        }
+        this.remove(upstream.id);
+        const load = new UpstreamLoad(upstream);
+        this.loads.set(upstream.id, load);
+        this.order.push(load);
+        this.refresh(load);
+    }
+
+    /** Counts a member's free slots anew. */
+    refresh(load: UpstreamLoad): void {
+        const { id } = load.upstream;
+        const now = this.clock.monotonic();
+        const free = load.freeSlots(now);
+        this.freeTotal += free - (this.free.get(id) ?? 0);
+        this.free.set(id, free);
+        const usable = load.usableSlots(now);
+        this.usableTotal += usable - (this.usable.get(id) ?? 0);
+        this.usable.set(id, usable);
+    }
+
+    /** Counts all free slots anew, for what time alone changes, and drops members that the registry forgot. */
+    refreshAll(): void {
+        for (const load of [...this.order]) {
+            if (this.options.registry.get(load.upstream.id) === load.upstream) this.refresh(load);
+            else this.remove(load.upstream.id);
+        }
+    }
+
+    /**
+     * Members that can take a request now.
+     *
+     * @param most - How many at the most; a larger pool is sampled, as a few good choices are nearly as good as all.
+     * @param random - Picks the sample.
+     */
+    candidates(most: number, random: Random): UpstreamLoad[] {
+        if (this.order.length <= most) return this.order.filter(load => this.isFree(load));
+        const found = new Set<UpstreamLoad>();
+        for (let tries = 0; tries < SAMPLE_TRIES * most && found.size < most; tries++) {
+            const load = random.pick(this.order);
+            if (this.isFree(load)) found.add(load);
+        }
+        return found.size > 0 ? [...found] : this.order.filter(load => this.isFree(load));
+    }
+
+    /** Whether a member can take a request now. */
+    isFree(load: UpstreamLoad): boolean {
+        return (this.free.get(load.upstream.id) ?? 0) > 0;
+    }
+
+    private remove(id: UpstreamId): void {
+        const load = this.loads.get(id);
+        if (!load) return;
+        this.freeTotal -= this.free.get(id) ?? 0;
+        this.usableTotal -= this.usable.get(id) ?? 0;
+        this.free.delete(id);
+        this.usable.delete(id);
+        this.loads.delete(id);
+        this.order = this.order.filter(other => other !== load);
+    }
+}
+
+const SAMPLE_TRIES = 2;
--- /dev/null
+++ b/src/upstream/registry/index.ts
@@ -0,0 +1,194 @@
+import { PoolId, UpstreamId } from "../../ids/index.js";
+import { Clock } from "../../ports/index.js";
+import { Announcement } from "../../protocol/index.js";
+import { Upstream } from "../upstream/index.js";
+
+/** An announcement on its way from one entry to another. */
+export interface SpreadRecord {
+    readonly announcement: Announcement;
+    /** How long ago the upstream sent it, in milliseconds, when this record was made. */
+    readonly ageMs: number;
+}
+
+/** What an entry has learned since a version. */
+export interface RegistryChanges {
+    /** Ask again from here. */
+    readonly version: number;
+    readonly records: readonly SpreadRecord[];
+}
+
+/** `heard`: only what came from the upstreams themselves; `all`: relayed records too, for an entry that starts. */
+export type SpreadScope = "heard" | "all";
+
+/** How long the registry believes what it has heard. */
+export interface RegistryTiming {
+    /** An upstream not heard of for this long gets no new work, in milliseconds. */
+    readonly silentAfterMs: number;
+    /** How long a leaver is remembered, in milliseconds: longer than any announcement can be under way. */
+    readonly tombstoneMs: number;
+}
+
+/** Four announcements lost in a row mean silence; a tombstone outlives every buffer between two hosts. */
+export const DEFAULT_REGISTRY_TIMING: RegistryTiming = { silentAfterMs: 2_000, tombstoneMs: 3_600_000 };
+
+/** Told of each upstream whose announcement or state changed. */
+export type UpstreamListener = (upstream: Upstream) => void;
+
+interface Change {
+    readonly version: number;
+    readonly id: UpstreamId;
+}
+
+const LOG_SLACK = 64;
+
+/**
+ * All upstreams that this process has heard of. There is no list of upstreams: they announce themselves to any entry,
+ * and entries spread what they heard.
+ *
+ * @example
+ * const registry = new UpstreamRegistry({ clock });
+ * registry.announce(announcement);
+ * peer.merge(registry.changesSince(0, "all").records);
+ */
+export class UpstreamRegistry {
+    private readonly clock: Clock;
+    private readonly timing: RegistryTiming;
+    private readonly upstreams = new Map<UpstreamId, Upstream>();
+    private readonly versions = new Map<UpstreamId, number>();
+    private readonly byPool = new Map<PoolId, Map<UpstreamId, Upstream>>();
+    private readonly listeners: UpstreamListener[] = [];
+    private log: Change[] = [];
+    private version = 0;
+
+    /** @param options - Time and, for tests, other bounds. */
+    constructor(options: { readonly clock: Clock; readonly timing?: RegistryTiming; }) {
+        this.clock = options.clock;
+        this.timing = options.timing ?? DEFAULT_REGISTRY_TIMING;
+    }
+
+    /**
+     * Takes an announcement from the upstream itself.
+     *
+     * @param announcement - What it said.
+     * @param now - Monotonic time of its arrival, in milliseconds.
+     * @returns Whether it told something new.
+     */
+    announce(announcement: Announcement, now: number = this.clock.monotonic()): boolean {
+        return this.take(announcement, now, true);
+    }
+
+    /**
+     * Takes records that another entry spread.
+     *
+     * @param records - From the other's `changesSince`.
+     * @param now - Monotonic time of their arrival, in milliseconds.
+     * @returns How many told something new.
+     */
+    merge(records: readonly SpreadRecord[], now: number = this.clock.monotonic()): number {
+        const isNews = (record: SpreadRecord): boolean => {
+            if (record.announcement.state === "ready" && record.ageMs >= this.timing.silentAfterMs) return false;
+            return this.take(record.announcement, now - record.ageMs, false);
+        };
+        return records.filter(isNews).length;
+    }
+
+    /**
+     * What was learned after a version. Costs as much as there are changes, not upstreams.
+     *
+     * @param version - From an earlier call; 0 for the start.
+     * @param scope - Whether relayed records are included.
+     */
+    changesSince(version: number, scope: SpreadScope = "heard"): RegistryChanges {
+        const now = this.clock.monotonic();
+        const records: SpreadRecord[] = [];
+        for (let index = this.log.length - 1; index >= 0 && this.log[index].version > version; index--) {
+            const change = this.log[index];
+            const upstream = this.upstreams.get(change.id);
+            if (!upstream || this.versions.get(change.id) !== change.version) continue;
+            if (scope === "heard" && !upstream.firstHand) continue;
+            records.push({ announcement: upstream.announcement, ageMs: now - upstream.heardAt });
+        }
+        return { version: this.version, records };
+    }
+
+    /** The upstreams of a pool that were not forgotten, whatever their state. */
+    list(pool: PoolId): readonly Upstream[] {
+        return [...this.byPool.get(pool)?.values() ?? []];
+    }
+
+    /** The pools that any upstream serves. */
+    pools(): readonly PoolId[] {
+        return [...this.byPool.keys()];
+    }
+
+    get(id: UpstreamId): Upstream | undefined {
+        return this.upstreams.get(id);
+    }
+
+    /** Sets who is told of changes. */
+    onChange(listener: UpstreamListener): void {
+        this.listeners.push(listener);
+    }
+
+    /** Marks silent upstreams and forgets old leavers. Call it a few times a second. */
+    expire(now: number = this.clock.monotonic()): void {
+        for (const upstream of [...this.upstreams.values()]) {
+            const quietMs = now - upstream.heardAt;
+            if (quietMs >= this.timing.tombstoneMs) {
+                this.forget(upstream);
+            }
+            else if (upstream.state === "ready" && quietMs >= this.timing.silentAfterMs) {
+                upstream.markSilent();
+                this.tell(upstream);
+            }
+        }
+    }
+
+    private take(announcement: Announcement, heardAt: number, firstHand: boolean): boolean {
+        const id = announcement.id as UpstreamId;
+        const known = this.upstreams.get(id);
+        if (known && !known.isOutdatedBy(announcement)) return false;
+        const upstream = known ?? new Upstream(announcement, heardAt, firstHand);
+        if (known) this.removeFromPools(known);
+        known?.absorb(announcement, heardAt, firstHand);
+        this.upstreams.set(id, upstream);
+        this.addToPools(upstream);
+        this.record(id);
+        this.tell(upstream);
+        return true;
+    }
+
+    private addToPools(upstream: Upstream): void {
+        for (const pool of upstream.pools) {
+            const members = this.byPool.get(pool) ?? new Map<UpstreamId, Upstream>();
+            members.set(upstream.id, upstream);
+            this.byPool.set(pool, members);
+        }
+    }
+
+    private removeFromPools(upstream: Upstream): void {
+        for (const pool of upstream.pools) {
+            const members = this.byPool.get(pool);
+            members?.delete(upstream.id);
+            if (members?.size === 0) this.byPool.delete(pool);
+        }
+    }
+
+    private record(id: UpstreamId): void {
+        this.version++;
+        this.versions.set(id, this.version);
+        this.log.push({ version: this.version, id });
+        if (this.log.length <= 2 * this.upstreams.size + LOG_SLACK) return;
+        this.log = this.log.filter(change => this.versions.get(change.id) === change.version);
+    }
+
+    private forget(upstream: Upstream): void {
+        this.upstreams.delete(upstream.id);
+        this.versions.delete(upstream.id);
+        this.removeFromPools(upstream);
+    }
+
+    private tell(upstream: Upstream): void {
+        for (const listener of this.listeners) listener(upstream);
+    }
+}
--- /dev/null
+++ b/src/upstream/registry/test.ts
@@ -0,0 +1,98 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { PoolId, UpstreamId } from "../../ids/index.js";
+import { VirtualClock } from "../../ports/index.js";
+import { makeAnnouncement } from "../fixtures/index.js";
+import { UpstreamRegistry } from "./index.js";
+
+const ID = "u1" as UpstreamId;
+const POOL = "draft" as PoolId;
+
+function makeRegistry() {
+    const clock = new VirtualClock();
+    return { clock, registry: new UpstreamRegistry({ clock }) };
+}
+
+describe("UpstreamRegistry", () => {
+    describe("announce", () => {
+        it("takes a higher incarnation or sequence and nothing else", () => {
+            const { registry } = makeRegistry();
+            assert.ok(registry.announce(makeAnnouncement({ incarnation: 2, sequence: 5 })));
+            assert.ok(!registry.announce(makeAnnouncement({ incarnation: 2, sequence: 5 })));
+            assert.ok(!registry.announce(makeAnnouncement({ incarnation: 1, sequence: 9 })));
+            assert.ok(registry.announce(makeAnnouncement({ incarnation: 3, sequence: 1 })));
+        });
+
+        it("lists by the pools of the newest announcement", () => {
+            const { registry } = makeRegistry();
+            registry.announce(makeAnnouncement());
+            registry.announce(makeAnnouncement({ sequence: 2, pools: ["ledger"] }));
+            assert.deepEqual(registry.list(POOL), []);
+            assert.equal(registry.list("ledger" as PoolId).length, 1);
+        });
+    });
+
+    describe("a leaver whose announcements arrive late", () => {
+        // A caller's stream is cut off in the middle: its request was sent to an engine that had said it would leave.
+        // The "ready" said just before went through a slower entry and came after the "leaving".
+        for (const state of ["leaving", "gone"] as const) {
+            it(`stays away after "${state}"`, () => {
+                const { registry } = makeRegistry();
+                registry.announce(makeAnnouncement({ sequence: 7, state }));
+                registry.merge([{ announcement: makeAnnouncement({ sequence: 6 }), ageMs: 400 }]);
+                registry.merge([{ announcement: makeAnnouncement({ sequence: 8 }), ageMs: 100 }]);
+                assert.equal(registry.get(ID)?.isGrantable, false);
+            });
+        }
+
+        it("is not brought back by a relay after its tombstone has gone", async () => {
+            const { clock, registry } = makeRegistry();
+            registry.announce(makeAnnouncement({ sequence: 7, state: "gone" }));
+            await clock.advance(4_000_000);
+            registry.expire();
+            assert.equal(registry.get(ID), undefined);
+            registry.merge([{ announcement: makeAnnouncement({ sequence: 6 }), ageMs: 4_000_000 }]);
+            assert.equal(registry.get(ID), undefined);
+        });
+
+        it("comes back with a new incarnation", () => {
+            const { registry } = makeRegistry();
+            registry.announce(makeAnnouncement({ sequence: 7, state: "gone" }));
+            registry.announce(makeAnnouncement({ incarnation: 2 }));
+            assert.equal(registry.get(ID)?.isGrantable, true);
+        });
+    });
+
+    describe("expire", () => {
+        it("takes a silent upstream out until it is heard again", async () => {
+            const { clock, registry } = makeRegistry();
+            registry.announce(makeAnnouncement());
+            await clock.advance(2_000);
+            registry.expire();
+            assert.equal(registry.get(ID)?.state, "silent");
+            registry.announce(makeAnnouncement({ sequence: 2 }));
+            assert.equal(registry.get(ID)?.state, "ready");
+        });
+    });
+
+    describe("changesSince", () => {
+        it("gives each changed upstream once, with its age", async () => {
+            const { clock, registry } = makeRegistry();
+            registry.announce(makeAnnouncement());
+            registry.announce(makeAnnouncement({ sequence: 2 }));
+            const { version } = registry.changesSince(0);
+            registry.announce(makeAnnouncement({ id: "u2" }));
+            await clock.advance(30);
+            assert.equal(registry.changesSince(0).records.length, 2);
+            const later = registry.changesSince(version).records;
+            assert.deepEqual(later.map(record => [record.announcement.id, record.ageMs]), [["u2", 30]]);
+        });
+
+        it("spreads only what was heard at first hand, unless all is asked for", () => {
+            const { registry } = makeRegistry();
+            registry.merge([{ announcement: makeAnnouncement(), ageMs: 0 }]);
+            assert.equal(registry.changesSince(0).records.length, 0);
+            assert.equal(registry.changesSince(0, "all").records.length, 1);
+        });
+    });
+});
--- /dev/null
+++ b/src/upstream/upstream/index.ts
@@ -0,0 +1,91 @@
+import { PoolId, UpstreamId, ZoneId } from "../../ids/index.js";
+import { Address, parseAddress } from "../../ports/index.js";
+import { Announcement } from "../../protocol/index.js";
+
+/** Whether an upstream may get work, as far as its own word goes. */
+export type UpstreamState = "ready" | "leaving" | "gone" | "silent";
+
+const UNKNOWN_ADDRESS: Address = { host: "0.0.0.0", port: 0 };
+
+/** One back end as this process knows it: its newest announcement and when that was heard. */
+export class Upstream {
+    readonly id: UpstreamId;
+    private newest: Announcement;
+    private parsedAddress: Address;
+    private silent = false;
+
+    /**
+     * @param announcement - The first one heard.
+     * @param heardAt - Monotonic time at which it left the upstream, in milliseconds.
+     * @param firstHand - Heard from the upstream itself, not from another entry.
+     */
+    constructor(announcement: Announcement, public heardAt: number, public firstHand: boolean) {
+        this.id = announcement.id as UpstreamId;
+        this.newest = announcement;
+        this.parsedAddress = parseAddress(announcement.address) ?? UNKNOWN_ADDRESS;
+    }
+
+    get announcement(): Announcement {
+        return this.newest;
+    }
+
+    get address(): Address {
+        return this.parsedAddress;
+    }
+
+    get zone(): ZoneId {
+        return this.newest.zone as ZoneId;
+    }
+
+    get pools(): readonly PoolId[] {
+        return this.newest.pools as PoolId[];
+    }
+
+    get slots(): number {
+        return this.newest.slots;
+    }
+
+    get state(): UpstreamState {
+        if (this.newest.state !== "ready") return this.newest.state;
+        return this.silent ? "silent" : "ready";
+    }
+
+    /** May get new work. An upstream about to be reclaimed may not. */
+    get isGrantable(): boolean {
+        return this.state === "ready" && this.newest.reclaim_in_ms === undefined;
+    }
+
+    /** Monotonic time at which the reported load was measured, in milliseconds. */
+    get loadMeasuredAt(): number {
+        return this.heardAt - this.newest.load.age_ms;
+    }
+
+    /**
+     * Says whether an announcement tells something newer. Once an incarnation has said that it leaves, nothing more of
+     * that incarnation brings it back: a relayed "ready" that crossed the "leaving" would send work to a closing engine.
+     */
+    isOutdatedBy(announcement: Announcement): boolean {
+        const known = this.newest;
+        if (announcement.incarnation !== known.incarnation) return announcement.incarnation > known.incarnation;
+        if (announcement.sequence <= known.sequence) return false;
+        return STATE_RANK[announcement.state] >= STATE_RANK[known.state];
+    }
+
+    /** Takes over a newer announcement. */
+    absorb(announcement: Announcement, heardAt: number, firstHand: boolean): void {
+        if (announcement.address !== this.newest.address) {
+            this.parsedAddress = parseAddress(announcement.address) ?? UNKNOWN_ADDRESS;
+        }
+        this.newest = announcement;
+        this.heardAt = heardAt;
+        this.firstHand = firstHand;
+        this.silent = false;
+    }
+
+    /** Marks it as not heard of for too long. */
+    markSilent(): void {
+        this.silent = true;
+    }
+}
+
+const STATE_RANK = { ready: 0, leaving: 1, gone: 2 } as const;
