--- a/src/dispatch/_lib/heap.ts
+++ b/src/dispatch/_lib/heap.ts
@@ -1,7 +1,9 @@
-/** A binary heap from which any item can be taken out in logarithmic time. */
+/** A binary heap from which any item can be taken out in logarithmic time. Equal items keep the order they came in. */
 export class Heap<Item> {
     private readonly items: Item[] = [];
     private readonly places = new Map<Item, number>();
+    private readonly arrivals = new Map<Item, number>();
+    private nextArrival = 0;
 
     /** @param isBefore - Whether the first comes before the second. */
     constructor(private readonly isBefore: (a: Item, b: Item) => boolean) {}
@@ -22,6 +24,7 @@
     add(item: Item): void {
         this.items.push(item);
         this.places.set(item, this.items.length - 1);
+        this.arrivals.set(item, this.nextArrival++);
         this.moveUp(this.items.length - 1);
     }
 
@@ -31,6 +34,7 @@
         if (place === undefined) return false;
         const last = this.items.pop()!;
         this.places.delete(item);
+        this.arrivals.delete(item);
         if (last === item) return true;
         this.items[place] = last;
         this.places.set(last, place);
@@ -50,7 +54,7 @@
         let place = from;
         while (place > 0) {
             const parent = (place - 1) >> 1;
-            if (!this.isBefore(this.items[place], this.items[parent])) return;
+            if (!this.comesBefore(this.items[place], this.items[parent])) return;
             this.swap(place, parent);
             place = parent;
         }
@@ -61,7 +65,7 @@
         for (;;) {
             let next = place;
             for (const child of [2 * place + 1, 2 * place + 2]) {
-                if (child < this.items.length && this.isBefore(this.items[child], this.items[next])) next = child;
+                if (child < this.items.length && this.comesBefore(this.items[child], this.items[next])) next = child;
             }
             if (next === place) return;
             this.swap(place, next);
@@ -69,6 +73,11 @@
         }
     }
 
+    private comesBefore(a: Item, b: Item): boolean {
+        if (this.isBefore(a, b)) return true;
+        return !this.isBefore(b, a) && this.arrivals.get(a)! < this.arrivals.get(b)!;
+    }
+
     private swap(a: number, b: number): void {
         [this.items[a], this.items[b]] = [this.items[b], this.items[a]];
         this.places.set(this.items[a], a);
