--- /dev/null
+++ b/features/whole-path.feature
@@ -0,0 +1,30 @@
+@answer @usage @key
+Feature: The whole path
+  A caller's request goes through an entry to an upstream and back, and what it used is reported once.
+
+  Background:
+    Given a fleet of 2 entries, 3 control processes, 3 engines and 2 services
+    And the workspaces "hotel" and "depot"
+
+  Scenario: A streamed chat comes back whole from each entry
+    When "hotel" sends a chat of 40 tokens to entry 1
+    And "depot" sends a chat of 25 tokens to entry 2
+    Then each chat is answered whole
+    And no upstream has seen a key
+
+  Scenario: A call that must not be repeated runs once however often it is sent
+    When "depot" sends the order "12 drums" with the idempotency key "o-1" to entry 1
+    And "depot" sends the order "12 drums" with the idempotency key "o-1" to entry 2
+    Then both orders are answered alike
+    And the order "12 drums" has run once
+
+  Scenario: A usage window closes and is reported once, with the usage of both entries
+    When "hotel" sends a chat of 40 tokens to entry 1
+    And "hotel" sends a chat of 30 tokens to entry 2
+    And the usage window ends
+    Then the platform has one report for each window
+    And the reports give "hotel" 2 requests and 70 tokens
+
+  Scenario: A key that nobody granted is refused
+    When "stranger" sends a chat of 10 tokens to entry 1
+    Then the last chat is refused with 401 "key-unknown" and the outcome "not-run"
--- a/src/daemon/runEntry/index.ts
+++ b/src/daemon/runEntry/index.ts
@@ -14,11 +14,11 @@
 export async function runEntry(ports: DaemonPorts, settings: EntrySettings): Promise<DaemonProcess> {
     const { host, listen, control, limits, timing, streams, stop, usage } = settings;
     const lifecycle = new Lifecycle();
-    let entry: EntryProcess | undefined;
-    const isReady = (): boolean => entry !== undefined && !entry.isDraining && entry.control.isFresh();
-    const health = await ports.http.serve(listen.admin, DEFAULT_HTTP_LIMITS, serveHealth(isReady));
+    // Health is served while the entry still waits for its first view.
+    let isReady = (): boolean => false;
+    const health = await ports.http.serve(listen.admin, DEFAULT_HTTP_LIMITS, serveHealth(() => isReady()));
     lifecycle.own(() => health.close());
-    entry = await EntryProcess.start({
+    const entry = await EntryProcess.start({
         ...ports,
         zone: host.zone,
         region: host.region,
@@ -38,7 +38,7 @@
         windowMs: usage.windowMs,
         balancerMs: stop.balancerMs,
     }, lifecycle.signal);
-    const running = entry;
-    lifecycle.own(() => running.close());
-    return { lifecycle, drain: () => running.drain(stop.graceMs) };
+    lifecycle.own(() => entry.close());
+    isReady = () => !entry.isDraining && entry.control.isFresh();
+    return { lifecycle, drain: () => entry.drain(stop.graceMs) };
 }
