--- a/src/ids/index.ts
+++ b/src/ids/index.ts
@@ -10,6 +10,8 @@
 export type HostId = Brand<string, "HostId">;
 /** The identity of one data folder; born with the folder, lost with it. */
 export type StoreId = Brand<string, "StoreId">;
+/** One cluster of control processes and its history; born when its first members agree. */
+export type ClusterId = Brand<string, "ClusterId">;
 /** One run of a process on a host; every restart makes a new one. */
 export type Incarnation = Brand<string, "Incarnation">;
 /** An availability zone. */
--- a/src/ports/index.ts
+++ b/src/ports/index.ts
@@ -7,6 +7,7 @@
 export * from "./fileDisk/index.js";
 export * from "./http/index.js";
 export * from "./memoryDisk/index.js";
+export * from "./memoryHost/index.js";
 export * from "./memoryHttp/index.js";
 export * from "./memoryNetwork/index.js";
 export * from "./network/index.js";
--- a/src/ports/memoryDisk/index.ts
+++ b/src/ports/memoryDisk/index.ts
@@ -48,8 +48,10 @@
 
     async replace(path: string, bytes: Uint8Array): Promise<void> {
         this.reserve(bytes.length);
+        // A crash during the sync leaves the old content, and the write goes nowhere.
+        const { files } = this;
         await this.waitForSync();
-        this.files.set(path, { synced: Uint8Array.from(bytes), unsynced: new Uint8Array() });
+        files.set(path, { synced: Uint8Array.from(bytes), unsynced: new Uint8Array() });
     }
 
     async remove(path: string): Promise<void> {
