--- a/src/settings/formatPage/index.ts
+++ b/src/settings/formatPage/index.ts
@@ -4,8 +4,8 @@
 
 const HEAD = `# Settings
 
-A daemon reads one INI file, named on its command line: \`sequoiamuxd FILE\`. \`sequoiamuxd --check FILE\` judges a file
-without starting. The first line that counts is \`role = entry\` or \`role = control\`, before any section. An unknown section or
+A daemon reads one INI file: \`sequoiamuxd --settings FILE\`. \`sequoiamuxd --check --settings FILE\` judges a file without
+starting. The first line that counts is \`role = entry\` or \`role = control\`, before any section. An unknown section or
 name, a name that stands twice, a bad value or a clash between two values is one line with file, section, name and what was
 expected; the daemon then ends with exit code 2. A comment begins with \`;\` or \`#\`. Samples for both deployments stand in
 \`settings/\`.
--- a/src/settings/parseSettings/index.ts
+++ b/src/settings/parseSettings/index.ts
@@ -108,11 +108,6 @@
         clashes.push(new SettingsError(fileName, "timing", "silence_ms", problem));
     }
     if (settings.role === "entry") return clashes;
-    const { electionMs, leaseMs, driftMs } = settings.timing;
-    if (leaseMs > electionMs - driftMs) {
-        const problem = `expected at most election_ms less drift_ms (${electionMs - driftMs}), found "${leaseMs}"`;
-        clashes.push(new SettingsError(fileName, "timing", "lease_ms", problem));
-    }
     if (!settings.control.members.some(member => member.host === settings.host.id)) {
         const problem = `expected this host, ${settings.host.id}, among them`;
         clashes.push(new SettingsError(fileName, "control", "members", problem));
--- a/src/settings/schema/index.ts
+++ b/src/settings/schema/index.ts
@@ -72,14 +72,6 @@
     ),
 };
 
-const stop = {
-    graceMs: withDefault(
-        span,
-        "600000",
-        "The longest a planned stop waits for work under way, in milliseconds; beyond it the process ends with exit code 3.",
-    ),
-};
-
 /** The settings of an entry process. */
 export const entrySchema = z.object({
     role: z.literal("entry"),
@@ -104,11 +96,10 @@
             "30000",
             "How long a caller may take to send a whole request, in milliseconds.",
         ),
-        connections: withDefault(wholeNumber(1, 1_000_000), "4096", "The most connections of callers at a time."),
-        queued: withDefault(
+        connections: withDefault(
             wholeNumber(1, 1_000_000),
-            "2048",
-            "The most requests that wait for an upstream at a time; the lowest tier is refused first.",
+            "4096",
+            "The most requests of callers under way at a time; more are refused with a time to come back.",
         ),
     }),
     timing: z.object(peerTiming),
@@ -125,7 +116,11 @@
         ),
     }),
     stop: z.object({
-        ...stop,
+        graceMs: withDefault(
+            span,
+            "600000",
+            "The longest a planned stop waits for work under way, in milliseconds; beyond it the process ends with exit code 3.",
+        ),
         balancerMs: withDefault(
             wholeNumber(0, HOUR_MS),
             "5000",
@@ -177,19 +172,9 @@
     timing: z.object({
         ...peerTiming,
         electionMs: withDefault(
-            span,
+            wholeNumber(100, HOUR_MS),
             "1000",
-            "A voter that heard no leader for this long (and up to twice as long, by chance) asks for an election, in milliseconds.",
-        ),
-        leaseMs: withDefault(
-            span,
-            "900",
-            "How long a quorum's answer lets the holder act, in milliseconds from when its question left. At most the election time less the drift margin.",
-        ),
-        driftMs: withDefault(
-            span,
-            "100",
-            "How far the clocks of two hosts may drift apart during one lease, in milliseconds.",
+            "How long a voter's promise to a leader lasts, in milliseconds: a leader that no majority answered for this long stops acting, and a voter that heard nothing for this long, and by chance up to as long again, asks for an election.",
         ),
         freshnessLeaseMs: withDefault(
             span,
@@ -197,7 +182,6 @@
             "How long an entry may go on with its view after it asked the holder for changes, in milliseconds. A withdrawn key stops within this time, whatever is cut off.",
         ),
     }),
-    stop: z.object(stop),
     usage: usage.extend({
         graceMs: withDefault(
             wholeNumber(0, HOUR_MS),
