--- a/src/emulator/runLedger/index.ts
+++ b/src/emulator/runLedger/index.ts
@@ -23,6 +23,11 @@
         return this.runs.size;
     }
 
+    /** Whether a call has run. */
+    has(service: string, digest: string): boolean {
+        return this.runs.has(`${service} ${digest}`);
+    }
+
     /** The calls that ran more than once, as `service digest`. */
     doubled(): string[] {
         return [...this.runs].filter(([, count]) => count > 1).map(([name]) => name);
--- a/src/ports/memoryHttp/index.ts
+++ b/src/ports/memoryHttp/index.ts
@@ -1,5 +1,6 @@
 import { Either, Left, Right } from "purify-ts";
 import { Mailbox } from "../_lib/mailbox.js";
+import { serveRawConnection } from "../_lib/serveRawConnection.js";
 import {
     BodyError,
     HeaderList,
@@ -52,10 +53,12 @@
         const name = formatAddress(bound);
         if (this.web.servers.has(name)) throw new NetworkError("refused", `${name} is in use`);
         this.web.servers.set(name, handler);
+        this.web.fabric.register(bound, connection => void serveRawConnection(connection, handler));
         return {
             address: bound,
             close: async () => {
                 this.web.servers.delete(name);
+                this.web.fabric.unregister(bound);
             },
         };
     }
