Operators' API: tRPC over the Http port on each control process, and a contract for entries

A process that is not the holder names the holder's address in the error. A change waits up to 6.5 s and answers in-force or accepted.

--- a/src/control/controlClient/index.ts
+++ b/src/control/controlClient/index.ts
@@ -17,7 +17,7 @@
 export type ControlLink = Pick<PeerLink, "isOpen" | "peer" | "call">;
 
 /** Who the entry is, as its pulls say. */
-export type EntrySelf = Pick<ViewPull, "host" | "incarnation" | "zone" | "peerAddress">;
+export type EntrySelf = Pick<ViewPull, "host" | "incarnation" | "zone" | "peerAddress" | "adminAddress">;
 
 /** What the client is made of. */
 export interface ControlClientOptions {
--- a/src/control/entryTable/index.ts
+++ b/src/control/entryTable/index.ts
@@ -4,6 +4,11 @@
 /** How much faster than an entry's clock the holder's may run, as a share. */
 export const LEASE_DRIFT = 0.02;
 
+/** An entry and the revision that it has in force. */
+export interface AcknowledgedEntry extends EntryView {
+    readonly revision: number;
+}
+
 interface Standing {
     readonly view: EntryView;
     /** The revision that the entry has in force. */
@@ -48,10 +53,10 @@
 
     /** Notes what an entry says. Its lease is not longer for it until an answer goes out. */
     notePull(pull: ViewPull): void {
-        const { host, incarnation, zone, peerAddress, draining } = pull;
+        const { host, incarnation, zone, peerAddress, adminAddress, draining } = pull;
         const name = nameRun(pull);
         const known = this.standings.get(name);
-        const view = { host, incarnation, zone, peerAddress, draining };
+        const view = { host, incarnation, zone, peerAddress, adminAddress, draining };
         const changed = !known || known.view.draining !== draining || known.view.peerAddress !== peerAddress;
         if (changed) this.listVersion++;
         const revision = Math.max(pull.revision, known?.revision ?? 0);
@@ -64,6 +69,12 @@
         if (standing) this.standings.set(nameRun(pull), { ...standing, leaseUntil: this.leaseEnd() });
     }
 
+    /** The entries whose lease has not run out, each with the revision that it has in force. */
+    listAcknowledged(): readonly AcknowledgedEntry[] {
+        this.dropLapsed();
+        return [...this.standings.values()].map(({ view, revision }) => ({ ...view, revision }));
+    }
+
     /** The entries whose lease has not run out. */
     listLive(): readonly EntryView[] {
         this.dropLapsed();
--- /dev/null
+++ b/src/control/operatorRouter/index.ts
@@ -0,0 +1,119 @@
+import { initTRPC, TRPCError } from "@trpc/server";
+import { z } from "zod";
+import { ControlLog } from "../../consensus/index.js";
+import { HostId, TemplateName, WindowStart, WorkspaceId } from "../../ids/index.js";
+import { ChangeResult, configChangeSchema } from "../../workspace/index.js";
+import { ControlService, NotHolderError } from "../controlService/index.js";
+import { ControlState } from "../state/index.js";
+
+/** How long an operator's change waits to be in force everywhere, in milliseconds. */
+const IN_FORCE_WAIT_MS = 6_500;
+
+/** Where a control host answers operators. */
+export interface OperatorAddress {
+    readonly host: HostId;
+    /** `IP:port`. */
+    readonly address: string;
+}
+
+/** What the procedures work on. */
+export interface OperatorContext {
+    readonly log: ControlLog;
+    readonly state: ControlState;
+    readonly service: ControlService;
+    /** All control hosts, so that a caller can be sent on to the holder. */
+    readonly operatorAddresses: readonly OperatorAddress[];
+}
+
+/**
+ * A change's answer. `in-force`: each entry works on it, or takes no new work. `accepted`: it is in the log for good, but some
+ * entry may not have it yet.
+ */
+export interface ChangeAnswer {
+    readonly result: ChangeResult;
+    readonly effect?: "in-force" | "accepted";
+}
+
+const trpc = initTRPC.context<OperatorContext>().create({
+    errorFormatter({ shape, error, ctx }) {
+        const holder = error.cause instanceof NotHolderError ? findHolderAddress(ctx) : undefined;
+        // Where the code runs is of no use to an operator.
+        return { ...shape, data: { ...shape.data, stack: undefined, holder } };
+    },
+});
+
+/** Reads and changes go through the lease: a deposed holder would show, and accept, what no longer holds. */
+const holderProcedure = trpc.procedure.use(({ ctx, next }) => {
+    if (ctx.log.holdsLease()) return next();
+    const cause = new NotHolderError(ctx.log.holder());
+    const message = cause.holder === undefined
+        ? "no control host holds the lease now"
+        : `the control lease is held by ${cause.holder}`;
+    throw new TRPCError({ code: "PRECONDITION_FAILED", message, cause });
+});
+
+/** What operators may ask of a control process. */
+export const operatorRouter = trpc.router({
+    change: holderProcedure.input(configChangeSchema).mutation(async ({ ctx, input }): Promise<ChangeAnswer> => {
+        const proposed = await ctx.log.propose(input);
+        const result = proposed.caseOf({
+            Left: err => {
+                const message = err.mayCommit
+                    ? "it is not known whether the change was accepted; send it again with the same change id"
+                    : "the change was not accepted";
+                throw new TRPCError({ code: err.mayCommit ? "TIMEOUT" : "PRECONDITION_FAILED", message });
+            },
+            Right: given => given as ChangeResult,
+        });
+        if (result.kind !== "done") return { result };
+        const inForce = await ctx.service.awaitInForce(result.revision, IN_FORCE_WAIT_MS);
+        return { result, effect: inForce ? "in-force" : "accepted" };
+    }),
+    templates: holderProcedure.query(({ ctx }) => ctx.state.registry.listTemplates()),
+    template: holderProcedure.input(z.string()).query(({ ctx, input }) =>
+        requireFound(ctx.state.registry.template(input as TemplateName), `template ${input}`)
+    ),
+    workspaces: holderProcedure.query(({ ctx }) => ctx.state.registry.listWorkspaces()),
+    workspace: holderProcedure.input(z.string()).query(({ ctx, input }) => {
+        const { registry } = ctx.state;
+        const record = requireFound(registry.workspace(input as WorkspaceId), `workspace ${input}`);
+        return { ...record, view: registry.viewWorkspace(record.id)! };
+    }),
+    // The hash stays here: it is what a caller's key is checked against, and of no use to an operator.
+    keys: holderProcedure.input(z.string()).query(({ ctx, input }) => {
+        const keys = ctx.state.registry.listKeys(input as WorkspaceId);
+        return keys.map(({ id, workspace, operator, grantedAt, withdrawnAt }) => ({
+            id,
+            workspace,
+            operator,
+            grantedAt,
+            withdrawnAt,
+        }));
+    }),
+    hosts: holderProcedure.query(({ ctx }) => ctx.service.entries.listAcknowledged()),
+    orders: holderProcedure.query(({ ctx }) => [...ctx.state.orders.listFinished(), ...ctx.state.orders.listOpen()]),
+    windows: holderProcedure.query(({ ctx }) => {
+        const { usage } = ctx.state;
+        return { open: usage.listOpen(), closed: usage.listClosed() };
+    }),
+    window: holderProcedure.input(z.int()).query(({ ctx, input }) => {
+        const { usage } = ctx.state;
+        const windows = [...usage.listClosed(), ...usage.listOpen()];
+        const found = windows.find(({ window }) => window === input as WindowStart);
+        return requireFound(found, `usage window ${input}`);
+    }),
+    revision: holderProcedure.query(({ ctx }) => ctx.state.revision),
+});
+
+/** For clients' types. */
+export type OperatorRouter = typeof operatorRouter;
+
+function requireFound<Found>(found: Found | undefined, what: string): Found {
+    if (found !== undefined) return found;
+    throw new TRPCError({ code: "NOT_FOUND", message: `there is no ${what}` });
+}
+
+function findHolderAddress(context: OperatorContext | undefined): string | undefined {
+    const holder = context?.log.holder();
+    return context?.operatorAddresses.find(({ host }) => host === holder)?.address;
+}
--- a/src/control/view/index.ts
+++ b/src/control/view/index.ts
@@ -58,6 +58,8 @@
     readonly zone: string;
     /** `IP:port` of the entry's peer listener, by which other entries reach it. */
     readonly peerAddress: string;
+    /** `IP:port` of the entry's listener for operators. */
+    readonly adminAddress?: string;
     /** The revision the entry has in force; 0 for none. */
     readonly revision: number;
     readonly waitMs: number;
@@ -73,6 +75,7 @@
     readonly incarnation: string;
     readonly zone: string;
     readonly peerAddress: string;
+    readonly adminAddress?: string;
     readonly draining: boolean;
 }
 
