--- /dev/null
+++ b/src/emulator/serviceStandIn/test.ts
@@ -0,0 +1,71 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { REQUEST_ID_HEADER } from "../../protocol/index.js";
+import { makeEngineConfig, MemoryWorld } from "../_lib/memoryWorld.js";
+import { RunLedger } from "../runLedger/index.js";
+import { ServiceAnswer, ServiceStandIn } from "./index.js";
+
+const LIMIT_MS = 60_000;
+const ORDER = { order: "lamb-17" };
+
+async function startService() {
+    const world = new MemoryWorld();
+    const ledger = new RunLedger();
+    const service = new ServiceStandIn(world.ports("service"), ledger, {
+        identity: { ...makeEngineConfig().identity, pools: ["orders"] },
+        address: { host: "service", port: 0 },
+        slots: 1,
+        minLatencyMs: 20,
+        maxLatencyMs: 20,
+        announcer: makeEngineConfig().announcer,
+    });
+    const address = await service.start();
+    const call = (): Promise<ServiceAnswer | undefined> => readAnswer(world.post(address, "/orders", ORDER));
+    return { world, ledger, service, address, call };
+}
+
+async function readAnswer(sent: ReturnType<MemoryWorld["post"]>): Promise<ServiceAnswer | undefined> {
+    const reply = await sent;
+    if (reply.isLeft()) return undefined;
+    let text = "";
+    for await (const bytes of reply.unsafeCoerce().body) text += Buffer.from(bytes).toString();
+    return JSON.parse(text) as ServiceAnswer;
+}
+
+describe("ServiceStandIn", () => {
+    it("records each run, so that a doubled one shows in the answer and in the ledger", async () => {
+        const { world, ledger, call } = await startService();
+        const first = await world.clock.runUntil(call(), LIMIT_MS);
+        const second = await world.clock.runUntil(call(), LIMIT_MS);
+        assert.deepEqual([first?.run, second?.run], [1, 2]);
+        assert.equal(first?.confirmed, second?.confirmed);
+        assert.equal(ledger.doubled().length, 1);
+    });
+
+    it("runs as many calls at once as it has slots", async () => {
+        const { world, call } = await startService();
+        await world.clock.runUntil(Promise.all([call(), call(), call()]), LIMIT_MS);
+        assert.equal(world.clock.monotonic(), 60);
+    });
+
+    it("runs a call whose answer is lost", async () => {
+        const { world, ledger, service, call } = await startService();
+        service.addFaults({ kind: "lost" });
+        assert.equal(await world.clock.runUntil(call(), LIMIT_MS), undefined);
+        assert.equal(ledger.distinct, 1);
+    });
+
+    it("does not run a call that it refuses", async () => {
+        const { world, ledger, service, call } = await startService();
+        service.addFaults({ kind: "refused", status: 503 });
+        await world.clock.runUntil(call(), LIMIT_MS);
+        assert.equal(ledger.distinct, 0);
+    });
+
+    it("gives an answer under another request's id", async () => {
+        const { world, service, address } = await startService();
+        service.addFaults({ kind: "crossed", id: "r9" });
+        const reply = await world.clock.runUntil(world.post(address, "/orders", ORDER), LIMIT_MS);
+        assert.deepEqual(reply.unsafeCoerce().headers.find(([name]) => name === REQUEST_ID_HEADER)?.[1], "r9");
+    });
+});
