Load tool, trace format and the first traces of both deployments

Replays a recorded trace as callers would send it and states each request's outcome: whole (checked token for token), refused, failed, left, lost or doubled. Two traces of 300 and 310 requests over ten seconds, about 14,600 tokens each; the emulator settings in their headers give about 1,450 tokens a second, so that the burst of some four seconds asks for about twice the capacity. The bounds in the headers are estimates until the daemon has replayed them.

--- /dev/null
+++ b/src/load/caller/test.ts
@@ -0,0 +1,172 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { answerLength, digestBody, expectedAnswer } from "../../emulator/index.js";
+import {
+    findHeader,
+    HttpRequest,
+    HttpResponse,
+    MemoryFabric,
+    MemoryWeb,
+    SeededRandom,
+    VirtualClock,
+} from "../../ports/index.js";
+import { ErrorBody, IDEMPOTENCY_HEADER } from "../../protocol/index.js";
+import { RequestResult } from "../outcome/index.js";
+import { TraceChat, TraceService } from "../trace/index.js";
+import { Caller, CallerConfig, DEFAULT_CALLER } from "./index.js";
+
+const LIMIT_MS = 600_000;
+const CHAT: TraceChat = {
+    at_ms: 0,
+    workspace: "depot",
+    class: "routing",
+    kind: "chat",
+    model: "shared-model",
+    messages: [{ role: "user", content: "Which gate? [tokens=6]" }],
+    max_tokens: 20,
+    tokens: 6,
+    stream: true,
+};
+const BOOKING: TraceService = {
+    at_ms: 0,
+    workspace: "depot",
+    class: "bookings",
+    kind: "service",
+    service: "dispatch",
+    path: "/bookings",
+    body: { reference: "b-1" },
+    idempotency_key: "b-1",
+};
+const REFUSAL: ErrorBody = {
+    error: { type: "over-capacity", message: "", outcome: "not-run", retry_after_ms: 2_000 },
+};
+
+type Answer = (req: HttpRequest, res: HttpResponse) => Promise<void>;
+
+/** A system of two addresses that gives these answers, one after the other, the last one for good. */
+async function startSystem(answers: readonly Answer[], change: Partial<CallerConfig> = {}) {
+    const clock = new VirtualClock();
+    const web = new MemoryWeb(new MemoryFabric(clock, () => 1));
+    const seen: string[] = [];
+    const addresses = ["a", "b"].map(host => ({ host, port: 1 }));
+    for (const address of addresses) {
+        await web.http(address.host).serve(address, undefined as never, async (req, res) => {
+            seen.push(`${address.host} ${findHeader(req.headers, IDEMPOTENCY_HEADER) ?? ""}`.trim());
+            await answers[Math.min(seen.length, answers.length) - 1](req, res);
+        });
+    }
+    const caller = new Caller(
+        { clock, random: new SeededRandom(1), http: web.http("caller") },
+        { ...DEFAULT_CALLER, addresses, ...change },
+    );
+    const run = (request: TraceChat | TraceService): Promise<RequestResult> =>
+        clock.runUntil(caller.run(request, "key"), LIMIT_MS);
+    return { clock, web, seen, run };
+}
+
+function streamText(text: string, tail = `data: ${JSON.stringify(makeChunk({}, "stop"))}\n\ndata: [DONE]\n\n`): Answer {
+    return async (_, res) => {
+        res.head(200, [["content-type", "text/event-stream"]]);
+        for (const token of text.split(/(?<= )/)) {
+            void res.write(`data: ${JSON.stringify(makeChunk({ content: token }))}\n\n`);
+        }
+        res.end(tail);
+    };
+}
+
+function makeChunk(delta: object, finish_reason?: string): object {
+    return { choices: [{ index: 0, delta, finish_reason }] };
+}
+
+function sendBody(status: number, body: unknown): Answer {
+    return async (_, res) => {
+        res.head(status, []);
+        res.end(JSON.stringify(body));
+    };
+}
+
+const cut: Answer = async (_, res) => res.reset();
+const silent: Answer = () => new Promise(() => undefined);
+const WHOLE = expectedAnswer(CHAT.messages, answerLength(CHAT.messages));
+const confirmed = digestBody(Buffer.from(JSON.stringify(BOOKING.body)));
+
+describe("Caller", () => {
+    describe("a chat", () => {
+        it("is answered when each token came once and in order", async () => {
+            const { run } = await startSystem([streamText(WHOLE)]);
+            const result = await run(CHAT);
+            assert.deepEqual([result.verdict, result.tokens], ["answered", 6]);
+        });
+
+        it("is doubled when a token comes twice, as after a bad resume", async () => {
+            const tokens = WHOLE.split(/(?<= )/);
+            const { run } = await startSystem([streamText([...tokens.slice(0, 3), ...tokens.slice(2)].join(""))]);
+            assert.equal((await run(CHAT)).verdict, "doubled");
+        });
+
+        it("is lost when the answer is that of another request", async () => {
+            const { run } = await startSystem([streamText(expectedAnswer([{ role: "user", content: "x" }], 6))]);
+            const { verdict, reason } = await run(CHAT);
+            assert.deepEqual([verdict, reason], ["lost", "wrong-answer"]);
+        });
+
+        it("is lost when the stream ends without its terminal event", async () => {
+            const { run } = await startSystem([streamText(WHOLE, "")]);
+            const { verdict, reason } = await run(CHAT);
+            assert.deepEqual([verdict, reason], ["lost", "no-terminal-event"]);
+        });
+
+        it("is lost when nothing comes within the caller's time", async () => {
+            const { run } = await startSystem([silent], { timeoutMs: 5_000 });
+            const { verdict, reason } = await run(CHAT);
+            assert.deepEqual([verdict, reason], ["lost", "timeout"]);
+        });
+
+        it("has failed when the last event says that it ran in part", async () => {
+            const error = { ...REFUSAL.error, type: "key-withdrawn", outcome: "partly-run" };
+            const { run } = await startSystem([streamText(WHOLE, `data: ${JSON.stringify({ error })}\n\n`)]);
+            const { verdict, reason } = await run(CHAT);
+            assert.deepEqual([verdict, reason], ["failed", "key-withdrawn"]);
+        });
+
+        it("is refused when it was not run, or comes back after the time it was told", async () => {
+            const once = await startSystem([sendBody(503, REFUSAL)]);
+            assert.equal((await once.run(CHAT)).verdict, "refused");
+            const twice = await startSystem([sendBody(503, REFUSAL), streamText(WHOLE)], { retries: 1 });
+            const { verdict, attempts, totalMs } = await twice.run(CHAT);
+            assert.deepEqual([verdict, attempts], ["answered", 2]);
+            assert.ok(totalMs > 2_000);
+        });
+
+        it("goes to another address when a host refuses the connection", async () => {
+            const { web, run } = await startSystem([streamText(WHOLE)]);
+            web.crash("a");
+            for (let round = 0; round < 4; round++) assert.equal((await run(CHAT)).verdict, "answered");
+        });
+
+        it("is left when its caller goes away, as the trace says", async () => {
+            const { run } = await startSystem([silent]);
+            assert.equal((await run({ ...CHAT, leave_after_ms: 50 })).verdict, "left");
+        });
+    });
+
+    describe("a call of a service", () => {
+        it("is sent again through the other address, under the same key, when its answer is lost", async () => {
+            const { seen, run } = await startSystem([cut, sendBody(200, { confirmed, run: 1 })]);
+            const { verdict, attempts } = await run(BOOKING);
+            assert.deepEqual([verdict, attempts], ["answered", 2]);
+            assert.deepEqual([...seen].sort(), ["a b-1", "b b-1"]);
+        });
+
+        it("is doubled when the answer says that it ran twice", async () => {
+            const { run } = await startSystem([sendBody(200, { confirmed, run: 2 })]);
+            assert.equal((await run(BOOKING)).verdict, "doubled");
+        });
+
+        it("has failed when the system can't know whether it ran", async () => {
+            const error = { ...REFUSAL.error, type: "answer-lost", outcome: "unknown" };
+            const { run } = await startSystem([sendBody(502, { error })]);
+            assert.equal((await run(BOOKING)).verdict, "failed");
+        });
+    });
+});
--- /dev/null
+++ b/src/load/consortiumPlan/index.ts
@@ -0,0 +1,133 @@
+import { TracePlan, WorkspacePlan } from "../recordTrace/index.js";
+
+const MODEL = "shared-model";
+const DISPATCH = "dispatch";
+
+function makeWorkspace(name: string, part: number, weight: number): WorkspacePlan {
+    const system =
+        `You answer drivers, depot clerks and pool engineers of ${name} on the shared dispatch platform of the Al `
+        + "Batinah pool chemical distributors. Name each product by its UN number and class. Never put an acid and a "
+        + "chlorine product on one load. Give amounts in litres and kilograms, distances in kilometres, and times in local "
+        + "time. A safety summary says first what to do on contact, then what to wear, then how to store. A manifest lists "
+        + "drums by pallet and adds up. A route names the gate and the hour at which it is open.";
+    return { name, part, weight, system };
+}
+
+/** Midday at the Consortium: drivers at the gates ask all at once, while clerks book loads. */
+export const CONSORTIUM_MIDDAY: TracePlan = {
+    name: "consortium-midday",
+    zones: ["sohar", "barka", "muscat"],
+    classes: [
+        { name: "safety", tier: 0, first_token_ms: 1_500, token_ms: 80, max_wait_ms: 4_000, guaranteed_share: 0.3 },
+        { name: "bookings", tier: 0, first_token_ms: 800, token_ms: 80, max_wait_ms: 4_000, guaranteed_share: 0.2 },
+        { name: "routing", tier: 1, first_token_ms: 2_000, token_ms: 80, max_wait_ms: 4_000, guaranteed_share: 0.3 },
+        { name: "manifests", tier: 2, first_token_ms: 6_000, token_ms: 120, max_wait_ms: 8_000, guaranteed_share: 0.1 },
+    ],
+    workspaces: [
+        makeWorkspace("distributor-sohar", 6, 3),
+        makeWorkspace("distributor-barka", 6, 3),
+        makeWorkspace("distributor-muscat", 6, 3),
+        makeWorkspace("depot-falaj", 2, 1),
+        makeWorkspace("depot-suwaiq", 2, 1),
+        makeWorkspace("depot-rusayl", 2, 1),
+        makeWorkspace("hotels-shore", 2, 1),
+        makeWorkspace("hotels-hills", 1, 1),
+        makeWorkspace("hotels-old-town", 1, 1),
+        makeWorkspace("municipal-pools", 1, 1),
+    ],
+    traffic: [
+        {
+            kind: "chat",
+            className: "routing",
+            model: MODEL,
+            count: 120,
+            startMs: 2_000,
+            peakMs: 3_500,
+            endMs: 8_000,
+            workspaces: [],
+            prompts: [
+                "Route for tanker # to gate # of the resort, road # is closed.",
+                "Which gate takes load # now?",
+                "Next stop for truck # with # drums left.",
+            ],
+            leastTokens: 20,
+            mostTokens: 60,
+            wholeShare: 0.1,
+            leavingShare: 0.04,
+        },
+        {
+            kind: "chat",
+            className: "safety",
+            model: MODEL,
+            count: 60,
+            startMs: 0,
+            peakMs: 4_000,
+            endMs: 10_000,
+            workspaces: [],
+            prompts: [
+                "Safety summary for calcium hypochlorite, lot #.",
+                "Safety summary for hydrochloric acid, drum #.",
+                "What to do about a spill at bay #?",
+            ],
+            leastTokens: 40,
+            mostTokens: 100,
+            wholeShare: 0.1,
+            leavingShare: 0,
+        },
+        {
+            kind: "chat",
+            className: "manifests",
+            model: MODEL,
+            count: 70,
+            startMs: 0,
+            peakMs: 5_000,
+            endMs: 10_000,
+            workspaces: [],
+            prompts: [
+                "Reconciled chlorine manifest for depot #, pallets # to #.",
+                "Reconciled acid manifest for load #.",
+            ],
+            leastTokens: 40,
+            mostTokens: 110,
+            wholeShare: 0.5,
+            leavingShare: 0.02,
+        },
+        {
+            kind: "service",
+            className: "bookings",
+            service: DISPATCH,
+            path: "/bookings",
+            count: 60,
+            startMs: 0,
+            peakMs: 4_000,
+            endMs: 10_000,
+            workspaces: [],
+            items: [
+                "calcium hypochlorite",
+                "trichlor tablets",
+                "hydrochloric acid",
+                "stabiliser",
+                "sodium bicarbonate",
+            ],
+        },
+    ],
+    bounds: {
+        attainment: { safety: 0.95, bookings: 0.95, routing: 0.7, manifests: 0.3 },
+        worst_workspace: 0.5,
+        lost: 0,
+        doubled: 0,
+    },
+    emulator: {
+        engines: 8,
+        services: 3,
+        pool: MODEL,
+        service: DISPATCH,
+        zones: "sohar,barka,muscat",
+        slots: 4,
+        stepMs: 20,
+        stepMsPerRequest: 0.5,
+        prefillMsPerToken: 0.1,
+        serviceMinMs: 5,
+        serviceMaxMs: 40,
+    },
+};
--- /dev/null
+++ b/src/load/main.ts
@@ -0,0 +1,152 @@
+/** The program `load`: records traces, and replays them against the system's caller addresses. */
+import { cac } from "cac";
+import { basename, dirname } from "node:path";
+import { z } from "zod";
+import {
+    Address,
+    Disk,
+    FileDisk,
+    NodeHttp,
+    parseAddress,
+    SeededRandom,
+    SystemClock,
+    SystemRandom,
+} from "../ports/index.js";
+import {
+    CONSORTIUM_MIDDAY,
+    DEFAULT_CALLER,
+    formatReport,
+    formatTrace,
+    parseTrace,
+    recordTrace,
+    replayTrace,
+    summarizeReplay,
+    Trace,
+    TracePlan,
+    UTILITY_MORNING,
+} from "./index.js";
+import { Progress } from "./progress/index.js";
+
+const EXIT_MISSED = 1;
+const EXIT_BAD_USE = 2;
+const DEFAULT_SEED = 20_261_202;
+const PLANS: readonly TracePlan[] = [UTILITY_MORNING, CONSORTIUM_MIDDAY];
+
+const replayFlagsSchema = z.object({
+    addresses: z.string(),
+    keys: z.string(),
+    speed: z.coerce.number().positive().default(1),
+    timeoutMs: z.coerce.number().positive().default(DEFAULT_CALLER.timeoutMs),
+    retries: z.coerce.number().int().min(0).default(DEFAULT_CALLER.retries),
+    json: z.boolean().default(false),
+    bounds: z.boolean().default(false),
+    quiet: z.boolean().default(false),
+});
+const keysSchema = z.record(z.string(), z.string());
+
+/** A file name split into its folder, as a disk, and its name there. */
+interface FilePlace {
+    readonly disk: Disk;
+    readonly name: string;
+}
+
+/** A use of the program that makes no sense; its message is the one line that the user gets. */
+class UsageError extends Error {}
+
+function placeOf(path: string): FilePlace {
+    return { disk: new FileDisk(dirname(path)), name: basename(path) };
+}
+
+async function readFile(path: string): Promise<string> {
+    const { disk, name } = placeOf(path);
+    const bytes = await disk.read(name);
+    if (!bytes) throw new UsageError(`${path}: no such file`);
+    return Buffer.from(bytes).toString();
+}
+
+async function readTrace(path: string): Promise<Trace> {
+    return parseTrace(await readFile(path)).caseOf({
+        Left: err => {
+            throw new UsageError(`${path}: ${err.message}`);
+        },
+        Right: trace => trace,
+    });
+}
+
+async function readKeys(path: string): Promise<Map<string, string>> {
+    const parsed = keysSchema.safeParse(JSON.parse(await readFile(path)));
+    if (!parsed.success) throw new UsageError(`${path}: expected {"workspace": "key", ...}`);
+    return new Map(Object.entries(parsed.data));
+}
+
+function readAddresses(text: string): Address[] {
+    return text.split(",").map(item => {
+        const address = parseAddress(item.trim());
+        if (!address) throw new UsageError(`--addresses: "${item}" is not IP:port`);
+        return address;
+    });
+}
+
+async function replay(path: string, flags: unknown): Promise<void> {
+    const parsed = replayFlagsSchema.safeParse(flags);
+    if (!parsed.success) {
+        const [issue] = parsed.error.issues;
+        throw new UsageError(`--${issue.path.join(".")}: ${issue.message}`);
+    }
+    const options = parsed.data;
+    const trace = await readTrace(path);
+    const ports = { clock: new SystemClock(), random: new SystemRandom(), http: new NodeHttp() };
+    const progress = new Progress(ports.clock, trace.requests.length, line => {
+        if (!options.quiet) process.stderr.write(line);
+    });
+    const startedAt = ports.clock.monotonic();
+    const results = await replayTrace(ports, trace, {
+        ...DEFAULT_CALLER,
+        addresses: readAddresses(options.addresses),
+        keys: await readKeys(options.keys),
+        speed: options.speed,
+        timeoutMs: options.timeoutMs,
+        retries: options.retries,
+    }, result => progress.note(result));
+    progress.end();
+    const report = summarizeReplay(trace, results, ports.clock.monotonic() - startedAt);
+    console.log(options.json ? JSON.stringify({ ...report, results }) : formatReport(report));
+    const isMissed = options.bounds ? report.missed.length > 0 : report.lost > 0 || report.doubled > 0;
+    process.exit(isMissed ? EXIT_MISSED : 0);
+}
+
+async function record(planName: string, path: string, flags: { readonly seed?: number; }): Promise<void> {
+    const plan = PLANS.find(({ name }) => name === planName);
+    if (!plan) throw new UsageError(`no plan ${planName}; there are ${PLANS.map(({ name }) => name).join(", ")}`);
+    const trace = recordTrace(plan, new SeededRandom(flags.seed ?? DEFAULT_SEED));
+    const { disk, name } = placeOf(path);
+    await disk.replace(name, Buffer.from(formatTrace(trace)));
+}
+
+async function main(): Promise<void> {
+    const cli = cac("load");
+    cli.command("replay <trace>", "Replay a trace; exit 1 when a request was lost or doubled")
+        .option("--addresses <list>", "Where the system takes requests: IP:port, with commas between")
+        .option("--keys <file>", "JSON file with each workspace's key")
+        .option("--speed <factor>", "Divide the trace's times by this (default: 1)")
+        .option("--timeout-ms <ms>", "How long a caller waits for a whole answer")
+        .option("--retries <count>", "How often a refused request comes back")
+        .option("--bounds", "Exit 1 also when one of the trace's bounds is missed")
+        .option("--json", "Print one line of JSON in place of tables")
+        .option("--quiet", "No progress line")
+        .example("load replay traces/utility-morning.jsonl --addresses 127.0.0.1:8080 --keys keys.json --bounds")
+        .action(replay);
+    cli.command("record <plan> <trace>", `Make a trace: ${PLANS.map(({ name }) => name).join(" or ")}`)
+        .option("--seed <number>", "Another seed gives another trace of the same kind")
+        .example("load record utility-morning traces/utility-morning.jsonl")
+        .action(record);
+    cli.help();
+    cli.parse(process.argv, { run: false });
+    if (!cli.matchedCommand && !cli.options.help) throw new UsageError("say replay or record; --help tells more");
+    await cli.runMatchedCommand();
+}
+
+main().catch((err: unknown) => {
+    console.error(`load: ${(err as Error).message}`);
+    process.exit(EXIT_BAD_USE);
+});
--- /dev/null
+++ b/src/load/report/index.ts
@@ -0,0 +1,71 @@
+import { GroupReport, ReplayReport } from "../attainment/index.js";
+
+const GROUP_COLUMNS = [
+    "sent",
+    "answered",
+    "refused",
+    "failed",
+    "left",
+    "lost",
+    "doubled",
+    "in target",
+    "first token p50",
+    "p95",
+    "p99",
+    "token gap p50",
+    "p95",
+] as const;
+const COLUMN_GAP = "  ";
+
+/**
+ * Writes a replay's report as tables for people. Times in milliseconds.
+ *
+ * @param report - From `summarizeReplay`.
+ * @returns Lines, the last one ended.
+ */
+export function formatReport(report: ReplayReport): string {
+    const lines = [
+        `${report.trace}: ${report.sent} requests in ${(report.durationMs / 1_000).toFixed(1)} s, `
+        + `${report.goodputTokens.toFixed(0)} tokens/s and ${
+            report.goodputRequests.toFixed(1)
+        } requests/s within target`,
+        "",
+        ...formatTable("class", report.classes),
+        "",
+        ...formatTable("workspace", report.workspaces),
+    ];
+    const reasons = Object.entries(report.reasons).sort(([, a], [, b]) => b - a);
+    if (reasons.length > 0) lines.push("", ...reasons.map(([reason, count]) => `${count} ${reason}`));
+    if (report.missed.length > 0) lines.push("", ...report.missed.map(text => `MISSED ${text}`));
+    return `${lines.join("\n")}\n`;
+}
+
+function formatTable(title: string, groups: readonly GroupReport[]): string[] {
+    const rows = [[title, ...GROUP_COLUMNS], ...groups.map(formatGroup)];
+    const widths = rows[0].map((_, column) => Math.max(...rows.map(row => row[column].length)));
+    return rows.map(row =>
+        row.map((cell, column) => column === 0 ? cell.padEnd(widths[column]) : cell.padStart(widths[column]))
+            .join(COLUMN_GAP)
+            .trimEnd()
+    );
+}
+
+function formatGroup(group: GroupReport): string[] {
+    const { verdicts, firstToken, tokenGap } = group;
+    const counts = [
+        group.sent,
+        verdicts.answered,
+        verdicts.refused,
+        verdicts.failed,
+        verdicts.left,
+        verdicts.lost,
+        verdicts.doubled,
+    ];
+    const times = [firstToken.p50, firstToken.p95, firstToken.p99, tokenGap.p50, tokenGap.p95];
+    return [
+        group.name,
+        ...counts.map(String),
+        `${(group.attainment * 100).toFixed(1)}%`,
+        ...times.map(ms => ms.toFixed(1)),
+    ];
+}
