--- a/src/control/entryAdmin/index.ts
+++ b/src/control/entryAdmin/index.ts
@@ -9,8 +9,6 @@
     readonly slots: number;
     /** Running by its last report. */
     readonly running: number;
-    /** Sent by this fleet and not ended yet. */
-    readonly inFlight: number;
     readonly queued: number;
     /** Share of the KV cache in use, from 0 to 1. */
     readonly kvUsed: number;
--- a/src/daemon/daemonPorts/index.ts
+++ b/src/daemon/daemonPorts/index.ts
@@ -1,3 +1,4 @@
+import { HistogramSource } from "../../entry/index.js";
 import { Lifecycle } from "../../lifecycle/index.js";
 import { Logger } from "../../logging/index.js";
 import { Metrics } from "../../metrics/index.js";
@@ -13,6 +14,10 @@
     readonly logger: Logger;
     readonly metrics: Metrics;
     readonly self: PeerIdentity;
+    /** The histograms kept in this process. */
+    readonly histograms: HistogramSource;
+    /** Begins a planned stop of this process. */
+    readonly requestStop: () => void;
 }
 
 /** A daemon that runs. */
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -32,19 +32,22 @@
     const clock = new SystemClock();
     const random = new SystemRandom();
     const logger = new JsonLogger({ host: host.id, role, level: log.level, clock });
+    const figures = new StatsdMetrics({
+        address: metrics.statsd,
+        prefix: metrics.prefix,
+        series: metrics.series,
+        tags: { host: host.id, role },
+        onError: err => logger.warn("metrics-unsent", { problem: err.message }),
+    });
     return {
         clock,
         random,
         network: new TcpNetwork(),
         http: new NodeHttp(),
         logger,
-        metrics: new StatsdMetrics({
-            address: metrics.statsd,
-            prefix: metrics.prefix,
-            series: metrics.series,
-            tags: { host: host.id, role },
-            onError: err => logger.warn("metrics-unsent", { problem: err.message }),
-        }),
+        metrics: figures,
+        histograms: { list: () => figures.listHistograms() },
+        requestStop: () => void process.kill(process.pid, "SIGTERM"),
         self: { host: host.id, incarnation: random.id() as Incarnation },
     };
 }
--- a/src/daemon/runControl/index.ts
+++ b/src/daemon/runControl/index.ts
@@ -1,5 +1,5 @@
 import { DEFAULT_LOG_TIMING, LogTiming } from "../../consensus/index.js";
-import { ControlProcess, NoPurchases, PlatformAccess } from "../../control/index.js";
+import { ControlProcess, createTrpcHandler, NoPurchases, operatorRouter, PlatformAccess } from "../../control/index.js";
 import { Lifecycle } from "../../lifecycle/index.js";
 import { DEFAULT_HTTP_LIMITS, FileDisk } from "../../ports/index.js";
 import { ControlSettings } from "../../settings/index.js";
@@ -30,7 +30,14 @@
         platform: toPlatformAccess(settings),
     });
     lifecycle.own(() => running.close());
-    const health = await ports.http.serve(listen.operators, DEFAULT_HTTP_LIMITS, serveHealth(() => running.isReady));
+    const operate = createTrpcHandler(operatorRouter, () => ({
+        log: running.log,
+        state: running.state,
+        service: running.service,
+        operatorAddresses: [],
+    }));
+    const handler = serveHealth(() => running.isReady, operate);
+    const health = await ports.http.serve(listen.operators, DEFAULT_HTTP_LIMITS, handler);
     lifecycle.own(() => health.close());
     return { lifecycle, drain: async () => true };
 }
--- a/src/daemon/runEntry/index.ts
+++ b/src/daemon/runEntry/index.ts
@@ -1,6 +1,7 @@
-import { DEFAULT_ENTRY_LIMITS, EntryProcess } from "../../entry/index.js";
+import { EntryAdminServer } from "../../control/index.js";
+import { DEFAULT_ENTRY_LIMITS, EntryProcess, ProcessAdmin } from "../../entry/index.js";
 import { Lifecycle } from "../../lifecycle/index.js";
-import { DEFAULT_HTTP_LIMITS } from "../../ports/index.js";
+import { DEFAULT_HTTP_LIMITS, HttpHandler } from "../../ports/index.js";
 import { EntrySettings } from "../../settings/index.js";
 import { DaemonPorts, DaemonProcess } from "../daemonPorts/index.js";
 import { serveHealth } from "../serveHealth/index.js";
@@ -15,8 +16,16 @@
     const { host, listen, control, limits, timing, streams, stop, usage } = settings;
     const lifecycle = new Lifecycle();
     // Health is served while the entry still waits for its first view.
-    let isReady = (): boolean => false;
-    const health = await ports.http.serve(listen.admin, DEFAULT_HTTP_LIMITS, serveHealth(() => isReady()));
+    const running: { entry?: EntryProcess; } = {};
+    const isReady = (): boolean => !running.entry?.isDraining && (running.entry?.control.isFresh() ?? false);
+    const operate: HttpHandler = async (req, res) => {
+        if (running.entry) {
+            return new EntryAdminServer(makeAdmin(ports, running.entry, stop.graceMs)).handler(req, res);
+        }
+        res.head(503, []);
+        res.end();
+    };
+    const health = await ports.http.serve(listen.admin, DEFAULT_HTTP_LIMITS, serveHealth(isReady, operate));
     lifecycle.own(() => health.close());
     const entry = await EntryProcess.start({
         ...ports,
@@ -25,6 +34,7 @@
         callers: listen.callers,
         upstreams: listen.upstreams,
         peers: listen.peers,
+        admin: listen.admin,
         controlPeers: control.members.map(member => member.address),
         callerLimits: limits,
         limits: {
@@ -39,6 +49,18 @@
         balancerMs: stop.balancerMs,
     }, lifecycle.signal);
     lifecycle.own(() => entry.close());
-    isReady = () => !entry.isDraining && entry.control.isFresh();
+    running.entry = entry;
     return { lifecycle, drain: () => entry.drain(stop.graceMs) };
 }
+
+function makeAdmin(ports: DaemonPorts, entry: EntryProcess, graceMs: number): ProcessAdmin {
+    return new ProcessAdmin({
+        clock: ports.clock,
+        registry: entry.registry,
+        local: entry.local,
+        requests: entry.requests,
+        histograms: ports.histograms,
+        drain: () => void entry.drain(graceMs),
+        stop: ports.requestStop,
+    });
+}
--- a/src/dispatch/localDispatcher/index.ts
+++ b/src/dispatch/localDispatcher/index.ts
@@ -8,6 +8,7 @@
 import { DEFAULT_POLICIES, DispatchPolicies } from "../policies/index.js";
 import { PoolQueue } from "../poolQueue/index.js";
 import { Completion, Grant, Refusal, Ticket } from "../ticket/index.js";
+import { WaitingTicket } from "../waiting/index.js";
 
 /** What a local dispatcher works with. */
 export interface LocalDispatcherOptions {
@@ -86,6 +87,11 @@
         this.armTimer();
     }
 
+    /** The tickets that wait in all queues, in no order. */
+    listWaiting(): WaitingTicket[] {
+        return [...this.queues.values()].flatMap(queue => queue.listWaiting());
+    }
+
     /** How many tickets wait in a pool's queue. */
     countWaiting(pool: PoolId): number {
         return this.queues.get(pool)?.waitingCount ?? 0;
--- a/src/dispatch/poolQueue/index.ts
+++ b/src/dispatch/poolQueue/index.ts
@@ -99,6 +99,11 @@
         return this.waiters.size === 0 && this.running.size === 0;
     }
 
+    /** The tickets that wait, in no order. */
+    listWaiting(): WaitingTicket[] {
+        return [...this.waiters.keys()];
+    }
+
     get waitingCount(): number {
         return this.waiters.size;
     }
--- a/src/entry/callRecord/index.ts
+++ b/src/entry/callRecord/index.ts
@@ -106,7 +106,7 @@
         if (result.state === "answered") return Right({ kind: "answered", answer: result.answer });
         if (result.state !== "running") return Left(joinError(result.state));
         if (run.ageMs() >= maxWaitMs || run.isCancelled) return Left(stillRunning());
-        run.note(`joined ${result.request} on ${result.host}`);
+        run.note("joined", `${result.request} on ${result.host}`);
         await ctx.clock.sleep(JOIN_PAUSE_MS);
     }
 }
--- a/src/entry/entryProcess/index.ts
+++ b/src/entry/entryProcess/index.ts
@@ -45,6 +45,8 @@
     readonly callers: Address;
     readonly upstreams: Address;
     readonly peers: Address;
+    /** Where operators reach this process. */
+    readonly admin: Address;
     readonly controlPeers: readonly Address[];
     readonly callerLimits: HttpLimits;
     readonly limits: EntryLimits;
@@ -238,6 +240,7 @@
                 incarnation: options.self.incarnation,
                 zone: options.zone,
                 peerAddress: formatAddress(options.peers),
+                adminAddress: formatAddress(options.admin),
             },
             cache,
             onChange: () => this.control.viewChanged(),
--- a/src/entry/requestRegistry/index.ts
+++ b/src/entry/requestRegistry/index.ts
@@ -1,11 +1,10 @@
 import { KeyHash, RequestId } from "../../ids/index.js";
-import { CancelReason, RequestIdentity, RequestStep, RunningRequest } from "../runningRequest/index.js";
+import { CancelReason, RequestHistory, RequestIdentity, RunningRequest } from "../runningRequest/index.js";
 
-/** A request that has its final answer. */
-export interface FinishedRequest {
+/** Whose request it is, and what happened to it. */
+export interface KnownRequest {
     readonly identity: RequestIdentity;
-    readonly steps: readonly RequestStep[];
-    readonly totalMs: number;
+    readonly history: RequestHistory;
 }
 
 /** How many finished requests an entry remembers for `sequoiamux explain`. */
@@ -14,7 +13,7 @@
 /** The requests of one entry: those that run, and the last that ended. */
 export class RequestRegistry {
     private readonly running = new Map<RequestId, RunningRequest>();
-    private readonly finished = new Map<RequestId, FinishedRequest>();
+    private readonly finished = new Map<RequestId, KnownRequest>();
     private whenIdle: (() => void)[] = [];
 
     get size(): number {
@@ -29,7 +28,7 @@
     finish(request: RunningRequest): void {
         const { id } = request.identity;
         this.running.delete(id);
-        this.finished.set(id, { identity: request.identity, steps: request.steps, totalMs: request.ageMs() });
+        this.finished.set(id, { identity: request.identity, history: request.history });
         if (this.finished.size > FINISHED_KEPT) this.finished.delete(this.finished.keys().next().value!);
         if (this.running.size > 0) return;
         for (const wake of this.whenIdle.splice(0)) wake();
@@ -52,10 +51,8 @@
     }
 
     /** What is known of a request: its steps so far, or to its end. */
-    explain(id: RequestId): FinishedRequest | undefined {
-        const request = this.running.get(id);
-        if (!request) return this.finished.get(id);
-        return { identity: request.identity, steps: request.steps, totalMs: request.ageMs() };
+    find(id: RequestId): KnownRequest | undefined {
+        return this.running.get(id) ?? this.finished.get(id);
     }
 
     /** Settles once no request runs. */
--- a/src/entry/runChat/index.ts
+++ b/src/entry/runChat/index.ts
@@ -41,14 +41,14 @@
             return failChat(ctx, prepared, run, sink, refusalFor(run, decision.extract() as Refusal, state));
         }
         const grant = decision.extract() as Grant;
-        run.note(`granted ${grant.upstream} after ${Math.round(grant.waitedMs)} ms: ${grant.reason}`);
+        run.noteGrant(grant);
         ctx.metrics.histogram("wait_ms", grant.waitedMs, tagsOf(run));
         const attempt = await runAttempt(ctx, prepared, run, grant, sink, state);
         if (attempt.result.isRight()) {
             return finishChat(ctx, prepared, run, sink, state, attempt.result.extract() as EngineEnd);
         }
         const err = attempt.result.extract() as EngineStreamError;
-        run.note(`${grant.upstream} failed with ${sink.tokens} tokens delivered: ${err.message}`);
+        run.note("attempt-failed", `${grant.upstream} with ${sink.tokens} tokens delivered: ${err.message}`);
         if (run.isCancelled) return failChat(ctx, prepared, run, sink, cancelError(run.cancelReason!, state));
         if (run.cancelReason === "preempted") continue;
         state.avoid.push(grant.upstream);
@@ -66,11 +66,14 @@
     state: ChatState,
 ): Promise<ChatAttempt> {
     state.attempts++;
+    const sentAtMs = run.ageMs();
     const attempt = await sendChat(ctx, prepared, run, grant, sink);
     state.mayHaveRun ||= attempt.mayHaveRun;
     if (attempt.firstTokenMs !== undefined && state.firstTokenAtMs === undefined) {
-        state.firstTokenAtMs = run.ageMs();
-        ctx.metrics.histogram("first_token_ms", run.ageMs(), tagsOf(run));
+        const firstAtMs = sentAtMs + attempt.firstTokenMs;
+        run.history.firstTokenMs = firstAtMs;
+        state.firstTokenAtMs = firstAtMs;
+        ctx.metrics.histogram("first_token_ms", firstAtMs, tagsOf(run));
     }
     if (attempt.tokenMs !== undefined) ctx.metrics.histogram("token_ms", attempt.tokenMs, tagsOf(run));
     ctx.dispatcher.complete(describeAttempt(run, grant, attempt, prepared));
@@ -167,7 +170,7 @@
 }
 
 function refusalFor(run: RunningRequest, refusal: Refusal, state: ChatState): CallerError {
-    run.note(`refused: ${refusal.reason}, ${refusal.detail}`);
+    run.noteRefusal(refusal.reason, refusal.detail);
     if (run.isCancelled) return cancelError(run.cancelReason!, state);
     return toRefusalError(refusal, outcomeOf(state));
 }
--- a/src/entry/runService/index.ts
+++ b/src/entry/runService/index.ts
@@ -98,13 +98,13 @@
 }
 
 async function sendGranted(ctx: EntryContext, prepared: PreparedService, run: RunningRequest, grant: Grant) {
-    run.note(`granted ${grant.upstream} after ${Math.round(grant.waitedMs)} ms: ${grant.reason}`);
+    run.noteGrant(grant);
     ctx.metrics.histogram("wait_ms", grant.waitedMs, {
         workspace: run.identity.workspace,
         class: run.identity.className,
     });
     const result = await sendService(ctx, prepared, run, grant);
-    result.ifLeft(err => run.note(`${grant.upstream} failed: ${err.message}`));
+    result.ifLeft(err => run.note("attempt-failed", `${grant.upstream}: ${err.message}`));
     completeGrant(ctx, run, grant, result.isRight() ? "answered" : "failed");
     return result;
 }
@@ -159,7 +159,7 @@
 }
 
 function refusalFor(run: RunningRequest, refusal: Refusal, mayHaveRun: boolean): CallerError {
-    run.note(`refused: ${refusal.reason}, ${refusal.detail}`);
+    run.noteRefusal(refusal.reason, refusal.detail);
     if (run.isCancelled) return stoppedError(run, mayHaveRun);
     return toRefusalError(refusal, mayHaveRun ? "unknown" : "not-run");
 }
--- a/src/entry/runningRequest/index.ts
+++ b/src/entry/runningRequest/index.ts
@@ -1,33 +1,43 @@
-import { ClassName, KeyHash, PoolId, RequestId, WorkspaceId } from "../../ids/index.js";
+import { RequestStep } from "../../control/index.js";
+import { Grant } from "../../dispatch/index.js";
+import { ClassName, KeyHash, PoolId, RequestId, UpstreamId, WorkspaceId } from "../../ids/index.js";
 import { Clock } from "../../ports/index.js";
 
 /** Why a running request was stopped from outside. */
 export type CancelReason = "caller-gone" | "key-withdrawn" | "preempted" | "stalled" | "stopping";
 
-/** One thing that happened to a request, for `sequoiamux explain`. */
-export interface RequestStep {
-    /** Milliseconds after the request's arrival. */
-    readonly atMs: number;
-    readonly text: string;
-}
-
 /** Whose request it is and what it asks for. */
 export interface RequestIdentity {
     readonly id: RequestId;
     readonly workspace: WorkspaceId;
     readonly keyHash: KeyHash;
     readonly className: ClassName;
+    readonly tier: number;
     readonly pool: PoolId;
 }
 
+/** What is known of a request, for `sequoiamux explain`. */
+export interface RequestHistory {
+    readonly steps: RequestStep[];
+    /** Wall time of its arrival, in milliseconds since the epoch. */
+    readonly arrivedAt: number;
+    waitedMs: number;
+    firstTokenMs?: number;
+    totalMs?: number;
+    outcome?: string;
+    upstream?: UpstreamId;
+    /** Why this upstream, or why it was refused. */
+    reason: string;
+}
+
 /**
  * A request from its admission to its final answer. Owns the signal that stops it.
  *
  * A preemption or a stall stops only the present attempt; the other reasons stop the request.
  */
 export class RunningRequest {
-    readonly steps: RequestStep[] = [];
-    readonly arrivedAt: number;
+    readonly history: RequestHistory;
+    private readonly arrivedAt: number;
     private attempt = new AbortController();
     private reason: CancelReason | undefined;
     private final = false;
@@ -36,6 +46,7 @@
 
     constructor(readonly identity: RequestIdentity, private readonly clock: Clock) {
         this.arrivedAt = clock.monotonic();
+        this.history = { steps: [], arrivedAt: clock.now(), waitedMs: 0, reason: "" };
     }
 
     /** Aborted when the present attempt must stop. */
@@ -59,8 +70,29 @@
     }
 
     /** Notes what happened. */
-    note(text: string): void {
-        this.steps.push({ atMs: Math.round(this.ageMs()), text });
+    note(event: string, detail = ""): void {
+        this.history.steps.push({ atMs: Math.round(this.ageMs()), event, detail });
+    }
+
+    /** Notes that an upstream was chosen. */
+    noteGrant({ upstream, waitedMs, reason }: Grant): void {
+        this.history.upstream = upstream;
+        this.history.waitedMs += waitedMs;
+        this.history.reason = reason;
+        this.note("granted", `${upstream} after ${Math.round(waitedMs)} ms: ${reason}`);
+    }
+
+    /** Notes why the request gets no upstream. */
+    noteRefusal(reason: string, detail: string): void {
+        this.history.reason = `${reason}: ${detail}`;
+        this.note("refused", this.history.reason);
+    }
+
+    /** Notes the final answer. */
+    noteEnd(outcome: string): void {
+        this.history.outcome = outcome;
+        this.history.totalMs = this.ageMs();
+        this.note("ended", outcome);
     }
 
     /** Stops the request, or with "preempted" and "stalled" its present attempt. */
@@ -68,7 +100,7 @@
         if (this.final || (this.mustFinish && reason !== "stalled")) return;
         this.reason = reason;
         this.final = reason !== "preempted" && reason !== "stalled";
-        this.note(`stopped: ${reason}`);
+        this.note("stopped", reason);
         this.attempt.abort();
     }
 
--- a/src/entry/serveChat/index.ts
+++ b/src/entry/serveChat/index.ts
@@ -35,6 +35,7 @@
         workspace: workspace.id,
         keyHash: key.hash,
         className: prepared.classView.name,
+        tier: prepared.classView.tier,
         pool: prepared.pool,
     }, ctx.clock);
     ctx.requests.add(run);
@@ -58,7 +59,7 @@
     if (!await ctx.spendGate.take(prepared.workspace, tokens)) {
         const message = "the workspace has used up its limit for this window";
         const err = new CallerError(429, "over-limit", message, "not-run", RETRY_OVER_LIMIT_MS);
-        run.note("refused: over-limit");
+        run.noteRefusal("over-limit", message);
         return sendCallerError(res, err, run.identity.id);
     }
     // The key may have been withdrawn while the limit was asked for.
@@ -70,7 +71,7 @@
     };
     const sink = prepared.chat.stream ? new StreamSink(res, chatAnswer) : new WholeSink(res, chatAnswer);
     const outcome = await runChat(ctx, prepared, run, sink, self);
-    run.note(`outcome: ${outcome}`);
+    run.noteEnd(outcome);
     const tags = { workspace: run.identity.workspace, class: run.identity.className };
     ctx.metrics.histogram("total_ms", run.ageMs(), tags);
     ctx.metrics.count("requests", 1, { ...tags, outcome });
--- a/src/entry/serveService/index.ts
+++ b/src/entry/serveService/index.ts
@@ -31,6 +31,7 @@
         workspace: workspace.id,
         keyHash: key.hash,
         className: prepared.classView.name,
+        tier: prepared.classView.tier,
         pool: prepared.pool,
     }, ctx.clock);
     ctx.requests.add(run);
@@ -74,7 +75,7 @@
 
 function noteEnd(ctx: EntryContext, run: RunningRequest, result: ServiceResult): void {
     const outcome = result.kind === "error" ? result.err.outcome : "answered";
-    run.note(`outcome: ${outcome}`);
+    run.noteEnd(outcome);
     const tags = { workspace: run.identity.workspace, class: run.identity.className };
     ctx.metrics.histogram("total_ms", run.ageMs(), tags);
     ctx.metrics.count("requests", 1, { ...tags, outcome });
--- a/src/features/world/memoryFleet.ts
+++ b/src/features/world/memoryFleet.ts
@@ -39,7 +39,7 @@
 export const FLEET_VIEW_LEASE_MS = 3_000;
 const PEER_TIMING = { heartbeatMs: 300, silenceMs: 1_200 };
 const START_LIMIT_MS = 30_000;
-const PORTS = { control: 7001, callers: 8080, upstreams: 8090, peers: 7000, platform: 9000 } as const;
+const PORTS = { control: 7001, callers: 8080, upstreams: 8090, peers: 7000, admin: 7100, platform: 9000 } as const;
 const STAND_IN_HOST = "10.0.9.1";
 export const CALLER_HOST = "10.0.8.1";
 
@@ -132,6 +132,7 @@
             callers: { host, port: PORTS.callers },
             upstreams: { host, port: PORTS.upstreams },
             peers: { host, port: PORTS.peers },
+            admin: { host, port: PORTS.admin },
             controlPeers: this.controlNumbers().map(other => ({ host: controlHost(other), port: PORTS.control })),
             callerLimits: DEFAULT_HTTP_LIMITS,
             limits: { ...DEFAULT_ENTRY_LIMITS, ...this.layout.limits },
--- a/src/upstream/registry/index.ts
+++ b/src/upstream/registry/index.ts
@@ -121,6 +121,11 @@
         return [...this.byPool.keys()];
     }
 
+    /** All upstreams that were not forgotten, whatever their state. */
+    listAll(): readonly Upstream[] {
+        return [...this.upstreams.values()];
+    }
+
     get(id: UpstreamId): Upstream | undefined {
         return this.upstreams.get(id);
     }
