Operators' tool: templates, workspaces, keys, hosts, queues, orders, windows, explain

Cause: operators drive the product from the command line. A key is made in the tool and only its hash is sent: an answer that is lost can't lose the key, and no host ever has it. A change is sent again under its change id after a lost answer, through whichever control host answers, and a host that is not the holder sends the tool on. Ruled out: cac alone for two-word commands (it matches one word): two words that name a command are joined before parsing. Found: NodeHttp sends no host header when the caller gives none (Node ignores setHost with a list of headers), and Node's server answers 400. Conclusion: 4 tests over loopback HTTP through a host that is not the holder.

--- /dev/null
+++ b/src/cli/configCommands/index.ts
@@ -0,0 +1,204 @@
+import { ChangeAnswer } from "../../control/index.js";
+import { ChangeId, TemplateName, WorkspaceId } from "../../ids/index.js";
+import { ParameterAssignment, TemplateSpec } from "../../workspace/index.js";
+import { describeAnswer } from "../_lib/describeAnswer.js";
+import { CHANGE_ID_OPTION, readNumber, readTexts, readWholeNumber } from "../_lib/readOptions.js";
+import { CliError, EXIT_USAGE } from "../cliError/index.js";
+import { CommandDefinition, CommandOptions, CommandTools } from "../commandDefinition/index.js";
+
+const REVISION_OPTION = {
+    usage: "--revision <number>",
+    description: "The revision that your edit was made against (shown by `show` and `list`)",
+};
+const LIMIT_OPTION = {
+    usage: "--limit <tokens>",
+    description: "Tokens in one usage window; without it the template's limit holds",
+};
+
+/** Commands on templates and workspaces. */
+export const configCommands: readonly CommandDefinition[] = [
+    {
+        usage: "template put <name>",
+        description: "Make a template, or edit it by compare-and-set",
+        options: [
+            { usage: "--file <path>", description: "The template as JSON; - for the standard input" },
+            { ...REVISION_OPTION, description: `${REVISION_OPTION.description}; 0 for a new template` },
+            CHANGE_ID_OPTION,
+        ],
+        examples: [
+            "sequoiamux template put butcher --file butcher.json --revision 0",
+            "sequoiamux template show butcher --json > butcher.json",
+        ],
+        run: putTemplate,
+    },
+    {
+        usage: "template show <name>",
+        description: "Show a template",
+        options: [],
+        examples: ["sequoiamux template show butcher"],
+        run: showTemplate,
+    },
+    {
+        usage: "template list",
+        description: "List the templates",
+        options: [],
+        examples: ["sequoiamux template list --json"],
+        run: listTemplates,
+    },
+    {
+        usage: "workspace create <id>",
+        description: "Make a workspace from a template",
+        options: [
+            { usage: "--template <name>", description: "The template" },
+            { usage: "--param <name=value>", description: "A parameter of the template; may be repeated" },
+            LIMIT_OPTION,
+            CHANGE_ID_OPTION,
+        ],
+        examples: ["sequoiamux workspace create keflavik-school --template butcher --param weight=2 --limit 500000"],
+        run: createWorkspace,
+    },
+    {
+        usage: "workspace show <id>",
+        description: "Show a workspace as entries see it",
+        options: [],
+        examples: ["sequoiamux workspace show keflavik-school"],
+        run: showWorkspace,
+    },
+    {
+        usage: "workspace list",
+        description: "List the workspaces",
+        options: [],
+        examples: ["sequoiamux workspace list"],
+        run: listWorkspaces,
+    },
+    {
+        usage: "workspace limit <id>",
+        description: "Set a workspace's token limit",
+        options: [LIMIT_OPTION, REVISION_OPTION, CHANGE_ID_OPTION],
+        examples: ["sequoiamux workspace limit keflavik-school --limit 750000 --revision 42"],
+        run: limitWorkspace,
+    },
+    {
+        usage: "workspace remove <id>",
+        description: "Remove a workspace and withdraw its keys",
+        options: [REVISION_OPTION, CHANGE_ID_OPTION],
+        examples: ["sequoiamux workspace remove keflavik-school --revision 42"],
+        run: removeWorkspace,
+    },
+];
+
+async function putTemplate([name]: readonly string[], options: CommandOptions, tools: CommandTools): Promise<void> {
+    const [file] = readTexts(options.file);
+    if (file === undefined) throw new CliError("--file is missing", EXIT_USAGE);
+    const given = parseJson(await tools.readFile(file), file);
+    await change(tools, options, author => ({
+        kind: "template.put",
+        ...author,
+        name: name as TemplateName,
+        // What `template show --json` prints can be edited and put again.
+        spec: given.spec ?? given as unknown as TemplateSpec,
+        base: readWholeNumber(options.revision, "--revision") ?? 0,
+    }), `template ${name}`);
+}
+
+async function showTemplate([name]: readonly string[], _: CommandOptions, tools: CommandTools): Promise<void> {
+    const template = await tools.operatorApi.ask(client => client.template.query(name));
+    tools.output.record(template, [
+        `template ${template.name}, revision ${template.revision}, by ${template.operator}`,
+        JSON.stringify(template.spec, undefined, 4),
+    ]);
+}
+
+async function listTemplates(_: readonly string[], _options: CommandOptions, tools: CommandTools): Promise<void> {
+    const templates = await tools.operatorApi.ask(client => client.templates.query());
+    tools.output.table(templates, [
+        { title: "NAME", read: row => row.name },
+        { title: "REVISION", read: row => row.revision },
+        { title: "BY", read: row => row.operator },
+        { title: "CLASSES", read: row => row.spec.classes.map(each => each.name).join(",") },
+    ]);
+}
+
+async function createWorkspace([id]: readonly string[], options: CommandOptions, tools: CommandTools): Promise<void> {
+    const [template] = readTexts(options.template);
+    if (template === undefined) throw new CliError("--template is missing", EXIT_USAGE);
+    await change(tools, options, author => ({
+        kind: "workspace.create",
+        ...author,
+        id: id as WorkspaceId,
+        template: template as TemplateName,
+        parameters: readTexts(options.param).map(readParameter),
+        tokenLimit: readWholeNumber(options.limit, "--limit"),
+    }), `workspace ${id}`);
+}
+
+async function showWorkspace([id]: readonly string[], _: CommandOptions, tools: CommandTools): Promise<void> {
+    const workspace = await tools.operatorApi.ask(client => client.workspace.query(id));
+    const { view } = workspace;
+    tools.output.record(workspace, [
+        `workspace ${id}, template ${workspace.template}, revision ${workspace.revision}, by ${workspace.operator}`,
+        `weight ${view.weight}, token limit ${view.tokenLimit ?? "none"}, default class ${view.defaultClass}`,
+        `pools ${view.pools.join(", ") || "all"}; not repeatable: ${view.nonRepeatable.join(", ") || "none"}`,
+        ...view.classes.map(each =>
+            `class ${each.name}: tier ${each.tier}, first token ${each.firstTokenMs} ms, token ${each.tokenMs} ms, `
+            + `wait ${each.maxWaitMs} ms, share ${each.guaranteedShare}`
+        ),
+    ]);
+}
+
+async function listWorkspaces(_: readonly string[], _options: CommandOptions, tools: CommandTools): Promise<void> {
+    const workspaces = await tools.operatorApi.ask(client => client.workspaces.query());
+    tools.output.table(workspaces, [
+        { title: "ID", read: row => row.id },
+        { title: "TEMPLATE", read: row => row.template },
+        { title: "REVISION", read: row => row.revision },
+        { title: "LIMIT", read: row => row.tokenLimit },
+        { title: "BY", read: row => row.operator },
+    ]);
+}
+
+async function limitWorkspace([id]: readonly string[], options: CommandOptions, tools: CommandTools): Promise<void> {
+    await change(tools, options, author => ({
+        kind: "workspace.limit",
+        ...author,
+        id: id as WorkspaceId,
+        tokenLimit: readWholeNumber(options.limit, "--limit"),
+        base: readNumber(options.revision, "--revision"),
+    }), `workspace ${id}`);
+}
+
+async function removeWorkspace([id]: readonly string[], options: CommandOptions, tools: CommandTools): Promise<void> {
+    await change(tools, options, author => ({
+        kind: "workspace.remove",
+        ...author,
+        id: id as WorkspaceId,
+        base: readNumber(options.revision, "--revision"),
+    }), `workspace ${id}`);
+}
+
+async function change(
+    tools: CommandTools,
+    options: CommandOptions,
+    describe: (author: { changeId: ChangeId; operator: string; }) => Parameters<typeof tools.operatorApi.change>[0],
+    what: string,
+): Promise<void> {
+    const changeId = (readTexts(options.changeId)[0] ?? tools.random.id()) as ChangeId;
+    const answer: ChangeAnswer = await tools.operatorApi.change(describe({ changeId, operator: tools.operator }));
+    tools.output.record(answer, [describeAnswer(what, answer)]);
+}
+
+function readParameter(text: string): ParameterAssignment {
+    const [, name, value] = /^(\w+)=(.*)$/.exec(text) ?? [];
+    if (name === undefined) throw new CliError(`--param needs name=value, not "${text}"`, EXIT_USAGE);
+    const isNumber = value !== "" && Number.isFinite(Number(value));
+    return { name, value: isNumber ? Number(value) : value };
+}
+
+function parseJson(text: string, path: string): { readonly spec?: TemplateSpec; } {
+    try {
+        return JSON.parse(text) as { spec?: TemplateSpec; };
+    }
+    catch (err) {
+        throw new CliError(`${path}: ${(err as Error).message}`);
+    }
+}
--- /dev/null
+++ b/src/cli/fleetCommands/index.ts
@@ -0,0 +1,152 @@
+import { readTexts } from "../_lib/readOptions.js";
+import { CommandDefinition, CommandOptions, CommandTools } from "../commandDefinition/index.js";
+import { EntryAnswer } from "../entryApi/index.js";
+import { formatTime } from "../output/index.js";
+
+/** Commands on hosts, upstreams, queues and requests. */
+export const fleetCommands: readonly CommandDefinition[] = [
+    {
+        usage: "hosts",
+        description: "List the live entries and the revision that each has in force",
+        options: [],
+        examples: ["sequoiamux hosts"],
+        run: listHosts,
+    },
+    {
+        usage: "host drain <host>",
+        description: "Let a host leave the balancer and take no new requests",
+        options: [],
+        examples: ["sequoiamux host drain entry-3"],
+        run: drainHost,
+    },
+    {
+        usage: "host stop <host>",
+        description: "Drain a host, finish what it runs, and end its entry",
+        options: [],
+        examples: ["sequoiamux host stop entry-3"],
+        run: stopHost,
+    },
+    {
+        usage: "upstreams",
+        description: "List the upstreams",
+        options: [],
+        examples: ["sequoiamux upstreams --json"],
+        run: listUpstreams,
+    },
+    {
+        usage: "queues",
+        description: "List what waits, by pool, tier and workspace",
+        options: [],
+        examples: ["sequoiamux queues"],
+        run: listQueues,
+    },
+    {
+        usage: "histograms",
+        description: "Show the distributions of each workspace's classes, by host",
+        options: [
+            { usage: "--workspace <id>", description: "This workspace alone" },
+            { usage: "--class <name>", description: "This class alone" },
+        ],
+        examples: ["sequoiamux histograms --workspace keflavik-school"],
+        run: listHistograms,
+    },
+    {
+        usage: "explain <request>",
+        description: "Explain one request: why this upstream, why refused, how long it waited",
+        options: [],
+        examples: ["sequoiamux explain 5f0e1c2ab4"],
+        run: explainRequest,
+    },
+];
+
+async function listHosts(_: readonly string[], _options: CommandOptions, tools: CommandTools): Promise<void> {
+    const hosts = await tools.operatorApi.ask(client => client.hosts.query());
+    tools.output.table(hosts, [
+        { title: "HOST", read: row => row.host },
+        { title: "ZONE", read: row => row.zone },
+        { title: "REVISION", read: row => row.revision },
+        { title: "DRAINING", read: row => row.draining },
+        { title: "PEERS AT", read: row => row.peerAddress },
+        { title: "OPERATORS AT", read: row => row.adminAddress },
+    ]);
+}
+
+async function drainHost([host]: readonly string[], _: CommandOptions, tools: CommandTools): Promise<void> {
+    await tools.entryApi.askOne(host, client => client.drain.mutate());
+    tools.output.record({ host, state: "draining" }, [`${host}: draining`]);
+}
+
+async function stopHost([host]: readonly string[], _: CommandOptions, tools: CommandTools): Promise<void> {
+    await tools.entryApi.askOne(host, client => client.stop.mutate());
+    tools.output.record({ host, state: "stopping" }, [`${host}: stopping once its requests are done`]);
+}
+
+async function listUpstreams(_: readonly string[], _options: CommandOptions, tools: CommandTools): Promise<void> {
+    const answers = await tools.entryApi.askAll(client => client.upstreams.query());
+    // Each entry knows all upstreams; the one that knows most has heard of the latest.
+    const rows = answers.map(({ answer }) => answer).sort((a, b) => b.length - a.length)[0];
+    tools.output.table(rows, [
+        { title: "UPSTREAM", read: row => row.upstream },
+        { title: "KIND", read: row => row.kind },
+        { title: "POOLS", read: row => row.pools.join(",") },
+        { title: "ZONE", read: row => row.zone },
+        { title: "STATE", read: row => row.state },
+        { title: "RUNNING", read: row => `${row.running}/${row.slots}` },
+        { title: "IN FLIGHT", read: row => row.inFlight },
+        { title: "QUEUED", read: row => row.queued },
+        { title: "KV", read: row => row.kvUsed.toFixed(2) },
+        { title: "TOKENS/S", read: row => Math.round(row.tokensPerSecond) },
+        { title: "RECLAIMABLE", read: row => row.reclaimable },
+        { title: "HEARD MS AGO", read: row => Math.round(row.heardMsAgo) },
+        { title: "NOTE", read: row => row.note },
+    ]);
+}
+
+async function listQueues(_: readonly string[], _options: CommandOptions, tools: CommandTools): Promise<void> {
+    const rows = joinRows(await tools.entryApi.askAll(client => client.queues.query()));
+    tools.output.table(rows, [
+        { title: "HOST", read: row => row.host },
+        { title: "POOL", read: row => row.pool },
+        { title: "TIER", read: row => row.tier },
+        { title: "WORKSPACE", read: row => row.workspace },
+        { title: "WAITING", read: row => row.waiting },
+        { title: "OLDEST MS", read: row => Math.round(row.oldestMs) },
+    ]);
+}
+
+async function listHistograms(_: readonly string[], options: CommandOptions, tools: CommandTools): Promise<void> {
+    const all = joinRows(await tools.entryApi.askAll(client => client.histograms.query()));
+    const [workspace] = readTexts(options.workspace);
+    const [className] = readTexts(options.class);
+    const rows = all
+        .filter(row => workspace === undefined || row.workspace === workspace)
+        .filter(row => className === undefined || row.className === className);
+    tools.output.table(rows, [
+        { title: "HOST", read: row => row.host },
+        { title: "METRIC", read: row => row.metric },
+        { title: "WORKSPACE", read: row => row.workspace },
+        { title: "CLASS", read: row => row.className },
+        { title: "COUNT", read: row => row.count },
+        { title: "P50", read: row => row.p50 },
+        { title: "P90", read: row => row.p90 },
+        { title: "P99", read: row => row.p99 },
+        { title: "MAX", read: row => row.max },
+    ]);
+}
+
+async function explainRequest([request]: readonly string[], _: CommandOptions, tools: CommandTools): Promise<void> {
+    const [{ host, answer }] = await tools.entryApi.askAll(client => client.explain.query(request));
+    const outcome = answer.outcome ?? "running";
+    tools.output.record({ host, ...answer }, [
+        `request ${request} on ${host}: ${outcome}`,
+        `workspace ${answer.workspace}, class ${answer.className} (tier ${answer.tier}), pool ${answer.pool}`,
+        `arrived ${formatTime(answer.arrivedAt)}, waited ${answer.waitedMs} ms, `
+        + `first token ${answer.firstTokenMs ?? "-"} ms, total ${answer.totalMs ?? "-"} ms`,
+        `upstream ${answer.upstream ?? "none"}: ${answer.reason}`,
+        ...answer.steps.map(step => `  ${step.atMs} ms  ${step.event}  ${step.detail}`),
+    ]);
+}
+
+function joinRows<Row>(answers: readonly EntryAnswer<readonly Row[]>[]): readonly (Row & { readonly host: string; })[] {
+    return answers.flatMap(({ host, answer }) => answer.map(row => ({ host, ...row })));
+}
--- /dev/null
+++ b/src/cli/runCli/index.ts
@@ -0,0 +1,113 @@
+import { CAC, cac } from "cac";
+import { Clock, Http, Random } from "../../ports/index.js";
+import { readTexts } from "../_lib/readOptions.js";
+import { billingCommands } from "../billingCommands/index.js";
+import { CliError, EXIT_FAILED, EXIT_USAGE } from "../cliError/index.js";
+import { CommandDefinition, CommandOptions, CommandTools } from "../commandDefinition/index.js";
+import { configCommands } from "../configCommands/index.js";
+import { EntryApi } from "../entryApi/index.js";
+import { fleetCommands } from "../fleetCommands/index.js";
+import { keyCommands } from "../keyCommands/index.js";
+import { OperatorApi } from "../operatorApi/index.js";
+import { Output } from "../output/index.js";
+import { loadProfile } from "../profile/index.js";
+
+const COMMANDS = [...configCommands, ...keyCommands, ...fleetCommands, ...billingCommands];
+
+/** What the tool gets from the process it runs in. */
+export interface CliEnvironment {
+    readonly http: Http;
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly variables: Readonly<Record<string, string | undefined>>;
+    readonly userName: string;
+    readonly readFile: (path: string) => Promise<string>;
+    /** Reads the profile file; undefined when there is none. */
+    readonly readProfiles: () => Promise<string | undefined>;
+    readonly writeOutput: (text: string) => void;
+    readonly writeError: (text: string) => void;
+}
+
+/**
+ * Runs one command line.
+ *
+ * @param words - The words after the program's name.
+ * @returns The process's exit code: 0, 1 for a command that failed, 2 for a wrong command line.
+ * @example
+ * process.exitCode = await runCli(process.argv.slice(2), environment);
+ */
+export async function runCli(words: readonly string[], environment: CliEnvironment): Promise<number> {
+    try {
+        await runCommand(words, environment);
+        return 0;
+    }
+    catch (err) {
+        environment.writeError(`sequoiamux: ${(err as Error).message.split("\n")[0]}\n`);
+        if (err instanceof CliError) return err.exitCode;
+        return (err as Error).name === "CACError" ? EXIT_USAGE : EXIT_FAILED;
+    }
+}
+
+async function runCommand(words: readonly string[], environment: CliEnvironment): Promise<void> {
+    const cli = createParser(environment);
+    cli.parse(["node", "sequoiamux", ...joinCommandWords(words)], { run: false });
+    if (cli.options.help) return;
+    if (!cli.matchedCommand) {
+        if (words.length === 0) return cli.outputHelp();
+        throw new CliError(`there is no command "${words.slice(0, 2).join(" ")}"; see --help`, EXIT_USAGE);
+    }
+    await cli.runMatchedCommand();
+}
+
+function createParser(environment: CliEnvironment): CAC {
+    const cli = cac("sequoiamux");
+    cli.option("--control <addresses>", "Control hosts, IP:port[,IP:port] (or SEQUOIAMUX_CONTROL, or a profile)");
+    cli.option("--profile <name>", "Section of the profile file ~/.sequoiamux.ini (or SEQUOIAMUX_PROFILES)");
+    cli.option("--operator <name>", "Who you are, for others whose edit loses (or SEQUOIAMUX_OPERATOR)");
+    cli.option("--json", "Print JSON");
+    for (const definition of COMMANDS) addCommand(cli, definition, environment);
+    cli.help();
+    return cli;
+}
+
+function addCommand(cli: CAC, definition: CommandDefinition, environment: CliEnvironment): void {
+    const command = cli.command(definition.usage, definition.description);
+    for (const { usage, description } of definition.options) command.option(usage, description);
+    for (const example of definition.examples) command.example(`  ${example}`);
+    command.action(async (...given: unknown[]) => {
+        const options = given.at(-1) as CommandOptions;
+        const args = given.slice(0, -1).map(String);
+        await definition.run(args, options, await createTools(options, environment));
+    });
+}
+
+async function createTools(options: CommandOptions, environment: CliEnvironment): Promise<CommandTools> {
+    const { http, clock, random, variables, userName, readFile, readProfiles, writeOutput } = environment;
+    const profile = await loadProfile({
+        control: readTexts(options.control)[0],
+        operator: readTexts(options.operator)[0],
+        profile: readTexts(options.profile)[0],
+        controlVariable: variables.SEQUOIAMUX_CONTROL,
+        operatorVariable: variables.SEQUOIAMUX_OPERATOR,
+        userName,
+        readProfiles,
+    });
+    const operatorApi = new OperatorApi({ http, clock, control: profile.control });
+    return {
+        operatorApi,
+        entryApi: new EntryApi(operatorApi, http),
+        output: new Output(writeOutput, options.json === true),
+        operator: profile.operator,
+        random,
+        readFile,
+    };
+}
+
+/** The parser knows a command by one word: two words that name a command become one. */
+function joinCommandWords(words: readonly string[]): readonly string[] {
+    const [group, action, ...rest] = words;
+    const isPair = COMMANDS.some(({ usage }) =>
+        usage.startsWith(`${group} ${action} `) || usage === `${group} ${action}`
+    );
+    return isPair ? [`${group} ${action}`, ...rest] : words;
+}
--- /dev/null
+++ b/src/cli/runCli/test.ts
@@ -0,0 +1,176 @@
+import assert from "node:assert/strict";
+import { after, before, describe, it } from "node:test";
+import {
+    ControlService,
+    ControlState,
+    EntryAdmin,
+    EntryAdminServer,
+    MemoryLogGroup,
+    serveOperators,
+    VIEW_PULL_METHOD,
+} from "../../control/index.js";
+import { HostId } from "../../ids/index.js";
+import {
+    Address,
+    DEFAULT_HTTP_LIMITS,
+    formatAddress,
+    Listener,
+    NodeHttp,
+    SystemClock,
+    SystemRandom,
+} from "../../ports/index.js";
+import { PeerRouter } from "../../wire/index.js";
+import { runCli } from "./index.js";
+
+const LOOPBACK: Address = { host: "127.0.0.1", port: 0 };
+const HOLDER = "control-1" as HostId;
+const OTHER = "control-2" as HostId;
+const TEMPLATE = JSON.stringify({
+    parameters: [{ name: "weight", default: 1 }],
+    weight: "$weight",
+    classes: [{ name: "sheet", tier: 0, firstTokenMs: 900, tokenMs: 40, maxWaitMs: 5000, guaranteedShare: 0.1 }],
+    defaultClass: "sheet",
+    pools: [],
+    nonRepeatable: ["orders"],
+});
+
+class FakeEntryAdmin extends EntryAdmin {
+    readonly calls: string[] = [];
+
+    async listUpstreams() {
+        return [];
+    }
+
+    async listQueues() {
+        return [{ pool: "drafting", tier: 0, workspace: "school", waiting: 3, oldestMs: 12 }];
+    }
+
+    async listHistograms() {
+        return [];
+    }
+
+    async explain() {
+        return undefined;
+    }
+
+    async drain() {
+        this.calls.push("drain");
+    }
+
+    async stop() {
+        this.calls.push("stop");
+    }
+}
+
+const clock = new SystemClock();
+const http = new NodeHttp();
+const listeners: Listener[] = [];
+const group = new MemoryLogGroup(clock);
+const admin = new FakeEntryAdmin();
+let control = "";
+let pull: () => unknown;
+
+async function startControlHosts(): Promise<void> {
+    const operatorAddresses: { host: HostId; address: string; }[] = [];
+    for (const host of [HOLDER, OTHER]) {
+        const state = new ControlState();
+        const log = group.join(host, state);
+        const router = new PeerRouter();
+        const service = new ControlService({ log, state, clock, router, viewLeaseMs: 2_000 });
+        const listener = await serveOperators(http, LOOPBACK, { log, state, service, operatorAddresses });
+        listeners.push(listener);
+        operatorAddresses.push({ host, address: formatAddress(listener.address) });
+        if (host === HOLDER) pull = () => router.find(VIEW_PULL_METHOD)!(pullBody(), undefined as never);
+    }
+    group.elect(HOLDER);
+    // The one that is not the holder comes first: each command is sent on from it.
+    control = operatorAddresses.map(({ address }) => address).reverse().join(",");
+}
+
+let adminAddress = "";
+function pullBody() {
+    const peerAddress = "127.0.0.1:7000";
+    const host = { host: "entry-1", incarnation: "1", zone: "vogar", peerAddress, adminAddress };
+    return { ...host, revision: 1_000, waitMs: 0, draining: false };
+}
+
+async function run(...words: string[]) {
+    let output = "";
+    let error = "";
+    const code = await runCli(words, {
+        http,
+        clock,
+        random: new SystemRandom(),
+        variables: { SEQUOIAMUX_CONTROL: control },
+        userName: "anna",
+        readFile: async () => TEMPLATE,
+        readProfiles: async () => undefined,
+        writeOutput: text => void (output += text),
+        writeError: text => void (error += text),
+    });
+    return { code, output, error };
+}
+
+describe("runCli", () => {
+    before(async () => {
+        await startControlHosts();
+        const listener = await http.serve(LOOPBACK, DEFAULT_HTTP_LIMITS, new EntryAdminServer(admin).handler);
+        listeners.push(listener);
+        adminAddress = formatAddress(listener.address);
+        await clock.sleep(2_100);
+    });
+    after(async () => {
+        for (const listener of listeners) await listener.close();
+    });
+
+    describe("configuration", () => {
+        it("goes from a template to a key, through a host that is not the holder", async () => {
+            const put = await run("template", "put", "butcher", "--file", "t.json");
+            assert.equal(put.error, "");
+            assert.match(put.output, /template butcher: in-force at revision 1/);
+            const create = await run("workspace", "create", "school", "--template", "butcher", "--param", "weight=2");
+            assert.equal(create.error, "");
+            const grant = await run("key", "grant", "school", "--json");
+            const { key, keyId } = JSON.parse(grant.output) as { key: string; keyId: string; };
+            assert.match(key, /^sqm-[\w-]{43}$/);
+            const list = await run("key", "list", "school");
+            assert.ok(list.output.includes(keyId) && !list.output.includes(key));
+            const show = await run("workspace", "show", "school");
+            assert.match(show.output, /weight 2, token limit none, default class sheet/);
+        });
+
+        it("names the winner of a race, on one line", async () => {
+            const lost = await run("workspace", "limit", "school", "--limit", "5", "--revision", "1");
+            assert.equal(lost.code, 1);
+            assert.match(
+                lost.error,
+                /^sequoiamux: workspace school: conflict, anna changed it first \(revision 2.*\n$/,
+            );
+        });
+    });
+
+    describe("entries", () => {
+        it("are reached at the addresses that the holder knows", async () => {
+            await pull();
+            const queues = await run("queues");
+            assert.match(queues.output, /entry-1 +drafting +0 +school +3 +12/);
+            await pull();
+            assert.equal((await run("host", "drain", "entry-1")).code, 0);
+            assert.deepEqual(admin.calls, ["drain"]);
+            await pull();
+            const missing = await run("explain", "r1");
+            assert.match(missing.error, /this entry knows no request r1/);
+        });
+    });
+
+    describe("a wrong command line", () => {
+        it("ends with 2 and one line", async () => {
+            const wrong = [["workspace", "create", "x"], ["nonsense"], ["queues", "--color"], ["key", "grant"]];
+            for (const words of wrong) {
+                const { code, error } = await run(...words);
+                assert.equal(code, 2, words.join(" "));
+                assert.equal(error.trim().split("\n").length, 1);
+            }
+        });
+    });
+});
--- a/src/control/trpcHttp/index.ts
+++ b/src/control/trpcHttp/index.ts
@@ -79,7 +79,7 @@
             address: { host: hostname, port: Number(port) },
             method: init?.method ?? "GET",
             path: pathname + search,
-            headers: [...listHeaders(init?.headers), ...length],
+            headers: [["host", `${hostname}:${port}`], ...listHeaders(init?.headers), ...length],
             ...body,
             fresh: true,
             connectTimeoutMs: CONNECT_MS,
