--- a/src/emulator/answerDesk/index.ts
+++ b/src/emulator/answerDesk/index.ts
@@ -1,13 +1,12 @@
 import { Either, Left, Right } from "purify-ts";
 import { Clock, HttpRequest, HttpResponse } from "../../ports/index.js";
-import { EngineRequest } from "../../protocol/index.js";
+import { EngineRequest, hashPrefixes, PREFIX_BLOCK_TOKENS } from "../../protocol/index.js";
 import { AnswerStream, PrefillPlan } from "../answerStream/index.js";
 import { countPromptTokens } from "../answerText/index.js";
 import { Batch, EnginePace } from "../batch/index.js";
 import { RequestFault } from "../engineFaults/index.js";
 import { KvState } from "../kvTransfer/index.js";
 import { CacheListener, PrefixCache } from "../prefixCache/index.js";
-import { hashPrefixes, PREFIX_BLOCK_TOKENS } from "../prefixes/index.js";
 
 /** How an engine answers. */
 export interface AnswerDeskConfig {
--- a/src/emulator/engineStandIn/test.ts
+++ b/src/emulator/engineStandIn/test.ts
@@ -1,9 +1,8 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { ENGINE_PATHS } from "../../protocol/index.js";
+import { ENGINE_PATHS, PREFIX_BLOCK_CHARACTERS } from "../../protocol/index.js";
 import { makeEngineConfig, MemoryWorld } from "../_lib/memoryWorld.js";
 import { expectedAnswer } from "../answerText/index.js";
-import { PREFIX_BLOCK_CHARACTERS } from "../prefixes/index.js";
 
 const LIMIT_MS = 60_000;
 
--- a/src/emulator/index.ts
+++ b/src/emulator/index.ts
@@ -13,7 +13,6 @@
 export * from "./orderDesk/index.js";
 export * from "./orderLog/index.js";
 export * from "./platformStandIn/index.js";
-export * from "./prefixes/index.js";
 export * from "./runLedger/index.js";
 export * from "./serviceFaults/index.js";
 export * from "./serviceStandIn/index.js";
--- a/src/emulator/prefixCache/test.ts
+++ b/src/emulator/prefixCache/test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { hashPrefixes, PREFIX_BLOCK_CHARACTERS } from "../prefixes/index.js";
+import { hashPrefixes, PREFIX_BLOCK_CHARACTERS } from "../../protocol/index.js";
 import { PrefixCache } from "./index.js";
 
 describe("PrefixCache", () => {
--- a/src/emulator/prefixes/index.ts
+++ /dev/null
@@ -1,2 +0,0 @@
-/** The names of cached prefixes, as the published protocol has them. */
-export { hashPrefixes, PREFIX_BLOCK_CHARACTERS, PREFIX_BLOCK_TOKENS } from "../../protocol/index.js";
