--- /dev/null
+++ b/src/bench/policy/main.ts
@@ -0,0 +1,63 @@
+/** Runs the bench of the decisions: `npm run bench -- --help`. */
+import { cac } from "cac";
+import { FileDisk } from "../../ports/index.js";
+import { compareWithBaseline, readBaseline, writeBaseline } from "./baseline/index.js";
+import { DEPLOYMENTS } from "./deployment/index.js";
+import { ABLATIONS, MAIN_SETS } from "./policySet/index.js";
+import { describeScore, makeHtmlReport } from "./report/index.js";
+import { runScenario } from "./run/index.js";
+import { SCENARIOS } from "./scenario/index.js";
+import { Score } from "./score/index.js";
+
+interface Options {
+    readonly scenario?: string;
+    readonly deployment?: string;
+    readonly set?: string;
+    readonly ablations?: boolean;
+    readonly check?: boolean;
+    readonly update?: boolean;
+    readonly html?: boolean;
+}
+
+const BENCH_FOLDER = "bench";
+
+const cli = cac("bench");
+cli.option("--scenario <name>", "Only this scenario");
+cli.option("--deployment <name>", "Only this deployment");
+cli.option("--set <name>", "Only this policy set");
+cli.option("--ablations", "Also run the set with single decisions taken back to their baseline");
+cli.option("--check", "Fail when a figure is outside the bounds of bench/BASELINE.json");
+cli.option("--update", "Write bench/BASELINE.json from this run");
+cli.option("--html", "Write bench/report.html");
+cli.help();
+const parsed = cli.parse();
+if (!parsed.options.help) process.exitCode = await runBench(parsed.options as Options);
+
+async function runBench(options: Options): Promise<number> {
+    const sets = options.ablations ? [...MAIN_SETS, ...ABLATIONS] : MAIN_SETS;
+    const scores: Score[] = [];
+    for (const deployment of DEPLOYMENTS.filter(({ name }) => isWanted(name, options.deployment))) {
+        for (const scenario of SCENARIOS.filter(({ name }) => isWanted(name, options.scenario))) {
+            for (const policySet of sets.filter(({ name }) => isWanted(name, options.set))) {
+                const score = await runScenario(deployment, scenario, policySet);
+                scores.push(score);
+                console.log(describeScore(score));
+            }
+        }
+    }
+    const disk = new FileDisk(BENCH_FOLDER);
+    if (options.html) await disk.replace("report.html", new TextEncoder().encode(makeHtmlReport(scores)));
+    if (options.update) await writeBaseline(disk, scores);
+    return options.check ? check(disk, scores) : 0;
+}
+
+function isWanted(name: string, wanted: string | undefined): boolean {
+    return wanted === undefined || wanted === name;
+}
+
+async function check(disk: FileDisk, scores: readonly Score[]): Promise<number> {
+    const regressions = compareWithBaseline(await readBaseline(disk), scores);
+    for (const text of regressions) console.log(`REGRESSION ${text}`);
+    console.log(`${scores.length} runs, ${regressions.length} regressions`);
+    return regressions.length > 0 ? 1 : 0;
+}
--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -10,5 +10,6 @@
 export * from "./poolOwner/index.js";
 export * from "./poolQueue/index.js";
 export * from "./preemption/index.js";
+export * from "./spending/index.js";
 export * from "./ticket/index.js";
 export * from "./waiting/index.js";
--- /dev/null
+++ b/src/purchase/index.ts
@@ -0,0 +1,7 @@
+/** Demand forecast, the mix of upstreams to run, and what they load ahead of demand. */
+export * from "./coverPurchase/index.js";
+export * from "./demandForecast/index.js";
+export * from "./mix/index.js";
+export * from "./prefetch/index.js";
+export * from "./purchasePolicy/index.js";
+export * from "./staticPurchase/index.js";
