--- a/src/consensus/membership/index.ts
+++ b/src/consensus/membership/index.ts
@@ -1,5 +1,5 @@
 import { StoreId } from "../../ids/index.js";
-import { Address } from "../../ports/index.js";
+import { Address, formatAddress } from "../../ports/index.js";
 import { Leadership } from "../leadership/index.js";
 import {
     addLearner,
@@ -53,7 +53,7 @@
         const { replica } = this;
         const { configuration } = replica;
         if (req.cluster !== replica.cluster) throw new Error("the request is from another cluster");
-        if (!leadership) return { result: "not-leader" };
+        if (!leadership) return { result: "not-leader", leader: this.addressOfLeader() };
         if (configuration.retired.includes(req.storeId)) return { result: "retired" };
         if (findMember(configuration, req.storeId)) return { result: "member" };
         if (this.isHostAlive(req, leadership) || !leadership.mayChangeMembers()) return { result: "busy" };
@@ -73,31 +73,51 @@
         return true;
     }
 
-    /** Asks to join while this replica is not a member: one task, to the end of the replica. */
+    /** Asks to join while no leader counts this replica in: one task, to the end of the replica. */
     async run(signal: AbortSignal): Promise<void> {
         const { clock, timing, changed } = this.replica;
         while (!signal.aborted) {
-            if (this.replica.isMember()) {
+            if (this.isCountedIn()) {
                 await changed.wait(clock, timing.leaseMs, signal);
                 continue;
             }
-            if (await this.askToJoin()) {
-                this.replica.logger.error("member-retired", { storeId: this.replica.storeId });
-            }
+            await this.askToJoin();
             await clock.sleep(timing.joinRetryMs, signal);
         }
     }
 
-    /** True when the leader says that this data folder was removed for good. */
-    private async askToJoin(): Promise<boolean> {
-        const { cluster, storeId, host, timing, configuration } = this.replica;
+    /**
+     * The list here may be wrong in both directions: a learner's own entry may have been taken back by a later leader,
+     * and a removed replica does not get the entry that removes it. So silence counts too, however the list reads.
+     */
+    private isCountedIn(): boolean {
+        const { replica } = this;
+        if (replica.leads) return true;
+        const silentFor = replica.clock.monotonic() - replica.promisedUntil;
+        return replica.isMember() && silentFor < replica.timing.leaseMs;
+    }
+
+    private async askToJoin(): Promise<void> {
+        const { replica } = this;
+        const asked = [...this.bootstrap, ...replica.configuration.members.map(member => member.address)];
+        const replies = await Promise.all(asked.map(address => this.askOne(address)));
+        const leader = replies.find(reply => reply?.leader)?.leader;
+        if (leader) replies.push(await this.askOne(leader));
+        if (!replies.some(reply => reply?.result === "retired")) return;
+        replica.logger.error("member-retired", { storeId: replica.storeId });
+    }
+
+    private async askOne(address: Address): Promise<JoinReply | undefined> {
+        if (formatAddress(address) === formatAddress(this.address)) return undefined;
+        const { cluster, storeId, host, timing } = this.replica;
         const request = { cluster, host, storeId, address: this.address } as JoinRequest;
-        const addresses = [...this.bootstrap, ...configuration.members.map(member => member.address)];
-        const others = addresses.filter(({ host: ip, port }) => ip !== this.address.host || port !== this.address.port);
-        const replies = await Promise.all(others.map(other => {
-            return this.links.call<JoinReply>(other, Method.Join, request, timing.leaseMs);
-        }));
-        return replies.some(reply => reply.map(({ result }) => result === "retired").orDefault(false));
+        const reply = await this.links.call<JoinReply>(address, Method.Join, request, timing.leaseMs);
+        return reply.toMaybe().extract();
+    }
+
+    private addressOfLeader(): Address | undefined {
+        const { leader, configuration } = this.replica;
+        return leader && findMember(configuration, leader.storeId)?.address;
     }
 
     private isSynced(learner: Member, leadership: Leadership): boolean {
--- a/src/consensus/message/index.ts
+++ b/src/consensus/message/index.ts
@@ -109,6 +109,8 @@
 
 export interface JoinReply {
     readonly result: "member" | "added" | "busy" | "not-leader" | "retired";
+    /** Whom to ask instead. */
+    readonly leader?: Address;
 }
 
 export interface ReadIndexReply {
--- a/src/consensus/peerLinks/index.ts
+++ b/src/consensus/peerLinks/index.ts
@@ -33,7 +33,8 @@
         if (found) return found;
         const link = new PeerLink({ ...this.options, address });
         this.links.set(name, link);
-        this.lifecycle.run(
+        // A signal of its own: a hundred links on one would look like a leak of listeners.
+        this.lifecycle.child().run(
             signal => link.run(signal),
             err => this.options.logger.error("peer-link-failed", { address: name, error: String(err) }),
         );
