--- a/src/bench/slopes/main.ts
+++ b/src/bench/slopes/main.ts
@@ -7,11 +7,29 @@
 import { FileDisk, SystemClock } from "../../ports/index.js";
 import { Probe, SlopeRecorder } from "./probe/index.js";
 import { AnnouncementProbe } from "./probes/announcements/index.js";
+import { DispatchProbe } from "./probes/dispatch/index.js";
 import { HistogramProbe } from "./probes/histograms/index.js";
+import { LogProbe } from "./probes/log/index.js";
+import { PullProbe } from "./probes/pulls/index.js";
+import { StateProbe } from "./probes/state/index.js";
+import { UpstreamProbe } from "./probes/upstreams/index.js";
+import { UsageProbe } from "./probes/usage/index.js";
+import { ViewProbe } from "./probes/view/index.js";
 import { WireProbe } from "./probes/wire/index.js";
 import { mergeSlopes, readSlopeFile, writeSlopeFile } from "./slopeFile/index.js";
 
-const PROBES: readonly Probe[] = [new WireProbe(), new AnnouncementProbe(), new HistogramProbe()];
+const PROBES: readonly Probe[] = [
+    new WireProbe(),
+    new AnnouncementProbe(),
+    new HistogramProbe(),
+    new ViewProbe(),
+    new StateProbe(),
+    new PullProbe(),
+    new UsageProbe(),
+    new UpstreamProbe(),
+    new DispatchProbe(),
+    new LogProbe(),
+];
 const DATE_LENGTH = "YYYY-MM-DD".length;
 
 const disk = new FileDisk(".");
--- a/src/bench/slopes/measures/index.ts
+++ b/src/bench/slopes/measures/index.ts
@@ -40,6 +40,38 @@
     return means;
 }
 
+/** What was built, and the memory that it takes. */
+export interface Built<Value> {
+    readonly value: Value;
+    /** On the heap and in buffers, in bytes. */
+    readonly bytes: number;
+}
+
+// What was weighed stays alive: were it collected during the next weighing, its memory would be taken off that one's.
+const weighed: unknown[] = [];
+
+/** Builds something and says what it takes of the heap. The value is kept until the process ends. */
+export function weigh<Value>(build: () => Value): Built<Value> {
+    const before = heapBytes();
+    const value = build();
+    weighed.push(value);
+    return { value, bytes: heapBytes() - before };
+}
+
+/**
+ * Processor time of one run of a slow function, in milliseconds, all threads counted: one figure for each round.
+ *
+ * @param work - What to run.
+ */
+export async function timeRuns(work: () => unknown): Promise<number[]> {
+    const figures: number[] = [];
+    for (let round = 0; round < ROUNDS; round++) {
+        const { processorMs } = await timeProcess(async () => work());
+        figures.push(processorMs);
+    }
+    return figures;
+}
+
 /** What a stretch of time cost this process. */
 export interface Usage {
     /** Processor time of all threads, in milliseconds. */
--- a/src/bench/slopes/probe/index.ts
+++ b/src/bench/slopes/probe/index.ts
@@ -35,6 +35,11 @@
         points.set(x, [...points.get(x) ?? [], Number(value.toPrecision(6))]);
     }
 
+    /** Adds one sample for each value. */
+    addAll(id: string, x: number, values: readonly number[]): void {
+        for (const value of values) this.add(id, x, value);
+    }
+
     /** @param date - The day of the run, as `YYYY-MM-DD`. */
     toSlopes(date: string): Slope[] {
         return [...this.samples].map(([id, points]) => ({ id, date, points: toPoints(points) }));
--- /dev/null
+++ b/src/bench/slopes/probes/pulls/index.ts
@@ -0,0 +1,106 @@
+import {
+    ControlService,
+    MemoryLogGroup,
+    VIEW_PULL_METHOD,
+    ViewPull,
+    ViewPullReply,
+} from "../../../../control/index.js";
+import { HostId } from "../../../../ids/index.js";
+import { VirtualClock } from "../../../../ports/index.js";
+import { decodeValue, encodeFrame, encodeValue, PeerChannel, PeerHandler, PeerRouter } from "../../../../wire/index.js";
+import { ROUNDS, timeProcess } from "../../measures/index.js";
+import { Probe, SlopeRecorder } from "../../probe/index.js";
+import { SampleState } from "../_lib/sampleState.js";
+
+const ENTRY_COUNTS = [50, 100, 200, 300, 410];
+const WORKSPACES = 1_000;
+const CHANGES = 20;
+const IDLE_MS = 20_000;
+const SETTLE_MS = 20;
+const PULL_WAIT_MS = 2_000;
+const VIEW_LEASE_MS = 5_000;
+
+/**
+ * The holder's work for entries that keep their view fresh, by the number of entries: pulls without news, and a change that
+ * goes to each. Questions and answers are encoded and decoded; the sockets' share is in the probe of the wire.
+ */
+export class PullProbe extends Probe {
+    readonly name = "pulls";
+
+    async run(recorder: SlopeRecorder): Promise<void> {
+        for (const count of ENTRY_COUNTS) await this.measureEntries(count, recorder);
+    }
+
+    private async measureEntries(count: number, recorder: SlopeRecorder): Promise<void> {
+        const clock = new VirtualClock();
+        const sample = new SampleState();
+        sample.grow(WORKSPACES);
+        const group = new MemoryLogGroup(clock);
+        const log = group.join("holder" as HostId, sample.state);
+        group.elect("holder" as HostId);
+        const router = new PeerRouter();
+        const service = new ControlService({ log, state: sample.state, clock, router, viewLeaseMs: VIEW_LEASE_MS });
+        const entries = Array.from({ length: count }, (_, index) => new PullingEntry(index, router));
+        for (const entry of entries) void entry.run();
+        await clock.advance(PULL_WAIT_MS);
+        for (let round = 0; round < ROUNDS; round++) {
+            const idle = await timeProcess(() => clock.advance(IDLE_MS));
+            recorder.add("pulls.idle.processor", count, idle.processorMs / IDLE_MS * 1_000);
+            const busy = await timeProcess(() => applyChanges(sample, clock));
+            recorder.add("pulls.change.processor", count, busy.processorMs / CHANGES);
+        }
+        recorder.add("pulls.idle.bytes", count, entries[0].idleBytes);
+        recorder.add("pulls.list.bytes", count, entries[0].listBytes);
+        for (const entry of entries) entry.stop();
+        service.close();
+        await clock.advance(PULL_WAIT_MS);
+    }
+}
+
+async function applyChanges(sample: SampleState, clock: VirtualClock): Promise<void> {
+    for (let change = 0; change < CHANGES; change++) {
+        sample.changeLimit(change);
+        await clock.advance(SETTLE_MS);
+    }
+}
+
+class PullingEntry {
+    /** Of the last question and answer without news, in bytes. */
+    idleBytes = 0;
+    /** Of the last answer that named all entries, in bytes. */
+    listBytes = 0;
+    private readonly handler: PeerHandler;
+    private pull: ViewPull;
+    private stopped = false;
+
+    constructor(index: number, router: PeerRouter) {
+        this.handler = router.find(VIEW_PULL_METHOD)!;
+        this.pull = {
+            host: `north-2-entry-${index}`,
+            incarnation: index.toString(16).padStart(32, "0"),
+            zone: `north-${index % 14}`,
+            peerAddress: `10.32.${index % 250}.17:7000`,
+            revision: 0,
+            waitMs: PULL_WAIT_MS,
+            draining: false,
+        };
+    }
+
+    stop(): void {
+        this.stopped = true;
+    }
+
+    async run(): Promise<void> {
+        while (!this.stopped) await this.pullOnce();
+    }
+
+    private async pullOnce(): Promise<void> {
+        const question = encodeFrame([2, 1, VIEW_PULL_METHOD, this.pull]);
+        const reply = await this.handler(decodeValue(encodeValue(this.pull)), undefined as unknown as PeerChannel);
+        const answer = encodeFrame([3, 1, "", reply]);
+        const { change, entriesVersion, entriesUnchanged } = decodeValue(encodeValue(reply)) as ViewPullReply;
+        if (!entriesUnchanged) this.listBytes = answer.length;
+        if (!change && entriesUnchanged) this.idleBytes = question.length + answer.length;
+        this.pull = { ...this.pull, revision: change?.revision ?? this.pull.revision, entriesVersion };
+    }
+}
--- /dev/null
+++ b/src/bench/slopes/probes/view/index.ts
@@ -0,0 +1,49 @@
+import { ViewCache, ViewChange } from "../../../../control/index.js";
+import { decodeValue, encodeValue } from "../../../../wire/index.js";
+import { timeCalls, timeRuns, weigh } from "../../measures/index.js";
+import { Probe, SlopeRecorder } from "../../probe/index.js";
+import { hashOfKey, SampleState } from "../_lib/sampleState.js";
+
+const WORKSPACE_COUNTS = [5_000, 10_000, 20_000, 30_000, 40_000];
+
+/** An entry's view of the configuration, by the number of workspaces. */
+export class ViewProbe extends Probe {
+    readonly name = "view";
+
+    async run(recorder: SlopeRecorder): Promise<void> {
+        const sample = new SampleState();
+        for (const count of WORKSPACE_COUNTS) {
+            sample.grow(count);
+            await measureView(sample, count, recorder);
+        }
+    }
+}
+
+async function measureView(sample: SampleState, count: number, recorder: SlopeRecorder): Promise<void> {
+    const packed = encodeValue(sample.state.changeSince(0));
+    recorder.add("view.full.bytes", count, packed.length);
+    recorder.addAll("view.full.encode", count, await timeRuns(() => encodeValue(sample.state.changeSince(0))));
+    recorder.addAll("view.full.apply", count, await timeRuns(() => loadView(packed)));
+    const { value: cache, bytes } = weigh(() => loadView(packed));
+    recorder.add("view.heap", count, bytes);
+    let turn = 0;
+    recorder.addAll(
+        "view.find",
+        count,
+        await timeCalls(() => {
+            turn = (turn + 1) % count;
+            return cache.findByKey(hashOfKey(turn));
+        }),
+    );
+    const before = sample.state.revision;
+    sample.changeLimit(0);
+    const delta = encodeValue(sample.state.changeSince(before));
+    recorder.add("view.change.bytes", count, delta.length);
+    recorder.addAll("view.change.apply", count, await timeCalls(() => cache.apply(decodeValue(delta) as ViewChange)));
+}
+
+function loadView(packed: Uint8Array): ViewCache {
+    const cache = new ViewCache();
+    cache.apply(decodeValue(packed) as ViewChange);
+    return cache;
+}
