--- a/src/cli/fleetCommands/index.ts
+++ b/src/cli/fleetCommands/index.ts
@@ -1,3 +1,4 @@
+import { UpstreamRow } from "../../control/index.js";
 import { readTexts } from "../_lib/readOptions.js";
 import { CommandDefinition, CommandOptions, CommandTools } from "../commandDefinition/index.js";
 import { EntryAnswer } from "../entryApi/index.js";
@@ -83,8 +84,7 @@
 
 async function listUpstreams(_: readonly string[], _options: CommandOptions, tools: CommandTools): Promise<void> {
     const answers = await tools.entryApi.askAll(client => client.upstreams.query());
-    // Each entry knows all upstreams; the one that knows most has heard of the latest.
-    const rows = answers.map(({ answer }) => answer).sort((a, b) => b.length - a.length)[0];
+    const rows = keepLatest(answers.flatMap(({ answer }) => answer));
     tools.output.table(rows, [
         { title: "UPSTREAM", read: row => row.upstream },
         { title: "KIND", read: row => row.kind },
@@ -92,7 +92,6 @@
         { title: "ZONE", read: row => row.zone },
         { title: "STATE", read: row => row.state },
         { title: "RUNNING", read: row => `${row.running}/${row.slots}` },
-        { title: "IN FLIGHT", read: row => row.inFlight },
         { title: "QUEUED", read: row => row.queued },
         { title: "KV", read: row => row.kvUsed.toFixed(2) },
         { title: "TOKENS/S", read: row => Math.round(row.tokensPerSecond) },
@@ -102,6 +101,16 @@
     ]);
 }
 
+/** An entry knows the upstreams that it heard of, or whose queue it owns: of each the one who heard it last. */
+function keepLatest(rows: readonly UpstreamRow[]): UpstreamRow[] {
+    const latest = new Map<string, UpstreamRow>();
+    for (const row of rows) {
+        const known = latest.get(row.upstream);
+        if (!known || row.heardMsAgo < known.heardMsAgo) latest.set(row.upstream, row);
+    }
+    return [...latest.values()].sort((a, b) => a.upstream < b.upstream ? -1 : 1);
+}
+
 async function listQueues(_: readonly string[], _options: CommandOptions, tools: CommandTools): Promise<void> {
     const rows = joinRows(await tools.entryApi.askAll(client => client.queues.query()));
     tools.output.table(rows, [
--- a/src/cli/runCli/test.ts
+++ b/src/cli/runCli/test.ts
@@ -132,7 +132,7 @@
             assert.equal(create.error, "");
             const grant = await run("key", "grant", "school", "--json");
             const { key, keyId } = JSON.parse(grant.output) as { key: string; keyId: string; };
-            assert.match(key, /^sqm-[\w-]{43}$/);
+            assert.match(key, /^sqx_[0-9a-f]{32}$/);
             const list = await run("key", "list", "school");
             assert.ok(list.output.includes(keyId) && !list.output.includes(key));
             const show = await run("workspace", "show", "school");
