--- a/src/emulator/answerDesk/index.ts
+++ b/src/emulator/answerDesk/index.ts
@@ -4,6 +4,7 @@
 import { AnswerStream, PrefillPlan } from "../answerStream/index.js";
 import { countPromptTokens } from "../answerText/index.js";
 import { Batch, EnginePace } from "../batch/index.js";
+import { ChatLedger } from "../chatLedger/index.js";
 import { RequestFault } from "../engineFaults/index.js";
 import { KvState } from "../kvTransfer/index.js";
 import { CacheListener, PrefixCache } from "../prefixCache/index.js";
@@ -55,9 +56,15 @@
     /**
      * @param clock - Time for the steps.
      * @param cfg - How it answers.
+     * @param ledger - Where streams are recorded.
      * @param listener - Told of each change of the cache.
      */
-    constructor(private readonly clock: Clock, private readonly cfg: AnswerDeskConfig, listener: CacheListener) {
+    constructor(
+        private readonly clock: Clock,
+        private readonly cfg: AnswerDeskConfig,
+        private readonly ledger: ChatLedger,
+        listener: CacheListener,
+    ) {
         this.batch = new Batch(clock, cfg.pace);
         this.cache = new PrefixCache(cfg.cacheBlocks, listener);
     }
@@ -159,6 +166,7 @@
         this.streams.delete(stream);
         this.batch.remove(stream);
         this.tokens += stream.produced;
+        this.ledger.record(stream.req.request_id, stream.produced);
         this.kvStates.set(stream.req.request_id, describeKv(stream));
         if (this.kvStates.size > KEPT_KV_STATES) this.kvStates.delete(this.kvStates.keys().next().value!);
     }
--- a/src/emulator/controlApi/index.ts
+++ b/src/emulator/controlApi/index.ts
@@ -47,11 +47,24 @@
 ]);
 export type ControlAction = z.infer<typeof controlActionSchema>;
 
+/** What ran: the answer to `GET /runs`. */
+export const runsSchema = z.object({
+    calls: z.array(z.object({ service: z.string(), digest: z.string(), runs: z.int() })),
+    chats: z.array(z.object({ request: z.string(), runs: z.int(), tokens: z.int() })),
+});
+export type Runs = z.infer<typeof runsSchema>;
+
 /** Where the emulator is asked and steered. */
-export const CONTROL_PATHS = { stats: "/stats", orders: "/orders", reports: "/reports", do: "/do" } as const;
+export const CONTROL_PATHS = {
+    stats: "/stats",
+    runs: "/runs",
+    orders: "/orders",
+    reports: "/reports",
+    do: "/do",
+} as const;
 
 /**
- * The emulator's own port: `GET /stats`, `GET /orders` and `GET /reports` tell what came, and `POST /do` brings about
+ * The emulator's own port: `GET /stats`, `/runs`, `/orders` and `/reports` tell what came, and `POST /do` brings about
  * faults.
  */
 export class ControlApi {
@@ -64,6 +77,7 @@
 
     private async handle(req: HttpRequest, res: HttpResponse): Promise<void> {
         if (req.path === CONTROL_PATHS.stats) return sendJson(res, 200, this.set.stats());
+        if (req.path === CONTROL_PATHS.runs) return sendJson(res, 200, this.listRuns());
         if (req.path === CONTROL_PATHS.orders) return sendJson(res, 200, this.set.platform.orders.log.orders);
         if (req.path === CONTROL_PATHS.reports) return sendJson(res, 200, this.set.platform.usage.received);
         if (req.path !== CONTROL_PATHS.do) return sendJson(res, 404, { error: "no such path" });
@@ -74,6 +88,10 @@
         });
     }
 
+    private listRuns(): Runs {
+        return { calls: this.set.ledger.list(), chats: this.set.chats.list() };
+    }
+
     private answer(action: ControlAction, res: HttpResponse): void {
         if (!("upstream" in action)) {
             this.actOnAll(action);
--- a/src/emulator/engineStandIn/index.ts
+++ b/src/emulator/engineStandIn/index.ts
@@ -13,6 +13,7 @@
 import { StandInPorts } from "../_lib/standInPorts.js";
 import { AnnouncedUpstream, Announcer, AnnouncerConfig } from "../announcer/index.js";
 import { AnswerDesk, AnswerDeskConfig, AnswerStats } from "../answerDesk/index.js";
+import { ChatLedger } from "../chatLedger/index.js";
 import { FaultQueue } from "../engineFaults/index.js";
 import { kvExportSchema, kvStateSchema } from "../kvTransfer/index.js";
 import { OrderLog } from "../orderLog/index.js";
@@ -67,12 +68,17 @@
     private paceSince = 0;
     private paceTokens = 0;
 
-    constructor(private readonly ports: StandInPorts, private readonly cfg: EngineConfig) {
+    /**
+     * @param ports - What it runs on.
+     * @param cfg - What it is like.
+     * @param ledger - Where its streams are recorded; may be shared with other engines.
+     */
+    constructor(private readonly ports: StandInPorts, private readonly cfg: EngineConfig, ledger = new ChatLedger()) {
         this.state = new UpstreamState(ports.clock);
         this.orders = new OrderLog(cfg.identity.checksFence);
         this.pools = new Set(cfg.identity.pools);
         this.announcer = new Announcer(ports, cfg.announcer, this);
-        this.desk = new AnswerDesk(ports.clock, cfg, event => this.announcer.addCacheEvent(event));
+        this.desk = new AnswerDesk(ports.clock, cfg, ledger, event => this.announcer.addCacheEvent(event));
     }
 
     get id(): string {
--- a/src/emulator/runLedger/index.ts
+++ b/src/emulator/runLedger/index.ts
@@ -1,5 +1,13 @@
 import { createHash } from "node:crypto";
 
+/** A call of a plain service, and how often it ran. */
+export interface CallRuns {
+    readonly service: string;
+    /** From `digestBody`. */
+    readonly digest: string;
+    readonly runs: number;
+}
+
 /** Runs of plain-service calls, counted by what was sent: shared by all instances of a service. */
 export class RunLedger {
     private readonly runs = new Map<string, number>();
@@ -28,6 +36,14 @@
         return this.runs.has(`${service} ${digest}`);
     }
 
+    /** All calls that ran. */
+    list(): CallRuns[] {
+        return [...this.runs].map(([name, runs]) => {
+            const [service, digest] = name.split(" ");
+            return { service, digest, runs };
+        });
+    }
+
     /** The calls that ran more than once, as `service digest`. */
     doubled(): string[] {
         return [...this.runs].filter(([, count]) => count > 1).map(([name]) => name);
--- a/src/emulator/standInSet/index.ts
+++ b/src/emulator/standInSet/index.ts
@@ -2,6 +2,7 @@
 import { Offer } from "../../protocol/index.js";
 import { StandInPorts } from "../_lib/standInPorts.js";
 import { AnnouncerConfig } from "../announcer/index.js";
+import { ChatLedger } from "../chatLedger/index.js";
 import { EmulatorSettings } from "../emulatorSettings/index.js";
 import { EngineStandIn, EngineStats } from "../engineStandIn/index.js";
 import { Fleet, StartRequest } from "../fleet/index.js";
@@ -36,6 +37,7 @@
 export class StandInSet extends Fleet {
     readonly platform: PlatformStandIn;
     readonly ledger = new RunLedger();
+    readonly chats = new ChatLedger();
     readonly engines = new Map<string, EngineStandIn>();
     readonly services = new Map<string, ServiceStandIn>();
     private entries: readonly Address[];
@@ -154,7 +156,7 @@
             cacheBlocks: settings.cacheBlocks,
             meanTokens: settings.meanTokens,
             announcer: this.makeAnnouncer(),
-        });
+        }, this.chats);
         this.engines.set(identity.id, engine);
         await engine.start();
     }
--- a/src/load/attainment/index.ts
+++ b/src/load/attainment/index.ts
@@ -12,6 +12,7 @@
     readonly verdicts: VerdictCounts;
     /** The share of requests answered whole within target; those whose callers left do not count. */
     readonly attainment: number;
+    /** Of streams and service calls; an answer in one body has no first token of its own. */
     readonly firstToken: Spread;
     readonly tokenGap: Spread;
     readonly total: Spread;
@@ -45,14 +46,19 @@
 const MS_PER_SECOND = 1_000;
 
 /**
- * Whether an answer came whole and within its class's targets.
+ * Whether an answer came whole and within its class's targets. One that comes as a single body has the time that a
+ * stream within both targets would take.
  *
  * @param result - What a request came to.
  * @param target - Its class.
  */
 export function isWithinTarget(result: RequestResult, target: TraceClass): boolean {
     if (result.verdict !== "answered" || result.firstTokenMs === undefined) return false;
-    return result.firstTokenMs <= target.first_token_ms && (result.tokenMs ?? 0) <= target.token_ms;
+    if (result.isStreamed) {
+        return result.firstTokenMs <= target.first_token_ms && (result.tokenMs ?? 0) <= target.token_ms;
+    }
+    const furtherTokens = Math.max(0, result.tokens - 1);
+    return result.firstTokenMs <= target.first_token_ms + furtherTokens * target.token_ms;
 }
 
 /**
@@ -104,7 +110,9 @@
         sent: results.length,
         verdicts: countVerdicts(results),
         attainment: counted.length === 0 ? 1 : counted.filter(isGood).length / counted.length,
-        firstToken: spreadOf(results.map(result => result.firstTokenMs)),
+        firstToken: spreadOf(
+            results.filter(result => result.isStreamed || result.kind === "service").map(result => result.firstTokenMs),
+        ),
         tokenGap: spreadOf(results.map(result => result.tokenMs)),
         total: spreadOf(results.filter(result => result.verdict === "answered").map(result => result.totalMs)),
         tokens: results.reduce((sum, result) => sum + result.tokens, 0),
--- a/src/load/attainment/test.ts
+++ b/src/load/attainment/test.ts
@@ -12,6 +12,7 @@
     workspace: "care-homes",
     className: "sheets",
     kind: "chat",
+    isStreamed: true,
     verdict: "answered",
     attempts: 1,
     firstTokenMs: 1_000,
@@ -33,6 +34,16 @@
         assert.equal(report.goodputTokens, 10);
     });
 
+    it("gives an answer in one body the time that a stream within target would take", () => {
+        const whole = { ...GOOD, isStreamed: false, tokenMs: undefined };
+        const bound = 2_000 + 99 * 80;
+        const report = summarizeReplay(TRACE, [
+            { ...whole, firstTokenMs: bound },
+            { ...whole, firstTokenMs: bound + 1 },
+        ], 1_000);
+        assert.equal(report.classes[0].attainment, 0.5);
+    });
+
     it("leaves out those whose callers went away", () => {
         const report = summarizeReplay(TRACE, [GOOD, { ...GOOD, verdict: "left" }], 1_000);
         assert.equal(report.classes[0].attainment, 1);
--- a/src/load/caller/index.ts
+++ b/src/load/caller/index.ts
@@ -104,17 +104,20 @@
     const times = attempt.tokenTimes;
     const first = times.length > 0 ? times[0] : undefined;
     const gaps = times.slice(1).map((time, index) => time - times[index]);
+    const isStreamed = request.kind === "chat" && request.stream;
+    const hasGaps = isStreamed && gaps.length > 0;
     return {
         workspace: request.workspace,
         className: request.class,
         kind: request.kind,
+        isStreamed,
         verdict: attempt.verdict,
         reason: attempt.reason,
         request: attempt.request,
         attempts,
         firstTokenMs: first === undefined ? undefined : first - startedAt,
-        tokenMs: gaps.length === 0 ? undefined : (times[times.length - 1] - times[0]) / gaps.length,
-        longestGapMs: gaps.length === 0 ? undefined : Math.max(...gaps),
+        tokenMs: hasGaps ? (times[times.length - 1] - times[0]) / gaps.length : undefined,
+        longestGapMs: hasGaps ? Math.max(...gaps) : undefined,
         totalMs: endedAt - startedAt,
         tokens: request.kind === "chat" ? times.length : 0,
     };
--- a/src/load/consortiumPlan/index.ts
+++ b/src/load/consortiumPlan/index.ts
@@ -112,7 +112,7 @@
         },
     ],
     bounds: {
-        attainment: { safety: 0.95, bookings: 0.95, routing: 0.7, manifests: 0.3 },
+        attainment: { safety: 0.95, bookings: 0.95, routing: 0.75, manifests: 0.25 },
         worst_workspace: 0.5,
         lost: 0,
         doubled: 0,
--- /dev/null
+++ b/src/load/crossCheck/test.ts
@@ -0,0 +1,66 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { SeededRandom } from "../../ports/index.js";
+import { RequestResult } from "../outcome/index.js";
+import { recordTrace } from "../recordTrace/index.js";
+import { digestCall } from "../serviceCall/index.js";
+import { Trace } from "../trace/index.js";
+import { UTILITY_MORNING } from "../utilityPlan/index.js";
+import { crossCheck } from "./index.js";
+
+const WHOLE = recordTrace(UTILITY_MORNING, new SeededRandom(1));
+const CHAT = WHOLE.requests.find(request => request.kind === "chat")!;
+const CALL = WHOLE.requests.find(request => request.kind === "service")!;
+const TRACE: Trace = { ...WHOLE, requests: [CHAT, CALL] };
+const DIGEST = digestCall(CALL);
+
+function makeResult(change: Partial<RequestResult>): RequestResult {
+    return {
+        workspace: "care-homes",
+        className: "sheets",
+        kind: "chat",
+        isStreamed: true,
+        verdict: "answered",
+        request: "r1",
+        attempts: 1,
+        totalMs: 1,
+        tokens: 0,
+        ...change,
+    };
+}
+
+describe("crossCheck", () => {
+    it("finds nothing where what ran is what callers were told", () => {
+        const results = [makeResult({ tokens: 30 }), makeResult({ kind: "service", request: "r2" })];
+        const runs = {
+            calls: [{ service: "ledger", digest: DIGEST, runs: 1 }],
+            chats: [{ request: "r1", runs: 2, tokens: 34 }],
+        };
+        const check = crossCheck(TRACE, results, runs);
+        assert.deepEqual(check, { untruthful: [], doubledCalls: [], wastedTokens: 4, tokens: 34 });
+    });
+
+    it("finds a refusal that said not run, of a request that ran", () => {
+        // A caller is told that its booking was not run, books again, and two loads arrive.
+        // The call left, its answer came late, and the system took silence for not run.
+        const results = [makeResult({ verdict: "refused" }), makeResult({ kind: "service", verdict: "refused" })];
+        const runs = { calls: [{ service: "ledger", digest: DIGEST, runs: 1 }], chats: [] };
+        assert.deepEqual(crossCheck(TRACE, results, runs).untruthful, [
+            CALL.kind === "service" && CALL.idempotency_key,
+        ]);
+    });
+
+    it("finds a call that ran twice although its caller saw one answer", () => {
+        const results = [makeResult({}), makeResult({ kind: "service" })];
+        const runs = {
+            calls: [{ service: "ledger", digest: DIGEST, runs: 2 }],
+            chats: [{ request: "r1", runs: 1, tokens: 1 }],
+        };
+        assert.equal(crossCheck(TRACE, results, runs).doubledCalls.length, 1);
+    });
+
+    it("finds an answer that no upstream ran", () => {
+        const results = [makeResult({}), makeResult({ kind: "service", verdict: "left" })];
+        assert.deepEqual(crossCheck(TRACE, results, { calls: [], chats: [] }).untruthful, ["r1"]);
+    });
+});
--- a/src/load/main.ts
+++ b/src/load/main.ts
@@ -2,10 +2,13 @@
 import { cac } from "cac";
 import { basename, dirname } from "node:path";
 import { z } from "zod";
+import { CONTROL_PATHS, Runs, runsSchema } from "../emulator/index.js";
 import {
     Address,
     Disk,
     FileDisk,
+    formatAddress,
+    Http,
     NodeHttp,
     parseAddress,
     SeededRandom,
@@ -14,6 +17,7 @@
 } from "../ports/index.js";
 import {
     CONSORTIUM_MIDDAY,
+    crossCheck,
     DEFAULT_CALLER,
     formatReport,
     formatTrace,
@@ -29,6 +33,7 @@
 
 const EXIT_MISSED = 1;
 const EXIT_BAD_USE = 2;
+const CONTROL_TIMEOUT_MS = 5_000;
 const DEFAULT_SEED = 20_261_202;
 const PLANS: readonly TracePlan[] = [UTILITY_MORNING, CONSORTIUM_MIDDAY];
 
@@ -41,6 +46,7 @@
     json: z.boolean().default(false),
     bounds: z.boolean().default(false),
     quiet: z.boolean().default(false),
+    emulator: z.string().optional(),
 });
 const keysSchema = z.record(z.string(), z.string());
 
@@ -87,6 +93,22 @@
     });
 }
 
+async function fetchRuns(http: Http, address: Address): Promise<Runs> {
+    const sent = await http.send({
+        address,
+        method: "GET",
+        path: CONTROL_PATHS.runs,
+        headers: [["host", formatAddress(address)]],
+        fresh: true,
+        connectTimeoutMs: CONTROL_TIMEOUT_MS,
+        headTimeoutMs: CONTROL_TIMEOUT_MS,
+    });
+    if (sent.isLeft()) throw new UsageError(`--emulator: no answer from ${formatAddress(address)}`);
+    const chunks: Uint8Array[] = [];
+    for await (const chunk of sent.unsafeCoerce().body) chunks.push(chunk);
+    return runsSchema.parse(JSON.parse(Buffer.concat(chunks).toString()));
+}
+
 async function replay(path: string, flags: unknown): Promise<void> {
     const parsed = replayFlagsSchema.safeParse(flags);
     if (!parsed.success) {
@@ -110,9 +132,13 @@
     }, result => progress.note(result));
     progress.end();
     const report = summarizeReplay(trace, results, ports.clock.monotonic() - startedAt);
-    console.log(options.json ? JSON.stringify({ ...report, results }) : formatReport(report));
-    const isMissed = options.bounds ? report.missed.length > 0 : report.lost > 0 || report.doubled > 0;
-    process.exit(isMissed ? EXIT_MISSED : 0);
+    const check = options.emulator === undefined
+        ? undefined
+        : crossCheck(trace, results, await fetchRuns(ports.http, readAddresses(options.emulator)[0]));
+    console.log(options.json ? JSON.stringify({ ...report, check, results }) : formatReport(report, check));
+    const isBad = report.lost > 0 || report.doubled > 0
+        || (check !== undefined && check.untruthful.length + check.doubledCalls.length > 0);
+    process.exit(isBad || (options.bounds && report.missed.length > 0) ? EXIT_MISSED : 0);
 }
 
 async function record(planName: string, path: string, flags: { readonly seed?: number; }): Promise<void> {
@@ -132,6 +158,7 @@
         .option("--timeout-ms <ms>", "How long a caller waits for a whole answer")
         .option("--retries <count>", "How often a refused request comes back")
         .option("--bounds", "Exit 1 also when one of the trace's bounds is missed")
+        .option("--emulator <address>", "The emulator's control port: hold what ran against what callers were told")
         .option("--json", "Print one line of JSON in place of tables")
         .option("--quiet", "No progress line")
         .example("load replay traces/utility-morning.jsonl --addresses 127.0.0.1:8080 --keys keys.json --bounds")
--- a/src/load/outcome/index.ts
+++ b/src/load/outcome/index.ts
@@ -33,11 +33,13 @@
     readonly workspace: string;
     readonly className: string;
     readonly kind: "chat" | "service";
+    /** The answer comes token for token; else as one body. */
+    readonly isStreamed: boolean;
     readonly verdict: Verdict;
     readonly reason?: string;
     readonly request?: string;
     readonly attempts: number;
-    /** From the first attempt to the first token or the service's answer, in milliseconds; undefined when none came. */
+    /** From the first attempt to the first token or the one body, in milliseconds; undefined when none came. */
     readonly firstTokenMs?: number;
     /** Mean time between tokens, in milliseconds; undefined below two tokens. */
     readonly tokenMs?: number;
--- /dev/null
+++ b/src/load/replay/test.ts
@@ -0,0 +1,44 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { MemoryFabric, MemoryWeb, SeededRandom, VirtualClock } from "../../ports/index.js";
+import { DEFAULT_CALLER } from "../caller/index.js";
+import { recordTrace } from "../recordTrace/index.js";
+import { UTILITY_MORNING } from "../utilityPlan/index.js";
+import { ReplayConfig, ReplayError, replayTrace } from "./index.js";
+
+const TRACE = recordTrace(UTILITY_MORNING, new SeededRandom(1));
+const ADDRESS = { host: "entry", port: 1 };
+const KEYS = new Map(TRACE.header.workspaces.map(({ name }) => [name, `key of ${name}`]));
+const CONFIG: ReplayConfig = { ...DEFAULT_CALLER, addresses: [ADDRESS], keys: KEYS, speed: 2 };
+
+async function startRefusingEntry() {
+    const clock = new VirtualClock();
+    const web = new MemoryWeb(new MemoryFabric(clock, () => 0));
+    const times: number[] = [];
+    const keys = new Set<string>();
+    await web.http("entry").serve(ADDRESS, undefined as never, async (req, res) => {
+        times.push(clock.monotonic());
+        keys.add(req.headers.find(([name]) => name === "authorization")![1]);
+        res.head(503, []);
+        res.end(JSON.stringify({ error: { type: "shed", message: "", outcome: "not-run" } }));
+    });
+    const ports = { clock, random: new SeededRandom(1), http: web.http("caller") };
+    return { clock, times, keys, ports };
+}
+
+describe("replayTrace", () => {
+    it("sends each request at its time over the speed, by its workspace's key, and gives all outcomes in order", async () => {
+        const { clock, times, keys, ports } = await startRefusingEntry();
+        const results = await clock.runUntil(replayTrace(ports, TRACE, CONFIG), 60_000);
+        assert.deepEqual(times, TRACE.requests.map(request => request.at_ms / 2));
+        assert.equal(keys.size, KEYS.size);
+        assert.deepEqual(results.map(result => result.className), TRACE.requests.map(request => request.class));
+        assert.ok(results.every(({ verdict, reason }) => verdict === "refused" && reason === "shed"));
+    });
+
+    it("says which workspace has no key", async () => {
+        const { ports } = await startRefusingEntry();
+        const replay = replayTrace(ports, TRACE, { ...CONFIG, keys: new Map() });
+        await assert.rejects(replay, (err: Error) => err instanceof ReplayError && /ordering-desk/.test(err.message));
+    });
+});
--- a/src/load/report/index.ts
+++ b/src/load/report/index.ts
@@ -1,4 +1,5 @@
 import { GroupReport, ReplayReport } from "../attainment/index.js";
+import { CrossCheck } from "../crossCheck/index.js";
 
 const GROUP_COLUMNS = [
     "sent",
@@ -21,9 +22,10 @@
  * Writes a replay's report as tables for people. Times in milliseconds.
  *
  * @param report - From `summarizeReplay`.
+ * @param check - What ran, held against it; where the stand-ins could be asked.
  * @returns Lines, the last one ended.
  */
-export function formatReport(report: ReplayReport): string {
+export function formatReport(report: ReplayReport, check?: CrossCheck): string {
     const lines = [
         `${report.trace}: ${report.sent} requests in ${(report.durationMs / 1_000).toFixed(1)} s, `
         + `${report.goodputTokens.toFixed(0)} tokens/s and ${
@@ -36,10 +38,19 @@
     ];
     const reasons = Object.entries(report.reasons).sort(([, a], [, b]) => b - a);
     if (reasons.length > 0) lines.push("", ...reasons.map(([reason, count]) => `${count} ${reason}`));
+    if (check) lines.push("", ...formatCheck(check));
     if (report.missed.length > 0) lines.push("", ...report.missed.map(text => `MISSED ${text}`));
     return `${lines.join("\n")}\n`;
 }
 
+function formatCheck({ tokens, wastedTokens, untruthful, doubledCalls }: CrossCheck): string[] {
+    return [
+        `engines gave ${tokens} tokens, ${wastedTokens} of them to no answered request`,
+        ...untruthful.map(name => `UNTRUTHFUL ${name}`),
+        ...doubledCalls.map(name => `DOUBLED CALL ${name}`),
+    ];
+}
+
 function formatTable(title: string, groups: readonly GroupReport[]): string[] {
     const rows = [[title, ...GROUP_COLUMNS], ...groups.map(formatGroup)];
     const widths = rows[0].map((_, column) => Math.max(...rows.map(row => row[column].length)));
--- a/src/load/utilityPlan/index.ts
+++ b/src/load/utilityPlan/index.ts
@@ -107,7 +107,7 @@
         },
     ],
     bounds: {
-        attainment: { sheets: 0.95, orders: 0.95, questions: 0.8, summaries: 0.3 },
+        attainment: { sheets: 0.95, orders: 0.95, questions: 0.8, summaries: 0.8 },
         worst_workspace: 0.5,
         lost: 0,
         doubled: 0,
