--- a/src/load/index.ts
+++ b/src/load/index.ts
@@ -4,6 +4,7 @@
 export * from "./consortiumPlan/index.js";
 export * from "./crossCheck/index.js";
 export * from "./outcome/index.js";
+export * from "./progress/index.js";
 export * from "./recordTrace/index.js";
 export * from "./replay/index.js";
 export * from "./report/index.js";
--- /dev/null
+++ b/src/tools/demo/main.ts
@@ -0,0 +1,140 @@
+/**
+ * The program behind `npm run demo`: starts a whole fleet as processes on loopback, replays a trace against it, and closes
+ * with a table for each class and workspace and one line of JSON. Ends with 1 when a request was lost or doubled.
+ */
+import { cac } from "cac";
+import { readFile } from "node:fs/promises";
+import { OperatorApi } from "../../cli/index.js";
+import { runsSchema } from "../../emulator/index.js";
+import {
+    crossCheck,
+    DEFAULT_CALLER,
+    formatReport,
+    parseTrace,
+    Progress,
+    replayTrace,
+    summarizeReplay,
+    Trace,
+} from "../../load/index.js";
+import { NodeHttp, SystemClock, SystemRandom } from "../../ports/index.js";
+import { deployTrace } from "../deployTrace/index.js";
+import { DEFAULT_PLAN, ProcessFleet } from "../fleet/index.js";
+import { waitFor } from "../processes/index.js";
+
+const WINDOW_LIMIT_MS = 20_000;
+
+interface Flags {
+    readonly trace: string;
+    readonly entries: number;
+    readonly speed: number;
+    readonly help?: boolean;
+}
+
+function parseFlags(): Flags {
+    const cli = cac("demo");
+    cli.option("--trace <file>", "The trace to replay", { default: "traces/utility-morning.jsonl" });
+    cli.option("--entries <count>", "How many entry processes", { default: 7 });
+    cli.option("--speed <factor>", "How much faster than recorded", { default: 1 });
+    cli.help();
+    return cli.parse().options as Flags;
+}
+
+async function readTrace(path: string): Promise<Trace> {
+    const parsed = parseTrace(await readFile(path, "utf8"));
+    return parsed.caseOf({
+        Left: err => {
+            throw new Error(`${path}: ${err.message}`);
+        },
+        Right: trace => trace,
+    });
+}
+
+function emulatorFlags(trace: Trace): string[] {
+    return Object.entries(trace.header.emulator)
+        .filter(([name]) => name !== "zones")
+        .flatMap((
+            [name, value],
+        ) => [`--${name.replace(/[A-Z]/g, letter => `-${letter.toLowerCase()}`)}`, String(value)]);
+}
+
+async function main(): Promise<number> {
+    const flags = parseFlags();
+    if (flags.help) return 0;
+    const trace = await readTrace(flags.trace);
+    console.log(`starting 3 control processes, ${flags.entries} entries and the emulator on loopback`);
+    const fleet = await ProcessFleet.start({
+        ...DEFAULT_PLAN,
+        entries: flags.entries,
+        zones: trace.header.zones,
+        emulator: emulatorFlags(trace),
+    });
+    try {
+        return await replayOn(fleet, trace, flags.speed);
+    }
+    finally {
+        await fleet.close();
+    }
+}
+
+async function replayOn(fleet: ProcessFleet, trace: Trace, speed: number): Promise<number> {
+    const ports = { clock: new SystemClock(), random: new SystemRandom(), http: new NodeHttp() };
+    const api = new OperatorApi({ ...ports, control: fleet.operatorAddresses });
+    const keys = await deployTrace(api, ports.random, trace.header);
+    const progress = new Progress(ports.clock, trace.requests.length, line => process.stderr.write(line));
+    const startedAt = ports.clock.monotonic();
+    const addresses = fleet.callerAddresses;
+    const results = await replayTrace(
+        ports,
+        trace,
+        { ...DEFAULT_CALLER, addresses, keys, speed },
+        result => progress.note(result),
+    );
+    progress.end();
+    const report = summarizeReplay(trace, results, ports.clock.monotonic() - startedAt);
+    const check = crossCheck(trace, results, runsSchema.parse(await fleet.emulatorRuns()));
+    const usage = await awaitReports(fleet, results.filter(({ verdict }) => verdict === "answered").length);
+    console.log(formatReport(report, check));
+    const { sent, answered, refused, lost, doubled } = report;
+    const doubledCalls = doubled + check.doubledCalls.length;
+    const { windows: windowsReported, requests: requestsBilled, doubledWindows, conflicting } = usage;
+    console.log(JSON.stringify({
+        sent,
+        answered,
+        refused,
+        lost,
+        doubled: doubledCalls,
+        windowsReported,
+        requestsBilled,
+        windowsDoubled: doubledWindows + conflicting,
+        untruthful: check.untruthful.length,
+    }));
+    return lost > 0 || doubledCalls > 0 ? 1 : 0;
+}
+
+interface UsageCounts {
+    readonly windows: number;
+    readonly requests: number;
+    readonly doubledWindows: number;
+    readonly conflicting: number;
+}
+
+/** Waits until each answered request has been reported, or for two windows at the most. */
+async function awaitReports(fleet: ProcessFleet, answered: number): Promise<UsageCounts> {
+    const read = async (): Promise<UsageCounts> => {
+        const stats = await fleet.emulatorStats() as { platform: { usage: UsageCounts; }; };
+        return stats.platform.usage;
+    };
+    const whole = await waitFor(async () => {
+        const usage = await read();
+        return usage.requests >= answered ? usage : undefined;
+    }, WINDOW_LIMIT_MS);
+    return whole ?? await read();
+}
+
+main().then(
+    code => process.exit(code),
+    (err: unknown) => {
+        console.error(`demo: ${(err as Error).message}`);
+        process.exit(1);
+    },
+);
--- a/src/tools/fleet/index.ts
+++ b/src/tools/fleet/index.ts
@@ -116,9 +116,13 @@
     }
 
     /** What the stand-ins have counted. */
-    async emulatorStats(): Promise<Record<string, unknown>> {
-        const response = await fetch(`http://${this.emulatorAddresses.control}/stats`);
-        return await response.json() as Record<string, unknown>;
+    emulatorStats(): Promise<unknown> {
+        return this.askEmulator("/stats");
+    }
+
+    /** What ran on the stand-ins, request by request. */
+    emulatorRuns(): Promise<unknown> {
+        return this.askEmulator("/runs");
     }
 
     /** Ends all processes, by their own ids, and removes their files. */
@@ -128,6 +132,11 @@
         await rm(this.folder, { recursive: true, force: true });
     }
 
+    private async askEmulator(path: string): Promise<unknown> {
+        const response = await fetch(`http://${this.emulatorAddresses.control}${path}`);
+        return response.json();
+    }
+
     private async startAll(): Promise<void> {
         await this.startEmulator();
         await this.writeSettings();
