Views stay fresh while control is well

Cause: a pull waited up to half the freshness lease, and the lease is counted from when the pull left; two waits and the way there and back exceed it, so that each view was stale for a moment every 1.5 s. Ruled out: loss of the holder (none in the log). A pull now waits for a third of the lease.

--- a/src/control/controlService/index.ts
+++ b/src/control/controlService/index.ts
@@ -97,7 +97,8 @@
         const { state, viewLeaseMs } = this.options;
         this.requireLease();
         this.entries.notePull(pull);
-        const waitMs = Math.min(pull.waitMs, viewLeaseMs / 2);
+        // Two waits and the way there and back must fit into one lease: the next answer comes before this lease ends.
+        const waitMs = Math.min(pull.waitMs, viewLeaseMs / 3);
         if (!this.hasNews(pull) && waitMs > 0) await this.sleepUntilNews(waitMs);
         // The lease may have run out while this task slept.
         this.requireLease();
