--- a/src/control/memoryControlLog/index.ts
+++ b/src/control/memoryControlLog/index.ts
@@ -6,9 +6,9 @@
 
 /**
  * What becomes of entries. `apply`: committed, and answered. `lose-answer`: committed, but the proposer is told that the entry is
- * lost. `lose`: neither.
+ * lost. `lose`: neither. `delay`: the proposer is told that the entry is lost, and it is committed by `commitDelayed`.
  */
-export type ProposalFate = "apply" | "lose-answer" | "lose";
+export type ProposalFate = "apply" | "lose-answer" | "lose" | "delay";
 
 interface Entry {
     readonly bytes: Uint8Array;
@@ -26,6 +26,7 @@
 export class MemoryLogGroup {
     readonly entries: Entry[] = [];
     fate: ProposalFate = "apply";
+    private readonly delayed: Entry[] = [];
     private readonly members = new Map<HostId, MemoryControlLog>();
     private leader: HostId | undefined;
     private token = 0;
@@ -63,6 +64,15 @@
         this.members.get(host)!.heal(this.leader === host);
     }
 
+    /** Commits what was delayed. */
+    commitDelayed(): void {
+        for (const entry of this.delayed.splice(0)) this.commit(entry);
+    }
+
+    delay(entry: Entry): void {
+        this.delayed.push(entry);
+    }
+
     commit(entry: Entry): void {
         this.entries.push(entry);
         for (const member of this.members.values()) member.catchUp();
@@ -95,7 +105,12 @@
         if (this.isolated) return Left(new ProposeError("lost", true, undefined));
         if (group.holder !== host) return Left(new ProposeError("not-holder", false, group.holder));
         if (group.fate === "lose") return Left(new ProposeError("lost", true, host));
-        group.commit({ bytes: encodeValue(command), proposedAt: group.clock.now() });
+        const entry = { bytes: encodeValue(command), proposedAt: group.clock.now() };
+        if (group.fate === "delay") {
+            group.delay(entry);
+            return Left(new ProposeError("lost", true, host));
+        }
+        group.commit(entry);
         const result = this.lastResult;
         if (group.fate === "lose-answer") return Left(new ProposeError("lost", true, host));
         return Right(result);
