--- /dev/null
+++ b/src/daemon/runControl/index.ts
@@ -0,0 +1,64 @@
+import { DEFAULT_LOG_TIMING, LogTiming } from "../../consensus/index.js";
+import { ControlProcess, createTrpcHandler, NoPurchases, operatorRouter, PlatformAccess } from "../../control/index.js";
+import { Lifecycle } from "../../lifecycle/index.js";
+import { DEFAULT_HTTP_LIMITS, FileDisk } from "../../ports/index.js";
+import { ControlSettings } from "../../settings/index.js";
+import { DaemonPorts, DaemonProcess } from "../daemonPorts/index.js";
+import { serveHealth } from "../serveHealth/index.js";
+
+/**
+ * Runs a control process.
+ *
+ * @param ports - What it takes from the machine.
+ * @param settings - Checked settings.
+ */
+export async function runControl(ports: DaemonPorts, settings: ControlSettings): Promise<DaemonProcess> {
+    const { listen, control, data, timing, usage } = settings;
+    const lifecycle = new Lifecycle();
+    const disk = new FileDisk(data.folder);
+    await disk.makeFolder("");
+    const running = await ControlProcess.start({
+        ...ports,
+        disk,
+        peers: listen.peers,
+        members: control.members,
+        logTiming: toLogTiming(settings),
+        timing,
+        viewLeaseMs: timing.freshnessLeaseMs,
+        windowMs: usage.windowMs,
+        windowGraceMs: usage.graceMs,
+        platform: toPlatformAccess(settings),
+    });
+    lifecycle.own(() => running.close());
+    const operate = createTrpcHandler(operatorRouter, () => ({
+        log: running.log,
+        state: running.state,
+        service: running.service,
+        operatorAddresses: [],
+    }));
+    const handler = serveHealth(() => running.isReady, operate);
+    const health = await ports.http.serve(listen.operators, DEFAULT_HTTP_LIMITS, handler);
+    lifecycle.own(() => health.close());
+    return { lifecycle, drain: async () => true };
+}
+
+function toLogTiming({ timing, data }: ControlSettings): LogTiming {
+    return {
+        ...DEFAULT_LOG_TIMING,
+        leaseMs: timing.electionMs,
+        electionSpreadMs: timing.electionMs,
+        heartbeatMs: Math.min(DEFAULT_LOG_TIMING.heartbeatMs, timing.electionMs / 4),
+        snapshotEntries: data.snapshotEntries,
+        segmentBytes: data.segmentBytes,
+    };
+}
+
+function toPlatformAccess({ platform }: ControlSettings): PlatformAccess | undefined {
+    if (!platform.address) return undefined;
+    return {
+        address: platform.address,
+        checksFence: platform.checksFence === "yes",
+        purchasePolicy: new NoPurchases(),
+        purchasePeriodMs: platform.purchaseMs,
+    };
+}
