--- a/src/load/main.ts
+++ b/src/load/main.ts
@@ -21,6 +21,7 @@
     DEFAULT_CALLER,
     formatReport,
     formatTrace,
+    measureEngines,
     parseTrace,
     recordTrace,
     replayTrace,
@@ -48,6 +49,14 @@
     quiet: z.boolean().default(false),
     emulator: z.string().optional(),
 });
+const measureFlagsSchema = z.object({
+    engines: z.string(),
+    model: z.string().default("draft"),
+    concurrency: z.coerce.string().default("1,2,4,8,16,32").transform(text => text.split(",").map(Number)),
+    rounds: z.coerce.number().int().positive().default(3),
+    tokens: z.coerce.number().int().positive().default(200),
+    promptCharacters: z.coerce.number().int().positive().default(1_000),
+});
 const keysSchema = z.record(z.string(), z.string());
 
 /** A file name split into its folder, as a disk, and its name there. */
@@ -141,6 +150,24 @@
     process.exit(isBad || (options.bounds && report.missed.length > 0) ? EXIT_MISSED : 0);
 }
 
+async function measure(flags: unknown): Promise<void> {
+    const options = measureFlagsSchema.parse(flags);
+    const http = new NodeHttp();
+    const engines = readAddresses(options.engines);
+    for (const concurrency of options.concurrency) {
+        const measurement = await measureEngines(http, new SystemClock(), {
+            engines,
+            model: options.model,
+            concurrency,
+            rounds: options.rounds,
+            tokens: options.tokens,
+            promptCharacters: options.promptCharacters,
+        });
+        console.log(JSON.stringify({ concurrency, ...measurement }));
+    }
+    process.exit(0);
+}
+
 async function record(planName: string, path: string, flags: { readonly seed?: number; }): Promise<void> {
     const plan = PLANS.find(({ name }) => name === planName);
     if (!plan) throw new UsageError(`no plan ${planName}; there are ${PLANS.map(({ name }) => name).join(", ")}`);
@@ -167,6 +194,15 @@
         .option("--seed <number>", "Another seed gives another trace of the same kind")
         .example("load record utility-morning traces/utility-morning.jsonl")
         .action(record);
+    cli.command("measure", "Load engines on the direct path, without the system between")
+        .option("--engines <list>", "The engines' addresses: IP:port, with commas between")
+        .option("--model <name>", "The model to ask for (default: draft)")
+        .option("--concurrency <list>", "Requests at a time, one line for each number (default: 1,2,4,8,16,32)")
+        .option("--rounds <count>", "How many requests follow each other in each place (default: 3)")
+        .option("--tokens <count>", "Length of each answer (default: 200)")
+        .option("--prompt-characters <count>", "Length of each prompt (default: 1000)")
+        .example("load measure --engines 127.0.0.1:9001 --concurrency 1,16")
+        .action(measure);
     cli.help();
     cli.parse(process.argv, { run: false });
     if (!cli.matchedCommand && !cli.options.help) throw new UsageError("say replay or record; --help tells more");
