--- a/src/bench/policy/caller/index.ts
+++ b/src/bench/policy/caller/index.ts
@@ -46,6 +46,11 @@
         },
     ) {}
 
+    /** Whether any request has not ended. */
+    get hasOpen(): boolean {
+        return this.records.some(record => record.outcome === "open");
+    }
+
     /** Makes one request and follows it to its end. */
     async make(planned: PlannedRequest): Promise<void> {
         const { clock, deployment, fleet } = this.options;
--- a/src/bench/policy/engineFake/index.ts
+++ b/src/bench/policy/engineFake/index.ts
@@ -225,7 +225,8 @@
         if (running.prefillMs > 0) return;
         const { work } = running;
         const left = work.totalTokens - running.made;
-        const tokens = Math.min(left, running.isStarted ? STEP_TOKENS : 1);
+        const made = running.isStarted ? STEP_TOKENS : Math.ceil(-running.prefillMs / stepMs * STEP_TOKENS);
+        const tokens = Math.min(left, Math.max(1, made));
         running.isStarted = true;
         running.made += tokens;
         this.tally.generated += tokens;
--- a/src/bench/policy/fleet/index.ts
+++ b/src/bench/policy/fleet/index.ts
@@ -43,6 +43,7 @@
 export class Fleet {
     readonly entries: readonly Entry[];
     private readonly running = new Map<RequestId, RunningGrant>();
+    private readonly owners = new Map<PoolId, Entry>();
     private readonly preempts = new Map<RequestId, () => void>();
 
     constructor(
@@ -151,12 +152,17 @@
 
     private ownerOf(entry: Entry, pool: PoolId): Entry {
         if (this.options.policySet.queues === "local") return entry;
-        const now = this.options.clock.monotonic();
-        const believedAlive = this.entries.filter(other =>
-            other.crashedAt === undefined || now < other.crashedAt + DETECTION_MS
-        );
+        const known = this.owners.get(pool);
+        if (known && !this.isKnownLost(known)) return known;
+        const believedAlive = this.entries.filter(other => !this.isKnownLost(other));
         const host = choosePoolOwner(pool, REGION, believedAlive.map(other => other.host));
-        return this.entries.find(other => other.host === host)!;
+        const owner = this.entries.find(other => other.host === host)!;
+        this.owners.set(pool, owner);
+        return owner;
+    }
+
+    private isKnownLost(entry: Entry): boolean {
+        return entry.crashedAt !== undefined && this.options.clock.monotonic() >= entry.crashedAt + DETECTION_MS;
     }
 
     private makeEntry(index: number): Entry {
--- a/src/dispatch/outlook/index.ts
+++ b/src/dispatch/outlook/index.ts
@@ -16,6 +16,7 @@
     private serviceMs = DEFAULT_SERVICE_MS;
     private cost = DEFAULT_COST;
     private firstTokenMean = DEFAULT_FIRST_TOKEN_MS;
+    private completions = 0;
     private readonly arrivals: number[] = [];
     private arrivedAt = 0;
 
@@ -44,10 +45,12 @@
 
     /** Learns from an answered request how long it held its slot and what it cost. */
     learnCompletion(completion: Completion, heldMs: number, cost: number): void {
-        this.serviceMs += LEARN_WEIGHT * (heldMs - this.serviceMs);
-        this.cost += LEARN_WEIGHT * (cost - this.cost);
+        // The first few answers count as much as each other, so that the assumed figures are soon forgotten.
+        const weight = Math.max(LEARN_WEIGHT, 1 / ++this.completions);
+        this.serviceMs += weight * (heldMs - this.serviceMs);
+        this.cost += weight * (cost - this.cost);
         if (completion.firstTokenMs === undefined) return;
-        this.firstTokenMean += LEARN_WEIGHT * (completion.firstTokenMs - this.firstTokenMean);
+        this.firstTokenMean += weight * (completion.firstTokenMs - this.firstTokenMean);
     }
 
     /**
--- a/src/purchase/coverPurchase/index.ts
+++ b/src/purchase/coverPurchase/index.ts
@@ -24,7 +24,8 @@
     readonly steadyShare: number;
     /** A surplus must last this long before anything is stopped, in milliseconds. */
     readonly holdMs: number;
-    readonly slotsPerUpstream: number;
+    /** Assumed of a pool while none of its upstreams has been seen. */
+    readonly defaultSlots: number;
 }
 
 /** A quarter above the forecast, and the two top tiers safe from one zone's reclaim. */
@@ -35,7 +36,7 @@
     topHeadroom: 1.25,
     steadyShare: 0.25,
     holdMs: 120_000,
-    slotsPerUpstream: 16,
+    defaultSlots: 16,
 };
 
 const HOUR_MS = 3_600_000;
@@ -95,7 +96,8 @@
         headroom: number,
         lowerShare: number,
     ): Mix {
-        const { topTier, topHeadroom, steadyShare, slotsPerUpstream } = this.settings;
+        const { topTier, topHeadroom, steadyShare, defaultSlots } = this.settings;
+        const slotsPerUpstream = meanSlots(pool, snapshot) ?? defaultSlots;
         const demand = snapshot.demand.filter(item => item.pool === pool);
         const top = sumSlots(demand.filter(item => item.tier <= topTier));
         const lower = sumSlots(demand.filter(item => item.tier > topTier)) * lowerShare;
@@ -159,6 +161,11 @@
     return snapshot.pending.filter(other => isSameKind(kind, other)).reduce((sum, other) => sum + other.count, 0);
 }
 
+function meanSlots(pool: PoolId, snapshot: PurchaseSnapshot): number | undefined {
+    const owned = snapshot.owned.filter(other => other.pool === pool);
+    return owned.length === 0 ? undefined : sumSlots(owned) / owned.length;
+}
+
 function isSameKind(a: Kind, b: Kind): boolean {
     return a.pool === b.pool && a.zone === b.zone && a.reclaimable === b.reclaimable;
 }
