--- a/src/bench/policy/engineFake/index.ts
+++ b/src/bench/policy/engineFake/index.ts
@@ -58,7 +58,7 @@
 }
 
 /** Tokens that one event of the fake makes for each request: coarse, to keep the bench quick. */
-const STEP_TOKENS = 4;
+export const STEP_TOKENS = 4;
 
 /**
  * An engine in memory: continuous batching in slots, priorities among what queues in front of them, a prefix cache of
--- a/src/dispatch/admission/index.ts
+++ b/src/dispatch/admission/index.ts
@@ -31,12 +31,12 @@
 export interface AdmissionMargins {
     /** A new ticket is refused when its predicted time is more than this share of its target. */
     readonly newShare: number;
-    /** A waiting ticket has queued for a while already: it is shed only for a clearer miss. */
+    /** A waiting ticket has queued for a while already: it is shed only when it will miss. */
     readonly waitingShare: number;
 }
 
 /** A mean wait is refused at nine tenths of the target, since half of the real ones are longer. */
-export const DEFAULT_ADMISSION_MARGINS: AdmissionMargins = { newShare: 0.9, waitingShare: 1.1 };
+export const DEFAULT_ADMISSION_MARGINS: AdmissionMargins = { newShare: 0.9, waitingShare: 1 };
 
 /** Refuses what would miss its target: an early refusal lets the caller go elsewhere, and the slot serves another. */
 export class PredictedWaitAdmission extends AdmissionPolicy {
--- a/src/dispatch/outlook/index.ts
+++ b/src/dispatch/outlook/index.ts
@@ -6,6 +6,8 @@
 const DEFAULT_COST = 100;
 const DEFAULT_FIRST_TOKEN_MS = 100;
 const LEARN_WEIGHT = 0.05;
+/** Mean deviations above the mean that nine in ten stay under. */
+const CAUTION = 1.6;
 /** Over this time arrivals are averaged, in milliseconds. */
 const ARRIVAL_MEMORY_MS = 5_000;
 /** The least share of the pool counted on for a tier that higher ones would fill. */
@@ -17,12 +19,13 @@
     private cost = DEFAULT_COST;
     private firstTokenMean = DEFAULT_FIRST_TOKEN_MS;
     private completions = 0;
+    private firstTokenDeviation = 0;
     private readonly arrivals: number[] = [];
     private arrivedAt = 0;
 
-    /** From sending to the first token, as a rule, in milliseconds. */
+    /** From sending to the first token, in milliseconds: what nine in ten stay under. */
     get firstTokenMs(): number {
-        return this.firstTokenMean;
+        return this.firstTokenMean + CAUTION * this.firstTokenDeviation;
     }
 
     /** How long a request holds its slot on average, in milliseconds. */
@@ -50,7 +53,9 @@
         this.serviceMs += weight * (heldMs - this.serviceMs);
         this.cost += weight * (cost - this.cost);
         if (completion.firstTokenMs === undefined) return;
-        this.firstTokenMean += weight * (completion.firstTokenMs - this.firstTokenMean);
+        const difference = completion.firstTokenMs - this.firstTokenMean;
+        this.firstTokenMean += weight * difference;
+        this.firstTokenDeviation += weight * (Math.abs(difference) - this.firstTokenDeviation);
     }
 
     /**
