--- a/src/dispatch/outlook/index.ts
+++ b/src/dispatch/outlook/index.ts
@@ -1,3 +1,4 @@
+import { ArrivalRates } from "../arrivals/index.js";
 import { Completion } from "../ticket/index.js";
 import { WaitingTicket } from "../waiting/index.js";
 
@@ -8,11 +9,23 @@
 const LEARN_WEIGHT = 0.05;
 /** Mean deviations above the mean that nine in ten stay under. */
 const CAUTION = 1.6;
-/** Over this time arrivals are averaged, in milliseconds. */
-const ARRIVAL_MEMORY_MS = 5_000;
+/** Over these times arrivals are averaged, in milliseconds: for what comes now, and for what comes as a rule. */
+const RECENT_MS = 5_000;
+const USUAL_MS = 120_000;
+/** A burst is when the tiers above bring this share of what the pool can do. */
+const BURST_LOAD = 0.9;
+/** How much longer a burst may last, as a share of how long it has lasted, for patient work to wait for its end. */
+const BURST_PATIENCE = 0.25;
 /** The least share of the pool counted on for a tier that higher ones would fill. */
 const LEAST_RESIDUAL = 0.02;
 
+interface Burst {
+    /** Monotonic time, in milliseconds. */
+    readonly since: number;
+    /** Tokens of cost in a millisecond. */
+    readonly usualAbove: number;
+}
+
 /** The learned speed of a pool: how long requests hold a slot, and how much work each tier brings. */
 export class PoolOutlook {
     private serviceMs = DEFAULT_SERVICE_MS;
@@ -20,8 +33,9 @@
     private firstTokenMean = DEFAULT_FIRST_TOKEN_MS;
     private completions = 0;
     private firstTokenDeviation = 0;
-    private readonly arrivals: number[] = [];
-    private arrivedAt = 0;
+    private readonly recent = new ArrivalRates(RECENT_MS);
+    private readonly usual = new ArrivalRates(USUAL_MS);
+    private readonly bursts = new Map<number, Burst>();
 
     /** From sending to the first token, in milliseconds: what nine in ten stay under. */
     get firstTokenMs(): number {
@@ -40,10 +54,8 @@
 
     /** Counts the work that a new ticket brings. */
     learnArrival(waiting: WaitingTicket, now: number): void {
-        this.fade(now);
-        const { tier } = waiting.ticket;
-        while (this.arrivals.length <= tier) this.arrivals.push(0);
-        this.arrivals[tier] += waiting.cost / ARRIVAL_MEMORY_MS;
+        this.recent.add(waiting.ticket.tier, waiting.cost, now);
+        this.usual.add(waiting.ticket.tier, waiting.cost, now);
     }
 
     /** Learns from an answered request how long it held its slot and what it cost. */
@@ -68,21 +80,36 @@
     }
 
     /**
-     * How fast the pool works off what a tier brings, after what the tiers above it will bring meanwhile.
+     * How long a tier's work will probably wait for what is before it, with what the tiers above bring meanwhile.
+     *
+     * While the tiers above bring more than the pool can do, nothing below is served, and a prediction from that rate
+     * alone would refuse a patient class as soon as a burst begins. Of bursts that have lasted for some time, about one
+     * in five ends within a quarter of that time; after it the pool has what the longer average leaves. A patient ticket
+     * takes that chance, since its waiting costs nobody a slot.
      *
+     * @param costAhead - The predicted cost of what will be granted before, in tokens.
      * @param slots - The pool's usable slots.
-     * @returns Tokens of cost in a millisecond.
+     * @returns Milliseconds.
      */
-    drainRate(tier: number, slots: number, now: number): number {
-        this.fade(now);
+    predictWaitMs(tier: number, costAhead: number, slots: number, now: number): number {
         const all = Math.max(1, slots) * this.cost / this.serviceMs;
-        const above = this.arrivals.slice(0, tier).reduce((sum, rate) => sum + rate, 0);
-        return Math.max(LEAST_RESIDUAL * all, all - above);
+        const least = LEAST_RESIDUAL * all;
+        const above = this.recent.above(tier, now);
+        const waitMs = costAhead / Math.max(least, all - above);
+        const burst = this.followBurst(tier, above > BURST_LOAD * all, now);
+        if (!burst) return waitMs;
+        const patientMs = BURST_PATIENCE * (now - burst.since) + costAhead / Math.max(least, all - burst.usualAbove);
+        return Math.min(waitMs, patientMs);
     }
 
-    private fade(now: number): void {
-        const kept = Math.exp((this.arrivedAt - now) / ARRIVAL_MEMORY_MS);
-        this.arrivedAt = now;
-        for (let tier = 0; tier < this.arrivals.length; tier++) this.arrivals[tier] *= kept;
+    /** Keeps since when the tiers above one have brought more than the pool can do, and what they brought before. */
+    private followBurst(tier: number, isBurst: boolean, now: number): Burst | undefined {
+        if (!isBurst) {
+            this.bursts.delete(tier);
+            return undefined;
+        }
+        const burst = this.bursts.get(tier) ?? { since: now, usualAbove: this.usual.above(tier, now) };
+        this.bursts.set(tier, burst);
+        return burst;
     }
 }
--- a/src/dispatch/poolQueue/index.ts
+++ b/src/dispatch/poolQueue/index.ts
@@ -276,8 +276,8 @@
         if (members.freeSlots > 0 && costAhead === 0) return 0;
         if (this.canPreemptFor(waiting, costAhead)) return PREEMPTION_MS;
         const slots = members.usableSlots;
-        const rate = this.outlook.drainRate(waiting.ticket.tier, slots, clock.monotonic());
-        return this.outlook.releaseMs(slots) + costAhead / rate;
+        const { tier } = waiting.ticket;
+        return this.outlook.releaseMs(slots) + this.outlook.predictWaitMs(tier, costAhead, slots, clock.monotonic());
     }
 
     private canPreemptFor(waiting: WaitingTicket, costAhead: number): boolean {
--- a/src/dispatch/prospects/index.ts
+++ b/src/dispatch/prospects/index.ts
@@ -31,10 +31,11 @@
     let aboveCost = 0;
     for (const tier of groupByTier(tickets)) {
         const weights = sumWeights(tier);
-        const rate = context.outlook.drainRate(tier[0].ticket.tier, context.usableSlots, context.now);
         const ahead: Ahead = { cost: 0, byWorkspace: new Map() };
         for (const waiting of tier) {
-            const waitMs = (aboveCost + costBefore(waiting, ahead, weights)) / rate;
+            const costAhead = aboveCost + costBefore(waiting, ahead, weights);
+            const { outlook, usableSlots, now } = context;
+            const waitMs = outlook.predictWaitMs(waiting.ticket.tier, costAhead, usableSlots, now);
             if (!isKept(waiting, waitMs)) continue;
             ahead.cost += waiting.cost;
             const { workspace } = waiting.ticket;
