--- a/src/dispatch/poolQueue/index.ts
+++ b/src/dispatch/poolQueue/index.ts
@@ -181,8 +181,12 @@
     /** What time alone brings: expiry, shedding, preemption, stragglers, back-off ends. */
     tick(): void {
         const { members, observer } = this.options;
-        for (const load of this.stragglers.review(members.all)) observer.ejected(load.upstream.id);
+        const ejected = this.stragglers.review(members.all, this.options.clock.monotonic());
         members.refreshAll();
+        for (const load of ejected) {
+            observer.ejected(load.upstream.id);
+            this.moveAway(load);
+        }
         this.updateConcurrency();
         this.shed();
         this.preemptForThoseAtRisk();
@@ -244,7 +248,10 @@
         const known = holders.filter((load): load is UpstreamLoad => load !== undefined && members.isFree(load));
         const all = [...new Set([...sampled, ...known])];
         const untried = all.filter(load => !ticket.avoid.includes(load.upstream.id));
-        const candidates = untried.length > 0 ? untried : all;
+        const wanted = untried.length > 0 ? untried : all;
+        // A probe of a straggler will probably be slow: the top tier takes it only when there is nothing else.
+        const healthy = ticket.tier === 0 ? wanted.filter(load => !load.ejected) : wanted;
+        const candidates = healthy.length > 0 ? healthy : wanted;
         if (candidates.length === 0) return undefined;
         const { promptTokens } = ticket;
         const request = {
@@ -313,6 +320,18 @@
         }
     }
 
+    /** Lets what runs on a straggler go on elsewhere, as far as slots are free there: the highest tier first. */
+    private moveAway(load: UpstreamLoad): void {
+        let room = this.options.members.freeSlots - this.waiters.size;
+        for (const running of this.running.movable()) {
+            if (room <= 0) return;
+            if (running.load !== load) continue;
+            room--;
+            this.running.markMoving(running);
+            this.options.preempt(running.waiting.ticket.request);
+        }
+    }
+
     private shed(): void {
         if (this.waiters.size === 0) return;
         const now = this.options.clock.monotonic();
--- a/src/dispatch/running/index.ts
+++ b/src/dispatch/running/index.ts
@@ -66,6 +66,16 @@
         this.resumableOf(running.waiting.ticket.tier).delete(running);
     }
 
+    /** Marks one as asked to go on elsewhere: its place comes free, but not on an upstream that counts. */
+    markMoving(running: RunningRequest): void {
+        this.resumableOf(running.waiting.ticket.tier).delete(running);
+    }
+
+    /** Those that could go on elsewhere, the highest tier first. */
+    *movable(): Iterable<RunningRequest> {
+        for (const set of this.resumable) yield* [...set];
+    }
+
     /** How many below a tier could give their place. */
     countPreemptible(tier: number): number {
         return this.resumable.slice(tier + 1).reduce((sum, set) => sum + set.size, 0);
--- a/src/upstream/load/index.ts
+++ b/src/upstream/load/index.ts
@@ -26,13 +26,17 @@
     private paces = 0;
     private failures = 0;
     private closedUntil = 0;
-    /** Ejected as a straggler: gets single probes only. */
-    ejected = false;
-    /** Monotonic time of the last probe of an ejected upstream, in milliseconds. */
-    probedAt = 0;
+    private isEjected = false;
+    private probedAt = 0;
+    private failedProbes = 0;
 
     constructor(readonly upstream: Upstream) {}
 
+    /** Whether it is out as a straggler and gets single probes only. */
+    get ejected(): boolean {
+        return this.isEjected;
+    }
+
     /** How many requests of this process run there. */
     get ownOutstanding(): number {
         return this.own;
@@ -60,20 +64,20 @@
      */
     freeSlots(now: number): number {
         if (!this.upstream.isGrantable || now < this.closedUntil) return 0;
-        if (this.ejected) return this.own === 0 && this.isProbeDue(now) ? 1 : 0;
+        if (this.isEjected) return this.own === 0 && this.isProbeDue(now) ? 1 : 0;
         return Math.max(0, this.upstream.slots - this.outstanding);
     }
 
     /** How many requests of ours it can run at once, busy or not. */
     usableSlots(now: number): number {
-        if (!this.upstream.isGrantable || now < this.closedUntil || this.ejected) return 0;
+        if (!this.upstream.isGrantable || now < this.closedUntil || this.isEjected) return 0;
         return Math.max(0, this.upstream.slots - this.foreign());
     }
 
     /** A request was sent. */
     markSent(now: number): void {
         this.own++;
-        if (this.ejected) this.probedAt = now;
+        if (this.isEjected) this.probedAt = now;
         this.remember(now);
     }
 
@@ -102,14 +106,27 @@
         this.paceMs = this.paceMs === undefined ? tokenMs : this.paceMs + PACE_WEIGHT * (tokenMs - this.paceMs);
     }
 
-    /** Starts the pace anew, as for a probe of an ejected upstream. */
-    forgetPace(): void {
+    /** Takes it out as a straggler, or once more after a probe that was slow: the next probe waits twice as long. */
+    eject(now: number): void {
+        this.failedProbes = this.isEjected ? this.failedProbes + 1 : 0;
+        this.isEjected = true;
+        this.probedAt = now;
+        this.forgetPace();
+    }
+
+    /** Takes it back: it gets its full share again. */
+    restore(): void {
+        this.isEjected = false;
+        this.forgetPace();
+    }
+
+    private forgetPace(): void {
         this.paceMs = undefined;
         this.paces = 0;
     }
 
     private isProbeDue(now: number): boolean {
-        return now - this.probedAt >= PROBE_EVERY_MS;
+        return now - this.probedAt >= Math.min(PROBE_MOST_MS, PROBE_EVERY_MS * 2 ** this.failedProbes);
     }
 
     private foreign(): number {
@@ -141,6 +158,7 @@
 
 /** How far a request's flight can shift it against a report, in milliseconds. */
 const FLIGHT_MS = 20;
-/** How often an ejected upstream gets one request to show its pace, in milliseconds. */
-export const PROBE_EVERY_MS = 2_000;
+/** How soon an ejected upstream gets one request to show its pace, at first and at the latest, in milliseconds. */
+const PROBE_EVERY_MS = 2_000;
+const PROBE_MOST_MS = 60_000;
 const HISTORY_TRIM = 256;
--- a/src/upstream/stragglers/index.ts
+++ b/src/upstream/stragglers/index.ts
@@ -35,11 +35,12 @@
 /** Finds slow upstreams. */
 export abstract class StragglerPolicy {
     /**
-     * Ejects members and takes them back, by their `ejected` mark.
+     * Ejects members and takes them back.
      *
-     * @returns The members ejected just now.
+     * @param now - Monotonic time, in milliseconds.
+     * @returns The members whose work should go on elsewhere: ejected just now, or still slow after a probe.
      */
-    abstract review(loads: readonly UpstreamLoad[]): readonly UpstreamLoad[];
+    abstract review(loads: readonly UpstreamLoad[], now: number): readonly UpstreamLoad[];
 }
 
 /** Baseline: leaves every upstream in. */
@@ -58,21 +59,18 @@
         super();
     }
 
-    review(loads: readonly UpstreamLoad[]): readonly UpstreamLoad[] {
+    review(loads: readonly UpstreamLoad[], now: number): readonly UpstreamLoad[] {
         const median = medianTokenMs(loads);
         if (median === undefined) return [];
         const grantable = loads.filter(load => load.upstream.isGrantable);
         const ejected = grantable.filter(load => load.ejected);
-        for (const load of ejected) this.takeBackIfHealthy(load, median);
+        const stillSlow = ejected.filter(load => this.hasFailedProbe(load, median, now));
         const room = Math.floor(grantable.length * this.bounds.mostShare)
             - grantable.filter(load => load.ejected).length;
         const slow = grantable.filter(load => this.isSlow(load, median)).sort((a, b) => b.tokenMs! - a.tokenMs!);
-        const now = slow.slice(0, Math.max(0, room));
-        for (const load of now) {
-            load.ejected = true;
-            load.forgetPace();
-        }
-        return now;
+        const newlyEjected = slow.slice(0, Math.max(0, room));
+        for (const load of newlyEjected) load.eject(now);
+        return [...newlyEjected, ...stillSlow];
     }
 
     private isSlow(load: UpstreamLoad, median: number): boolean {
@@ -80,9 +78,11 @@
         return load.tokenMs > this.bounds.ejectFactor * median;
     }
 
-    private takeBackIfHealthy(load: UpstreamLoad, median: number): void {
-        if (load.tokenMs === undefined) return;
-        if (load.tokenMs <= this.bounds.restoreFactor * median) load.ejected = false;
-        load.forgetPace();
+    /** Takes a member back when its probe was quick enough. */
+    private hasFailedProbe(load: UpstreamLoad, median: number, now: number): boolean {
+        if (load.tokenMs === undefined) return false;
+        if (load.tokenMs <= this.bounds.restoreFactor * median) load.restore();
+        else load.eject(now);
+        return load.ejected;
     }
 }
