--- a/src/dispatch/localDispatcher/index.ts
+++ b/src/dispatch/localDispatcher/index.ts
@@ -1,5 +1,5 @@
 import { Either } from "purify-ts";
-import { PoolId, RequestId, ZoneId } from "../../ids/index.js";
+import { HostId, PoolId, RequestId, ZoneId } from "../../ids/index.js";
 import { Clock, Random, Timer } from "../../ports/index.js";
 import { PoolMembers, PrefixIndex, Upstream, UpstreamRegistry } from "../../upstream/index.js";
 import { Dispatcher } from "../dispatcher/index.js";
@@ -86,6 +86,11 @@
         this.armTimer();
     }
 
+    /** Frees what an entry that is lost had been granted, and drops its waiting tickets. */
+    forgetEntry(host: HostId): void {
+        for (const queue of this.queues.values()) queue.forgetEntry(host);
+    }
+
     /** How many tickets wait in a pool's queue. */
     countWaiting(pool: PoolId): number {
         return this.queues.get(pool)?.waitingCount ?? 0;
--- a/src/dispatch/poolQueue/index.ts
+++ b/src/dispatch/poolQueue/index.ts
@@ -1,26 +1,20 @@
 import PQueue from "p-queue";
 import { Either, Left, Right } from "purify-ts";
-import { PoolId, RequestId, ZoneId } from "../../ids/index.js";
+import { HostId, PoolId, RequestId, ZoneId } from "../../ids/index.js";
 import { Clock, Random } from "../../ports/index.js";
-import {
-    PoolMembers,
-    PrefixIndex,
-    StragglerPolicy,
-    Upstream,
-    UpstreamChoice,
-    UpstreamLoad,
-} from "../../upstream/index.js";
+import { PoolMembers, PrefixIndex, StragglerPolicy, Upstream, UpstreamLoad } from "../../upstream/index.js";
 import { AdmissionPolicy } from "../admission/index.js";
 import { LengthEstimator } from "../lengths/index.js";
 import { DispatchObserver } from "../observer/index.js";
 import { OrderContext, OrderPolicy } from "../order/index.js";
 import { PoolOutlook } from "../outlook/index.js";
 import { DispatchPolicies } from "../policies/index.js";
-import { PreemptionPolicy } from "../preemption/index.js";
+import { Preempter } from "../preempter/index.js";
 import { walkProspects } from "../prospects/index.js";
 import { RunningRequest, RunningSet } from "../running/index.js";
 import { Completion, Grant, Refusal, RefusalReason, Ticket } from "../ticket/index.js";
 import { TicketQueue, TicketQueueOptions } from "../ticketQueue/index.js";
+import { UpstreamPicker } from "../upstreamPicker/index.js";
 import { costInTokens, makeWaitingTicket, WaitingTicket } from "../waiting/index.js";
 
 /** What a pool's queue works with. */
@@ -52,11 +46,8 @@
 const PREEMPTION_MS = 50;
 const RETRY_LEAST_MS = 100;
 const RETRY_MOST_MS = 60_000;
-const MOST_CANDIDATES = 32;
 /** Tokens between two looks at a running request's pace. */
 const PACE_TOKENS = 8;
-/** Waiting tickets looked at for preemption in one tick. */
-const MOST_AT_RISK = 64;
 
 /**
  * The queue of one pool. p-queue runs one task for each granted request, from the grant to its completion; its
@@ -65,9 +56,9 @@
 export class PoolQueue {
     private readonly order: OrderPolicy;
     private readonly admission: AdmissionPolicy;
-    private readonly preemption: PreemptionPolicy;
+    private readonly preempter: Preempter;
     private readonly stragglers: StragglerPolicy;
-    private readonly choice: UpstreamChoice;
+    private readonly picker: UpstreamPicker;
     private readonly tickets: TicketQueue;
     private readonly queue: PQueue<TicketQueue, TicketQueueOptions>;
     private readonly waiters = new Map<WaitingTicket, Waiter>();
@@ -80,9 +71,14 @@
         const { policies, random, prefixes } = options;
         this.order = policies.createOrder();
         this.admission = policies.createAdmission();
-        this.preemption = policies.createPreemption();
+        this.preempter = new Preempter({
+            ...options,
+            policy: policies.createPreemption(),
+            running: this.running,
+            outlook: this.outlook,
+        });
         this.stragglers = policies.createStragglers();
-        this.choice = policies.createChoice({ random, prefixes });
+        this.picker = new UpstreamPicker({ ...options, choice: policies.createChoice({ random, prefixes }) });
         const tickets = new TicketQueue(this.order, () => this.readOrderContext());
         this.tickets = tickets;
         // p-queue makes its queue itself and passes no arguments.
@@ -125,7 +121,7 @@
             const stopListening = (): void => signal.removeEventListener("abort", onAbort);
             this.waiters.set(waiting, { settle: resolve, stopListening });
             this.enqueue(waiting);
-            if (this.waiters.has(waiting)) this.preemptFor(waiting, this.ticketsAhead(waiting));
+            if (this.waiters.has(waiting)) this.preempter.consider(waiting, this.order.costAhead(waiting));
         });
     }
 
@@ -172,6 +168,23 @@
         this.updateConcurrency();
     }
 
+    /**
+     * Ends all that an entry asked for: it is lost and will never complete its grants, which would hold their slots for
+     * ever, and the pool would shrink with each host that fails.
+     */
+    forgetEntry(host: HostId): void {
+        for (const waiting of [...this.waiters.keys()]) {
+            if (waiting.ticket.origin === host) this.refuseWaiting(waiting, "cancelled", 0, "the entry is lost");
+        }
+        for (const { waiting, load, tokens } of [...this.running.values()]) {
+            if (waiting.ticket.origin !== host) continue;
+            const { request, promptTokens } = waiting.ticket;
+            const upstream = load.upstream.id;
+            const usage = { promptTokens, cachedTokens: 0, completionTokens: tokens };
+            this.complete({ request, upstream, outcome: "cancelled", ...usage });
+        }
+    }
+
     /** Takes over a change that the registry told of. */
     updateUpstream(upstream: Upstream): void {
         this.options.members.update(upstream);
@@ -185,11 +198,11 @@
         members.refreshAll();
         for (const load of ejected) {
             observer.ejected(load.upstream.id);
-            this.moveAway(load);
+            this.preempter.moveAway(load, members.freeSlots - this.waiters.size);
         }
         this.updateConcurrency();
         this.shed();
-        this.preemptForThoseAtRisk();
+        if (this.waiters.size > 0) this.preempter.considerAll(this.order.highestTierFirst());
     }
 
     /** Refuses all that waits, as the process is about to stop: another entry takes the queue over. */
@@ -203,8 +216,8 @@
     }
 
     private start(waiting: WaitingTicket): Promise<void> {
-        const load = this.chooseUpstream(waiting);
-        if (!load) {
+        const choice = this.picker.pick(waiting);
+        if (!choice) {
             this.options.members.refreshAll();
             this.updateConcurrency();
             this.enqueue(waiting);
@@ -216,7 +229,7 @@
                 resolve();
             };
             this.heldSlots++;
-            this.grant(waiting, load.load, load.reason, release);
+            this.grant(waiting, choice.load, choice.reason, release);
         });
     }
 
@@ -240,30 +253,6 @@
         this.takeWaiter(waiting)?.settle(Right(grant));
     }
 
-    private chooseUpstream(waiting: WaitingTicket) {
-        const { ticket } = waiting;
-        const { members, random, prefixes, zone, pool } = this.options;
-        const sampled = members.candidates(MOST_CANDIDATES, random);
-        const holders = prefixes.likelyHolders(ticket.prefixes).map(id => members.get(id));
-        const known = holders.filter((load): load is UpstreamLoad => load !== undefined && members.isFree(load));
-        const all = [...new Set([...sampled, ...known])];
-        const untried = all.filter(load => !ticket.avoid.includes(load.upstream.id));
-        const wanted = untried.length > 0 ? untried : all;
-        // A probe of a straggler will probably be slow: the top tier takes it only when there is nothing else.
-        const healthy = ticket.tier === 0 ? wanted.filter(load => !load.ejected) : wanted;
-        const candidates = healthy.length > 0 ? healthy : wanted;
-        if (candidates.length === 0) return undefined;
-        const { promptTokens } = ticket;
-        const request = {
-            pool,
-            prefixes: ticket.prefixes,
-            promptTokens,
-            predictedTokens: waiting.predictedTokens,
-            zone,
-        };
-        return this.choice.choose(candidates, request);
-    }
-
     private judge(waiting: WaitingTicket): Refusal | undefined {
         const now = this.options.clock.monotonic();
         if (this.options.members.usableSlots === 0) {
@@ -281,57 +270,12 @@
         const { members, clock } = this.options;
         const costAhead = this.order.costAhead(waiting);
         if (members.freeSlots > 0 && costAhead === 0) return 0;
-        if (this.canPreemptFor(waiting, costAhead)) return PREEMPTION_MS;
+        if (this.preempter.canServe(waiting, costAhead)) return PREEMPTION_MS;
         const slots = members.usableSlots;
         const { tier } = waiting.ticket;
         return this.outlook.releaseMs(slots) + this.outlook.predictWaitMs(tier, costAhead, slots, clock.monotonic());
     }
 
-    private canPreemptFor(waiting: WaitingTicket, costAhead: number): boolean {
-        if (!this.preemption.isEnabled) return false;
-        const needed = costAhead / this.outlook.meanCost + 1 - this.running.pendingPreemptions;
-        return this.running.countPreemptible(waiting.ticket.tier) >= Math.max(1, needed);
-    }
-
-    private ticketsAhead(waiting: WaitingTicket): number {
-        return this.order.costAhead(waiting) / this.outlook.meanCost;
-    }
-
-    private preemptFor(waiting: WaitingTicket, ahead: number): void {
-        const { tier } = waiting.ticket;
-        const isCovered = this.running.pendingPreemptions > ahead;
-        if (!this.preemption.isEnabled || isCovered || this.running.countPreemptible(tier) === 0) return;
-        const waitMs = (ahead + 1) * this.outlook.releaseMs(this.options.members.usableSlots);
-        const now = this.options.clock.monotonic();
-        const context = { now, waitMs, firstTokenMs: this.outlook.firstTokenMs };
-        const victim = this.preemption.pickVictim(waiting, this.running, context);
-        if (!victim) return;
-        this.running.markPreempted(victim);
-        this.options.observer.preempted(victim.waiting, waiting);
-        this.options.preempt(victim.waiting.ticket.request);
-    }
-
-    private preemptForThoseAtRisk(): void {
-        if (!this.preemption.isEnabled || this.waiters.size === 0) return;
-        let ahead = 0;
-        for (const waiting of this.order.highestTierFirst()) {
-            if (ahead >= MOST_AT_RISK || this.running.countPreemptible(waiting.ticket.tier) === 0) return;
-            this.preemptFor(waiting, ahead++);
-        }
-    }
-
-    /** Lets what runs on a straggler go on elsewhere, as far as slots are free there: the highest tier first. */
-    private moveAway(load: UpstreamLoad): void {
-        let room = this.options.members.freeSlots - this.waiters.size;
-        for (const running of this.running.movable()) {
-            if (room <= 0) return;
-            if (running.load !== load) continue;
-            room--;
-            this.running.markMoving(running);
-            this.options.preempt(running.waiting.ticket.request);
-        }
-    }
-
     private shed(): void {
         if (this.waiters.size === 0) return;
         const now = this.options.clock.monotonic();
--- /dev/null
+++ b/src/dispatch/upstreamPicker/index.ts
@@ -0,0 +1,58 @@
+import { PoolId, ZoneId } from "../../ids/index.js";
+import { Random } from "../../ports/index.js";
+import { Choice, PoolMembers, PrefixIndex, UpstreamChoice, UpstreamLoad } from "../../upstream/index.js";
+import { Ticket } from "../ticket/index.js";
+import { WaitingTicket } from "../waiting/index.js";
+
+/** What the pick is made from. */
+export interface UpstreamPickerOptions {
+    readonly pool: PoolId;
+    readonly zone: ZoneId;
+    readonly members: PoolMembers;
+    readonly prefixes: PrefixIndex;
+    readonly random: Random;
+    readonly choice: UpstreamChoice;
+}
+
+/** A larger pool is sampled, and those that hold the prompt's prefixes are added. */
+const MOST_CANDIDATES = 32;
+
+/** Finds the candidates for a ticket and lets the choice policy pick one. */
+export class UpstreamPicker {
+    constructor(private readonly options: UpstreamPickerOptions) {}
+
+    /** The upstream for a ticket; undefined when none has a free slot. */
+    pick(waiting: WaitingTicket): Choice | undefined {
+        const { ticket, predictedTokens } = waiting;
+        const { pool, zone, choice } = this.options;
+        const candidates = this.narrow(ticket, this.findFree(ticket));
+        if (candidates.length === 0) return undefined;
+        const { prefixes, promptTokens } = ticket;
+        return choice.choose(candidates, { pool, prefixes, promptTokens, predictedTokens, zone });
+    }
+
+    private findFree(ticket: Ticket): readonly UpstreamLoad[] {
+        const { members, prefixes, random } = this.options;
+        const found = new Set(members.candidates(MOST_CANDIDATES, random));
+        for (const id of prefixes.likelyHolders(ticket.prefixes)) {
+            const load = members.get(id);
+            if (load && members.isFree(load)) found.add(load);
+        }
+        return [...found];
+    }
+
+    private narrow(ticket: Ticket, free: readonly UpstreamLoad[]): readonly UpstreamLoad[] {
+        const untried = preferring(free, load => !ticket.avoid.includes(load.upstream.id));
+        // A probe of a straggler will probably be slow: the top tier takes it only when there is nothing else.
+        return ticket.tier === 0 ? preferring(untried, load => !load.ejected) : untried;
+    }
+}
+
+/** Those that are as wished, or all when none is. */
+function preferring(
+    loads: readonly UpstreamLoad[],
+    isWished: (load: UpstreamLoad) => boolean,
+): readonly UpstreamLoad[] {
+    const wished = loads.filter(isWished);
+    return wished.length > 0 ? wished : loads;
+}
