--- a/src/dispatch/localDispatcher/index.ts
+++ b/src/dispatch/localDispatcher/index.ts
@@ -1,5 +1,5 @@
 import { Either } from "purify-ts";
-import { PoolId, RequestId, ZoneId } from "../../ids/index.js";
+import { HostId, PoolId, RequestId, ZoneId } from "../../ids/index.js";
 import { Clock, Random, Timer } from "../../ports/index.js";
 import { PoolMembers, PrefixIndex, Upstream, UpstreamRegistry } from "../../upstream/index.js";
 import { Dispatcher } from "../dispatcher/index.js";
@@ -90,6 +90,9 @@
     /** The tickets that wait in all queues, in no order. */
     listWaiting(): WaitingTicket[] {
         return [...this.queues.values()].flatMap(queue => queue.listWaiting());
+    /** Frees what an entry that is lost had been granted, and drops its waiting tickets. */
+    forgetEntry(host: HostId): void {
+        for (const queue of this.queues.values()) queue.forgetEntry(host);
     }
 
     /** How many tickets wait in a pool's queue. */
