--- a/src/faultInjection/replicaFleet/index.ts
+++ b/src/faultInjection/replicaFleet/index.ts
@@ -7,7 +7,7 @@
 
 const PORT = 7000;
 /** Small, so that a short run rolls segments and sends snapshots. */
-const FLEET_TIMING: LogTiming = {
+export const FLEET_TIMING: LogTiming = {
     ...DEFAULT_LOG_TIMING,
     snapshotEntries: 40,
     trailingEntries: 5,
@@ -15,7 +15,9 @@
 };
 /** Below the drift that the lease allows for. */
 const MOST_DRIFT = 0.009;
-const LOOK_MS = 10;
+/** How long a fleet without faults may take to recover. */
+const SETTLE_MS = 120_000;
+const LOOK_MS = 20;
 
 /** One host: its disk lasts, its processes come and go. */
 export interface FleetHost {
@@ -57,8 +59,7 @@
         for (const name of founders) this.addHost(name);
     }
 
-    addHost(name: string): FleetHost {
-        const clockRate = 1 + this.random.between(-MOST_DRIFT, MOST_DRIFT);
+    addHost(name: string, clockRate = 1 + this.random.between(-MOST_DRIFT, MOST_DRIFT)): FleetHost {
         const host = { name: name as HostId, disk: new MemoryDisk(this.clock), clockRate, process: undefined };
         this.hosts.set(name, host);
         return host;
@@ -126,11 +127,49 @@
     }
 
     /** Proposes a new command; notes it when it is accepted. */
-    propose(process: FleetProcess): void {
-        const command = `command-${this.nextCommand++}`;
+    propose(process: FleetProcess, padding = ""): void {
+        const command = `command-${this.nextCommand++}${padding}`;
         void process.log.propose(command).then(result => result.ifRight(() => this.acked.add(command)));
     }
 
+    /** Proposes to the holder, and lets time pass until all is accepted. */
+    async proposeMany(count: number, padding = ""): Promise<void> {
+        const wanted = this.acked.size + count;
+        for (let done = 0; done < count; done++) this.propose(this.holder()!.process!, padding);
+        await this.passUntil(() => this.acked.size >= wanted);
+    }
+
+    /** Ends cuts, freezes, and what ails the disks. Hosts that are down stay so. */
+    endFaults(): void {
+        this.healAll();
+        this.thawAll();
+        this.mendDisks();
+    }
+
+    healAll(): void {
+        const names = [...this.hosts.keys()];
+        for (const name of names) this.fabric.isolate(name, names, false);
+    }
+
+    thawAll(): void {
+        for (const { host } of this.processes()) host.thaw();
+    }
+
+    mendDisks(): void {
+        for (const { disk } of this.hosts.values()) {
+            disk.syncMs = 0;
+            disk.capacity = Number.POSITIVE_INFINITY;
+        }
+    }
+
+    /** Lets time pass until all hosts are members, a new command is accepted, and all have applied the same; checks that. */
+    async converge(): Promise<void> {
+        await this.passUntil(() => this.isWhole());
+        await this.proposeMany(1);
+        await this.passUntil(() => new Set(this.processes().map(({ log }) => log.appliedIndex())).size === 1);
+        this.checkAlike();
+    }
+
     /** Lets time pass, looking at the invariants every few milliseconds. */
     async pass(ms: number): Promise<void> {
         const end = this.clock.monotonic() + ms;
@@ -141,7 +180,7 @@
     }
 
     /** Lets time pass until the condition holds. */
-    async passUntil(condition: () => boolean, limitMs: number): Promise<void> {
+    async passUntil(condition: () => boolean, limitMs = SETTLE_MS): Promise<void> {
         const end = this.clock.monotonic() + limitMs;
         while (!condition()) {
             if (this.clock.monotonic() >= end) throw new InvariantError(`no progress within ${limitMs} ms`);
@@ -163,8 +202,10 @@
         for (const other of others) {
             if (other.join() !== first.join()) throw new InvariantError("replicas applied different sequences");
         }
+        const counts = new Map<string, number>();
+        for (const command of first) counts.set(command, (counts.get(command) ?? 0) + 1);
         for (const command of this.acked) {
-            const times = first.filter(applied => applied === command).length;
+            const times = counts.get(command) ?? 0;
             if (times !== 1) throw new InvariantError(`${command} was accepted and is applied ${times} times`);
         }
     }
--- a/src/faultInjection/schedule/index.ts
+++ b/src/faultInjection/schedule/index.ts
@@ -12,8 +12,7 @@
 const FOUNDERS_OF_THREE = ["a", "b", "c"];
 const FOUNDERS_OF_FIVE = ["a", "b", "c", "d", "e"];
 const EXTRA_HOST = "x";
-const STEPS = 30;
-const SETTLE_MS = 120_000;
+const DEFAULT_STEPS = 30;
 const MOST_TORN_BYTES = 80;
 const MOST_SLOW_SYNC_MS = 1_500;
 
@@ -47,41 +46,32 @@
  * Runs one random schedule of faults against a fleet under load, then ends all faults and checks that the replicas agree.
  *
  * @param seed - Gives the same run each time.
+ * @param steps - How many faults.
  * @throws InvariantError when a promise of the control log is broken.
  * @example
  * const report = await runSchedule(42);
  */
-export async function runSchedule(seed: number): Promise<ScheduleReport> {
+export async function runSchedule(seed: number, steps = DEFAULT_STEPS): Promise<ScheduleReport> {
     const random = new SeededRandom(seed);
     const founders = random.next() < 0.7 ? FOUNDERS_OF_THREE : FOUNDERS_OF_FIVE;
     const run: Run = { fleet: new ReplicaFleet(random, founders), random };
     const { fleet } = run;
     await fleet.startAll();
-    if (random.next() < 0.8) await fleet.passUntil(() => fleet.isWhole(), SETTLE_MS);
-    for (let step = 0; step < STEPS; step++) {
+    if (random.next() < 0.8) await fleet.passUntil(() => fleet.isWhole());
+    for (let step = 0; step < steps; step++) {
         await random.pick(DRAW)(run);
         await passUnderLoad(run, random.between(50, 4_000));
     }
     await settle(run);
-    return { seed, faults: STEPS, accepted: fleet.acked.size, virtualMs: fleet.clock.monotonic() };
+    return { seed, faults: steps, accepted: fleet.acked.size, virtualMs: fleet.clock.monotonic() };
 }
 
-async function settle(run: Run): Promise<void> {
-    const { fleet } = run;
-    await healAll(run);
-    await thawAll(run);
-    await mendDisks(run);
+async function settle({ fleet }: Run): Promise<void> {
+    fleet.endFaults();
     for (const { name, process } of fleet.hosts.values()) {
         if (!process) await fleet.start(name);
     }
-    await fleet.passUntil(() => fleet.isWhole(), SETTLE_MS);
-    const before = fleet.acked.size;
-    fleet.propose(fleet.holder()!.process!);
-    await fleet.passUntil(() => fleet.acked.size > before, SETTLE_MS);
-    await fleet.passUntil(() => {
-        return new Set(fleet.processes().map(({ log }) => log.appliedIndex())).size === 1;
-    }, SETTLE_MS);
-    fleet.checkAlike();
+    await fleet.converge();
 }
 
 async function passUnderLoad({ fleet, random }: Run, ms: number): Promise<void> {
@@ -133,8 +123,7 @@
 }
 
 async function healAll({ fleet }: Run): Promise<void> {
-    const names = [...fleet.hosts.keys()];
-    for (const name of names) fleet.fabric.isolate(name, names, false);
+    fleet.healAll();
 }
 
 async function forgetConnections(run: Run): Promise<void> {
@@ -146,7 +135,7 @@
 }
 
 async function thawAll({ fleet }: Run): Promise<void> {
-    for (const { host } of fleet.processes()) host.thaw();
+    fleet.thawAll();
 }
 
 async function slowOneDisk(run: Run): Promise<void> {
@@ -160,18 +149,13 @@
 }
 
 async function mendDisks({ fleet }: Run): Promise<void> {
-    for (const { disk } of fleet.hosts.values()) {
-        disk.syncMs = 0;
-        disk.capacity = Number.POSITIVE_INFINITY;
-    }
+    fleet.mendDisks();
 }
 
 /** A disk is only lost while all others are whole: more than that no majority survives. */
 async function loseDiskThenAnotherHost(run: Run): Promise<void> {
     const { fleet, random } = run;
-    await healAll(run);
-    await thawAll(run);
-    await mendDisks(run);
+    fleet.endFaults();
     await passUnderLoad(run, 10_000);
     if (!fleet.isWhole()) return;
     const names = [...fleet.hosts.keys()];
@@ -179,7 +163,7 @@
     fleet.wipe(first);
     await passUnderLoad(run, random.between(0, 3_000));
     await fleet.start(first);
-    await fleet.passUntil(() => fleet.isWhole(), SETTLE_MS);
+    await fleet.passUntil(() => fleet.isWhole());
     const second = random.pick(names.filter(name => name !== first));
     if (random.next() < 0.5) fleet.wipe(second);
     else fleet.crash(second, random.integer(0, MOST_TORN_BYTES));
