--- a/src/bench/slopes/probes/dispatch/index.ts
+++ b/src/bench/slopes/probes/dispatch/index.ts
@@ -43,7 +43,9 @@
     const { dispatcher, clock } = makeDispatcher(1);
     const granted: Ticket[] = [];
     const submit = (ticket: Ticket): void => {
-        void dispatcher.submit(ticket, new AbortController().signal).then(decision => decision.ifRight(() => granted.push(ticket)));
+        void dispatcher.submit(ticket, new AbortController().signal).then(decision =>
+            decision.ifRight(() => granted.push(ticket))
+        );
     };
     for (let index = 0; index < SLOTS + waiting; index++) submit(makeTicket(index));
     await clock.advance(0);
--- a/src/dispatch/localDispatcher/index.ts
+++ b/src/dispatch/localDispatcher/index.ts
@@ -90,6 +90,8 @@
     /** The tickets that wait in all queues, in no order. */
     listWaiting(): WaitingTicket[] {
         return [...this.queues.values()].flatMap(queue => queue.listWaiting());
+    }
+
     /** Frees what an entry that is lost had been granted, and drops its waiting tickets. */
     forgetEntry(host: HostId): void {
         for (const queue of this.queues.values()) queue.forgetEntry(host);
