--- a/src/load/_lib/readError.ts
+++ b/src/load/_lib/readError.ts
@@ -1,6 +1,6 @@
 import { z } from "zod";
 import { findHeader, HeaderList } from "../../ports/index.js";
-import { REQUEST_HEADER } from "../../protocol/index.js";
+import { OUTCOME_HEADER, REQUEST_HEADER } from "../../protocol/index.js";
 import { Attempt } from "../outcome/index.js";
 
 const MS_PER_SECOND = 1_000;
@@ -21,11 +21,17 @@
  *
  * @param text - The body, or an event's data.
  * @param headers - The answer's headers.
- * @returns What the attempt came to; "lost" when the text is no such error.
+ * @returns What the attempt came to; "lost" when the text is no such error, unless the answer is the upstream's own.
  */
 export function readError(text: string, headers: HeaderList, tokenTimes: readonly number[] = []): Attempt {
     const parsed = errorBodySchema.safeParse(parseOrUndefined(text));
-    if (!parsed.success) return { verdict: "lost", reason: "malformed-error", tokenTimes };
+    if (!parsed.success) {
+        const request = findHeader(headers, REQUEST_HEADER);
+        const isUpstreamsOwn = findHeader(headers, OUTCOME_HEADER) === "answered";
+        return isUpstreamsOwn
+            ? { verdict: "failed", reason: "upstream-error", stated: "answered", request, tokenTimes }
+            : { verdict: "lost", reason: "malformed-error", request, tokenTimes };
+    }
     const { type, outcome, retry_after_ms, request } = parsed.data.error;
     return {
         verdict: outcome === "not-run" ? "refused" : "failed",
--- a/src/load/attainment/index.ts
+++ b/src/load/attainment/index.ts
@@ -29,6 +29,8 @@
     readonly left: number;
     readonly lost: number;
     readonly doubled: number;
+    /** Attempts beyond the first of each request. */
+    readonly repeats: number;
     /** From the first request to the last word, in milliseconds. */
     readonly durationMs: number;
     /** Tokens, and requests, a second that were answered within target. */
@@ -80,6 +82,7 @@
         trace: trace.header.name,
         sent: results.length,
         ...counts,
+        repeats: results.reduce((sum, result) => sum + result.attempts - 1, 0),
         durationMs,
         goodputTokens: good.reduce((sum, result) => sum + result.tokens, 0) / seconds,
         goodputRequests: good.length / seconds,
--- a/src/load/caller/index.ts
+++ b/src/load/caller/index.ts
@@ -14,16 +14,22 @@
     readonly retries: number;
     /** A caller does not wait longer than this to come back, in milliseconds. */
     readonly longestRetryWaitMs: number;
-    /** How often a call of a service is sent again, under the same idempotency key, after its answer was lost. */
+    /** How often a request whose answer was lost is sent again; a call of a service under the same idempotency key. */
     readonly resends: number;
+    /**
+     * Which chats are sent again after their connection broke: those that had no token yet, as client libraries do by
+     * themselves, or all of them, as a person would.
+     */
+    readonly chatResends: "before-first-token" | "always";
 }
 
-/** Callers that wait two minutes, take a refusal as their answer, and resend a lost call three times. */
+/** Callers that wait two minutes, take a refusal as their answer, and resend what was lost three times. */
 export const DEFAULT_CALLER: Omit<CallerConfig, "addresses"> = {
     timeoutMs: 120_000,
     retries: 0,
     longestRetryWaitMs: 10_000,
     resends: 3,
+    chatResends: "before-first-token",
 };
 
 /** What a caller runs on. */
@@ -75,14 +81,18 @@
         return { ...attempt, verdict, reason: verdict === "left" ? "left" : "timeout" };
     }
 
+    /** Whether a usual caller takes the answer for lost and asks again. */
+    private isResent(request: TraceRequest, attempt: Attempt): boolean {
+        if (attempt.verdict !== "lost") return false;
+        if (request.kind === "service") return true;
+        const isBroken = attempt.reason === "closed" || attempt.reason === "cut";
+        return isBroken && (this.cfg.chatResends === "always" || attempt.tokenTimes.length === 0);
+    }
+
     /** Whether the request goes out once more; waits as long as a caller would. */
     private async waitToRepeat(request: TraceRequest, attempt: Attempt, attempts: number): Promise<boolean> {
         const { clock } = this.ports;
-        if (attempt.isUnreachable) {
-            await clock.sleep(RESEND_PAUSE_MS);
-            return attempts <= this.cfg.resends;
-        }
-        if (attempt.verdict === "lost" && request.kind === "service") {
+        if (attempt.isUnreachable || this.isResent(request, attempt)) {
             await clock.sleep(RESEND_PAUSE_MS);
             return attempts <= this.cfg.resends;
         }
--- a/src/load/caller/test.ts
+++ b/src/load/caller/test.ts
@@ -10,7 +10,7 @@
     SeededRandom,
     VirtualClock,
 } from "../../ports/index.js";
-import { ErrorBody, IDEMPOTENCY_HEADER } from "../../protocol/index.js";
+import { ErrorBody, IDEMPOTENCY_HEADER, OUTCOME_HEADER } from "../../protocol/index.js";
 import { RequestResult } from "../outcome/index.js";
 import { TraceChat, TraceService } from "../trace/index.js";
 import { Caller, CallerConfig, DEFAULT_CALLER } from "./index.js";
@@ -144,6 +144,21 @@
             for (let round = 0; round < 4; round++) assert.equal((await run(CHAT)).verdict, "answered");
         });
 
+        it("is sent again when its connection broke before the first token, and later only where callers do that", async () => {
+            const early = await startSystem([cut, streamText(WHOLE)]);
+            assert.deepEqual((await early.run(CHAT)).verdict, "answered");
+            const broken: Answer = async (_, res) => {
+                res.head(200, []);
+                void res.write(`data: ${JSON.stringify(makeChunk({ content: WHOLE.split(/(?<= )/)[0] }))}\n\n`);
+                res.reset();
+            };
+            const late = await startSystem([broken, streamText(WHOLE)]);
+            assert.deepEqual((await late.run(CHAT)).reason, "cut");
+            const always = await startSystem([broken, streamText(WHOLE)], { chatResends: "always" });
+            const { verdict, attempts } = await always.run(CHAT);
+            assert.deepEqual([verdict, attempts], ["answered", 2]);
+        });
+
         it("is left when its caller goes away, as the trace says", async () => {
             const { run } = await startSystem([silent]);
             assert.equal((await run({ ...CHAT, leave_after_ms: 50 })).verdict, "left");
@@ -163,6 +178,16 @@
             assert.equal((await run(BOOKING)).verdict, "doubled");
         });
 
+        it("has failed, and is not sent again, when the service itself answers with an error", async () => {
+            const ownError: Answer = async (_, res) => {
+                res.head(503, [[OUTCOME_HEADER, "answered"]]);
+                res.end("{\"error\":\"closed for stocktaking\"}");
+            };
+            const { run } = await startSystem([ownError]);
+            const { verdict, attempts } = await run(BOOKING);
+            assert.deepEqual([verdict, attempts], ["failed", 1]);
+        });
+
         it("has failed when the system can't know whether it ran", async () => {
             const error = { ...REFUSAL.error, type: "answer-lost", outcome: "unknown" };
             const { run } = await startSystem([sendBody(502, { error })]);
--- a/src/load/chatCall/index.ts
+++ b/src/load/chatCall/index.ts
@@ -38,7 +38,8 @@
         const text = await readText(reply);
         return text === undefined ? lost("cut", [], request) : readError(text, reply.headers);
     }
-    return { request, ...stream ? await readStream(ctx, chat, reply) : await readWhole(ctx, chat, reply) };
+    const attempt = stream ? await readStream(ctx, chat, reply) : await readWhole(ctx, chat, reply);
+    return { ...attempt, request: attempt.request ?? request };
 }
 
 async function readStream(ctx: CallContext, chat: TraceChat, reply: HttpReply): Promise<Attempt> {
--- a/src/load/main.ts
+++ b/src/load/main.ts
@@ -44,6 +44,7 @@
     speed: z.coerce.number().positive().default(1),
     timeoutMs: z.coerce.number().positive().default(DEFAULT_CALLER.timeoutMs),
     retries: z.coerce.number().int().min(0).default(DEFAULT_CALLER.retries),
+    resendChats: z.boolean().default(false),
     json: z.boolean().default(false),
     bounds: z.boolean().default(false),
     quiet: z.boolean().default(false),
@@ -138,6 +139,7 @@
         speed: options.speed,
         timeoutMs: options.timeoutMs,
         retries: options.retries,
+        chatResends: options.resendChats ? "always" : DEFAULT_CALLER.chatResends,
     }, result => progress.note(result));
     progress.end();
     const report = summarizeReplay(trace, results, ports.clock.monotonic() - startedAt);
@@ -184,6 +186,7 @@
         .option("--speed <factor>", "Divide the trace's times by this (default: 1)")
         .option("--timeout-ms <ms>", "How long a caller waits for a whole answer")
         .option("--retries <count>", "How often a refused request comes back")
+        .option("--resend-chats", "Callers send a chat again also when it broke after its first token")
         .option("--bounds", "Exit 1 also when one of the trace's bounds is missed")
         .option("--emulator <address>", "The emulator's control port: hold what ran against what callers were told")
         .option("--json", "Print one line of JSON in place of tables")
--- a/src/load/report/index.ts
+++ b/src/load/report/index.ts
@@ -27,7 +27,9 @@
  */
 export function formatReport(report: ReplayReport, check?: CrossCheck): string {
     const lines = [
-        `${report.trace}: ${report.sent} requests in ${(report.durationMs / 1_000).toFixed(1)} s, `
+        `${report.trace}: ${report.sent} requests and ${report.repeats} repeats in ${
+            (report.durationMs / 1_000).toFixed(1)
+        } s, `
         + `${report.goodputTokens.toFixed(0)} tokens/s and ${
             report.goodputRequests.toFixed(1)
         } requests/s within target`,
