--- a/src/dispatch/localDispatcher/index.ts
+++ b/src/dispatch/localDispatcher/index.ts
@@ -88,7 +88,9 @@
 
     /** Frees what an entry that is lost had been granted, and drops its waiting tickets. */
     forgetEntry(host: HostId): void {
-        for (const queue of this.queues.values()) queue.forgetEntry(host);
+        for (const queue of this.queues.values()) {
+            for (const request of queue.forgetEntry(host)) this.poolOfRequest.delete(request);
+        }
     }
 
     /** How many tickets wait in a pool's queue. */
--- a/src/dispatch/poolQueue/index.ts
+++ b/src/dispatch/poolQueue/index.ts
@@ -171,18 +171,21 @@
     /**
      * Ends all that an entry asked for: it is lost and will never complete its grants, which would hold their slots for
      * ever, and the pool would shrink with each host that fails.
+     *
+     * @returns The running requests that were ended.
      */
-    forgetEntry(host: HostId): void {
+    forgetEntry(host: HostId): readonly RequestId[] {
         for (const waiting of [...this.waiters.keys()]) {
             if (waiting.ticket.origin === host) this.refuseWaiting(waiting, "cancelled", 0, "the entry is lost");
         }
-        for (const { waiting, load, tokens } of [...this.running.values()]) {
-            if (waiting.ticket.origin !== host) continue;
+        const lost = [...this.running.values()].filter(({ waiting }) => waiting.ticket.origin === host);
+        for (const { waiting, load, tokens } of lost) {
             const { request, promptTokens } = waiting.ticket;
             const upstream = load.upstream.id;
             const usage = { promptTokens, cachedTokens: 0, completionTokens: tokens };
             this.complete({ request, upstream, outcome: "cancelled", ...usage });
         }
+        return lost.map(({ waiting }) => waiting.ticket.request);
     }
 
     /** Takes over a change that the registry told of. */
