--- a/src/bench/policy/fleet/index.ts
+++ b/src/bench/policy/fleet/index.ts
@@ -29,6 +29,7 @@
     readonly entry: Entry;
     readonly ticket: Ticket;
     readonly grant: Grant;
+    readonly grantedAt: number;
 }
 
 const REGION = "region-1";
@@ -98,7 +99,8 @@
             if (entry.crashedAt !== undefined) return undefined;
             await clock.sleep(hopMs);
             if (decision) {
-                decision.ifRight(grant => this.running.set(ticket.request, { entry, ticket, grant }));
+                const grantedAt = clock.monotonic();
+                decision.ifRight(grant => this.running.set(ticket.request, { entry, ticket, grant, grantedAt }));
                 return decision;
             }
             await clock.sleep(Math.max(0, owner.crashedAt! + DETECTION_MS - clock.monotonic()));
@@ -126,8 +128,9 @@
         lost.crashedAt = clock.monotonic();
         lost.dispatcher.close();
         clock.after(DETECTION_MS, () => {
-            for (const { entry, ticket, grant } of this.running.values()) {
-                this.ownerOf(entry, ticket.pool).dispatcher.adopt(ticket, grant);
+            for (const { entry, ticket, grant, grantedAt } of this.running.values()) {
+                const runningMs = clock.monotonic() - grantedAt;
+                this.ownerOf(entry, ticket.pool).dispatcher.adopt(ticket, grant, runningMs);
             }
         });
         return lost;
--- a/src/dispatch/localDispatcher/index.ts
+++ b/src/dispatch/localDispatcher/index.ts
@@ -79,10 +79,12 @@
     /**
      * Counts a request that was granted by another process, which owned the pool's queue before. The entries that send
      * the requests tell the new owner, whose view of load would else be a report too old.
+     *
+     * @param runningMs - How long ago it was granted, in milliseconds.
      */
-    adopt(ticket: Ticket, grant: Grant): void {
+    adopt(ticket: Ticket, grant: Grant, runningMs: number): void {
         this.poolOfRequest.set(ticket.request, ticket.pool);
-        this.queueOf(ticket.pool).adopt(ticket, grant);
+        this.queueOf(ticket.pool).adopt(ticket, grant, runningMs);
         this.armTimer();
     }
 
--- a/src/dispatch/localDispatcher/test.ts
+++ b/src/dispatch/localDispatcher/test.ts
@@ -165,7 +165,7 @@
             const second = new Bench(1);
             const ticket = makeTicket({ request: "r1" });
             const grant = (await first.submit({ request: "r1" })).extract() as Grant;
-            second.dispatcher.adopt(ticket, grant);
+            second.dispatcher.adopt(ticket, grant, 0);
             void second.submit({ request: "r2" });
             await second.clock.advance(10);
             assert.deepEqual(second.settled, []);
--- a/src/dispatch/order/orderPolicy/index.ts
+++ b/src/dispatch/order/orderPolicy/index.ts
@@ -8,6 +8,8 @@
     readonly releaseMs: number;
     /** From sending to the first token, as a rule, in milliseconds. */
     readonly firstTokenMs: number;
+    /** Whether the tiers above one bring about as much as the pool can do, or more. */
+    readonly isFilledAbove: (tier: number) => boolean;
 }
 
 /** The order of one pool's queue. */
--- a/src/dispatch/order/test.ts
+++ b/src/dispatch/order/test.ts
@@ -4,7 +4,7 @@
 import { makeWaitingTicket, WaitingTicket } from "../waiting/index.js";
 import { FifoOrder, OrderContext, OrderPolicy, TierFairOrder } from "./index.js";
 
-const CONTEXT: OrderContext = { now: 0, releaseMs: 10, firstTokenMs: 100 };
+const CONTEXT: OrderContext = { now: 0, releaseMs: 10, firstTokenMs: 100, isFilledAbove: () => false };
 let numbered = 0;
 
 function add(order: OrderPolicy, workspace: string, fields: Record<string, unknown> = {}): WaitingTicket {
@@ -82,6 +82,15 @@
             assert.equal(count(taken, "low"), 2);
         });
 
+        it("lets nobody in while the tiers above fill the pool", () => {
+            // A top-tier caller is refused in a burst that the pool could have carried: the slot it needed went to a lower
+            // class a moment before, when nobody above was in a hurry yet.
+            const order = new TierFairOrder();
+            for (let index = 0; index < 5; index++) add(order, "high", { tier: 0, firstTokenMs: 60_000 });
+            add(order, "low", { tier: 1, guaranteedShare: 0.9 });
+            assert.equal(order.takeNext({ ...CONTEXT, isFilledAbove: () => true })!.ticket.workspace, "high");
+        });
+
         it("lets nobody in while a higher target is near", () => {
             const order = new TierFairOrder();
             for (let index = 0; index < 20; index++) add(order, "high", { tier: 0, firstTokenMs: 300 });
--- a/src/dispatch/order/tierFairOrder/index.ts
+++ b/src/dispatch/order/tierFairOrder/index.ts
@@ -81,6 +81,8 @@
     }
 
     private hasSlackAbove(tier: number, context: OrderContext): boolean {
+        // In a burst what will come from above next needs the slot, even if all that waits now can spare it.
+        if (context.isFilledAbove(tier)) return false;
         let ahead = 1;
         for (const queue of this.tiers.slice(0, tier)) {
             ahead += queue.size;
--- a/src/dispatch/outlook/index.ts
+++ b/src/dispatch/outlook/index.ts
@@ -92,7 +92,7 @@
      * @returns Milliseconds.
      */
     predictWaitMs(tier: number, costAhead: number, slots: number, now: number): number {
-        const all = Math.max(1, slots) * this.cost / this.serviceMs;
+        const all = this.capacity(slots);
         const least = LEAST_RESIDUAL * all;
         const above = this.recent.above(tier, now);
         const waitMs = costAhead / Math.max(least, all - above);
@@ -102,6 +102,16 @@
         return Math.min(waitMs, patientMs);
     }
 
+    /** Whether the tiers above one bring about as much as the pool can do, or more. */
+    isFilledAbove(tier: number, slots: number, now: number): boolean {
+        return this.recent.above(tier, now) > BURST_LOAD * this.capacity(slots);
+    }
+
+    /** Tokens of cost in a millisecond. */
+    private capacity(slots: number): number {
+        return Math.max(1, slots) * this.cost / this.serviceMs;
+    }
+
     /** Keeps since when the tiers above one have brought more than the pool can do, and what they brought before. */
     private followBurst(tier: number, isBurst: boolean, now: number): Burst | undefined {
         if (!isBurst) {
--- a/src/dispatch/poolQueue/index.ts
+++ b/src/dispatch/poolQueue/index.ts
@@ -157,13 +157,14 @@
     /**
      * Counts a request that runs by another owner's grant, so that a new owner of the queue does not fill its slot again.
      */
-    adopt(ticket: Ticket, grant: Grant): void {
+    adopt(ticket: Ticket, grant: Grant, runningMs: number): void {
         const load = this.options.members.get(grant.upstream);
         if (!load || this.running.get(ticket.request)) return;
         const now = this.options.clock.monotonic();
-        load.markSent(now);
+        load.adopt(now - runningMs);
         const waiting = makeWaitingTicket(ticket, now, this.options.lengths.predictMean(ticket, ticket.maxTokens));
-        this.running.add({ waiting, load, grantedAt: now, tokens: 0, isPreempted: false, release: () => undefined });
+        const grantedAt = now - runningMs;
+        this.running.add({ waiting, load, grantedAt, tokens: 0, isPreempted: false, release: () => undefined });
         this.options.members.refresh(load);
         this.updateConcurrency();
     }
@@ -342,10 +343,13 @@
     }
 
     private readOrderContext(): OrderContext {
+        const now = this.options.clock.monotonic();
+        const { usableSlots } = this.options.members;
         return {
-            now: this.options.clock.monotonic(),
-            releaseMs: this.outlook.releaseMs(this.options.members.usableSlots),
+            now,
+            releaseMs: this.outlook.releaseMs(usableSlots),
             firstTokenMs: this.outlook.firstTokenMs,
+            isFilledAbove: tier => this.outlook.isFilledAbove(tier, usableSlots, now),
         };
     }
 }
--- a/src/upstream/load/index.ts
+++ b/src/upstream/load/index.ts
@@ -81,6 +81,19 @@
         this.remember(now);
     }
 
+    /**
+     * A request runs there that another process sent. It is counted as ours from its start on: a report measured since
+     * then has it too, and would else be taken for the load of others, so that its slot would count as filled twice.
+     */
+    adopt(startedAt: number): void {
+        this.own++;
+        const later = this.history.filter(sample => sample.at >= startedAt);
+        const earlier = this.history.slice(0, this.history.length - later.length);
+        const before = earlier.at(-1)?.outstanding ?? 0;
+        const shifted = later.map(({ at, outstanding }) => ({ at, outstanding: outstanding + 1 }));
+        this.history.splice(0, this.history.length, ...earlier, { at: startedAt, outstanding: before + 1 }, ...shifted);
+    }
+
     /** A request ended, however. */
     markEnded(now: number): void {
         this.own = Math.max(0, this.own - 1);
--- a/src/upstream/load/test.ts
+++ b/src/upstream/load/test.ts
@@ -29,6 +29,16 @@
         });
     });
 
+    describe("requests taken over from a lost owner of the queue", () => {
+        // For a second after a host was lost all callers wait although slots are free: the new owner counts each running
+        // request twice, once as taken over and once in the upstreams' reports.
+        it("are not counted again as the load of others", () => {
+            const load = makeLoad(4, 300, 1_000);
+            for (const startedAt of [100, 200, 300, 400]) load.adopt(startedAt);
+            assert.equal(load.freeSlots(1_000), 4);
+        });
+    });
+
     it("adds the load of others", () => {
         const load = makeLoad(6, 0, 1_000);
         load.markSent(500);
