--- a/src/dispatch/order/tierQueue/index.ts
+++ b/src/dispatch/order/tierQueue/index.ts
@@ -13,6 +13,8 @@
 
 /** Counters of idle workspaces are dropped, once the tier has caught up with them, when there are this many. */
 const IDLE_SWEEP_AT = 256;
+/** Among more active workspaces than this, what each will get is not counted one by one. */
+const MOST_COUNTED = 64;
 
 /**
  * The waiting tickets of one tier. Workspaces take turns by the tokens they got for their weight (a virtual token
@@ -87,17 +89,28 @@
     }
 
     /**
-     * The predicted cost of what this tier will grant before a ticket, in tokens: all that waits, but not more than the
-     * others get while its own workspace works off what it has waiting.
+     * The predicted cost of what this tier will grant before a ticket, in tokens: what its own workspace has waiting, and
+     * what each other workspace gets until its counter has caught up.
      */
     costAhead(waiting: WaitingTicket): number {
         const queue = this.queues.get(waiting.ticket.workspace);
-        const { weight } = waiting.ticket;
-        const isActive = queue !== undefined && queue.tickets.size > 0;
         const ownPart = queue?.tickets.has(waiting) ? waiting.cost : 0;
-        const turns = (this.activeWeight + (isActive ? 0 : weight)) / weight;
-        const workspaceCost = (queue?.waitingCost ?? 0) - ownPart;
-        return Math.min(this.totalCost - ownPart, workspaceCost * turns + (turns - 1) * waiting.cost);
+        const ownCost = (queue?.waitingCost ?? 0) - ownPart;
+        const lowest = this.active.first?.counter ?? this.level;
+        const turnAt = Math.max(queue?.counter ?? 0, lowest) + ownCost / waiting.ticket.weight;
+        const others = this.active.size <= MOST_COUNTED
+            ? this.costUntil(turnAt, queue)
+            : (turnAt - lowest) * this.activeWeight;
+        return Math.min(this.totalCost - ownPart, ownCost + others);
+    }
+
+    private costUntil(turnAt: number, own: WorkspaceQueue | undefined): number {
+        let cost = 0;
+        for (const other of this.active.values()) {
+            if (other === own || other.counter >= turnAt) continue;
+            cost += Math.min(other.waitingCost, (turnAt - other.counter) * other.weight);
+        }
+        return cost;
     }
 
     private findQueue(waiting: WaitingTicket): WorkspaceQueue {
--- a/src/dispatch/prospects/index.ts
+++ b/src/dispatch/prospects/index.ts
@@ -48,7 +48,7 @@
 /** All before it by deadline, but not more than fair turns let pass before its workspace's turn. */
 function costBefore(waiting: WaitingTicket, ahead: Ahead, weights: number): number {
     const own = ahead.byWorkspace.get(waiting.ticket.workspace) ?? 0;
-    return Math.min(ahead.cost, (own + waiting.cost) * weights / waiting.ticket.weight - waiting.cost);
+    return Math.min(ahead.cost, own * weights / waiting.ticket.weight);
 }
 
 function groupByTier(tickets: Iterable<WaitingTicket>): WaitingTicket[][] {
