--- a/src/dispatch/localDispatcher/index.ts
+++ b/src/dispatch/localDispatcher/index.ts
@@ -80,10 +80,12 @@
     /**
      * Counts a request that was granted by another process, which owned the pool's queue before. The entries that send
      * the requests tell the new owner, whose view of load would else be a report too old.
+     *
+     * @param runningMs - How long ago it was granted, in milliseconds.
      */
-    adopt(ticket: Ticket, grant: Grant): void {
+    adopt(ticket: Ticket, grant: Grant, runningMs: number): void {
         this.poolOfRequest.set(ticket.request, ticket.pool);
-        this.queueOf(ticket.pool).adopt(ticket, grant);
+        this.queueOf(ticket.pool).adopt(ticket, grant, runningMs);
         this.armTimer();
     }
 
@@ -94,7 +96,9 @@
 
     /** Frees what an entry that is lost had been granted, and drops its waiting tickets. */
     forgetEntry(host: HostId): void {
-        for (const queue of this.queues.values()) queue.forgetEntry(host);
+        for (const queue of this.queues.values()) {
+            for (const request of queue.forgetEntry(host)) this.poolOfRequest.delete(request);
+        }
     }
 
     /** How many tickets wait in a pool's queue. */
--- a/src/dispatch/poolQueue/index.ts
+++ b/src/dispatch/poolQueue/index.ts
@@ -162,13 +162,14 @@
     /**
      * Counts a request that runs by another owner's grant, so that a new owner of the queue does not fill its slot again.
      */
-    adopt(ticket: Ticket, grant: Grant): void {
+    adopt(ticket: Ticket, grant: Grant, runningMs: number): void {
         const load = this.options.members.get(grant.upstream);
         if (!load || this.running.get(ticket.request)) return;
         const now = this.options.clock.monotonic();
-        load.markSent(now);
+        load.adopt(now - runningMs);
         const waiting = makeWaitingTicket(ticket, now, this.options.lengths.predictMean(ticket, ticket.maxTokens));
-        this.running.add({ waiting, load, grantedAt: now, tokens: 0, isPreempted: false, release: () => undefined });
+        const grantedAt = now - runningMs;
+        this.running.add({ waiting, load, grantedAt, tokens: 0, isPreempted: false, release: () => undefined });
         this.options.members.refresh(load);
         this.updateConcurrency();
     }
@@ -176,18 +177,21 @@
     /**
      * Ends all that an entry asked for: it is lost and will never complete its grants, which would hold their slots for
      * ever, and the pool would shrink with each host that fails.
+     *
+     * @returns The running requests that were ended.
      */
-    forgetEntry(host: HostId): void {
+    forgetEntry(host: HostId): readonly RequestId[] {
         for (const waiting of [...this.waiters.keys()]) {
             if (waiting.ticket.origin === host) this.refuseWaiting(waiting, "cancelled", 0, "the entry is lost");
         }
-        for (const { waiting, load, tokens } of [...this.running.values()]) {
-            if (waiting.ticket.origin !== host) continue;
+        const lost = [...this.running.values()].filter(({ waiting }) => waiting.ticket.origin === host);
+        for (const { waiting, load, tokens } of lost) {
             const { request, promptTokens } = waiting.ticket;
             const upstream = load.upstream.id;
             const usage = { promptTokens, cachedTokens: 0, completionTokens: tokens };
             this.complete({ request, upstream, outcome: "cancelled", ...usage });
         }
+        return lost.map(({ waiting }) => waiting.ticket.request);
     }
 
     /** Takes over a change that the registry told of. */
@@ -344,10 +348,13 @@
     }
 
     private readOrderContext(): OrderContext {
+        const now = this.options.clock.monotonic();
+        const { usableSlots } = this.options.members;
         return {
-            now: this.options.clock.monotonic(),
-            releaseMs: this.outlook.releaseMs(this.options.members.usableSlots),
+            now,
+            releaseMs: this.outlook.releaseMs(usableSlots),
             firstTokenMs: this.outlook.firstTokenMs,
+            isFilledAbove: tier => this.outlook.isFilledAbove(tier, usableSlots, now),
         };
     }
 }
