--- a/src/bench/policy/engineFake/index.ts
+++ b/src/bench/policy/engineFake/index.ts
@@ -58,7 +58,7 @@
 }
 
 /** Tokens that one event of the fake makes for each request: coarse, to keep the bench quick. */
-const STEP_TOKENS = 4;
+export const STEP_TOKENS = 4;
 
 /**
  * An engine in memory: continuous batching in slots, priorities among what queues in front of them, a prefix cache of
@@ -225,7 +225,8 @@
         if (running.prefillMs > 0) return;
         const { work } = running;
         const left = work.totalTokens - running.made;
-        const tokens = Math.min(left, running.isStarted ? STEP_TOKENS : 1);
+        const made = running.isStarted ? STEP_TOKENS : Math.ceil(-running.prefillMs / stepMs * STEP_TOKENS);
+        const tokens = Math.min(left, Math.max(1, made));
         running.isStarted = true;
         running.made += tokens;
         this.tally.generated += tokens;
--- a/src/bench/policy/traffic/index.ts
+++ b/src/bench/policy/traffic/index.ts
@@ -1,5 +1,6 @@
 import { Random } from "../../../ports/index.js";
 import { ClassShape, Deployment, PoolShape, WorkspaceShape } from "../deployment/index.js";
+import { STEP_TOKENS } from "../engineFake/index.js";
 import { Burst, Scenario } from "../scenario/index.js";
 
 /** One request that a caller will make. */
@@ -37,14 +38,19 @@
     return requests.map((request, index) => ({ ...request, id: `${deployment.name}-${scenario.name}-${index}` }));
 }
 
-/** How long a request holds a slot of a full engine when its prefixes are cached, in milliseconds. */
+/** How long a request holds a slot of a full engine when its prefixes are cached, in milliseconds: whole steps. */
 export function idealSlotMs(request: PlannedRequest, pool: PoolShape): number {
     const freshTokens = request.promptTokens / (request.prefixes.length + 1);
-    return freshTokens * pool.prefillTokenMs + request.answerTokens * pool.tokenMs * (1 + BATCH_SLOWDOWN);
+    const paceMs = pool.tokenMs * (1 + BATCH_SLOWDOWN);
+    const slotMs = freshTokens * pool.prefillTokenMs + request.answerTokens * paceMs;
+    const stepMs = STEP_TOKENS * paceMs;
+    return Math.ceil(slotMs / stepMs) * stepMs;
 }
 
 function addBurst(deployment: Deployment, burst: Burst, random: Random, requests: PlannedRequest[]): void {
-    const shape = deployment.classes.find(other => other.name === deployment.burstClass)!;
+    const isMeant = (other: ClassShape): boolean =>
+        burst.isTopClass ? other.tier === 0 : other.name === deployment.burstClass;
+    const shape = deployment.classes.find(isMeant)!;
     const added = burstPerSecond(deployment, shape, burst.load);
     const workspace = burst.workspace === undefined ? undefined : deployment.workspaces[burst.workspace];
     drawArrivals(added, burst.fromMs, burst.toMs, random, atMs => {
