--- a/src/features/world/index.ts
+++ b/src/features/world/index.ts
@@ -7,6 +7,9 @@
 /** A chat that a scenario has sent. */
 export interface SentChat {
     readonly workspace: string;
+    readonly tokens: number;
+    /** Virtual times at which text came, in milliseconds. */
+    readonly arrivals: number[];
     readonly expected: string;
     readonly result: Promise<CallerResult>;
     readonly abort: AbortController;
@@ -21,12 +24,18 @@
 }
 
 const LONG_MS = 300_000;
+const CHAT_EVERY_MS = 200;
+const MOST_CHATS = 1_000;
 
 /** What the steps of one scenario share. */
 export class FleetWorld {
     fleet!: MemoryFleet;
     readonly chats: SentChat[] = [];
     readonly orders: SentOrder[] = [];
+    /** Whether each planned stop cut no work. */
+    readonly stops: boolean[] = [];
+    /** How long the last change took until it was in force everywhere, in milliseconds. */
+    inForceMs = Number.NaN;
     private nextPrompt = 1;
 
     async startFleet(layout: Partial<FleetLayout>): Promise<void> {
@@ -44,6 +53,8 @@
         const abort = new AbortController();
         const chat: SentChat = {
             workspace,
+            tokens,
+            arrivals: [],
             expected: expectedAnswer([{ role: "user", content: prompt }], tokens),
             abort,
             received: "",
@@ -54,6 +65,7 @@
                 signal: abort.signal,
                 onText: text => {
                     chat.received = text;
+                    chat.arrivals.push(this.fleet.clock.monotonic());
                 },
                 ...more,
             }),
@@ -78,6 +90,38 @@
         return order;
     }
 
+    /** Sends chats to all entries in turn, of both workspaces. */
+    spreadChats(count: number, tokens: number): SentChat[] {
+        const entries = this.fleet.entryNumbers().filter(number => this.fleet.entries[number]);
+        return Array.from({ length: count }, (_, index) => {
+            const workspace = index % 2 === 0 ? "hotel" : "depot";
+            return this.sendChat(workspace, tokens, entries[index % entries.length] + 1);
+        });
+    }
+
+    /** Sends a chat every 200 ms to the entries that are ready, as a balancer does, until the work is done. */
+    async sendChatsDuring<Value>(work: Promise<Value>): Promise<Value> {
+        let done = false;
+        const mark = (): void => {
+            done = true;
+        };
+        work.then(mark, mark);
+        for (let sent = 0; !done && sent < MOST_CHATS; sent++) {
+            this.sendToReadyEntry(sent);
+            await this.fleet.pass(CHAT_EVERY_MS);
+        }
+        return this.settle(work);
+    }
+
+    private sendToReadyEntry(turn: number): void {
+        const ready = this.fleet.entryNumbers().filter(number => {
+            const entry = this.fleet.entries[number];
+            return entry && !entry.isDraining && entry.control.isFresh();
+        });
+        if (ready.length === 0) return;
+        this.sendChat(turn % 2 === 0 ? "hotel" : "depot", 10 + turn % 20, ready[turn % ready.length] + 1);
+    }
+
     /** Lets virtual time pass until the work is done. */
     settle<Value>(work: Promise<Value>): Promise<Value> {
         return this.fleet.run(work, LONG_MS);
--- a/src/features/world/memoryFleet.ts
+++ b/src/features/world/memoryFleet.ts
@@ -39,6 +39,7 @@
 export const FLEET_VIEW_LEASE_MS = 3_000;
 const PEER_TIMING = { heartbeatMs: 300, silenceMs: 1_200 };
 const START_LIMIT_MS = 30_000;
+const DRAIN_LIMIT_MS = 60_000;
 const PORTS = { control: 7001, callers: 8080, upstreams: 8090, peers: 7000, admin: 7100, platform: 9000 } as const;
 const STAND_IN_HOST = "10.0.9.1";
 export const CALLER_HOST = "10.0.8.1";
@@ -151,6 +152,15 @@
         await entry?.close();
     }
 
+    /** Stops an entry as planned; says whether no work was cut. */
+    async stopEntry(number: number): Promise<boolean> {
+        const entry = this.entries[number]!;
+        const whole = await entry.drain(DRAIN_LIMIT_MS);
+        this.entries[number] = undefined;
+        await entry.close();
+        return whole;
+    }
+
     /** Ends a control process as a power cut does: unsynced bytes are lost. */
     async killControl(number: number): Promise<void> {
         const control = this.controls[number];
@@ -171,6 +181,15 @@
         this.fabric.isolate(entryHost(number), controls, cut);
     }
 
+    /** Makes all connections that are open between two groups of hosts silent for good; new ones work. */
+    forgetConnections(some: readonly string[], others: readonly string[]): void {
+        for (const a of some) {
+            for (const b of others) {
+                if (a !== b) this.fabric.forget(a, b);
+            }
+        }
+    }
+
     /** The number of the control process that holds the lease; -1 for none. */
     holder(): number {
         return this.controls.findIndex(control => control?.log.holdsLease());
