--- a/src/bench/slopes/capacity/_lib/section.ts
+++ b/src/bench/slopes/capacity/_lib/section.ts
@@ -8,6 +8,19 @@
     readonly verdict?: string;
 }
 
+/** What a part costs each node, for the sum over all parts. */
+export interface NodeLoad {
+    /** Milliseconds of processor time a second. */
+    readonly processorMs: number;
+    readonly bytesPerSecond: number;
+}
+
+/** What a part costs each node today, and with the mechanisms that replace what breaks a budget. */
+export interface NodeLoads {
+    readonly today: NodeLoad;
+    readonly next: NodeLoad;
+}
+
 /** A role, or a part of one, at the letter's size. */
 export interface RoleSection {
     readonly title: string;
@@ -16,6 +29,8 @@
     readonly rows: readonly CapacityRow[];
     /** What breaks a budget and what replaces it, one paragraph each. What today's code does not have says so. */
     readonly next: readonly string[];
+    /** Left out for what does not fall on each node. */
+    readonly loads?: NodeLoads;
 }
 
 /** Marks what is designed and not built. */
--- a/src/bench/slopes/capacity/index.ts
+++ b/src/bench/slopes/capacity/index.ts
@@ -3,6 +3,7 @@
 import { formatNumber } from "./_lib/format.js";
 import { formatSection } from "./_lib/section.js";
 import { ASSUMED, BUDGET, NODE, SIZE } from "./_lib/size.js";
+import { formatTotals } from "./_lib/totals.js";
 import { describeEvents } from "./roles/events.js";
 import { describeOwner } from "./roles/owner.js";
 import { describePeers } from "./roles/peers.js";
@@ -35,8 +36,9 @@
  */
 export function formatCapacityPage(file: SlopeFile): string {
     const book = new SlopeBook(file);
-    const sections = SECTIONS.map(describe => formatSection(describe(book)));
-    return `${[formatHead(file), ...sections, formatSlopes(book)].join("\n\n")}\n`;
+    const sections = SECTIONS.map(describe => describe(book));
+    const parts = [formatHead(file), formatTotals(sections), ...sections.map(formatSection), formatSlopes(book)];
+    return `${parts.join("\n\n")}\n`;
 }
 
 function formatHead({ machine, slopes }: SlopeFile): string {
--- a/src/bench/slopes/capacity/roles/owner.ts
+++ b/src/bench/slopes/capacity/roles/owner.ts
@@ -6,6 +6,8 @@
 const GRANT_BYTES = 200;
 const COMPLETION_BYTES = 230;
 const CALLS_EACH = 2;
+const LOAN_BYTES = 150;
+const LOAN_SECONDS = 2;
 
 /** The owner of a pool's queue. */
 export function describeOwner(book: SlopeBook): RoleSection {
@@ -15,7 +17,9 @@
     const wire = CALLS_EACH * book.mean("wire.call.processor") / 1_000;
     const load = tickets * (grant + wire);
     const ticketBytes = book.mean("dispatch.ticket.bytes") + GRANT_BYTES + COMPLETION_BYTES + 3 * ASSUMED.packetBytes;
-    const shards = Math.ceil(load / BUDGET.processorMsPerSecond);
+    const loans = SIZE.models * (LOAN_BYTES + ASSUMED.packetBytes) / LOAN_SECONDS;
+    // As many as there are nodes for: at most one on each.
+    const shards = Math.floor(SIZE.nodes / NODE.queues);
     return {
         title: "Pool owner",
         today:
@@ -52,15 +56,19 @@
                 verdict: judge(ticketBytes * NODE.requestsPerSecond, BUDGET.bytesPerSecond),
             },
         ],
+        loads: {
+            today: { processorMs: NODE.requestsPerSecond * wire, bytesPerSecond: ticketBytes * NODE.requestsPerSecond },
+            next: { processorMs: load / shards, bytesPerSecond: loans },
+        },
         next: [
             `**A queue of the letter breaks the budget on its one owner.** ${NOT_BUILT} A queue splits into ${shards} shards by hash of the workspace, each with its part of the pool's upstreams: ${
                 NODE.queues * shards
             } shards over ${SIZE.nodes} nodes, ${
                 formatNumber(load / shards)
             } ms/s each. Order stays exact within a shard; between shards upstreams move by the minute, from the shard with the shortest predicted wait to the one with the longest.`,
-            `**A ticket for each request breaks the budget of bytes** if tickets count as control. ${NOT_BUILT} An owner lends slots: it tells each entry, once a second, how many requests of which tier it may send to which upstreams, and the entry grants by itself while they last. ${SIZE.models} pools × 150 B a second are ${
-                formatBytes(SIZE.models * (150 + ASSUMED.packetBytes))
-            }/s; only requests beyond the loan send tickets.`,
+            `**A ticket for each request breaks the budget of bytes** if tickets count as control. ${NOT_BUILT} An owner lends slots: every ${LOAN_SECONDS} s it tells each entry how many requests of which tier it may send to which upstreams, and the entry grants by itself while they last. ${SIZE.models} pools × ${LOAN_BYTES} B and a packet are ${
+                formatBytes(loans)
+            }/s; only requests beyond the loan send tickets. What it costs in order and fairness is to be measured against one queue before it is built.`,
         ],
     };
 }
--- a/src/bench/slopes/capacity/roles/peers.ts
+++ b/src/bench/slopes/capacity/roles/peers.ts
@@ -7,6 +7,8 @@
 const PINGS_PER_SECOND = 2;
 const PULLS_PER_SECOND = 0.5;
 const DIRECTIONS = 2;
+/** One ping in 2 s instead of two a second. */
+const SLOWER = 4;
 
 /** An entry among its peers: links, heartbeats, pulls and the list of entries. */
 export function describePeers(book: SlopeBook): RoleSection {
@@ -17,6 +19,7 @@
     const pullBytes = PULLS_PER_SECOND * (book.mean("pulls.idle.bytes") + 2 * DIRECTIONS * ASSUMED.packetBytes);
     const list = book.at("pulls.list.bytes", SIZE.nodes);
     const listBytes = list * NODE.listChangesPerDay / NODE.secondsPerDay;
+    const slowPings = pingBytes / SLOWER * (CONTROL_LINKS + SIZE.models);
     const pullMs = 2 * book.mean("wire.call.processor") * PULLS_PER_SECOND / 1_000;
     return {
         title: "Entry: its peers",
@@ -65,9 +68,19 @@
                 verdict: judge(listBytes, BUDGET.bytesPerSecond),
             },
         ],
+        loads: {
+            today: {
+                processorMs: perLink * links + pullMs,
+                bytesPerSecond: pingBytes * links + pullBytes + listBytes,
+            },
+            next: {
+                processorMs: perLink * (CONTROL_LINKS + SIZE.models) + pullMs,
+                bytesPerSecond: slowPings + pullBytes + listBytes / SIZE.nodes,
+            },
+        },
         next: [
             `**The pings break the budget** although the links are few. ${NOT_BUILT} An idle link closes after 10 s, which leaves the control links and those in use, and a link in use sends no pings; one ping in 2 s on the rest makes ${
-                formatBytes(pingBytes / 4 * (CONTROL_LINKS + SIZE.models))
+                formatBytes(slowPings)
             }/s.`,
             `**The list of entries grows with hosts × hosts**: each change of one entry sends all ${SIZE.nodes} to each of ${SIZE.nodes}, ${
                 formatBytes(list * SIZE.nodes)
--- a/src/bench/slopes/capacity/roles/upstreams.ts
+++ b/src/bench/slopes/capacity/roles/upstreams.ts
@@ -5,6 +5,7 @@
 
 const TARGETS = 2;
 const COMPACT_BYTES = 40;
+const DIGEST_SECONDS = 5;
 
 /** An entry as a listener to upstreams, and the choice of a pool's owner. */
 export function describeUpstreams(book: SlopeBook): RoleSection {
@@ -15,6 +16,7 @@
         * (book.at("announcement.read", ASSUMED.cacheEvents) + book.at("registry.announce", SIZE.upstreams)) / 1_000;
     const choose = book.at("owner.choose", SIZE.nodes) / 1_000;
     const choices = NODE.requestsPerSecond + rate * TARGETS;
+    const digest = (SIZE.upstreams / NODE.queues * COMPACT_BYTES + ASSUMED.packetBytes) / DIGEST_SECONDS;
     const heap = book.at("registry.heap", SIZE.upstreams);
     return {
         title: "Entry: announcements of upstreams",
@@ -47,13 +49,13 @@
             },
             {
                 what: "the registry, if an entry heard of all upstreams",
-                arithmetic: `${formatNumber(book.perUnit("registry.heap"))} B × ${SIZE.upstreams}`,
+                arithmetic: `${formatNumber(book.perUnit("registry.heap"))} B × ${formatNumber(SIZE.upstreams)}`,
                 value: formatBytes(heap),
                 verdict: judge(heap, BUDGET.memoryBytes),
             },
             {
                 what: "all announcements to all entries",
-                arithmetic: `${SIZE.upstreams * ASSUMED.announcementsPerSecond} a second × ${
+                arithmetic: `${formatNumber(SIZE.upstreams * ASSUMED.announcementsPerSecond)} a second × ${
                     formatNumber(size)
                 } B to each entry`,
                 value: `${formatBytes(SIZE.upstreams * ASSUMED.announcementsPerSecond * size)}/s for each entry`,
@@ -62,16 +64,19 @@
                 }; not done`,
             },
         ],
+        loads: {
+            today: { processorMs: readMs + choose * choices, bytesPerSecond: spread },
+            next: { processorMs: readMs, bytesPerSecond: digest },
+        },
         next: [
             `**The choice of the owner breaks the budget**: it hashes each host's name anew for each request. ${NOT_BUILT} The owner depends on pool, region and list of hosts alone, and the list changes ${NODE.listChangesPerDay} times a day: kept for each list, a choice costs a look-up. Only the hosts of the region should be asked: ${
                 Math.round(SIZE.nodes / SIZE.regions)
             } instead of ${SIZE.nodes}.`,
-            `**Passing announcements on breaks the budget.** ${NOT_BUILT} Between entries an upstream is a number, and half a second's loads go together: ${COMPACT_BYTES} B for each, ${
-                formatBytes(
-                    rate * TARGETS * COMPACT_BYTES
-                        + TARGETS * SIZE.models * ASSUMED.announcementsPerSecond * ASSUMED.packetBytes,
-                )
-            }/s with their packets. The answer to an announcement can name the owner, so that the upstream sends the next ones there and cache events make one way only.`,
+            `**Passing announcements on breaks the budget.** ${NOT_BUILT} The answer to an announcement names the owner of the queue, so that the upstream sends the next ones there and nothing is passed on. The owner gives the next owner a digest in ${DIGEST_SECONDS} s: ${COMPACT_BYTES} B for each of ${
+                formatNumber(SIZE.upstreams / NODE.queues)
+            } upstreams, ${
+                formatBytes(digest)
+            }/s, on owners alone. A new owner then knows the upstreams at once, and their load within half a second.`,
         ],
     };
 }
--- a/src/bench/slopes/capacity/roles/usage.ts
+++ b/src/bench/slopes/capacity/roles/usage.ts
@@ -7,11 +7,14 @@
 const COMPACT_LINE_BYTES = 14;
 const BATCH_SECONDS = 10;
 const RELEASE_BYTES = 100;
+/** Hold, hand in and release. */
+const MESSAGES_EACH = 3;
 
 /** The usage meter of an entry, and the usage in the replicated state. */
 export function describeUsage(book: SlopeBook): RoleSection {
     const batch = book.at("usage.batch.bytes", 1);
     const meterBytes = NODE.requestsPerSecond * (2 * batch + RELEASE_BYTES + 5 * ASSUMED.packetBytes);
+    const wire = book.mean("wire.call.processor") / 1_000;
     const applyMs = book.at("usage.batch.apply", 1) / 1_000;
     const entryMs = book.last("log.entry.processor") / book.largest("log.entry.processor");
     const holderMs = SIZE.requestsPerSecond * (applyMs + entryMs);
@@ -37,9 +40,11 @@
             },
             {
                 what: "batches in one control log",
-                arithmetic: `${SIZE.requestsPerSecond} a second × (${formatNumber(entryMs)} ms for each voter at ${
-                    formatNumber(book.largest("log.entry.processor"))
-                } a second + ${formatNumber(applyMs)} ms to apply)`,
+                arithmetic: `${formatNumber(SIZE.requestsPerSecond)} a second × (${
+                    formatNumber(entryMs)
+                } ms for each voter at ${formatNumber(book.largest("log.entry.processor"))} a second + ${
+                    formatNumber(applyMs)
+                } ms to apply)`,
                 value: formatProcessor(holderMs),
                 verdict: `${judge(holderMs, 1_000)} of one core: a voter has one event loop`,
             },
@@ -59,17 +64,21 @@
                 value: `${formatNumber(book.at("usage.window.report", lines))} ms`,
             },
         ],
+        loads: {
+            today: { processorMs: NODE.requestsPerSecond * MESSAGES_EACH * wire, bytesPerSecond: meterBytes },
+            next: { processorMs: NODE.requestsPerSecond * wire, bytesPerSecond: compactBytes },
+        },
         next: [
             `**Batches break both budgets.** ${NOT_BUILT} A line between hosts is numbers (workspace, pool, class, three counts: ${COMPACT_LINE_BYTES} B). The peer still gets one for each request before its last event; the log gets one batch in ${BATCH_SECONDS} s from each entry: ${
                 formatNumber(batches)
-            } entries a second instead of ${SIZE.requestsPerSecond}, ${
+            } entries a second instead of ${formatNumber(SIZE.requestsPerSecond)}, ${
                 formatProcessor(compactMs)
             } in the log, most of it for applying lines, and ${
                 formatBytes(compactBytes)
             }/s for an entry. Zone relays that sum the batches of a zone's entries take the number of log entries to ${
                 formatNumber(SIZE.zones / BATCH_SECONDS)
             } a second.`,
-            `**The kept windows break the memory.** ${NOT_BUILT} A reported window keeps its totals and a digest; its lines go into a file of the data folder. With windows of 15 minutes and one kept, ${
+            `**The kept windows break the memory.** ${NOT_BUILT} A reported window keeps its totals and a digest; its lines go into a file of the data folder. With one reported window kept beside the open and the closed one, ${
                 formatBytes(windowHeap * 3)
             } stay. The usage log splits by workspace hash over three groups of voters on the ${SIZE.controlHosts} control hosts: a third of each figure for each host.`,
         ],
--- a/src/bench/slopes/capacity/roles/view.ts
+++ b/src/bench/slopes/capacity/roles/view.ts
@@ -3,6 +3,8 @@
 import { judge, NOT_BUILT, RoleSection } from "../_lib/section.js";
 import { ASSUMED, BUDGET, NODE, SIZE } from "../_lib/size.js";
 
+const COMPACT_BYTES = 150;
+
 /** An entry as a reader of the configuration. */
 export function describeView(book: SlopeBook): RoleSection {
     const heap = book.at("view.heap", SIZE.workspaces);
@@ -19,7 +21,9 @@
         rows: [
             {
                 what: "memory of the view",
-                arithmetic: `${formatNumber(book.perUnit("view.heap"))} B × ${SIZE.workspaces} workspaces`,
+                arithmetic: `${formatNumber(book.perUnit("view.heap"))} B × ${
+                    formatNumber(SIZE.workspaces)
+                } workspaces`,
                 value: formatBytes(heap),
                 verdict: judge(heap, BUDGET.memoryBytes),
             },
@@ -57,26 +61,36 @@
             },
             {
                 what: "the whole view at a start, bytes",
-                arithmetic: `${
-                    formatNumber(book.perUnit("view.full.bytes"))
-                } B × ${SIZE.workspaces}; ${SIZE.restartsPerDay} restarts a day over ${SIZE.nodes} nodes`,
+                arithmetic: `${formatNumber(book.perUnit("view.full.bytes"))} B × ${
+                    formatNumber(SIZE.workspaces)
+                }; ${SIZE.restartsPerDay} restarts a day over ${SIZE.nodes} nodes`,
                 value: `${formatBytes(full)} at once, ${formatBytes(loadBytes)}/s in the mean`,
                 verdict: judge(loadBytes, BUDGET.bytesPerSecond),
             },
             {
                 what: "the whole view at a start, processor time",
-                arithmetic: `${
-                    formatNumber(book.perUnit("view.full.apply") * 1_000)
-                } µs × ${SIZE.workspaces}, in one go`,
+                arithmetic: `${formatNumber(book.perUnit("view.full.apply") * 1_000)} µs × ${
+                    formatNumber(SIZE.workspaces)
+                }, in one go`,
                 value: `${formatNumber(load)} ms`,
                 verdict: `a peer calls silence after 2,000 ms; ${load < 2_000 ? "fits narrowly" : "**breaks it**"}`,
             },
         ],
+        loads: {
+            today: {
+                processorMs: book.mean("view.change.apply") * NODE.changesPerSecond / 1_000,
+                bytesPerSecond: changeBytes + loadBytes,
+            },
+            next: {
+                processorMs: book.mean("view.change.apply") * NODE.changesPerSecond / 1_000,
+                bytesPerSecond: changeBytes + COMPACT_BYTES * SIZE.workspaces / full * loadBytes,
+            },
+        },
         next: [
             `The whole view is one message of ${formatBytes(full)}, and a frame may have 64 MiB: ${
                 formatNumber(64 * 1_048_576 / book.perUnit("view.full.bytes"))
-            } workspaces are the end of today's form. Two thirds of it are the seven classes, written out for each workspace. ${NOT_BUILT} Profiles (classes, pools, weight) sent once and named by number leave id, number, limit and two keys of 32 bytes, about 150 B for each workspace: ${
-                formatBytes(150 * SIZE.workspaces)
+            } workspaces are the end of today's form. Two thirds of it are the seven classes, written out for each workspace. ${NOT_BUILT} Profiles (classes, pools, weight) sent once and named by number leave id, number, limit and two keys of 32 bytes, about ${COMPACT_BYTES} B for each workspace: ${
+                formatBytes(COMPACT_BYTES * SIZE.workspaces)
             } in pieces of a few hundred KB, between which the event loop runs. A zone relay (below) serves it within the zone.`,
             `The budget of 128 MB holds for control alone; with the code of the process the sum is near it or over it. ${NOT_BUILT} The cheaper form is a compact table: key hashes cut to 16 bytes in one sorted buffer with a workspace number of 4 (${
                 formatBytes(2 * 20 * SIZE.workspaces)
--- a/src/bench/slopes/capacity/roles/voter.ts
+++ b/src/bench/slopes/capacity/roles/voter.ts
@@ -25,7 +25,9 @@
         rows: [
             {
                 what: "templates, workspaces and keys, memory",
-                arithmetic: `${formatNumber(book.perUnit("state.heap"))} B × ${SIZE.workspaces} and a base`,
+                arithmetic: `${formatNumber(book.perUnit("state.heap"))} B × ${
+                    formatNumber(SIZE.workspaces)
+                } and a base`,
                 value: formatBytes(heap),
                 verdict: judge(heap, BUDGET.memoryBytes),
             },
@@ -37,17 +39,17 @@
             },
             {
                 what: "a snapshot",
-                arithmetic: `${
-                    formatNumber(book.perUnit("state.snapshot.bytes"))
-                } B × ${SIZE.workspaces} and a base, encoded in one go`,
+                arithmetic: `${formatNumber(book.perUnit("state.snapshot.bytes"))} B × ${
+                    formatNumber(SIZE.workspaces)
+                } and a base, encoded in one go`,
                 value: `${formatBytes(snapshot)}, ${formatNumber(encode)} ms`,
                 verdict: `must stay well below \`election_ms\` (1,000): ${encode < 500 ? "fits" : "**breaks it**"}`,
             },
             {
                 what: "a start from a snapshot",
-                arithmetic: `${
-                    formatNumber(book.perUnit("state.snapshot.restore") * 1_000)
-                } µs × ${SIZE.workspaces}, and ${formatNumber(book.perUnit("log.replay"))} ms for each entry after it`,
+                arithmetic: `${formatNumber(book.perUnit("state.snapshot.restore") * 1_000)} µs × ${
+                    formatNumber(SIZE.workspaces)
+                }, and ${formatNumber(book.perUnit("log.replay"))} ms for each entry after it`,
                 value: `${formatNumber(book.at("state.snapshot.restore", SIZE.workspaces))} ms, and ${
                     formatNumber(book.perUnit("log.replay") * SNAPSHOT_ENTRIES)
                 } ms for ${formatNumber(SNAPSHOT_ENTRIES)} entries`,
@@ -90,7 +92,9 @@
         next: [
             `A change reaches all entries through one process: ${
                 formatNumber(change)
-            } ms of its event loop. That is below the limit of ${BUDGET.inForceMs} ms and grows with hosts alone. ${NOT_BUILT} With ${SIZE.zones} zone relays the holder serves ${SIZE.zones} pulls instead of ${SIZE.nodes}: ${
+            } ms of its event loop. That is below the limit of ${
+                formatNumber(BUDGET.inForceMs)
+            } ms and grows with hosts alone. ${NOT_BUILT} With ${SIZE.zones} zone relays the holder serves ${SIZE.zones} pulls instead of ${SIZE.nodes}: ${
                 formatNumber(book.perUnit("pulls.change.processor") * SIZE.zones)
             } ms.`,
             `**Call records break the memory** by far. ${NOT_BUILT} They leave the control log for a ledger of their own, split by workspace hash over ${GROUPS} groups on the ${SIZE.controlHosts} control hosts, with records on disk and an index of 24 B for each in memory, kept for one hour in memory and for the rest of the day on disk: ${
