--- /dev/null
+++ b/src/entry/usageMeter/test.ts
@@ -0,0 +1,114 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { Either, Left, Right } from "purify-ts";
+import { EntryCommand, EntryView, UsageBatchCommand, WorkspaceView } from "../../control/index.js";
+import { HostId, Incarnation } from "../../ids/index.js";
+import { SilentLogger } from "../../logging/index.js";
+import { VirtualClock } from "../../ports/index.js";
+import { ControlAccess, ControlAccessError } from "../controlAccess/index.js";
+import { BatchHolder, UsageMeter } from "./index.js";
+
+const LINE = {
+    workspace: "hotel",
+    pool: "draft",
+    class: "summary",
+    requests: 1,
+    prompt_tokens: 8,
+    completion_tokens: 5,
+};
+
+class FakeControl extends ControlAccess {
+    readonly commands: EntryCommand[] = [];
+    reachable = true;
+
+    isFresh(): boolean {
+        return true;
+    }
+
+    findWorkspace(): WorkspaceView | undefined {
+        return undefined;
+    }
+
+    entries(): readonly EntryView[] {
+        return [];
+    }
+
+    async command(command: EntryCommand): Promise<Either<ControlAccessError, unknown>> {
+        if (!this.reachable) return Left(new ControlAccessError(true, "cut off"));
+        this.commands.push(command);
+        return Right({});
+    }
+
+    onViewChange(): void {
+        // The view never changes.
+    }
+}
+
+class FakeHolder extends BatchHolder {
+    readonly held: UsageBatchCommand[] = [];
+    readonly released: number[] = [];
+    reachable = true;
+
+    async hold(batch: UsageBatchCommand): Promise<boolean> {
+        if (this.reachable) this.held.push(batch);
+        return this.reachable;
+    }
+
+    release(sequence: number): void {
+        this.released.push(sequence);
+    }
+}
+
+function startMeter() {
+    const clock = new VirtualClock();
+    const control = new FakeControl();
+    const holder = new FakeHolder();
+    const self = { host: "entry-1" as HostId, incarnation: "i" as Incarnation };
+    const meter = new UsageMeter({ clock, self, windowMs: 60_000, holder, control, logger: new SilentLogger() });
+    const abort = new AbortController();
+    void meter.run(abort.signal);
+    return { clock, control, holder, meter };
+}
+
+describe("UsageMeter", () => {
+    describe("record", () => {
+        it("settles only once another host holds the batch", async () => {
+            const { clock, holder, meter } = startMeter();
+            await clock.runUntil(meter.record(LINE), 100);
+            assert.equal(holder.held.length, 1);
+        });
+
+        it("goes straight to the control log when no other host can hold it", async () => {
+            const { clock, control, holder, meter } = startMeter();
+            holder.reachable = false;
+            await clock.runUntil(meter.record(LINE), 100);
+            assert.equal(control.commands.length, 1);
+        });
+
+        it("adds up what comes while a batch is under way", async () => {
+            const { clock, holder, meter } = startMeter();
+            await clock.runUntil(Promise.all([meter.record(LINE), meter.record(LINE), meter.record(LINE)]), 100);
+            const requests = holder.held.map(batch => batch.sums[0].line.requests);
+            assert.deepEqual(requests, [1, 2]);
+        });
+    });
+
+    describe("run", () => {
+        it("hands each batch in under its own number until it is taken, unchanged", async () => {
+            // A workspace is billed twice for one answer.
+            // The answer to a batch is lost, more usage comes, and the batch is sent again with the new usage in it.
+            // Cause: a batch that changes after it has a number is another batch under the same number.
+            const { clock, control, holder, meter } = startMeter();
+            control.reachable = false;
+            await clock.runUntil(meter.record(LINE), 100);
+            await clock.advance(2_000);
+            await clock.runUntil(meter.record(LINE), 100);
+            control.reachable = true;
+            await clock.advance(2_000);
+            const batches = control.commands as UsageBatchCommand[];
+            assert.deepEqual(batches.map(({ sequence, sums }) => [sequence, sums[0].line.requests]), [[1, 1], [2, 1]]);
+            assert.deepEqual(batches, holder.held);
+            assert.deepEqual({ backlog: meter.backlog, released: holder.released }, { backlog: 0, released: [1, 2] });
+        });
+    });
+});
--- a/src/features/steps/holders.ts
+++ b/src/features/steps/holders.ts
@@ -1,6 +1,11 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { FleetWorld } from "../world/index.js";
+import { controlHost, STAND_IN_HOST } from "../world/memoryFleet.js";
+
+interface HolderWorld extends FleetWorld {
+    isolated: number;
+}
 
 const MS_PER_SECOND = 1_000;
 const REPORT_MS = 20_000;
@@ -28,6 +33,33 @@
     },
 );
 
+When("the holder is isolated as soon as it has connected to the platform", function(this: HolderWorld) {
+    const { fleet } = this;
+    this.isolated = fleet.holder();
+    fleet.fabric.onceConnected(
+        controlHost(this.isolated),
+        STAND_IN_HOST,
+        () => fleet.isolateControl(this.isolated, true),
+    );
+});
+
+When("the isolated holder is joined again", function(this: HolderWorld) {
+    this.fleet.isolateControl(this.isolated, false);
+});
+
+When(
+    "the holder's next report takes {int} ms while it is cut off from the other control processes",
+    function(this: FleetWorld, ms: number) {
+        const { fleet } = this;
+        const holder = controlHost(fleet.holder());
+        const others = fleet.controlNumbers().map(controlHost);
+        fleet.fabric.onceConnected(holder, STAND_IN_HOST, () => {
+            fleet.slowLinks.set(`${holder}>${STAND_IN_HOST}`, ms);
+            fleet.fabric.isolate(holder, others, true);
+        });
+    },
+);
+
 When(
     "chats keep coming while each control process is killed and restarted in turn",
     async function(this: FleetWorld) {
--- a/src/features/world/memoryFleet.ts
+++ b/src/features/world/memoryFleet.ts
@@ -41,13 +41,18 @@
 const START_LIMIT_MS = 30_000;
 const DRAIN_LIMIT_MS = 60_000;
 const PORTS = { control: 7001, callers: 8080, upstreams: 8090, peers: 7000, admin: 7100, platform: 9000 } as const;
-const STAND_IN_HOST = "10.0.9.1";
+export const STAND_IN_HOST = "10.0.9.1";
 export const CALLER_HOST = "10.0.8.1";
 
 /** All processes of a deployment in one, under virtual time: what runs is the real code over in-memory ports. */
 export class MemoryFleet {
     readonly clock = new VirtualClock();
-    readonly fabric = new MemoryFabric(this.clock, (from, to) => from === to ? 0 : 1);
+    /** One-way latencies of links that are not as fast as all others, in milliseconds; by `from>to`. */
+    readonly slowLinks = new Map<string, number>();
+    readonly fabric = new MemoryFabric(
+        this.clock,
+        (from, to) => from === to ? 0 : this.slowLinks.get(`${from}>${to}`) ?? 1,
+    );
     readonly web = new MemoryWeb(this.fabric);
     readonly keyWatch = new KeyWatch();
     readonly controls: (ControlProcess | undefined)[] = [];
--- a/src/ports/memoryNetwork/index.ts
+++ b/src/ports/memoryNetwork/index.ts
@@ -20,6 +20,7 @@
     private readonly listeners = new Map<string, Accept>();
     private readonly cuts = new Set<string>();
     private readonly pipes = new Set<Pipe>();
+    private readonly actions = new Map<string, () => void>();
 
     /**
      * @param clock - Time for the latencies.
@@ -75,6 +76,18 @@
         }
     }
 
+    /** Runs an action at the moment in which one host has next connected to another, before it sends anything. */
+    onceConnected(from: string, to: string, action: () => void): void {
+        this.actions.set(linkName(from, to), action);
+    }
+
+    /** Told of each connection that was opened. */
+    connected(from: string, to: string): void {
+        const action = this.actions.get(linkName(from, to));
+        this.actions.delete(linkName(from, to));
+        action?.();
+    }
+
     isCut(from: string, to: string): boolean {
         return this.cuts.has(linkName(from, to));
     }
@@ -140,6 +153,7 @@
         const there = fabric.openPipe(host, address.host);
         const back = fabric.openPipe(address.host, host);
         accept(new MemoryConnection(host, back, there));
+        fabric.connected(host, address.host);
         return Right(new MemoryConnection(address.host, there, back));
     }
 }
