--- a/src/bench/policy/main.ts
+++ b/src/bench/policy/main.ts
@@ -3,9 +3,9 @@
 import { FileDisk } from "../../ports/index.js";
 import { compareWithBaseline, readBaseline, writeBaseline } from "./baseline/index.js";
 import { DEPLOYMENTS } from "./deployment/index.js";
+import { BenchJob, runJobs } from "./jobs/index.js";
 import { ABLATIONS, MAIN_SETS } from "./policySet/index.js";
 import { describeScore, makeHtmlReport } from "./report/index.js";
-import { runScenario } from "./run/index.js";
 import { SCENARIOS } from "./scenario/index.js";
 import { Score } from "./score/index.js";
 
@@ -37,16 +37,18 @@
 
 async function runBench(options: Options): Promise<number> {
     const sets = options.ablations ? [...MAIN_SETS, ...ABLATIONS] : MAIN_SETS;
-    const scores: Score[] = [];
-    for (const deployment of DEPLOYMENTS.filter(({ name }) => isWanted(name, options.deployment))) {
-        for (const scenario of SCENARIOS.filter(({ name }) => isWanted(name, options.scenario))) {
-            for (const policySet of sets.filter(({ name }) => isWanted(name, options.set))) {
-                const score = await runScenario(deployment, scenario, policySet, options.seed);
-                scores.push(score);
-                console.log(describeScore(score));
-            }
-        }
-    }
+    const jobs: BenchJob[] = DEPLOYMENTS.filter(({ name }) => isWanted(name, options.deployment)).flatMap(deployment =>
+        SCENARIOS.filter(({ name }) => isWanted(name, options.scenario)).flatMap(scenario =>
+            sets.filter(({ name }) => isWanted(name, options.set)).map(policySet => ({
+                deployment: deployment.name,
+                scenario: scenario.name,
+                policySet: policySet.name,
+                seed: options.seed,
+            }))
+        )
+    );
+    const scores = await runJobs(jobs);
+    for (const score of scores) console.log(describeScore(score));
     const disk = new FileDisk(BENCH_FOLDER);
     if (options.html) await disk.replace("report.html", new TextEncoder().encode(makeHtmlReport(scores)));
     if (options.update) await writeBaseline(disk, scores);
