--- a/src/dispatch/lengths/index.ts
+++ b/src/dispatch/lengths/index.ts
@@ -17,18 +17,23 @@
 /** Of `maxTokens`, used until anything was learned. */
 const DEFAULT_SHARE_OF_MAX = 0.5;
 
+const MIDDLES = Array.from({ length: BUCKETS }, (_, bucket) => BUCKET_GROWTH ** (bucket + 0.5));
+
 class LengthHistogram {
     private readonly counts = new Uint16Array(BUCKETS);
     private total = 0;
+    private sum = 0;
 
     get samples(): number {
         return this.total;
     }
 
     add(tokens: number): void {
-        const bucket = Math.floor(Math.log(Math.max(1, tokens)) / Math.log(BUCKET_GROWTH));
-        this.counts[Math.min(BUCKETS - 1, bucket)]++;
+        const exact = Math.floor(Math.log(Math.max(1, tokens)) / Math.log(BUCKET_GROWTH));
+        const bucket = Math.min(BUCKETS - 1, exact);
+        this.counts[bucket]++;
         this.total++;
+        this.sum += MIDDLES[bucket];
         if (this.total >= HALVE_AT) this.halve();
     }
 
@@ -36,30 +41,26 @@
         let seen = 0;
         for (let bucket = 0; bucket < BUCKETS; bucket++) {
             seen += this.counts[bucket];
-            if (seen >= share * this.total) return middleOf(bucket);
+            if (seen >= share * this.total) return MIDDLES[bucket];
         }
-        return middleOf(BUCKETS - 1);
+        return MIDDLES[BUCKETS - 1];
     }
 
     mean(): number {
-        let sum = 0;
-        for (let bucket = 0; bucket < BUCKETS; bucket++) sum += this.counts[bucket] * middleOf(bucket);
-        return sum / this.total;
+        return this.sum / this.total;
     }
 
     private halve(): void {
         this.total = 0;
+        this.sum = 0;
         for (let bucket = 0; bucket < BUCKETS; bucket++) {
             this.counts[bucket] >>= 1;
             this.total += this.counts[bucket];
+            this.sum += this.counts[bucket] * MIDDLES[bucket];
         }
     }
 }
 
-function middleOf(bucket: number): number {
-    return BUCKET_GROWTH ** (bucket + 0.5);
-}
-
 /**
  * Learns how long answers are. Nobody knows an answer's length before its end, but a class of a workspace repeats
  * itself; one not seen yet borrows from its class in the pool, then from the pool.
--- a/src/dispatch/order/tierQueue/index.ts
+++ b/src/dispatch/order/tierQueue/index.ts
@@ -13,7 +13,7 @@
     readonly tickets: Heap<WaitingTicket>;
 }
 
-/** Counters of idle workspaces are dropped, once the tier has caught up with them, when there are this many. */
+/** Counters of idle workspaces are dropped, once the tier has caught up with them, from this many on. */
 const IDLE_SWEEP_AT = 256;
 /**
  * How far a workspace that has work running may stay behind the others, in requests. A small one has no ticket waiting
@@ -35,6 +35,7 @@
     private activeWeight = 0;
     private level = 0;
     private totalCost = 0;
+    private sweepAt = IDLE_SWEEP_AT;
 
     get size(): number {
         return this.byTarget.size;
@@ -167,12 +168,13 @@
         this.active.update(queue);
     }
 
+    /** Each sweep doubles the bound from what it left, so that a new workspace costs the same however many there are. */
     private sweepIdle(): void {
-        if (this.queues.size < 2 * this.active.size + IDLE_SWEEP_AT) return;
+        if (this.queues.size < this.sweepAt) return;
         for (const queue of [...this.queues.values()]) {
-            if (queue.tickets.size + queue.running === 0 && queue.counter <= this.level) {
-                this.queues.delete(queue.workspace);
-            }
+            if (queue.tickets.size + queue.running > 0 || queue.counter > this.level) continue;
+            this.queues.delete(queue.workspace);
         }
+        this.sweepAt = Math.max(IDLE_SWEEP_AT, 2 * this.queues.size);
     }
 }
--- a/src/dispatch/poolQueue/index.ts
+++ b/src/dispatch/poolQueue/index.ts
@@ -44,6 +44,11 @@
 const EMPTY_GRACE_MS = 2_000;
 /** How soon a preempted request gives its slot, in milliseconds. */
 const PREEMPTION_MS = 50;
+/** Ticks between two looks at all upstreams of the pool. */
+const REVIEW_TICKS = 4;
+/** Ticks between two looks at the queue when more than so many wait: a look costs more, and is as fresh as they need. */
+const MANY_WAITING_TICKS = 4;
+const MANY_WAITING = 256;
 const RETRY_LEAST_MS = 100;
 const RETRY_MOST_MS = 60_000;
 /** Tokens between two looks at a running request's pace. */
@@ -65,6 +70,7 @@
     private readonly running = new RunningSet();
     private readonly outlook = new PoolOutlook();
     private heldSlots = 0;
+    private ticks = 0;
     private lastUsableAt: number;
 
     constructor(private readonly options: PoolQueueOptions) {
@@ -197,16 +203,13 @@
 
     /** What time alone brings: expiry, shedding, preemption, stragglers, back-off ends. */
     tick(): void {
-        const { members, observer } = this.options;
-        const ejected = this.stragglers.review(members.all, this.options.clock.monotonic());
-        members.refreshAll();
-        for (const load of ejected) {
-            observer.ejected(load.upstream.id);
-            this.preempter.moveAway(load, members.freeSlots - this.waiters.size);
-        }
+        const turn = this.ticks++;
+        if (turn % REVIEW_TICKS === 0) this.reviewMembers();
         this.updateConcurrency();
+        if (this.waiters.size === 0) return;
+        if (this.waiters.size > MANY_WAITING && turn % MANY_WAITING_TICKS !== 0) return;
         this.shed();
-        if (this.waiters.size > 0) this.preempter.considerAll(this.order.highestTierFirst());
+        this.preempter.considerAll(this.order.highestTierFirst());
     }
 
     /** Refuses all that waits, as the process is about to stop: another entry takes the queue over. */
@@ -214,6 +217,16 @@
         for (const waiting of [...this.waiters.keys()]) this.refuseWaiting(waiting, "draining", 0, "the entry stops");
     }
 
+    private reviewMembers(): void {
+        const { members, observer, clock } = this.options;
+        const ejected = this.stragglers.review(members.all, clock.monotonic());
+        members.refreshAll();
+        for (const load of ejected) {
+            observer.ejected(load.upstream.id);
+            this.preempter.moveAway(load, members.freeSlots - this.waiters.size);
+        }
+    }
+
     private enqueue(waiting: WaitingTicket): void {
         // Rejects never: `start` catches nothing and throws nothing. A ticket that is withdrawn leaves it pending.
         void this.queue.add(() => this.start(waiting), { waiting });
@@ -281,7 +294,6 @@
     }
 
     private shed(): void {
-        if (this.waiters.size === 0) return;
         const now = this.options.clock.monotonic();
         const { outlook } = this;
         const { usableSlots } = this.options.members;
--- a/src/upstream/load/index.ts
+++ b/src/upstream/load/index.ts
@@ -1,3 +1,4 @@
+import { Announcement } from "../../protocol/index.js";
 import { Upstream } from "../upstream/index.js";
 
 interface Sample {
@@ -22,6 +23,9 @@
 export class UpstreamLoad {
     private readonly history: Sample[] = [];
     private own = 0;
+    /** The report that the load of others was worked out from. */
+    private foreignFrom: Announcement | undefined;
+    private foreignCount = 0;
     private paceMs: number | undefined;
     private paces = 0;
     private failures = 0;
@@ -87,6 +91,7 @@
      */
     adopt(startedAt: number): void {
         this.own++;
+        this.foreignFrom = undefined;
         const later = this.history.filter(sample => sample.at >= startedAt);
         const earlier = this.history.slice(0, this.history.length - later.length);
         const before = earlier.at(-1)?.outstanding ?? 0;
@@ -143,8 +148,13 @@
     }
 
     private foreign(): number {
-        const { running, queued } = this.upstream.announcement.load;
-        return Math.max(0, running + queued - this.ownAt(this.upstream.loadMeasuredAt));
+        const { announcement, loadMeasuredAt } = this.upstream;
+        if (this.foreignFrom !== announcement) {
+            const { running, queued } = announcement.load;
+            this.foreignCount = Math.max(0, running + queued - this.ownAt(loadMeasuredAt));
+            this.foreignFrom = announcement;
+        }
+        return this.foreignCount;
     }
 
     /** The most that this process had outstanding around a moment: a report races with what was just sent or ended. */
@@ -160,6 +170,7 @@
     }
 
     private remember(now: number): void {
+        if (now <= this.upstream.loadMeasuredAt + FLIGHT_MS) this.foreignFrom = undefined;
         const last = this.history.at(-1);
         if (last?.at === now) this.history.pop();
         this.history.push({ at: now, outstanding: this.own });
--- a/src/upstream/members/index.ts
+++ b/src/upstream/members/index.ts
@@ -14,6 +14,8 @@
     private readonly free = new Map<UpstreamId, number>();
     private readonly usable = new Map<UpstreamId, number>();
     private order: UpstreamLoad[] = [];
+    private readonly freeList: UpstreamLoad[] = [];
+    private readonly freePlaces = new Map<UpstreamLoad, number>();
     private freeTotal = 0;
     private usableTotal = 0;
 
@@ -73,6 +75,7 @@
         const free = load.freeSlots(now);
         this.freeTotal += free - (this.free.get(id) ?? 0);
         this.free.set(id, free);
+        this.listAsFree(load, free > 0);
         const usable = load.usableSlots(now);
         this.usableTotal += usable - (this.usable.get(id) ?? 0);
         this.usable.set(id, usable);
@@ -93,18 +96,32 @@
      * @param random - Picks the sample.
      */
     candidates(most: number, random: Random): UpstreamLoad[] {
-        if (this.order.length <= most) return this.order.filter(load => this.isFree(load));
+        if (this.freeList.length <= most) return [...this.freeList];
         const found = new Set<UpstreamLoad>();
         for (let tries = 0; tries < SAMPLE_TRIES * most && found.size < most; tries++) {
-            const load = random.pick(this.order);
-            if (this.isFree(load)) found.add(load);
+            found.add(random.pick(this.freeList));
         }
-        return found.size > 0 ? [...found] : this.order.filter(load => this.isFree(load));
+        return [...found];
     }
 
     /** Whether a member can take a request now. */
     isFree(load: UpstreamLoad): boolean {
-        return (this.free.get(load.upstream.id) ?? 0) > 0;
+        return this.freePlaces.has(load);
+    }
+
+    private listAsFree(load: UpstreamLoad, isFree: boolean): void {
+        const place = this.freePlaces.get(load);
+        if (isFree === (place !== undefined)) return;
+        if (place === undefined) {
+            this.freePlaces.set(load, this.freeList.length);
+            this.freeList.push(load);
+            return;
+        }
+        const last = this.freeList.pop()!;
+        this.freePlaces.delete(load);
+        if (last === load) return;
+        this.freeList[place] = last;
+        this.freePlaces.set(last, place);
     }
 
     private remove(id: UpstreamId): void {
@@ -112,6 +129,7 @@
         if (!load) return;
         this.freeTotal -= this.free.get(id) ?? 0;
         this.usableTotal -= this.usable.get(id) ?? 0;
+        this.listAsFree(load, false);
         this.free.delete(id);
         this.usable.delete(id);
         this.loads.delete(id);
