--- a/src/dispatch/poolQueue/index.ts
+++ b/src/dispatch/poolQueue/index.ts
@@ -3,7 +3,7 @@
 import { HostId, PoolId, RequestId, ZoneId } from "../../ids/index.js";
 import { Clock, Random } from "../../ports/index.js";
 import { PoolMembers, PrefixIndex, StragglerPolicy, Upstream, UpstreamLoad } from "../../upstream/index.js";
-import { AdmissionPolicy } from "../admission/index.js";
+import { AdmissionControl, makeRefusal } from "../admissionControl/index.js";
 import { LengthEstimator } from "../lengths/index.js";
 import { DispatchObserver } from "../observer/index.js";
 import { OrderContext, OrderPolicy } from "../order/index.js";
@@ -12,7 +12,7 @@
 import { Preempter } from "../preempter/index.js";
 import { walkProspects } from "../prospects/index.js";
 import { RunningRequest, RunningSet } from "../running/index.js";
-import { Completion, Grant, Refusal, RefusalReason, Ticket } from "../ticket/index.js";
+import { Completion, Grant, Refusal, Ticket } from "../ticket/index.js";
 import { TicketQueue, TicketQueueOptions } from "../ticketQueue/index.js";
 import { UpstreamPicker } from "../upstreamPicker/index.js";
 import { costInTokens, makeWaitingTicket, WaitingTicket } from "../waiting/index.js";
@@ -40,17 +40,11 @@
 
 /** A grant not used within this time has lost its slot's moment: the upstream may have left since. */
 const GRANT_VALID_MS = 500;
-/** A pool without upstreams lets requests wait for this long, since upstreams announce twice a second. */
-const EMPTY_GRACE_MS = 2_000;
-/** How soon a preempted request gives its slot, in milliseconds. */
-const PREEMPTION_MS = 50;
 /** Ticks between two looks at all upstreams of the pool. */
 const REVIEW_TICKS = 4;
 /** Ticks between two looks at the queue when more than so many wait: a look costs more, and is as fresh as they need. */
 const MANY_WAITING_TICKS = 4;
 const MANY_WAITING = 256;
-const RETRY_LEAST_MS = 100;
-const RETRY_MOST_MS = 60_000;
 /** Tokens between two looks at a running request's pace. */
 const PACE_TOKENS = 8;
 
@@ -60,7 +54,7 @@
  */
 export class PoolQueue {
     private readonly order: OrderPolicy;
-    private readonly admission: AdmissionPolicy;
+    private readonly admission: AdmissionControl;
     private readonly preempter: Preempter;
     private readonly stragglers: StragglerPolicy;
     private readonly picker: UpstreamPicker;
@@ -71,12 +65,10 @@
     private readonly outlook = new PoolOutlook();
     private heldSlots = 0;
     private ticks = 0;
-    private lastUsableAt: number;
 
     constructor(private readonly options: PoolQueueOptions) {
         const { policies, random, prefixes } = options;
         this.order = policies.createOrder();
-        this.admission = policies.createAdmission();
         this.preempter = new Preempter({
             ...options,
             policy: policies.createPreemption(),
@@ -84,6 +76,13 @@
             outlook: this.outlook,
         });
         this.stragglers = policies.createStragglers();
+        this.admission = new AdmissionControl({
+            ...options,
+            policy: policies.createAdmission(),
+            order: this.order,
+            outlook: this.outlook,
+            preempter: this.preempter,
+        });
         this.picker = new UpstreamPicker({ ...options, choice: policies.createChoice({ random, prefixes }) });
         const tickets = new TicketQueue(this.order, () => this.readOrderContext());
         this.tickets = tickets;
@@ -92,7 +91,6 @@
             return tickets;
         } as unknown as new() => TicketQueue;
         this.queue = new PQueue<TicketQueue, TicketQueueOptions>({ queueClass, autoStart: false });
-        this.lastUsableAt = options.startedAt;
         this.updateConcurrency();
     }
 
@@ -116,13 +114,16 @@
         const waiting = makeWaitingTicket(ticket, now, this.options.lengths.predictMean(ticket, left));
         this.outlook.learnArrival(waiting, now);
         this.options.observer.queued(waiting);
-        const refusal = signal.aborted ? refuse(waiting, "cancelled", 0, "the caller has gone") : this.judge(waiting);
+        const refusal = signal.aborted
+            ? makeRefusal(waiting, "cancelled", 0, "the caller has gone")
+            : this.admission.judgeNew(waiting);
         if (refusal) {
             this.options.observer.refused(waiting, refusal);
             return Promise.resolve(Left(refusal));
         }
         return new Promise(resolve => {
-            const onAbort = (): void => this.refuseWaiting(waiting, "cancelled", 0, "the caller has gone");
+            const onAbort = (): void =>
+                this.refuseWaiting(waiting, makeRefusal(waiting, "cancelled", 0, "the caller has gone"));
             signal.addEventListener("abort", onAbort, { once: true });
             const stopListening = (): void => signal.removeEventListener("abort", onAbort);
             this.waiters.set(waiting, { settle: resolve, stopListening });
@@ -183,7 +184,9 @@
      */
     forgetEntry(host: HostId): readonly RequestId[] {
         for (const waiting of [...this.waiters.keys()]) {
-            if (waiting.ticket.origin === host) this.refuseWaiting(waiting, "cancelled", 0, "the entry is lost");
+            if (waiting.ticket.origin === host) {
+                this.refuseWaiting(waiting, makeRefusal(waiting, "cancelled", 0, "the entry is lost"));
+            }
         }
         const lost = [...this.running.values()].filter(({ waiting }) => waiting.ticket.origin === host);
         for (const { waiting, load, tokens } of lost) {
@@ -214,7 +217,9 @@
 
     /** Refuses all that waits, as the process is about to stop: another entry takes the queue over. */
     drain(): void {
-        for (const waiting of [...this.waiters.keys()]) this.refuseWaiting(waiting, "draining", 0, "the entry stops");
+        for (const waiting of [...this.waiters.keys()]) {
+            this.refuseWaiting(waiting, makeRefusal(waiting, "draining", 0, "the entry stops"));
+        }
     }
 
     private reviewMembers(): void {
@@ -270,29 +275,6 @@
         this.takeWaiter(waiting)?.settle(Right(grant));
     }
 
-    private judge(waiting: WaitingTicket): Refusal | undefined {
-        const now = this.options.clock.monotonic();
-        if (this.options.members.usableSlots === 0) {
-            if (now - this.lastUsableAt < EMPTY_GRACE_MS) return undefined;
-            return refuse(waiting, "no-upstream", EMPTY_GRACE_MS, "no upstream of the pool is ready");
-        }
-        const waitMs = this.predictWait(waiting);
-        const { firstTokenMs } = this.outlook;
-        const lateMs = this.admission.expectedLatenessMs(waiting, { now, waitMs, firstTokenMs });
-        if (lateMs <= 0) return undefined;
-        return refuse(waiting, "over-capacity", lateMs, `predicted wait ${Math.round(waitMs)} ms`);
-    }
-
-    private predictWait(waiting: WaitingTicket): number {
-        const { members, clock } = this.options;
-        const costAhead = this.order.costAhead(waiting);
-        if (members.freeSlots > 0 && costAhead === 0) return 0;
-        if (this.preempter.canServe(waiting, costAhead)) return PREEMPTION_MS;
-        const slots = members.usableSlots;
-        const { tier } = waiting.ticket;
-        return this.outlook.releaseMs(slots) + this.outlook.predictWaitMs(tier, costAhead, slots, clock.monotonic());
-    }
-
     private shed(): void {
         const now = this.options.clock.monotonic();
         const { outlook } = this;
@@ -300,23 +282,24 @@
         const releaseMs = outlook.releaseMs(usableSlots);
         walkProspects(this.order.highestTierFirst(), { now, usableSlots, outlook }, (waiting, waitMs) => {
             if (now >= waiting.expiresAt) {
-                this.refuseWaiting(waiting, "wait-expired", releaseMs, "waited as long as its class may");
+                this.refuseWaiting(
+                    waiting,
+                    makeRefusal(waiting, "wait-expired", releaseMs, "waited as long as its class may"),
+                );
                 return false;
             }
             if (usableSlots === 0) return true;
-            const context = { now, waitMs, firstTokenMs: outlook.firstTokenMs };
-            const lateMs = this.admission.expectedLatenessMs(waiting, context);
-            if (lateMs <= 0) return true;
-            this.refuseWaiting(waiting, "shed", lateMs, `predicted wait ${Math.round(waitMs)} ms`);
+            const refusal = this.admission.judgeWait(waiting, waitMs, "shed");
+            if (!refusal) return true;
+            this.refuseWaiting(waiting, refusal);
             return false;
         });
     }
 
-    private refuseWaiting(waiting: WaitingTicket, reason: RefusalReason, retryMs: number, detail: string): void {
+    private refuseWaiting(waiting: WaitingTicket, refusal: Refusal): void {
         const waiter = this.takeWaiter(waiting);
         if (!waiter) return;
         this.tickets.withdraw(waiting);
-        const refusal = refuse(waiting, reason, retryMs, detail);
         this.options.observer.refused(waiting, refusal);
         waiter.settle(Left(refusal));
     }
@@ -343,9 +326,8 @@
     }
 
     private updateConcurrency(): void {
-        const { members, clock } = this.options;
-        if (members.usableSlots > 0) this.lastUsableAt = clock.monotonic();
-        const concurrency = this.heldSlots + members.freeSlots;
+        this.admission.noteMembers();
+        const concurrency = this.heldSlots + this.options.members.freeSlots;
         if (concurrency === 0) {
             this.queue.pause();
             return;
@@ -365,8 +347,3 @@
         };
     }
 }
-
-function refuse(waiting: WaitingTicket, reason: RefusalReason, retryMs: number, detail: string): Refusal {
-    const retryAfterMs = Math.round(Math.min(RETRY_MOST_MS, Math.max(RETRY_LEAST_MS, retryMs)));
-    return { request: waiting.ticket.request, reason, retryAfterMs, detail };
-}
