--- a/src/workspace/index.ts
+++ b/src/workspace/index.ts
@@ -3,5 +3,6 @@
 export * from "./changeMemory/index.js";
 export * from "./changeSchema/index.js";
 export * from "./key/index.js";
+export * from "./keyRing/index.js";
 export * from "./registry/index.js";
 export * from "./template/index.js";
--- a/src/workspace/registry/index.ts
+++ b/src/workspace/registry/index.ts
@@ -1,6 +1,7 @@
 import type { ApplyContext } from "../../consensus/index.js";
 import type { KeyView, WorkspaceView } from "../../control/index.js";
-import type { ChangeId, KeyHash, KeyId, Revision, TemplateName, WorkspaceId } from "../../ids/index.js";
+import type { KeyHash, Revision, TemplateName, WorkspaceId } from "../../ids/index.js";
+import { copyText, SharedValues } from "../_lib/sharedValues.js";
 import type {
     ChangeRefusal,
     ChangeResult,
@@ -13,20 +14,9 @@
     WithdrawKeyChange,
 } from "../change/index.js";
 import { ChangeMemory, RememberedChange } from "../changeMemory/index.js";
+import { Authorship, KeyRecord, KeyRing } from "../keyRing/index.js";
 import { ParameterAssignment, resolveTemplate, TemplateSpec, WorkspaceProfile } from "../template/index.js";
 
-/** How long a withdrawn key's hash is kept, so that it can't be granted again. */
-const WITHDRAWN_RETENTION_MS = 400 * 24 * 3_600_000;
-/** Beyond this many the table of shared values starts anew; what is shared already stays so. */
-const MOST_SHARED = 4_096;
-
-/** Who made the change that stands, and at which revision. */
-interface Authorship {
-    readonly revision: Revision;
-    readonly operator: string;
-    readonly changeId: ChangeId;
-}
-
 export interface TemplateRecord extends Authorship {
     readonly name: TemplateName;
     readonly spec: TemplateSpec;
@@ -40,15 +30,6 @@
     readonly tokenLimit?: number;
 }
 
-export interface KeyRecord extends Authorship {
-    readonly id: KeyId;
-    readonly hash: KeyHash;
-    readonly workspace: WorkspaceId;
-    /** In milliseconds since the epoch. */
-    readonly grantedAt: number;
-    readonly withdrawnAt?: number;
-}
-
 /** What a change made entries' views differ in. */
 export interface TouchedViews {
     readonly workspaces: readonly WorkspaceId[];
@@ -79,11 +60,8 @@
 export class WorkspaceRegistry {
     private readonly templates = new Map<TemplateName, TemplateRecord>();
     private readonly workspaces = new Map<WorkspaceId, WorkspaceRecord>();
-    private readonly keys = new Map<KeyId, KeyRecord>();
-    private readonly keysByHash = new Map<KeyHash, KeyId>();
-    /** In the order of their withdrawal. */
-    private readonly withdrawn = new Set<KeyId>();
-    private readonly shared = new Map<string, unknown>();
+    private readonly keys = new KeyRing();
+    private readonly shared = new SharedValues();
     private readonly memory = new ChangeMemory();
     /** Resolved profiles by template and parameters: workspaces with the same ones share one object. */
     private readonly profiles = new Map<TemplateName, Map<string, WorkspaceProfile>>();
@@ -129,7 +107,7 @@
 
     /** The keys of a workspace, withdrawn ones too. */
     listKeys(workspace: WorkspaceId): readonly KeyRecord[] {
-        return [...this.keys.values()].filter(key => key.workspace === workspace);
+        return this.keys.list(workspace);
     }
 
     /** A workspace as entries see it; undefined when it is not there. */
@@ -143,15 +121,12 @@
 
     /** A key as entries see it; undefined when it is withdrawn or was never granted. */
     viewKey(hash: KeyHash): KeyView | undefined {
-        const record = this.keys.get(this.keysByHash.get(hash)!);
-        if (!record || record.withdrawnAt !== undefined) return undefined;
-        return { hash, id: record.id, workspace: record.workspace };
+        return this.keys.view(hash);
     }
 
     /** All keys in force, as entries see them. */
     viewKeys(): readonly KeyView[] {
-        const active = [...this.keys.values()].filter(key => key.withdrawnAt === undefined);
-        return active.map(({ hash, id, workspace }) => ({ hash, id, workspace }));
+        return this.keys.viewAll();
     }
 
     /** A workspace's token limit for one usage window; undefined when it has none. */
@@ -164,18 +139,17 @@
             revision: this.latest,
             templates: this.listTemplates(),
             workspaces: this.listWorkspaces(),
-            keys: this.listKeysForSnapshot(),
+            keys: this.keys.snapshot(),
             changes: this.memory.snapshot(),
         };
     }
 
     restore(snapshot: RegistrySnapshot): void {
-        for (const map of [this.templates, this.workspaces, this.keys, this.keysByHash, this.profiles]) map.clear();
-        this.withdrawn.clear();
+        for (const map of [this.templates, this.workspaces, this.profiles]) map.clear();
         this.latest = snapshot.revision;
         for (const template of snapshot.templates) this.templates.set(template.name, template);
         for (const workspace of snapshot.workspaces) this.keepWorkspace(workspace);
-        for (const key of snapshot.keys) this.keepKey(key);
+        this.keys.restore(snapshot.keys.map(key => ({ ...key, workspace: this.ownId(key.workspace) })));
         this.memory.restore(snapshot.changes);
     }
 
@@ -240,7 +214,7 @@
         const current = this.workspaces.get(id);
         if (!current || current.revision !== change.base) return describeConflict(current, `workspace ${id}`);
         const active = this.listKeys(id).filter(key => key.withdrawnAt === undefined);
-        for (const key of active) this.markWithdrawn(key, change, context);
+        for (const key of active) this.keys.withdraw(key, authorOf(change, context), context.proposedAt);
         this.workspaces.delete(id);
         return done(context, { workspaces: [id], keys: active.map(key => key.hash) });
     }
@@ -248,72 +222,42 @@
     private grantKey(change: GrantKeyChange, context: ApplyContext): ChangeOutcome {
         const { keyId, hash, workspace } = change;
         if (!this.workspaces.has(workspace)) return refuse("not-found", `there is no workspace ${workspace}`);
-        // A key withdrawn once must never work again, whoever grants it: its record outlives the withdrawal.
-        const earlier = this.keys.get(keyId) ?? this.keys.get(this.keysByHash.get(hash)!);
+        const earlier = this.keys.findTaken(keyId, hash);
         if (earlier?.withdrawnAt !== undefined) return refuse("withdrawn", `the key ${earlier.id} was withdrawn`);
         if (earlier) return refuse("exists", `the key ${earlier.id} is there already`);
-        this.keepKey({ id: keyId, hash, workspace, grantedAt: context.proposedAt, ...authorOf(change, context) });
+        this.keys.keep({
+            id: keyId,
+            hash,
+            workspace: this.ownId(workspace),
+            grantedAt: context.proposedAt,
+            ...authorOf(change, context),
+        });
         return done(context, { workspaces: [], keys: [hash] });
     }
 
     private withdrawKey(change: WithdrawKeyChange, context: ApplyContext): ChangeOutcome {
-        const key = this.keys.get(change.keyId);
+        const key = this.keys.find(change.keyId);
         if (!key) return refuse("not-found", `there is no key ${change.keyId}`);
         if (key.withdrawnAt !== undefined) return { result: { kind: "done", revision: key.revision } };
-        this.markWithdrawn(key, change, context);
-        this.forgetOldKeys(context);
+        this.keys.withdraw(key, authorOf(change, context), context.proposedAt);
         return done(context, { workspaces: [], keys: [key.hash] });
     }
 
-    private markWithdrawn(key: KeyRecord, change: ConfigChange, context: ApplyContext): void {
-        this.keepKey({ ...key, withdrawnAt: context.proposedAt, ...authorOf(change, context) });
-    }
-
     private keepWorkspace(record: WorkspaceRecord): void {
         const id = copyText(record.id);
         this.workspaces.set(id, {
             ...record,
             id,
             changeId: copyText(record.changeId),
-            template: this.share(record.template),
-            parameters: this.share(record.parameters),
-            operator: this.share(record.operator),
+            template: this.shared.share(record.template),
+            parameters: this.shared.share(record.parameters),
+            operator: this.shared.share(record.operator),
         });
     }
 
-    private keepKey(key: KeyRecord): void {
-        const workspace = this.workspaces.get(key.workspace)?.id ?? key.workspace;
-        const id = copyText(key.id);
-        const hash = copyText(key.hash);
-        const changeId = copyText(key.changeId);
-        this.keys.set(id, { ...key, id, hash, changeId, workspace, operator: this.share(key.operator) });
-        this.keysByHash.set(hash, id);
-        if (key.withdrawnAt !== undefined) this.withdrawn.add(id);
-    }
-
-    /** Those in force first, then the withdrawn ones in the order of their withdrawal, which a restored registry keeps. */
-    private listKeysForSnapshot(): readonly KeyRecord[] {
-        const active = [...this.keys.values()].filter(key => key.withdrawnAt === undefined);
-        return [...active, ...[...this.withdrawn].map(id => this.keys.get(id)!)];
-    }
-
-    private forgetOldKeys(context: ApplyContext): void {
-        const oldest = context.proposedAt - WITHDRAWN_RETENTION_MS;
-        for (const id of this.withdrawn) {
-            const key = this.keys.get(id)!;
-            if (key.withdrawnAt! > oldest) return;
-            this.withdrawn.delete(id);
-            this.keys.delete(id);
-            this.keysByHash.delete(key.hash);
-        }
-    }
-
-    /** Equal values that come with each record are kept once. */
-    private share<Value>(value: Value): Value {
-        if (this.shared.size > MOST_SHARED) this.shared.clear();
-        const text = JSON.stringify(value);
-        if (!this.shared.has(text)) this.shared.set(text, value);
-        return this.shared.get(text) as Value;
+    /** The workspace's own copy of its id: a key that holds another keeps its log entry in memory. */
+    private ownId(id: WorkspaceId): WorkspaceId {
+        return this.workspaces.get(id)?.id ?? id;
     }
 
     private profileOf(name: TemplateName, parameters: readonly ParameterAssignment[]): WorkspaceProfile {
@@ -328,11 +272,6 @@
     }
 }
 
-/** A text read from a log entry may be a slice that keeps the whole entry in memory; a copy does not. */
-function copyText<Text extends string>(text: Text): Text {
-    return Buffer.from(text).toString() as Text;
-}
-
 function describeSubject(change: ConfigChange): string {
     if (change.kind === "template.put") return `${change.kind} ${change.name} ${change.base}`;
     if (change.kind === "key.grant") return `${change.kind} ${change.keyId} ${change.hash}`;
