--- a/src/bench/policy/fleet/index.ts
+++ b/src/bench/policy/fleet/index.ts
@@ -29,6 +29,7 @@
     readonly entry: Entry;
     readonly ticket: Ticket;
     readonly grant: Grant;
+    readonly grantedAt: number;
 }
 
 const REGION = "region-1";
@@ -43,6 +44,7 @@
 export class Fleet {
     readonly entries: readonly Entry[];
     private readonly running = new Map<RequestId, RunningGrant>();
+    private readonly owners = new Map<PoolId, Entry>();
     private readonly preempts = new Map<RequestId, () => void>();
 
     constructor(
@@ -97,7 +99,8 @@
             if (entry.crashedAt !== undefined) return undefined;
             await clock.sleep(hopMs);
             if (decision) {
-                decision.ifRight(grant => this.running.set(ticket.request, { entry, ticket, grant }));
+                const grantedAt = clock.monotonic();
+                decision.ifRight(grant => this.running.set(ticket.request, { entry, ticket, grant, grantedAt }));
                 return decision;
             }
             await clock.sleep(Math.max(0, owner.crashedAt! + DETECTION_MS - clock.monotonic()));
@@ -125,8 +128,9 @@
         lost.crashedAt = clock.monotonic();
         lost.dispatcher.close();
         clock.after(DETECTION_MS, () => {
-            for (const { entry, ticket, grant } of this.running.values()) {
-                this.ownerOf(entry, ticket.pool).dispatcher.adopt(ticket, grant);
+            for (const { entry, ticket, grant, grantedAt } of this.running.values()) {
+                const runningMs = clock.monotonic() - grantedAt;
+                this.ownerOf(entry, ticket.pool).dispatcher.adopt(ticket, grant, runningMs);
             }
         });
         return lost;
@@ -151,12 +155,17 @@
 
     private ownerOf(entry: Entry, pool: PoolId): Entry {
         if (this.options.policySet.queues === "local") return entry;
-        const now = this.options.clock.monotonic();
-        const believedAlive = this.entries.filter(other =>
-            other.crashedAt === undefined || now < other.crashedAt + DETECTION_MS
-        );
+        const known = this.owners.get(pool);
+        if (known && !this.isKnownLost(known)) return known;
+        const believedAlive = this.entries.filter(other => !this.isKnownLost(other));
         const host = choosePoolOwner(pool, REGION, believedAlive.map(other => other.host));
-        return this.entries.find(other => other.host === host)!;
+        const owner = this.entries.find(other => other.host === host)!;
+        this.owners.set(pool, owner);
+        return owner;
+    }
+
+    private isKnownLost(entry: Entry): boolean {
+        return entry.crashedAt !== undefined && this.options.clock.monotonic() >= entry.crashedAt + DETECTION_MS;
     }
 
     private makeEntry(index: number): Entry {
--- a/src/dispatch/poolQueue/index.ts
+++ b/src/dispatch/poolQueue/index.ts
@@ -1,26 +1,20 @@
 import PQueue from "p-queue";
 import { Either, Left, Right } from "purify-ts";
-import { PoolId, RequestId, ZoneId } from "../../ids/index.js";
+import { HostId, PoolId, RequestId, ZoneId } from "../../ids/index.js";
 import { Clock, Random } from "../../ports/index.js";
-import {
-    PoolMembers,
-    PrefixIndex,
-    StragglerPolicy,
-    Upstream,
-    UpstreamChoice,
-    UpstreamLoad,
-} from "../../upstream/index.js";
-import { AdmissionPolicy } from "../admission/index.js";
+import { PoolMembers, PrefixIndex, StragglerPolicy, Upstream, UpstreamLoad } from "../../upstream/index.js";
+import { AdmissionControl, makeRefusal } from "../admissionControl/index.js";
 import { LengthEstimator } from "../lengths/index.js";
 import { DispatchObserver } from "../observer/index.js";
 import { OrderContext, OrderPolicy } from "../order/index.js";
 import { PoolOutlook } from "../outlook/index.js";
 import { DispatchPolicies } from "../policies/index.js";
-import { PreemptionPolicy } from "../preemption/index.js";
+import { Preempter } from "../preempter/index.js";
 import { walkProspects } from "../prospects/index.js";
 import { RunningRequest, RunningSet } from "../running/index.js";
-import { Completion, Grant, Refusal, RefusalReason, Ticket } from "../ticket/index.js";
+import { Completion, Grant, Refusal, Ticket } from "../ticket/index.js";
 import { TicketQueue, TicketQueueOptions } from "../ticketQueue/index.js";
+import { UpstreamPicker } from "../upstreamPicker/index.js";
 import { costInTokens, makeWaitingTicket, WaitingTicket } from "../waiting/index.js";
 
 /** What a pool's queue works with. */
@@ -46,17 +40,13 @@
 
 /** A grant not used within this time has lost its slot's moment: the upstream may have left since. */
 const GRANT_VALID_MS = 500;
-/** A pool without upstreams lets requests wait for this long, since upstreams announce twice a second. */
-const EMPTY_GRACE_MS = 2_000;
-/** How soon a preempted request gives its slot, in milliseconds. */
-const PREEMPTION_MS = 50;
-const RETRY_LEAST_MS = 100;
-const RETRY_MOST_MS = 60_000;
-const MOST_CANDIDATES = 32;
+/** Ticks between two looks at all upstreams of the pool. */
+const REVIEW_TICKS = 4;
+/** Ticks between two looks at the queue when more than so many wait: a look costs more, and is as fresh as they need. */
+const MANY_WAITING_TICKS = 4;
+const MANY_WAITING = 256;
 /** Tokens between two looks at a running request's pace. */
 const PACE_TOKENS = 8;
-/** Waiting tickets looked at for preemption in one tick. */
-const MOST_AT_RISK = 64;
 
 /**
  * The queue of one pool. p-queue runs one task for each granted request, from the grant to its completion; its
@@ -64,25 +54,36 @@
  */
 export class PoolQueue {
     private readonly order: OrderPolicy;
-    private readonly admission: AdmissionPolicy;
-    private readonly preemption: PreemptionPolicy;
+    private readonly admission: AdmissionControl;
+    private readonly preempter: Preempter;
     private readonly stragglers: StragglerPolicy;
-    private readonly choice: UpstreamChoice;
+    private readonly picker: UpstreamPicker;
     private readonly tickets: TicketQueue;
     private readonly queue: PQueue<TicketQueue, TicketQueueOptions>;
     private readonly waiters = new Map<WaitingTicket, Waiter>();
     private readonly running = new RunningSet();
     private readonly outlook = new PoolOutlook();
     private heldSlots = 0;
-    private lastUsableAt: number;
+    private ticks = 0;
 
     constructor(private readonly options: PoolQueueOptions) {
         const { policies, random, prefixes } = options;
         this.order = policies.createOrder();
-        this.admission = policies.createAdmission();
-        this.preemption = policies.createPreemption();
+        this.preempter = new Preempter({
+            ...options,
+            policy: policies.createPreemption(),
+            running: this.running,
+            outlook: this.outlook,
+        });
         this.stragglers = policies.createStragglers();
-        this.choice = policies.createChoice({ random, prefixes });
+        this.admission = new AdmissionControl({
+            ...options,
+            policy: policies.createAdmission(),
+            order: this.order,
+            outlook: this.outlook,
+            preempter: this.preempter,
+        });
+        this.picker = new UpstreamPicker({ ...options, choice: policies.createChoice({ random, prefixes }) });
         const tickets = new TicketQueue(this.order, () => this.readOrderContext());
         this.tickets = tickets;
         // p-queue makes its queue itself and passes no arguments.
@@ -90,7 +91,6 @@
             return tickets;
         } as unknown as new() => TicketQueue;
         this.queue = new PQueue<TicketQueue, TicketQueueOptions>({ queueClass, autoStart: false });
-        this.lastUsableAt = options.startedAt;
         this.updateConcurrency();
     }
 
@@ -119,18 +119,21 @@
         const waiting = makeWaitingTicket(ticket, now, this.options.lengths.predictMean(ticket, left));
         this.outlook.learnArrival(waiting, now);
         this.options.observer.queued(waiting);
-        const refusal = signal.aborted ? refuse(waiting, "cancelled", 0, "the caller has gone") : this.judge(waiting);
+        const refusal = signal.aborted
+            ? makeRefusal(waiting, "cancelled", 0, "the caller has gone")
+            : this.admission.judgeNew(waiting);
         if (refusal) {
             this.options.observer.refused(waiting, refusal);
             return Promise.resolve(Left(refusal));
         }
         return new Promise(resolve => {
-            const onAbort = (): void => this.refuseWaiting(waiting, "cancelled", 0, "the caller has gone");
+            const onAbort = (): void =>
+                this.refuseWaiting(waiting, makeRefusal(waiting, "cancelled", 0, "the caller has gone"));
             signal.addEventListener("abort", onAbort, { once: true });
             const stopListening = (): void => signal.removeEventListener("abort", onAbort);
             this.waiters.set(waiting, { settle: resolve, stopListening });
             this.enqueue(waiting);
-            if (this.waiters.has(waiting)) this.preemptFor(waiting, this.ticketsAhead(waiting));
+            if (this.waiters.has(waiting)) this.preempter.consider(waiting, this.order.costAhead(waiting));
         });
     }
 
@@ -166,17 +169,40 @@
     /**
      * Counts a request that runs by another owner's grant, so that a new owner of the queue does not fill its slot again.
      */
-    adopt(ticket: Ticket, grant: Grant): void {
+    adopt(ticket: Ticket, grant: Grant, runningMs: number): void {
         const load = this.options.members.get(grant.upstream);
         if (!load || this.running.get(ticket.request)) return;
         const now = this.options.clock.monotonic();
-        load.markSent(now);
+        load.adopt(now - runningMs);
         const waiting = makeWaitingTicket(ticket, now, this.options.lengths.predictMean(ticket, ticket.maxTokens));
-        this.running.add({ waiting, load, grantedAt: now, tokens: 0, isPreempted: false, release: () => undefined });
+        const grantedAt = now - runningMs;
+        this.running.add({ waiting, load, grantedAt, tokens: 0, isPreempted: false, release: () => undefined });
         this.options.members.refresh(load);
         this.updateConcurrency();
     }
 
+    /**
+     * Ends all that an entry asked for: it is lost and will never complete its grants, which would hold their slots for
+     * ever, and the pool would shrink with each host that fails.
+     *
+     * @returns The running requests that were ended.
+     */
+    forgetEntry(host: HostId): readonly RequestId[] {
+        for (const waiting of [...this.waiters.keys()]) {
+            if (waiting.ticket.origin === host) {
+                this.refuseWaiting(waiting, makeRefusal(waiting, "cancelled", 0, "the entry is lost"));
+            }
+        }
+        const lost = [...this.running.values()].filter(({ waiting }) => waiting.ticket.origin === host);
+        for (const { waiting, load, tokens } of lost) {
+            const { request, promptTokens } = waiting.ticket;
+            const upstream = load.upstream.id;
+            const usage = { promptTokens, cachedTokens: 0, completionTokens: tokens };
+            this.complete({ request, upstream, outcome: "cancelled", ...usage });
+        }
+        return lost.map(({ waiting }) => waiting.ticket.request);
+    }
+
     /** Takes over a change that the registry told of. */
     updateUpstream(upstream: Upstream): void {
         this.options.members.update(upstream);
@@ -185,17 +211,30 @@
 
     /** What time alone brings: expiry, shedding, preemption, stragglers, back-off ends. */
     tick(): void {
-        const { members, observer } = this.options;
-        for (const load of this.stragglers.review(members.all)) observer.ejected(load.upstream.id);
-        members.refreshAll();
+        const turn = this.ticks++;
+        if (turn % REVIEW_TICKS === 0) this.reviewMembers();
         this.updateConcurrency();
+        if (this.waiters.size === 0) return;
+        if (this.waiters.size > MANY_WAITING && turn % MANY_WAITING_TICKS !== 0) return;
         this.shed();
-        this.preemptForThoseAtRisk();
+        this.preempter.considerAll(this.order.highestTierFirst());
     }
 
     /** Refuses all that waits, as the process is about to stop: another entry takes the queue over. */
     drain(): void {
-        for (const waiting of [...this.waiters.keys()]) this.refuseWaiting(waiting, "draining", 0, "the entry stops");
+        for (const waiting of [...this.waiters.keys()]) {
+            this.refuseWaiting(waiting, makeRefusal(waiting, "draining", 0, "the entry stops"));
+        }
+    }
+
+    private reviewMembers(): void {
+        const { members, observer, clock } = this.options;
+        const ejected = this.stragglers.review(members.all, clock.monotonic());
+        members.refreshAll();
+        for (const load of ejected) {
+            observer.ejected(load.upstream.id);
+            this.preempter.moveAway(load, members.freeSlots - this.waiters.size);
+        }
     }
 
     private enqueue(waiting: WaitingTicket): void {
@@ -204,8 +243,8 @@
     }
 
     private start(waiting: WaitingTicket): Promise<void> {
-        const load = this.chooseUpstream(waiting);
-        if (!load) {
+        const choice = this.picker.pick(waiting);
+        if (!choice) {
             this.options.members.refreshAll();
             this.updateConcurrency();
             this.enqueue(waiting);
@@ -217,7 +256,7 @@
                 resolve();
             };
             this.heldSlots++;
-            this.grant(waiting, load.load, load.reason, release);
+            this.grant(waiting, choice.load, choice.reason, release);
         });
     }
 
@@ -241,108 +280,31 @@
         this.takeWaiter(waiting)?.settle(Right(grant));
     }
 
-    private chooseUpstream(waiting: WaitingTicket) {
-        const { ticket } = waiting;
-        const { members, random, prefixes, zone, pool } = this.options;
-        const sampled = members.candidates(MOST_CANDIDATES, random);
-        const holders = prefixes.likelyHolders(ticket.prefixes).map(id => members.get(id));
-        const known = holders.filter((load): load is UpstreamLoad => load !== undefined && members.isFree(load));
-        const all = [...new Set([...sampled, ...known])];
-        const untried = all.filter(load => !ticket.avoid.includes(load.upstream.id));
-        const candidates = untried.length > 0 ? untried : all;
-        if (candidates.length === 0) return undefined;
-        const { promptTokens } = ticket;
-        const request = {
-            pool,
-            prefixes: ticket.prefixes,
-            promptTokens,
-            predictedTokens: waiting.predictedTokens,
-            zone,
-        };
-        return this.choice.choose(candidates, request);
-    }
-
-    private judge(waiting: WaitingTicket): Refusal | undefined {
-        const now = this.options.clock.monotonic();
-        if (this.options.members.usableSlots === 0) {
-            if (now - this.lastUsableAt < EMPTY_GRACE_MS) return undefined;
-            return refuse(waiting, "no-upstream", EMPTY_GRACE_MS, "no upstream of the pool is ready");
-        }
-        const waitMs = this.predictWait(waiting);
-        const { firstTokenMs } = this.outlook;
-        const lateMs = this.admission.expectedLatenessMs(waiting, { now, waitMs, firstTokenMs });
-        if (lateMs <= 0) return undefined;
-        return refuse(waiting, "over-capacity", lateMs, `predicted wait ${Math.round(waitMs)} ms`);
-    }
-
-    private predictWait(waiting: WaitingTicket): number {
-        const { members, clock } = this.options;
-        const costAhead = this.order.costAhead(waiting);
-        if (members.freeSlots > 0 && costAhead === 0) return 0;
-        if (this.canPreemptFor(waiting, costAhead)) return PREEMPTION_MS;
-        const slots = members.usableSlots;
-        const rate = this.outlook.drainRate(waiting.ticket.tier, slots, clock.monotonic());
-        return this.outlook.releaseMs(slots) + costAhead / rate;
-    }
-
-    private canPreemptFor(waiting: WaitingTicket, costAhead: number): boolean {
-        if (!this.preemption.isEnabled) return false;
-        const needed = costAhead / this.outlook.meanCost + 1 - this.running.pendingPreemptions;
-        return this.running.countPreemptible(waiting.ticket.tier) >= Math.max(1, needed);
-    }
-
-    private ticketsAhead(waiting: WaitingTicket): number {
-        return this.order.costAhead(waiting) / this.outlook.meanCost;
-    }
-
-    private preemptFor(waiting: WaitingTicket, ahead: number): void {
-        const { tier } = waiting.ticket;
-        const isCovered = this.running.pendingPreemptions > ahead;
-        if (!this.preemption.isEnabled || isCovered || this.running.countPreemptible(tier) === 0) return;
-        const waitMs = (ahead + 1) * this.outlook.releaseMs(this.options.members.usableSlots);
-        const now = this.options.clock.monotonic();
-        const context = { now, waitMs, firstTokenMs: this.outlook.firstTokenMs };
-        const victim = this.preemption.pickVictim(waiting, this.running, context);
-        if (!victim) return;
-        this.running.markPreempted(victim);
-        this.options.observer.preempted(victim.waiting, waiting);
-        this.options.preempt(victim.waiting.ticket.request);
-    }
-
-    private preemptForThoseAtRisk(): void {
-        if (!this.preemption.isEnabled || this.waiters.size === 0) return;
-        let ahead = 0;
-        for (const waiting of this.order.highestTierFirst()) {
-            if (ahead >= MOST_AT_RISK || this.running.countPreemptible(waiting.ticket.tier) === 0) return;
-            this.preemptFor(waiting, ahead++);
-        }
-    }
-
     private shed(): void {
-        if (this.waiters.size === 0) return;
         const now = this.options.clock.monotonic();
         const { outlook } = this;
         const { usableSlots } = this.options.members;
         const releaseMs = outlook.releaseMs(usableSlots);
         walkProspects(this.order.highestTierFirst(), { now, usableSlots, outlook }, (waiting, waitMs) => {
             if (now >= waiting.expiresAt) {
-                this.refuseWaiting(waiting, "wait-expired", releaseMs, "waited as long as its class may");
+                this.refuseWaiting(
+                    waiting,
+                    makeRefusal(waiting, "wait-expired", releaseMs, "waited as long as its class may"),
+                );
                 return false;
             }
             if (usableSlots === 0) return true;
-            const context = { now, waitMs, firstTokenMs: outlook.firstTokenMs };
-            const lateMs = this.admission.expectedLatenessMs(waiting, context);
-            if (lateMs <= 0) return true;
-            this.refuseWaiting(waiting, "shed", lateMs, `predicted wait ${Math.round(waitMs)} ms`);
+            const refusal = this.admission.judgeWait(waiting, waitMs, "shed");
+            if (!refusal) return true;
+            this.refuseWaiting(waiting, refusal);
             return false;
         });
     }
 
-    private refuseWaiting(waiting: WaitingTicket, reason: RefusalReason, retryMs: number, detail: string): void {
+    private refuseWaiting(waiting: WaitingTicket, refusal: Refusal): void {
         const waiter = this.takeWaiter(waiting);
         if (!waiter) return;
         this.tickets.withdraw(waiting);
-        const refusal = refuse(waiting, reason, retryMs, detail);
         this.options.observer.refused(waiting, refusal);
         waiter.settle(Left(refusal));
     }
@@ -369,9 +331,8 @@
     }
 
     private updateConcurrency(): void {
-        const { members, clock } = this.options;
-        if (members.usableSlots > 0) this.lastUsableAt = clock.monotonic();
-        const concurrency = this.heldSlots + members.freeSlots;
+        this.admission.noteMembers();
+        const concurrency = this.heldSlots + this.options.members.freeSlots;
         if (concurrency === 0) {
             this.queue.pause();
             return;
@@ -381,15 +342,13 @@
     }
 
     private readOrderContext(): OrderContext {
+        const now = this.options.clock.monotonic();
+        const { usableSlots } = this.options.members;
         return {
-            now: this.options.clock.monotonic(),
-            releaseMs: this.outlook.releaseMs(this.options.members.usableSlots),
+            now,
+            releaseMs: this.outlook.releaseMs(usableSlots),
             firstTokenMs: this.outlook.firstTokenMs,
+            isFilledAbove: tier => this.outlook.isFilledAbove(tier, usableSlots, now),
         };
     }
 }
-
-function refuse(waiting: WaitingTicket, reason: RefusalReason, retryMs: number, detail: string): Refusal {
-    const retryAfterMs = Math.round(Math.min(RETRY_MOST_MS, Math.max(RETRY_LEAST_MS, retryMs)));
-    return { request: waiting.ticket.request, reason, retryAfterMs, detail };
-}
--- a/src/dispatch/prospects/index.ts
+++ b/src/dispatch/prospects/index.ts
@@ -31,10 +31,11 @@
     let aboveCost = 0;
     for (const tier of groupByTier(tickets)) {
         const weights = sumWeights(tier);
-        const rate = context.outlook.drainRate(tier[0].ticket.tier, context.usableSlots, context.now);
         const ahead: Ahead = { cost: 0, byWorkspace: new Map() };
         for (const waiting of tier) {
-            const waitMs = (aboveCost + costBefore(waiting, ahead, weights)) / rate;
+            const costAhead = aboveCost + costBefore(waiting, ahead, weights);
+            const { outlook, usableSlots, now } = context;
+            const waitMs = outlook.predictWaitMs(waiting.ticket.tier, costAhead, usableSlots, now);
             if (!isKept(waiting, waitMs)) continue;
             ahead.cost += waiting.cost;
             const { workspace } = waiting.ticket;
@@ -47,7 +48,7 @@
 /** All before it by deadline, but not more than fair turns let pass before its workspace's turn. */
 function costBefore(waiting: WaitingTicket, ahead: Ahead, weights: number): number {
     const own = ahead.byWorkspace.get(waiting.ticket.workspace) ?? 0;
-    return Math.min(ahead.cost, (own + waiting.cost) * weights / waiting.ticket.weight - waiting.cost);
+    return Math.min(ahead.cost, own * weights / waiting.ticket.weight);
 }
 
 function groupByTier(tickets: Iterable<WaitingTicket>): WaitingTicket[][] {
--- a/src/faultInjection/replicaFleet/index.ts
+++ b/src/faultInjection/replicaFleet/index.ts
@@ -1,13 +1,21 @@
 import { BootstrapMember, DEFAULT_LOG_TIMING, LogTiming, ReplicatedLog } from "../../consensus/index.js";
-import { HostId, Incarnation } from "../../ids/index.js";
+import { HostId, Incarnation, LogIndex } from "../../ids/index.js";
 import { SilentLogger } from "../../logging/index.js";
-import { MemoryDisk, MemoryFabric, MemoryHost, Random, VirtualClock } from "../../ports/index.js";
+import {
+    Address,
+    LatencyBetween,
+    MemoryDisk,
+    MemoryFabric,
+    MemoryHost,
+    Random,
+    VirtualClock,
+} from "../../ports/index.js";
 import { DEFAULT_PEER_TIMING, PeerRouter, servePeers } from "../../wire/index.js";
 import { History, InvariantError, Recorder } from "../recorder/index.js";
 
 const PORT = 7000;
 /** Small, so that a short run rolls segments and sends snapshots. */
-const FLEET_TIMING: LogTiming = {
+export const FLEET_TIMING: LogTiming = {
     ...DEFAULT_LOG_TIMING,
     snapshotEntries: 40,
     trailingEntries: 5,
@@ -15,7 +23,9 @@
 };
 /** Below the drift that the lease allows for. */
 const MOST_DRIFT = 0.009;
-const LOOK_MS = 10;
+/** How long a fleet without faults may take to recover. */
+const SETTLE_MS = 120_000;
+const LOOK_MS = 20;
 
 /** One host: its disk lasts, its processes come and go. */
 export interface FleetHost {
@@ -48,17 +58,19 @@
     private readonly tokens = new Map<number, string>();
     private readonly founders: readonly BootstrapMember[];
     private readonly appliedSeen = new Map<FleetProcess, number>();
+    /** One-way latency, in milliseconds; a test may replace it. */
+    latency: LatencyBetween = () => Math.round(this.random.between(1, 4));
+    private lastAcked = 0 as LogIndex;
     private broken: unknown;
     private nextCommand = 1;
 
     constructor(readonly random: Random, founders: readonly string[], private readonly timing = FLEET_TIMING) {
-        this.fabric = new MemoryFabric(this.clock, () => Math.round(random.between(1, 4)));
+        this.fabric = new MemoryFabric(this.clock, (from, to) => this.latency(from, to));
         this.founders = founders.map(name => ({ host: name as HostId, address: addressOf(name) }));
         for (const name of founders) this.addHost(name);
     }
 
-    addHost(name: string): FleetHost {
-        const clockRate = 1 + this.random.between(-MOST_DRIFT, MOST_DRIFT);
+    addHost(name: string, clockRate = 1 + this.random.between(-MOST_DRIFT, MOST_DRIFT)): FleetHost {
         const host = { name: name as HostId, disk: new MemoryDisk(this.clock), clockRate, process: undefined };
         this.hosts.set(name, host);
         return host;
@@ -69,7 +81,7 @@
     }
 
     /** Starts the control process of a host. */
-    async start(name: string): Promise<void> {
+    async start(name: string, port = PORT): Promise<void> {
         const { disk, clockRate } = this.find(name);
         const host = new MemoryHost({ clock: this.clock, network: this.fabric.network(name), disk, clockRate });
         const recorder = new Recorder(this.history, err => this.noteBroken(err));
@@ -77,7 +89,8 @@
         const self = { host: name as HostId, incarnation: String(this.clock.monotonic()) as Incarnation };
         const { clock, network } = host;
         const isFounder = this.founders.some(founder => founder.host === name);
-        const member = { host: name as HostId, address: addressOf(name) };
+        const address = addressOf(name, port);
+        const member = { host: name as HostId, address };
         const log = await ReplicatedLog.open({
             network,
             clock,
@@ -85,13 +98,14 @@
             disk: host.disk,
             router,
             self,
-            address: addressOf(name),
+            address,
             bootstrap: isFounder ? this.founders : [...this.founders, member],
             stateMachine: recorder,
             timing: this.timing,
             logger: new SilentLogger(),
         });
-        await servePeers({ network, clock, address: addressOf(name), self, router, timing: DEFAULT_PEER_TIMING });
+        await servePeers({ network, clock, address, self, router, timing: DEFAULT_PEER_TIMING });
+        log.onHolderChange(() => this.notice(() => this.checkInvariants()));
         log.start();
         this.find(name).process = { host, log, recorder };
     }
@@ -126,9 +140,47 @@
     }
 
     /** Proposes a new command; notes it when it is accepted. */
-    propose(process: FleetProcess): void {
-        const command = `command-${this.nextCommand++}`;
-        void process.log.propose(command).then(result => result.ifRight(() => this.acked.add(command)));
+    propose(process: FleetProcess, padding = ""): void {
+        const command = `command-${this.nextCommand++}${padding}`;
+        void process.log.propose(command).then(result => result.ifRight(() => this.noteAcked(command)));
+    }
+
+    /** Proposes to the holder, and lets time pass until all is accepted. */
+    async proposeMany(count: number, padding = ""): Promise<void> {
+        const wanted = this.acked.size + count;
+        for (let done = 0; done < count; done++) this.propose(this.holder()!.process!, padding);
+        await this.passUntil(() => this.acked.size >= wanted);
+    }
+
+    /** Ends cuts, freezes, and what ails the disks. Hosts that are down stay so. */
+    endFaults(): void {
+        this.healAll();
+        this.thawAll();
+        this.mendDisks();
+    }
+
+    healAll(): void {
+        const names = [...this.hosts.keys()];
+        for (const name of names) this.fabric.isolate(name, names, false);
+    }
+
+    thawAll(): void {
+        for (const { host } of this.processes()) host.thaw();
+    }
+
+    mendDisks(): void {
+        for (const { disk } of this.hosts.values()) {
+            disk.syncMs = 0;
+            disk.capacity = Number.POSITIVE_INFINITY;
+        }
+    }
+
+    /** Lets time pass until all hosts are members, a new command is accepted, and all have applied the same; checks that. */
+    async converge(): Promise<void> {
+        await this.passUntil(() => this.isWhole());
+        await this.proposeMany(1);
+        await this.passUntil(() => new Set(this.processes().map(({ log }) => log.appliedIndex())).size === 1);
+        this.checkAlike();
     }
 
     /** Lets time pass, looking at the invariants every few milliseconds. */
@@ -141,7 +193,7 @@
     }
 
     /** Lets time pass until the condition holds. */
-    async passUntil(condition: () => boolean, limitMs: number): Promise<void> {
+    async passUntil(condition: () => boolean, limitMs = SETTLE_MS): Promise<void> {
         const end = this.clock.monotonic() + limitMs;
         while (!condition()) {
             if (this.clock.monotonic() >= end) throw new InvariantError(`no progress within ${limitMs} ms`);
@@ -163,8 +215,10 @@
         for (const other of others) {
             if (other.join() !== first.join()) throw new InvariantError("replicas applied different sequences");
         }
+        const counts = new Map<string, number>();
+        for (const command of first) counts.set(command, (counts.get(command) ?? 0) + 1);
         for (const command of this.acked) {
-            const times = first.filter(applied => applied === command).length;
+            const times = counts.get(command) ?? 0;
             if (times !== 1) throw new InvariantError(`${command} was accepted and is applied ${times} times`);
         }
     }
@@ -179,7 +233,27 @@
             this.appliedSeen.set(process, applied);
         }
         const holder = this.holder();
-        if (holder) this.checkToken(holder);
+        if (!holder) return;
+        this.checkToken(holder);
+        // Whoever acts must have seen all that was accepted, or it acts twice.
+        if (holder.process!.log.appliedIndex() < this.lastAcked) throw new InvariantError("the holder is behind");
+    }
+
+    private noteAcked(command: string): void {
+        this.acked.add(command);
+        const index = this.history.indexOf(command);
+        if (index === undefined) this.noteBroken(new InvariantError(`${command} is accepted and applied nowhere`));
+        this.lastAcked = Math.max(this.lastAcked, index ?? 0) as LogIndex;
+    }
+
+    /** Runs a check inside a replica's own step, which it must not disturb. */
+    private notice(check: () => void): void {
+        try {
+            check();
+        }
+        catch (err) {
+            this.noteBroken(err);
+        }
     }
 
     private checkToken({ name, process }: FleetHost): void {
@@ -195,6 +269,6 @@
     }
 }
 
-function addressOf(name: string): { host: string; port: number; } {
-    return { host: name, port: PORT };
+function addressOf(name: string, port = PORT): Address {
+    return { host: name, port };
 }
