Traces carry faults; one base for the stand-ins of upstreams

The first traces state what must come out when nothing fails. Two more now state it under faults: a zone reclaimed with notice and a crash (Utility), and faults that engines do not report (Consortium). Engines and services had life, announcements and state written twice; both now extend UpstreamStandIn. A crashed service ran the calls still in its queue: cleared. A list flag given twice made one zone of several: its items now add up. Seen besides, not mended here (src/upstream, src/dispatch): after faults the pool refuses more than its slots require.

--- a/src/emulator/emulatorSettings/index.ts
+++ b/src/emulator/emulatorSettings/index.ts
@@ -7,10 +7,11 @@
 /** Settings that the emulator can't use. */
 export class SettingsError extends Error {}
 
-const listSchema = z.preprocess(
-    value => typeof value === "string" ? value.split(",").map(item => item.trim()).filter(Boolean) : value,
-    z.array(z.string()),
-);
+/** Items with commas between; a flag given twice adds to the list. */
+const listSchema = z.union([z.string(), z.array(z.string())]).transform(value => {
+    const items = [value].flat().flatMap(text => text.split(",")).map(item => item.trim()).filter(Boolean);
+    return [...new Set(items)];
+});
 const addressesSchema = listSchema.transform((items, ctx): Address[] =>
     items.flatMap(item => {
         const address = parseAddress(item);
@@ -32,6 +33,8 @@
     service: z.coerce.string().min(1).default("orders"),
     /** The upstreams take the zones in turn. */
     zones: listSchema.refine(zones => zones.length > 0).default(["keflavik"]),
+    /** Upstreams that run from the first in these zones are reclaimable. */
+    reclaimableZones: listSchema.default([]),
     host: z.string().default("127.0.0.1"),
     /** Ports; 0 means any free one. */
     platformPort: portSchema.default(0),
--- a/src/emulator/engineStandIn/index.ts
+++ b/src/emulator/engineStandIn/index.ts
@@ -1,5 +1,4 @@
-import { Lifecycle } from "../../lifecycle/index.js";
-import { Address, DEFAULT_HTTP_LIMITS, formatAddress, HttpRequest, HttpResponse, Listener } from "../../ports/index.js";
+import { Clock, HttpRequest, HttpResponse } from "../../ports/index.js";
 import {
     Announcement,
     ENGINE_PATHS,
@@ -11,21 +10,15 @@
 } from "../../protocol/index.js";
 import { parseJson, sendEmpty, sendJson } from "../_lib/json.js";
 import { StandInPorts } from "../_lib/standInPorts.js";
-import { AnnouncedUpstream, Announcer, AnnouncerConfig } from "../announcer/index.js";
 import { AnswerDesk, AnswerDeskConfig, AnswerStats } from "../answerDesk/index.js";
 import { ChatLedger } from "../chatLedger/index.js";
 import { FaultQueue } from "../engineFaults/index.js";
 import { kvExportSchema, kvStateSchema } from "../kvTransfer/index.js";
 import { OrderLog } from "../orderLog/index.js";
-import { UpstreamIdentity, UpstreamState } from "../upstreamState/index.js";
+import { UpstreamConfig, UpstreamStandIn } from "../upstreamStandIn/index.js";
 
 /** What one stand-in engine is like. */
-export interface EngineConfig extends AnswerDeskConfig {
-    readonly identity: UpstreamIdentity;
-    /** Where it listens; port 0 means any free one. */
-    readonly address: Address;
-    readonly announcer: AnnouncerConfig;
-}
+export interface EngineConfig extends AnswerDeskConfig, UpstreamConfig {}
 
 /** What an engine has done up to now. */
 export interface EngineStats extends AnswerStats {
@@ -39,8 +32,7 @@
     readonly orderReversals: number;
 }
 
-const BODY_LIMIT_BYTES = 16 * 1024 * 1024;
-const DRAIN_POLL_MS = 10;
+const MS_PER_SECOND = 1_000;
 
 /**
  * A model engine in small: continuous batching, a bounded prefix cache, priorities, resume, cancel, KV transfer and
@@ -50,142 +42,56 @@
  * const engine = new EngineStandIn(ports, cfg);
  * const address = await engine.start();
  */
-export class EngineStandIn implements AnnouncedUpstream {
+export class EngineStandIn extends UpstreamStandIn {
     /** Faults for the next requests. */
     readonly faults = new FaultQueue();
     /** Orders received. */
     readonly orders: OrderLog;
     /** Models, adapters and roles it was told to take on, in order. */
     readonly loaded: string[] = [];
-    private readonly lifecycle = new Lifecycle();
+    protected readonly kind = "engine";
     private readonly desk: AnswerDesk;
-    private readonly announcer: Announcer;
-    private readonly state: UpstreamState;
     private readonly pools: Set<string>;
     private readonly thaw = new Set<() => void>();
-    private listener: Listener | undefined;
+    private readonly paceMeter: PaceMeter;
     private isFrozen = false;
-    private paceSince = 0;
-    private paceTokens = 0;
 
     /**
      * @param ports - What it runs on.
      * @param cfg - What it is like.
      * @param ledger - Where its streams are recorded; may be shared with other engines.
      */
-    constructor(private readonly ports: StandInPorts, private readonly cfg: EngineConfig, ledger = new ChatLedger()) {
-        this.state = new UpstreamState(ports.clock);
+    constructor(ports: StandInPorts, private readonly cfg: EngineConfig, ledger = new ChatLedger()) {
+        super(ports, cfg);
         this.orders = new OrderLog(cfg.identity.checksFence);
         this.pools = new Set(cfg.identity.pools);
-        this.announcer = new Announcer(ports, cfg.announcer, this);
         this.desk = new AnswerDesk(ports.clock, cfg, ledger, event => this.announcer.addCacheEvent(event));
+        this.paceMeter = new PaceMeter(ports.clock);
     }
 
-    get id(): string {
-        return this.cfg.identity.id;
-    }
-
-    /**
-     * Listens, and begins to announce itself.
-     *
-     * @returns The address it listens on.
-     * @throws NetworkError when the address is taken.
-     */
-    async start(): Promise<Address> {
-        this.listener = await this.ports.http.serve(
-            this.cfg.address,
-            DEFAULT_HTTP_LIMITS,
-            (req, res) => this.handle(req, res),
-        );
-        this.lifecycle.run(signal => this.desk.batch.run(signal), rethrow);
-        this.lifecycle.run(signal => this.announcer.run(signal), rethrow);
-        return this.listener.address;
-    }
-
-    /** Says that it leaves: it expects no new work, and finishes what it has. */
-    leave(): void {
-        this.state.leave();
-        this.announcer.announce();
-    }
-
-    /**
-     * Gives notice that the platform takes the engine back, and crashes when the time is up.
-     *
-     * @param noticeMs - The time until then, in milliseconds.
-     */
-    reclaim(noticeMs: number): void {
-        this.state.leave(noticeMs);
-        this.announcer.announce();
-        const timer = this.ports.clock.after(noticeMs, () => void this.crash());
-        this.lifecycle.own(() => timer.cancel());
-    }
-
-    /** Stops as planned: cuts nothing, says the last word, and closes. */
-    async stop(): Promise<void> {
-        this.leave();
-        while (this.desk.openStreams > 0) await this.ports.clock.sleep(DRAIN_POLL_MS);
-        this.state.markGone();
-        await this.announcer.announceToAll();
-        await this.close();
-    }
-
-    /** Dies at once: open connections are reset, and nothing is announced any more. */
-    async crash(): Promise<void> {
-        this.state.markGone();
-        this.desk.cutAll();
-        await this.close();
+    override async start(): ReturnType<UpstreamStandIn["start"]> {
+        this.runTask(signal => this.desk.batch.run(signal));
+        return super.start();
     }
 
     /** Stops every task without a word, or lets them go on. Connections stay open. */
     setFrozen(frozen: boolean): void {
         this.isFrozen = frozen;
         this.desk.batch.setFrozen(frozen);
-        this.announcer.setMuted(frozen);
+        this.setMuted(frozen);
         if (frozen) return;
         for (const resume of this.thaw) resume();
         this.thaw.clear();
     }
 
-    /** Changes which entries are told of it. */
-    setEntries(entries: readonly Address[]): void {
-        this.announcer.setEntries(entries);
-    }
-
-    /** Announces nothing from now on, or again; requests are still served. */
-    setMuted(muted: boolean): void {
-        this.announcer.setMuted(muted);
-    }
-
     /** Makes it a straggler: each step takes this many times as long. */
     setSlowdown(factor: number): void {
         this.desk.batch.slowdown = factor;
     }
 
-    describe(): ReturnType<AnnouncedUpstream["describe"]> {
-        const { identity, pace } = this.cfg;
-        return {
-            id: identity.id,
-            incarnation: identity.incarnation,
-            state: this.state.current,
-            kind: "engine",
-            pools: [...this.pools],
-            zone: identity.zone,
-            address: formatAddress(this.listener!.address),
-            slots: pace.slots,
-            price_per_hour: identity.pricePerHour,
-            reclaimable: identity.reclaimable,
-            checks_fence: identity.checksFence,
-            reclaim_in_ms: this.state.reclaimInMs(),
-        };
-    }
-
     readLoad(): LoadReport {
         const { running, queued, tokens } = this.desk.stats();
-        const now = this.ports.clock.monotonic();
-        const seconds = (now - this.paceSince) / 1_000;
-        const tokensPerSecond = seconds > 0 ? (tokens - this.paceTokens) / seconds : 0;
-        this.paceSince = now;
-        this.paceTokens = tokens;
+        const tokensPerSecond = this.paceMeter.read(tokens);
         return { running, queued, kv_used: this.desk.cacheUse, tokens_per_second: tokensPerSecond, age_ms: 0 };
     }
 
@@ -193,7 +99,7 @@
     stats(): EngineStats {
         return {
             id: this.id,
-            address: this.listener ? formatAddress(this.listener.address) : "",
+            address: this.address,
             state: this.state.current,
             lateRequests: this.state.lateRequests,
             orders: this.orders.orders.length,
@@ -202,17 +108,23 @@
         };
     }
 
-    private async close(): Promise<void> {
-        const closed = this.listener?.close();
-        await this.lifecycle.close();
-        await closed;
+    protected get slotCount(): number {
+        return this.cfg.pace.slots;
+    }
+
+    protected get poolNames(): readonly string[] {
+        return [...this.pools];
     }
 
-    private async handle(req: HttpRequest, res: HttpResponse): Promise<void> {
-        const body = await req.body(BODY_LIMIT_BYTES);
-        if (body.isLeft()) return sendJson(res, 400, { error: "unreadable" });
-        const bytes = body.extract() as Uint8Array;
-        this.ports.keyWatch.inspect(req, bytes);
+    protected get openWork(): number {
+        return this.desk.openStreams;
+    }
+
+    protected cutAll(): void {
+        this.desk.cutAll();
+    }
+
+    protected async handle(bytes: Uint8Array, req: HttpRequest, res: HttpResponse): Promise<void> {
         await this.waitWhileFrozen();
         const path = req.path.split("?")[0];
         if (req.method !== "POST") return sendJson(res, 405, { error: "method" });
@@ -299,6 +211,21 @@
     }
 }
 
-function rethrow(err: unknown): never {
-    throw err;
+/** Tokens a second since the last look. */
+class PaceMeter {
+    private since: number;
+    private tokens = 0;
+
+    constructor(private readonly clock: Clock) {
+        this.since = clock.monotonic();
+    }
+
+    read(tokens: number): number {
+        const now = this.clock.monotonic();
+        const seconds = (now - this.since) / MS_PER_SECOND;
+        const pace = seconds > 0 ? (tokens - this.tokens) / seconds : 0;
+        this.since = now;
+        this.tokens = tokens;
+        return pace;
+    }
 }
--- a/src/emulator/orderDesk/index.ts
+++ b/src/emulator/orderDesk/index.ts
@@ -98,6 +98,11 @@
         this.leased.set(id, { id, offer, startedAt: this.clock.monotonic(), stoppedAt: undefined });
     }
 
+    /** What an upstream was started by, or undefined. */
+    offerOf(id: string): Offer | undefined {
+        return this.leased.get(id)?.offer;
+    }
+
     /** Takes a zone's reclaimable upstreams back, and offers none there from now on. */
     reclaimZone(zone: string, noticeMs: number): void {
         this.offers = this.offers.map(offer =>
--- a/src/emulator/serviceStandIn/index.ts
+++ b/src/emulator/serviceStandIn/index.ts
@@ -1,25 +1,19 @@
 import PQueue from "p-queue";
-import { Lifecycle } from "../../lifecycle/index.js";
-import { Address, DEFAULT_HTTP_LIMITS, formatAddress, HttpRequest, HttpResponse, Listener } from "../../ports/index.js";
+import { HttpRequest, HttpResponse } from "../../ports/index.js";
 import { Announcement, LoadReport, REQUEST_ID_HEADER } from "../../protocol/index.js";
 import { sendJson } from "../_lib/json.js";
 import { StandInPorts } from "../_lib/standInPorts.js";
-import { AnnouncedUpstream, Announcer, AnnouncerConfig } from "../announcer/index.js";
 import { digestBody, RunLedger } from "../runLedger/index.js";
 import { ServiceFault } from "../serviceFaults/index.js";
-import { UpstreamIdentity, UpstreamState } from "../upstreamState/index.js";
+import { UpstreamConfig, UpstreamStandIn } from "../upstreamStandIn/index.js";
 
 /** What one stand-in of a plain service is like. */
-export interface ServiceConfig {
-    readonly identity: UpstreamIdentity;
-    /** Where it listens; port 0 means any free one. */
-    readonly address: Address;
+export interface ServiceConfig extends UpstreamConfig {
     /** How many calls it runs at once; the others wait. */
     readonly slots: number;
     /** How long a call runs, in milliseconds: at least, and at most. */
     readonly minLatencyMs: number;
     readonly maxLatencyMs: number;
-    readonly announcer: AnnouncerConfig;
 }
 
 /** What a service has done up to now. */
@@ -39,9 +33,6 @@
     readonly run: number;
 }
 
-const BODY_LIMIT_BYTES = 16 * 1024 * 1024;
-const DRAIN_POLL_MS = 10;
-
 /**
  * A plain HTTP service whose calls may not be repeated: each run is recorded, so that a doubled one shows.
  *
@@ -49,14 +40,11 @@
  * const service = new ServiceStandIn(ports, ledger, cfg);
  * const address = await service.start();
  */
-export class ServiceStandIn implements AnnouncedUpstream {
-    private readonly lifecycle = new Lifecycle();
-    private readonly announcer: Announcer;
-    private readonly state: UpstreamState;
+export class ServiceStandIn extends UpstreamStandIn {
+    protected readonly kind = "service";
     private readonly queue: PQueue;
     private readonly faults: ServiceFault[] = [];
     private readonly open = new Set<HttpResponse>();
-    private listener: Listener | undefined;
     private calls = 0;
 
     /**
@@ -64,87 +52,16 @@
      * @param ledger - Where runs are recorded; shared by all instances.
      * @param cfg - What it is like.
      */
-    constructor(
-        private readonly ports: StandInPorts,
-        private readonly ledger: RunLedger,
-        private readonly cfg: ServiceConfig,
-    ) {
-        this.state = new UpstreamState(ports.clock);
-        this.announcer = new Announcer(ports, cfg.announcer, this);
+    constructor(ports: StandInPorts, private readonly ledger: RunLedger, private readonly cfg: ServiceConfig) {
+        super(ports, cfg);
         this.queue = new PQueue({ concurrency: cfg.slots });
     }
 
-    get id(): string {
-        return this.cfg.identity.id;
-    }
-
-    /**
-     * Listens, and begins to announce itself.
-     *
-     * @returns The address it listens on.
-     * @throws NetworkError when the address is taken.
-     */
-    async start(): Promise<Address> {
-        this.listener = await this.ports.http.serve(
-            this.cfg.address,
-            DEFAULT_HTTP_LIMITS,
-            (req, res) => this.handle(req, res),
-        );
-        this.lifecycle.run(signal => this.announcer.run(signal), err => {
-            throw err;
-        });
-        return this.listener.address;
-    }
-
     /** Adds faults for the next calls: each call takes one. */
     addFaults(...faults: ServiceFault[]): void {
         this.faults.push(...faults);
     }
 
-    /** Changes which entries are told of it. */
-    setEntries(entries: readonly Address[]): void {
-        this.announcer.setEntries(entries);
-    }
-
-    /** Says that it leaves: it expects no new work, and finishes what it has. */
-    leave(): void {
-        this.state.leave();
-        this.announcer.announce();
-    }
-
-    /** Stops as planned: cuts nothing, says the last word, and closes. */
-    async stop(): Promise<void> {
-        this.leave();
-        while (this.open.size > 0) await this.ports.clock.sleep(DRAIN_POLL_MS);
-        this.state.markGone();
-        await this.announcer.announceToAll();
-        await this.close();
-    }
-
-    /** Dies at once: open connections are reset, and nothing is announced any more. */
-    async crash(): Promise<void> {
-        this.state.markGone();
-        for (const res of this.open) res.reset();
-        await this.close();
-    }
-
-    describe(): ReturnType<AnnouncedUpstream["describe"]> {
-        const { identity, slots } = this.cfg;
-        return {
-            id: identity.id,
-            incarnation: identity.incarnation,
-            state: this.state.current,
-            kind: "service",
-            pools: [...identity.pools],
-            zone: identity.zone,
-            address: formatAddress(this.listener!.address),
-            slots,
-            price_per_hour: identity.pricePerHour,
-            reclaimable: identity.reclaimable,
-            checks_fence: identity.checksFence,
-        };
-    }
-
     readLoad(): LoadReport {
         return { running: this.queue.pending, queued: this.queue.size, kv_used: 0, tokens_per_second: 0, age_ms: 0 };
     }
@@ -153,7 +70,7 @@
     stats(): ServiceStats {
         return {
             id: this.id,
-            address: this.listener ? formatAddress(this.listener.address) : "",
+            address: this.address,
             state: this.state.current,
             calls: this.calls,
             running: this.queue.pending,
@@ -162,17 +79,25 @@
         };
     }
 
-    private async close(): Promise<void> {
-        const closed = this.listener?.close();
-        await this.lifecycle.close();
-        await closed;
+    protected get slotCount(): number {
+        return this.cfg.slots;
+    }
+
+    protected get poolNames(): readonly string[] {
+        return this.cfg.identity.pools;
+    }
+
+    protected get openWork(): number {
+        return this.open.size;
+    }
+
+    protected cutAll(): void {
+        // A dead process runs nothing more, also not what waits in its queue.
+        this.queue.clear();
+        for (const res of this.open) res.reset();
     }
 
-    private async handle(req: HttpRequest, res: HttpResponse): Promise<void> {
-        const body = await req.body(BODY_LIMIT_BYTES);
-        if (body.isLeft()) return sendJson(res, 400, { error: "unreadable" });
-        const bytes = body.extract() as Uint8Array;
-        this.ports.keyWatch.inspect(req, bytes);
+    protected async handle(bytes: Uint8Array, req: HttpRequest, res: HttpResponse): Promise<void> {
         this.state.noteRequest();
         this.open.add(res);
         await this.queue.add(() => this.run(bytes, req, res));
--- a/src/emulator/standInSet/index.ts
+++ b/src/emulator/standInSet/index.ts
@@ -41,6 +41,8 @@
     readonly engines = new Map<string, EngineStandIn>();
     readonly services = new Map<string, ServiceStandIn>();
     private entries: readonly Address[];
+    /** Tokens given by engines that were restarted since. */
+    private earlierTokens = 0;
 
     /**
      * @param ports - What all of them run on.
@@ -68,11 +70,12 @@
         const address = await this.platform.start();
         for (let number = 1; number <= engines; number++) {
             const zone = zones[(number - 1) % zones.length];
-            await this.startFirst(`${pool}-${zone}-${number}`, pool, zone);
+            const reclaimable = this.settings.reclaimableZones.includes(zone);
+            await this.startFirst(`${pool}-${zone}-${number}`, pool, makeOffer(this.settings, zone, reclaimable));
         }
         for (let number = 1; number <= services; number++) {
             const zone = zones[(number - 1) % zones.length];
-            await this.startFirst(`${service}-${zone}-${number}`, service, zone);
+            await this.startFirst(`${service}-${zone}-${number}`, service, makeOffer(this.settings, zone, false));
         }
         return address;
     }
@@ -89,7 +92,16 @@
     }
 
     reclaim(id: string, noticeMs: number): void {
-        this.engines.get(id)?.reclaim(noticeMs);
+        this.find(id)?.reclaim(noticeMs);
+    }
+
+    /** Starts an upstream again under its id, as a new incarnation with an empty cache; one that still runs crashes. */
+    async restart(id: string): Promise<void> {
+        const offer = this.platform.orders.offerOf(id);
+        if (!offer) return;
+        await this.find(id)?.crash();
+        this.earlierTokens += this.engines.get(id)?.stats().tokens ?? 0;
+        await this.start({ id, offer });
     }
 
     /** The upstream of an id, or undefined. */
@@ -116,7 +128,7 @@
             engines,
             services: [...this.services.values()].map(service => service.stats()),
             platform: this.platform.stats(),
-            tokens: engines.reduce((sum, engine) => sum + engine.tokens, 0),
+            tokens: engines.reduce((sum, engine) => sum + engine.tokens, this.earlierTokens),
             calls: this.ledger.distinct,
             doubledCalls: this.ledger.doubled(),
             keys: this.ports.keyWatch.sightings(),
@@ -125,12 +137,12 @@
 
     /** The addresses of the upstreams, for the one who started the set. */
     addresses(): readonly string[] {
-        return [...this.engines.values(), ...this.services.values()].map(upstream => upstream.stats().address);
+        return [...this.engines.values(), ...this.services.values()].map(upstream => upstream.address);
     }
 
     /** Starts an upstream that the platform bills as if it had been ordered at this moment. */
-    private async startFirst(id: string, pool: string, zone: string): Promise<void> {
-        const offer = { ...makeOffer(this.settings, zone, false), pool };
+    private async startFirst(id: string, pool: string, like: Offer): Promise<void> {
+        const offer = { ...like, pool };
         this.platform.orders.adopt(id, offer);
         await this.start({ id, offer });
     }
--- a/src/load/consortiumPlan/index.ts
+++ b/src/load/consortiumPlan/index.ts
@@ -1,3 +1,4 @@
+import { ControlAction, RequestFault, ServiceFault } from "../../emulator/index.js";
 import { TracePlan, WorkspacePlan } from "../recordTrace/index.js";
 
 const MODEL = "shared-model";
@@ -117,6 +118,7 @@
         lost: 0,
         doubled: 0,
     },
+    faults: [],
     emulator: {
         engines: 8,
         services: 3,
@@ -131,3 +133,38 @@
         serviceMaxMs: 40,
     },
 };
+
+/**
+ * The same midday with faults that engines do not report: a straggler, an engine that freezes, streams that break off or
+ * fall silent, a crossed answer, and bookings whose answers are late, crossed or lost.
+ */
+export const CONSORTIUM_FAULTS: TracePlan = {
+    ...CONSORTIUM_MIDDAY,
+    name: "consortium-faults",
+    bounds: {
+        attainment: { safety: 0.9, bookings: 0.9, routing: 0.3, manifests: 0.15 },
+        worst_workspace: 0.3,
+        lost: 0,
+        doubled: 0,
+    },
+    faults: [
+        { atMs: 1_000, action: { action: "slow", upstream: `${MODEL}-sohar-1`, factor: 6 } },
+        { atMs: 1_500, action: makeEngineFaults("barka-2", [{ kind: "cut", afterTokens: 5 }]) },
+        { atMs: 2_000, action: makeEngineFaults("muscat-3", [{ kind: "unfinished", afterTokens: 8 }]) },
+        { atMs: 2_500, action: makeEngineFaults("sohar-4", [{ kind: "silent", afterTokens: 3 }]) },
+        { atMs: 3_000, action: makeEngineFaults("barka-5", [{ kind: "crossed", id: "another-request" }]) },
+        { atMs: 3_500, action: { action: "freeze", upstream: `${MODEL}-muscat-6` } },
+        { atMs: 6_500, action: { action: "thaw", upstream: `${MODEL}-muscat-6` } },
+        { atMs: 1_500, action: makeServiceFaults("sohar-1", [{ kind: "lost" }, { kind: "late", delayMs: 1_500 }]) },
+        { atMs: 2_500, action: makeServiceFaults("barka-2", [{ kind: "crossed", id: "another-request" }]) },
+        { atMs: 3_500, action: makeServiceFaults("muscat-3", [{ kind: "late", delayMs: 3_000 }, { kind: "lost" }]) },
+    ],
+};
+
+function makeEngineFaults(engine: string, faults: RequestFault[]): ControlAction {
+    return { action: "engine-faults", upstream: `${MODEL}-${engine}`, faults };
+}
+
+function makeServiceFaults(service: string, faults: ServiceFault[]): ControlAction {
+    return { action: "service-faults", upstream: `${DISPATCH}-${service}`, faults };
+}
--- a/src/load/index.ts
+++ b/src/load/index.ts
@@ -3,6 +3,7 @@
 export * from "./caller/index.js";
 export * from "./consortiumPlan/index.js";
 export * from "./crossCheck/index.js";
+export * from "./emulatorClient/index.js";
 export * from "./measureEngine/index.js";
 export * from "./outcome/index.js";
 export * from "./progress/index.js";
--- a/src/load/main.ts
+++ b/src/load/main.ts
@@ -2,13 +2,10 @@
 import { cac } from "cac";
 import { basename, dirname } from "node:path";
 import { z } from "zod";
-import { CONTROL_PATHS, Runs, runsSchema } from "../emulator/index.js";
 import {
     Address,
     Disk,
     FileDisk,
-    formatAddress,
-    Http,
     NodeHttp,
     parseAddress,
     SeededRandom,
@@ -16,9 +13,11 @@
     SystemRandom,
 } from "../ports/index.js";
 import {
+    CONSORTIUM_FAULTS,
     CONSORTIUM_MIDDAY,
     crossCheck,
     DEFAULT_CALLER,
+    EmulatorClient,
     formatReport,
     formatTrace,
     measureEngines,
@@ -29,14 +28,14 @@
     Trace,
     TracePlan,
     UTILITY_MORNING,
+    UTILITY_RECLAIM,
 } from "./index.js";
 import { Progress } from "./progress/index.js";
 
 const EXIT_MISSED = 1;
 const EXIT_BAD_USE = 2;
-const CONTROL_TIMEOUT_MS = 5_000;
 const DEFAULT_SEED = 20_261_202;
-const PLANS: readonly TracePlan[] = [UTILITY_MORNING, CONSORTIUM_MIDDAY];
+const PLANS: readonly TracePlan[] = [UTILITY_MORNING, UTILITY_RECLAIM, CONSORTIUM_MIDDAY, CONSORTIUM_FAULTS];
 
 const replayFlagsSchema = z.object({
     addresses: z.string(),
@@ -103,22 +102,6 @@
     });
 }
 
-async function fetchRuns(http: Http, address: Address): Promise<Runs> {
-    const sent = await http.send({
-        address,
-        method: "GET",
-        path: CONTROL_PATHS.runs,
-        headers: [["host", formatAddress(address)]],
-        fresh: true,
-        connectTimeoutMs: CONTROL_TIMEOUT_MS,
-        headTimeoutMs: CONTROL_TIMEOUT_MS,
-    });
-    if (sent.isLeft()) throw new UsageError(`--emulator: no answer from ${formatAddress(address)}`);
-    const chunks: Uint8Array[] = [];
-    for await (const chunk of sent.unsafeCoerce().body) chunks.push(chunk);
-    return runsSchema.parse(JSON.parse(Buffer.concat(chunks).toString()));
-}
-
 async function replay(path: string, flags: unknown): Promise<void> {
     const parsed = replayFlagsSchema.safeParse(flags);
     if (!parsed.success) {
@@ -131,6 +114,9 @@
     const progress = new Progress(ports.clock, trace.requests.length, line => {
         if (!options.quiet) process.stderr.write(line);
     });
+    const emulator = options.emulator === undefined
+        ? undefined
+        : new EmulatorClient(ports.http, readAddresses(options.emulator)[0]);
     const startedAt = ports.clock.monotonic();
     const results = await replayTrace(ports, trace, {
         ...DEFAULT_CALLER,
@@ -140,12 +126,11 @@
         timeoutMs: options.timeoutMs,
         retries: options.retries,
         chatResends: options.resendChats ? "always" : DEFAULT_CALLER.chatResends,
+        applyFault: emulator && (action => emulator.apply(action)),
     }, result => progress.note(result));
     progress.end();
     const report = summarizeReplay(trace, results, ports.clock.monotonic() - startedAt);
-    const check = options.emulator === undefined
-        ? undefined
-        : crossCheck(trace, results, await fetchRuns(ports.http, readAddresses(options.emulator)[0]));
+    const check = emulator && crossCheck(trace, results, await emulator.fetchRuns());
     console.log(options.json ? JSON.stringify({ ...report, check, results }) : formatReport(report, check));
     const isBad = report.lost > 0 || report.doubled > 0
         || (check !== undefined && check.untruthful.length + check.doubledCalls.length > 0);
@@ -188,7 +173,10 @@
         .option("--retries <count>", "How often a refused request comes back")
         .option("--resend-chats", "Callers send a chat again also when it broke after its first token")
         .option("--bounds", "Exit 1 also when one of the trace's bounds is missed")
-        .option("--emulator <address>", "The emulator's control port: hold what ran against what callers were told")
+        .option(
+            "--emulator <address>",
+            "The emulator's control port: brings about the trace's faults, and tells what ran",
+        )
         .option("--json", "Print one line of JSON in place of tables")
         .option("--quiet", "No progress line")
         .example("load replay traces/utility-morning.jsonl --addresses 127.0.0.1:8080 --keys keys.json --bounds")
--- a/src/load/recordTrace/index.ts
+++ b/src/load/recordTrace/index.ts
@@ -1,5 +1,14 @@
+import { ControlAction } from "../../emulator/index.js";
 import { Random } from "../../ports/index.js";
-import { Trace, TRACE_VERSION, TraceBounds, TraceClass, TraceRequest, TraceWorkspace } from "../trace/index.js";
+import {
+    Trace,
+    TRACE_VERSION,
+    TraceBounds,
+    TraceClass,
+    TraceFault,
+    TraceRequest,
+    TraceWorkspace,
+} from "../trace/index.js";
 
 /** A workspace's part in the traffic. */
 export interface WorkspacePlan extends TraceWorkspace {
@@ -42,6 +51,12 @@
     readonly items: readonly string[];
 }
 
+/** Something that goes wrong at a set time. */
+export interface FaultPlan {
+    readonly atMs: number;
+    readonly action: ControlAction;
+}
+
 /** All that a trace is made from. */
 export interface TracePlan {
     readonly name: string;
@@ -50,6 +65,8 @@
     readonly workspaces: readonly WorkspacePlan[];
     readonly traffic: readonly (ChatTraffic | ServiceTraffic)[];
     readonly bounds: TraceBounds;
+    /** What goes wrong, in the order of its times. */
+    readonly faults: readonly FaultPlan[];
     /** Settings of the emulator, by the names of its flags. */
     readonly emulator: Readonly<Record<string, string | number | boolean>>;
 }
@@ -84,6 +101,8 @@
             emulator: plan.emulator,
         },
         requests: requests.sort((a, b) => a.at_ms - b.at_ms),
+        faults: plan.faults.map(({ atMs, action }): TraceFault => ({ at_ms: atMs, kind: "fault", action }))
+            .sort((a, b) => a.at_ms - b.at_ms),
     };
 }
 
--- a/src/load/replay/test.ts
+++ b/src/load/replay/test.ts
@@ -1,9 +1,10 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { ControlAction } from "../../emulator/index.js";
 import { MemoryFabric, MemoryWeb, SeededRandom, VirtualClock } from "../../ports/index.js";
 import { DEFAULT_CALLER } from "../caller/index.js";
 import { recordTrace } from "../recordTrace/index.js";
-import { UTILITY_MORNING } from "../utilityPlan/index.js";
+import { UTILITY_MORNING, UTILITY_RECLAIM } from "../utilityPlan/index.js";
 import { ReplayConfig, ReplayError, replayTrace } from "./index.js";
 
 const TRACE = recordTrace(UTILITY_MORNING, new SeededRandom(1));
@@ -36,6 +37,18 @@
         assert.ok(results.every(({ verdict, reason }) => verdict === "refused" && reason === "shed"));
     });
 
+    it("brings about each fault at its time over the speed", async () => {
+        const { clock, ports } = await startRefusingEntry();
+        const trace = recordTrace(UTILITY_RECLAIM, new SeededRandom(1));
+        const applied: string[] = [];
+        const applyFault = async ({ action }: ControlAction): Promise<void> => {
+            applied.push(`${action} at ${clock.monotonic()}`);
+        };
+        await clock.runUntil(replayTrace(ports, trace, { ...CONFIG, applyFault }), 60_000);
+        assert.deepEqual(applied, ["reclaim-zone at 1000", "crash at 2250", "restart at 3250"]);
+        await assert.rejects(replayTrace(ports, trace, CONFIG), ReplayError);
+    });
+
     it("says which workspace has no key", async () => {
         const { ports } = await startRefusingEntry();
         const replay = replayTrace(ports, TRACE, { ...CONFIG, keys: new Map() });
--- a/src/load/trace/index.ts
+++ b/src/load/trace/index.ts
@@ -1,6 +1,7 @@
 /** Recorded traces: JSON Lines, a header first, then one request a line. docs/TRACES.md describes the format. */
 import { Either, Left, Right } from "purify-ts";
 import { z } from "zod";
+import { controlActionSchema } from "../../emulator/index.js";
 
 /** The version of the format that is written and read. */
 export const TRACE_VERSION = 1;
@@ -96,10 +97,22 @@
 export const traceRequestSchema = z.discriminatedUnion("kind", [traceChatSchema, traceServiceSchema]);
 export type TraceRequest = z.infer<typeof traceRequestSchema>;
 
+/** Something that goes wrong at a stand-in while the requests run. */
+export const traceFaultSchema = z.strictObject({
+    at_ms: commonFields.at_ms,
+    kind: z.literal("fault"),
+    action: controlActionSchema,
+});
+export type TraceFault = z.infer<typeof traceFaultSchema>;
+
+const traceLineSchema = z.discriminatedUnion("kind", [traceChatSchema, traceServiceSchema, traceFaultSchema]);
+type TraceLine = z.infer<typeof traceLineSchema>;
+
 /** A whole trace. */
 export interface Trace {
     readonly header: TraceHeader;
     readonly requests: readonly TraceRequest[];
+    readonly faults: readonly TraceFault[];
 }
 
 /** A line of a trace that can't be read. */
@@ -126,8 +139,11 @@
     const lines = text.split("\n");
     if (lines[lines.length - 1] === "") lines.pop();
     return parseLine(lines[0] ?? "", 1, traceHeaderSchema).chain(header =>
-        Either.sequence(lines.slice(1).map((line, index) => parseRequest(line, index + 2, header)))
-            .map(requests => ({ header, requests }))
+        Either.sequence(lines.slice(1).map((line, index) => parseFurtherLine(line, index + 2, header))).map(parsed => ({
+            header,
+            requests: parsed.filter(line => line.kind !== "fault"),
+            faults: parsed.filter(line => line.kind === "fault"),
+        }))
     );
 }
 
@@ -135,14 +151,17 @@
  * Writes a trace.
  *
  * @example
- * formatTrace({ header, requests });
+ * formatTrace({ header, requests, faults: [] });
  */
-export function formatTrace({ header, requests }: Trace): string {
-    return [header, ...requests].map(line => `${JSON.stringify(line)}\n`).join("");
+export function formatTrace({ header, requests, faults }: Trace): string {
+    const further = [...requests, ...faults].sort((a, b) => a.at_ms - b.at_ms);
+    return [header, ...further].map(line => `${JSON.stringify(line)}\n`).join("");
 }
 
-function parseRequest(text: string, line: number, header: TraceHeader): Either<TraceError, TraceRequest> {
-    return parseLine(text, line, traceRequestSchema).chain(request => checkNames(request, line, header));
+function parseFurtherLine(text: string, line: number, header: TraceHeader): Either<TraceError, TraceLine> {
+    return parseLine(text, line, traceLineSchema).chain<TraceError, TraceLine>(parsed =>
+        parsed.kind === "fault" ? Right(parsed) : checkNames(parsed, line, header)
+    );
 }
 
 /** What a request names must stand in the header. */
--- a/src/load/trace/test.ts
+++ b/src/load/trace/test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { SeededRandom } from "../../ports/index.js";
-import { CONSORTIUM_MIDDAY } from "../consortiumPlan/index.js";
+import { CONSORTIUM_FAULTS, CONSORTIUM_MIDDAY } from "../consortiumPlan/index.js";
 import { recordTrace } from "../recordTrace/index.js";
 import { UTILITY_MORNING } from "../utilityPlan/index.js";
 import { formatTrace, parseTrace, TraceError } from "./index.js";
@@ -24,7 +24,7 @@
 
 describe("trace", () => {
     describe("recordTrace", () => {
-        for (const plan of [UTILITY_MORNING, CONSORTIUM_MIDDAY]) {
+        for (const plan of [UTILITY_MORNING, CONSORTIUM_MIDDAY, CONSORTIUM_FAULTS]) {
             it(`makes the same ${plan.name} from the same seed, in the order of time`, () => {
                 const trace = recordTrace(plan, new SeededRandom(5));
                 assert.deepEqual(trace, recordTrace(plan, new SeededRandom(5)));
@@ -58,6 +58,12 @@
             assert.deepEqual([err.line, err.field], [1, "version"]);
         });
 
+        it("names line and field of a fault that nobody can bring about", () => {
+            const fault = { at_ms: 5, kind: "fault", action: { action: "flood", upstream: "x" } };
+            const err = readError(`${TEXT}${JSON.stringify(fault)}\n`);
+            assert.deepEqual([err.line, err.field], [TEXT.split("\n").length, "action.action"]);
+        });
+
         it("names the line that is cut off", () => {
             assert.equal(readError(TEXT.slice(0, -20)).line, TEXT.split("\n").length - 1);
         });
--- a/src/load/utilityPlan/index.ts
+++ b/src/load/utilityPlan/index.ts
@@ -112,6 +112,7 @@
         lost: 0,
         doubled: 0,
     },
+    faults: [],
     emulator: {
         engines: 8,
         services: 4,
@@ -126,3 +127,24 @@
         serviceMaxMs: 40,
     },
 };
+
+/**
+ * The same morning with two of four zones on reclaimable engines: one of them is taken back with three seconds' notice
+ * just before the peak, and an engine elsewhere crashes.
+ */
+export const UTILITY_RECLAIM: TracePlan = {
+    ...UTILITY_MORNING,
+    name: "utility-reclaim",
+    bounds: {
+        attainment: { sheets: 0.8, orders: 0.95, questions: 0.45, summaries: 0.2 },
+        worst_workspace: 0.3,
+        lost: 0,
+        doubled: 0,
+    },
+    faults: [
+        { atMs: 2_000, action: { action: "reclaim-zone", zone: "vogar", noticeMs: 3_000 } },
+        { atMs: 4_500, action: { action: "crash", upstream: `${MODEL}-keflavik-1` } },
+        { atMs: 6_500, action: { action: "restart", upstream: `${MODEL}-keflavik-1` } },
+    ],
+    emulator: { ...UTILITY_MORNING.emulator, reclaimableZones: "sandgerdi,vogar" },
+};
