--- a/src/emulator/serviceStandIn/test.ts
+++ b/src/emulator/serviceStandIn/test.ts
@@ -55,6 +55,16 @@
         assert.equal(ledger.distinct, 1);
     });
 
+    it("runs nothing more once it has crashed, also not what waited", async () => {
+        const { world, ledger, service, call } = await startService();
+        const calls = Promise.all([call(), call(), call()]);
+        await world.clock.advance(5);
+        await service.crash();
+        assert.deepEqual(await world.clock.runUntil(calls, LIMIT_MS), [undefined, undefined, undefined]);
+        await world.clock.advance(1_000);
+        assert.equal(ledger.list().reduce((sum, { runs }) => sum + runs, 0), 1);
+    });
+
     it("does not run a call that it refuses", async () => {
         const { world, ledger, service, call } = await startService();
         service.addFaults({ kind: "refused", status: 503 });
