--- a/src/bench/policy/caller/index.ts
+++ b/src/bench/policy/caller/index.ts
@@ -241,6 +241,7 @@
 
     private finish(record: RequestRecord, outcome: RequestRecord["outcome"]): void {
         record.outcome = outcome;
+        if (outcome !== "answered") record.wasted += record.delivered;
         record.endedAt = this.options.clock.monotonic();
     }
 }
--- a/src/dispatch/outlook/index.ts
+++ b/src/dispatch/outlook/index.ts
@@ -14,6 +14,8 @@
 const USUAL_MS = 120_000;
 /** A burst is when the tiers above bring this share of what the pool can do. */
 const BURST_LOAD = 0.9;
+/** A tier is overloaded when it and those above bring this share of what the pool can do. */
+const OVERLOAD = 1.2;
 /** How much longer a burst may last, as a share of how long it has lasted, for patient work to wait for its end. */
 const BURST_PATIENCE = 0.25;
 /** The least share of the pool counted on for a tier that higher ones would fill. */
@@ -102,6 +104,11 @@
         return Math.min(waitMs, patientMs);
     }
 
+    /** Whether a tier and those above it bring far more than the pool can do, so that some of it must be refused. */
+    isOverloaded(tier: number, slots: number, now: number): boolean {
+        return this.recent.above(tier + 1, now) > OVERLOAD * this.capacity(slots);
+    }
+
     /** Whether the tiers above one bring about as much as the pool can do, or more. */
     isFilledAbove(tier: number, slots: number, now: number): boolean {
         return this.recent.above(tier, now) > BURST_LOAD * this.capacity(slots);
--- a/src/dispatch/preempter/index.ts
+++ b/src/dispatch/preempter/index.ts
@@ -28,7 +28,7 @@
     /** Whether enough lower work could give its place to a ticket and to those before it. */
     canServe(waiting: WaitingTicket, costAhead: number): boolean {
         const { policy, running } = this.options;
-        if (!policy.isEnabled) return false;
+        if (!policy.isEnabled || this.isInVain(waiting)) return false;
         const needed = this.ticketsIn(costAhead) + 1 - running.pendingPreemptions;
         return running.countPreemptible(waiting.ticket.tier) >= Math.max(1, needed);
     }
@@ -65,6 +65,7 @@
         // Places that are about to come free are for those ahead first; only beyond these another one is needed.
         const isCovered = running.pendingPreemptions > ahead;
         if (!policy.isEnabled || isCovered || running.countPreemptible(tier) === 0) return;
+        if (this.isInVain(waiting)) return;
         const waitMs = (ahead + 1) * outlook.releaseMs(members.usableSlots);
         const context = { now: clock.monotonic(), waitMs, firstTokenMs: outlook.firstTokenMs };
         const victim = policy.pickVictim(waiting, running, context);
@@ -74,6 +75,15 @@
         this.options.preempt(victim.waiting.ticket.request);
     }
 
+    /**
+     * While a tier overloads the pool by itself, some of it is refused whatever gives its place. A preempted answer would
+     * then wait behind that tier until its bound and be lost in its middle: one answer gained, one and a half lost.
+     */
+    private isInVain(waiting: WaitingTicket): boolean {
+        const { outlook, members, clock } = this.options;
+        return outlook.isOverloaded(waiting.ticket.tier, members.usableSlots, clock.monotonic());
+    }
+
     private ticketsIn(cost: number): number {
         return cost / this.options.outlook.meanCost;
     }
