Fault schedules change synced bits; waiting replicas say what they wait for

Cause: no schedule damaged a file, and a host that waits to found or join a cluster said nothing. A schedule now changes one synced bit before it replaces a disk, and fails unless the host refuses to start. Lines founding-waits, join-waits and member-retired name the reason, every ten seconds at most; a retired member logged twice a second before.

The harness proposes again until something is accepted; accepted entries are checked as before.

--- a/src/consensus/founding/index.ts
+++ b/src/consensus/founding/index.ts
@@ -18,6 +18,8 @@
 /** A founder acts only on answers younger than this; far less than the pledge, so that no drift matters. */
 const ROUND_MS = 5_000;
 
+const LOG_EVERY_MS = 10_000;
+
 interface Pledge {
     readonly to: StatusRequest;
     readonly until: number;
@@ -42,6 +44,7 @@
 export class Founding {
     private pledge: Pledge | undefined;
     private isJoining = false;
+    private nextLogAt: number;
 
     constructor(
         private readonly replica: Replica,
@@ -49,7 +52,9 @@
         private readonly random: Random,
         private readonly self: BootstrapMember,
         private readonly bootstrap: readonly BootstrapMember[],
-    ) {}
+    ) {
+        this.nextLogAt = replica.clock.monotonic() + LOG_EVERY_MS;
+    }
 
     /** Settles once the folder belongs to a cluster. */
     async run(signal: AbortSignal): Promise<void> {
@@ -85,6 +90,7 @@
             return;
         }
         const areAllNew = replies.length === this.others().length && replies.every(reply => !reply.cluster);
+        if (!areAllNew) this.logWaiting(replies);
         const isFresh = replica.clock.monotonic() - startedAt < ROUND_MS;
         if (!areAllNew || !isFresh || this.founder() !== this.self.host) return;
         const cluster = Buffer.from(this.random.bytes(CLUSTER_ID_BYTES)).toString("hex") as ClusterId;
@@ -92,6 +98,15 @@
         replica.logger.info("cluster-founded", { cluster, members: this.bootstrap.length });
     }
 
+    /** Without this line an operator sees a host that does nothing, and not which other host it waits for. */
+    private logWaiting(replies: readonly StatusReply[]): void {
+        const { clock, logger } = this.replica;
+        if (clock.monotonic() < this.nextLogAt) return;
+        this.nextLogAt = clock.monotonic() + LOG_EVERY_MS;
+        const missing = this.others().filter(({ host }) => !replies.some(reply => reply.host === host));
+        logger.warn("founding-waits", { missing: missing.map(({ host }) => host).join(" ") });
+    }
+
     /** A full disk leaves the folder as it was, and the next round tries again. */
     private async join(cluster: ClusterId, founding: Configuration): Promise<void> {
         this.isJoining = true;
--- a/src/consensus/membership/index.ts
+++ b/src/consensus/membership/index.ts
@@ -15,6 +15,8 @@
 import { PeerLinks } from "../peerLinks/index.js";
 import { Replica } from "../replica/index.js";
 
+const LOG_EVERY_MS = 10_000;
+
 /**
  * Keeps the members' list true: a replica that is not in it asks to join, and the leader takes it in, promotes it
  * and removes the identity that it replaces, one change at a time.
@@ -27,6 +29,8 @@
  * membership.review(leadership);
  */
 export class Membership {
+    private nextLogAt = 0;
+
     constructor(
         private readonly replica: Replica,
         private readonly links: PeerLinks,
@@ -115,8 +119,17 @@
         const replies = await Promise.all(asked.map(address => this.askOne(address)));
         const leader = replies.find(reply => reply?.leader)?.leader;
         if (leader) replies.push(await this.askOne(leader));
-        if (!replies.some(reply => reply?.result === "retired")) return;
-        replica.logger.error("member-retired", { storeId: replica.storeId });
+        this.logAnswers(replies);
+    }
+
+    /** Says now and then why this replica is no member yet. */
+    private logAnswers(replies: readonly (JoinReply | undefined)[]): void {
+        const { clock, logger, storeId } = this.replica;
+        if (clock.monotonic() < this.nextLogAt) return;
+        this.nextLogAt = clock.monotonic() + LOG_EVERY_MS;
+        const results = replies.flatMap(reply => reply ? [reply.result] : []);
+        if (results.includes("retired")) logger.error("member-retired", { storeId });
+        else if (!results.includes("member") && !results.includes("added")) logger.warn("join-waits", { storeId });
     }
 
     private async askOne(address: Address): Promise<JoinReply | undefined> {
--- a/src/consensus/replicatedLog/index.ts
+++ b/src/consensus/replicatedLog/index.ts
@@ -256,6 +256,7 @@
     private endLeadership(): void {
         const { leadership } = this;
         this.leadership = undefined;
+        this.replica.logger.info("leader-stepped-down", { term: leadership?.term });
         this.tellHolder();
         void leadership?.close();
     }
--- a/src/consensus/replicatedLog/test.ts
+++ b/src/consensus/replicatedLog/test.ts
@@ -5,8 +5,8 @@
 import { SeededRandom } from "../../ports/index.js";
 import { encodeValue } from "../../wire/index.js";
 
-const SEEDS = 20;
-const STEPS = 14;
+const SEEDS = 24;
+const STEPS = 10;
 
 async function startFleet(seed = 1) {
     const fleet = new ReplicaFleet(new SeededRandom(seed), ["a", "b", "c"]);
--- a/src/faultInjection/replicaFleet/index.ts
+++ b/src/faultInjection/replicaFleet/index.ts
@@ -178,11 +178,23 @@
     /** Lets time pass until all hosts are members, a new command is accepted, and all have applied the same; checks that. */
     async converge(): Promise<void> {
         await this.passUntil(() => this.isWhole());
-        await this.proposeMany(1);
+        await this.proposeAgainUntilAccepted();
         await this.passUntil(() => new Set(this.processes().map(({ log }) => log.appliedIndex())).size === 1);
         this.checkAlike();
     }
 
+    /** A holder that was cut off until now may still step down and lose what it was given. */
+    private async proposeAgainUntilAccepted(): Promise<void> {
+        const before = this.acked.size;
+        const end = this.clock.monotonic() + SETTLE_MS;
+        while (this.acked.size === before) {
+            if (this.clock.monotonic() >= end) throw new InvariantError("nothing is accepted any more");
+            const holder = this.holder();
+            if (holder) this.propose(holder.process!);
+            await this.pass(1_000);
+        }
+    }
+
     /** Lets time pass, looking at the invariants every few milliseconds. */
     async pass(ms: number): Promise<void> {
         const end = this.clock.monotonic() + ms;
--- a/src/faultInjection/schedule/index.ts
+++ b/src/faultInjection/schedule/index.ts
@@ -1,4 +1,6 @@
 import { SeededRandom } from "../../ports/index.js";
+import { StoreError } from "../../store/index.js";
+import { InvariantError } from "../recorder/index.js";
 import { FleetHost, ReplicaFleet } from "../replicaFleet/index.js";
 
 /** What one run came to. */
@@ -167,6 +169,7 @@
     if (!fleet.isWhole()) return;
     const names = [...fleet.hosts.keys()];
     const first = random.next() < 0.5 ? fleet.holder()!.name : random.pick(names);
+    if (random.next() < 0.3) await damageOne(run, first);
     fleet.wipe(first);
     await passUnderLoad(run, random.between(0, 3_000));
     await fleet.start(first);
@@ -176,6 +179,19 @@
     else fleet.crash(second, random.integer(0, MOST_TORN_BYTES));
 }
 
+/** Changes one synced bit of the log; the host must refuse to start until an operator gives it an empty folder. */
+async function damageOne({ fleet, random }: Run, name: string): Promise<void> {
+    fleet.crash(name);
+    const { disk } = fleet.find(name);
+    const path = `log/${random.pick(await disk.list("log"))}`;
+    const size = (await disk.read(path))!.length;
+    if (size === 0) return;
+    disk.damage(path, random.integer(0, size));
+    const outcome = await fleet.start(name).then(() => undefined, (err: unknown) => err);
+    if (outcome instanceof StoreError && outcome.reason === "damaged") return;
+    throw new InvariantError(`a folder with a changed bit was opened: ${String(outcome)}`);
+}
+
 async function changeMembers(run: Run): Promise<void> {
     const { fleet } = run;
     const extra = fleet.hosts.get(EXTRA_HOST);
