--- /dev/null
+++ b/src/upstream/load/index.ts
@@ -0,0 +1,188 @@
+import { Announcement } from "../../protocol/index.js";
+import { Upstream } from "../upstream/index.js";
+
+interface Sample {
+    readonly at: number;
+    readonly outstanding: number;
+}
+
+/** Longer than any load report is late. */
+const HISTORY_MS = 10_000;
+const PACE_WEIGHT = 0.2;
+const FAILURE_BACKOFF_MS = 500;
+const FAILURE_BACKOFF_MOST_MS = 30_000;
+
+/**
+ * One upstream's load as the owner of a pool's queue sees it: what it sent itself is known exactly, what others sent
+ * only from the upstream's own reports, which are late.
+ *
+ * A report counts requests that have ended since, and misses those that were sent since. Taken as it is, it would send
+ * each burst to the engine that was idle a second ago. So the report is compared with what this process had outstanding
+ * when it was measured, and only the difference, the load of others, is added to what is outstanding now.
+ */
+export class UpstreamLoad {
+    private readonly history: Sample[] = [];
+    private own = 0;
+    /** The report that the load of others was worked out from. */
+    private foreignFrom: Announcement | undefined;
+    private foreignCount = 0;
+    private paceMs: number | undefined;
+    private paces = 0;
+    private failures = 0;
+    private closedUntil = 0;
+    private isEjected = false;
+    private probedAt = 0;
+    private failedProbes = 0;
+
+    constructor(readonly upstream: Upstream) {}
+
+    /** Whether it is out as a straggler and gets single probes only. */
+    get ejected(): boolean {
+        return this.isEjected;
+    }
+
+    /** How many requests of this process run there. */
+    get ownOutstanding(): number {
+        return this.own;
+    }
+
+    /** Smoothed time between tokens, in milliseconds; undefined until one was seen. */
+    get tokenMs(): number | undefined {
+        return this.paceMs;
+    }
+
+    /** How many times the pace was seen. */
+    get paceCount(): number {
+        return this.paces;
+    }
+
+    /** Requests that run or queue there now, by the best guess. */
+    get outstanding(): number {
+        return this.own + this.foreign();
+    }
+
+    /**
+     * How many more requests it can start at once.
+     *
+     * @param now - Monotonic time, in milliseconds.
+     */
+    freeSlots(now: number): number {
+        if (!this.upstream.isGrantable || now < this.closedUntil) return 0;
+        if (this.isEjected) return this.own === 0 && this.isProbeDue(now) ? 1 : 0;
+        return Math.max(0, this.upstream.slots - this.outstanding);
+    }
+
+    /** How many requests of ours it can run at once, busy or not. */
+    usableSlots(now: number): number {
+        if (!this.upstream.isGrantable || now < this.closedUntil || this.isEjected) return 0;
+        return Math.max(0, this.upstream.slots - this.foreign());
+    }
+
+    /** A request was sent. */
+    markSent(now: number): void {
+        this.own++;
+        if (this.isEjected) this.probedAt = now;
+        this.remember(now);
+    }
+
+    /**
+     * A request runs there that another process sent. It is counted as ours from its start on: a report measured since
+     * then has it too, and would else be taken for the load of others, so that its slot would count as filled twice.
+     */
+    adopt(startedAt: number): void {
+        this.own++;
+        this.foreignFrom = undefined;
+        const later = this.history.filter(sample => sample.at >= startedAt);
+        const earlier = this.history.slice(0, this.history.length - later.length);
+        const before = earlier.at(-1)?.outstanding ?? 0;
+        const shifted = later.map(({ at, outstanding }) => ({ at, outstanding: outstanding + 1 }));
+        this.history.splice(0, this.history.length, ...earlier, { at: startedAt, outstanding: before + 1 }, ...shifted);
+    }
+
+    /** A request ended, however. */
+    markEnded(now: number): void {
+        this.own = Math.max(0, this.own - 1);
+        this.remember(now);
+    }
+
+    /** The upstream answered: it is not failing. */
+    markHealthy(): void {
+        this.failures = 0;
+        this.closedUntil = 0;
+    }
+
+    /** The upstream failed a request: it rests, twice as long each time. */
+    markFailed(now: number): void {
+        const restMs = Math.min(FAILURE_BACKOFF_MOST_MS, FAILURE_BACKOFF_MS * 2 ** this.failures);
+        this.failures = Math.min(this.failures + 1, 10);
+        this.closedUntil = now + restMs;
+    }
+
+    /** Learns the time between tokens that a request saw, in milliseconds. */
+    learnPace(tokenMs: number): void {
+        this.paces++;
+        this.paceMs = this.paceMs === undefined ? tokenMs : this.paceMs + PACE_WEIGHT * (tokenMs - this.paceMs);
+    }
+
+    /** Takes it out as a straggler, or once more after a probe that was slow: the next probe waits twice as long. */
+    eject(now: number): void {
+        this.failedProbes = this.isEjected ? this.failedProbes + 1 : 0;
+        this.isEjected = true;
+        this.probedAt = now;
+        this.forgetPace();
+    }
+
+    /** Takes it back: it gets its full share again. */
+    restore(): void {
+        this.isEjected = false;
+        this.forgetPace();
+    }
+
+    private forgetPace(): void {
+        this.paceMs = undefined;
+        this.paces = 0;
+    }
+
+    private isProbeDue(now: number): boolean {
+        return now - this.probedAt >= Math.min(PROBE_MOST_MS, PROBE_EVERY_MS * 2 ** this.failedProbes);
+    }
+
+    private foreign(): number {
+        const { announcement, loadMeasuredAt } = this.upstream;
+        if (this.foreignFrom !== announcement) {
+            const { running, queued } = announcement.load;
+            this.foreignCount = Math.max(0, running + queued - this.ownAt(loadMeasuredAt));
+            this.foreignFrom = announcement;
+        }
+        return this.foreignCount;
+    }
+
+    /** The most that this process had outstanding around a moment: a report races with what was just sent or ended. */
+    private ownAt(at: number): number {
+        let most = 0;
+        for (let index = this.history.length - 1; index >= 0; index--) {
+            const sample = this.history[index];
+            if (sample.at > at + FLIGHT_MS) continue;
+            most = Math.max(most, sample.outstanding);
+            if (sample.at <= at - FLIGHT_MS) break;
+        }
+        return most;
+    }
+
+    private remember(now: number): void {
+        if (now <= this.upstream.loadMeasuredAt + FLIGHT_MS) this.foreignFrom = undefined;
+        const last = this.history.at(-1);
+        if (last?.at === now) this.history.pop();
+        this.history.push({ at: now, outstanding: this.own });
+        if (this.history.length < HISTORY_TRIM) return;
+        const firstKept = this.history.findIndex(sample => sample.at >= now - HISTORY_MS);
+        this.history.splice(0, Math.max(firstKept - 1, this.history.length - HISTORY_TRIM / 2));
+    }
+}
+
+/** How far a request's flight can shift it against a report, in milliseconds. */
+const FLIGHT_MS = 20;
+/** How soon an ejected upstream gets one request to show its pace, at first and at the latest, in milliseconds. */
+const PROBE_EVERY_MS = 2_000;
+const PROBE_MOST_MS = 60_000;
+const HISTORY_TRIM = 256;
