--- a/src/tools/fleet/index.ts
+++ b/src/tools/fleet/index.ts
@@ -56,7 +56,7 @@
     readonly entries: Program[] = [];
     readonly controls: Program[] = [];
     emulator!: Program;
-    private emulatorAddresses!: { platform: string; control: string; };
+    private emulatorAddresses!: { platform: string; control: string; upstreams: string[]; };
 
     private constructor(
         readonly plan: FleetPlan,
@@ -98,6 +98,11 @@
         return this.controlPorts.map(({ operators }) => ({ host: HOST, port: operators }));
     }
 
+    /** `IP:port` of each stand-in, engines first. */
+    get upstreamAddresses(): readonly string[] {
+        return this.emulatorAddresses.upstreams;
+    }
+
     startEntry(number: number): Program {
         const program = new Program("daemon/main.js", ["--settings", this.entryFile(number)]);
         this.entries[number] = program;
