A late completion no longer hides the end of a retry's grant

Cause: a completion for an upstream tried before removed the request's entry although it ended nothing; the retry's own end was then dropped and its slot stayed taken. Change: the entry goes only with the grant that ends.

--- a/src/dispatch/localDispatcher/index.ts
+++ b/src/dispatch/localDispatcher/index.ts
@@ -64,8 +64,7 @@
     complete(completion: Completion): void {
         const pool = this.poolOfRequest.get(completion.request);
         if (pool === undefined) return;
-        this.poolOfRequest.delete(completion.request);
-        this.queueOf(pool).complete(completion);
+        if (this.queueOf(pool).complete(completion)) this.poolOfRequest.delete(completion.request);
     }
 
     progress(request: RequestId, tokens: number): void {
--- a/src/dispatch/localDispatcher/test.ts
+++ b/src/dispatch/localDispatcher/test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { Either } from "purify-ts";
-import { PoolId, RequestId, UpstreamId, ZoneId } from "../../ids/index.js";
+import { HostId, PoolId, RequestId, UpstreamId, ZoneId } from "../../ids/index.js";
 import { SeededRandom, VirtualClock } from "../../ports/index.js";
 import { makeAnnouncement, UpstreamRegistry } from "../../upstream/index.js";
 import { makeTicket } from "../_lib/fixtures.js";
@@ -136,6 +136,36 @@
         });
     });
 
+    describe("a completion that comes after its request was granted again", () => {
+        // A pool serves fewer and fewer requests: now and then a failed attempt is reported after the retry was granted
+        // elsewhere. The late report was taken for the retry's, whose own end then found no grant, and its slot stayed taken.
+        it("does not hide the end of the second grant", async () => {
+            const bench = new Bench(1);
+            void bench.submit({ request: "first" });
+            await bench.clock.advance(1);
+            const usage = { promptTokens: 100, cachedTokens: 0, completionTokens: 0 };
+            const request = "first" as RequestId;
+            bench.dispatcher.complete({ request, upstream: "u0" as UpstreamId, outcome: "failed", ...usage });
+            bench.complete("first");
+            void bench.submit({ request: "second" });
+            await bench.clock.advance(1);
+            assert.deepEqual(bench.settled, ["first", "second"]);
+        });
+    });
+
+    describe("forgetEntry", () => {
+        it("frees the slots of a lost entry's grants and drops what it had waiting", async () => {
+            const bench = new Bench(1);
+            void bench.submit({ request: "lost", origin: "host-9" });
+            void bench.submit({ request: "lost too", origin: "host-9" });
+            void bench.submit({ request: "living" });
+            await bench.clock.advance(1);
+            bench.dispatcher.forgetEntry("host-9" as HostId);
+            await bench.clock.advance(1);
+            assert.deepEqual(bench.settled, ["lost", "lost too cancelled", "living"]);
+        });
+    });
+
     describe("preemption", () => {
         it("takes the place of the lowest resumable request for a target at risk", async () => {
             const bench = new Bench(2);
--- a/src/dispatch/poolQueue/index.ts
+++ b/src/dispatch/poolQueue/index.ts
@@ -11,7 +11,7 @@
 import { DispatchPolicies } from "../policies/index.js";
 import { Preempter } from "../preempter/index.js";
 import { walkProspects } from "../prospects/index.js";
-import { RunningRequest, RunningSet } from "../running/index.js";
+import { countTokens, RunningRequest, RunningSet } from "../running/index.js";
 import { Completion, Grant, Refusal, Ticket } from "../ticket/index.js";
 import { TicketQueue, TicketQueueOptions } from "../ticketQueue/index.js";
 import { UpstreamPicker } from "../upstreamPicker/index.js";
@@ -45,8 +45,6 @@
 /** Ticks between two looks at the queue when more than so many wait: a look costs more, and is as fresh as they need. */
 const MANY_WAITING_TICKS = 4;
 const MANY_WAITING = 256;
-/** Tokens between two looks at a running request's pace. */
-const PACE_TOKENS = 8;
 
 /**
  * The queue of one pool. p-queue runs one task for each granted request, from the grant to its completion; its
@@ -137,33 +135,30 @@
         });
     }
 
-    /** As `Dispatcher.complete`. */
-    complete(completion: Completion): void {
+    /**
+     * As `Dispatcher.complete`.
+     *
+     * @returns Whether it ended a grant: one that came late, for an upstream tried before, ends nothing.
+     */
+    complete(completion: Completion): boolean {
         const now = this.options.clock.monotonic();
         const running = this.running.get(completion.request);
-        if (!running || running.load.upstream.id !== completion.upstream) return;
+        if (!running || running.load.upstream.id !== completion.upstream) return false;
         this.running.remove(running);
         running.load.markEnded(now);
         this.learn(running, completion, now);
         this.options.members.refresh(running.load);
         running.release();
         this.updateConcurrency();
+        return true;
     }
 
     /** As `Dispatcher.progress`. */
     progress(request: RequestId, tokens: number): void {
         const running = this.running.get(request);
         if (!running) return;
-        const now = this.options.clock.monotonic();
-        running.tokens += tokens;
-        if (running.paceFrom === undefined) {
-            running.paceFrom = { at: now, tokens: running.tokens };
-            return;
-        }
-        const seen = running.tokens - running.paceFrom.tokens;
-        if (seen < PACE_TOKENS) return;
-        running.load.learnPace((now - running.paceFrom.at) / seen);
-        running.paceFrom = { at: now, tokens: running.tokens };
+        const tokenMs = countTokens(running, tokens, this.options.clock.monotonic());
+        if (tokenMs !== undefined) running.load.learnPace(tokenMs);
     }
 
     /**
--- a/src/dispatch/running/index.ts
+++ b/src/dispatch/running/index.ts
@@ -25,6 +25,24 @@
     readonly release: () => void;
 }
 
+/** Tokens between two looks at a running request's pace. */
+const PACE_TOKENS = 8;
+
+/**
+ * Counts tokens that a request has got.
+ *
+ * @param now - Monotonic time, in milliseconds.
+ * @returns The mean time between tokens since the last look, in milliseconds, when enough have come for another look.
+ */
+export function countTokens(running: RunningRequest, tokens: number, now: number): number | undefined {
+    running.tokens += tokens;
+    const from = running.paceFrom;
+    const seen = from ? running.tokens - from.tokens : 0;
+    if (from && seen < PACE_TOKENS) return undefined;
+    running.paceFrom = { at: now, tokens: running.tokens };
+    return from ? (now - from.at) / seen : undefined;
+}
+
 /** The running requests of a pool, by tier. */
 export class RunningSet {
     private readonly byRequest = new Map<RequestId, RunningRequest>();
