--- a/src/dispatch/admission/index.ts
+++ b/src/dispatch/admission/index.ts
@@ -56,3 +56,24 @@
         return Math.max(targetMissMs, startMs - ticket.maxWaitMs);
     }
 }
+
+/** How many times its longest wait a new ticket may be predicted to wait before it is refused at once. */
+const HOPELESS_WAITS = 2;
+
+/**
+ * Refuses at once only what has no hope, and lets the rest wait until it misses its target for certain.
+ *
+ * A prediction of the wait is a mean over an unknown future: while a burst lasts, it refuses nearly all of a low tier, of which
+ * much would have been served once the burst had passed. Waiting costs nobody a slot, so that a ticket is given up when
+ * even a slot at this moment would come too late.
+ */
+export class LastMomentAdmission extends AdmissionPolicy {
+    expectedLatenessMs({ ticket, arrivedAt }: WaitingTicket, { now, waitMs, firstTokenMs }: AdmissionContext): number {
+        // The caller of a resumed answer has part of it: a refusal now would break the answer in the middle.
+        if (ticket.resumeOffset > 0) return 0;
+        const ageMs = now - arrivedAt;
+        const isNew = ageMs <= ticket.ageMs;
+        if (isNew) return ageMs + waitMs - HOPELESS_WAITS * ticket.maxWaitMs;
+        return Math.max(ageMs + firstTokenMs - ticket.firstTokenMs, ageMs - ticket.maxWaitMs);
+    }
+}
--- a/src/dispatch/localDispatcher/test.ts
+++ b/src/dispatch/localDispatcher/test.ts
@@ -94,14 +94,22 @@
             assert.deepEqual(bench.settled, ["first", "second wait-expired"]);
         });
 
-        it("refuses at once what cannot meet its target", async () => {
+        it("refuses at once what has no hope", async () => {
             const bench = new Bench(1);
             void bench.submit({ request: "first" });
-            const decision = await bench.submit({ request: "second", firstTokenMs: 500 });
+            const decision = await bench.submit({ request: "second", firstTokenMs: 500, maxWaitMs: 500 });
             assert.equal((decision.extract() as Refusal).reason, "over-capacity");
             assert.ok((decision.extract() as Refusal).retryAfterMs >= 100);
         });
 
+        it("refuses what cannot meet its target as soon as that is certain", async () => {
+            const bench = new Bench(1);
+            void bench.submit({ request: "first" });
+            void bench.submit({ request: "second", firstTokenMs: 500 });
+            await bench.clock.advance(500);
+            assert.deepEqual(bench.settled, ["first", "second shed"]);
+        });
+
         it("settles with cancelled as soon as the caller goes, and gives the slot to the next", async () => {
             const bench = new Bench(1);
             const abort = new AbortController();
--- a/src/dispatch/policies/index.ts
+++ b/src/dispatch/policies/index.ts
@@ -8,7 +8,7 @@
     StragglerPolicy,
     UpstreamChoice,
 } from "../../upstream/index.js";
-import { AcceptAllAdmission, AdmissionPolicy, PredictedWaitAdmission } from "../admission/index.js";
+import { AcceptAllAdmission, AdmissionPolicy, LastMomentAdmission } from "../admission/index.js";
 import { FifoOrder, OrderPolicy, TierFairOrder } from "../order/index.js";
 import { NoPreemption, PreemptionPolicy, TierPreemption } from "../preemption/index.js";
 
@@ -30,7 +30,7 @@
 /** What runs in production. */
 export const DEFAULT_POLICIES: DispatchPolicies = {
     createOrder: () => new TierFairOrder(),
-    createAdmission: () => new PredictedWaitAdmission(),
+    createAdmission: () => new LastMomentAdmission(),
     createPreemption: () => new TierPreemption(),
     createStragglers: () => new MedianStragglerPolicy(),
     createChoice: parts => new ExpectedTimeChoice(parts.prefixes),
--- a/src/upstream/load/index.ts
+++ b/src/upstream/load/index.ts
@@ -116,8 +116,12 @@
         this.closedUntil = 0;
     }
 
-    /** The upstream failed a request: it rests, twice as long each time. */
+    /**
+     * The upstream failed a request: it rests, twice as long each time. Requests that fail while it rests were sent before
+     * it did: they tell of the same failure, and would else make one broken connection a rest of many seconds.
+     */
     markFailed(now: number): void {
+        if (now < this.closedUntil) return;
         const restMs = Math.min(FAILURE_BACKOFF_MOST_MS, FAILURE_BACKOFF_MS * 2 ** this.failures);
         this.failures = Math.min(this.failures + 1, 10);
         this.closedUntil = now + restMs;
--- a/src/upstream/load/test.ts
+++ b/src/upstream/load/test.ts
@@ -57,4 +57,13 @@
         load.markHealthy();
         assert.equal(load.freeSlots(1_400), 8);
     });
+
+    it("rests once for requests that fail together", () => {
+        // Sheets are refused for four seconds while a whole engine idles.
+        // One connection broke under four streams, and each of them came back as a failure.
+        // Cause: failures of the same moment counted as failures one after another.
+        const load = makeLoad(0, 0, 0);
+        for (let index = 0; index < 4; index++) load.markFailed(index);
+        assert.equal(load.freeSlots(500), 8);
+    });
 });
