--- a/src/cli/fleetCommands/index.ts
+++ b/src/cli/fleetCommands/index.ts
@@ -149,13 +149,17 @@
     tools.output.record({ host, ...answer }, [
         `request ${request} on ${host}: ${outcome}`,
         `workspace ${answer.workspace}, class ${answer.className} (tier ${answer.tier}), pool ${answer.pool}`,
-        `arrived ${formatTime(answer.arrivedAt)}, waited ${answer.waitedMs} ms, `
-        + `first token ${answer.firstTokenMs ?? "-"} ms, total ${answer.totalMs ?? "-"} ms`,
+        `arrived ${formatTime(answer.arrivedAt)}, waited ${formatMs(answer.waitedMs)}, `
+        + `first token ${formatMs(answer.firstTokenMs)}, total ${formatMs(answer.totalMs)}`,
         `upstream ${answer.upstream ?? "none"}: ${answer.reason}`,
-        ...answer.steps.map(step => `  ${step.atMs} ms  ${step.event}  ${step.detail}`),
+        ...answer.steps.map(step => `  ${formatMs(step.atMs)}  ${step.event}  ${step.detail}`),
     ]);
 }
 
+function formatMs(ms: number | undefined): string {
+    return ms === undefined ? "-" : `${Math.round(ms)} ms`;
+}
+
 function joinRows<Row>(answers: readonly EntryAnswer<readonly Row[]>[]): readonly (Row & { readonly host: string; })[] {
     return answers.flatMap(({ host, answer }) => answer.map(row => ({ host, ...row })));
 }
--- a/src/control/state/index.ts
+++ b/src/control/state/index.ts
@@ -113,7 +113,7 @@
             case "usage.batch":
                 return this.usage.count(command, context);
             case "usage.close":
-                this.spend.forgetWindows(command.window);
+                this.spend.closeWindows(command.window);
                 return this.usage.close(command, context);
             case "usage.reported":
                 return this.usage.markReported(command, context);
@@ -136,7 +136,10 @@
     }
 
     private reserve(command: ReserveCommand, context: ApplyContext): unknown {
-        return this.spend.reserve(command, this.registry.tokenLimit(command.workspace), context);
+        // One that has been removed has no limit on record, and must not pass for one without a limit.
+        const isKnown = this.registry.workspace(command.workspace) !== undefined;
+        const limit = isKnown ? this.registry.tokenLimit(command.workspace) : 0;
+        return this.spend.reserve(command, limit, context);
     }
 
     private change(change: ConfigChange, context: ApplyContext): ChangeOutcome["result"] {
--- a/src/usage/spendBook/index.ts
+++ b/src/usage/spendBook/index.ts
@@ -2,10 +2,10 @@
 import type { ReserveCommand, ReserveResult } from "../../control/index.js";
 import type { WindowStart, WorkspaceId } from "../../ids/index.js";
 
-/** Answers remembered for each run of an entry, for resends. */
-const ANSWERS_KEPT = 1_024;
+/** Answers remembered for each run of an entry, for resends, which come within seconds. */
+const ANSWERS_KEPT = 128;
 /** A run of an entry that has asked for nothing for this long is forgotten, in milliseconds. */
-const RUN_RETENTION_MS = 7 * 24 * 3_600_000;
+const RUN_RETENTION_MS = 3_600_000;
 /** Windows further than this from the proposer's wall time are refused, in milliseconds. */
 const WINDOW_REACH_MS = 32 * 24 * 3_600_000;
 
@@ -33,6 +33,8 @@
 }
 
 export interface SpendSnapshot {
+    /** Nothing is granted in windows up to and with this one. */
+    readonly closedTo: number;
     readonly runs: readonly SpendRun[];
     readonly reservations: readonly Reservation[];
 }
@@ -56,6 +58,7 @@
 export class SpendBook {
     private readonly runs = new Map<string, RunState>();
     private readonly windows = new Map<WindowStart, Map<WorkspaceId, number>>();
+    private closedTo = -1;
 
     /**
      * Takes tokens out of a limit.
@@ -80,8 +83,12 @@
         return this.windows.get(window)?.get(workspace) ?? 0;
     }
 
-    /** Forgets windows up to and with this one. */
-    forgetWindows(upTo: WindowStart): void {
+    /**
+     * Ends windows up to and with this one, and forgets what was given out in them. Nothing more is granted there: with the sums
+     * gone, a question that comes late would get the whole limit once more.
+     */
+    closeWindows(upTo: WindowStart): void {
+        this.closedTo = Math.max(this.closedTo, upTo);
         for (const window of this.windows.keys()) {
             if (window <= upTo) this.windows.delete(window);
         }
@@ -91,12 +98,13 @@
         const reservations = [...this.windows].flatMap(([window, spent]) =>
             [...spent].map(([workspace, tokens]) => ({ window, workspace, tokens }))
         );
-        return { runs: [...this.runs.values()].map(describeRun), reservations };
+        return { closedTo: this.closedTo, runs: [...this.runs.values()].map(describeRun), reservations };
     }
 
     restore(snapshot: SpendSnapshot): void {
         this.runs.clear();
         this.windows.clear();
+        this.closedTo = snapshot.closedTo ?? -1;
         for (const run of snapshot.runs) {
             const grants = new Map(run.grants.map(({ sequence, granted }) => [sequence, granted]));
             this.runs.set(nameRun(run), { ...run, grants });
@@ -111,7 +119,7 @@
         limit: number | undefined,
         context: ApplyContext,
     ): number {
-        if (Math.abs(window - context.proposedAt) > WINDOW_REACH_MS) return 0;
+        if (window <= this.closedTo || Math.abs(window - context.proposedAt) > WINDOW_REACH_MS) return 0;
         const spent = this.spentIn(window);
         const taken = spent.get(workspace) ?? 0;
         const granted = limit === undefined ? tokens : Math.max(0, Math.min(tokens, limit - taken));
--- a/src/usage/spendBook/test.ts
+++ b/src/usage/spendBook/test.ts
@@ -44,6 +44,18 @@
             fc.assert(fc.property(steps, check), { numRuns: 1_000, seed: 3 });
         });
 
+        it("grants nothing in a window that is closed", () => {
+            // A workspace spends its limit twice in one window. The window was closed while an entry still worked in it, the
+            // sums were dropped, and the entry's next question got the whole limit again.
+            let book = new SpendBook();
+            assert.equal(book.reserve(ask("a", 1, 100), 100, CONTEXT).granted, 100);
+            book.closeWindows(WINDOW);
+            const snapshot = book.snapshot();
+            book = new SpendBook();
+            book.restore(snapshot);
+            assert.equal(book.reserve(ask("a", 2, 100), 100, CONTEXT).granted, 0);
+        });
+
         it("grants nothing to a question so old that its answer is forgotten", () => {
             const book = new SpendBook();
             for (let sequence = 1; sequence <= 2_000; sequence++) {
