A control host sends operators on to the holder without settings that name it

Cause: the daemon knows only its own operators' address, so a tool that was given one control host which is not the holder could only be told to look elsewhere. Each holder now puts its address into the log. Open: the daemon must pass ControlProcess its listen.operators as operators; until then the hint is missing and the tool goes round the addresses it was given.

--- a/src/cli/runCli/test.ts
+++ b/src/cli/runCli/test.ts
@@ -5,6 +5,7 @@
     ControlState,
     EntryAdmin,
     EntryAdminServer,
+    MemoryControlLog,
     MemoryLogGroup,
     serveOperators,
     VIEW_PULL_METHOD,
@@ -71,20 +72,24 @@
 let pull: () => unknown;
 
 async function startControlHosts(): Promise<void> {
-    const operatorAddresses: { host: HostId; address: string; }[] = [];
+    const addresses: string[] = [];
+    const logs: MemoryControlLog[] = [];
     for (const host of [HOLDER, OTHER]) {
         const state = new ControlState();
         const log = group.join(host, state);
+        logs.push(log);
         const router = new PeerRouter();
         const service = new ControlService({ log, state, clock, router, viewLeaseMs: 2_000 });
-        const listener = await serveOperators(http, LOOPBACK, { log, state, service, operatorAddresses });
+        const listener = await serveOperators(http, LOOPBACK, { log, state, service, operatorAddresses: [] });
         listeners.push(listener);
-        operatorAddresses.push({ host, address: formatAddress(listener.address) });
+        addresses.push(formatAddress(listener.address));
         if (host === HOLDER) pull = () => router.find(VIEW_PULL_METHOD)!(pullBody(), undefined as never);
     }
     group.elect(HOLDER);
-    // The one that is not the holder comes first: each command is sent on from it.
-    control = operatorAddresses.map(({ address }) => address).reverse().join(",");
+    const announcement = { kind: "holder.announce", host: HOLDER, operatorAddress: addresses[0] };
+    assert.ok((await logs[0].propose(announcement)).isRight());
+    // Only the one that is not the holder is named: each command is sent on from it.
+    control = addresses[1];
 }
 
 let adminAddress = "";
@@ -127,7 +132,7 @@
         it("goes from a template to a key, through a host that is not the holder", async () => {
             const put = await run("template", "put", "butcher", "--file", "t.json");
             assert.equal(put.error, "");
-            assert.match(put.output, /template butcher: in-force at revision 1/);
+            assert.match(put.output, /template butcher: in-force at revision 2/);
             const create = await run("workspace", "create", "school", "--template", "butcher", "--param", "weight=2");
             assert.equal(create.error, "");
             const grant = await run("key", "grant", "school", "--json");
@@ -140,11 +145,11 @@
         });
 
         it("names the winner of a race, on one line", async () => {
-            const lost = await run("workspace", "limit", "school", "--limit", "5", "--revision", "1");
+            const lost = await run("workspace", "limit", "school", "--limit", "5", "--revision", "2");
             assert.equal(lost.code, 1);
             assert.match(
                 lost.error,
-                /^sequoiamux: workspace school: conflict, anna changed it first \(revision 2.*\n$/,
+                /^sequoiamux: workspace school: conflict, anna changed it first \(revision 3.*\n$/,
             );
         });
     });
--- a/src/control/controlProcess/index.ts
+++ b/src/control/controlProcess/index.ts
@@ -1,11 +1,12 @@
 import { BootstrapMember, LogTiming, ReplicatedLog } from "../../consensus/index.js";
 import { Lifecycle } from "../../lifecycle/index.js";
 import { Logger } from "../../logging/index.js";
-import { Address, Clock, Disk, Network, Random } from "../../ports/index.js";
+import { Address, Clock, Disk, formatAddress, Network, Random } from "../../ports/index.js";
 import { PeerIdentity, PeerRouter, PeerTiming, servePeers } from "../../wire/index.js";
 import { ConnectionSender } from "../connectionSender/index.js";
 import { ControlService } from "../controlService/index.js";
 import { EntrySweeper } from "../entrySweeper/index.js";
+import { HolderAnnouncer } from "../holderAnnouncer/index.js";
 import { HolderRunner, HolderTask } from "../holderRunner/index.js";
 import { OrderSender } from "../orderSender/index.js";
 import { PurchasePolicy, PurchaseRunner } from "../purchaseRunner/index.js";
@@ -32,6 +33,8 @@
     readonly logger: Logger;
     readonly self: PeerIdentity;
     readonly peers: Address;
+    /** Where this process answers operators; undefined: it can't send them on to itself from elsewhere. */
+    readonly operators?: Address;
     readonly members: readonly BootstrapMember[];
     readonly logTiming: LogTiming;
     readonly timing: PeerTiming;
@@ -124,12 +127,16 @@
     }
 
     private makeTasks(options: ControlOptions, sender: ConnectionSender): HolderTask[] {
-        const { platform, windowGraceMs: graceMs } = options;
+        const { platform, operators, self, windowGraceMs: graceMs } = options;
         const parts = { ...options, log: this.log, state: this.state, sender };
         const tasks: HolderTask[] = [
             new WindowCloser({ ...parts, graceMs }),
             new EntrySweeper({ ...parts, entries: this.service.entries }),
         ];
+        if (operators) {
+            const operatorAddress = formatAddress(operators);
+            tasks.push(new HolderAnnouncer({ ...parts, host: self.host, operatorAddress }));
+        }
         if (!platform) return tasks;
         const towards = { ...parts, platform: platform.address, platformChecksFence: platform.checksFence };
         const purchases = { ...parts, policy: platform.purchasePolicy, periodMs: platform.purchasePeriodMs };
--- /dev/null
+++ b/src/control/holderAnnouncer/index.ts
@@ -0,0 +1,33 @@
+import { ControlLog } from "../../consensus/index.js";
+import { HostId } from "../../ids/index.js";
+import { HolderTask } from "../holderRunner/index.js";
+import { HolderTerm } from "../holderTerm/index.js";
+import { ControlState } from "../state/index.js";
+
+const RETRY_MS = 500;
+const PAUSE_MS = 5_000;
+
+/** What the announcer is made of. */
+export interface HolderAnnouncerOptions {
+    readonly log: ControlLog;
+    readonly state: ControlState;
+    readonly host: HostId;
+    /** Where this process answers operators, `IP:port`. */
+    readonly operatorAddress: string;
+}
+
+/** Puts into the log where the holder answers operators, once for each address. */
+export class HolderAnnouncer extends HolderTask {
+    readonly name = "holder-announcer";
+
+    constructor(private readonly options: HolderAnnouncerOptions) {
+        super();
+    }
+
+    async step(term: HolderTerm): Promise<number> {
+        const { log, state, host, operatorAddress } = this.options;
+        if (state.directory.find(host) === operatorAddress || !term.mayAct()) return PAUSE_MS;
+        const proposed = await log.propose({ kind: "holder.announce", host, operatorAddress });
+        return proposed.isRight() ? PAUSE_MS : RETRY_MS;
+    }
+}
--- a/src/control/index.ts
+++ b/src/control/index.ts
@@ -2,6 +2,7 @@
 export * from "./command/index.js";
 export * from "./connectionSender/index.js";
 export * from "./controlClient/index.js";
+export * from "./controlDirectory/index.js";
 export * from "./controlProcess/index.js";
 export * from "./controlService/index.js";
 export * from "./entryAdmin/index.js";
@@ -10,6 +11,7 @@
 export * from "./entrySweeper/index.js";
 export * from "./entryTable/index.js";
 export * from "./fencedSender/index.js";
+export * from "./holderAnnouncer/index.js";
 export * from "./holderRunner/index.js";
 export * from "./holderTerm/index.js";
 export * from "./memoryControlLog/index.js";
--- a/src/control/operatorRouter/index.ts
+++ b/src/control/operatorRouter/index.ts
@@ -21,7 +21,7 @@
     readonly log: ControlLog;
     readonly state: ControlState;
     readonly service: ControlService;
-    /** All control hosts, so that a caller can be sent on to the holder. */
+    /** Control hosts that settings name; others are known by what holders announce. */
     readonly operatorAddresses: readonly OperatorAddress[];
 }
 
@@ -115,5 +115,7 @@
 
 function findHolderAddress(context: OperatorContext | undefined): string | undefined {
     const holder = context?.log.holder();
-    return context?.operatorAddresses.find(({ host }) => host === holder)?.address;
+    if (!context || !holder) return undefined;
+    const known = context.operatorAddresses.find(({ host }) => host === holder)?.address;
+    return known ?? context.state.directory.find(holder);
 }
--- a/src/control/state/index.ts
+++ b/src/control/state/index.ts
@@ -12,6 +12,7 @@
 } from "../../usage/index.js";
 import { ChangeOutcome, ConfigChange, RegistrySnapshot, WorkspaceRegistry } from "../../workspace/index.js";
 import { EntryCommand, ReserveCommand } from "../command/index.js";
+import { AnnounceHolderCommand, ControlAddress, ControlDirectory } from "../controlDirectory/index.js";
 import { ViewChange } from "../view/index.js";
 import { ViewHistory } from "../viewHistory/index.js";
 
@@ -25,7 +26,8 @@
     | CloseWindowCommand
     | ReportedCommand
     | OrderIntentCommand
-    | OrderOutcomeCommand;
+    | OrderOutcomeCommand
+    | AnnounceHolderCommand;
 
 /** The answer to a command whose kind this version does not know. A newer version must not propose a new kind before each
  * replica runs it: replicas that skip a command would differ from those that do not. */
@@ -40,6 +42,8 @@
     readonly usage: UsageSnapshot;
     readonly spend: SpendSnapshot;
     readonly orders: OrderSnapshot;
+    /** Missing in snapshots of before there was one. */
+    readonly directory?: readonly ControlAddress[];
 }
 
 /**
@@ -55,6 +59,7 @@
     readonly usage = new UsageBook();
     readonly spend = new SpendBook();
     readonly orders = new OrderBook();
+    readonly directory = new ControlDirectory();
     private readonly history = new ViewHistory();
     private readonly listeners = new Set<() => void>();
 
@@ -86,18 +91,20 @@
             usage: this.usage.snapshot(),
             spend: this.spend.snapshot(),
             orders: this.orders.snapshot(),
+            directory: this.directory.snapshot(),
         } satisfies ControlSnapshot;
     }
 
     /** @throws Error when the snapshot's layout is newer than this version knows. */
     restore(snapshot: unknown): void {
-        const { version, registry, calls, usage, spend, orders } = snapshot as ControlSnapshot;
+        const { version, registry, calls, usage, spend, orders, directory } = snapshot as ControlSnapshot;
         if (version > SNAPSHOT_VERSION) throw new Error(`a snapshot of version ${version}`);
         this.registry.restore(registry);
         this.ledger.restore(calls);
         this.usage.restore(usage);
         this.spend.restore(spend);
         this.orders.restore(orders);
+        this.directory.restore(directory ?? []);
         this.history.restart(this.revision);
         this.tellListeners();
     }
@@ -123,6 +130,8 @@
                 return this.orders.intend(command, context);
             case "order.outcome":
                 return this.orders.finish(command, context);
+            case "holder.announce":
+                return this.directory.announce(command);
             case "template.put":
             case "workspace.create":
             case "workspace.limit":
--- a/src/control/state/test.ts
+++ b/src/control/state/test.ts
@@ -41,6 +41,7 @@
     { kind: "order.intent", orderId: "o1", fencingToken: 1, target: TARGET, reason: "x" },
     { kind: "order.intent", orderId: "o2", fencingToken: 1, target: TARGET, reason: "x" },
     { kind: "order.outcome", orderId: "o1", outcome: "done", upstreams: ["u"], detail: "" },
+    { kind: "holder.announce", host: "c1", operatorAddress: "10.0.0.1:80" },
 ];
 
 function applyAll(state: ControlState, commands: readonly object[], from = 0): unknown[] {
