Entries do not forget each other when the holder changes

Cause, found on reading: a new holder's list of entries starts empty and grows with each pull. In between each entry took the few that had asked first for all, so each pool's queue had several owners for up to a pull's wait after each change of the holder. The holder now says that its list is partial until one lease has passed, and entries add to what they know. Both halves off on a scratch copy: the test fails.

--- a/src/control/controlClient/index.ts
+++ b/src/control/controlClient/index.ts
@@ -144,9 +144,18 @@
         this.freshUntil = Math.max(this.freshUntil, leftAt + leaseMs);
         if (taken) onChange?.(change);
         if (list.entriesUnchanged) return;
-        this.knownEntries = list.entries;
+        this.knownEntries = list.entriesPartial ? this.addEntries(list.entries) : list.entries;
         this.entriesVersion = list.entriesVersion;
-        onEntries?.(list.entries);
+        onEntries?.(this.knownEntries);
+    }
+
+    /**
+     * Guards against pools that change hands at each change of the holder: a new one knows nobody at first, and a list of those
+     * that happened to ask first would make each of them the owner of all queues.
+     */
+    private addEntries(heard: readonly EntryView[]): readonly EntryView[] {
+        const hosts = new Set(heard.map(({ host }) => host));
+        return [...this.knownEntries.filter(({ host }) => !hosts.has(host)), ...heard];
     }
 
     private leaveLink(err: PeerError): void {
--- a/src/control/controlClient/test.ts
+++ b/src/control/controlClient/test.ts
@@ -243,6 +243,25 @@
     });
 
     describe("entries", () => {
+        it("do not forget each other when the holder changes, but one that has gone", async () => {
+            // After each change of the holder requests wait in several queues of one pool, and a lower tier runs first.
+            // Each entry takes itself for the only one. Cause: a new holder's list of those that it has heard up to now.
+            const fleet = await new Fleet().start();
+            const { client } = fleet.startEntry("e1");
+            fleet.startEntry("e2");
+            fleet.startEntry("e3");
+            await fleet.clock.advance(6_000);
+            fleet.fabric.isolate("e3", [FIRST, SECOND], true);
+            fleet.group.elect(SECOND);
+            for (let step = 0; step < 300; step++) {
+                await fleet.clock.advance(10);
+                const hosts = client.entries.map(entry => entry.host);
+                assert.ok(hosts.includes("e1") && hosts.includes("e2"), `${hosts}`);
+            }
+            await fleet.clock.advance(6_000);
+            assert.deepEqual(client.entries.map(entry => entry.host).sort(), ["e1", "e2"]);
+        });
+
         it("learn of each other, and of one that drains", async () => {
             const fleet = await new Fleet().start();
             const one = fleet.startEntry("e1");
--- a/src/control/controlService/index.ts
+++ b/src/control/controlService/index.ts
@@ -123,15 +123,15 @@
         return pull.revision !== this.options.state.revision || pull.entriesVersion !== this.entriesVersion();
     }
 
-    private describeEntries(pull: ViewPull): Pick<ViewPullReply, "entries" | "entriesVersion" | "entriesUnchanged"> {
+    private describeEntries(pull: ViewPull): Omit<ViewPullReply, "change" | "leaseMs"> {
         const entries = this.entries.listLive();
         const entriesVersion = this.entriesVersion();
         if (pull.entriesVersion === entriesVersion) return { entries: [], entriesVersion, entriesUnchanged: true };
-        return { entries, entriesVersion };
+        return { entries, entriesVersion, entriesPartial: !this.entries.isComplete };
     }
 
     private entriesVersion(): string {
-        return `${this.tableToken}.${this.entries.version}`;
+        return `${this.tableToken}.${this.entries.version}.${this.entries.isComplete}`;
     }
 
     private requireLease(): void {
--- a/src/control/entryTable/index.ts
+++ b/src/control/entryTable/index.ts
@@ -46,6 +46,11 @@
         this.listVersion++;
     }
 
+    /** True once each live entry must have been heard in this term. */
+    get isComplete(): boolean {
+        return this.clock.monotonic() >= this.unknownUntil;
+    }
+
     /** Grows whenever the list of entries changes. */
     get version(): number {
         return this.listVersion;
@@ -83,13 +88,13 @@
 
     /** True once no entry can be working on an older revision. */
     isInForce(revision: number): boolean {
-        return this.clock.monotonic() >= this.unknownUntil && this.isAppliedByAll(revision);
+        return this.isComplete && this.isAppliedByAll(revision);
     }
 
     /** True once an entry's run can hold no lease any more, known to this holder or not. */
     hasLapsed(host: string, incarnation: string): boolean {
         this.dropLapsed();
-        return this.clock.monotonic() >= this.unknownUntil && !this.standings.has(nameRun({ host, incarnation }));
+        return this.isComplete && !this.standings.has(nameRun({ host, incarnation }));
     }
 
     private isAppliedByAll(revision: number): boolean {
--- a/src/control/view/index.ts
+++ b/src/control/view/index.ts
@@ -110,6 +110,8 @@
     /** The entries that the holder has heard from lately; empty with `entriesUnchanged`. */
     readonly entries: readonly EntryView[];
     readonly entriesVersion?: string;
+    /** The holder is new and may not have heard of all: entries that are not in the list may be there all the same. */
+    readonly entriesPartial?: boolean;
     /** The list is the one of `entriesVersion`, which the entry has. */
     readonly entriesUnchanged?: boolean;
 }
