--- a/src/control/controlClient/index.ts
+++ b/src/control/controlClient/index.ts
@@ -19,6 +19,9 @@
 /** Who the entry is, as its pulls say. */
 export type EntrySelf = Pick<ViewPull, "host" | "incarnation" | "zone" | "peerAddress" | "adminAddress">;
 
+/** What an answer says of the other entries. */
+type EntryList = Omit<ViewPullReply, "change" | "leaseMs">;
+
 /** What the client is made of. */
 export interface ControlClientOptions {
     readonly links: readonly ControlLink[];
@@ -129,6 +132,7 @@
             draining,
             entriesVersion,
             takesPacked: true,
+            takesEntryChanges: true,
         };
         const leftAt = clock.monotonic();
         const answer = await this.currentLink().call(VIEW_PULL_METHOD, pull, waitMs + PULL_MARGIN_MS);
@@ -144,7 +148,7 @@
         this.freshUntil = Math.max(this.freshUntil, leftAt + leaseMs);
         if (taken) onChange?.(change);
         if (list.entriesUnchanged) return;
-        this.knownEntries = list.entriesPartial ? this.addEntries(list.entries) : list.entries;
+        this.takeEntries(list);
         this.entriesVersion = list.entriesVersion;
         onEntries?.(this.knownEntries);
     }
@@ -153,9 +157,17 @@
      * Guards against pools that change hands at each change of the holder: a new one knows nobody at first, and a list of those
      * that happened to ask first would make each of them the owner of all queues.
      */
-    private addEntries(heard: readonly EntryView[]): readonly EntryView[] {
-        const hosts = new Set(heard.map(({ host }) => host));
-        return [...this.knownEntries.filter(({ host }) => !hosts.has(host)), ...heard];
+    private takeEntries({ entries, goneEntries = [], entriesChanged, entriesPartial }: EntryList): void {
+        if (!entriesChanged && !entriesPartial) {
+            this.knownEntries = entries;
+            return;
+        }
+        const replaced = new Set(entries.map(({ host }) => host));
+        const gone = new Set(goneEntries.map(({ host, incarnation }) => `${host} ${incarnation}`));
+        const kept = this.knownEntries.filter(({ host, incarnation }) =>
+            !replaced.has(host) && !gone.has(`${host} ${incarnation}`)
+        );
+        this.knownEntries = [...kept, ...entries];
     }
 
     private leaveLink(err: PeerError): void {
--- a/src/control/controlClient/test.ts
+++ b/src/control/controlClient/test.ts
@@ -10,6 +10,7 @@
     ControlClient,
     ControlService,
     ControlState,
+    EntryView,
     MemoryControlLog,
     MemoryLogGroup,
     ViewCache,
@@ -113,6 +114,10 @@
     }
 }
 
+function sortByHost(entries: readonly EntryView[]): EntryView[] {
+    return [...entries].sort((a, b) => a.host < b.host ? -1 : 1);
+}
+
 describe("ControlClient", () => {
     describe("a withdrawn key", () => {
         it("stops working on connected entries at once, and the answer says in force", async () => {
@@ -262,6 +267,33 @@
             assert.deepEqual(client.entries.map(entry => entry.host).sort(), ["e1", "e2"]);
         });
 
+        it("have the holder's list after any joins, losses, drains and changes of the holder", async () => {
+            const fleet = await new Fleet().start();
+            const random = new SeededRandom(5);
+            const watcher = fleet.startEntry("e0");
+            const clients = new Map([["e0", watcher.client]]);
+            const cutOff = new Set<string>();
+            for (let step = 0; step < 120; step++) {
+                const host = `e${random.integer(1, 8)}`;
+                const act = random.pick(["join", "cut", "cut", "drain", "elect"]);
+                if (act === "join" && !clients.has(host)) clients.set(host, fleet.startEntry(host).client);
+                if (act === "cut" && clients.has(host)) {
+                    fleet.fabric.isolate(host, [FIRST, SECOND], !cutOff.has(host));
+                    if (!cutOff.delete(host)) cutOff.add(host);
+                }
+                if (act === "drain") clients.get(host)?.setDraining(random.next() < 0.5);
+                if (act === "elect" && step % 8 === 0) fleet.group.elect(random.pick([FIRST, SECOND]));
+                await fleet.clock.advance(random.between(100, 4_000));
+                const { entries } = fleet.services.get(fleet.group.holder!)!;
+                if (!entries.isComplete) continue;
+                const list = entries.listLive().map(entry => ({ ...entry }));
+                // A list goes out with each entry's next answer, a third of a lease later at the latest.
+                await fleet.clock.advance(2_000);
+                if (JSON.stringify(entries.listLive()) !== JSON.stringify(list)) continue;
+                assert.deepEqual(sortByHost(watcher.client.entries), sortByHost(list));
+            }
+        });
+
         it("learn of each other, and of one that drains", async () => {
             const fleet = await new Fleet().start();
             const one = fleet.startEntry("e1");
--- a/src/control/controlService/index.ts
+++ b/src/control/controlService/index.ts
@@ -3,7 +3,7 @@
 import { PeerRouter } from "../../wire/index.js";
 import { COMMAND_METHOD, CommandReply } from "../command/index.js";
 import { parseEntryCommand } from "../entryCommandSchema/index.js";
-import { EntryTable } from "../entryTable/index.js";
+import { EntryChanges, EntryTable } from "../entryTable/index.js";
 import { packChange } from "../packedView/index.js";
 import { ControlState } from "../state/index.js";
 import { VIEW_PULL_METHOD, ViewChange, ViewPull, ViewPullReply } from "../view/index.js";
@@ -127,7 +127,19 @@
         const entries = this.entries.listLive();
         const entriesVersion = this.entriesVersion();
         if (pull.entriesVersion === entriesVersion) return { entries: [], entriesVersion, entriesUnchanged: true };
-        return { entries, entriesVersion, entriesPartial: !this.entries.isComplete };
+        const entriesPartial = !this.entries.isComplete;
+        const changes = this.findEntryChanges(pull);
+        if (!changes) return { entries, entriesVersion, entriesPartial };
+        const { entries: changed, gone: goneEntries } = changes;
+        return { entries: changed, goneEntries, entriesChanged: true, entriesVersion, entriesPartial };
+    }
+
+    /** Undefined when the entry needs the whole list: it has none of this term, or one from before the list was complete. */
+    private findEntryChanges(pull: ViewPull): EntryChanges | undefined {
+        const [token, version, isComplete] = pull.entriesVersion?.split(".") ?? [];
+        if (!pull.takesEntryChanges || token !== `${this.tableToken}`) return undefined;
+        if (isComplete !== `${this.entries.isComplete}`) return undefined;
+        return this.entries.listChangesSince(Number(version));
     }
 
     private entriesVersion(): string {
--- a/src/control/entryTable/index.ts
+++ b/src/control/entryTable/index.ts
@@ -1,5 +1,5 @@
 import { Clock } from "../../ports/index.js";
-import { EntryView, ViewPull } from "../view/index.js";
+import { EntryView, GoneEntry, ViewPull } from "../view/index.js";
 
 /** How much faster than an entry's clock the holder's may run, as a share. */
 export const LEASE_DRIFT = 0.02;
@@ -9,6 +9,20 @@
     readonly revision: number;
 }
 
+/** How many changes of the list are remembered; an entry further behind gets the whole list. */
+const MOST_CHANGES = 2_000;
+
+/** What has changed in the list of entries. */
+export interface EntryChanges {
+    readonly entries: readonly EntryView[];
+    readonly gone: readonly GoneEntry[];
+}
+
+interface ListChange {
+    readonly version: number;
+    readonly run: GoneEntry;
+}
+
 interface Standing {
     readonly view: EntryView;
     /** The revision that the entry has in force. */
@@ -31,6 +45,10 @@
     private readonly standings = new Map<string, Standing>();
     private unknownUntil: number;
     private listVersion = 0;
+    /** The last change of each entry, in the order of the changes. */
+    private readonly changes = new Map<string, ListChange>();
+    /** Changes after this version are remembered. */
+    private changesFrom = 0;
 
     /**
      * @param leaseMs - How long an entry may work on one pull's answer, in milliseconds from when the pull left it.
@@ -42,8 +60,9 @@
     /** Starts anew, with a new holder. */
     restart(): void {
         this.standings.clear();
+        this.changes.clear();
         this.unknownUntil = this.leaseEnd();
-        this.listVersion++;
+        this.changesFrom = ++this.listVersion;
     }
 
     /** True once each live entry must have been heard in this term. */
@@ -63,7 +82,7 @@
         const known = this.standings.get(name);
         const view = { host, incarnation, zone, peerAddress, adminAddress, draining };
         const changed = !known || known.view.draining !== draining || known.view.peerAddress !== peerAddress;
-        if (changed) this.listVersion++;
+        if (changed) this.noteChange(name, view);
         const revision = Math.max(pull.revision, known?.revision ?? 0);
         this.standings.set(name, { view, revision, leaseUntil: known?.leaseUntil ?? this.leaseEnd() });
     }
@@ -86,6 +105,21 @@
         return [...this.standings.values()].map(({ view }) => view);
     }
 
+    /** What has changed since a version; undefined when that is too long ago. */
+    listChangesSince(version: number): EntryChanges | undefined {
+        this.dropLapsed();
+        if (version < this.changesFrom) return undefined;
+        const entries: EntryView[] = [];
+        const gone: GoneEntry[] = [];
+        for (const [name, change] of this.changes) {
+            if (change.version <= version) continue;
+            const standing = this.standings.get(name);
+            if (standing) entries.push(standing.view);
+            else gone.push(change.run);
+        }
+        return { entries, gone };
+    }
+
     /** True once no entry can be working on an older revision. */
     isInForce(revision: number): boolean {
         return this.isComplete && this.isAppliedByAll(revision);
@@ -107,10 +141,21 @@
         for (const [name, standing] of this.standings) {
             if (now < standing.leaseUntil) continue;
             this.standings.delete(name);
-            this.listVersion++;
+            this.noteChange(name, standing.view);
         }
     }
 
+    private noteChange(name: string, { host, incarnation }: EntryView): void {
+        this.listVersion++;
+        // Set again, so that the map stays in the order of the changes.
+        this.changes.delete(name);
+        this.changes.set(name, { version: this.listVersion, run: { host, incarnation } });
+        if (this.changes.size <= MOST_CHANGES) return;
+        const [oldest, { version }] = this.changes.entries().next().value!;
+        this.changes.delete(oldest);
+        this.changesFrom = version;
+    }
+
     private leaseEnd(): number {
         return this.clock.monotonic() + this.leaseMs * (1 + LEASE_DRIFT);
     }
--- a/src/control/view/index.ts
+++ b/src/control/view/index.ts
@@ -91,8 +91,13 @@
     readonly takesPacked?: boolean;
     /** `entriesVersion` of the last answer: the holder then leaves out a list of entries that is still the same. */
     readonly entriesVersion?: string;
+    /** The entry reads `ViewPullReply.entriesChanged`. */
+    readonly takesEntryChanges?: boolean;
 }
 
+/** One run of an entry that has ended. */
+export type GoneEntry = Pick<EntryView, "host" | "incarnation">;
+
 /** Another entry, as the holder knows it from its pulls. */
 export interface EntryView {
     readonly host: string;
@@ -110,6 +115,9 @@
     /** The entries that the holder has heard from lately; empty with `entriesUnchanged`. */
     readonly entries: readonly EntryView[];
     readonly entriesVersion?: string;
+    /** `entries` has only those that have changed since the version that the entry has, and `goneEntries` those that left. */
+    readonly entriesChanged?: boolean;
+    readonly goneEntries?: readonly GoneEntry[];
     /** The holder is new and may not have heard of all: entries that are not in the list may be there all the same. */
     readonly entriesPartial?: boolean;
     /** The list is the one of `entriesVersion`, which the entry has. */
