--- a/src/bench/policy/scenario/index.ts
+++ b/src/bench/policy/scenario/index.ts
@@ -38,6 +38,12 @@
     { ...PLAIN, name: "burst-4x", bursts: [{ ...BURST, load: 4 }] },
     { ...PLAIN, name: "top-burst", bursts: [{ ...BURST, load: 1.2, isTopClass: true }] },
     { ...PLAIN, name: "straggler", events: [{ kind: "straggler", atMs: 15_000, slowness: 5 }] },
+    {
+        ...PLAIN,
+        name: "straggler-in-burst",
+        bursts: [{ ...BURST, load: 1.5 }],
+        events: [{ kind: "straggler", atMs: 15_000, slowness: 5 }],
+    },
     { ...PLAIN, name: "crash", events: [{ kind: "crash", atMs: 20_000, engines: 2 }], reportLagMs: 1_500 },
     {
         ...PLAIN,
