Proofs for the six guards that could still be removed unseen

Check-quorum had looked proved: a one-way cut also ends the connection, so the holder fell silent by itself; the new story counts the answer to a proposer instead. Founding is now also tested against scripted answers, since a host that crashes in the in-memory network takes what it has sent with it.

--- a/src/consensus/entryLog/test.ts
+++ b/src/consensus/entryLog/test.ts
@@ -31,6 +31,22 @@
         });
     });
 
+    describe("a full disk", () => {
+        it("forgets what it did not take, so that the leader's resend is written", async () => {
+            // A host whose disk was full for a moment never catches up again.
+            // An entry does not fit; space comes back; the leader sends the entry once more.
+            // Cause: the entry is still in memory, so the resend looks like one that is written already.
+            const { clock, disk, log } = await openLog();
+            disk.capacity = 1;
+            log.append([makeEntry(1, 1)]);
+            await assert.rejects(clock.runUntil(log.whenDurable(1 as LogIndex), 100));
+            assert.equal(log.lastIndex, 0);
+            disk.capacity = 10_000;
+            log.append([makeEntry(1, 1)]);
+            await clock.runUntil(log.whenDurable(1 as LogIndex), 100);
+        });
+    });
+
     describe("a cut while a sync is under way", () => {
         it("counts only the new entries as synced", async () => {
             // An accepted entry is gone after a restart of two hosts.
--- a/src/consensus/founding/test.ts
+++ b/src/consensus/founding/test.ts
@@ -1,9 +1,82 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { ReplicaFleet } from "../../faultInjection/index.js";
-import { SeededRandom } from "../../ports/index.js";
+import { Either, Left, Right } from "purify-ts";
+import { FLEET_TIMING, ReplicaFleet } from "../../faultInjection/index.js";
+import { HostId, StoreId } from "../../ids/index.js";
+import { Lifecycle } from "../../lifecycle/index.js";
+import { SilentLogger } from "../../logging/index.js";
+import { Address, MemoryDisk, SeededRandom, VirtualClock } from "../../ports/index.js";
+import { LogStore } from "../../store/index.js";
+import { PeerError, PeerLink } from "../../wire/index.js";
+import { StatusReply } from "../message/index.js";
+import { PeerLinks } from "../peerLinks/index.js";
+import { Replica } from "../replica/index.js";
+import { Founding } from "./index.js";
+
+/** Answers each host's status as the test says. */
+class ScriptedLinks extends PeerLinks {
+    readonly statuses = new Map<string, StatusReply>();
+
+    override to(): PeerLink {
+        return undefined as never;
+    }
+
+    override async call<Reply>(address: Address): Promise<Either<PeerError, Reply>> {
+        const status = this.statuses.get(address.host);
+        return status ? Right(status as Reply) : Left(new PeerError("unreachable", false, address.host));
+    }
+}
+
+function makeFounding(cluster: string, storeOfA: string): StatusReply {
+    const member = { host: "a", storeId: storeOfA, address: { host: "a", port: 1 }, role: "voter", since: 0 };
+    return { host: "a", storeId: storeOfA, cluster, founding: { members: [member], retired: [] } } as never;
+}
+
+/** Host b of a, b and c, with an empty folder. */
+async function openHostB() {
+    const clock = new VirtualClock();
+    const disk = new MemoryDisk(clock);
+    const random = new SeededRandom(1);
+    const host = "b" as HostId;
+    const logger = new SilentLogger();
+    const events = { onDurable() {}, onApplied() {}, onStepDown() {}, onFailure: (err: Error) => assert.fail(err) };
+    const stateMachine = { apply() {}, snapshot() {}, restore() {} };
+    const store = await LogStore.open({ disk, random });
+    const replica = new Replica({ host, store, stateMachine, clock, timing: FLEET_TIMING, logger, events });
+    const links = new ScriptedLinks(undefined as never, new Lifecycle());
+    const list = ["a", "b", "c"].map(name => ({ host: name as HostId, address: { host: name, port: 1 } }));
+    const founding = new Founding(replica, links, random, list[1], list);
+    const task = new AbortController();
+    void founding.run(task.signal);
+    return { clock, disk, replica, links, founding };
+}
 
 describe("Founding", () => {
+    it("follows the folder that it told that it has no history", async () => {
+        // A new installation never gets to work: one host refuses all others.
+        // The founder loses its disk and founds again; what it said before arrives late at a host that has answered the new one.
+        // Cause: that host follows the first founding, and the others the second.
+        const { clock, replica, links, founding } = await openHostB();
+        founding.answerStatus({ host: "a" as HostId, storeId: "a2" as StoreId });
+        links.statuses.set("a", makeFounding("first", "a1"));
+        await clock.advance(5_000);
+        assert.equal(replica.cluster, undefined);
+        links.statuses.set("a", makeFounding("second", "a2"));
+        await clock.advance(5_000);
+        assert.equal(replica.cluster, "second");
+    });
+
+    it("says nothing while it joins a cluster", async () => {
+        const { clock, disk, links, founding } = await openHostB();
+        disk.syncMs = 50;
+        links.statuses.set("a", makeFounding("first", "a1"));
+        await clock.advance(FLEET_TIMING.heartbeatMs / 4 + 10);
+        assert.throws(() => founding.answerStatus({ host: "a" as HostId, storeId: "a2" as StoreId }));
+        await clock.advance(100);
+        const { cluster } = founding.answerStatus({ host: "a" as HostId, storeId: "a2" as StoreId });
+        assert.equal(cluster, "first");
+    });
+
     it("waits until each host of the list has answered", async () => {
         // Two halves of a new installation each work alone, and one half's changes are lost when they meet.
         // Two of three hosts start; the third one is cut off, and nothing is known of it.
--- a/src/consensus/replica/test.ts
+++ b/src/consensus/replica/test.ts
@@ -11,6 +11,7 @@
 import { Leadership } from "../leadership/index.js";
 import { DEFAULT_LOG_TIMING } from "../logTiming/index.js";
 import { addLearner, Member } from "../member/index.js";
+import { Membership } from "../membership/index.js";
 import { VoteRequest } from "../message/index.js";
 import { PeerLinks } from "../peerLinks/index.js";
 import { StateMachine } from "../stateMachine/index.js";
@@ -111,6 +112,34 @@
     });
 
     describe("a change of members", () => {
+        it("is taken back with its entry", async () => {
+            const { replica } = await openReplica();
+            const { configuration } = replica;
+            const changed = addLearner(configuration, makeVoter("d", "d1"));
+            const index = 2 as LogIndex;
+            const change = encodePayload({ kind: "members", configuration: changed });
+            replica.appendFromLeader([{ index, term: 2 as Term, payload: change }]);
+            assert.deepEqual(replica.configuration, changed);
+            const other = encodePayload({ kind: "term-start" });
+            replica.appendFromLeader([{ index, term: 3 as Term, payload: other }]);
+            assert.deepEqual(replica.configuration, configuration);
+        });
+
+        it("is refused to a second process of a host whose first is alive", async () => {
+            // A healthy host is thrown out for good, and its data folder can't come back.
+            // Someone starts a second control process with the same host name and an empty folder.
+            // Cause: an unknown folder of a known host is always taken for a replaced disk.
+            const { replica, follower, leadership } = await startLeadership();
+            follower["takeMatch"](2 as LogIndex, 0);
+            const address = { host: "b", port: 7001 };
+            const membership = new Membership(replica, undefined as never, address, []);
+            const request = { cluster: CLUSTER, host: "b" as HostId, storeId: "b2" as StoreId, address };
+            follower["contact"] = replica.clock.monotonic();
+            assert.equal(membership.answerJoin(request, leadership).result, "busy");
+            follower["contact"] = replica.clock.monotonic() - replica.timing.leaseMs;
+            assert.equal(membership.answerJoin(request, leadership).result, "added");
+        });
+
         it("waits for an entry of the leader's own term, and for the change before it", async () => {
             // An accepted change is reverted: two leaders had majorities without a common host.
             // A leader changes the list while an older change of it is not committed and is later taken back.
--- a/src/consensus/replicatedLog/test.ts
+++ b/src/consensus/replicatedLog/test.ts
@@ -106,6 +106,20 @@
         });
     });
 
+    describe("a holder that is cut off from all", () => {
+        it("tells its proposers that their entry may be lost", async () => {
+            // A change neither succeeds nor fails: the operator's tool waits for good.
+            // The holder is cut off while a change is under way.
+            // Cause: the holder goes on leading for as long as it hears of no later term.
+            const fleet = await startFleet();
+            const holder = fleet.holder()!;
+            fleet.fabric.isolate(holder.name, [...fleet.hosts.keys()], true);
+            const result = await fleet.clock.runUntil(holder.process!.log.propose("x"), 10_000);
+            result.ifLeft(err => assert.deepEqual([err.reason, err.mayCommit], ["lost", true]));
+            assert.ok(result.isLeft());
+        });
+    });
+
     describe("a slow disk", () => {
         it("does not cost the holder its lease", async () => {
             // Orders stop for seconds whenever a disk is busy.
