The holder looks at windows and orders without copying them

Cause: the window closer read all lines of the open windows each second to learn their starts, and the order sender made a queue ten times a second with nothing to send.

--- a/src/control/orderSender/index.ts
+++ b/src/control/orderSender/index.ts
@@ -43,8 +43,10 @@
     }
 
     async step(term: HolderTerm): Promise<number> {
+        const open = this.options.state.orders.listOpen();
+        if (open.length === 0) return PAUSE_MS;
         const queue = new PQueue({ concurrency: RECEIVERS_AT_ONCE });
-        const receivers = groupByReceiver(this.options.state.orders.listOpen());
+        const receivers = groupByReceiver(open);
         const results = await queue.addAll(receivers.map(orders => () => this.sendInTurn(orders, term)));
         return results.every(done => done) ? PAUSE_MS : RETRY_MS;
     }
--- a/src/control/windowCloser/index.ts
+++ b/src/control/windowCloser/index.ts
@@ -28,8 +28,8 @@
     async step(term: HolderTerm): Promise<number> {
         const { log, state, clock, windowMs, graceMs } = this.options;
         const lastEnded = clock.now() - windowMs - graceMs;
-        const ended = state.usage.listOpen().filter(({ window }) => window <= lastEnded);
-        for (const { window } of ended) {
+        const ended = state.usage.listOpenStarts().filter(window => window <= lastEnded);
+        for (const window of ended) {
             // A lost proposal is made again at the next step; closing twice changes nothing.
             if (term.mayAct()) await log.propose({ kind: "usage.close", window, windowMs });
         }
--- a/src/usage/usageBook/index.ts
+++ b/src/usage/usageBook/index.ts
@@ -119,10 +119,14 @@
         this.trimReported();
     }
 
+    /** The starts of windows that take usage, the oldest first. */
+    listOpenStarts(): readonly WindowStart[] {
+        return [...this.open.keys()].sort((a, b) => a - b);
+    }
+
     /** Windows that take usage, the oldest first. */
     listOpen(): readonly OpenWindow[] {
-        const starts = [...this.open.keys()].sort((a, b) => a - b);
-        return starts.map(window => this.viewOpen(window));
+        return this.listOpenStarts().map(window => this.viewOpen(window));
     }
 
     /** Closed windows, reported or not, the oldest first. */
