--- a/src/dispatch/localDispatcher/test.ts
+++ b/src/dispatch/localDispatcher/test.ts
@@ -189,6 +189,20 @@
         });
     });
 
+    describe("an answer that was preempted in a burst", () => {
+        // A caller's summary stops in the middle and ends with an error: its slot went to a higher tier, and the burst lasted a
+        // little longer than a summary may wait for its start.
+        it("may wait twice as long to go on as for its start", async () => {
+            const bench = new Bench(1);
+            void bench.submit({ request: "busy" });
+            void bench.submit({ request: "cut", tier: 2, maxWaitMs: 5_000, resumeOffset: 40, ageMs: 60_000 });
+            await bench.clock.advance(9_900);
+            assert.deepEqual(bench.settled, ["busy"]);
+            await bench.clock.advance(200);
+            assert.deepEqual(bench.settled, ["busy", "cut wait-expired"]);
+        });
+    });
+
     describe("adopt", () => {
         it("counts the running requests of a lost owner, so that slots are not filled twice", async () => {
             const first = new Bench(1);
--- a/src/dispatch/outlook/index.ts
+++ b/src/dispatch/outlook/index.ts
@@ -11,6 +11,7 @@
 const CAUTION = 1.6;
 /** Over these times arrivals are averaged, in milliseconds: for what comes now, and for what comes as a rule. */
 const RECENT_MS = 5_000;
+const ONSET_MS = 1_500;
 const USUAL_MS = 120_000;
 /** A burst is when the tiers above bring this share of what the pool can do. */
 const BURST_LOAD = 0.9;
@@ -36,6 +37,7 @@
     private completions = 0;
     private firstTokenDeviation = 0;
     private readonly recent = new ArrivalRates(RECENT_MS);
+    private readonly onset = new ArrivalRates(ONSET_MS);
     private readonly usual = new ArrivalRates(USUAL_MS);
     private readonly bursts = new Map<number, Burst>();
 
@@ -57,6 +59,7 @@
     /** Counts the work that a new ticket brings. */
     learnArrival(waiting: WaitingTicket, now: number): void {
         this.recent.add(waiting.ticket.tier, waiting.cost, now);
+        this.onset.add(waiting.ticket.tier, waiting.cost, now);
         this.usual.add(waiting.ticket.tier, waiting.cost, now);
     }
 
@@ -106,7 +109,7 @@
 
     /** Whether a tier and those above it bring far more than the pool can do, so that some of it must be refused. */
     isOverloaded(tier: number, slots: number, now: number): boolean {
-        return this.recent.above(tier + 1, now) > OVERLOAD * this.capacity(slots);
+        return this.onset.above(tier + 1, now) > OVERLOAD * this.capacity(slots);
     }
 
     /** Whether the tiers above one bring about as much as the pool can do, or more. */
--- a/src/dispatch/preempter/index.ts
+++ b/src/dispatch/preempter/index.ts
@@ -77,10 +77,12 @@
 
     /**
      * While a tier overloads the pool by itself, some of it is refused whatever gives its place. A preempted answer would
-     * then wait behind that tier until its bound and be lost in its middle: one answer gained, one and a half lost.
+     * then wait behind that tier until its bound and be lost in its middle: one answer gained, one and a half lost. The top
+     * tier is served whatever it costs below.
      */
     private isInVain(waiting: WaitingTicket): boolean {
         const { outlook, members, clock } = this.options;
+        if (waiting.ticket.tier === 0) return false;
         return outlook.isOverloaded(waiting.ticket.tier, members.usableSlots, clock.monotonic());
     }
 
--- a/src/dispatch/waiting/index.ts
+++ b/src/dispatch/waiting/index.ts
@@ -3,6 +3,9 @@
 /** What one prompt token costs beside one token of the answer, which takes an engine far longer. */
 export const PROMPT_TOKEN_COST = 0.05;
 
+/** How many times as long an answer that was cut may wait to go on: refused, it is lost with all that was made of it. */
+const RESUMED_WAIT_FACTOR = 2;
+
 /** A ticket in a pool's queue. */
 export interface WaitingTicket {
     readonly ticket: Ticket;
@@ -33,7 +36,7 @@
         ticket,
         arrivedAt,
         targetAt: arrivedAt + ticket.firstTokenMs,
-        expiresAt: arrivedAt + ticket.maxWaitMs,
+        expiresAt: arrivedAt + (isResumed ? RESUMED_WAIT_FACTOR : 1) * ticket.maxWaitMs,
         predictedTokens,
         cost: costInTokens(ticket.promptTokens, predictedTokens),
     };
