--- a/src/consensus/replicatedLog/test.ts
+++ b/src/consensus/replicatedLog/test.ts
@@ -6,7 +6,7 @@
 import { encodeValue } from "../../wire/index.js";
 
 const SEEDS = 24;
-const STEPS = 14;
+const STEPS = 10;
 
 async function startFleet(seed = 1) {
     const fleet = new ReplicaFleet(new SeededRandom(seed), ["a", "b", "c"]);
@@ -106,6 +106,20 @@
         });
     });
 
+    describe("a holder that is cut off from all", () => {
+        it("tells its proposers that their entry may be lost", async () => {
+            // A change neither succeeds nor fails: the operator's tool waits for good.
+            // The holder is cut off while a change is under way.
+            // Cause: the holder goes on leading for as long as it hears of no later term.
+            const fleet = await startFleet();
+            const holder = fleet.holder()!;
+            fleet.fabric.isolate(holder.name, [...fleet.hosts.keys()], true);
+            const result = await fleet.clock.runUntil(holder.process!.log.propose("x"), 10_000);
+            result.ifLeft(err => assert.deepEqual([err.reason, err.mayCommit], ["lost", true]));
+            assert.ok(result.isLeft());
+        });
+    });
+
     describe("a slow disk", () => {
         it("does not cost the holder its lease", async () => {
             // Orders stop for seconds whenever a disk is busy.
@@ -211,8 +225,10 @@
             };
             replica.log.append([entry as never]);
             holder.log["leadership"]!["wakeReplicators"]();
+            fleet.propose(holder);
             await fleet.pass(2_000);
             assert.match(String(stoppedBy), /version 99/);
+            for (const { log } of fleet.processes()) assert.ok(log.appliedIndex() < entry.index);
         });
     });
 
--- a/src/upstream/load/index.ts
+++ b/src/upstream/load/index.ts
@@ -72,9 +72,14 @@
         return Math.max(0, this.upstream.slots - this.outstanding);
     }
 
+    /** Whether it may get work at all, busy or not. */
+    isReady(now: number): boolean {
+        return this.upstream.isGrantable && now >= this.closedUntil && !this.isEjected;
+    }
+
     /** How many requests of ours it can run at once, busy or not. */
     usableSlots(now: number): number {
-        if (!this.upstream.isGrantable || now < this.closedUntil || this.isEjected) return 0;
+        if (!this.isReady(now)) return 0;
         return Math.max(0, this.upstream.slots - this.foreign());
     }
 
@@ -111,8 +116,12 @@
         this.closedUntil = 0;
     }
 
-    /** The upstream failed a request: it rests, twice as long each time. */
+    /**
+     * The upstream failed a request: it rests, twice as long each time. Requests that fail while it rests were sent before
+     * it did: they tell of the same failure, and would else make one broken connection a rest of many seconds.
+     */
     markFailed(now: number): void {
+        if (now < this.closedUntil) return;
         const restMs = Math.min(FAILURE_BACKOFF_MOST_MS, FAILURE_BACKOFF_MS * 2 ** this.failures);
         this.failures = Math.min(this.failures + 1, 10);
         this.closedUntil = now + restMs;
