--- a/features/traces.feature
+++ b/features/traces.feature
@@ -11,4 +11,6 @@
     Examples:
       | trace             |
       | utility-morning   |
+      | utility-reclaim   |
       | consortium-midday |
+      | consortium-faults |
--- a/src/features/steps/traces.ts
+++ b/src/features/steps/traces.ts
@@ -1,6 +1,6 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { emulatorSettingsSchema } from "../../emulator/index.js";
+import { applyAction, ControlAction, emulatorSettingsSchema } from "../../emulator/index.js";
 import { ChangeId, KeyId, TemplateName, WorkspaceId } from "../../ids/index.js";
 import {
     crossCheck,
@@ -66,8 +66,11 @@
     const keys = new Map(trace.header.workspaces.map(({ name }) => [name, keyOf(name)]));
     const ports = { clock: fleet.clock, random: new SeededRandom(7), http: fleet.web.http(CALLER_HOST) };
     const addresses = fleet.entryNumbers().map(number => fleet.entryAddress(number));
+    const applyFault = async (action: ControlAction): Promise<void> => {
+        applyAction(fleet.standIns, fleet.keyWatch, action).unsafeCoerce();
+    };
     const startedAt = fleet.clock.monotonic();
-    const replay = replayTrace(ports, trace, { ...DEFAULT_CALLER, addresses, keys, speed: 1 });
+    const replay = replayTrace(ports, trace, { ...DEFAULT_CALLER, addresses, keys, speed: 1, applyFault });
     this.results = await fleet.run(replay, REPLAY_LIMIT_MS);
     this.replayMs = fleet.clock.monotonic() - startedAt;
     await fleet.pass(20_000);
--- a/src/tools/demo/main.ts
+++ b/src/tools/demo/main.ts
@@ -5,10 +5,10 @@
 import { cac } from "cac";
 import { readFile } from "node:fs/promises";
 import { OperatorApi } from "../../cli/index.js";
-import { runsSchema } from "../../emulator/index.js";
 import {
     crossCheck,
     DEFAULT_CALLER,
+    EmulatorClient,
     formatReport,
     parseTrace,
     Progress,
@@ -80,18 +80,19 @@
     const ports = { clock: new SystemClock(), random: new SystemRandom(), http: new NodeHttp() };
     const api = new OperatorApi({ ...ports, control: fleet.operatorAddresses });
     const keys = await deployTrace(api, ports.random, trace.header);
+    const emulator = new EmulatorClient(ports.http, fleet.emulatorAddress);
     const progress = new Progress(ports.clock, trace.requests.length, line => process.stderr.write(line));
     const startedAt = ports.clock.monotonic();
     const addresses = fleet.callerAddresses;
     const results = await replayTrace(
         ports,
         trace,
-        { ...DEFAULT_CALLER, addresses, keys, speed },
+        { ...DEFAULT_CALLER, addresses, keys, speed, applyFault: action => emulator.apply(action) },
         result => progress.note(result),
     );
     progress.end();
     const report = summarizeReplay(trace, results, ports.clock.monotonic() - startedAt);
-    const check = crossCheck(trace, results, runsSchema.parse(await fleet.emulatorRuns()));
+    const check = crossCheck(trace, results, await emulator.fetchRuns());
     const usage = await awaitReports(fleet, results.filter(({ verdict }) => verdict === "answered").length);
     console.log(formatReport(report, check));
     const { sent, answered, refused, lost, doubled } = report;
--- a/src/tools/fleet/index.ts
+++ b/src/tools/fleet/index.ts
@@ -1,7 +1,8 @@
 import { mkdir, mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { Address } from "../../ports/index.js";
+import { CONTROL_PATHS } from "../../emulator/index.js";
+import { Address, parseAddress } from "../../ports/index.js";
 import { findFreePorts } from "../freePorts/index.js";
 import { Program, waitFor } from "../processes/index.js";
 
@@ -122,12 +123,12 @@
 
     /** What the stand-ins have counted. */
     emulatorStats(): Promise<unknown> {
-        return this.askEmulator("/stats");
+        return this.askEmulator(CONTROL_PATHS.stats);
     }
 
-    /** What ran on the stand-ins, request by request. */
-    emulatorRuns(): Promise<unknown> {
-        return this.askEmulator("/runs");
+    /** The emulator's control port. */
+    get emulatorAddress(): Address {
+        return parseAddress(this.emulatorAddresses.control)!;
     }
 
     /** Ends all processes, by their own ids, and removes their files. */
