--- a/src/bench/controlLog/main.ts
+++ b/src/bench/controlLog/main.ts
@@ -1,5 +1,5 @@
 /**
- * Speed and cost of the control log: three replicas in this process, over TCP on loopback and files in a folder.
+ * Speed and cost of the control log: replicas in this process, over TCP on loopback and files in a folder.
  * `node dist/bench/controlLog/main.js --folder /tmp/control-log-bench --entries 20000`
  */
 import { cac } from "cac";
@@ -21,7 +21,6 @@
 } from "../../ports/index.js";
 import { DEFAULT_PEER_TIMING, PeerRouter, servePeers } from "../../wire/index.js";
 
-const HOSTS = ["a", "b", "c"];
 const LATENCY_SAMPLES = 1_000;
 const IDLE_MS = 20_000;
 const COMMAND = { kind: "bench", key: "k".repeat(40), value: "v".repeat(120) };
@@ -77,6 +76,7 @@
 interface BenchOptions {
     readonly folder: string;
     readonly entries: number;
+    readonly replicas: number;
 }
 
 const clock = new SystemClock();
@@ -88,12 +88,15 @@
     close(): Promise<void>;
 }
 
-const ANY_PORTS: readonly Address[] = HOSTS.map(() => ({ host: "127.0.0.1", port: 0 }));
+function anyPorts(replicas: number): Address[] {
+    return Array.from({ length: replicas }, () => ({ host: "127.0.0.1", port: 0 }));
+}
 
-async function openReplicas(folder: string, entries: number, addresses = ANY_PORTS): Promise<Replicas> {
-    const routers = HOSTS.map(() => new PeerRouter());
-    const identities = HOSTS.map(host => ({ host: host as HostId, incarnation: "bench" as Incarnation }));
-    const listeners = await Promise.all(HOSTS.map((_, place) =>
+async function openReplicas({ folder, entries }: BenchOptions, addresses: readonly Address[]): Promise<Replicas> {
+    const hosts = addresses.map((_, place) => `host-${place}`);
+    const routers = hosts.map(() => new PeerRouter());
+    const identities = hosts.map(host => ({ host: host as HostId, incarnation: "bench" as Incarnation }));
+    const listeners = await Promise.all(hosts.map((_, place) =>
         servePeers({
             network,
             clock,
@@ -152,25 +155,25 @@
     console.log(`${inFlight} in flight: ${Math.round(count / seconds)}/s, p50 ${p50} ms, p99 ${p99} ms`);
 }
 
-async function measureIdle(): Promise<void> {
+async function measureIdle(replicas: number): Promise<void> {
     await clock.sleep(1_000);
     const [bytes, sends, cpu] = [network.sentBytes, network.sends, process.cpuUsage()];
     await clock.sleep(IDLE_MS);
     const { user, system } = process.cpuUsage(cpu);
     const seconds = IDLE_MS / 1_000;
-    const perSecond = (total: number): number => Math.round(total / seconds / HOSTS.length);
+    const perSecond = (total: number): number => Math.round(total / seconds / replicas);
     console.log(
         `idle, per replica: ${perSecond(network.sentBytes - bytes)} B/s in ${
             perSecond(network.sends - sends)
         } sends/s, `
-            + `${((user + system) / seconds / HOSTS.length / 10_000).toFixed(2)}% of a core`,
+            + `${((user + system) / seconds / replicas / 10_000).toFixed(2)}% of a core`,
     );
 }
 
-async function measureReplay(folder: string, entries: number, addresses: readonly Address[]): Promise<void> {
+async function measureReplay(options: BenchOptions, addresses: readonly Address[]): Promise<void> {
     const before = clock.monotonic();
-    const { logs, close } = await openReplicas(folder, entries, addresses);
-    console.log(`opening three folders: ${Math.round(clock.monotonic() - before)} ms`);
+    const { logs, close } = await openReplicas(options, addresses);
+    console.log(`opening all folders: ${Math.round(clock.monotonic() - before)} ms`);
     const startedAt = clock.monotonic();
     for (const log of logs) log.start();
     const holder = await findHolder(logs);
@@ -182,23 +185,25 @@
     await close();
 }
 
-async function runBench({ folder, entries }: BenchOptions): Promise<void> {
-    const { logs, addresses, close } = await openReplicas(folder, entries);
+async function runBench(options: BenchOptions): Promise<void> {
+    const { entries, replicas } = options;
+    const { logs, addresses, close } = await openReplicas(options, anyPorts(replicas));
     for (const log of logs) log.start();
     const holder = await findHolder(logs);
     await measureProposals(holder, LATENCY_SAMPLES, 1);
     for (const inFlight of IN_FLIGHT) {
         await measureProposals(holder, inFlight === 1 ? LATENCY_SAMPLES : entries, inFlight);
     }
-    await measureIdle();
+    await measureIdle(replicas);
     await close();
-    await measureReplay(folder, entries, addresses);
-    console.log(`resident: ${Math.round(process.memoryUsage().rss / 1_048_576)} MB for the three replicas together`);
+    await measureReplay(options, addresses);
+    console.log(`resident: ${Math.round(process.memoryUsage().rss / 1_048_576)} MB for all replicas together`);
 }
 
 const program = cac("controlLog");
 program.option("--folder <path>", "Where the data folders go; should be new", { default: "/tmp/control-log-bench" });
 program.option("--entries <count>", "How many entries the throughput runs write", { default: 20_000 });
+program.option("--replicas <count>", "How many replicas, all of them voters", { default: 3 });
 program.help();
 const { options } = program.parse();
 if (!options.help) {
