Owners of queues are remembered, exit codes tell of the data folder, answers expire in a step

The list itself is made anew only when entries or suspicions change. The last figures are sent before it ends. - A control process names its operators' address, so that the tool goes straight to the holder.

--- a/src/control/controlProcess/index.ts
+++ b/src/control/controlProcess/index.ts
@@ -107,6 +107,13 @@
         return this.log.holder() !== undefined;
     }
 
+    /** Settles when the control log has ended by a fault: without it this process can do nothing. */
+    awaitFailure(): Promise<Error> {
+        return new Promise(resolve => {
+            void this.log.stopped.then(err => err && resolve(err));
+        });
+    }
+
     /** Ends everything at once. */
     close(): Promise<void> {
         return this.lifecycle.close();
--- a/src/daemon/daemonPorts/index.ts
+++ b/src/daemon/daemonPorts/index.ts
@@ -16,6 +16,8 @@
     readonly self: PeerIdentity;
     /** The histograms kept in this process. */
     readonly histograms: HistogramSource;
+    /** Sends the last figures. */
+    readonly closeFigures: () => Promise<void>;
     /** Begins a planned stop of this process. */
     readonly requestStop: () => void;
 }
@@ -25,4 +27,6 @@
     readonly lifecycle: Lifecycle;
     /** Prepares a planned stop; false when work was left at the end of the grace period. */
     drain(): Promise<boolean>;
+    /** Settles when a part has failed without which the process is of no use. */
+    readonly failed?: Promise<Error>;
 }
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -5,6 +5,7 @@
 import { StatsdMetrics } from "../metrics/index.js";
 import { DiskError, NodeHttp, SystemClock, SystemRandom, TcpNetwork } from "../ports/index.js";
 import { Settings } from "../settings/index.js";
+import { StoreError } from "../store/index.js";
 import { DaemonPorts, DaemonProcess } from "./daemonPorts/index.js";
 import { EXIT_CODES } from "./exitCodes/index.js";
 import { readSettings } from "./readSettings/index.js";
@@ -46,6 +47,7 @@
         http: new NodeHttp(),
         logger,
         metrics: figures,
+        closeFigures: () => figures.close(),
         histograms: { list: () => figures.listHistograms() },
         requestStop: () => void process.kill(process.pid, "SIGTERM"),
         self: { host: host.id, incarnation: random.id() as Incarnation },
@@ -57,13 +59,14 @@
 }
 
 /** Ends in good order on the first signal, at once on the second. */
-function stopOnSignal(daemon: DaemonProcess, logger: Logger): void {
+function stopOnSignal(daemon: DaemonProcess, logger: Logger, closeFigures: () => Promise<void>): void {
     let stopping = false;
     const stop = async (): Promise<void> => {
         if (stopping) process.exit(EXIT_CODES.cut);
         stopping = true;
         const whole = await daemon.drain();
         await daemon.lifecycle.close();
+        await closeFigures();
         logger.info("stopped", { whole });
         process.exit(whole ? EXIT_CODES.ok : EXIT_CODES.cut);
     };
@@ -71,6 +74,12 @@
     process.on("SIGINT", () => void stop());
 }
 
+/** A part that the process can't do without has ended: a supervisor must know, where a process that merely lives tells nothing. */
+function endFailed(err: Error, logger: Logger): never {
+    logger.error("process-failed", { problem: err.message });
+    fail([err.message], isDataFault(err) ? EXIT_CODES.data : EXIT_CODES.fault);
+}
+
 /** One line for each problem, and the code that tells a supervisor whether starting again is of use. */
 function fail(lines: readonly string[], code: number): never {
     for (const line of lines) console.error(`sequoiamuxd: ${line}`);
@@ -91,10 +100,16 @@
     const ports = makePorts(settings);
     ports.logger.info("starting", { pid: process.pid });
     const daemon = await run(ports, settings);
-    stopOnSignal(daemon, ports.logger);
+    stopOnSignal(daemon, ports.logger, ports.closeFigures);
+    void daemon.failed?.then(err => endFailed(err, ports.logger));
     console.log(JSON.stringify({ event: "ready", role: settings.role, host: settings.host.id }));
 }
 
+/** Starting again is of no use: the data folder needs an operator. */
+function isDataFault(err: unknown): boolean {
+    return err instanceof DiskError || err instanceof StoreError;
+}
+
 main().catch((err: unknown) => {
-    fail([(err as Error).message], err instanceof DiskError ? EXIT_CODES.data : EXIT_CODES.fault);
+    fail([(err as Error).message], isDataFault(err) ? EXIT_CODES.data : EXIT_CODES.fault);
 });
--- a/src/daemon/runControl/index.ts
+++ b/src/daemon/runControl/index.ts
@@ -21,6 +21,7 @@
         ...ports,
         disk,
         peers: listen.peers,
+        operators: listen.operators,
         members: control.members,
         logTiming: toLogTiming(settings),
         timing,
@@ -39,7 +40,7 @@
     const handler = serveHealth(() => running.isReady, operate);
     const health = await ports.http.serve(listen.operators, DEFAULT_HTTP_LIMITS, handler);
     lifecycle.own(() => health.close());
-    return { lifecycle, drain: async () => true };
+    return { lifecycle, drain: async () => true, failed: running.awaitFailure() };
 }
 
 function toLogTiming({ timing, data }: ControlSettings): LogTiming {
--- a/src/dispatch/poolOwner/index.ts
+++ b/src/dispatch/poolOwner/index.ts
@@ -23,3 +23,42 @@
     }
     return owner;
 }
+
+/** The owner of a pool's queue, and who would own it without that one. */
+export interface PoolOwners {
+    readonly owner: HostId | undefined;
+    readonly next: HostId | undefined;
+}
+
+/**
+ * Remembers the owners for one list of hosts: the choice costs a hash for each host, and is asked for with each ticket and
+ * each announcement.
+ *
+ * @example
+ * const { owner, next } = table.find("draft" as PoolId, directory.candidates());
+ */
+export class PoolOwnerTable {
+    private hosts: readonly HostId[] = [];
+    private readonly owners = new Map<PoolId, PoolOwners>();
+
+    /** @param region - As `choosePoolOwner`. */
+    constructor(private readonly region: string) {}
+
+    /**
+     * Finds the owners of a pool.
+     *
+     * @param hosts - The live entries; what is remembered holds for as long as it is the same list.
+     */
+    find(pool: PoolId, hosts: readonly HostId[]): PoolOwners {
+        if (hosts !== this.hosts) {
+            this.hosts = hosts;
+            this.owners.clear();
+        }
+        const known = this.owners.get(pool);
+        if (known) return known;
+        const owner = choosePoolOwner(pool, this.region, hosts);
+        const owners = { owner, next: choosePoolOwner(pool, this.region, hosts.filter(host => host !== owner)) };
+        this.owners.set(pool, owners);
+        return owners;
+    }
+}
--- a/src/entry/announcementSpreader/index.ts
+++ b/src/entry/announcementSpreader/index.ts
@@ -1,4 +1,4 @@
-import { choosePoolOwner } from "../../dispatch/index.js";
+import { PoolOwnerTable } from "../../dispatch/index.js";
 import { HostId, PoolId } from "../../ids/index.js";
 import { Announcement } from "../../protocol/index.js";
 import { SpreadRecord, UpstreamRegistry } from "../../upstream/index.js";
@@ -18,7 +18,7 @@
     constructor(
         private readonly registry: UpstreamRegistry,
         private readonly directory: PeerDirectory,
-        private readonly region: string,
+        private readonly owners: PoolOwnerTable,
         private readonly self: HostId,
     ) {}
 
@@ -42,8 +42,7 @@
         const hosts = this.directory.candidates();
         const targets = new Set<HostId>();
         for (const pool of announcement.pools) {
-            const owner = choosePoolOwner(pool as PoolId, this.region, hosts);
-            const next = choosePoolOwner(pool as PoolId, this.region, hosts.filter(host => host !== owner));
+            const { owner, next } = this.owners.find(pool as PoolId, hosts);
             if (owner) targets.add(owner);
             if (next) targets.add(next);
         }
--- a/src/entry/entryProcess/index.ts
+++ b/src/entry/entryProcess/index.ts
@@ -1,5 +1,5 @@
 import { ControlClient, ViewCache } from "../../control/index.js";
-import { AttemptBudget, DEFAULT_RETRY_LIMITS, LocalDispatcher } from "../../dispatch/index.js";
+import { AttemptBudget, DEFAULT_RETRY_LIMITS, LocalDispatcher, PoolOwnerTable } from "../../dispatch/index.js";
 import { ZoneId } from "../../ids/index.js";
 import { Lifecycle } from "../../lifecycle/index.js";
 import { Logger } from "../../logging/index.js";
@@ -94,16 +94,17 @@
             control: this.control,
             lifecycle: this.lifecycle,
         });
+        const owners = new PoolOwnerTable(region);
         this.registry = new UpstreamRegistry({ clock });
         this.local = new LocalDispatcher({ clock, random, registry: this.registry, zone });
         this.dispatcher = new FleetDispatcher({
             clock,
             self: self.host,
-            region,
+            owners,
             directory: this.directory,
             local: this.local,
         });
-        this.spreader = new AnnouncementSpreader(this.registry, this.directory, region, self.host);
+        this.spreader = new AnnouncementSpreader(this.registry, this.directory, owners, self.host);
         this.meter = new UsageMeter({
             ...options,
             holder: new PeerBatchHolder(this.directory, self),
--- a/src/entry/fleetDispatcher/index.ts
+++ b/src/entry/fleetDispatcher/index.ts
@@ -1,10 +1,10 @@
 import { Either, Left, Right } from "purify-ts";
 import {
-    choosePoolOwner,
     Completion,
     Dispatcher,
     Grant,
     LocalDispatcher,
+    PoolOwnerTable,
     Refusal,
     Ticket,
 } from "../../dispatch/index.js";
@@ -18,7 +18,7 @@
 export interface FleetDispatcherOptions {
     readonly clock: Clock;
     readonly self: HostId;
-    readonly region: string;
+    readonly owners: PoolOwnerTable;
     readonly directory: PeerDirectory;
     /** The queues of this host, for the pools that it owns. */
     readonly local: LocalDispatcher;
@@ -64,8 +64,8 @@
 
     /** Which entry owns a pool's queue, as far as this one knows. */
     ownerOf(pool: PoolId): HostId {
-        const { directory, region, self } = this.options;
-        return choosePoolOwner(pool, region, directory.candidates()) ?? self;
+        const { directory, owners, self } = this.options;
+        return owners.find(pool, directory.candidates()).owner ?? self;
     }
 
     onPreempt(listener: (request: RequestId) => void): void {
--- a/src/entry/peerDirectory/index.ts
+++ b/src/entry/peerDirectory/index.ts
@@ -23,6 +23,15 @@
     readonly lifecycle: Lifecycle;
 }
 
+interface CandidateList {
+    readonly entries: readonly EntryView[];
+    /** Monotonic time at which it is out of date, in milliseconds. */
+    readonly until: number;
+    readonly hosts: readonly HostId[];
+}
+
+const NO_CANDIDATES: CandidateList = { entries: [], until: Number.NEGATIVE_INFINITY, hosts: [] };
+
 /** A peer to which no call got through is left out of choices for this long. */
 const SUSPECT_MS = 2_000;
 
@@ -35,22 +44,23 @@
 export class PeerDirectory {
     private readonly links = new Map<HostId, OpenLink>();
     private readonly suspects = new Map<HostId, number>();
+    private known = NO_CANDIDATES;
 
     constructor(private readonly options: PeerDirectoryOptions) {}
 
     /** The entries that may be chosen for shared work, this one among them. */
-    candidates(): HostId[] {
-        const { control, clock, self } = this.options;
+    candidates(): readonly HostId[] {
+        const { control, clock } = this.options;
         const now = clock.monotonic();
-        const hosts = control.entries()
-            .filter(entry => !entry.draining && !((this.suspects.get(entry.host as HostId) ?? 0) > now))
-            .map(entry => entry.host as HostId);
-        return hosts.includes(self.host) ? hosts : [...hosts, self.host];
+        const entries = control.entries();
+        if (this.known.entries !== entries || now >= this.known.until) this.known = this.listCandidates(entries, now);
+        return this.known.hosts;
     }
 
     /** Leaves a host out of choices for a while. */
     suspect(host: HostId): void {
         this.suspects.set(host, this.options.clock.monotonic() + SUSPECT_MS);
+        this.known = NO_CANDIDATES;
     }
 
     /** The link to an entry, or undefined when the holder does not list it. */
@@ -66,6 +76,19 @@
         return this.openLink(host, entry);
     }
 
+    /** Made anew only when the entries have changed or a suspicion ends: it is asked for with each ticket. */
+    private listCandidates(entries: readonly EntryView[], now: number): CandidateList {
+        const { self } = this.options;
+        for (const [host, until] of this.suspects) {
+            if (until <= now) this.suspects.delete(host);
+        }
+        const hosts = entries
+            .filter(entry => !entry.draining && !this.suspects.has(entry.host as HostId))
+            .map(entry => entry.host as HostId);
+        const until = Math.min(Number.POSITIVE_INFINITY, ...this.suspects.values());
+        return { entries, until, hosts: hosts.includes(self.host) ? hosts : [...hosts, self.host] };
+    }
+
     private openLink(host: HostId, entry: EntryView): PeerLink | undefined {
         const address = parseAddress(entry.peerAddress);
         if (!address) return undefined;
--- a/src/ledger/callLedger/index.ts
+++ b/src/ledger/callLedger/index.ts
@@ -55,6 +55,8 @@
     private readonly running = new Map<string, CallRecord>();
     /** In the order of their end. */
     private readonly finished = new Map<string, CallRecord>();
+    /** Names of the finished records that still have their answer, in the order of their end. */
+    private readonly withAnswer = new Set<string>();
     private answerBytes = 0;
 
     begin(command: BeginCallCommand, context: ApplyContext): BeginCallResult {
@@ -110,6 +112,7 @@
     restore(records: readonly CallRecord[]): void {
         this.running.clear();
         this.finished.clear();
+        this.withAnswer.clear();
         this.answerBytes = 0;
         for (const record of records) {
             if (record.state === "running") this.running.set(nameRecord(record), record);
@@ -141,12 +144,15 @@
 
     private keepFinished(name: string, record: CallRecord): void {
         this.finished.set(name, record);
-        this.answerBytes += record.answer?.body.length ?? 0;
+        if (!record.answer) return;
+        this.withAnswer.add(name);
+        this.answerBytes += record.answer.body.length;
     }
 
     private dropFinished(name: string): void {
         this.answerBytes -= this.finished.get(name)?.answer?.body.length ?? 0;
         this.finished.delete(name);
+        this.withAnswer.delete(name);
     }
 
     private expire(now: number): void {
@@ -154,14 +160,19 @@
             if (now - record.at <= CALL_RETENTION_MS) break;
             this.dropFinished(name);
         }
-        if (this.answerBytes <= ANSWER_BYTES_KEPT) return;
-        for (const [name, record] of this.finished) {
-            if (!record.answer) continue;
-            this.answerBytes -= record.answer.body.length;
-            this.finished.set(name, { ...record, answer: undefined, state: "unknown" });
+        for (const name of this.withAnswer) {
             if (this.answerBytes <= ANSWER_BYTES_KEPT) return;
+            this.forgetAnswer(name);
         }
     }
+
+    /** The call stays known, so that it never runs again. */
+    private forgetAnswer(name: string): void {
+        const record = this.finished.get(name)!;
+        this.answerBytes -= record.answer!.body.length;
+        this.withAnswer.delete(name);
+        this.finished.set(name, { ...record, answer: undefined, state: "unknown" });
+    }
 }
 
 function nameRecord({ workspace, key }: { workspace: WorkspaceId; key: IdempotencyKey; }): string {
--- a/src/lifecycle/lifecycle/index.ts
+++ b/src/lifecycle/lifecycle/index.ts
@@ -1,3 +1,5 @@
+import { setMaxListeners } from "node:events";
+
 /** Ends something that was started. */
 export type CleanUp = () => void | Promise<void>;
 
@@ -14,6 +16,11 @@
     private readonly abort = new AbortController();
     private closing: Promise<void> | undefined;
 
+    constructor() {
+        // Each task of a process listens to the one signal; they are many by design, not by a leak.
+        setMaxListeners(0, this.abort.signal);
+    }
+
     /** Aborted as soon as closing begins; tasks end on it. */
     get signal(): AbortSignal {
         return this.abort.signal;
