--- a/src/bench/policy/policySet/index.ts
+++ b/src/bench/policy/policySet/index.ts
@@ -5,6 +5,7 @@
     DispatchPolicies,
     FifoOrder,
     NoPreemption,
+    PredictedWaitAdmission,
 } from "../../../dispatch/index.js";
 import { PoolId, ZoneId } from "../../../ids/index.js";
 import { CoverPurchase, DEFAULT_COVER, PurchasePolicy, StaticPurchase } from "../../../purchase/index.js";
@@ -80,6 +81,11 @@
 export const ABLATIONS: readonly PolicySet[] = [
     { ...SEQUOIAMUX, name: "static-on-demand", createPurchase: createStaticOnDemand },
     { ...SEQUOIAMUX, name: "fifo", dispatch: { ...DEFAULT_POLICIES, createOrder: () => new FifoOrder() } },
+    {
+        ...SEQUOIAMUX,
+        name: "predicted-wait",
+        dispatch: { ...DEFAULT_POLICIES, createAdmission: () => new PredictedWaitAdmission() },
+    },
     {
         ...SEQUOIAMUX,
         name: "accept-all",
