Purchases: owners report demand, the holder buys and releases upstreams

Change: entries that own a pool's queue report demand and upstreams every 2 s (control/demandReport, entry/demandReporter); the holder keeps the latest for 7 s (control/demandTable); control/coverPolicy reads the offers, asks CoverPurchase and gives orders to the existing runner and sender. OrderSender takes 409 "unavailable" as a refusal: it was sent again for good and held up all later orders.

Ruled out: a table that restarts with each term (age alone does it: a pool without a fresh report is not planned); buying while an order of the pool is open; taking a moment's silence for a loss (a replacement costs a billed minimum).

Left: credits, crashed upstreams that are still paid for, stops of plain services (docs/DESIGN.md).

--- a/src/control/controlClient/index.ts
+++ b/src/control/controlClient/index.ts
@@ -2,6 +2,7 @@
 import { Clock, Random } from "../../ports/index.js";
 import { PeerError, PeerLink } from "../../wire/index.js";
 import { COMMAND_METHOD, CommandReply, EntryCommand } from "../command/index.js";
+import { DEMAND_METHOD, DemandReport } from "../demandReport/index.js";
 import { EntryView, VIEW_PULL_METHOD, ViewChange, ViewPull, ViewPullReply } from "../view/index.js";
 import { ViewCache } from "../viewCache/index.js";
 
@@ -109,6 +110,11 @@
         }
     }
 
+    /** Tells the holder what the pools owned here need. A report that is lost is not sent again: the next one is newer. */
+    async reportDemand(report: DemandReport): Promise<void> {
+        await this.currentLink().call(DEMAND_METHOD, report, ATTEMPT_MS);
+    }
+
     private async tryCommand(command: EntryCommand, timeoutMs: number): Promise<CommandReply> {
         const link = this.currentLink();
         const answer = await link.call(COMMAND_METHOD, command, timeoutMs);
--- a/src/control/controlProcess/index.ts
+++ b/src/control/controlProcess/index.ts
@@ -132,7 +132,8 @@
         ];
         if (!platform) return tasks;
         const towards = { ...parts, platform: platform.address, platformChecksFence: platform.checksFence };
-        const purchases = { ...parts, policy: platform.purchasePolicy, periodMs: platform.purchasePeriodMs };
+        const { demand } = this.service;
+        const purchases = { ...parts, demand, policy: platform.purchasePolicy, periodMs: platform.purchasePeriodMs };
         return [...tasks, new UsageReporter(towards), new OrderSender(towards), new PurchaseRunner(purchases)];
     }
 }
--- a/src/control/controlService/index.ts
+++ b/src/control/controlService/index.ts
@@ -2,6 +2,8 @@
 import { Clock } from "../../ports/index.js";
 import { PeerRouter } from "../../wire/index.js";
 import { COMMAND_METHOD, CommandReply } from "../command/index.js";
+import { DEMAND_METHOD, demandReportSchema } from "../demandReport/index.js";
+import { DemandTable } from "../demandTable/index.js";
 import { parseEntryCommand } from "../entryCommandSchema/index.js";
 import { EntryTable } from "../entryTable/index.js";
 import { packChange } from "../packedView/index.js";
@@ -41,6 +43,7 @@
  */
 export class ControlService {
     readonly entries: EntryTable;
+    readonly demand: DemandTable;
     private readonly sleepers = new Set<() => void>();
     private readonly stops: (() => void)[];
     private tableToken: number | undefined;
@@ -49,8 +52,10 @@
     constructor(private readonly options: ControlServiceOptions) {
         const { log, state, clock, router, viewLeaseMs } = options;
         this.entries = new EntryTable(clock, viewLeaseMs);
+        this.demand = new DemandTable(clock);
         router.add(COMMAND_METHOD, body => this.command(body));
         router.add(VIEW_PULL_METHOD, body => this.pull(body as ViewPull));
+        router.add(DEMAND_METHOD, body => this.takeDemand(body));
         this.stops = [
             state.onRevision(() => this.wakeSleepers()),
             log.onHolderChange(() => {
@@ -95,6 +100,11 @@
         });
     }
 
+    private takeDemand(body: unknown): void {
+        this.requireLease();
+        this.demand.take(demandReportSchema.parse(body));
+    }
+
     private async pull(pull: ViewPull): Promise<ViewPullReply> {
         const { state, viewLeaseMs } = this.options;
         this.requireLease();
--- a/src/control/holderRunner/test.ts
+++ b/src/control/holderRunner/test.ts
@@ -94,7 +94,8 @@
         ];
         if (this.policy) {
             const random = new SeededRandom(1);
-            tasks.push(new PurchaseRunner({ log, state, clock, random, policy: this.policy, periodMs: 1_000 }));
+            const { demand } = service;
+            tasks.push(new PurchaseRunner({ log, state, demand, clock, random, policy: this.policy, periodMs: 1_000 }));
         }
         const runner = new HolderRunner({ log, clock, logger, sender, tasks, holderLeaseMs: HOLDER_LEASE_MS });
         void runner.run(new AbortController().signal);
--- /dev/null
+++ b/src/control/offerReader/index.ts
@@ -0,0 +1,56 @@
+import { Either, Left, Right } from "purify-ts";
+import { z } from "zod";
+import { Address, Http, HttpReply } from "../../ports/index.js";
+import { Offer, offerSchema, PLATFORM_PATHS } from "../../protocol/index.js";
+
+const CONNECT_MS = 2_000;
+const HEAD_MS = 5_000;
+const STATUS_OK = 200;
+const MOST_BYTES = 4 * 1024 * 1024;
+
+/** The platform's offers could not be read. */
+export class OfferError extends Error {}
+
+/** Reads what the platform offers. */
+export class OfferReader {
+    constructor(private readonly http: Http, private readonly platform: Address) {}
+
+    /** Asks the platform over a fresh connection. */
+    async read(): Promise<Either<OfferError, readonly Offer[]>> {
+        const sent = await this.http.send({
+            address: this.platform,
+            method: "GET",
+            path: PLATFORM_PATHS.offers,
+            headers: [],
+            fresh: true,
+            connectTimeoutMs: CONNECT_MS,
+            headTimeoutMs: HEAD_MS,
+        });
+        const reply = sent.toMaybe().extract();
+        if (!reply) return Left(new OfferError("no answer"));
+        if (reply.status !== STATUS_OK) {
+            reply.reset();
+            return Left(new OfferError(`status ${reply.status}`));
+        }
+        return readOffers(reply);
+    }
+}
+
+async function readOffers(reply: HttpReply): Promise<Either<OfferError, readonly Offer[]>> {
+    const chunks: Uint8Array[] = [];
+    let size = 0;
+    try {
+        for await (const chunk of reply.body) {
+            size += chunk.length;
+            if (size > MOST_BYTES) {
+                reply.reset();
+                return Left(new OfferError("too long"));
+            }
+            chunks.push(chunk);
+        }
+        return Right(z.array(offerSchema).parse(JSON.parse(Buffer.concat(chunks).toString("utf8"))));
+    }
+    catch (err) {
+        return Left(new OfferError(`not to be read: ${(err as Error).message}`));
+    }
+}
--- a/src/control/orderSender/index.ts
+++ b/src/control/orderSender/index.ts
@@ -4,7 +4,13 @@
 import { Logger } from "../../logging/index.js";
 import { OrderOutcomeCommand, OrderRecord } from "../../order/index.js";
 import { Address, Clock, parseAddress } from "../../ports/index.js";
-import { ENGINE_PATHS, PLATFORM_PATHS, platformOrderReplySchema } from "../../protocol/index.js";
+import {
+    ENGINE_PATHS,
+    PLATFORM_PATHS,
+    PLATFORM_UNAVAILABLE,
+    platformErrorSchema,
+    platformOrderReplySchema,
+} from "../../protocol/index.js";
 import { FencedCall, FencedReply, FencedSender, FencedSendError } from "../fencedSender/index.js";
 import { HolderTask } from "../holderRunner/index.js";
 import { HolderTerm } from "../holderTerm/index.js";
@@ -93,7 +99,7 @@
         const { status, body } = reply;
         if (status >= 200 && status < 300) return accept(order, body);
         // 409: a later holder has acted. It sends this order again; here the term is about to end.
-        const again = status === STATUS_CONFLICT || status === STATUS_BUSY || status >= 500;
+        const again = isStale(reply) || status === STATUS_BUSY || status >= 500;
         return again ? undefined : refuse(order, `status ${status}`);
     }
 
@@ -104,6 +110,17 @@
     }
 }
 
+/**
+ * Guards against a queue of orders that stands still: the platform also answers 409 to a start beyond what it has left, for
+ * instance when a zone's cheap capacity was taken back between the look at the offers and the order. Sent again, that
+ * order would keep all later ones waiting, replacements in other zones among them.
+ */
+function isStale({ status, body }: FencedReply): boolean {
+    if (status !== STATUS_CONFLICT) return false;
+    const parsed = platformErrorSchema.safeParse(body);
+    return !parsed.success || parsed.data.error !== PLATFORM_UNAVAILABLE;
+}
+
 function groupByReceiver(orders: readonly OrderRecord[]): readonly OrderRecord[][] {
     const groups = new Map<string, OrderRecord[]>();
     for (const order of orders) {
--- a/src/control/purchaseRunner/index.ts
+++ b/src/control/purchaseRunner/index.ts
@@ -2,13 +2,15 @@
 import { OrderId } from "../../ids/index.js";
 import { OrderIntentCommand, OrderRecord, OrderTarget } from "../../order/index.js";
 import { Clock, Random } from "../../ports/index.js";
+import { PoolReport } from "../demandReport/index.js";
+import { DemandTable } from "../demandTable/index.js";
 import { HolderTask } from "../holderRunner/index.js";
 import { HolderTerm } from "../holderTerm/index.js";
 import { ControlState } from "../state/index.js";
 
 const RETRY_MS = 200;
 
-/** What a policy gets to know from the control log. What it needs besides, it gathers itself. */
+/** What a policy gets to know from the control log and the entries. What it needs besides, it gathers itself. */
 export interface PurchaseSituation {
     /** Wall time, in milliseconds since the epoch. */
     readonly now: number;
@@ -16,6 +18,8 @@
     readonly openOrders: readonly OrderRecord[];
     /** The latest orders that have one. */
     readonly finishedOrders: readonly OrderRecord[];
+    /** The pools of which there is a fresh report; of all others nothing is known. */
+    readonly demand: readonly PoolReport[];
 }
 
 /** An order that a policy wants given. */
@@ -47,6 +51,7 @@
 export interface PurchaseRunnerOptions {
     readonly log: ControlLog;
     readonly state: ControlState;
+    readonly demand: DemandTable;
     readonly clock: Clock;
     readonly random: Random;
     readonly policy: PurchasePolicy;
@@ -70,13 +75,14 @@
     }
 
     async step(term: HolderTerm): Promise<number> {
-        const { state, clock, policy, periodMs } = this.options;
+        const { state, demand, clock, policy, periodMs } = this.options;
         this.startTerm(term);
         if (!await this.settle(term)) return RETRY_MS;
         const planned = await policy.plan({
             now: clock.now(),
             openOrders: state.orders.listOpen(),
             finishedOrders: state.orders.listFinished(),
+            demand: demand.listFresh(),
         });
         this.unsettled = planned.map(order => this.describeIntent(order, term));
         return await this.settle(term) ? periodMs : RETRY_MS;
--- a/src/daemon/runControl/index.ts
+++ b/src/daemon/runControl/index.ts
@@ -1,7 +1,17 @@
 import { DEFAULT_LOG_TIMING, LogTiming } from "../../consensus/index.js";
-import { ControlProcess, createTrpcHandler, NoPurchases, operatorRouter, PlatformAccess } from "../../control/index.js";
+import {
+    ControlProcess,
+    CoverPolicy,
+    createTrpcHandler,
+    NoPurchases,
+    OfferReader,
+    operatorRouter,
+    PlatformAccess,
+    PurchasePolicy,
+} from "../../control/index.js";
 import { Lifecycle } from "../../lifecycle/index.js";
-import { DEFAULT_HTTP_LIMITS, FileDisk } from "../../ports/index.js";
+import { Address, DEFAULT_HTTP_LIMITS, FileDisk } from "../../ports/index.js";
+import { CoverPurchase, DEFAULT_FORECAST } from "../../purchase/index.js";
 import { ControlSettings } from "../../settings/index.js";
 import { DaemonPorts, DaemonProcess } from "../daemonPorts/index.js";
 import { serveHealth } from "../serveHealth/index.js";
@@ -27,7 +37,7 @@
         viewLeaseMs: timing.freshnessLeaseMs,
         windowMs: usage.windowMs,
         windowGraceMs: usage.graceMs,
-        platform: toPlatformAccess(settings),
+        platform: toPlatformAccess(ports, settings),
     });
     lifecycle.own(() => running.close());
     const operate = createTrpcHandler(operatorRouter, () => ({
@@ -53,12 +63,18 @@
     };
 }
 
-function toPlatformAccess({ platform }: ControlSettings): PlatformAccess | undefined {
+function toPlatformAccess(ports: DaemonPorts, { platform }: ControlSettings): PlatformAccess | undefined {
     if (!platform.address) return undefined;
     return {
         address: platform.address,
         checksFence: platform.checksFence === "yes",
-        purchasePolicy: new NoPurchases(),
+        purchasePolicy: makePolicy(ports, platform.address, platform.purchases),
         purchasePeriodMs: platform.purchaseMs,
     };
 }
+
+function makePolicy({ http, logger }: DaemonPorts, platform: Address, purchases: "off" | "cover"): PurchasePolicy {
+    if (purchases === "off") return new NoPurchases();
+    const offers = new OfferReader(http, platform);
+    return new CoverPolicy({ offers, decision: new CoverPurchase(), forecast: DEFAULT_FORECAST, logger });
+}
--- a/src/dispatch/localDispatcher/index.ts
+++ b/src/dispatch/localDispatcher/index.ts
@@ -94,6 +94,16 @@
         return [...this.queues.values()].flatMap(queue => queue.listWaiting());
     }
 
+    /** The granted requests of a pool that have not been completed, in no order. */
+    listRunning(pool: PoolId): WaitingTicket[] {
+        return this.queues.get(pool)?.listRunning() ?? [];
+    }
+
+    /** The pools for which there was a ticket here. */
+    pools(): readonly PoolId[] {
+        return [...this.queues.keys()];
+    }
+
     /** Frees what an entry that is lost had been granted, and drops its waiting tickets. */
     forgetEntry(host: HostId): void {
         for (const queue of this.queues.values()) {
--- a/src/dispatch/poolQueue/index.ts
+++ b/src/dispatch/poolQueue/index.ts
@@ -104,6 +104,11 @@
         return [...this.waiters.keys()];
     }
 
+    /** What runs, in no order. */
+    listRunning(): WaitingTicket[] {
+        return [...this.running.values()].map(({ waiting }) => waiting);
+    }
+
     get waitingCount(): number {
         return this.waiters.size;
     }
--- /dev/null
+++ b/src/entry/demandReporter/index.ts
@@ -0,0 +1,92 @@
+import { ControlClient, PoolReport, ReportedUpstream, TierLoad } from "../../control/index.js";
+import { LocalDispatcher } from "../../dispatch/index.js";
+import { HostId, PoolId } from "../../ids/index.js";
+import { Clock } from "../../ports/index.js";
+import { Upstream, UpstreamRegistry } from "../../upstream/index.js";
+import { FleetDispatcher } from "../fleetDispatcher/index.js";
+
+/** How often demand is reported, in milliseconds. */
+const REPORT_EVERY_MS = 2_000;
+/** How long upstreams have to make themselves known to an entry that has just started, in milliseconds. */
+const SETTLE_MS = 4_000;
+
+/** What a reporter is made of. */
+export interface DemandReporterOptions {
+    readonly clock: Clock;
+    readonly self: HostId;
+    readonly region: string;
+    readonly client: ControlClient;
+    readonly registry: UpstreamRegistry;
+    readonly local: LocalDispatcher;
+    readonly dispatcher: FleetDispatcher;
+}
+
+/**
+ * Reports demand and upstreams to the holder, for the pools whose queue this entry owns.
+ *
+ * Guards against upstreams bought twice after an entry has started: it may own a pool's queue before it has heard of all the pool's
+ * upstreams, so its first report comes after each has announced itself several times.
+ */
+export class DemandReporter {
+    constructor(private readonly options: DemandReporterOptions) {}
+
+    /** Reports until the signal is aborted. */
+    async run(signal: AbortSignal): Promise<void> {
+        const { clock, client, region } = this.options;
+        await clock.sleep(SETTLE_MS, signal);
+        while (!signal.aborted) {
+            const pools = this.describePools();
+            if (pools.length > 0) await client.reportDemand({ region, pools });
+            await clock.sleep(REPORT_EVERY_MS, signal);
+        }
+    }
+
+    private describePools(): PoolReport[] {
+        const { registry, local, dispatcher, self } = this.options;
+        // While all queues are idle nothing else looks for silent upstreams.
+        registry.expire();
+        const pools = new Set<PoolId>([...registry.pools(), ...local.pools()]);
+        return [...pools].filter(pool => dispatcher.ownerOf(pool) === self).map(pool => this.describePool(pool));
+    }
+
+    private describePool(pool: PoolId): PoolReport {
+        const { registry, local, clock } = this.options;
+        const now = clock.monotonic();
+        return {
+            pool,
+            tiers: describeTiers(local, pool),
+            upstreams: registry.list(pool).map(upstream => describeUpstream(upstream, now)),
+        };
+    }
+}
+
+function describeTiers(local: LocalDispatcher, pool: PoolId): TierLoad[] {
+    const tiers = new Map<number, TierLoad>();
+    const count = (tier: number, kind: "running" | "waiting"): void => {
+        const load = tiers.get(tier) ?? { tier, running: 0, waiting: 0 };
+        tiers.set(tier, { ...load, [kind]: load[kind] + 1 });
+    };
+    for (const { ticket } of local.listWaiting()) {
+        if (ticket.pool === pool) count(ticket.tier, "waiting");
+    }
+    for (const { ticket } of local.listRunning(pool)) count(ticket.tier, "running");
+    return [...tiers.values()];
+}
+
+function describeUpstream(upstream: Upstream, now: number): ReportedUpstream {
+    const { announcement, id, zone, slots, state } = upstream;
+    const { kind, address, reclaimable, checks_fence: checksFence, load } = announcement;
+    return {
+        id,
+        zone,
+        kind,
+        address,
+        reclaimable,
+        checksFence,
+        slots,
+        state,
+        isLeaving: !upstream.isGrantable && state !== "silent",
+        running: load.running + load.queued,
+        loadAgeMs: Math.max(0, now - upstream.loadMeasuredAt),
+    };
+}
--- a/src/entry/entryProcess/index.ts
+++ b/src/entry/entryProcess/index.ts
@@ -18,6 +18,7 @@
 import { UpstreamRegistry } from "../../upstream/index.js";
 import { PeerIdentity, PeerLink, PeerRouter, PeerTiming, servePeers } from "../../wire/index.js";
 import { AnnouncementSpreader } from "../announcementSpreader/index.js";
+import { DemandReporter } from "../demandReporter/index.js";
 import { EntryContext, EntryLimits } from "../entryContext/index.js";
 import { FleetControl } from "../fleetControl/index.js";
 import { FleetDispatcher } from "../fleetDispatcher/index.js";
@@ -183,6 +184,8 @@
         lifecycle.run(running => this.dispatcher.run(running), onError);
         lifecycle.run(running => this.meter.run(running), onError);
         lifecycle.run(running => keeper.run(running), onError);
+        const reporter = this.makeReporter();
+        lifecycle.child().run(running => reporter.run(running), onError);
         const upstreams = await options.http.serve(
             options.upstreams,
             DEFAULT_HTTP_LIMITS,
@@ -211,6 +214,12 @@
         options.logger.info("entry-ready", { callers: formatAddress(listener.address) });
     }
 
+    private makeReporter(): DemandReporter {
+        const { client, registry, local, dispatcher } = this;
+        const { clock, self, region } = this.options;
+        return new DemandReporter({ clock, self: self.host, region, client, registry, local, dispatcher });
+    }
+
     private context(): EntryContext {
         return {
             ...this.options,
--- a/src/features/world/memoryFleet.ts
+++ b/src/features/world/memoryFleet.ts
@@ -1,6 +1,6 @@
 import { Either } from "purify-ts";
 import { DEFAULT_LOG_TIMING, LogTiming, ProposeError } from "../../consensus/index.js";
-import { ControlProcess, NoPurchases } from "../../control/index.js";
+import { ControlProcess, CoverPolicy, NoPurchases, OfferReader, PurchasePolicy } from "../../control/index.js";
 import { DEFAULT_EMULATOR_SETTINGS, EmulatorSettings, KeyWatch, StandInSet } from "../../emulator/index.js";
 import { DEFAULT_ENTRY_LIMITS, EntryLimits, EntryProcess } from "../../entry/index.js";
 import { HostId, Incarnation, ZoneId } from "../../ids/index.js";
@@ -15,6 +15,13 @@
     SeededRandom,
     VirtualClock,
 } from "../../ports/index.js";
+import {
+    CoverPurchase,
+    CoverSettings,
+    DEFAULT_COVER,
+    DEFAULT_FORECAST,
+    ForecastSettings,
+} from "../../purchase/index.js";
 import { ConfigChange } from "../../workspace/index.js";
 
 /** How a fleet in memory is laid out. */
@@ -25,9 +32,25 @@
     readonly emulator: Partial<EmulatorSettings>;
     readonly limits: Partial<EntryLimits>;
     readonly windowMs: number;
+    /** Undefined: nothing is bought or released. */
+    readonly purchases: PurchaseLayout | undefined;
+}
+
+/** How a fleet buys and releases upstreams, where it differs from the defaults. */
+export interface PurchaseLayout {
+    readonly cover: Partial<CoverSettings>;
+    readonly forecast: Partial<ForecastSettings>;
 }
 
-const DEFAULT_LAYOUT: FleetLayout = { seed: 1, entries: 2, controls: 3, emulator: {}, limits: {}, windowMs: 60_000 };
+const DEFAULT_LAYOUT: FleetLayout = {
+    seed: 1,
+    entries: 2,
+    controls: 3,
+    emulator: {},
+    limits: {},
+    windowMs: 60_000,
+    purchases: undefined,
+};
 
 /** Short leases, so that a scenario needs few seconds of virtual time. */
 export const FLEET_LOG_TIMING: LogTiming = {
@@ -121,7 +144,7 @@
             platform: {
                 address: { host: STAND_IN_HOST, port: PORTS.platform },
                 checksFence: this.layout.emulator.platformChecksFence ?? true,
-                purchasePolicy: new NoPurchases(),
+                purchasePolicy: this.makePolicy(host),
                 purchasePeriodMs: 5_000,
             },
         });
@@ -236,6 +259,17 @@
         ];
     }
 
+    private makePolicy(host: string): PurchasePolicy {
+        const { purchases } = this.layout;
+        if (!purchases) return new NoPurchases();
+        return new CoverPolicy({
+            offers: new OfferReader(this.web.http(host), { host: STAND_IN_HOST, port: PORTS.platform }),
+            decision: new CoverPurchase({ ...DEFAULT_COVER, ...purchases.cover }),
+            forecast: { ...DEFAULT_FORECAST, ...purchases.forecast },
+            logger: new SilentLogger(),
+        });
+    }
+
     private identity(name: string): { host: HostId; incarnation: Incarnation; } {
         return { host: name as HostId, incarnation: `${name}.${++this.starts}` as Incarnation };
     }
--- a/src/protocol/platform/index.ts
+++ b/src/protocol/platform/index.ts
@@ -38,10 +38,16 @@
 export type PlatformOrder = z.infer<typeof platformOrderSchema>;
 
 /** The platform's answer: 200 with the upstreams concerned; an order id seen before gets its first answer again.
- * 409 `{"error":"stale"}` for an old fencing token, where it is checked; 429 with `retry-after` when busy. */
+ * 409 `{"error":"stale"}` for an old fencing token, where it is checked; 409 `{"error":"unavailable"}` for more than can be
+ * had; 429 with `retry-after` when busy. */
 export const platformOrderReplySchema = z.object({ order_id: z.string(), upstreams: z.array(z.string()) });
 export type PlatformOrderReply = z.infer<typeof platformOrderReplySchema>;
 
+/** Why the platform refuses: the body of its 4xx answers. */
+export const platformErrorSchema = z.object({ error: z.string() });
+/** A start of more upstreams than can be had: sent again it may be refused again. */
+export const PLATFORM_UNAVAILABLE = "unavailable";
+
 /** What one workspace used in one window, of one pool and class. */
 export const usageLineSchema = z.object({
     workspace: z.string(),
--- a/src/settings/schema/index.ts
+++ b/src/settings/schema/index.ts
@@ -167,6 +167,11 @@
             "no",
             "Whether the platform refuses orders and reports with an old fencing token. With `no`, a new holder waits until nothing of the old one can still arrive.",
         ),
+        purchases: withDefault(
+            oneOf("off", "cover"),
+            "off",
+            "Whether upstreams are started and stopped by order: `off`, nothing is ordered; `cover`, the cheapest mix for the demand forecast such that the loss of one zone's reclaimable upstreams leaves the top tiers covered.",
+        ),
         purchaseMs: withDefault(span, "10000", "How often purchases of upstreams are planned, in milliseconds."),
     }),
     timing: z.object({
