--- a/src/control/controlService/index.ts
+++ b/src/control/controlService/index.ts
@@ -5,7 +5,7 @@
 import { DEMAND_METHOD, demandReportSchema } from "../demandReport/index.js";
 import { DemandTable } from "../demandTable/index.js";
 import { parseEntryCommand } from "../entryCommandSchema/index.js";
-import { EntryTable } from "../entryTable/index.js";
+import { EntryChanges, EntryTable } from "../entryTable/index.js";
 import { packChange } from "../packedView/index.js";
 import { ControlState } from "../state/index.js";
 import { VIEW_PULL_METHOD, ViewChange, ViewPull, ViewPullReply } from "../view/index.js";
@@ -133,15 +133,27 @@
         return pull.revision !== this.options.state.revision || pull.entriesVersion !== this.entriesVersion();
     }
 
-    private describeEntries(pull: ViewPull): Pick<ViewPullReply, "entries" | "entriesVersion" | "entriesUnchanged"> {
+    private describeEntries(pull: ViewPull): Omit<ViewPullReply, "change" | "leaseMs"> {
         const entries = this.entries.listLive();
         const entriesVersion = this.entriesVersion();
         if (pull.entriesVersion === entriesVersion) return { entries: [], entriesVersion, entriesUnchanged: true };
-        return { entries, entriesVersion };
+        const entriesPartial = !this.entries.isComplete;
+        const changes = this.findEntryChanges(pull);
+        if (!changes) return { entries, entriesVersion, entriesPartial };
+        const { entries: changed, gone: goneEntries } = changes;
+        return { entries: changed, goneEntries, entriesChanged: true, entriesVersion, entriesPartial };
+    }
+
+    /** Undefined when the entry needs the whole list: it has none of this term, or one from before the list was complete. */
+    private findEntryChanges(pull: ViewPull): EntryChanges | undefined {
+        const [token, version, isComplete] = pull.entriesVersion?.split(".") ?? [];
+        if (!pull.takesEntryChanges || token !== `${this.tableToken}`) return undefined;
+        if (isComplete !== `${this.entries.isComplete}`) return undefined;
+        return this.entries.listChangesSince(Number(version));
     }
 
     private entriesVersion(): string {
-        return `${this.tableToken}.${this.entries.version}`;
+        return `${this.tableToken}.${this.entries.version}.${this.entries.isComplete}`;
     }
 
     private requireLease(): void {
