Purchases: a new owner of a queue reports once upstreams have made themselves known to it

The wait was counted from the start of the entry, not from the change of owner.

Ruled out: a wait in the holder, which does not know since when an entry owns a queue.

--- a/src/entry/demandReporter/index.ts
+++ b/src/entry/demandReporter/index.ts
@@ -7,7 +7,7 @@
 
 /** How often demand is reported, in milliseconds. */
 const REPORT_EVERY_MS = 2_000;
-/** How long upstreams have to make themselves known to an entry that has just started, in milliseconds. */
+/** How long upstreams have to make themselves known to an entry that has come to own their pool, in milliseconds. */
 const SETTLE_MS = 4_000;
 
 /** What a reporter is made of. */
@@ -15,25 +15,28 @@
     readonly clock: Clock;
     readonly self: HostId;
     readonly region: string;
-    readonly client: ControlClient;
+    readonly client: Pick<ControlClient, "reportDemand">;
     readonly registry: UpstreamRegistry;
     readonly local: LocalDispatcher;
-    readonly dispatcher: FleetDispatcher;
+    readonly dispatcher: Pick<FleetDispatcher, "ownerOf">;
 }
 
 /**
  * Reports demand and upstreams to the holder, for the pools whose queue this entry owns.
  *
- * Guards against upstreams bought twice after an entry has started: it may own a pool's queue before it has heard of all the pool's
- * upstreams, so its first report comes after each has announced itself several times.
+ * Guards against upstreams bought twice after the queue's owner has changed: the new one, perhaps an entry that has just started,
+ * may own the queue before it has heard of all the pool's upstreams. So its first report of a pool comes when each of them has
+ * had the time to announce itself several times.
  */
 export class DemandReporter {
+    /** Monotonic times, in milliseconds. */
+    private readonly ownedSince = new Map<PoolId, number>();
+
     constructor(private readonly options: DemandReporterOptions) {}
 
     /** Reports until the signal is aborted. */
     async run(signal: AbortSignal): Promise<void> {
         const { clock, client, region } = this.options;
-        await clock.sleep(SETTLE_MS, signal);
         while (!signal.aborted) {
             const pools = this.describePools();
             if (pools.length > 0) await client.reportDemand({ region, pools });
@@ -42,11 +45,25 @@
     }
 
     private describePools(): PoolReport[] {
-        const { registry, local, dispatcher, self } = this.options;
+        const { registry, clock } = this.options;
         // While all queues are idle nothing else looks for silent upstreams.
         registry.expire();
+        this.noteOwnership();
+        const oldEnough = clock.monotonic() - SETTLE_MS;
+        const settled = [...this.ownedSince].filter(([, since]) => since <= oldEnough);
+        return settled.map(([pool]) => this.describePool(pool));
+    }
+
+    private noteOwnership(): void {
+        const { registry, local, dispatcher, self, clock } = this.options;
         const pools = new Set<PoolId>([...registry.pools(), ...local.pools()]);
-        return [...pools].filter(pool => dispatcher.ownerOf(pool) === self).map(pool => this.describePool(pool));
+        const owned = new Set([...pools].filter(pool => dispatcher.ownerOf(pool) === self));
+        for (const pool of this.ownedSince.keys()) {
+            if (!owned.has(pool)) this.ownedSince.delete(pool);
+        }
+        for (const pool of owned) {
+            if (!this.ownedSince.has(pool)) this.ownedSince.set(pool, clock.monotonic());
+        }
     }
 
     private describePool(pool: PoolId): PoolReport {
--- /dev/null
+++ b/src/entry/demandReporter/test.ts
@@ -0,0 +1,72 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { DemandReport } from "../../control/index.js";
+import { LocalDispatcher } from "../../dispatch/index.js";
+import { HostId, ZoneId } from "../../ids/index.js";
+import { SeededRandom, VirtualClock } from "../../ports/index.js";
+import { makeAnnouncement, UpstreamRegistry } from "../../upstream/index.js";
+import { DemandReporter } from "./index.js";
+
+const SELF = "entry-1" as HostId;
+
+class Bench {
+    readonly clock = new VirtualClock();
+    readonly registry = new UpstreamRegistry({ clock: this.clock });
+    readonly reports: DemandReport[] = [];
+    owner = SELF;
+    private readonly abort = new AbortController();
+
+    constructor() {
+        const { clock, registry } = this;
+        const random = new SeededRandom(1);
+        this.registry.announce(makeAnnouncement());
+        const reporter = new DemandReporter({
+            clock,
+            self: SELF,
+            region: "sudurnes",
+            client: { reportDemand: async report => void this.reports.push(report) },
+            registry,
+            local: new LocalDispatcher({ clock, random, registry, zone: "vogar" as ZoneId }),
+            dispatcher: { ownerOf: () => this.owner },
+        });
+        void reporter.run(this.abort.signal);
+    }
+
+    close(): void {
+        this.abort.abort();
+    }
+}
+
+describe("DemandReporter", () => {
+    it("reports a pool that it owns with its upstreams", async () => {
+        const bench = new Bench();
+        await bench.clock.advance(9_000);
+        bench.close();
+        assert.ok(bench.reports.length >= 2);
+        assert.equal(bench.reports[0].pools.length, 1);
+        assert.equal(bench.reports[0].pools[0].upstreams.length, 1);
+    });
+
+    it("reports nothing of pools that others own", async () => {
+        const bench = new Bench();
+        bench.owner = "entry-2" as HostId;
+        await bench.clock.advance(9_000);
+        bench.close();
+        assert.deepEqual(bench.reports, []);
+    });
+
+    // All upstreams of a pool are bought a second time.
+    // The owner of the queue and the next one are lost together; the third knows few of the upstreams yet.
+    // Cause: a report of what has been heard so far, taken for all there is.
+    it("waits until upstreams have had the time to make themselves known to a new owner", async () => {
+        const bench = new Bench();
+        bench.owner = "entry-2" as HostId;
+        await bench.clock.advance(9_000);
+        bench.owner = SELF;
+        await bench.clock.advance(3_900);
+        assert.deepEqual(bench.reports, []);
+        await bench.clock.advance(4_100);
+        bench.close();
+        assert.ok(bench.reports.length > 0);
+    });
+});
