--- a/src/features/world/index.ts
+++ b/src/features/world/index.ts
@@ -1,4 +1,4 @@
-import { After, setWorldConstructor } from "@cucumber/cucumber";
+import { After, setDefaultTimeout, setWorldConstructor } from "@cucumber/cucumber";
 import { expectedAnswer } from "../../emulator/index.js";
 import { CallerResult, ChatCall, sendChat, sendService } from "./caller.js";
 import { deploy, keyOf } from "./deployment.js";
@@ -24,6 +24,7 @@
 }
 
 const LONG_MS = 300_000;
+const HUNG_STEP_MS = 600_000;
 const CHAT_EVERY_MS = 200;
 const MOST_CHATS = 1_000;
 
@@ -137,6 +138,8 @@
 }
 
 setWorldConstructor(FleetWorld);
+// Steps end by virtual time. Wall time bounds only a step that hangs, so that a busy machine changes no verdict.
+setDefaultTimeout(HUNG_STEP_MS);
 
 After(async function(this: FleetWorld) {
     await this.fleet.close();
