Bad input over real HTTP: JSON errors for what Node refuses itself, and no endless reading after a refusal

Cause: Node answered oversized headers, slow requests and malformed bytes with a bare status line; after a 413 or 401 it went on reading the body for as long as the caller sent (until the request's time was up). Now: 431, 408 and 400 carry the same JSON error as all others (type, message, outcome, request id). On a connection whose request has come whole the answer is a cut instead, since that request may be running or its answer half written. A stated length over the limit is refused before the body is read; the rest of a refused body is thrown away for a second. The fakes of usageMeter's test moved to src/entry/fixtures, unchanged, for both tests.

--- a/src/entry/usageMeter/test.ts
+++ b/src/entry/usageMeter/test.ts
@@ -1,12 +1,11 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { Either, Left, Right } from "purify-ts";
-import { EntryCommand, EntryView, UsageBatchCommand, WorkspaceView } from "../../control/index.js";
+import { UsageBatchCommand } from "../../control/index.js";
 import { HostId, Incarnation } from "../../ids/index.js";
 import { SilentLogger } from "../../logging/index.js";
 import { VirtualClock } from "../../ports/index.js";
-import { ControlAccess, ControlAccessError } from "../controlAccess/index.js";
-import { BatchHolder, UsageMeter } from "./index.js";
+import { FakeControl, FakeHolder } from "../fixtures/index.js";
+import { UsageMeter } from "./index.js";
 
 const LINE = {
     workspace: "hotel",
@@ -17,48 +16,6 @@
     completion_tokens: 5,
 };
 
-class FakeControl extends ControlAccess {
-    readonly commands: EntryCommand[] = [];
-    reachable = true;
-
-    isFresh(): boolean {
-        return true;
-    }
-
-    findWorkspace(): WorkspaceView | undefined {
-        return undefined;
-    }
-
-    entries(): readonly EntryView[] {
-        return [];
-    }
-
-    async command(command: EntryCommand): Promise<Either<ControlAccessError, unknown>> {
-        if (!this.reachable) return Left(new ControlAccessError(true, "cut off"));
-        this.commands.push(command);
-        return Right({});
-    }
-
-    onViewChange(): void {
-        // The view never changes.
-    }
-}
-
-class FakeHolder extends BatchHolder {
-    readonly held: UsageBatchCommand[] = [];
-    readonly released: number[] = [];
-    reachable = true;
-
-    async hold(batch: UsageBatchCommand): Promise<boolean> {
-        if (this.reachable) this.held.push(batch);
-        return this.reachable;
-    }
-
-    release(sequence: number): void {
-        this.released.push(sequence);
-    }
-}
-
 function startMeter() {
     const clock = new VirtualClock();
     const control = new FakeControl();
--- a/src/ports/nodeHttp/index.ts
+++ b/src/ports/nodeHttp/index.ts
@@ -13,10 +13,13 @@
     HttpResponse,
 } from "../http/index.js";
 import { Address, formatAddress, Listener, NetworkError } from "../network/index.js";
+import { answerMalformed, endUnreadRequests } from "../serverGuards/index.js";
 
 /** A pooled connection idle for longer than this is not used again: something between may have forgotten it. */
 const POOL_IDLE_MS = 2_000;
 const POOL_SOCKETS_PER_ADDRESS = 256;
+/** How often connections are looked through for requests that come too slowly, in milliseconds. */
+const CHECK_INTERVAL_MS = 500;
 
 /**
  * HTTP by Node's own library on both sides.
@@ -36,9 +39,11 @@
             maxHeaderSize: limits.headerBytes,
             headersTimeout: limits.headerTimeoutMs,
             requestTimeout: limits.requestTimeoutMs,
-            connectionsCheckingInterval: 1_000,
+            connectionsCheckingInterval: CHECK_INTERVAL_MS,
             noDelay: true,
         }, (req, res) => void answer(new NodeRequest(req, res), new NodeResponse(res), handler));
+        answerMalformed(server);
+        endUnreadRequests(server);
         return new Promise((resolve, reject) => {
             server.once("error", err => reject(new NetworkError("refused", err.message)));
             server.listen(address.port, address.host, () => {
@@ -164,10 +169,19 @@
         return new Promise(resolve => {
             const chunks: Buffer[] = [];
             let size = 0;
+            // A stated length over the limit is refused before the first byte of the body is read.
+            if (Number(this.message.headers["content-length"] ?? 0) > limitBytes) {
+                resolve(Left(new BodyError("too-large")));
+                return;
+            }
             this.message.on("data", (chunk: Buffer) => {
                 size += chunk.length;
-                if (size > limitBytes) resolve(Left(new BodyError("too-large")));
-                else chunks.push(chunk);
+                if (size <= limitBytes) {
+                    chunks.push(chunk);
+                    return;
+                }
+                chunks.length = 0;
+                resolve(Left(new BodyError("too-large")));
             });
             this.message.on("end", () => resolve(Right(Buffer.concat(chunks))));
             this.message.on("close", () => resolve(Left(new BodyError("closed"))));
