A damaged or locked data folder ends the daemon with exit code 4

Cause: the store turns the disk's errors into StoreError, and main() knew only DiskError: exit code 1, so that a supervisor would start it again for ever.

--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -5,6 +5,7 @@
 import { StatsdMetrics } from "../metrics/index.js";
 import { DiskError, NodeHttp, SystemClock, SystemRandom, TcpNetwork } from "../ports/index.js";
 import { Settings } from "../settings/index.js";
+import { StoreError } from "../store/index.js";
 import { DaemonPorts, DaemonProcess } from "./daemonPorts/index.js";
 import { EXIT_CODES } from "./exitCodes/index.js";
 import { readSettings } from "./readSettings/index.js";
@@ -95,6 +96,11 @@
     console.log(JSON.stringify({ event: "ready", role: settings.role, host: settings.host.id }));
 }
 
+/** The store turns what the disk throws into its own error: both mean that an operator must look at the data folder. */
+function isDataError(err: unknown): boolean {
+    return err instanceof DiskError || err instanceof StoreError;
+}
+
 main().catch((err: unknown) => {
-    fail([(err as Error).message], err instanceof DiskError ? EXIT_CODES.data : EXIT_CODES.fault);
+    fail([(err as Error).message], isDataError(err) ? EXIT_CODES.data : EXIT_CODES.fault);
 });
--- a/src/tools/processes/index.ts
+++ b/src/tools/processes/index.ts
@@ -22,6 +22,7 @@
     private output = "";
     private errors = "";
     private running = true;
+    private closed = false;
 
     /**
      * @param script - Its path below the build's folder.
@@ -32,8 +33,10 @@
         this.child.stdout!.on("data", chunk => this.output += chunk);
         this.child.stderr!.on("data", chunk => this.errors += chunk);
         this.exited = new Promise(resolve => {
-            this.child.once("exit", (code, signal) => {
-                this.running = false;
+            this.child.once("exit", () => this.running = false);
+            // Only "close" says that its last lines have been read: after "exit" they may still be in the pipes.
+            this.child.once("close", (code, signal) => {
+                this.closed = true;
                 resolve({ code: code ?? undefined, signal: signal ?? undefined });
             });
         });
@@ -82,7 +85,7 @@
         const found = await waitFor(
             () => this.output.split("\n").find(line => line.includes(text)),
             limitMs,
-            () => !this.running,
+            () => this.closed,
         );
         if (found === undefined) throw new Error(`no line with ${text}; its log:\n${this.errors.slice(-2_000)}`);
         return found;
