Proofs against real processes: SIGKILL, SIGSTOP, a wiped disk, SIGTERM and a withdrawn key

The fleet launcher waits until each entry has heard of all upstreams in place of a fixed 1.5 s, finds the holder, and can run against a platform that ignores fencing tokens.

--- a/src/features/world/index.ts
+++ b/src/features/world/index.ts
@@ -139,5 +139,6 @@
 setWorldConstructor(FleetWorld);
 
 After(async function(this: FleetWorld) {
-    await this.fleet.close();
+    // A scenario with processes of its own has no fleet in memory.
+    await (this.fleet as MemoryFleet | undefined)?.close();
 });
--- /dev/null
+++ b/src/features/world/processRun.ts
@@ -0,0 +1,184 @@
+import assert from "node:assert/strict";
+import { OperatorApi } from "../../cli/index.js";
+import { expectedAnswer, runsSchema } from "../../emulator/index.js";
+import { ChangeId, KeyId, TemplateName, WorkspaceId } from "../../ids/index.js";
+import {
+    CrossCheck,
+    crossCheck,
+    DEFAULT_CALLER,
+    EmulatorClient,
+    replayTrace,
+    RequestResult,
+    Trace,
+} from "../../load/index.js";
+import { NodeHttp, parseAddress, SystemClock, SystemRandom } from "../../ports/index.js";
+import { DEFAULT_PLAN, deployTrace, FleetPlan, ProcessFleet, waitFor } from "../../tools/index.js";
+import { hashKey } from "../../workspace/index.js";
+import { CallerResult, sendChat } from "./caller.js";
+import { makeMixedTrace, MIXED_MODEL, MIXED_WORKSPACES, MixedPlan } from "./mixedTrace.js";
+
+/** The longest wait for anything: it ends a run that hangs, and is no bound on what is proved. */
+export const WAIT_MS = 60_000;
+const WINDOW_MS = 1_000;
+const WINDOW_GRACE_MS = 300;
+const OPERATOR = "anna";
+
+/** What the platform's stand-in counted of the usage reports. */
+export interface UsageFigures {
+    readonly windows: number;
+    readonly requests: number;
+    readonly conflicting: number;
+    readonly doubledWindows: number;
+    readonly reversals: number;
+}
+
+interface EmulatorStats {
+    readonly platform: { readonly usage: UsageFigures; };
+    readonly keys: { readonly watchedKeys: number; readonly credentialHeaders: number; };
+}
+
+/** A chat that streams over an entry. */
+export interface OpenStream {
+    readonly expected: string;
+    readonly result: Promise<CallerResult>;
+    received: string;
+}
+
+/** One scenario's fleet of processes, and what was sent to it. */
+export class ProcessRun {
+    readonly results: RequestResult[] = [];
+    readonly streams: OpenStream[] = [];
+    /** Workspaces whose making and key were accepted, beside those of the trace. */
+    readonly accepted: string[] = [];
+    private replayed: Promise<RequestResult[]> | undefined;
+    private trace: Trace | undefined;
+
+    private constructor(
+        readonly fleet: ProcessFleet,
+        readonly api: OperatorApi,
+        private readonly ports: { clock: SystemClock; random: SystemRandom; http: NodeHttp; },
+        readonly keys: ReadonlyMap<string, string>,
+    ) {}
+
+    /** Starts the processes and makes two workspaces. */
+    static async start(plan: Partial<FleetPlan>): Promise<ProcessRun> {
+        const fleet = await ProcessFleet.start({
+            ...DEFAULT_PLAN,
+            windowMs: WINDOW_MS,
+            windowGraceMs: WINDOW_GRACE_MS,
+            ...plan,
+        });
+        try {
+            const ports = { clock: new SystemClock(), random: new SystemRandom(), http: new NodeHttp() };
+            const api = new OperatorApi({ ...ports, control: fleet.operatorAddresses });
+            const { header } = makeMixedTrace({ chats: 0, orders: 0, withinMs: 0 });
+            const run = new ProcessRun(fleet, api, ports, await deployTrace(api, ports.random, header));
+            await run.watchKeys();
+            return run;
+        }
+        catch (err) {
+            await fleet.close();
+            throw err;
+        }
+    }
+
+    /** Starts to send a mixed trace; `finish` waits for its end. */
+    replay(plan: MixedPlan): void {
+        const { ports, fleet, keys } = this;
+        this.trace = makeMixedTrace(plan);
+        const cfg = { ...DEFAULT_CALLER, addresses: fleet.callerAddresses, keys, speed: 1, resends: 10 };
+        this.replayed = replayTrace(
+            ports,
+            this.trace,
+            { ...cfg, chatResends: "always" },
+            result => this.results.push(result),
+        );
+    }
+
+    /** Waits until all requests of the trace have their last word. */
+    async finish(): Promise<readonly RequestResult[]> {
+        assert.ok(this.replayed, "nothing was sent");
+        return this.replayed;
+    }
+
+    /** Holds what callers were told against what ran. */
+    async check(): Promise<CrossCheck> {
+        const results = await this.finish();
+        return crossCheck(this.trace!, results, runsSchema.parse(await this.fleet.emulatorRuns()));
+    }
+
+    /** Opens a stream over an entry, and waits for its first text. */
+    async openStream(entry: number, tokens: number): Promise<void> {
+        const prompt = `stream ${this.streams.length} [tokens=${tokens}]`;
+        const stream: OpenStream = {
+            expected: expectedAnswer([{ role: "user", content: prompt }], tokens),
+            received: "",
+            result: sendChat(this.ports.http, this.fleet.callerAddresses[entry], {
+                key: this.keys.get(MIXED_WORKSPACES[0])!,
+                model: MIXED_MODEL,
+                prompt,
+                maxTokens: tokens,
+                onText: text => stream.received = text,
+            }),
+        };
+        this.streams.push(stream);
+        await this.wait("the stream's first text", () => stream.received !== "");
+    }
+
+    /** Sends a short chat to an entry with the key of the first workspace. */
+    sendChat(entry: number): Promise<CallerResult> {
+        const key = this.keys.get(MIXED_WORKSPACES[0])!;
+        return sendChat(this.ports.http, this.fleet.callerAddresses[entry], { key, model: MIXED_MODEL, prompt: "one" });
+    }
+
+    /** Makes workspaces one after the other, each with a key. */
+    async makeWorkspaces(count: number, onMade: (made: number) => void = () => undefined): Promise<void> {
+        for (let made = 1; made <= count; made++) {
+            const name = `more-${this.accepted.length}`;
+            const by = (what: string) => ({ operator: OPERATOR, changeId: `${what}-${name}` as ChangeId });
+            const id = name as WorkspaceId;
+            const template = "mixed" as TemplateName;
+            await this.change({ kind: "workspace.create", id, template, parameters: [], ...by("create") });
+            const hash = hashKey(name);
+            await this.change({ kind: "key.grant", workspace: id, keyId: name as KeyId, hash, ...by("grant") });
+            this.accepted.push(name);
+            onMade(made);
+        }
+    }
+
+    /** Withdraws the key of the first workspace. */
+    async withdrawKey(): Promise<void> {
+        const keyId = `${MIXED_WORKSPACES[0]}-1` as KeyId;
+        await this.change({ kind: "key.withdraw", keyId, operator: OPERATOR, changeId: "withdraw" as ChangeId });
+    }
+
+    /** Which control process holds the lease, once one of them does. */
+    async awaitHolder(except?: number): Promise<number> {
+        const found = await waitFor(async () => {
+            const holder = await this.fleet.findHolder();
+            return holder === except ? undefined : holder;
+        }, WAIT_MS);
+        assert.ok(found !== undefined, "no control process holds the lease");
+        return found;
+    }
+
+    async stats(): Promise<EmulatorStats> {
+        return await this.fleet.emulatorStats() as EmulatorStats;
+    }
+
+    /** Waits until something is so. */
+    async wait(what: string, look: () => boolean | Promise<boolean>): Promise<void> {
+        const found = await waitFor(async () => await look() ? true : undefined, WAIT_MS);
+        assert.ok(found, `waited in vain for ${what}`);
+    }
+
+    private async change(change: Parameters<OperatorApi["change"]>[0]): Promise<void> {
+        const { result } = await this.api.change(change);
+        assert.equal(result.kind, "done", JSON.stringify(result));
+    }
+
+    private async watchKeys(): Promise<void> {
+        const client = new EmulatorClient(this.ports.http, parseAddress(this.fleet.emulatorControl)!);
+        await client.apply({ action: "watch-keys", keys: [...this.keys.values()] });
+    }
+}
--- a/src/tools/fleet/index.ts
+++ b/src/tools/fleet/index.ts
@@ -1,7 +1,9 @@
 import { mkdir, mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { formatTrpcUrl } from "../../control/index.js";
 import { Address } from "../../ports/index.js";
+import { CALLER_PATHS } from "../../protocol/index.js";
 import { findFreePorts } from "../freePorts/index.js";
 import { Program, waitFor } from "../processes/index.js";
 
@@ -15,6 +17,8 @@
     readonly emulator: readonly string[];
     readonly windowMs: number;
     readonly windowGraceMs: number;
+    /** Whether the platform refuses orders and reports with an old fencing token. */
+    readonly platformChecksFence: boolean;
     readonly logLevel: string;
 }
 
@@ -27,6 +31,7 @@
     emulator: [],
     windowMs: 5_000,
     windowGraceMs: 1_000,
+    platformChecksFence: true,
     logLevel: "info",
 };
 
@@ -44,6 +49,7 @@
 
 const HOST = "127.0.0.1";
 const READY_LIMIT_MS = 30_000;
+const ANSWER_LIMIT_MS = 1_000;
 
 /**
  * Entries, control processes and the emulator as processes of their own. Everything it starts ends with `close`.
@@ -103,6 +109,11 @@
         return this.emulatorAddresses.upstreams;
     }
 
+    /** `IP:port` where the emulator is asked and steered. */
+    get emulatorControl(): string {
+        return this.emulatorAddresses.control;
+    }
+
     startEntry(number: number): Program {
         const program = new Program("daemon/main.js", ["--settings", this.entryFile(number)]);
         this.entries[number] = program;
@@ -120,6 +131,20 @@
         await rm(this.dataFolder(number), { recursive: true, force: true });
     }
 
+    /** The number of the control process that holds the lease, undefined when none answers as the holder. */
+    async findHolder(): Promise<number | undefined> {
+        const answers = await Promise.all(
+            this.operatorAddresses.map(address => isOk(`${formatTrpcUrl(address)}/revision`)),
+        );
+        const holder = answers.indexOf(true);
+        return holder < 0 ? undefined : holder;
+    }
+
+    /** Whether a control process says that it is ready: it knows who holds the lease. */
+    isControlReady(number: number): Promise<boolean> {
+        return isOk(`http://${HOST}:${this.controlPorts[number].operators}${CALLER_PATHS.ready}`);
+    }
+
     /** What the stand-ins have counted. */
     emulatorStats(): Promise<unknown> {
         return this.askEmulator("/stats");
@@ -153,7 +178,17 @@
 
     /** The entries must have heard of the upstreams before the first request. */
     private async awaitUpstreams(): Promise<void> {
-        await waitFor(async () => undefined, 1_500);
+        const expected = this.upstreamAddresses.length;
+        for (const { admin } of this.entryPorts) {
+            const heard = await waitFor(
+                async () =>
+                    await countRows(`${formatTrpcUrl({ host: HOST, port: admin })}/upstreams`) >= expected || undefined,
+                READY_LIMIT_MS,
+            );
+            if (!heard) {
+                throw new Error(`the entry with the admin port ${admin} has not heard of ${expected} upstreams`);
+            }
+        }
     }
 
     private async startEmulator(): Promise<void> {
@@ -164,6 +199,8 @@
             entries,
             "--zones",
             zones,
+            "--platform-checks-fence",
+            String(this.plan.platformChecksFence),
             ...this.plan.emulator,
         ]);
         this.emulatorAddresses = JSON.parse(await this.emulator.line("\"ready\""));
@@ -203,7 +240,10 @@
             listen: { peers: `${HOST}:${peers}`, operators: `${HOST}:${operators}` },
             control: { members: this.formatMembers() },
             data: { folder: this.dataFolder(number) },
-            platform: { address: this.emulatorAddresses.platform, checks_fence: "yes" },
+            platform: {
+                address: this.emulatorAddresses.platform,
+                checks_fence: this.plan.platformChecksFence ? "yes" : "no",
+            },
             usage: { window_ms: String(this.plan.windowMs), grace_ms: String(this.plan.windowGraceMs) },
             log: { level: this.plan.logLevel },
         });
@@ -230,6 +270,28 @@
     }
 }
 
+/** A process that is frozen takes connections and answers nothing. */
+async function isOk(url: string): Promise<boolean> {
+    try {
+        return (await fetch(url, { signal: AbortSignal.timeout(ANSWER_LIMIT_MS) })).ok;
+    }
+    catch {
+        return false;
+    }
+}
+
+/** How many rows an operators' query gives; 0 when it gives no answer. */
+async function countRows(url: string): Promise<number> {
+    try {
+        const response = await fetch(url, { signal: AbortSignal.timeout(ANSWER_LIMIT_MS) });
+        const answer = await response.json() as { result: { data: unknown[]; }; };
+        return answer.result.data.length;
+    }
+    catch {
+        return 0;
+    }
+}
+
 function formatIni(role: string, sections: Record<string, Record<string, string>>): string {
     const lines = [`role = ${role}`];
     for (const [section, values] of Object.entries(sections)) {
