--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -105,7 +105,7 @@
     console.log(JSON.stringify({ event: "ready", role: settings.role, host: settings.host.id }));
 }
 
-/** Starting again is of no use: the data folder needs an operator. */
+/** The store turns what the disk throws into its own error: with both, starting again is of no use until an operator has looked. */
 function isDataFault(err: unknown): boolean {
     return err instanceof DiskError || err instanceof StoreError;
 }
--- a/src/features/world/index.ts
+++ b/src/features/world/index.ts
@@ -142,5 +142,6 @@
 setDefaultTimeout(HUNG_STEP_MS);
 
 After(async function(this: FleetWorld) {
-    await this.fleet.close();
+    // A scenario with processes of its own has no fleet in memory.
+    await (this.fleet as MemoryFleet | undefined)?.close();
 });
