--- a/src/cli/runCli/index.ts
+++ b/src/cli/runCli/index.ts
@@ -103,11 +103,13 @@
     };
 }
 
-/** The parser knows a command by one word: two words that name a command become one. */
+/** The parser knows a command by one word: two words that name a command become one, also behind options. */
 function joinCommandWords(words: readonly string[]): readonly string[] {
-    const [group, action, ...rest] = words;
-    const isPair = COMMANDS.some(({ usage }) =>
-        usage.startsWith(`${group} ${action} `) || usage === `${group} ${action}`
-    );
-    return isPair ? [`${group} ${action}`, ...rest] : words;
+    const at = words.findIndex((word, index) => isCommandPair(`${word} ${words[index + 1]}`));
+    if (at < 0) return words;
+    return [...words.slice(0, at), `${words[at]} ${words[at + 1]}`, ...words.slice(at + 2)];
+}
+
+function isCommandPair(pair: string): boolean {
+    return COMMANDS.some(({ usage }) => usage === pair || usage.startsWith(`${pair} `));
 }
--- a/src/cli/runCli/test.ts
+++ b/src/cli/runCli/test.ts
@@ -140,6 +140,7 @@
             assert.match(key, /^sqx_[0-9a-f]{32}$/);
             const list = await run("key", "list", "school");
             assert.ok(list.output.includes(keyId) && !list.output.includes(key));
+            assert.equal((await run("--json", "key", "list", "school")).code, 0);
             const show = await run("workspace", "show", "school");
             assert.match(show.output, /weight 2, token limit none, default class sheet/);
         });
--- a/src/daemon/runEntry/index.ts
+++ b/src/daemon/runEntry/index.ts
@@ -40,7 +40,7 @@
         limits: {
             ...DEFAULT_ENTRY_LIMITS,
             bodyBytes: limits.bodyBytes,
-            requests: limits.connections,
+            requests: limits.requests,
             firstTokenStallMs: streams.firstByteMs,
             tokenStallMs: streams.tokenStallMs,
         },
--- a/src/dispatch/poolQueue/index.ts
+++ b/src/dispatch/poolQueue/index.ts
@@ -3,6 +3,7 @@
 import { HostId, PoolId, RequestId, ZoneId } from "../../ids/index.js";
 import { Clock, Random } from "../../ports/index.js";
 import { PoolMembers, PrefixIndex, StragglerPolicy, Upstream, UpstreamLoad } from "../../upstream/index.js";
+import { makeGrant } from "../_lib/makeGrant.js";
 import { AdmissionControl, makeRefusal } from "../admissionControl/index.js";
 import { LengthEstimator } from "../lengths/index.js";
 import { DispatchObserver } from "../observer/index.js";
@@ -38,8 +39,6 @@
     readonly stopListening: () => void;
 }
 
-/** A grant not used within this time has lost its slot's moment: the upstream may have left since. */
-const GRANT_VALID_MS = 500;
 /** Ticks between two looks at all upstreams of the pool. */
 const REVIEW_TICKS = 4;
 /** Ticks between two looks at the queue when more than so many wait: a look costs more, and is as fresh as they need. */
@@ -268,15 +267,7 @@
         this.options.members.refresh(load);
         this.options.prefixes.record(ticket.prefixes, load.upstream.id);
         this.running.add({ waiting, load, grantedAt: now, tokens: 0, isPreempted: false, release });
-        const grant: Grant = {
-            request: ticket.request,
-            upstream: load.upstream.id,
-            address: load.upstream.address,
-            validMs: GRANT_VALID_MS,
-            priority: ticket.tier,
-            waitedMs: now - waiting.arrivedAt,
-            reason,
-        };
+        const grant = makeGrant(waiting, load, reason, now);
         this.options.observer.granted(waiting, grant);
         this.takeWaiter(waiting)?.settle(Right(grant));
     }
--- /dev/null
+++ b/src/entry/chatErrors/index.ts
@@ -0,0 +1,26 @@
+import { Outcome } from "../../protocol/index.js";
+import { CallerError } from "../callerError/index.js";
+import { EngineStreamError } from "../engineStream/index.js";
+import { CancelReason } from "../runningRequest/index.js";
+
+const RETRY_AFTER_FAILURE_MS = 1_000;
+
+/** The error of a chat that was stopped from outside. */
+export function makeCancelError(reason: CancelReason, outcome: Outcome): CallerError {
+    if (reason === "key-withdrawn") {
+        return new CallerError(401, reason, "the key was withdrawn while the request was under way", outcome);
+    }
+    const message = reason === "stopping" ? "this host stopped before the answer was whole" : "the caller has gone";
+    return new CallerError(503, reason, message, outcome, RETRY_AFTER_FAILURE_MS);
+}
+
+/** The error of a chat that the engine finds wrong in itself. */
+export function makeRejectionError(err: EngineStreamError): CallerError {
+    const message = `the engine does not take this request (${err.message})`;
+    return new CallerError(400, "upstream-rejected", message, "partly-run");
+}
+
+/** The error of a chat after the last attempt that it may have. */
+export function makeUpstreamError(attempts: number, outcome: Outcome): CallerError {
+    return new CallerError(502, "upstream-failed", `${attempts} upstreams failed`, outcome, RETRY_AFTER_FAILURE_MS);
+}
--- a/src/entry/refusalError/index.ts
+++ b/src/entry/refusalError/index.ts
@@ -8,7 +8,7 @@
 const MESSAGES: Record<RefusalReason, string> = {
     "no-upstream": "no upstream serves this model or service at present",
     "over-capacity": "the class target can't be met at the present load",
-    "shed": "the place was needed for a higher tier",
+    "shed": "the class target can't be met any more; higher tiers or earlier requests need the places",
     "wait-expired": "no upstream became free within the longest wait of the class",
     "over-limit": "the workspace has used up its limit for this window",
     "draining": "this host is stopping",
--- a/src/entry/serveChat/index.ts
+++ b/src/entry/serveChat/index.ts
@@ -2,11 +2,12 @@
 import { HttpRequest, HttpResponse } from "../../ports/index.js";
 import { admitRequest } from "../admitRequest/index.js";
 import { CallerError, sendCallerError } from "../callerError/index.js";
-import { StreamSink, WholeSink } from "../chatSink/index.js";
+import { ChatSink, StreamSink, WholeSink } from "../chatSink/index.js";
 import { EntryContext } from "../entryContext/index.js";
 import { prepareChat, PreparedChat } from "../prepareChat/index.js";
 import { runChat } from "../runChat/index.js";
 import { RunningRequest } from "../runningRequest/index.js";
+import { RequestEnd, trackRequest } from "../trackRequest/index.js";
 
 const MS_PER_SECOND = 1_000;
 
@@ -29,22 +30,8 @@
     const checked = await prepareChat(ctx, req, { key, workspace });
     if (checked.isLeft()) return sendCallerError(res, checked.extract() as CallerError, id);
     const prepared = checked.unsafeCoerce();
-    const run = new RunningRequest({
-        id,
-        workspace: workspace.id,
-        keyHash: key.hash,
-        className: prepared.classView.name,
-        tier: prepared.classView.tier,
-        pool: prepared.pool,
-    }, ctx.clock);
-    ctx.requests.add(run);
-    req.closed.addEventListener("abort", () => run.cancel("caller-gone"));
-    try {
-        await answer(ctx, prepared, run, res, self);
-    }
-    finally {
-        ctx.requests.finish(run);
-    }
+    const tracked = { id, keyHash: key.hash, workspace, classView: prepared.classView, pool: prepared.pool };
+    await trackRequest(ctx, req, tracked, run => answer(ctx, prepared, run, res, self));
 }
 
 async function answer(
@@ -53,33 +40,22 @@
     run: RunningRequest,
     res: HttpResponse,
     self: HostId,
-): Promise<void> {
+): Promise<RequestEnd> {
     const taken = await ctx.spendGate.take(prepared.workspace, prepared.promptTokens + prepared.maxTokens);
     if (taken.isLeft()) {
         const err = taken.extract() as CallerError;
         run.noteRefusal(err.type, err.message);
-        return sendCallerError(res, err, run.identity.id);
+        sendCallerError(res, err, run.identity.id);
+        return { outcome: err.outcome, tokens: 0 };
     }
-    // The key may have been withdrawn while the limit was asked for.
-    if (!ctx.control.findWorkspace(run.identity.keyHash)) run.cancel("key-withdrawn");
-    const chatAnswer = {
-        request: run.identity.id,
-        model: prepared.chat.model,
-        created: Math.floor(ctx.clock.now() / MS_PER_SECOND),
-    };
-    const sink = prepared.chat.stream ? new StreamSink(res, chatAnswer) : new WholeSink(res, chatAnswer);
-    const { outcome, billedTokens } = await runChat(ctx, prepared, run, sink, self);
+    const sink = makeSink(ctx, prepared, run, res);
+    const { outcome, billedTokens } = await runChat({ ctx, prepared, run, sink, self });
     ctx.spendGate.settle(prepared.workspace, taken.unsafeCoerce(), billedTokens);
-    run.noteEnd(outcome);
-    const tags = { workspace: run.identity.workspace, class: run.identity.className };
-    ctx.metrics.histogram("total_ms", run.ageMs(), tags);
-    ctx.metrics.count("requests", 1, { ...tags, outcome });
-    ctx.logger.info("request-ended", {
-        request: run.identity.id,
-        ...tags,
-        pool: run.identity.pool,
-        outcome,
-        tokens: sink.tokens,
-        ms: Math.round(run.ageMs()),
-    });
+    return { outcome, tokens: sink.tokens };
+}
+
+function makeSink(ctx: EntryContext, { chat }: PreparedChat, run: RunningRequest, res: HttpResponse): ChatSink {
+    const created = Math.floor(ctx.clock.now() / MS_PER_SECOND);
+    const chatAnswer = { request: run.identity.id, model: chat.model, created };
+    return chat.stream ? new StreamSink(res, chatAnswer) : new WholeSink(res, chatAnswer);
 }
--- a/src/entry/serveService/index.ts
+++ b/src/entry/serveService/index.ts
@@ -6,8 +6,8 @@
 import { CallerError, sendCallerError } from "../callerError/index.js";
 import { EntryContext } from "../entryContext/index.js";
 import { PreparedService, prepareService } from "../prepareService/index.js";
-import { RunningRequest } from "../runningRequest/index.js";
 import { runService, ServiceResult } from "../runService/index.js";
+import { trackRequest } from "../trackRequest/index.js";
 
 /** Says that the answer is that of an earlier call with the same idempotency key. */
 const REPLAYED_HEADER = "x-sequoiamux-replayed";
@@ -26,25 +26,13 @@
     const checked = await prepareService(ctx, req, { key, workspace });
     if (checked.isLeft()) return sendCallerError(res, checked.extract() as CallerError, id);
     const prepared = checked.unsafeCoerce();
-    const run = new RunningRequest({
-        id,
-        workspace: workspace.id,
-        keyHash: key.hash,
-        className: prepared.classView.name,
-        tier: prepared.classView.tier,
-        pool: prepared.pool,
-    }, ctx.clock);
-    ctx.requests.add(run);
-    req.closed.addEventListener("abort", () => run.cancel("caller-gone"));
-    try {
+    const tracked = { id, keyHash: key.hash, workspace, classView: prepared.classView, pool: prepared.pool };
+    await trackRequest(ctx, req, tracked, async run => {
         const result = await runService(ctx, prepared, run, self);
         await recordRun(ctx, prepared, result);
         sendResult(res, id, result);
-        noteEnd(ctx, run, result);
-    }
-    finally {
-        ctx.requests.finish(run);
-    }
+        return { outcome: result.kind === "error" ? result.err.outcome : "answered", tokens: 0 };
+    });
 }
 
 /** A call that has a record is billed with it, once. */
@@ -72,18 +60,3 @@
     ]);
     res.end(body);
 }
-
-function noteEnd(ctx: EntryContext, run: RunningRequest, result: ServiceResult): void {
-    const outcome = result.kind === "error" ? result.err.outcome : "answered";
-    run.noteEnd(outcome);
-    const tags = { workspace: run.identity.workspace, class: run.identity.className };
-    ctx.metrics.histogram("total_ms", run.ageMs(), tags);
-    ctx.metrics.count("requests", 1, { ...tags, outcome });
-    ctx.logger.info("request-ended", {
-        request: run.identity.id,
-        ...tags,
-        pool: run.identity.pool,
-        outcome,
-        ms: Math.round(run.ageMs()),
-    });
-}
--- a/src/protocol/platform/index.ts
+++ b/src/protocol/platform/index.ts
@@ -60,8 +60,8 @@
 export type UsageLine = z.infer<typeof usageLineSchema>;
 
 /**
- * `POST /platform/usage-reports`: the figures of one window, the same on each resend. `adjusts` names the window whose
- * late usage these figures are, when they are an adjustment.
+ * `POST /platform/usage-reports`: the figures of one window, the same on each resend. Usage that came after its own
+ * window had closed is counted in the lines of the window that was open then.
  */
 export const usageReportSchema = z.object({
     report_id: z.string(),
--- a/src/settings/parseSettings/test.ts
+++ b/src/settings/parseSettings/test.ts
@@ -79,8 +79,8 @@
             ["a name that stands twice", `${ENTRY}[log]\nlevel = info\nlevel = warn`, /\[log\] level: stands twice/],
             [
                 "a bad number",
-                `${ENTRY}[limits]\nconnections = many`,
-                /connections: expected a whole number from 1.*found "many"/,
+                `${ENTRY}[limits]\nrequests = many`,
+                /requests: expected a whole number from 1.*found "many"/,
             ],
             [
                 "a number out of bounds",
@@ -131,7 +131,7 @@
         }
 
         it("does not hide another", () => {
-            const problems = listProblems(`${ENTRY}[limits]\nconnections = many\nbody = 1\n[log]\nlevel = loud`);
+            const problems = listProblems(`${ENTRY}[limits]\nrequests = many\nbody = 1\n[log]\nlevel = loud`);
             assert.equal(problems.length, 3);
         });
     });
--- a/src/settings/schema/index.ts
+++ b/src/settings/schema/index.ts
@@ -96,7 +96,7 @@
             "30000",
             "How long a caller may take to send a whole request, in milliseconds.",
         ),
-        connections: withDefault(
+        requests: withDefault(
             wholeNumber(1, 1_000_000),
             "4096",
             "The most requests of callers under way at a time; more are refused with a time to come back.",
