Connections to engines are used again

Cause: the reader of a stream left its loop at the terminal event, which gives the body up and closes the connection; each chat opened its own (a profile of 1,500 chats one after the other showed connects and aborts on top). Ruled out: the queue (granted within 1 ms) and the pool's settings.

--- a/src/entry/engineStream/index.ts
+++ b/src/entry/engineStream/index.ts
@@ -1,5 +1,5 @@
 import { Either, Left, Right } from "purify-ts";
-import { HttpError, HttpReply } from "../../ports/index.js";
+import { Clock, HttpError, HttpReply } from "../../ports/index.js";
 import { EngineChunk, EngineUsage, STREAM_DONE } from "../../protocol/index.js";
 
 /** An engine's answer that can't be used, or not any more. */
@@ -40,6 +40,8 @@
 /** Takes tokens as they come; settles when more can be taken. */
 export type TokenSink = (tokens: EngineTokens) => Promise<void> | void;
 
+/** How long the body's end may take after the terminal event, in milliseconds. */
+const BODY_END_MS = 1_000;
 const EVENT_END = "\n\n";
 const DATA_PREFIX = "data:";
 
@@ -55,27 +57,33 @@
  * @param request - The id that each event must carry.
  * @param offset - The number of the first token wanted.
  * @param sink - Gets the tokens in order.
+ * @param clock - Bounds the wait for the end behind the terminal event.
  * @example
- * const end = await readEngineStream(reply, id, 0, ({ text }) => caller.write(text));
+ * const end = await readEngineStream(reply, id, 0, ({ text }) => caller.write(text), clock);
  */
 export async function readEngineStream(
     reply: HttpReply,
     request: string,
     offset: number,
     sink: TokenSink,
+    clock: Clock,
 ): Promise<Either<EngineStreamError, EngineEnd>> {
     const reader = new EventReader(request, offset, sink);
     const decoder = new TextDecoder();
+    const body = reply.body[Symbol.asyncIterator]();
     let buffered = "";
     try {
-        for await (const bytes of reply.body) {
-            buffered += decoder.decode(bytes, { stream: true });
+        for (let part = await body.next(); !part.done; part = await body.next()) {
+            buffered += decoder.decode(part.value, { stream: true });
             let end = buffered.indexOf(EVENT_END);
             let start = 0;
             while (end >= 0) {
                 const problem = await reader.take(buffered.slice(start, end));
                 if (problem) return Left(problem);
-                if (reader.end) return Right(reader.end);
+                if (reader.end) {
+                    void readToEnd(reply, body, clock);
+                    return Right(reader.end);
+                }
                 start = end + EVENT_END.length;
                 end = buffered.indexOf(EVENT_END, start);
             }
@@ -89,6 +97,22 @@
     return Left(new EngineStreamError("truncated", "no terminal event"));
 }
 
+/**
+ * Reads what is left behind the terminal event, which is nothing but the body's end: a connection that was not read to it can't
+ * be used again, and each request would open its own. One that does not end, or says more, is reset.
+ */
+async function readToEnd(reply: HttpReply, body: AsyncIterator<Uint8Array>, clock: Clock): Promise<void> {
+    const limit = clock.after(BODY_END_MS, () => reply.reset());
+    try {
+        const rest = await body.next();
+        if (!rest.done) reply.reset();
+    }
+    catch {
+        // The answer is whole; the connection is gone.
+    }
+    limit.cancel();
+}
+
 class EventReader {
     end: EngineEnd | undefined;
     private last: EngineEnd | undefined;
--- a/src/entry/engineStream/test.ts
+++ b/src/entry/engineStream/test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { HttpError, HttpReply } from "../../ports/index.js";
+import { HttpError, HttpReply, VirtualClock } from "../../ports/index.js";
 import { readEngineStream } from "./index.js";
 
 const REQUEST = "request-1";
@@ -33,7 +33,7 @@
     let text = "";
     const result = await readEngineStream(reply, REQUEST, offset, tokens => {
         text += tokens.text;
-    });
+    }, new VirtualClock());
     return {
         text,
         result: result.caseOf({ Left: err => err.reason as string, Right: ({ finishReason }) => finishReason }),
@@ -91,4 +91,18 @@
         const other = token(0).replace(REQUEST, "request-2");
         assert.deepEqual(await read(replyOf(other, end(), DONE)), { text: "", result: "crossed" });
     });
+
+    it("reads the body to its end, so that its connection can be used again", async () => {
+        // First tokens come late, and the hosts are full of connections that wait for their end.
+        // The reader stopped at the terminal event, and the client closed a connection that was not read to its end.
+        // Cause: leaving a loop over a body early means giving it up.
+        let isReadToEnd = false;
+        async function* body(): AsyncIterable<Uint8Array> {
+            yield Buffer.from(token(0) + end() + DONE);
+            isReadToEnd = true;
+        }
+        await read({ ...replyOf(), body: body() });
+        await new Promise(resolve => setImmediate(resolve));
+        assert.ok(isReadToEnd);
+    });
 });
--- a/src/entry/sendChat/index.ts
+++ b/src/entry/sendChat/index.ts
@@ -73,7 +73,7 @@
         watch.touch();
         ctx.dispatcher.progress(run.identity.id, tokens);
         return sink.write(text, tokens);
-    });
+    }, clock);
     watch.stop();
     if (result.isLeft()) reply.reset();
     const tokens = sink.tokens - offset;
--- a/src/ports/nodeHttp/index.ts
+++ b/src/ports/nodeHttp/index.ts
@@ -184,7 +184,9 @@
                 resolve(Left(new BodyError("too-large")));
             });
             this.message.on("end", () => resolve(Right(Buffer.concat(chunks))));
-            this.message.on("close", () => resolve(Left(new BodyError("closed"))));
+            this.message.on("close", () => {
+                if (!this.message.complete) resolve(Left(new BodyError("closed")));
+            });
         });
     }
 }
--- a/src/tools/streamClient/index.ts
+++ b/src/tools/streamClient/index.ts
@@ -45,10 +45,16 @@
         headTimeoutMs: TIMEOUT_MS,
     });
     const reply = sent.unsafeCoerce();
-    if (reply.status !== 200) throw new Error(`status ${reply.status}`);
+    if (reply.status !== 200) throw new Error(`status ${reply.status}: ${await readText(reply)}`);
     return readTimes(reply, startedAt, onFirst);
 }
 
+async function readText(reply: HttpReply): Promise<string> {
+    const parts: Uint8Array[] = [];
+    for await (const part of reply.body) parts.push(part);
+    return Buffer.concat(parts).toString("utf8");
+}
+
 function makeBody({ key, model }: StreamTarget, request: string, tokens: number): object {
     const messages = [{ role: "user", content: `${request} [tokens=${tokens}]` }];
     const body = { model, messages, max_tokens: tokens, stream: true };
