--- a/src/bench/slopes/capacity/roles/upstreams.ts
+++ b/src/bench/slopes/capacity/roles/upstreams.ts
@@ -7,6 +7,8 @@
 const COMPACT_BYTES = 40;
 const DIGEST_SECONDS = 5;
 
+const SECONDS_PER_DAY = 86_400;
+
 /** An entry as a listener to upstreams, and the choice of a pool's owner. */
 export function describeUpstreams(book: SlopeBook): RoleSection {
     const rate = NODE.announcementsPerSecond;
@@ -15,7 +17,8 @@
     const readMs = rate
         * (book.at("announcement.read", ASSUMED.cacheEvents) + book.at("registry.announce", SIZE.upstreams)) / 1_000;
     const choose = book.at("owner.choose", SIZE.nodes) / 1_000;
-    const choices = NODE.requestsPerSecond + rate * TARGETS;
+    const choices = NODE.listChangesPerDay / SECONDS_PER_DAY * TARGETS * SIZE.models;
+    const choicesWithoutTable = NODE.requestsPerSecond + rate * TARGETS;
     const digest = (SIZE.upstreams / NODE.queues * COMPACT_BYTES + ASSUMED.packetBytes) / DIGEST_SECONDS;
     const heap = book.at("registry.heap", SIZE.upstreams);
     return {
@@ -41,9 +44,7 @@
                 what: "choosing the owner of a queue",
                 arithmetic: `${
                     formatNumber(book.perUnit("owner.choose"))
-                } µs × ${SIZE.nodes} hosts, for each request and twice for each announcement: ${
-                    formatNumber(choices)
-                } a second`,
+                } µs × ${SIZE.nodes} hosts, twice for each of ${SIZE.models} models at each of ${NODE.listChangesPerDay} changes of the list of hosts a day`,
                 value: formatProcessor(choose * choices),
                 verdict: judge(choose * choices, BUDGET.processorMsPerSecond),
             },
@@ -69,7 +70,9 @@
             next: { processorMs: readMs, bytesPerSecond: digest },
         },
         next: [
-            `**The choice of the owner breaks the budget**: it hashes each host's name anew for each request. ${NOT_BUILT} The owner depends on pool, region and list of hosts alone, and the list changes ${NODE.listChangesPerDay} times a day: kept for each list, a choice costs a look-up. Only the hosts of the region should be asked: ${
+            `The owners are kept for each list of hosts, and a choice is a look-up. Made for each request and twice for each announcement, as at first, they took ${
+                formatProcessor(choose * choicesWithoutTable)
+            }. ${NOT_BUILT} Only the hosts of the region are asked: ${
                 Math.round(SIZE.nodes / SIZE.regions)
             } instead of ${SIZE.nodes}.`,
             `**Passing announcements on breaks the budget.** ${NOT_BUILT} The answer to an announcement names the owner of the queue, so that the upstream sends the next ones there and nothing is passed on. The owner gives the next owner a digest in ${DIGEST_SECONDS} s: ${COMPACT_BYTES} B for each of ${
--- a/src/bench/slopes/capacity/roles/voter.ts
+++ b/src/bench/slopes/capacity/roles/voter.ts
@@ -99,13 +99,13 @@
             `Idle pulls grow faster than hosts: each answer lists all entries before it finds the list unchanged. ${NOT_BUILT} The version is compared first; then the cost is by hosts alone. A burst of changes was measured with 200 entries: ${
                 formatNumber(book.perUnit("pulls.rate.processor"))
             } ms/s for each change a second.`,
-            `**Past 32 MB of kept answers each call scans the ledger**: ${
+            `Past 32 MB of kept answers the oldest is found in a list of its own: a call takes ${
                 formatNumber(book.first("ledger.full.call"))
             } µs with ${formatNumber(book.smallest("ledger.full.call"))} records and ${
                 formatNumber(book.last("ledger.full.call"))
             } µs with ${formatNumber(book.largest("ledger.full.call"))}, against ${
                 formatNumber(book.mean("ledger.call"))
-            } µs below that. ${NOT_BUILT} The records that still have an answer stand in a list of their own, so that the oldest is found at once.`,
+            } µs below that. Before that list it took 2,604 µs with 40,000 records (measured on 3 December 2026, busy machine).`,
             `**Call records break the memory** by far. ${NOT_BUILT} They leave the control log for a ledger of their own, split by workspace hash over ${GROUPS} groups on the ${SIZE.controlHosts} control hosts, with records on disk and an index of 24 B for each in memory, kept for one hour in memory and for the rest of the day on disk: ${
                 formatBytes(24 * calls * 3_600 / GROUPS)
             } for each host. ${formatNumber(calls / GROUPS)} records a second and group, two entries each, at ${
