--- a/src/tools/processes/index.ts
+++ b/src/tools/processes/index.ts
@@ -4,6 +4,12 @@
 
 const DIST = join(dirname(fileURLToPath(import.meta.url)), "..", "..");
 
+/** Programs that run. They end with the launcher, however it ends: a launcher that crashed would leave a fleet behind. */
+const running = new Set<ChildProcess>();
+process.once("exit", () => {
+    for (const child of running) child.kill("SIGKILL");
+});
+
 /** How a program ended. */
 export interface ProgramExit {
     readonly code: number | undefined;
@@ -30,6 +36,8 @@
      */
     constructor(script: string, args: readonly string[]) {
         this.child = spawn(process.execPath, [join(DIST, script), ...args], { stdio: ["ignore", "pipe", "pipe"] });
+        running.add(this.child);
+        this.child.once("exit", () => running.delete(this.child));
         this.child.stdout!.on("data", chunk => this.output += chunk);
         this.child.stderr!.on("data", chunk => this.errors += chunk);
         this.exited = new Promise(resolve => {
