--- a/src/consensus/leadership/index.ts
+++ b/src/consensus/leadership/index.ts
@@ -26,7 +26,8 @@
     private readonly lifecycle = new Lifecycle();
     private readonly replicators = new Map<StoreId, Replicator>();
     private readonly proposals = new Map<LogIndex, (result: ProposeResult) => void>();
-    private readonly startedAt: number;
+    /** When it began, as `Clock.elapsed` counts. */
+    readonly startedAt: number;
     private firstIndex = 0 as LogIndex;
     private hasEnded = false;
 
@@ -41,7 +42,7 @@
         private readonly onLease: () => void,
     ) {
         this.term = replica.term;
-        this.startedAt = replica.clock.monotonic();
+        this.startedAt = replica.clock.elapsed();
     }
 
     /** Appends the entry that opens the term: entries of earlier terms are committed only through one of its own. */
@@ -58,7 +59,7 @@
         return this.firstIndex > 0 && this.replica.appliedIndex >= this.firstIndex;
     }
 
-    /** Until when, on the monotonic clock, a majority has promised to elect no other leader. */
+    /** Until when, as `Clock.elapsed` counts, a majority has promised to elect no other leader. */
     leaseUntil(): number {
         return this.quorumContactAt() + leaderLeaseMs(this.replica.timing);
     }
@@ -144,7 +145,7 @@
 
     private quorumContactAt(): number {
         const { replica } = this;
-        const now = replica.clock.monotonic();
+        const now = replica.clock.elapsed();
         return reachedByMajority(replica.configuration, ({ storeId }) => {
             return storeId === replica.storeId ? now : this.replicators.get(storeId)?.contactAt ?? 0;
         });
@@ -156,7 +157,7 @@
         while (!signal.aborted) {
             await clock.sleep(timing.heartbeatMs, signal);
             const heardAt = Math.max(this.startedAt, this.quorumContactAt());
-            if (!signal.aborted && clock.monotonic() - heardAt > timing.leaseMs) this.replica.stepDown();
+            if (!signal.aborted && clock.elapsed() - heardAt > timing.leaseMs) this.replica.stepDown();
         }
     }
 
--- a/src/consensus/membership/index.ts
+++ b/src/consensus/membership/index.ts
@@ -6,6 +6,7 @@
     Configuration,
     findMember,
     findPredecessor,
+    findVoters,
     Member,
     moveMember,
     promoteLearner,
@@ -16,6 +17,11 @@
 import { Replica } from "../replica/index.js";
 
 const LOG_EVERY_MS = 10_000;
+/**
+ * A voter silent for this long may be replaced by a new host that waits, in milliseconds. Three times a lease: a restart takes
+ * less, and a replacement that comes too early costs a returning host its folder.
+ */
+const DEAD_AFTER_MS = 3_000;
 
 /**
  * Keeps the members' list true: a replica that is not in it asks to join, and the leader takes it in, promotes it
@@ -36,6 +42,8 @@
         private readonly links: PeerLinks,
         private readonly address: Address,
         private readonly bootstrap: readonly Address[],
+        /** Beyond so many voters a learner takes the place of a dead one, and waits while there is none. */
+        private readonly targetVoters = Number.POSITIVE_INFINITY,
     ) {}
 
     /** Makes the next change that is due, if any. */
@@ -46,7 +54,10 @@
             return member.role === "learner" && this.isSynced(member, leadership);
         });
         if (!learner) return;
-        const dead = findPredecessor(configuration, learner);
+        const predecessor = findPredecessor(configuration, learner);
+        const isFull = findVoters(configuration).length >= this.targetVoters;
+        const dead = predecessor ?? (isFull ? this.findDeadVoter(leadership) : undefined);
+        if (isFull && !dead) return;
         const next = dead
             ? removeMember(configuration, dead.storeId)
             : promoteLearner(configuration, learner.storeId);
@@ -145,10 +156,27 @@
         return leader && findMember(configuration, leader.storeId)?.address;
     }
 
+    /**
+     * The voter that has been silent for longest, if that is long enough to take its host for lost.
+     *
+     * Guards against a cluster that wears out: hosts are replaced by new ones under other names, and without this each one
+     * that is gone would count as a voter for ever, until a majority of the list is no more.
+     */
+    private findDeadVoter(leadership: Leadership): Member | undefined {
+        const { configuration, clock, storeId } = this.replica;
+        const silentMs = (member: Member): number => {
+            const contactAt = leadership.replicatorOf(member.storeId)?.contactAt ?? Number.NEGATIVE_INFINITY;
+            return clock.elapsed() - Math.max(contactAt, leadership.startedAt);
+        };
+        const others = findVoters(configuration).filter(member => member.storeId !== storeId);
+        const silent = others.filter(member => silentMs(member) >= DEAD_AFTER_MS);
+        return silent.sort((a, b) => silentMs(b) - silentMs(a))[0];
+    }
+
     private isSynced(learner: Member, leadership: Leadership): boolean {
         const replicator = leadership.replicatorOf(learner.storeId);
         return replicator !== undefined && replicator.matchIndex >= this.replica.commitIndex
-            && this.replica.clock.monotonic() - replicator.contactAt < this.replica.timing.leaseMs;
+            && this.replica.clock.elapsed() - replicator.contactAt < this.replica.timing.leaseMs;
     }
 
     /** A host whose known folder still answers has not lost it: two processes run under one name. */
@@ -158,7 +186,7 @@
             if (host !== req.host) return false;
             if (known === storeId) return true;
             const contactAt = leadership.replicatorOf(known)?.contactAt ?? Number.NEGATIVE_INFINITY;
-            return clock.monotonic() - contactAt < timing.leaseMs;
+            return clock.elapsed() - contactAt < timing.leaseMs;
         });
     }
 
--- a/src/consensus/message/index.ts
+++ b/src/consensus/message/index.ts
@@ -89,6 +89,8 @@
 export interface StatusRequest {
     readonly host: HostId;
     readonly storeId: StoreId;
+    /** `IP:port` of the sender, for lists that name addresses only. */
+    readonly address?: string;
 }
 
 export interface StatusReply {
--- a/src/consensus/replicatedLog/index.ts
+++ b/src/consensus/replicatedLog/index.ts
@@ -4,7 +4,7 @@
 import { Logger } from "../../logging/index.js";
 import { Address, Clock, Disk, Network, Random, Timer } from "../../ports/index.js";
 import { LogStore } from "../../store/index.js";
-import { PeerIdentity, PeerRouter, PeerTiming } from "../../wire/index.js";
+import { PeerError, PeerIdentity, PeerRouter, PeerTiming } from "../../wire/index.js";
 import { Gate } from "../_lib/gate.js";
 import { ControlLog, ProposeError } from "../controlLog/index.js";
 import { Election } from "../election/index.js";
@@ -46,6 +46,10 @@
     readonly address: Address;
     /** The control hosts by the settings, this one too: the same list on each. */
     readonly bootstrap: readonly BootstrapMember[];
+    /** False: this replica joins a cluster and never founds one. True where left out. */
+    readonly mayFound?: boolean;
+    /** How many voters there should be; undefined: each member becomes one. */
+    readonly targetVoters?: number;
     readonly stateMachine: StateMachine;
     readonly timing?: LogTiming;
     readonly peerTiming?: PeerTiming;
@@ -106,10 +110,11 @@
         this.links = new PeerLinks({ ...options, timing: peerTiming }, this.lifecycle);
         this.follower = new Follower(this.replica);
         this.snapshotter = new Snapshotter(this.replica);
-        const member: BootstrapMember = { host: self.host, address: options.address };
-        this.founding = new Founding(this.replica, this.links, options.random, member, options.bootstrap);
-        const addresses = options.bootstrap.map(({ address }) => address);
-        this.membership = new Membership(this.replica, this.links, options.address, addresses);
+        const member = { host: self.host, address: options.address };
+        const { bootstrap, mayFound } = options;
+        this.founding = new Founding(this.replica, this.links, options.random, member, bootstrap, mayFound);
+        const addresses = bootstrap.map(({ address }) => address);
+        this.membership = new Membership(this.replica, this.links, options.address, addresses, options.targetVoters);
         this.addMethods(options.router);
     }
 
@@ -143,7 +148,7 @@
     holdsLease(): boolean {
         const { leadership } = this;
         if (!leadership?.isEstablished || this.lifecycle.isClosing) return false;
-        return this.replica.clock.monotonic() < leadership.leaseUntil();
+        return this.replica.clock.elapsed() < leadership.leaseUntil();
     }
 
     fencingToken(): FencingToken {
@@ -233,12 +238,28 @@
         router.add(Method.ReadIndex, (): ReadIndexReply => this.holdsLease() ? { index: this.appliedIndex() } : {});
     }
 
+    /**
+     * Asks the replica that leads, by a method of the process there.
+     *
+     * @param timeoutMs - How long to wait for the answer, in milliseconds.
+     */
+    async askHolder(method: string, body: unknown, timeoutMs: number): Promise<Either<PeerError, unknown>> {
+        const address = this.findLeaderAddress();
+        if (!address) return Left(new PeerError("unreachable", false, "no leader is known"));
+        return this.links.call(address, method, body, timeoutMs);
+    }
+
+    private findLeaderAddress(): Address | undefined {
+        const { leader, configuration } = this.replica;
+        if (this.leadership) return undefined;
+        return configuration.members.find(({ storeId }) => storeId === leader?.storeId)?.address;
+    }
+
     private async askReadIndex(timeoutMs: number): Promise<LogIndex | undefined> {
         if (this.holdsLease()) return this.appliedIndex();
-        const { leader, configuration } = this.replica;
-        const member = configuration.members.find(({ storeId }) => storeId === leader?.storeId);
-        if (!member || this.leadership) return undefined;
-        const reply = await this.links.call<ReadIndexReply>(member.address, Method.ReadIndex, {}, timeoutMs);
+        const address = this.findLeaderAddress();
+        if (!address) return undefined;
+        const reply = await this.links.call<ReadIndexReply>(address, Method.ReadIndex, {}, timeoutMs);
         return reply.map(({ index }) => index).orDefault(undefined);
     }
 
@@ -272,7 +293,7 @@
         const holds = this.holdsLease();
         this.leaseEnd?.cancel();
         if (holds) {
-            const remaining = this.leadership!.leaseUntil() - this.replica.clock.monotonic();
+            const remaining = this.leadership!.leaseUntil() - this.replica.clock.elapsed();
             const mostMs = this.replica.timing.leaseMs;
             this.leaseEnd = this.replica.clock.after(Math.min(remaining, mostMs), () => this.tellHolder());
         }
--- a/src/consensus/replicator/index.ts
+++ b/src/consensus/replicator/index.ts
@@ -64,7 +64,7 @@
         return this.matched;
     }
 
-    /** When the newest heartbeat that the peer answered left here, on the monotonic clock. */
+    /** When the newest heartbeat that the peer answered left here, as `Clock.elapsed` counts. */
     get contactAt(): number {
         return this.contact;
     }
@@ -89,7 +89,7 @@
     async beat(): Promise<void> {
         const { replica } = this;
         // Taken before the request leaves: the peer's promise starts later, so the lease counted from here ends earlier.
-        const sentAt = replica.clock.monotonic();
+        const sentAt = replica.clock.elapsed();
         const request: HeartbeatRequest = { ...this.header(), commit: replica.commitIndex };
         const reply = await this.call<HeartbeatReply>(Method.Heartbeat, request, replica.timing.leaseMs);
         reply.ifRight(({ ok }) => {
--- a/src/control/_lib/httpMessage.ts
+++ b/src/control/_lib/httpMessage.ts
@@ -5,7 +5,7 @@
 const LINE_END = "\r\n";
 
 /** Writes a POST that asks for the connection to be closed after the answer. */
-export function formatPost({ address, path, body }: FencedCall): Uint8Array {
+export function formatPost({ address, path, headers = [], body }: FencedCall): Uint8Array {
     const json = Buffer.from(JSON.stringify(body));
     const head = [
         `POST ${path} HTTP/1.1`,
@@ -13,6 +13,7 @@
         "content-type: application/json",
         `content-length: ${json.length}`,
         "connection: close",
+        ...headers.map(([name, value]) => `${name}: ${value}`),
     ].join(LINE_END);
     return Buffer.concat([Buffer.from(head + HEAD_END, "latin1"), json]);
 }
--- a/src/control/connectionSender/index.ts
+++ b/src/control/connectionSender/index.ts
@@ -5,7 +5,7 @@
 
 const CONNECT_MS = 2_000;
 /** After this long without a whole answer the connection is reset, with what the kernel still holds. */
-const FLIGHT_MS = 5_000;
+const DEFAULT_FLIGHT_MS = 5_000;
 const MAX_REPLY_BYTES = 4 * 1024 * 1024;
 
 /**
@@ -20,16 +20,19 @@
  * const sender = new ConnectionSender(network, clock);
  */
 export class ConnectionSender extends FencedSender {
-    readonly flightMs = FLIGHT_MS;
     private readonly open = new Set<Connection>();
 
-    constructor(private readonly network: Network, private readonly clock: Clock) {
+    constructor(
+        private readonly network: Network,
+        private readonly clock: Clock,
+        readonly flightMs = DEFAULT_FLIGHT_MS,
+    ) {
         super();
     }
 
     async send(call: FencedCall, mayLeave: () => boolean): Promise<Either<FencedSendError, FencedReply>> {
         const bytes = formatPost(call);
-        const connected = await this.network.connect(call.address, CONNECT_MS);
+        const connected = await this.network.connect(call.address, Math.min(CONNECT_MS, this.flightMs));
         const connection = connected.toMaybe().extract();
         if (!connection) return Left(new FencedSendError("unreachable", false));
         if (!mayLeave()) {
@@ -47,7 +50,7 @@
     private async awaitReply(connection: Connection): Promise<Either<FencedSendError, FencedReply>> {
         let reason: "lost" | "timeout" = "lost";
         this.open.add(connection);
-        const limit = this.clock.after(FLIGHT_MS, () => {
+        const limit = this.clock.after(this.flightMs, () => {
             reason = "timeout";
             connection.reset();
         });
--- a/src/control/controlClient/index.ts
+++ b/src/control/controlClient/index.ts
@@ -21,10 +21,11 @@
 export type EntrySelf = Pick<ViewPull, "host" | "incarnation" | "zone" | "peerAddress" | "adminAddress">;
 
 /** What an answer says of the other entries. */
-type EntryList = Omit<ViewPullReply, "change" | "leaseMs">;
+type EntryList = Omit<ViewPullReply, "change" | "leaseMs" | "controls">;
 
 /** What the client is made of. */
 export interface ControlClientOptions {
+    /** May change while the client runs. */
     readonly links: readonly ControlLink[];
     readonly clock: Clock;
     readonly random: Random;
@@ -36,6 +37,8 @@
     readonly onChange?: (change: ViewChange) => void;
     /** Told when the list of the other entries has changed. */
     readonly onEntries?: (entries: readonly EntryView[]) => void;
+    /** Told which control processes there are, `IP:port`, with each answer that says so. */
+    readonly onControls?: (addresses: readonly string[]) => void;
 }
 
 /** A command that got no answer in time. */
@@ -49,8 +52,8 @@
 /**
  * An entry's way to the control hosts: one task that keeps the view fresh, and commands to whoever holds the lease.
  *
- * Guards against work on an outdated view: the freshness lease is counted from the moment the pull left, on the
- * monotonic clock, so an entry that was cut off or frozen finds its view stale no later than the holder does.
+ * Guards against work on an outdated view: the freshness lease is counted from the moment the pull left, as `Clock.elapsed`
+ * counts, so an entry that was cut off, frozen or suspended finds its view stale no later than the holder does.
  *
  * @example
  * lifecycle.run(signal => client.run(signal), logError);
@@ -73,7 +76,7 @@
 
     /** True while new work may be taken on the view in the cache. */
     isFresh(): boolean {
-        return this.options.clock.monotonic() < this.freshUntil;
+        return this.options.clock.elapsed() < this.freshUntil;
     }
 
     /** Says with each further pull whether this entry is about to stop. */
@@ -140,19 +143,20 @@
             takesPacked: true,
             takesEntryChanges: true,
         };
-        const leftAt = clock.monotonic();
+        const leftAt = clock.elapsed();
         const answer = await this.currentLink().call(VIEW_PULL_METHOD, pull, waitMs + PULL_MARGIN_MS);
         answer.ifLeft(err => this.leaveLink(err));
         answer.ifRight(reply => this.takeReply(reply as ViewPullReply, leftAt));
         return answer.isRight();
     }
 
-    private takeReply({ change, leaseMs, ...list }: ViewPullReply, leftAt: number): void {
+    private takeReply({ change, leaseMs, controls, ...list }: ViewPullReply, leftAt: number): void {
         const { cache, onChange, onEntries } = this.options;
         const taken = change !== undefined && cache.apply(change);
         this.pulledOnce = true;
         this.freshUntil = Math.max(this.freshUntil, leftAt + leaseMs);
         if (taken) onChange?.(change);
+        if (controls) this.options.onControls?.(controls);
         if (list.entriesUnchanged) return;
         this.takeEntries(list);
         this.entriesVersion = list.entriesVersion;
--- a/src/control/controlProcess/index.ts
+++ b/src/control/controlProcess/index.ts
@@ -11,6 +11,7 @@
 import { OrderSender } from "../orderSender/index.js";
 import { PurchasePolicy, PurchaseRunner } from "../purchaseRunner/index.js";
 import { ControlState } from "../state/index.js";
+import { RoutingDuties, RoutingService } from "../routingService/index.js";
 import { UsageReporter } from "../usageReporter/index.js";
 import { WindowCloser } from "../windowCloser/index.js";
 
@@ -45,6 +46,8 @@
     readonly windowGraceMs: number;
     /** Undefined: no orders and no usage reports are sent. */
     readonly platform: PlatformAccess | undefined;
+    /** Undefined: calls are not routed by a fleet document. */
+    readonly routing?: RoutingDuties;
 }
 
 /**
@@ -59,6 +62,8 @@
         readonly log: ReplicatedLog,
         readonly service: ControlService,
         readonly state: ControlState,
+        /** Undefined where calls are not routed by a fleet document. */
+        readonly routing: RoutingService | undefined,
         private readonly lifecycle: Lifecycle,
     ) {}
 
@@ -68,7 +73,7 @@
      * @throws StoreError when the data folder is damaged or in use, NetworkError when the address is taken.
      */
     static async start(options: ControlOptions): Promise<ControlProcess> {
-        const { clock, logTiming, timing, peers: address, members, viewLeaseMs, logger } = options;
+        const { clock, logTiming, timing, peers: address, members, viewLeaseMs, logger, routing } = options;
         const lifecycle = new Lifecycle();
         const router = new PeerRouter();
         const state = new ControlState();
@@ -80,11 +85,16 @@
             stateMachine: state,
             timing: logTiming,
             peerTiming: timing,
+            mayFound: routing?.mayFound,
+            targetVoters: routing?.voters,
         });
         lifecycle.own(() => log.close());
-        const service = new ControlService({ log, state, clock, router, viewLeaseMs });
+        const listControls = (): string[] => log.configuration().members.map(member => formatAddress(member.address));
+        const service = new ControlService({ log, state, clock, router, viewLeaseMs, listControls });
         lifecycle.own(() => service.close());
-        const control = new ControlProcess(log, service, state, lifecycle);
+        const parts = { ...options, log, state, service, router, lifecycle };
+        const routed = routing && new RoutingService({ ...parts, routing });
+        const control = new ControlProcess(log, service, state, routed, lifecycle);
         try {
             const peers = await servePeers({ ...options, address, router });
             lifecycle.own(() => peers.close());
@@ -94,6 +104,7 @@
             throw err;
         }
         log.start();
+        routed?.start();
         const runner = control.makeRunner(options);
         lifecycle.run(
             signal => runner.run(signal),
@@ -120,8 +131,8 @@
     }
 
     private makeRunner(options: ControlOptions): HolderRunner {
-        const { clock, network, logger, logTiming } = options;
-        const sender = new ConnectionSender(network, clock);
+        const { clock, network, logger, logTiming, routing } = options;
+        const sender = new ConnectionSender(network, clock, routing?.platform?.flightMs);
         this.lifecycle.own(() => sender.resetAll());
         return new HolderRunner({
             log: this.log,
@@ -139,6 +150,7 @@
         const tasks: HolderTask[] = [
             new WindowCloser({ ...parts, graceMs }),
             new EntrySweeper({ ...parts, entries: this.service.entries }),
+            ...this.routing?.makeTasks(sender) ?? [],
         ];
         if (operators) {
             const operatorAddress = formatAddress(operators);
--- a/src/control/controlService/index.ts
+++ b/src/control/controlService/index.ts
@@ -24,6 +24,8 @@
     readonly router: PeerRouter;
     /** How long an entry may work on one view, in milliseconds. */
     readonly viewLeaseMs: number;
+    /** `IP:port` of the control processes. */
+    readonly listControls?: () => readonly string[];
 }
 
 /** Asked of a process that may not answer; the message names who may, as far as is known. */
@@ -117,7 +119,8 @@
         this.entries.noteAnswer(pull);
         const isCurrent = pull.revision === state.revision && pull.revision > 0;
         const change = isCurrent ? {} : { change: this.describeChange(pull) };
-        return { ...change, leaseMs: viewLeaseMs, ...this.describeEntries(pull) };
+        const controls = this.options.listControls?.();
+        return { ...change, leaseMs: viewLeaseMs, controls, ...this.describeEntries(pull) };
     }
 
     private describeChange(pull: ViewPull): ViewChange {
--- a/src/control/fencedSender/index.ts
+++ b/src/control/fencedSender/index.ts
@@ -1,10 +1,12 @@
 import { Either } from "purify-ts";
-import { Address } from "../../ports/index.js";
+import { Address, HeaderList } from "../../ports/index.js";
 
 /** A request that the holder of the lease alone may send. */
 export interface FencedCall {
     readonly address: Address;
     readonly path: string;
+    /** Besides those that any request has; names in lower case. */
+    readonly headers?: HeaderList;
     /** Sent as JSON, by POST. */
     readonly body: unknown;
 }
--- /dev/null
+++ b/src/control/startsCloser/index.ts
@@ -0,0 +1,70 @@
+import { ControlLog } from "../../consensus/index.js";
+import { Logger } from "../../logging/index.js";
+import { TrueTime } from "../../time/index.js";
+import { HolderTask } from "../holderRunner/index.js";
+import { HolderTerm } from "../holderTerm/index.js";
+import { StartsDesk } from "../startsDesk/index.js";
+import { ControlState } from "../state/index.js";
+
+const PAUSE_MS = 250;
+/** Reports of what began just before the end are under way for so long at most, in milliseconds, when nothing is wrong. */
+const SETTLE_MS = 700;
+/** How many windows back a holder begins when none has been closed yet. */
+const FIRST_LOOK_BACK = 4;
+
+/** What the closer is made of. */
+export interface StartsCloserOptions {
+    readonly log: ControlLog;
+    readonly state: ControlState;
+    readonly desk: StartsDesk;
+    readonly time: TrueTime;
+    readonly logger: Logger;
+    readonly windowMs: number;
+    /** How long after its end a window waits for entries that have not reported, in milliseconds. */
+    readonly patienceMs: number;
+}
+
+/** Closes windows of started requests by an entry in the log, which freezes their counts before anything is reported. */
+export class StartsCloser extends HolderTask {
+    readonly name = "starts-closer";
+
+    constructor(private readonly options: StartsCloserOptions) {
+        super();
+    }
+
+    async step(term: HolderTerm): Promise<number> {
+        const { desk, time, windowMs } = this.options;
+        const now = time.now();
+        desk.forgetBefore(now, windowMs);
+        for (let window = this.firstOpen(now); this.isDue(window, now); window++) {
+            if (!term.mayAct()) return PAUSE_MS;
+            await this.close(window, now);
+        }
+        return PAUSE_MS;
+    }
+
+    private firstOpen(now: number): number {
+        const { state, desk, windowMs } = this.options;
+        const { lastClosed } = state.starts;
+        const oldest = Math.floor(now / windowMs) - FIRST_LOOK_BACK;
+        if (lastClosed === undefined) return Math.max(oldest, desk.firstWindow() ?? Number.POSITIVE_INFINITY);
+        return lastClosed + 1;
+    }
+
+    private isDue(window: number, now: number): boolean {
+        const { desk, windowMs, patienceMs } = this.options;
+        const end = (window + 1) * windowMs;
+        if (now < end + SETTLE_MS) return false;
+        return now >= end + patienceMs || desk.isWhole(end + SETTLE_MS / 2);
+    }
+
+    private async close(window: number, now: number): Promise<void> {
+        const { log, desk, logger, windowMs } = this.options;
+        const counts = desk.sum(window);
+        const closed = await log.propose({ kind: "starts.close", window, counts });
+        const workspaces = Object.keys(counts).length;
+        const ageMs = Math.round(now - (window + 1) * windowMs);
+        const whole = desk.isWhole((window + 1) * windowMs);
+        logger.info("starts-closed", { window, workspaces, ageMs, whole, committed: closed.isRight() });
+    }
+}
--- a/src/control/state/index.ts
+++ b/src/control/state/index.ts
@@ -2,11 +2,16 @@
 import { Revision } from "../../ids/index.js";
 import { CallLedger, CallRecord, LedgerChange } from "../../ledger/index.js";
 import { OrderBook, OrderIntentCommand, OrderOutcomeCommand, OrderSnapshot } from "../../order/index.js";
+import { DocumentBook, HeldDocument, ReplaceDocumentCommand, ReplaceDocumentResult } from "../../routing/index.js";
 import {
+    CloseStartsCommand,
     CloseWindowCommand,
     ReportedCommand,
     SpendBook,
     SpendSnapshot,
+    StartsBook,
+    StartsReportedCommand,
+    StartsSnapshot,
     UsageBook,
     UsageSnapshot,
 } from "../../usage/index.js";
@@ -27,7 +32,10 @@
     | ReportedCommand
     | OrderIntentCommand
     | OrderOutcomeCommand
-    | AnnounceHolderCommand;
+    | AnnounceHolderCommand
+    | ReplaceDocumentCommand
+    | CloseStartsCommand
+    | StartsReportedCommand;
 
 /** The answer to a command whose kind this version does not know. A newer version must not propose a new kind before each
  * replica runs it: replicas that skip a command would differ from those that do not. */
@@ -44,6 +52,10 @@
     readonly orders: OrderSnapshot;
     /** Missing in snapshots of before there was one. */
     readonly directory?: readonly ControlAddress[];
+    /** Missing as long as there is no document, as in older snapshots. */
+    readonly document?: HeldDocument;
+    /** Missing in snapshots of before there was one. */
+    readonly starts?: StartsSnapshot;
 }
 
 /**
@@ -60,12 +72,14 @@
     readonly spend = new SpendBook();
     readonly orders = new OrderBook();
     readonly directory = new ControlDirectory();
+    readonly documents = new DocumentBook();
+    readonly starts = new StartsBook();
     private readonly history = new ViewHistory();
     private readonly listeners = new Set<() => void>();
 
-    /** The revision of the configuration. */
+    /** The revision of the configuration: of workspaces and keys, or of the fleet document, whichever changed last. */
     get revision(): Revision {
-        return this.registry.revision;
+        return Math.max(this.registry.revision, this.documents.revision) as Revision;
     }
 
     apply(command: unknown, context: ApplyContext): unknown {
@@ -74,7 +88,11 @@
 
     /** What entries at a revision need to know; everything when the history does not reach back so far. */
     changeSince(revision: number): ViewChange {
-        return this.history.changeSince(revision, this.registry);
+        const { registry, documents } = this;
+        const change = this.history.changeSince(Math.min(revision, registry.revision), registry);
+        const isNewDocument = documents.revision > revision;
+        const document = isNewDocument ? { document: documents.held!.document } : {};
+        return { ...change, ...document, revision: this.revision };
     }
 
     /** Calls back after each change of the configuration's revision; gives a way to stop that. */
@@ -92,20 +110,24 @@
             spend: this.spend.snapshot(),
             orders: this.orders.snapshot(),
             directory: this.directory.snapshot(),
+            document: this.documents.snapshot(),
+            starts: this.starts.snapshot(),
         } satisfies ControlSnapshot;
     }
 
     /** @throws Error when the snapshot's layout is newer than this version knows. */
     restore(snapshot: unknown): void {
-        const { version, registry, calls, usage, spend, orders, directory } = snapshot as ControlSnapshot;
+        const { version, registry, calls, usage, spend, orders, ...later } = snapshot as ControlSnapshot;
         if (version > SNAPSHOT_VERSION) throw new Error(`a snapshot of version ${version}`);
         this.registry.restore(registry);
         this.ledger.restore(calls);
         this.usage.restore(usage);
         this.spend.restore(spend);
         this.orders.restore(orders);
-        this.directory.restore(directory ?? []);
-        this.history.restart(this.revision);
+        this.directory.restore(later.directory ?? []);
+        this.documents.restore(later.document);
+        if (later.starts) this.starts.restore(later.starts);
+        this.history.restart(this.registry.revision);
         this.tellListeners();
     }
 
@@ -132,6 +154,12 @@
                 return this.orders.finish(command, context);
             case "holder.announce":
                 return this.directory.announce(command);
+            case "document.replace":
+                return this.replaceDocument(command, context);
+            case "starts.close":
+                return this.starts.close(command);
+            case "starts.reported":
+                return this.starts.markReported(command);
             case "template.put":
             case "workspace.create":
             case "workspace.limit":
@@ -154,6 +182,12 @@
         return change;
     }
 
+    private replaceDocument(command: ReplaceDocumentCommand, context: ApplyContext): ReplaceDocumentResult {
+        const result = this.documents.replace(command, context.index);
+        if (result.state === "replaced") this.tellListeners();
+        return result;
+    }
+
     private reserve(command: ReserveCommand, context: ApplyContext): unknown {
         // One that has been removed has no limit on record, and must not pass for one without a limit.
         const isKnown = this.registry.workspace(command.workspace) !== undefined;
--- a/src/control/view/index.ts
+++ b/src/control/view/index.ts
@@ -1,3 +1,4 @@
+import { FleetDocument } from "../../routing/index.js";
 import { ClassName, KeyHash, KeyId, PoolId, Revision, TemplateName, WorkspaceId } from "../../ids/index.js";
 
 /** What a service class promises, as entries see it. */
@@ -68,6 +69,8 @@
     readonly withdrawnKeys: readonly KeyHash[];
     /** In place of `workspaces` and `keys`, for entries that take it. */
     readonly packed?: PackedViews;
+    /** The fleet document, when it is newer than the revision asked from. */
+    readonly document?: FleetDocument;
 }
 
 /** The method by which an entry asks the holder for changes and renews its freshness lease. */
@@ -122,4 +125,6 @@
     readonly entriesPartial?: boolean;
     /** The list is the one of `entriesVersion`, which the entry has. */
     readonly entriesUnchanged?: boolean;
+    /** `IP:port` of the control processes, as the control log has them. */
+    readonly controls?: readonly string[];
 }
--- a/src/control/viewCache/index.ts
+++ b/src/control/viewCache/index.ts
@@ -1,4 +1,5 @@
 import { KeyHash, Revision, WorkspaceId } from "../../ids/index.js";
+import { RouteTable } from "../../routing/index.js";
 import { HASH_BYTES, NO_LIMIT, packChange, packHash } from "../packedView/index.js";
 import { PackedViews, ProfileView, ViewChange, WorkspaceView } from "../view/index.js";
 
@@ -18,12 +19,18 @@
     private keys = new Map<string, WorkspaceId>();
     private readonly shared = new Map<string, ProfileView>();
     private latest = 0;
+    private table: RouteTable | undefined;
 
     /** The revision in force here; 0 before the first view. */
     get revision(): Revision {
         return this.latest as Revision;
     }
 
+    /** The fleet document in force here; undefined before the first. */
+    get routes(): RouteTable | undefined {
+        return this.table;
+    }
+
     get workspaceCount(): number {
         return this.workspaces.size;
     }
@@ -46,6 +53,7 @@
         const packed = change.packed ?? packChange(change).packed!;
         this.keepWorkspaces(packed);
         this.keepKeys(packed);
+        if (change.document) this.table = new RouteTable(change.document);
         this.latest = change.revision;
         return true;
     }
--- a/src/dispatch/poolQueue/index.ts
+++ b/src/dispatch/poolQueue/index.ts
@@ -313,6 +313,7 @@
         const cost = costInTokens(completion.promptTokens - completion.cachedTokens, completion.completionTokens);
         this.order.correctCost(waiting, completion.outcome === "unused" ? 0 : cost);
         if (completion.outcome === "failed") load.markFailed(now);
+        if (completion.outcome === "refused") load.markBusy(now);
         if (completion.outcome !== "answered") return;
         load.markHealthy();
         if (completion.tokenMs !== undefined) load.learnPace(completion.tokenMs);
--- a/src/dispatch/ticket/index.ts
+++ b/src/dispatch/ticket/index.ts
@@ -74,8 +74,11 @@
 export interface Completion {
     readonly request: RequestId;
     readonly upstream: UpstreamId;
-    /** `failed`: the upstream's fault; `cancelled`: the caller's wish or a preemption; `unused`: it never left. */
-    readonly outcome: "answered" | "failed" | "cancelled" | "unused";
+    /**
+     * `failed`: no answer came from the upstream; `errored`: it ran the request and answered with a failure; `refused`: it did not run
+     * it, being full or about to leave; `cancelled`: the caller's wish or a preemption; `unused`: it never left.
+     */
+    readonly outcome: "answered" | "failed" | "errored" | "refused" | "cancelled" | "unused";
     /** From sending to the first token, in milliseconds; undefined when none came. */
     readonly firstTokenMs?: number;
     /** Mean time between tokens, in milliseconds; undefined below two tokens. */
--- a/src/entry/callRecord/index.ts
+++ b/src/entry/callRecord/index.ts
@@ -5,7 +5,7 @@
 import { CallerError } from "../callerError/index.js";
 import { EntryContext } from "../entryContext/index.js";
 import { CallIdentity } from "../prepareService/index.js";
-import { RunningRequest } from "../runningRequest/index.js";
+import { RunningRequest } from "../../request/index.js";
 
 /** A record that this request has open, or the answer that an earlier one got. */
 export type OpenedCall =
--- a/src/entry/entryProcess/index.ts
+++ b/src/entry/entryProcess/index.ts
@@ -1,4 +1,4 @@
-import { ControlClient, ViewCache } from "../../control/index.js";
+import { ControlClient, ControlLinkSet, ViewCache } from "../../control/index.js";
 import { AttemptBudget, DEFAULT_RETRY_LIMITS, LocalDispatcher, PoolOwnerTable } from "../../dispatch/index.js";
 import { ZoneId } from "../../ids/index.js";
 import { Lifecycle } from "../../lifecycle/index.js";
@@ -15,8 +15,8 @@
     Network,
     Random,
 } from "../../ports/index.js";
-import { UpstreamRegistry } from "../../upstream/index.js";
-import { PeerIdentity, PeerLink, PeerRouter, PeerTiming, servePeers } from "../../wire/index.js";
+import { RegistryTiming, UpstreamRegistry } from "../../upstream/index.js";
+import { PeerIdentity, PeerRouter, PeerTiming, servePeers } from "../../wire/index.js";
 import { AnnouncementSpreader } from "../announcementSpreader/index.js";
 import { DemandReporter } from "../demandReporter/index.js";
 import { EntryContext, EntryLimits } from "../entryContext/index.js";
@@ -24,7 +24,8 @@
 import { FleetDispatcher } from "../fleetDispatcher/index.js";
 import { PeerBatchHolder } from "../peerBatchHolder/index.js";
 import { PeerDirectory } from "../peerDirectory/index.js";
-import { RequestRegistry } from "../requestRegistry/index.js";
+import { RequestRegistry } from "../../request/index.js";
+import { RouteService, RouteServiceSettings } from "../routeService/index.js";
 import { serveAnnouncements } from "../serveAnnouncements/index.js";
 import { serveCallers } from "../serveCallers/index.js";
 import { SpendGate } from "../spendGate/index.js";
@@ -43,12 +44,18 @@
     readonly self: PeerIdentity;
     readonly zone: ZoneId;
     readonly region: string;
-    readonly callers: Address;
-    readonly upstreams: Address;
+    /** Where chats and service calls are served; undefined: nowhere. */
+    readonly callers?: Address;
+    /** Where upstreams announce themselves; undefined: to control processes only. */
+    readonly upstreams?: Address;
     readonly peers: Address;
     /** Where operators reach this process. */
-    readonly admin: Address;
+    readonly admin?: Address;
+    /** Control processes to begin with; the others are learned from them. */
     readonly controlPeers: readonly Address[];
+    /** Undefined: calls are not routed by a fleet document. */
+    readonly routes?: RouteServiceSettings;
+    readonly registryTiming?: RegistryTiming;
     readonly callerLimits: HttpLimits;
     readonly limits: EntryLimits;
     readonly timing: PeerTiming;
@@ -75,8 +82,12 @@
     readonly local: LocalDispatcher;
     readonly dispatcher: FleetDispatcher;
     readonly meter: UsageMeter;
+    /** Undefined where calls are not routed by a fleet document. */
+    readonly routes: RouteService | undefined;
     private readonly lifecycle = new Lifecycle();
     private readonly router = new PeerRouter();
+    private readonly cache = new ViewCache();
+    private readonly links: ControlLinkSet;
     private readonly client: ControlClient;
     private readonly directory: PeerDirectory;
     private readonly spreader: AnnouncementSpreader;
@@ -86,9 +97,14 @@
 
     private constructor(private readonly options: EntryOptions) {
         const { clock, random, self, zone, region } = options;
-        const cache = new ViewCache();
-        this.client = this.makeClient(cache);
-        this.control = new FleetControl(this.client, cache);
+        this.links = new ControlLinkSet({
+            ...options,
+            router: this.router,
+            lifecycle: this.lifecycle,
+            onOpen: channel => this.routes?.follow(channel),
+        });
+        this.client = this.makeClient();
+        this.control = new FleetControl(this.client, this.cache);
         this.directory = new PeerDirectory({
             ...options,
             router: this.router,
@@ -96,7 +112,7 @@
             lifecycle: this.lifecycle,
         });
         const owners = new PoolOwnerTable(region);
-        this.registry = new UpstreamRegistry({ clock });
+        this.registry = new UpstreamRegistry({ clock, timing: options.registryTiming });
         this.local = new LocalDispatcher({ clock, random, registry: this.registry, zone });
         this.dispatcher = new FleetDispatcher({
             clock,
@@ -111,6 +127,7 @@
             holder: new PeerBatchHolder(this.directory, self),
             control: this.control,
         });
+        this.routes = options.routes && this.makeRoutes(options.routes);
     }
 
     /**
@@ -153,11 +170,13 @@
         await clock.sleep(balancerMs);
         this.refusing = true;
         this.local.drain();
+        void this.routes?.stopAccepting();
         const limit = new AbortController();
         const timer = clock.after(graceMs, () => limit.abort());
         await Promise.race([this.requests.idle(), clock.sleep(graceMs, limit.signal)]);
         while (this.meter.backlog > 0 && !limit.signal.aborted) await clock.sleep(BACKLOG_POLL_MS);
         timer.cancel();
+        this.routes?.flushStarts();
         logger.info("drain-ended", { requests: this.requests.size, batches: this.meter.backlog });
         return this.requests.size === 0 && this.meter.backlog === 0;
     }
@@ -171,11 +190,12 @@
         const { lifecycle, options } = this;
         const { logger } = options;
         const onError = (err: unknown): void => logger.error("task-failed", { problem: String((err as Error).stack) });
+        this.links.setSeeds(options.controlPeers);
         const keeper = new UsageKeeper(options.clock, this.control);
         keeper.addTo(this.router);
         this.spreader.addTo(this.router);
         this.dispatcher.addTo(this.router);
-        new TicketServer(this.local, request => this.dispatcher.preemptHere(request)).addTo(this.router);
+        new TicketServer(this.local, options.clock, request => this.dispatcher.preemptHere(request)).addTo(this.router);
         this.dispatcher.onPreempt(request => this.requests.cancel(request, "preempted"));
         this.control.onViewChange(() => this.requests.cancelWithdrawn(hash => !!this.control.findWorkspace(hash)));
         lifecycle.own(() => this.local.close());
@@ -187,14 +207,22 @@
         lifecycle.run(running => keeper.run(running), onError);
         const reporter = this.makeReporter();
         lifecycle.child().run(running => reporter.run(running), onError);
-        const upstreams = await options.http.serve(
-            options.upstreams,
-            DEFAULT_HTTP_LIMITS,
-            serveAnnouncements(announcement => this.spreader.take(announcement)),
-        );
-        lifecycle.own(() => upstreams.close());
+        if (options.upstreams) await this.openUpstreams(options.upstreams);
+        await this.routes?.start(this.client, this.cache, this.links, lifecycle);
+        if (!options.callers) return;
         await this.awaitView(signal);
-        await this.openCallers();
+        await this.openCallers(options.callers);
+    }
+
+    /** Changes the control processes that settings name. */
+    setControlPeers(addresses: readonly Address[]): void {
+        this.links.setSeeds(addresses);
+    }
+
+    private async openUpstreams(address: Address): Promise<void> {
+        const handler = serveAnnouncements(announcement => this.spreader.take(announcement));
+        const upstreams = await this.options.http.serve(address, DEFAULT_HTTP_LIMITS, handler);
+        this.lifecycle.own(() => upstreams.close());
     }
 
     private async awaitView(signal?: AbortSignal): Promise<void> {
@@ -203,10 +231,10 @@
         }
     }
 
-    private async openCallers(): Promise<void> {
+    private async openCallers(address: Address): Promise<void> {
         const { options } = this;
         const listener = await options.http.serve(
-            options.callers,
+            address,
             options.callerLimits,
             serveCallers(this.context(), options.self),
         );
@@ -235,15 +263,22 @@
         };
     }
 
-    private makeClient(cache: ViewCache): ControlClient {
-        const { options } = this;
-        const links = options.controlPeers.map(address => {
-            const link = new PeerLink({ ...options, address, router: this.router });
-            this.lifecycle.run(signal => link.run(signal), () => undefined);
-            return link;
+    private makeRoutes(settings: RouteServiceSettings): RouteService {
+        return new RouteService({
+            ...this.options,
+            settings,
+            router: this.router,
+            registry: this.registry,
+            requests: this.requests,
+            dispatcher: this.dispatcher,
+            isDraining: () => this.announcedDrain,
         });
+    }
+
+    private makeClient(): ControlClient {
+        const { options, cache } = this;
         return new ControlClient({
-            links,
+            links: this.links.list,
             clock: options.clock,
             random: options.random,
             self: {
@@ -251,10 +286,14 @@
                 incarnation: options.self.incarnation,
                 zone: options.zone,
                 peerAddress: formatAddress(options.peers),
-                adminAddress: formatAddress(options.admin),
+                adminAddress: options.admin && formatAddress(options.admin),
             },
             cache,
-            onChange: () => this.control.viewChanged(),
+            onChange: () => {
+                this.control.viewChanged();
+                this.routes?.viewChanged();
+            },
+            onControls: addresses => this.links.setMembers(addresses),
         });
     }
 }
--- a/src/entry/fleetDispatcher/index.ts
+++ b/src/entry/fleetDispatcher/index.ts
@@ -10,7 +10,7 @@
 } from "../../dispatch/index.js";
 import { HostId, PoolId, RequestId } from "../../ids/index.js";
 import { Clock } from "../../ports/index.js";
-import { PeerError, PeerRouter } from "../../wire/index.js";
+import { PeerError, PeerLink, PeerRouter } from "../../wire/index.js";
 import { PeerDirectory } from "../peerDirectory/index.js";
 import { AdoptNotice, DISPATCH_METHODS, TicketReply } from "../ticketServer/index.js";
 
@@ -36,14 +36,22 @@
 const REPLY_SLACK_MS = 500;
 const PROGRESS_EVERY_MS = 200;
 /** After so many owners that did not answer, this host decides by itself. */
-const OWNER_TRIES = 3;
+const OWNER_TRIES = 2;
 const RETRY_AFTER_OWNER_LOST_MS = 1_000;
+/**
+ * How long an owner may take to decide or to say that it will, in milliseconds. An owner that is cut off or frozen costs each
+ * request so much once; the smallest targets are some hundred milliseconds.
+ */
+const OWNER_ANSWER_MS = 120;
+/** Links to so many entries are kept open ahead of their first ticket: a small fleet has one to each. */
+const MOST_WARM_LINKS = 16;
 
 /**
  * Sends each ticket to the entry that owns the pool's queue, so that order and fairness hold over all entries.
  *
- * Guards against an owner that is lost with the queue: the ticket goes to the next owner, with the time it has waited. A
- * grant that the lost owner may have given is not used, since it did not come.
+ * Guards against an owner that is lost with the queue: the ticket goes to the next owner, with the time it has waited, and
+ * after some of these this host decides by itself, by what it knows. A grant that the lost owner may have given is not used, since
+ * it did not come.
  *
  * @example
  * const decision = await dispatcher.submit(ticket, signal);
@@ -51,6 +59,8 @@
 export class FleetDispatcher extends Dispatcher {
     private readonly granted = new Map<RequestId, RunningGrant>();
     private readonly gathered = new Map<HostId, Map<RequestId, number>>();
+    /** Told that an owner keeps a ticket waiting. */
+    private readonly queued = new Map<RequestId, () => void>();
     private preempt: (request: RequestId) => void = () => undefined;
 
     constructor(private readonly options: FleetDispatcherOptions) {
@@ -60,6 +70,7 @@
     /** Takes preemptions that owners send. */
     addTo(router: PeerRouter): void {
         router.add(DISPATCH_METHODS.preempt, body => this.preempt(body as RequestId));
+        router.add(DISPATCH_METHODS.queued, body => this.queued.get(body as RequestId)?.());
     }
 
     /** Which entry owns a pool's queue, as far as this one knows. */
@@ -92,7 +103,13 @@
             // The next owner must know what runs before it judges what waits.
             this.tellNewOwners();
         }
-        return Left(refuse(ticket, "no-upstream", "no owner of the queue answered"));
+        return this.decideHere({ ...ticket, ageMs: ticket.ageMs + clock.monotonic() - startedAt }, signal);
+    }
+
+    private async decideHere(ticket: Ticket, signal: AbortSignal): Promise<Either<Refusal, Grant>> {
+        const { self, local } = this.options;
+        const decision = await local.submit(ticket, signal);
+        return this.takeDecision(ticket, self, decision);
     }
 
     complete(completion: Completion): void {
@@ -123,11 +140,20 @@
             await this.options.clock.sleep(PROGRESS_EVERY_MS, signal);
             for (const [owner, sums] of this.gathered) this.sendProgress(owner, sums);
             this.gathered.clear();
+            this.warmLinks();
             this.suspectLostOwners();
             this.tellNewOwners();
         }
     }
 
+    /** A link opens on its first use, and a ticket that has to wait for that goes to another owner. */
+    private warmLinks(): void {
+        const { directory, self } = this.options;
+        for (const host of directory.candidates().slice(0, MOST_WARM_LINKS)) {
+            if (host !== self) directory.linkTo(host);
+        }
+    }
+
     /**
      * Guards against entries that find out one by one, each with its next ticket, that an owner is lost: the new owner
      * would judge the first tickets without knowing what the other entries run.
@@ -182,13 +208,27 @@
         if (!link) return Left(new PeerError("unreachable", false, owner));
         const cancel = (): void => link.notify(DISPATCH_METHODS.cancel, ticket.request);
         signal.addEventListener("abort", cancel);
-        const limitMs = Math.max(0, ticket.maxWaitMs - ticket.ageMs) + REPLY_SLACK_MS;
-        const reply = await link.call(DISPATCH_METHODS.submit, ticket, limitMs);
+        const reply = await this.awaitOwner(link, ticket);
         signal.removeEventListener("abort", cancel);
         if (reply.isLeft()) cancel();
         return reply.map(body => readReply(body as TicketReply));
     }
 
+    /** The decision, unless the owner neither gives it nor says that the ticket waits. */
+    private async awaitOwner(link: PeerLink, ticket: Ticket): Promise<Either<PeerError, unknown>> {
+        const { clock } = this.options;
+        const limitMs = Math.max(0, ticket.maxWaitMs - ticket.ageMs) + REPLY_SLACK_MS;
+        const silence = new Promise<Either<PeerError, unknown>>(resolve => {
+            const giveUp = (): void => resolve(Left(new PeerError("timeout", true, "the owner says nothing")));
+            const timer = clock.after(OWNER_ANSWER_MS, giveUp);
+            this.queued.set(ticket.request, () => timer.cancel());
+        });
+        const reply = await Promise.race([link.call(DISPATCH_METHODS.submit, ticket, limitMs), silence]);
+        this.queued.get(ticket.request)?.();
+        this.queued.delete(ticket.request);
+        return reply;
+    }
+
     private takeDecision(
         ticket: Ticket,
         owner: HostId,
--- /dev/null
+++ b/src/entry/routeService/index.ts
@@ -0,0 +1,131 @@
+import { ControlClient, ControlLinkSet, ViewCache } from "../../control/index.js";
+import { AnnouncementFollower } from "../../discovery/index.js";
+import { Dispatcher } from "../../dispatch/index.js";
+import { Lifecycle } from "../../lifecycle/index.js";
+import { Logger } from "../../logging/index.js";
+import { Metrics } from "../../metrics/index.js";
+import { CallDialect, RepeatBudget, RepeatLimits, serveCalls } from "../../passthrough/index.js";
+import { Address, Clock, formatAddress, Http, HttpLimits, HttpListener, Random } from "../../ports/index.js";
+import { RequestRegistry } from "../../request/index.js";
+import { CallerLimits, DEFAULT_CALLER_LIMITS } from "../../routing/index.js";
+import { TrueTime } from "../../time/index.js";
+import { UpstreamRegistry } from "../../upstream/index.js";
+import { StartMeter } from "../../usage/index.js";
+import { PeerChannel, PeerIdentity, PeerRouter } from "../../wire/index.js";
+import { FleetRouteView } from "../fleetRouteView/index.js";
+import { StartsSender } from "../startsSender/index.js";
+
+/** The most header bytes that the listener reads at all; the document's own bound is checked for each call. */
+const MOST_HEADER_BYTES = 64 * 1024;
+/** How long a body may take, in milliseconds. */
+const BODY_TIMEOUT_MS = 30_000;
+
+/** How an entry serves calls that are routed by the fleet document. */
+export interface RouteServiceSettings {
+    /** Where callers are served. */
+    readonly callers: Address;
+    readonly dialect: CallDialect;
+    readonly repeats: RepeatLimits;
+    /** The length of the windows in which started requests are counted, in milliseconds. */
+    readonly startsWindowMs: number;
+}
+
+/** What the service is made of. */
+export interface RouteServiceOptions {
+    readonly settings: RouteServiceSettings;
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly http: Http;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+    readonly self: PeerIdentity;
+    readonly router: PeerRouter;
+    readonly registry: UpstreamRegistry;
+    readonly requests: RequestRegistry;
+    readonly dispatcher: Dispatcher;
+    readonly isDraining: () => boolean;
+}
+
+/**
+ * An entry's part in routed calls: hears of upstreams from the control processes, serves callers, counts started requests.
+ *
+ * @example
+ * const service = new RouteService(options);
+ * await service.start(client, cache, links, lifecycle);
+ */
+export class RouteService {
+    private readonly time: TrueTime;
+    private readonly starts: StartMeter;
+    private readonly follower: AnnouncementFollower;
+    private view: FleetRouteView | undefined;
+    private listener: HttpListener | undefined;
+    private limitsOf = -1;
+    private sender: StartsSender | undefined;
+
+    constructor(private readonly options: RouteServiceOptions) {
+        const { clock, settings } = options;
+        this.time = new TrueTime(clock);
+        this.starts = new StartMeter(settings.startsWindowMs);
+        this.follower = new AnnouncementFollower({
+            ...options,
+            onWallTime: (host, wallMs) => this.time.learn(host, wallMs),
+        });
+    }
+
+    /** Whether callers can be served: there is a fresh document, and upstreams are heard of. */
+    get isReady(): boolean {
+        const hasView = this.view !== undefined && this.view.isFresh() && this.view.routes() !== undefined;
+        return hasView && this.follower.hubCount > 0 && this.listener !== undefined && !this.options.isDraining();
+    }
+
+    /** Follows the control process at the other end of a channel. */
+    follow(channel: PeerChannel): void {
+        void this.follower.follow(channel);
+    }
+
+    /** Opens the callers' port: calls that come before there is a document are refused with a time to come back. */
+    async start(client: ControlClient, cache: ViewCache, links: ControlLinkSet, lifecycle: Lifecycle): Promise<void> {
+        const { settings, http, self, clock, logger } = this.options;
+        const view = new FleetRouteView(client, cache);
+        this.view = view;
+        const handler = serveCalls({
+            ...this.options,
+            self: self.host,
+            dialect: settings.dialect,
+            view,
+            repeats: new RepeatBudget(clock, settings.repeats),
+            starts: this.starts,
+            time: this.time,
+        });
+        const listener = await http.serve(settings.callers, toHttpLimits(DEFAULT_CALLER_LIMITS), handler);
+        this.listener = listener;
+        lifecycle.own(() => listener.close());
+        const sender = new StartsSender({ clock, self, meter: this.starts, time: this.time, links: links.list });
+        this.sender = sender;
+        lifecycle.run(signal => sender.run(signal), err => logger.error("task-failed", { problem: String(err) }));
+        logger.info("routes-served", { callers: formatAddress(listener.address) });
+    }
+
+    /** Takes over the limits of a document that has just come into force. */
+    viewChanged(): void {
+        const routes = this.view?.routes();
+        if (!routes || routes.version === this.limitsOf) return;
+        this.limitsOf = routes.version;
+        this.listener?.setLimits(toHttpLimits(routes.limits));
+        this.options.logger.info("document-in-force", { version: routes.version });
+    }
+
+    /** Takes no more connections; answers under way go on. */
+    async stopAccepting(): Promise<void> {
+        await this.listener?.stopAccepting();
+    }
+
+    /** Hands over what was counted, before the process ends. */
+    flushStarts(): void {
+        this.sender?.sendOnce();
+    }
+}
+
+function toHttpLimits({ headerTimeoutMs, idleTimeoutMs }: CallerLimits): HttpLimits {
+    return { headerBytes: MOST_HEADER_BYTES, headerTimeoutMs, requestTimeoutMs: BODY_TIMEOUT_MS, idleTimeoutMs };
+}
--- a/src/entry/runChat/index.ts
+++ b/src/entry/runChat/index.ts
@@ -8,7 +8,7 @@
 import { EntryContext } from "../entryContext/index.js";
 import { PreparedChat } from "../prepareChat/index.js";
 import { toRefusalError } from "../refusalError/index.js";
-import { RunningRequest } from "../runningRequest/index.js";
+import { RunningRequest } from "../../request/index.js";
 import { ChatAttempt, sendChat } from "../sendChat/index.js";
 
 /** How a chat ended. */
--- a/src/entry/runService/index.ts
+++ b/src/entry/runService/index.ts
@@ -6,7 +6,7 @@
 import { EntryContext } from "../entryContext/index.js";
 import { PreparedService } from "../prepareService/index.js";
 import { toRefusalError } from "../refusalError/index.js";
-import { RunningRequest } from "../runningRequest/index.js";
+import { RunningRequest } from "../../request/index.js";
 import { sendService, ServiceAnswer, ServiceCallError } from "../sendService/index.js";
 
 const RETRY_AFTER_FAILURE_MS = 1_000;
--- a/src/entry/sendService/index.ts
+++ b/src/entry/sendService/index.ts
@@ -4,7 +4,7 @@
 import { REQUEST_ID_HEADER } from "../../protocol/index.js";
 import { EntryContext } from "../entryContext/index.js";
 import { PreparedService } from "../prepareService/index.js";
-import { RunningRequest } from "../runningRequest/index.js";
+import { RunningRequest } from "../../request/index.js";
 
 /** A service call without a whole answer. */
 export class ServiceCallError extends Error {
--- a/src/entry/serveChat/index.ts
+++ b/src/entry/serveChat/index.ts
@@ -6,7 +6,7 @@
 import { EntryContext } from "../entryContext/index.js";
 import { prepareChat, PreparedChat } from "../prepareChat/index.js";
 import { runChat } from "../runChat/index.js";
-import { RunningRequest } from "../runningRequest/index.js";
+import { RunningRequest } from "../../request/index.js";
 import { RequestEnd, trackRequest } from "../trackRequest/index.js";
 
 const MS_PER_SECOND = 1_000;
--- a/src/entry/ticketServer/index.ts
+++ b/src/entry/ticketServer/index.ts
@@ -1,5 +1,6 @@
 import { Completion, Grant, LocalDispatcher, Refusal, Ticket } from "../../dispatch/index.js";
 import { RequestId } from "../../ids/index.js";
+import { Clock } from "../../ports/index.js";
 import { PeerChannel, PeerRouter } from "../../wire/index.js";
 
 /** The methods between an entry that holds a caller and the owner of a pool's queue. */
@@ -9,6 +10,7 @@
     complete: "dispatch.complete",
     progress: "dispatch.progress",
     preempt: "dispatch.preempt",
+    queued: "dispatch.queued",
     adopt: "dispatch.adopt",
 } as const;
 
@@ -34,6 +36,12 @@
     grant?: Grant;
 }
 
+/**
+ * A ticket that is not decided after this long is said to be queued, in milliseconds. An entry that hears neither goes to
+ * another owner, so this is well under its patience.
+ */
+const QUEUED_AFTER_MS = 20;
+
 /**
  * The owner's side: queues other entries' tickets beside this entry's own.
  *
@@ -41,16 +49,22 @@
  * cancelled and its grants are counted as finished. The same holds for a grant whose reply came too late to be used.
  *
  * @example
- * new TicketServer(local, request => requests.cancel(request, "preempted")).addTo(router);
+ * new TicketServer(local, clock, request => requests.cancel(request, "preempted")).addTo(router);
  */
 export class TicketServer {
     private readonly remote = new Map<RequestId, RemoteTicket>();
+    /** The tickets of each channel, ended together when it ends. */
+    private readonly byChannel = new Map<PeerChannel, Set<RequestId>>();
 
     /**
      * @param local - The queues of this host.
      * @param preemptHere - Told of a preemption of a request whose caller is connected here.
      */
-    constructor(private readonly local: LocalDispatcher, preemptHere: (request: RequestId) => void) {
+    constructor(
+        private readonly local: LocalDispatcher,
+        private readonly clock: Clock,
+        preemptHere: (request: RequestId) => void,
+    ) {
         local.onPreempt(request => {
             const ticket = this.remote.get(request);
             if (ticket) ticket.channel.notify(DISPATCH_METHODS.preempt, request);
@@ -72,10 +86,13 @@
     }
 
     private async submit(ticket: Ticket, channel: PeerChannel): Promise<TicketReply> {
-        const entry: RemoteTicket = { channel, abort: new AbortController() };
-        this.remote.set(ticket.request, entry);
-        void channel.closed.then(() => this.abandon(ticket.request, entry));
+        const entry = this.remember(ticket.request, channel);
+        const notice = this.clock.after(
+            QUEUED_AFTER_MS,
+            () => channel.notify(DISPATCH_METHODS.queued, ticket.request),
+        );
         const decision = await this.local.submit(ticket, entry.abort.signal);
+        notice.cancel();
         if (decision.isLeft()) {
             this.forget(ticket.request, entry);
             return { kind: "refusal", refusal: decision.extract() as Refusal };
@@ -88,22 +105,45 @@
 
     private adopt({ ticket, grant, runningMs }: AdoptNotice, channel: PeerChannel): void {
         if (this.remote.has(ticket.request)) return;
-        const entry: RemoteTicket = { channel, abort: new AbortController(), grant };
-        this.remote.set(ticket.request, entry);
-        void channel.closed.then(() => this.abandon(ticket.request, entry));
+        this.remember(ticket.request, channel).grant = grant;
         this.local.adopt(ticket, grant, runningMs);
     }
 
     /** A request that was abandoned before is counted already. */
     private complete(completion: Completion): void {
-        if (this.remote.delete(completion.request)) this.local.complete(completion);
+        const entry = this.remote.get(completion.request);
+        if (!entry) return;
+        this.forget(completion.request, entry);
+        this.local.complete(completion);
+    }
+
+    private remember(request: RequestId, channel: PeerChannel): RemoteTicket {
+        const entry: RemoteTicket = { channel, abort: new AbortController() };
+        this.remote.set(request, entry);
+        const known = this.byChannel.get(channel);
+        if (known) {
+            known.add(request);
+            return entry;
+        }
+        this.byChannel.set(channel, new Set([request]));
+        void channel.closed.then(() => this.abandonAll(channel));
+        return entry;
+    }
+
+    private abandonAll(channel: PeerChannel): void {
+        const requests = this.byChannel.get(channel) ?? [];
+        this.byChannel.delete(channel);
+        for (const request of requests) {
+            const entry = this.remote.get(request);
+            if (entry?.channel === channel) this.abandon(request, entry);
+        }
     }
 
     private abandon(request: RequestId, entry: RemoteTicket): void {
         if (this.remote.get(request) !== entry) return;
         entry.abort.abort();
         if (!entry.grant) return;
-        this.remote.delete(request);
+        this.forget(request, entry);
         this.local.complete({
             request,
             upstream: entry.grant.upstream,
@@ -115,6 +155,8 @@
     }
 
     private forget(request: RequestId, entry: RemoteTicket): void {
-        if (this.remote.get(request) === entry) this.remote.delete(request);
+        if (this.remote.get(request) !== entry) return;
+        this.remote.delete(request);
+        this.byChannel.get(entry.channel)?.delete(request);
     }
 }
--- a/src/entry/trackRequest/index.ts
+++ b/src/entry/trackRequest/index.ts
@@ -3,7 +3,7 @@
 import { HttpRequest } from "../../ports/index.js";
 import { Outcome } from "../../protocol/index.js";
 import { EntryContext } from "../entryContext/index.js";
-import { RunningRequest } from "../runningRequest/index.js";
+import { RunningRequest } from "../../request/index.js";
 
 /** What is known of a request that was found good. */
 export interface TrackedRequest {
--- a/src/logging/index.ts
+++ b/src/logging/index.ts
@@ -1,4 +1,5 @@
 /** Logs as JSON lines. */
+export * from "./boundedOutput/index.js";
 export * from "./jsonLogger/index.js";
 export * from "./logger/index.js";
 export * from "./silentLogger/index.js";
--- a/src/metrics/index.ts
+++ b/src/metrics/index.ts
@@ -2,4 +2,5 @@
 export * from "./histogramTable/index.js";
 export * from "./metrics/index.js";
 export * from "./noMetrics/index.js";
+export * from "./promMetrics/index.js";
 export * from "./statsdMetrics/index.js";
--- /dev/null
+++ b/src/passthrough/index.ts
@@ -0,0 +1,8 @@
+/** Calls of any path and body, routed by the fleet document and passed through to upstreams unchanged. */
+export * from "./callContext/index.js";
+export * from "./callDialect/index.js";
+export * from "./callError/index.js";
+export * from "./endToEndHeaders/index.js";
+export * from "./eventScanner/index.js";
+export * from "./repeatBudget/index.js";
+export * from "./serveCalls/index.js";
--- /dev/null
+++ b/src/passthrough/prepareCall/index.ts
@@ -0,0 +1,117 @@
+import { Either, Left, Right } from "purify-ts";
+import { PoolId, WorkspaceId } from "../../ids/index.js";
+import { BodyError, findHeader, HttpRequest } from "../../ports/index.js";
+import { drawTarget, Route, RouteTable } from "../../routing/index.js";
+import { CallContext } from "../callContext/index.js";
+import { CallHead } from "../callDialect/index.js";
+import { CallError, CallErrorKind } from "../callError/index.js";
+
+/** When a caller should come back after the entry had no fresh document: by then it has one, or others are asked. */
+const NO_VIEW_RETRY_MS = 300;
+
+/** A routed call that was found good. */
+export interface PreparedCall {
+    readonly head: CallHead;
+    readonly method: string;
+    /** Path and query, as sent. */
+    readonly path: string;
+    readonly body: Uint8Array;
+    readonly route: Route;
+    readonly pool: PoolId;
+    /** Undefined where the route needs no key. */
+    readonly workspace: WorkspaceId | undefined;
+    /** 0 is the highest. */
+    readonly tier: number;
+    /** Monotonic, in milliseconds. */
+    readonly arrivedAt: number;
+    /** When its final answer is due, whatever has become of it; monotonic, in milliseconds. */
+    readonly deadlineAt: number;
+}
+
+type Caller = Pick<PreparedCall, "workspace" | "tier">;
+
+/**
+ * Reads and judges a call: its route, its key, its body.
+ *
+ * Guards against a withdrawn key at an entry that has lost touch with the control processes: past the freshness lease a call that needs a
+ * key is refused. One that needs none goes on with the document that is known.
+ */
+export async function prepareCall(ctx: CallContext, req: HttpRequest): Promise<Either<CallError, PreparedCall>> {
+    const arrivedAt = ctx.clock.monotonic();
+    const routes = ctx.view.routes();
+    if (!routes) return Left(new CallError("no-view", "this entry has no fleet document yet", NO_VIEW_RETRY_MS));
+    if (sizeOfHeaders(req) > routes.limits.headerBytes) {
+        return Left(new CallError("header-too-large", `headers take more than ${routes.limits.headerBytes} bytes`));
+    }
+    const read = ctx.dialect.readHead(req).chain(head =>
+        findRoute(ctx, routes, req).chain(route =>
+            identifyCaller(ctx, routes, route, head).map(caller => ({ head, route, caller }))
+        )
+    );
+    if (read.isLeft()) return read as Either<CallError, never>;
+    const { head, route, caller } = read.unsafeCoerce();
+    const body = await req.body(routes.limits.bodyBytes);
+    const limitMs = Math.min(route.timeoutMs, head.deadlineMs ?? Number.POSITIVE_INFINITY);
+    return body.mapLeft(describeBodyError).map(bytes => ({
+        ...caller,
+        head,
+        route,
+        method: req.method,
+        path: req.path,
+        body: bytes,
+        pool: drawTarget(route, ctx.random),
+        arrivedAt,
+        deadlineAt: arrivedAt + limitMs,
+    }));
+}
+
+/**
+ * Judges the key once more, in the step that sends the call.
+ *
+ * @returns Why the call must not be sent; undefined when it may.
+ */
+export function recheckKey(ctx: CallContext, { head, workspace }: PreparedCall): CallError | undefined {
+    if (workspace === undefined) return undefined;
+    if (!ctx.view.isFresh()) return staleView();
+    const owner = ctx.view.routes()?.findOwner(head.key ?? "");
+    return owner?.workspace === workspace ? undefined : new CallError("key-unknown", "the key was withdrawn");
+}
+
+function findRoute(ctx: CallContext, routes: RouteTable, req: HttpRequest): Either<CallError, Route> {
+    const route = routes.findRoute(findHeader(req.headers, "host") ?? "", req.path);
+    if (route) return Right(route);
+    // A route that was added a moment ago may not be known here: only a fresh document can say that there is none.
+    return Left(ctx.view.isFresh() ? new CallError("no-route", "no route has this host and path") : staleView());
+}
+
+function identifyCaller(
+    ctx: CallContext,
+    routes: RouteTable,
+    route: Route,
+    { key }: CallHead,
+): Either<CallError, Caller> {
+    if (route.keyless || !routes.asksForKeys) return Right({ workspace: undefined, tier: route.tier });
+    if (!ctx.view.isFresh()) return Left(staleView());
+    if (key === undefined) return Left(new CallError("key-missing", "this route needs a key"));
+    const owner = routes.findOwner(key);
+    if (!owner) return Left(new CallError("key-unknown", "the key is unknown or was withdrawn"));
+    return Right({ workspace: owner.workspace, tier: owner.tier ?? route.tier });
+}
+
+function staleView(): CallError {
+    return new CallError("no-view", "this entry has lost touch with the control processes", NO_VIEW_RETRY_MS);
+}
+
+function sizeOfHeaders({ headers }: HttpRequest): number {
+    return headers.reduce((sum, [name, value]) => sum + name.length + value.length + ": \r\n".length, 0);
+}
+
+const BODY_FAULTS: Readonly<Record<BodyError["reason"], CallErrorKind>> = {
+    "too-large": "too-large",
+    "timeout": "body-timeout",
+    "closed": "body-timeout",
+};
+
+function describeBodyError({ reason }: BodyError): CallError {
+    return new CallError(BODY_FAULTS[reason], `the body could not be read: ${reason}`);
+}
--- /dev/null
+++ b/src/passthrough/relayStream/index.ts
@@ -0,0 +1,98 @@
+import { findHeader, HttpReply } from "../../ports/index.js";
+import type { CallContext } from "../callContext/index.js";
+import type { ReplyHead } from "../callDialect/index.js";
+import { EventScanner, ScannedEvents } from "../eventScanner/index.js";
+import type { Attempt, AttemptResult } from "../sendCall/index.js";
+
+/** A resumable stream that shows nothing for so many of its longest pauses goes on elsewhere. */
+const STALL_GAPS = 3;
+/** No pause shorter than this counts as a stall, in milliseconds. */
+const LEAST_STALL_MS = 1_000;
+
+/**
+ * Passes a stream of events on as they come, whole ones only.
+ *
+ * Guards against a stream that looks whole and is not: it ends towards the caller only when the upstream's answer has ended as HTTP
+ * says it should; one that breaks off goes on elsewhere, or is cut. Its head waits for the first event, so that a stream
+ * that never begins can still get an honest answer.
+ */
+export async function relayStream(
+    ctx: CallContext,
+    attempt: Attempt,
+    reply: HttpReply,
+    head: ReplyHead,
+): Promise<AttemptResult> {
+    const { answer, stream } = attempt;
+    const scanner = new EventScanner();
+    const stall = new StallTimer(ctx, attempt);
+    try {
+        for await (const chunk of reply.body) {
+            const events = scanner.push(chunk);
+            if (events.count === 0) continue;
+            stall.restart();
+            noteEvents(ctx, attempt, events);
+            if (!stream.hasHead) start(attempt, reply, head);
+            await answer.write(events.bytes);
+        }
+    }
+    catch (err) {
+        return { kind: "ended", end: endOf(attempt), detail: (err as Error).message };
+    }
+    finally {
+        stall.stop();
+    }
+    if (scanner.hasTail && !isFramed(reply)) {
+        return { kind: "ended", end: endOf(attempt), detail: "the stream ends within an event" };
+    }
+    if (!stream.hasHead) start(attempt, reply, head);
+    answer.end(scanner.takeTail());
+    return { kind: "answered", status: reply.status };
+}
+
+function start({ answer, stream }: Attempt, { status }: HttpReply, { headers }: ReplyHead): void {
+    stream.hasHead = true;
+    // The length would be that of this upstream's part, if another one goes on.
+    answer.start(status, headers.filter(([name]) => name !== "content-length"));
+}
+
+function noteEvents(ctx: CallContext, { call, stream }: Attempt, { count, lastId }: ScannedEvents): void {
+    const now = ctx.clock.monotonic();
+    if (stream.count === 0) {
+        stream.firstEventMs = now - call.arrivedAt;
+        stream.firstAt = now;
+    }
+    stream.count += count;
+    stream.lastId = lastId ?? stream.lastId;
+    stream.lastAt = now;
+}
+
+function endOf({ stream }: Attempt): "broken" | "lost" {
+    return stream.count > 0 ? "broken" : "lost";
+}
+
+/** Whether HTTP itself says where the answer ends, and not the end of the connection. */
+function isFramed({ headers }: HttpReply): boolean {
+    return findHeader(headers, "transfer-encoding") !== undefined || findHeader(headers, "content-length") !== undefined;
+}
+
+/** Stops an attempt whose stream has fallen silent, where another upstream can go on with it. */
+class StallTimer {
+    private timer: { cancel(): void; } | undefined;
+    private readonly limitMs: number;
+
+    constructor(private readonly ctx: CallContext, private readonly attempt: Attempt) {
+        const { gapMs = 0, attempts } = attempt.call.route;
+        const canGoOn = attempt.call.route.resumable && attempts > 1;
+        this.limitMs = canGoOn ? Math.max(LEAST_STALL_MS, STALL_GAPS * gapMs) : Number.POSITIVE_INFINITY;
+    }
+
+    restart(): void {
+        this.stop();
+        if (this.limitMs === Number.POSITIVE_INFINITY) return;
+        this.timer = this.ctx.clock.after(this.limitMs, () => this.attempt.run.cancel("stalled"));
+    }
+
+    stop(): void {
+        this.timer?.cancel();
+    }
+}
--- /dev/null
+++ b/src/passthrough/runCall/index.ts
@@ -0,0 +1,228 @@
+import { Completion, Grant, Refusal, Ticket } from "../../dispatch/index.js";
+import { ClassName, RequestId, UpstreamId, WorkspaceId } from "../../ids/index.js";
+import { RunningRequest } from "../../request/index.js";
+import { CallAnswer } from "../callAnswer/index.js";
+import { CallContext } from "../callContext/index.js";
+import { CallError } from "../callError/index.js";
+import { AttemptEnd, chooseNextStep } from "../nextStep/index.js";
+import { PreparedCall, recheckKey } from "../prepareCall/index.js";
+import { BufferedAnswer, sendWhole } from "../relayAnswer/index.js";
+import { AttemptResult, sendCall } from "../sendCall/index.js";
+import { newStreamState, StreamState } from "../streamState/index.js";
+
+/** How soon a caller should come back after an upstream was lost, in milliseconds: others of the pool go on. */
+const LOST_RETRY_MS = 100;
+/** The share of a call's time that it may wait for an upstream: what comes later has no time left to run. */
+const WAIT_SHARE = 0.6;
+/** An upstream that shows nothing for so many targets is left for another, where the call may go elsewhere. */
+const PATIENCE_TARGETS = 2;
+const LEAST_PATIENCE_MS = 400;
+/** Tokens of an answer for which the caller names no bound. */
+const DEFAULT_MAX_TOKENS = 1;
+const MS_BETWEEN_TOKENS = 50;
+
+/** What a call has come to. */
+export interface CallEnd {
+    readonly outcome: string;
+    readonly status: number;
+    readonly attempts: number;
+    readonly stream: StreamState;
+}
+
+/** What a call has gone through so far. */
+interface Progress {
+    readonly avoid: UpstreamId[];
+    readonly stream: StreamState;
+    tries: number;
+    /** How many upstreams have, or may have, begun to work on it. */
+    begun: number;
+    /** The last failure that an upstream itself gave for an answer. */
+    failure: BufferedAnswer | undefined;
+    lastProblem: string;
+}
+
+/**
+ * Brings a call to its final answer: asks for an upstream, sends the call, passes the answer on, and goes to another upstream where the
+ * call allows it.
+ *
+ * @param ticketId - Names the call towards the queue's owner; unlike the caller's id, never used twice.
+ */
+export async function runCall(
+    ctx: CallContext,
+    call: PreparedCall,
+    run: RunningRequest,
+    answer: CallAnswer,
+    ticketId: RequestId,
+): Promise<CallEnd> {
+    const progress: Progress = {
+        avoid: [],
+        stream: newStreamState(),
+        tries: 0,
+        begun: 0,
+        failure: undefined,
+        lastProblem: "",
+    };
+    ctx.repeats.noteRequest(call.pool);
+    for (;;) {
+        const decision = await ctx.dispatcher.submit(makeTicket(ctx, call, ticketId, progress), run.signal);
+        if (decision.isLeft()) return endRefused(call, run, answer, progress, decision.extract() as Refusal);
+        const grant = decision.extract() as Grant;
+        const fault = recheckKey(ctx, call);
+        if (run.isCancelled || fault) {
+            completeGrant(ctx, call, ticketId, grant, "unused", progress.stream);
+            return run.isCancelled ? endStopped(call, run, answer, progress) : fail(call, answer, progress, fault!);
+        }
+        progress.tries++;
+        run.noteGrant(grant);
+        const result = await sendGranted(ctx, call, run, answer, grant, progress);
+        completeGrant(ctx, call, ticketId, grant, outcomeOf(result, run), progress.stream);
+        if (result.kind === "answered") return describeEnd("answered", result.status, progress);
+        noteAttempt(ctx, call, run, grant, result, progress);
+        if (run.isCancelled) return endStopped(call, run, answer, progress);
+        if (decideNext(ctx, call, result.end, progress) === "give-up") return endFailed(call, answer, progress, result.end);
+        progress.avoid.push(grant.upstream);
+        run.beginAttempt();
+    }
+}
+
+async function sendGranted(
+    ctx: CallContext,
+    call: PreparedCall,
+    run: RunningRequest,
+    answer: CallAnswer,
+    grant: Grant,
+    progress: Progress,
+): Promise<AttemptResult> {
+    const { stream } = progress;
+    const canGoElsewhere = call.route.kind === "idempotent" || call.route.resumable;
+    const hasMore = progress.begun + 1 < call.route.attempts;
+    const patienceMs = canGoElsewhere && hasMore
+        ? Math.max(LEAST_PATIENCE_MS, PATIENCE_TARGETS * call.route.targetMs)
+        : undefined;
+    return sendCall(ctx, { call, grant, run, answer, stream, patienceMs });
+}
+
+function decideNext(ctx: CallContext, call: PreparedCall, end: AttemptEnd, progress: Progress) {
+    const { kind, resumable, attempts } = call.route;
+    const { begun, tries } = progress;
+    const takeRepeat = (): boolean => ctx.repeats.tryTake(call.pool, ctx.view.entryCount());
+    return chooseNextStep({ end, kind, resumable, begun, attempts, tries, takeRepeat });
+}
+
+function noteAttempt(
+    ctx: CallContext,
+    call: PreparedCall,
+    run: RunningRequest,
+    { upstream }: Grant,
+    { end, detail, failure }: Extract<AttemptResult, { kind: "ended"; }>,
+    progress: Progress,
+): void {
+    if (end !== "not-sent" && end !== "refused") progress.begun++;
+    progress.failure = failure ?? progress.failure;
+    progress.lastProblem = detail;
+    run.note("attempt-ended", `${upstream} ${end}: ${detail}`);
+    const { tries, begun } = progress;
+    const events = progress.stream.count;
+    const { request } = call.head;
+    const ageMs = Math.round(run.ageMs());
+    ctx.logger.info("attempt-ended", { request, upstream, end, detail, tries, begun, events, ageMs });
+}
+
+function outcomeOf(result: AttemptResult, run: RunningRequest): Completion["outcome"] {
+    if (result.kind === "answered") return "answered";
+    if (run.isCancelled && run.cancelReason === "caller-gone") return "cancelled";
+    if (result.end === "refused") return result.misdirected ? "failed" : "refused";
+    return result.end === "failed" ? "errored" : "failed";
+}
+
+function endRefused(
+    call: PreparedCall,
+    run: RunningRequest,
+    answer: CallAnswer,
+    progress: Progress,
+    refusal: Refusal,
+): CallEnd {
+    run.noteRefusal(refusal.reason, refusal.detail);
+    if (run.isCancelled) return endStopped(call, run, answer, progress);
+    if (progress.begun > 0) return endFailed(call, answer, progress, "lost");
+    const detail = `${refusal.reason}: ${refusal.detail}`;
+    return fail(call, answer, progress, new CallError("refused", detail, refusal.retryAfterMs));
+}
+
+/** The caller has gone, or the call's time is over. */
+function endStopped(call: PreparedCall, run: RunningRequest, answer: CallAnswer, progress: Progress): CallEnd {
+    if (run.cancelReason === "caller-gone") return describeEnd("caller-gone", 0, progress);
+    const kind = progress.begun > 0 ? "timeout-running" : "timeout-waiting";
+    return fail(call, answer, progress, new CallError(kind, "the call's time is over", LOST_RETRY_MS));
+}
+
+/** No further upstream may be tried: the best answer there is goes out now. */
+function endFailed(call: PreparedCall, answer: CallAnswer, progress: Progress, end: AttemptEnd): CallEnd {
+    const { failure, begun, lastProblem } = progress;
+    if (failure && end === "failed" && answer.startedWith === undefined) {
+        sendWhole(answer, failure);
+        return describeEnd("upstream-failure", failure.status, progress);
+    }
+    const kind = begun > 0 ? "upstream-lost" : "refused";
+    return fail(call, answer, progress, new CallError(kind, lastProblem, LOST_RETRY_MS));
+}
+
+function fail(call: PreparedCall, answer: CallAnswer, progress: Progress, err: CallError): CallEnd {
+    const wasCut = answer.startedWith !== undefined;
+    answer.fail(err, call.head.request);
+    return describeEnd(wasCut ? `cut: ${err.kind}` : err.kind, err.status, progress);
+}
+
+function describeEnd(outcome: string, status: number, { tries, stream }: Progress): CallEnd {
+    return { outcome, status, attempts: tries, stream };
+}
+
+function completeGrant(
+    ctx: CallContext,
+    call: PreparedCall,
+    request: RequestId,
+    { upstream }: Grant,
+    outcome: Completion["outcome"],
+    stream: StreamState,
+): void {
+    const tokensPerEvent = ctx.view.routes()?.findPool(call.pool)?.engine?.tokensPerEvent ?? 1;
+    const gaps = stream.count - 1;
+    const tokenMs = gaps > 0 ? (stream.lastAt - stream.firstAt) / gaps / tokensPerEvent : undefined;
+    ctx.dispatcher.complete({
+        request,
+        upstream,
+        outcome,
+        firstTokenMs: stream.firstEventMs,
+        tokenMs,
+        promptTokens: call.head.promptTokens,
+        cachedTokens: 0,
+        completionTokens: stream.count * tokensPerEvent,
+    });
+}
+
+function makeTicket(ctx: CallContext, call: PreparedCall, request: RequestId, progress: Progress): Ticket {
+    const { route, head } = call;
+    const now = ctx.clock.monotonic();
+    const tokensPerEvent = ctx.view.routes()?.findPool(call.pool)?.engine?.tokensPerEvent ?? 1;
+    return {
+        request,
+        origin: ctx.self,
+        workspace: call.workspace ?? "" as WorkspaceId,
+        className: route.name as ClassName,
+        tier: call.tier,
+        weight: 1,
+        pool: call.pool,
+        promptTokens: head.promptTokens,
+        maxTokens: Math.max(DEFAULT_MAX_TOKENS, head.maxTokens),
+        firstTokenMs: route.targetMs,
+        tokenMs: route.gapMs === undefined ? MS_BETWEEN_TOKENS : route.gapMs / tokensPerEvent,
+        maxWaitMs: WAIT_SHARE * (call.deadlineAt - call.arrivedAt),
+        guaranteedShare: 0,
+        ageMs: now - call.arrivedAt,
+        prefixes: head.parts.map(({ id }) => id),
+        resumable: false,
+        repeatable: route.kind === "idempotent",
+        avoid: progress.avoid,
+        resumeOffset: progress.stream.count * tokensPerEvent,
+    };
+}
--- /dev/null
+++ b/src/passthrough/sendCall/index.ts
@@ -0,0 +1,141 @@
+import { Either } from "purify-ts";
+import { Grant } from "../../dispatch/index.js";
+import { findHeader, HttpError, HttpReply } from "../../ports/index.js";
+import { RunningRequest } from "../../request/index.js";
+import { CallAnswer } from "../callAnswer/index.js";
+import { CallContext } from "../callContext/index.js";
+import { ReplyHead } from "../callDialect/index.js";
+import { AttemptEnd } from "../nextStep/index.js";
+import { PreparedCall } from "../prepareCall/index.js";
+import { BufferedAnswer, relayAnswer } from "../relayAnswer/index.js";
+import { relayStream } from "../relayStream/index.js";
+import { StreamState } from "../streamState/index.js";
+
+/** How long to wait for a connection to an upstream, in milliseconds: less than the first repeat of a lost SYN. */
+const CONNECT_MS = 250;
+/** The shortest time that is worth sending a call for, in milliseconds. */
+const LEAST_LEFT_MS = 5;
+
+/** Methods whose requests have no body as a rule: an empty one is left out rather than stated. */
+const BODILESS: readonly string[] = ["GET", "HEAD", "DELETE", "OPTIONS"];
+
+/** One try at one upstream. */
+export interface Attempt {
+    readonly call: PreparedCall;
+    readonly grant: Grant;
+    readonly run: RunningRequest;
+    readonly answer: CallAnswer;
+    /** What the caller has of the stream so far. */
+    readonly stream: StreamState;
+    /** How long the upstream may take to its first byte, in milliseconds, where the call can go elsewhere. */
+    readonly patienceMs: number | undefined;
+}
+
+/** What came of an attempt. */
+export type AttemptResult =
+    /** The caller has its whole answer, or all of it that there will be. */
+    | { readonly kind: "answered"; readonly status: number; }
+    | {
+        readonly kind: "ended";
+        readonly end: AttemptEnd;
+        readonly detail: string;
+        /** The upstream's own failure, to be passed on when nothing better comes. */
+        readonly failure?: BufferedAnswer;
+        /** Another upstream has the address. */
+        readonly misdirected?: boolean;
+    };
+
+/**
+ * Sends a call to the granted upstream and passes its answer on.
+ *
+ * Guards against answers of other calls, which a connection may still hold: an answer that names another call, or that lacks an
+ * upstream's mark where it claims success, is not passed on, and its connection is not used again.
+ */
+export async function sendCall(ctx: CallContext, attempt: Attempt): Promise<AttemptResult> {
+    const { call, grant, run } = attempt;
+    const leftMs = Math.floor(call.deadlineAt - ctx.clock.monotonic());
+    if (leftMs < LEAST_LEFT_MS) return { kind: "ended", end: "not-sent", detail: "no time is left" };
+    const stall = startStall(ctx, attempt, leftMs);
+    const sent = await ctx.http.send({
+        address: grant.address,
+        method: call.method,
+        path: call.path,
+        headers: ctx.dialect.writeHead(call.head, {
+            upstream: grant.upstream,
+            workspace: call.workspace,
+            deadlineMs: leftMs,
+            priority: grant.priority,
+            lastEventId: attempt.stream.lastId ?? call.head.lastEventId,
+        }),
+        body: call.body.length > 0 || !BODILESS.includes(call.method) ? call.body : undefined,
+        fresh: false,
+        recentOnly: call.route.kind !== "idempotent",
+        connectTimeoutMs: Math.min(CONNECT_MS, leftMs),
+        headTimeoutMs: leftMs,
+        signal: run.signal,
+    });
+    const result = await takeReply(ctx, attempt, sent);
+    stall?.cancel();
+    return result;
+}
+
+/** Stops an attempt that shows nothing for too long, where the call can go elsewhere. */
+function startStall(ctx: CallContext, { run, patienceMs, stream }: Attempt, leftMs: number) {
+    if (patienceMs === undefined || patienceMs >= leftMs) return undefined;
+    const { count } = stream;
+    return ctx.clock.after(patienceMs, () => {
+        if (stream.count === count && !stream.hasHead) run.cancel("stalled");
+    });
+}
+
+async function takeReply(
+    ctx: CallContext,
+    attempt: Attempt,
+    sent: Either<HttpError, HttpReply>,
+): Promise<AttemptResult> {
+    if (sent.isLeft()) {
+        const err = sent.extract() as HttpError;
+        return { kind: "ended", end: err.mayHaveLeft ? "lost" : "not-sent", detail: err.message };
+    }
+    const reply = sent.unsafeCoerce();
+    const head = ctx.dialect.readReply(reply);
+    const fault = findFault(attempt.call, reply, head);
+    if (fault !== undefined) {
+        reply.reset();
+        return { kind: "ended", end: "lost", detail: fault };
+    }
+    if (head.refused || head.misdirected) {
+        void discard(reply);
+        const { misdirected } = head;
+        return { kind: "ended", end: "refused", detail: `the upstream answers ${reply.status}`, misdirected };
+    }
+    noteStart(ctx, attempt);
+    const isStream = attempt.call.route.kind === "stream" && reply.status < 300 && isEventStream(reply);
+    return isStream ? relayStream(ctx, attempt, reply, head) : relayAnswer(ctx, attempt, reply, head);
+}
+
+/** Why an answer can't be this call's; undefined when it can. */
+function findFault({ head }: PreparedCall, reply: HttpReply, answer: ReplyHead): string | undefined {
+    if (answer.request !== undefined && answer.request !== head.request) return "the answer is that of another call";
+    const isSuccess = reply.status < 300;
+    return isSuccess && !answer.isSigned ? "a success without an upstream's mark" : undefined;
+}
+
+function isEventStream({ headers }: HttpReply): boolean {
+    return findHeader(headers, "content-type")?.startsWith("text/event-stream") ?? false;
+}
+
+/** A run counts for its workspace from its first byte on. */
+function noteStart(ctx: CallContext, { call, stream }: Attempt): void {
+    if (call.workspace !== undefined && !stream.hasHead) ctx.starts.note(call.workspace, ctx.time.now());
+}
+
+/** Reads the rest of an answer that says no more, so that its connection can be used again. */
+async function discard(reply: HttpReply): Promise<void> {
+    try {
+        for await (const _ of reply.body);
+    }
+    catch {
+        // The connection ended: there is nothing to use again.
+    }
+}
--- /dev/null
+++ b/src/passthrough/serveCalls/index.ts
@@ -0,0 +1,81 @@
+import { ClassName, RequestId, WorkspaceId } from "../../ids/index.js";
+import { HttpHandler, HttpRequest } from "../../ports/index.js";
+import { RunningRequest } from "../../request/index.js";
+import { CallAnswer } from "../callAnswer/index.js";
+import { CallContext } from "../callContext/index.js";
+import { CallError } from "../callError/index.js";
+import { PreparedCall, prepareCall } from "../prepareCall/index.js";
+import { CallEnd, runCall } from "../runCall/index.js";
+
+/**
+ * Gives the handler of routed calls.
+ *
+ * @example
+ * const listener = await http.serve(address, limits, serveCalls(ctx));
+ */
+export function serveCalls(ctx: CallContext): HttpHandler {
+    return async (req, res) => {
+        const answer = new CallAnswer({ res, dialect: ctx.dialect, isDraining: ctx.isDraining });
+        const prepared = await prepareCall(ctx, req);
+        if (prepared.isLeft()) return refuse(ctx, req, answer, prepared.extract() as CallError);
+        await trackCall(ctx, req, answer, prepared.unsafeCoerce());
+    };
+}
+
+function refuse(ctx: CallContext, req: HttpRequest, answer: CallAnswer, err: CallError): void {
+    const request = ctx.dialect.readHead(req).map(head => head.request).toMaybe().extract();
+    const version = ctx.view.routes()?.version;
+    const detail = err.message;
+    ctx.logger.info("call-refused", { request, kind: err.kind, detail, version, fresh: ctx.view.isFresh() });
+    ctx.metrics.count("calls", 1, { outcome: err.kind });
+    answer.fail(err, request);
+}
+
+/** Runs a call under the registry's eyes: it is stopped when its caller goes or its time is over, and its end is noted. */
+async function trackCall(ctx: CallContext, req: HttpRequest, answer: CallAnswer, call: PreparedCall): Promise<void> {
+    const { route, pool, tier, workspace = "" as WorkspaceId } = call;
+    const className = route.name as ClassName;
+    const identity = { id: call.head.request, workspace, keyHash: undefined, className, tier, pool };
+    const run = new RunningRequest(identity, ctx.clock);
+    ctx.requests.add(run);
+    const stopGone = (): void => run.cancel("caller-gone");
+    req.closed.addEventListener("abort", stopGone);
+    const limit = ctx.clock.after(call.deadlineAt - ctx.clock.monotonic(), () => run.cancel("timeout"));
+    try {
+        noteEnd(ctx, call, run, await runCall(ctx, call, run, answer, ctx.random.id() as RequestId));
+    }
+    finally {
+        limit.cancel();
+        req.closed.removeEventListener("abort", stopGone);
+        ctx.requests.finish(run);
+    }
+}
+
+function noteEnd(ctx: CallContext, call: PreparedCall, run: RunningRequest, end: CallEnd): void {
+    const { route, workspace, pool, head, tier } = call;
+    const { outcome, status, attempts, stream } = end;
+    const ms = Math.round(run.ageMs());
+    const firstMs = stream.firstEventMs === undefined ? undefined : Math.round(stream.firstEventMs);
+    run.noteEnd(outcome);
+    ctx.metrics.count("calls", 1, { outcome, class: route.name });
+    ctx.metrics.histogram("call_ms", ms, { class: route.name });
+    if (firstMs !== undefined) ctx.metrics.histogram("first_byte_ms", firstMs, { class: route.name });
+    const { upstream, waitedMs, reason } = run.history;
+    ctx.logger.info("call-ended", {
+        request: head.request,
+        route: route.name,
+        workspace,
+        pool,
+        tier,
+        outcome,
+        status,
+        attempts,
+        ms,
+        firstMs,
+        events: stream.count,
+        upstream,
+        waitedMs: Math.round(waitedMs),
+        reason,
+        version: ctx.view.routes()?.version,
+    });
+}
--- /dev/null
+++ b/src/platform/documentReader/test.ts
@@ -0,0 +1,67 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { readDocument } from "./index.js";
+
+const ROUTE = {
+    name: "r-1",
+    host: "ficu95.example",
+    pathPrefix: "/lohu930/",
+    kind: "streaming",
+    timeoutMs: 8000,
+    targetLatencyMs: 1500,
+    priority: 2,
+    weightedSplit: [{ service: "llm", weight: 90 }, { service: "app", weight: 10 }],
+    maxAttempts: 1,
+    authExempt: false,
+    sticky: true,
+    resumable: false,
+    targetGapMs: 1000,
+};
+const CONFIG = {
+    version: 7,
+    routes: [ROUTE],
+    services: [
+        {
+            name: "llm",
+            maxConnections: 620,
+            engine: { kvCapacity: 943946, kvBytes: 18432, stride: 5, pinMs: 4000, moves: true },
+            scaling: { min: 1, max: 4, bootS: 4, spotPrice: 0.18, zonePrices: { vogar: 0.9 } },
+        },
+        { name: "app", maxConnections: 100 },
+    ],
+    limits: { maxHeaderBytes: 16384, maxBodyBytes: 4194304, headerTimeoutMs: 3000, idleTimeoutMs: 15000 },
+    tenants: [{ name: "hule930", apiKeys: ["k1", "k2"], priority: 1 }],
+};
+
+function read(config: unknown) {
+    return readDocument(Buffer.from(JSON.stringify(config)));
+}
+
+describe("readDocument", () => {
+    it("turns a configuration into a fleet document", () => {
+        const document = read(CONFIG).unsafeCoerce();
+        assert.equal(document.version, 7);
+        assert.equal(document.routes[0].kind, "stream");
+        assert.deepEqual(document.routes[0].targets, [{ pool: "llm", weight: 90 }, { pool: "app", weight: 10 }]);
+        assert.equal(document.pools[0].engine?.tokensPerEvent, 5);
+        assert.equal(document.pools[0].scaling?.bootMs, 4000);
+        assert.deepEqual(document.workspaces, [{ workspace: "hule930", keys: ["k1", "k2"], tier: 1 }]);
+    });
+
+    it("takes what it does not know", () => {
+        assert.ok(read({ ...CONFIG, later: { more: 1 }, routes: [{ ...ROUTE, later: 1 }] }).isRight());
+    });
+
+    it("refuses what can't be read or does not fit", () => {
+        const bad: unknown[] = [
+            { ...CONFIG, routes: [{ ...ROUTE, timeoutMs: 0 }] },
+            { ...CONFIG, routes: [{ ...ROUTE, weightedSplit: [{ service: "llm", weight: 0 }] }] },
+            { ...CONFIG, routes: [{ ...ROUTE, weightedSplit: undefined, service: "gone" }] },
+            { ...CONFIG, routes: [ROUTE, { ...ROUTE, name: "r-2" }] },
+            { ...CONFIG, tenants: [...CONFIG.tenants, { name: "other", apiKeys: ["k1"] }] },
+            { ...CONFIG, version: undefined },
+        ];
+        for (const config of bad) assert.ok(read(config).isLeft(), JSON.stringify(config).slice(0, 80));
+        assert.ok(readDocument(Buffer.from(JSON.stringify(CONFIG).slice(0, -20))).isLeft());
+    });
+});
--- /dev/null
+++ b/src/platform/runControlNode/index.ts
@@ -0,0 +1,67 @@
+import { ControlProcess, RoutingPlatform } from "../../control/index.js";
+import { DaemonPorts, DaemonProcess } from "../../daemon/index.js";
+import { Lifecycle } from "../../lifecycle/index.js";
+import { DEFAULT_HTTP_LIMITS, FileDisk } from "../../ports/index.js";
+import { cloudCallsOf } from "../cloudCalls/index.js";
+import { serveControlPlane } from "../controlPlane/index.js";
+import { NodeSettings } from "../nodeSettings/index.js";
+import { CONTROL_LOG_TIMING, OWN_PEER_TIMING, PLATFORM_FLIGHT_MS, VIEW_LEASE_SHARE } from "../timing/index.js";
+
+/** Heartbeats that an engine may miss before it gets no more work. */
+const MISSED_HEARTBEATS = 4;
+/** How long before a window's usage is due it is closed at the latest, in milliseconds: a successor of the holder needs this long. */
+const REPORT_MARGIN_MS = 4_000;
+/** A stopping control process does not wait for anything: what it has accepted is on disk elsewhere too. */
+const STOPS_WHOLE = true;
+
+/** A running control process, and what its settings may change. */
+export interface ControlNode extends DaemonProcess {
+    readonly reload: (settings: NodeSettings) => void;
+}
+
+/** Runs a control process by the platform's settings. */
+export async function runControlNode(ports: DaemonPorts, settings: NodeSettings): Promise<ControlNode> {
+    const { control: address, dataFolder, ip, controlPeerPort, seeds, usageWindowMs, revokeMs } = settings;
+    if (!address || !dataFolder) throw new Error("this machine serves no control: listen.controlPlane or dataDir is missing");
+    const lifecycle = new Lifecycle();
+    const disk = new FileDisk(dataFolder);
+    await disk.makeFolder("");
+    const running = await ControlProcess.start({
+        ...ports,
+        disk,
+        peers: { host: ip, port: controlPeerPort },
+        members: seeds.map(seed => ({ address: seed })),
+        logTiming: CONTROL_LOG_TIMING,
+        timing: OWN_PEER_TIMING,
+        viewLeaseMs: VIEW_LEASE_SHARE * revokeMs,
+        windowMs: usageWindowMs,
+        windowGraceMs: usageWindowMs,
+        platform: undefined,
+        routing: {
+            seeds,
+            // So many that, however the tolerated losses fall right after an acknowledgement, one that has the entry is left.
+            voters: 2 * settings.toleratedLosses + 1,
+            mayFound: settings.isFirstStart && settings.isSeed,
+            startsWindowMs: usageWindowMs,
+            startsPatienceMs: Math.max(0, settings.usageDueMs - REPORT_MARGIN_MS),
+            silentAfterMs: MISSED_HEARTBEATS * settings.heartbeatMs,
+            platform: describePlatform(ports, settings),
+        },
+    });
+    lifecycle.own(() => running.close());
+    const routing = running.routing!;
+    const listener = await ports.http.serve(address, DEFAULT_HTTP_LIMITS, serveControlPlane(routing, ports.logger));
+    lifecycle.own(() => listener.close());
+    return {
+        lifecycle,
+        drain: async () => STOPS_WHOLE,
+        failed: running.awaitFailure(),
+        reload: changed => routing.setSeeds(changed.seeds),
+    };
+}
+
+function describePlatform({ self }: DaemonPorts, settings: NodeSettings): RoutingPlatform | undefined {
+    const { platform, platformChecksFence } = settings;
+    if (!platform) return undefined;
+    return { checksFence: platformChecksFence, flightMs: PLATFORM_FLIGHT_MS, ...cloudCallsOf(platform, self.host) };
+}
--- /dev/null
+++ b/src/platform/timing/index.ts
@@ -0,0 +1,27 @@
+import { DEFAULT_LOG_TIMING, LogTiming } from "../../consensus/index.js";
+import { PeerTiming } from "../../wire/index.js";
+
+/** Between own processes: a silent peer is noticed within a second, also where packets are lost now and then. */
+export const OWN_PEER_TIMING: PeerTiming = { heartbeatMs: 300, silenceMs: 1_000 };
+
+/**
+ * The control log's times: a lost holder is replaced within about two seconds, so that entries find the next one before their views
+ * are too old.
+ */
+export const CONTROL_LOG_TIMING: LogTiming = {
+    ...DEFAULT_LOG_TIMING,
+    heartbeatMs: 250,
+    leaseMs: 1_200,
+    electionSpreadMs: 600,
+    appendTimeoutMs: 4_000,
+    joinRetryMs: 250,
+    // Documents are large entries: 200 of them with a thousand routes take some 40 MB of the disk.
+    snapshotEntries: 200,
+    trailingEntries: 50,
+    segmentBytes: 1024 * 1024,
+};
+
+/** An entry's view is refused this share of the bound on withdrawn keys after it was asked for; the rest is for drift and flight. */
+export const VIEW_LEASE_SHARE = 0.8;
+/** The longest that a call to the platform may be on its way, in milliseconds: it answers within a few when it is well. */
+export const PLATFORM_FLIGHT_MS = 1_000;
--- /dev/null
+++ b/src/platform/wireDialect/test.ts
@@ -0,0 +1,93 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { UpstreamId, WorkspaceId } from "../../ids/index.js";
+import { CallError } from "../../passthrough/index.js";
+import { HeaderList, HttpReply, HttpRequest } from "../../ports/index.js";
+import { WireDialect } from "./index.js";
+
+const dialect = new WireDialect();
+
+function request(headers: HeaderList): HttpRequest {
+    return { headers } as HttpRequest;
+}
+
+function reply(status: number, headers: HeaderList): HttpReply {
+    return { status, headers } as HttpReply;
+}
+
+const ATTEMPT = ["sequoiamux-attempt-id", "9c41"] as const;
+const MARKS = {
+    upstream: "i-1" as UpstreamId,
+    workspace: "hule930" as WorkspaceId,
+    deadlineMs: 900,
+    priority: 2,
+    lastEventId: undefined,
+};
+
+describe("WireDialect", () => {
+    describe("a caller's head", () => {
+        it("is read in the product's words", () => {
+            const head = dialect.readHead(request([
+                ATTEMPT,
+                ["authorization", "Token secret-key"],
+                ["sequoiamux-model", "m"],
+                ["sequoiamux-token-usage", "1460,80"],
+                ["sequoiamux-prefix-hash", "5c1e:800,bad,91bd:410"],
+                ["sequoiamux-deadline-ms", "8000"],
+            ])).unsafeCoerce();
+            assert.equal(head.key, "secret-key");
+            assert.deepEqual([head.promptTokens, head.maxTokens, head.deadlineMs], [1460, 80, 8000]);
+            assert.deepEqual(head.parts, [{ id: "5c1e", tokens: 800 }, { id: "91bd", tokens: 410 }]);
+        });
+
+        it("needs exactly one attempt id", () => {
+            for (const headers of [[], [ATTEMPT, ATTEMPT]]) {
+                assert.equal(dialect.readHead(request(headers)).swap().unsafeCoerce().kind, "malformed");
+            }
+        });
+
+        it("loses the key and all that is the system's to say", () => {
+            // A caller names another workspace, an engine's memory and a lease of its own, and repeats its key in a header of
+            // its own making: an engine would take all of it for the system's word, or learn the key.
+            const head = dialect.readHead(request([
+                ATTEMPT,
+                ["authorization", "Token secret-key"],
+                ["sequoiamux-tenant", "other"],
+                ["sequoiamux-hold", "1"],
+                ["kv-from", "10.0.0.1:1/x"],
+                ["x-copy", "a secret-key b"],
+                ["x-own", "kept"],
+                ["connection", "close"],
+            ])).unsafeCoerce();
+            const sent = dialect.writeHead(head, MARKS);
+            assert.deepEqual(sent, [
+                ATTEMPT,
+                ["x-own", "kept"],
+                ["sequoiamux-deadline-ms", "900"],
+                ["sequoiamux-expect-instance", "i-1"],
+                ["sequoiamux-priority-class", "2"],
+                ["sequoiamux-tenant", "hule930"],
+            ]);
+        });
+    });
+
+    describe("an upstream's head", () => {
+        it("tells a refusal from an answer", () => {
+            assert.equal(dialect.readReply(reply(503, [["sequoiamux-not-executed", "1"]])).refused, true);
+            assert.equal(dialect.readReply(reply(421, [])).misdirected, true);
+            assert.equal(dialect.readReply(reply(503, [])).refused, false);
+        });
+
+        it("takes an encoded body for no answer of the upstream", () => {
+            const stamp = ["sequoiamux-response-stamp", "x"] as const;
+            assert.equal(dialect.readReply(reply(200, [stamp])).isSigned, true);
+            assert.equal(dialect.readReply(reply(200, [stamp, ["content-encoding", "gzip"]])).isSigned, false);
+        });
+    });
+
+    it("tells when to come back, in seconds with fractions", () => {
+        const { status, headers } = dialect.writeError(new CallError("refused", "full", 250));
+        assert.equal(status, 503);
+        assert.deepEqual(headers.at(-1), ["retry-after", "0.250"]);
+    });
+});
--- a/src/ports/clock/index.ts
+++ b/src/ports/clock/index.ts
@@ -17,6 +17,15 @@
     /** Milliseconds on a clock that never goes back. Leases and deadlines run on this one. */
     abstract monotonic(): number;
 
+    /**
+     * Milliseconds on a clock that never goes back and never counts less than has passed, for whoever holds a right that
+     * ends by time: a lease's holder, an entry with a view. Differs from `monotonic` where the machine can be suspended, which
+     * stops the steady clock. Whoever granted the right counts on `monotonic`, which then ends later: both err on the safe side.
+     */
+    elapsed(): number {
+        return this.monotonic();
+    }
+
     /**
      * Calls back once, later.
      *
--- a/src/ports/fileDisk/index.ts
+++ b/src/ports/fileDisk/index.ts
@@ -69,15 +69,20 @@
 
     /**
      * The lock is a listening socket in Linux's abstract namespace, named after the folder: the kernel drops it with
-     * the process, so that a crash never leaves a stale lock behind, as a lock file would.
+     * the process, so that a crash never leaves a stale lock behind, as a lock file would. A machine without such sockets is taken to
+     * run one process for each folder: there is no other lock that ends with its process.
      */
     async lock(): Promise<DiskLock> {
         const name = createHash("sha256").update(resolve(this.root)).digest("hex").slice(0, 32);
         const server = createServer();
-        await new Promise<void>((done, fail) => {
-            server.once("error", () => fail(new DiskError("locked", `${this.root} is in use by another process`)));
-            server.listen(`\0sequoiamux-${name}`, done);
+        const isLocked = await new Promise<boolean>((done, fail) => {
+            server.once("error", (err: NodeJS.ErrnoException) => {
+                if (err.code !== "EADDRINUSE") return done(false);
+                fail(new DiskError("locked", `${this.root} is in use by another process`));
+            });
+            server.listen(`\0sequoiamux-${name}`, () => done(true));
         });
+        if (!isLocked) return { release: async () => undefined };
         server.unref();
         return { release: () => new Promise<void>(done => server.close(() => done())) };
     }
--- a/src/ports/http/index.ts
+++ b/src/ports/http/index.ts
@@ -13,6 +13,8 @@
     readonly body?: Uint8Array;
     /** True: a new connection that is closed after the answer. False: a pooled one may serve. */
     readonly fresh: boolean;
+    /** True: of the pooled ones only a connection used a moment ago, on which the far end has hardly had time to give up. */
+    readonly recentOnly?: boolean;
     /** How long to wait for the connection, in milliseconds. */
     readonly connectTimeoutMs: number;
     /** How long to wait for the answer's head once sent, in milliseconds. */
@@ -95,6 +97,16 @@
     /** How long a caller may take over the headers, and over the whole request, in milliseconds. */
     readonly headerTimeoutMs: number;
     readonly requestTimeoutMs: number;
+    /** How long a connection may stay idle between two requests, in milliseconds; told to callers in whole seconds. */
+    readonly idleTimeoutMs?: number;
+}
+
+/** A listening HTTP server. */
+export interface HttpListener extends Listener {
+    /** Changes the limits of connections from now on; the size of headers keeps its first bound. */
+    setLimits(limits: HttpLimits): void;
+    /** Takes no more connections and closes idle ones; answers under way go on. Settles when the last has ended. */
+    stopAccepting(): Promise<void>;
 }
 
 /**
@@ -105,7 +117,7 @@
  */
 export abstract class Http {
     /** Serves requests until the listener is closed; closing it lets running answers end. */
-    abstract serve(address: Address, limits: HttpLimits, handler: HttpHandler): Promise<Listener>;
+    abstract serve(address: Address, limits: HttpLimits, handler: HttpHandler): Promise<HttpListener>;
 
     /** Sends a request and gives its answer's head; the body follows. */
     abstract send(call: HttpCall): Promise<Either<HttpError, HttpReply>>;
--- a/src/ports/index.ts
+++ b/src/ports/index.ts
@@ -14,6 +14,8 @@
 export * from "./nodeHttp/index.js";
 export * from "./random/index.js";
 export * from "./seededRandom/index.js";
+export * from "./sleepDetector/index.js";
+export * from "./standardOutput/index.js";
 export * from "./systemClock/index.js";
 export * from "./systemRandom/index.js";
 export * from "./tcpNetwork/index.js";
--- a/src/ports/memoryHttp/index.ts
+++ b/src/ports/memoryHttp/index.ts
@@ -9,12 +9,13 @@
     HttpError,
     HttpHandler,
     HttpLimits,
+    HttpListener,
     HttpReply,
     HttpRequest,
     HttpResponse,
 } from "../http/index.js";
 import { MemoryFabric } from "../memoryNetwork/index.js";
-import { Address, formatAddress, Listener, NetworkError } from "../network/index.js";
+import { Address, formatAddress, NetworkError } from "../network/index.js";
 
 /** The servers of one process-wide in-memory network. */
 export class MemoryWeb {
@@ -48,19 +49,17 @@
         super();
     }
 
-    async serve(address: Address, _limits: HttpLimits, handler: HttpHandler): Promise<Listener> {
+    async serve(address: Address, _limits: HttpLimits, handler: HttpHandler): Promise<HttpListener> {
         const bound = { host: address.host, port: address.port === 0 ? this.nextPort++ : address.port };
         const name = formatAddress(bound);
         if (this.web.servers.has(name)) throw new NetworkError("refused", `${name} is in use`);
         this.web.servers.set(name, handler);
         this.web.fabric.register(bound, connection => void serveRawConnection(connection, handler));
-        return {
-            address: bound,
-            close: async () => {
-                this.web.servers.delete(name);
-                this.web.fabric.unregister(bound);
-            },
+        const stopAccepting = async (): Promise<void> => {
+            this.web.servers.delete(name);
+            this.web.fabric.unregister(bound);
         };
+        return { address: bound, setLimits: () => undefined, stopAccepting, close: stopAccepting };
     }
 
     async send(call: HttpCall): Promise<Either<HttpError, HttpReply>> {
--- a/src/ports/nodeHttp/index.ts
+++ b/src/ports/nodeHttp/index.ts
@@ -1,4 +1,5 @@
-import { Agent, createServer, IncomingMessage, request, ServerResponse } from "node:http";
+import { Agent, ClientRequest, createServer, IncomingMessage, request, Server, ServerResponse } from "node:http";
+import { Socket } from "node:net";
 import { Either, Left, Right } from "purify-ts";
 import {
     BodyError,
@@ -8,16 +9,21 @@
     HttpError,
     HttpHandler,
     HttpLimits,
+    HttpListener,
     HttpReply,
     HttpRequest,
     HttpResponse,
 } from "../http/index.js";
-import { Address, formatAddress, Listener, NetworkError } from "../network/index.js";
+import { Address, formatAddress, NetworkError } from "../network/index.js";
 import { answerMalformed, endUnreadRequests } from "../serverGuards/index.js";
 
 /** A pooled connection idle for longer than this is not used again: something between may have forgotten it. */
 const POOL_IDLE_MS = 2_000;
+/** As above, for requests that must not be lost between two ends that disagree on whether the connection is open. */
+const RECENT_IDLE_MS = 300;
 const POOL_SOCKETS_PER_ADDRESS = 256;
+/** A caller's connection that is idle for longer is closed where no limit says otherwise: Node's own default. */
+const DEFAULT_IDLE_MS = 5_000;
 /** How often connections are looked through for requests that come too slowly, in milliseconds. */
 const CHECK_INTERVAL_MS = 500;
 
@@ -28,18 +34,16 @@
  * const http = new NodeHttp();
  */
 export class NodeHttp extends Http {
-    private readonly pool = new Agent({
-        keepAlive: true,
-        timeout: POOL_IDLE_MS,
-        maxFreeSockets: POOL_SOCKETS_PER_ADDRESS,
-    });
+    private readonly pool = makePool(POOL_IDLE_MS);
+    private readonly recentPool = makePool(RECENT_IDLE_MS);
 
-    serve(address: Address, limits: HttpLimits, handler: HttpHandler): Promise<Listener> {
+    serve(address: Address, limits: HttpLimits, handler: HttpHandler): Promise<HttpListener> {
         const server = createServer({
             maxHeaderSize: limits.headerBytes,
             headersTimeout: limits.headerTimeoutMs,
             requestTimeout: limits.requestTimeoutMs,
             connectionsCheckingInterval: CHECK_INTERVAL_MS,
+            keepAliveTimeout: limits.idleTimeoutMs ?? DEFAULT_IDLE_MS,
             noDelay: true,
         }, (req, res) => void answer(new NodeRequest(req, res), new NodeResponse(res), handler));
         answerMalformed(server);
@@ -48,20 +52,26 @@
             server.once("error", err => reject(new NetworkError("refused", err.message)));
             server.listen(address.port, address.host, () => {
                 const bound = server.address() as { port: number; };
-                resolve(
-                    {
-                        address: { host: address.host, port: bound.port },
-                        close: () =>
-                            new Promise<void>(done => {
-                                server.close(() => done());
-                                server.closeIdleConnections();
-                            }),
-                    } satisfies Listener,
-                );
+                const stopAccepting = (): Promise<void> =>
+                    new Promise<void>(done => {
+                        server.close(() => done());
+                        server.closeIdleConnections();
+                    });
+                resolve({
+                    address: { host: address.host, port: bound.port },
+                    setLimits: changed => applyLimits(server, changed),
+                    stopAccepting,
+                    close: stopAccepting,
+                });
             });
         });
     }
 
+    private chooseAgent({ fresh, recentOnly }: HttpCall): Agent {
+        if (fresh) return new Agent({ keepAlive: false });
+        return recentOnly ? this.recentPool : this.pool;
+    }
+
     send(call: HttpCall): Promise<Either<HttpError, HttpReply>> {
         if (call.signal?.aborted) return Promise.resolve(Left(new HttpError("aborted", false, "before sending")));
         return new Promise(resolve => {
@@ -73,7 +83,7 @@
                 method: call.method,
                 path: call.path,
                 headers: completeHeaders(call).flat() as unknown as string[],
-                agent: call.fresh ? new Agent({ keepAlive: false }) : this.pool,
+                agent: this.chooseAgent(call),
             });
             const giveUp = (why: HttpError["reason"]): void => {
                 reason = why;
@@ -112,6 +122,40 @@
     }
 }
 
+function makePool(idleMs: number): Agent {
+    return new GuardedAgent({ keepAlive: true, timeout: idleMs, maxFreeSockets: POOL_SOCKETS_PER_ADDRESS });
+}
+
+/**
+ * A pool that drops connections on which something comes while they are idle.
+ *
+ * Guards against the second answer to a request that was answered already: it would be read as the answer to the next request on
+ * that connection.
+ */
+class GuardedAgent extends Agent {
+    private readonly guards = new WeakMap<Socket, () => void>();
+
+    // Called by Node as a request's end gives its connection back, and as the next request takes it.
+    override keepSocketAlive(socket: Socket): boolean {
+        const guard = (): void => void socket.destroy();
+        this.guards.set(socket, guard);
+        socket.once("data", guard);
+        return super.keepSocketAlive(socket) as unknown as boolean;
+    }
+
+    override reuseSocket(socket: Socket, req: ClientRequest): void {
+        const guard = this.guards.get(socket);
+        if (guard) socket.removeListener("data", guard);
+        super.reuseSocket(socket, req);
+    }
+}
+
+function applyLimits(server: Server, limits: HttpLimits): void {
+    server.headersTimeout = limits.headerTimeoutMs;
+    server.requestTimeout = limits.requestTimeoutMs;
+    server.keepAliveTimeout = limits.idleTimeoutMs ?? DEFAULT_IDLE_MS;
+}
+
 /** Node adds neither of these to a list of headers; without a length it would send no body at all. */
 function completeHeaders(call: HttpCall): HeaderList {
     const added: [string, string][] = [];
--- a/src/ports/systemClock/index.ts
+++ b/src/ports/systemClock/index.ts
@@ -1,5 +1,6 @@
 import { performance } from "node:perf_hooks";
 import { Clock, Timer } from "../clock/index.js";
+import { SleepDetector } from "../sleepDetector/index.js";
 
 /**
  * The machine's clock.
@@ -8,10 +9,17 @@
  * const clock = new SystemClock();
  */
 export class SystemClock extends Clock {
+    private readonly sleepDetector = new SleepDetector();
+
     now(): number {
         return Date.now();
     }
 
+    override elapsed(): number {
+        const steady = this.monotonic();
+        return steady + this.sleepDetector.sleptMs(Date.now(), steady);
+    }
+
     monotonic(): number {
         return performance.now();
     }
--- a/src/entry/requestRegistry/index.ts
+++ b/src/request/requestRegistry/index.ts
@@ -40,13 +40,15 @@
     }
 
     /**
-     * Stops the requests whose key is no longer in force: a withdrawal reaches connections that are open.
+     * Stops the requests whose key is no longer in force: a withdrawal reaches connections that are open. Routed calls are not
+     * among them: they have no hash here, and are checked again each time they are sent.
      *
      * @param inForce - Says whether a key is.
      */
     cancelWithdrawn(inForce: (hash: KeyHash) => boolean): void {
         for (const request of this.running.values()) {
-            if (!inForce(request.identity.keyHash)) request.cancel("key-withdrawn");
+            const { keyHash } = request.identity;
+            if (keyHash !== undefined && !inForce(keyHash)) request.cancel("key-withdrawn");
         }
     }
 
--- a/src/entry/runningRequest/index.ts
+++ b/src/request/runningRequest/index.ts
@@ -4,13 +4,14 @@
 import { Clock } from "../../ports/index.js";
 
 /** Why a running request was stopped from outside. */
-export type CancelReason = "caller-gone" | "key-withdrawn" | "preempted" | "stalled" | "stopping";
+export type CancelReason = "caller-gone" | "key-withdrawn" | "preempted" | "stalled" | "stopping" | "timeout";
 
 /** Whose request it is and what it asks for. */
 export interface RequestIdentity {
     readonly id: RequestId;
     readonly workspace: WorkspaceId;
-    readonly keyHash: KeyHash;
+    /** Undefined for routed calls, whose keys stand in the fleet document. */
+    readonly keyHash: KeyHash | undefined;
     readonly className: ClassName;
     readonly tier: number;
     readonly pool: PoolId;
--- /dev/null
+++ b/src/routing/routeTable/index.ts
@@ -0,0 +1,95 @@
+import { PoolId, WorkspaceId } from "../../ids/index.js";
+import { Random } from "../../ports/index.js";
+import { CallerLimits, FleetDocument, PoolSpec, Route } from "../fleetDocument/index.js";
+
+/** The workspace that a key opens. */
+export interface KeyOwner {
+    readonly workspace: WorkspaceId;
+    /** Goes before the tier of the route. */
+    readonly tier: number | undefined;
+}
+
+/**
+ * A document made ready for look-ups. It never changes: a new document makes a new table.
+ *
+ * @example
+ * const route = table.findRoute("shop.example", "/orders/1?x=2");
+ */
+export class RouteTable {
+    readonly version: number;
+    readonly limits: CallerLimits;
+    /** False: the document names no workspaces, and calls need no keys. */
+    readonly asksForKeys: boolean;
+    private readonly routesByHost = new Map<string, Route[]>();
+    private readonly owners = new Map<string, KeyOwner>();
+    private readonly pools = new Map<PoolId, PoolSpec>();
+
+    constructor(document: FleetDocument) {
+        const { version, limits, routes, pools, workspaces } = document;
+        this.version = version;
+        this.limits = limits;
+        this.asksForKeys = workspaces !== undefined;
+        for (const route of routes) this.addRoute(route);
+        for (const list of this.routesByHost.values()) {
+            list.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+        }
+        for (const spec of pools) this.pools.set(spec.pool, spec);
+        for (const { workspace, keys, tier } of workspaces ?? []) {
+            for (const key of keys) this.owners.set(key, { workspace, tier });
+        }
+    }
+
+    /**
+     * Finds the route of a call: of the host's routes the one with the longest prefix that begins the path.
+     *
+     * @param host - The `Host` header, with or without a port.
+     * @param path - Path and query, as sent.
+     */
+    findRoute(host: string, path: string): Route | undefined {
+        const routes = this.routesByHost.get(stripPort(host).toLowerCase());
+        const bare = path.split("?", 1)[0];
+        return routes?.find(({ pathPrefix }) => bare.startsWith(pathPrefix));
+    }
+
+    /** Whose key this is; undefined when it is nobody's. */
+    findOwner(key: string): KeyOwner | undefined {
+        return this.owners.get(key);
+    }
+
+    findPool(pool: PoolId): PoolSpec | undefined {
+        return this.pools.get(pool);
+    }
+
+    listPools(): readonly PoolSpec[] {
+        return [...this.pools.values()];
+    }
+
+    private addRoute(route: Route): void {
+        const host = route.host.toLowerCase();
+        const known = this.routesByHost.get(host);
+        if (known) known.push(route);
+        else this.routesByHost.set(host, [route]);
+    }
+}
+
+/**
+ * Draws the pool for a call of a route with several, by their weights.
+ *
+ * @example
+ * const pool = drawTarget(route, random);
+ */
+export function drawTarget({ targets }: Route, random: Random): PoolId {
+    if (targets.length === 1) return targets[0].pool;
+    const sum = targets.reduce((total, { weight }) => total + weight, 0);
+    let left = random.between(0, sum);
+    for (const { pool, weight } of targets) {
+        left -= weight;
+        if (left < 0) return pool;
+    }
+    return targets.findLast(({ weight }) => weight > 0)!.pool;
+}
+
+function stripPort(host: string): string {
+    const colon = host.lastIndexOf(":");
+    return colon < 0 || host.endsWith("]") ? host : host.slice(0, colon);
+}
--- a/src/upstream/load/index.ts
+++ b/src/upstream/load/index.ts
@@ -127,6 +127,11 @@
         this.closedUntil = now + restMs;
     }
 
+    /** The upstream refused a request, being full by its own count: it gets no other for a moment. */
+    markBusy(now: number): void {
+        this.closedUntil = Math.max(this.closedUntil, now + BUSY_MS);
+    }
+
     /** Learns the time between tokens that a request saw, in milliseconds. */
     learnPace(tokenMs: number): void {
         this.paces++;
@@ -189,6 +194,8 @@
     }
 }
 
+/** How long an upstream that is full is left alone, in milliseconds: about the time in which one of its requests ends. */
+const BUSY_MS = 50;
 /** How far a request's flight can shift it against a report, in milliseconds. */
 const FLIGHT_MS = 20;
 /** How soon an ejected upstream gets one request to show its pace, at first and at the latest, in milliseconds. */
--- a/src/upstream/registry/index.ts
+++ b/src/upstream/registry/index.ts
@@ -17,7 +17,10 @@
     readonly records: readonly SpreadRecord[];
 }
 
-/** `heard`: only what came from the upstreams themselves; `all`: relayed records too, for an entry that starts. */
+/**
+ * `heard`: only what came from the upstreams themselves, and leavers whoever told of them, since missing one of these does harm;
+ * `all`: other relayed records too, for an entry that starts.
+ */
 export type SpreadScope = "heard" | "all";
 
 /** How long the registry believes what it has heard. */
@@ -105,7 +108,8 @@
             const change = this.log[index];
             const upstream = this.upstreams.get(change.id);
             if (!upstream || this.versions.get(change.id) !== change.version) continue;
-            if (scope === "heard" && !upstream.firstHand) continue;
+            const isRelayedNews = !upstream.firstHand && upstream.announcement.state === "ready";
+            if (scope === "heard" && isRelayedNews) continue;
             records.push({ announcement: upstream.announcement, ageMs: now - upstream.heardAt });
         }
         return { version: this.version, records };
--- a/src/usage/index.ts
+++ b/src/usage/index.ts
@@ -1,4 +1,6 @@
 /** Usage windows: each batch counted once, figures frozen when a window closes, limits shared out among hosts. */
 export * from "./sequenceSet/index.js";
 export * from "./spendBook/index.js";
+export * from "./startMeter/index.js";
+export * from "./startsBook/index.js";
 export * from "./usageBook/index.js";
--- /dev/null
+++ b/src/usage/startMeter/test.ts
@@ -0,0 +1,23 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { WorkspaceId } from "../../ids/index.js";
+import { StartMeter } from "./index.js";
+
+const BUTCHER = "butcher" as WorkspaceId;
+
+describe("StartMeter", () => {
+    it("counts by window and workspace", () => {
+        const meter = new StartMeter(5_000);
+        for (const at of [10_000, 14_999, 15_000]) meter.note(BUTCHER, at);
+        assert.deepEqual(meter.list(16_000), [
+            { window: 2, counts: { butcher: 2 } },
+            { window: 3, counts: { butcher: 1 } },
+        ]);
+    });
+
+    it("forgets windows of more than a minute ago", () => {
+        const meter = new StartMeter(5_000);
+        meter.note(BUTCHER, 10_000);
+        assert.deepEqual(meter.list(80_000), []);
+    });
+});
--- /dev/null
+++ b/src/usage/startsBook/test.ts
@@ -0,0 +1,39 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { CloseStartsCommand, StartsBook } from "./index.js";
+
+function close(window: number, count: number): CloseStartsCommand {
+    return { kind: "starts.close", window, counts: { butcher: count } as CloseStartsCommand["counts"] };
+}
+
+describe("StartsBook", () => {
+    it("keeps the first counts of a window", () => {
+        // The platform gets two reports of one window with different figures, and a partner disputes the bill.
+        // A holder closes the window and is lost before it has reported it. Its successor has heard of more requests meanwhile.
+        const book = new StartsBook();
+        book.close(close(5, 10));
+        assert.equal(book.close(close(5, 12)).counts["butcher" as never], 10);
+        assert.deepEqual(book.listUnreported(), [{ window: 5, counts: { butcher: 10 }, reported: false }]);
+    });
+
+    it("lists what is not reported, the oldest first, also after a snapshot", () => {
+        const book = new StartsBook();
+        for (const window of [7, 5, 6]) book.close(close(window, window));
+        book.markReported({ kind: "starts.reported", window: 6 });
+        const restored = new StartsBook();
+        restored.restore(book.snapshot());
+        assert.deepEqual(restored.listUnreported().map(({ window }) => window), [5, 7]);
+        assert.equal(restored.lastClosed, 7);
+    });
+
+    it("forgets the oldest reported windows only", () => {
+        const book = new StartsBook();
+        book.close(close(0, 1));
+        for (let window = 1; window <= 1_010; window++) {
+            book.close(close(window, 1));
+            book.markReported({ kind: "starts.reported", window });
+        }
+        assert.equal(book.listUnreported()[0].window, 0);
+        assert.ok(book.snapshot().length <= 1_002);
+    });
+});
