Routed calls choose by predicted first token; ready streams log their longest pause

Cause: calls were refused as over capacity with all slots free. A ticket judged in the moment of its arrival counted as waiting, since its age summed up to a fraction more than it came with, and was then shed by the pool's mean time to the first token. Ruled out: slots (128 free of 128 on each engine), the owner's hop (1 to 3 ms).

--- a/src/control/controlProcess/index.ts
+++ b/src/control/controlProcess/index.ts
@@ -10,8 +10,8 @@
 import { HolderRunner, HolderTask } from "../holderRunner/index.js";
 import { OrderSender } from "../orderSender/index.js";
 import { PurchasePolicy, PurchaseRunner } from "../purchaseRunner/index.js";
-import { ControlState } from "../state/index.js";
 import { RoutingDuties, RoutingService } from "../routingService/index.js";
+import { ControlState } from "../state/index.js";
 import { UsageReporter } from "../usageReporter/index.js";
 import { WindowCloser } from "../windowCloser/index.js";
 
--- a/src/control/view/index.ts
+++ b/src/control/view/index.ts
@@ -1,5 +1,5 @@
-import { FleetDocument } from "../../routing/index.js";
 import { ClassName, KeyHash, KeyId, PoolId, Revision, TemplateName, WorkspaceId } from "../../ids/index.js";
+import { FleetDocument } from "../../routing/index.js";
 
 /** What a service class promises, as entries see it. */
 export interface ClassView {
--- a/src/discovery/announcementFollower/index.ts
+++ b/src/discovery/announcementFollower/index.ts
@@ -40,7 +40,10 @@
         const answer = await channel.call(FOLLOW_METHOD, {}, FOLLOW_TIMEOUT_MS);
         if (answer.isLeft()) {
             // A channel without news looks sound and hides upstreams: the next one gets another try.
-            this.options.logger.warn("hub-not-followed", { hub: channel.peer?.host, problem: answer.extract().message });
+            this.options.logger.warn("hub-not-followed", {
+                hub: channel.peer?.host,
+                problem: answer.extract().message,
+            });
             channel.reset();
             return;
         }
--- a/src/dispatch/admission/index.ts
+++ b/src/dispatch/admission/index.ts
@@ -10,6 +10,9 @@
     readonly firstTokenMs: number;
 }
 
+/** A ticket judged in the moment of its arrival is new; sums of fractions of a millisecond are not exact. */
+const SAME_MOMENT_MS = 0.001;
+
 /** Says how far a ticket's first token is expected to miss its target. */
 export abstract class AdmissionPolicy {
     /**
@@ -49,7 +52,7 @@
         // The caller of a resumed answer has part of it: a refusal now would break the answer in the middle.
         if (ticket.resumeOffset > 0) return 0;
         const ageMs = context.now - waiting.arrivedAt;
-        const isNew = ageMs <= ticket.ageMs;
+        const isNew = ageMs <= ticket.ageMs + SAME_MOMENT_MS;
         const share = isNew ? this.margins.newShare : this.margins.waitingShare;
         const startMs = ageMs + context.waitMs;
         const targetMissMs = startMs + context.firstTokenMs - share * ticket.firstTokenMs;
@@ -72,7 +75,7 @@
         // The caller of a resumed answer has part of it: a refusal now would break the answer in the middle.
         if (ticket.resumeOffset > 0) return 0;
         const ageMs = now - arrivedAt;
-        const isNew = ageMs <= ticket.ageMs;
+        const isNew = ageMs <= ticket.ageMs + SAME_MOMENT_MS;
         if (isNew) return ageMs + waitMs - HOPELESS_WAITS * ticket.maxWaitMs;
         return Math.max(ageMs + firstTokenMs - ticket.firstTokenMs, ageMs - ticket.maxWaitMs);
     }
--- a/src/dispatch/localDispatcher/index.ts
+++ b/src/dispatch/localDispatcher/index.ts
@@ -1,5 +1,5 @@
 import { Either } from "purify-ts";
-import { HostId, PoolId, RequestId, ZoneId } from "../../ids/index.js";
+import { HostId, PoolId, RequestId, UpstreamId, ZoneId } from "../../ids/index.js";
 import { Clock, Random, Timer } from "../../ports/index.js";
 import { PoolMembers, PrefixIndex, Upstream, UpstreamRegistry } from "../../upstream/index.js";
 import { Dispatcher } from "../dispatcher/index.js";
@@ -19,6 +19,8 @@
     readonly zone: ZoneId;
     readonly policies?: DispatchPolicies;
     readonly observer?: DispatchObserver;
+    /** How many tokens the memory of a pool's upstreams takes, where that is known. */
+    readonly capacityOf?: (pool: PoolId) => number | undefined;
 }
 
 /** How often waiting tickets are looked at again, in milliseconds. */
@@ -148,6 +150,7 @@
             policies: this.options.policies ?? DEFAULT_POLICIES,
             observer: this.options.observer ?? new NoDispatchObserver(),
             startedAt: this.startedAt,
+            capacityOf: this.options.capacityOf,
             preempt: request => {
                 for (const listener of this.preemptListeners) listener(request);
             },
@@ -164,10 +167,10 @@
     private takeCacheEvents(upstream: Upstream): void {
         const { incarnation, cache } = upstream.announcement;
         const seen = this.seenIncarnations.get(upstream.id);
-        if (seen !== undefined && seen !== incarnation) this.prefixes.forget(upstream.id);
+        if (seen !== undefined && seen !== incarnation) this.forgetUpstream(upstream.id);
         this.seenIncarnations.set(upstream.id, incarnation);
         if (upstream.state === "gone") {
-            this.prefixes.forget(upstream.id);
+            this.forgetUpstream(upstream.id);
             this.seenIncarnations.delete(upstream.id);
         }
         else if (cache) {
@@ -175,6 +178,11 @@
         }
     }
 
+    private forgetUpstream(upstream: UpstreamId): void {
+        this.prefixes.forget(upstream);
+        for (const queue of this.queues.values()) queue.forgetUpstream(upstream);
+    }
+
     private armTimer(): void {
         if (this.timer || this.isClosed) return;
         this.timer = this.options.clock.after(TICK_MS, () => this.tick());
--- a/src/dispatch/policies/index.ts
+++ b/src/dispatch/policies/index.ts
@@ -5,6 +5,7 @@
     NoStragglerPolicy,
     PrefixIndex,
     RoundRobinChoice,
+    RoutedChoice,
     StragglerPolicy,
     UpstreamChoice,
 } from "../../upstream/index.js";
@@ -16,6 +17,8 @@
 export interface PolicyParts {
     readonly random: Random;
     readonly prefixes: PrefixIndex;
+    /** How many tokens the memory of the pool's upstreams takes, where that is known. */
+    readonly capacity: () => number | undefined;
 }
 
 /** Makes the policies of a pool. */
@@ -36,6 +39,18 @@
     createChoice: parts => new ExpectedTimeChoice(parts.prefixes),
 };
 
+/**
+ * What runs where calls are routed by the fleet document. Engines of such pools queue and preempt by priority themselves, and a late
+ * answer is still worth something: nothing is shed for a target that is missed, only for a wait that is over.
+ */
+export const ROUTED_POLICIES: DispatchPolicies = {
+    createOrder: () => new TierFairOrder(),
+    createAdmission: () => new AcceptAllAdmission(),
+    createPreemption: () => new NoPreemption(),
+    createStragglers: () => new NoStragglerPolicy(),
+    createChoice: ({ capacity }) => new RoutedChoice(capacity),
+};
+
 /** The simplest of each, to measure the others against. */
 export const BASELINE_POLICIES: DispatchPolicies = {
     createOrder: () => new FifoOrder(),
--- a/src/dispatch/poolQueue/index.ts
+++ b/src/dispatch/poolQueue/index.ts
@@ -1,8 +1,15 @@
 import PQueue from "p-queue";
 import { Either, Left, Right } from "purify-ts";
-import { HostId, PoolId, RequestId, ZoneId } from "../../ids/index.js";
+import { HostId, PoolId, RequestId, UpstreamId, ZoneId } from "../../ids/index.js";
 import { Clock, Random } from "../../ports/index.js";
-import { PoolMembers, PrefixIndex, StragglerPolicy, Upstream, UpstreamLoad } from "../../upstream/index.js";
+import {
+    PoolMembers,
+    PrefixIndex,
+    StragglerPolicy,
+    Upstream,
+    UpstreamChoice,
+    UpstreamLoad,
+} from "../../upstream/index.js";
 import { makeGrant } from "../_lib/makeGrant.js";
 import { AdmissionControl, makeRefusal } from "../admissionControl/index.js";
 import { LengthEstimator } from "../lengths/index.js";
@@ -32,8 +39,20 @@
     readonly preempt: (request: RequestId) => void;
     /** Monotonic time since when upstreams could have been heard of, in milliseconds. */
     readonly startedAt: number;
+    /** How many tokens the memory of a pool's upstreams takes, where that is known. */
+    readonly capacityOf?: (pool: PoolId) => number | undefined;
 }
 
+/** What an outcome says of the upstream; undefined: nothing. */
+const FAILED: Readonly<Record<Completion["outcome"], boolean | undefined>> = {
+    answered: false,
+    failed: true,
+    errored: true,
+    refused: undefined,
+    cancelled: undefined,
+    unused: undefined,
+};
+
 interface Waiter {
     readonly settle: (decision: Either<Refusal, Grant>) => void;
     readonly stopListening: () => void;
@@ -54,6 +73,7 @@
     private readonly admission: AdmissionControl;
     private readonly preempter: Preempter;
     private readonly stragglers: StragglerPolicy;
+    private readonly choice: UpstreamChoice;
     private readonly picker: UpstreamPicker;
     private readonly tickets: TicketQueue;
     private readonly queue: PQueue<TicketQueue, TicketQueueOptions>;
@@ -80,7 +100,9 @@
             outlook: this.outlook,
             preempter: this.preempter,
         });
-        this.picker = new UpstreamPicker({ ...options, choice: policies.createChoice({ random, prefixes }) });
+        const { pool, capacityOf } = options;
+        this.choice = policies.createChoice({ random, prefixes, capacity: () => capacityOf?.(pool) });
+        this.picker = new UpstreamPicker({ ...options, choice: this.choice });
         const tickets = new TicketQueue(this.order, () => this.readOrderContext());
         this.tickets = tickets;
         // p-queue makes its queue itself and passes no arguments.
@@ -149,6 +171,7 @@
         const running = this.running.get(completion.request);
         if (!running || running.load.upstream.id !== completion.upstream) return false;
         this.running.remove(running);
+        this.choice.ended(completion.request, FAILED[completion.outcome], now);
         running.load.markEnded(now);
         this.learn(running, completion, now);
         this.options.members.refresh(running.load);
@@ -161,7 +184,9 @@
     progress(request: RequestId, tokens: number): void {
         const running = this.running.get(request);
         if (!running) return;
-        const tokenMs = countTokens(running, tokens, this.options.clock.monotonic());
+        const now = this.options.clock.monotonic();
+        if (running.tokens === 0) this.choice.firstToken(request, now);
+        const tokenMs = countTokens(running, tokens, now);
         if (tokenMs !== undefined) running.load.learnPace(tokenMs);
     }
 
@@ -203,6 +228,11 @@
         return lost.map(({ waiting }) => waiting.ticket.request);
     }
 
+    /** Forgets what was learned of an upstream that has ended or lives anew. */
+    forgetUpstream(upstream: UpstreamId): void {
+        this.choice.forget(upstream);
+    }
+
     /** Takes over a change that the registry told of. */
     updateUpstream(upstream: Upstream): void {
         this.options.members.update(upstream);
@@ -243,7 +273,7 @@
     }
 
     private start(waiting: WaitingTicket): Promise<void> {
-        const choice = this.picker.pick(waiting);
+        const choice = this.picker.pick(waiting, this.options.clock.monotonic());
         if (!choice) {
             this.options.members.refreshAll();
             this.updateConcurrency();
--- a/src/dispatch/ticket/index.ts
+++ b/src/dispatch/ticket/index.ts
@@ -1,5 +1,6 @@
-import { ClassName, HostId, PoolId, RequestId, UpstreamId, WorkspaceId } from "../../ids/index.js";
+import { ClassName, HostId, PoolId, RequestId, UpstreamId, WorkspaceId, ZoneId } from "../../ids/index.js";
 import { Address } from "../../ports/index.js";
+import { PromptPart } from "../../upstream/index.js";
 
 /** What the queue's owner knows of a request: never its body or its key. */
 export interface Ticket {
@@ -25,6 +26,12 @@
     readonly ageMs: number;
     /** Hashes of the prompt's prefixes, the shortest first. */
     readonly prefixes: readonly string[];
+    /** The prompt's parts with their sizes, where they are known. */
+    readonly parts?: readonly PromptPart[];
+    /** What must be sent to the upstream, in bytes, where it is known. */
+    readonly bodyBytes?: number;
+    /** Where the entry is that will send it; undefined: where the queue is. */
+    readonly zone?: ZoneId;
     /** The answer can be stopped and continued elsewhere. */
     readonly resumable: boolean;
     /** It may run more than once. */
--- a/src/dispatch/upstreamPicker/index.ts
+++ b/src/dispatch/upstreamPicker/index.ts
@@ -1,6 +1,6 @@
 import { PoolId, ZoneId } from "../../ids/index.js";
 import { Random } from "../../ports/index.js";
-import { Choice, PoolMembers, PrefixIndex, UpstreamChoice, UpstreamLoad } from "../../upstream/index.js";
+import { Choice, ChoiceRequest, PoolMembers, PrefixIndex, UpstreamChoice, UpstreamLoad } from "../../upstream/index.js";
 import { Ticket } from "../ticket/index.js";
 import { WaitingTicket } from "../waiting/index.js";
 
@@ -21,14 +21,25 @@
 export class UpstreamPicker {
     constructor(private readonly options: UpstreamPickerOptions) {}
 
-    /** The upstream for a ticket; undefined when none has a free slot. */
-    pick(waiting: WaitingTicket): Choice | undefined {
-        const { ticket, predictedTokens } = waiting;
-        const { pool, zone, choice } = this.options;
-        const candidates = this.narrow(ticket, this.findFree(ticket));
+    /**
+     * The upstream for a ticket; undefined when none has a free slot.
+     *
+     * @param now - Monotonic time, in milliseconds.
+     */
+    pick(waiting: WaitingTicket, now: number): Choice | undefined {
+        const candidates = this.narrow(waiting.ticket, this.findFree(waiting.ticket));
         if (candidates.length === 0) return undefined;
-        const { prefixes, promptTokens } = ticket;
-        return choice.choose(candidates, { pool, prefixes, promptTokens, predictedTokens, zone });
+        const request = this.describe(waiting, now);
+        const chosen = this.options.choice.choose(candidates, request);
+        this.options.choice.granted(chosen.load, request);
+        return chosen;
+    }
+
+    private describe({ ticket, predictedTokens }: WaitingTicket, now: number): ChoiceRequest {
+        const { pool, zone } = this.options;
+        const { request, prefixes, promptTokens, parts = [], bodyBytes = 0 } = ticket;
+        const sender = ticket.zone ?? zone;
+        return { request, pool, prefixes, parts, bodyBytes, promptTokens, predictedTokens, now, zone: sender };
     }
 
     private findFree(ticket: Ticket): readonly UpstreamLoad[] {
--- a/src/entry/callRecord/index.ts
+++ b/src/entry/callRecord/index.ts
@@ -1,11 +1,11 @@
 import { Either, Left, Right } from "purify-ts";
 import { BeginCallResult, CallAnswer, FinishCallCommand, UsageSum } from "../../control/index.js";
 import { WorkspaceId } from "../../ids/index.js";
+import { RunningRequest } from "../../request/index.js";
 import { PeerIdentity } from "../../wire/index.js";
 import { CallerError } from "../callerError/index.js";
 import { EntryContext } from "../entryContext/index.js";
 import { CallIdentity } from "../prepareService/index.js";
-import { RunningRequest } from "../../request/index.js";
 
 /** A record that this request has open, or the answer that an earlier one got. */
 export type OpenedCall =
--- a/src/entry/chatErrors/index.ts
+++ b/src/entry/chatErrors/index.ts
@@ -1,7 +1,7 @@
 import { Outcome } from "../../protocol/index.js";
+import { CancelReason } from "../../request/index.js";
 import { CallerError } from "../callerError/index.js";
 import { EngineStreamError } from "../engineStream/index.js";
-import { CancelReason } from "../../request/index.js";
 
 const RETRY_AFTER_FAILURE_MS = 1_000;
 
--- a/src/entry/entryContext/index.ts
+++ b/src/entry/entryContext/index.ts
@@ -2,8 +2,8 @@
 import { Logger } from "../../logging/index.js";
 import { Metrics } from "../../metrics/index.js";
 import { Clock, Http, Random } from "../../ports/index.js";
-import { ControlAccess } from "../controlAccess/index.js";
 import { RequestRegistry } from "../../request/index.js";
+import { ControlAccess } from "../controlAccess/index.js";
 import { SpendGate } from "../spendGate/index.js";
 import { UsageMeter } from "../usageMeter/index.js";
 
--- a/src/entry/entryProcess/index.ts
+++ b/src/entry/entryProcess/index.ts
@@ -1,5 +1,11 @@
 import { ControlClient, ControlLinkSet, ViewCache } from "../../control/index.js";
-import { AttemptBudget, DEFAULT_RETRY_LIMITS, LocalDispatcher, PoolOwnerTable } from "../../dispatch/index.js";
+import {
+    AttemptBudget,
+    DEFAULT_RETRY_LIMITS,
+    LocalDispatcher,
+    PoolOwnerTable,
+    ROUTED_POLICIES,
+} from "../../dispatch/index.js";
 import { ZoneId } from "../../ids/index.js";
 import { Lifecycle } from "../../lifecycle/index.js";
 import { Logger } from "../../logging/index.js";
@@ -15,6 +21,7 @@
     Network,
     Random,
 } from "../../ports/index.js";
+import { RequestRegistry } from "../../request/index.js";
 import { RegistryTiming, UpstreamRegistry } from "../../upstream/index.js";
 import { PeerIdentity, PeerRouter, PeerTiming, servePeers } from "../../wire/index.js";
 import { AnnouncementSpreader } from "../announcementSpreader/index.js";
@@ -24,7 +31,6 @@
 import { FleetDispatcher } from "../fleetDispatcher/index.js";
 import { PeerBatchHolder } from "../peerBatchHolder/index.js";
 import { PeerDirectory } from "../peerDirectory/index.js";
-import { RequestRegistry } from "../../request/index.js";
 import { RouteService, RouteServiceSettings } from "../routeService/index.js";
 import { serveAnnouncements } from "../serveAnnouncements/index.js";
 import { serveCallers } from "../serveCallers/index.js";
@@ -113,13 +119,21 @@
         });
         const owners = new PoolOwnerTable(region);
         this.registry = new UpstreamRegistry({ clock, timing: options.registryTiming });
-        this.local = new LocalDispatcher({ clock, random, registry: this.registry, zone });
+        this.local = new LocalDispatcher({
+            clock,
+            random,
+            zone,
+            registry: this.registry,
+            policies: options.routes && ROUTED_POLICIES,
+            capacityOf: pool => this.cache.routes?.findPool(pool)?.engine?.kvTokens,
+        });
         this.dispatcher = new FleetDispatcher({
             clock,
             self: self.host,
             owners,
             directory: this.directory,
             local: this.local,
+            pools: () => this.cache.routes?.listPools().map(({ pool }) => pool) ?? [],
         });
         this.spreader = new AnnouncementSpreader(this.registry, this.directory, owners, self.host);
         this.meter = new UsageMeter({
--- a/src/entry/fleetDispatcher/index.ts
+++ b/src/entry/fleetDispatcher/index.ts
@@ -22,6 +22,8 @@
     readonly directory: PeerDirectory;
     /** The queues of this host, for the pools that it owns. */
     readonly local: LocalDispatcher;
+    /** The pools that calls are routed to, where that is known ahead of the first ticket. */
+    readonly pools?: () => readonly PoolId[];
 }
 
 /** A grant in use, and the owner of the queue that counts it. */
@@ -30,6 +32,7 @@
     readonly ticket: Ticket;
     readonly grant: Grant;
     readonly grantedAt: number;
+    hasProgress: boolean;
 }
 
 /** Beyond the longest wait, for the way there and back. */
@@ -43,8 +46,6 @@
  * request so much once; the smallest targets are some hundred milliseconds.
  */
 const OWNER_ANSWER_MS = 120;
-/** Links to so many entries are kept open ahead of their first ticket: a small fleet has one to each. */
-const MOST_WARM_LINKS = 16;
 
 /**
  * Sends each ticket to the entry that owns the pool's queue, so that order and fairness hold over all entries.
@@ -129,6 +130,13 @@
             this.options.local.progress(request, tokens);
             return;
         }
+        const running = this.granted.get(request);
+        if (running && !running.hasProgress) {
+            // The owner predicts first tokens from those that have come: this news is worth a message of its own.
+            running.hasProgress = true;
+            this.sendProgress(owner, new Map([[request, tokens]]));
+            return;
+        }
         let sums = this.gathered.get(owner);
         if (!sums) this.gathered.set(owner, sums = new Map());
         sums.set(request, (sums.get(request) ?? 0) + tokens);
@@ -148,9 +156,13 @@
 
     /** A link opens on its first use, and a ticket that has to wait for that goes to another owner. */
     private warmLinks(): void {
-        const { directory, self } = this.options;
-        for (const host of directory.candidates().slice(0, MOST_WARM_LINKS)) {
-            if (host !== self) directory.linkTo(host);
+        const { directory, owners, self, pools } = this.options;
+        const hosts = directory.candidates();
+        for (const pool of pools?.() ?? []) {
+            const { owner, next } = owners.find(pool, hosts);
+            for (const host of [owner, next]) {
+                if (host !== undefined && host !== self) directory.linkTo(host);
+            }
         }
     }
 
@@ -235,7 +247,15 @@
         decision: Either<Refusal, Grant>,
     ): Either<Refusal, Grant> {
         const grantedAt = this.options.clock.monotonic();
-        return decision.ifRight(grant => this.granted.set(ticket.request, { owner, ticket, grant, grantedAt }));
+        return decision.ifRight(grant =>
+            this.granted.set(ticket.request, {
+                owner,
+                ticket,
+                grant,
+                grantedAt,
+                hasProgress: false,
+            })
+        );
     }
 }
 
--- a/src/entry/processAdmin/index.ts
+++ b/src/entry/processAdmin/index.ts
@@ -3,8 +3,8 @@
 import { RequestId } from "../../ids/index.js";
 import { HistogramTable } from "../../metrics/index.js";
 import { Clock } from "../../ports/index.js";
-import { Upstream, UpstreamRegistry } from "../../upstream/index.js";
 import { KnownRequest, RequestRegistry } from "../../request/index.js";
+import { Upstream, UpstreamRegistry } from "../../upstream/index.js";
 
 /** Gives the rows of the histograms kept in a process. */
 export type HistogramSource = Pick<HistogramTable, "list">;
--- a/src/entry/routeService/index.ts
+++ b/src/entry/routeService/index.ts
@@ -1,6 +1,7 @@
 import { ControlClient, ControlLinkSet, ViewCache } from "../../control/index.js";
 import { AnnouncementFollower } from "../../discovery/index.js";
 import { Dispatcher } from "../../dispatch/index.js";
+import { ZoneId } from "../../ids/index.js";
 import { Lifecycle } from "../../lifecycle/index.js";
 import { Logger } from "../../logging/index.js";
 import { Metrics } from "../../metrics/index.js";
@@ -39,6 +40,7 @@
     readonly logger: Logger;
     readonly metrics: Metrics;
     readonly self: PeerIdentity;
+    readonly zone: ZoneId;
     readonly router: PeerRouter;
     readonly registry: UpstreamRegistry;
     readonly requests: RequestRegistry;
--- a/src/entry/runChat/index.ts
+++ b/src/entry/runChat/index.ts
@@ -1,6 +1,7 @@
 import { Completion, Grant, Refusal, Ticket } from "../../dispatch/index.js";
 import { HostId, UpstreamId } from "../../ids/index.js";
 import { EngineUsage, Outcome } from "../../protocol/index.js";
+import { RunningRequest } from "../../request/index.js";
 import { CallerError } from "../callerError/index.js";
 import { makeCancelError, makeRejectionError, makeUpstreamError } from "../chatErrors/index.js";
 import { ChatSink } from "../chatSink/index.js";
@@ -8,7 +9,6 @@
 import { EntryContext } from "../entryContext/index.js";
 import { PreparedChat } from "../prepareChat/index.js";
 import { toRefusalError } from "../refusalError/index.js";
-import { RunningRequest } from "../../request/index.js";
 import { ChatAttempt, sendChat } from "../sendChat/index.js";
 
 /** How a chat ended. */
--- a/src/entry/runService/index.ts
+++ b/src/entry/runService/index.ts
@@ -1,12 +1,12 @@
 import { Grant, Refusal, Ticket } from "../../dispatch/index.js";
 import { UpstreamId } from "../../ids/index.js";
+import { RunningRequest } from "../../request/index.js";
 import { PeerIdentity } from "../../wire/index.js";
 import { CallerError } from "../callerError/index.js";
 import { CallRecord, openCall } from "../callRecord/index.js";
 import { EntryContext } from "../entryContext/index.js";
 import { PreparedService } from "../prepareService/index.js";
 import { toRefusalError } from "../refusalError/index.js";
-import { RunningRequest } from "../../request/index.js";
 import { sendService, ServiceAnswer, ServiceCallError } from "../sendService/index.js";
 
 const RETRY_AFTER_FAILURE_MS = 1_000;
--- a/src/entry/sendChat/index.ts
+++ b/src/entry/sendChat/index.ts
@@ -1,11 +1,11 @@
 import { Either, Left } from "purify-ts";
 import { Grant } from "../../dispatch/index.js";
 import { ENGINE_PATHS, EngineRequest } from "../../protocol/index.js";
+import { RunningRequest } from "../../request/index.js";
 import { ChatSink } from "../chatSink/index.js";
 import { EngineEnd, EngineStreamError, readEngineStream } from "../engineStream/index.js";
 import { EntryContext } from "../entryContext/index.js";
 import { PreparedChat } from "../prepareChat/index.js";
-import { RunningRequest } from "../../request/index.js";
 import { StallWatch } from "../stallWatch/index.js";
 
 const TRANSIENT_STATUSES: readonly number[] = [408, 409, 425, 429];
--- a/src/entry/sendService/index.ts
+++ b/src/entry/sendService/index.ts
@@ -2,9 +2,9 @@
 import { Grant } from "../../dispatch/index.js";
 import { findHeader, HttpReply } from "../../ports/index.js";
 import { REQUEST_ID_HEADER } from "../../protocol/index.js";
+import { RunningRequest } from "../../request/index.js";
 import { EntryContext } from "../entryContext/index.js";
 import { PreparedService } from "../prepareService/index.js";
-import { RunningRequest } from "../../request/index.js";
 
 /** A service call without a whole answer. */
 export class ServiceCallError extends Error {
--- a/src/entry/serveChat/index.ts
+++ b/src/entry/serveChat/index.ts
@@ -1,12 +1,12 @@
 import { HostId, RequestId } from "../../ids/index.js";
 import { HttpRequest, HttpResponse } from "../../ports/index.js";
+import { RunningRequest } from "../../request/index.js";
 import { admitRequest } from "../admitRequest/index.js";
 import { CallerError, sendCallerError } from "../callerError/index.js";
 import { ChatSink, StreamSink, WholeSink } from "../chatSink/index.js";
 import { EntryContext } from "../entryContext/index.js";
 import { prepareChat, PreparedChat } from "../prepareChat/index.js";
 import { runChat } from "../runChat/index.js";
-import { RunningRequest } from "../../request/index.js";
 import { RequestEnd, trackRequest } from "../trackRequest/index.js";
 
 const MS_PER_SECOND = 1_000;
--- a/src/entry/startsSender/index.ts
+++ b/src/entry/startsSender/index.ts
@@ -41,7 +41,9 @@
     sendOnce(): void {
         const { self, meter, time, links } = this.options;
         const countedAt = time.now();
-        const windows = meter.list(countedAt).filter(({ window, counts }) => this.isDue(window, JSON.stringify(counts)));
+        const windows = meter.list(countedAt).filter(({ window, counts }) =>
+            this.isDue(window, JSON.stringify(counts))
+        );
         const { host, incarnation } = self;
         const report: StartsReport = { host, incarnation, countedAt, windows };
         for (const link of links) void link.call(STARTS_METHOD, report, ANSWER_MS);
--- a/src/logging/boundedOutput/test.ts
+++ b/src/logging/boundedOutput/test.ts
@@ -9,7 +9,10 @@
         const taken: string[] = [];
         const pending: { bytes: Uint8Array; done: Done; }[] = [];
         const retries: (() => void)[] = [];
-        const output = new BoundedOutput((bytes, done) => pending.push({ bytes, done }), (_, retry) => retries.push(retry));
+        const output = new BoundedOutput(
+            (bytes, done) => pending.push({ bytes, done }),
+            (_, retry) => retries.push(retry),
+        );
         const take = (count = Number.POSITIVE_INFINITY): void => {
             const { bytes, done } = pending.shift()!;
             const written = Math.min(count, bytes.length);
--- a/src/passthrough/callContext/index.ts
+++ b/src/passthrough/callContext/index.ts
@@ -1,5 +1,5 @@
 import { Dispatcher } from "../../dispatch/index.js";
-import { HostId } from "../../ids/index.js";
+import { HostId, ZoneId } from "../../ids/index.js";
 import { Logger } from "../../logging/index.js";
 import { Metrics } from "../../metrics/index.js";
 import { Clock, Http, Random } from "../../ports/index.js";
@@ -30,6 +30,7 @@
     readonly logger: Logger;
     readonly metrics: Metrics;
     readonly self: HostId;
+    readonly zone: ZoneId;
     readonly dialect: CallDialect;
     readonly view: RouteView;
     readonly dispatcher: Dispatcher;
--- a/src/passthrough/callDialect/index.ts
+++ b/src/passthrough/callDialect/index.ts
@@ -1,14 +1,9 @@
 import { Either } from "purify-ts";
 import { RequestId, UpstreamId, WorkspaceId } from "../../ids/index.js";
 import { HeaderList, HttpReply, HttpRequest } from "../../ports/index.js";
+import { PromptPart } from "../../upstream/index.js";
 import { CallError } from "../callError/index.js";
 
-/** A part of a prompt that other prompts may begin with too. */
-export interface PromptPart {
-    readonly id: string;
-    readonly tokens: number;
-}
-
 /** What a call's head says, beside method and path. */
 export interface CallHead {
     /** The caller's id of this attempt; goes to the upstream unchanged. */
--- a/src/passthrough/eventScanner/index.ts
+++ b/src/passthrough/eventScanner/index.ts
@@ -31,10 +31,12 @@
 
     /** Takes bytes in, and gives the events that are whole by now. */
     push(chunk: Uint8Array): ScannedEvents {
-        const bytes = this.tail.length === 0 ? Buffer.from(chunk.buffer, chunk.byteOffset, chunk.length) : Buffer.concat([
-            this.tail,
-            chunk,
-        ]);
+        const bytes = this.tail.length === 0
+            ? Buffer.from(chunk.buffer, chunk.byteOffset, chunk.length)
+            : Buffer.concat([
+                this.tail,
+                chunk,
+            ]);
         let start = 0;
         let count = 0;
         let lastId: string | undefined;
--- a/src/passthrough/relayStream/index.ts
+++ b/src/passthrough/relayStream/index.ts
@@ -31,6 +31,7 @@
             if (events.count === 0) continue;
             stall.restart();
             noteEvents(ctx, attempt, events);
+            ctx.dispatcher.progress(attempt.ticketId, events.count * attempt.tokensPerEvent);
             if (!stream.hasHead) start(attempt, reply, head);
             await answer.write(events.bytes);
         }
@@ -61,6 +62,9 @@
         stream.firstEventMs = now - call.arrivedAt;
         stream.firstAt = now;
     }
+    else {
+        stream.longestGapMs = Math.max(stream.longestGapMs, now - stream.lastAt);
+    }
     stream.count += count;
     stream.lastId = lastId ?? stream.lastId;
     stream.lastAt = now;
@@ -72,7 +76,8 @@
 
 /** Whether HTTP itself says where the answer ends, and not the end of the connection. */
 function isFramed({ headers }: HttpReply): boolean {
-    return findHeader(headers, "transfer-encoding") !== undefined || findHeader(headers, "content-length") !== undefined;
+    return findHeader(headers, "transfer-encoding") !== undefined
+        || findHeader(headers, "content-length") !== undefined;
 }
 
 /** Stops an attempt whose stream has fallen silent, where another upstream can go on with it. */
--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -74,12 +74,14 @@
         }
         progress.tries++;
         run.noteGrant(grant);
-        const result = await sendGranted(ctx, call, run, answer, grant, progress);
+        const result = await sendGranted(ctx, call, run, answer, grant, progress, ticketId);
         completeGrant(ctx, call, ticketId, grant, outcomeOf(result, run), progress.stream);
         if (result.kind === "answered") return describeEnd("answered", result.status, progress);
         noteAttempt(ctx, call, run, grant, result, progress);
         if (run.isCancelled) return endStopped(call, run, answer, progress);
-        if (decideNext(ctx, call, result.end, progress) === "give-up") return endFailed(call, answer, progress, result.end);
+        if (decideNext(ctx, call, result.end, progress) === "give-up") {
+            return endFailed(call, answer, progress, result.end);
+        }
         progress.avoid.push(grant.upstream);
         run.beginAttempt();
     }
@@ -92,6 +94,7 @@
     answer: CallAnswer,
     grant: Grant,
     progress: Progress,
+    ticketId: RequestId,
 ): Promise<AttemptResult> {
     const { stream } = progress;
     const canGoElsewhere = call.route.kind === "idempotent" || call.route.resumable;
@@ -99,7 +102,8 @@
     const patienceMs = canGoElsewhere && hasMore
         ? Math.max(LEAST_PATIENCE_MS, PATIENCE_TARGETS * call.route.targetMs)
         : undefined;
-    return sendCall(ctx, { call, grant, run, answer, stream, patienceMs });
+    const tokensPerEvent = tokensOf(ctx, call);
+    return sendCall(ctx, { call, grant, run, answer, stream, patienceMs, ticketId, tokensPerEvent });
 }
 
 function decideNext(ctx: CallContext, call: PreparedCall, end: AttemptEnd, progress: Progress) {
@@ -185,7 +189,7 @@
     outcome: Completion["outcome"],
     stream: StreamState,
 ): void {
-    const tokensPerEvent = ctx.view.routes()?.findPool(call.pool)?.engine?.tokensPerEvent ?? 1;
+    const tokensPerEvent = tokensOf(ctx, call);
     const gaps = stream.count - 1;
     const tokenMs = gaps > 0 ? (stream.lastAt - stream.firstAt) / gaps / tokensPerEvent : undefined;
     ctx.dispatcher.complete({
@@ -203,7 +207,7 @@
 function makeTicket(ctx: CallContext, call: PreparedCall, request: RequestId, progress: Progress): Ticket {
     const { route, head } = call;
     const now = ctx.clock.monotonic();
-    const tokensPerEvent = ctx.view.routes()?.findPool(call.pool)?.engine?.tokensPerEvent ?? 1;
+    const tokensPerEvent = tokensOf(ctx, call);
     return {
         request,
         origin: ctx.self,
@@ -219,10 +223,17 @@
         maxWaitMs: WAIT_SHARE * (call.deadlineAt - call.arrivedAt),
         guaranteedShare: 0,
         ageMs: now - call.arrivedAt,
-        prefixes: head.parts.map(({ id }) => id),
+        prefixes: [],
+        parts: head.parts,
+        bodyBytes: call.body.length,
+        zone: ctx.zone,
         resumable: false,
         repeatable: route.kind === "idempotent",
         avoid: progress.avoid,
         resumeOffset: progress.stream.count * tokensPerEvent,
     };
 }
+
+function tokensOf(ctx: CallContext, { pool }: PreparedCall): number {
+    return ctx.view.routes()?.findPool(pool)?.engine?.tokensPerEvent ?? 1;
+}
--- a/src/passthrough/sendCall/index.ts
+++ b/src/passthrough/sendCall/index.ts
@@ -1,5 +1,6 @@
 import { Either } from "purify-ts";
 import { Grant } from "../../dispatch/index.js";
+import { RequestId } from "../../ids/index.js";
 import { findHeader, HttpError, HttpReply } from "../../ports/index.js";
 import { RunningRequest } from "../../request/index.js";
 import { CallAnswer } from "../callAnswer/index.js";
@@ -29,6 +30,9 @@
     readonly stream: StreamState;
     /** How long the upstream may take to its first byte, in milliseconds, where the call can go elsewhere. */
     readonly patienceMs: number | undefined;
+    /** Names the call towards the queue's owner. */
+    readonly ticketId: RequestId;
+    readonly tokensPerEvent: number;
 }
 
 /** What came of an attempt. */
--- a/src/passthrough/serveCalls/index.ts
+++ b/src/passthrough/serveCalls/index.ts
@@ -4,7 +4,7 @@
 import { CallAnswer } from "../callAnswer/index.js";
 import { CallContext } from "../callContext/index.js";
 import { CallError } from "../callError/index.js";
-import { PreparedCall, prepareCall } from "../prepareCall/index.js";
+import { prepareCall, PreparedCall } from "../prepareCall/index.js";
 import { CallEnd, runCall } from "../runCall/index.js";
 
 /**
@@ -73,6 +73,7 @@
         ms,
         firstMs,
         events: stream.count,
+        gapMs: Math.round(stream.longestGapMs),
         upstream,
         waitedMs: Math.round(waitedMs),
         reason,
--- a/src/passthrough/streamState/index.ts
+++ b/src/passthrough/streamState/index.ts
@@ -11,9 +11,19 @@
     /** Monotonic times of the first and the last event, in milliseconds. */
     firstAt: number;
     lastAt: number;
+    /** The longest pause between two events, in milliseconds. */
+    longestGapMs: number;
 }
 
 /** A stream of which nothing has come yet. */
 export function newStreamState(): StreamState {
-    return { count: 0, lastId: undefined, hasHead: false, firstEventMs: undefined, firstAt: 0, lastAt: 0 };
+    return {
+        count: 0,
+        lastId: undefined,
+        hasHead: false,
+        firstEventMs: undefined,
+        firstAt: 0,
+        lastAt: 0,
+        longestGapMs: 0,
+    };
 }
--- a/src/platform/heartbeat/test.ts
+++ b/src/platform/heartbeat/test.ts
@@ -39,7 +39,9 @@
     });
 
     it("names no engine where fields are missing or of another type", () => {
-        for (const part of [{ service: 1 }, { state: "resting" }, { address: "nowhere" }, { slots: "4" }, { born: 1.5 }]) {
+        for (
+            const part of [{ service: 1 }, { state: "resting" }, { address: "nowhere" }, { slots: "4" }, { born: 1.5 }]
+        ) {
             assert.ok(read({ ...BEAT, ...part }).isLeft(), JSON.stringify(part));
         }
         assert.ok(readHeartbeat("i-1", Buffer.from("{")).isLeft());
--- a/src/platform/runControlNode/index.ts
+++ b/src/platform/runControlNode/index.ts
@@ -22,7 +22,9 @@
 /** Runs a control process by the platform's settings. */
 export async function runControlNode(ports: DaemonPorts, settings: NodeSettings): Promise<ControlNode> {
     const { control: address, dataFolder, ip, controlPeerPort, seeds, usageWindowMs, revokeMs } = settings;
-    if (!address || !dataFolder) throw new Error("this machine serves no control: listen.controlPlane or dataDir is missing");
+    if (!address || !dataFolder) {
+        throw new Error("this machine serves no control: listen.controlPlane or dataDir is missing");
+    }
     const lifecycle = new Lifecycle();
     const disk = new FileDisk(dataFolder);
     await disk.makeFolder("");
--- a/src/platform/runEntryNode/index.ts
+++ b/src/platform/runEntryNode/index.ts
@@ -23,7 +23,9 @@
 /** Runs an entry by the platform's settings. */
 export async function runEntryNode(ports: DaemonPorts, settings: NodeSettings): Promise<EntryNode> {
     const { callers, readiness, ip, heartbeatMs, graceMs } = settings;
-    if (!callers || !readiness) throw new Error("this machine serves no callers: listen.frontend or listen.ready is missing");
+    if (!callers || !readiness) {
+        throw new Error("this machine serves no callers: listen.frontend or listen.ready is missing");
+    }
     const lifecycle = new Lifecycle();
     const entry = await EntryProcess.start({
         ...ports,
--- a/src/platform/timing/index.ts
+++ b/src/platform/timing/index.ts
@@ -1,8 +1,8 @@
 import { DEFAULT_LOG_TIMING, LogTiming } from "../../consensus/index.js";
 import { PeerTiming } from "../../wire/index.js";
 
-/** Between own processes: a silent peer is noticed within a second, also where packets are lost now and then. */
-export const OWN_PEER_TIMING: PeerTiming = { heartbeatMs: 300, silenceMs: 1_000 };
+/** Between own processes: a silent peer is noticed within little more than a second, also where packets are lost now and then. */
+export const OWN_PEER_TIMING: PeerTiming = { heartbeatMs: 500, silenceMs: 1_300 };
 
 /**
  * The control log's times: a lost holder is replaced within about two seconds, so that entries find the next one before their views
--- a/src/platform/wireDialect/index.ts
+++ b/src/platform/wireDialect/index.ts
@@ -6,11 +6,11 @@
     CallHead,
     endToEndHeaders,
     ErrorReply,
-    PromptPart,
     ReplyHead,
     SendMarks,
 } from "../../passthrough/index.js";
 import { findHeader, HeaderList, HttpReply, HttpRequest } from "../../ports/index.js";
+import { PromptPart } from "../../upstream/index.js";
 
 /** Headers as the platform names them. */
 const HEADER = {
--- a/src/upstream/choice/index.ts
+++ b/src/upstream/choice/index.ts
@@ -1,12 +1,20 @@
-import { PoolId, UpstreamId, ZoneId } from "../../ids/index.js";
+import { PoolId, RequestId, UpstreamId, ZoneId } from "../../ids/index.js";
 import { Random } from "../../ports/index.js";
 import { UpstreamLoad } from "../load/index.js";
 import { PrefixIndex } from "../prefixes/index.js";
+import { PromptPart } from "../promptCache/index.js";
 import { medianTokenMs } from "../stragglers/index.js";
 
 /** What the choice needs to know of a request. */
 export interface ChoiceRequest {
+    readonly request: RequestId;
     readonly pool: PoolId;
+    /** The prompt's parts with their sizes, where they are known. */
+    readonly parts: readonly PromptPart[];
+    /** What must be sent to the upstream, in bytes. */
+    readonly bodyBytes: number;
+    /** Monotonic time, in milliseconds. */
+    readonly now: number;
     readonly prefixes: readonly string[];
     readonly promptTokens: number;
     /** How long the answer will probably be. */
@@ -29,6 +37,18 @@
      * @param request - What is to be sent.
      */
     abstract choose(candidates: readonly UpstreamLoad[], request: ChoiceRequest): Choice;
+
+    /** Told that a request is granted to an upstream. */
+    granted(_load: UpstreamLoad, _request: ChoiceRequest): void {}
+
+    /** Told that a granted request has got its first token. */
+    firstToken(_request: RequestId, _now: number): void {}
+
+    /** Told that a granted request has ended; `failed` is undefined where that says nothing of the upstream. */
+    ended(_request: RequestId, _failed: boolean | undefined, _now: number): void {}
+
+    /** Told that an upstream has ended, or lives anew. */
+    forget(_upstream: UpstreamId): void {}
 }
 
 /** Baseline: each in turn. */
