Pool sizes are ordered by zone: reclaimable engines take over from steady ones

Protects: the load without any one zone's reclaimable engines. A first try left all steady engines in place: three reclaimable ones in a zone that may have four never all came beside two steady ones, and only all of them counted as taking over. Now each one that serves replaces one.

--- a/src/control/demandReport/index.ts
+++ b/src/control/demandReport/index.ts
@@ -37,6 +37,8 @@
     pool: z.string().min(1),
     tiers: z.array(tierLoadSchema),
     upstreams: z.array(reportedUpstreamSchema),
+    /** How many upstreams' time its prompts take to read; undefined where that is not followed. */
+    readingLoad: z.number().min(0).optional(),
 });
 /** One pool's demand and all its upstreams: never one without the other. */
 export type PoolReport = z.infer<typeof poolReportSchema>;
--- a/src/control/index.ts
+++ b/src/control/index.ts
@@ -26,6 +26,7 @@
 export * from "./orderHistory/index.js";
 export * from "./orderSender/index.js";
 export * from "./packedView/index.js";
+export * from "./poolSizer/index.js";
 export * from "./purchaseRunner/index.js";
 export * from "./routingService/index.js";
 export * from "./startsDesk/index.js";
--- /dev/null
+++ b/src/control/poolSizer/index.ts
@@ -0,0 +1,170 @@
+import { HostId, PoolId, ZoneId } from "../../ids/index.js";
+import { Logger } from "../../logging/index.js";
+import { Clock } from "../../ports/index.js";
+import { planZones, ZoneCount, ZoneSituation, ZoneWish } from "../../purchase/index.js";
+import { ScalingSpec } from "../../routing/index.js";
+import { Upstream, UpstreamRegistry } from "../../upstream/index.js";
+import { DemandTable } from "../demandTable/index.js";
+import { FencedCall, FencedSender } from "../fencedSender/index.js";
+import { HolderTask } from "../holderRunner/index.js";
+import { HolderTerm } from "../holderTerm/index.js";
+import { ControlState } from "../state/index.js";
+
+const STEP_MS = 500;
+/** The share of an engine's time that may go into reading prompts: above it, streams beside a prompt pause too often. */
+const READING_SHARE = 0.25;
+/** How long a lower need must last before it is believed, in milliseconds: bursts come in rows. */
+const CALM_MS = 15_000;
+/** How long a platform that has none left is left alone, in milliseconds. */
+const SOLD_OUT_MS = 3_000;
+/** How long an order that got no answer waits before it is sent again, in milliseconds. */
+const RETRY_MS = 1_000;
+const STATUS_NONE_LEFT = 409;
+
+/** A wanted number of upstreams. */
+export interface SizeOrder {
+    readonly pool: PoolId;
+    readonly zone: ZoneId;
+    readonly count: number;
+    /** Of those that the platform may take back at short notice. */
+    readonly reclaimable: boolean;
+}
+
+/** What the sizer is made of. */
+export interface PoolSizerOptions {
+    readonly self: { readonly host: HostId; };
+    readonly clock: Clock;
+    readonly logger: Logger;
+    readonly state: ControlState;
+    readonly registry: UpstreamRegistry;
+    readonly demand: DemandTable;
+    readonly sender: FencedSender;
+    readonly platformChecksFence: boolean;
+    /** Writes an order as the platform takes it. */
+    readonly describe: (order: SizeOrder, term: HolderTerm) => FencedCall;
+}
+
+interface Ordered {
+    readonly count: number;
+    readonly retryAt: number;
+    readonly soldOut: boolean;
+}
+
+interface Need {
+    count: number;
+    /** Monotonic time at which it was last this high, in milliseconds. */
+    highAt: number;
+}
+
+/**
+ * Keeps each pool at the size that its load needs, by orders of a wanted number for each zone and kind. An order that is sent twice
+ * changes nothing, so nothing of it stands in the log: a new holder sends each order once more.
+ */
+export class PoolSizer extends HolderTask {
+    readonly name = "pool-sizer";
+    private readonly ordered = new Map<string, Ordered>();
+    private readonly needs = new Map<PoolId, Need>();
+    private token: number | undefined;
+
+    constructor(private readonly options: PoolSizerOptions) {
+        super();
+    }
+
+    async step(term: HolderTerm): Promise<number> {
+        const { state, platformChecksFence } = this.options;
+        this.startTerm(term);
+        for (const { pool, scaling } of state.documents.held?.document.pools ?? []) {
+            if (!scaling) continue;
+            for (const order of this.planPool(pool, scaling)) {
+                if (!term.maySend(platformChecksFence)) return STEP_MS;
+                await this.send(order, term);
+            }
+        }
+        return STEP_MS;
+    }
+
+    /** What an earlier term ordered was perhaps overtaken by another holder's orders. */
+    private startTerm({ token }: HolderTerm): void {
+        if (this.token === token) return;
+        this.token = token;
+        this.ordered.clear();
+    }
+
+    private planPool(pool: PoolId, scaling: ScalingSpec): SizeOrder[] {
+        const zones = this.describeZones(pool, scaling);
+        const present = zones.reduce((sum, { steady, reclaimable }) => sum + steady.ready + reclaimable.ready, 0);
+        if (present === 0) return [];
+        const { least, most, reclaimablePrice } = scaling;
+        const needed = this.findNeed(pool, present);
+        const wishes = planZones({ zones, least, most, reclaimablePrice, needed });
+        return wishes.flatMap((wish, at) => this.listOrders(pool, zones[at], wish));
+    }
+
+    private listOrders(pool: PoolId, zone: ZoneSituation, wish: ZoneWish): SizeOrder[] {
+        const orders: SizeOrder[] = [
+            { pool, zone: wish.zone, count: wish.reclaimable, reclaimable: true },
+            { pool, zone: wish.zone, count: wish.steady, reclaimable: false },
+        ];
+        return orders.filter(order => this.isDue(order, order.reclaimable ? zone.reclaimable : zone.steady));
+    }
+
+    private isDue(order: SizeOrder, { ready }: ZoneCount): boolean {
+        const known = this.ordered.get(nameOf(order));
+        if (!known) return order.count !== ready;
+        if (this.options.clock.monotonic() < known.retryAt) return false;
+        return known.count !== order.count || known.soldOut;
+    }
+
+    /** How many upstreams the load needs; what there is, until an owner has reported. */
+    private findNeed(pool: PoolId, present: number): number {
+        const { demand, clock } = this.options;
+        const report = demand.listFresh().find(each => each.pool === pool);
+        const now = clock.monotonic();
+        const load = report?.readingLoad;
+        const need = this.needs.get(pool);
+        const count = load === undefined ? need?.count ?? present : Math.ceil(load / READING_SHARE);
+        if (!need || count >= need.count || now - need.highAt >= CALM_MS) {
+            this.needs.set(pool, { count, highAt: now });
+            return count;
+        }
+        return need.count;
+    }
+
+    private describeZones(pool: PoolId, { zonePrices }: ScalingSpec): ZoneSituation[] {
+        const upstreams = this.options.registry.list(pool);
+        const zones = new Set(upstreams.map(({ zone }) => zone));
+        return [...zones].sort().map(zone => {
+            const here = upstreams.filter(upstream => upstream.zone === zone && upstream.isGrantable);
+            return {
+                zone,
+                price: zonePrices[zone] ?? 1,
+                steady: this.count(pool, zone, here, false),
+                reclaimable: this.count(pool, zone, here, true),
+            };
+        });
+    }
+
+    private count(pool: PoolId, zone: ZoneId, upstreams: readonly Upstream[], reclaimable: boolean): ZoneCount {
+        const ready = upstreams.filter(({ announcement }) => announcement.reclaimable === reclaimable).length;
+        const ordered = this.ordered.get(nameOf({ pool, zone, reclaimable }));
+        return { ready, ordered: ordered?.count, soldOut: ordered?.soldOut ?? false };
+    }
+
+    private async send(order: SizeOrder, term: HolderTerm): Promise<void> {
+        const { sender, logger, platformChecksFence, describe, clock } = this.options;
+        const sent = await sender.send(describe(order, term), () => term.maySend(platformChecksFence));
+        const status = sent.map(reply => reply.status).orDefault(0);
+        const isTaken = status >= 200 && status < 300;
+        const soldOut = status === STATUS_NONE_LEFT;
+        const pauseMs = soldOut ? SOLD_OUT_MS : isTaken ? 0 : RETRY_MS;
+        // An order without an answer may have been taken or not: it counts as another number, so that it is sent again.
+        const count = isTaken || soldOut ? order.count : Number.NaN;
+        this.ordered.set(nameOf(order), { count, soldOut, retryAt: clock.monotonic() + pauseMs });
+        const need = this.needs.get(order.pool)?.count;
+        logger.info("size-ordered", { ...order, status, need, token: term.token });
+    }
+}
+
+function nameOf({ pool, zone, reclaimable }: Omit<SizeOrder, "count">): string {
+    return `${pool}\n${zone}\n${reclaimable}`;
+}
--- a/src/control/routingService/index.ts
+++ b/src/control/routingService/index.ts
@@ -13,6 +13,7 @@
 import { FencedCall, FencedSender } from "../fencedSender/index.js";
 import { HolderTask } from "../holderRunner/index.js";
 import { HolderTerm } from "../holderTerm/index.js";
+import { PoolSizer, SizeOrder } from "../poolSizer/index.js";
 import { StartsCloser } from "../startsCloser/index.js";
 import { StartsDesk } from "../startsDesk/index.js";
 import { StartsReporter } from "../startsReporter/index.js";
@@ -48,6 +49,8 @@
     /** The longest that a call may be on its way, in milliseconds. */
     readonly flightMs: number;
     readonly describeStarts: (closed: ClosedStarts, term: HolderTerm) => FencedCall;
+    /** Undefined: the platform's upstreams are left as they are. */
+    readonly describeSize?: (order: SizeOrder, term: HolderTerm) => FencedCall;
 }
 
 /** What the service is made of. */
@@ -126,8 +129,19 @@
         const parts = { ...this.options, desk: this.starts, time: this.time, windowMs, patienceMs };
         const tasks: HolderTask[] = [new StartsCloser(parts)];
         if (!platform) return tasks;
-        const { checksFence: platformChecksFence, describeStarts: describe } = platform;
-        return [...tasks, new StartsReporter({ ...this.options, sender, platformChecksFence, describe })];
+        const { checksFence: platformChecksFence, describeStarts, describeSize } = platform;
+        const towards = { ...this.options, sender, platformChecksFence };
+        tasks.push(new StartsReporter({ ...towards, describe: describeStarts }));
+        if (describeSize) tasks.push(this.makeSizer(towards, describeSize));
+        return tasks;
+    }
+
+    private makeSizer(
+        towards: RoutingServiceOptions & { readonly sender: FencedSender; readonly platformChecksFence: boolean; },
+        describe: NonNullable<RoutingPlatform["describeSize"]>,
+    ): PoolSizer {
+        const { demand } = this.options.service;
+        return new PoolSizer({ ...towards, registry: this.registry, demand, describe });
     }
 
     private async followMembers(signal: AbortSignal): Promise<void> {
--- a/src/dispatch/localDispatcher/index.ts
+++ b/src/dispatch/localDispatcher/index.ts
@@ -122,6 +122,11 @@
         return this.queues.get(pool)?.runningCount ?? 0;
     }
 
+    /** How many upstreams' time a pool's prompts take to read; undefined where that is not followed. */
+    readingLoad(pool: PoolId): number | undefined {
+        return this.queues.get(pool)?.readingLoad();
+    }
+
     /** Refuses all waiting tickets with "draining", so that their entries send them to the next owner. */
     drain(): void {
         for (const queue of this.queues.values()) queue.drain();
--- a/src/dispatch/poolQueue/index.ts
+++ b/src/dispatch/poolQueue/index.ts
@@ -228,6 +228,11 @@
         return lost.map(({ waiting }) => waiting.ticket.request);
     }
 
+    /** As `UpstreamChoice.readingLoad`. */
+    readingLoad(): number | undefined {
+        return this.choice.readingLoad(this.options.clock.monotonic());
+    }
+
     /** Forgets what was learned of an upstream that has ended or lives anew. */
     forgetUpstream(upstream: UpstreamId): void {
         this.choice.forget(upstream);
--- a/src/dispatch/ticket/index.ts
+++ b/src/dispatch/ticket/index.ts
@@ -28,6 +28,8 @@
     readonly prefixes: readonly string[];
     /** The prompt's parts with their sizes, where they are known. */
     readonly parts?: readonly PromptPart[];
+    /** The longest pause between two events that is on time, in milliseconds; undefined for answers that are no streams. */
+    readonly gapMs?: number;
     /** What must be sent to the upstream, in bytes, where it is known. */
     readonly bodyBytes?: number;
     /** Where the entry is that will send it; undefined: where the queue is. */
--- a/src/entry/demandReporter/index.ts
+++ b/src/entry/demandReporter/index.ts
@@ -72,6 +72,7 @@
         return {
             pool,
             tiers: describeTiers(local, pool),
+            readingLoad: local.readingLoad(pool),
             upstreams: registry.list(pool).map(upstream => describeUpstream(upstream, now)),
         };
     }
--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -225,6 +225,7 @@
         ageMs: now - call.arrivedAt,
         prefixes: [],
         parts: head.parts,
+        gapMs: route.kind === "stream" ? route.gapMs : undefined,
         bodyBytes: call.body.length,
         zone: ctx.zone,
         resumable: false,
--- a/src/passthrough/sendCall/index.ts
+++ b/src/passthrough/sendCall/index.ts
@@ -137,7 +137,8 @@
 /** Reads the rest of an answer that says no more, so that its connection can be used again. */
 async function discard(reply: HttpReply): Promise<void> {
     try {
-        for await (const _ of reply.body);
+        const parts = reply.body[Symbol.asyncIterator]();
+        while (!(await parts.next()).done);
     }
     catch {
         // The connection ended: there is nothing to use again.
--- a/src/platform/cloudCalls/index.ts
+++ b/src/platform/cloudCalls/index.ts
@@ -8,7 +8,10 @@
  * @param platform - Where its interface is.
  * @param self - Who acts.
  */
-export function cloudCallsOf(platform: Address, self: HostId): Pick<RoutingPlatform, "describeStarts"> {
+export function cloudCallsOf(
+    platform: Address,
+    self: HostId,
+): Required<Pick<RoutingPlatform, "describeStarts" | "describeSize">> {
     const call = (path: string, body: unknown, term: HolderTerm): FencedCall => ({
         address: platform,
         path,
@@ -17,6 +20,11 @@
     });
     return {
         describeStarts: ({ window, counts }, term) => call("/usage", { windowId: window, counts }, term),
+        describeSize: ({ pool, zone, count, reclaimable }, term) => {
+            // Each kind is ordered and counted by itself; the word is left out for steady ones.
+            const kind = reclaimable ? { spot: true } : {};
+            return call("/scale", { service: pool, zone, desiredCount: count, ...kind }, term);
+        },
     };
 }
 
--- a/src/purchase/index.ts
+++ b/src/purchase/index.ts
@@ -5,3 +5,4 @@
 export * from "./prefetch/index.js";
 export * from "./purchasePolicy/index.js";
 export * from "./staticPurchase/index.js";
+export * from "./zonePlan/index.js";
--- /dev/null
+++ b/src/purchase/zonePlan/index.ts
@@ -0,0 +1,104 @@
+import { ZoneId } from "../../ids/index.js";
+
+/** Upstreams of one pool in one zone, of one kind. */
+export interface ZoneCount {
+    /** Those that take work. */
+    readonly ready: number;
+    /** How many were ordered last; undefined when nothing was. */
+    readonly ordered: number | undefined;
+    /** The platform had none the last time it was asked. */
+    readonly soldOut: boolean;
+}
+
+/** One zone of a pool. */
+export interface ZoneSituation {
+    readonly zone: ZoneId;
+    /** The price of a steady upstream's second. */
+    readonly price: number;
+    readonly steady: ZoneCount;
+    readonly reclaimable: ZoneCount;
+}
+
+/** What a pool needs, and what it may have. */
+export interface PoolSituation {
+    readonly zones: readonly ZoneSituation[];
+    /** The fewest and the most upstreams in one zone. */
+    readonly least: number;
+    readonly most: number;
+    /** What a reclaimable upstream costs, as a share of a steady one; undefined where there are none. */
+    readonly reclaimablePrice: number | undefined;
+    /** How many upstreams the present load needs. */
+    readonly needed: number;
+}
+
+/** How many upstreams a zone should have. */
+export interface ZoneWish {
+    readonly zone: ZoneId;
+    readonly steady: number;
+    readonly reclaimable: number;
+}
+
+/** A reclaimable upstream is taken in place of a steady one when it costs at most this share of it: it may go at any moment. */
+const WORTHWHILE_PRICE = 0.7;
+
+/**
+ * Plans how many upstreams each zone should have: reclaimable ones where they are cheap, as many that the load is still carried when
+ * the platform takes back those of a whole zone, and steady ones for what reclaimable ones can't carry now.
+ *
+ * @example
+ * const wishes = planZones({ zones, least: 1, most: 4, reclaimablePrice: 0.18, needed: 6 });
+ */
+export function planZones(situation: PoolSituation): readonly ZoneWish[] {
+    const { zones, reclaimablePrice } = situation;
+    if (zones.length === 0) return [];
+    const isCheap = reclaimablePrice !== undefined && reclaimablePrice <= WORTHWHILE_PRICE;
+    return isCheap ? planReclaimable(situation) : planSteady(situation);
+}
+
+function planReclaimable(situation: PoolSituation): ZoneWish[] {
+    const { zones, least, most, needed } = situation;
+    // One zone may be taken back as a whole at any moment.
+    const others = Math.max(1, zones.length - 1);
+    const perZone = clamp(Math.ceil(needed / others), Math.max(1, least), most);
+    const wishes = zones.map(zone => ({
+        zone: zone.zone,
+        reclaimable: perZone,
+        steady: clamp(perZone - zone.reclaimable.ready, 0, presentSteady(zone)),
+    }));
+    return addMissing(situation, wishes);
+}
+
+/** What there is stays until a reclaimable one takes over: both kinds together may be no more than the zone's most. */
+function presentSteady({ steady }: ZoneSituation): number {
+    return Math.min(steady.ready, steady.ordered ?? steady.ready);
+}
+
+/** Steady upstreams, the cheapest zones first, for what neither the reclaimable ones that serve nor those that boot will carry. */
+function addMissing({ zones, most, needed }: PoolSituation, wishes: readonly ZoneWish[]): ZoneWish[] {
+    const carried = zones.reduce((sum, zone, at) => sum + carriedBy(zone, wishes[at]), 0);
+    let missing = needed - carried;
+    const byPrice = zones.map((zone, at) => ({ zone, at })).sort((a, b) => a.zone.price - b.zone.price);
+    const planned = [...wishes];
+    for (const { zone, at } of byPrice) {
+        const wish = planned[at];
+        const room = most - wish.steady - zone.reclaimable.ready;
+        const added = clamp(missing, 0, Math.max(0, room));
+        planned[at] = { ...wish, steady: wish.steady + added };
+        missing -= added;
+    }
+    return planned;
+}
+
+function carriedBy({ reclaimable }: ZoneSituation, wish: ZoneWish): number {
+    const coming = reclaimable.soldOut ? reclaimable.ready : Math.max(reclaimable.ready, wish.reclaimable);
+    return wish.steady + coming;
+}
+
+function planSteady({ zones, least, most, needed }: PoolSituation): ZoneWish[] {
+    const perZone = clamp(Math.ceil(needed / zones.length), least, most);
+    return zones.map(({ zone }) => ({ zone, steady: perZone, reclaimable: 0 }));
+}
+
+function clamp(value: number, low: number, high: number): number {
+    return Math.max(low, Math.min(high, value));
+}
--- /dev/null
+++ b/src/purchase/zonePlan/test.ts
@@ -0,0 +1,66 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { ZoneId } from "../../ids/index.js";
+import { planZones, PoolSituation, ZoneSituation } from "./index.js";
+
+const NONE = { ready: 0, ordered: undefined, soldOut: false };
+
+function zone(name: string, parts: Partial<ZoneSituation> = {}): ZoneSituation {
+    return { zone: name as ZoneId, price: 1, steady: NONE, reclaimable: NONE, ...parts };
+}
+
+function plan(zones: readonly ZoneSituation[], parts: Partial<PoolSituation> = {}): [number, number][] {
+    const situation = { zones, least: 1, most: 4, reclaimablePrice: 0.18, needed: 6, ...parts };
+    return planZones(situation).map(({ steady, reclaimable }) => [steady, reclaimable]);
+}
+
+const NAMES = ["a", "b", "c", "d"];
+
+describe("planZones", () => {
+    it("orders reclaimable upstreams that carry the load without any one zone", () => {
+        // The platform takes back all reclaimable upstreams of a zone. Six are needed, so that three zones must have them.
+        const steady = { ...NONE, ready: 2 };
+        assert.deepEqual(plan(NAMES.map(name => zone(name, { steady }))), [[2, 2], [2, 2], [2, 2], [2, 2]]);
+    });
+
+    it("gives a steady one back for each reclaimable one that serves in its zone", () => {
+        // A zone may have four upstreams of both kinds together: with two steady ones, only two reclaimable ones can come.
+        const steady = { ...NONE, ready: 2 };
+        const taken = zone("a", { steady, reclaimable: { ready: 3, ordered: 3, soldOut: false } });
+        const coming = zone("b", { steady, reclaimable: { ready: 2, ordered: 3, soldOut: false } });
+        const waiting = zone("c", { steady, reclaimable: { ready: 0, ordered: 3, soldOut: false } });
+        assert.deepEqual(plan([taken, coming, waiting, zone("d")], { needed: 8 }).slice(0, 3), [[0, 3], [1, 3], [
+            2,
+            3,
+        ]]);
+    });
+
+    it("buys steady ones, the cheapest first, while reclaimable ones are sold out", () => {
+        // Two zones are taken back at once, and for a while the platform has none left anywhere: what serves is too little.
+        const soldOut = { ready: 0, ordered: 2, soldOut: true };
+        const serving = { ready: 2, ordered: 2, soldOut: true };
+        const zones = [
+            zone("a", { reclaimable: soldOut, price: 1.2 }),
+            zone("b", { reclaimable: soldOut, price: 0.8 }),
+            zone("c", { reclaimable: serving }),
+            zone("d", { reclaimable: serving }),
+        ];
+        assert.deepEqual(plan(zones), [[0, 2], [2, 2], [0, 2], [0, 2]]);
+    });
+
+    it("keeps to the most that a zone may have", () => {
+        assert.deepEqual(plan(NAMES.map(name => zone(name)), { needed: 40 }).map(([, reclaimable]) => reclaimable), [
+            4,
+            4,
+            4,
+            4,
+        ]);
+    });
+
+    it("orders steady ones alone where reclaimable ones cost as much", () => {
+        assert.deepEqual(plan(NAMES.map(name => zone(name)), { reclaimablePrice: 0.95 }), [[2, 0], [2, 0], [2, 0], [
+            2,
+            0,
+        ]]);
+    });
+});
--- a/src/upstream/choice/index.ts
+++ b/src/upstream/choice/index.ts
@@ -11,6 +11,8 @@
     readonly pool: PoolId;
     /** The prompt's parts with their sizes, where they are known. */
     readonly parts: readonly PromptPart[];
+    /** The longest pause between two events that is on time, in milliseconds; undefined for answers that are no streams. */
+    readonly gapMs: number | undefined;
     /** What must be sent to the upstream, in bytes. */
     readonly bodyBytes: number;
     /** Monotonic time, in milliseconds. */
@@ -47,6 +49,15 @@
     /** Told that a granted request has ended; `failed` is undefined where that says nothing of the upstream. */
     ended(_request: RequestId, _failed: boolean | undefined, _now: number): void {}
 
+    /**
+     * How many upstreams' time the prompts of the last seconds take to read; undefined where that is not followed.
+     *
+     * @param now - Monotonic time, in milliseconds.
+     */
+    readingLoad(_now: number): number | undefined {
+        return undefined;
+    }
+
     /** Told that an upstream has ended, or lives anew. */
     forget(_upstream: UpstreamId): void {}
 }
--- a/src/upstream/routedChoice/index.ts
+++ b/src/upstream/routedChoice/index.ts
@@ -17,6 +17,8 @@
     readonly failingMs: number;
     /** A request that has to wait for a slot. */
     readonly fullMs: number;
+    /** Each running stream whose longest pause would be passed while this prompt is read. */
+    readonly stallMs: number;
 }
 
 /** A reread costs half as much again; the rest are the differences that callers would notice. */
@@ -27,20 +29,25 @@
     otherZoneKilobyteMs: 1,
     failingMs: 1_000,
     fullMs: 500,
+    stallMs: 300,
 };
 
+/** Over this time the load is averaged, in milliseconds. */
+const LOAD_MEMORY_MS = 5_000;
 /** How much of the failure rate one outcome makes. */
 const FAILURE_WEIGHT = 0.1;
 const BYTES_PER_KILOBYTE = 1_024;
 
 interface UpstreamWork {
     readonly prefill: PrefillClock;
+    readonly running: Set<Running>;
     /** The share of its last requests that failed, from 0 to 1. */
     failureRate: number;
 }
 
 interface Running {
     readonly upstream: UpstreamId;
+    readonly gapMs: number | undefined;
     pending: PendingPrefill | undefined;
 }
 
@@ -49,12 +56,16 @@
  * the parts of this prompt that it holds, and how many requests run beside. Upstreams that fail requests come last.
  *
  * Answers bursts of long prompts: reports of load are a few hundred milliseconds old, and in that time a burst fills the engine that
- * was idle when it reported. Here each grant counts at once.
+ * was idle when it reported. Here each grant counts at once. Answers long prompts beside short questions too: while an engine reads a
+ * prompt its running streams stand still, so a long one goes where no stream runs that could not bear the pause.
  */
 export class RoutedChoice extends UpstreamChoice {
     private readonly work = new Map<UpstreamId, UpstreamWork>();
     private readonly running = new Map<RequestId, Running>();
     private readonly cache: PromptCache;
+    /** Milliseconds of reading in a millisecond, averaged. */
+    private load = 0;
+    private loadAt = 0;
 
     constructor(
         capacity: () => number | undefined,
@@ -85,7 +96,15 @@
         const { prefill } = this.workOf(id);
         const tokens = this.tokensToRead(request, id);
         this.cache.use(request.parts, id);
-        this.running.set(request.request, { upstream: id, pending: prefill.begin(tokens, request.now) });
+        this.addLoad(tokens * prefill.millisecondsPerToken, request.now);
+        const running = { upstream: id, gapMs: request.gapMs, pending: prefill.begin(tokens, request.now) };
+        this.running.set(request.request, running);
+        this.workOf(id).running.add(running);
+    }
+
+    override readingLoad(now: number): number {
+        this.addLoad(0, now);
+        return this.load;
     }
 
     override firstToken(request: RequestId, now: number): void {
@@ -100,6 +119,7 @@
         if (!running) return;
         this.running.delete(request);
         const work = this.workOf(running.upstream);
+        work.running.delete(running);
         if (running.pending) work.prefill.end(now);
         if (failed === undefined) return;
         work.failureRate += FAILURE_WEIGHT * ((failed ? 1 : 0) - work.failureRate);
@@ -115,7 +135,8 @@
         const { weights } = this;
         const { prefill, failureRate } = this.workOf(upstream.id);
         const tokens = this.tokensToRead(request, upstream.id);
-        const rereadMs = (weights.rereadFactor - 1) * tokens * prefill.millisecondsPerToken;
+        const readMs = tokens * prefill.millisecondsPerToken;
+        const rereadMs = (weights.rereadFactor - 1) * readMs;
         const isFar = upstream.zone !== request.zone;
         const farMs = weights.otherZoneMs + weights.otherZoneKilobyteMs * request.bodyBytes / BYTES_PER_KILOBYTE;
         return prefill.predictMs(tokens, request.now)
@@ -123,9 +144,24 @@
             + weights.runningMs * load.outstanding
             + (load.outstanding >= upstream.slots ? weights.fullMs : 0)
             + (isFar ? farMs : 0)
+            + weights.stallMs * this.countStalled(upstream.id, readMs)
             + weights.failingMs * failureRate;
     }
 
+    private countStalled(upstream: UpstreamId, readMs: number): number {
+        let count = 0;
+        for (const { gapMs } of this.workOf(upstream).running) {
+            if (gapMs !== undefined && readMs > gapMs) count++;
+        }
+        return count;
+    }
+
+    private addLoad(readMs: number, now: number): void {
+        this.load *= Math.exp((this.loadAt - now) / LOAD_MEMORY_MS);
+        this.loadAt = now;
+        this.load += readMs / LOAD_MEMORY_MS;
+    }
+
     private tokensToRead({ parts, promptTokens }: ChoiceRequest, upstream: UpstreamId): number {
         return Math.max(0, promptTokens - this.cache.heldTokens(parts, upstream));
     }
@@ -133,7 +169,11 @@
     private workOf(upstream: UpstreamId): UpstreamWork {
         const known = this.work.get(upstream);
         if (known) return known;
-        const work = { prefill: new PrefillClock(this.usualTokenMs()), failureRate: 0 };
+        const work = {
+            prefill: new PrefillClock(this.usualTokenMs()),
+            running: new Set<Running>(),
+            failureRate: 0,
+        };
         this.work.set(upstream, work);
         return work;
     }
