Entries and control processes learn all control processes from any of them

Cause: after all processes were killed at once, entries knew the three seeds only. Where a fourth control process was elected, the three named a holder to which no entry had a link, and the list of all comes with the holder's own answers.

--- a/src/control/controlLinkSet/index.ts
+++ b/src/control/controlLinkSet/index.ts
@@ -1,6 +1,7 @@
 import { Lifecycle } from "../../lifecycle/index.js";
 import { Address, Clock, formatAddress, Network, parseAddress, Random } from "../../ports/index.js";
 import { PeerChannel, PeerIdentity, PeerLink, PeerRouter, PeerTiming } from "../../wire/index.js";
+import { MemberList, MEMBERS_METHOD } from "../memberList/index.js";
 
 /** What the set is made of. */
 export interface ControlLinkSetOptions {
@@ -20,6 +21,7 @@
 /**
  * Links to the control processes, as far as they are known: those that settings name, and those that the control log has.
  *
+ * Guards against a process that knows only control processes which do not lead: it asks each one that it reaches for the list of all.
  * Guards against a process that loses all control processes: those of its settings may be replaced one by one while it runs, so
  * it follows the log's list; and that list may be out of date after a long cut, so it keeps those of its settings too.
  *
@@ -68,9 +70,25 @@
         const address = parseAddress(name);
         if (!address) return;
         const lifecycle = this.options.lifecycle.child();
-        const link = new PeerLink({ ...this.options, address });
+        const onOpen = (channel: PeerChannel): void => {
+            void this.askMembers(channel);
+            this.options.onOpen?.(channel);
+        };
+        const link = new PeerLink({ ...this.options, address, onOpen });
         lifecycle.run(signal => link.run(signal), () => undefined);
         this.open.set(name, { link, lifecycle });
         this.list.push(link);
     }
+
+    private async askMembers(channel: PeerChannel): Promise<void> {
+        const answer = await channel.call(MEMBERS_METHOD, {}, ANSWER_MS);
+        answer.ifRight(list => this.learn((list as MemberList).members));
+    }
+
+    /** What one process says may be older than what is known: it adds, and only the leader's list takes away. */
+    private learn(members: readonly string[]): void {
+        this.setMembers([...new Set([...this.members, ...members])]);
+    }
 }
+
+const ANSWER_MS = 1_000;
--- a/src/control/controlService/index.ts
+++ b/src/control/controlService/index.ts
@@ -6,6 +6,7 @@
 import { DemandTable } from "../demandTable/index.js";
 import { parseEntryCommand } from "../entryCommandSchema/index.js";
 import { EntryChanges, EntryTable } from "../entryTable/index.js";
+import { MemberList, MEMBERS_METHOD } from "../memberList/index.js";
 import { packChange } from "../packedView/index.js";
 import { ControlState } from "../state/index.js";
 import { VIEW_PULL_METHOD, ViewChange, ViewPull, ViewPullReply } from "../view/index.js";
@@ -58,6 +59,7 @@
         router.add(COMMAND_METHOD, body => this.command(body));
         router.add(VIEW_PULL_METHOD, body => this.pull(body as ViewPull));
         router.add(DEMAND_METHOD, body => this.takeDemand(body));
+        router.add(MEMBERS_METHOD, (): MemberList => ({ members: options.listControls?.() ?? [] }));
         this.stops = [
             state.onRevision(() => this.wakeSleepers()),
             log.onHolderChange(() => {
--- /dev/null
+++ b/src/emulator/callStandIn/index.ts
@@ -0,0 +1,160 @@
+import { CALL_HEADERS } from "../../passthrough/index.js";
+import { Address, Clock, findHeader, Http, HttpRequest, HttpResponse, Listener } from "../../ports/index.js";
+import { DEFAULT_HTTP_LIMITS, formatAddress } from "../../ports/index.js";
+import { Announcement } from "../../protocol/index.js";
+
+/** How a stand-in spoils an answer. */
+export type CallFault =
+    /** It runs the call and resets the connection before it answers. */
+    | "lost"
+    /** It runs the call and answers with a failure of its own. */
+    | "error"
+    /** It refuses the call, which it does not run. */
+    | "refuse"
+    /** It breaks a stream off after its first events, within one. */
+    | "break"
+    /** It answers with the id of another call. */
+    | "crossed";
+
+/** What a stand-in was told to do with a call, and what came of it. */
+export interface CallRun {
+    readonly request: string;
+    readonly workspace: string | undefined;
+    readonly path: string;
+    readonly body: string;
+    readonly headers: readonly (readonly [string, string])[];
+}
+
+/** How a stand-in behaves. */
+export interface CallStandInOptions {
+    readonly clock: Clock;
+    readonly http: Http;
+    readonly id: string;
+    readonly address: Address;
+    readonly pool: string;
+    readonly zone: string;
+    readonly slots: number;
+    /** How long a call takes, in milliseconds. */
+    readonly workMs: number;
+    /** How many events a stream has, and the pause between them, in milliseconds. */
+    readonly events: number;
+    readonly gapMs: number;
+}
+
+const MOST_BODY_BYTES = 16 * 1024 * 1024;
+const BREAK_AFTER = 2;
+
+/**
+ * Stands in for an upstream that takes routed calls in the product's own words: answers, streams events that can be resumed, and fails
+ * as it is told to. Keeps what it ran, so that a test can see what ran twice or for whom.
+ *
+ * @example
+ * const upstream = await CallStandIn.start(options);
+ * upstream.faults.push("lost");
+ */
+export class CallStandIn {
+    /** What it ran, in order. */
+    readonly runs: CallRun[] = [];
+    /** Each call takes the first of these. */
+    readonly faults: CallFault[] = [];
+    private sequence = 0;
+    private running = 0;
+
+    private constructor(private readonly options: CallStandInOptions) {}
+
+    static async start(options: CallStandInOptions): Promise<CallStandIn> {
+        const standIn = new CallStandIn(options);
+        standIn.listener = await options.http.serve(
+            options.address,
+            DEFAULT_HTTP_LIMITS,
+            (req, res) => standIn.answer(req, res),
+        );
+        return standIn;
+    }
+
+    private listener: Listener | undefined;
+
+    /** What it says of itself next. */
+    announce(state: Announcement["state"] = "ready"): Announcement {
+        const { id, pool, zone, address, slots } = this.options;
+        const load = { running: 0, queued: 0, kv_used: 0, tokens_per_second: 0, age_ms: 0 };
+        return {
+            id,
+            zone,
+            slots,
+            state,
+            load,
+            incarnation: 1,
+            sequence: ++this.sequence,
+            kind: "service",
+            pools: [pool],
+            address: formatAddress(address),
+            price_per_hour: 0,
+            reclaimable: false,
+            checks_fence: false,
+        };
+    }
+
+    async close(): Promise<void> {
+        await this.listener?.close();
+    }
+
+    private async answer(req: HttpRequest, res: HttpResponse): Promise<void> {
+        const request = findHeader(req.headers, CALL_HEADERS.request) ?? "";
+        const fault = this.faults.shift();
+        const expected = findHeader(req.headers, CALL_HEADERS.upstream);
+        if (expected !== this.options.id) return this.refuse(res, 421);
+        if (fault === "refuse" || this.running >= this.options.slots) return this.refuse(res, 503);
+        const body = (await req.body(MOST_BODY_BYTES)).map(bytes => Buffer.from(bytes).toString()).orDefault("");
+        const workspace = findHeader(req.headers, CALL_HEADERS.workspace);
+        this.runs.push({ request, workspace, path: req.path, body, headers: req.headers });
+        this.running++;
+        await this.options.clock.sleep(this.options.workMs, req.closed);
+        if (fault === "lost") res.reset();
+        else await this.give(req, res, fault === "crossed" ? "another" : request, fault);
+        this.running--;
+    }
+
+    private refuse(res: HttpResponse, status: number): void {
+        res.head(status, [[CALL_HEADERS.notRun, "1"], ["content-length", "0"]]);
+        res.end();
+    }
+
+    private async give(
+        req: HttpRequest,
+        res: HttpResponse,
+        request: string,
+        fault: CallFault | undefined,
+    ): Promise<void> {
+        const headers: [string, string][] = [
+            [CALL_HEADERS.request, request],
+            [CALL_HEADERS.signature, `${this.options.id}/${request}`],
+        ];
+        if (this.options.events > 0) return this.stream(req, res, headers, fault);
+        const text = `${fault === "error" ? "failed" : "answered"} by ${this.options.id}`;
+        res.head(fault === "error" ? 500 : 200, [...headers, ["content-length", String(text.length)]]);
+        res.end(text);
+    }
+
+    private async stream(
+        req: HttpRequest,
+        res: HttpResponse,
+        headers: [string, string][],
+        fault: CallFault | undefined,
+    ): Promise<void> {
+        const { events, gapMs, clock } = this.options;
+        const first = Number(findHeader(req.headers, CALL_HEADERS.lastEventId) ?? 0) + 1;
+        res.head(200, [...headers, ["content-type", "text/event-stream"], ["transfer-encoding", "chunked"]]);
+        for (let id = first; id <= events; id++) {
+            if (req.closed.aborted) return;
+            if (fault === "break" && id === first + BREAK_AFTER) {
+                await res.write(`id: ${id}\nda`);
+                res.reset();
+                return;
+            }
+            await res.write(`id: ${id}\ndata: event ${id}\n\n`);
+            await clock.sleep(gapMs, req.closed);
+        }
+        res.end();
+    }
+}
--- a/src/faultInjection/index.ts
+++ b/src/faultInjection/index.ts
@@ -1,3 +1,4 @@
-/** Replicas of the control log in one process, over the ports in memory, with faults by seed; for property tests and the soak tool. */
+/** Parts of the system in one process, over the ports in memory, with faults by seed or by hand. */
 export * from "./replicaFleet/index.js";
+export * from "./routedFleet/index.js";
 export * from "./schedule/index.js";
--- /dev/null
+++ b/src/faultInjection/routedFleet/index.ts
@@ -0,0 +1,307 @@
+import { DEFAULT_LOG_TIMING } from "../../consensus/index.js";
+import { ControlProcess } from "../../control/index.js";
+import { CallStandIn, CallStandInOptions } from "../../emulator/index.js";
+import { DEFAULT_ENTRY_LIMITS, EntryProcess } from "../../entry/index.js";
+import { HostId, Incarnation, ZoneId } from "../../ids/index.js";
+import { SilentLogger } from "../../logging/index.js";
+import { NoMetrics } from "../../metrics/index.js";
+import { CALL_HEADERS, OwnDialect } from "../../passthrough/index.js";
+import {
+    Address,
+    DEFAULT_HTTP_LIMITS,
+    findHeader,
+    HeaderList,
+    MemoryDisk,
+    MemoryFabric,
+    MemoryWeb,
+    SeededRandom,
+    VirtualClock,
+} from "../../ports/index.js";
+import { checkDocument } from "../../routing/index.js";
+
+const PORTS = { control: 7001, callers: 8080, peers: 7000, upstream: 9000 } as const;
+const CALLER_HOST = "10.0.8.1";
+const UPSTREAM_HOST = "10.0.9.";
+const PEER_TIMING = { heartbeatMs: 500, silenceMs: 1_300 };
+const LOG_TIMING = { ...DEFAULT_LOG_TIMING, heartbeatMs: 250, leaseMs: 1_200, electionSpreadMs: 600 };
+const VIEW_LEASE_MS = 4_000;
+const HEARTBEAT_MS = 1_200;
+const SEEDS = 3;
+const START_LIMIT_MS = 30_000;
+const CALL_LIMIT_MS = 30_000;
+
+/** How a fleet is laid out. */
+export interface RoutedLayout {
+    readonly seed: number;
+    readonly controls: number;
+    readonly entries: number;
+    readonly upstreams: readonly Partial<CallStandInOptions>[];
+}
+
+/** A call as a test sends it. */
+export interface TestCall {
+    readonly entry: number;
+    readonly path: string;
+    readonly method?: string;
+    readonly body?: string;
+    readonly key?: string;
+    readonly request?: string;
+    readonly headers?: HeaderList;
+    readonly signal?: AbortSignal;
+}
+
+/** What its caller got. */
+export interface TestReply {
+    readonly status: number;
+    readonly headers: HeaderList;
+    readonly body: string;
+    /** False: the connection ended before the answer did. */
+    readonly isWhole: boolean;
+    readonly tookMs: number;
+}
+
+/**
+ * Control processes, entries and stand-ins for upstreams with the fleet document, under virtual time: the real code over ports in
+ * memory. Entries and control processes know three control processes to begin with, as seeds.
+ *
+ * @example
+ * const fleet = new RoutedFleet({ entries: 2 });
+ * await fleet.start(document);
+ * const reply = await fleet.call({ entry: 0, path: "/orders/1" });
+ */
+export class RoutedFleet {
+    readonly clock = new VirtualClock();
+    readonly fabric = new MemoryFabric(this.clock, (from, to) => from === to ? 0 : 1);
+    readonly web = new MemoryWeb(this.fabric);
+    readonly controls: (ControlProcess | undefined)[] = [];
+    readonly entries: (EntryProcess | undefined)[] = [];
+    readonly disks: MemoryDisk[] = [];
+    readonly upstreams: CallStandIn[] = [];
+    readonly layout: RoutedLayout;
+    private readonly random: SeededRandom;
+    private readonly announcing = new AbortController();
+    private starts = 0;
+    private calls = 0;
+
+    constructor(layout: Partial<RoutedLayout> = {}) {
+        this.layout = { seed: 1, controls: 5, entries: 2, upstreams: [{}, {}], ...layout };
+        this.random = new SeededRandom(this.layout.seed);
+    }
+
+    /** Starts everything, puts a document in force and waits until it is served. */
+    async start(document: unknown): Promise<void> {
+        for (let number = 0; number < this.layout.controls; number++) {
+            this.disks.push(new MemoryDisk(this.clock));
+            await this.run(this.startControl(number, true));
+        }
+        for (let number = 0; number < this.layout.entries; number++) await this.run(this.startEntry(number));
+        for (const [number, options] of this.layout.upstreams.entries()) {
+            this.upstreams.push(await CallStandIn.start(this.describeUpstream(number, options)));
+        }
+        void this.announceAll();
+        await this.pass(3_000);
+        await this.replace(document);
+        await this.pass(500);
+    }
+
+    pass(ms: number): Promise<void> {
+        return this.clock.advance(ms);
+    }
+
+    run<Value>(work: Promise<Value>, limitMs = START_LIMIT_MS): Promise<Value> {
+        return this.clock.runUntil(work, limitMs);
+    }
+
+    async startControl(number: number, mayFound = false): Promise<void> {
+        const host = controlAddress(number);
+        this.controls[number] = await ControlProcess.start({
+            ...this.portsOf(host.host),
+            disk: this.disks[number],
+            self: this.identity(`control-${number}`),
+            peers: host,
+            members: this.seeds().map(address => ({ address })),
+            logTiming: LOG_TIMING,
+            timing: PEER_TIMING,
+            viewLeaseMs: VIEW_LEASE_MS,
+            windowMs: 5_000,
+            windowGraceMs: 5_000,
+            platform: undefined,
+            routing: {
+                seeds: this.seeds(),
+                voters: this.layout.controls,
+                mayFound: mayFound && number < SEEDS,
+                startsWindowMs: 5_000,
+                startsPatienceMs: 6_000,
+                silentAfterMs: 4 * HEARTBEAT_MS,
+            },
+        });
+    }
+
+    async startEntry(number: number): Promise<void> {
+        const host = `10.0.1.${number + 1}`;
+        this.entries[number] = await EntryProcess.start({
+            ...this.portsOf(host),
+            metrics: new NoMetrics(),
+            self: this.identity(`entry-${number}`),
+            zone: "vogar" as ZoneId,
+            region: "sudurnes",
+            peers: { host, port: PORTS.peers },
+            controlPeers: this.seeds(),
+            callerLimits: DEFAULT_HTTP_LIMITS,
+            limits: DEFAULT_ENTRY_LIMITS,
+            timing: PEER_TIMING,
+            windowMs: 5_000,
+            balancerMs: 500,
+            routes: {
+                callers: { host, port: PORTS.callers },
+                dialect: new OwnDialect(),
+                repeats: { ratio: 0.2, windowMs: 10_000, slack: 1_000 },
+                startsWindowMs: 5_000,
+            },
+        });
+    }
+
+    /** Ends an entry as SIGKILL does. */
+    async killEntry(number: number): Promise<void> {
+        const entry = this.entries[number];
+        this.entries[number] = undefined;
+        this.fabric.crash(`10.0.1.${number + 1}`);
+        this.web.crash(`10.0.1.${number + 1}`);
+        await entry?.close();
+    }
+
+    /** Ends a control process as a power cut does: unsynced bytes are lost. */
+    async killControl(number: number): Promise<void> {
+        const control = this.controls[number];
+        this.controls[number] = undefined;
+        this.fabric.crash(controlAddress(number).host);
+        this.disks[number].crash();
+        await control?.close();
+    }
+
+    /** Gives a host an empty disk, as after the loss of the one that it had. */
+    wipeDisk(number: number): void {
+        this.disks[number] = new MemoryDisk(this.clock);
+    }
+
+    /** The number of the control process that holds the lease; -1 for none. */
+    holder(): number {
+        return this.controls.findIndex(control => control?.log.holdsLease());
+    }
+
+    /** Puts a document in force through one control process, or any. */
+    async replace(document: unknown, through = 0): Promise<boolean> {
+        const desk = this.controls[through]!.routing!.documents;
+        const source = Buffer.from(JSON.stringify(document));
+        const checked = checkDocument(document).unsafeCoerce();
+        const outcome = await this.run(desk.replace({ kind: "document.replace", document: checked, source }));
+        return outcome.isRight();
+    }
+
+    /** Sends a call and reads its answer to the end. */
+    call(call: TestCall): Promise<TestReply> {
+        return this.run(this.startCall(call), CALL_LIMIT_MS);
+    }
+
+    /** Sends a call; its answer comes as time passes. */
+    async startCall(
+        { entry, path, method = "POST", body = "", key, headers = [], ...rest }: TestCall,
+    ): Promise<TestReply> {
+        const startedAt = this.clock.monotonic();
+        const request = rest.request ?? `call-${++this.calls}`;
+        const sent = await this.web.http(CALLER_HOST).send({
+            address: { host: `10.0.1.${entry + 1}`, port: PORTS.callers },
+            method,
+            path,
+            headers: [
+                ["host", "shop.example"],
+                [CALL_HEADERS.request, request],
+                ...(key === undefined ? [] : [["authorization", `Bearer ${key}`] as const]),
+                ...headers,
+            ],
+            body: Buffer.from(body),
+            fresh: true,
+            connectTimeoutMs: 1_000,
+            headTimeoutMs: CALL_LIMIT_MS,
+            signal: rest.signal,
+        });
+        const tookMs = (): number => this.clock.monotonic() - startedAt;
+        const reply = sent.toMaybe().extract();
+        if (!reply) return { status: 0, headers: [], body: "", isWhole: false, tookMs: tookMs() };
+        let text = "";
+        let isWhole = true;
+        try {
+            for await (const chunk of reply.body) text += Buffer.from(chunk).toString();
+        }
+        catch {
+            isWhole = false;
+        }
+        return { status: reply.status, headers: reply.headers, body: text, isWhole, tookMs: tookMs() };
+    }
+
+    /** Which upstream made an answer. */
+    signerOf({ headers }: TestReply): string | undefined {
+        return findHeader(headers, CALL_HEADERS.signature)?.split("/")[0];
+    }
+
+    async close(): Promise<void> {
+        this.announcing.abort();
+        const ends = [...this.entries, ...this.controls].map(process => process?.close());
+        await this.run(Promise.all([...ends, ...this.upstreams.map(upstream => upstream.close())]));
+    }
+
+    /** Lets an upstream say something to one control process. */
+    announce(upstream: number, state: "ready" | "leaving" | "gone", through = 0): Promise<boolean> {
+        const { hub } = this.controls[through]!.routing!;
+        return this.run(hub.take(this.upstreams[upstream].announce(state)));
+    }
+
+    private async announceAll(): Promise<void> {
+        while (!this.announcing.signal.aborted) {
+            for (const [number, upstream] of this.upstreams.entries()) {
+                const live = this.controls.filter(control => control !== undefined);
+                void live[number % live.length]?.routing!.hub.take(upstream.announce());
+            }
+            await this.clock.sleep(HEARTBEAT_MS, this.announcing.signal);
+        }
+    }
+
+    private describeUpstream(number: number, options: Partial<CallStandInOptions>): CallStandInOptions {
+        const host = `${UPSTREAM_HOST}${number + 1}`;
+        return {
+            clock: this.clock,
+            http: this.web.http(host),
+            id: `upstream-${number}`,
+            address: { host, port: PORTS.upstream },
+            pool: "ledger",
+            zone: "vogar",
+            slots: 4,
+            workMs: 20,
+            events: 0,
+            gapMs: 20,
+            ...options,
+        };
+    }
+
+    private seeds(): Address[] {
+        return Array.from({ length: Math.min(SEEDS, this.layout.controls) }, (_, number) => controlAddress(number));
+    }
+
+    private identity(name: string): { host: HostId; incarnation: Incarnation; } {
+        return { host: name as HostId, incarnation: `${name}.${++this.starts}` as Incarnation };
+    }
+
+    private portsOf(host: string) {
+        return {
+            clock: this.clock,
+            random: new SeededRandom(this.random.integer(1, 1_000_000)),
+            network: this.fabric.network(host),
+            http: this.web.http(host),
+            logger: new SilentLogger(),
+        };
+    }
+}
+
+function controlAddress(number: number): Address {
+    return { host: `10.0.0.${number + 1}`, port: PORTS.control };
+}
--- /dev/null
+++ b/src/passthrough/ownDialect/index.ts
@@ -0,0 +1,102 @@
+import { Either, Left, Right } from "purify-ts";
+import { RequestId } from "../../ids/index.js";
+import { findHeader, HeaderList, HttpReply, HttpRequest } from "../../ports/index.js";
+import { PromptPart } from "../../upstream/index.js";
+import { CallDialect, CallHead, ErrorReply, ReplyHead, SendMarks } from "../callDialect/index.js";
+import { CallError } from "../callError/index.js";
+import { endToEndHeaders } from "../endToEndHeaders/index.js";
+
+/** The product's own headers on routed calls. */
+export const CALL_HEADERS = {
+    request: "x-sequoiamux-request",
+    deadlineMs: "x-sequoiamux-deadline-ms",
+    model: "x-sequoiamux-model",
+    /** Prompt tokens and the most tokens of the answer, separated by a comma. */
+    tokens: "x-sequoiamux-tokens",
+    /** The prompt's parts, `id:tokens` each, separated by commas. */
+    parts: "x-sequoiamux-parts",
+    lastEventId: "last-event-id",
+    workspace: "x-sequoiamux-workspace",
+    upstream: "x-sequoiamux-upstream",
+    priority: "x-sequoiamux-priority",
+    /** An upstream's word that it has not run the call and will not. */
+    notRun: "x-sequoiamux-not-run",
+    /** On each answer that an upstream itself made. */
+    signature: "x-sequoiamux-signature",
+} as const;
+
+const SET_BY_SYSTEM: ReadonlySet<string> = new Set([
+    "authorization",
+    "content-length",
+    CALL_HEADERS.deadlineMs,
+    CALL_HEADERS.lastEventId,
+    CALL_HEADERS.workspace,
+    CALL_HEADERS.upstream,
+    CALL_HEADERS.priority,
+]);
+const NOTHING: ReadonlySet<string> = new Set();
+const STATUS_MISDIRECTED = 421;
+const MS_PER_SECOND = 1_000;
+const BEARER = /^bearer +(\S+)$/i;
+
+/** The product's own words for routed calls: keys as bearer tokens, and headers that begin with `x-sequoiamux-`. */
+export class OwnDialect extends CallDialect {
+    readHead({ headers }: HttpRequest): Either<CallError, CallHead> {
+        const request = findHeader(headers, CALL_HEADERS.request);
+        if (!request) return Left(new CallError("malformed", `a call needs a ${CALL_HEADERS.request} header`));
+        const [promptTokens = 0, maxTokens = 0] = (findHeader(headers, CALL_HEADERS.tokens) ?? "0").split(",").map(
+            Number,
+        );
+        const deadline = findHeader(headers, CALL_HEADERS.deadlineMs);
+        return Right({
+            promptTokens,
+            maxTokens,
+            request: request as RequestId,
+            key: BEARER.exec(findHeader(headers, "authorization") ?? "")?.[1],
+            deadlineMs: deadline === undefined ? undefined : Number(deadline),
+            model: findHeader(headers, CALL_HEADERS.model),
+            hintedTokens: undefined,
+            parts: readParts(findHeader(headers, CALL_HEADERS.parts)),
+            lastEventId: findHeader(headers, CALL_HEADERS.lastEventId),
+            headers: endToEndHeaders(headers, SET_BY_SYSTEM),
+        });
+    }
+
+    writeHead(head: CallHead, { upstream, workspace, deadlineMs, priority, lastEventId }: SendMarks): HeaderList {
+        const added: [string, string][] = [
+            [CALL_HEADERS.deadlineMs, String(deadlineMs)],
+            [CALL_HEADERS.upstream, upstream],
+            [CALL_HEADERS.priority, String(priority)],
+        ];
+        if (workspace !== undefined) added.push([CALL_HEADERS.workspace, workspace]);
+        if (lastEventId !== undefined) added.push([CALL_HEADERS.lastEventId, lastEventId]);
+        return [...head.headers, ...added];
+    }
+
+    readReply({ status, headers }: HttpReply): ReplyHead {
+        return {
+            request: findHeader(headers, CALL_HEADERS.request),
+            refused: findHeader(headers, CALL_HEADERS.notRun) !== undefined,
+            misdirected: status === STATUS_MISDIRECTED,
+            isSigned: findHeader(headers, CALL_HEADERS.signature) !== undefined,
+            headers: endToEndHeaders(headers, NOTHING),
+        };
+    }
+
+    writeError(err: CallError, request: RequestId | undefined): ErrorReply {
+        const { status, kind, message, notRun, retryAfterMs } = err;
+        const headers: [string, string][] = [["content-type", "application/json"]];
+        if (request !== undefined) headers.push([CALL_HEADERS.request, request]);
+        if (notRun) headers.push([CALL_HEADERS.notRun, "1"]);
+        if (retryAfterMs !== undefined) headers.push(["retry-after", (retryAfterMs / MS_PER_SECOND).toFixed(3)]);
+        return { status, headers, body: JSON.stringify({ error: kind, message, notRun }) };
+    }
+}
+
+function readParts(text: string | undefined): PromptPart[] {
+    if (!text) return [];
+    return text.split(",").map(entry => {
+        const [id, tokens] = entry.split(":");
+        return { id, tokens: Number(tokens) };
+    });
+}
