Pools keep their size while a holder watches, and before any load was seen

Cause: the sizer planned for the engines that had made themselves known so far, 2 of 8, and gave the others back before the first callers came.

--- a/src/control/poolSizer/index.ts
+++ b/src/control/poolSizer/index.ts
@@ -17,9 +17,16 @@
 const CALM_MS = 15_000;
 /** How long a platform that has none left is left alone, in milliseconds. */
 const SOLD_OUT_MS = 3_000;
+/**
+ * How long a term first watches, in milliseconds: upstreams announce themselves within little more than a second, and owners report
+ * every two.
+ */
+const WATCH_MS = 4_000;
 /** How long an order that got no answer waits before it is sent again, in milliseconds. */
 const RETRY_MS = 1_000;
 const STATUS_NONE_LEFT = 409;
+/** Upstreams beyond what there is, for a load that nobody has seen yet: cheap beside a first burst that finds too few. */
+const UNKNOWN_LOAD_SPARE = 1;
 
 /** A wanted number of upstreams. */
 export interface SizeOrder {
@@ -65,6 +72,7 @@
     private readonly ordered = new Map<string, Ordered>();
     private readonly needs = new Map<PoolId, Need>();
     private token: number | undefined;
+    private termStartedAt = 0;
 
     constructor(private readonly options: PoolSizerOptions) {
         super();
@@ -73,6 +81,8 @@
     async step(term: HolderTerm): Promise<number> {
         const { state, platformChecksFence } = this.options;
         this.startTerm(term);
+        this.watch();
+        if (this.options.clock.monotonic() - this.termStartedAt < WATCH_MS) return STEP_MS;
         for (const { pool, scaling } of state.documents.held?.document.pools ?? []) {
             if (!scaling) continue;
             for (const order of this.planPool(pool, scaling)) {
@@ -87,15 +97,49 @@
     private startTerm({ token }: HolderTerm): void {
         if (this.token === token) return;
         this.token = token;
+        this.termStartedAt = this.options.clock.monotonic();
         this.ordered.clear();
+        this.needs.clear();
     }
 
-    private planPool(pool: PoolId, scaling: ScalingSpec): SizeOrder[] {
+    /**
+     * Follows what each pool needs.
+     *
+     * Guards against a pool that is shrunk for want of news: a new holder hears of upstreams one by one, and of the load later still.
+     * While it watches, a pool needs as many as it has, however few have made themselves known so far; and a load that is
+     * not there yet, as before the first callers come, has to stay away for as long as any lull.
+     */
+    private watch(): void {
+        const now = this.options.clock.monotonic();
+        const isFirst = now - this.termStartedAt < WATCH_MS;
+        for (const { pool, scaling } of this.options.state.documents.held?.document.pools ?? []) {
+            if (!scaling) continue;
+            const present = isFirst ? this.countNeedOfPresent(pool, scaling) : 0;
+            const count = Math.max(present, this.readNeed(pool));
+            const need = this.needs.get(pool);
+            const isHigh = !need || count >= need.count || now - need.highAt >= CALM_MS;
+            if (isHigh) this.needs.set(pool, { count, highAt: now });
+        }
+    }
+
+    /** The need for which a pool of its present size would have been planned, and a little more: its load is not known. */
+    private countNeedOfPresent(pool: PoolId, scaling: ScalingSpec): number {
         const zones = this.describeZones(pool, scaling);
         const present = zones.reduce((sum, { steady, reclaimable }) => sum + steady.ready + reclaimable.ready, 0);
-        if (present === 0) return [];
+        const perZone = zones.length === 0 ? 0 : present / zones.length;
+        return Math.ceil(perZone * Math.max(1, zones.length - 1)) + UNKNOWN_LOAD_SPARE;
+    }
+
+    /** How many upstreams the load needs by the last report; 0 without one. */
+    private readNeed(pool: PoolId): number {
+        const report = this.options.demand.listFresh().find(each => each.pool === pool);
+        return Math.ceil((report?.readingLoad ?? 0) / READING_SHARE);
+    }
+
+    private planPool(pool: PoolId, scaling: ScalingSpec): SizeOrder[] {
+        const zones = this.describeZones(pool, scaling);
         const { least, most, reclaimablePrice } = scaling;
-        const needed = this.findNeed(pool, present);
+        const needed = this.needs.get(pool)?.count ?? 0;
         const wishes = planZones({ zones, least, most, reclaimablePrice, needed });
         return wishes.flatMap((wish, at) => this.listOrders(pool, zones[at], wish));
     }
@@ -115,21 +159,6 @@
         return known.count !== order.count || known.soldOut;
     }
 
-    /** How many upstreams the load needs; what there is, until an owner has reported. */
-    private findNeed(pool: PoolId, present: number): number {
-        const { demand, clock } = this.options;
-        const report = demand.listFresh().find(each => each.pool === pool);
-        const now = clock.monotonic();
-        const load = report?.readingLoad;
-        const need = this.needs.get(pool);
-        const count = load === undefined ? need?.count ?? present : Math.ceil(load / READING_SHARE);
-        if (!need || count >= need.count || now - need.highAt >= CALM_MS) {
-            this.needs.set(pool, { count, highAt: now });
-            return count;
-        }
-        return need.count;
-    }
-
     private describeZones(pool: PoolId, { zonePrices }: ScalingSpec): ZoneSituation[] {
         const upstreams = this.options.registry.list(pool);
         const zones = new Set(upstreams.map(({ zone }) => zone));
--- a/src/passthrough/prepareCall/index.ts
+++ b/src/passthrough/prepareCall/index.ts
@@ -6,8 +6,12 @@
 import { CallHead } from "../callDialect/index.js";
 import { CallError, CallErrorKind } from "../callError/index.js";
 
-/** When a caller should come back after the entry had no fresh document: by then it has one, or others are asked. */
-const NO_VIEW_RETRY_MS = 300;
+/**
+ * When a caller should come back after the entry had no fresh document, in milliseconds: a lost holder of the control lease is
+ * replaced within about two seconds. Scattered, so that not all come back in one moment.
+ */
+const NO_VIEW_RETRY_MS = 1_200;
+const NO_VIEW_SPREAD_MS = 800;
 
 /** A routed call that was found good. */
 export interface PreparedCall {
@@ -39,7 +43,7 @@
 export async function prepareCall(ctx: CallContext, req: HttpRequest): Promise<Either<CallError, PreparedCall>> {
     const arrivedAt = ctx.clock.monotonic();
     const routes = ctx.view.routes();
-    if (!routes) return Left(new CallError("no-view", "this entry has no fleet document yet", NO_VIEW_RETRY_MS));
+    if (!routes) return Left(staleView(ctx, "this entry has no fleet document yet"));
     if (sizeOfHeaders(req) > routes.limits.headerBytes) {
         return Left(new CallError("header-too-large", `headers take more than ${routes.limits.headerBytes} bytes`));
     }
@@ -72,7 +76,7 @@
  */
 export function recheckKey(ctx: CallContext, { head, workspace }: PreparedCall): CallError | undefined {
     if (workspace === undefined) return undefined;
-    if (!ctx.view.isFresh()) return staleView();
+    if (!ctx.view.isFresh()) return staleView(ctx);
     const owner = ctx.view.routes()?.findOwner(head.key ?? "");
     return owner?.workspace === workspace ? undefined : new CallError("key-unknown", "the key was withdrawn");
 }
@@ -81,7 +85,7 @@
     const route = routes.findRoute(findHeader(req.headers, "host") ?? "", req.path);
     if (route) return Right(route);
     // A route that was added a moment ago may not be known here: only a fresh document can say that there is none.
-    return Left(ctx.view.isFresh() ? new CallError("no-route", "no route has this host and path") : staleView());
+    return Left(ctx.view.isFresh() ? new CallError("no-route", "no route has this host and path") : staleView(ctx));
 }
 
 function identifyCaller(
@@ -91,15 +95,18 @@
     { key }: CallHead,
 ): Either<CallError, Caller> {
     if (route.keyless || !routes.asksForKeys) return Right({ workspace: undefined, tier: route.tier });
-    if (!ctx.view.isFresh()) return Left(staleView());
+    if (!ctx.view.isFresh()) return Left(staleView(ctx));
     if (key === undefined) return Left(new CallError("key-missing", "this route needs a key"));
     const owner = routes.findOwner(key);
     if (!owner) return Left(new CallError("key-unknown", "the key is unknown or was withdrawn"));
     return Right({ workspace: owner.workspace, tier: owner.tier ?? route.tier });
 }
 
-function staleView(): CallError {
-    return new CallError("no-view", "this entry has lost touch with the control processes", NO_VIEW_RETRY_MS);
+function staleView(
+    { random }: CallContext,
+    detail = "this entry has lost touch with the control processes",
+): CallError {
+    return new CallError("no-view", detail, NO_VIEW_RETRY_MS + random.between(0, NO_VIEW_SPREAD_MS));
 }
 
 function sizeOfHeaders({ headers }: HttpRequest): number {
