An answer without a length that is reset is cut, not whole

Cause: Node calls such an answer complete when its connection is reset, since its parser is finished by the error. Ruled out: answers with a length and chunked ones, for which Node's own check holds.

--- a/src/ports/nodeHttp/index.ts
+++ b/src/ports/nodeHttp/index.ts
@@ -76,6 +76,7 @@
         if (call.signal?.aborted) return Promise.resolve(Left(new HttpError("aborted", false, "before sending")));
         return new Promise(resolve => {
             let connected = false;
+            let hasFailed = false;
             let reason: HttpError["reason"] = "closed";
             const req = request({
                 host: call.address.host,
@@ -102,6 +103,7 @@
                 else startHeadLimit();
             });
             req.on("error", err => {
+                hasFailed = true;
                 clearTimeout(limit);
                 call.signal?.removeEventListener("abort", abort);
                 const why = connected || reason !== "closed" ? reason : "refused";
@@ -113,7 +115,7 @@
                 resolve(Right({
                     status: message.statusCode!,
                     headers: pairHeaders(message.rawHeaders),
-                    body: readReplyBody(message, () => reason),
+                    body: readReplyBody(message, () => hasFailed, () => reason),
                     reset: () => req.destroy(),
                 }));
             });
@@ -165,14 +167,24 @@
     return [...call.headers, ...added];
 }
 
-async function* readReplyBody(message: IncomingMessage, reason: () => HttpError["reason"]): AsyncIterable<Uint8Array> {
+/**
+ * Reads a body to its end.
+ *
+ * Guards against a part that passes for the whole: an answer without a length ends with its connection, and Node calls it complete
+ * when that connection is reset too. Only the request's own error tells the two apart.
+ */
+async function* readReplyBody(
+    message: IncomingMessage,
+    hasFailed: () => boolean,
+    reason: () => HttpError["reason"],
+): AsyncIterable<Uint8Array> {
     try {
         for await (const chunk of message) yield chunk as Uint8Array;
     }
     catch (err) {
         throw new HttpError(reason(), true, (err as Error).message);
     }
-    if (!message.complete) throw new HttpError("closed", true, "the body was cut off");
+    if (!message.complete || hasFailed()) throw new HttpError("closed", true, "the body was cut off");
 }
 
 async function answer(req: NodeRequest, res: NodeResponse, handler: HttpHandler): Promise<void> {
--- a/src/ports/nodeHttp/test.ts
+++ b/src/ports/nodeHttp/test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { AddressInfo, createServer, Socket } from "node:net";
 import { after, before, describe, it } from "node:test";
 import { Address, DEFAULT_HTTP_LIMITS, HttpCall, HttpError, Listener } from "../index.js";
 import { NodeHttp } from "./index.js";
@@ -71,3 +72,47 @@
         });
     });
 });
+
+describe("NodeHttp's answers without a length", () => {
+    /** Reads the answer of a server that writes this and then ends its connection as told. */
+    async function readFrom(end: (socket: Socket) => void): Promise<string> {
+        const server = createServer(socket => {
+            socket.once("data", () => {
+                socket.write("HTTP/1.1 200 OK\r\n\r\npart", () => setTimeout(() => end(socket), 20));
+            });
+            socket.on("error", () => undefined);
+        });
+        await new Promise<void>(done => server.listen(0, "127.0.0.1", done));
+        const { port } = server.address() as AddressInfo;
+        const sent = await new NodeHttp().send({
+            address: { host: "127.0.0.1", port },
+            method: "GET",
+            path: "/",
+            headers: [],
+            fresh: false,
+            connectTimeoutMs: 1_000,
+            headTimeoutMs: 1_000,
+        });
+        let text = "";
+        try {
+            for await (const chunk of sent.unsafeCoerce().body) text += Buffer.from(chunk).toString();
+            return `whole: ${text}`;
+        }
+        catch (err) {
+            return `cut: ${(err as HttpError).reason}`;
+        }
+        finally {
+            server.close();
+        }
+    }
+
+    it("are whole when their connection ends in good order", async () => {
+        assert.equal(await readFrom(socket => socket.end()), "whole: part");
+    });
+
+    it("are cut when their connection is reset", async () => {
+        // A caller takes half an answer for the whole. The upstream states no length, so that the end of the connection is the end of
+        // the answer; it crashes in the middle, and the connection is reset.
+        assert.equal(await readFrom(socket => socket.resetAndDestroy()), "cut: closed");
+    });
+});
