The product's own way to routed calls: settings, announcements at control, config apply and read; tests of sizes, windows, hubs, documents

Windows of started requests now wait for entries that were heard within 20 s in place of 6: one that is cut off for some seconds was taken for ended, and its counts were missing.

--- a/src/cli/runCli/index.ts
+++ b/src/cli/runCli/index.ts
@@ -5,6 +5,7 @@
 import { CliError, EXIT_FAILED, EXIT_USAGE } from "../cliError/index.js";
 import { CommandDefinition, CommandOptions, CommandTools } from "../commandDefinition/index.js";
 import { configCommands } from "../configCommands/index.js";
+import { documentCommands } from "../documentCommands/index.js";
 import { EntryApi } from "../entryApi/index.js";
 import { fleetCommands } from "../fleetCommands/index.js";
 import { keyCommands } from "../keyCommands/index.js";
@@ -12,7 +13,7 @@
 import { Output } from "../output/index.js";
 import { loadProfile } from "../profile/index.js";
 
-const COMMANDS = [...configCommands, ...keyCommands, ...fleetCommands, ...billingCommands];
+const COMMANDS = [...configCommands, ...documentCommands, ...keyCommands, ...fleetCommands, ...billingCommands];
 
 /** What the tool gets from the process it runs in. */
 export interface CliEnvironment {
--- a/src/cli/runCli/test.ts
+++ b/src/cli/runCli/test.ts
@@ -1,8 +1,10 @@
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
+import { Right } from "purify-ts";
 import {
     ControlService,
     ControlState,
+    DocumentDesk,
     EntryAdmin,
     EntryAdminServer,
     MemoryControlLog,
@@ -10,7 +12,7 @@
     serveOperators,
     VIEW_PULL_METHOD,
 } from "../../control/index.js";
-import { HostId } from "../../ids/index.js";
+import { HostId, Revision } from "../../ids/index.js";
 import {
     Address,
     DEFAULT_HTTP_LIMITS,
@@ -20,6 +22,7 @@
     SystemClock,
     SystemRandom,
 } from "../../ports/index.js";
+import { HeldDocument, ReplaceDocumentCommand } from "../../routing/index.js";
 import { PeerRouter } from "../../wire/index.js";
 import { runCli } from "./index.js";
 
@@ -35,6 +38,29 @@
     nonRepeatable: ["orders"],
 });
 
+/** Keeps the last document, whatever its version. */
+class FakeDocumentDesk {
+    private held: HeldDocument | undefined;
+
+    async replace({ document, source }: ReplaceDocumentCommand) {
+        const revision = 9 as Revision;
+        this.held = { document, source, revision };
+        return Right({ state: "replaced" as const, revision });
+    }
+
+    async read() {
+        return Right(this.held);
+    }
+}
+
+const FLEET_DOCUMENT = JSON.stringify({
+    version: 7,
+    routes: [],
+    pools: [],
+    limits: { headerBytes: 16_384, bodyBytes: 1_000, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000 },
+});
+const FILES: Record<string, string | undefined> = { "fleet.json": FLEET_DOCUMENT, "broken.json": "{" };
+
 class FakeEntryAdmin extends EntryAdmin {
     readonly calls: string[] = [];
 
@@ -66,6 +92,7 @@
 const clock = new SystemClock();
 const http = new NodeHttp();
 const listeners: Listener[] = [];
+const documents = new FakeDocumentDesk() as unknown as DocumentDesk;
 const group = new MemoryLogGroup(clock);
 const admin = new FakeEntryAdmin();
 let control = "";
@@ -80,7 +107,8 @@
         logs.push(log);
         const router = new PeerRouter();
         const service = new ControlService({ log, state, clock, router, viewLeaseMs: 2_000 });
-        const listener = await serveOperators(http, LOOPBACK, { log, state, service, operatorAddresses: [] });
+        const context = { log, state, service, documents, operatorAddresses: [] };
+        const listener = await serveOperators(http, LOOPBACK, context);
         listeners.push(listener);
         addresses.push(formatAddress(listener.address));
         if (host === HOLDER) pull = () => router.find(VIEW_PULL_METHOD)!(pullBody(), undefined as never);
@@ -108,7 +136,7 @@
         random: new SystemRandom(),
         variables: { SEQUOIAMUX_CONTROL: control },
         userName: "anna",
-        readFile: async () => TEMPLATE,
+        readFile: async path => FILES[path] ?? TEMPLATE,
         readProfiles: async () => undefined,
         writeOutput: text => void (output += text),
         writeError: text => void (error += text),
@@ -155,6 +183,21 @@
         });
     });
 
+    describe("the fleet document", () => {
+        it("is applied as a whole and read back unchanged", async () => {
+            const apply = await run("config", "apply", "fleet.json");
+            assert.equal(apply.error, "");
+            assert.equal(apply.output, "version 7 is in force, revision 9\n");
+            assert.equal((await run("config", "read")).output, `${FLEET_DOCUMENT}\n`);
+        });
+
+        it("is refused with one line", async () => {
+            const { code, error } = await run("config", "apply", "broken.json");
+            assert.equal(code, 1);
+            assert.match(error, /^sequoiamux: not JSON: .*\n$/);
+        });
+    });
+
     describe("entries", () => {
         it("are reached at the addresses that the holder knows", async () => {
             await pull();
--- a/src/control/operatorRouter/index.ts
+++ b/src/control/operatorRouter/index.ts
@@ -1,9 +1,12 @@
 import { initTRPC, TRPCError } from "@trpc/server";
+import { Either } from "purify-ts";
 import { z } from "zod";
 import { ControlLog } from "../../consensus/index.js";
 import { HostId, TemplateName, WindowStart, WorkspaceId } from "../../ids/index.js";
+import { checkDocument, DocumentError } from "../../routing/index.js";
 import { ChangeResult, configChangeSchema } from "../../workspace/index.js";
 import { ControlService, NotHolderError } from "../controlService/index.js";
+import { DocumentDesk, DocumentUnavailableError } from "../documentDesk/index.js";
 import { ControlState } from "../state/index.js";
 
 /** How long an operator's change waits to be in force everywhere, in milliseconds. */
@@ -21,6 +24,8 @@
     readonly log: ControlLog;
     readonly state: ControlState;
     readonly service: ControlService;
+    /** Undefined where calls are not routed by a fleet document. */
+    readonly documents?: DocumentDesk;
     /** Control hosts that settings name; others are known by what holders announce. */
     readonly operatorAddresses: readonly OperatorAddress[];
 }
@@ -34,6 +39,14 @@
     readonly effect?: "in-force" | "accepted";
 }
 
+/** What became of a document. */
+export interface DocumentAnswer {
+    readonly version: number;
+    /** `superseded`: one of the same or a higher version is held, and stays. */
+    readonly state: "replaced" | "superseded";
+    readonly revision: number;
+}
+
 const trpc = initTRPC.context<OperatorContext>().create({
     errorFormatter({ shape, error, ctx }) {
         const holder = error.cause instanceof NotHolderError ? findHolderAddress(ctx) : undefined;
@@ -102,12 +115,44 @@
         const found = windows.find(({ window }) => window === input as WindowStart);
         return requireFound(found, `usage window ${input}`);
     }),
+    // Any control process hands a document to the holder, and reads through it.
+    applyDocument: trpc.procedure.input(z.string()).mutation(async ({ ctx, input }): Promise<DocumentAnswer> => {
+        const source = Buffer.from(input);
+        const document = Either.encase(() => JSON.parse(input) as unknown)
+            .mapLeft(err => new DocumentError(`not JSON: ${err.message}`))
+            .chain(checkDocument)
+            .caseOf({ Left: refuseDocument, Right: checked => checked });
+        const outcome = await requireDocuments(ctx).replace({ kind: "document.replace", document, source });
+        const { state, revision } = outcome.caseOf({ Left: unavailable, Right: result => result });
+        return { version: document.version, state, revision };
+    }),
+    readDocument: trpc.procedure.query(async ({ ctx }): Promise<string> => {
+        const read = await requireDocuments(ctx).read();
+        const held = read.caseOf({ Left: unavailable, Right: found => found });
+        return Buffer.from(requireFound(held, "fleet document").source).toString();
+    }),
     revision: holderProcedure.query(({ ctx }) => ctx.state.revision),
 });
 
 /** For clients' types. */
 export type OperatorRouter = typeof operatorRouter;
 
+function requireDocuments({ documents }: OperatorContext): DocumentDesk {
+    return requireFound(
+        documents,
+        "fleet document on these control processes: their settings have no listen.upstreams",
+    );
+}
+
+function refuseDocument(err: DocumentError): never {
+    throw new TRPCError({ code: "BAD_REQUEST", message: err.message });
+}
+
+/** The tool asks the next control process. */
+function unavailable(err: DocumentUnavailableError): never {
+    throw new TRPCError({ code: "TIMEOUT", message: err.message });
+}
+
 function requireFound<Found>(found: Found | undefined, what: string): Found {
     if (found !== undefined) return found;
     throw new TRPCError({ code: "NOT_FOUND", message: `there is no ${what}` });
--- /dev/null
+++ b/src/control/poolSizer/test.ts
@@ -0,0 +1,113 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { Right } from "purify-ts";
+import { FencingToken, HostId, PoolId } from "../../ids/index.js";
+import { SilentLogger } from "../../logging/index.js";
+import { VirtualClock } from "../../ports/index.js";
+import { checkDocument, makeDocument } from "../../routing/index.js";
+import { makeAnnouncement, UpstreamRegistry } from "../../upstream/index.js";
+import { DemandTable } from "../demandTable/index.js";
+import { FencedCall, FencedSender } from "../fencedSender/index.js";
+import { HolderTerm } from "../holderTerm/index.js";
+import { ControlState } from "../state/index.js";
+import { PoolSizer, SizeOrder } from "./index.js";
+
+const POOL = "draft" as PoolId;
+const ZONES = ["keflavik", "grindavik", "sandgerdi", "vogar"];
+
+/** Takes every order, or has none left. */
+class FakePlatform extends FencedSender {
+    readonly flightMs = 1_000;
+    readonly orders: SizeOrder[] = [];
+    status = 200;
+
+    async send({ body }: FencedCall) {
+        this.orders.push(body as SizeOrder);
+        return Right({ status: this.status, body: undefined });
+    }
+
+    resetAll(): void {}
+
+    /** The last number ordered of a kind in a zone. */
+    last(zone: string, reclaimable: boolean): number | undefined {
+        return this.orders.findLast(order => order.zone === zone && order.reclaimable === reclaimable)?.count;
+    }
+}
+
+function makeSizer() {
+    const clock = new VirtualClock();
+    const platform = new FakePlatform();
+    const registry = new UpstreamRegistry({ clock });
+    const demand = new DemandTable(clock);
+    const state = new ControlState();
+    const scaling = { least: 1, most: 4, bootMs: 4_000, reclaimablePrice: 0.18, zonePrices: {} };
+    const pools = [{ pool: POOL, connections: 100, scaling }];
+    const document = checkDocument(makeDocument({ pools, routes: [] })).unsafeCoerce();
+    state.apply({ kind: "document.replace", document, source: Buffer.from("") }, { index: 1 as never, proposedAt: 0 });
+    const term = { token: 1 as FencingToken, maySend: () => true, mayAct: () => true } as unknown as HolderTerm;
+    const sizer = new PoolSizer({
+        clock,
+        registry,
+        demand,
+        state,
+        self: { host: "control-1" as HostId },
+        logger: new SilentLogger(),
+        sender: platform,
+        platformChecksFence: false,
+        describe: order => ({ address: { host: "10.0.0.1", port: 1 }, path: "/", body: order }),
+    });
+    let sequence = 0;
+    const announce = (id: string, zone: string, reclaimable: boolean, state: "ready" | "gone" = "ready"): void => {
+        registry.announce(makeAnnouncement({ id, zone, state, reclaimable, pools: [POOL], sequence: ++sequence }));
+    };
+    const run = async (ms: number, load?: number): Promise<void> => {
+        for (let passed = 0; passed < ms; passed += 500) {
+            const report = { pool: POOL, tiers: [], upstreams: [], readingLoad: load };
+            if (load !== undefined) demand.take({ region: "r", pools: [report] });
+            await sizer.step(term);
+            await clock.advance(500);
+        }
+    };
+    return { platform, announce, run };
+}
+
+describe("PoolSizer", () => {
+    it("orders nothing before it has watched, so that it plans for all upstreams and not for the first two", async () => {
+        // The first callers find two engines in place of eight. Engines make themselves known one by one; a holder that planned
+        // for those it had heard of gave the others back before the first request.
+        const { platform, announce, run } = makeSizer();
+        for (const zone of ZONES) announce(`${zone}-0`, zone, false);
+        await run(2_000);
+        assert.deepEqual(platform.orders, []);
+        for (const zone of ZONES) announce(`${zone}-1`, zone, false);
+        await run(4_000);
+        for (const zone of ZONES) {
+            assert.equal(platform.last(zone, true), 3);
+            assert.equal(platform.last(zone, false), undefined);
+        }
+    });
+
+    it("grows at once with the load and shrinks only after a long calm", async () => {
+        const { platform, announce, run } = makeSizer();
+        for (const zone of ZONES) announce(`${zone}-0`, zone, true);
+        await run(6_000, 0);
+        await run(1_000, 3);
+        assert.equal(platform.last("vogar", true), 4);
+        await run(10_000, 0.1);
+        assert.equal(platform.last("vogar", true), 4);
+        await run(10_000, 0.1);
+        assert.equal(platform.last("vogar", true), 1);
+    });
+
+    it("leaves a platform that has none left alone for a while", async () => {
+        const { platform, announce, run } = makeSizer();
+        for (const zone of ZONES) announce(`${zone}-0`, zone, false);
+        platform.status = 409;
+        await run(6_000, 0.5);
+        const before = platform.orders.length;
+        await run(500, 0.5);
+        assert.equal(platform.orders.length, before);
+        await run(3_000, 0.5);
+        assert.ok(platform.orders.length > before);
+    });
+});
--- a/src/control/startsDesk/index.ts
+++ b/src/control/startsDesk/index.ts
@@ -6,8 +6,11 @@
 /** Told by entries what they have counted; the body is a `StartsReport`. */
 export const STARTS_METHOD = "control.starts";
 
-/** An entry that has said nothing for this long has ended, in milliseconds; its counts still hold. */
-const LIVE_MS = 6_000;
+/**
+ * An entry that has said nothing for this long has ended, in milliseconds; its counts still hold. Longer than most cuts: the windows
+ * of an entry that has ended wait a little longer, and those of one that comes back are whole.
+ */
+const LIVE_MS = 20_000;
 /** Windows older than this are closed, in milliseconds. */
 const KEPT_MS = 90_000;
 
--- /dev/null
+++ b/src/control/startsDesk/test.ts
@@ -0,0 +1,113 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { Right } from "purify-ts";
+import { FencingToken, HostId, WorkspaceId } from "../../ids/index.js";
+import { SilentLogger } from "../../logging/index.js";
+import { VirtualClock } from "../../ports/index.js";
+import { TrueTime } from "../../time/index.js";
+import { PeerRouter } from "../../wire/index.js";
+import { FencedCall, FencedSender } from "../fencedSender/index.js";
+import { HolderTerm } from "../holderTerm/index.js";
+import { MemoryLogGroup } from "../memoryControlLog/index.js";
+import { StartsCloser } from "../startsCloser/index.js";
+import { StartsReporter } from "../startsReporter/index.js";
+import { ControlState } from "../state/index.js";
+import { StartsDesk, StartsReport } from "./index.js";
+
+const WINDOW_MS = 5_000;
+const BUTCHER = "butcher" as WorkspaceId;
+
+/** Keeps what it is sent; answers with its status. */
+class FakePlatform extends FencedSender {
+    readonly flightMs = 1_000;
+    readonly reports: { window: number; counts: Record<string, number>; }[] = [];
+    status = 200;
+
+    async send({ body }: FencedCall) {
+        this.reports.push(body as { window: number; counts: Record<string, number>; });
+        return Right({ status: this.status, body: undefined });
+    }
+
+    resetAll(): void {}
+}
+
+async function makeDesk() {
+    const clock = new VirtualClock();
+    const state = new ControlState();
+    const group = new MemoryLogGroup(clock);
+    const log = group.join("control-1" as HostId, state);
+    group.elect("control-1" as HostId);
+    const desk = new StartsDesk(clock, new PeerRouter());
+    const time = new TrueTime(clock);
+    const platform = new FakePlatform();
+    const term = { token: 1 as FencingToken, maySend: () => true, mayAct: () => true } as unknown as HolderTerm;
+    const parts = { log, state, desk, time, logger: new SilentLogger(), windowMs: WINDOW_MS, patienceMs: 6_000 };
+    const closer = new StartsCloser(parts);
+    const reporter = new StartsReporter({
+        ...parts,
+        sender: platform,
+        platformChecksFence: false,
+        describe: ({ window, counts }) => ({
+            address: { host: "10.0.0.1", port: 1 },
+            path: "/",
+            body: { window, counts },
+        }),
+    });
+    const first = Math.floor(time.now() / WINDOW_MS);
+    const report = (host: string, count: number, window = first): void => {
+        const windows = [{ window, counts: { [BUTCHER]: count } as StartsReport["windows"][0]["counts"] }];
+        desk.take({ host, incarnation: "1", countedAt: time.now(), windows });
+    };
+    const run = async (ms: number, reporting: () => void = () => undefined): Promise<void> => {
+        for (let passed = 0; passed < ms; passed += 250) {
+            reporting();
+            await closer.step(term);
+            await reporter.step(term);
+            await clock.advance(250);
+        }
+    };
+    return { clock, state, platform, desk, report, run, first };
+}
+
+describe("windows of started requests", () => {
+    it("are reported once all entries have counted past their end, with the sum of their counts", async () => {
+        const { platform, report, run, first } = await makeDesk();
+        await run(7_000, () => {
+            report("entry-1", 3);
+            report("entry-2", 4);
+        });
+        assert.deepEqual(platform.reports[0], { window: first, counts: { butcher: 7 } });
+        assert.equal(platform.reports.filter(({ window }) => window === first).length, 1);
+    });
+
+    it("wait for an entry that has fallen silent, but not for ever", async () => {
+        // An entry is cut off for a few seconds. Its counts must not be missing from the bill, but the bill is due.
+        const { platform, report, run } = await makeDesk();
+        report("entry-2", 4);
+        await run(7_000, () => report("entry-1", 3));
+        assert.equal(platform.reports.length, 0);
+        await run(5_000, () => report("entry-1", 3));
+        assert.deepEqual(platform.reports[0].counts, { butcher: 7 });
+    });
+
+    it("keep the counts of an entry that is lost", async () => {
+        const { platform, report, run } = await makeDesk();
+        report("entry-2", 4);
+        report("entry-2", 2);
+        await run(12_000, () => report("entry-1", 3));
+        assert.deepEqual(platform.reports[0].counts, { butcher: 7 });
+    });
+
+    it("are sent again with the same counts, whatever has been counted since", async () => {
+        // The platform is down when a window is due. An entry's late count arrives before the next try; a report with other counts
+        // than the first would be a second bill.
+        const { platform, report, run, first } = await makeDesk();
+        platform.status = 503;
+        await run(7_000, () => report("entry-1", 3));
+        platform.status = 200;
+        await run(3_000, () => report("entry-1", 9));
+        const reports = platform.reports.filter(({ window }) => window === first);
+        assert.ok(reports.length > 1);
+        assert.ok(reports.every(({ counts }) => counts.butcher === 3));
+    });
+});
--- a/src/daemon/runControl/index.ts
+++ b/src/daemon/runControl/index.ts
@@ -8,11 +8,14 @@
     operatorRouter,
     PlatformAccess,
     PurchasePolicy,
+    RoutingDuties,
 } from "../../control/index.js";
+import { serveAnnouncements } from "../../entry/index.js";
 import { Lifecycle } from "../../lifecycle/index.js";
 import { Address, DEFAULT_HTTP_LIMITS, FileDisk } from "../../ports/index.js";
 import { CoverPurchase, DEFAULT_FORECAST } from "../../purchase/index.js";
 import { ControlSettings } from "../../settings/index.js";
+import { DEFAULT_REGISTRY_TIMING } from "../../upstream/index.js";
 import { DaemonPorts, DaemonProcess } from "../daemonPorts/index.js";
 import { serveHealth } from "../serveHealth/index.js";
 
@@ -39,12 +42,23 @@
         windowMs: usage.windowMs,
         windowGraceMs: usage.graceMs,
         platform: toPlatformAccess(ports, settings),
+        routing: toRoutingDuties(settings),
     });
     lifecycle.own(() => running.close());
+    if (running.routing && listen.upstreams) {
+        const { hub } = running.routing;
+        const upstreams = await ports.http.serve(
+            listen.upstreams,
+            DEFAULT_HTTP_LIMITS,
+            serveAnnouncements(announcement => hub.take(announcement)),
+        );
+        lifecycle.own(() => upstreams.close());
+    }
     const operate = createTrpcHandler(operatorRouter, () => ({
         log: running.log,
         state: running.state,
         service: running.service,
+        documents: running.routing?.documents,
         operatorAddresses: [],
     }));
     const handler = serveHealth(() => running.isReady, operate);
@@ -64,6 +78,18 @@
     };
 }
 
+function toRoutingDuties({ listen, control, usage }: ControlSettings): RoutingDuties | undefined {
+    if (!listen.upstreams) return undefined;
+    return {
+        seeds: control.members.map(({ address }) => address),
+        voters: control.members.length,
+        mayFound: true,
+        startsWindowMs: usage.windowMs,
+        startsPatienceMs: usage.graceMs,
+        silentAfterMs: DEFAULT_REGISTRY_TIMING.silentAfterMs,
+    };
+}
+
 function toPlatformAccess(ports: DaemonPorts, { platform }: ControlSettings): PlatformAccess | undefined {
     if (!platform.address) return undefined;
     return {
--- a/src/daemon/runEntry/index.ts
+++ b/src/daemon/runEntry/index.ts
@@ -1,6 +1,7 @@
 import { EntryAdminServer } from "../../control/index.js";
 import { DEFAULT_ENTRY_LIMITS, EntryProcess, ProcessAdmin } from "../../entry/index.js";
 import { Lifecycle } from "../../lifecycle/index.js";
+import { DEFAULT_REPEAT_LIMITS, OwnDialect } from "../../passthrough/index.js";
 import { DEFAULT_HTTP_LIMITS, HttpHandler } from "../../ports/index.js";
 import { EntrySettings } from "../../settings/index.js";
 import { DaemonPorts, DaemonProcess } from "../daemonPorts/index.js";
@@ -47,6 +48,12 @@
         timing,
         windowMs: usage.windowMs,
         balancerMs: stop.balancerMs,
+        routes: listen.routes && {
+            callers: listen.routes,
+            dialect: new OwnDialect(),
+            repeats: DEFAULT_REPEAT_LIMITS,
+            startsWindowMs: usage.windowMs,
+        },
     }, lifecycle.signal);
     lifecycle.own(() => entry.close());
     running.entry = entry;
--- a/src/entry/serveAnnouncements/index.ts
+++ b/src/entry/serveAnnouncements/index.ts
@@ -7,14 +7,14 @@
 /**
  * Gives the handler of the upstreams' port: announcements.
  *
- * @param take - Gets each well-formed announcement.
+ * @param take - Gets each well-formed announcement; false: it can't be confirmed, and the upstream should tell another process.
  */
-export function serveAnnouncements(take: (announcement: Announcement) => void): HttpHandler {
+export function serveAnnouncements(take: (announcement: Announcement) => void | Promise<boolean>): HttpHandler {
     return async (req, res) => {
         if (req.method !== "POST" || req.path !== ANNOUNCE_PATH) return sendStatus(res, 404, "not found");
         const announcement = await readAnnouncement(req);
         if (typeof announcement === "string") return sendStatus(res, 400, announcement);
-        take(announcement);
+        if (await take(announcement) === false) return sendStatus(res, 503, "nobody could be told");
         return sendStatus(res, 204);
     };
 }
--- a/src/faultInjection/routedFleet/index.ts
+++ b/src/faultInjection/routedFleet/index.ts
@@ -91,7 +91,7 @@
     /** Starts everything, puts a document in force and waits until it is served. */
     async start(document: unknown): Promise<void> {
         for (let number = 0; number < this.layout.controls; number++) {
-            this.disks.push(new MemoryDisk(this.clock));
+            this.disks.push(this.makeDisk());
             await this.run(this.startControl(number, true));
         }
         for (let number = 0; number < this.layout.entries; number++) await this.run(this.startEntry(number));
@@ -179,9 +179,14 @@
         await control?.close();
     }
 
+    /** An empty disk. */
+    makeDisk(): MemoryDisk {
+        return new MemoryDisk(this.clock);
+    }
+
     /** Gives a host an empty disk, as after the loss of the one that it had. */
     wipeDisk(number: number): void {
-        this.disks[number] = new MemoryDisk(this.clock);
+        this.disks[number] = this.makeDisk();
     }
 
     /** The number of the control process that holds the lease; -1 for none. */
--- a/src/passthrough/repeatBudget/index.ts
+++ b/src/passthrough/repeatBudget/index.ts
@@ -11,6 +11,9 @@
     readonly slack: number;
 }
 
+/** A pool that fails as a whole gets a fifth more work at the most; the slack lets small pools repeat at all. */
+export const DEFAULT_REPEAT_LIMITS: RepeatLimits = { ratio: 0.2, windowMs: 10_000, slack: 50 };
+
 /** Requests that entries count and upstreams see differ at a window's edges; a tenth is left for that. */
 const CAUTION = 0.9;
 
--- a/src/settings/parseSettings/index.ts
+++ b/src/settings/parseSettings/index.ts
@@ -119,6 +119,7 @@
     const seen = new Map<string, string>();
     const clashes: SettingsError[] = [];
     for (const [key, address] of Object.entries(settings.listen)) {
+        if (address === undefined) continue;
         const text = formatAddress(address);
         const first = seen.get(text);
         if (first && address.port !== 0) {
--- a/src/settings/parseSettings/test.ts
+++ b/src/settings/parseSettings/test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { FileDisk, formatAddress } from "../../ports/index.js";
+import { Address, FileDisk, formatAddress } from "../../ports/index.js";
 import { Settings } from "../schema/index.js";
 import { parseSettings } from "./index.js";
 
@@ -172,7 +172,10 @@
                     assert.deepEqual(control.members, samples[0].control.members);
                     assert.equal(usage.windowMs, samples[0].usage.windowMs);
                 }
-                const addresses = samples.flatMap(({ listen }) => Object.values(listen).map(formatAddress));
+                const isSet = (address: Address | undefined): address is Address => address !== undefined;
+                const addresses = samples.flatMap(({ listen }) =>
+                    Object.values(listen).filter(isSet).map(formatAddress)
+                );
                 assert.equal(new Set(addresses).size, addresses.length);
             });
         });
--- a/src/settings/schema/index.ts
+++ b/src/settings/schema/index.ts
@@ -81,6 +81,10 @@
         upstreams: required(ipAddress, "Where upstreams announce themselves."),
         peers: required(ipAddress, "Where the system's other processes connect."),
         admin: required(ipAddress, "Health, readiness and the operator tool. Keep it on the operators' network."),
+        routes: optional(
+            ipAddress,
+            "Where calls of any path are served, by the routes of the fleet document. Without it none are.",
+        ),
     }),
     control,
     limits: z.object({
@@ -139,6 +143,10 @@
     listen: z.object({
         peers: required(ipAddress, "Where the system's other processes connect; other hosts list it in `members`."),
         operators: required(ipAddress, "Health, readiness and the operator tool. Keep it on the operators' network."),
+        upstreams: optional(
+            ipAddress,
+            "Where upstreams of routed calls announce themselves; it also turns the fleet document on. The same on each control host: with or without.",
+        ),
     }),
     control,
     data: z.object({
