--- a/src/control/poolSizer/index.ts
+++ b/src/control/poolSizer/index.ts
@@ -13,6 +13,8 @@
 const STEP_MS = 500;
 /** The share of an engine's time that may go into reading prompts: above it, streams beside a prompt pause too often. */
 const READING_SHARE = 0.25;
+/** The share that it may have when upstreams are short: streams pause now and then, and prompts still begin in time. */
+const MOST_READING_SHARE = 0.55;
 /** How long a lower need must last before it is believed, in milliseconds: bursts come in rows. */
 const CALM_MS = 15_000;
 /** How long a platform that has none left is left alone, in milliseconds. */
@@ -140,7 +142,8 @@
         const zones = this.describeZones(pool, scaling);
         const { least, most, reclaimablePrice } = scaling;
         const needed = this.needs.get(pool)?.count ?? 0;
-        const wishes = planZones({ zones, least, most, reclaimablePrice, needed });
+        const leastNeeded = Math.ceil(needed * READING_SHARE / MOST_READING_SHARE);
+        const wishes = planZones({ zones, least, most, reclaimablePrice, needed, leastNeeded });
         return wishes.flatMap((wish, at) => this.listOrders(pool, zones[at], wish));
     }
 
--- a/src/dispatch/poolQueue/index.ts
+++ b/src/dispatch/poolQueue/index.ts
@@ -185,7 +185,7 @@
         const running = this.running.get(request);
         if (!running) return;
         const now = this.options.clock.monotonic();
-        if (running.tokens === 0) this.choice.firstToken(request, now);
+        this.choice.progressed(request, running.tokens === 0, now);
         const tokenMs = countTokens(running, tokens, now);
         if (tokenMs !== undefined) running.load.learnPace(tokenMs);
     }
--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -17,6 +17,8 @@
 /** An upstream that shows nothing for so many targets is left for another, where the call may go elsewhere. */
 const PATIENCE_TARGETS = 2;
 const LEAST_PATIENCE_MS = 400;
+/** An upstream that showed nothing for so long when its caller left has probably gone dark, in milliseconds. */
+const DARK_AFTER_MS = 1_500;
 /** Tokens of an answer for which the caller names no bound. */
 const DEFAULT_MAX_TOKENS = 1;
 const MS_BETWEEN_TOKENS = 50;
@@ -74,8 +76,10 @@
         }
         progress.tries++;
         run.noteGrant(grant);
+        const sentAt = ctx.clock.monotonic();
         const result = await sendGranted(ctx, call, run, answer, grant, progress, ticketId);
-        completeGrant(ctx, call, ticketId, grant, outcomeOf(result, run), progress.stream);
+        const silentMs = ctx.clock.monotonic() - Math.max(sentAt, progress.stream.lastAt);
+        completeGrant(ctx, call, ticketId, grant, outcomeOf(result, run, silentMs), progress.stream);
         if (result.kind === "answered") return describeEnd("answered", result.status, progress);
         noteAttempt(ctx, call, run, grant, result, progress);
         if (run.isCancelled) return endStopped(call, run, answer, progress);
@@ -132,9 +136,13 @@
     ctx.logger.info("attempt-ended", { request, upstream, end, detail, tries, begun, events, ageMs });
 }
 
-function outcomeOf(result: AttemptResult, run: RunningRequest): Completion["outcome"] {
+/**
+ * What an attempt says of its upstream. A caller that leaves says nothing, unless the upstream had left it waiting: one that has gone
+ * dark is known by callers that give up.
+ */
+function outcomeOf(result: AttemptResult, run: RunningRequest, silentMs: number): Completion["outcome"] {
     if (result.kind === "answered") return "answered";
-    if (run.isCancelled && run.cancelReason === "caller-gone") return "cancelled";
+    if (run.cancelReason === "caller-gone") return silentMs >= DARK_AFTER_MS ? "failed" : "cancelled";
     if (result.end === "refused") return result.misdirected ? "failed" : "refused";
     return result.end === "failed" ? "errored" : "failed";
 }
--- a/src/platform/timing/index.ts
+++ b/src/platform/timing/index.ts
@@ -5,14 +5,14 @@
 export const OWN_PEER_TIMING: PeerTiming = { heartbeatMs: 500, silenceMs: 1_300 };
 
 /**
- * The control log's times: a lost holder is replaced within about two seconds, so that entries find the next one before their views
+ * The control log's times: a lost holder is replaced within little more than a second, so that entries find the next one before their views
  * are too old.
  */
 export const CONTROL_LOG_TIMING: LogTiming = {
     ...DEFAULT_LOG_TIMING,
-    heartbeatMs: 250,
-    leaseMs: 1_200,
-    electionSpreadMs: 600,
+    heartbeatMs: 200,
+    leaseMs: 900,
+    electionSpreadMs: 450,
     appendTimeoutMs: 4_000,
     joinRetryMs: 250,
     // Documents are large entries: 200 of them with a thousand routes take some 40 MB of the disk.
--- a/src/ports/nodeHttp/index.ts
+++ b/src/ports/nodeHttp/index.ts
@@ -111,11 +111,16 @@
             });
             req.on("response", message => {
                 clearTimeout(limit);
+                const end = hasOwnEnd(message) ? undefined : new ConnectionEnd(message.socket);
                 message.once("close", () => call.signal?.removeEventListener("abort", abort));
                 resolve(Right({
                     status: message.statusCode!,
                     headers: pairHeaders(message.rawHeaders),
-                    body: readReplyBody(message, () => hasFailed, () => reason),
+                    body: readReplyBody(
+                        message,
+                        async () => hasFailed || (await end?.wasReset() ?? false),
+                        () => reason,
+                    ),
                     reset: () => req.destroy(),
                 }));
             });
@@ -158,6 +163,33 @@
     server.keepAliveTimeout = limits.idleTimeoutMs ?? DEFAULT_IDLE_MS;
 }
 
+/** Whether HTTP itself says where an answer ends, and not the end of its connection. */
+function hasOwnEnd({ headers }: IncomingMessage): boolean {
+    return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+}
+
+/**
+ * Tells a connection that was closed from one that was reset.
+ *
+ * Guards against a reset that comes right behind the last bytes: the two are then read in one step, and the event loop reports the end
+ * of the stream in place of the error. The error stays with the socket, and a write gets it; on a connection that the other side has
+ * merely closed, a write succeeds. The two bytes are an empty line, which HTTP allows between messages, and nobody reads them.
+ */
+class ConnectionEnd {
+    private probe: Promise<boolean> | undefined;
+
+    constructor(socket: Socket) {
+        // Ahead of Node's own listener, which ends the writing side.
+        socket.prependOnceListener("end", () => {
+            this.probe = new Promise(resolve => socket.write("\r\n", err => resolve(Boolean(err))));
+        });
+    }
+
+    async wasReset(): Promise<boolean> {
+        return await this.probe ?? false;
+    }
+}
+
 /** Node adds neither of these to a list of headers; without a length it would send no body at all. */
 function completeHeaders(call: HttpCall): HeaderList {
     const added: [string, string][] = [];
@@ -171,11 +203,13 @@
  * Reads a body to its end.
  *
  * Guards against a part that passes for the whole: an answer without a length ends with its connection, and Node calls it complete
- * when that connection is reset too. Only the request's own error tells the two apart.
+ * when that connection is reset too.
+ *
+ * @param hasFailed - Says whether the connection ended in another way than in good order.
  */
 async function* readReplyBody(
     message: IncomingMessage,
-    hasFailed: () => boolean,
+    hasFailed: () => Promise<boolean>,
     reason: () => HttpError["reason"],
 ): AsyncIterable<Uint8Array> {
     try {
@@ -184,7 +218,7 @@
     catch (err) {
         throw new HttpError(reason(), true, (err as Error).message);
     }
-    if (!message.complete || hasFailed()) throw new HttpError("closed", true, "the body was cut off");
+    if (!message.complete || await hasFailed()) throw new HttpError("closed", true, "the body was cut off");
 }
 
 async function answer(req: NodeRequest, res: NodeResponse, handler: HttpHandler): Promise<void> {
--- a/src/ports/nodeHttp/test.ts
+++ b/src/ports/nodeHttp/test.ts
@@ -75,10 +75,12 @@
 
 describe("NodeHttp's answers without a length", () => {
     /** Reads the answer of a server that writes this and then ends its connection as told. */
-    async function readFrom(end: (socket: Socket) => void): Promise<string> {
+    async function readFrom(end: (socket: Socket) => void, pauseMs = 20): Promise<string> {
         const server = createServer(socket => {
             socket.once("data", () => {
-                socket.write("HTTP/1.1 200 OK\r\n\r\npart", () => setTimeout(() => end(socket), 20));
+                socket.write("HTTP/1.1 200 OK\r\n\r\npart");
+                if (pauseMs > 0) setTimeout(() => end(socket), pauseMs);
+                else end(socket);
             });
             socket.on("error", () => undefined);
         });
@@ -110,6 +112,11 @@
         assert.equal(await readFrom(socket => socket.end()), "whole: part");
     });
 
+    it("are cut when the reset comes right behind the last bytes", async () => {
+        // As below, but the bytes and the reset are read in one step, which looks like an end in good order.
+        assert.equal(await readFrom(socket => socket.resetAndDestroy(), 0), "cut: closed");
+    });
+
     it("are cut when their connection is reset", async () => {
         // A caller takes half an answer for the whole. The upstream states no length, so that the end of the connection is the end of
         // the answer; it crashes in the middle, and the connection is reset.
--- a/src/purchase/zonePlan/index.ts
+++ b/src/purchase/zonePlan/index.ts
@@ -27,8 +27,10 @@
     readonly most: number;
     /** What a reclaimable upstream costs, as a share of a steady one; undefined where there are none. */
     readonly reclaimablePrice: number | undefined;
-    /** How many upstreams the present load needs. */
+    /** How many upstreams carry the present load well. */
     readonly needed: number;
+    /** How many carry it at all; steady ones are bought for these only. */
+    readonly leastNeeded: number;
 }
 
 /** How many upstreams a zone should have. */
@@ -46,7 +48,7 @@
  * the platform takes back those of a whole zone, and steady ones for what reclaimable ones can't carry now.
  *
  * @example
- * const wishes = planZones({ zones, least: 1, most: 4, reclaimablePrice: 0.18, needed: 6 });
+ * const wishes = planZones({ zones, least: 1, most: 4, reclaimablePrice: 0.18, needed: 6, leastNeeded: 3 });
  */
 export function planZones(situation: PoolSituation): readonly ZoneWish[] {
     const { zones, reclaimablePrice } = situation;
@@ -74,9 +76,9 @@
 }
 
 /** Steady upstreams, the cheapest zones first, for what neither the reclaimable ones that serve nor those that boot will carry. */
-function addMissing({ zones, most, needed }: PoolSituation, wishes: readonly ZoneWish[]): ZoneWish[] {
+function addMissing({ zones, most, leastNeeded }: PoolSituation, wishes: readonly ZoneWish[]): ZoneWish[] {
     const carried = zones.reduce((sum, zone, at) => sum + carriedBy(zone, wishes[at]), 0);
-    let missing = needed - carried;
+    let missing = leastNeeded - carried;
     const byPrice = zones.map((zone, at) => ({ zone, at })).sort((a, b) => a.zone.price - b.zone.price);
     const planned = [...wishes];
     for (const { zone, at } of byPrice) {
--- a/src/purchase/zonePlan/test.ts
+++ b/src/purchase/zonePlan/test.ts
@@ -10,7 +10,7 @@
 }
 
 function plan(zones: readonly ZoneSituation[], parts: Partial<PoolSituation> = {}): [number, number][] {
-    const situation = { zones, least: 1, most: 4, reclaimablePrice: 0.18, needed: 6, ...parts };
+    const situation = { zones, least: 1, most: 4, reclaimablePrice: 0.18, needed: 6, leastNeeded: 6, ...parts };
     return planZones(situation).map(({ steady, reclaimable }) => [steady, reclaimable]);
 }
 
@@ -48,6 +48,17 @@
         assert.deepEqual(plan(zones), [[0, 2], [2, 2], [0, 2], [0, 2]]);
     });
 
+    it("buys no steady one for comfort", () => {
+        // The load would like six upstreams and can do with four, which the other zones have.
+        const soldOut = { ready: 0, ordered: 2, soldOut: true };
+        const serving = { ready: 2, ordered: 2, soldOut: true };
+        const zones = [
+            zone("a", { reclaimable: soldOut }),
+            ...["b", "c"].map(name => zone(name, { reclaimable: serving })),
+        ];
+        assert.deepEqual(plan(zones, { leastNeeded: 4 }).map(([steady]) => steady), [0, 0, 0]);
+    });
+
     it("keeps to the most that a zone may have", () => {
         assert.deepEqual(plan(NAMES.map(name => zone(name)), { needed: 40 }).map(([, reclaimable]) => reclaimable), [
             4,
--- a/src/upstream/choice/index.ts
+++ b/src/upstream/choice/index.ts
@@ -43,8 +43,8 @@
     /** Told that a request is granted to an upstream. */
     granted(_load: UpstreamLoad, _request: ChoiceRequest): void {}
 
-    /** Told that a granted request has got its first token. */
-    firstToken(_request: RequestId, _now: number): void {}
+    /** Told that tokens of a granted request have come; `isFirst` for the first of them. */
+    progressed(_request: RequestId, _isFirst: boolean, _now: number): void {}
 
     /** Told that a granted request has ended; `failed` is undefined where that says nothing of the upstream. */
     ended(_request: RequestId, _failed: boolean | undefined, _now: number): void {}
--- a/src/upstream/routedChoice/index.ts
+++ b/src/upstream/routedChoice/index.ts
@@ -1,3 +1,4 @@
+import { crc32 } from "@node-rs/crc32";
 import { RequestId, UpstreamId } from "../../ids/index.js";
 import { Choice, ChoiceRequest, UpstreamChoice } from "../choice/index.js";
 import { UpstreamLoad } from "../load/index.js";
@@ -19,6 +20,10 @@
     readonly fullMs: number;
     /** Each running stream whose longest pause would be passed while this prompt is read. */
     readonly stallMs: number;
+    /** Each millisecond for which a working upstream has been silent beyond what it may. */
+    readonly silentFactor: number;
+    /** Any upstream but the one to which a prompt's shared parts belong, while nobody is known to hold them. */
+    readonly strangerMs: number;
 }
 
 /** A reread costs half as much again; the rest are the differences that callers would notice. */
@@ -30,8 +35,16 @@
     failingMs: 1_000,
     fullMs: 500,
     stallMs: 300,
+    silentFactor: 3,
+    strangerMs: 40,
 };
 
+/**
+ * How long a working upstream may give no sign, in milliseconds, beside what it still has to read: entries pass on what has come every
+ * 200 ms, and a plain service may work on one call for nearly half a second.
+ */
+const SILENCE_MS = 600;
+
 /** Over this time the load is averaged, in milliseconds. */
 const LOAD_MEMORY_MS = 5_000;
 /** How much of the failure rate one outcome makes. */
@@ -41,6 +54,8 @@
 interface UpstreamWork {
     readonly prefill: PrefillClock;
     readonly running: Set<Running>;
+    /** When it last gave a sign of work, or began to work after a rest; monotonic, in milliseconds. */
+    heardAt: number;
     /** The share of its last requests that failed, from 0 to 1. */
     failureRate: number;
 }
@@ -56,7 +71,10 @@
  * the parts of this prompt that it holds, and how many requests run beside. Upstreams that fail requests come last.
  *
  * Answers bursts of long prompts: reports of load are a few hundred milliseconds old, and in that time a burst fills the engine that
- * was idle when it reported. Here each grant counts at once. Answers long prompts beside short questions too: while an engine reads a
+ * was idle when it reported. Here each grant counts at once. Answers engines that go dark: connections to them stay open, requests
+ * get no answer for as long as their callers wait, and no health check says so; an engine whose running requests all show nothing gets no
+ * more after some hundred milliseconds. Answers an owner that has lost its memory: parts that nobody is known to hold go to the engine
+ * that a hash names, which is the one that had them. Answers long prompts beside short questions too: while an engine reads a
  * prompt its running streams stand still, so a long one goes where no stream runs that could not bear the pause.
  */
 export class RoutedChoice extends UpstreamChoice {
@@ -66,6 +84,8 @@
     /** Milliseconds of reading in a millisecond, averaged. */
     private load = 0;
     private loadAt = 0;
+    /** Where the parts of the request that is being placed belong, if nobody is known to hold them. */
+    private home: UpstreamId | undefined;
 
     constructor(
         capacity: () => number | undefined,
@@ -76,6 +96,7 @@
     }
 
     choose(candidates: readonly UpstreamLoad[], request: ChoiceRequest): Choice {
+        this.home = this.findHome(candidates, request);
         let best = candidates[0];
         let bestMs = Number.POSITIVE_INFINITY;
         for (const load of candidates) {
@@ -97,9 +118,11 @@
         const tokens = this.tokensToRead(request, id);
         this.cache.use(request.parts, id);
         this.addLoad(tokens * prefill.millisecondsPerToken, request.now);
+        const work = this.workOf(id);
+        if (work.running.size === 0) work.heardAt = request.now;
         const running = { upstream: id, gapMs: request.gapMs, pending: prefill.begin(tokens, request.now) };
         this.running.set(request.request, running);
-        this.workOf(id).running.add(running);
+        work.running.add(running);
     }
 
     override readingLoad(now: number): number {
@@ -107,10 +130,13 @@
         return this.load;
     }
 
-    override firstToken(request: RequestId, now: number): void {
+    override progressed(request: RequestId, isFirst: boolean, now: number): void {
         const running = this.running.get(request);
-        if (!running?.pending) return;
-        this.workOf(running.upstream).prefill.finish(running.pending, now);
+        if (!running) return;
+        const work = this.workOf(running.upstream);
+        work.heardAt = now;
+        if (!isFirst || !running.pending) return;
+        work.prefill.finish(running.pending, now);
         running.pending = undefined;
     }
 
@@ -122,6 +148,7 @@
         work.running.delete(running);
         if (running.pending) work.prefill.end(now);
         if (failed === undefined) return;
+        if (!failed) work.heardAt = now;
         work.failureRate += FAILURE_WEIGHT * ((failed ? 1 : 0) - work.failureRate);
     }
 
@@ -145,9 +172,39 @@
             + (load.outstanding >= upstream.slots ? weights.fullMs : 0)
             + (isFar ? farMs : 0)
             + weights.stallMs * this.countStalled(upstream.id, readMs)
+            + weights.silentFactor * this.silentMs(upstream.id, request.now)
+            + (this.isStranger(upstream.id) ? weights.strangerMs : 0)
             + weights.failingMs * failureRate;
     }
 
+    /** How long a working upstream has been silent beyond what it may, in milliseconds. */
+    private silentMs(upstream: UpstreamId, now: number): number {
+        const { running, heardAt, prefill } = this.workOf(upstream);
+        if (running.size === 0) return 0;
+        return Math.max(0, now - heardAt - SILENCE_MS - prefill.backlogMs(now));
+    }
+
+    private isStranger(upstream: UpstreamId): boolean {
+        return this.home !== undefined && upstream !== this.home;
+    }
+
+    /** The candidate with the highest hash of the shared parts and its own id: the same one for each owner. */
+    private findHome(candidates: readonly UpstreamLoad[], { parts }: ChoiceRequest): UpstreamId | undefined {
+        const shared = parts.slice(0, -1);
+        if (shared.length === 0) return undefined;
+        if (candidates.some(({ upstream }) => this.cache.heldTokens(shared, upstream.id) > 0)) return undefined;
+        const key = shared.map(({ id }) => id).join(",");
+        let home: UpstreamId | undefined;
+        let highest = -1;
+        for (const { upstream } of candidates) {
+            const hash = crc32(`${key}\n${upstream.id}`);
+            if (hash <= highest) continue;
+            home = upstream.id;
+            highest = hash;
+        }
+        return home;
+    }
+
     private countStalled(upstream: UpstreamId, readMs: number): number {
         let count = 0;
         for (const { gapMs } of this.workOf(upstream).running) {
@@ -172,6 +229,7 @@
         const work = {
             prefill: new PrefillClock(this.usualTokenMs()),
             running: new Set<Running>(),
+            heardAt: 0,
             failureRate: 0,
         };
         this.work.set(upstream, work);
--- /dev/null
+++ b/src/upstream/routedChoice/test.ts
@@ -0,0 +1,112 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { PoolId, RequestId, UpstreamId, ZoneId } from "../../ids/index.js";
+import { ChoiceRequest } from "../choice/index.js";
+import { makeAnnouncement } from "../fixtures/index.js";
+import { UpstreamLoad } from "../load/index.js";
+import { Upstream } from "../upstream/index.js";
+import { RoutedChoice } from "./index.js";
+
+function makeLoads(ids: readonly string[]): UpstreamLoad[] {
+    return ids.map(id => new UpstreamLoad(new Upstream(makeAnnouncement({ id, slots: 64 }), 0, true)));
+}
+
+let nextRequest = 0;
+function makeRequest(parts: Partial<ChoiceRequest> = {}): ChoiceRequest {
+    return {
+        request: `r${++nextRequest}` as RequestId,
+        pool: "draft" as PoolId,
+        prefixes: [],
+        parts: [],
+        gapMs: undefined,
+        bodyBytes: 0,
+        now: 0,
+        promptTokens: 0,
+        predictedTokens: 100,
+        zone: "vogar" as ZoneId,
+        ...parts,
+    };
+}
+
+/** Places a request, and gives where. */
+function place(choice: RoutedChoice, loads: readonly UpstreamLoad[], request: ChoiceRequest): UpstreamId {
+    const { load } = choice.choose(loads, request);
+    choice.granted(load, request);
+    load.markSent(request.now);
+    return load.upstream.id;
+}
+
+const SHEET = [{ id: "recipe", tokens: 13_000 }, { id: "own", tokens: 3_000 }];
+
+describe("RoutedChoice", () => {
+    it("spreads a burst of long prompts, each grant counted at once", () => {
+        const choice = new RoutedChoice(() => undefined);
+        const loads = makeLoads(["a", "b", "c", "d"]);
+        const places = Array.from({ length: 8 }, () => place(choice, loads, makeRequest({ promptTokens: 10_000 })));
+        for (const { upstream } of loads) assert.equal(places.filter(id => id === upstream.id).length, 2);
+    });
+
+    it("goes where the prompt's shared parts are held, unless the way there is longer than reading them again", () => {
+        const choice = new RoutedChoice(() => undefined);
+        const loads = makeLoads(["a", "b"]);
+        const sheet = (now: number): ChoiceRequest => makeRequest({ promptTokens: 16_000, parts: SHEET, now });
+        const first = sheet(0);
+        const home = place(choice, loads, first);
+        choice.ended(first.request, false, 500);
+        const second = sheet(1_000);
+        assert.equal(place(choice, loads, second), home);
+        choice.ended(second.request, false, 1_500);
+        for (let i = 0; i < 4; i++) {
+            const busy = makeRequest({ promptTokens: 20_000, now: 2_000 });
+            choice.granted(loads.find(({ upstream }) => upstream.id === home)!, busy);
+        }
+        assert.notEqual(place(choice, loads, sheet(2_000)), home);
+    });
+
+    it("finds the engine that holds parts again after it has lost its memory", () => {
+        // An entry that owns the queue is lost, and with it what it knew of the engines' caches. Its successor spread the same
+        // prompts over other engines, and each was read once more.
+        const loads = makeLoads(["a", "b", "c", "d", "e"]);
+        for (let subject = 0; subject < 20; subject++) {
+            const parts = [{ id: `recipe-${subject}`, tokens: 13_000 }, { id: "own", tokens: 3_000 }];
+            const first = place(new RoutedChoice(() => undefined), loads, makeRequest({ promptTokens: 16_000, parts }));
+            const next = place(new RoutedChoice(() => undefined), loads, makeRequest({ promptTokens: 16_000, parts }));
+            assert.equal(next, first);
+        }
+    });
+
+    it("keeps long prompts away from streams that can't bear the pause", () => {
+        // Answers to customers stand still for half a second while a cutting sheet is read beside them, and count as late.
+        const choice = new RoutedChoice(() => undefined);
+        const loads = makeLoads(["a", "b"]);
+        const question = place(choice, loads, makeRequest({ promptTokens: 500, gapMs: 250 }));
+        const sheet = place(choice, loads, makeRequest({ promptTokens: 20_000, gapMs: 1_000, now: 500 }));
+        assert.notEqual(sheet, question);
+    });
+
+    it("leaves an engine that has gone dark within a second, though its connections are open", () => {
+        // Customers wait until they give up. An engine goes dark; new connections to it are made, requests get no answer, and it
+        // has the shortest backlog of all.
+        const choice = new RoutedChoice(() => undefined);
+        const loads = makeLoads(["dark", "sound"]);
+        const [dark, sound] = loads;
+        choice.granted(dark, makeRequest({ promptTokens: 500, now: 0 }));
+        const other = makeRequest({ promptTokens: 500, now: 0 });
+        choice.granted(sound, other);
+        for (let now = 0; now <= 1_000; now += 100) choice.progressed(other.request, now === 0, now);
+        for (let i = 0; i < 5; i++) {
+            assert.equal(place(choice, loads, makeRequest({ promptTokens: 500, now: 1_000 })), "sound");
+        }
+    });
+
+    it("prefers upstreams that do not fail requests", () => {
+        const choice = new RoutedChoice(() => undefined);
+        const loads = makeLoads(["grey", "sound"]);
+        for (let i = 0; i < 10; i++) {
+            const request = makeRequest();
+            choice.granted(loads[0], request);
+            choice.ended(request.request, true, 0);
+        }
+        assert.equal(place(choice, loads, makeRequest({ now: 1_000 })), "sound");
+    });
+});
