--- a/src/control/poolSizer/index.ts
+++ b/src/control/poolSizer/index.ts
@@ -26,6 +26,8 @@
 const WATCH_MS = 4_000;
 /** How long an order that got no answer waits before it is sent again, in milliseconds. */
 const RETRY_MS = 1_000;
+/** How long after their start new upstreams have made themselves known, in milliseconds. */
+const RENEW_MARGIN_MS = 1_500;
 const STATUS_NONE_LEFT = 409;
 /** Upstreams beyond what there is, for a load that nobody has seen yet: cheap beside a first burst that finds too few. */
 const UNKNOWN_LOAD_SPARE = 1;
@@ -55,6 +57,8 @@
 
 interface Ordered {
     readonly count: number;
+    /** Monotonic, in milliseconds. */
+    readonly sentAt: number;
     readonly retryAt: number;
     readonly soldOut: boolean;
 }
@@ -144,22 +148,30 @@
         const needed = this.needs.get(pool)?.count ?? 0;
         const leastNeeded = Math.ceil(needed * READING_SHARE / MOST_READING_SHARE);
         const wishes = planZones({ zones, least, most, reclaimablePrice, needed, leastNeeded });
-        return wishes.flatMap((wish, at) => this.listOrders(pool, zones[at], wish));
+        return wishes.flatMap((wish, at) => this.listOrders(pool, scaling, zones[at], wish));
     }
 
-    private listOrders(pool: PoolId, zone: ZoneSituation, wish: ZoneWish): SizeOrder[] {
+    private listOrders(pool: PoolId, scaling: ScalingSpec, zone: ZoneSituation, wish: ZoneWish): SizeOrder[] {
         const orders: SizeOrder[] = [
             { pool, zone: wish.zone, count: wish.reclaimable, reclaimable: true },
             { pool, zone: wish.zone, count: wish.steady, reclaimable: false },
         ];
-        return orders.filter(order => this.isDue(order, order.reclaimable ? zone.reclaimable : zone.steady));
+        const renewMs = scaling.bootMs + RENEW_MARGIN_MS;
+        return orders.filter(order => this.isDue(order, order.reclaimable ? zone.reclaimable : zone.steady, renewMs));
     }
 
-    private isDue(order: SizeOrder, { ready }: ZoneCount): boolean {
+    /**
+     * Guards against an order that the platform took in part, or that it has undone since: it keeps both kinds of a zone under one
+     * bound, so that reclaimable ones come only as steady ones go, and it takes reclaimable ones back. An order whose upstreams are not
+     * there after the time in which they start is sent again.
+     */
+    private isDue(order: SizeOrder, { ready }: ZoneCount, renewMs: number): boolean {
         const known = this.ordered.get(nameOf(order));
         if (!known) return order.count !== ready;
-        if (this.options.clock.monotonic() < known.retryAt) return false;
-        return known.count !== order.count || known.soldOut;
+        const now = this.options.clock.monotonic();
+        if (now < known.retryAt) return false;
+        const isMissing = ready < order.count && now - known.sentAt >= renewMs;
+        return known.count !== order.count || known.soldOut || isMissing;
     }
 
     private describeZones(pool: PoolId, { zonePrices }: ScalingSpec): ZoneSituation[] {
@@ -191,7 +203,8 @@
         const pauseMs = soldOut ? SOLD_OUT_MS : isTaken ? 0 : RETRY_MS;
         // An order without an answer may have been taken or not: it counts as another number, so that it is sent again.
         const count = isTaken || soldOut ? order.count : Number.NaN;
-        this.ordered.set(nameOf(order), { count, soldOut, retryAt: clock.monotonic() + pauseMs });
+        const sentAt = clock.monotonic();
+        this.ordered.set(nameOf(order), { count, soldOut, sentAt, retryAt: sentAt + pauseMs });
         const need = this.needs.get(order.pool)?.count;
         logger.info("size-ordered", { ...order, status, need, token: term.token });
     }
--- a/src/control/poolSizer/test.ts
+++ b/src/control/poolSizer/test.ts
@@ -99,6 +99,20 @@
         assert.equal(platform.last("vogar", true), 1);
     });
 
+    it("orders again what has not come", async () => {
+        // A zone may have four upstreams of both kinds together. Of three reclaimable ones two came beside two steady ones; when a steady
+        // one had gone, the third was never asked for again, and the last steady one was paid for all day.
+        const { platform, announce, run } = makeSizer();
+        for (const zone of ZONES) announce(`${zone}-0`, zone, false);
+        await run(6_000, 0.5);
+        announce("vogar-1", "vogar", true);
+        const ordersOf = () =>
+            platform.orders.filter(({ zone, reclaimable }) => zone === "vogar" && reclaimable).length;
+        const before = ordersOf();
+        await run(6_000, 0.5);
+        assert.equal(ordersOf(), before + 1);
+    });
+
     it("leaves a platform that has none left alone for a while", async () => {
         const { platform, announce, run } = makeSizer();
         for (const zone of ZONES) announce(`${zone}-0`, zone, false);
--- a/src/upstream/routedChoice/index.ts
+++ b/src/upstream/routedChoice/index.ts
@@ -3,7 +3,7 @@
 import { Choice, ChoiceRequest, UpstreamChoice } from "../choice/index.js";
 import { UpstreamLoad } from "../load/index.js";
 import { PendingPrefill, PrefillClock } from "../prefillClock/index.js";
-import { PromptCache } from "../promptCache/index.js";
+import { PromptCache, PromptPart } from "../promptCache/index.js";
 
 /** What the parts of a choice weigh, in milliseconds of a caller's wait. */
 export interface RoutedWeights {
@@ -22,13 +22,19 @@
     readonly stallMs: number;
     /** Each millisecond for which a working upstream has been silent beyond what it may. */
     readonly silentFactor: number;
-    /** Any upstream but the one to which a prompt's shared parts belong, while nobody is known to hold them. */
-    readonly strangerMs: number;
+    /**
+     * Any upstream but the one to which a prompt's shared parts belong, while nobody is known to hold them: so many times what
+     * reading them takes.
+     */
+    readonly strangerFactor: number;
 }
 
-/** A reread costs half as much again; the rest are the differences that callers would notice. */
+/**
+ * Reading a shared part again takes the time of all that waits behind it, and is paid for: a prompt waits up to five times as long where its
+ * parts are held, which the targets of classes with long shared parts allow. The rest are differences that callers would notice.
+ */
 export const DEFAULT_ROUTED_WEIGHTS: RoutedWeights = {
-    rereadFactor: 1.5,
+    rereadFactor: 6,
     runningMs: 2,
     otherZoneMs: 2,
     otherZoneKilobyteMs: 1,
@@ -36,7 +42,7 @@
     fullMs: 500,
     stallMs: 300,
     silentFactor: 3,
-    strangerMs: 40,
+    strangerFactor: 1,
 };
 
 /**
@@ -163,7 +169,10 @@
         const { prefill, failureRate } = this.workOf(upstream.id);
         const tokens = this.tokensToRead(request, upstream.id);
         const readMs = tokens * prefill.millisecondsPerToken;
-        const rereadMs = (weights.rereadFactor - 1) * readMs;
+        const sharedTokens = sumTokens(request.parts.slice(0, -1));
+        const held = this.cache.heldTokens(request.parts, upstream.id);
+        const rereadMs = (weights.rereadFactor - 1) * Math.max(0, sharedTokens - held) * prefill.millisecondsPerToken;
+        const sharedMs = sharedTokens * prefill.millisecondsPerToken;
         const isFar = upstream.zone !== request.zone;
         const farMs = weights.otherZoneMs + weights.otherZoneKilobyteMs * request.bodyBytes / BYTES_PER_KILOBYTE;
         return prefill.predictMs(tokens, request.now)
@@ -173,7 +182,7 @@
             + (isFar ? farMs : 0)
             + weights.stallMs * this.countStalled(upstream.id, readMs)
             + weights.silentFactor * this.silentMs(upstream.id, request.now)
-            + (this.isStranger(upstream.id) ? weights.strangerMs : 0)
+            + (this.isStranger(upstream.id) ? weights.strangerFactor * sharedMs : 0)
             + weights.failingMs * failureRate;
     }
 
@@ -242,3 +251,7 @@
         return times.length === 0 ? undefined : times[Math.floor(times.length / 2)];
     }
 }
+
+function sumTokens(parts: readonly PromptPart[]): number {
+    return parts.reduce((sum, { tokens }) => sum + tokens, 0);
+}
--- a/src/upstream/routedChoice/test.ts
+++ b/src/upstream/routedChoice/test.ts
@@ -56,7 +56,7 @@
         const second = sheet(1_000);
         assert.equal(place(choice, loads, second), home);
         choice.ended(second.request, false, 1_500);
-        for (let i = 0; i < 4; i++) {
+        for (let i = 0; i < 8; i++) {
             const busy = makeRequest({ promptTokens: 20_000, now: 2_000 });
             choice.granted(loads.find(({ upstream }) => upstream.id === home)!, busy);
         }
