Trial: streams keep away from engines that read long prompts of late; state's parts no longer import control

The state's parts (ledger, usage, workspace, request) took types from control, which stands above them: 27 files in a circle. The commands and views they define now stand with them. One reader of a reply's body serves six places; validMs, which nobody read, is gone.

--- a/src/bench/slopes/probes/log/index.ts
+++ b/src/bench/slopes/probes/log/index.ts
@@ -1,10 +1,11 @@
 import { DEFAULT_LOG_TIMING, ReplicatedLog } from "../../../../consensus/index.js";
-import { ControlState, UsageBatchCommand } from "../../../../control/index.js";
+import { ControlState } from "../../../../control/index.js";
 import { HostId, Incarnation } from "../../../../ids/index.js";
 import { WindowStart } from "../../../../ids/index.js";
 import { Lifecycle } from "../../../../lifecycle/index.js";
 import { SilentLogger } from "../../../../logging/index.js";
 import { Address, Disk, FileDisk, SystemClock, SystemRandom, TcpNetwork } from "../../../../ports/index.js";
+import { UsageBatchCommand } from "../../../../usage/index.js";
 import { DEFAULT_PEER_TIMING, PeerRouter, servePeers } from "../../../../wire/index.js";
 import { timeProcess, timeRuns } from "../../measures/index.js";
 import { Probe, SlopeRecorder } from "../../probe/index.js";
--- a/src/bench/slopes/probes/usage/index.ts
+++ b/src/bench/slopes/probes/usage/index.ts
@@ -1,5 +1,6 @@
-import { ControlState, UsageBatchCommand } from "../../../../control/index.js";
+import { ControlState } from "../../../../control/index.js";
 import { WindowStart } from "../../../../ids/index.js";
+import { UsageBatchCommand } from "../../../../usage/index.js";
 import { decodeValue, encodeValue } from "../../../../wire/index.js";
 import { timeCalls, timeRuns, weigh } from "../../measures/index.js";
 import { Probe, SlopeRecorder } from "../../probe/index.js";
--- a/src/control/controlClient/test.ts
+++ b/src/control/controlClient/test.ts
@@ -2,11 +2,11 @@
 import { describe, it } from "node:test";
 import { Right } from "purify-ts";
 import { HostId, Incarnation, TemplateName, WorkspaceId } from "../../ids/index.js";
+import { BeginCallResult } from "../../ledger/index.js";
 import { MemoryFabric, SeededRandom, VirtualClock } from "../../ports/index.js";
 import { DEFAULT_PEER_TIMING, PeerLink, PeerRouter, servePeers } from "../../wire/index.js";
 import { hashKey } from "../../workspace/index.js";
 import {
-    BeginCallResult,
     ControlClient,
     ControlService,
     ControlState,
--- a/src/control/controlProcess/test.ts
+++ b/src/control/controlProcess/test.ts
@@ -12,13 +12,13 @@
     WindowStart,
     WorkspaceId,
 } from "../../ids/index.js";
+import { BeginCallResult } from "../../ledger/index.js";
 import { SilentLogger } from "../../logging/index.js";
 import { MemoryDisk, MemoryFabric, MemoryHost, SeededRandom, VirtualClock } from "../../ports/index.js";
 import { PLATFORM_PATHS } from "../../protocol/index.js";
 import { DEFAULT_PEER_TIMING, PeerLink, PeerRouter } from "../../wire/index.js";
 import { ChangeResult, hashKey } from "../../workspace/index.js";
 import {
-    BeginCallResult,
     ControlClient,
     ControlProcess,
     EntryCommand,
--- a/src/control/entryAdmin/index.ts
+++ b/src/control/entryAdmin/index.ts
@@ -1,3 +1,5 @@
+import { RequestStep } from "../../request/index.js";
+
 /** An upstream as one entry sees it. */
 export interface UpstreamRow {
     readonly upstream: string;
@@ -45,14 +47,6 @@
     readonly max: number;
 }
 
-/** Something that happened to a request. */
-export interface RequestStep {
-    /** From the request's arrival, in milliseconds. */
-    readonly atMs: number;
-    readonly event: string;
-    readonly detail: string;
-}
-
 /** What became of a request, and why. */
 export interface RequestExplanation {
     readonly request: string;
--- a/src/control/offerReader/index.ts
+++ b/src/control/offerReader/index.ts
@@ -1,6 +1,6 @@
 import { Either, Left, Right } from "purify-ts";
 import { z } from "zod";
-import { Address, Http, HttpReply } from "../../ports/index.js";
+import { Address, Http, HttpReply, readReplyText } from "../../ports/index.js";
 import { Offer, offerSchema, PLATFORM_PATHS } from "../../protocol/index.js";
 
 const CONNECT_MS = 2_000;
@@ -37,18 +37,8 @@
 }
 
 async function readOffers(reply: HttpReply): Promise<Either<OfferError, readonly Offer[]>> {
-    const chunks: Uint8Array[] = [];
-    let size = 0;
     try {
-        for await (const chunk of reply.body) {
-            size += chunk.length;
-            if (size > MOST_BYTES) {
-                reply.reset();
-                return Left(new OfferError("too long"));
-            }
-            chunks.push(chunk);
-        }
-        return Right(z.array(offerSchema).parse(JSON.parse(Buffer.concat(chunks).toString("utf8"))));
+        return Right(z.array(offerSchema).parse(JSON.parse(await readReplyText(reply, MOST_BYTES))));
     }
     catch (err) {
         return Left(new OfferError(`not to be read: ${(err as Error).message}`));
--- a/src/control/packedView/index.ts
+++ b/src/control/packedView/index.ts
@@ -1,5 +1,6 @@
 import { KeyHash } from "../../ids/index.js";
-import { PackedViews, ProfileView, ViewChange, WorkspaceView } from "../view/index.js";
+import { WorkspaceView } from "../../workspace/index.js";
+import { PackedViews, ProfileView, ViewChange } from "../view/index.js";
 
 /** The size of a key's hash, in bytes. */
 export const HASH_BYTES = 32;
--- a/src/control/state/index.ts
+++ b/src/control/state/index.ts
@@ -1,12 +1,13 @@
 import { ApplyContext, StateMachine } from "../../consensus/index.js";
 import { Revision } from "../../ids/index.js";
-import { CallLedger, CallRecord, LedgerChange } from "../../ledger/index.js";
+import { CallLedger, CallRecord, FinishCallCommand, LedgerChange } from "../../ledger/index.js";
 import { OrderBook, OrderIntentCommand, OrderOutcomeCommand, OrderSnapshot } from "../../order/index.js";
 import { DocumentBook, HeldDocument, ReplaceDocumentCommand, ReplaceDocumentResult } from "../../routing/index.js";
 import {
     CloseStartsCommand,
     CloseWindowCommand,
     ReportedCommand,
+    ReserveCommand,
     SpendBook,
     SpendSnapshot,
     StartsBook,
@@ -16,7 +17,7 @@
     UsageSnapshot,
 } from "../../usage/index.js";
 import { ChangeOutcome, ConfigChange, RegistrySnapshot, WorkspaceRegistry } from "../../workspace/index.js";
-import { EntryCommand, FinishCallCommand, ReserveCommand } from "../command/index.js";
+import { EntryCommand } from "../command/index.js";
 import { AnnounceHolderCommand, ControlAddress, ControlDirectory } from "../controlDirectory/index.js";
 import { ViewChange } from "../view/index.js";
 import { ViewHistory } from "../viewHistory/index.js";
--- a/src/control/trpcHttp/index.ts
+++ b/src/control/trpcHttp/index.ts
@@ -1,6 +1,6 @@
 import type { AnyTRPCRouter } from "@trpc/server";
 import { fetchRequestHandler } from "@trpc/server/adapters/fetch";
-import { Address, formatAddress, HeaderList, Http, HttpError, HttpHandler, HttpReply } from "../../ports/index.js";
+import { Address, formatAddress, HeaderList, Http, HttpError, HttpHandler, readReplyText } from "../../ports/index.js";
 
 /** Where tRPC procedures stand below a server's root. */
 const ENDPOINT = "/operate";
@@ -86,7 +86,7 @@
             headTimeoutMs: timeoutMs,
         });
         const reply = sent.caseOf({ Left: throwError, Right: given => given });
-        const text = await readText(reply);
+        const text = await readReplyText(reply);
         return { ok: reply.status < 400, json: async () => JSON.parse(text) as unknown };
     };
 }
@@ -98,9 +98,3 @@
 function throwError(err: HttpError): never {
     throw err;
 }
-
-async function readText(reply: HttpReply): Promise<string> {
-    const chunks: Uint8Array[] = [];
-    for await (const chunk of reply.body) chunks.push(chunk);
-    return Buffer.concat(chunks).toString();
-}
--- a/src/control/viewCache/index.ts
+++ b/src/control/viewCache/index.ts
@@ -1,7 +1,8 @@
 import { KeyHash, Revision, WorkspaceId } from "../../ids/index.js";
 import { RouteTable } from "../../routing/index.js";
+import { WorkspaceView } from "../../workspace/index.js";
 import { HASH_BYTES, NO_LIMIT, packChange, packHash } from "../packedView/index.js";
-import { PackedViews, ProfileView, ViewChange, WorkspaceView } from "../view/index.js";
+import { PackedViews, ProfileView, ViewChange } from "../view/index.js";
 
 /** Beyond this many the table of shared profiles starts anew; what is shared already stays so. */
 const MOST_SHARED = 4_096;
--- a/src/dispatch/_lib/makeGrant.ts
+++ b/src/dispatch/_lib/makeGrant.ts
@@ -2,9 +2,6 @@
 import { Grant } from "../ticket/index.js";
 import { WaitingTicket } from "../waiting/index.js";
 
-/** A grant not used within this time has lost its slot's moment: the upstream may have left since. */
-const GRANT_VALID_MS = 500;
-
 /** Makes the grant of a ticket that goes to an upstream now. */
 export function makeGrant(
     { ticket, arrivedAt }: WaitingTicket,
@@ -16,7 +13,6 @@
         request: ticket.request,
         upstream: load.upstream.id,
         address: load.upstream.address,
-        validMs: GRANT_VALID_MS,
         priority: ticket.tier,
         waitedMs: now - arrivedAt,
         reason,
--- a/src/dispatch/spending/index.ts
+++ b/src/dispatch/spending/index.ts
@@ -1,7 +1,7 @@
 import { Either, Left, Right } from "purify-ts";
-import { ReserveCommand, ReserveResult } from "../../control/index.js";
 import { HostId, Incarnation, WindowStart, WorkspaceId } from "../../ids/index.js";
 import { Clock } from "../../ports/index.js";
+import { ReserveCommand, ReserveResult } from "../../usage/index.js";
 
 /** Why tokens were not handed out. `unavailable`: the control log gave no answer in time. */
 export type SpendingRefusal = "over-limit" | "unavailable";
--- a/src/dispatch/ticket/index.ts
+++ b/src/dispatch/ticket/index.ts
@@ -49,8 +49,6 @@
     readonly request: RequestId;
     readonly upstream: UpstreamId;
     readonly address: Address;
-    /** The request must have left within this time from the grant's arrival, in milliseconds. */
-    readonly validMs: number;
     /** What to tell the engine: 0 is the most urgent. */
     readonly priority: number;
     /** How long the request waited in the queue, in milliseconds. */
--- a/src/entry/admitRequest/index.ts
+++ b/src/entry/admitRequest/index.ts
@@ -1,8 +1,8 @@
 import { Either, Left, Right } from "purify-ts";
-import { ClassView, WorkspaceView } from "../../control/index.js";
 import { PoolId } from "../../ids/index.js";
 import { findHeader, HttpRequest } from "../../ports/index.js";
 import { CLASS_HEADER } from "../../protocol/index.js";
+import { ClassView, WorkspaceView } from "../../workspace/index.js";
 import { CallerError } from "../callerError/index.js";
 import { EntryContext } from "../entryContext/index.js";
 import { PresentedKey, readKey } from "../readKey/index.js";
--- a/src/entry/callRecord/index.ts
+++ b/src/entry/callRecord/index.ts
@@ -1,7 +1,8 @@
 import { Either, Left, Right } from "purify-ts";
-import { BeginCallResult, CallAnswer, FinishCallCommand, UsageSum } from "../../control/index.js";
 import { WorkspaceId } from "../../ids/index.js";
+import { BeginCallResult, CallAnswer, FinishCallCommand } from "../../ledger/index.js";
 import { RunningRequest } from "../../request/index.js";
+import { UsageSum } from "../../usage/index.js";
 import { PeerIdentity } from "../../wire/index.js";
 import { CallerError } from "../callerError/index.js";
 import { EntryContext } from "../entryContext/index.js";
--- a/src/entry/controlAccess/index.ts
+++ b/src/entry/controlAccess/index.ts
@@ -1,6 +1,7 @@
 import { Either } from "purify-ts";
-import { EntryCommand, EntryView, WorkspaceView } from "../../control/index.js";
+import { EntryCommand, EntryView } from "../../control/index.js";
 import { KeyHash } from "../../ids/index.js";
+import { WorkspaceView } from "../../workspace/index.js";
 
 /** A command that got no answer from the control processes. */
 export class ControlAccessError extends Error {
--- a/src/entry/fleetControl/index.ts
+++ b/src/entry/fleetControl/index.ts
@@ -1,6 +1,7 @@
 import { Either } from "purify-ts";
-import { ControlClient, EntryCommand, EntryView, ViewCache, WorkspaceView } from "../../control/index.js";
+import { ControlClient, EntryCommand, EntryView, ViewCache } from "../../control/index.js";
 import { KeyHash } from "../../ids/index.js";
+import { WorkspaceView } from "../../workspace/index.js";
 import { ControlAccess, ControlAccessError } from "../controlAccess/index.js";
 
 /** The control processes of a fleet, by their client and the view that it keeps. */
--- a/src/entry/peerBatchHolder/index.ts
+++ b/src/entry/peerBatchHolder/index.ts
@@ -1,5 +1,5 @@
-import { UsageBatchCommand } from "../../control/index.js";
 import { HostId } from "../../ids/index.js";
+import { UsageBatchCommand } from "../../usage/index.js";
 import { PeerIdentity } from "../../wire/index.js";
 import { PeerDirectory } from "../peerDirectory/index.js";
 import { USAGE_METHODS, UsageRelease } from "../usageKeeper/index.js";
--- a/src/entry/prepareChat/index.ts
+++ b/src/entry/prepareChat/index.ts
@@ -1,8 +1,8 @@
 import { Either, Left, Right } from "purify-ts";
-import { ClassView, WorkspaceView } from "../../control/index.js";
 import { PoolId } from "../../ids/index.js";
 import { HttpRequest } from "../../ports/index.js";
 import { ChatRequest, chatRequestSchema, hashPrefixes } from "../../protocol/index.js";
+import { ClassView, WorkspaceView } from "../../workspace/index.js";
 import { readBody } from "../_lib/readBody.js";
 import { Admission, checkPool, chooseClass } from "../admitRequest/index.js";
 import { CallerError } from "../callerError/index.js";
--- a/src/entry/prepareService/index.ts
+++ b/src/entry/prepareService/index.ts
@@ -1,9 +1,9 @@
 import { createHash } from "node:crypto";
 import { Either, Left, Right } from "purify-ts";
-import { ClassView, WorkspaceView } from "../../control/index.js";
 import { IdempotencyKey, PoolId } from "../../ids/index.js";
 import { findHeader, HeaderList, HttpRequest } from "../../ports/index.js";
 import { CALLER_PATHS, IDEMPOTENCY_HEADER } from "../../protocol/index.js";
+import { ClassView, WorkspaceView } from "../../workspace/index.js";
 import { readBody } from "../_lib/readBody.js";
 import { Admission, checkPool, chooseClass } from "../admitRequest/index.js";
 import { CallerError } from "../callerError/index.js";
--- a/src/entry/spendGate/index.ts
+++ b/src/entry/spendGate/index.ts
@@ -1,9 +1,10 @@
 import { Either, Right } from "purify-ts";
-import { ReserveCommand, ReserveResult, WorkspaceView } from "../../control/index.js";
 import { SpendingAllotments, SpendingRefusal } from "../../dispatch/index.js";
 import { WindowStart } from "../../ids/index.js";
 import { Clock } from "../../ports/index.js";
+import { ReserveCommand, ReserveResult } from "../../usage/index.js";
 import { PeerIdentity } from "../../wire/index.js";
+import { WorkspaceView } from "../../workspace/index.js";
 import { CallerError } from "../callerError/index.js";
 import { ControlAccess } from "../controlAccess/index.js";
 
--- a/src/entry/trackRequest/index.ts
+++ b/src/entry/trackRequest/index.ts
@@ -1,8 +1,8 @@
-import { ClassView, WorkspaceView } from "../../control/index.js";
 import { KeyHash, PoolId, RequestId } from "../../ids/index.js";
 import { HttpRequest } from "../../ports/index.js";
 import { Outcome } from "../../protocol/index.js";
 import { RunningRequest } from "../../request/index.js";
+import { ClassView, WorkspaceView } from "../../workspace/index.js";
 import { EntryContext } from "../entryContext/index.js";
 
 /** What is known of a request that was found good. */
--- a/src/entry/usageKeeper/index.ts
+++ b/src/entry/usageKeeper/index.ts
@@ -1,5 +1,5 @@
-import { UsageBatchCommand } from "../../control/index.js";
 import { Clock } from "../../ports/index.js";
+import { UsageBatchCommand } from "../../usage/index.js";
 import { PeerRouter } from "../../wire/index.js";
 import { ControlAccess } from "../controlAccess/index.js";
 
--- a/src/entry/usageMeter/index.ts
+++ b/src/entry/usageMeter/index.ts
@@ -1,8 +1,8 @@
-import { UsageBatchCommand, UsageSum } from "../../control/index.js";
 import { WindowStart } from "../../ids/index.js";
 import { Logger } from "../../logging/index.js";
 import { Clock } from "../../ports/index.js";
 import { UsageLine } from "../../protocol/index.js";
+import { UsageBatchCommand, UsageSum } from "../../usage/index.js";
 import { PeerIdentity } from "../../wire/index.js";
 import { ControlAccess } from "../controlAccess/index.js";
 
--- a/src/entry/usageMeter/test.ts
+++ b/src/entry/usageMeter/test.ts
@@ -1,9 +1,9 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { UsageBatchCommand } from "../../control/index.js";
 import { HostId, Incarnation } from "../../ids/index.js";
 import { SilentLogger } from "../../logging/index.js";
 import { VirtualClock } from "../../ports/index.js";
+import { UsageBatchCommand } from "../../usage/index.js";
 import { FakeControl, FakeHolder } from "../fixtures/index.js";
 import { UsageMeter } from "./index.js";
 
--- a/src/features/steps/keys.ts
+++ b/src/features/steps/keys.ts
@@ -1,7 +1,7 @@
 import { Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { ChangeId, KeyId } from "../../ids/index.js";
-import { HttpCall } from "../../ports/index.js";
+import { HttpCall, readReplyText } from "../../ports/index.js";
 import { CALLER_PATHS, IDEMPOTENCY_HEADER } from "../../protocol/index.js";
 import { keyOf } from "../world/deployment.js";
 import { FleetWorld } from "../world/index.js";
@@ -63,11 +63,8 @@
             }),
         );
         const reply = sent.unsafeCoerce();
-        const parts: Uint8Array[] = [];
-        await this.settle((async () => {
-            for await (const part of reply.body) parts.push(part);
-        })());
-        this.reply = { status: reply.status, errorType: JSON.parse(Buffer.concat(parts).toString()).error?.type };
+        const text = await this.settle(readReplyText(reply)) as string;
+        this.reply = { status: reply.status, errorType: JSON.parse(text).error?.type };
     },
 );
 
--- a/src/features/world/caller.ts
+++ b/src/features/world/caller.ts
@@ -1,4 +1,4 @@
-import { Address, findHeader, Http, HttpError, HttpReply } from "../../ports/index.js";
+import { Address, findHeader, Http, HttpError, HttpReply, readReplyText } from "../../ports/index.js";
 import {
     CALLER_PATHS,
     CLASS_HEADER,
@@ -118,14 +118,8 @@
 }
 
 async function readWhole(reply: HttpReply): Promise<CallerResult> {
-    const parts: Uint8Array[] = [];
-    try {
-        for await (const bytes of reply.body) parts.push(bytes);
-    }
-    catch {
-        return { ...noAnswer(), status: reply.status };
-    }
-    const text = Buffer.concat(parts).toString("utf8");
+    const text = await readReplyText(reply).catch(() => undefined);
+    if (text === undefined) return { ...noAnswer(), status: reply.status };
     const err = reply.status >= 400 ? (JSON.parse(text) as ErrorBody).error : undefined;
     return {
         status: reply.status,
--- a/src/ledger/callLedger/index.ts
+++ b/src/ledger/callLedger/index.ts
@@ -1,12 +1,12 @@
 import type { ApplyContext } from "../../consensus/index.js";
+import type { IdempotencyKey, RequestId, WorkspaceId } from "../../ids/index.js";
 import type {
     AbandonCallsCommand,
     BeginCallCommand,
     BeginCallResult,
     CallAnswer,
     FinishCallCommand,
-} from "../../control/index.js";
-import type { IdempotencyKey, RequestId, WorkspaceId } from "../../ids/index.js";
+} from "../callCommands/index.js";
 
 /** How long a finished call's record is kept, in milliseconds: a resend within it meets the record. */
 export const CALL_RETENTION_MS = 24 * 3_600_000;
--- a/src/ledger/callLedger/test.ts
+++ b/src/ledger/callLedger/test.ts
@@ -2,8 +2,8 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import type { ApplyContext } from "../../consensus/index.js";
-import type { BeginCallCommand, CallAnswer } from "../../control/index.js";
 import type { IdempotencyKey, LogIndex, RequestId, WorkspaceId } from "../../ids/index.js";
+import type { BeginCallCommand, CallAnswer } from "../callCommands/index.js";
 import { ANSWER_BYTES_KEPT, CALL_RETENTION_MS, CallLedger } from "./index.js";
 
 const WORKSPACE = "depot" as WorkspaceId;
--- a/src/ledger/index.ts
+++ b/src/ledger/index.ts
@@ -1,2 +1,3 @@
 /** At-most-once records of non-repeatable calls. */
+export * from "./callCommands/index.js";
 export * from "./callLedger/index.js";
--- a/src/load/_lib/sendCall.ts
+++ b/src/load/_lib/sendCall.ts
@@ -1,5 +1,14 @@
 import { Either } from "purify-ts";
-import { Address, Clock, formatAddress, HeaderList, Http, HttpError, HttpReply } from "../../ports/index.js";
+import {
+    Address,
+    Clock,
+    formatAddress,
+    HeaderList,
+    Http,
+    HttpError,
+    HttpReply,
+    readReplyText,
+} from "../../ports/index.js";
 import { CLASS_HEADER } from "../../protocol/index.js";
 import { TraceRequest } from "../trace/index.js";
 
@@ -48,12 +57,5 @@
 
 /** Reads a body to its end as text; undefined when it breaks off. */
 export async function readText(reply: HttpReply): Promise<string | undefined> {
-    const chunks: Uint8Array[] = [];
-    try {
-        for await (const chunk of reply.body) chunks.push(chunk);
-    }
-    catch {
-        return undefined;
-    }
-    return Buffer.concat(chunks).toString();
+    return readReplyText(reply).catch(() => undefined);
 }
--- a/src/ports/http/index.ts
+++ b/src/ports/http/index.ts
@@ -142,3 +142,25 @@
 export function findHeader(headers: HeaderList, name: string): string | undefined {
     return headers.find(([key]) => key === name)?.[1];
 }
+
+/**
+ * Reads an answer's body to its end, as text.
+ *
+ * @param mostBytes - A longer body is given up, and its connection reset.
+ * @throws HttpError when the body is cut off or too long.
+ * @example
+ * const offers = JSON.parse(await readReplyText(reply, 1_000_000));
+ */
+export async function readReplyText(reply: HttpReply, mostBytes = Number.POSITIVE_INFINITY): Promise<string> {
+    const chunks: Uint8Array[] = [];
+    let size = 0;
+    for await (const chunk of reply.body) {
+        size += chunk.length;
+        if (size > mostBytes) {
+            reply.reset();
+            throw new HttpError("malformed", true, `a body of more than ${mostBytes} bytes`);
+        }
+        chunks.push(chunk);
+    }
+    return Buffer.concat(chunks).toString();
+}
--- a/src/request/runningRequest/index.ts
+++ b/src/request/runningRequest/index.ts
@@ -1,8 +1,15 @@
-import { RequestStep } from "../../control/index.js";
 import { Grant } from "../../dispatch/index.js";
 import { ClassName, KeyHash, PoolId, RequestId, UpstreamId, WorkspaceId } from "../../ids/index.js";
 import { Clock } from "../../ports/index.js";
 
+/** Something that happened to a request. */
+export interface RequestStep {
+    /** From the request's arrival, in milliseconds. */
+    readonly atMs: number;
+    readonly event: string;
+    readonly detail: string;
+}
+
 /** Why a running request was stopped from outside. */
 export type CancelReason = "caller-gone" | "key-withdrawn" | "preempted" | "stalled" | "stopping" | "timeout";
 
--- a/src/tools/streamClient/index.ts
+++ b/src/tools/streamClient/index.ts
@@ -1,4 +1,4 @@
-import { Address, Http, HttpReply } from "../../ports/index.js";
+import { Address, Http, HttpReply, readReplyText } from "../../ports/index.js";
 import { ENGINE_PATHS } from "../../protocol/index.js";
 
 /** When a stream's tokens came, in milliseconds after its request left. */
@@ -45,16 +45,10 @@
         headTimeoutMs: TIMEOUT_MS,
     });
     const reply = sent.unsafeCoerce();
-    if (reply.status !== 200) throw new Error(`status ${reply.status}: ${await readText(reply)}`);
+    if (reply.status !== 200) throw new Error(`status ${reply.status}: ${await readReplyText(reply)}`);
     return readTimes(reply, startedAt, onFirst);
 }
 
-async function readText(reply: HttpReply): Promise<string> {
-    const parts: Uint8Array[] = [];
-    for await (const part of reply.body) parts.push(part);
-    return Buffer.concat(parts).toString("utf8");
-}
-
 function makeBody({ key, model }: StreamTarget, request: string, tokens: number): object {
     const messages = [{ role: "user", content: `${request} [tokens=${tokens}]` }];
     const body = { model, messages, max_tokens: tokens, stream: true };
--- a/src/upstream/routedChoice/index.ts
+++ b/src/upstream/routedChoice/index.ts
@@ -52,14 +52,29 @@
  */
 const SILENCE_MS = 600;
 
+/** Reads shorter than this are borne by every stream, in milliseconds. */
+const NOTICED_READ_MS = 50;
+/** Over this time reads are remembered, and so long runs a stream as a rule, in milliseconds. */
+const READS_MEMORY_MS = 5_000;
+const STREAM_MS = 1_500;
+const MOST_EXPECTED_STALLS = 3;
 /** Over this time the load is averaged, in milliseconds. */
 const LOAD_MEMORY_MS = 5_000;
 /** How much of the failure rate one outcome makes. */
 const FAILURE_WEIGHT = 0.1;
 const BYTES_PER_KILOBYTE = 1_024;
 
+/** A prompt that an engine has read or reads. */
+interface RecentRead {
+    /** Monotonic, in milliseconds. */
+    readonly at: number;
+    readonly readMs: number;
+}
+
 interface UpstreamWork {
     readonly prefill: PrefillClock;
+    /** The reads of the last seconds that take long enough to be noticed beside them, the oldest first. */
+    recentReads: RecentRead[];
     readonly running: Set<Running>;
     /** When it last gave a sign of work, or began to work after a rest; monotonic, in milliseconds. */
     heardAt: number;
@@ -82,7 +97,8 @@
  * get no answer for as long as their callers wait, and no health check says so; an engine whose running requests all show nothing gets no
  * more after some hundred milliseconds. Answers an owner that has lost its memory: parts that nobody is known to hold go to the engine
  * that a hash names, which is the one that had them. Answers long prompts beside short questions too: while an engine reads a
- * prompt its running streams stand still, so a long one goes where no stream runs that could not bear the pause.
+ * prompt its running streams stand still, so a long one goes where no stream runs that could not bear the pause, and a
+ * stream goes where few such prompts were read of late: the two kinds part by themselves when engines are few.
  */
 export class RoutedChoice extends UpstreamChoice {
     private readonly work = new Map<UpstreamId, UpstreamWork>();
@@ -126,6 +142,8 @@
         this.cache.use(request.parts, id);
         this.addLoad(tokens * prefill.millisecondsPerToken, request.now);
         const work = this.workOf(id);
+        const readMs = tokens * prefill.millisecondsPerToken;
+        if (readMs >= NOTICED_READ_MS) work.recentReads.push({ at: request.now, readMs });
         if (work.running.size === 0) work.heardAt = request.now;
         const running = { upstream: id, gapMs: request.gapMs, pending: prefill.begin(tokens, request.now) };
         this.running.set(request.request, running);
@@ -182,6 +200,7 @@
             + (load.outstanding >= upstream.slots ? weights.fullMs : 0)
             + (isFar ? farMs : 0)
             + weights.stallMs * this.countStalled(upstream.id, readMs)
+            + weights.stallMs * this.expectStalls(upstream.id, request)
             + weights.silentFactor * this.silentMs(upstream.id, request.now)
             + (this.isStranger(upstream.id) ? weights.strangerFactor * sharedMs : 0)
             + weights.failingMs * failureRate;
@@ -223,6 +242,15 @@
         return count;
     }
 
+    /** How many prompts that a stream can't bear will probably be read beside it, if the last seconds are a guide. */
+    private expectStalls(upstream: UpstreamId, { gapMs, now }: ChoiceRequest): number {
+        if (gapMs === undefined) return 0;
+        const work = this.workOf(upstream);
+        work.recentReads = work.recentReads.filter(({ at }) => at >= now - READS_MEMORY_MS);
+        const long = work.recentReads.filter(({ readMs }) => readMs > gapMs).length;
+        return Math.min(MOST_EXPECTED_STALLS, long * STREAM_MS / READS_MEMORY_MS);
+    }
+
     private addLoad(readMs: number, now: number): void {
         this.load *= Math.exp((this.loadAt - now) / LOAD_MEMORY_MS);
         this.loadAt = now;
@@ -236,8 +264,9 @@
     private workOf(upstream: UpstreamId): UpstreamWork {
         const known = this.work.get(upstream);
         if (known) return known;
-        const work = {
+        const work: UpstreamWork = {
             prefill: new PrefillClock(this.usualTokenMs()),
+            recentReads: [],
             running: new Set<Running>(),
             heardAt: 0,
             failureRate: 0,
--- a/src/upstream/routedChoice/test.ts
+++ b/src/upstream/routedChoice/test.ts
@@ -84,6 +84,33 @@
         assert.notEqual(sheet, question);
     });
 
+    it("parts streams that can't bear a pause from long prompts, also when engines are few", () => {
+        // Two zones' engines are taken back in a burst, and all that is left serves everything. Each engine had some questions and
+        // some sheets, so that each sheet made a few questions late.
+        const choice = new RoutedChoice(() => undefined);
+        const loads = makeLoads(["a", "b", "c", "d"]);
+        const sheetsAt = new Set<UpstreamId>();
+        const questionsAt = new Map<UpstreamId, number>();
+        const running: ChoiceRequest[] = [];
+        for (let now = 0; now < 20_000; now += 100) {
+            const isSheet = now % 400 === 0;
+            const size = isSheet ? { promptTokens: 15_000, gapMs: 1_000 } : { promptTokens: 800, gapMs: 250 };
+            const request = makeRequest({ ...size, now });
+            const { load } = choice.choose(loads, request);
+            choice.granted(load, request);
+            choice.progressed(request.request, true, now + (isSheet ? 330 : 46));
+            running.push(request);
+            while (running[0].now <= now - 1_500) choice.ended(running.shift()!.request, false, now + 60);
+            const { id } = load.upstream;
+            if (now < 5_000) continue;
+            if (isSheet) sheetsAt.add(id);
+            else questionsAt.set(id, (questionsAt.get(id) ?? 0) + 1);
+        }
+        const all = [...questionsAt.values()].reduce((sum, count) => sum + count, 0);
+        const mixed = [...sheetsAt].reduce((sum, id) => sum + (questionsAt.get(id) ?? 0), 0);
+        assert.ok(mixed < 0.5 * all, `${mixed} of ${all} questions beside sheets`);
+    });
+
     it("leaves an engine that has gone dark within a second, though its connections are open", () => {
         // Customers wait until they give up. An engine goes dark; new connections to it are made, requests get no answer, and it
         // has the shortest backlog of all.
--- a/src/usage/index.ts
+++ b/src/usage/index.ts
@@ -4,3 +4,4 @@
 export * from "./startMeter/index.js";
 export * from "./startsBook/index.js";
 export * from "./usageBook/index.js";
+export * from "./usageCommands/index.js";
--- a/src/usage/spendBook/index.ts
+++ b/src/usage/spendBook/index.ts
@@ -1,6 +1,6 @@
 import type { ApplyContext } from "../../consensus/index.js";
-import type { ReserveCommand, ReserveResult } from "../../control/index.js";
 import type { WindowStart, WorkspaceId } from "../../ids/index.js";
+import type { ReserveCommand, ReserveResult } from "../usageCommands/index.js";
 
 /** Answers remembered for each run of an entry, for resends, which come within seconds. */
 const ANSWERS_KEPT = 128;
--- a/src/usage/spendBook/test.ts
+++ b/src/usage/spendBook/test.ts
@@ -1,8 +1,8 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import type { ReserveCommand } from "../../control/index.js";
 import type { LogIndex, WindowStart, WorkspaceId } from "../../ids/index.js";
+import type { ReserveCommand } from "../usageCommands/index.js";
 import { SpendBook } from "./index.js";
 
 const WORKSPACE = "school" as WorkspaceId;
--- a/src/usage/usageBook/index.ts
+++ b/src/usage/usageBook/index.ts
@@ -1,8 +1,8 @@
 import type { ApplyContext } from "../../consensus/index.js";
-import type { UsageBatchCommand, UsageSum } from "../../control/index.js";
 import type { ReportId, WindowStart } from "../../ids/index.js";
 import type { UsageLine } from "../../protocol/index.js";
 import { SequenceRange, SequenceSet } from "../sequenceSet/index.js";
+import type { UsageBatchCommand, UsageSum } from "../usageCommands/index.js";
 
 /** How many reported windows keep their lines for operators to read. */
 const REPORTED_KEPT = 8;
--- a/src/usage/usageBook/test.ts
+++ b/src/usage/usageBook/test.ts
@@ -2,9 +2,9 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import type { ApplyContext } from "../../consensus/index.js";
-import type { UsageBatchCommand } from "../../control/index.js";
 import type { LogIndex, ReportId, WindowStart } from "../../ids/index.js";
 import { decodeValue, encodeValue } from "../../wire/index.js";
+import type { UsageBatchCommand } from "../usageCommands/index.js";
 import { UsageBook, UsageSnapshot } from "./index.js";
 
 const WINDOW_MS = 1_000;
--- a/src/workspace/index.ts
+++ b/src/workspace/index.ts
@@ -6,3 +6,4 @@
 export * from "./keyRing/index.js";
 export * from "./registry/index.js";
 export * from "./template/index.js";
+export * from "./workspaceView/index.js";
--- a/src/workspace/keyRing/index.ts
+++ b/src/workspace/keyRing/index.ts
@@ -1,6 +1,6 @@
-import type { KeyView } from "../../control/index.js";
 import type { ChangeId, KeyHash, KeyId, Revision, WorkspaceId } from "../../ids/index.js";
 import { copyText, SharedValues } from "../_lib/sharedValues.js";
+import type { KeyView } from "../workspaceView/index.js";
 
 /** How long a withdrawn key's hash is kept, so that it can't be granted again. */
 const WITHDRAWN_RETENTION_MS = 400 * 24 * 3_600_000;
--- a/src/workspace/registry/index.ts
+++ b/src/workspace/registry/index.ts
@@ -1,5 +1,4 @@
 import type { ApplyContext } from "../../consensus/index.js";
-import type { KeyView, WorkspaceView } from "../../control/index.js";
 import type { KeyHash, Revision, TemplateName, WorkspaceId } from "../../ids/index.js";
 import { copyText, SharedValues } from "../_lib/sharedValues.js";
 import type {
@@ -16,6 +15,7 @@
 import { ChangeMemory, RememberedChange } from "../changeMemory/index.js";
 import { Authorship, KeyRecord, KeyRing } from "../keyRing/index.js";
 import { ParameterAssignment, resolveTemplate, TemplateSpec, WorkspaceProfile } from "../template/index.js";
+import type { KeyView, WorkspaceView } from "../workspaceView/index.js";
 
 export interface TemplateRecord extends Authorship {
     readonly name: TemplateName;
--- a/src/workspace/template/index.ts
+++ b/src/workspace/template/index.ts
@@ -1,7 +1,7 @@
 import { Either, Left, Right } from "purify-ts";
 import { z } from "zod";
-import type { ClassView } from "../../control/index.js";
 import type { ClassName, PoolId } from "../../ids/index.js";
+import type { ClassView } from "../workspaceView/index.js";
 
 const MAX_CLASSES = 32;
 const MAX_TIER = 6;
