--- a/src/upstream/routedChoice/index.ts
+++ b/src/upstream/routedChoice/index.ts
@@ -9,6 +9,8 @@
 export interface RoutedWeights {
     /** Reading tokens that another upstream holds: the work is lost for others, beside the time that it takes here. */
     readonly rereadFactor: number;
+    /** Tokens that are fetched from another upstream: quick, and paid for by their size. */
+    readonly fetchFactor: number;
     /** Each request that runs there slows every token of the batch. */
     readonly runningMs: number;
     /** The way to another zone and back, and each kilobyte that crosses, which is paid for. */
@@ -36,6 +38,7 @@
  */
 export const DEFAULT_ROUTED_WEIGHTS: RoutedWeights = {
     rereadFactor: 2.5,
+    fetchFactor: 0.5,
     runningMs: 2,
     otherZoneMs: 2,
     otherZoneKilobyteMs: 1,
@@ -52,29 +55,16 @@
  */
 const SILENCE_MS = 600;
 
-/** Reads shorter than this are borne by every stream, in milliseconds. */
-const NOTICED_READ_MS = 50;
-/** Over this time reads are remembered, and so long runs a stream as a rule, in milliseconds. */
-const READS_MEMORY_MS = 5_000;
-const STREAM_MS = 1_500;
-const MOST_EXPECTED_STALLS = 3;
 /** Over this time the load is averaged, in milliseconds. */
 const LOAD_MEMORY_MS = 5_000;
+/** Fewer tokens are read again sooner than fetched. */
+const LEAST_FETCHED_TOKENS = 1_000;
 /** How much of the failure rate one outcome makes. */
 const FAILURE_WEIGHT = 0.1;
 const BYTES_PER_KILOBYTE = 1_024;
 
-/** A prompt that an engine has read or reads. */
-interface RecentRead {
-    /** Monotonic, in milliseconds. */
-    readonly at: number;
-    readonly readMs: number;
-}
-
 interface UpstreamWork {
     readonly prefill: PrefillClock;
-    /** The reads of the last seconds that take long enough to be noticed beside them, the oldest first. */
-    recentReads: RecentRead[];
     readonly running: Set<Running>;
     /** When it last gave a sign of work, or began to work after a rest; monotonic, in milliseconds. */
     heardAt: number;
@@ -97,8 +87,7 @@
  * get no answer for as long as their callers wait, and no health check says so; an engine whose running requests all show nothing gets no
  * more after some hundred milliseconds. Answers an owner that has lost its memory: parts that nobody is known to hold go to the engine
  * that a hash names, which is the one that had them. Answers long prompts beside short questions too: while an engine reads a
- * prompt its running streams stand still, so a long one goes where no stream runs that could not bear the pause, and a
- * stream goes where few such prompts were read of late: the two kinds part by themselves when engines are few.
+ * prompt its running streams stand still, so a long one goes where no stream runs that could not bear the pause.
  */
 export class RoutedChoice extends UpstreamChoice {
     private readonly work = new Map<UpstreamId, UpstreamWork>();
@@ -109,6 +98,10 @@
     private loadAt = 0;
     /** Where the parts of the request that is being placed belong, if nobody is known to hold them. */
     private home: UpstreamId | undefined;
+    /** Which upstream holds most of the shared parts of the request that is being placed, and how many of their tokens. */
+    private source: UpstreamLoad | undefined;
+    private sourceTokens = 0;
+    private sharedParts: readonly PromptPart[] = [];
 
     constructor(
         capacity: () => number | undefined,
@@ -120,6 +113,7 @@
 
     choose(candidates: readonly UpstreamLoad[], request: ChoiceRequest): Choice {
         this.home = this.findHome(candidates, request);
+        this.findSource(candidates, request);
         let best = candidates[0];
         let bestMs = Number.POSITIVE_INFINITY;
         for (const load of candidates) {
@@ -128,11 +122,14 @@
             best = load;
             bestMs = ms;
         }
-        const held = this.cache.heldTokens(request.parts, best.upstream.id);
+        const { id } = best.upstream;
+        const held = this.cache.heldTokens(request.parts, id);
+        const fetchFrom = this.isWorthFetching(id) ? this.source : undefined;
         const backlog = this.workOf(best.upstream.id).prefill.backlogMs(request.now);
         const reason = `weight ${Math.round(bestMs)} ms, backlog ${Math.round(backlog)} ms, `
-            + `${held} of ${request.promptTokens} tokens held, ${best.outstanding} running`;
-        return { load: best, reason };
+            + `${held} of ${request.promptTokens} tokens held, ${best.outstanding} running`
+            + (fetchFrom ? `, parts from ${fetchFrom.upstream.id}` : "");
+        return { load: best, reason, fetchFrom };
     }
 
     override granted(load: UpstreamLoad, request: ChoiceRequest): void {
@@ -142,8 +139,6 @@
         this.cache.use(request.parts, id);
         this.addLoad(tokens * prefill.millisecondsPerToken, request.now);
         const work = this.workOf(id);
-        const readMs = tokens * prefill.millisecondsPerToken;
-        if (readMs >= NOTICED_READ_MS) work.recentReads.push({ at: request.now, readMs });
         if (work.running.size === 0) work.heardAt = request.now;
         const running = { upstream: id, gapMs: request.gapMs, pending: prefill.begin(tokens, request.now) };
         this.running.set(request.request, running);
@@ -190,7 +185,10 @@
         const readMs = tokens * prefill.millisecondsPerToken;
         const sharedTokens = sumTokens(request.parts.slice(0, -1));
         const held = this.cache.heldTokens(request.parts, upstream.id);
-        const rereadMs = (weights.rereadFactor - 1) * Math.max(0, sharedTokens - held) * prefill.millisecondsPerToken;
+        const fetched = this.fetchedTokens(upstream.id);
+        const reread = Math.max(0, sharedTokens - held - fetched);
+        const rereadMs = ((weights.rereadFactor - 1) * reread + weights.fetchFactor * fetched)
+            * prefill.millisecondsPerToken;
         const sharedMs = sharedTokens * prefill.millisecondsPerToken;
         const isFar = upstream.zone !== request.zone;
         const farMs = weights.otherZoneMs + weights.otherZoneKilobyteMs * request.bodyBytes / BYTES_PER_KILOBYTE;
@@ -200,7 +198,6 @@
             + (load.outstanding >= upstream.slots ? weights.fullMs : 0)
             + (isFar ? farMs : 0)
             + weights.stallMs * this.countStalled(upstream.id, readMs)
-            + weights.stallMs * this.expectStalls(upstream.id, request)
             + weights.silentFactor * this.silentMs(upstream.id, request.now)
             + (this.isStranger(upstream.id) ? weights.strangerFactor * sharedMs : 0)
             + weights.failingMs * failureRate;
@@ -217,6 +214,32 @@
         return this.home !== undefined && upstream !== this.home;
     }
 
+    private findSource(candidates: readonly UpstreamLoad[], { parts, canFetch }: ChoiceRequest): void {
+        const shared = parts.slice(0, -1);
+        this.source = undefined;
+        this.sourceTokens = 0;
+        this.sharedParts = shared;
+        if (!canFetch) return;
+        for (const load of candidates) {
+            const tokens = this.cache.heldTokens(shared, load.upstream.id);
+            if (tokens <= this.sourceTokens) continue;
+            this.source = load;
+            this.sourceTokens = tokens;
+        }
+    }
+
+    /** How many tokens an upstream would fetch for the request that is being placed. */
+    private fetchedTokens(upstream: UpstreamId): number {
+        const tokens = this.source === undefined
+            ? 0
+            : this.sourceTokens - this.cache.heldTokens(this.sharedParts, upstream);
+        return tokens >= LEAST_FETCHED_TOKENS ? tokens : 0;
+    }
+
+    private isWorthFetching(upstream: UpstreamId): boolean {
+        return this.fetchedTokens(upstream) > 0;
+    }
+
     /** The candidate with the highest hash of the shared parts and its own id: the same one for each owner. */
     private findHome(candidates: readonly UpstreamLoad[], { parts }: ChoiceRequest): UpstreamId | undefined {
         const shared = parts.slice(0, -1);
@@ -242,15 +265,6 @@
         return count;
     }
 
-    /** How many prompts that a stream can't bear will probably be read beside it, if the last seconds are a guide. */
-    private expectStalls(upstream: UpstreamId, { gapMs, now }: ChoiceRequest): number {
-        if (gapMs === undefined) return 0;
-        const work = this.workOf(upstream);
-        work.recentReads = work.recentReads.filter(({ at }) => at >= now - READS_MEMORY_MS);
-        const long = work.recentReads.filter(({ readMs }) => readMs > gapMs).length;
-        return Math.min(MOST_EXPECTED_STALLS, long * STREAM_MS / READS_MEMORY_MS);
-    }
-
     private addLoad(readMs: number, now: number): void {
         this.load *= Math.exp((this.loadAt - now) / LOAD_MEMORY_MS);
         this.loadAt = now;
@@ -258,15 +272,15 @@
     }
 
     private tokensToRead({ parts, promptTokens }: ChoiceRequest, upstream: UpstreamId): number {
-        return Math.max(0, promptTokens - this.cache.heldTokens(parts, upstream));
+        const present = this.cache.heldTokens(parts, upstream) + this.fetchedTokens(upstream);
+        return Math.max(0, promptTokens - present);
     }
 
     private workOf(upstream: UpstreamId): UpstreamWork {
         const known = this.work.get(upstream);
         if (known) return known;
-        const work: UpstreamWork = {
+        const work = {
             prefill: new PrefillClock(this.usualTokenMs()),
-            recentReads: [],
             running: new Set<Running>(),
             heardAt: 0,
             failureRate: 0,
