Fetching parts of prompts is taken back: it moved more than it saved

Engines fetched from others that were still reading the same part and had nothing of it to give, or had dropped it since.

--- a/src/dispatch/_lib/makeGrant.ts
+++ b/src/dispatch/_lib/makeGrant.ts
@@ -1,11 +1,12 @@
-import { Choice } from "../../upstream/index.js";
+import { UpstreamLoad } from "../../upstream/index.js";
 import { Grant } from "../ticket/index.js";
 import { WaitingTicket } from "../waiting/index.js";
 
 /** Makes the grant of a ticket that goes to an upstream now. */
 export function makeGrant(
     { ticket, arrivedAt }: WaitingTicket,
-    { load, reason, fetchFrom }: Choice,
+    load: UpstreamLoad,
+    reason: string,
     now: number,
 ): Grant {
     return {
@@ -15,6 +16,5 @@
         priority: ticket.tier,
         waitedMs: now - arrivedAt,
         reason,
-        ...(fetchFrom ? { fetchFrom: fetchFrom.upstream.address } : {}),
     };
 }
--- a/src/dispatch/poolQueue/index.ts
+++ b/src/dispatch/poolQueue/index.ts
@@ -2,7 +2,14 @@
 import { Either, Left, Right } from "purify-ts";
 import { HostId, PoolId, RequestId, UpstreamId, ZoneId } from "../../ids/index.js";
 import { Clock, Random } from "../../ports/index.js";
-import { Choice, PoolMembers, PrefixIndex, StragglerPolicy, Upstream, UpstreamChoice } from "../../upstream/index.js";
+import {
+    PoolMembers,
+    PrefixIndex,
+    StragglerPolicy,
+    Upstream,
+    UpstreamChoice,
+    UpstreamLoad,
+} from "../../upstream/index.js";
 import { makeGrant } from "../_lib/makeGrant.js";
 import { AdmissionControl, makeRefusal } from "../admissionControl/index.js";
 import { LengthEstimator } from "../lengths/index.js";
@@ -284,19 +291,18 @@
                 resolve();
             };
             this.heldSlots++;
-            this.grant(waiting, choice, release);
+            this.grant(waiting, choice.load, choice.reason, release);
         });
     }
 
-    private grant(waiting: WaitingTicket, choice: Choice, release: () => void): void {
-        const { load } = choice;
+    private grant(waiting: WaitingTicket, load: UpstreamLoad, reason: string, release: () => void): void {
         const now = this.options.clock.monotonic();
         const { ticket } = waiting;
         load.markSent(now);
         this.options.members.refresh(load);
         this.options.prefixes.record(ticket.prefixes, load.upstream.id);
         this.running.add({ waiting, load, grantedAt: now, tokens: 0, isPreempted: false, release });
-        const grant = makeGrant(waiting, choice, now);
+        const grant = makeGrant(waiting, load, reason, now);
         this.options.observer.granted(waiting, grant);
         this.takeWaiter(waiting)?.settle(Right(grant));
     }
--- a/src/dispatch/upstreamPicker/index.ts
+++ b/src/dispatch/upstreamPicker/index.ts
@@ -37,10 +37,10 @@
 
     private describe({ ticket, predictedTokens }: WaitingTicket, now: number): ChoiceRequest {
         const { pool, zone } = this.options;
-        const { request, prefixes, promptTokens, gapMs, parts = [], bodyBytes = 0, canFetch = false } = ticket;
+        const { request, prefixes, promptTokens, gapMs, parts = [], bodyBytes = 0 } = ticket;
         const sender = ticket.zone ?? zone;
         const size = { promptTokens, predictedTokens, bodyBytes };
-        return { request, pool, prefixes, parts, gapMs, canFetch, now, zone: sender, ...size };
+        return { request, pool, prefixes, parts, gapMs, now, zone: sender, ...size };
     }
 
     private findFree(ticket: Ticket): readonly UpstreamLoad[] {
--- a/src/passthrough/ownDialect/index.ts
+++ b/src/passthrough/ownDialect/index.ts
@@ -1,6 +1,6 @@
 import { Either, Left, Right } from "purify-ts";
 import { RequestId } from "../../ids/index.js";
-import { findHeader, formatAddress, HeaderList, HttpReply, HttpRequest } from "../../ports/index.js";
+import { findHeader, HeaderList, HttpReply, HttpRequest } from "../../ports/index.js";
 import { PromptPart } from "../../upstream/index.js";
 import { CallDialect, CallHead, ErrorReply, ReplyHead, SendMarks } from "../callDialect/index.js";
 import { CallError } from "../callError/index.js";
@@ -19,8 +19,6 @@
     workspace: "x-sequoiamux-workspace",
     upstream: "x-sequoiamux-upstream",
     priority: "x-sequoiamux-priority",
-    /** `IP:port` of an upstream from which parts of the prompt should be fetched. */
-    fetchFrom: "x-sequoiamux-fetch-from",
     /** An upstream's word that it has not run the call and will not. */
     notRun: "x-sequoiamux-not-run",
     /** On each answer that an upstream itself made. */
@@ -35,7 +33,6 @@
     CALL_HEADERS.workspace,
     CALL_HEADERS.upstream,
     CALL_HEADERS.priority,
-    CALL_HEADERS.fetchFrom,
 ]);
 const NOTHING: ReadonlySet<string> = new Set();
 const STATUS_MISDIRECTED = 421;
@@ -65,8 +62,7 @@
         });
     }
 
-    writeHead(head: CallHead, marks: SendMarks): HeaderList {
-        const { upstream, workspace, deadlineMs, priority, lastEventId, fetchFrom } = marks;
+    writeHead(head: CallHead, { upstream, workspace, deadlineMs, priority, lastEventId }: SendMarks): HeaderList {
         const added: [string, string][] = [
             [CALL_HEADERS.deadlineMs, String(deadlineMs)],
             [CALL_HEADERS.upstream, upstream],
@@ -74,7 +70,6 @@
         ];
         if (workspace !== undefined) added.push([CALL_HEADERS.workspace, workspace]);
         if (lastEventId !== undefined) added.push([CALL_HEADERS.lastEventId, lastEventId]);
-        if (fetchFrom !== undefined) added.push([CALL_HEADERS.fetchFrom, formatAddress(fetchFrom)]);
         return [...head.headers, ...added];
     }
 
--- a/src/platform/wireDialect/test.ts
+++ b/src/platform/wireDialect/test.ts
@@ -22,7 +22,6 @@
     deadlineMs: 900,
     priority: 2,
     lastEventId: undefined,
-    fetchFrom: undefined,
 };
 
 describe("WireDialect", () => {
--- a/src/upstream/choice/index.ts
+++ b/src/upstream/choice/index.ts
@@ -11,8 +11,6 @@
     readonly pool: PoolId;
     /** The prompt's parts with their sizes, where they are known. */
     readonly parts: readonly PromptPart[];
-    /** Upstreams of the pool can fetch parts of a prompt from each other. */
-    readonly canFetch: boolean;
     /** The longest pause between two events that is on time, in milliseconds; undefined for answers that are no streams. */
     readonly gapMs: number | undefined;
     /** What must be sent to the upstream, in bytes. */
@@ -32,8 +30,6 @@
     readonly load: UpstreamLoad;
     /** For `sequoiamux explain`. */
     readonly reason: string;
-    /** An upstream from which the chosen one should fetch parts of the prompt before it reads the rest. */
-    readonly fetchFrom?: UpstreamLoad;
 }
 
 /** Picks the upstream for a request that is next in its pool's queue. */
--- a/src/upstream/routedChoice/index.ts
+++ b/src/upstream/routedChoice/index.ts
@@ -9,8 +9,6 @@
 export interface RoutedWeights {
     /** Reading tokens that another upstream holds: the work is lost for others, beside the time that it takes here. */
     readonly rereadFactor: number;
-    /** Tokens that are fetched from another upstream: quick, and paid for by their size. */
-    readonly fetchFactor: number;
     /** Each request that runs there slows every token of the batch. */
     readonly runningMs: number;
     /** The way to another zone and back, and each kilobyte that crosses, which is paid for. */
@@ -38,7 +36,6 @@
  */
 export const DEFAULT_ROUTED_WEIGHTS: RoutedWeights = {
     rereadFactor: 2.5,
-    fetchFactor: 0.5,
     runningMs: 2,
     otherZoneMs: 2,
     otherZoneKilobyteMs: 1,
@@ -57,8 +54,6 @@
 
 /** Over this time the load is averaged, in milliseconds. */
 const LOAD_MEMORY_MS = 5_000;
-/** Fewer tokens are read again sooner than fetched. */
-const LEAST_FETCHED_TOKENS = 1_000;
 /** How much of the failure rate one outcome makes. */
 const FAILURE_WEIGHT = 0.1;
 const BYTES_PER_KILOBYTE = 1_024;
@@ -98,10 +93,6 @@
     private loadAt = 0;
     /** Where the parts of the request that is being placed belong, if nobody is known to hold them. */
     private home: UpstreamId | undefined;
-    /** Which upstream holds most of the shared parts of the request that is being placed, and how many of their tokens. */
-    private source: UpstreamLoad | undefined;
-    private sourceTokens = 0;
-    private sharedParts: readonly PromptPart[] = [];
 
     constructor(
         capacity: () => number | undefined,
@@ -113,7 +104,6 @@
 
     choose(candidates: readonly UpstreamLoad[], request: ChoiceRequest): Choice {
         this.home = this.findHome(candidates, request);
-        this.findSource(candidates, request);
         let best = candidates[0];
         let bestMs = Number.POSITIVE_INFINITY;
         for (const load of candidates) {
@@ -122,14 +112,11 @@
             best = load;
             bestMs = ms;
         }
-        const { id } = best.upstream;
-        const held = this.cache.heldTokens(request.parts, id);
-        const fetchFrom = this.isWorthFetching(id) ? this.source : undefined;
+        const held = this.cache.heldTokens(request.parts, best.upstream.id);
         const backlog = this.workOf(best.upstream.id).prefill.backlogMs(request.now);
         const reason = `weight ${Math.round(bestMs)} ms, backlog ${Math.round(backlog)} ms, `
-            + `${held} of ${request.promptTokens} tokens held, ${best.outstanding} running`
-            + (fetchFrom ? `, parts from ${fetchFrom.upstream.id}` : "");
-        return { load: best, reason, fetchFrom };
+            + `${held} of ${request.promptTokens} tokens held, ${best.outstanding} running`;
+        return { load: best, reason };
     }
 
     override granted(load: UpstreamLoad, request: ChoiceRequest): void {
@@ -185,10 +172,7 @@
         const readMs = tokens * prefill.millisecondsPerToken;
         const sharedTokens = sumTokens(request.parts.slice(0, -1));
         const held = this.cache.heldTokens(request.parts, upstream.id);
-        const fetched = this.fetchedTokens(upstream.id);
-        const reread = Math.max(0, sharedTokens - held - fetched);
-        const rereadMs = ((weights.rereadFactor - 1) * reread + weights.fetchFactor * fetched)
-            * prefill.millisecondsPerToken;
+        const rereadMs = (weights.rereadFactor - 1) * Math.max(0, sharedTokens - held) * prefill.millisecondsPerToken;
         const sharedMs = sharedTokens * prefill.millisecondsPerToken;
         const isFar = upstream.zone !== request.zone;
         const farMs = weights.otherZoneMs + weights.otherZoneKilobyteMs * request.bodyBytes / BYTES_PER_KILOBYTE;
@@ -214,32 +198,6 @@
         return this.home !== undefined && upstream !== this.home;
     }
 
-    private findSource(candidates: readonly UpstreamLoad[], { parts, canFetch }: ChoiceRequest): void {
-        const shared = parts.slice(0, -1);
-        this.source = undefined;
-        this.sourceTokens = 0;
-        this.sharedParts = shared;
-        if (!canFetch) return;
-        for (const load of candidates) {
-            const tokens = this.cache.heldTokens(shared, load.upstream.id);
-            if (tokens <= this.sourceTokens) continue;
-            this.source = load;
-            this.sourceTokens = tokens;
-        }
-    }
-
-    /** How many tokens an upstream would fetch for the request that is being placed. */
-    private fetchedTokens(upstream: UpstreamId): number {
-        const tokens = this.source === undefined
-            ? 0
-            : this.sourceTokens - this.cache.heldTokens(this.sharedParts, upstream);
-        return tokens >= LEAST_FETCHED_TOKENS ? tokens : 0;
-    }
-
-    private isWorthFetching(upstream: UpstreamId): boolean {
-        return this.fetchedTokens(upstream) > 0;
-    }
-
     /** The candidate with the highest hash of the shared parts and its own id: the same one for each owner. */
     private findHome(candidates: readonly UpstreamLoad[], { parts }: ChoiceRequest): UpstreamId | undefined {
         const shared = parts.slice(0, -1);
@@ -272,8 +230,7 @@
     }
 
     private tokensToRead({ parts, promptTokens }: ChoiceRequest, upstream: UpstreamId): number {
-        const present = this.cache.heldTokens(parts, upstream) + this.fetchedTokens(upstream);
-        return Math.max(0, promptTokens - present);
+        return Math.max(0, promptTokens - this.cache.heldTokens(parts, upstream));
     }
 
     private workOf(upstream: UpstreamId): UpstreamWork {
