Replicas that restart together elect a leader without waiting for a lease that nobody can hold

Now a replica asks every voter that it knows of and ends its pause once each says that it does not lead. Ruled out: a majority of answers (a leader among the silent ones may still hold its lease); counting a wiped folder's answer (its list of members is lost).

--- a/src/bench/slopes/slopeFile/index.ts
+++ b/src/bench/slopes/slopeFile/index.ts
@@ -1,5 +1,5 @@
 import { availableParallelism, cpus, totalmem } from "node:os";
-import { z } from "zod";
+import * as z from "zod";
 import { Disk } from "../../../ports/index.js";
 
 const pointSchema = z.object({ x: z.number(), samples: z.array(z.number()).min(1) });
--- a/src/consensus/election/index.ts
+++ b/src/consensus/election/index.ts
@@ -62,7 +62,7 @@
         while (!signal.aborted) {
             const wait = replica.promisedUntil + spread - replica.clock.monotonic();
             if (wait <= 0) return;
-            await replica.clock.sleep(wait, signal);
+            await replica.changed.wait(replica.clock, wait, signal);
         }
     }
 
--- a/src/consensus/memberHistory/index.ts
+++ b/src/consensus/memberHistory/index.ts
@@ -34,6 +34,11 @@
         return this.lists.at(-1)!.index;
     }
 
+    /** All lists from the base on, the newest last. */
+    get all(): readonly Configuration[] {
+        return this.lists.map(({ configuration }) => configuration);
+    }
+
     /** The list in force at an index. */
     at(index: LogIndex): Configuration {
         return this.lists.findLast(list => list.index <= index)!.configuration;
--- a/src/consensus/message/index.ts
+++ b/src/consensus/message/index.ts
@@ -5,6 +5,7 @@
 /** The methods that replicas answer to each other. */
 export const Method = {
     Vote: "consensus.vote",
+    Standing: "consensus.standing",
     Heartbeat: "consensus.heartbeat",
     Append: "consensus.append",
     Snapshot: "consensus.snapshot",
@@ -36,6 +37,13 @@
     readonly granted: boolean;
 }
 
+/** Answers a replica that has restarted and asks whether a leader may still count on what it promised before. */
+export interface StandingReply {
+    readonly leads: boolean;
+    /** The index of the entry that the newest list of members is from. */
+    readonly configurationIndex: LogIndex;
+}
+
 /** What the leader sends. */
 export interface LeaderMessage extends MemberMessage {
     readonly host: HostId;
--- a/src/consensus/replica/index.ts
+++ b/src/consensus/replica/index.ts
@@ -64,7 +64,10 @@
     private readonly members: MemberHistory;
     private isLeader = false;
     private knownLeader: LeaderIdentity | undefined;
-    private promised: number;
+    /** Until when it is bound to a leader that it has heard in this life, on the monotonic clock. */
+    private promised = Number.NEGATIVE_INFINITY;
+    /** Until when it is bound to one that it may have heard before its restart. */
+    private restartPauseUntil: number;
     private fullUntil = Number.NEGATIVE_INFINITY;
     private readonly applier: Applier;
     private committed: LogIndex;
@@ -85,7 +88,7 @@
         this.ballot = new Ballot(store, this.log.lastTerm);
         // A promise made before a restart is forgotten with it. Without this pause a replica that restarts quickly could elect
         // a second leader while the first still counts on the promise: two holders at once.
-        this.promised = clock.monotonic() + timing.leaseMs;
+        this.restartPauseUntil = clock.monotonic() + timing.leaseMs;
         this.committed = store.snapshot?.index ?? 0 as LogIndex;
         this.applier = new Applier(options.stateMachine, options.logger, this.committed);
         const members = store.snapshot ? store.snapshot.configuration : store.identity.founding;
@@ -119,7 +122,19 @@
 
     /** Until when, on the monotonic clock, this replica refuses to help elect another leader. */
     get promisedUntil(): number {
-        return this.promised;
+        return Math.max(this.promised, this.restartPauseUntil);
+    }
+
+    /** True while a leader may count on a promise from before the restart. */
+    get isInRestartPause(): boolean {
+        return this.clock.monotonic() < this.restartPauseUntil;
+    }
+
+    /** Takes note that no leader counts on a promise from before the restart. Promises given since stay. */
+    endRestartPause(): void {
+        this.restartPauseUntil = Number.NEGATIVE_INFINITY;
+        this.logger.info("restart-pause-ended", { term: this.term });
+        this.changed.open();
     }
 
     get commitIndex(): LogIndex {
@@ -135,6 +150,11 @@
         return this.members.newest;
     }
 
+    /** The members by each list that the log still tells of, the newest last. */
+    get knownConfigurations(): readonly Configuration[] {
+        return this.members.all;
+    }
+
     /** The index of the entry that the members are taken from. */
     get configurationIndex(): LogIndex {
         return this.members.newestIndex;
@@ -152,7 +172,7 @@
 
     /** True when no leader counts on this replica. */
     isFree(): boolean {
-        return !this.isLeader && this.clock.monotonic() >= this.promised;
+        return !this.isLeader && this.clock.monotonic() >= this.promisedUntil;
     }
 
     /** Ties the replica to its cluster, once. */
--- a/src/consensus/replicatedLog/index.ts
+++ b/src/consensus/replicatedLog/index.ts
@@ -18,6 +18,7 @@
     AppendRequest,
     HeartbeatRequest,
     JoinRequest,
+    MemberMessage,
     Method,
     ReadIndexReply,
     SnapshotRequest,
@@ -26,6 +27,7 @@
 } from "../message/index.js";
 import { PeerLinks } from "../peerLinks/index.js";
 import { Replica } from "../replica/index.js";
+import { RestartPause } from "../restartPause/index.js";
 import { Snapshotter } from "../snapshotter/index.js";
 import { StateMachine } from "../stateMachine/index.js";
 
@@ -70,6 +72,7 @@
     private readonly replica: Replica;
     private readonly links: PeerLinks;
     private readonly follower: Follower;
+    private readonly restartPause: RestartPause;
     private readonly snapshotter: Snapshotter;
     private readonly founding: Founding;
     private readonly membership: Membership;
@@ -109,6 +112,7 @@
         this.lifecycle.own(() => this.replica.close());
         this.links = new PeerLinks({ ...options, timing: peerTiming }, this.lifecycle);
         this.follower = new Follower(this.replica);
+        this.restartPause = new RestartPause(this.replica, this.links);
         this.snapshotter = new Snapshotter(this.replica);
         const member = { host: self.host, address: options.address };
         const { bootstrap, mayFound } = options;
@@ -225,11 +229,12 @@
             if (voter.storeId !== this.storeId) this.links.to(voter.address);
         }
         const election = new Election(this.replica, this.links, this.options.random, () => this.beginLeadership());
-        await Promise.all([election.run(signal), this.membership.run(signal)]);
+        await Promise.all([election.run(signal), this.membership.run(signal), this.restartPause.run(signal)]);
     }
 
     private addMethods(router: PeerRouter): void {
         router.add(Method.Vote, body => this.follower.answerVote(body as VoteRequest));
+        router.add(Method.Standing, body => this.restartPause.answerStanding(body as MemberMessage));
         router.add(Method.Heartbeat, body => this.follower.answerHeartbeat(body as HeartbeatRequest));
         router.add(Method.Append, body => this.follower.answerAppend(body as AppendRequest));
         router.add(Method.Snapshot, body => this.snapshotter.answerChunk(body as SnapshotRequest));
--- a/src/control/demandReport/index.ts
+++ b/src/control/demandReport/index.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** The method by which the owner of a pool's queue reports the pool's demand to the holder; the body is a `DemandReport`. */
 export const DEMAND_METHOD = "control.demand";
--- a/src/control/entryAdminServer/index.ts
+++ b/src/control/entryAdminServer/index.ts
@@ -1,5 +1,5 @@
 import { initTRPC, TRPCError } from "@trpc/server";
-import { z } from "zod";
+import * as z from "zod";
 import { HttpHandler } from "../../ports/index.js";
 import { EntryAdmin } from "../entryAdmin/index.js";
 import { createTrpcHandler } from "../trpcHttp/index.js";
--- a/src/control/entryCommandSchema/index.ts
+++ b/src/control/entryCommandSchema/index.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { usageLineSchema } from "../../protocol/index.js";
 import { EntryCommand } from "../command/index.js";
 
--- a/src/control/offerReader/index.ts
+++ b/src/control/offerReader/index.ts
@@ -1,5 +1,5 @@
 import { Either, Left, Right } from "purify-ts";
-import { z } from "zod";
+import * as z from "zod";
 import { Address, Http, HttpReply, readReplyText } from "../../ports/index.js";
 import { Offer, offerSchema, PLATFORM_PATHS } from "../../protocol/index.js";
 
--- a/src/control/operatorRouter/index.ts
+++ b/src/control/operatorRouter/index.ts
@@ -1,6 +1,6 @@
 import { initTRPC, TRPCError } from "@trpc/server";
 import { Either } from "purify-ts";
-import { z } from "zod";
+import * as z from "zod";
 import { ControlLog } from "../../consensus/index.js";
 import { HostId, TemplateName, WindowStart, WorkspaceId } from "../../ids/index.js";
 import { checkDocument, DocumentError } from "../../routing/index.js";
--- a/src/emulator/_lib/json.ts
+++ b/src/emulator/_lib/json.ts
@@ -1,5 +1,5 @@
 import { Either, Left, Right } from "purify-ts";
-import { z } from "zod";
+import * as z from "zod";
 import { Address, formatAddress, Http, HttpError, HttpReply, HttpRequest, HttpResponse } from "../../ports/index.js";
 
 const BODY_LIMIT_BYTES = 16 * 1024 * 1024;
--- a/src/emulator/controlAction/index.ts
+++ b/src/emulator/controlAction/index.ts
@@ -1,5 +1,5 @@
 import { Either, Left, Right } from "purify-ts";
-import { z } from "zod";
+import * as z from "zod";
 import { parseAddress } from "../../ports/index.js";
 import { offerSchema } from "../../protocol/index.js";
 import { EngineStandIn } from "../engineStandIn/index.js";
--- a/src/emulator/controlApi/index.ts
+++ b/src/emulator/controlApi/index.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { Address, DEFAULT_HTTP_LIMITS, Http, HttpRequest, HttpResponse, Listener } from "../../ports/index.js";
 import { readJson, sendEmpty, sendJson } from "../_lib/json.js";
 import { applyAction, ControlAction, controlActionSchema } from "../controlAction/index.js";
--- a/src/emulator/emulatorSettings/index.ts
+++ b/src/emulator/emulatorSettings/index.ts
@@ -1,5 +1,5 @@
 import { Either, Left, Right } from "purify-ts";
-import { z } from "zod";
+import * as z from "zod";
 import { Address, parseAddress } from "../../ports/index.js";
 import { DEFAULT_ANNOUNCER } from "../announcer/index.js";
 import { DEFAULT_ENGINE_PACE } from "../batch/index.js";
--- a/src/emulator/kvTransfer/index.ts
+++ b/src/emulator/kvTransfer/index.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** `POST /v1/kv/export`: names a request whose KV cache is wanted. 404 when the engine has none of it. */
 export const kvExportSchema = z.object({ request_id: z.string() });
--- a/src/load/_lib/readError.ts
+++ b/src/load/_lib/readError.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { findHeader, HeaderList } from "../../ports/index.js";
 import { OUTCOME_HEADER, REQUEST_HEADER } from "../../protocol/index.js";
 import { Attempt } from "../outcome/index.js";
--- a/src/load/chatCall/index.ts
+++ b/src/load/chatCall/index.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { answerSeed, answerToken, expectedAnswer } from "../../emulator/index.js";
 import { findHeader, HttpReply } from "../../ports/index.js";
 import { CALLER_PATHS, REQUEST_HEADER, STREAM_DONE } from "../../protocol/index.js";
--- a/src/load/main.ts
+++ b/src/load/main.ts
@@ -1,7 +1,7 @@
 /** The program `load`: records traces, and replays them against the system's caller addresses. */
 import { cac } from "cac";
 import { basename, dirname } from "node:path";
-import { z } from "zod";
+import * as z from "zod";
 import {
     Address,
     Disk,
--- a/src/load/measureEngine/index.ts
+++ b/src/load/measureEngine/index.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { expectedAnswer } from "../../emulator/index.js";
 import { Address, Clock, formatAddress, Http } from "../../ports/index.js";
 import { ENGINE_PATHS, STREAM_DONE } from "../../protocol/index.js";
--- a/src/load/serviceCall/index.ts
+++ b/src/load/serviceCall/index.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { digestBody } from "../../emulator/index.js";
 import { findHeader } from "../../ports/index.js";
 import { CALLER_PATHS, IDEMPOTENCY_HEADER, REQUEST_HEADER } from "../../protocol/index.js";
--- a/src/load/trace/index.ts
+++ b/src/load/trace/index.ts
@@ -1,6 +1,6 @@
 /** Recorded traces: JSON Lines, a header first, then one request a line. docs/TRACES.md describes the format. */
 import { Either, Left, Right } from "purify-ts";
-import { z } from "zod";
+import * as z from "zod";
 import { controlActionSchema } from "../../emulator/index.js";
 
 /** The version of the format that is written and read. */
--- a/src/platform/documentReader/index.ts
+++ b/src/platform/documentReader/index.ts
@@ -1,5 +1,5 @@
 import { Either } from "purify-ts";
-import { z } from "zod";
+import * as z from "zod";
 import { CallKind, checkDocument, DEFAULT_CALLER_LIMITS, DocumentError, FleetDocument } from "../../routing/index.js";
 
 /** The platform's kinds of calls, in the product's words. */
--- a/src/platform/heartbeat/index.ts
+++ b/src/platform/heartbeat/index.ts
@@ -1,5 +1,5 @@
 import { Either } from "purify-ts";
-import { z } from "zod";
+import * as z from "zod";
 import { parseAddress } from "../../ports/index.js";
 import { Announcement, LoadReport } from "../../protocol/index.js";
 
--- a/src/protocol/announcement/index.ts
+++ b/src/protocol/announcement/index.ts
@@ -2,7 +2,7 @@
  * How an upstream makes itself known: `POST /upstreams/announce` to the upstream-facing port of any entry, every half
  * second and at each change of state. There is no list of upstreams but what these say.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Where an entry takes announcements. */
 export const ANNOUNCE_PATH = "/upstreams/announce";
--- a/src/protocol/caller/index.ts
+++ b/src/protocol/caller/index.ts
@@ -2,7 +2,7 @@
  * What callers send and get: OpenAI-style chat completions, and calls of plain services below `/v1/services/<name>/`.
  * docs/CALLERS.md describes them for callers.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { chatMessageSchema } from "../engine/index.js";
 
 /** Where an entry takes requests. */
--- a/src/protocol/engine/index.ts
+++ b/src/protocol/engine/index.ts
@@ -2,7 +2,7 @@
  * What a model engine understands: `POST /v1/chat/completions` in the usual OpenAI-style shape with a few further
  * fields, answered by server-sent events; `POST /v1/cancel`, `/v1/kv/export`, `/v1/kv/import` and `/v1/orders`.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Where an engine takes requests. */
 export const ENGINE_PATHS = {
--- a/src/protocol/platform/index.ts
+++ b/src/protocol/platform/index.ts
@@ -2,7 +2,7 @@
  * What the platform offers over HTTP: orders for upstreams by availability zone, usage reports, and a weight store with a
  * rate limit.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Where the platform takes what. */
 export const PLATFORM_PATHS = {
--- a/src/routing/fleetDocument/index.ts
+++ b/src/routing/fleetDocument/index.ts
@@ -2,7 +2,7 @@
  * The fleet document: all that entries need to route calls of any path, in one piece. An operator replaces it as a whole; of two
  * documents the higher version holds.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { PoolId, WorkspaceId } from "../../ids/index.js";
 
 /**
--- a/src/settings/_lib/rows.ts
+++ b/src/settings/_lib/rows.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { controlSchema, entrySchema, Settings } from "../schema/index.js";
 import { SettingInfo, settingRegistry } from "./setting.js";
 
--- a/src/settings/_lib/setting.ts
+++ b/src/settings/_lib/setting.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { HostId } from "../../ids/index.js";
 import { Address, formatAddress, parseAddress } from "../../ports/index.js";
 
--- a/src/settings/schema/index.ts
+++ b/src/settings/schema/index.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { HostId, ZoneId } from "../../ids/index.js";
 import {
     folderPath,
--- a/src/workspace/changeSchema/index.ts
+++ b/src/workspace/changeSchema/index.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { ConfigChange } from "../change/index.js";
 import { templateSpecSchema } from "../template/index.js";
 
--- a/src/workspace/template/index.ts
+++ b/src/workspace/template/index.ts
@@ -1,5 +1,5 @@
 import { Either, Left, Right } from "purify-ts";
-import { z } from "zod";
+import * as z from "zod";
 import type { ClassName, PoolId } from "../../ids/index.js";
 import type { ClassView } from "../workspaceView/index.js";
 
