A new owner of a queue asks the engines which parts of prompts they hold

One list for each engine, when an entry comes to own the pool's queue. Ruled out as main cause: evictions in the owner's own model (none within 80 s), full engines (0.9 of 6.3 million tokens that were not held). Fails without it: routeService, prompts whose parts an engine holds.

--- a/src/dispatch/localDispatcher/index.ts
+++ b/src/dispatch/localDispatcher/index.ts
@@ -1,7 +1,7 @@
 import { Either } from "purify-ts";
 import { HostId, PoolId, RequestId, UpstreamId, ZoneId } from "../../ids/index.js";
 import { Clock, Random, Timer } from "../../ports/index.js";
-import { PoolMembers, PrefixIndex, Upstream, UpstreamRegistry } from "../../upstream/index.js";
+import { PoolMembers, PrefixIndex, PromptPart, Upstream, UpstreamRegistry } from "../../upstream/index.js";
 import { Dispatcher } from "../dispatcher/index.js";
 import { LengthEstimator } from "../lengths/index.js";
 import { DispatchObserver, NoDispatchObserver } from "../observer/index.js";
@@ -127,6 +127,11 @@
         return this.queues.get(pool)?.readingLoad();
     }
 
+    /** Takes note of the parts of prompts that an upstream says it holds. */
+    learnHeld(pool: PoolId, upstream: UpstreamId, parts: readonly PromptPart[]): void {
+        this.queueOf(pool).learnHeld(upstream, parts);
+    }
+
     /** Refuses all waiting tickets with "draining", so that their entries send them to the next owner. */
     drain(): void {
         for (const queue of this.queues.values()) queue.drain();
--- a/src/dispatch/poolQueue/index.ts
+++ b/src/dispatch/poolQueue/index.ts
@@ -5,6 +5,7 @@
 import {
     PoolMembers,
     PrefixIndex,
+    PromptPart,
     StragglerPolicy,
     Upstream,
     UpstreamChoice,
@@ -233,6 +234,11 @@
         return this.choice.readingLoad(this.options.clock.monotonic());
     }
 
+    /** As `UpstreamChoice.learnHeld`. */
+    learnHeld(upstream: UpstreamId, parts: readonly PromptPart[]): void {
+        this.choice.learnHeld(upstream, parts);
+    }
+
     /** Forgets what was learned of an upstream that has ended or lives anew. */
     forgetUpstream(upstream: UpstreamId): void {
         this.choice.forget(upstream);
--- a/src/emulator/callStandIn/index.ts
+++ b/src/emulator/callStandIn/index.ts
@@ -1,7 +1,8 @@
-import { CALL_HEADERS } from "../../passthrough/index.js";
+import { CACHE_PATH, CALL_HEADERS } from "../../passthrough/index.js";
 import { Address, Clock, findHeader, Http, HttpRequest, HttpResponse, Listener } from "../../ports/index.js";
 import { DEFAULT_HTTP_LIMITS, formatAddress } from "../../ports/index.js";
 import { Announcement } from "../../protocol/index.js";
+import { PromptPart } from "../../upstream/index.js";
 
 /** How a stand-in spoils an answer. */
 export type CallFault =
@@ -39,6 +40,8 @@
     /** How many events a stream has, and the pause between them, in milliseconds. */
     readonly events: number;
     readonly gapMs: number;
+    /** The parts of prompts that it holds from the start. */
+    readonly holds?: readonly PromptPart[];
 }
 
 const MOST_BODY_BYTES = 16 * 1024 * 1024;
@@ -57,10 +60,14 @@
     readonly runs: CallRun[] = [];
     /** Each call takes the first of these. */
     readonly faults: CallFault[] = [];
+    /** The parts of prompts that it has read, with their tokens. */
+    private readonly held = new Map<string, number>();
     private sequence = 0;
     private running = 0;
 
-    private constructor(private readonly options: CallStandInOptions) {}
+    private constructor(private readonly options: CallStandInOptions) {
+        for (const { id, tokens } of options.holds ?? []) this.held.set(id, tokens);
+    }
 
     static async start(options: CallStandInOptions): Promise<CallStandIn> {
         const standIn = new CallStandIn(options);
@@ -101,13 +108,15 @@
 
     private async answer(req: HttpRequest, res: HttpResponse): Promise<void> {
         const request = findHeader(req.headers, CALL_HEADERS.request) ?? "";
-        const fault = this.faults.shift();
         const expected = findHeader(req.headers, CALL_HEADERS.upstream);
         if (expected !== this.options.id) return this.refuse(res, 421);
+        if (req.path === CACHE_PATH) return this.listHeld(res);
+        const fault = this.faults.shift();
         if (fault === "refuse" || this.running >= this.options.slots) return this.refuse(res, 503);
         const body = (await req.body(MOST_BODY_BYTES)).map(bytes => Buffer.from(bytes).toString()).orDefault("");
         const workspace = findHeader(req.headers, CALL_HEADERS.workspace);
         this.runs.push({ request, workspace, path: req.path, body, headers: req.headers });
+        this.hold(findHeader(req.headers, CALL_HEADERS.parts));
         this.running++;
         await this.options.clock.sleep(this.options.workMs, req.closed);
         if (fault === "lost") res.reset();
@@ -115,6 +124,20 @@
         this.running--;
     }
 
+    private hold(parts = ""): void {
+        for (const part of parts.split(",").filter(Boolean)) {
+            const [id, tokens] = part.split(":");
+            this.held.set(id, Number(tokens));
+        }
+    }
+
+    private listHeld(res: HttpResponse): void {
+        const parts = [...this.held].map(([id, tokens]) => ({ id, tokens }));
+        const text = JSON.stringify({ parts });
+        res.head(200, [["content-type", "application/json"], ["content-length", String(text.length)]]);
+        res.end(text);
+    }
+
     private refuse(res: HttpResponse, status: number): void {
         res.head(status, [[CALL_HEADERS.notRun, "1"], ["content-length", "0"]]);
         res.end();
--- a/src/entry/entryProcess/index.ts
+++ b/src/entry/entryProcess/index.ts
@@ -25,6 +25,7 @@
 import { RegistryTiming, UpstreamRegistry } from "../../upstream/index.js";
 import { PeerIdentity, PeerRouter, PeerTiming, servePeers } from "../../wire/index.js";
 import { AnnouncementSpreader } from "../announcementSpreader/index.js";
+import { CacheSurvey } from "../cacheSurvey/index.js";
 import { DemandReporter } from "../demandReporter/index.js";
 import { EntryContext, EntryLimits } from "../entryContext/index.js";
 import { FleetControl } from "../fleetControl/index.js";
@@ -223,6 +224,7 @@
         lifecycle.child().run(running => reporter.run(running), onError);
         if (options.upstreams) await this.openUpstreams(options.upstreams);
         await this.routes?.start(this.client, this.cache, this.links, lifecycle);
+        if (options.routes) lifecycle.run(running => this.makeSurvey(options.routes!).run(running), onError);
         if (!options.callers) return;
         await this.awaitView(signal);
         await this.openCallers(options.callers);
@@ -263,6 +265,20 @@
         return new DemandReporter({ clock, self: self.host, region, client, registry, local, dispatcher });
     }
 
+    private makeSurvey({ dialect }: RouteServiceSettings): CacheSurvey {
+        const { local, dispatcher, registry, cache } = this;
+        const self = this.options.self.host;
+        return new CacheSurvey({
+            ...this.options,
+            self,
+            dialect,
+            registry,
+            local,
+            dispatcher,
+            routes: () => cache.routes,
+        });
+    }
+
     private context(): EntryContext {
         return {
             ...this.options,
--- a/src/entry/routeService/test.ts
+++ b/src/entry/routeService/test.ts
@@ -226,6 +226,28 @@
         });
     });
 
+    describe("prompts whose parts an engine holds", () => {
+        const PROMPTS = Array.from(
+            { length: 8 },
+            (_, at) => [{ id: `shared${at}`, tokens: 9_000 }, { id: `own${at}`, tokens: 500 }],
+        );
+        const ENGINE = { kvTokens: 1_000_000, kvBytes: 1, tokensPerEvent: 1, pinMs: 0, canMove: false };
+
+        it("go there though the queue's owner has never sent one", async () => {
+            // Questions wait behind long documents for seconds after all entries were restarted, since the engines read again
+            // what their neighbours have in memory.
+            // Cause: the new owner of the queue knows nothing of what the one before it had sent where.
+            fleet = new RoutedFleet({ upstreams: [{}, { holds: PROMPTS.flat() }] });
+            await fleet.start(makeDocument(1, { pools: [{ pool: "ledger", connections: 100, engine: ENGINE }] }));
+            for (const parts of PROMPTS) {
+                const prefix = parts.map(({ id, tokens }) => `${id}:${tokens}`).join(",");
+                const headers: HeaderList = [[CALL_HEADERS.parts, prefix], [CALL_HEADERS.tokens, "9500,1"]];
+                const reply = await fleet.call({ entry: 0, path: "/status/1", key: KEY, headers });
+                assert.equal(fleet.signerOf(reply), "upstream-1");
+            }
+        });
+    });
+
     describe("time", () => {
         it("ends each call when its route's time is over, at once", async () => {
             await startFleet({ upstreams: [{ workMs: 60_000 }] });
--- a/src/passthrough/callDialect/index.ts
+++ b/src/passthrough/callDialect/index.ts
@@ -61,6 +61,16 @@
     readonly body: string;
 }
 
+/** A question to an upstream, beside the calls. */
+export interface UpstreamQuery {
+    readonly method: string;
+    readonly path: string;
+    readonly headers: HeaderList;
+}
+
+/** An upstream's list of what it holds that can't be read. */
+export class CacheListError extends Error {}
+
 /** The words that callers and upstreams use for what the system needs to know of a call. */
 export abstract class CallDialect {
     /** Reads a caller's request. */
@@ -78,4 +88,10 @@
      * @param request - The caller's id of the attempt, where it could be read.
      */
     abstract writeError(err: CallError, request: RequestId | undefined): ErrorReply;
+
+    /** Asks an engine which parts of prompts it holds. */
+    abstract writeCacheQuery(upstream: UpstreamId): UpstreamQuery;
+
+    /** Reads the engine's answer to that. */
+    abstract readCacheList(status: number, body: string): Either<CacheListError, PromptPart[]>;
 }
--- a/src/passthrough/ownDialect/index.ts
+++ b/src/passthrough/ownDialect/index.ts
@@ -1,8 +1,17 @@
 import { Either, Left, Right } from "purify-ts";
-import { RequestId } from "../../ids/index.js";
+import * as z from "zod";
+import { RequestId, UpstreamId } from "../../ids/index.js";
 import { findHeader, HeaderList, HttpReply, HttpRequest } from "../../ports/index.js";
 import { PromptPart } from "../../upstream/index.js";
-import { CallDialect, CallHead, ErrorReply, ReplyHead, SendMarks } from "../callDialect/index.js";
+import {
+    CacheListError,
+    CallDialect,
+    CallHead,
+    ErrorReply,
+    ReplyHead,
+    SendMarks,
+    UpstreamQuery,
+} from "../callDialect/index.js";
 import { CallError } from "../callError/index.js";
 import { endToEndHeaders } from "../endToEndHeaders/index.js";
 
@@ -25,6 +34,12 @@
     signature: "x-sequoiamux-signature",
 } as const;
 
+/** Where an engine lists the parts of prompts that it holds. */
+export const CACHE_PATH = "/sequoiamux/cache";
+const cacheListSchema = z.looseObject({
+    parts: z.array(z.looseObject({ id: z.string(), tokens: z.number().min(0) })),
+});
+
 const SET_BY_SYSTEM: ReadonlySet<string> = new Set([
     "authorization",
     "content-length",
@@ -35,6 +50,7 @@
     CALL_HEADERS.priority,
 ]);
 const NOTHING: ReadonlySet<string> = new Set();
+const STATUS_OK = 200;
 const STATUS_MISDIRECTED = 421;
 const MS_PER_SECOND = 1_000;
 const BEARER = /^bearer +(\S+)$/i;
@@ -91,6 +107,16 @@
         if (retryAfterMs !== undefined) headers.push(["retry-after", (retryAfterMs / MS_PER_SECOND).toFixed(3)]);
         return { status, headers, body: JSON.stringify({ error: kind, message, notRun }) };
     }
+
+    writeCacheQuery(upstream: UpstreamId): UpstreamQuery {
+        return { method: "GET", path: CACHE_PATH, headers: [[CALL_HEADERS.upstream, upstream]] };
+    }
+
+    readCacheList(status: number, body: string): Either<CacheListError, PromptPart[]> {
+        if (status !== STATUS_OK) return Left(new CacheListError(`status ${status}`));
+        return Either.encase(() => cacheListSchema.parse(JSON.parse(body)).parts)
+            .mapLeft(err => new CacheListError(err.message));
+    }
 }
 
 function readParts(text: string | undefined): PromptPart[] {
--- a/src/platform/wireDialect/index.ts
+++ b/src/platform/wireDialect/index.ts
@@ -1,6 +1,8 @@
 import { Either, Left, Right } from "purify-ts";
-import { RequestId } from "../../ids/index.js";
+import * as z from "zod";
+import { RequestId, UpstreamId } from "../../ids/index.js";
 import {
+    CacheListError,
     CallDialect,
     CallError,
     CallHead,
@@ -8,6 +10,7 @@
     ErrorReply,
     ReplyHead,
     SendMarks,
+    UpstreamQuery,
 } from "../../passthrough/index.js";
 import { findHeader, HeaderList, HttpReply, HttpRequest } from "../../ports/index.js";
 import { PromptPart } from "../../upstream/index.js";
@@ -50,6 +53,7 @@
 ]);
 const NO_HEADERS: ReadonlySet<string> = new Set();
 
+const STATUS_OK = 200;
 const STATUS_MISDIRECTED = 421;
 const MS_PER_SECOND = 1_000;
 const LOWEST_PRIORITY = 9;
@@ -57,6 +61,12 @@
 const KEY_PATTERN = /^token +(\S+)$/i;
 const PART_PATTERN = /^([0-9a-f]+):(\d+)$/i;
 
+/** What an engine keeps of prompts; `epoch` and `next` serve those who follow its changes. */
+const cacheListSchema = z.looseObject({
+    /** An empty text, the part's ID, its tokens, and the model. */
+    held: z.array(z.tuple([z.string(), z.string(), z.number().min(0)]).rest(z.unknown())),
+});
+
 /** The platform's words for calls. */
 export class WireDialect extends CallDialect {
     readHead(req: HttpRequest): Either<CallError, CallHead> {
@@ -110,6 +120,17 @@
         if (retryAfterMs !== undefined) headers.push(["retry-after", (retryAfterMs / MS_PER_SECOND).toFixed(3)]);
         return { status, headers, body: JSON.stringify({ error: kind, message, notRun }) };
     }
+
+    writeCacheQuery(upstream: UpstreamId): UpstreamQuery {
+        return { method: "GET", path: "/kv-list", headers: [[HEADER.expectInstance, upstream]] };
+    }
+
+    readCacheList(status: number, body: string): Either<CacheListError, PromptPart[]> {
+        if (status !== STATUS_OK) return Left(new CacheListError(`status ${status}`));
+        return Either.encase(() => cacheListSchema.parse(JSON.parse(body)).held)
+            .map(held => held.map(([, id, tokens]) => ({ id, tokens })))
+            .mapLeft(err => new CacheListError(err.message));
+    }
 }
 
 function readNumbers(text: string | undefined): number[] {
--- a/src/platform/wireDialect/test.ts
+++ b/src/platform/wireDialect/test.ts
@@ -85,6 +85,24 @@
         });
     });
 
+    describe("an engine's list of what it keeps", () => {
+        const list = (body: unknown) => dialect.readCacheList(200, JSON.stringify(body));
+
+        it("is read as parts", () => {
+            const held = [["", "5c1e07a2", 800, "m"], ["", "91bd3f06", 410, "m"]];
+            assert.deepEqual(list({ epoch: 3, next: 7, held }).extract(), [
+                { id: "5c1e07a2", tokens: 800 },
+                { id: "91bd3f06", tokens: 410 },
+            ]);
+        });
+
+        it("is an error where it is something else", () => {
+            assert.ok(list({ held: [["", 7]] }).isLeft());
+            assert.ok(dialect.readCacheList(200, "{").isLeft());
+            assert.ok(dialect.readCacheList(429, "{}").isLeft());
+        });
+    });
+
     it("tells when to come back, in seconds with fractions", () => {
         const { status, headers } = dialect.writeError(new CallError("refused", "full", 250));
         assert.equal(status, 503);
--- a/src/upstream/choice/index.ts
+++ b/src/upstream/choice/index.ts
@@ -58,6 +58,9 @@
         return undefined;
     }
 
+    /** Told which parts of prompts an upstream says that it holds. */
+    learnHeld(_upstream: UpstreamId, _parts: readonly PromptPart[]): void {}
+
     /** Told that an upstream has ended, or lives anew. */
     forget(_upstream: UpstreamId): void {}
 }
--- a/src/upstream/promptCache/index.ts
+++ b/src/upstream/promptCache/index.ts
@@ -56,6 +56,15 @@
         this.evict(holding);
     }
 
+    /** The upstream says that it holds these parts: what was sent there before counts as used later. */
+    learn(parts: readonly PromptPart[], upstream: UpstreamId): void {
+        const sent = this.holdings.get(upstream)?.parts ?? new Map<string, number>();
+        this.holdings.delete(upstream);
+        this.use(parts, upstream);
+        const longestUnusedLast = [...sent].map(([id, tokens]) => ({ id, tokens })).reverse();
+        this.use(longestUnusedLast, upstream);
+    }
+
     /** Forgets an upstream that has ended. */
     forget(upstream: UpstreamId): void {
         this.holdings.delete(upstream);
--- a/src/upstream/promptCache/test.ts
+++ b/src/upstream/promptCache/test.ts
@@ -26,6 +26,14 @@
         assert.equal(cache.heldTokens([SYSTEM, OWN], A), 150);
     });
 
+    it("counts what the upstream says that it holds as used before what was sent there", () => {
+        const cache = new PromptCache(() => 480);
+        cache.use([SYSTEM, SUBJECT], A);
+        cache.learn([OWN, { id: "other", tokens: 100 }], A);
+        assert.equal(cache.heldTokens([SYSTEM, SUBJECT], A), 300);
+        assert.equal(cache.heldTokens([OWN], A) + cache.heldTokens([{ id: "other", tokens: 100 }], A) <= 100, true);
+    });
+
     it("forgets an upstream that has ended", () => {
         const cache = new PromptCache(() => undefined);
         cache.use([SYSTEM], A);
--- a/src/upstream/routedChoice/index.ts
+++ b/src/upstream/routedChoice/index.ts
@@ -159,6 +159,10 @@
         work.failureRate += FAILURE_WEIGHT * ((failed ? 1 : 0) - work.failureRate);
     }
 
+    override learnHeld(upstream: UpstreamId, parts: readonly PromptPart[]): void {
+        this.cache.learn(parts, upstream);
+    }
+
     override forget(upstream: UpstreamId): void {
         this.work.delete(upstream);
         this.cache.forget(upstream);
