Engines fetch hot shared parts from others that have read them, also from those that leave

Now the choice is as before; what the chosen engine lacks is fetched if it was used within 10 s and was sent to the giving engine a second ago or earlier. Also RoutedChoice: what a prompt shares is worked out once for a choice and handed on, no field keeps it. Tests: routedChoice, parts that another upstream holds (4).

--- a/src/dispatch/_lib/makeGrant.ts
+++ b/src/dispatch/_lib/makeGrant.ts
@@ -1,12 +1,11 @@
-import { UpstreamLoad } from "../../upstream/index.js";
+import { Choice } from "../../upstream/index.js";
 import { Grant } from "../ticket/index.js";
 import { WaitingTicket } from "../waiting/index.js";
 
 /** Makes the grant of a ticket that goes to an upstream now. */
 export function makeGrant(
     { ticket, arrivedAt }: WaitingTicket,
-    load: UpstreamLoad,
-    reason: string,
+    { load, reason, fetch }: Choice,
     now: number,
 ): Grant {
     return {
@@ -16,5 +15,6 @@
         priority: ticket.tier,
         waitedMs: now - arrivedAt,
         reason,
+        ...(fetch ? { fetchFrom: fetch.from.upstream.address } : {}),
     };
 }
--- a/src/dispatch/poolQueue/index.ts
+++ b/src/dispatch/poolQueue/index.ts
@@ -3,13 +3,13 @@
 import { HostId, PoolId, RequestId, UpstreamId, ZoneId } from "../../ids/index.js";
 import { Clock, Random } from "../../ports/index.js";
 import {
+    Choice,
     PoolMembers,
     PrefixIndex,
     PromptPart,
     StragglerPolicy,
     Upstream,
     UpstreamChoice,
-    UpstreamLoad,
 } from "../../upstream/index.js";
 import { makeGrant } from "../_lib/makeGrant.js";
 import { AdmissionControl, makeRefusal } from "../admissionControl/index.js";
@@ -236,7 +236,7 @@
 
     /** As `UpstreamChoice.learnHeld`. */
     learnHeld(upstream: UpstreamId, parts: readonly PromptPart[]): void {
-        this.choice.learnHeld(upstream, parts);
+        this.choice.learnHeld(upstream, parts, this.options.clock.monotonic());
     }
 
     /** Forgets what was learned of an upstream that has ended or lives anew. */
@@ -297,18 +297,19 @@
                 resolve();
             };
             this.heldSlots++;
-            this.grant(waiting, choice.load, choice.reason, release);
+            this.grant(waiting, choice, release);
         });
     }
 
-    private grant(waiting: WaitingTicket, load: UpstreamLoad, reason: string, release: () => void): void {
+    private grant(waiting: WaitingTicket, choice: Choice, release: () => void): void {
+        const { load } = choice;
         const now = this.options.clock.monotonic();
         const { ticket } = waiting;
         load.markSent(now);
         this.options.members.refresh(load);
         this.options.prefixes.record(ticket.prefixes, load.upstream.id);
         this.running.add({ waiting, load, grantedAt: now, tokens: 0, isPreempted: false, release });
-        const grant = makeGrant(waiting, load, reason, now);
+        const grant = makeGrant(waiting, choice, now);
         this.options.observer.granted(waiting, grant);
         this.takeWaiter(waiting)?.settle(Right(grant));
     }
--- a/src/dispatch/ticket/index.ts
+++ b/src/dispatch/ticket/index.ts
@@ -30,6 +30,8 @@
     readonly parts?: readonly PromptPart[];
     /** The longest pause between two events that is on time, in milliseconds; undefined for answers that are no streams. */
     readonly gapMs?: number;
+    /** Upstreams of the pool can fetch parts of a prompt from each other. */
+    readonly canFetch?: boolean;
     /** What must be sent to the upstream, in bytes, where it is known. */
     readonly bodyBytes?: number;
     /** Where the entry is that will send it; undefined: where the queue is. */
@@ -49,6 +51,8 @@
     readonly request: RequestId;
     readonly upstream: UpstreamId;
     readonly address: Address;
+    /** From where the upstream should fetch parts of the prompt before it reads the rest. */
+    readonly fetchFrom?: Address;
     /** What to tell the engine: 0 is the most urgent. */
     readonly priority: number;
     /** How long the request waited in the queue, in milliseconds. */
--- a/src/dispatch/upstreamPicker/index.ts
+++ b/src/dispatch/upstreamPicker/index.ts
@@ -31,16 +31,17 @@
         if (candidates.length === 0) return undefined;
         const request = this.describe(waiting, now);
         const chosen = this.options.choice.choose(candidates, request);
-        this.options.choice.granted(chosen.load, request);
+        this.options.choice.granted(chosen, request);
         return chosen;
     }
 
     private describe({ ticket, predictedTokens }: WaitingTicket, now: number): ChoiceRequest {
-        const { pool, zone } = this.options;
+        const { pool, zone, members } = this.options;
         const { request, prefixes, promptTokens, gapMs, parts = [], bodyBytes = 0 } = ticket;
+        const sources = ticket.canFetch ? members.all : [];
         const sender = ticket.zone ?? zone;
         const size = { promptTokens, predictedTokens, bodyBytes };
-        return { request, pool, prefixes, parts, gapMs, now, zone: sender, ...size };
+        return { request, pool, prefixes, parts, sources, gapMs, now, zone: sender, ...size };
     }
 
     private findFree(ticket: Ticket): readonly UpstreamLoad[] {
--- a/src/passthrough/callDialect/index.ts
+++ b/src/passthrough/callDialect/index.ts
@@ -1,6 +1,6 @@
 import { Either } from "purify-ts";
 import { RequestId, UpstreamId, WorkspaceId } from "../../ids/index.js";
-import { HeaderList, HttpReply, HttpRequest } from "../../ports/index.js";
+import { Address, HeaderList, HttpReply, HttpRequest } from "../../ports/index.js";
 import { PromptPart } from "../../upstream/index.js";
 import { CallError } from "../callError/index.js";
 
@@ -38,6 +38,8 @@
     readonly priority: number;
     /** The stream should go on after this event. */
     readonly lastEventId: string | undefined;
+    /** From where the upstream should fetch parts of the prompt before it reads the rest. */
+    readonly fetchFrom: Address | undefined;
 }
 
 /** What an upstream's head says. */
--- a/src/passthrough/ownDialect/index.ts
+++ b/src/passthrough/ownDialect/index.ts
@@ -1,7 +1,7 @@
 import { Either, Left, Right } from "purify-ts";
 import * as z from "zod";
 import { RequestId, UpstreamId } from "../../ids/index.js";
-import { findHeader, HeaderList, HttpReply, HttpRequest } from "../../ports/index.js";
+import { findHeader, formatAddress, HeaderList, HttpReply, HttpRequest } from "../../ports/index.js";
 import { PromptPart } from "../../upstream/index.js";
 import {
     CacheListError,
@@ -28,6 +28,8 @@
     workspace: "x-sequoiamux-workspace",
     upstream: "x-sequoiamux-upstream",
     priority: "x-sequoiamux-priority",
+    /** `IP:port` of an upstream from which parts of the prompt should be fetched. */
+    fetchFrom: "x-sequoiamux-fetch-from",
     /** An upstream's word that it has not run the call and will not. */
     notRun: "x-sequoiamux-not-run",
     /** On each answer that an upstream itself made. */
@@ -48,6 +50,7 @@
     CALL_HEADERS.workspace,
     CALL_HEADERS.upstream,
     CALL_HEADERS.priority,
+    CALL_HEADERS.fetchFrom,
 ]);
 const NOTHING: ReadonlySet<string> = new Set();
 const STATUS_OK = 200;
@@ -78,7 +81,8 @@
         });
     }
 
-    writeHead(head: CallHead, { upstream, workspace, deadlineMs, priority, lastEventId }: SendMarks): HeaderList {
+    writeHead(head: CallHead, marks: SendMarks): HeaderList {
+        const { upstream, workspace, deadlineMs, priority, lastEventId, fetchFrom } = marks;
         const added: [string, string][] = [
             [CALL_HEADERS.deadlineMs, String(deadlineMs)],
             [CALL_HEADERS.upstream, upstream],
@@ -86,6 +90,7 @@
         ];
         if (workspace !== undefined) added.push([CALL_HEADERS.workspace, workspace]);
         if (lastEventId !== undefined) added.push([CALL_HEADERS.lastEventId, lastEventId]);
+        if (fetchFrom !== undefined) added.push([CALL_HEADERS.fetchFrom, formatAddress(fetchFrom)]);
         return [...head.headers, ...added];
     }
 
--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -235,6 +235,7 @@
         parts: head.parts,
         gapMs: route.kind === "stream" ? route.gapMs : undefined,
         bodyBytes: call.body.length,
+        canFetch: ctx.view.routes()?.findPool(call.pool)?.engine?.canMove,
         zone: ctx.zone,
         resumable: false,
         repeatable: route.kind === "idempotent",
--- a/src/passthrough/sendCall/index.ts
+++ b/src/passthrough/sendCall/index.ts
@@ -69,6 +69,7 @@
             workspace: call.workspace,
             deadlineMs: leftMs,
             priority: grant.priority,
+            fetchFrom: grant.fetchFrom,
             lastEventId: attempt.stream.lastId ?? call.head.lastEventId,
         }),
         body: call.body.length > 0 || !BODILESS.includes(call.method) ? call.body : undefined,
--- a/src/platform/wireDialect/index.ts
+++ b/src/platform/wireDialect/index.ts
@@ -12,7 +12,7 @@
     SendMarks,
     UpstreamQuery,
 } from "../../passthrough/index.js";
-import { findHeader, HeaderList, HttpReply, HttpRequest } from "../../ports/index.js";
+import { findHeader, formatAddress, HeaderList, HttpReply, HttpRequest } from "../../ports/index.js";
 import { PromptPart } from "../../upstream/index.js";
 
 /** Headers as the platform names them. */
@@ -32,6 +32,8 @@
     stamp: "sequoiamux-response-stamp",
     priority: "sequoiamux-priority-class",
     lastEventId: "last-event-id",
+    /** `IP:PORT` of an engine from which the one addressed fetches what it lacks of the prompt. */
+    fetchFrom: "kv-fetch",
 } as const;
 
 /** What only the system may say to an upstream; as a caller sends it, it is dropped. */
@@ -49,7 +51,7 @@
     "sequoiamux-pin-ms",
     "sequoiamux-kv-backup",
     "kv-from",
-    "kv-fetch",
+    HEADER.fetchFrom,
 ]);
 const NO_HEADERS: ReadonlySet<string> = new Set();
 
@@ -91,7 +93,8 @@
         });
     }
 
-    writeHead(head: CallHead, { upstream, workspace, deadlineMs, priority, lastEventId }: SendMarks): HeaderList {
+    writeHead(head: CallHead, marks: SendMarks): HeaderList {
+        const { upstream, workspace, deadlineMs, priority, lastEventId, fetchFrom } = marks;
         const added: [string, string][] = [
             [HEADER.deadline, String(deadlineMs)],
             [HEADER.expectInstance, upstream],
@@ -99,6 +102,7 @@
         ];
         if (workspace !== undefined) added.push([HEADER.tenant, workspace]);
         if (lastEventId !== undefined) added.push([HEADER.lastEventId, lastEventId]);
+        if (fetchFrom !== undefined) added.push([HEADER.fetchFrom, formatAddress(fetchFrom)]);
         return [...head.headers, ...added];
     }
 
--- a/src/platform/wireDialect/test.ts
+++ b/src/platform/wireDialect/test.ts
@@ -22,6 +22,7 @@
     deadlineMs: 900,
     priority: 2,
     lastEventId: undefined,
+    fetchFrom: undefined,
 };
 
 describe("WireDialect", () => {
--- a/src/upstream/choice/index.ts
+++ b/src/upstream/choice/index.ts
@@ -11,6 +11,8 @@
     readonly pool: PoolId;
     /** The prompt's parts with their sizes, where they are known. */
     readonly parts: readonly PromptPart[];
+    /** Upstreams that may hold parts which the candidates can fetch from them; none where the pool's upstreams can't do that. */
+    readonly sources: readonly UpstreamLoad[];
     /** The longest pause between two events that is on time, in milliseconds; undefined for answers that are no streams. */
     readonly gapMs: number | undefined;
     /** What must be sent to the upstream, in bytes. */
@@ -30,6 +32,14 @@
     readonly load: UpstreamLoad;
     /** For `sequoiamux explain`. */
     readonly reason: string;
+    /** Another upstream that should hand over parts of the prompt, so that the chosen one need not read them. */
+    readonly fetch?: PartsFetch;
+}
+
+/** Parts of a prompt that an upstream can get from another one. */
+export interface PartsFetch {
+    readonly from: UpstreamLoad;
+    readonly tokens: number;
 }
 
 /** Picks the upstream for a request that is next in its pool's queue. */
@@ -40,8 +50,8 @@
      */
     abstract choose(candidates: readonly UpstreamLoad[], request: ChoiceRequest): Choice;
 
-    /** Told that a request is granted to an upstream. */
-    granted(_load: UpstreamLoad, _request: ChoiceRequest): void {}
+    /** Told that a request is granted to the upstream chosen. */
+    granted(_choice: Choice, _request: ChoiceRequest): void {}
 
     /** Told that tokens of a granted request have come; `isFirst` for the first of them. */
     progressed(_request: RequestId, _isFirst: boolean, _now: number): void {}
@@ -59,7 +69,7 @@
     }
 
     /** Told which parts of prompts an upstream says that it holds. */
-    learnHeld(_upstream: UpstreamId, _parts: readonly PromptPart[]): void {}
+    learnHeld(_upstream: UpstreamId, _parts: readonly PromptPart[], _now: number): void {}
 
     /** Told that an upstream has ended, or lives anew. */
     forget(_upstream: UpstreamId): void {}
--- a/src/upstream/promptCache/index.ts
+++ b/src/upstream/promptCache/index.ts
@@ -11,18 +11,35 @@
 /** The share of the memory that is counted on for parts at rest: running requests have the rest. */
 const RESTING_SHARE = 0.75;
 
+interface HeldPart {
+    readonly tokens: number;
+    /** When it was first sent there, and last; monotonic, in milliseconds. */
+    readonly since: number;
+    readonly usedAt: number;
+}
+
 interface Holding {
-    /** Tokens by part, the longest unused first. */
-    readonly parts: Map<string, number>;
+    /** By part, the longest unused first. */
+    readonly parts: Map<string, HeldPart>;
     tokens: number;
 }
 
+/** What a part must be to count, beside being held; monotonic times, in milliseconds. */
+export interface HeldSince {
+    /** It was first sent there no later than this. */
+    readonly sentBy: number;
+    /** It was last used no earlier than this. */
+    readonly usedAfter: number;
+}
+
+const ANY_TIME: HeldSince = { sentBy: Number.POSITIVE_INFINITY, usedAfter: Number.NEGATIVE_INFINITY };
+
 /**
  * Which parts of prompts each upstream probably holds: what was sent there, less what must have yielded since. The longest unused
  * part yields first, as in the upstreams themselves.
  *
  * @example
- * cache.use(parts, upstream);
+ * cache.use(parts, upstream, now);
  * cache.heldTokens(parts, upstream); // tokens that need not be read again
  */
 export class PromptCache {
@@ -32,37 +49,34 @@
     constructor(private readonly capacity: () => number | undefined) {}
 
     /** Tokens of the leading parts that the upstream holds: a part counts only behind others that are held. */
-    heldTokens(parts: readonly PromptPart[], upstream: UpstreamId): number {
+    heldTokens(parts: readonly PromptPart[], upstream: UpstreamId, { sentBy, usedAfter } = ANY_TIME): number {
         const held = this.holdings.get(upstream)?.parts;
         if (!held) return 0;
         let tokens = 0;
-        for (const part of parts) {
-            if (!held.has(part.id)) return tokens;
-            tokens += part.tokens;
+        for (const { id, tokens: size } of parts) {
+            const part = held.get(id);
+            if (!part || part.since > sentBy || part.usedAt < usedAfter) return tokens;
+            tokens += size;
         }
         return tokens;
     }
 
-    /** A prompt with these parts went to the upstream. */
-    use(parts: readonly PromptPart[], upstream: UpstreamId): void {
-        const holding = this.holdings.get(upstream) ?? { parts: new Map<string, number>(), tokens: 0 };
-        this.holdings.set(upstream, holding);
+    /** A prompt with these parts goes to the upstream now. */
+    use(parts: readonly PromptPart[], upstream: UpstreamId, now: number): void {
         // The last part is touched first, so that of one prompt the leading parts yield last.
         for (const { id, tokens } of [...parts].reverse()) {
-            holding.tokens += tokens - (holding.parts.get(id) ?? 0);
-            holding.parts.delete(id);
-            holding.parts.set(id, tokens);
+            this.touch(upstream, id, { tokens, since: now, usedAt: now });
         }
-        this.evict(holding);
+        this.evict(upstream);
     }
 
     /** The upstream says that it holds these parts: what was sent there before counts as used later. */
-    learn(parts: readonly PromptPart[], upstream: UpstreamId): void {
-        const sent = this.holdings.get(upstream)?.parts ?? new Map<string, number>();
+    learn(parts: readonly PromptPart[], upstream: UpstreamId, now: number): void {
+        const sent = this.holdings.get(upstream)?.parts ?? new Map<string, HeldPart>();
         this.holdings.delete(upstream);
-        this.use(parts, upstream);
-        const longestUnusedLast = [...sent].map(([id, tokens]) => ({ id, tokens })).reverse();
-        this.use(longestUnusedLast, upstream);
+        for (const { id, tokens } of parts) this.touch(upstream, id, { tokens, since: now, usedAt: now });
+        for (const [id, part] of sent) this.touch(upstream, id, part);
+        this.evict(upstream);
     }
 
     /** Forgets an upstream that has ended. */
@@ -70,9 +84,20 @@
         this.holdings.delete(upstream);
     }
 
-    private evict(holding: Holding): void {
+    private touch(upstream: UpstreamId, id: string, part: HeldPart): void {
+        const holding = this.holdings.get(upstream) ?? { parts: new Map<string, HeldPart>(), tokens: 0 };
+        this.holdings.set(upstream, holding);
+        const known = holding.parts.get(id);
+        holding.tokens += part.tokens - (known?.tokens ?? 0);
+        holding.parts.delete(id);
+        holding.parts.set(id, { ...part, since: known?.since ?? part.since });
+    }
+
+    private evict(upstream: UpstreamId): void {
+        const holding = this.holdings.get(upstream);
+        if (!holding) return;
         const most = RESTING_SHARE * (this.capacity() ?? DEFAULT_CAPACITY);
-        for (const [id, tokens] of holding.parts) {
+        for (const [id, { tokens }] of holding.parts) {
             if (holding.tokens <= most) return;
             holding.parts.delete(id);
             holding.tokens -= tokens;
--- a/src/upstream/routedChoice/index.ts
+++ b/src/upstream/routedChoice/index.ts
@@ -1,6 +1,6 @@
 import { crc32 } from "@node-rs/crc32";
 import { RequestId, UpstreamId } from "../../ids/index.js";
-import { Choice, ChoiceRequest, UpstreamChoice } from "../choice/index.js";
+import { Choice, ChoiceRequest, PartsFetch, UpstreamChoice } from "../choice/index.js";
 import { UpstreamLoad } from "../load/index.js";
 import { PendingPrefill, PrefillClock } from "../prefillClock/index.js";
 import { PromptCache, PromptPart } from "../promptCache/index.js";
@@ -57,6 +57,14 @@
 /** How much of the failure rate one outcome makes. */
 const FAILURE_WEIGHT = 0.1;
 const BYTES_PER_KILOBYTE = 1_024;
+/** Fewer tokens are read sooner than fetched. */
+const LEAST_FETCHED_TOKENS = 1_000;
+/** What was sent to an upstream so long ago has been read there, in milliseconds: a prompt waits and is read for less than this as a rule. */
+const SETTLED_MS = 1_000;
+/** Parts that were used within this time will probably be used again soon, in milliseconds. */
+const HOT_MS = 10_000;
+/** An upstream that fails more of its requests than this is not asked for parts. */
+const MOST_FAILING = 0.3;
 
 interface UpstreamWork {
     readonly prefill: PrefillClock;
@@ -67,6 +75,14 @@
     failureRate: number;
 }
 
+/** The parts of a prompt that others may begin with too: all but the last, which is its own. */
+interface SharedParts {
+    readonly parts: readonly PromptPart[];
+    readonly tokens: number;
+    /** Where they belong, if no candidate is known to hold them. */
+    readonly home: UpstreamId | undefined;
+}
+
 interface Running {
     readonly upstream: UpstreamId;
     readonly gapMs: number | undefined;
@@ -91,8 +107,6 @@
     /** Milliseconds of reading in a millisecond, averaged. */
     private load = 0;
     private loadAt = 0;
-    /** Where the parts of the request that is being placed belong, if nobody is known to hold them. */
-    private home: UpstreamId | undefined;
 
     constructor(
         capacity: () => number | undefined,
@@ -103,31 +117,33 @@
     }
 
     choose(candidates: readonly UpstreamLoad[], request: ChoiceRequest): Choice {
-        this.home = this.findHome(candidates, request);
+        const shared = this.describeShared(candidates, request);
         let best = candidates[0];
         let bestMs = Number.POSITIVE_INFINITY;
         for (const load of candidates) {
-            const ms = this.weigh(load, request);
+            const ms = this.weigh(load, request, shared);
             if (ms >= bestMs) continue;
             best = load;
             bestMs = ms;
         }
+        const fetch = this.findFetch(best, request, shared);
         const held = this.cache.heldTokens(request.parts, best.upstream.id);
         const backlog = this.workOf(best.upstream.id).prefill.backlogMs(request.now);
         const reason = `weight ${Math.round(bestMs)} ms, backlog ${Math.round(backlog)} ms, `
-            + `${held} of ${request.promptTokens} tokens held, ${best.outstanding} running`;
-        return { load: best, reason };
+            + `${held} of ${request.promptTokens} tokens held, ${best.outstanding} running`
+            + (fetch ? `, ${fetch.tokens} from ${fetch.from.upstream.id}` : "");
+        return { load: best, reason, fetch };
     }
 
-    override granted(load: UpstreamLoad, request: ChoiceRequest): void {
+    override granted({ load, fetch }: Choice, request: ChoiceRequest): void {
         const { id } = load.upstream;
-        const { prefill } = this.workOf(id);
-        const tokens = this.tokensToRead(request, id);
-        this.cache.use(request.parts, id);
-        this.addLoad(tokens * prefill.millisecondsPerToken, request.now);
+        const { now, gapMs } = request;
         const work = this.workOf(id);
-        if (work.running.size === 0) work.heardAt = request.now;
-        const running = { upstream: id, gapMs: request.gapMs, pending: prefill.begin(tokens, request.now) };
+        const tokens = Math.max(0, this.tokensToRead(request, id) - (fetch?.tokens ?? 0));
+        this.cache.use(request.parts, id, now);
+        this.addLoad(tokens * work.prefill.millisecondsPerToken, now);
+        if (work.running.size === 0) work.heardAt = now;
+        const running = { upstream: id, gapMs, pending: work.prefill.begin(tokens, now) };
         this.running.set(request.request, running);
         work.running.add(running);
     }
@@ -159,8 +175,8 @@
         work.failureRate += FAILURE_WEIGHT * ((failed ? 1 : 0) - work.failureRate);
     }
 
-    override learnHeld(upstream: UpstreamId, parts: readonly PromptPart[]): void {
-        this.cache.learn(parts, upstream);
+    override learnHeld(upstream: UpstreamId, parts: readonly PromptPart[], now: number): void {
+        this.cache.learn(parts, upstream, now);
     }
 
     override forget(upstream: UpstreamId): void {
@@ -168,16 +184,17 @@
         this.cache.forget(upstream);
     }
 
-    private weigh(load: UpstreamLoad, request: ChoiceRequest): number {
+    private weigh(load: UpstreamLoad, request: ChoiceRequest, shared: SharedParts): number {
         const { upstream } = load;
         const { weights } = this;
         const { prefill, failureRate } = this.workOf(upstream.id);
         const tokens = this.tokensToRead(request, upstream.id);
         const readMs = tokens * prefill.millisecondsPerToken;
-        const sharedTokens = sumTokens(request.parts.slice(0, -1));
         const held = this.cache.heldTokens(request.parts, upstream.id);
-        const rereadMs = (weights.rereadFactor - 1) * Math.max(0, sharedTokens - held) * prefill.millisecondsPerToken;
-        const sharedMs = sharedTokens * prefill.millisecondsPerToken;
+        const reread = Math.max(0, shared.tokens - held);
+        const rereadMs = (weights.rereadFactor - 1) * reread * prefill.millisecondsPerToken;
+        const sharedMs = shared.tokens * prefill.millisecondsPerToken;
+        const isStranger = shared.home !== undefined && upstream.id !== shared.home;
         const isFar = upstream.zone !== request.zone;
         const farMs = weights.otherZoneMs + weights.otherZoneKilobyteMs * request.bodyBytes / BYTES_PER_KILOBYTE;
         return prefill.predictMs(tokens, request.now)
@@ -187,10 +204,40 @@
             + (isFar ? farMs : 0)
             + weights.stallMs * this.countStalled(upstream.id, readMs)
             + weights.silentFactor * this.silentMs(upstream.id, request.now)
-            + (this.isStranger(upstream.id) ? weights.strangerFactor * sharedMs : 0)
+            + (isStranger ? weights.strangerFactor * sharedMs : 0)
             + weights.failingMs * failureRate;
     }
 
+    /**
+     * An upstream from which the chosen one should fetch shared parts.
+     *
+     * Only parts that were used of late: their next use is near, while moving what is not used again costs more than reading it once.
+     * Only from an upstream that has certainly read them: one that is still reading them has nothing to give. One that leaves is as good a
+     * source as any until it has gone, and the only one for what it alone holds.
+     */
+    private findFetch(chosen: UpstreamLoad, request: ChoiceRequest, { parts }: SharedParts): PartsFetch | undefined {
+        const { sources, now } = request;
+        const held = this.cache.heldTokens(parts, chosen.upstream.id);
+        const since = { sentBy: now - SETTLED_MS, usedAfter: now - HOT_MS };
+        let best: PartsFetch | undefined;
+        for (const from of sources) {
+            if (from === chosen || !this.canGive(from, now)) continue;
+            const tokens = this.cache.heldTokens(parts, from.upstream.id, since) - held;
+            if (tokens >= LEAST_FETCHED_TOKENS && tokens > (best?.tokens ?? 0)) best = { from, tokens };
+        }
+        return best;
+    }
+
+    private canGive({ upstream }: UpstreamLoad, now: number): boolean {
+        if (upstream.state === "gone") return false;
+        return this.workOf(upstream.id).failureRate <= MOST_FAILING && this.silentMs(upstream.id, now) === 0;
+    }
+
+    private describeShared(candidates: readonly UpstreamLoad[], request: ChoiceRequest): SharedParts {
+        const parts = request.parts.slice(0, -1);
+        return { parts, tokens: sumTokens(parts), home: this.findHome(candidates, parts) };
+    }
+
     /** How long a working upstream has been silent beyond what it may, in milliseconds. */
     private silentMs(upstream: UpstreamId, now: number): number {
         const { running, heardAt, prefill } = this.workOf(upstream);
@@ -198,16 +245,14 @@
         return Math.max(0, now - heardAt - SILENCE_MS - prefill.backlogMs(now));
     }
 
-    private isStranger(upstream: UpstreamId): boolean {
-        return this.home !== undefined && upstream !== this.home;
-    }
-
-    /** The candidate with the highest hash of the shared parts and its own id: the same one for each owner. */
-    private findHome(candidates: readonly UpstreamLoad[], { parts }: ChoiceRequest): UpstreamId | undefined {
-        const shared = parts.slice(0, -1);
-        if (shared.length === 0) return undefined;
-        if (candidates.some(({ upstream }) => this.cache.heldTokens(shared, upstream.id) > 0)) return undefined;
-        const key = shared.map(({ id }) => id).join(",");
+    /**
+     * Where parts belong that nobody is known to hold: the candidate with the highest hash of them and its own id, the same one for each
+     * owner of the queue.
+     */
+    private findHome(candidates: readonly UpstreamLoad[], parts: readonly PromptPart[]): UpstreamId | undefined {
+        if (parts.length === 0) return undefined;
+        if (candidates.some(({ upstream }) => this.cache.heldTokens(parts, upstream.id) > 0)) return undefined;
+        const key = parts.map(({ id }) => id).join(",");
         let home: UpstreamId | undefined;
         let highest = -1;
         for (const { upstream } of candidates) {
--- a/src/upstream/routedChoice/test.ts
+++ b/src/upstream/routedChoice/test.ts
@@ -18,6 +18,7 @@
         pool: "draft" as PoolId,
         prefixes: [],
         parts: [],
+        sources: [],
         gapMs: undefined,
         bodyBytes: 0,
         now: 0,
@@ -30,8 +31,9 @@
 
 /** Places a request, and gives where. */
 function place(choice: RoutedChoice, loads: readonly UpstreamLoad[], request: ChoiceRequest): UpstreamId {
-    const { load } = choice.choose(loads, request);
-    choice.granted(load, request);
+    const chosen = choice.choose(loads, request);
+    const { load } = chosen;
+    choice.granted(chosen, request);
     load.markSent(request.now);
     return load.upstream.id;
 }
@@ -58,7 +60,7 @@
         choice.ended(second.request, false, 1_500);
         for (let i = 0; i < 8; i++) {
             const busy = makeRequest({ promptTokens: 20_000, now: 2_000 });
-            choice.granted(loads.find(({ upstream }) => upstream.id === home)!, busy);
+            choice.granted({ load: loads.find(({ upstream }) => upstream.id === home)!, reason: "" }, busy);
         }
         assert.notEqual(place(choice, loads, sheet(2_000)), home);
     });
@@ -97,7 +99,7 @@
             const size = isSheet ? { promptTokens: 15_000, gapMs: 1_000 } : { promptTokens: 800, gapMs: 250 };
             const request = makeRequest({ ...size, now });
             const { load } = choice.choose(loads, request);
-            choice.granted(load, request);
+            choice.granted({ load: load, reason: "" }, request);
             choice.progressed(request.request, true, now + (isSheet ? 330 : 46));
             running.push(request);
             while (running[0].now <= now - 1_500) choice.ended(running.shift()!.request, false, now + 60);
@@ -117,9 +119,9 @@
         const choice = new RoutedChoice(() => undefined);
         const loads = makeLoads(["dark", "sound"]);
         const [dark, sound] = loads;
-        choice.granted(dark, makeRequest({ promptTokens: 500, now: 0 }));
+        choice.granted({ load: dark, reason: "" }, makeRequest({ promptTokens: 500, now: 0 }));
         const other = makeRequest({ promptTokens: 500, now: 0 });
-        choice.granted(sound, other);
+        choice.granted({ load: sound, reason: "" }, other);
         for (let now = 0; now <= 1_000; now += 100) choice.progressed(other.request, now === 0, now);
         for (let i = 0; i < 5; i++) {
             assert.equal(place(choice, loads, makeRequest({ promptTokens: 500, now: 1_000 })), "sound");
@@ -131,9 +133,54 @@
         const loads = makeLoads(["grey", "sound"]);
         for (let i = 0; i < 10; i++) {
             const request = makeRequest();
-            choice.granted(loads[0], request);
+            choice.granted({ load: loads[0], reason: "" }, request);
             choice.ended(request.request, true, 0);
         }
         assert.equal(place(choice, loads, makeRequest({ now: 1_000 })), "sound");
     });
+
+    describe("parts that another upstream holds", () => {
+        // A zone's engines are about to be taken back, and documents that were read there are asked for again elsewhere.
+        // The engines that stay read each of them from the start, and short questions wait behind them for half a second.
+        // Cause: what the leaving engines hold is not asked for while they are still there.
+        const sheet = (now: number, sources: readonly UpstreamLoad[]): ChoiceRequest =>
+            makeRequest({ promptTokens: 16_000, parts: SHEET, sources, now });
+
+        function placeAtLeaver(choice: RoutedChoice, loads: readonly UpstreamLoad[], now: number): void {
+            const request = sheet(now, []);
+            choice.granted({ load: loads[0], reason: "" }, request);
+            choice.progressed(request.request, true, now + 300);
+            choice.ended(request.request, false, now + 400);
+        }
+
+        it("are fetched from one that leaves", () => {
+            const choice = new RoutedChoice(() => undefined);
+            const loads = makeLoads(["leaver", "stays"]);
+            placeAtLeaver(choice, loads, 0);
+            const { fetch } = choice.choose([loads[1]], sheet(2_000, loads));
+            assert.deepEqual([fetch?.from.upstream.id, fetch?.tokens], ["leaver", 13_000]);
+        });
+
+        it("are not fetched where they are still being read", () => {
+            const choice = new RoutedChoice(() => undefined);
+            const loads = makeLoads(["leaver", "stays"]);
+            choice.granted({ load: loads[0], reason: "" }, sheet(0, []));
+            assert.equal(choice.choose([loads[1]], sheet(200, loads)).fetch, undefined);
+        });
+
+        it("are not fetched once they have not been used for long", () => {
+            const choice = new RoutedChoice(() => undefined);
+            const loads = makeLoads(["leaver", "stays"]);
+            placeAtLeaver(choice, loads, 0);
+            assert.equal(choice.choose([loads[1]], sheet(20_000, loads)).fetch, undefined);
+        });
+
+        it("are not fetched from one that has fallen silent", () => {
+            const choice = new RoutedChoice(() => undefined);
+            const loads = makeLoads(["dark", "stays"]);
+            placeAtLeaver(choice, loads, 0);
+            choice.granted({ load: loads[0], reason: "" }, makeRequest({ promptTokens: 500, now: 1_000 }));
+            assert.equal(choice.choose([loads[1]], sheet(4_000, loads)).fetch, undefined);
+        });
+    });
 });
