--- a/src/dispatch/poolQueue/index.ts
+++ b/src/dispatch/poolQueue/index.ts
@@ -1,23 +1,13 @@
 import PQueue from "p-queue";
 import { Either, Left, Right } from "purify-ts";
-import { HostId, PoolId, RequestId, UpstreamId, ZoneId } from "../../ids/index.js";
-import { Clock, Random } from "../../ports/index.js";
-import {
-    Choice,
-    PoolMembers,
-    PrefixIndex,
-    PromptPart,
-    StragglerPolicy,
-    Upstream,
-    UpstreamChoice,
-} from "../../upstream/index.js";
+import { HostId, RequestId, UpstreamId } from "../../ids/index.js";
+import { Choice, PromptPart, StragglerPolicy, Upstream, UpstreamChoice } from "../../upstream/index.js";
 import { makeGrant } from "../_lib/makeGrant.js";
+import { Waiters } from "../_lib/waiters.js";
 import { AdmissionControl, makeRefusal } from "../admissionControl/index.js";
-import { LengthEstimator } from "../lengths/index.js";
-import { DispatchObserver } from "../observer/index.js";
 import { OrderContext, OrderPolicy } from "../order/index.js";
 import { PoolOutlook } from "../outlook/index.js";
-import { DispatchPolicies } from "../policies/index.js";
+import { PoolQueueOptions } from "../poolQueueOptions/index.js";
 import { Preempter } from "../preempter/index.js";
 import { walkProspects } from "../prospects/index.js";
 import { countTokens, RunningRequest, RunningSet } from "../running/index.js";
@@ -26,24 +16,6 @@
 import { UpstreamPicker } from "../upstreamPicker/index.js";
 import { costInTokens, makeWaitingTicket, WaitingTicket } from "../waiting/index.js";
 
-/** What a pool's queue works with. */
-export interface PoolQueueOptions {
-    readonly clock: Clock;
-    readonly random: Random;
-    readonly pool: PoolId;
-    readonly zone: ZoneId;
-    readonly members: PoolMembers;
-    readonly prefixes: PrefixIndex;
-    readonly lengths: LengthEstimator;
-    readonly policies: DispatchPolicies;
-    readonly observer: DispatchObserver;
-    readonly preempt: (request: RequestId) => void;
-    /** Monotonic time since when upstreams could have been heard of, in milliseconds. */
-    readonly startedAt: number;
-    /** How many tokens the memory of a pool's upstreams takes, where that is known. */
-    readonly capacityOf?: (pool: PoolId) => number | undefined;
-}
-
 /** What an outcome says of the upstream; undefined: nothing. */
 const FAILED: Readonly<Record<Completion["outcome"], boolean | undefined>> = {
     answered: false,
@@ -54,11 +26,6 @@
     unused: undefined,
 };
 
-interface Waiter {
-    readonly settle: (decision: Either<Refusal, Grant>) => void;
-    readonly stopListening: () => void;
-}
-
 /** Ticks between two looks at all upstreams of the pool. */
 const REVIEW_TICKS = 4;
 /** Ticks between two looks at the queue when more than so many wait: a look costs more, and is as fresh as they need. */
@@ -78,7 +45,7 @@
     private readonly picker: UpstreamPicker;
     private readonly tickets: TicketQueue;
     private readonly queue: PQueue<TicketQueue, TicketQueueOptions>;
-    private readonly waiters = new Map<WaitingTicket, Waiter>();
+    private readonly waiters = new Waiters();
     private readonly running = new RunningSet();
     private readonly outlook = new PoolOutlook();
     private heldSlots = 0;
@@ -121,7 +88,7 @@
 
     /** The tickets that wait, in no order. */
     listWaiting(): WaitingTicket[] {
-        return [...this.waiters.keys()];
+        return this.waiters.list();
     }
 
     /** What runs, in no order. */
@@ -154,9 +121,7 @@
         return new Promise(resolve => {
             const onAbort = (): void =>
                 this.refuseWaiting(waiting, makeRefusal(waiting, "cancelled", 0, "the caller has gone"));
-            signal.addEventListener("abort", onAbort, { once: true });
-            const stopListening = (): void => signal.removeEventListener("abort", onAbort);
-            this.waiters.set(waiting, { settle: resolve, stopListening });
+            this.waiters.add(waiting, resolve, signal, onAbort);
             this.enqueue(waiting);
             if (this.waiters.has(waiting)) this.preempter.consider(waiting, this.order.costAhead(waiting));
         });
@@ -214,7 +179,7 @@
      * @returns The running requests that were ended.
      */
     forgetEntry(host: HostId): readonly RequestId[] {
-        for (const waiting of [...this.waiters.keys()]) {
+        for (const waiting of this.waiters.list()) {
             if (waiting.ticket.origin === host) {
                 this.refuseWaiting(waiting, makeRefusal(waiting, "cancelled", 0, "the entry is lost"));
             }
@@ -263,7 +228,7 @@
 
     /** Refuses all that waits, as the process is about to stop: another entry takes the queue over. */
     drain(): void {
-        for (const waiting of [...this.waiters.keys()]) {
+        for (const waiting of this.waiters.list()) {
             this.refuseWaiting(waiting, makeRefusal(waiting, "draining", 0, "the entry stops"));
         }
     }
@@ -311,7 +276,7 @@
         this.running.add({ waiting, load, grantedAt: now, tokens: 0, isPreempted: false, release });
         const grant = makeGrant(waiting, choice, now);
         this.options.observer.granted(waiting, grant);
-        this.takeWaiter(waiting)?.settle(Right(grant));
+        this.waiters.settle(waiting, Right(grant));
     }
 
     private shed(): void {
@@ -336,18 +301,10 @@
     }
 
     private refuseWaiting(waiting: WaitingTicket, refusal: Refusal): void {
-        const waiter = this.takeWaiter(waiting);
-        if (!waiter) return;
+        if (!this.waiters.has(waiting)) return;
         this.tickets.withdraw(waiting);
         this.options.observer.refused(waiting, refusal);
-        waiter.settle(Left(refusal));
-    }
-
-    private takeWaiter(waiting: WaitingTicket): Waiter | undefined {
-        const waiter = this.waiters.get(waiting);
-        this.waiters.delete(waiting);
-        waiter?.stopListening();
-        return waiter;
+        this.waiters.settle(waiting, Left(refusal));
     }
 
     private learn(running: RunningRequest, completion: Completion, now: number): void {
--- a/src/entry/chatErrors/index.ts
+++ b/src/entry/requestErrors/index.ts
@@ -5,7 +5,7 @@
 
 const RETRY_AFTER_FAILURE_MS = 1_000;
 
-/** The error of a chat that was stopped from outside. */
+/** The error of a chat or a service call that was stopped from outside. */
 export function makeCancelError(reason: CancelReason, outcome: Outcome): CallerError {
     if (reason === "key-withdrawn") {
         return new CallerError(401, reason, "the key was withdrawn while the request was under way", outcome);
@@ -20,7 +20,7 @@
     return new CallerError(400, "upstream-rejected", message, "partly-run");
 }
 
-/** The error of a chat after the last attempt that it may have. */
+/** The error of a chat or a service call after the last attempt that it may have. */
 export function makeUpstreamError(attempts: number, outcome: Outcome): CallerError {
     return new CallerError(502, "upstream-failed", `${attempts} upstreams failed`, outcome, RETRY_AFTER_FAILURE_MS);
 }
--- a/src/entry/runChat/index.ts
+++ b/src/entry/runChat/index.ts
@@ -3,12 +3,12 @@
 import { EngineUsage, Outcome } from "../../protocol/index.js";
 import { RunningRequest } from "../../request/index.js";
 import { CallerError } from "../callerError/index.js";
-import { makeCancelError, makeRejectionError, makeUpstreamError } from "../chatErrors/index.js";
 import { ChatSink } from "../chatSink/index.js";
 import { EngineEnd, EngineStreamError } from "../engineStream/index.js";
 import { EntryContext } from "../entryContext/index.js";
 import { PreparedChat } from "../prepareChat/index.js";
 import { toRefusalError } from "../refusalError/index.js";
+import { makeCancelError, makeRejectionError, makeUpstreamError } from "../requestErrors/index.js";
 import { ChatAttempt, sendChat } from "../sendChat/index.js";
 
 /** How a chat ended. */
--- a/src/entry/runService/index.ts
+++ b/src/entry/runService/index.ts
@@ -1,5 +1,6 @@
 import { Grant, Refusal, Ticket } from "../../dispatch/index.js";
 import { UpstreamId } from "../../ids/index.js";
+import { Outcome } from "../../protocol/index.js";
 import { RunningRequest } from "../../request/index.js";
 import { PeerIdentity } from "../../wire/index.js";
 import { CallerError } from "../callerError/index.js";
@@ -7,10 +8,9 @@
 import { EntryContext } from "../entryContext/index.js";
 import { PreparedService } from "../prepareService/index.js";
 import { toRefusalError } from "../refusalError/index.js";
+import { makeCancelError, makeUpstreamError } from "../requestErrors/index.js";
 import { sendService, ServiceAnswer, ServiceCallError } from "../sendService/index.js";
 
-const RETRY_AFTER_FAILURE_MS = 1_000;
-
 /** A service call's final word. */
 export type ServiceResult =
     | { readonly kind: "answer"; readonly answer: ServiceAnswer; readonly replayed: boolean; }
@@ -54,7 +54,7 @@
         if (run.isCancelled) {
             completeGrant(ctx, run, grant, "unused");
             await record.finish("not-run");
-            return failed(stoppedError(run, false));
+            return failed(stoppedError(run, "not-run"));
         }
         run.mustFinish = true;
         const result = await sendGranted(ctx, prepared, run, grant);
@@ -72,7 +72,7 @@
         avoid.push(grant.upstream);
         if (avoid.length < ctx.limits.attempts) continue;
         await record.finish("not-run");
-        return failed(upstreamError(false));
+        return failed(makeUpstreamError(avoid.length, "not-run"));
     }
 }
 
@@ -92,10 +92,10 @@
         const result = await sendGranted(ctx, prepared, run, grant);
         if (result.isRight()) return { kind: "answer", answer: result.unsafeCoerce(), replayed: false };
         mayHaveRun ||= (result.extract() as ServiceCallError).mayHaveRun;
-        if (run.isCancelled) return failed(stoppedError(run, mayHaveRun));
+        if (run.isCancelled) return failed(stoppedError(run, outcomeOf(mayHaveRun)));
         avoid.push(grant.upstream);
         const mayRetry = avoid.length < ctx.limits.attempts && ctx.retries.tryTake(true);
-        if (!mayRetry) return failed(upstreamError(mayHaveRun));
+        if (!mayRetry) return failed(makeUpstreamError(avoid.length, outcomeOf(mayHaveRun)));
     }
 }
 
@@ -162,24 +162,19 @@
 
 function refusalFor(run: RunningRequest, refusal: Refusal, mayHaveRun: boolean): CallerError {
     run.noteRefusal(refusal.reason, refusal.detail);
-    if (run.isCancelled) return stoppedError(run, mayHaveRun);
-    return toRefusalError(refusal, mayHaveRun ? "unknown" : "not-run");
+    const outcome = outcomeOf(mayHaveRun);
+    return run.isCancelled ? stoppedError(run, outcome) : toRefusalError(refusal, outcome);
 }
 
-function stoppedError(run: RunningRequest, mayHaveRun: boolean): CallerError {
-    const outcome = mayHaveRun ? "unknown" : "not-run";
-    if (run.cancelReason === "key-withdrawn") {
-        return new CallerError(401, "key-withdrawn", "the key was withdrawn while the call was under way", outcome);
-    }
-    return new CallerError(503, run.cancelReason ?? "stopped", "the call was stopped", outcome, RETRY_AFTER_FAILURE_MS);
+function stoppedError(run: RunningRequest, outcome: Outcome): CallerError {
+    return makeCancelError(run.cancelReason!, outcome);
+}
+
+function outcomeOf(mayHaveRun: boolean): Outcome {
+    return mayHaveRun ? "unknown" : "not-run";
 }
 
 function unknownError(): CallerError {
     const message = "the call was sent and its answer is lost; it is not run again under this idempotency key";
     return new CallerError(502, "outcome-unknown", message, "unknown");
 }
-
-function upstreamError(mayHaveRun: boolean): CallerError {
-    const outcome = mayHaveRun ? "unknown" : "not-run";
-    return new CallerError(502, "upstream-failed", "the service's upstreams failed", outcome, RETRY_AFTER_FAILURE_MS);
-}
--- a/src/load/consortiumPlan/index.ts
+++ b/src/load/consortiumPlan/index.ts
@@ -1,4 +1,5 @@
 import { ControlAction, RequestFault, ServiceFault } from "../../emulator/index.js";
+import { NOTHING_LOST, STAND_IN_PACE } from "../_lib/planDefaults.js";
 import { TracePlan, WorkspacePlan } from "../recordTrace/index.js";
 
 const MODEL = "shared-model";
@@ -115,8 +116,7 @@
     bounds: {
         attainment: { safety: 0.95, bookings: 0.95, routing: 0.75, manifests: 0.25 },
         worst_workspace: 0.5,
-        lost: 0,
-        doubled: 0,
+        ...NOTHING_LOST,
     },
     faults: [],
     emulator: {
@@ -125,12 +125,7 @@
         pool: MODEL,
         service: DISPATCH,
         zones: "sohar,barka,muscat",
-        slots: 4,
-        stepMs: 20,
-        stepMsPerRequest: 0.5,
-        prefillMsPerToken: 0.1,
-        serviceMinMs: 5,
-        serviceMaxMs: 40,
+        ...STAND_IN_PACE,
     },
 };
 
@@ -144,8 +139,7 @@
     bounds: {
         attainment: { safety: 0.9, bookings: 0.85, routing: 0.3, manifests: 0.15 },
         worst_workspace: 0.3,
-        lost: 0,
-        doubled: 0,
+        ...NOTHING_LOST,
     },
     faults: [
         { atMs: 1_000, action: { action: "slow", upstream: `${MODEL}-sohar-1`, factor: 6 } },
--- a/src/load/utilityPlan/index.ts
+++ b/src/load/utilityPlan/index.ts
@@ -1,3 +1,4 @@
+import { NOTHING_LOST, STAND_IN_PACE } from "../_lib/planDefaults.js";
 import { TracePlan, WorkspacePlan } from "../recordTrace/index.js";
 
 const MODEL = "drafting";
@@ -109,8 +110,7 @@
     bounds: {
         attainment: { sheets: 0.95, orders: 0.95, questions: 0.8, summaries: 0.8 },
         worst_workspace: 0.5,
-        lost: 0,
-        doubled: 0,
+        ...NOTHING_LOST,
     },
     faults: [],
     emulator: {
@@ -119,12 +119,7 @@
         pool: MODEL,
         service: LEDGER,
         zones: "keflavik,grindavik,sandgerdi,vogar",
-        slots: 4,
-        stepMs: 20,
-        stepMsPerRequest: 0.5,
-        prefillMsPerToken: 0.1,
-        serviceMinMs: 5,
-        serviceMaxMs: 40,
+        ...STAND_IN_PACE,
     },
 };
 
@@ -138,8 +133,7 @@
     bounds: {
         attainment: { sheets: 0.8, orders: 0.95, questions: 0.45, summaries: 0.2 },
         worst_workspace: 0.3,
-        lost: 0,
-        doubled: 0,
+        ...NOTHING_LOST,
     },
     faults: [
         { atMs: 2_000, action: { action: "reclaim-zone", zone: "vogar", noticeMs: 3_000 } },
--- a/src/passthrough/prepareCall/index.ts
+++ b/src/passthrough/prepareCall/index.ts
@@ -47,15 +47,21 @@
  *
  * Guards against a withdrawn key at an entry that has lost touch with the control processes: past the freshness lease a call that needs a
  * key is refused. One that needs none goes on with the document that is known.
+ *
+ * @param readHead - What the dialect made of the request's head.
  */
-export async function prepareCall(ctx: CallContext, req: HttpRequest): Promise<Either<CallError, PreparedCall>> {
+export async function prepareCall(
+    ctx: CallContext,
+    req: HttpRequest,
+    readHead: Either<CallError, CallHead>,
+): Promise<Either<CallError, PreparedCall>> {
     const arrivedAt = ctx.clock.monotonic();
-    const routes = ctx.view.routes() ?? await awaitFirstDocument(ctx, req);
+    const routes = ctx.view.routes() ?? await awaitFirstDocument(ctx, req, readHead);
     if (!routes) return Left(staleView(ctx, "this entry has no fleet document yet"));
     if (sizeOfHeaders(req) > routes.limits.headerBytes) {
         return Left(new CallError("header-too-large", `headers take more than ${routes.limits.headerBytes} bytes`));
     }
-    const read = ctx.dialect.readHead(req).chain(head =>
+    const read = readHead.chain(head =>
         findRoute(ctx, routes, req).chain(route =>
             identifyCaller(ctx, routes, route, head).map(caller => ({ head, route, caller }))
         )
@@ -84,9 +90,13 @@
  * a refusal a moment before the document arrives would leave them with nothing. An entry that once had a document and has lost touch
  * refuses at once instead, since the caller's next connection may reach another host that is in touch.
  */
-async function awaitFirstDocument(ctx: CallContext, req: HttpRequest): Promise<RouteTable | undefined> {
+async function awaitFirstDocument(
+    ctx: CallContext,
+    req: HttpRequest,
+    readHead: Either<CallError, CallHead>,
+): Promise<RouteTable | undefined> {
     if (ctx.isDraining()) return undefined;
-    const deadlineMs = ctx.dialect.readHead(req).map(head => head.deadlineMs).toMaybe().extract();
+    const deadlineMs = readHead.map(head => head.deadlineMs).toMaybe().extract();
     const limitMs = Math.min(FIRST_DOCUMENT_MS, FIRST_DOCUMENT_SHARE * (deadlineMs ?? Number.POSITIVE_INFINITY));
     await ctx.view.whenKnown(limitMs, req.closed);
     return ctx.view.routes();
--- a/src/passthrough/relayAnswer/index.ts
+++ b/src/passthrough/relayAnswer/index.ts
@@ -1,19 +1,12 @@
 import { HeaderList, HttpReply } from "../../ports/index.js";
-import type { CallContext } from "../callContext/index.js";
-import type { ReplyHead } from "../callDialect/index.js";
-import type { Attempt, AttemptResult } from "../sendCall/index.js";
+import { Attempt, AttemptResult, BufferedAnswer } from "../attempt/index.js";
+import { CallContext } from "../callContext/index.js";
+import { ReplyHead } from "../callDialect/index.js";
 
 /** Answers up to this size are read whole before they are passed on, in bytes: one that breaks off can then be replaced. */
 const BUFFERED_BYTES = 256 * 1024;
 const FIRST_SERVER_ERROR = 500;
 
-/** An upstream's whole answer. */
-export interface BufferedAnswer {
-    readonly status: number;
-    readonly headers: HeaderList;
-    readonly body: Uint8Array;
-}
-
 /** Passes on an answer that is no stream of events. */
 export async function relayAnswer(
     ctx: CallContext,
--- a/src/passthrough/relayStream/index.ts
+++ b/src/passthrough/relayStream/index.ts
@@ -1,8 +1,8 @@
 import { findHeader, HttpReply } from "../../ports/index.js";
-import type { CallContext } from "../callContext/index.js";
-import type { ReplyHead } from "../callDialect/index.js";
+import { Attempt, AttemptResult } from "../attempt/index.js";
+import { CallContext } from "../callContext/index.js";
+import { ReplyHead } from "../callDialect/index.js";
 import { EventScanner, ScannedEvents } from "../eventScanner/index.js";
-import type { Attempt, AttemptResult } from "../sendCall/index.js";
 
 /** A resumable stream that shows nothing for so many of its longest pauses goes on elsewhere. */
 const STALL_GAPS = 3;
--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -1,13 +1,14 @@
 import { Completion, Grant, Refusal, Ticket } from "../../dispatch/index.js";
 import { ClassName, RequestId, UpstreamId, WorkspaceId } from "../../ids/index.js";
 import { RunningRequest } from "../../request/index.js";
+import { AttemptResult, BufferedAnswer } from "../attempt/index.js";
 import { CallAnswer } from "../callAnswer/index.js";
 import { CallContext } from "../callContext/index.js";
 import { CallError } from "../callError/index.js";
 import { AttemptEnd, chooseNextStep } from "../nextStep/index.js";
 import { PreparedCall, recheckKey } from "../prepareCall/index.js";
-import { BufferedAnswer, sendWhole } from "../relayAnswer/index.js";
-import { AttemptResult, sendCall } from "../sendCall/index.js";
+import { sendWhole } from "../relayAnswer/index.js";
+import { sendCall } from "../sendCall/index.js";
 import { newStreamState, StreamState } from "../streamState/index.js";
 
 /** How soon a caller should come back after an upstream was lost, in milliseconds: others of the pool go on. */
@@ -43,63 +44,67 @@
     lastProblem: string;
 }
 
+/** A call on its way to its final answer. */
+interface CallTask {
+    readonly ctx: CallContext;
+    readonly call: PreparedCall;
+    readonly run: RunningRequest;
+    readonly answer: CallAnswer;
+    /** Names the call towards the queue's owner; unlike the caller's id, never used twice. */
+    readonly ticketId: RequestId;
+    readonly progress: Progress;
+}
+
 /**
  * Brings a call to its final answer: asks for an upstream, sends the call, passes the answer on, and goes to another upstream where the
  * call allows it.
- *
- * @param ticketId - Names the call towards the queue's owner; unlike the caller's id, never used twice.
  */
 export async function runCall(
     ctx: CallContext,
     call: PreparedCall,
     run: RunningRequest,
     answer: CallAnswer,
-    ticketId: RequestId,
 ): Promise<CallEnd> {
-    const progress: Progress = {
-        avoid: [],
-        stream: newStreamState(),
-        tries: 0,
-        begun: 0,
-        failure: undefined,
-        lastProblem: "",
-    };
+    const ticketId = ctx.random.id() as RequestId;
+    const task: CallTask = { ctx, call, run, answer, ticketId, progress: newProgress() };
     ctx.repeats.noteRequest(call.pool);
     for (;;) {
-        const decision = await ctx.dispatcher.submit(makeTicket(ctx, call, ticketId, progress), run.signal);
-        if (decision.isLeft()) return endRefused(call, run, answer, progress, decision.extract() as Refusal);
-        const grant = decision.extract() as Grant;
-        const fault = recheckKey(ctx, call);
-        if (run.isCancelled || fault) {
-            completeGrant(ctx, call, ticketId, grant, "unused", progress.stream);
-            return run.isCancelled ? endStopped(call, run, answer, progress) : fail(call, answer, progress, fault!);
-        }
-        progress.tries++;
-        run.noteGrant(grant);
-        const sentAt = ctx.clock.monotonic();
-        const result = await sendGranted(ctx, call, run, answer, grant, progress, ticketId);
-        const silentMs = ctx.clock.monotonic() - Math.max(sentAt, progress.stream.lastAt);
-        completeGrant(ctx, call, ticketId, grant, outcomeOf(result, run, silentMs), progress.stream);
-        if (result.kind === "answered") return describeEnd("answered", result.status, progress);
-        noteAttempt(ctx, call, run, grant, result, progress);
-        if (run.isCancelled) return endStopped(call, run, answer, progress);
-        if (decideNext(ctx, call, result.end, progress) === "give-up") {
-            return endFailed(call, answer, progress, result.end);
-        }
-        progress.avoid.push(grant.upstream);
+        const end = await tryOnce(task);
+        if (end) return end;
         run.beginAttempt();
     }
 }
 
-async function sendGranted(
-    ctx: CallContext,
-    call: PreparedCall,
-    run: RunningRequest,
-    answer: CallAnswer,
-    grant: Grant,
-    progress: Progress,
-    ticketId: RequestId,
-): Promise<AttemptResult> {
+function newProgress(): Progress {
+    return { avoid: [], stream: newStreamState(), tries: 0, begun: 0, failure: undefined, lastProblem: "" };
+}
+
+/** One upstream's turn. Gives undefined where the call goes on to another one. */
+async function tryOnce(task: CallTask): Promise<CallEnd | undefined> {
+    const { ctx, call, run, progress } = task;
+    const decision = await ctx.dispatcher.submit(makeTicket(task), run.signal);
+    if (decision.isLeft()) return endRefused(task, decision.extract() as Refusal);
+    const grant = decision.extract() as Grant;
+    const fault = recheckKey(ctx, call);
+    if (run.isCancelled || fault) {
+        completeGrant(task, grant, "unused");
+        return run.isCancelled ? endStopped(task) : fail(task, fault!);
+    }
+    progress.tries++;
+    run.noteGrant(grant);
+    const sentAt = ctx.clock.monotonic();
+    const result = await sendGranted(task, grant);
+    const silentMs = ctx.clock.monotonic() - Math.max(sentAt, progress.stream.lastAt);
+    completeGrant(task, grant, outcomeOf(result, run, silentMs));
+    if (result.kind === "answered") return describeEnd("answered", result.status, progress);
+    noteAttempt(task, grant, result);
+    if (run.isCancelled) return endStopped(task);
+    if (decideNext(task, result.end) === "give-up") return endFailed(task, result.end);
+    progress.avoid.push(grant.upstream);
+    return undefined;
+}
+
+async function sendGranted({ ctx, call, run, answer, progress, ticketId }: CallTask, grant: Grant) {
     const { stream } = progress;
     const canGoElsewhere = call.route.kind === "idempotent" || call.route.resumable;
     const hasMore = progress.begun + 1 < call.route.attempts;
@@ -110,7 +115,7 @@
     return sendCall(ctx, { call, grant, run, answer, stream, patienceMs, ticketId, tokensPerEvent });
 }
 
-function decideNext(ctx: CallContext, call: PreparedCall, end: AttemptEnd, progress: Progress) {
+function decideNext({ ctx, call, progress }: CallTask, end: AttemptEnd) {
     const { kind, resumable, attempts } = call.route;
     const { begun, tries } = progress;
     const takeRepeat = (): boolean => ctx.repeats.tryTake(call.pool, ctx.view.entryCount());
@@ -118,12 +123,9 @@
 }
 
 function noteAttempt(
-    ctx: CallContext,
-    call: PreparedCall,
-    run: RunningRequest,
+    { ctx, call, run, progress }: CallTask,
     { upstream }: Grant,
     { end, detail, failure }: Extract<AttemptResult, { kind: "ended"; }>,
-    progress: Progress,
 ): void {
     if (end !== "not-sent" && end !== "refused") progress.begun++;
     progress.failure = failure ?? progress.failure;
@@ -147,39 +149,36 @@
     return result.end === "failed" ? "errored" : "failed";
 }
 
-function endRefused(
-    call: PreparedCall,
-    run: RunningRequest,
-    answer: CallAnswer,
-    progress: Progress,
-    refusal: Refusal,
-): CallEnd {
+function endRefused(task: CallTask, refusal: Refusal): CallEnd {
+    const { run, progress } = task;
     run.noteRefusal(refusal.reason, refusal.detail);
-    if (run.isCancelled) return endStopped(call, run, answer, progress);
-    if (progress.begun > 0) return endFailed(call, answer, progress, "lost");
+    if (run.isCancelled) return endStopped(task);
+    if (progress.begun > 0) return endFailed(task, "lost");
     const detail = `${refusal.reason}: ${refusal.detail}`;
-    return fail(call, answer, progress, new CallError("refused", detail, refusal.retryAfterMs));
+    return fail(task, new CallError("refused", detail, refusal.retryAfterMs));
 }
 
 /** The caller has gone, or the call's time is over. */
-function endStopped(call: PreparedCall, run: RunningRequest, answer: CallAnswer, progress: Progress): CallEnd {
+function endStopped(task: CallTask): CallEnd {
+    const { run, progress } = task;
     if (run.cancelReason === "caller-gone") return describeEnd("caller-gone", 0, progress);
     const kind = progress.begun > 0 ? "timeout-running" : "timeout-waiting";
-    return fail(call, answer, progress, new CallError(kind, "the call's time is over", LOST_RETRY_MS));
+    return fail(task, new CallError(kind, "the call's time is over", LOST_RETRY_MS));
 }
 
 /** No further upstream may be tried: the best answer there is goes out now. */
-function endFailed(call: PreparedCall, answer: CallAnswer, progress: Progress, end: AttemptEnd): CallEnd {
+function endFailed(task: CallTask, end: AttemptEnd): CallEnd {
+    const { answer, progress } = task;
     const { failure, begun, lastProblem } = progress;
     if (failure && end === "failed" && answer.startedWith === undefined) {
         sendWhole(answer, failure);
         return describeEnd("upstream-failure", failure.status, progress);
     }
     const kind = begun > 0 ? "upstream-lost" : "refused";
-    return fail(call, answer, progress, new CallError(kind, lastProblem, LOST_RETRY_MS));
+    return fail(task, new CallError(kind, lastProblem, LOST_RETRY_MS));
 }
 
-function fail(call: PreparedCall, answer: CallAnswer, progress: Progress, err: CallError): CallEnd {
+function fail({ call, answer, progress }: CallTask, err: CallError): CallEnd {
     const wasCut = answer.startedWith !== undefined;
     answer.fail(err, call.head.request);
     return describeEnd(wasCut ? `cut: ${err.kind}` : err.kind, err.status, progress);
@@ -190,12 +189,9 @@
 }
 
 function completeGrant(
-    ctx: CallContext,
-    call: PreparedCall,
-    request: RequestId,
+    { ctx, call, ticketId: request, progress: { stream } }: CallTask,
     { upstream }: Grant,
     outcome: Completion["outcome"],
-    stream: StreamState,
 ): void {
     const tokensPerEvent = tokensOf(ctx, call);
     const gaps = stream.count - 1;
@@ -212,7 +208,7 @@
     });
 }
 
-function makeTicket(ctx: CallContext, call: PreparedCall, request: RequestId, progress: Progress): Ticket {
+function makeTicket({ ctx, call, ticketId: request, progress }: CallTask): Ticket {
     const { route, head } = call;
     const now = ctx.clock.monotonic();
     const tokensPerEvent = tokensOf(ctx, call);
--- a/src/passthrough/sendCall/index.ts
+++ b/src/passthrough/sendCall/index.ts
@@ -1,16 +1,11 @@
 import { Either } from "purify-ts";
-import { Grant } from "../../dispatch/index.js";
-import { RequestId } from "../../ids/index.js";
 import { findHeader, HttpError, HttpReply } from "../../ports/index.js";
-import { RunningRequest } from "../../request/index.js";
-import { CallAnswer } from "../callAnswer/index.js";
+import { Attempt, AttemptResult } from "../attempt/index.js";
 import { CallContext } from "../callContext/index.js";
 import { ReplyHead } from "../callDialect/index.js";
-import { AttemptEnd } from "../nextStep/index.js";
 import { PreparedCall } from "../prepareCall/index.js";
-import { BufferedAnswer, relayAnswer } from "../relayAnswer/index.js";
+import { relayAnswer } from "../relayAnswer/index.js";
 import { relayStream } from "../relayStream/index.js";
-import { StreamState } from "../streamState/index.js";
 
 /** How long to wait for a connection to an upstream, in milliseconds: less than the first repeat of a lost SYN. */
 const CONNECT_MS = 250;
@@ -20,35 +15,6 @@
 /** Methods whose requests have no body as a rule: an empty one is left out rather than stated. */
 const BODILESS: readonly string[] = ["GET", "HEAD", "DELETE", "OPTIONS"];
 
-/** One try at one upstream. */
-export interface Attempt {
-    readonly call: PreparedCall;
-    readonly grant: Grant;
-    readonly run: RunningRequest;
-    readonly answer: CallAnswer;
-    /** What the caller has of the stream so far. */
-    readonly stream: StreamState;
-    /** How long the upstream may take to its first byte, in milliseconds, where the call can go elsewhere. */
-    readonly patienceMs: number | undefined;
-    /** Names the call towards the queue's owner. */
-    readonly ticketId: RequestId;
-    readonly tokensPerEvent: number;
-}
-
-/** What came of an attempt. */
-export type AttemptResult =
-    /** The caller has its whole answer, or all of it that there will be. */
-    | { readonly kind: "answered"; readonly status: number; }
-    | {
-        readonly kind: "ended";
-        readonly end: AttemptEnd;
-        readonly detail: string;
-        /** The upstream's own failure, to be passed on when nothing better comes. */
-        readonly failure?: BufferedAnswer;
-        /** Another upstream has the address. */
-        readonly misdirected?: boolean;
-    };
-
 /**
  * Sends a call to the granted upstream and passes its answer on.
  *
--- a/src/passthrough/serveCalls/index.ts
+++ b/src/passthrough/serveCalls/index.ts
@@ -1,8 +1,10 @@
-import { ClassName, RequestId, WorkspaceId } from "../../ids/index.js";
+import { Either } from "purify-ts";
+import { ClassName, WorkspaceId } from "../../ids/index.js";
 import { HttpHandler, HttpRequest } from "../../ports/index.js";
 import { RunningRequest } from "../../request/index.js";
 import { CallAnswer } from "../callAnswer/index.js";
 import { CallContext } from "../callContext/index.js";
+import { CallHead } from "../callDialect/index.js";
 import { CallError } from "../callError/index.js";
 import { prepareCall, PreparedCall } from "../prepareCall/index.js";
 import { CallEnd, runCall } from "../runCall/index.js";
@@ -16,14 +18,20 @@
 export function serveCalls(ctx: CallContext): HttpHandler {
     return async (req, res) => {
         const answer = new CallAnswer({ res, dialect: ctx.dialect, isDraining: ctx.isDraining });
-        const prepared = await prepareCall(ctx, req);
-        if (prepared.isLeft()) return refuse(ctx, req, answer, prepared.extract() as CallError);
+        const head = ctx.dialect.readHead(req);
+        const prepared = await prepareCall(ctx, req, head);
+        if (prepared.isLeft()) return refuse(ctx, head, answer, prepared.extract() as CallError);
         await trackCall(ctx, req, answer, prepared.unsafeCoerce());
     };
 }
 
-function refuse(ctx: CallContext, req: HttpRequest, answer: CallAnswer, err: CallError): void {
-    const request = ctx.dialect.readHead(req).map(head => head.request).toMaybe().extract();
+function refuse(
+    ctx: CallContext,
+    readHead: Either<CallError, CallHead>,
+    answer: CallAnswer,
+    err: CallError,
+): void {
+    const request = readHead.map(head => head.request).toMaybe().extract();
     const version = ctx.view.routes()?.version;
     const detail = err.message;
     ctx.logger.info("call-refused", { request, kind: err.kind, detail, version, fresh: ctx.view.isFresh() });
@@ -42,7 +50,7 @@
     req.closed.addEventListener("abort", stopGone);
     const limit = ctx.clock.after(call.deadlineAt - ctx.clock.monotonic(), () => run.cancel("timeout"));
     try {
-        noteEnd(ctx, call, run, await runCall(ctx, call, run, answer, ctx.random.id() as RequestId));
+        noteEnd(ctx, call, run, await runCall(ctx, call, run, answer));
     }
     finally {
         limit.cancel();
--- a/src/platform/runControlNode/index.ts
+++ b/src/platform/runControlNode/index.ts
@@ -5,10 +5,14 @@
 import { cloudCallsOf } from "../cloudCalls/index.js";
 import { serveControlPlane } from "../controlPlane/index.js";
 import { NodeSettings } from "../nodeSettings/index.js";
-import { CONTROL_LOG_TIMING, OWN_PEER_TIMING, PLATFORM_FLIGHT_MS, VIEW_LEASE_SHARE } from "../timing/index.js";
+import {
+    CONTROL_LOG_TIMING,
+    OWN_PEER_TIMING,
+    PLATFORM_FLIGHT_MS,
+    silenceOf,
+    VIEW_LEASE_SHARE,
+} from "../timing/index.js";
 
-/** Heartbeats that an engine may miss before it gets no more work. */
-const MISSED_HEARTBEATS = 4;
 /** How long before a window's usage is due it is closed at the latest, in milliseconds: a successor of the holder needs this long. */
 const REPORT_MARGIN_MS = 4_000;
 /** A stopping control process does not wait for anything: what it has accepted is on disk elsewhere too. */
@@ -46,7 +50,7 @@
             mayFound: settings.isFirstStart && settings.isSeed,
             startsWindowMs: usageWindowMs,
             startsPatienceMs: Math.max(0, settings.usageDueMs - REPORT_MARGIN_MS),
-            silentAfterMs: MISSED_HEARTBEATS * settings.heartbeatMs,
+            silentAfterMs: silenceOf(settings.heartbeatMs),
             platform: describePlatform(ports, settings),
         },
     });
--- a/src/platform/runEntryNode/index.ts
+++ b/src/platform/runEntryNode/index.ts
@@ -5,15 +5,13 @@
 import { DEFAULT_REGISTRY_TIMING } from "../../upstream/index.js";
 import { NodeSettings } from "../nodeSettings/index.js";
 import { serveReadiness } from "../readiness/index.js";
-import { OWN_PEER_TIMING } from "../timing/index.js";
+import { OWN_PEER_TIMING, silenceOf } from "../timing/index.js";
 import { WireDialect } from "../wireDialect/index.js";
 
 /** The platform asks every second and believes two misses; then it sends no more callers, in milliseconds. */
 const BALANCER_MS = 3_000;
 /** Kept of the grace period for ending the process, in milliseconds. */
 const EXIT_MS = 700;
-/** Heartbeats that an engine may miss before it gets no more work. */
-const MISSED_HEARTBEATS = 4;
 
 /** A running entry, and what its settings may change. */
 export interface EntryNode extends DaemonProcess {
@@ -38,7 +36,7 @@
         timing: OWN_PEER_TIMING,
         windowMs: settings.usageWindowMs,
         balancerMs: BALANCER_MS,
-        registryTiming: { ...DEFAULT_REGISTRY_TIMING, silentAfterMs: MISSED_HEARTBEATS * heartbeatMs },
+        registryTiming: { ...DEFAULT_REGISTRY_TIMING, silentAfterMs: silenceOf(heartbeatMs) },
         routes: {
             callers,
             dialect: new WireDialect(),
--- a/src/platform/timing/index.ts
+++ b/src/platform/timing/index.ts
@@ -25,3 +25,16 @@
 export const VIEW_LEASE_SHARE = 0.8;
 /** The longest that a call to the platform may be on its way, in milliseconds: it answers within a few when it is well. */
 export const PLATFORM_FLIGHT_MS = 1_000;
+
+/** An upstream that has missed so many heartbeats is taken to be gone: one may come late, and its next may be lost. */
+const MISSED_HEARTBEATS = 4;
+
+/**
+ * After how long without a word an upstream is taken to be gone.
+ *
+ * @param heartbeatMs - How often upstreams announce themselves, in milliseconds.
+ * @returns Milliseconds.
+ */
+export function silenceOf(heartbeatMs: number): number {
+    return MISSED_HEARTBEATS * heartbeatMs;
+}
