A grant is released at the owner that it is taken from

Cause, from the owner's log: an owner that was silent for 120 ms got its queue back 2 s later and still counted what had been handed to the next owner and had ended there. The engines of those grants seemed silent for ten seconds and more (weights of 31 and 39 s, backlog 0), 6 of 16 were left in use. Ruled out: the clock steps (freshness lost for a second only), the smaller size ordered at 20 s, lost heartbeats (all upstreams were known). Test: routeService, the owner of a queue that is silent for a moment (4 grants left over without the mend).

--- a/src/entry/fleetDispatcher/index.ts
+++ b/src/entry/fleetDispatcher/index.ts
@@ -194,14 +194,30 @@
 
     private handOver(running: RunningGrant, owner: HostId): void {
         const { ticket, grant } = running;
-        const runningMs = this.options.clock.monotonic() - running.grantedAt;
+        const { self, local, directory, clock } = this.options;
+        const runningMs = clock.monotonic() - running.grantedAt;
+        this.releaseFrom(running.owner, running);
         running.owner = owner;
-        if (owner === this.options.self) {
-            this.options.local.adopt(ticket, grant, runningMs);
+        if (owner === self) {
+            local.adopt(ticket, grant, runningMs);
             return;
         }
         const notice: AdoptNotice = { ticket, grant, runningMs };
-        this.options.directory.linkTo(owner)?.notify(DISPATCH_METHODS.adopt, notice);
+        directory.linkTo(owner)?.notify(DISPATCH_METHODS.adopt, notice);
+    }
+
+    /**
+     * Guards against an owner that was only silent for a moment: the grant ends elsewhere, and the first owner, back again, would count it as
+     * running for ever. Its upstream would seem full, or silent, and get no more work.
+     */
+    private releaseFrom(owner: HostId, { ticket: { request }, grant: { upstream } }: RunningGrant): void {
+        const { self, local, directory } = this.options;
+        if (owner !== self) {
+            directory.linkTo(owner)?.notify(DISPATCH_METHODS.cancel, request);
+            return;
+        }
+        const nothingUsed = { promptTokens: 0, cachedTokens: 0, completionTokens: 0 };
+        local.complete({ request, upstream, outcome: "cancelled", ...nothingUsed });
     }
 
     private sendProgress(owner: HostId, sums: Map<RequestId, number>): void {
--- a/src/entry/routeService/test.ts
+++ b/src/entry/routeService/test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { afterEach, describe, it } from "node:test";
 import { RoutedFleet, RoutedLayout } from "../../faultInjection/index.js";
+import { PoolId } from "../../ids/index.js";
 import { CALL_HEADERS } from "../../passthrough/index.js";
 import { findHeader, HeaderList } from "../../ports/index.js";
 
@@ -248,6 +249,31 @@
         });
     });
 
+    describe("the owner of a queue that is silent for a moment", () => {
+        it("does not count what others then took over and ended", async () => {
+            // After a short pause of one host engines stand idle, one after the other, and the rest is overloaded until callers give up.
+            // An entry hands its running calls to the next owner of the queue, and they end there; then the first owner is back.
+            // Cause: the first owner never hears that they have ended, and takes their engines for full, or for silent.
+            const POOL = "ledger" as PoolId;
+            await startFleet({ entries: 3, upstreams: [{ workMs: 400, slots: 16 }, { workMs: 400, slots: 16 }] });
+            const [first] = fleet.entries;
+            const owner = [0, 1, 2].find(number => `entry-${number}` === first!.dispatcher.ownerOf(POOL))!;
+            const other = (owner + 1) % 3;
+            const addressOf = (number: number): string => `10.0.1.${number + 1}`;
+            const call = () => fleet.startCall({ entry: other, path: "/status/1", key: KEY });
+            const calls = Array.from({ length: 4 }, call);
+            await fleet.pass(50);
+            fleet.fabric.isolate(addressOf(owner), [addressOf(other)], true);
+            calls.push(call());
+            await fleet.pass(300);
+            fleet.fabric.isolate(addressOf(owner), [addressOf(other)], false);
+            const replies = await fleet.run(Promise.all(calls));
+            assert.deepEqual(replies.map(({ status }) => status), [200, 200, 200, 200, 200]);
+            await fleet.pass(3_000);
+            assert.equal(fleet.entries[owner]!.local.countRunning(POOL), 0);
+        });
+    });
+
     describe("time", () => {
         it("ends each call when its route's time is over, at once", async () => {
             await startFleet({ upstreams: [{ workMs: 60_000 }] });
