A jump of the wall clock costs neither an election nor a waiting pull

The jump looks like sleep and ends leases, as it must; then entries waited up to 2 s for a pull that waits for a change, and a leader stepped down, since all its contacts seemed older than a lease. Ruled out: lost links to control (none was lost), a change of the document. Tests: controlClient, an entry whose wall clock was set forward; election, a holder whose wall clock is set forward; each fails without its part.

--- a/src/consensus/election/test.ts
+++ b/src/consensus/election/test.ts
@@ -134,4 +134,21 @@
             await fleet.converge();
         });
     });
+
+    describe("a holder whose wall clock is set forward", () => {
+        it("leads on, and holds the lease again within two heartbeats", async () => {
+            // Changes are refused for two seconds whenever a time service corrects the clock of the host that leads.
+            // The jump looks like sleep; the leader steps down, and the others wait out their promise before they elect another.
+            // Cause: all its contacts seem older than a lease.
+            const fleet = await startFleet(1);
+            const { process } = fleet.holder()!;
+            const token = process!.log.fencingToken();
+            process!.host.clock.setForward(3_000);
+            assert.equal(process!.log.holdsLease(), false);
+            await fleet.pass(2 * FLEET_TIMING.heartbeatMs + 20);
+            assert.equal(process!.log.holdsLease(), true);
+            assert.equal(process!.log.fencingToken(), token);
+            await fleet.converge();
+        });
+    });
 });
--- a/src/consensus/leadership/index.ts
+++ b/src/consensus/leadership/index.ts
@@ -154,12 +154,23 @@
         });
     }
 
-    /** Check-quorum: a leader that a majority no longer hears steps down, so that it does not take proposals for nothing. */
+    /**
+     * Check-quorum: a leader that a majority no longer hears steps down, so that it does not take proposals for nothing.
+     *
+     * Guards against an election for nothing after a jump of the wall clock: it looks like sleep, which ends the lease at once, and all contacts seem
+     * too old. The leader has a lease's time from the jump on to be heard again; if it really slept and another leads, it is told so.
+     */
     private async watchQuorum(signal: AbortSignal): Promise<void> {
         const { clock, timing } = this.replica;
+        let sleptMs = clock.elapsed() - clock.monotonic();
+        let wokeAt = this.startedAt;
         while (!signal.aborted) {
             await clock.sleep(timing.heartbeatMs, signal);
-            const heardAt = Math.max(this.startedAt, this.quorumContactAt());
+            if (clock.elapsed() - clock.monotonic() - sleptMs >= timing.heartbeatMs) {
+                sleptMs = clock.elapsed() - clock.monotonic();
+                wokeAt = clock.elapsed();
+            }
+            const heardAt = Math.max(wokeAt, this.quorumContactAt());
             if (!signal.aborted && clock.elapsed() - heardAt > timing.leaseMs) this.replica.stepDown();
         }
     }
--- a/src/control/controlClient/index.ts
+++ b/src/control/controlClient/index.ts
@@ -13,6 +13,8 @@
 /** How much longer than the holder's wait a pull may take, in milliseconds. */
 const PULL_MARGIN_MS = 1_500;
 const DEFAULT_PULL_WAIT_MS = 2_000;
+/** How often a waiting pull looks whether the view has gone stale meanwhile, in milliseconds. */
+const STALE_LOOK_MS = 100;
 
 /** A link to one control host. */
 export type ControlLink = Pick<PeerLink, "isOpen" | "peer" | "call">;
@@ -144,12 +146,39 @@
             takesEntryChanges: true,
         };
         const leftAt = clock.elapsed();
-        const answer = await this.currentLink().call(VIEW_PULL_METHOD, pull, waitMs + PULL_MARGIN_MS);
+        const asked = this.currentLink().call(VIEW_PULL_METHOD, pull, waitMs + PULL_MARGIN_MS);
+        const answer = await this.unlessStale(asked, waitMs);
+        if (!answer) {
+            this.pulledOnce = false;
+            return true;
+        }
         answer.ifLeft(err => this.leaveLink(err));
         answer.ifRight(reply => this.takeReply(reply as ViewPullReply, leftAt));
         return answer.isRight();
     }
 
+    /**
+     * Guards against an entry that refuses calls for seconds though it is in touch: after a jump of the wall clock, which looks like sleep, its
+     * view counts as stale at once, and a pull that waits for a change would renew it only when that wait ends.
+     *
+     * @returns The answer; undefined when the view went stale first. An answer that comes later is not used.
+     */
+    private unlessStale<Answer>(asked: Promise<Answer>, waitMs: number): Promise<Answer | undefined> {
+        if (waitMs === 0 || !this.isFresh()) return asked;
+        const { clock } = this.options;
+        return new Promise(resolve => {
+            const look = (): void => {
+                if (!this.isFresh()) resolve(undefined);
+                else timer = clock.after(STALE_LOOK_MS, look);
+            };
+            let timer = clock.after(STALE_LOOK_MS, look);
+            void asked.then(answer => {
+                timer.cancel();
+                resolve(answer);
+            });
+        });
+    }
+
     private takeReply({ change, leaseMs, controls, ...list }: ViewPullReply, leftAt: number): void {
         const { cache, onChange, onEntries } = this.options;
         const taken = change !== undefined && cache.apply(change);
--- a/src/control/controlClient/test.ts
+++ b/src/control/controlClient/test.ts
@@ -23,8 +23,17 @@
 const GRANT = { kind: "key.grant", changeId: "g", operator: "anna", workspace: "school", keyId: "k1", hash: HASH };
 const WITHDRAW = { kind: "key.withdraw", changeId: "w", operator: "anna", keyId: "k1" };
 
+/** A clock on a machine that seems to have slept for a while. */
+class JumpingClock extends VirtualClock {
+    sleptMs = 0;
+
+    override elapsed(): number {
+        return this.monotonic() + this.sleptMs;
+    }
+}
+
 class Fleet {
-    readonly clock = new VirtualClock();
+    readonly clock = new JumpingClock();
     readonly fabric = new MemoryFabric(this.clock, () => 1);
     readonly group = new MemoryLogGroup(this.clock);
     readonly logs = new Map<HostId, MemoryControlLog>();
@@ -305,4 +314,20 @@
             assert.equal(one.client.entries.find(entry => entry.host === "e2")?.draining, true);
         });
     });
+
+    describe("an entry whose wall clock was set forward", () => {
+        it("is fresh again long before its waiting pull ends", async () => {
+            // Callers are refused for two seconds whenever a time service corrects a host's clock.
+            // The jump looks like sleep, so the view counts as stale; the pull under way waits for a change that does not come.
+            // Cause: nothing asks anew until that wait has ended.
+            const fleet = await new Fleet().start();
+            const { client } = fleet.startEntry("e1");
+            await fleet.clock.advance(1_000);
+            assert.equal(client.isFresh(), true);
+            fleet.clock.sleptMs += LEASE_MS;
+            assert.equal(client.isFresh(), false);
+            await fleet.clock.advance(200);
+            assert.equal(client.isFresh(), true);
+        });
+    });
 });
--- a/src/ports/memoryHost/index.ts
+++ b/src/ports/memoryHost/index.ts
@@ -80,6 +80,7 @@
 export class HostClock extends Clock {
     private trueBase = 0;
     private base = 0;
+    private sleptMs = 0;
 
     constructor(private readonly host: MemoryHost, private readonly clock: Clock, private rate: number) {
         super();
@@ -92,8 +93,17 @@
         this.rate = rate;
     }
 
+    /** Sets the wall clock forward, which looks as if the machine had slept. */
+    setForward(ms: number): void {
+        this.sleptMs += ms;
+    }
+
     now(): number {
-        return this.clock.now();
+        return this.clock.now() + this.sleptMs;
+    }
+
+    override elapsed(): number {
+        return this.monotonic() + this.sleptMs;
     }
 
     monotonic(): number {
