A call is not sent to an upstream that its entry knows to be leaving, whoever granted it

Ruled out: a late announcement (the control process and the entries in touch had it within the second), a stale view (it is no part of a grant). Test: routeService, get no more work though the owner of the queue is cut off from control and has not heard (fails without it).

--- a/src/entry/routeService/index.ts
+++ b/src/entry/routeService/index.ts
@@ -18,6 +18,8 @@
 
 /** The most header bytes that the listener reads at all; the document's own bound is checked for each call. */
 const MOST_HEADER_BYTES = 64 * 1024;
+/** What an upstream says of itself that gets no more work. */
+const LEAVING_STATES: readonly unknown[] = ["leaving", "gone"];
 /** How long a body may take, in milliseconds. */
 const BODY_TIMEOUT_MS = 30_000;
 
@@ -87,7 +89,7 @@
 
     /** Opens the callers' port: calls that come before there is a document wait for it a while. */
     async start(client: ControlClient, cache: ViewCache, links: ControlLinkSet, lifecycle: Lifecycle): Promise<void> {
-        const { settings, http, self, clock, logger } = this.options;
+        const { settings, http, self, clock, logger, registry } = this.options;
         const view = new FleetRouteView(clock, client, cache);
         this.view = view;
         const handler = serveCalls({
@@ -98,6 +100,7 @@
             repeats: new RepeatBudget(clock, settings.repeats),
             starts: this.starts,
             time: this.time,
+            isLeaving: upstream => LEAVING_STATES.includes(registry.get(upstream)?.state),
         });
         const listener = await http.serve(settings.callers, toHttpLimits(DEFAULT_CALLER_LIMITS), handler);
         this.listener = listener;
--- a/src/entry/routeService/test.ts
+++ b/src/entry/routeService/test.ts
@@ -310,6 +310,26 @@
             }
         });
 
+        it("get no more work though the owner of the queue is cut off from control and has not heard", async () => {
+            // An engine is told that it may end soon, and still gets calls seconds later.
+            // The entry that owns the pool's queue is cut off from all control processes; others, which have heard that the engine
+            // leaves, ask it for an upstream and are granted that one.
+            // Cause: whoever sends a call does not look at what it knows itself of the upstream.
+            await startFleet({ entries: 3 });
+            const [first] = fleet.entries;
+            const owner = [0, 1, 2].find(number =>
+                `entry-${number}` === first!.dispatcher.ownerOf("ledger" as PoolId)
+            )!;
+            const controls = [1, 2, 3, 4, 5].map(number => `10.0.0.${number}`);
+            fleet.fabric.isolate(`10.0.1.${owner + 1}`, controls, true);
+            assert.equal(await fleet.announce(0, "leaving"), true);
+            await fleet.pass(100);
+            for (let i = 0; i < 6; i++) {
+                const reply = await fleet.call({ entry: (owner + 1 + i % 2) % 3, path: "/orders/1", key: KEY });
+                assert.equal(fleet.signerOf(reply), "upstream-1");
+            }
+        });
+
         it("are told to go elsewhere by a control process that reaches nobody", async () => {
             await startFleet();
             const others = [1, 2, 3, 4].map(number => `10.0.0.${number}`).concat(["10.0.1.1", "10.0.1.2"]);
--- a/src/passthrough/callContext/index.ts
+++ b/src/passthrough/callContext/index.ts
@@ -1,5 +1,5 @@
 import { Dispatcher } from "../../dispatch/index.js";
-import { HostId, ZoneId } from "../../ids/index.js";
+import { HostId, UpstreamId, ZoneId } from "../../ids/index.js";
 import { Logger } from "../../logging/index.js";
 import { Metrics } from "../../metrics/index.js";
 import { Clock, Http, Random } from "../../ports/index.js";
@@ -46,6 +46,8 @@
     readonly repeats: RepeatBudget;
     readonly starts: StartMeter;
     readonly time: TrueTime;
+    /** True when this entry has heard that an upstream leaves or is gone. */
+    readonly isLeaving: (upstream: UpstreamId) => boolean;
     /** True once a planned stop has begun: each answer closes its connection. */
     readonly isDraining: () => boolean;
 }
