--- a/src/entry/routeService/index.ts
+++ b/src/entry/routeService/index.ts
@@ -10,7 +10,7 @@
 import { RequestRegistry } from "../../request/index.js";
 import { CallerLimits, DEFAULT_CALLER_LIMITS } from "../../routing/index.js";
 import { TrueTime } from "../../time/index.js";
-import { UpstreamRegistry } from "../../upstream/index.js";
+import { UpstreamRegistry, UpstreamState } from "../../upstream/index.js";
 import { StartMeter } from "../../usage/index.js";
 import { PeerChannel, PeerIdentity, PeerRouter } from "../../wire/index.js";
 import { FleetRouteView } from "../fleetRouteView/index.js";
@@ -19,7 +19,7 @@
 /** The most header bytes that the listener reads at all; the document's own bound is checked for each call. */
 const MOST_HEADER_BYTES = 64 * 1024;
 /** What an upstream says of itself that gets no more work. */
-const LEAVING_STATES: readonly unknown[] = ["leaving", "gone"];
+const LEAVING_STATES: readonly (UpstreamState | undefined)[] = ["leaving", "gone"];
 /** How long a body may take, in milliseconds. */
 const BODY_TIMEOUT_MS = 30_000;
 
