--- a/src/control/controlClient/index.ts
+++ b/src/control/controlClient/index.ts
@@ -158,7 +158,7 @@
     }
 
     /**
-     * Guards against an entry that refuses calls for seconds though it is in touch: after a jump of the wall clock, which looks like sleep, its
+     * Guards against an entry that refuses calls for seconds though it reaches control: after a jump of the wall clock, which looks like sleep, its
      * view counts as stale at once, and a pull that waits for a change would renew it only when that wait ends.
      *
      * @returns The answer; undefined when the view went stale first. An answer that comes later is not used.
--- a/src/passthrough/prepareCall/index.ts
+++ b/src/passthrough/prepareCall/index.ts
@@ -87,8 +87,8 @@
  * Holds a call that came before the first document.
  *
  * Answers a restart of all processes: callers come back as soon as a connection is accepted again, most of them for the last time, and
- * a refusal a moment before the document arrives would leave them with nothing. An entry that once had a document and has lost touch
- * refuses at once instead, since the caller's next connection may reach another host that is in touch.
+ * a refusal a moment before the document arrives would leave them with nothing. An entry that once had a document and has lost control
+ * refuses at once instead, since the caller's next connection may reach another host with a fresh view.
  */
 async function awaitFirstDocument(
     ctx: CallContext,
