A failure in place of a stream's rest is not passed on as its end

Cause: an engine crashed while a brief streamed from it; the engine that should go on answered 500, and relayAnswer wrote that answer's body into the stream already begun and ended it as whole. Ruled out: the event scanner and the framing of relayed streams (the answers were short by whole events, not within one). A test of the pair of faults fails without the change.

--- a/src/emulator/callStandIn/index.ts
+++ b/src/emulator/callStandIn/index.ts
@@ -153,7 +153,7 @@
             [CALL_HEADERS.request, request],
             [CALL_HEADERS.signature, `${this.options.id}/${request}`],
         ];
-        if (this.options.events > 0) return this.stream(req, res, headers, fault);
+        if (this.options.events > 0 && fault !== "error") return this.stream(req, res, headers, fault);
         const text = `${fault === "error" ? "failed" : "answered"} by ${this.options.id}`;
         res.head(fault === "error" ? 500 : 200, [...headers, ["content-length", String(text.length)]]);
         res.end(text);
--- a/src/entry/routeService/test.ts
+++ b/src/entry/routeService/test.ts
@@ -202,6 +202,22 @@
             assert.deepEqual([second.body, second.isWhole], [WHOLE, true]);
         });
 
+        it("are cut where the engine that should go on fails, whichever breaks off", async () => {
+            // An engine crashes while a brief streams from it, and the brief goes on at another one, which answers with a failure of its own.
+            // The caller got that failure's text as the end of the stream, and the half of a brief passed for the whole.
+            // Cause: an answer that is no stream was passed on into whatever the caller had so far.
+            await startFleet({ upstreams: STREAMS });
+            await fleet.pass(10_000);
+            for (const [breaking, failing] of [[0, 1], [1, 0]]) {
+                fleet.upstreams[breaking].faults.push("break");
+                fleet.upstreams[failing].faults.push("error");
+                const reply = await fleet.call({ entry: 0, path: "/notes/1", key: KEY });
+                assert.equal(reply.isWhole, false);
+                assert.doesNotMatch(reply.body, /failed by/);
+                await fleet.pass(3_000);
+            }
+        });
+
         it("are cut where they may not, so that nobody takes a part for the whole", async () => {
             await startFleet({ upstreams: STREAMS });
             spoilAll("break");
--- a/src/passthrough/sendCall/index.ts
+++ b/src/passthrough/sendCall/index.ts
@@ -82,7 +82,17 @@
     }
     noteStart(ctx, attempt);
     const isStream = attempt.call.route.kind === "stream" && reply.status < 300 && isEventStream(reply);
-    return isStream ? relayStream(ctx, attempt, reply, head) : relayAnswer(ctx, attempt, reply, head);
+    if (isStream) return relayStream(ctx, attempt, reply, head);
+    return attempt.answer.startedWith === undefined ? relayAnswer(ctx, attempt, reply, head) : refuseRest(reply);
+}
+
+/**
+ * Guards against a failure's text that reaches the caller as the rest of its stream, which then looks whole: what is no stream of events can't
+ * go on with one.
+ */
+function refuseRest(reply: HttpReply): AttemptResult {
+    void discard(reply);
+    return { kind: "ended", end: "failed", detail: `the upstream answers ${reply.status} in place of a stream's rest` };
 }
 
 /** Why an answer can't be this call's; undefined when it can. */
