Streams with short pauses are kept apart from rows of prompts; first tokens are predicted from a fixed time, tokens and pairs

Causes: (1) a prompt was weighed alone, never with what is read before it; (2) engines passed for idle that read long prompts for another half second, as one time for each token knows neither the fixed time of a first token nor that the end of a long prompt is slower; (3) a new owner of a queue knew of no stream that runs; (4) an order whose engines got a notice was sent again only 5.5 s after it. Now: PrefillModel (least squares over the last observations, for the pool), PrefillClock corrects its queue by each first token, PauseForecast (chunks learned from pauses), ReadingHistory (rows of late), adopted streams, orders again at once, steady engines bought for a reading share of 0.3 in place of 0.55 where reclaimable ones are sold out.

--- a/src/control/poolSizer/index.ts
+++ b/src/control/poolSizer/index.ts
@@ -14,7 +14,7 @@
 /** The share of an engine's time that may go into reading prompts: above it, streams beside a prompt pause too often. */
 const READING_SHARE = 0.25;
 /** The share that it may have when upstreams are short: streams pause now and then, and prompts still begin in time. */
-const MOST_READING_SHARE = 0.55;
+const MOST_READING_SHARE = 0.3;
 /** How long a lower need must last before it is believed, in milliseconds: bursts come in rows. */
 const CALM_MS = 15_000;
 /** How long a platform that has none left is left alone, in milliseconds. */
@@ -61,6 +61,13 @@
     readonly sentAt: number;
     readonly retryAt: number;
     readonly soldOut: boolean;
+    /** The most that were ready at a time since then. */
+    mostReady: number;
+}
+
+/** An order to be sent now. */
+interface DueOrder extends SizeOrder {
+    readonly ready: number;
 }
 
 interface Need {
@@ -91,9 +98,9 @@
         if (this.options.clock.monotonic() - this.termStartedAt < WATCH_MS) return STEP_MS;
         for (const { pool, scaling } of state.documents.held?.document.pools ?? []) {
             if (!scaling) continue;
-            for (const order of this.planPool(pool, scaling)) {
+            for (const due of this.planPool(pool, scaling)) {
                 if (!term.maySend(platformChecksFence)) return STEP_MS;
-                await this.send(order, term);
+                await this.send(due, term);
             }
         }
         return STEP_MS;
@@ -142,7 +149,7 @@
         return Math.ceil((report?.readingLoad ?? 0) / READING_SHARE);
     }
 
-    private planPool(pool: PoolId, scaling: ScalingSpec): SizeOrder[] {
+    private planPool(pool: PoolId, scaling: ScalingSpec): DueOrder[] {
         const zones = this.describeZones(pool, scaling);
         const { least, most, reclaimablePrice } = scaling;
         const needed = this.needs.get(pool)?.count ?? 0;
@@ -151,26 +158,30 @@
         return wishes.flatMap((wish, at) => this.listOrders(pool, scaling, zones[at], wish));
     }
 
-    private listOrders(pool: PoolId, scaling: ScalingSpec, zone: ZoneSituation, wish: ZoneWish): SizeOrder[] {
-        const orders: SizeOrder[] = [
-            { pool, zone: wish.zone, count: wish.reclaimable, reclaimable: true },
-            { pool, zone: wish.zone, count: wish.steady, reclaimable: false },
+    private listOrders(pool: PoolId, scaling: ScalingSpec, zone: ZoneSituation, wish: ZoneWish): DueOrder[] {
+        const { steady, reclaimable } = zone;
+        const orders: DueOrder[] = [
+            { pool, zone: wish.zone, count: wish.reclaimable, reclaimable: true, ready: reclaimable.ready },
+            { pool, zone: wish.zone, count: wish.steady, reclaimable: false, ready: steady.ready },
         ];
         const renewMs = scaling.bootMs + RENEW_MARGIN_MS;
-        return orders.filter(order => this.isDue(order, order.reclaimable ? zone.reclaimable : zone.steady, renewMs));
+        return orders.filter(order => this.isDue(order, renewMs));
     }
 
     /**
      * Guards against an order that the platform took in part, or that it has undone since: it keeps both kinds of a zone under one
      * bound, so that reclaimable ones come only as steady ones go, and it takes reclaimable ones back. An order whose upstreams are not
-     * there after the time in which they start is sent again.
+     * there after the time in which they start is sent again, and at once when some of them leave: either others start now, or the
+     * platform says that it has none, and steady ones can be ordered seconds before those that leave are gone.
      */
-    private isDue(order: SizeOrder, { ready }: ZoneCount, renewMs: number): boolean {
+    private isDue(order: DueOrder, renewMs: number): boolean {
+        const { ready } = order;
         const known = this.ordered.get(nameOf(order));
         if (!known) return order.count !== ready;
         const now = this.options.clock.monotonic();
+        known.mostReady = Math.max(known.mostReady, ready);
         if (now < known.retryAt) return false;
-        const isMissing = ready < order.count && now - known.sentAt >= renewMs;
+        const isMissing = ready < order.count && (ready < known.mostReady || now - known.sentAt >= renewMs);
         return known.count !== order.count || known.soldOut || isMissing;
     }
 
@@ -194,7 +205,7 @@
         return { ready, ordered: ordered?.count, soldOut: ordered?.soldOut ?? false };
     }
 
-    private async send(order: SizeOrder, term: HolderTerm): Promise<void> {
+    private async send({ ready, ...order }: DueOrder, term: HolderTerm): Promise<void> {
         const { sender, logger, platformChecksFence, describe, clock } = this.options;
         const sent = await sender.send(describe(order, term), () => term.maySend(platformChecksFence));
         const status = sent.map(reply => reply.status).orDefault(0);
@@ -204,7 +215,7 @@
         // An order without an answer may have been taken or not: it counts as another number, so that it is sent again.
         const count = isTaken || soldOut ? order.count : Number.NaN;
         const sentAt = clock.monotonic();
-        this.ordered.set(nameOf(order), { count, soldOut, sentAt, retryAt: sentAt + pauseMs });
+        this.ordered.set(nameOf(order), { count, soldOut, sentAt, retryAt: sentAt + pauseMs, mostReady: ready });
         const need = this.needs.get(order.pool)?.count;
         logger.info("size-ordered", { ...order, status, need, token: term.token });
     }
--- a/src/control/poolSizer/test.ts
+++ b/src/control/poolSizer/test.ts
@@ -127,6 +127,24 @@
         assert.equal(ordersOf(), before + 1);
     });
 
+    it("orders again at once when reclaimable ones are about to leave, so that steady ones come in time", async () => {
+        // Callers wait for seconds. The platform takes a zone's engines back on short notice and has no others; the holder went on counting on
+        // them until the time in which new ones start had passed, and ordered steady ones only then.
+        const { platform, announce, run } = makeSizer();
+        for (const zone of ZONES) {
+            for (const number of [0, 1, 2]) announce(`${zone}-${number}`, zone, true);
+        }
+        await run(10_000, 1.5);
+        platform.status = 409;
+        for (const zone of ["vogar", "keflavik"]) {
+            for (const number of [0, 1, 2]) announce(`${zone}-${number}`, zone, true, "gone");
+        }
+        const before = platform.orders.length;
+        await run(1_000, 3);
+        const steady = platform.orders.slice(before).filter(({ reclaimable }) => !reclaimable);
+        assert.ok(steady.some(({ count }) => count > 0), JSON.stringify(platform.orders.slice(before)));
+    });
+
     it("leaves a platform that has none left alone for a while", async () => {
         const { platform, announce, run } = makeSizer();
         for (const zone of ZONES) announce(`${zone}-0`, zone, false);
--- a/src/dispatch/poolQueue/index.ts
+++ b/src/dispatch/poolQueue/index.ts
@@ -137,7 +137,7 @@
         const running = this.running.get(completion.request);
         if (!running || running.load.upstream.id !== completion.upstream) return false;
         this.running.remove(running);
-        this.choice.ended(completion.request, FAILED[completion.outcome], now);
+        this.choice.ended(completion.request, FAILED[completion.outcome], now, completion.longestGapMs);
         running.load.markEnded(now);
         this.learn(running, completion, now);
         this.options.members.refresh(running.load);
@@ -166,6 +166,7 @@
         this.admission.noteTakeover();
         load.adopt(now - runningMs);
         const waiting = makeWaitingTicket(ticket, now, this.options.lengths.predictMean(ticket, ticket.maxTokens));
+        this.choice.adopted(load, this.picker.describe(waiting, now), runningMs);
         const grantedAt = now - runningMs;
         this.running.add({ waiting, load, grantedAt, tokens: 0, isPreempted: false, release: () => undefined });
         this.options.members.refresh(load);
--- a/src/dispatch/ticket/index.ts
+++ b/src/dispatch/ticket/index.ts
@@ -94,6 +94,8 @@
     readonly firstTokenMs?: number;
     /** Mean time between tokens, in milliseconds; undefined below two tokens. */
     readonly tokenMs?: number;
+    /** The longest time between two events, in milliseconds; undefined below two, or where the stream came from several upstreams. */
+    readonly longestGapMs?: number;
     readonly promptTokens: number;
     readonly cachedTokens: number;
     readonly completionTokens: number;
--- a/src/dispatch/upstreamPicker/index.ts
+++ b/src/dispatch/upstreamPicker/index.ts
@@ -35,13 +35,16 @@
         return chosen;
     }
 
-    private describe({ ticket, predictedTokens }: WaitingTicket, now: number): ChoiceRequest {
+    /** What the choice needs to know of a ticket. */
+    describe({ ticket, predictedTokens }: WaitingTicket, now: number): ChoiceRequest {
         const { pool, zone, members } = this.options;
         const { request, prefixes, promptTokens, gapMs, parts = [], bodyBytes = 0 } = ticket;
+        const targetMs = ticket.firstTokenMs;
+        const eventTokens = gapMs === undefined ? 1 : Math.max(1, gapMs / ticket.tokenMs);
         const sources = ticket.canFetch ? members.all : [];
         const sender = ticket.zone ?? zone;
         const size = { promptTokens, predictedTokens, bodyBytes };
-        return { request, pool, prefixes, parts, sources, gapMs, now, zone: sender, ...size };
+        return { request, pool, prefixes, parts, sources, gapMs, eventTokens, targetMs, now, zone: sender, ...size };
     }
 
     private findFree(ticket: Ticket): readonly UpstreamLoad[] {
--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -209,7 +209,7 @@
 }
 
 function completeGrant(
-    { ctx, call, ticketId: request, progress: { stream } }: CallTask,
+    { ctx, call, ticketId: request, progress: { stream, tries } }: CallTask,
     { upstream }: Grant,
     outcome: Completion["outcome"],
 ): void {
@@ -222,6 +222,7 @@
         outcome,
         firstTokenMs: stream.firstEventMs,
         tokenMs,
+        longestGapMs: gaps > 0 && tries === 1 ? stream.longestGapMs : undefined,
         promptTokens: call.head.promptTokens,
         cachedTokens: 0,
         completionTokens: stream.count * tokensPerEvent,
--- a/src/upstream/choice/index.ts
+++ b/src/upstream/choice/index.ts
@@ -15,6 +15,10 @@
     readonly sources: readonly UpstreamLoad[];
     /** The longest pause between two events that is on time, in milliseconds; undefined for answers that are no streams. */
     readonly gapMs: number | undefined;
+    /** How many tokens an event of the stream holds. */
+    readonly eventTokens: number;
+    /** Within how long the first token should come, in milliseconds. */
+    readonly targetMs: number;
     /** What must be sent to the upstream, in bytes. */
     readonly bodyBytes: number;
     /** Monotonic time, in milliseconds. */
@@ -53,11 +57,17 @@
     /** Told that a request is granted to the upstream chosen. */
     granted(_choice: Choice, _request: ChoiceRequest): void {}
 
+    /** Told that a request runs by another process' grant, and for how long, in milliseconds. */
+    adopted(_load: UpstreamLoad, _request: ChoiceRequest, _runningMs: number): void {}
+
     /** Told that tokens of a granted request have come; `isFirst` for the first of them. */
     progressed(_request: RequestId, _isFirst: boolean, _now: number): void {}
 
-    /** Told that a granted request has ended; `failed` is undefined where that says nothing of the upstream. */
-    ended(_request: RequestId, _failed: boolean | undefined, _now: number): void {}
+    /**
+     * Told that a granted request has ended; `failed` is undefined where that says nothing of the upstream, and so is `longestGapMs`, the
+     * longest time between two of its events, in milliseconds.
+     */
+    ended(_request: RequestId, _failed: boolean | undefined, _now: number, _longestGapMs?: number): void {}
 
     /**
      * How many upstreams' time the prompts of the last seconds take to read; undefined where that is not followed.
--- a/src/upstream/prefillClock/index.ts
+++ b/src/upstream/prefillClock/index.ts
@@ -1,20 +1,24 @@
-/** Time to read a prompt token until something was learned, in milliseconds: that of a mid-size model on current hardware. */
-const DEFAULT_TOKEN_MS = 0.02;
-const LEAST_TOKEN_MS = 0.002;
-const MOST_TOKEN_MS = 0.5;
-/** From sending to the first token of a short prompt on an idle engine, in milliseconds. */
-const BASE_MS = 30;
-/** Predictions below this are all base, and say nothing of the time for a token, in milliseconds. */
+import { PrefillModel, PrefillWork } from "../prefillModel/index.js";
+
+/** Predictions below this are all base, and say nothing of the upstream's speed, in milliseconds. */
 const TELLING_MS = 20;
-/** How much one observation may change the time for a token. */
+/** How much one observation may change what is believed of an upstream's speed. */
 const LEARN_WEIGHT = 0.08;
+/** How many times as long as its neighbours an upstream may be believed to take. */
+const LEAST_SLOWNESS = 0.1;
+const MOST_SLOWNESS = 20;
 
 /** A prompt that an engine has got, up to its first token. */
 export interface PendingPrefill {
+    readonly work: PrefillWork;
     /** Monotonic, in milliseconds. */
     readonly sentAt: number;
+    /** How long reading the prompt itself was predicted to take, in milliseconds. */
+    readonly readMs: number;
     /** How long reading what was before it and the prompt itself was predicted to take, in milliseconds. */
     readonly predictedMs: number;
+    /** There was nothing else to read. */
+    readonly isAlone: boolean;
 }
 
 /**
@@ -23,14 +27,15 @@
  */
 export class PrefillClock {
     private busyUntil = 0;
-    private pending = 0;
+    private readonly pending = new Set<PendingPrefill>();
+    /** How many times as long as the pool's upstreams it takes. */
+    private slowness = 1;
 
-    /** @param tokenMs - Time to read one token, for instance as its neighbours take. */
-    constructor(private tokenMs = DEFAULT_TOKEN_MS) {}
+    constructor(private readonly model: PrefillModel) {}
 
-    /** Time to read one prompt token, in milliseconds. */
-    get millisecondsPerToken(): number {
-        return this.tokenMs;
+    /** How long it takes to read so much, in milliseconds. */
+    readMs(work: PrefillWork): number {
+        return this.slowness * this.model.readMs(work);
     }
 
     /** How long what the engine has got will still take it, in milliseconds. */
@@ -39,33 +44,46 @@
     }
 
     /** How long a prompt sent now would take to its first token, in milliseconds. */
-    predictMs(tokens: number, now: number): number {
-        return BASE_MS + this.backlogMs(now) + tokens * this.tokenMs;
+    predictMs(work: PrefillWork, now: number): number {
+        return this.model.baseMs + this.backlogMs(now) + this.readMs(work);
     }
 
-    /** A prompt with so many tokens to read is sent. */
-    begin(tokens: number, now: number): PendingPrefill {
-        const readMs = tokens * this.tokenMs;
+    /** A prompt with so much to read is sent. */
+    begin(work: PrefillWork, now: number): PendingPrefill {
+        const readMs = this.readMs(work);
         const predictedMs = this.backlogMs(now) + readMs;
         this.busyUntil = now + predictedMs;
-        this.pending++;
-        return { sentAt: now, predictedMs };
+        const prefill = { work, sentAt: now, readMs, predictedMs, isAlone: this.pending.size === 0 };
+        this.pending.add(prefill);
+        return prefill;
     }
 
     /** The first token of a prompt has come. */
-    finish({ sentAt, predictedMs }: PendingPrefill, now: number): void {
-        const tookMs = Math.max(0, now - sentAt - BASE_MS);
+    finish(prefill: PendingPrefill, now: number): void {
+        const { work, sentAt, predictedMs, isAlone } = prefill;
+        const tookMs = Math.max(0, now - sentAt);
+        const baseMs = this.model.baseMs;
+        if (isAlone) this.model.learn(work, tookMs / this.slowness);
         if (predictedMs >= TELLING_MS) {
-            const error = Math.max(-1, Math.min(1, tookMs / predictedMs - 1));
-            const corrected = this.tokenMs * (1 + LEARN_WEIGHT * error);
-            this.tokenMs = Math.max(LEAST_TOKEN_MS, Math.min(MOST_TOKEN_MS, corrected));
+            const error = Math.max(-1, Math.min(1, (tookMs - baseMs) / predictedMs - 1));
+            const corrected = this.slowness * (1 + LEARN_WEIGHT * error);
+            this.slowness = Math.max(LEAST_SLOWNESS, Math.min(MOST_SLOWNESS, corrected));
         }
-        this.end(now);
+        this.end(prefill, now);
+        this.follow(now - baseMs);
     }
 
     /** A prompt is no longer read, whatever became of it. */
-    end(now: number): void {
-        this.pending = Math.max(0, this.pending - 1);
-        if (this.pending === 0) this.busyUntil = Math.min(this.busyUntil, now);
+    end(prefill: PendingPrefill, now: number): void {
+        this.pending.delete(prefill);
+        if (this.pending.size === 0) this.busyUntil = Math.min(this.busyUntil, now);
+    }
+
+    /** What is left was read from then on: a queue that was predicted too short or too long is set right by each first token. */
+    private follow(since: number): void {
+        if (this.pending.size === 0) return;
+        let leftMs = 0;
+        for (const { readMs } of this.pending) leftMs += readMs;
+        this.busyUntil = since + leftMs;
     }
 }
--- a/src/upstream/routedChoice/index.ts
+++ b/src/upstream/routedChoice/index.ts
@@ -2,8 +2,11 @@
 import { RequestId, UpstreamId } from "../../ids/index.js";
 import { Choice, ChoiceRequest, PartsFetch, UpstreamChoice } from "../choice/index.js";
 import { UpstreamLoad } from "../load/index.js";
+import { PauseForecast } from "../pauseForecast/index.js";
 import { PendingPrefill, PrefillClock } from "../prefillClock/index.js";
+import { PrefillModel, PrefillWork } from "../prefillModel/index.js";
 import { PromptCache, PromptPart } from "../promptCache/index.js";
+import { ReadingHistory, ReadingStretch } from "../readingHistory/index.js";
 
 /** What the parts of a choice weigh, in milliseconds of a caller's wait. */
 export interface RoutedWeights {
@@ -18,8 +21,10 @@
     readonly failingMs: number;
     /** A request that has to wait for a slot. */
     readonly fullMs: number;
-    /** Each running stream whose longest pause would be passed while this prompt is read. */
-    readonly stallMs: number;
+    /** Each running stream whose longest pause would be passed beside this prompt, as a share of the request's target. */
+    readonly stallTargets: number;
+    /** The chance that the request's own stream pauses for too long, in targets: it is then as late as one that waits for its whole target. */
+    readonly ownStallTargets: number;
     /** Each millisecond for which a working upstream has been silent beyond what it may. */
     readonly silentFactor: number;
     /**
@@ -41,7 +46,8 @@
     otherZoneKilobyteMs: 1,
     failingMs: 1_000,
     fullMs: 500,
-    stallMs: 300,
+    stallTargets: 0.3,
+    ownStallTargets: 1,
     silentFactor: 3,
     strangerFactor: 1,
 };
@@ -63,11 +69,16 @@
 const SETTLED_MS = 1_000;
 /** Parts that were used within this time will probably be used again soon, in milliseconds. */
 const HOT_MS = 10_000;
+/** A pause that is expected to last this share of the longest allowed one counts as too long. */
+const PAUSE_SHARE = 0.95;
+/** How long a token takes where no pace was seen yet, in milliseconds: that of a mid-size model on current hardware. */
+const USUAL_PACE_MS = 10;
 /** An upstream that fails more of its requests than this is not asked for parts. */
 const MOST_FAILING = 0.3;
 
 interface UpstreamWork {
     readonly prefill: PrefillClock;
+    readonly reading: ReadingHistory;
     readonly running: Set<Running>;
     /** When it last gave a sign of work, or began to work after a rest; monotonic, in milliseconds. */
     heardAt: number;
@@ -86,9 +97,18 @@
 interface Running {
     readonly upstream: UpstreamId;
     readonly gapMs: number | undefined;
+    readonly eventTokens: number;
     pending: PendingPrefill | undefined;
+    /** When its first token came; monotonic, in milliseconds. */
+    startedAt: number;
+    /** The longest stretch of reading beside it so far. */
+    beside: ReadingStretch | undefined;
+    /** It has probably paused for too long already, or will. */
+    isLate: boolean;
 }
 
+const NEW_STREAM = { pending: undefined, beside: undefined, isLate: false } as const;
+
 /**
  * The upstream where the first token will probably come first, by what this process sent there: prompts that it still has to read,
  * the parts of this prompt that it holds, and how many requests run beside. Upstreams that fail requests come last.
@@ -104,6 +124,8 @@
     private readonly work = new Map<UpstreamId, UpstreamWork>();
     private readonly running = new Map<RequestId, Running>();
     private readonly cache: PromptCache;
+    private readonly model = new PrefillModel();
+    private readonly pauses = new PauseForecast(this.model);
     /** Milliseconds of reading in a millisecond, averaged. */
     private load = 0;
     private loadAt = 0;
@@ -137,15 +159,43 @@
 
     override granted({ load, fetch }: Choice, request: ChoiceRequest): void {
         const { id } = load.upstream;
-        const { now, gapMs } = request;
+        const { now, gapMs, eventTokens, promptTokens } = request;
         const work = this.workOf(id);
-        const tokens = Math.max(0, this.tokensToRead(request, id) - (fetch?.tokens ?? 0));
+        const prefill = this.describeWork(request, id, fetch?.tokens);
         this.cache.use(request.parts, id, now);
-        this.addLoad(tokens * work.prefill.millisecondsPerToken, now);
+        this.addLoad(work.prefill.readMs(prefill), now);
+        if (work.running.size === 0) work.heardAt = now;
+        const pending = work.prefill.begin(prefill, now);
+        this.noteReading(work, promptTokens, now);
+        this.keep(request, { upstream: id, gapMs, eventTokens, startedAt: now, ...NEW_STREAM, pending });
+    }
+
+    /**
+     * Guards against a new owner of the queue that takes upstreams for free of streams: those that were granted by the owner before would
+     * stand still beside the first long prompts. Whether they have shown a token is not known; most have.
+     */
+    override adopted({ upstream }: UpstreamLoad, request: ChoiceRequest, runningMs: number): void {
+        const { gapMs, eventTokens, now } = request;
+        const work = this.workOf(upstream.id);
         if (work.running.size === 0) work.heardAt = now;
-        const running = { upstream: id, gapMs, pending: work.prefill.begin(tokens, now) };
-        this.running.set(request.request, running);
-        work.running.add(running);
+        const startedAt = now - runningMs;
+        this.cache.use(request.parts, upstream.id, startedAt);
+        this.keep(request, { upstream: upstream.id, gapMs, eventTokens, startedAt, ...NEW_STREAM });
+    }
+
+    private keep({ request }: ChoiceRequest, running: Running): void {
+        this.running.set(request, running);
+        this.workOf(running.upstream).running.add(running);
+    }
+
+    /** The streams that run there stand still for the stretch that goes on now. */
+    private noteReading({ prefill, reading, running }: UpstreamWork, promptTokens: number, now: number): void {
+        const stretch = reading.note(now + prefill.backlogMs(now), promptTokens, now);
+        for (const each of running) {
+            if (each.pending) continue;
+            if (!each.beside || lengthOf(stretch) >= lengthOf(each.beside)) each.beside = stretch;
+            each.isLate ||= this.isTooLong(stretch, each.gapMs, each.eventTokens);
+        }
     }
 
     override readingLoad(now: number): number {
@@ -161,15 +211,17 @@
         if (!isFirst || !running.pending) return;
         work.prefill.finish(running.pending, now);
         running.pending = undefined;
+        running.startedAt = now;
     }
 
-    override ended(request: RequestId, failed: boolean | undefined, now: number): void {
+    override ended(request: RequestId, failed: boolean | undefined, now: number, longestGapMs?: number): void {
         const running = this.running.get(request);
         if (!running) return;
         this.running.delete(request);
         const work = this.workOf(running.upstream);
         work.running.delete(running);
-        if (running.pending) work.prefill.end(now);
+        if (running.pending) work.prefill.end(running.pending, now);
+        if (longestGapMs !== undefined) this.learnPause(running, longestGapMs, now);
         if (failed === undefined) return;
         if (!failed) work.heardAt = now;
         work.failureRate += FAILURE_WEIGHT * ((failed ? 1 : 0) - work.failureRate);
@@ -188,21 +240,22 @@
         const { upstream } = load;
         const { weights } = this;
         const { prefill, failureRate } = this.workOf(upstream.id);
-        const tokens = this.tokensToRead(request, upstream.id);
-        const readMs = tokens * prefill.millisecondsPerToken;
-        const held = this.cache.heldTokens(request.parts, upstream.id);
-        const reread = Math.max(0, shared.tokens - held);
-        const rereadMs = (weights.rereadFactor - 1) * reread * prefill.millisecondsPerToken;
-        const sharedMs = shared.tokens * prefill.millisecondsPerToken;
+        const work = this.describeWork(request, upstream.id);
+        const readMs = prefill.readMs(work);
+        const reread = { tokens: Math.max(0, shared.tokens - work.held), held: Math.min(work.held, shared.tokens) };
+        const rereadMs = (weights.rereadFactor - 1) * prefill.readMs(reread);
+        const sharedMs = prefill.readMs({ tokens: shared.tokens, held: 0 });
         const isStranger = shared.home !== undefined && upstream.id !== shared.home;
         const isFar = upstream.zone !== request.zone;
         const farMs = weights.otherZoneMs + weights.otherZoneKilobyteMs * request.bodyBytes / BYTES_PER_KILOBYTE;
-        return prefill.predictMs(tokens, request.now)
+        const waitMs = prefill.predictMs(work, request.now);
+        return waitMs * (1 + waitMs / request.targetMs)
             + rereadMs
             + weights.runningMs * load.outstanding
             + (load.outstanding >= upstream.slots ? weights.fullMs : 0)
             + (isFar ? farMs : 0)
-            + weights.stallMs * this.countStalled(upstream.id, readMs)
+            + weights.stallTargets * request.targetMs * this.countStalled(upstream.id, readMs, request)
+            + weights.ownStallTargets * request.targetMs * this.chanceOfStall(load, request)
             + weights.silentFactor * this.silentMs(upstream.id, request.now)
             + (isStranger ? weights.strangerFactor * sharedMs : 0)
             + weights.failingMs * failureRate;
@@ -264,29 +317,53 @@
         return home;
     }
 
-    private countStalled(upstream: UpstreamId, readMs: number): number {
+    /** How many streams that run there would pause for too long beside this prompt, and would not without it. */
+    private countStalled(upstream: UpstreamId, readMs: number, { promptTokens, now }: ChoiceRequest): number {
+        const { prefill, reading, running } = this.workOf(upstream);
+        const stretch = reading.extend(now + prefill.backlogMs(now) + readMs, promptTokens, now);
         let count = 0;
-        for (const { gapMs } of this.workOf(upstream).running) {
-            if (gapMs !== undefined && readMs > gapMs) count++;
+        for (const { pending, isLate, gapMs, eventTokens } of running) {
+            if (!pending && !isLate && this.isTooLong(stretch, gapMs, eventTokens)) count++;
         }
         return count;
     }
 
+    /** How probable it is that this request's own stream would pause for too long there, from 0 to 1. */
+    private chanceOfStall({ upstream, tokenMs }: UpstreamLoad, request: ChoiceRequest): number {
+        const { gapMs, eventTokens, predictedTokens, now } = request;
+        if (gapMs === undefined) return 0;
+        const isMeant = (stretch: ReadingStretch): boolean => this.isTooLong(stretch, gapMs, eventTokens);
+        return this.workOf(upstream.id).reading.chanceOf(isMeant, predictedTokens * (tokenMs ?? USUAL_PACE_MS), now);
+    }
+
+    private isTooLong(stretch: ReadingStretch, gapMs: number | undefined, eventTokens: number): boolean {
+        return gapMs !== undefined && this.pauses.predictMs(stretch, eventTokens) > PAUSE_SHARE * gapMs;
+    }
+
+    private learnPause({ beside, startedAt, eventTokens }: Running, longestGapMs: number, now: number): void {
+        if (!beside) return;
+        const startsAt = Math.max(startedAt, beside.startsAt);
+        const endsAt = Math.min(now, beside.endsAt);
+        this.pauses.learn({ ...beside, startsAt, endsAt }, eventTokens, longestGapMs);
+    }
+
     private addLoad(readMs: number, now: number): void {
         this.load *= Math.exp((this.loadAt - now) / LOAD_MEMORY_MS);
         this.loadAt = now;
         this.load += readMs / LOAD_MEMORY_MS;
     }
 
-    private tokensToRead({ parts, promptTokens }: ChoiceRequest, upstream: UpstreamId): number {
-        return Math.max(0, promptTokens - this.cache.heldTokens(parts, upstream));
+    private describeWork({ parts, promptTokens }: ChoiceRequest, upstream: UpstreamId, fetched = 0): PrefillWork {
+        const held = Math.min(promptTokens, this.cache.heldTokens(parts, upstream) + fetched);
+        return { tokens: promptTokens - held, held };
     }
 
     private workOf(upstream: UpstreamId): UpstreamWork {
         const known = this.work.get(upstream);
         if (known) return known;
         const work = {
-            prefill: new PrefillClock(this.usualTokenMs()),
+            prefill: new PrefillClock(this.model),
+            reading: new ReadingHistory(),
             running: new Set<Running>(),
             heardAt: 0,
             failureRate: 0,
@@ -294,12 +371,10 @@
         this.work.set(upstream, work);
         return work;
     }
+}
 
-    /** A new upstream is taken to be as fast as the others. */
-    private usualTokenMs(): number | undefined {
-        const times = [...this.work.values()].map(({ prefill }) => prefill.millisecondsPerToken).sort((a, b) => a - b);
-        return times.length === 0 ? undefined : times[Math.floor(times.length / 2)];
-    }
+function lengthOf({ startsAt, endsAt }: ReadingStretch): number {
+    return endsAt - startsAt;
 }
 
 function sumTokens(parts: readonly PromptPart[]): number {
--- a/src/upstream/routedChoice/test.ts
+++ b/src/upstream/routedChoice/test.ts
@@ -20,6 +20,8 @@
         parts: [],
         sources: [],
         gapMs: undefined,
+        eventTokens: 4,
+        targetMs: 1_000,
         bodyBytes: 0,
         now: 0,
         promptTokens: 0,
@@ -113,6 +115,61 @@
         assert.ok(mixed < 0.5 * all, `${mixed} of ${all} questions beside sheets`);
     });
 
+    describe("streams with short pauses beside prompts that follow each other", () => {
+        // A platform takes two zones back while itineraries double. Each itinerary is short enough for the briefs that stream beside it, but three
+        // in a row are not: the engine reads them without a break, and a brief's next event comes too late. Cause: a prompt was weighed
+        // alone, without those that are read before it.
+        const itinerary = (now: number): ChoiceRequest =>
+            makeRequest({ promptTokens: 4_500, gapMs: 1_000, targetMs: 2_500, now });
+        const brief = (now: number): ChoiceRequest =>
+            makeRequest({ promptTokens: 500, gapMs: 180, targetMs: 1_200, eventTokens: 8, predictedTokens: 250, now });
+
+        /** A stream that goes on: its latest event came a second later. */
+        function startStream(choice: RoutedChoice, load: UpstreamLoad, request: ChoiceRequest): void {
+            choice.granted({ load, reason: "" }, request);
+            choice.progressed(request.request, true, request.now + 40);
+            choice.progressed(request.request, false, request.now + 1_000);
+        }
+
+        it("are kept apart from the prompt that would make the row too long", () => {
+            const choice = new RoutedChoice(() => undefined);
+            const [busy, read] = makeLoads(["briefs", "itineraries"]);
+            startStream(choice, busy, brief(0));
+            for (let i = 0; i < 3; i++) choice.granted({ load: read, reason: "" }, itinerary(1_000));
+            const places = [1, 2, 3].map(() => place(choice, [busy, read], itinerary(1_000)));
+            assert.deepEqual(places, ["briefs", "itineraries", "itineraries"]);
+        });
+
+        it("do not go where such rows were read of late", () => {
+            const choice = new RoutedChoice(() => undefined);
+            const [read, idle] = makeLoads(["itineraries", "idle"]);
+            idle.markSent(0);
+            for (let now = 0; now < 4_000; now += 500) {
+                for (let i = 0; i < 4; i++) choice.granted({ load: read, reason: "" }, itinerary(now));
+            }
+            assert.equal(place(choice, [read, idle], brief(6_000)), "idle");
+        });
+
+        it("protect nothing once they are late", () => {
+            const choice = new RoutedChoice(() => undefined);
+            const [late, sound] = makeLoads(["late", "sound"]);
+            startStream(choice, late, brief(0));
+            startStream(choice, sound, brief(0));
+            for (let i = 0; i < 4; i++) choice.granted({ load: late, reason: "" }, itinerary(1_000));
+            const places = Array.from({ length: 4 }, () => place(choice, [late, sound], itinerary(1_500)));
+            assert.deepEqual(places, ["late", "sound", "late", "late"]);
+        });
+
+        it("are known to a new owner of the queue, which did not grant them", () => {
+            const choice = new RoutedChoice(() => undefined);
+            const [busy, read] = makeLoads(["briefs", "itineraries"]);
+            choice.adopted(busy, brief(1_000), 500);
+            for (let i = 0; i < 3; i++) choice.granted({ load: read, reason: "" }, itinerary(1_000));
+            const places = [1, 2, 3].map(() => place(choice, [busy, read], itinerary(1_000)));
+            assert.deepEqual(places, ["briefs", "itineraries", "itineraries"]);
+        });
+    });
+
     it("leaves an engine that has gone dark within a second, though its connections are open", () => {
         // Customers wait until they give up. An engine goes dark; new connections to it are made, requests get no answer, and it
         // has the shortest backlog of all.
