--- a/src/control/poolSizer/index.ts
+++ b/src/control/poolSizer/index.ts
@@ -12,9 +12,9 @@
 
 const STEP_MS = 500;
 /** The share of an engine's time that may go into reading prompts: above it, streams beside a prompt pause too often. */
-const READING_SHARE = 0.25;
+const READING_SHARE = 0.35;
 /** The share that it may have when upstreams are short: streams pause now and then, and prompts still begin in time. */
-const MOST_READING_SHARE = 0.3;
+const MOST_READING_SHARE = 0.4;
 /** How long a lower need must last before it is believed, in milliseconds: bursts come in rows. */
 const CALM_MS = 15_000;
 /** How long a platform that has none left is left alone, in milliseconds. */
@@ -29,6 +29,8 @@
 /** How long after their start new upstreams have made themselves known, in milliseconds. */
 const RENEW_MARGIN_MS = 1_500;
 const STATUS_NONE_LEFT = 409;
+/** The fencing token of the first holder that there ever was. */
+const FIRST_TOKEN = 1;
 /** Upstreams beyond what there is, for a load that nobody has seen yet: cheap beside a first burst that finds too few. */
 const UNKNOWN_LOAD_SPARE = 1;
 
@@ -95,10 +97,12 @@
         const { state, platformChecksFence } = this.options;
         this.startTerm(term);
         this.watch();
-        if (this.options.clock.monotonic() - this.termStartedAt < WATCH_MS) return STEP_MS;
+        const isWatching = this.options.clock.monotonic() - this.termStartedAt < WATCH_MS;
+        if (isWatching && term.token !== FIRST_TOKEN) return STEP_MS;
         for (const { pool, scaling } of state.documents.held?.document.pools ?? []) {
             if (!scaling) continue;
-            for (const due of this.planPool(pool, scaling)) {
+            const orders = this.planPool(pool, scaling);
+            for (const due of isWatching ? orders.filter(order => this.onlyAdds(order)) : orders) {
                 if (!term.maySend(platformChecksFence)) return STEP_MS;
                 await this.send(due, term);
             }
@@ -106,6 +110,15 @@
         return STEP_MS;
     }
 
+    /**
+     * Whether an order can't take anything away while the first holder of all still watches: nobody has ordered reclaimable upstreams before it,
+     * so that the platform has none but those it has ordered itself. They start meanwhile, and steady ones are paid for some seconds less.
+     */
+    private onlyAdds(order: DueOrder): boolean {
+        const before = this.ordered.get(nameOf(order))?.count ?? 0;
+        return order.reclaimable && order.count > Math.max(before, order.ready);
+    }
+
     /** What an earlier term ordered was perhaps overtaken by another holder's orders. */
     private startTerm({ token }: HolderTerm): void {
         if (this.token === token) return;
@@ -128,7 +141,7 @@
         for (const { pool, scaling } of this.options.state.documents.held?.document.pools ?? []) {
             if (!scaling) continue;
             const present = isFirst ? this.countNeedOfPresent(pool, scaling) : 0;
-            const count = Math.max(present, this.readNeed(pool));
+            const count = Math.max(present, Math.ceil(this.readLoad(pool) / READING_SHARE));
             const need = this.needs.get(pool);
             const isHigh = !need || count >= need.count || now - need.highAt >= CALM_MS;
             if (isHigh) this.needs.set(pool, { count, highAt: now });
@@ -143,10 +156,9 @@
         return Math.ceil(perZone * Math.max(1, zones.length - 1)) + UNKNOWN_LOAD_SPARE;
     }
 
-    /** How many upstreams the load needs by the last report; 0 without one. */
-    private readNeed(pool: PoolId): number {
-        const report = this.options.demand.listFresh().find(each => each.pool === pool);
-        return Math.ceil((report?.readingLoad ?? 0) / READING_SHARE);
+    /** How many upstreams' time the prompts of the last seconds take to read by the last report; 0 without one. */
+    private readLoad(pool: PoolId): number {
+        return this.options.demand.listFresh().find(each => each.pool === pool)?.readingLoad ?? 0;
     }
 
     private planPool(pool: PoolId, scaling: ScalingSpec): DueOrder[] {
--- a/src/control/poolSizer/test.ts
+++ b/src/control/poolSizer/test.ts
@@ -34,7 +34,7 @@
     }
 }
 
-function makeSizer() {
+function makeSizer(token = 2) {
     const clock = new VirtualClock();
     const platform = new FakePlatform();
     const registry = new UpstreamRegistry({ clock });
@@ -44,7 +44,7 @@
     const pools = [{ pool: POOL, connections: 100, scaling }];
     const document = checkDocument(makeDocument({ pools, routes: [] })).unsafeCoerce();
     state.apply({ kind: "document.replace", document, source: Buffer.from("") }, { index: 1 as never, proposedAt: 0 });
-    const term = { token: 1 as FencingToken, maySend: () => true, mayAct: () => true } as unknown as HolderTerm;
+    const term = { token: token as FencingToken, maySend: () => true, mayAct: () => true } as unknown as HolderTerm;
     const sizer = new PoolSizer({
         clock,
         registry,
@@ -101,11 +101,23 @@
         for (const zone of ZONES) assert.equal(platform.last(zone, true), 3);
     });
 
+    it("orders reclaimable ones at once where nobody can have ordered any, and gives nothing back before it has watched", async () => {
+        // On the first start steady engines are paid for until reclaimable ones take over, which were ordered four seconds late.
+        const { platform, announce, run } = makeSizer(1);
+        for (const zone of ZONES) announce(`${zone}-0`, zone, false);
+        await run(1_000);
+        for (const zone of ZONES) assert.equal(platform.last(zone, true), 2);
+        for (const zone of ZONES) announce(`${zone}-1`, zone, false);
+        await run(1_000);
+        for (const zone of ZONES) assert.equal(platform.last(zone, true), 3);
+        assert.ok(platform.orders.every(({ reclaimable }) => reclaimable));
+    });
+
     it("grows at once with the load and shrinks only after a long calm", async () => {
         const { platform, announce, run } = makeSizer();
         for (const zone of ZONES) announce(`${zone}-0`, zone, true);
         await run(6_000, 0);
-        await run(1_000, 3);
+        await run(1_000, 4);
         assert.equal(platform.last("vogar", true), 4);
         await run(10_000, 0.1);
         assert.equal(platform.last("vogar", true), 4);
@@ -140,7 +152,7 @@
             for (const number of [0, 1, 2]) announce(`${zone}-${number}`, zone, true, "gone");
         }
         const before = platform.orders.length;
-        await run(1_000, 3);
+        await run(1_000, 4);
         const steady = platform.orders.slice(before).filter(({ reclaimable }) => !reclaimable);
         assert.ok(steady.some(({ count }) => count > 0), JSON.stringify(platform.orders.slice(before)));
     });
--- a/src/purchase/zonePlan/index.ts
+++ b/src/purchase/zonePlan/index.ts
@@ -95,9 +95,9 @@
     let missing = leastNeeded - carried;
     const byPrice = zones.map((zone, at) => ({ zone, at })).sort((a, b) => a.zone.price - b.zone.price);
     const planned = [...wishes];
-    for (const { at } of byPrice) {
+    for (const { zone, at } of byPrice) {
         const wish = planned[at];
-        const room = Math.floor(most * STEADY_SHARE) - wish.steady;
+        const room = Math.min(Math.floor(most * STEADY_SHARE), most - zone.reclaimable.ready) - wish.steady;
         const added = clamp(missing, 0, Math.max(0, room));
         planned[at] = { ...wish, steady: wish.steady + added };
         missing -= added;
--- a/src/purchase/zonePlan/test.ts
+++ b/src/purchase/zonePlan/test.ts
@@ -48,6 +48,18 @@
         assert.deepEqual(plan(zones), [[0, 2], [2, 2], [0, 2], [0, 2]]);
     });
 
+    it("buys steady ones only where they find room beside reclaimable ones", () => {
+        // Two zones are taken back. The cheapest is the one that still has its reclaimable engines, as many as it may have: those
+        // that were ordered there never came, and callers waited for all of the shortage.
+        const soldOut = { ready: 0, ordered: 2, soldOut: true };
+        const zones = [
+            zone("a", { reclaimable: { ready: 4, ordered: 4, soldOut: false }, price: 0.5 }),
+            zone("b", { reclaimable: soldOut }),
+            zone("c", { reclaimable: soldOut }),
+        ];
+        assert.deepEqual(plan(zones, { leastNeeded: 7 }).map(([steady]) => steady), [0, 2, 1]);
+    });
+
     it("buys no steady one for comfort", () => {
         // The load would like six upstreams and can do with four, which the other zones have.
         const soldOut = { ready: 0, ordered: 2, soldOut: true };
--- a/src/upstream/load/index.ts
+++ b/src/upstream/load/index.ts
@@ -29,7 +29,11 @@
     private paceMs: number | undefined;
     private paces = 0;
     private failures = 0;
-    private closedUntil = 0;
+    /** Until when it rests after a failure, and until when it is full by its own count; monotonic, in milliseconds. */
+    private restsUntil = 0;
+    private busyUntil = 0;
+    /** Its rests don't count, as those of most of its pool. */
+    private mayNotRest = false;
     private isEjected = false;
     private probedAt = 0;
     private failedProbes = 0;
@@ -67,14 +71,14 @@
      * @param now - Monotonic time, in milliseconds.
      */
     freeSlots(now: number): number {
-        if (!this.upstream.isGrantable || now < this.closedUntil) return 0;
+        if (!this.isOpen(now)) return 0;
         if (this.isEjected) return this.own === 0 && this.isProbeDue(now) ? 1 : 0;
         return Math.max(0, this.upstream.slots - this.outstanding);
     }
 
     /** Whether it may get work at all, busy or not. */
     isReady(now: number): boolean {
-        return this.upstream.isGrantable && now >= this.closedUntil && !this.isEjected;
+        return this.isOpen(now) && !this.isEjected;
     }
 
     /** How many requests of ours it can run at once, busy or not. */
@@ -113,7 +117,18 @@
     /** The upstream answered: it is not failing. */
     markHealthy(): void {
         this.failures = 0;
-        this.closedUntil = 0;
+        this.restsUntil = 0;
+        this.busyUntil = 0;
+    }
+
+    /** Whether it would rest after a failure, if it may. */
+    isResting(now: number): boolean {
+        return now < this.restsUntil;
+    }
+
+    /** Sets whether it gets work though it rests: where most of its pool rests, the rest can't do the work of all. */
+    overrideRest(mayNotRest: boolean): void {
+        this.mayNotRest = mayNotRest;
     }
 
     /**
@@ -121,15 +136,15 @@
      * it did: they tell of the same failure, and would else make one broken connection a rest of many seconds.
      */
     markFailed(now: number): void {
-        if (now < this.closedUntil) return;
+        if (this.isResting(now)) return;
         const restMs = Math.min(FAILURE_BACKOFF_MOST_MS, FAILURE_BACKOFF_MS * 2 ** this.failures);
         this.failures = Math.min(this.failures + 1, 10);
-        this.closedUntil = now + restMs;
+        this.restsUntil = now + restMs;
     }
 
     /** The upstream refused a request, being full by its own count: it gets no other for a moment. */
     markBusy(now: number): void {
-        this.closedUntil = Math.max(this.closedUntil, now + BUSY_MS);
+        this.busyUntil = Math.max(this.busyUntil, now + BUSY_MS);
     }
 
     /** Learns the time between tokens that a request saw, in milliseconds. */
@@ -152,6 +167,11 @@
         this.forgetPace();
     }
 
+    private isOpen(now: number): boolean {
+        if (!this.upstream.isGrantable || now < this.busyUntil) return false;
+        return this.mayNotRest || !this.isResting(now);
+    }
+
     private forgetPace(): void {
         this.paceMs = undefined;
         this.paces = 0;
--- a/src/upstream/members/index.ts
+++ b/src/upstream/members/index.ts
@@ -16,6 +16,9 @@
     private order: UpstreamLoad[] = [];
     private readonly freeList: UpstreamLoad[] = [];
     private readonly freePlaces = new Map<UpstreamLoad, number>();
+    /** Members that rest after failures, and whether so many do that they get work all the same. */
+    private readonly resting = new Set<UpstreamLoad>();
+    private mostRest = false;
     private freeTotal = 0;
     private usableTotal = 0;
 
@@ -76,8 +79,31 @@
 
     /** Counts a member's free slots anew. */
     refresh(load: UpstreamLoad): void {
-        const { id } = load.upstream;
         const now = this.clock.monotonic();
+        if (load.isResting(now)) this.resting.add(load);
+        else this.resting.delete(load);
+        const mostRest = this.doMostRest();
+        if (mostRest === this.mostRest) {
+            this.count(load, now);
+            return;
+        }
+        this.mostRest = mostRest;
+        for (const each of this.order) this.count(each, now);
+    }
+
+    /**
+     * Guards against a pool that stands still for one failure: where one upstream is left, or all fail a call now and then, resting them
+     * all makes every caller wait. A few that rest are done without.
+     */
+    private doMostRest(): boolean {
+        if (this.resting.size === 0) return false;
+        const grantable = this.order.filter(({ upstream }) => upstream.isGrantable);
+        return 2 * grantable.filter(load => this.resting.has(load)).length > grantable.length;
+    }
+
+    private count(load: UpstreamLoad, now: number): void {
+        const { id } = load.upstream;
+        load.overrideRest(this.mostRest);
         const free = load.freeSlots(now);
         this.freeTotal += free - (this.free.get(id) ?? 0);
         this.free.set(id, free);
@@ -136,6 +162,7 @@
         this.freeTotal -= this.free.get(id) ?? 0;
         this.usableTotal -= this.usable.get(id) ?? 0;
         this.listAsFree(load, false);
+        this.resting.delete(load);
         this.free.delete(id);
         this.usable.delete(id);
         this.loads.delete(id);
--- a/src/upstream/pauseForecast/index.ts
+++ b/src/upstream/pauseForecast/index.ts
@@ -7,6 +7,8 @@
 const MOST_CHUNK_TOKENS = 65_536;
 /** How much one observation may change what is believed of the chunks. */
 const LEARN_WEIGHT = 0.05;
+/** Pauses are up to so much longer or shorter than expected, as a share: nine in ten of those measured beside long prompts. */
+const SPREAD = 0.15;
 /** Only reading that lasted so many times as long as the pause that was expected tells how long a pause is at most. */
 const TELLING_FACTOR = 1.5;
 
@@ -29,6 +31,12 @@
         return Math.min(stretch.endsAt - stretch.startsAt, this.mostMs(stretch.promptTokens, eventTokens));
     }
 
+    /** How probable it is that a stream sees a longer pause than it may beside a stretch of reading, from 0 to 1. */
+    chanceTooLong(stretch: ReadingStretch, eventTokens: number, gapMs: number): number {
+        const overMs = this.predictMs(stretch, eventTokens) - (1 - SPREAD) * gapMs;
+        return Math.max(0, Math.min(1, overMs / (2 * SPREAD * gapMs)));
+    }
+
     /**
      * A stream has ended.
      *
--- a/src/upstream/pauseForecast/test.ts
+++ b/src/upstream/pauseForecast/test.ts
@@ -31,6 +31,14 @@
         assert.ok(long > short + 50, `${long} ms`);
     });
 
+    it("is unsure of pauses that come close to the longest allowed one", () => {
+        const forecast = new PauseForecast(new FixedModel());
+        const chances = [100, 200, 240, 400].map(ms => forecast.chanceTooLong(stretch(ms, 20_000), EVENT_TOKENS, 220));
+        assert.equal(chances[0], 0);
+        assert.ok(chances[1] > 0 && chances[1] < 0.5 && chances[2] > 0.5 && chances[2] < 1, chances.join(" "));
+        assert.equal(chances[3], 1);
+    });
+
     it("learns the size of the chunks from the pauses of streams", () => {
         const forecast = new PauseForecast(new FixedModel());
         for (let i = 0; i < 200; i++) forecast.learn(stretch(2_000, 512), EVENT_TOKENS, 48 + i % 3);
--- a/src/upstream/promptCache/index.ts
+++ b/src/upstream/promptCache/index.ts
@@ -13,9 +13,10 @@
 
 interface HeldPart {
     readonly tokens: number;
-    /** When it was first sent there, and last; monotonic, in milliseconds. */
-    readonly since: number;
+    /** When it was last sent there; monotonic, in milliseconds. */
     readonly usedAt: number;
+    /** A prompt with it has shown its first token there, or the upstream says that it holds it. */
+    readonly isRead: boolean;
 }
 
 interface Holding {
@@ -24,15 +25,15 @@
     tokens: number;
 }
 
-/** What a part must be to count, beside being held; monotonic times, in milliseconds. */
-export interface HeldSince {
-    /** It was first sent there no later than this. */
-    readonly sentBy: number;
-    /** It was last used no earlier than this. */
+/** What a part must be to count, beside being sent there. */
+export interface HeldCondition {
+    /** It has certainly been read. */
+    readonly isRead: boolean;
+    /** It was last used no earlier than this; monotonic, in milliseconds. */
     readonly usedAfter: number;
 }
 
-const ANY_TIME: HeldSince = { sentBy: Number.POSITIVE_INFINITY, usedAfter: Number.NEGATIVE_INFINITY };
+const ANY: HeldCondition = { isRead: false, usedAfter: Number.NEGATIVE_INFINITY };
 
 /**
  * Which parts of prompts each upstream probably holds: what was sent there, less what must have yielded since. The longest unused
@@ -49,13 +50,13 @@
     constructor(private readonly capacity: () => number | undefined) {}
 
     /** Tokens of the leading parts that the upstream holds: a part counts only behind others that are held. */
-    heldTokens(parts: readonly PromptPart[], upstream: UpstreamId, { sentBy, usedAfter } = ANY_TIME): number {
+    heldTokens(parts: readonly PromptPart[], upstream: UpstreamId, { isRead, usedAfter } = ANY): number {
         const held = this.holdings.get(upstream)?.parts;
         if (!held) return 0;
         let tokens = 0;
         for (const { id, tokens: size } of parts) {
             const part = held.get(id);
-            if (!part || part.since > sentBy || part.usedAt < usedAfter) return tokens;
+            if (!part || (isRead && !part.isRead) || part.usedAt < usedAfter) return tokens;
             tokens += size;
         }
         return tokens;
@@ -65,16 +66,25 @@
     use(parts: readonly PromptPart[], upstream: UpstreamId, now: number): void {
         // The last part is touched first, so that of one prompt the leading parts yield last.
         for (const { id, tokens } of [...parts].reverse()) {
-            this.touch(upstream, id, { tokens, since: now, usedAt: now });
+            this.touch(upstream, id, { tokens, usedAt: now, isRead: false });
         }
         this.evict(upstream);
     }
 
+    /** A prompt with these parts has shown its first token there. */
+    confirm(parts: readonly PromptPart[], upstream: UpstreamId): void {
+        const held = this.holdings.get(upstream)?.parts;
+        for (const { id } of parts) {
+            const part = held?.get(id);
+            if (part && !part.isRead) held!.set(id, { ...part, isRead: true });
+        }
+    }
+
     /** The upstream says that it holds these parts: what was sent there before counts as used later. */
     learn(parts: readonly PromptPart[], upstream: UpstreamId, now: number): void {
         const sent = this.holdings.get(upstream)?.parts ?? new Map<string, HeldPart>();
         this.holdings.delete(upstream);
-        for (const { id, tokens } of parts) this.touch(upstream, id, { tokens, since: now, usedAt: now });
+        for (const { id, tokens } of parts) this.touch(upstream, id, { tokens, usedAt: now, isRead: true });
         for (const [id, part] of sent) this.touch(upstream, id, part);
         this.evict(upstream);
     }
@@ -90,7 +100,7 @@
         const known = holding.parts.get(id);
         holding.tokens += part.tokens - (known?.tokens ?? 0);
         holding.parts.delete(id);
-        holding.parts.set(id, { ...part, since: known?.since ?? part.since });
+        holding.parts.set(id, { ...part, isRead: part.isRead || (known?.isRead ?? false) });
     }
 
     private evict(upstream: UpstreamId): void {
--- a/src/upstream/routedChoice/index.ts
+++ b/src/upstream/routedChoice/index.ts
@@ -65,12 +65,8 @@
 const BYTES_PER_KILOBYTE = 1_024;
 /** Fewer tokens are read sooner than fetched. */
 const LEAST_FETCHED_TOKENS = 1_000;
-/** What was sent to an upstream so long ago has been read there, in milliseconds: a prompt waits and is read for less than this as a rule. */
-const SETTLED_MS = 1_000;
 /** Parts that were used within this time will probably be used again soon, in milliseconds. */
 const HOT_MS = 10_000;
-/** A pause that is expected to last this share of the longest allowed one counts as too long. */
-const PAUSE_SHARE = 0.95;
 /** How long a token takes where no pace was seen yet, in milliseconds: that of a mid-size model on current hardware. */
 const USUAL_PACE_MS = 10;
 /** An upstream that fails more of its requests than this is not asked for parts. */
@@ -94,20 +90,22 @@
     readonly home: UpstreamId | undefined;
 }
 
-interface Running {
+/** What decides which pause is too long for a stream. */
+type StreamShape = Pick<ChoiceRequest, "gapMs" | "eventTokens">;
+
+interface Running extends StreamShape {
     readonly upstream: UpstreamId;
-    readonly gapMs: number | undefined;
-    readonly eventTokens: number;
+    readonly parts: readonly PromptPart[];
     pending: PendingPrefill | undefined;
     /** When its first token came; monotonic, in milliseconds. */
     startedAt: number;
     /** The longest stretch of reading beside it so far. */
     beside: ReadingStretch | undefined;
-    /** It has probably paused for too long already, or will. */
-    isLate: boolean;
+    /** How probable it is that it has paused for too long already, or will, from 0 to 1. */
+    lateChance: number;
 }
 
-const NEW_STREAM = { pending: undefined, beside: undefined, isLate: false } as const;
+const NEW_STREAM = { pending: undefined, beside: undefined, lateChance: 0 } as const;
 
 /**
  * The upstream where the first token will probably come first, by what this process sent there: prompts that it still has to read,
@@ -159,15 +157,15 @@
 
     override granted({ load, fetch }: Choice, request: ChoiceRequest): void {
         const { id } = load.upstream;
-        const { now, gapMs, eventTokens, promptTokens } = request;
+        const { now, parts, gapMs, eventTokens, promptTokens } = request;
         const work = this.workOf(id);
         const prefill = this.describeWork(request, id, fetch?.tokens);
-        this.cache.use(request.parts, id, now);
+        this.cache.use(parts, id, now);
         this.addLoad(work.prefill.readMs(prefill), now);
         if (work.running.size === 0) work.heardAt = now;
         const pending = work.prefill.begin(prefill, now);
         this.noteReading(work, promptTokens, now);
-        this.keep(request, { upstream: id, gapMs, eventTokens, startedAt: now, ...NEW_STREAM, pending });
+        this.keep(request, { upstream: id, parts, gapMs, eventTokens, startedAt: now, ...NEW_STREAM, pending });
     }
 
     /**
@@ -175,12 +173,12 @@
      * stand still beside the first long prompts. Whether they have shown a token is not known; most have.
      */
     override adopted({ upstream }: UpstreamLoad, request: ChoiceRequest, runningMs: number): void {
-        const { gapMs, eventTokens, now } = request;
+        const { parts, gapMs, eventTokens, now } = request;
         const work = this.workOf(upstream.id);
         if (work.running.size === 0) work.heardAt = now;
         const startedAt = now - runningMs;
-        this.cache.use(request.parts, upstream.id, startedAt);
-        this.keep(request, { upstream: upstream.id, gapMs, eventTokens, startedAt, ...NEW_STREAM });
+        this.cache.use(parts, upstream.id, startedAt);
+        this.keep(request, { upstream: upstream.id, parts, gapMs, eventTokens, startedAt, ...NEW_STREAM });
     }
 
     private keep({ request }: ChoiceRequest, running: Running): void {
@@ -194,7 +192,7 @@
         for (const each of running) {
             if (each.pending) continue;
             if (!each.beside || lengthOf(stretch) >= lengthOf(each.beside)) each.beside = stretch;
-            each.isLate ||= this.isTooLong(stretch, each.gapMs, each.eventTokens);
+            each.lateChance = Math.max(each.lateChance, this.chanceTooLong(stretch, each));
         }
     }
 
@@ -212,6 +210,7 @@
         work.prefill.finish(running.pending, now);
         running.pending = undefined;
         running.startedAt = now;
+        this.cache.confirm(running.parts, running.upstream);
     }
 
     override ended(request: RequestId, failed: boolean | undefined, now: number, longestGapMs?: number): void {
@@ -271,11 +270,11 @@
     private findFetch(chosen: UpstreamLoad, request: ChoiceRequest, { parts }: SharedParts): PartsFetch | undefined {
         const { sources, now } = request;
         const held = this.cache.heldTokens(parts, chosen.upstream.id);
-        const since = { sentBy: now - SETTLED_MS, usedAfter: now - HOT_MS };
+        const hot = { isRead: true, usedAfter: now - HOT_MS };
         let best: PartsFetch | undefined;
         for (const from of sources) {
             if (from === chosen || !this.canGive(from, now)) continue;
-            const tokens = this.cache.heldTokens(parts, from.upstream.id, since) - held;
+            const tokens = this.cache.heldTokens(parts, from.upstream.id, hot) - held;
             if (tokens >= LEAST_FETCHED_TOKENS && tokens > (best?.tokens ?? 0)) best = { from, tokens };
         }
         return best;
@@ -322,22 +321,22 @@
         const { prefill, reading, running } = this.workOf(upstream);
         const stretch = reading.extend(now + prefill.backlogMs(now) + readMs, promptTokens, now);
         let count = 0;
-        for (const { pending, isLate, gapMs, eventTokens } of running) {
-            if (!pending && !isLate && this.isTooLong(stretch, gapMs, eventTokens)) count++;
+        for (const stream of running) {
+            if (!stream.pending) count += Math.max(0, this.chanceTooLong(stretch, stream) - stream.lateChance);
         }
         return count;
     }
 
     /** How probable it is that this request's own stream would pause for too long there, from 0 to 1. */
     private chanceOfStall({ upstream, tokenMs }: UpstreamLoad, request: ChoiceRequest): number {
-        const { gapMs, eventTokens, predictedTokens, now } = request;
-        if (gapMs === undefined) return 0;
-        const isMeant = (stretch: ReadingStretch): boolean => this.isTooLong(stretch, gapMs, eventTokens);
-        return this.workOf(upstream.id).reading.chanceOf(isMeant, predictedTokens * (tokenMs ?? USUAL_PACE_MS), now);
+        if (request.gapMs === undefined) return 0;
+        const harmOf = (stretch: ReadingStretch): number => this.chanceTooLong(stretch, request);
+        const runningMs = request.predictedTokens * (tokenMs ?? USUAL_PACE_MS);
+        return this.workOf(upstream.id).reading.chanceOfHarm(harmOf, runningMs, request.now);
     }
 
-    private isTooLong(stretch: ReadingStretch, gapMs: number | undefined, eventTokens: number): boolean {
-        return gapMs !== undefined && this.pauses.predictMs(stretch, eventTokens) > PAUSE_SHARE * gapMs;
+    private chanceTooLong(stretch: ReadingStretch, { gapMs, eventTokens }: StreamShape): number {
+        return gapMs === undefined ? 0 : this.pauses.chanceTooLong(stretch, eventTokens, gapMs);
     }
 
     private learnPause({ beside, startedAt, eventTokens }: Running, longestGapMs: number, now: number): void {
--- a/src/upstream/routedChoice/test.ts
+++ b/src/upstream/routedChoice/test.ts
@@ -225,6 +225,27 @@
             assert.equal(choice.choose([loads[1]], sheet(200, loads)).fetch, undefined);
         });
 
+        it("are fetched as soon as a prompt with them has shown its first token there", () => {
+            // Two callers ask for the same document within a second, and the engine that read it first has no time for the second one: the other
+            // engine read it from the start.
+            const choice = new RoutedChoice(() => undefined);
+            const loads = makeLoads(["first", "stays"]);
+            const request = sheet(0, []);
+            choice.granted({ load: loads[0], reason: "" }, request);
+            choice.progressed(request.request, true, 300);
+            assert.equal(choice.choose([loads[1]], sheet(400, loads)).fetch?.tokens, 13_000);
+        });
+
+        it("are not fetched from one that reads other prompts first, however long ago they were sent", () => {
+            const choice = new RoutedChoice(() => undefined);
+            const loads = makeLoads(["busy", "stays"]);
+            for (let i = 0; i < 10; i++) {
+                choice.granted({ load: loads[0], reason: "" }, makeRequest({ promptTokens: 20_000, now: 0 }));
+            }
+            choice.granted({ load: loads[0], reason: "" }, sheet(0, []));
+            assert.equal(choice.choose([loads[1]], sheet(2_000, loads)).fetch, undefined);
+        });
+
         it("are not fetched once they have not been used for long", () => {
             const choice = new RoutedChoice(() => undefined);
             const loads = makeLoads(["leaver", "stays"]);
