--- a/src/passthrough/sendCall/index.ts
+++ b/src/passthrough/sendCall/index.ts
@@ -40,7 +40,8 @@
         }),
         body: call.body.length > 0 || !BODILESS.includes(call.method) ? call.body : undefined,
         fresh: false,
-        recentOnly: call.route.kind !== "idempotent",
+        // What may run again may go over a connection that both ends have not used for a while: half as many are opened.
+        recentOnly: call.route.kind !== "idempotent" && !call.route.resumable,
         connectTimeoutMs: Math.min(CONNECT_MS, leftMs),
         headTimeoutMs: leftMs,
         signal: run.signal,
--- a/src/passthrough/serveCalls/index.ts
+++ b/src/passthrough/serveCalls/index.ts
@@ -82,6 +82,8 @@
         firstMs,
         events: stream.count,
         gapMs: Math.round(stream.longestGapMs),
+        targetMs: route.targetMs,
+        gapBoundMs: route.gapMs,
         upstream,
         waitedMs: Math.round(waitedMs),
         reason,
