Sources of parts are looked at only where a prompt has shared parts, and never once they are gone

canGive ran for each source of each call, and made state again for upstreams that had been forgotten; the cost of reading all shared parts was worked out for each candidate where no home is named. No decision changes.

--- a/src/upstream/partsPlacement/index.ts
+++ b/src/upstream/partsPlacement/index.ts
@@ -38,6 +38,8 @@
      * Only parts that were used of late: their next use is near, while moving what is not used again costs more than reading it once.
      * Only from an upstream that has certainly read them: one that is still reading them has nothing to give. One that leaves is as good a
      * source as any until it has gone, and the only one for what it alone holds.
+     *
+     * @param sources - Upstreams that are there and answer; the chosen one may be among them.
      */
     findFetch(
         chosen: UpstreamLoad,
@@ -49,7 +51,7 @@
         const hot = { isRead: true, usedAfter: now - HOT_MS };
         let best: PartsFetch | undefined;
         for (const from of sources) {
-            if (from === chosen || from.upstream.state === "gone") continue;
+            if (from === chosen) continue;
             const tokens = this.cache.heldTokens(parts, from.upstream.id, hot) - held;
             if (tokens >= LEAST_FETCHED_TOKENS && tokens > (best?.tokens ?? 0)) best = { from, tokens };
         }
--- a/src/upstream/routedChoice/index.ts
+++ b/src/upstream/routedChoice/index.ts
@@ -61,7 +61,7 @@
             bestMs = ms;
         }
         const { now, promptTokens } = request;
-        const sources = request.sources.filter(load => this.canGive(load, now));
+        const sources = shared.tokens === 0 ? [] : request.sources.filter(load => this.canGive(load, now));
         const fetch = this.placement.findFetch(best, sources, shared.parts, now);
         const held = this.cache.heldTokens(request.parts, best.upstream.id);
         const backlog = this.workOf(best.upstream.id).prefill.backlogMs(now);
@@ -125,8 +125,8 @@
         const work = this.describeWork(request, upstream.id);
         const reread = { tokens: Math.max(0, shared.tokens - work.held), held: Math.min(work.held, shared.tokens) };
         const rereadMs = (weights.rereadFactor - 1) * prefill.readMs(reread);
-        const sharedMs = prefill.readMs({ tokens: shared.tokens, held: 0 });
         const isStranger = shared.home !== undefined && upstream.id !== shared.home;
+        const strangerMs = isStranger ? prefill.readMs({ tokens: shared.tokens, held: 0 }) : 0;
         const isFar = upstream.zone !== request.zone;
         const farMs = weights.otherZoneMs + weights.otherZoneKilobyteMs * request.bodyBytes / BYTES_PER_KILOBYTE;
         const waitMs = prefill.predictMs(work, now);
@@ -139,11 +139,13 @@
             + weights.stallTargets * targetMs * own.countStalled(request, work)
             + weights.ownStallTargets * targetMs * own.chanceOfStall(request, load.tokenMs)
             + weights.silentFactor * own.silentMs(now)
-            + (isStranger ? weights.strangerFactor * sharedMs : 0)
+            + weights.strangerFactor * strangerMs
             + weights.failingMs * failureRate;
     }
 
     private canGive({ upstream }: UpstreamLoad, now: number): boolean {
+        // What is gone has been forgotten here, and must not be followed anew.
+        if (upstream.state === "gone") return false;
         const work = this.workOf(upstream.id);
         return work.failureRate <= MOST_FAILING && work.silentMs(now) === 0;
     }
