News of upstreams: changes to all, encoded once; each announcement only to hosts that choose

Cause: each control process sent each entry each announcement of each upstream, ten times a second and encoded anew for each: hosts x upstreams. Now entries hear what changes and, once a second, that the rest is still heard; owners of queues and those that may own one soon, and other control processes, hear every announcement. PeerTraffic counts messages and bytes by method on all links, for metrics and log.

Ruled out: relays per zone (one hop more, and a relay lost with its zone); silence judged by each entry alone, since it hears nothing regularly now.

--- a/src/control/controlProcess/index.ts
+++ b/src/control/controlProcess/index.ts
@@ -1,8 +1,9 @@
 import { BootstrapMember, LogTiming, ReplicatedLog } from "../../consensus/index.js";
 import { Lifecycle } from "../../lifecycle/index.js";
 import { Logger } from "../../logging/index.js";
+import { Metrics } from "../../metrics/index.js";
 import { Address, Clock, Disk, formatAddress, Network, Random } from "../../ports/index.js";
-import { PeerIdentity, PeerRouter, PeerTiming, servePeers } from "../../wire/index.js";
+import { PeerIdentity, PeerRouter, PeerTiming, reportTraffic, servePeers } from "../../wire/index.js";
 import { ConnectionSender } from "../connectionSender/index.js";
 import { ControlService } from "../controlService/index.js";
 import { EntrySweeper } from "../entrySweeper/index.js";
@@ -32,6 +33,8 @@
     readonly network: Network;
     readonly disk: Disk;
     readonly logger: Logger;
+    /** Undefined: nothing is counted. */
+    readonly metrics?: Metrics;
     readonly self: PeerIdentity;
     readonly peers: Address;
     /** Where this process answers operators; undefined: it can't send them on to itself from elsewhere. */
@@ -106,10 +109,11 @@
         log.start();
         routed?.start();
         const runner = control.makeRunner(options);
-        lifecycle.run(
-            signal => runner.run(signal),
-            err => logger.error("holder-runner-failed", { problem: String((err as Error).stack) }),
-        );
+        const onError = (err: unknown): void =>
+            logger.error("holder-runner-failed", { problem: String((err as Error).stack) });
+        lifecycle.run(signal => runner.run(signal), onError);
+        const { traffic } = router;
+        lifecycle.run(signal => reportTraffic({ ...options, traffic }, signal), onError);
         return control;
     }
 
--- a/src/control/routingService/index.ts
+++ b/src/control/routingService/index.ts
@@ -21,8 +21,6 @@
 
 /** How often the list of control processes is read from the log, in milliseconds. */
 const MEMBERS_EVERY_MS = 500;
-/** How often silent upstreams are looked for, in milliseconds. */
-const EXPIRE_EVERY_MS = 1_000;
 
 /** What a control process does for calls that are routed by the fleet document. */
 export interface RoutingDuties {
@@ -85,6 +83,7 @@
     readonly documents: DocumentDesk;
     readonly time: TrueTime;
     private readonly starts: StartsDesk;
+    private readonly follower: AnnouncementFollower;
     private readonly links: ControlLinkSet;
 
     constructor(private readonly options: RoutingServiceOptions) {
@@ -95,7 +94,7 @@
         this.documents = new DocumentDesk({ ...options, leastVoters: routing.voters });
         this.time = new TrueTime(clock);
         this.starts = new StartsDesk(clock, router);
-        const follower = new AnnouncementFollower({
+        this.follower = new AnnouncementFollower({
             ...options,
             registry: this.registry,
             onWallTime: (host, wallMs) => this.time.learn(host, wallMs),
@@ -103,7 +102,7 @@
         this.links = new ControlLinkSet({
             ...options,
             ownAddress: peers,
-            onOpen: channel => void follower.follow(channel),
+            onOpen: channel => void this.follower.follow(channel),
         });
     }
 
@@ -119,7 +118,7 @@
         this.setSeeds(routing.seeds);
         lifecycle.run(signal => this.hub.run(signal), onError);
         lifecycle.run(signal => this.followMembers(signal), onError);
-        lifecycle.run(signal => this.expire(signal), onError);
+        lifecycle.run(signal => this.follower.run(signal), onError);
     }
 
     /** What the holder of the lease does for routed calls. */
@@ -151,13 +150,6 @@
             await clock.sleep(MEMBERS_EVERY_MS, signal);
         }
     }
-
-    private async expire(signal: AbortSignal): Promise<void> {
-        while (!signal.aborted) {
-            await this.options.clock.sleep(EXPIRE_EVERY_MS, signal);
-            this.registry.expire();
-        }
-    }
 }
 
 /** How long a leaver is remembered: longer than any announcement can be under way, in milliseconds. */
--- a/src/entry/entryProcess/index.ts
+++ b/src/entry/entryProcess/index.ts
@@ -23,7 +23,7 @@
 } from "../../ports/index.js";
 import { RequestRegistry } from "../../request/index.js";
 import { RegistryTiming, UpstreamRegistry } from "../../upstream/index.js";
-import { PeerIdentity, PeerRouter, PeerTiming, servePeers } from "../../wire/index.js";
+import { PeerIdentity, PeerRouter, PeerTiming, reportTraffic, servePeers } from "../../wire/index.js";
 import { AnnouncementSpreader } from "../announcementSpreader/index.js";
 import { CacheSurvey } from "../cacheSurvey/index.js";
 import { DemandReporter } from "../demandReporter/index.js";
@@ -220,6 +220,8 @@
         lifecycle.run(running => this.dispatcher.run(running), onError);
         lifecycle.run(running => this.meter.run(running), onError);
         lifecycle.run(running => keeper.run(running), onError);
+        const { traffic } = this.router;
+        lifecycle.run(running => reportTraffic({ ...options, traffic }, running), onError);
         const reporter = this.makeReporter();
         lifecycle.child().run(running => reporter.run(running), onError);
         if (options.upstreams) await this.openUpstreams(options.upstreams);
@@ -302,6 +304,7 @@
             requests: this.requests,
             dispatcher: this.dispatcher,
             isDraining: () => this.announcedDrain,
+            levelNeeded: () => this.dispatcher.mayDecide() ? "all" : "membership",
         });
     }
 
--- a/src/entry/fleetDispatcher/index.ts
+++ b/src/entry/fleetDispatcher/index.ts
@@ -80,6 +80,16 @@
         return owners.find(pool, directory.candidates()).owner ?? self;
     }
 
+    /** Whether this host owns the queue of a pool, or would own it next. */
+    mayDecide(): boolean {
+        const { directory, owners, self, pools } = this.options;
+        const hosts = directory.candidates();
+        return (pools?.() ?? []).some(pool => {
+            const { owner, next } = owners.find(pool, hosts);
+            return owner === self || next === self;
+        });
+    }
+
     onPreempt(listener: (request: RequestId) => void): void {
         this.preempt = listener;
     }
--- a/src/entry/routeService/index.ts
+++ b/src/entry/routeService/index.ts
@@ -1,5 +1,5 @@
 import { ControlClient, ControlLinkSet, ViewCache } from "../../control/index.js";
-import { AnnouncementFollower } from "../../discovery/index.js";
+import { AnnouncementFollower, NewsLevel } from "../../discovery/index.js";
 import { Dispatcher } from "../../dispatch/index.js";
 import { ZoneId } from "../../ids/index.js";
 import { Lifecycle } from "../../lifecycle/index.js";
@@ -48,6 +48,8 @@
     readonly requests: RequestRegistry;
     readonly dispatcher: Dispatcher;
     readonly isDraining: () => boolean;
+    /** What is needed of upstreams' news. */
+    readonly levelNeeded: () => NewsLevel;
 }
 
 /**
@@ -107,7 +109,9 @@
         lifecycle.own(() => listener.close());
         const sender = new StartsSender({ clock, self, meter: this.starts, time: this.time, links: links.list });
         this.sender = sender;
-        lifecycle.run(signal => sender.run(signal), err => logger.error("task-failed", { problem: String(err) }));
+        const onError = (err: unknown): void => logger.error("task-failed", { problem: String(err) });
+        lifecycle.run(signal => sender.run(signal), onError);
+        lifecycle.run(signal => this.follower.run(signal), onError);
         logger.info("routes-served", { callers: formatAddress(listener.address) });
     }
 
--- a/src/upstream/registry/index.ts
+++ b/src/upstream/registry/index.ts
@@ -1,13 +1,15 @@
 import { PoolId, UpstreamId } from "../../ids/index.js";
 import { Clock } from "../../ports/index.js";
 import { Announcement } from "../../protocol/index.js";
-import { Upstream } from "../upstream/index.js";
+import { isSameMembership, Upstream } from "../upstream/index.js";
 
 /** An announcement on its way from one entry to another. */
 export interface SpreadRecord {
     readonly announcement: Announcement;
     /** How long ago the upstream sent it, in milliseconds, when this record was made. */
     readonly ageMs: number;
+    /** Whoever made this record has it from another process, and does not hear the upstream itself. */
+    readonly relayed?: boolean;
 }
 
 /** What an entry has learned since a version. */
@@ -19,9 +21,10 @@
 
 /**
  * `heard`: only what came from the upstreams themselves, and leavers whoever told of them, since missing one of these does harm;
- * `all`: other relayed records too, for an entry that starts.
+ * `membership`: the same, where something else than load and caches has changed;
+ * `all`: other relayed records too, for a process that starts.
  */
-export type SpreadScope = "heard" | "all";
+export type SpreadScope = "heard" | "membership" | "all";
 
 /** How long the registry believes what it has heard. */
 export interface RegistryTiming {
@@ -58,6 +61,8 @@
     private readonly timing: RegistryTiming;
     private readonly upstreams = new Map<UpstreamId, Upstream>();
     private readonly versions = new Map<UpstreamId, number>();
+    /** The version at which more than load and caches last changed. */
+    private readonly membershipVersions = new Map<UpstreamId, number>();
     private readonly byPool = new Map<PoolId, Map<UpstreamId, Upstream>>();
     private readonly listeners: UpstreamListener[] = [];
     private log: Change[] = [];
@@ -95,6 +100,11 @@
         return records.filter(isNews).length;
     }
 
+    /** The version of what was last learned. */
+    get latestVersion(): number {
+        return this.version;
+    }
+
     /**
      * What was learned after a version. Costs as much as there are changes, not upstreams.
      *
@@ -108,9 +118,12 @@
             const change = this.log[index];
             const upstream = this.upstreams.get(change.id);
             if (!upstream || this.versions.get(change.id) !== change.version) continue;
-            const isRelayedNews = !upstream.firstHand && upstream.announcement.state === "ready";
-            if (scope === "heard" && isRelayedNews) continue;
-            records.push({ announcement: upstream.announcement, ageMs: now - upstream.heardAt });
+            const relayed = !upstream.firstHand;
+            const isRelayedNews = relayed && upstream.announcement.state === "ready";
+            if (scope !== "all" && isRelayedNews) continue;
+            if (scope === "membership" && this.membershipVersions.get(change.id)! <= version) continue;
+            const ageMs = now - upstream.heardAt;
+            records.push({ announcement: upstream.announcement, ageMs, ...(relayed && { relayed }) });
         }
         return { version: this.version, records };
     }
@@ -139,10 +152,27 @@
         this.listeners.push(listener);
     }
 
+    /**
+     * Takes the word of another process that it hears upstreams: what has not changed is not spread again and again.
+     *
+     * @param at - Monotonic time at which they were heard, in milliseconds.
+     */
+    vouch(ids: Iterable<UpstreamId>, at: number): void {
+        const isRecent = this.clock.monotonic() - at < this.timing.silentAfterMs;
+        for (const id of ids) {
+            const upstream = this.upstreams.get(id);
+            if (upstream?.announcement.state !== "ready") continue;
+            upstream.vouch(at);
+            if (!isRecent || upstream.state !== "silent") continue;
+            upstream.markHeard();
+            this.tell(upstream);
+        }
+    }
+
     /** Marks silent upstreams and forgets old leavers. Call it a few times a second. */
     expire(now: number = this.clock.monotonic()): void {
         for (const upstream of [...this.upstreams.values()]) {
-            const quietMs = now - upstream.heardAt;
+            const quietMs = now - upstream.aliveAt;
             if (quietMs >= this.timing.tombstoneMs) {
                 this.forget(upstream);
             }
@@ -158,11 +188,17 @@
         const known = this.upstreams.get(id);
         if (known && !known.isOutdatedBy(announcement)) return false;
         const upstream = known ?? new Upstream(announcement, heardAt, firstHand);
+        // An upstream that now announces itself here is news too: whoever heard it before vouches for it no longer.
+        const isMembershipNews = !known
+            || known.state === "silent"
+            || (firstHand && !known.firstHand)
+            || !isSameMembership(known.announcement, announcement);
         if (known) this.removeFromPools(known);
         known?.absorb(announcement, heardAt, firstHand);
         this.upstreams.set(id, upstream);
         this.addToPools(upstream);
         this.record(id);
+        if (isMembershipNews) this.membershipVersions.set(id, this.version);
         this.tell(upstream);
         return true;
     }
@@ -194,6 +230,7 @@
     private forget(upstream: Upstream): void {
         this.upstreams.delete(upstream.id);
         this.versions.delete(upstream.id);
+        this.membershipVersions.delete(upstream.id);
         this.removeFromPools(upstream);
     }
 
--- a/src/upstream/upstream/index.ts
+++ b/src/upstream/upstream/index.ts
@@ -13,6 +13,7 @@
     private newest: Announcement;
     private parsedAddress: Address;
     private silent = false;
+    private vouchedAt = Number.NEGATIVE_INFINITY;
 
     /**
      * @param announcement - The first one heard.
@@ -55,6 +56,11 @@
         return this.state === "ready" && this.newest.reclaim_in_ms === undefined;
     }
 
+    /** Monotonic time at which it was last known to announce itself, here or at a process that vouches for it, in milliseconds. */
+    get aliveAt(): number {
+        return Math.max(this.heardAt, this.vouchedAt);
+    }
+
     /** Monotonic time at which the reported load was measured, in milliseconds. */
     get loadMeasuredAt(): number {
         return this.heardAt - this.newest.load.age_ms;
@@ -82,10 +88,41 @@
         this.silent = false;
     }
 
+    /** Takes over from a process that hears it when it was last heard; monotonic, in milliseconds. */
+    vouch(at: number): void {
+        this.vouchedAt = at;
+    }
+
+    /** Marks it as heard of again. */
+    markHeard(): void {
+        this.silent = false;
+    }
+
     /** Marks it as not heard of for too long. */
     markSilent(): void {
         this.silent = true;
     }
 }
 
+/**
+ * Whether two announcements say the same of all but load and caches: where the upstream is, what it serves, and whether it may get work.
+ *
+ * @param one - An announcement.
+ * @param other - Another one of the same upstream.
+ */
+export function isSameMembership(one: Announcement, other: Announcement): boolean {
+    return one.incarnation === other.incarnation
+        && one.state === other.state
+        && one.kind === other.kind
+        && one.zone === other.zone
+        && one.address === other.address
+        && one.slots === other.slots
+        && one.price_per_hour === other.price_per_hour
+        && one.reclaimable === other.reclaimable
+        && one.checks_fence === other.checks_fence
+        && (one.reclaim_in_ms === undefined) === (other.reclaim_in_ms === undefined)
+        && one.pools.length === other.pools.length
+        && one.pools.every((pool, at) => pool === other.pools[at]);
+}
+
 const STATE_RANK = { ready: 0, leaving: 1, gone: 2 } as const;
--- a/src/wire/frame/index.ts
+++ b/src/wire/frame/index.ts
@@ -2,6 +2,8 @@
 import { Connection } from "../../ports/index.js";
 
 const LENGTH_BYTES = 4;
+/** The first byte of a msgpack array of up to fifteen items, less its length. */
+const MSGPACK_SHORT_ARRAY = 0x90;
 /** A larger frame is taken for a damaged stream. */
 export const MAX_FRAME_BYTES = 64 * 1024 * 1024;
 
@@ -22,20 +24,38 @@
     return packr.unpack(bytes as Buffer);
 }
 
+/** A body that goes to several peers: it is encoded once. */
+export class EncodedBody {
+    /** The body as msgpack. */
+    readonly bytes: Buffer;
+
+    /** @param value - A value msgpack can carry. */
+    constructor(value: unknown) {
+        this.bytes = packr.pack(value);
+    }
+}
+
 /**
- * Puts a value into a frame: four bytes of length, big endian, then msgpack.
+ * Puts a list of values into a frame: four bytes of length, big endian, then a msgpack array.
  *
+ * @param values - At most fifteen; an `EncodedBody` among them is copied as it is.
  * @example
  * connection.send(encodeFrame(["ping"]));
  */
-export function encodeFrame(value: unknown): Uint8Array {
-    const body = packr.pack(value);
-    const frame = Buffer.allocUnsafe(LENGTH_BYTES + body.length);
-    frame.writeUInt32BE(body.length, 0);
-    body.copy(frame, LENGTH_BYTES);
+export function encodeFrame(values: readonly unknown[]): Uint8Array {
+    const parts = values.some(value => value instanceof EncodedBody) ? packParts(values) : [packr.pack(values)];
+    const length = parts.reduce((sum, part) => sum + part.length, 0);
+    const frame = Buffer.allocUnsafe(LENGTH_BYTES + length);
+    let at = frame.writeUInt32BE(length, 0);
+    for (const part of parts) at += part.copy(frame, at);
     return frame;
 }
 
+function packParts(values: readonly unknown[]): Buffer[] {
+    const head = Buffer.from([MSGPACK_SHORT_ARRAY | values.length]);
+    return [head, ...values.map(value => value instanceof EncodedBody ? value.bytes : packr.pack(value))];
+}
+
 /**
  * Cuts a connection's bytes into frames.
  *
@@ -44,10 +64,16 @@
  */
 export class FrameReader {
     private buffered: Buffer = Buffer.alloc(0);
+    private taken = 0;
 
     /** @param connection - Read by this reader alone. */
     constructor(private readonly connection: Connection) {}
 
+    /** The size of the last frame, in bytes. */
+    get lastFrameBytes(): number {
+        return this.taken;
+    }
+
     /**
      * The next frame's value, or undefined at the end of the connection.
      *
@@ -56,7 +82,10 @@
     async next(): Promise<unknown> {
         for (;;) {
             const frame = this.takeFrame();
-            if (frame) return packr.unpack(frame);
+            if (frame) {
+                this.taken = LENGTH_BYTES + frame.length;
+                return packr.unpack(frame);
+            }
             const chunk = await this.connection.receive();
             if (!chunk) return undefined;
             this.buffered = this.buffered.length === 0 ? Buffer.from(chunk) : Buffer.concat([this.buffered, chunk]);
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -4,3 +4,5 @@
 export * from "./peerLink/index.js";
 export * from "./peerRouter/index.js";
 export * from "./peerServer/index.js";
+export * from "./peerTraffic/index.js";
+export * from "./trafficReporter/index.js";
--- a/src/wire/peerChannel/index.ts
+++ b/src/wire/peerChannel/index.ts
@@ -3,6 +3,7 @@
 import { Clock, Connection, Timer } from "../../ports/index.js";
 import { encodeFrame, FrameReader } from "../frame/index.js";
 import { PeerRouter } from "../peerRouter/index.js";
+import { TrafficWay } from "../peerTraffic/index.js";
 
 /** Raised when a change is not readable by older processes; fields may be added without raising it. */
 export const PROTOCOL_VERSION = 1;
@@ -52,7 +53,11 @@
 /** [kind, call id, method or error, body]; the hello carries version, host and incarnation in these places. */
 type Frame = readonly [kind: FrameKind, id: number, name: string, body?: unknown];
 
+/** What pings, and answers that nobody waits for any more, are counted as. */
+const LINK_UPKEEP = "link";
+
 interface PendingCall {
+    readonly method: string;
     readonly settle: (result: Either<PeerError, unknown>) => void;
     readonly limit: Timer;
 }
@@ -130,7 +135,7 @@
      * Asks the peer.
      *
      * @param method - What to ask.
-     * @param body - A value msgpack can carry.
+     * @param body - A value msgpack can carry, or an `EncodedBody`.
      * @param timeoutMs - How long to wait for the answer, in milliseconds.
      * @returns The answer's body.
      */
@@ -142,12 +147,16 @@
                 timeoutMs,
                 () => this.settle(id, Left(new PeerError("timeout", true, method))),
             );
-            this.pending.set(id, { settle: resolve, limit });
+            this.pending.set(id, { method, settle: resolve, limit });
             this.send([FrameKind.Call, id, method, body]);
         });
     }
 
-    /** Tells the peer something without waiting for an answer. Lost when the connection ends. */
+    /**
+     * Tells the peer something without waiting for an answer. Lost when the connection ends.
+     *
+     * @param body - As for `call`.
+     */
     notify(method: string, body: unknown): void {
         if (this.isOpen) this.send([FrameKind.Notice, 0, method, body]);
     }
@@ -169,6 +178,7 @@
             const frame = await this.reader.next() as Frame | undefined;
             if (frame === undefined || this.ended) return;
             this.lastHeardAt = this.options.clock.monotonic();
+            this.count("received", frame, this.reader.lastFrameBytes);
             if (!this.take(frame)) return;
         }
     }
@@ -193,10 +203,10 @@
 
     private async answer(id: number, method: string, body: unknown): Promise<void> {
         try {
-            this.send([FrameKind.Answer, id, "", await this.handle(method, body)]);
+            this.send([FrameKind.Answer, id, "", await this.handle(method, body)], method);
         }
         catch (err) {
-            this.send([FrameKind.Failure, id, (err as Error).message]);
+            this.send([FrameKind.Failure, id, (err as Error).message], method);
         }
     }
 
@@ -214,10 +224,19 @@
         call.settle(result);
     }
 
-    private send(frame: Frame): void {
+    /** @param answered - The method that an answer belongs to. */
+    private send(frame: Frame, answered?: string): void {
         if (this.ended) return;
         this.lastSentAt = this.options.clock.monotonic();
-        this.options.connection.send(encodeFrame(frame));
+        const bytes = encodeFrame(frame);
+        this.count("sent", frame, bytes.length, answered);
+        this.options.connection.send(bytes);
+    }
+
+    private count(way: TrafficWay, [kind, id, name]: Frame, bytes: number, answered?: string): void {
+        const called = kind === FrameKind.Call || kind === FrameKind.Notice ? name : "";
+        const method = answered ?? (isReply(kind) ? this.pending.get(id)?.method : called);
+        this.options.router.traffic.note(way, method || LINK_UPKEEP, bytes);
     }
 
     private watchSilence(): void {
@@ -235,3 +254,7 @@
         clock.after(timing.heartbeatMs / 2, look);
     }
 }
+
+function isReply(kind: FrameKind): boolean {
+    return kind === FrameKind.Answer || kind === FrameKind.Failure;
+}
--- a/src/wire/peerRouter/index.ts
+++ b/src/wire/peerRouter/index.ts
@@ -1,15 +1,17 @@
 import type { PeerChannel } from "../peerChannel/index.js";
+import { PeerTraffic } from "../peerTraffic/index.js";
 
 /** Answers one kind of call. What it throws reaches the caller as a `PeerError` of reason "failed". */
 export type PeerHandler = (body: unknown, channel: PeerChannel) => Promise<unknown> | unknown;
 
 /**
- * The methods that a process answers to its peers.
+ * The methods that a process answers to its peers, and the traffic of all its channels.
  *
  * @example
  * router.add("usage.batch", body => holdBatch(body));
  */
 export class PeerRouter {
+    readonly traffic = new PeerTraffic();
     private readonly handlers = new Map<string, PeerHandler>();
 
     /**
