The choice weighs all engines with a free slot, few of them in full

Cause: among more than 32 free engines the choice was offered a sample, and calls routed by the document name no prefixes, so the engine that holds a prompt's parts was missing two times in three at 98 engines. Prompts were read again or moved. Now all are offered. What an engine weighs at least (wait, what is held) comes first, stalled streams only for those that can still win (`pickLeast`); who holds a part is looked up by part. Same choices as weighing all in full, on three seeded loads.

--- a/src/bench/policy/speed/main.ts
+++ b/src/bench/policy/speed/main.ts
@@ -2,7 +2,15 @@
 import { LocalDispatcher, Ticket } from "../../../dispatch/index.js";
 import { ClassName, HostId, PoolId, RequestId, UpstreamId, WorkspaceId, ZoneId } from "../../../ids/index.js";
 import { SeededRandom, SystemClock, VirtualClock } from "../../../ports/index.js";
-import { makeAnnouncement, UpstreamRegistry } from "../../../upstream/index.js";
+import {
+    ChoiceRequest,
+    makeAnnouncement,
+    pickExhaustively,
+    RoutedChoice,
+    Upstream,
+    UpstreamLoad,
+    UpstreamRegistry,
+} from "../../../upstream/index.js";
 
 const SLOTS = 8;
 const DECISIONS = 20_000;
@@ -18,8 +26,63 @@
 
 type Size = typeof SIZES[number];
 
+/** Engines of a routed pool, and streams that run on each. */
+const ROUTED_SIZES = [{ engines: 60, streams: 20 }, { engines: 200, streams: 20 }];
+const ROUTED_CHOICES = 3_000;
+
 const wall = new SystemClock();
 for (const size of SIZES) console.log(await measure(size));
+for (const size of ROUTED_SIZES) console.log(measureRouted(size));
+
+/** What one choice among engines costs, beside one that weighs each of them in full. */
+function measureRouted({ engines, streams }: typeof ROUTED_SIZES[number]): string {
+    const chosenMs = timeRouted(new RoutedChoice(() => undefined), engines, streams);
+    const exhaustive = new RoutedChoice(() => undefined, undefined, pickExhaustively);
+    const exhaustiveMs = timeRouted(exhaustive, engines, streams);
+    return `${engines} engines with ${streams} streams each: choice ${toMicro(chosenMs)}, all weighed in full `
+        + `${toMicro(exhaustiveMs)}, ${(exhaustiveMs / chosenMs).toFixed(1)} times as much`;
+}
+
+function timeRouted(choice: RoutedChoice, engines: number, streams: number): number {
+    const random = new SeededRandom(1);
+    const loads = Array.from(
+        { length: engines },
+        (_, index) => new UpstreamLoad(new Upstream(makeAnnouncement({ id: `u${index}`, slots: 128 }), 0, true)),
+    );
+    const running: RequestId[] = [];
+    const run = (count: number): void => {
+        for (let index = 0; index < count; index++) {
+            const now = next * 3;
+            const parts = [{ id: `s${random.integer(0, 40)}`, tokens: 6_000 }, { id: `o${next}`, tokens: 1_000 }];
+            const request: ChoiceRequest = {
+                request: `r${next++}` as RequestId,
+                pool: "draft" as PoolId,
+                prefixes: [],
+                parts,
+                findSource: undefined,
+                gapMs: next % 3 === 0 ? 250 : 1_000,
+                eventTokens: 4,
+                targetMs: 500,
+                bodyBytes: 4_000,
+                now,
+                promptTokens: 7_000,
+                predictedTokens: 100,
+                zone: `z${next % 6}` as ZoneId,
+            };
+            const choiceMade = choice.choose(loads, request);
+            choice.granted(choiceMade, request);
+            choiceMade.load.markSent(now);
+            choice.progressed(request.request, true, now + 60);
+            running.push(request.request);
+            if (running.length > engines * streams) choice.ended(running.shift()!, false, now, 200);
+        }
+    };
+    let next = 0;
+    run(engines * streams + ROUTED_CHOICES);
+    const from = wall.monotonic();
+    run(ROUTED_CHOICES);
+    return (wall.monotonic() - from) / ROUTED_CHOICES;
+}
 
 async function measure(size: Size): Promise<string> {
     const clock = new VirtualClock();
--- a/src/dispatch/localDispatcher/test.ts
+++ b/src/dispatch/localDispatcher/test.ts
@@ -5,6 +5,7 @@
 import { SeededRandom, VirtualClock } from "../../ports/index.js";
 import { makeAnnouncement, UpstreamRegistry } from "../../upstream/index.js";
 import { makeTicket } from "../_lib/fixtures.js";
+import { ROUTED_POLICIES } from "../policies/index.js";
 import { Completion, Grant, Refusal, Ticket } from "../ticket/index.js";
 import { LocalDispatcher } from "./index.js";
 
@@ -226,4 +227,32 @@
             assert.deepEqual(second.settled, ["r2"]);
         });
     });
+
+    describe("a routed pool of a hundred engines", () => {
+        it("sends a prompt where its shared parts were read before", async () => {
+            // A fleet grows from a dozen engines to a hundred, and documents that were read once by one engine are read again by most: the choice
+            // was offered a sample of the engines, in which the one that holds a document was missing two times in three.
+            const clock = new VirtualClock();
+            const registry = new UpstreamRegistry({ clock });
+            for (let index = 0; index < 98; index++) {
+                registry.announce(makeAnnouncement({ id: `u${index}`, slots: 24 }));
+            }
+            const random = new SeededRandom(1);
+            const zone = "vogar" as ZoneId;
+            const dispatcher = new LocalDispatcher({ clock, random, registry, zone, policies: ROUTED_POLICIES });
+            const places = new Set<UpstreamId>();
+            for (let index = 0; index < 20; index++) {
+                const parts = [{ id: "itinerary", tokens: 6_000 }, { id: `own-${index}`, tokens: 500 }];
+                const ticket = makeTicket({ request: `r${index}`, parts, promptTokens: 6_500 });
+                const { request, upstream } = (await dispatcher.submit(ticket, new AbortController().signal))
+                    .unsafeCoerce();
+                places.add(upstream);
+                const usage = { promptTokens: 6_500, cachedTokens: 0, completionTokens: 50 };
+                dispatcher.complete({ request, upstream, outcome: "answered", ...usage });
+                await clock.advance(50);
+            }
+            dispatcher.close();
+            assert.equal(places.size, 1);
+        });
+    });
 });
--- a/src/dispatch/upstreamPicker/index.ts
+++ b/src/dispatch/upstreamPicker/index.ts
@@ -1,4 +1,4 @@
-import { PoolId, ZoneId } from "../../ids/index.js";
+import { PoolId, UpstreamId, ZoneId } from "../../ids/index.js";
 import { Random } from "../../ports/index.js";
 import { Choice, ChoiceRequest, PoolMembers, PrefixIndex, UpstreamChoice, UpstreamLoad } from "../../upstream/index.js";
 import { Ticket } from "../ticket/index.js";
@@ -14,9 +14,6 @@
     readonly choice: UpstreamChoice;
 }
 
-/** A larger pool is sampled, and those that hold the prompt's prefixes are added. */
-const MOST_CANDIDATES = 32;
-
 /** Finds the candidates for a ticket and lets the choice policy pick one. */
 export class UpstreamPicker {
     constructor(private readonly options: UpstreamPickerOptions) {}
@@ -41,16 +38,20 @@
         const { request, prefixes, promptTokens, gapMs, parts = [], bodyBytes = 0 } = ticket;
         const targetMs = ticket.firstTokenMs;
         const eventTokens = gapMs === undefined ? 1 : Math.max(1, gapMs / ticket.tokenMs);
-        const sources = ticket.canFetch ? members.all : [];
+        const findSource = ticket.canFetch ? (id: UpstreamId) => members.get(id) : undefined;
         const sender = ticket.zone ?? zone;
         const size = { promptTokens, predictedTokens, bodyBytes };
-        return { request, pool, prefixes, parts, sources, gapMs, eventTokens, targetMs, now, zone: sender, ...size };
+        return { request, pool, prefixes, parts, findSource, gapMs, eventTokens, targetMs, now, zone: sender, ...size };
     }
 
+    /** A pool with too many for the choice is sampled, and those that hold the prompt's prefixes are added. */
     private findFree(ticket: Ticket): readonly UpstreamLoad[] {
-        const { members, prefixes, random } = this.options;
-        const found = new Set(members.candidates(MOST_CANDIDATES, random));
-        for (const id of prefixes.likelyHolders(ticket.prefixes)) {
+        const { members, prefixes, random, choice } = this.options;
+        const sample = members.candidates(choice.mostCandidates, random);
+        const holders = prefixes.likelyHolders(ticket.prefixes);
+        if (holders.length === 0) return sample;
+        const found = new Set(sample);
+        for (const id of holders) {
             const load = members.get(id);
             if (load && members.isFree(load)) found.add(load);
         }
@@ -58,7 +59,8 @@
     }
 
     private narrow(ticket: Ticket, free: readonly UpstreamLoad[]): readonly UpstreamLoad[] {
-        const untried = preferring(free, load => !ticket.avoid.includes(load.upstream.id));
+        const { avoid } = ticket;
+        const untried = avoid.length === 0 ? free : preferring(free, load => !avoid.includes(load.upstream.id));
         // A probe of a straggler will probably be slow: the top tier takes it only when there is nothing else.
         return ticket.tier === 0 ? preferring(untried, load => !load.ejected) : untried;
     }
--- a/src/upstream/choice/index.ts
+++ b/src/upstream/choice/index.ts
@@ -11,8 +11,8 @@
     readonly pool: PoolId;
     /** The prompt's parts with their sizes, where they are known. */
     readonly parts: readonly PromptPart[];
-    /** Upstreams that may hold parts which the candidates can fetch from them; none where the pool's upstreams can't do that. */
-    readonly sources: readonly UpstreamLoad[];
+    /** Finds an upstream from which the candidates can fetch parts; undefined where the pool's upstreams can't do that. */
+    readonly findSource: ((id: UpstreamId) => UpstreamLoad | undefined) | undefined;
     /** The longest pause between two events that is on time, in milliseconds; undefined for answers that are no streams. */
     readonly gapMs: number | undefined;
     /** How many tokens an event of the stream holds. */
@@ -48,6 +48,9 @@
 
 /** Picks the upstream for a request that is next in its pool's queue. */
 export abstract class UpstreamChoice {
+    /** How many candidates it is offered at the most: one that weighs each in full gets a sample of a large pool. */
+    readonly mostCandidates: number = 32;
+
     /**
      * @param candidates - Members with a free slot; at least one.
      * @param request - What is to be sent.
--- a/src/upstream/partsPlacement/index.ts
+++ b/src/upstream/partsPlacement/index.ts
@@ -16,10 +16,16 @@
     /**
      * Where parts belong that nobody is known to hold: the candidate with the highest hash of them and its own id, the same one for each
      * owner of the queue. Undefined where a candidate holds some.
+     *
+     * @param holders - The upstreams that hold some of them.
      */
-    findHome(candidates: readonly UpstreamLoad[], parts: readonly PromptPart[]): UpstreamId | undefined {
+    findHome(
+        candidates: readonly UpstreamLoad[],
+        parts: readonly PromptPart[],
+        holders: ReadonlyMap<UpstreamId, number>,
+    ): UpstreamId | undefined {
         if (parts.length === 0) return undefined;
-        if (candidates.some(({ upstream }) => this.cache.heldTokens(parts, upstream.id) > 0)) return undefined;
+        if (holders.size > 0 && candidates.some(({ upstream }) => holders.has(upstream.id))) return undefined;
         const key = parts.map(({ id }) => id).join(",");
         let home: UpstreamId | undefined;
         let highest = -1;
@@ -39,21 +45,22 @@
      * Only from an upstream that has certainly read them: one that is still reading them has nothing to give. One that leaves is as good a
      * source as any until it has gone, and the only one for what it alone holds.
      *
-     * @param sources - Upstreams that are there and answer; the chosen one may be among them.
+     * @param findSource - Finds an upstream that is there and answers; it may be the chosen one.
      */
     findFetch(
         chosen: UpstreamLoad,
-        sources: readonly UpstreamLoad[],
+        findSource: (id: UpstreamId) => UpstreamLoad | undefined,
         parts: readonly PromptPart[],
         now: number,
     ): PartsFetch | undefined {
         const held = this.cache.heldTokens(parts, chosen.upstream.id);
         const hot = { isRead: true, usedAfter: now - HOT_MS };
         let best: PartsFetch | undefined;
-        for (const from of sources) {
-            if (from === chosen) continue;
-            const tokens = this.cache.heldTokens(parts, from.upstream.id, hot) - held;
-            if (tokens >= LEAST_FETCHED_TOKENS && tokens > (best?.tokens ?? 0)) best = { from, tokens };
+        for (const [id, heldThere] of this.cache.listHolders(parts, hot)) {
+            const tokens = heldThere - held;
+            if (tokens < LEAST_FETCHED_TOKENS || tokens <= (best?.tokens ?? 0)) continue;
+            const from = findSource(id);
+            if (from && from !== chosen) best = { from, tokens };
         }
         return best;
     }
--- a/src/upstream/prefillModel/index.ts
+++ b/src/upstream/prefillModel/index.ts
@@ -43,8 +43,7 @@
 
     /** How long an idle upstream takes to read, in milliseconds. */
     readMs(work: PrefillWork): number {
-        const [, thousands, pairs] = describe(work);
-        return thousands * this.factors[1] + pairs * this.factors[2];
+        return thousandsOf(work) * this.factors[1] + pairsOf(work) * this.factors[2];
     }
 
     /** Takes in how long an upstream took to a first token that had nothing else to read, in milliseconds. */
@@ -64,8 +63,16 @@
 }
 
 /** One, thousands of tokens, millions of pairs. */
-function describe({ tokens, held }: PrefillWork): readonly [number, number, number] {
-    return [1, tokens / 1_000, tokens * (held + tokens / 2) / 1_000_000];
+function describe(work: PrefillWork): readonly [number, number, number] {
+    return [1, thousandsOf(work), pairsOf(work)];
+}
+
+function thousandsOf({ tokens }: PrefillWork): number {
+    return tokens / 1_000;
+}
+
+function pairsOf({ tokens, held }: PrefillWork): number {
+    return tokens * (held + tokens / 2) / 1_000_000;
 }
 
 /** What was learned fades; what is assumed stays. */
--- a/src/upstream/promptCache/index.ts
+++ b/src/upstream/promptCache/index.ts
@@ -45,6 +45,8 @@
  */
 export class PromptCache {
     private readonly holdings = new Map<UpstreamId, Holding>();
+    /** By part, the upstreams that hold it. */
+    private readonly holders = new Map<string, Set<UpstreamId>>();
 
     /** @param capacity - How many tokens an upstream's memory takes; undefined where that is not known. */
     constructor(private readonly capacity: () => number | undefined) {}
@@ -62,6 +64,20 @@
         return tokens;
     }
 
+    /**
+     * The upstreams that hold the first of these parts, and how many tokens of the leading ones. Costs as much as there are holders, however
+     * many upstreams there are.
+     */
+    listHolders(parts: readonly PromptPart[], condition = ANY): Map<UpstreamId, number> {
+        const found = new Map<UpstreamId, number>();
+        if (parts.length === 0) return found;
+        for (const upstream of this.holders.get(parts[0].id) ?? []) {
+            const tokens = this.heldTokens(parts, upstream, condition);
+            if (tokens > 0) found.set(upstream, tokens);
+        }
+        return found;
+    }
+
     /** A prompt with these parts goes to the upstream now. */
     use(parts: readonly PromptPart[], upstream: UpstreamId, now: number): void {
         // The last part is touched first, so that of one prompt the leading parts yield last.
@@ -83,7 +99,7 @@
     /** The upstream says that it holds these parts: what was sent there before counts as used later. */
     learn(parts: readonly PromptPart[], upstream: UpstreamId, now: number): void {
         const sent = this.holdings.get(upstream)?.parts ?? new Map<string, HeldPart>();
-        this.holdings.delete(upstream);
+        this.forget(upstream);
         for (const { id, tokens } of parts) this.touch(upstream, id, { tokens, usedAt: now, isRead: true });
         for (const [id, part] of sent) this.touch(upstream, id, part);
         this.evict(upstream);
@@ -91,6 +107,7 @@
 
     /** Forgets an upstream that has ended. */
     forget(upstream: UpstreamId): void {
+        for (const id of this.holdings.get(upstream)?.parts.keys() ?? []) this.removeHolder(id, upstream);
         this.holdings.delete(upstream);
     }
 
@@ -101,6 +118,19 @@
         holding.tokens += part.tokens - (known?.tokens ?? 0);
         holding.parts.delete(id);
         holding.parts.set(id, { ...part, isRead: part.isRead || (known?.isRead ?? false) });
+        if (!known) this.addHolder(id, upstream);
+    }
+
+    private addHolder(id: string, upstream: UpstreamId): void {
+        const holders = this.holders.get(id);
+        if (holders) holders.add(upstream);
+        else this.holders.set(id, new Set([upstream]));
+    }
+
+    private removeHolder(id: string, upstream: UpstreamId): void {
+        const holders = this.holders.get(id);
+        holders?.delete(upstream);
+        if (holders?.size === 0) this.holders.delete(id);
     }
 
     private evict(upstream: UpstreamId): void {
@@ -111,6 +141,7 @@
             if (holding.tokens <= most) return;
             holding.parts.delete(id);
             holding.tokens -= tokens;
+            this.removeHolder(id, upstream);
         }
     }
 }
--- a/src/upstream/promptCache/test.ts
+++ b/src/upstream/promptCache/test.ts
@@ -1,3 +1,4 @@
+import fc from "fast-check";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { UpstreamId } from "../../ids/index.js";
@@ -40,4 +41,30 @@
         cache.forget(A);
         assert.equal(cache.heldTokens([SYSTEM], A), 0);
     });
+
+    it("lists the holders of leading parts as asking each upstream would", () => {
+        const upstreams = ["a", "b", "c"].map(id => id as UpstreamId);
+        const part = fc.integer({ min: 0, max: 5 }).map(number => ({ id: `p${number}`, tokens: 60 + 20 * number }));
+        const step = fc.record({
+            upstream: fc.constantFrom(...upstreams),
+            parts: fc.uniqueArray(part, { selector: ({ id }) => id, minLength: 1, maxLength: 4 }),
+            act: fc.constantFrom("use", "confirm", "learn", "forget"),
+        });
+        fc.assert(
+            fc.property(fc.array(step, { maxLength: 30 }), step, (steps, { parts }) => {
+                const cache = new PromptCache(() => 500);
+                for (const [now, { upstream, parts: sent, act }] of steps.entries()) {
+                    if (act === "use") cache.use(sent, upstream, now);
+                    else if (act === "confirm") cache.confirm(sent, upstream);
+                    else if (act === "learn") cache.learn(sent, upstream, now);
+                    else cache.forget(upstream);
+                }
+                const asked = upstreams.map(id => [id, cache.heldTokens(parts, id)] as const).filter(([, held]) =>
+                    held > 0
+                );
+                assert.deepEqual(new Map([...cache.listHolders(parts)].sort()), new Map(asked));
+            }),
+            { seed: 1, numRuns: 500 },
+        );
+    });
 });
--- a/src/upstream/routedChoice/index.ts
+++ b/src/upstream/routedChoice/index.ts
@@ -1,5 +1,6 @@
 import { RequestId, UpstreamId } from "../../ids/index.js";
-import { Choice, ChoiceRequest, UpstreamChoice } from "../choice/index.js";
+import { pickLeast } from "../_lib/pickLeast/index.js";
+import { Choice, ChoiceRequest, PartsFetch, UpstreamChoice } from "../choice/index.js";
 import { UpstreamLoad } from "../load/index.js";
 import { PartsPlacement } from "../partsPlacement/index.js";
 import { PauseForecast } from "../pauseForecast/index.js";
@@ -13,6 +14,9 @@
 /** An upstream that fails more of its requests than this is not asked for parts. */
 const MOST_FAILING = 0.3;
 
+/** The upstreams that hold leading parts of a prompt, and how many tokens of it. */
+type Holders = ReadonlyMap<UpstreamId, number>;
+
 /** The parts of a prompt that others may begin with too: all but the last, which is its own. */
 interface SharedParts {
     readonly parts: readonly PromptPart[];
@@ -33,6 +37,8 @@
  * prompt its running streams stand still, so a long one goes where no stream runs that could not bear the pause.
  */
 export class RoutedChoice extends UpstreamChoice {
+    /** Any candidate may hold the prompt's parts, and few are weighed in full: there is no need for a sample. */
+    override readonly mostCandidates = Number.POSITIVE_INFINITY;
     private readonly work = new Map<UpstreamId, UpstreamWork>();
     private readonly granting = new Map<RequestId, GrantedRequest>();
     private readonly cache: PromptCache;
@@ -41,9 +47,15 @@
     private readonly pauses = new PauseForecast(this.model);
     private readonly load = new ReadingLoad();
 
+    /**
+     * @param capacity - How many tokens an upstream's memory takes; undefined where that is not known.
+     * @param weights - What the parts of a choice weigh.
+     * @param pick - How the lightest candidate is found.
+     */
     constructor(
         capacity: () => number | undefined,
         private readonly weights: RoutedWeights = DEFAULT_ROUTED_WEIGHTS,
+        private readonly pick: typeof pickLeast = pickLeast,
     ) {
         super();
         this.cache = new PromptCache(capacity);
@@ -51,21 +63,18 @@
     }
 
     choose(candidates: readonly UpstreamLoad[], request: ChoiceRequest): Choice {
-        const shared = this.describeShared(candidates, request);
-        let best = candidates[0];
-        let bestMs = Number.POSITIVE_INFINITY;
-        for (const load of candidates) {
-            const ms = this.weigh(load, request, shared);
-            if (ms >= bestMs) continue;
-            best = load;
-            bestMs = ms;
-        }
+        const holders = this.cache.listHolders(request.parts);
+        const shared = this.describeShared(candidates, request, holders);
+        const { item: best, weight } = this.pick(
+            candidates,
+            load => this.weighWithoutStalls(load, request, shared, holders),
+            (load, withoutStalls) => withoutStalls + this.weighStalls(load, request, holders),
+        );
         const { now, promptTokens } = request;
-        const sources = shared.tokens === 0 ? [] : request.sources.filter(load => this.canGive(load, now));
-        const fetch = this.placement.findFetch(best, sources, shared.parts, now);
-        const held = this.cache.heldTokens(request.parts, best.upstream.id);
+        const fetch = this.findFetch(best, request, shared);
+        const held = holders.get(best.upstream.id) ?? 0;
         const backlog = this.workOf(best.upstream.id).prefill.backlogMs(now);
-        const reason = `weight ${Math.round(bestMs)} ms, backlog ${Math.round(backlog)} ms, `
+        const reason = `weight ${Math.round(weight)} ms, backlog ${Math.round(backlog)} ms, `
             + `${held} of ${promptTokens} tokens held, ${best.outstanding} running`
             + (fetch ? `, ${fetch.tokens} from ${fetch.from.upstream.id}` : "");
         return { load: best, reason, fetch };
@@ -74,7 +83,8 @@
     override granted({ load: { upstream }, fetch }: Choice, request: ChoiceRequest): void {
         const { now, parts } = request;
         const work = this.workOf(upstream.id);
-        const prefill = this.describeWork(request, upstream.id, fetch?.tokens);
+        const held = this.cache.heldTokens(parts, upstream.id) + (fetch?.tokens ?? 0);
+        const prefill = describeWork(request, held);
         this.cache.use(parts, upstream.id, now);
         this.load.add(work.prefill.readMs(prefill), now);
         this.granting.set(request.request, work.begin(request, prefill));
@@ -116,13 +126,19 @@
         this.cache.forget(upstream);
     }
 
-    private weigh(load: UpstreamLoad, request: ChoiceRequest, shared: SharedParts): number {
+    /** All but the streams that would stall, who are many: none of it is negative, so this is what an upstream weighs at least. */
+    private weighWithoutStalls(
+        load: UpstreamLoad,
+        request: ChoiceRequest,
+        shared: SharedParts,
+        holders: Holders,
+    ): number {
         const { upstream } = load;
         const { weights } = this;
         const { now, targetMs } = request;
         const own = this.workOf(upstream.id);
         const { prefill, failureRate } = own;
-        const work = this.describeWork(request, upstream.id);
+        const work = describeWork(request, holders.get(upstream.id) ?? 0);
         const reread = { tokens: Math.max(0, shared.tokens - work.held), held: Math.min(work.held, shared.tokens) };
         const rereadMs = (weights.rereadFactor - 1) * prefill.readMs(reread);
         const isStranger = shared.home !== undefined && upstream.id !== shared.home;
@@ -136,13 +152,32 @@
             + weights.runningMs * load.outstanding
             + (load.outstanding >= upstream.slots ? weights.fullMs : 0)
             + (isFar ? farMs : 0)
-            + weights.stallTargets * targetMs * own.countStalled(request, work)
-            + weights.ownStallTargets * targetMs * own.chanceOfStall(request, load.tokenMs)
             + weights.silentFactor * own.silentMs(now)
             + weights.strangerFactor * strangerMs
             + weights.failingMs * failureRate;
     }
 
+    /** The streams that would stall there beside this prompt, and the chance that its own would. */
+    private weighStalls(load: UpstreamLoad, request: ChoiceRequest, holders: Holders): number {
+        const { weights } = this;
+        const { targetMs } = request;
+        const { id } = load.upstream;
+        const own = this.workOf(id);
+        const work = describeWork(request, holders.get(id) ?? 0);
+        return weights.stallTargets * targetMs * own.countStalled(request, work)
+            + weights.ownStallTargets * targetMs * own.chanceOfStall(request, load.tokenMs);
+    }
+
+    private findFetch(chosen: UpstreamLoad, request: ChoiceRequest, shared: SharedParts): PartsFetch | undefined {
+        const { findSource, now } = request;
+        if (!findSource || shared.tokens === 0) return undefined;
+        const findGiver = (id: UpstreamId): UpstreamLoad | undefined => {
+            const load = findSource(id);
+            return load && this.canGive(load, now) ? load : undefined;
+        };
+        return this.placement.findFetch(chosen, findGiver, shared.parts, now);
+    }
+
     private canGive({ upstream }: UpstreamLoad, now: number): boolean {
         // What is gone has been forgotten here, and must not be followed anew.
         if (upstream.state === "gone") return false;
@@ -150,14 +185,13 @@
         return work.failureRate <= MOST_FAILING && work.silentMs(now) === 0;
     }
 
-    private describeShared(candidates: readonly UpstreamLoad[], request: ChoiceRequest): SharedParts {
+    private describeShared(
+        candidates: readonly UpstreamLoad[],
+        request: ChoiceRequest,
+        holders: Holders,
+    ): SharedParts {
         const parts = request.parts.slice(0, -1);
-        return { parts, tokens: sumTokens(parts), home: this.placement.findHome(candidates, parts) };
-    }
-
-    private describeWork({ parts, promptTokens }: ChoiceRequest, upstream: UpstreamId, fetched = 0): PrefillWork {
-        const held = Math.min(promptTokens, this.cache.heldTokens(parts, upstream) + fetched);
-        return { tokens: promptTokens - held, held };
+        return { parts, tokens: sumTokens(parts), home: this.placement.findHome(candidates, parts, holders) };
     }
 
     private workOf(upstream: UpstreamId): UpstreamWork {
@@ -169,6 +203,11 @@
     }
 }
 
+function describeWork({ promptTokens }: ChoiceRequest, heldTokens: number): PrefillWork {
+    const held = Math.min(promptTokens, heldTokens);
+    return { tokens: promptTokens - held, held };
+}
+
 function sumTokens(parts: readonly PromptPart[]): number {
     return parts.reduce((sum, { tokens }) => sum + tokens, 0);
 }
--- a/src/upstream/routedChoice/test.ts
+++ b/src/upstream/routedChoice/test.ts
@@ -1,8 +1,10 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { PoolId, RequestId, UpstreamId, ZoneId } from "../../ids/index.js";
+import { SeededRandom } from "../../ports/index.js";
+import { pickLeast } from "../_lib/pickLeast/index.js";
 import { ChoiceRequest } from "../choice/index.js";
-import { makeAnnouncement } from "../fixtures/index.js";
+import { makeAnnouncement, pickExhaustively } from "../fixtures/index.js";
 import { UpstreamLoad } from "../load/index.js";
 import { Upstream } from "../upstream/index.js";
 import { RoutedChoice } from "./index.js";
@@ -18,7 +20,7 @@
         pool: "draft" as PoolId,
         prefixes: [],
         parts: [],
-        sources: [],
+        findSource: undefined,
         gapMs: undefined,
         eventTokens: 4,
         targetMs: 1_000,
@@ -201,7 +203,12 @@
         // The engines that stay read each of them from the start, and short questions wait behind them for half a second.
         // Cause: what the leaving engines hold is not asked for while they are still there.
         const sheet = (now: number, sources: readonly UpstreamLoad[]): ChoiceRequest =>
-            makeRequest({ promptTokens: 16_000, parts: SHEET, sources, now });
+            makeRequest({
+                promptTokens: 16_000,
+                parts: SHEET,
+                findSource: id => sources.find(({ upstream }) => upstream.id === id),
+                now,
+            });
 
         function placeAtLeaver(choice: RoutedChoice, loads: readonly UpstreamLoad[], now: number): void {
             const request = sheet(now, []);
@@ -261,4 +268,69 @@
             assert.equal(choice.choose([loads[1]], sheet(4_000, loads)).fetch, undefined);
         });
     });
+
+    describe("in a pool of many upstreams", () => {
+        const ENGINES = 60;
+        const REQUESTS_A_SECOND = 300;
+        const SECONDS = 6;
+
+        /** A seeded load of long prompts with shared parts beside questions whose streams bear short pauses. */
+        function* drawLoad(seed: number): Generator<ChoiceRequest> {
+            const random = new SeededRandom(seed);
+            for (let index = 0; index < SECONDS * REQUESTS_A_SECOND; index++) {
+                const now = index * 1_000 / REQUESTS_A_SECOND;
+                const subject = { id: `subject-${random.integer(0, 30)}`, tokens: 6_000 };
+                const own = { id: `own-${index}`, tokens: random.integer(500, 4_000) };
+                const isQuestion = index % 3 === 0;
+                yield makeRequest({
+                    now,
+                    request: `r${index}` as RequestId,
+                    parts: isQuestion ? [own] : [subject, own],
+                    promptTokens: isQuestion ? own.tokens : subject.tokens + own.tokens,
+                    gapMs: isQuestion ? 250 : 1_000,
+                    zone: `zone-${index % 6}` as ZoneId,
+                });
+            }
+        }
+
+        /** Places a whole load; each request shows its first token after a while, and ends two seconds later. */
+        function placeAll(choice: RoutedChoice, seed: number): UpstreamId[] {
+            const loads = makeLoads(Array.from({ length: ENGINES }, (_, index) => `engine-${index}`));
+            const running: ChoiceRequest[] = [];
+            const reading: ChoiceRequest[] = [];
+            return [...drawLoad(seed)].map(request => {
+                const { now } = request;
+                while (reading[0]?.now <= now - 120) choice.progressed(reading.shift()!.request, true, now);
+                while (running[0]?.now <= now - 2_000) {
+                    const { request: ended } = running.shift()!;
+                    choice.ended(ended, false, now, 180);
+                }
+                running.push(request);
+                reading.push(request);
+                return place(choice, loads, request);
+            });
+        }
+
+        it("chooses as if each of them had been weighed in full", () => {
+            for (const seed of [1, 2, 3]) {
+                const few = placeAll(new RoutedChoice(() => 900_000), seed);
+                const all = placeAll(new RoutedChoice(() => 900_000, undefined, pickExhaustively), seed);
+                assert.deepEqual(few, all);
+            }
+        });
+
+        it("weighs few of them in full", () => {
+            let offered = 0;
+            let weighed = 0;
+            const counting: typeof pickExhaustively = (items, floorOf, weigh) => {
+                offered += items.length;
+                return pickLeast(items, floorOf, (item, floor) => {
+                    weighed++;
+                    return weigh(item, floor);
+                });
+            };
+            placeAll(new RoutedChoice(() => 900_000, undefined, counting), 1);
+            assert.ok(weighed < offered / 10, `${weighed} of ${offered}`);
+        });
+    });
 });
