Hosts of control processes own the queues of routed pools

Cause: one entry of 0.324 cores behind 7 Mbit/s owned the queue of 71; in a burst it was taken for silent, and each entry decided by itself. Now queue hosts (`entry/queueHost`) in the control processes own queues; entries do where none answers. Hosts are ranked by hash, the first three kept connected; an owner that is certainly out of reach costs no try, one that is silent costs 120 ms, two of those and the entry decides by itself. Links that are just opening are waited for, in place of suspecting their host.

Ruled out: shards, slots lent ahead, processes of their own (docs/DESIGN.md).

--- a/src/bench/policy/fleet/index.ts
+++ b/src/bench/policy/fleet/index.ts
@@ -1,10 +1,10 @@
 import { Either } from "purify-ts";
 import {
-    choosePoolOwner,
     Completion,
     DispatchObserver,
     Grant,
     LocalDispatcher,
+    rankPoolOwners,
     Refusal,
     Ticket,
 } from "../../../dispatch/index.js";
@@ -158,7 +158,7 @@
         const known = this.owners.get(pool);
         if (known && !this.isKnownLost(known)) return known;
         const believedAlive = this.entries.filter(other => !this.isKnownLost(other));
-        const host = choosePoolOwner(pool, REGION, believedAlive.map(other => other.host));
+        const host = rankPoolOwners(pool, REGION, believedAlive.map(other => other.host))[0];
         const owner = this.entries.find(other => other.host === host)!;
         this.owners.set(pool, owner);
         return owner;
--- a/src/bench/slopes/probes/upstreams/index.ts
+++ b/src/bench/slopes/probes/upstreams/index.ts
@@ -1,4 +1,4 @@
-import { choosePoolOwner, LocalDispatcher } from "../../../../dispatch/index.js";
+import { LocalDispatcher, rankPoolOwners } from "../../../../dispatch/index.js";
 import { HostId, PoolId, ZoneId } from "../../../../ids/index.js";
 import { SeededRandom, VirtualClock } from "../../../../ports/index.js";
 import { Announcement } from "../../../../protocol/index.js";
@@ -20,7 +20,7 @@
         for (const count of UPSTREAM_COUNTS) await measureRegistry(count, recorder);
         for (const count of HOST_COUNTS) {
             const hosts = Array.from({ length: count }, (_, index) => `north-2-entry-${index}` as HostId);
-            const choose = (): unknown => choosePoolOwner("general-70b" as PoolId, "north", hosts);
+            const choose = (): unknown => rankPoolOwners("general-70b" as PoolId, "north", hosts);
             recorder.addAll("owner.choose", count, await timeCalls(choose));
         }
     }
--- a/src/control/controlClient/index.ts
+++ b/src/control/controlClient/index.ts
@@ -20,7 +20,7 @@
 export type ControlLink = Pick<PeerLink, "isOpen" | "peer" | "call">;
 
 /** Who the entry is, as its pulls say. */
-export type EntrySelf = Pick<ViewPull, "host" | "incarnation" | "zone" | "peerAddress" | "adminAddress">;
+export type EntrySelf = Pick<ViewPull, "host" | "incarnation" | "zone" | "peerAddress" | "adminAddress" | "ownsQueues">;
 
 /** What an answer says of the other entries. */
 type EntryList = Omit<ViewPullReply, "change" | "leaseMs" | "controls">;
--- a/src/control/entryTable/index.ts
+++ b/src/control/entryTable/index.ts
@@ -77,10 +77,18 @@
 
     /** Notes what an entry says. Its lease is not longer for it until an answer goes out. */
     notePull(pull: ViewPull): void {
-        const { host, incarnation, zone, peerAddress, adminAddress, draining } = pull;
+        const { host, incarnation, zone, peerAddress, adminAddress, draining, ownsQueues } = pull;
         const name = nameRun(pull);
         const known = this.standings.get(name);
-        const view = { host, incarnation, zone, peerAddress, adminAddress, draining };
+        const view = {
+            host,
+            incarnation,
+            zone,
+            peerAddress,
+            adminAddress,
+            draining,
+            ...(ownsQueues && { ownsQueues }),
+        };
         const changed = !known || known.view.draining !== draining || known.view.peerAddress !== peerAddress;
         if (changed) this.noteChange(name, view);
         const revision = Math.max(pull.revision, known?.revision ?? 0);
--- a/src/control/view/index.ts
+++ b/src/control/view/index.ts
@@ -53,6 +53,8 @@
     readonly waitMs: number;
     /** The entry is about to stop: no new tickets should go to it. */
     readonly draining: boolean;
+    /** It is there to own the queues of pools, and serves no callers. */
+    readonly ownsQueues?: boolean;
     /** The entry reads `ViewChange.packed`. */
     readonly takesPacked?: boolean;
     /** `entriesVersion` of the last answer: the holder then leaves out a list of entries that is still the same. */
@@ -72,6 +74,8 @@
     readonly peerAddress: string;
     readonly adminAddress?: string;
     readonly draining: boolean;
+    /** It is there to own the queues of pools, and serves no callers. */
+    readonly ownsQueues?: boolean;
 }
 
 /** The holder's answer. The lease runs from the moment the pull left the entry. */
--- a/src/entry/announcementSpreader/index.ts
+++ b/src/entry/announcementSpreader/index.ts
@@ -39,12 +39,10 @@
     }
 
     private targets(announcement: Announcement): Set<HostId> {
-        const hosts = this.directory.candidates();
+        const hosts = this.directory.queueHosts();
         const targets = new Set<HostId>();
         for (const pool of announcement.pools) {
-            const { owner, next } = this.owners.find(pool as PoolId, hosts);
-            if (owner) targets.add(owner);
-            if (next) targets.add(next);
+            for (const host of this.owners.rank(pool as PoolId, hosts).slice(0, 2)) targets.add(host);
         }
         return targets;
     }
--- a/src/entry/entryProcess/index.ts
+++ b/src/entry/entryProcess/index.ts
@@ -58,6 +58,8 @@
     readonly peers: Address;
     /** Where operators reach this process. */
     readonly admin?: Address;
+    /** This process is there to own the queues of pools, and serves no callers. */
+    readonly ownsQueues?: boolean;
     /** Control processes to begin with; the others are learned from them. */
     readonly controlPeers: readonly Address[];
     /** Undefined: calls are not routed by a fleet document. */
@@ -320,6 +322,7 @@
                 zone: options.zone,
                 peerAddress: formatAddress(options.peers),
                 adminAddress: options.admin && formatAddress(options.admin),
+                ownsQueues: options.ownsQueues,
             },
             cache,
             onChange: () => {
--- a/src/entry/fleetDispatcher/index.ts
+++ b/src/entry/fleetDispatcher/index.ts
@@ -38,8 +38,13 @@
 /** Beyond the longest wait, for the way there and back. */
 const REPLY_SLACK_MS = 500;
 const PROGRESS_EVERY_MS = 200;
-/** After so many owners that did not answer, this host decides by itself. */
-const OWNER_TRIES = 2;
+/** After so many owners that said nothing, or so many tries, this host decides by itself. */
+const MOST_SILENT_OWNERS = 2;
+const MOST_TRIES = 8;
+/** An owner that can't be reached and says so sooner than this costs a request nothing, in milliseconds. */
+const AT_ONCE_MS = 20;
+/** How many hosts that own a pool's queue, or would own it next, are kept connected: two may be lost at once. */
+const KEPT_OWNERS = 3;
 const RETRY_AFTER_OWNER_LOST_MS = 1_000;
 /**
  * How long an owner may take to decide or to say that it will, in milliseconds. An owner that is cut off or frozen costs each
@@ -77,17 +82,14 @@
     /** Which entry owns a pool's queue, as far as this one knows. */
     ownerOf(pool: PoolId): HostId {
         const { directory, owners, self } = this.options;
-        return owners.find(pool, directory.candidates()).owner ?? self;
+        return owners.rank(pool, directory.queueHosts())[0] ?? self;
     }
 
-    /** Whether this host owns the queue of a pool, or would own it next. */
+    /** Whether this host owns the queue of a pool, or may own it soon. */
     mayDecide(): boolean {
         const { directory, owners, self, pools } = this.options;
-        const hosts = directory.candidates();
-        return (pools?.() ?? []).some(pool => {
-            const { owner, next } = owners.find(pool, hosts);
-            return owner === self || next === self;
-        });
+        const hosts = directory.queueHosts();
+        return (pools?.() ?? []).some(pool => owners.rank(pool, hosts).slice(0, KEPT_OWNERS).includes(self));
     }
 
     onPreempt(listener: (request: RequestId) => void): void {
@@ -102,14 +104,16 @@
     async submit(ticket: Ticket, signal: AbortSignal): Promise<Either<Refusal, Grant>> {
         const { clock, directory } = this.options;
         const startedAt = clock.monotonic();
-        for (let i = 0; i < OWNER_TRIES; i++) {
-            const waitedMs = clock.monotonic() - startedAt;
-            const present = { ...ticket, ageMs: ticket.ageMs + waitedMs };
+        let silentOwners = 0;
+        for (let tries = 0; tries < MOST_TRIES && silentOwners < MOST_SILENT_OWNERS; tries++) {
+            const askedAt = clock.monotonic();
+            const present = { ...ticket, ageMs: ticket.ageMs + askedAt - startedAt };
             const owner = this.ownerOf(ticket.pool);
             const reply = await this.askOwner(owner, present, signal);
             if (signal.aborted && reply.isLeft()) return Left(refuse(ticket, "cancelled", "the caller has gone"));
             const decision = reply.toMaybe().extract();
             if (decision && !isHandover(decision)) return this.takeDecision(present, owner, decision);
+            if (clock.monotonic() - askedAt >= AT_ONCE_MS) silentOwners++;
             directory.suspect(owner);
             // The next owner must know what runs before it judges what waits.
             this.tellNewOwners();
@@ -164,14 +168,13 @@
         }
     }
 
-    /** A link opens on its first use, and a ticket that has to wait for that goes to another owner. */
+    /** A link opens on its first use, and a ticket would have to wait for that. */
     private warmLinks(): void {
         const { directory, owners, self, pools } = this.options;
-        const hosts = directory.candidates();
+        const hosts = directory.queueHosts();
         for (const pool of pools?.() ?? []) {
-            const { owner, next } = owners.find(pool, hosts);
-            for (const host of [owner, next]) {
-                if (host !== undefined && host !== self) directory.linkTo(host);
+            for (const host of owners.rank(pool, hosts).slice(0, KEPT_OWNERS)) {
+                if (host !== self) directory.linkTo(host);
             }
         }
     }
@@ -261,12 +264,17 @@
             const timer = clock.after(OWNER_ANSWER_MS, giveUp);
             this.queued.set(ticket.request, () => timer.cancel());
         });
-        const reply = await Promise.race([link.call(DISPATCH_METHODS.submit, ticket, limitMs), silence]);
+        const reply = await Promise.race([this.callWhenOpen(link, ticket, limitMs), silence]);
         this.queued.get(ticket.request)?.();
         this.queued.delete(ticket.request);
         return reply;
     }
 
+    private async callWhenOpen(link: PeerLink, ticket: Ticket, limitMs: number): Promise<Either<PeerError, unknown>> {
+        if (!link.isOpen) await link.awaitOpen(OWNER_ANSWER_MS);
+        return link.call(DISPATCH_METHODS.submit, ticket, limitMs);
+    }
+
     private takeDecision(
         ticket: Ticket,
         owner: HostId,
--- a/src/entry/fleetRouteView/index.ts
+++ b/src/entry/fleetRouteView/index.ts
@@ -39,6 +39,6 @@
     }
 
     entryCount(): number {
-        return Math.max(1, this.client.entries.length);
+        return Math.max(1, this.client.entries.filter(({ ownsQueues }) => !ownsQueues).length);
     }
 }
--- a/src/entry/peerBatchHolder/index.ts
+++ b/src/entry/peerBatchHolder/index.ts
@@ -45,7 +45,7 @@
     }
 
     private nextHost(): HostId | undefined {
-        const hosts = [...this.directory.candidates()].sort();
+        const hosts = [...this.directory.callerHosts()].sort();
         const next = hosts[(hosts.indexOf(this.self.host) + 1) % hosts.length];
         return next === this.self.host ? undefined : next;
     }
--- a/src/entry/peerDirectory/index.ts
+++ b/src/entry/peerDirectory/index.ts
@@ -15,6 +15,8 @@
     readonly timing: PeerTiming;
     readonly control: ControlAccess;
     readonly lifecycle: Lifecycle;
+    /** This process is there to own queues, and serves no callers. */
+    readonly ownsQueues?: boolean;
 }
 
 interface OpenLink {
@@ -27,10 +29,18 @@
     readonly entries: readonly EntryView[];
     /** Monotonic time at which it is out of date, in milliseconds. */
     readonly until: number;
-    readonly hosts: readonly HostId[];
+    readonly byHost: ReadonlyMap<HostId, EntryView>;
+    readonly queueHosts: readonly HostId[];
+    readonly callerHosts: readonly HostId[];
 }
 
-const NO_CANDIDATES: CandidateList = { entries: [], until: Number.NEGATIVE_INFINITY, hosts: [] };
+const NO_CANDIDATES: CandidateList = {
+    entries: [],
+    until: Number.NEGATIVE_INFINITY,
+    byHost: new Map(),
+    queueHosts: [],
+    callerHosts: [],
+};
 
 /** A peer to which no call got through is left out of choices for this long. */
 const SUSPECT_MS = 2_000;
@@ -48,13 +58,17 @@
 
     constructor(private readonly options: PeerDirectoryOptions) {}
 
-    /** The entries that may be chosen for shared work, this one among them. */
-    candidates(): readonly HostId[] {
-        const { control, clock } = this.options;
-        const now = clock.monotonic();
-        const entries = control.entries();
-        if (this.known.entries !== entries || now >= this.known.until) this.known = this.listCandidates(entries, now);
-        return this.known.hosts;
+    /**
+     * The hosts among which the owners of queues are chosen: those that are there for it, or, where there are none or none answers, the
+     * entries that serve callers.
+     */
+    queueHosts(): readonly HostId[] {
+        return this.list().queueHosts;
+    }
+
+    /** The entries that serve callers, this one among them if it does. */
+    callerHosts(): readonly HostId[] {
+        return this.list().callerHosts;
     }
 
     /** Leaves a host out of choices for a while. */
@@ -65,7 +79,7 @@
 
     /** The link to an entry, or undefined when the holder does not list it. */
     linkTo(host: HostId): PeerLink | undefined {
-        const entry = this.options.control.entries().find(view => view.host === host);
+        const entry = this.list().byHost.get(host);
         if (!entry) {
             this.closeLink(host);
             return undefined;
@@ -77,16 +91,30 @@
     }
 
     /** Made anew only when the entries have changed or a suspicion ends: it is asked for with each ticket. */
+    private list(): CandidateList {
+        const { control, clock } = this.options;
+        const now = clock.monotonic();
+        const entries = control.entries();
+        if (this.known.entries !== entries || now >= this.known.until) this.known = this.listCandidates(entries, now);
+        return this.known;
+    }
+
     private listCandidates(entries: readonly EntryView[], now: number): CandidateList {
-        const { self } = this.options;
+        const { self, ownsQueues = false } = this.options;
         for (const [host, until] of this.suspects) {
             if (until <= now) this.suspects.delete(host);
         }
-        const hosts = entries
-            .filter(entry => !entry.draining && !this.suspects.has(entry.host as HostId))
-            .map(entry => entry.host as HostId);
+        const able = entries.filter(({ host, draining }) => !draining && !this.suspects.has(host as HostId));
+        const hostsOf = (kind: boolean): HostId[] => {
+            const hosts = able.filter(entry => (entry.ownsQueues ?? false) === kind).map(({ host }) => host as HostId);
+            return ownsQueues !== kind || hosts.includes(self.host) ? hosts : [...hosts, self.host];
+        };
         const until = Math.min(Number.POSITIVE_INFINITY, ...this.suspects.values());
-        return { entries, until, hosts: hosts.includes(self.host) ? hosts : [...hosts, self.host] };
+        const callerHosts = hostsOf(false);
+        const owners = hostsOf(true);
+        // Of two runs of a host the first stays, as the holder lists them.
+        const byHost = new Map([...entries].reverse().map(entry => [entry.host as HostId, entry]));
+        return { entries, until, byHost, callerHosts, queueHosts: owners.length > 0 ? owners : callerHosts };
     }
 
     private openLink(host: HostId, entry: EntryView): PeerLink | undefined {
--- a/src/entry/routeService/index.ts
+++ b/src/entry/routeService/index.ts
@@ -25,8 +25,8 @@
 
 /** How an entry serves calls that are routed by the fleet document. */
 export interface RouteServiceSettings {
-    /** Where callers are served. */
-    readonly callers: Address;
+    /** Where callers are served; undefined: nowhere. */
+    readonly callers?: Address;
     readonly dialect: CallDialect;
     readonly repeats: RepeatLimits;
     /** The length of the windows in which started requests are counted, in milliseconds. */
@@ -84,16 +84,33 @@
         return hasView && this.follower.hubCount > 0 && this.listener !== undefined && !this.options.isDraining();
     }
 
+    /** How many entries serve callers, as far as is known. */
+    get entryCount(): number {
+        return this.view?.entryCount() ?? 1;
+    }
+
     /** Follows the control process at the other end of a channel. */
     follow(channel: PeerChannel): void {
         void this.follower.follow(channel);
     }
 
-    /** Opens the callers' port: calls that come before there is a document wait for it a while. */
+    /** Follows upstreams' news and opens the callers' port, if there is one. */
     async start(client: ControlClient, cache: ViewCache, links: ControlLinkSet, lifecycle: Lifecycle): Promise<void> {
-        const { settings, http, self, clock, logger, registry } = this.options;
+        const { settings, clock, logger } = this.options;
+        const onError = (err: unknown): void => logger.error("task-failed", { problem: String(err) });
+        lifecycle.run(signal => this.follower.run(signal), onError);
         const view = new FleetRouteView(clock, client, cache);
         this.view = view;
+        if (!settings.callers) return;
+        await this.openCallers(settings.callers, view, lifecycle);
+        this.sender = new StartsSender({ ...this.options, meter: this.starts, time: this.time, links: links.list });
+        lifecycle.run(signal => this.sender!.run(signal), onError);
+        logger.info("routes-served", { callers: formatAddress(settings.callers) });
+    }
+
+    /** Calls that come before there is a document wait for it a while. */
+    private async openCallers(callers: Address, view: FleetRouteView, lifecycle: Lifecycle): Promise<void> {
+        const { settings, http, self, clock, registry } = this.options;
         const handler = serveCalls({
             ...this.options,
             self: self.host,
@@ -104,15 +121,9 @@
             time: this.time,
             isLeaving: upstream => LEAVING_STATES.includes(registry.get(upstream)?.state),
         });
-        const listener = await http.serve(settings.callers, toHttpLimits(DEFAULT_CALLER_LIMITS), handler);
+        const listener = await http.serve(callers, toHttpLimits(DEFAULT_CALLER_LIMITS), handler);
         this.listener = listener;
         lifecycle.own(() => listener.close());
-        const sender = new StartsSender({ clock, self, meter: this.starts, time: this.time, links: links.list });
-        this.sender = sender;
-        const onError = (err: unknown): void => logger.error("task-failed", { problem: String(err) });
-        lifecycle.run(signal => sender.run(signal), onError);
-        lifecycle.run(signal => this.follower.run(signal), onError);
-        logger.info("routes-served", { callers: formatAddress(listener.address) });
     }
 
     /** Takes over the limits of a document that has just come into force. */
--- a/src/entry/routeService/test.ts
+++ b/src/entry/routeService/test.ts
@@ -353,4 +353,65 @@
             assert.equal(await fleet.announce(0, "leaving", 4), false);
         });
     });
+
+    describe("whose queues control hosts own", () => {
+        const POOL = "ledger" as PoolId;
+        const OPEN = { path: "/open/1", method: "GET" };
+
+        async function startOwned(entries = 3): Promise<void> {
+            await startFleet({ entries, queueHosts: true });
+        }
+
+        it("are granted there by one owner, and by no entry", async () => {
+            await startOwned();
+            const owners = [0, 1, 2].map(entry => fleet.queueOwner(POOL, entry));
+            assert.ok(owners[0] >= 0);
+            assert.deepEqual(owners, [owners[0], owners[0], owners[0]]);
+            for (const entry of [0, 1, 2]) assert.equal((await fleet.call({ ...OPEN, entry })).status, 200);
+            assert.deepEqual(fleet.entries.flatMap(entry => entry!.local.pools()), []);
+            assert.deepEqual(fleet.queues.flatMap(queues => queues!.local.pools()), [POOL]);
+        });
+
+        it("are served within the owner's patience when it freezes, and at once from then on", async () => {
+            // An owner's machine is frozen: its connections are open, and nothing comes from it. Each call may wait for it once.
+            await startOwned();
+            await fleet.call({ ...OPEN, entry: 0 });
+            fleet.cutControl(fleet.queueOwner(POOL), true);
+            const first = await fleet.call({ ...OPEN, entry: 0 });
+            const second = await fleet.call({ ...OPEN, entry: 0 });
+            assert.deepEqual([first.status, second.status], [200, 200]);
+            assert.ok(first.tookMs < 200 && second.tookMs < 50, `${first.tookMs} ms, ${second.tookMs} ms`);
+        });
+
+        it("are served when two control hosts are lost at once, the owner among them", async () => {
+            await startOwned();
+            await fleet.call({ ...OPEN, entry: 0 });
+            const owner = fleet.queueOwner(POOL);
+            await Promise.all([fleet.killControl(owner), fleet.killControl((owner + 1) % 5)]);
+            for (const entry of [0, 1, 2]) {
+                const { status, tookMs } = await fleet.call({ ...OPEN, entry });
+                assert.equal(status, 200);
+                assert.ok(tookMs < 400, `${tookMs} ms`);
+            }
+        });
+
+        it("are owned by an entry while no control host answers, and by a control host again after that", async () => {
+            // All control processes are killed at once and are back seconds later. Calls that need no key go on meanwhile, in one queue.
+            await startOwned();
+            for (const number of [0, 1, 2, 3, 4]) await fleet.killControl(number);
+            await fleet.pass(500);
+            for (const entry of [0, 1, 2]) assert.equal((await fleet.call({ ...OPEN, entry })).status, 200);
+            assert.equal(fleet.queueOwner(POOL), -1);
+            for (const number of [0, 1, 2, 3, 4]) await fleet.run(fleet.startControl(number));
+            await fleet.pass(6_000);
+            assert.ok(fleet.queueOwner(POOL) >= 0);
+            assert.equal((await fleet.call({ ...OPEN, entry: 1 })).status, 200);
+        });
+
+        it("share their repeats among entries alone", async () => {
+            await startOwned(2);
+            assert.equal(fleet.entries[0]!.control.entries().length, 7);
+            assert.equal(fleet.entries[0]!.routes!.entryCount, 2);
+        });
+    });
 });
--- a/src/faultInjection/routedFleet/index.ts
+++ b/src/faultInjection/routedFleet/index.ts
@@ -1,8 +1,8 @@
 import { DEFAULT_LOG_TIMING } from "../../consensus/index.js";
 import { ControlProcess } from "../../control/index.js";
 import { CallStandIn, CallStandInOptions } from "../../emulator/index.js";
-import { DEFAULT_ENTRY_LIMITS, EntryProcess } from "../../entry/index.js";
-import { HostId, Incarnation, ZoneId } from "../../ids/index.js";
+import { DEFAULT_ENTRY_LIMITS, EntryProcess, startQueueHost } from "../../entry/index.js";
+import { HostId, Incarnation, PoolId, ZoneId } from "../../ids/index.js";
 import { SilentLogger } from "../../logging/index.js";
 import { NoMetrics } from "../../metrics/index.js";
 import { CALL_HEADERS, OwnDialect } from "../../passthrough/index.js";
@@ -18,6 +18,7 @@
     VirtualClock,
 } from "../../ports/index.js";
 import { checkDocument } from "../../routing/index.js";
+import { DEFAULT_REGISTRY_TIMING } from "../../upstream/index.js";
 
 const PORTS = { control: 7001, callers: 8080, peers: 7000, upstream: 9000 } as const;
 const CALLER_HOST = "10.0.8.1";
@@ -36,6 +37,8 @@
     readonly controls: number;
     readonly entries: number;
     readonly upstreams: readonly Partial<CallStandInOptions>[];
+    /** Control hosts own the queues of pools; otherwise entries do. */
+    readonly queueHosts: boolean;
 }
 
 /** A call as a test sends it. */
@@ -75,6 +78,8 @@
     readonly web = new MemoryWeb(this.fabric);
     readonly controls: (ControlProcess | undefined)[] = [];
     readonly entries: (EntryProcess | undefined)[] = [];
+    /** What owns queues on control hosts, by their numbers. */
+    readonly queues: (EntryProcess | undefined)[] = [];
     readonly disks: MemoryDisk[] = [];
     readonly upstreams: CallStandIn[] = [];
     readonly layout: RoutedLayout;
@@ -84,7 +89,7 @@
     private calls = 0;
 
     constructor(layout: Partial<RoutedLayout> = {}) {
-        this.layout = { seed: 1, controls: 5, entries: 2, upstreams: [{}, {}], ...layout };
+        this.layout = { seed: 1, controls: 5, entries: 2, upstreams: [{}, {}], queueHosts: false, ...layout };
         this.random = new SeededRandom(this.layout.seed);
     }
 
@@ -135,6 +140,39 @@
                 silentAfterMs: 4 * HEARTBEAT_MS,
             },
         });
+        if (this.layout.queueHosts) this.queues[number] = await this.startQueues(number);
+    }
+
+    private startQueues(number: number): Promise<EntryProcess> {
+        const { host } = controlAddress(number);
+        return startQueueHost({
+            ...this.portsOf(host),
+            metrics: new NoMetrics(),
+            self: this.identity(`control-${number}`),
+            zone: "vogar" as ZoneId,
+            region: "sudurnes",
+            peers: { host, port: PORTS.peers },
+            controlPeers: this.seeds(),
+            dialect: new OwnDialect(),
+            timing: PEER_TIMING,
+            registryTiming: { ...DEFAULT_REGISTRY_TIMING, silentAfterMs: 4 * HEARTBEAT_MS },
+            windowMs: 5_000,
+        });
+    }
+
+    /** The number of the control host that owns a pool's queue, as an entry sees it; -1 where an entry does. */
+    queueOwner(pool: PoolId, entry = 0): number {
+        const owner = this.entries[entry]!.dispatcher.ownerOf(pool);
+        return Array.from({ length: this.layout.controls }, (_, number) => `control-${number}`).indexOf(owner);
+    }
+
+    /** Cuts a control host off from all entries and upstreams, or joins it again. */
+    cutControl(number: number, isCut: boolean): void {
+        const others = this.entries.map((_, entry) => `10.0.1.${entry + 1}`);
+        this.fabric.isolate(controlAddress(number).host, [
+            ...others,
+            ...this.upstreams.map((_, at) => `${UPSTREAM_HOST}${at + 1}`),
+        ], isCut);
     }
 
     async startEntry(number: number): Promise<void> {
@@ -173,10 +211,12 @@
     /** Ends a control process as a power cut does: unsynced bytes are lost. */
     async killControl(number: number): Promise<void> {
         const control = this.controls[number];
+        const queues = this.queues[number];
         this.controls[number] = undefined;
+        this.queues[number] = undefined;
         this.fabric.crash(controlAddress(number).host);
         this.disks[number].crash();
-        await control?.close();
+        await Promise.all([control?.close(), queues?.close()]);
     }
 
     /** An empty disk. */
@@ -251,7 +291,7 @@
 
     async close(): Promise<void> {
         this.announcing.abort();
-        const ends = [...this.entries, ...this.controls].map(process => process?.close());
+        const ends = [...this.entries, ...this.queues, ...this.controls].map(process => process?.close());
         await this.run(Promise.all([...ends, ...this.upstreams.map(upstream => upstream.close())]));
     }
 
--- a/src/platform/runControlNode/index.ts
+++ b/src/platform/runControlNode/index.ts
@@ -1,7 +1,9 @@
 import { ControlProcess, RoutingPlatform } from "../../control/index.js";
 import { DaemonPorts, DaemonProcess } from "../../daemon/index.js";
+import { startQueueHost } from "../../entry/index.js";
 import { Lifecycle } from "../../lifecycle/index.js";
 import { DEFAULT_HTTP_LIMITS, FileDisk } from "../../ports/index.js";
+import { DEFAULT_REGISTRY_TIMING } from "../../upstream/index.js";
 import { cloudCallsOf } from "../cloudCalls/index.js";
 import { serveControlPlane } from "../controlPlane/index.js";
 import { NodeSettings } from "../nodeSettings/index.js";
@@ -12,12 +14,10 @@
     silenceOf,
     VIEW_LEASE_SHARE,
 } from "../timing/index.js";
+import { WireDialect } from "../wireDialect/index.js";
 
 /** How long before a window's usage is due it is closed at the latest, in milliseconds: a successor of the holder needs this long. */
 const REPORT_MARGIN_MS = 4_000;
-/** A stopping control process does not wait for anything: what it has accepted is on disk elsewhere too. */
-const STOPS_WHOLE = true;
-
 /** A running control process, and what its settings may change. */
 export interface ControlNode extends DaemonProcess {
     readonly reload: (settings: NodeSettings) => void;
@@ -58,11 +58,26 @@
     const routing = running.routing!;
     const listener = await ports.http.serve(address, DEFAULT_HTTP_LIMITS, serveControlPlane(routing, ports.logger));
     lifecycle.own(() => listener.close());
+    const queues = await startQueueHost({
+        ...ports,
+        zone: settings.zone,
+        region: settings.region,
+        peers: { host: ip, port: settings.entryPeerPort },
+        controlPeers: seeds,
+        dialect: new WireDialect(),
+        timing: OWN_PEER_TIMING,
+        registryTiming: { ...DEFAULT_REGISTRY_TIMING, silentAfterMs: silenceOf(settings.heartbeatMs) },
+        windowMs: usageWindowMs,
+    });
+    lifecycle.own(() => queues.close());
     return {
         lifecycle,
-        drain: async () => STOPS_WHOLE,
+        drain: () => queues.drain(0),
         failed: running.awaitFailure(),
-        reload: changed => routing.setSeeds(changed.seeds),
+        reload: changed => {
+            routing.setSeeds(changed.seeds);
+            queues.setControlPeers(changed.seeds);
+        },
     };
 }
 
--- a/src/wire/peerLink/index.ts
+++ b/src/wire/peerLink/index.ts
@@ -35,6 +35,8 @@
  */
 export class PeerLink {
     private channel: PeerChannel | undefined;
+    /** Settles when the connection that is being made has opened or failed; undefined while none is. */
+    private opening: Promise<boolean> | undefined;
 
     constructor(private readonly options: PeerLinkOptions) {}
 
@@ -61,6 +63,20 @@
         signal.removeEventListener("abort", close);
     }
 
+    /**
+     * Waits for a connection that is just being made.
+     *
+     * @param limitMs - How long to wait, in milliseconds.
+     * @returns Whether a channel is open; false at once between two tries.
+     */
+    async awaitOpen(limitMs: number): Promise<boolean> {
+        if (this.isOpen || !this.opening) return this.isOpen;
+        const limit = new AbortController();
+        await Promise.race([this.opening, this.options.clock.sleep(limitMs, limit.signal)]);
+        limit.abort();
+        return this.isOpen;
+    }
+
     /** Asks the peer; "unreachable" at once while no channel is open. */
     call(method: string, body: unknown, timeoutMs: number): Promise<Either<PeerError, unknown>> {
         if (!this.channel) {
@@ -81,6 +97,15 @@
     }
 
     private async serveOneChannel(signal: AbortSignal): Promise<boolean> {
+        this.opening = this.openChannel(signal);
+        const opened = await this.opening;
+        this.opening = undefined;
+        await this.channel?.closed;
+        this.channel = undefined;
+        return opened;
+    }
+
+    private async openChannel(signal: AbortSignal): Promise<boolean> {
         const { network, address, clock, self, router, timing, onOpen } = this.options;
         const connected = await network.connect(address, Math.min(CONNECT_MS, timing.silenceMs));
         const connection = connected.orDefault(undefined as never);
@@ -88,12 +113,9 @@
         const channel = new PeerChannel({ connection, clock, self, router, timing });
         this.channel = channel;
         if (signal.aborted) channel.reset();
-        const done = channel.run();
+        void channel.run();
         await channel.ready;
-        const opened = channel.isOpen;
-        if (opened) onOpen?.(channel);
-        await done;
-        this.channel = undefined;
-        return opened;
+        if (channel.isOpen) onOpen?.(channel);
+        return channel.isOpen;
     }
 }
