Idle processes wake up seldom, and tickets go over the links to control processes

Now what is done now and then falls on beats (`Clock.untilBeat`), counts of starts are notices, only owners look every 50 ms, header checks follow the limits, and queue hosts answer on their control process' own channels.

--- a/src/control/controlClient/index.ts
+++ b/src/control/controlClient/index.ts
@@ -14,7 +14,7 @@
 const PULL_MARGIN_MS = 1_500;
 const DEFAULT_PULL_WAIT_MS = 2_000;
 /** How often a waiting pull looks whether the view has gone stale meanwhile, in milliseconds. */
-const STALE_LOOK_MS = 100;
+const STALE_LOOK_MS = 200;
 
 /** A link to one control host. */
 export type ControlLink = Pick<PeerLink, "isOpen" | "peer" | "call">;
@@ -169,9 +169,9 @@
         return new Promise(resolve => {
             const look = (): void => {
                 if (!this.isFresh()) resolve(undefined);
-                else timer = clock.after(STALE_LOOK_MS, look);
+                else timer = clock.after(clock.untilBeat(STALE_LOOK_MS), look);
             };
-            let timer = clock.after(STALE_LOOK_MS, look);
+            let timer = clock.after(clock.untilBeat(STALE_LOOK_MS), look);
             void asked.then(answer => {
                 timer.cancel();
                 resolve(answer);
--- a/src/control/controlProcess/index.ts
+++ b/src/control/controlProcess/index.ts
@@ -67,6 +67,8 @@
         readonly state: ControlState,
         /** Undefined where calls are not routed by a fleet document. */
         readonly routing: RoutingService | undefined,
+        /** Answers all processes that are connected to this one. */
+        readonly router: PeerRouter,
         private readonly lifecycle: Lifecycle,
     ) {}
 
@@ -97,7 +99,7 @@
         lifecycle.own(() => service.close());
         const parts = { ...options, log, state, service, router, lifecycle };
         const routed = routing && new RoutingService({ ...parts, routing });
-        const control = new ControlProcess(log, service, state, routed, lifecycle);
+        const control = new ControlProcess(log, service, state, routed, router, lifecycle);
         try {
             const peers = await servePeers({ ...options, address, router });
             lifecycle.own(() => peers.close());
--- a/src/entry/cacheSurvey/index.ts
+++ b/src/entry/cacheSurvey/index.ts
@@ -10,6 +10,8 @@
 
 /** How often the survey looks for upstreams that it has not asked, in milliseconds: one that boots takes its first call within as much. */
 const LOOK_EVERY_MS = 50;
+/** How often a process looks whether it has come to own a queue, in milliseconds. */
+const IDLE_LOOK_MS = 200;
 /** How long an upstream may take to answer, in milliseconds: later its list is out of date. */
 const ANSWER_MS = 500;
 const CONNECT_MS = 250;
@@ -49,23 +51,27 @@
     /** Asks until the signal is aborted. */
     async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
-            this.askNewcomers(signal);
-            await this.options.clock.sleep(LOOK_EVERY_MS, signal);
+            const ownsAny = this.askNewcomers(signal);
+            await this.options.clock.sleepToBeat(ownsAny ? LOOK_EVERY_MS : IDLE_LOOK_MS, signal);
         }
     }
 
-    private askNewcomers(signal: AbortSignal): void {
+    /** Gives whether the queue of any engines' pool is owned here. */
+    private askNewcomers(signal: AbortSignal): boolean {
         const { routes, dispatcher, self, registry } = this.options;
+        let ownsAny = false;
         for (const { pool, engine } of routes()?.listPools() ?? []) {
             if (!engine) continue;
             if (dispatcher.ownerOf(pool) !== self) {
                 this.asked.delete(pool);
                 continue;
             }
+            ownsAny = true;
             for (const upstream of registry.list(pool)) {
                 if (upstream.isGrantable && this.isNew(pool, upstream)) void this.ask(pool, upstream, signal);
             }
         }
+        return ownsAny;
     }
 
     private isNew(pool: PoolId, { id, announcement }: Upstream): boolean {
--- a/src/entry/entryProcess/index.ts
+++ b/src/entry/entryProcess/index.ts
@@ -60,6 +60,8 @@
     readonly admin?: Address;
     /** This process is there to own the queues of pools, and serves no callers. */
     readonly ownsQueues?: boolean;
+    /** Answers peers in this one's place, at the address that `peers` names; undefined: this process listens there. */
+    readonly sharedRouter?: PeerRouter;
     /** Control processes to begin with; the others are learned from them. */
     readonly controlPeers: readonly Address[];
     /** Undefined: calls are not routed by a fleet document. */
@@ -118,6 +120,7 @@
             ...options,
             router: this.router,
             control: this.control,
+            controlLinks: this.links.list,
             lifecycle: this.lifecycle,
         });
         const owners = new PoolOwnerTable(region);
@@ -210,14 +213,17 @@
         this.links.setSeeds(options.controlPeers);
         const keeper = new UsageKeeper(options.clock, this.control);
         keeper.addTo(this.router);
-        this.spreader.addTo(this.router);
+        const served = options.sharedRouter ?? this.router;
+        this.spreader.addTo(served);
         this.dispatcher.addTo(this.router);
-        new TicketServer(this.local, options.clock, request => this.dispatcher.preemptHere(request)).addTo(this.router);
+        new TicketServer(this.local, options.clock, request => this.dispatcher.preemptHere(request)).addTo(served);
         this.dispatcher.onPreempt(request => this.requests.cancel(request, "preempted"));
         this.control.onViewChange(() => this.requests.cancelWithdrawn(hash => !!this.control.findWorkspace(hash)));
         lifecycle.own(() => this.local.close());
-        const peers = await servePeers({ ...options, address: options.peers, router: this.router });
-        lifecycle.own(() => peers.close());
+        if (!options.sharedRouter) {
+            const peers = await servePeers({ ...options, address: options.peers, router: this.router });
+            lifecycle.own(() => peers.close());
+        }
         lifecycle.run(running => this.client.run(running), onError);
         lifecycle.run(running => this.dispatcher.run(running), onError);
         lifecycle.run(running => this.meter.run(running), onError);
--- a/src/entry/peerDirectory/index.ts
+++ b/src/entry/peerDirectory/index.ts
@@ -14,6 +14,8 @@
     readonly router: PeerRouter;
     readonly timing: PeerTiming;
     readonly control: ControlAccess;
+    /** To the control processes, whose hosts may own queues. */
+    readonly controlLinks: readonly PeerLink[];
     readonly lifecycle: Lifecycle;
     /** This process is there to own queues, and serves no callers. */
     readonly ownsQueues?: boolean;
@@ -77,9 +79,13 @@
         this.known = NO_CANDIDATES;
     }
 
-    /** The link to an entry, or undefined when the holder does not list it. */
+    /**
+     * The link to a host, or undefined when the holder does not list it. One that owns queues is reached over the link to its control process:
+     * a fleet of many entries then keeps half as many connections alive.
+     */
     linkTo(host: HostId): PeerLink | undefined {
         const entry = this.list().byHost.get(host);
+        if (entry?.ownsQueues) return this.options.controlLinks.find(link => link.peer?.host === host);
         if (!entry) {
             this.closeLink(host);
             return undefined;
--- a/src/entry/queueHost/index.ts
+++ b/src/entry/queueHost/index.ts
@@ -4,7 +4,7 @@
 import { CallDialect } from "../../passthrough/index.js";
 import { Address, Clock, DEFAULT_HTTP_LIMITS, Http, Network, Random } from "../../ports/index.js";
 import { RegistryTiming } from "../../upstream/index.js";
-import { PeerIdentity, PeerTiming } from "../../wire/index.js";
+import { PeerIdentity, PeerRouter, PeerTiming } from "../../wire/index.js";
 import { DEFAULT_ENTRY_LIMITS } from "../entryContext/index.js";
 import { EntryProcess } from "../entryProcess/index.js";
 
@@ -22,8 +22,10 @@
     readonly self: PeerIdentity;
     readonly zone: ZoneId;
     readonly region: string;
-    /** Where entries reach it. */
+    /** Where entries reach it: the address of the control process on its host. */
     readonly peers: Address;
+    /** That control process' router, which gets the methods of the queues. */
+    readonly sharedRouter: PeerRouter;
     readonly controlPeers: readonly Address[];
     readonly dialect: CallDialect;
     readonly timing: PeerTiming;
@@ -41,7 +43,7 @@
  * @returns The process; ending it hands the queues over.
  * @throws NetworkError when the address is taken.
  * @example
- * const queues = await startQueueHost({ ...ports, peers, controlPeers, dialect, zone, region, timing, windowMs });
+ * const queues = await startQueueHost({ ...ports, peers, sharedRouter: control.router, controlPeers, dialect, ...rest });
  */
 export function startQueueHost(options: QueueHostOptions): Promise<EntryProcess> {
     const { dialect, windowMs } = options;
--- a/src/entry/startsSender/index.ts
+++ b/src/entry/startsSender/index.ts
@@ -1,12 +1,11 @@
-import { ControlLink, STARTS_METHOD, StartsReport } from "../../control/index.js";
+import { STARTS_METHOD, StartsReport } from "../../control/index.js";
 import { Clock } from "../../ports/index.js";
 import { TrueTime } from "../../time/index.js";
 import { StartMeter } from "../../usage/index.js";
-import { PeerIdentity } from "../../wire/index.js";
+import { EncodedBody, PeerIdentity, PeerLink } from "../../wire/index.js";
 
 /** How often counts are sent, in milliseconds: what an entry has counted since is lost with it. */
 const SEND_EVERY_MS = 500;
-const ANSWER_MS = 1_000;
 /** Windows whose counts are the same as when they were last sent go out no more, after this many repeats. */
 const REPEATS = 3;
 
@@ -17,7 +16,7 @@
     readonly meter: StartMeter;
     readonly time: TrueTime;
     /** To the control processes. */
-    readonly links: readonly ControlLink[];
+    readonly links: readonly Pick<PeerLink, "notify">[];
 }
 
 /**
@@ -32,7 +31,7 @@
     /** Sends until the signal is aborted. */
     async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
-            await this.options.clock.sleep(SEND_EVERY_MS, signal);
+            await this.options.clock.sleepToBeat(SEND_EVERY_MS, signal);
             this.sendOnce();
         }
     }
@@ -46,7 +45,8 @@
         );
         const { host, incarnation } = self;
         const report: StartsReport = { host, incarnation, countedAt, windows };
-        for (const link of links) void link.call(STARTS_METHOD, report, ANSWER_MS);
+        const body = new EncodedBody(report);
+        for (const link of links) link.notify(STARTS_METHOD, body);
     }
 
     private isDue(window: number, counts: string): boolean {
--- a/src/ports/clock/index.ts
+++ b/src/ports/clock/index.ts
@@ -53,4 +53,28 @@
             signal?.addEventListener("abort", finish);
         });
     }
+
+    /**
+     * How long it is to the next multiple of a period on the steady clock, in milliseconds. What a process does now and then falls on few moments
+     * in this way: each time it wakes up costs it as much as some messages, and most hosts of a large fleet are idle most of the time.
+     *
+     * @param periodMs - The period, in milliseconds.
+     */
+    untilBeat(periodMs: number): number {
+        const leftMs = periodMs - this.monotonic() % periodMs;
+        // Timers may fire a little early, and a beat must not come twice.
+        return Math.ceil(leftMs < EARLY_SHARE * periodMs ? leftMs + periodMs : leftMs);
+    }
+
+    /**
+     * Waits for the next multiple of a period, as `untilBeat` counts.
+     *
+     * @param periodMs - The period, in milliseconds.
+     * @param signal - As for `sleep`.
+     */
+    sleepToBeat(periodMs: number, signal?: AbortSignal): Promise<void> {
+        return this.sleep(this.untilBeat(periodMs), signal);
+    }
 }
+
+const EARLY_SHARE = 0.1;
--- a/src/ports/nodeHttp/index.ts
+++ b/src/ports/nodeHttp/index.ts
@@ -24,8 +24,8 @@
 const POOL_SOCKETS_PER_ADDRESS = 256;
 /** A caller's connection that is idle for longer is closed where no limit says otherwise: Node's own default. */
 const DEFAULT_IDLE_MS = 5_000;
-/** How often connections are looked through for requests that come too slowly, in milliseconds. */
-const CHECK_INTERVAL_MS = 500;
+/** Connections are looked through for requests that come too slowly so many times within the time that one may take. */
+const CHECKS_PER_LIMIT = 6;
 
 /**
  * HTTP by Node's own library on both sides.
@@ -42,7 +42,9 @@
             maxHeaderSize: limits.headerBytes,
             headersTimeout: limits.headerTimeoutMs,
             requestTimeout: limits.requestTimeoutMs,
-            connectionsCheckingInterval: CHECK_INTERVAL_MS,
+            connectionsCheckingInterval: Math.ceil(
+                Math.min(limits.headerTimeoutMs, limits.requestTimeoutMs) / CHECKS_PER_LIMIT,
+            ),
             keepAliveTimeout: limits.idleTimeoutMs ?? DEFAULT_IDLE_MS,
             noDelay: true,
         }, (req, res) => void answer(new NodeRequest(req, res), new NodeResponse(res), handler));
