--- a/src/upstream/routedChoice/index.ts
+++ b/src/upstream/routedChoice/index.ts
@@ -34,7 +34,8 @@
  * get no answer for as long as their callers wait, and no health check says so; an engine whose running requests all show nothing gets no
  * more after some hundred milliseconds. Answers an owner that has lost its memory: parts that nobody is known to hold go to the engine
  * that a hash names, which is the one that had them. Answers long prompts beside short questions too: while an engine reads a
- * prompt its running streams stand still, so a long one goes where no stream runs that could not bear the pause.
+ * prompt its running streams stand still, so a long one goes where no stream runs that could not bear the pause. Answers engines whose memory
+ * is full before their slots are: they put requests back, urgent ones too, and read them again.
  */
 export class RoutedChoice extends UpstreamChoice {
     /** Any candidate may hold the prompt's parts, and few are weighed in full: there is no need for a sample. */
@@ -53,7 +54,7 @@
      * @param pick - How the lightest candidate is found.
      */
     constructor(
-        capacity: () => number | undefined,
+        private readonly capacity: () => number | undefined,
         private readonly weights: RoutedWeights = DEFAULT_ROUTED_WEIGHTS,
         private readonly pick: typeof pickLeast = pickLeast,
     ) {
@@ -151,12 +152,21 @@
             + rereadMs
             + weights.runningMs * load.outstanding
             + (load.outstanding >= upstream.slots ? weights.fullMs : 0)
+            + weights.overflowTargets * targetMs * this.overflowShare(own, request)
             + (isFar ? farMs : 0)
             + weights.silentFactor * own.silentMs(now)
             + weights.strangerFactor * strangerMs
             + weights.failingMs * failureRate;
     }
 
+    /** The share of what a request needs there that the upstream's memory lacks, from 0 to 1. */
+    private overflowShare({ memory }: UpstreamWork, request: ChoiceRequest): number {
+        const capacity = this.capacity();
+        if (capacity === undefined) return 0;
+        const needed = memory.tokensFor(request);
+        return Math.max(0, Math.min(1, (memory.tokens + needed - capacity) / Math.max(1, needed)));
+    }
+
     /** The streams that would stall there beside this prompt, and the chance that its own would. */
     private weighStalls(load: UpstreamLoad, request: ChoiceRequest, holders: Holders): number {
         const { weights } = this;
--- a/src/upstream/routedChoice/test.ts
+++ b/src/upstream/routedChoice/test.ts
@@ -187,6 +187,21 @@
         }
     });
 
+    it("sends prompts on to engines that have memory left, though slots are free elsewhere", () => {
+        // Itineraries double, and an engine with free slots has no memory for them. It puts requests back that run already, more urgent
+        // ones too, and reads them once more. Cause: slots alone were counted, and memory is full long before they are.
+        const choice = new RoutedChoice(() => 20_000);
+        const loads = makeLoads(["full", "roomy"]);
+        const [full, roomy] = loads;
+        for (let i = 0; i < 3; i++) {
+            const running = makeRequest({ promptTokens: 6_000 });
+            choice.granted({ load: full, reason: "" }, running);
+            choice.progressed(running.request, true, 150);
+        }
+        choice.granted({ load: roomy, reason: "" }, makeRequest({ promptTokens: 9_000, now: 900 }));
+        assert.equal(place(choice, loads, makeRequest({ promptTokens: 6_000, now: 1_000 })), "roomy");
+    });
+
     it("prefers upstreams that do not fail requests", () => {
         const choice = new RoutedChoice(() => undefined);
         const loads = makeLoads(["grey", "sound"]);
--- a/src/upstream/routedWeights/index.ts
+++ b/src/upstream/routedWeights/index.ts
@@ -11,6 +11,8 @@
     readonly failingMs: number;
     /** A request that has to wait for a slot. */
     readonly fullMs: number;
+    /** A request for which the memory lacks room, or that others must yield to, in targets: it comes late, or one of them does. */
+    readonly overflowTargets: number;
     /** Each running stream whose longest pause would be passed beside this prompt, as a share of the request's target. */
     readonly stallTargets: number;
     /** The chance that the request's own stream pauses for too long, in targets: it is then as late as one that waits for its whole target. */
@@ -42,6 +44,7 @@
     otherZoneKilobyteMs: 1,
     failingMs: 1_000,
     fullMs: 500,
+    overflowTargets: 1,
     stallTargets: 0.3,
     ownStallTargets: 1,
     silentFactor: 3,
--- a/src/upstream/upstreamWork/index.ts
+++ b/src/upstream/upstreamWork/index.ts
@@ -1,9 +1,9 @@
 import { UpstreamId } from "../../ids/index.js";
 import { ChoiceRequest } from "../choice/index.js";
+import { MemoryShape, MemoryUse } from "../memoryUse/index.js";
 import { PauseForecast } from "../pauseForecast/index.js";
 import { PendingPrefill, PrefillClock } from "../prefillClock/index.js";
 import { PrefillModel, PrefillWork } from "../prefillModel/index.js";
-import { PromptPart } from "../promptCache/index.js";
 import { ReadingHistory, ReadingStretch } from "../readingHistory/index.js";
 
 /**
@@ -20,9 +20,8 @@
 type StreamShape = Pick<ChoiceRequest, "gapMs" | "eventTokens">;
 
 /** A request that was granted and has not ended. */
-export interface GrantedRequest extends StreamShape {
+export interface GrantedRequest extends StreamShape, MemoryShape {
     readonly upstream: UpstreamId;
-    readonly parts: readonly PromptPart[];
     pending: PendingPrefill | undefined;
     /** When its first token came; monotonic, in milliseconds. */
     startedAt: number;
@@ -35,6 +34,7 @@
 /** What one upstream was given to do, as far as this process granted it, and how it gets on with it. */
 export class UpstreamWork {
     readonly prefill: PrefillClock;
+    readonly memory = new MemoryUse();
     private readonly reading = new ReadingHistory();
     private readonly running = new Set<GrantedRequest>();
     /** When it last gave a sign of work, or began to work after a rest; monotonic, in milliseconds. */
@@ -82,7 +82,7 @@
 
     /** As `UpstreamChoice.ended`. */
     ended(granted: GrantedRequest, failed: boolean | undefined, now: number, longestGapMs: number | undefined): void {
-        this.running.delete(granted);
+        if (this.running.delete(granted)) this.memory.remove(granted);
         if (granted.pending) this.prefill.end(granted.pending, now);
         if (longestGapMs !== undefined) this.learnPause(granted, longestGapMs, now);
         if (failed === undefined) return;
@@ -121,10 +121,12 @@
 
     private add(request: ChoiceRequest, startedAt: number, pending: PendingPrefill | undefined): GrantedRequest {
         const { upstream } = this;
-        const { parts, gapMs, eventTokens, now } = request;
+        const { parts, promptTokens, predictedTokens, gapMs, eventTokens, now } = request;
         if (this.running.size === 0) this.heardAt = now;
-        const granted = { upstream, parts, gapMs, eventTokens, pending, startedAt, beside: undefined, lateChance: 0 };
+        const shape = { parts, promptTokens, predictedTokens, gapMs, eventTokens };
+        const granted = { upstream, ...shape, pending, startedAt, beside: undefined, lateChance: 0 };
         this.running.add(granted);
+        this.memory.add(granted);
         return granted;
     }
 
