--- a/src/upstream/routedChoice/test.ts
+++ b/src/upstream/routedChoice/test.ts
@@ -197,6 +197,7 @@
             const running = makeRequest({ promptTokens: 6_000 });
             choice.granted({ load: full, reason: "" }, running);
             choice.progressed(running.request, true, 150);
+            choice.progressed(running.request, false, 950);
         }
         choice.granted({ load: roomy, reason: "" }, makeRequest({ promptTokens: 9_000, now: 900 }));
         assert.equal(place(choice, loads, makeRequest({ promptTokens: 6_000, now: 1_000 })), "roomy");
