--- a/src/upstream/routedChoice/index.ts
+++ b/src/upstream/routedChoice/index.ts
@@ -23,6 +23,8 @@
     readonly tokens: number;
     /** Where they belong, if no candidate is known to hold them. */
     readonly home: UpstreamId | undefined;
+    /** How many tokens an upstream's memory takes; without bound where that is not known. */
+    readonly capacity: number;
 }
 
 /**
@@ -152,21 +154,13 @@
             + rereadMs
             + weights.runningMs * load.outstanding
             + (load.outstanding >= upstream.slots ? weights.fullMs : 0)
-            + weights.overflowTargets * targetMs * this.overflowShare(own, request)
+            + weights.overflowTargets * targetMs * overflowShare(own, request, shared.capacity)
             + (isFar ? farMs : 0)
             + weights.silentFactor * own.silentMs(now)
             + weights.strangerFactor * strangerMs
             + weights.failingMs * failureRate;
     }
 
-    /** The share of what a request needs there that the upstream's memory lacks, from 0 to 1. */
-    private overflowShare({ memory }: UpstreamWork, request: ChoiceRequest): number {
-        const capacity = this.capacity();
-        if (capacity === undefined) return 0;
-        const needed = memory.tokensFor(request);
-        return Math.max(0, Math.min(1, (memory.tokens + needed - capacity) / Math.max(1, needed)));
-    }
-
     /** The streams that would stall there beside this prompt, and the chance that its own would. */
     private weighStalls(load: UpstreamLoad, request: ChoiceRequest, holders: Holders): number {
         const { weights } = this;
@@ -201,7 +195,8 @@
         holders: Holders,
     ): SharedParts {
         const parts = request.parts.slice(0, -1);
-        return { parts, tokens: sumTokens(parts), home: this.placement.findHome(candidates, parts, holders) };
+        const home = this.placement.findHome(candidates, parts, holders);
+        return { parts, tokens: sumTokens(parts), home, capacity: this.capacity() ?? Number.POSITIVE_INFINITY };
     }
 
     private workOf(upstream: UpstreamId): UpstreamWork {
@@ -213,6 +208,14 @@
     }
 }
 
+/** The share of what a request needs there that the upstream's memory lacks, from 0 to 1. */
+function overflowShare({ memory }: UpstreamWork, request: ChoiceRequest, capacity: number): number {
+    // Most have room for all of it, and need not be asked which parts are in use.
+    if (memory.tokens + request.promptTokens + request.predictedTokens <= capacity) return 0;
+    const needed = memory.tokensFor(request);
+    return Math.max(0, Math.min(1, (memory.tokens + needed - capacity) / Math.max(1, needed)));
+}
+
 function describeWork({ promptTokens }: ChoiceRequest, heldTokens: number): PrefillWork {
     const held = Math.min(promptTokens, heldTokens);
     return { tokens: promptTokens - held, held };
