--- /dev/null
+++ b/src/ports/clock/test.ts
@@ -0,0 +1,29 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { VirtualClock } from "../virtualClock/index.js";
+
+describe("Clock", () => {
+    describe("sleepToBeat", () => {
+        it("lets tasks of equal periods go on at the same moments, whenever they began", async () => {
+            const clock = new VirtualClock();
+            const beats = new Set<number>();
+            const count = async (): Promise<void> => {
+                for (let times = 0; times < 5; times++) {
+                    await clock.sleepToBeat(200);
+                    beats.add(clock.monotonic());
+                }
+            };
+            void count();
+            await clock.advance(70);
+            void count();
+            await clock.advance(1_500);
+            assert.deepEqual([...beats], [200, 400, 600, 800, 1_000]);
+        });
+
+        it("gives no beat twice when a timer has fired a little early", async () => {
+            const clock = new VirtualClock();
+            await clock.advance(199);
+            assert.equal(clock.untilBeat(200), 201);
+        });
+    });
+});
--- a/src/upstream/registry/test.ts
+++ b/src/upstream/registry/test.ts
@@ -75,7 +75,43 @@
         });
     });
 
+    describe("vouch", () => {
+        it("keeps an upstream that another process hears, and takes it back", async () => {
+            const { clock, registry } = makeRegistry();
+            registry.announce(makeAnnouncement());
+            await clock.advance(1_500);
+            registry.vouch([ID], clock.monotonic());
+            await clock.advance(1_500);
+            registry.expire();
+            assert.equal(registry.get(ID)?.state, "ready");
+            await clock.advance(1_000);
+            registry.expire();
+            assert.equal(registry.get(ID)?.state, "silent");
+            registry.vouch([ID], clock.monotonic());
+            assert.equal(registry.get(ID)?.state, "ready");
+        });
+
+        it("brings no leaver back", () => {
+            const { clock, registry } = makeRegistry();
+            registry.announce(makeAnnouncement({ state: "leaving" }));
+            registry.vouch([ID], clock.monotonic());
+            assert.equal(registry.get(ID)?.isGrantable, false);
+        });
+    });
+
     describe("changesSince", () => {
+        it("gives as membership what is more than load", () => {
+            const { registry } = makeRegistry();
+            registry.announce(makeAnnouncement());
+            const { version } = registry.changesSince(0);
+            const load = { running: 7, queued: 0, kv_used: 0, tokens_per_second: 0, age_ms: 0 };
+            registry.announce(makeAnnouncement({ sequence: 2, load }));
+            assert.equal(registry.changesSince(version, "membership").records.length, 0);
+            assert.equal(registry.changesSince(version, "heard").records.length, 1);
+            registry.announce(makeAnnouncement({ sequence: 3, load, reclaim_in_ms: 4_000 }));
+            assert.equal(registry.changesSince(version, "membership").records.length, 1);
+        });
+
         it("gives each changed upstream once, with its age", async () => {
             const { clock, registry } = makeRegistry();
             registry.announce(makeAnnouncement());
--- a/src/wire/peerLink/test.ts
+++ b/src/wire/peerLink/test.ts
@@ -55,6 +55,38 @@
         });
     });
 
+    describe("awaitOpen", () => {
+        function makeLink(clock: VirtualClock, fabric: MemoryFabric): PeerLink {
+            return new PeerLink({
+                network: fabric.network(CLIENT),
+                clock,
+                random: new SeededRandom(1),
+                address: ADDRESS,
+                self: { host: "client" as HostId, incarnation: "2" as Incarnation },
+                router: new PeerRouter(),
+                timing: DEFAULT_PEER_TIMING,
+            });
+        }
+
+        it("waits for a connection that is just being made, as on a link's first use", async () => {
+            const { clock, fabric } = await startPair();
+            const link = makeLink(clock, fabric);
+            void link.run(new AbortController().signal);
+            assert.equal(link.isOpen, false);
+            assert.equal(await clock.runUntil(link.awaitOpen(120), 1_000), true);
+        });
+
+        it("gives up at its limit where nobody answers", async () => {
+            const { clock, fabric } = await startPair();
+            fabric.isolate(SERVER, [CLIENT], true);
+            const link = makeLink(clock, fabric);
+            void link.run(new AbortController().signal);
+            const startedAt = clock.monotonic();
+            assert.equal(await clock.runUntil(link.awaitOpen(120), 1_000), false);
+            assert.ok(clock.monotonic() - startedAt <= 140);
+        });
+    });
+
     describe("a connection that has gone silent", () => {
         it("is replaced within the silence bound", async () => {
             // A caller sees requests hang although both hosts are up and new connections between them work.
