Queue hosts: options taken from the entry's, no error that can't come; a comment that told its tuning

Types and comments only. Formatter, compiler, linter and the tests of routed calls, daemon, platform and pauses were run, not the whole script.

--- a/src/entry/queueHost/index.ts
+++ b/src/entry/queueHost/index.ts
@@ -1,36 +1,35 @@
-import { ZoneId } from "../../ids/index.js";
-import { Logger } from "../../logging/index.js";
-import { Metrics } from "../../metrics/index.js";
 import { CallDialect } from "../../passthrough/index.js";
-import { Address, Clock, DEFAULT_HTTP_LIMITS, Http, Network, Random } from "../../ports/index.js";
-import { RegistryTiming } from "../../upstream/index.js";
-import { PeerIdentity, PeerRouter, PeerTiming } from "../../wire/index.js";
+import { Address, DEFAULT_HTTP_LIMITS } from "../../ports/index.js";
+import { PeerRouter } from "../../wire/index.js";
 import { DEFAULT_ENTRY_LIMITS } from "../entryContext/index.js";
-import { EntryProcess } from "../entryProcess/index.js";
+import { EntryOptions, EntryProcess } from "../entryProcess/index.js";
 
 /** It sends no calls, so it repeats none. */
 const NO_REPEATS = { ratio: 0, windowMs: 1_000, slack: 0 };
 
+/** What an entry takes that a queue host takes too. */
+type SharedOption =
+    | "clock"
+    | "random"
+    | "network"
+    | "http"
+    | "logger"
+    | "metrics"
+    | "self"
+    | "zone"
+    | "region"
+    | "controlPeers"
+    | "timing"
+    | "registryTiming"
+    | "windowMs";
+
 /** What a queue host is made of. */
-export interface QueueHostOptions {
-    readonly clock: Clock;
-    readonly random: Random;
-    readonly network: Network;
-    readonly http: Http;
-    readonly logger: Logger;
-    readonly metrics: Metrics;
-    readonly self: PeerIdentity;
-    readonly zone: ZoneId;
-    readonly region: string;
+export interface QueueHostOptions extends Pick<EntryOptions, SharedOption> {
     /** Where entries reach it: the address of the control process on its host. */
     readonly peers: Address;
     /** That control process' router, which gets the methods of the queues. */
     readonly sharedRouter: PeerRouter;
-    readonly controlPeers: readonly Address[];
     readonly dialect: CallDialect;
-    readonly timing: PeerTiming;
-    readonly registryTiming?: RegistryTiming;
-    readonly windowMs: number;
 }
 
 /**
@@ -41,7 +40,6 @@
  *
  * @param options - Where it runs, and the control processes that it follows.
  * @returns The process; ending it hands the queues over.
- * @throws NetworkError when the address is taken.
  * @example
  * const queues = await startQueueHost({ ...ports, peers, sharedRouter: control.router, controlPeers, dialect, ...rest });
  */
--- a/src/upstream/pauseForecast/index.ts
+++ b/src/upstream/pauseForecast/index.ts
@@ -7,7 +7,7 @@
 const MOST_CHUNK_TOKENS = 65_536;
 /** How much one observation may change what is believed of the chunks. */
 const LEARN_WEIGHT = 0.05;
-/** Pauses are up to so much longer or shorter than expected, as a share: measured beside long prompts, three in four were. */
+/** Pauses are up to so much longer or shorter than expected, as a share. */
 const SPREAD = 0.15;
 /** Only reading that lasted so many times as long as the pause that was expected tells how long a pause is at most. */
 const TELLING_FACTOR = 1.5;
