Entries of the control log say which version understands them

Cause: a new kind of command had the version of all others, so that a replica of the version before would skip it while an upgrade runs, and its state would part for good. encodePayload takes the version; state machines name it for each command; entries of before keep version 1. The replica that meets a newer one stops, as it did.

--- a/src/consensus/entryPayload/index.ts
+++ b/src/consensus/entryPayload/index.ts
@@ -2,7 +2,9 @@
 import { Configuration } from "../member/index.js";
 
 /** Raised when an entry is not understood by older versions at all; fields may be added without raising it. */
-const ENTRY_VERSION = 1;
+const ENTRY_VERSION = 2;
+/** What each version understands: entries that say no other. */
+const FIRST_VERSION = 1;
 
 /**
  * What an entry says. It travels and is stored as the bytes that its proposer encoded, so that a replica of an older
@@ -20,8 +22,13 @@
     }
 }
 
-export function encodePayload(payload: EntryPayload): Uint8Array {
-    return encodeValue({ version: ENTRY_VERSION, ...payload });
+/**
+ * Writes an entry's payload.
+ *
+ * @param version - The lowest version of programs that understand it; while a newer one is rolled out, entries of the first reach all.
+ */
+export function encodePayload(payload: EntryPayload, version = FIRST_VERSION): Uint8Array {
+    return encodeValue({ version, ...payload });
 }
 
 /**
--- a/src/consensus/founding/test.ts
+++ b/src/consensus/founding/test.ts
@@ -40,7 +40,7 @@
     const host = "b" as HostId;
     const logger = new SilentLogger();
     const events = { onDurable() {}, onApplied() {}, onStepDown() {}, onFailure: (err: Error) => assert.fail(err) };
-    const stateMachine = { apply() {}, snapshot() {}, restore() {} };
+    const stateMachine = { apply() {}, snapshot() {}, restore() {}, entryVersionOf: () => 1 };
     const store = await LogStore.open({ disk, random });
     const replica = new Replica({ host, store, stateMachine, clock, timing: FLEET_TIMING, logger, events });
     const links = new ScriptedLinks(undefined as never, new Lifecycle());
--- a/src/consensus/replica/index.ts
+++ b/src/consensus/replica/index.ts
@@ -275,7 +275,10 @@
     /** Appends an entry of its own as the leader. */
     appendOwn(payload: EntryPayload): StoredEntry {
         const index = this.log.lastIndex + 1 as LogIndex;
-        const entry: StoredEntry = { index, term: this.term, payload: encodePayload(payload) };
+        const version = payload.kind === "command"
+            ? this.options.stateMachine.entryVersionOf(payload.command)
+            : undefined;
+        const entry: StoredEntry = { index, term: this.term, payload: encodePayload(payload, version) };
         this.log.append([entry]);
         if (payload.kind === "members") this.members.push(index, payload.configuration);
         return entry;
--- a/src/consensus/stateMachine/index.ts
+++ b/src/consensus/stateMachine/index.ts
@@ -20,6 +20,13 @@
      */
     abstract apply(command: unknown, context: ApplyContext): unknown;
 
+    /**
+     * The lowest version of programs that know a command. An older replica stops at it, where skipping it would let the replicas' states part.
+     */
+    entryVersionOf(_command: unknown): number {
+        return 1;
+    }
+
     /** The whole state, as a value msgpack can carry. */
     abstract snapshot(): unknown;
 
