--- a/eslint.config.js
+++ b/eslint.config.js
@@ -51,7 +51,7 @@
         },
     },
     {
-        files: ["src/ports/**/*.ts", "src/tools/**/*.ts"],
+        files: ["src/ports/**/*.ts", "src/tools/**/*.ts", "src/boot/**/*.ts"],
         rules: { "no-restricted-globals": "off", "no-restricted-imports": "off", "no-restricted-syntax": "off" },
     },
 );
