--- a/src/cli/runCli/index.ts
+++ b/src/cli/runCli/index.ts
@@ -12,8 +12,16 @@
 import { OperatorApi } from "../operatorApi/index.js";
 import { Output } from "../output/index.js";
 import { loadProfile } from "../profile/index.js";
+import { zoneCommands } from "../zoneCommands/index.js";
 
-const COMMANDS = [...configCommands, ...documentCommands, ...keyCommands, ...fleetCommands, ...billingCommands];
+const COMMANDS = [
+    ...configCommands,
+    ...documentCommands,
+    ...zoneCommands,
+    ...keyCommands,
+    ...fleetCommands,
+    ...billingCommands,
+];
 
 /** What the tool gets from the process it runs in. */
 export interface CliEnvironment {
--- a/src/cli/runCli/test.ts
+++ b/src/cli/runCli/test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
-import { Right } from "purify-ts";
+import { Left, Right } from "purify-ts";
 import {
     ControlService,
     ControlState,
@@ -10,7 +10,9 @@
     MemoryControlLog,
     MemoryLogGroup,
     serveOperators,
+    UnknownZoneError,
     VIEW_PULL_METHOD,
+    ZoneEvacuation,
 } from "../../control/index.js";
 import { HostId, Revision } from "../../ids/index.js";
 import {
@@ -24,6 +26,7 @@
 } from "../../ports/index.js";
 import { HeldDocument, ReplaceDocumentCommand } from "../../routing/index.js";
 import { PeerRouter } from "../../wire/index.js";
+import { ZoneBook, ZoneCommand } from "../../zone/index.js";
 import { runCli } from "./index.js";
 
 const LOOPBACK: Address = { host: "127.0.0.1", port: 0 };
@@ -53,6 +56,21 @@
     }
 }
 
+/** Keeps evacuations in the order in which they come. */
+class FakeZoneEvacuation {
+    private readonly book = new ZoneBook();
+    private revision = 30;
+
+    async order(command: ZoneCommand) {
+        if (command.zone !== "vogar") return Left(new UnknownZoneError(`there is no zone ${command.zone}`));
+        return Right(this.book.apply(command, this.revision++));
+    }
+
+    async read() {
+        return Right(this.book.list());
+    }
+}
+
 const FLEET_DOCUMENT = JSON.stringify({
     version: 7,
     routes: [],
@@ -93,6 +111,7 @@
 const http = new NodeHttp();
 const listeners: Listener[] = [];
 const documents = new FakeDocumentDesk() as unknown as DocumentDesk;
+const zones = new FakeZoneEvacuation() as unknown as ZoneEvacuation;
 const group = new MemoryLogGroup(clock);
 const admin = new FakeEntryAdmin();
 let control = "";
@@ -107,7 +126,7 @@
         logs.push(log);
         const router = new PeerRouter();
         const service = new ControlService({ log, state, clock, router, viewLeaseMs: 2_000 });
-        const context = { log, state, service, documents, operatorAddresses: [] };
+        const context = { log, state, service, documents, zones, operatorAddresses: [] };
         const listener = await serveOperators(http, LOOPBACK, context);
         listeners.push(listener);
         addresses.push(formatAddress(listener.address));
@@ -198,6 +217,22 @@
         });
     });
 
+    describe("zones", () => {
+        it("are evacuated, listed and restored", async () => {
+            assert.equal((await run("zone", "evacuate", "vogar")).output, "zone vogar is evacuated, revision 30\n");
+            assert.match((await run("zone", "evacuate", "vogar")).output, /was evacuated already/);
+            assert.match((await run("zone", "list")).output, /ZONE +REVISION\nvogar +30/);
+            assert.match((await run("zone", "restore", "vogar")).output, /zone vogar is restored/);
+            assert.deepEqual(JSON.parse((await run("zone", "list", "--json")).output), []);
+        });
+
+        it("that are not known are refused with one line", async () => {
+            const { code, error } = await run("zone", "evacuate", "vogra");
+            assert.equal(code, 1);
+            assert.match(error, /there is no zone vogra/);
+        });
+    });
+
     describe("entries", () => {
         it("are reached at the addresses that the holder knows", async () => {
             await pull();
--- a/src/control/controlClient/index.ts
+++ b/src/control/controlClient/index.ts
@@ -17,7 +17,7 @@
 const STALE_LOOK_MS = 200;
 
 /** A link to one control host. */
-export type ControlLink = Pick<PeerLink, "isOpen" | "peer" | "call">;
+export type ControlLink = Pick<PeerLink, "isOpen" | "peer" | "call" | "notify">;
 
 /** Who the entry is, as its pulls say. */
 export type EntrySelf = Pick<ViewPull, "host" | "incarnation" | "zone" | "peerAddress" | "adminAddress" | "ownsQueues">;
@@ -76,6 +76,11 @@
         return this.knownEntries;
     }
 
+    /** The link to the control process that answers this entry: the holder, as far as is known. */
+    get holderLink(): ControlLink | undefined {
+        return this.options.links.length === 0 ? undefined : this.currentLink();
+    }
+
     /** True while new work may be taken on the view in the cache. */
     isFresh(): boolean {
         return this.options.clock.elapsed() < this.freshUntil;
--- a/src/control/controlClient/test.ts
+++ b/src/control/controlClient/test.ts
@@ -240,6 +240,7 @@
             const link = {
                 isOpen: true,
                 peer: undefined,
+                notify: () => undefined,
                 call: async () => {
                     await clock.sleep(asked++ === 0 ? 1_000 : 60_000);
                     return Right({ leaseMs: LEASE_MS, entries: [] });
--- a/src/control/operatorRouter/index.ts
+++ b/src/control/operatorRouter/index.ts
@@ -2,12 +2,15 @@
 import { Either } from "purify-ts";
 import * as z from "zod";
 import { ControlLog } from "../../consensus/index.js";
-import { HostId, TemplateName, WindowStart, WorkspaceId } from "../../ids/index.js";
+import { HostId, TemplateName, WindowStart, WorkspaceId, ZoneId } from "../../ids/index.js";
 import { checkDocument, DocumentError } from "../../routing/index.js";
 import { ChangeResult, configChangeSchema } from "../../workspace/index.js";
+import { EvacuatedZone, ZoneCommand, ZoneResult } from "../../zone/index.js";
 import { ControlService, NotHolderError } from "../controlService/index.js";
 import { DocumentDesk, DocumentUnavailableError } from "../documentDesk/index.js";
+import { ChangeUnavailableError } from "../durableChange/index.js";
 import { ControlState } from "../state/index.js";
+import { UnknownZoneError, ZoneEvacuation } from "../zoneEvacuation/index.js";
 
 /** How long an operator's change waits to be in force everywhere, in milliseconds. */
 const IN_FORCE_WAIT_MS = 6_500;
@@ -26,6 +29,8 @@
     readonly service: ControlService;
     /** Undefined where calls are not routed by a fleet document. */
     readonly documents?: DocumentDesk;
+    /** Undefined where calls are not routed by a fleet document. */
+    readonly zones?: ZoneEvacuation;
     /** Control hosts that settings name; others are known by what holders announce. */
     readonly operatorAddresses: readonly OperatorAddress[];
 }
@@ -131,12 +136,40 @@
         const held = read.caseOf({ Left: unavailable, Right: found => found });
         return Buffer.from(requireFound(held, "fleet document").source).toString();
     }),
+    evacuateZone: trpc.procedure.input(z.string().min(1)).mutation(({ ctx, input }) =>
+        orderZone(ctx, { kind: "zone.evacuate", zone: input as ZoneId })
+    ),
+    restoreZone: trpc.procedure.input(z.string().min(1)).mutation(({ ctx, input }) =>
+        orderZone(ctx, { kind: "zone.restore", zone: input as ZoneId })
+    ),
+    evacuatedZones: trpc.procedure.query(async ({ ctx }): Promise<readonly EvacuatedZone[]> => {
+        const read = await requireZones(ctx).read();
+        return read.caseOf({ Left: unavailable, Right: zones => zones });
+    }),
     revision: holderProcedure.query(({ ctx }) => ctx.state.revision),
 });
 
 /** For clients' types. */
 export type OperatorRouter = typeof operatorRouter;
 
+async function orderZone(ctx: OperatorContext, command: ZoneCommand): Promise<ZoneResult> {
+    const outcome = await requireZones(ctx).order(command);
+    return outcome.caseOf({
+        Left: err => {
+            if (err instanceof UnknownZoneError) throw new TRPCError({ code: "NOT_FOUND", message: err.message });
+            return unavailable(err);
+        },
+        Right: result => result,
+    });
+}
+
+function requireZones({ zones }: OperatorContext): ZoneEvacuation {
+    return requireFound(
+        zones,
+        "zone evacuation on these control processes: their settings have no listen.upstreams",
+    );
+}
+
 function requireDocuments({ documents }: OperatorContext): DocumentDesk {
     return requireFound(
         documents,
@@ -149,7 +182,7 @@
 }
 
 /** The tool asks the next control process. */
-function unavailable(err: DocumentUnavailableError): never {
+function unavailable(err: DocumentUnavailableError | ChangeUnavailableError): never {
     throw new TRPCError({ code: "TIMEOUT", message: err.message });
 }
 
--- a/src/control/poolSizer/index.ts
+++ b/src/control/poolSizer/index.ts
@@ -210,6 +210,7 @@
             const here = upstreams.filter(upstream => upstream.zone === zone && upstream.isGrantable);
             return {
                 zone,
+                isEvacuated: this.options.state.zones.isEvacuated(zone),
                 price: zonePrices[zone] ?? 1,
                 steady: this.count(pool, zone, here, false),
                 reclaimable: this.count(pool, zone, here, true),
--- a/src/control/routingService/index.ts
+++ b/src/control/routingService/index.ts
@@ -1,5 +1,6 @@
 import { ReplicatedLog } from "../../consensus/index.js";
 import { AnnouncementFollower, AnnouncementHub } from "../../discovery/index.js";
+import { ZoneId } from "../../ids/index.js";
 import { Lifecycle } from "../../lifecycle/index.js";
 import { Logger } from "../../logging/index.js";
 import { Address, Clock, formatAddress, Network, Random } from "../../ports/index.js";
@@ -16,8 +17,10 @@
 import { PoolSizer, SizeOrder } from "../poolSizer/index.js";
 import { StartsCloser } from "../startsCloser/index.js";
 import { StartsDesk } from "../startsDesk/index.js";
+import { StartsNoter } from "../startsNoter/index.js";
 import { StartsReporter } from "../startsReporter/index.js";
 import { ControlState } from "../state/index.js";
+import { ZoneEvacuation } from "../zoneEvacuation/index.js";
 
 /** How often the list of control processes is read from the log, in milliseconds. */
 const MEMBERS_EVERY_MS = 500;
@@ -36,6 +39,8 @@
     readonly startsPatienceMs: number;
     /** How long an upstream may be silent before it gets no more work, in milliseconds. */
     readonly silentAfterMs: number;
+    /** The zones that may be evacuated; undefined: any. */
+    readonly zones?: readonly ZoneId[];
     /** Where counts go; undefined: they are counted and kept. */
     readonly platform?: RoutingPlatform;
 }
@@ -81,6 +86,7 @@
     /** Where upstreams' announcements are taken. */
     readonly hub: AnnouncementHub;
     readonly documents: DocumentDesk;
+    readonly zones: ZoneEvacuation;
     readonly time: TrueTime;
     private readonly starts: StartsDesk;
     private readonly follower: AnnouncementFollower;
@@ -92,6 +98,7 @@
         this.registry = new UpstreamRegistry({ clock, timing });
         this.hub = new AnnouncementHub({ clock, router, registry: this.registry });
         this.documents = new DocumentDesk({ ...options, leastVoters: routing.voters });
+        this.zones = new ZoneEvacuation({ ...options, leastVoters: routing.voters, zones: routing.zones });
         this.time = new TrueTime(clock);
         this.starts = new StartsDesk(clock, router);
         this.follower = new AnnouncementFollower({
@@ -126,7 +133,7 @@
         const { routing } = this.options;
         const { startsWindowMs: windowMs, startsPatienceMs: patienceMs, platform } = routing;
         const parts = { ...this.options, desk: this.starts, time: this.time, windowMs, patienceMs };
-        const tasks: HolderTask[] = [new StartsCloser(parts)];
+        const tasks: HolderTask[] = [new StartsNoter(parts), new StartsCloser(parts)];
         if (!platform) return tasks;
         const { checksFence: platformChecksFence, describeStarts, describeSize } = platform;
         const towards = { ...this.options, sender, platformChecksFence };
--- a/src/control/startsCloser/index.ts
+++ b/src/control/startsCloser/index.ts
@@ -1,6 +1,7 @@
 import { ControlLog } from "../../consensus/index.js";
 import { Logger } from "../../logging/index.js";
 import { TrueTime } from "../../time/index.js";
+import { RunStarts, StartCounts } from "../../usage/index.js";
 import { HolderTask } from "../holderRunner/index.js";
 import { HolderTerm } from "../holderTerm/index.js";
 import { StartsDesk } from "../startsDesk/index.js";
@@ -44,13 +45,28 @@
     }
 
     private firstOpen(now: number): number {
-        const { state, desk, windowMs } = this.options;
+        const { state, windowMs } = this.options;
         const { lastClosed } = state.starts;
         const oldest = Math.floor(now / windowMs) - FIRST_LOOK_BACK;
-        if (lastClosed === undefined) return Math.max(oldest, desk.firstWindow() ?? Number.POSITIVE_INFINITY);
+        if (lastClosed === undefined) return Math.max(oldest, this.firstCounted());
         return lastClosed + 1;
     }
 
+    private firstCounted(): number {
+        const { state, desk } = this.options;
+        const firsts = [desk.counts.firstWindow(), state.openStarts.firstWindow()];
+        return Math.min(...firsts.map(first => first ?? Number.POSITIVE_INFINITY));
+    }
+
+    /** What was heard here, and what an earlier holder noted of entries that have ended since. */
+    private sum(window: number): StartCounts {
+        const { state, desk } = this.options;
+        const all = new RunStarts();
+        all.mergeAll(state.openStarts.list());
+        all.mergeAll(desk.counts.list());
+        return all.sum(window);
+    }
+
     private isDue(window: number, now: number): boolean {
         const { desk, windowMs, patienceMs } = this.options;
         const end = (window + 1) * windowMs;
@@ -60,7 +76,7 @@
 
     private async close(window: number, now: number): Promise<void> {
         const { log, desk, logger, windowMs } = this.options;
-        const counts = desk.sum(window);
+        const counts = this.sum(window);
         const closed = await log.propose({ kind: "starts.close", window, counts });
         const workspaces = Object.keys(counts).length;
         const ageMs = Math.round(now - (window + 1) * windowMs);
--- a/src/control/startsDesk/index.ts
+++ b/src/control/startsDesk/index.ts
@@ -1,6 +1,5 @@
-import { WorkspaceId } from "../../ids/index.js";
 import { Clock } from "../../ports/index.js";
-import { StartCounts, StartWindow } from "../../usage/index.js";
+import { RunReport, RunStarts, StartWindow } from "../../usage/index.js";
 import { PeerRouter } from "../../wire/index.js";
 
 /** Told by entries what they have counted; the body is a `StartsReport`. */
@@ -28,32 +27,45 @@
     countedAt: number;
     /** Monotonic, in milliseconds. */
     heardAt: number;
-    readonly windows: Map<number, StartCounts>;
 }
 
 /**
  * What entries have counted, in the memory of each control process: a new holder has the counts of entries that are lost since.
  *
  * @example
- * if (desk.isWhole(windowEnd)) await close(desk.sum(window));
+ * if (desk.isWhole(windowEnd)) await close(desk.counts.sum(window));
  */
 export class StartsDesk {
+    readonly counts = new RunStarts();
+    /** What has come since it was last taken to be noted. */
+    private readonly news = new RunStarts();
     private readonly runs = new Map<string, Run>();
 
     constructor(private readonly clock: Clock, router: PeerRouter) {
         router.add(STARTS_METHOD, body => this.take(body as StartsReport));
     }
 
-    /** Takes a report. Counts only grow, so that of two for one window the larger is the later. */
+    /** Takes a report. */
     take({ host, incarnation, countedAt, windows }: StartsReport): void {
         const name = `${host} ${incarnation}`;
-        const run = this.runs.get(name) ?? { countedAt, heardAt: 0, windows: new Map<number, StartCounts>() };
+        const run = this.runs.get(name) ?? { countedAt, heardAt: 0 };
         this.runs.set(name, run);
         run.heardAt = this.clock.monotonic();
         run.countedAt = Math.max(run.countedAt, countedAt);
-        for (const { window, counts } of windows) {
-            run.windows.set(window, larger(run.windows.get(window) ?? {}, counts));
-        }
+        const grown = this.counts.merge(name, windows);
+        this.news.merge(name, grown);
+    }
+
+    /** Gives what has come since the last time, once. */
+    takeNews(): readonly RunReport[] {
+        const runs = this.news.list();
+        this.news.clear();
+        return runs;
+    }
+
+    /** Takes back what could not be noted. */
+    returnNews(runs: readonly RunReport[]): void {
+        this.news.mergeAll(runs);
     }
 
     /** Whether each entry that lives has reported past a moment of true time. */
@@ -63,42 +75,13 @@
         return live.length > 0 && live.every(({ countedAt }) => countedAt >= until);
     }
 
-    /** The first window that any entry has counted in; undefined when there is none. */
-    firstWindow(): number | undefined {
-        const windows = [...this.runs.values()].flatMap(run => [...run.windows.keys()]);
-        return windows.length === 0 ? undefined : Math.min(...windows);
-    }
-
-    /** What all entries together have counted in a window. */
-    sum(window: number): StartCounts {
-        const sums: Record<WorkspaceId, number> = {};
-        for (const run of this.runs.values()) {
-            for (const [name, count] of Object.entries(run.windows.get(window) ?? {})) {
-                const workspace = name as WorkspaceId;
-                sums[workspace] = (sums[workspace] ?? 0) + count;
-            }
-        }
-        return sums;
-    }
-
     /** Forgets what is too old to be closed. */
     forgetBefore(now: number, windowMs: number): void {
         const oldest = Math.floor((now - KEPT_MS) / windowMs);
+        this.counts.forgetBefore(oldest);
+        this.news.forgetBefore(oldest);
         for (const [name, run] of this.runs) {
-            for (const window of run.windows.keys()) {
-                if (window < oldest) run.windows.delete(window);
-            }
-            const isOver = this.clock.monotonic() - run.heardAt > KEPT_MS;
-            if (isOver && run.windows.size === 0) this.runs.delete(name);
+            if (this.clock.monotonic() - run.heardAt > KEPT_MS) this.runs.delete(name);
         }
     }
 }
-
-function larger(one: StartCounts, other: StartCounts): StartCounts {
-    const result: Record<WorkspaceId, number> = { ...one };
-    for (const [name, count] of Object.entries(other)) {
-        const workspace = name as WorkspaceId;
-        result[workspace] = Math.max(result[workspace] ?? 0, count);
-    }
-    return result;
-}
--- a/src/control/startsDesk/test.ts
+++ b/src/control/startsDesk/test.ts
@@ -10,6 +10,7 @@
 import { HolderTerm } from "../holderTerm/index.js";
 import { MemoryLogGroup } from "../memoryControlLog/index.js";
 import { StartsCloser } from "../startsCloser/index.js";
+import { StartsNoter } from "../startsNoter/index.js";
 import { StartsReporter } from "../startsReporter/index.js";
 import { ControlState } from "../state/index.js";
 import { StartsDesk, StartsReport } from "./index.js";
@@ -66,7 +67,7 @@
             await clock.advance(250);
         }
     };
-    return { clock, state, platform, desk, report, run, first };
+    return { clock, state, log, time, platform, desk, report, run, first };
 }
 
 describe("windows of started requests", () => {
@@ -98,6 +99,43 @@
         assert.deepEqual(platform.reports[0].counts, { butcher: 7 });
     });
 
+    it("keep what was counted when all processes are killed in the middle of them", async () => {
+        // Guards against a window that is billed in part: its counts were in the memory of processes that are all gone.
+        const { clock, state, desk, log, report, first, time } = await makeDesk();
+        const term = { token: 1 as FencingToken, mayAct: () => true } as unknown as HolderTerm;
+        report("entry-1", 3);
+        report("entry-2", 4);
+        await new StartsNoter({ log, desk, logger: new SilentLogger() }).step(term);
+        const revived = new ControlState();
+        revived.restore(state.snapshot());
+        const group = new MemoryLogGroup(clock);
+        const nextLog = group.join("control-1" as HostId, revived);
+        group.elect("control-1" as HostId);
+        const nextDesk = new StartsDesk(clock, new PeerRouter());
+        const windows = [{ window: first, counts: { [BUTCHER]: 5 } as StartsReport["windows"][0]["counts"] }];
+        nextDesk.take({ host: "entry-1", incarnation: "2", countedAt: time.now(), windows });
+        const parts = { log: nextLog, state: revived, desk: nextDesk, time, logger: new SilentLogger() };
+        const closer = new StartsCloser({ ...parts, windowMs: WINDOW_MS, patienceMs: 6_000 });
+        await clock.advance(12_000);
+        await closer.step(term);
+        assert.deepEqual(revived.starts.listUnreported()[0].counts, { butcher: 12 });
+        assert.equal(revived.openStarts.isEmpty, true);
+    });
+
+    it("are not counted twice by a holder that has heard what is noted", async () => {
+        const { clock, state, desk, log, report, time } = await makeDesk();
+        const term = { token: 1 as FencingToken, mayAct: () => true } as unknown as HolderTerm;
+        const noter = new StartsNoter({ log, desk, logger: new SilentLogger() });
+        report("entry-1", 3);
+        await noter.step(term);
+        report("entry-1", 5);
+        await noter.step(term);
+        const parts = { log, state, desk, time, logger: new SilentLogger() };
+        await clock.advance(12_000);
+        await new StartsCloser({ ...parts, windowMs: WINDOW_MS, patienceMs: 6_000 }).step(term);
+        assert.deepEqual(state.starts.listUnreported()[0].counts, { butcher: 5 });
+    });
+
     it("are sent again with the same counts, whatever has been counted since", async () => {
         // The platform is down when a window is due. An entry's late count arrives before the next try; a report with other counts
         // than the first would be a second bill.
--- /dev/null
+++ b/src/control/startsNoter/index.ts
@@ -0,0 +1,44 @@
+import { ControlLog } from "../../consensus/index.js";
+import { Logger } from "../../logging/index.js";
+import { HolderTask } from "../holderRunner/index.js";
+import { HolderTerm } from "../holderTerm/index.js";
+import { StartsDesk } from "../startsDesk/index.js";
+
+/** How often counts go into the log, in milliseconds: those of the time since are lost if all processes are. */
+const NOTE_EVERY_MS = 100;
+
+/** What the noter is made of. */
+export interface StartsNoterOptions {
+    readonly log: ControlLog;
+    readonly desk: StartsDesk;
+    readonly logger: Logger;
+}
+
+/**
+ * Puts the counts of open windows into the log, by run of an entry and only what is new.
+ *
+ * Guards against a window that is billed in part: its counts are in memory alone until it is closed, and all processes may be killed or lose
+ * power before.
+ */
+export class StartsNoter extends HolderTask {
+    readonly name = "starts-noter";
+
+    constructor(private readonly options: StartsNoterOptions) {
+        super();
+    }
+
+    async step(term: HolderTerm): Promise<number> {
+        const { desk, log, logger } = this.options;
+        const runs = desk.takeNews();
+        if (runs.length === 0 || !term.mayAct()) {
+            desk.returnNews(runs);
+            return NOTE_EVERY_MS;
+        }
+        const noted = await log.propose({ kind: "starts.note", runs });
+        noted.ifLeft(err => {
+            logger.warn("starts-not-noted", { runs: runs.length, problem: err.message });
+            desk.returnNews(runs);
+        });
+        return NOTE_EVERY_MS;
+    }
+}
--- a/src/control/state/index.ts
+++ b/src/control/state/index.ts
@@ -6,8 +6,11 @@
 import {
     CloseStartsCommand,
     CloseWindowCommand,
+    NoteStartsCommand,
     ReportedCommand,
     ReserveCommand,
+    RunReport,
+    RunStarts,
     SpendBook,
     SpendSnapshot,
     StartsBook,
@@ -17,13 +20,17 @@
     UsageSnapshot,
 } from "../../usage/index.js";
 import { ChangeOutcome, ConfigChange, RegistrySnapshot, WorkspaceRegistry } from "../../workspace/index.js";
+import { ZoneBook, ZoneCommand, ZoneResult, ZoneSnapshot } from "../../zone/index.js";
 import { EntryCommand } from "../command/index.js";
 import { AnnounceHolderCommand, ControlAddress, ControlDirectory } from "../controlDirectory/index.js";
 import { ViewChange } from "../view/index.js";
 import { ViewHistory } from "../viewHistory/index.js";
 
-/** The version of the snapshot's layout. Fields may be added without raising it. */
-const SNAPSHOT_VERSION = 1;
+/** The versions of the snapshot's layout: without orders for zones, and with them. Fields may be added without raising them. */
+const PLAIN_VERSION = 1;
+const ZONES_VERSION = 2;
+/** The lowest version of programs that know orders for zones. */
+const ZONES_ENTRY_VERSION = 2;
 
 /** What may stand in the control log. */
 export type ControlCommand =
@@ -36,10 +43,12 @@
     | AnnounceHolderCommand
     | ReplaceDocumentCommand
     | CloseStartsCommand
-    | StartsReportedCommand;
+    | NoteStartsCommand
+    | StartsReportedCommand
+    | ZoneCommand;
 
-/** The answer to a command whose kind this version does not know. A newer version must not propose a new kind before each
- * replica runs it: replicas that skip a command would differ from those that do not. */
+/** The answer to a command whose kind this version does not know. A new kind is given an entry version of its own, so that older replicas
+ * stop at it: replicas that skip a command would differ from those that do not. */
 export interface UnsupportedResult {
     readonly state: "unsupported";
 }
@@ -57,6 +66,10 @@
     readonly document?: HeldDocument;
     /** Missing in snapshots of before there was one. */
     readonly starts?: StartsSnapshot;
+    /** Missing in snapshots of before there was one. */
+    readonly openStarts?: readonly RunReport[];
+    /** Missing in snapshots of before there was one. */
+    readonly zones?: ZoneSnapshot;
 }
 
 /**
@@ -75,25 +88,34 @@
     readonly directory = new ControlDirectory();
     readonly documents = new DocumentBook();
     readonly starts = new StartsBook();
+    /** Counts of windows that are not closed, as far as they were noted. */
+    readonly openStarts = new RunStarts();
+    readonly zones = new ZoneBook();
     private readonly history = new ViewHistory();
     private readonly listeners = new Set<() => void>();
 
-    /** The revision of the configuration: of workspaces and keys, or of the fleet document, whichever changed last. */
+    /** The revision of the configuration: of workspaces and keys, the fleet document or evacuated zones, whichever changed last. */
     get revision(): Revision {
-        return Math.max(this.registry.revision, this.documents.revision) as Revision;
+        return Math.max(this.registry.revision, this.documents.revision, this.zones.revision) as Revision;
     }
 
     apply(command: unknown, context: ApplyContext): unknown {
         return this.applyCommand(command as ControlCommand, context);
     }
 
+    override entryVersionOf(command: unknown): number {
+        const { kind } = command as ControlCommand;
+        return kind === "zone.evacuate" || kind === "zone.restore" ? ZONES_ENTRY_VERSION : 1;
+    }
+
     /** What entries at a revision need to know; everything when the history does not reach back so far. */
     changeSince(revision: number): ViewChange {
-        const { registry, documents } = this;
+        const { registry, documents, zones } = this;
         const change = this.history.changeSince(Math.min(revision, registry.revision), registry);
         const isNewDocument = documents.revision > revision;
         const document = isNewDocument ? { document: documents.held!.document } : {};
-        return { ...change, ...document, revision: this.revision };
+        const evacuated = zones.revision > revision ? { evacuatedZones: zones.list().map(({ zone }) => zone) } : {};
+        return { ...change, ...document, ...evacuated, revision: this.revision };
     }
 
     /** Calls back after each change of the configuration's revision; gives a way to stop that. */
@@ -104,7 +126,7 @@
 
     snapshot(): unknown {
         return {
-            version: SNAPSHOT_VERSION,
+            version: this.zones.revision > 0 ? ZONES_VERSION : PLAIN_VERSION,
             registry: this.registry.snapshot(),
             calls: this.ledger.snapshot(),
             usage: this.usage.snapshot(),
@@ -113,13 +135,15 @@
             directory: this.directory.snapshot(),
             document: this.documents.snapshot(),
             starts: this.starts.snapshot(),
+            openStarts: this.openStarts.list(),
+            zones: this.zones.snapshot(),
         } satisfies ControlSnapshot;
     }
 
     /** @throws Error when the snapshot's layout is newer than this version knows. */
     restore(snapshot: unknown): void {
         const { version, registry, calls, usage, spend, orders, ...later } = snapshot as ControlSnapshot;
-        if (version > SNAPSHOT_VERSION) throw new Error(`a snapshot of version ${version}`);
+        if (version > ZONES_VERSION) throw new Error(`a snapshot of version ${version}`);
         this.registry.restore(registry);
         this.ledger.restore(calls);
         this.usage.restore(usage);
@@ -128,6 +152,9 @@
         this.directory.restore(later.directory ?? []);
         this.documents.restore(later.document);
         if (later.starts) this.starts.restore(later.starts);
+        this.openStarts.clear();
+        this.openStarts.mergeAll(later.openStarts ?? []);
+        this.zones.restore(later.zones);
         this.history.restart(this.registry.revision);
         this.tellListeners();
     }
@@ -157,10 +184,16 @@
                 return this.directory.announce(command);
             case "document.replace":
                 return this.replaceDocument(command, context);
+            case "starts.note":
+                return this.noteStarts(command);
             case "starts.close":
+                this.openStarts.forgetBefore(command.window + 1);
                 return this.starts.close(command);
             case "starts.reported":
                 return this.starts.markReported(command);
+            case "zone.evacuate":
+            case "zone.restore":
+                return this.orderZone(command, context);
             case "template.put":
             case "workspace.create":
             case "workspace.limit":
@@ -189,6 +222,19 @@
         return result;
     }
 
+    /** A count of a closed window comes too late, and is not kept. */
+    private noteStarts({ runs }: NoteStartsCommand): void {
+        for (const { run, windows } of runs) {
+            this.openStarts.merge(run, windows.filter(({ window }) => !this.starts.isClosed(window)));
+        }
+    }
+
+    private orderZone(command: ZoneCommand, context: ApplyContext): ZoneResult {
+        const result = this.zones.apply(command, context.index);
+        if (result.state === "changed") this.tellListeners();
+        return result;
+    }
+
     private reserve(command: ReserveCommand, context: ApplyContext): unknown {
         // One that has been removed has no limit on record, and must not pass for one without a limit.
         const isKnown = this.registry.workspace(command.workspace) !== undefined;
--- a/src/control/view/index.ts
+++ b/src/control/view/index.ts
@@ -1,4 +1,4 @@
-import { KeyHash, Revision, WorkspaceId } from "../../ids/index.js";
+import { KeyHash, Revision, WorkspaceId, ZoneId } from "../../ids/index.js";
 import { FleetDocument } from "../../routing/index.js";
 import { KeyView, WorkspaceView } from "../../workspace/index.js";
 
@@ -34,6 +34,8 @@
     readonly packed?: PackedViews;
     /** The fleet document, when it is newer than the revision asked from. */
     readonly document?: FleetDocument;
+    /** All evacuated zones, when they have changed since the revision asked from. */
+    readonly evacuatedZones?: readonly ZoneId[];
 }
 
 /** The method by which an entry asks the holder for changes and renews its freshness lease. */
--- a/src/control/viewCache/index.ts
+++ b/src/control/viewCache/index.ts
@@ -1,4 +1,4 @@
-import { KeyHash, Revision, WorkspaceId } from "../../ids/index.js";
+import { KeyHash, Revision, WorkspaceId, ZoneId } from "../../ids/index.js";
 import { RouteTable } from "../../routing/index.js";
 import { WorkspaceView } from "../../workspace/index.js";
 import { HASH_BYTES, NO_LIMIT, packChange, packHash } from "../packedView/index.js";
@@ -21,6 +21,7 @@
     private readonly shared = new Map<string, ProfileView>();
     private latest = 0;
     private table: RouteTable | undefined;
+    private evacuated: readonly ZoneId[] = [];
 
     /** The revision in force here; 0 before the first view. */
     get revision(): Revision {
@@ -32,6 +33,11 @@
         return this.table;
     }
 
+    /** The zones whose upstreams get nothing. */
+    get evacuatedZones(): readonly ZoneId[] {
+        return this.evacuated;
+    }
+
     get workspaceCount(): number {
         return this.workspaces.size;
     }
@@ -55,6 +61,7 @@
         this.keepWorkspaces(packed);
         this.keepKeys(packed);
         if (change.document) this.table = new RouteTable(change.document);
+        if (change.evacuatedZones) this.evacuated = change.evacuatedZones;
         this.latest = change.revision;
         return true;
     }
--- a/src/daemon/runControl/index.ts
+++ b/src/daemon/runControl/index.ts
@@ -62,6 +62,7 @@
         state: running.state,
         service: running.service,
         documents: running.routing?.documents,
+        zones: running.routing?.zones,
         operatorAddresses: [],
     }));
     const handler = serveHealth(() => running.isReady, operate);
--- a/src/dispatch/localDispatcher/index.ts
+++ b/src/dispatch/localDispatcher/index.ts
@@ -21,6 +21,8 @@
     readonly observer?: DispatchObserver;
     /** How many tokens the memory of a pool's upstreams takes, where that is known. */
     readonly capacityOf?: (pool: PoolId) => number | undefined;
+    /** How many requests a second this process may send to an upstream of a pool while it is cold; undefined: as many as it likes. */
+    readonly coldRateOf?: (pool: PoolId) => number;
 }
 
 /** How often waiting tickets are looked at again, in milliseconds. */
@@ -148,13 +150,14 @@
     private queueOf(pool: PoolId): PoolQueue {
         const known = this.queues.get(pool);
         if (known) return known;
-        const { clock, random, registry, zone } = this.options;
+        const { clock, random, registry, zone, coldRateOf } = this.options;
+        const coldRate = coldRateOf && ((): number => coldRateOf(pool));
         const queue = new PoolQueue({
             clock,
             random,
             pool,
             zone,
-            members: new PoolMembers({ clock, registry, pool }),
+            members: new PoolMembers({ clock, registry, pool, coldRate }),
             prefixes: this.prefixes,
             lengths: this.lengths,
             policies: this.options.policies ?? DEFAULT_POLICIES,
--- a/src/dispatch/poolQueue/index.ts
+++ b/src/dispatch/poolQueue/index.ts
@@ -220,6 +220,7 @@
     tick(): void {
         const turn = this.ticks++;
         if (turn % REVIEW_TICKS === 0) this.reviewMembers();
+        else this.options.members.refreshCold();
         this.updateConcurrency();
         if (this.waiters.size === 0) return;
         if (this.waiters.size > MANY_WAITING && turn % MANY_WAITING_TICKS !== 0) return;
--- a/src/emulator/callStandIn/index.ts
+++ b/src/emulator/callStandIn/index.ts
@@ -24,6 +24,8 @@
     readonly path: string;
     readonly body: string;
     readonly headers: readonly (readonly [string, string])[];
+    /** Monotonic, in milliseconds. */
+    readonly at: number;
 }
 
 /** How a stand-in behaves. */
@@ -42,6 +44,8 @@
     readonly gapMs: number;
     /** The parts of prompts that it holds from the start. */
     readonly holds?: readonly PromptPart[];
+    /** How long after its start it is cold, in milliseconds. */
+    readonly coldMs?: number;
 }
 
 const MOST_BODY_BYTES = 16 * 1024 * 1024;
@@ -63,10 +67,12 @@
     /** The parts of prompts that it has read, with their tokens. */
     private readonly held = new Map<string, number>();
     private sequence = 0;
+    private coldUntil = 0;
     private running = 0;
 
     private constructor(private readonly options: CallStandInOptions) {
         for (const { id, tokens } of options.holds ?? []) this.held.set(id, tokens);
+        this.becomeCold(options.coldMs ?? 0);
     }
 
     static async start(options: CallStandInOptions): Promise<CallStandIn> {
@@ -85,6 +91,7 @@
     announce(state: Announcement["state"] = "ready"): Announcement {
         const { id, pool, zone, address, slots } = this.options;
         const load = { running: 0, queued: 0, kv_used: 0, tokens_per_second: 0, age_ms: 0 };
+        const coldMs = this.coldUntil - this.options.clock.monotonic();
         return {
             id,
             zone,
@@ -99,9 +106,15 @@
             price_per_hour: 0,
             reclaimable: false,
             checks_fence: false,
+            ...(coldMs > 0 ? { cold_ms: coldMs } : {}),
         };
     }
 
+    /** Makes it cold, which it says with its next announcement. */
+    becomeCold(ms: number): void {
+        this.coldUntil = this.options.clock.monotonic() + ms;
+    }
+
     async close(): Promise<void> {
         await this.listener?.close();
     }
@@ -115,7 +128,8 @@
         if (fault === "refuse" || this.running >= this.options.slots) return this.refuse(res, 503);
         const body = (await req.body(MOST_BODY_BYTES)).map(bytes => Buffer.from(bytes).toString()).orDefault("");
         const workspace = findHeader(req.headers, CALL_HEADERS.workspace);
-        this.runs.push({ request, workspace, path: req.path, body, headers: req.headers });
+        const at = this.options.clock.monotonic();
+        this.runs.push({ request, workspace, path: req.path, body, headers: req.headers, at });
         this.hold(findHeader(req.headers, CALL_HEADERS.parts));
         this.running++;
         await this.options.clock.sleep(this.options.workMs, req.closed);
--- /dev/null
+++ b/src/entry/coldUpstreams/test.ts
@@ -0,0 +1,93 @@
+import assert from "node:assert/strict";
+import { afterEach, describe, it } from "node:test";
+import { RoutedFleet, RoutedLayout, TestReply } from "../../faultInjection/index.js";
+import { PoolId } from "../../ids/index.js";
+import { makeDocument, makeRoute } from "../../routing/index.js";
+
+const KEY = "butcher-key";
+const POOL = "ledger" as PoolId;
+const COLD_RATE = 4;
+/** What is borne for a moment: two owners' worth, while a queue changes hands. */
+const MOST_IN_A_SECOND = 2 * COLD_RATE;
+const PARTS = {
+    routes: [makeRoute({ kind: "idempotent", attempts: 2, timeoutMs: 8_000, targetMs: 4_000 })],
+    pools: [{ pool: "ledger", connections: 500, cold: { durationMs: 3_000, requestsPerSecond: COLD_RATE + 0.5 } }],
+};
+
+describe("upstreams that are cold", () => {
+    const fleet = { running: undefined as RoutedFleet | undefined };
+
+    async function startFleet(layout: Partial<RoutedLayout> = {}): Promise<RoutedFleet> {
+        const upstreams = Array.from({ length: 4 }, () => ({ slots: 24, workMs: 30, coldMs: 60_000 }));
+        const started = new RoutedFleet({ entries: 4, upstreams, queueHosts: true, ...layout });
+        fleet.running = started;
+        await started.start(makeDocument(PARTS));
+        return started;
+    }
+
+    /** Sends calls through all entries for a while. */
+    async function load(running: RoutedFleet, seconds: number, perSecond: number): Promise<Promise<TestReply>[]> {
+        const replies: Promise<TestReply>[] = [];
+        for (let call = 0; call < seconds * perSecond; call++) {
+            replies.push(running.startCall({ entry: call % 4, path: `/orders/${call}`, key: KEY }));
+            await running.pass(1_000 / perSecond);
+        }
+        return replies;
+    }
+
+    /** The most requests that reached any one upstream within a second. */
+    function mostInASecond(running: RoutedFleet): number {
+        const counts = running.upstreams.flatMap(({ runs }) =>
+            runs.map(({ at }) => runs.filter(other => other.at >= at && other.at < at + 1_000).length)
+        );
+        return Math.max(0, ...counts);
+    }
+
+    afterEach(() => fleet.running?.close());
+
+    it("get no more than they bear, from all entries together", async () => {
+        const running = await startFleet();
+        const replies = await load(running, 6, 60);
+        assert.ok(mostInASecond(running) <= COLD_RATE);
+        const answered = (await running.run(Promise.all(replies))).filter(({ status }) => status === 200).length;
+        assert.ok(answered >= 4 * COLD_RATE * 5, `${answered} answered`);
+    });
+
+    it("get no more while their queue changes hands", async () => {
+        // Guards against a new owner that knows nothing of what the one before sent a moment ago.
+        const running = await startFleet();
+        const replies = await load(running, 2, 60);
+        await running.killControl(running.queueOwner(POOL));
+        replies.push(...await load(running, 4, 60));
+        assert.ok(mostInASecond(running) <= MOST_IN_A_SECOND);
+        await running.run(Promise.all(replies));
+    });
+
+    it("get nothing from entries that decide by themselves", async () => {
+        // Guards against as many bursts as there are entries, each of which would count only what it sends itself.
+        const running = await startFleet();
+        for (const number of [0, 1, 2, 3, 4]) running.cutControl(number, true);
+        const before = running.upstreams.map(({ runs }) => runs.length);
+        const replies = await load(running, 3, 60);
+        assert.deepEqual(running.upstreams.map(({ runs }) => runs.length), before);
+        await running.run(Promise.all(replies));
+    });
+
+    it("get the calls of a zone by steps when it is restored", async () => {
+        // Guards against upstreams that became cold while their zone was evacuated, and say so only with their next announcement.
+        const upstreams = ["vogar", "keflavik"].map(zone => ({ zone, slots: 24, workMs: 400 }));
+        const running = await startFleet({ upstreams });
+        assert.equal(await running.orderZone("zone.evacuate", "vogar"), true);
+        const replies = await load(running, 2, 50);
+        assert.equal(running.upstreams[0].runs.length, 0);
+        running.upstreams[0].becomeCold(3_000);
+        assert.equal(await running.orderZone("zone.restore", "vogar"), true);
+        replies.push(...await load(running, 2, 50));
+        const { runs } = running.upstreams[0];
+        assert.ok(runs.length > 0);
+        for (const { at } of runs) {
+            assert.ok(runs.filter(other => other.at >= at && other.at < at + 1_000).length <= COLD_RATE);
+        }
+        await running.run(Promise.all(replies));
+    });
+});
--- a/src/entry/entryProcess/index.ts
+++ b/src/entry/entryProcess/index.ts
@@ -6,7 +6,7 @@
     PoolOwnerTable,
     ROUTED_POLICIES,
 } from "../../dispatch/index.js";
-import { ZoneId } from "../../ids/index.js";
+import { PoolId, ZoneId } from "../../ids/index.js";
 import { Lifecycle } from "../../lifecycle/index.js";
 import { Logger } from "../../logging/index.js";
 import { Metrics } from "../../metrics/index.js";
@@ -28,6 +28,7 @@
 import { CacheSurvey } from "../cacheSurvey/index.js";
 import { DemandReporter } from "../demandReporter/index.js";
 import { EntryContext, EntryLimits } from "../entryContext/index.js";
+import { EvacuationWatch } from "../evacuationWatch/index.js";
 import { FleetControl } from "../fleetControl/index.js";
 import { FleetDispatcher } from "../fleetDispatcher/index.js";
 import { PeerBatchHolder } from "../peerBatchHolder/index.js";
@@ -102,6 +103,7 @@
     private readonly client: ControlClient;
     private readonly directory: PeerDirectory;
     private readonly spreader: AnnouncementSpreader;
+    private readonly evacuations: EvacuationWatch;
     private announcedDrain = false;
     private refusing = false;
     private callerListener: Listener | undefined;
@@ -132,6 +134,7 @@
             registry: this.registry,
             policies: options.routes && ROUTED_POLICIES,
             capacityOf: pool => this.cache.routes?.findPool(pool)?.engine?.kvTokens,
+            coldRateOf: pool => this.coldRateOf(pool),
         });
         this.dispatcher = new FleetDispatcher({
             clock,
@@ -141,6 +144,11 @@
             local: this.local,
             pools: () => this.cache.routes?.listPools().map(({ pool }) => pool) ?? [],
         });
+        this.evacuations = new EvacuationWatch({
+            ...options,
+            registry: this.registry,
+            listRunning: () => this.dispatcher.listRunning(),
+        });
         this.spreader = new AnnouncementSpreader(this.registry, this.directory, owners, self.host);
         this.meter = new UsageMeter({
             ...options,
@@ -227,6 +235,7 @@
         lifecycle.run(running => this.client.run(running), onError);
         lifecycle.run(running => this.dispatcher.run(running), onError);
         lifecycle.run(running => this.meter.run(running), onError);
+        lifecycle.run(running => this.evacuations.run(running), onError);
         lifecycle.run(running => keeper.run(running), onError);
         const { traffic } = this.router;
         lifecycle.run(running => reportTraffic({ ...options, traffic }, running), onError);
@@ -316,6 +325,19 @@
         });
     }
 
+    private evacuateZones(zones: readonly ZoneId[]): void {
+        this.evacuations.setZones(zones, this.cache.revision);
+        this.registry.setEvacuatedZones(zones, pool => this.cache.routes?.findPool(pool)?.cold?.durationMs ?? 0);
+    }
+
+    /** A host that is cut off may be one of many that believe to own a queue: it sends nothing to what is cold. */
+    private coldRateOf(pool: PoolId): number {
+        const rate = this.cache.routes?.findPool(pool)?.cold?.requestsPerSecond;
+        if (rate === undefined) return Number.POSITIVE_INFINITY;
+        const mayDecide = this.control.isFresh() && this.dispatcher.isLikelyOwner(pool);
+        return mayDecide ? Math.max(1, Math.floor(rate)) : 0;
+    }
+
     private makeClient(): ControlClient {
         const { options, cache } = this;
         return new ControlClient({
@@ -331,7 +353,8 @@
                 ownsQueues: options.ownsQueues,
             },
             cache,
-            onChange: () => {
+            onChange: change => {
+                if (change.evacuatedZones) this.evacuateZones(change.evacuatedZones);
                 this.control.viewChanged();
                 this.routes?.viewChanged();
             },
--- a/src/entry/fleetDispatcher/index.ts
+++ b/src/entry/fleetDispatcher/index.ts
@@ -8,7 +8,7 @@
     Refusal,
     Ticket,
 } from "../../dispatch/index.js";
-import { HostId, PoolId, RequestId } from "../../ids/index.js";
+import { HostId, PoolId, RequestId, UpstreamId } from "../../ids/index.js";
 import { Clock } from "../../ports/index.js";
 import { PeerError, PeerLink, PeerRouter } from "../../wire/index.js";
 import { PeerDirectory } from "../peerDirectory/index.js";
@@ -45,6 +45,8 @@
 const AT_ONCE_MS = 20;
 /** How many hosts that own a pool's queue, or would own it next, are kept connected: two may be lost at once. */
 const KEPT_OWNERS = 3;
+/** How many hosts may decide at a time while a queue changes hands: its owner before and its next. */
+const LIKELY_OWNERS = 2;
 const RETRY_AFTER_OWNER_LOST_MS = 1_000;
 /**
  * How long an owner may take to decide or to say that it will, in milliseconds. An owner that is cut off or frozen costs each
@@ -92,6 +94,21 @@
         return (pools?.() ?? []).some(pool => owners.rank(pool, hosts).slice(0, KEPT_OWNERS).includes(self));
     }
 
+    /** The upstreams of the grants in use, one for each. */
+    listRunning(): UpstreamId[] {
+        return [...this.granted.values()].map(({ grant }) => grant.upstream);
+    }
+
+    /**
+     * Whether this host owns a pool's queue, or would own it next, and so may send to upstreams that bear few requests from all hosts together:
+     * while the queue changes hands two hosts may, no more.
+     */
+    isLikelyOwner(pool: PoolId): boolean {
+        const { directory, owners, self } = this.options;
+        if (!directory.isOwningKind) return false;
+        return owners.rank(pool, directory.queueHosts()).slice(0, LIKELY_OWNERS).includes(self);
+    }
+
     onPreempt(listener: (request: RequestId) => void): void {
         this.preempt = listener;
     }
--- a/src/entry/peerDirectory/index.ts
+++ b/src/entry/peerDirectory/index.ts
@@ -68,6 +68,15 @@
         return this.list().queueHosts;
     }
 
+    /**
+     * Whether this host is of the kind that owns queues: it is there for it, or no host is. An entry that owns one only because no owner
+     * answers is not; other entries may decide for themselves at the same time.
+     */
+    get isOwningKind(): boolean {
+        const { ownsQueues = false, control } = this.options;
+        return ownsQueues || !control.entries().some(entry => entry.ownsQueues);
+    }
+
     /** The entries that serve callers, this one among them if it does. */
     callerHosts(): readonly HostId[] {
         return this.list().callerHosts;
--- a/src/entry/routeService/index.ts
+++ b/src/entry/routeService/index.ts
@@ -103,7 +103,13 @@
         this.view = view;
         if (!settings.callers) return;
         await this.openCallers(settings.callers, view, lifecycle);
-        this.sender = new StartsSender({ ...this.options, meter: this.starts, time: this.time, links: links.list });
+        this.sender = new StartsSender({
+            ...this.options,
+            meter: this.starts,
+            time: this.time,
+            links: links.list,
+            holderLink: () => client.holderLink,
+        });
         lifecycle.run(signal => this.sender!.run(signal), onError);
         logger.info("routes-served", { callers: formatAddress(settings.callers) });
     }
@@ -119,7 +125,10 @@
             repeats: new RepeatBudget(clock, settings.repeats),
             starts: this.starts,
             time: this.time,
-            isLeaving: upstream => LEAVING_STATES.includes(registry.get(upstream)?.state),
+            mayNotSendTo: id => {
+                const upstream = registry.get(id);
+                return LEAVING_STATES.includes(upstream?.state) || upstream?.isZoneEvacuated === true;
+            },
         });
         const listener = await http.serve(callers, toHttpLimits(DEFAULT_CALLER_LIMITS), handler);
         this.listener = listener;
--- a/src/faultInjection/routedFleet/index.ts
+++ b/src/faultInjection/routedFleet/index.ts
@@ -19,6 +19,7 @@
 } from "../../ports/index.js";
 import { checkDocument } from "../../routing/index.js";
 import { DEFAULT_REGISTRY_TIMING } from "../../upstream/index.js";
+import { ZoneCommand } from "../../zone/index.js";
 
 const PORTS = { control: 7001, callers: 8080, peers: 7000, upstream: 9000 } as const;
 const CALLER_HOST = "10.0.8.1";
@@ -39,6 +40,8 @@
     readonly upstreams: readonly Partial<CallStandInOptions>[];
     /** Control hosts own the queues of pools; otherwise entries do. */
     readonly queueHosts: boolean;
+    /** The zones that may be evacuated; undefined: any. */
+    readonly zones?: readonly string[];
 }
 
 /** A call as a test sends it. */
@@ -138,6 +141,7 @@
                 startsWindowMs: 5_000,
                 startsPatienceMs: 6_000,
                 silentAfterMs: 4 * HEARTBEAT_MS,
+                zones: this.layout.zones as readonly ZoneId[] | undefined,
             },
         });
         if (this.layout.queueHosts) this.queues[number] = await this.startQueues(number);
@@ -244,6 +248,13 @@
         return outcome.isRight();
     }
 
+    /** Evacuates or restores a zone through one control process. */
+    async orderZone(kind: ZoneCommand["kind"], zone: string, through = 0): Promise<boolean> {
+        const { zones } = this.controls[through]!.routing!;
+        const outcome = await this.run(zones.order({ kind, zone: zone as ZoneId }));
+        return outcome.isRight();
+    }
+
     /** Sends a call and reads its answer to the end. */
     call(call: TestCall): Promise<TestReply> {
         return this.run(this.startCall(call), CALL_LIMIT_MS);
--- a/src/passthrough/callContext/index.ts
+++ b/src/passthrough/callContext/index.ts
@@ -46,8 +46,8 @@
     readonly repeats: RepeatBudget;
     readonly starts: StartMeter;
     readonly time: TrueTime;
-    /** True when this entry has heard that an upstream leaves or is gone. */
-    readonly isLeaving: (upstream: UpstreamId) => boolean;
+    /** True when this entry has heard that an upstream leaves or is gone, or that its zone is evacuated. */
+    readonly mayNotSendTo: (upstream: UpstreamId) => boolean;
     /** True once a planned stop has begun: each answer closes its connection. */
     readonly isDraining: () => boolean;
 }
--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -85,7 +85,7 @@
     const decision = await ctx.dispatcher.submit(makeTicket(task), run.signal);
     if (decision.isLeft()) return endRefused(task, decision.extract() as Refusal);
     const grant = decision.extract() as Grant;
-    if (ctx.isLeaving(grant.upstream)) return leaveAside(task, grant);
+    if (ctx.mayNotSendTo(grant.upstream)) return leaveAside(task, grant);
     const fault = recheckKey(ctx, call);
     if (run.isCancelled || fault) {
         completeGrant(task, grant, "unused");
@@ -106,16 +106,16 @@
 }
 
 /**
- * Guards against work for an upstream that leaves: the owner of the queue may be cut off from the control processes and grant what all others
- * know to be leaving. The call is asked for again; an owner that has nothing else is not asked a third time.
+ * Guards against work for an upstream that leaves, or whose zone is evacuated: the owner of the queue may be cut off from the control processes
+ * and grant what all others know to be closed. The call is asked for again; an owner that has nothing else is not asked a third time.
  */
 function leaveAside(task: CallTask, grant: Grant): CallEnd | undefined {
     const { run, progress } = task;
     completeGrant(task, grant, "unused");
-    run.note("grant-unused", `${grant.upstream} leaves`);
+    run.note("grant-unused", `${grant.upstream} takes no more work`);
     if (run.isCancelled) return endStopped(task);
     if (progress.avoid.includes(grant.upstream)) {
-        const detail = "the only upstream that was offered leaves";
+        const detail = "the only upstream that was offered takes no more work";
         return progress.begun > 0
             ? endFailed(task, "lost")
             : fail(task, new CallError("refused", detail, LOST_RETRY_MS));
--- a/src/platform/controlPlane/index.ts
+++ b/src/platform/controlPlane/index.ts
@@ -1,5 +1,5 @@
-import { RoutingService } from "../../control/index.js";
-import { UpstreamId } from "../../ids/index.js";
+import { RoutingService, UnknownZoneError } from "../../control/index.js";
+import { UpstreamId, ZoneId } from "../../ids/index.js";
 import { Logger } from "../../logging/index.js";
 import { HttpHandler, HttpRequest, HttpResponse } from "../../ports/index.js";
 import { Announcement } from "../../protocol/index.js";
@@ -10,6 +10,7 @@
 /** Room for the largest configuration: thousands of routes. */
 const MOST_CONFIG_BYTES = 16 * 1024 * 1024;
 const INSTANCE_PATH = /^\/instances\/([^/?]+)\/(heartbeat|deregister)$/;
+const EVACUATION_PATH = /^\/evacuations\/([^/?]+)\/(begin|finish)$/;
 const RETRY_AFTER: [string, string] = ["retry-after", "0.2"];
 
 /**
@@ -24,6 +25,8 @@
         if (req.method === "POST" && verb === "deregister") return takeDeparture(routing, logger, id, res);
         if (req.method === "POST" && req.path === "/config/replace") return replaceConfig(routing, logger, req, res);
         if (req.method === "GET" && req.path.split("?")[0] === "/config/read") return readConfig(routing, res);
+        const [, zone, order] = EVACUATION_PATH.exec(req.path) ?? [];
+        if (req.method === "POST" && order) return orderZone(routing, decodeURIComponent(zone) as ZoneId, order, res);
         return answer(res, 404, { error: "not found" });
     };
 }
@@ -97,6 +100,18 @@
     });
 }
 
+async function orderZone(routing: RoutingService, zone: ZoneId, order: string, res: HttpResponse): Promise<void> {
+    const kind = order === "begin" ? "zone.evacuate" : "zone.restore";
+    const outcome = await routing.zones.order({ kind, zone });
+    return outcome.caseOf({
+        Left: err =>
+            err instanceof UnknownZoneError
+                ? answer(res, 404, { error: err.message })
+                : answer(res, 503, { error: err.message }, [RETRY_AFTER]),
+        Right: () => answer(res, 200, {}),
+    });
+}
+
 async function readConfig(routing: RoutingService, res: HttpResponse): Promise<void> {
     const read = await routing.documents.read();
     const held = read.toMaybe().extract();
--- /dev/null
+++ b/src/platform/controlPlane/test.ts
@@ -0,0 +1,65 @@
+import assert from "node:assert/strict";
+import { afterEach, describe, it } from "node:test";
+import { RoutedFleet } from "../../faultInjection/index.js";
+import { SilentLogger } from "../../logging/index.js";
+import { DEFAULT_HTTP_LIMITS } from "../../ports/index.js";
+import { makeDocument } from "../../routing/index.js";
+import { serveControlPlane } from "./index.js";
+
+const CONTROL = { host: "10.0.0.1", port: 8300 };
+const OPERATOR_HOST = "10.0.8.2";
+
+describe("serveControlPlane", () => {
+    const fleet = { running: undefined as RoutedFleet | undefined };
+
+    async function startFleet(): Promise<RoutedFleet> {
+        const running = new RoutedFleet({ entries: 1, upstreams: [{}], zones: ["vogar", "keflavik"] });
+        fleet.running = running;
+        await running.start(makeDocument());
+        const handler = serveControlPlane(running.controls[0]!.routing!, new SilentLogger());
+        await running.web.http(CONTROL.host).serve(CONTROL, DEFAULT_HTTP_LIMITS, handler);
+        return running;
+    }
+
+    async function post(running: RoutedFleet, path: string): Promise<number> {
+        const sent = running.web.http(OPERATOR_HOST).send({
+            address: CONTROL,
+            method: "POST",
+            path,
+            headers: [],
+            body: Buffer.alloc(0),
+            fresh: true,
+            connectTimeoutMs: 1_000,
+            headTimeoutMs: 1_000,
+        });
+        return (await running.run(sent)).map(({ status }) => status).orDefault(0);
+    }
+
+    afterEach(() => fleet.running?.close());
+
+    it("evacuates a zone and takes it back", async () => {
+        const running = await startFleet();
+        const listEvacuated = async () => {
+            const read = await running.run(running.controls[0]!.routing!.zones.read());
+            return read.unsafeCoerce().map(({ zone }) => zone);
+        };
+        assert.equal(await post(running, "/evacuations/vogar/begin"), 200);
+        assert.deepEqual(await listEvacuated(), ["vogar"]);
+        assert.equal(await post(running, "/evacuations/vogar/begin"), 200);
+        assert.equal(await post(running, "/evacuations/vogar/finish"), 200);
+        assert.deepEqual(await listEvacuated(), []);
+    });
+
+    it("knows no other zones and no other orders", async () => {
+        const running = await startFleet();
+        assert.equal(await post(running, "/evacuations/nowhere/begin"), 404);
+        assert.equal(await post(running, "/evacuations/vogar/pause"), 404);
+    });
+
+    it("answers that an order can't be taken now where no majority keeps it", async () => {
+        const running = await startFleet();
+        for (const number of [1, 2, 3, 4]) await running.killControl(number);
+        await running.pass(3_000);
+        assert.equal(await post(running, "/evacuations/vogar/begin"), 503);
+    });
+});
--- a/src/platform/documentReader/index.ts
+++ b/src/platform/documentReader/index.ts
@@ -50,6 +50,10 @@
 const serviceSchema = z.looseObject({
     name: z.string(),
     maxConnections: z.int().default(DEFAULT_CONNECTIONS),
+    /** How long an engine is cold after its start. */
+    coldS: z.number().min(0).default(0),
+    /** What a cold engine bears, from all hosts together; 0 where engines are never cold. */
+    coldPerS: z.number().min(0).default(0),
     engine: engineSchema.optional(),
     scaling: scalingSchema.optional(),
 });
@@ -131,10 +135,13 @@
     };
 }
 
-function translateService({ name, maxConnections, engine, scaling }: z.infer<typeof serviceSchema>): unknown {
+function translateService(
+    { name, maxConnections, coldS, coldPerS, engine, scaling }: z.infer<typeof serviceSchema>,
+): unknown {
     return {
         pool: name,
         connections: Math.max(1, maxConnections),
+        cold: coldPerS > 0 ? { durationMs: coldS * MS_PER_SECOND, requestsPerSecond: coldPerS } : undefined,
         engine: engine && {
             kvTokens: Math.max(1, engine.kvCapacity),
             kvBytes: Math.max(1, engine.kvBytes),
--- a/src/platform/documentReader/test.ts
+++ b/src/platform/documentReader/test.ts
@@ -48,6 +48,14 @@
         assert.deepEqual(document.workspaces, [{ workspace: "hule930", keys: ["k1", "k2"], tier: 1 }]);
     });
 
+    it("knows what engines bear that have just started", () => {
+        const [llm, app] = CONFIG.services;
+        const services = [{ ...llm, coldS: 3, coldPerS: 9.5 }, { ...app, coldS: 0, coldPerS: 0 }];
+        const { pools } = read({ ...CONFIG, services }).unsafeCoerce();
+        assert.deepEqual(pools[0].cold, { durationMs: 3_000, requestsPerSecond: 9.5 });
+        assert.equal(pools[1].cold, undefined);
+    });
+
     it("takes what it does not know", () => {
         assert.ok(read({ ...CONFIG, later: { more: 1 }, routes: [{ ...ROUTE, later: 1 }] }).isRight());
     });
--- a/src/platform/heartbeat/index.ts
+++ b/src/platform/heartbeat/index.ts
@@ -18,6 +18,8 @@
     sequence: z.int().min(0),
     /** When the engine started, in Unix milliseconds. */
     born: z.int().min(0).default(0),
+    /** How much longer the engine stays cold after its start. */
+    coldRemainingMs: z.number().min(0).default(0),
     /** Given by model engines only. */
     stage: z.string().optional(),
     /** The platform may take it back. */
@@ -51,6 +53,7 @@
             reclaimable: beat.spot ?? false,
             checks_fence: false,
             load: UNKNOWN_LOAD,
+            ...(beat.coldRemainingMs > 0 ? { cold_ms: beat.coldRemainingMs } : {}),
             ...(beat.leaves_ms === undefined ? {} : { reclaim_in_ms: beat.leaves_ms }),
         }));
 }
--- a/src/platform/heartbeat/test.ts
+++ b/src/platform/heartbeat/test.ts
@@ -38,6 +38,12 @@
         ]);
     });
 
+    it("knows how long an engine stays cold", () => {
+        assert.equal(read({ ...BEAT, coldRemainingMs: 2_750 }).unsafeCoerce().cold_ms, 2_750);
+        assert.equal(read(BEAT).unsafeCoerce().cold_ms, undefined);
+        assert.ok(read({ ...BEAT, coldRemainingMs: "soon" }).isLeft());
+    });
+
     it("names no engine where fields are missing or of another type", () => {
         for (
             const part of [{ service: 1 }, { state: "resting" }, { address: "nowhere" }, { slots: "4" }, { born: 1.5 }]
--- a/src/platform/nodeSettings/index.ts
+++ b/src/platform/nodeSettings/index.ts
@@ -8,6 +8,8 @@
     readonly host: HostId;
     readonly zone: ZoneId;
     readonly region: string;
+    /** All zones of the platform (`zones.NAME`). */
+    readonly zones: readonly ZoneId[];
     readonly ip: string;
     /** Where entries' callers come in (`listen.frontend`); undefined on machines without an entry. */
     readonly callers: Address | undefined;
@@ -46,6 +48,8 @@
 }
 
 const MS_PER_SECOND = 1_000;
+/** Begins the names of the fields that give each zone's region. */
+const ZONE_PREFIX = "zones.";
 
 /**
  * Turns a settings file into settings.
@@ -83,6 +87,7 @@
         host: text("nodeName") as HostId,
         zone: text("zone") as ZoneId,
         region: text("region"),
+        zones: listZones(file),
         ip,
         callers: address("listen.frontend"),
         readiness: address("listen.ready"),
@@ -109,3 +114,9 @@
     if (seeds.length === 0) problems.push("seeds names no address");
     return problems.length > 0 ? Left(problems) : Right(settings);
 }
+
+function listZones(file: NodeFile): ZoneId[] {
+    return [...file.keys()]
+        .filter(name => name.startsWith(ZONE_PREFIX))
+        .map(name => name.slice(ZONE_PREFIX.length) as ZoneId);
+}
--- a/src/platform/runControlNode/index.ts
+++ b/src/platform/runControlNode/index.ts
@@ -51,6 +51,7 @@
             startsWindowMs: usageWindowMs,
             startsPatienceMs: Math.max(0, settings.usageDueMs - REPORT_MARGIN_MS),
             silentAfterMs: silenceOf(settings.heartbeatMs),
+            zones: settings.zones.length > 0 ? settings.zones : undefined,
             platform: describePlatform(ports, settings),
         },
     });
--- a/src/protocol/announcement/index.ts
+++ b/src/protocol/announcement/index.ts
@@ -52,6 +52,8 @@
     checks_fence: z.boolean(),
     load: loadReportSchema,
     cache: cacheEventsSchema.optional(),
+    /** It has just started, and bears few requests a second for this many milliseconds. */
+    cold_ms: z.number().min(0).optional(),
     /** The platform takes it back in this many milliseconds. */
     reclaim_in_ms: z.number().min(0).optional(),
 });
--- a/src/purchase/zonePlan/index.ts
+++ b/src/purchase/zonePlan/index.ts
@@ -17,6 +17,8 @@
     readonly price: number;
     readonly steady: ZoneCount;
     readonly reclaimable: ZoneCount;
+    /** Its upstreams get no work. */
+    readonly isEvacuated?: boolean;
 }
 
 /** What a pool needs, and what it may have. */
@@ -47,18 +49,29 @@
 
 /**
  * Plans how many upstreams each zone should have: reclaimable ones where they are cheap, as many that the load is still carried when
- * the platform takes back those of a whole zone, and steady ones for what reclaimable ones can't carry now.
+ * the platform takes back those of a whole zone, and steady ones for what reclaimable ones can't carry now. A zone that is evacuated keeps
+ * what it has: its upstreams would be cold when it is restored if they had to be ordered anew.
  *
  * @example
  * const wishes = planZones({ zones, least: 1, most: 4, reclaimablePrice: 0.18, needed: 6, leastNeeded: 3 });
  */
 export function planZones(situation: PoolSituation): readonly ZoneWish[] {
+    const zones = situation.zones.filter(({ isEvacuated }) => !isEvacuated);
+    const planned = planOpenZones({ ...situation, zones });
+    return situation.zones.map(zone => planned.find(wish => wish.zone === zone.zone) ?? keepPresent(zone));
+}
+
+function planOpenZones(situation: PoolSituation): readonly ZoneWish[] {
     const { zones, reclaimablePrice } = situation;
     if (zones.length === 0) return [];
     const isCheap = reclaimablePrice !== undefined && reclaimablePrice <= WORTHWHILE_PRICE;
     return isCheap ? planReclaimable(situation) : planSteady(situation);
 }
 
+function keepPresent({ zone, steady, reclaimable }: ZoneSituation): ZoneWish {
+    return { zone, steady: steady.ordered ?? steady.ready, reclaimable: reclaimable.ordered ?? reclaimable.ready };
+}
+
 function planReclaimable(situation: PoolSituation): ZoneWish[] {
     const { zones, least, most, needed } = situation;
     // One zone may be taken back as a whole at any moment.
--- a/src/purchase/zonePlan/test.ts
+++ b/src/purchase/zonePlan/test.ts
@@ -98,4 +98,11 @@
             0,
         ]]);
     });
+
+    it("plans the other zones as if an evacuated one were not there, and leaves it as it is", () => {
+        // Guards against a zone that is lost while another one is evacuated, and against engines that are cold once it is restored.
+        const ready = { ready: 3, ordered: 3, soldOut: false };
+        const zones = NAMES.map(name => zone(name, { reclaimable: ready, isEvacuated: name === "b" }));
+        assert.deepEqual(plan(zones, { needed: 8, most: 9 }), [[0, 4], [0, 3], [0, 4], [0, 4]]);
+    });
 });
--- a/src/routing/fleetDocument/index.ts
+++ b/src/routing/fleetDocument/index.ts
@@ -78,11 +78,22 @@
 /** How a pool's size may be changed. */
 export type ScalingSpec = z.infer<typeof scalingSchema>;
 
+const coldSchema = z.object({
+    /** How long an upstream is cold after its start, in milliseconds. */
+    durationMs: z.number().min(0),
+    /** How many requests a second it bears meanwhile, from all hosts together. */
+    requestsPerSecond: z.number().positive(),
+});
+/** What upstreams bear that have just started. */
+export type ColdSpec = z.infer<typeof coldSchema>;
+
 const poolSchema = z.object({
     pool: poolIdSchema,
     /** How many connections an upstream takes from all entries together. */
     connections: z.int().min(1),
     engine: engineSchema.optional(),
+    /** Undefined: its upstreams bear their full load from the start. */
+    cold: coldSchema.optional(),
     scaling: scalingSchema.optional(),
 });
 /** A group of interchangeable upstreams. */
--- a/src/upstream/load/index.ts
+++ b/src/upstream/load/index.ts
@@ -1,4 +1,5 @@
 import { Announcement } from "../../protocol/index.js";
+import { RequestRate } from "../requestRate/index.js";
 import { Upstream } from "../upstream/index.js";
 
 interface Sample {
@@ -22,6 +23,7 @@
  */
 export class UpstreamLoad {
     private readonly history: Sample[] = [];
+    private readonly starts = new RequestRate();
     private own = 0;
     /** The report that the load of others was worked out from. */
     private foreignFrom: Announcement | undefined;
@@ -38,7 +40,11 @@
     private probedAt = 0;
     private failedProbes = 0;
 
-    constructor(readonly upstream: Upstream) {}
+    /**
+     * @param upstream - Whose load it is.
+     * @param coldRate - How many requests a second this process may send to it while it is cold.
+     */
+    constructor(readonly upstream: Upstream, private readonly coldRate: () => number = () => Infinity) {}
 
     /** Whether it is out as a straggler and gets single probes only. */
     get ejected(): boolean {
@@ -72,8 +78,13 @@
      */
     freeSlots(now: number): number {
         if (!this.isOpen(now)) return 0;
-        if (this.isEjected) return this.own === 0 && this.isProbeDue(now) ? 1 : 0;
-        return Math.max(0, this.upstream.slots - this.outstanding);
+        const free = this.isEjected ? this.countProbes(now) : Math.max(0, this.upstream.slots - this.outstanding);
+        return this.isCold(now) ? Math.min(free, this.coldAllowance(now)) : free;
+    }
+
+    /** Whether it has just started, and bears few requests a second. */
+    isCold(now: number): boolean {
+        return now < this.upstream.coldUntil;
     }
 
     /** Whether it may get work at all, busy or not. */
@@ -84,12 +95,14 @@
     /** How many requests of ours it can run at once, busy or not. */
     usableSlots(now: number): number {
         if (!this.isReady(now)) return 0;
-        return Math.max(0, this.upstream.slots - this.foreign());
+        const slots = Math.max(0, this.upstream.slots - this.foreign());
+        return this.isCold(now) ? Math.min(slots, this.coldRate()) : slots;
     }
 
     /** A request was sent. */
     markSent(now: number): void {
         this.own++;
+        this.starts.note(now);
         if (this.isEjected) this.probedAt = now;
         this.remember(now);
     }
@@ -100,6 +113,7 @@
      */
     adopt(startedAt: number): void {
         this.own++;
+        this.starts.note(startedAt);
         this.foreignFrom = undefined;
         const later = this.history.filter(sample => sample.at >= startedAt);
         const earlier = this.history.slice(0, this.history.length - later.length);
@@ -177,6 +191,18 @@
         this.paces = 0;
     }
 
+    private countProbes(now: number): number {
+        return this.own === 0 && this.isProbeDue(now) ? 1 : 0;
+    }
+
+    /**
+     * Guards against an upstream that crashes under the load of the whole pool as soon as it has started: it gets no more within any second
+     * than it bears.
+     */
+    private coldAllowance(now: number): number {
+        return Math.max(0, this.coldRate() - this.starts.count(now));
+    }
+
     private isProbeDue(now: number): boolean {
         return now - this.probedAt >= Math.min(PROBE_MOST_MS, PROBE_EVERY_MS * 2 ** this.failedProbes);
     }
--- a/src/upstream/load/test.ts
+++ b/src/upstream/load/test.ts
@@ -47,6 +47,58 @@
         assert.equal(load.usableSlots(1_000), 4);
     });
 
+    describe("while it is cold", () => {
+        const COLD_RATE = 3;
+
+        function makeCold(coldMs: number): UpstreamLoad {
+            const upstream = new Upstream(makeAnnouncement({ slots: 8, cold_ms: coldMs }), 0, true);
+            return new UpstreamLoad(upstream, () => COLD_RATE);
+        }
+
+        it("takes no more within any second than it bears, however soon they end", () => {
+            // Guards against an upstream that crashes under the load of the whole pool as soon as it has started.
+            const load = makeCold(10_000);
+            const sentAt: number[] = [];
+            for (let now = 0; now < 9_000; now += 10) {
+                while (load.freeSlots(now) > 0) {
+                    load.markSent(now);
+                    load.markEnded(now);
+                    sentAt.push(now);
+                }
+            }
+            for (const start of sentAt) {
+                assert.ok(sentAt.filter(at => at >= start && at < start + 1_000).length <= COLD_RATE);
+            }
+            assert.equal(sentAt.length, COLD_RATE * 9);
+        });
+
+        it("counts what an owner of the queue before sent within the second", () => {
+            // Guards against a new owner that sends as much as the one before, which was lost a moment ago.
+            const load = makeCold(10_000);
+            load.adopt(0);
+            load.adopt(200);
+            assert.equal(load.freeSlots(500), 1);
+            assert.equal(load.freeSlots(1_100), 2);
+        });
+
+        it("takes its full load once it is warm", () => {
+            const load = makeCold(2_000);
+            assert.equal(load.usableSlots(1_999), COLD_RATE);
+            assert.equal(load.freeSlots(2_000), 8);
+            assert.equal(load.usableSlots(2_000), 8);
+        });
+
+        it("may be cold again at any moment", () => {
+            const upstream = new Upstream(makeAnnouncement({ slots: 8 }), 0, true);
+            const load = new UpstreamLoad(upstream, () => COLD_RATE);
+            assert.equal(load.freeSlots(10), 8);
+            upstream.absorb(makeAnnouncement({ slots: 8, sequence: 2, cold_ms: 500 }), 20, true);
+            assert.equal(load.freeSlots(20), COLD_RATE);
+            upstream.absorb(makeAnnouncement({ slots: 8, sequence: 3 }), 100, true);
+            assert.equal(load.freeSlots(100), 8);
+        });
+    });
+
     it("rests after a failure, longer each time, until it answers", () => {
         const load = makeLoad(0, 0, 0);
         load.markFailed(0);
--- a/src/upstream/members/index.ts
+++ b/src/upstream/members/index.ts
@@ -19,6 +19,8 @@
     /** Members that rest after failures, and whether so many do that they get work all the same. */
     private readonly resting = new Set<UpstreamLoad>();
     private mostRest = false;
+    /** Members that are cold: what they can take changes from moment to moment. */
+    private readonly cold = new Set<UpstreamLoad>();
     private freeTotal = 0;
     private usableTotal = 0;
 
@@ -28,6 +30,8 @@
             readonly clock: Clock;
             readonly registry: UpstreamRegistry;
             readonly pool: PoolId;
+            /** How many requests a second this process may send to an upstream that is cold. */
+            readonly coldRate?: () => number;
         },
     ) {
         this.clock = options.clock;
@@ -71,7 +75,7 @@
             return;
         }
         this.remove(upstream.id);
-        const load = new UpstreamLoad(upstream);
+        const load = new UpstreamLoad(upstream, this.options.coldRate);
         this.loads.set(upstream.id, load);
         this.order.push(load);
         this.refresh(load);
@@ -103,6 +107,8 @@
 
     private count(load: UpstreamLoad, now: number): void {
         const { id } = load.upstream;
+        if (load.isCold(now)) this.cold.add(load);
+        else this.cold.delete(load);
         load.overrideRest(this.mostRest);
         const free = load.freeSlots(now);
         this.freeTotal += free - (this.free.get(id) ?? 0);
@@ -113,6 +119,11 @@
         this.usable.set(id, usable);
     }
 
+    /** Counts the free slots of cold members anew: they bear some more requests each moment. */
+    refreshCold(): void {
+        for (const load of [...this.cold]) this.refresh(load);
+    }
+
     /** Counts all free slots anew, for what time alone changes, and drops members that the registry forgot. */
     refreshAll(): void {
         for (const load of [...this.order]) {
@@ -163,6 +174,7 @@
         this.usableTotal -= this.usable.get(id) ?? 0;
         this.listAsFree(load, false);
         this.resting.delete(load);
+        this.cold.delete(load);
         this.free.delete(id);
         this.usable.delete(id);
         this.loads.delete(id);
--- a/src/upstream/members/test.ts
+++ b/src/upstream/members/test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { PoolId } from "../../ids/index.js";
+import { PoolId, ZoneId } from "../../ids/index.js";
 import { VirtualClock } from "../../ports/index.js";
 import { makeAnnouncement } from "../fixtures/index.js";
 import { UpstreamLoad } from "../load/index.js";
@@ -47,4 +47,41 @@
         members.refresh(members.all[1]);
         assert.equal(members.freeSlots, 2 * SLOTS);
     });
+
+    describe("a zone's evacuation", () => {
+        const COLD_RATE = 2;
+        const VOGAR = "vogar" as ZoneId;
+
+        function makeZones() {
+            const clock = new VirtualClock();
+            const registry = new UpstreamRegistry({ clock });
+            registry.announce(makeAnnouncement({ id: "a", pools: [POOL], slots: SLOTS, zone: VOGAR }));
+            registry.announce(makeAnnouncement({ id: "b", pools: [POOL], slots: SLOTS, zone: "keflavik" }));
+            const members = new PoolMembers({ clock, registry, pool: POOL, coldRate: () => COLD_RATE });
+            registry.onChange(upstream => members.update(upstream));
+            return { clock, registry, members };
+        }
+
+        it("takes its upstreams out, also those that come later", () => {
+            const { registry, members } = makeZones();
+            registry.setEvacuatedZones([VOGAR], () => 0);
+            assert.equal(members.freeSlots, SLOTS);
+            registry.announce(makeAnnouncement({ id: "c", pools: [POOL], slots: SLOTS, zone: VOGAR }));
+            registry.announce(makeAnnouncement({ id: "a", pools: [POOL], slots: SLOTS, zone: VOGAR, sequence: 2 }));
+            assert.equal(members.freeSlots, SLOTS);
+        });
+
+        it("takes them back as if they were cold, whatever they said before", async () => {
+            // Guards against upstreams that became cold in an evacuated zone, and are overrun before they say so.
+            const { clock, registry, members } = makeZones();
+            registry.setEvacuatedZones([VOGAR], () => 3_000);
+            registry.setEvacuatedZones([], () => 3_000);
+            assert.equal(members.freeSlots, SLOTS + COLD_RATE);
+            registry.announce(makeAnnouncement({ id: "a", pools: [POOL], slots: SLOTS, zone: VOGAR, sequence: 2 }));
+            assert.equal(members.freeSlots, SLOTS + COLD_RATE);
+            await clock.advance(3_000);
+            members.refreshCold();
+            assert.equal(members.freeSlots, 2 * SLOTS);
+        });
+    });
 });
--- a/src/upstream/registry/index.ts
+++ b/src/upstream/registry/index.ts
@@ -1,4 +1,4 @@
-import { PoolId, UpstreamId } from "../../ids/index.js";
+import { PoolId, UpstreamId, ZoneId } from "../../ids/index.js";
 import { Clock } from "../../ports/index.js";
 import { Announcement } from "../../protocol/index.js";
 import { isSameMembership, Upstream } from "../upstream/index.js";
@@ -65,6 +65,7 @@
     private readonly membershipVersions = new Map<UpstreamId, number>();
     private readonly byPool = new Map<PoolId, Map<UpstreamId, Upstream>>();
     private readonly listeners: UpstreamListener[] = [];
+    private evacuatedZones: ReadonlySet<ZoneId> = new Set();
     private log: Change[] = [];
     private version = 0;
 
@@ -169,6 +170,28 @@
         }
     }
 
+    /**
+     * Sets which zones are evacuated: their upstreams get no work.
+     *
+     * Guards against upstreams that are overrun as their zone is restored: they may have become cold meanwhile, and say so with their next
+     * announcement only. Until then they are taken to be cold.
+     *
+     * @param zones - All evacuated zones.
+     * @param coldMsOf - How long an upstream of a pool is cold after its start, in milliseconds.
+     */
+    setEvacuatedZones(zones: readonly ZoneId[], coldMsOf: (pool: PoolId) => number): void {
+        const before = this.evacuatedZones;
+        const now = this.clock.monotonic();
+        this.evacuatedZones = new Set(zones);
+        for (const upstream of this.upstreams.values()) {
+            const isEvacuated = this.evacuatedZones.has(upstream.zone);
+            if (isEvacuated === before.has(upstream.zone)) continue;
+            upstream.setZoneEvacuated(isEvacuated);
+            if (!isEvacuated) upstream.assumeCold(now + Math.max(...upstream.pools.map(coldMsOf)));
+            this.tell(upstream);
+        }
+    }
+
     /** Marks silent upstreams and forgets old leavers. Call it a few times a second. */
     expire(now: number = this.clock.monotonic()): void {
         for (const upstream of [...this.upstreams.values()]) {
@@ -195,6 +218,7 @@
             || !isSameMembership(known.announcement, announcement);
         if (known) this.removeFromPools(known);
         known?.absorb(announcement, heardAt, firstHand);
+        upstream.setZoneEvacuated(this.evacuatedZones.has(upstream.zone));
         this.upstreams.set(id, upstream);
         this.addToPools(upstream);
         this.record(id);
--- a/src/upstream/upstream/index.ts
+++ b/src/upstream/upstream/index.ts
@@ -14,6 +14,9 @@
     private parsedAddress: Address;
     private silent = false;
     private vouchedAt = Number.NEGATIVE_INFINITY;
+    private zoneEvacuated = false;
+    /** Until when it is taken to be cold whatever it says; monotonic, in milliseconds. */
+    private assumedColdUntil = Number.NEGATIVE_INFINITY;
 
     /**
      * @param announcement - The first one heard.
@@ -51,9 +54,18 @@
         return this.silent ? "silent" : "ready";
     }
 
-    /** May get new work. An upstream about to be reclaimed may not. */
+    /** May get new work. An upstream about to be reclaimed may not, nor one whose zone is evacuated. */
     get isGrantable(): boolean {
-        return this.state === "ready" && this.newest.reclaim_in_ms === undefined;
+        return this.state === "ready" && this.newest.reclaim_in_ms === undefined && !this.zoneEvacuated;
+    }
+
+    get isZoneEvacuated(): boolean {
+        return this.zoneEvacuated;
+    }
+
+    /** Until when it bears few requests a second; monotonic, in milliseconds. */
+    get coldUntil(): number {
+        return Math.max(this.assumedColdUntil, this.heardAt + (this.newest.cold_ms ?? 0));
     }
 
     /** Monotonic time at which it was last known to announce itself, here or at a process that vouches for it, in milliseconds. */
@@ -98,6 +110,20 @@
         this.silent = false;
     }
 
+    /** Sets whether its zone is evacuated. */
+    setZoneEvacuated(isEvacuated: boolean): void {
+        this.zoneEvacuated = isEvacuated;
+    }
+
+    /**
+     * Takes it to be cold, even if it says that it is not: it may have become so since.
+     *
+     * @param until - Monotonic, in milliseconds.
+     */
+    assumeCold(until: number): void {
+        this.assumedColdUntil = until;
+    }
+
     /** Marks it as not heard of for too long. */
     markSilent(): void {
         this.silent = true;
@@ -105,7 +131,8 @@
 }
 
 /**
- * Whether two announcements say the same of all but load and caches: where the upstream is, what it serves, and whether it may get work.
+ * Whether two announcements say the same of all but load and caches: where the upstream is, what it serves, and whether it may get work,
+ * be it little.
  *
  * @param one - An announcement.
  * @param other - Another one of the same upstream.
@@ -120,9 +147,14 @@
         && one.price_per_hour === other.price_per_hour
         && one.reclaimable === other.reclaimable
         && one.checks_fence === other.checks_fence
+        && isCold(one) === isCold(other)
         && (one.reclaim_in_ms === undefined) === (other.reclaim_in_ms === undefined)
         && one.pools.length === other.pools.length
         && one.pools.every((pool, at) => pool === other.pools[at]);
 }
 
+function isCold({ cold_ms: coldMs = 0 }: Announcement): boolean {
+    return coldMs > 0;
+}
+
 const STATE_RANK = { ready: 0, leaving: 1, gone: 2 } as const;
--- a/src/usage/index.ts
+++ b/src/usage/index.ts
@@ -1,4 +1,5 @@
 /** Usage windows: each batch counted once, figures frozen when a window closes, limits shared out among hosts. */
+export * from "./runStarts/index.js";
 export * from "./sequenceSet/index.js";
 export * from "./spendBook/index.js";
 export * from "./startMeter/index.js";
--- a/src/usage/startMeter/index.ts
+++ b/src/usage/startMeter/index.ts
@@ -19,6 +19,9 @@
  */
 export class StartMeter {
     private readonly windows = new Map<number, Map<WorkspaceId, number>>();
+    /** The workspaces counted since news was last taken, by window. */
+    private readonly news = new Map<number, Set<WorkspaceId>>();
+    private readonly listeners: (() => void)[] = [];
 
     /** @param windowMs - A window's length, in milliseconds. */
     constructor(private readonly windowMs: number) {}
@@ -29,6 +32,24 @@
         const counts = this.windows.get(window) ?? new Map<WorkspaceId, number>();
         counts.set(workspace, (counts.get(workspace) ?? 0) + 1);
         this.windows.set(window, counts);
+        const news = this.news.get(window) ?? new Set<WorkspaceId>();
+        this.news.set(window, news.add(workspace));
+        for (const listener of this.listeners) listener();
+    }
+
+    /** Calls back after each request counted. */
+    onNote(listener: () => void): void {
+        this.listeners.push(listener);
+    }
+
+    /** The counts that have changed since the last time, once. */
+    takeNews(): readonly StartWindow[] {
+        const news = [...this.news].map(([window, workspaces]) => {
+            const counts = [...workspaces].map(workspace => [workspace, this.windows.get(window)?.get(workspace) ?? 0]);
+            return { window, counts: Object.fromEntries(counts) as StartCounts };
+        });
+        this.news.clear();
+        return news;
     }
 
     /** The windows of the last minute. */
--- a/src/usage/startMeter/test.ts
+++ b/src/usage/startMeter/test.ts
@@ -15,6 +15,19 @@
         ]);
     });
 
+    it("gives what has changed once, and says that there is something", () => {
+        const meter = new StartMeter(5_000);
+        let noted = 0;
+        meter.onNote(() => noted++);
+        meter.note(BUTCHER, 10_000);
+        meter.note("hotel" as WorkspaceId, 10_000);
+        assert.deepEqual(meter.takeNews(), [{ window: 2, counts: { butcher: 1, hotel: 1 } }]);
+        meter.note(BUTCHER, 11_000);
+        assert.deepEqual(meter.takeNews(), [{ window: 2, counts: { butcher: 2 } }]);
+        assert.deepEqual(meter.takeNews(), []);
+        assert.equal(noted, 3);
+    });
+
     it("forgets windows of more than a minute ago", () => {
         const meter = new StartMeter(5_000);
         meter.note(BUTCHER, 10_000);
--- a/src/usage/startsBook/index.ts
+++ b/src/usage/startsBook/index.ts
@@ -47,6 +47,11 @@
         return this.windows.size === 0 ? undefined : Math.max(...this.windows.keys());
     }
 
+    /** Whether the counts of a window can't change any more. */
+    isClosed(window: number): boolean {
+        return window <= (this.lastClosed ?? Number.NEGATIVE_INFINITY);
+    }
+
     /** @returns The counts that hold for the window. */
     close({ window, counts }: CloseStartsCommand): ClosedStarts {
         const known = this.windows.get(window);
