--- a/src/control/controlClient/index.ts
+++ b/src/control/controlClient/index.ts
@@ -174,9 +174,9 @@
         return new Promise(resolve => {
             const look = (): void => {
                 if (!this.isFresh()) resolve(undefined);
-                else timer = clock.after(clock.untilBeat(STALE_LOOK_MS), look);
+                else timer = clock.after(clock.untilTick(STALE_LOOK_MS), look);
             };
-            let timer = clock.after(clock.untilBeat(STALE_LOOK_MS), look);
+            let timer = clock.after(clock.untilTick(STALE_LOOK_MS), look);
             void asked.then(answer => {
                 timer.cancel();
                 resolve(answer);
--- a/src/control/routingService/index.ts
+++ b/src/control/routingService/index.ts
@@ -154,7 +154,7 @@
         const { clock, log } = this.options;
         while (!signal.aborted) {
             this.links.setMembers(log.configuration().members.map(({ address }) => formatAddress(address)));
-            await clock.sleepToBeat(MEMBERS_EVERY_MS, signal);
+            await clock.sleepToTick(MEMBERS_EVERY_MS, signal);
         }
     }
 }
--- a/src/discovery/announcementFollower/index.ts
+++ b/src/discovery/announcementFollower/index.ts
@@ -80,7 +80,7 @@
     async run(signal: AbortSignal): Promise<void> {
         const { clock, levelNeeded } = this.options;
         while (!signal.aborted) {
-            await clock.sleepToBeat(LOOK_EVERY_MS, signal);
+            await clock.sleepToTick(LOOK_EVERY_MS, signal);
             this.vouchForOrphans();
             const level = levelNeeded?.() ?? "all";
             for (const [channel, asked] of this.followed) {
--- a/src/discovery/announcementHub/index.ts
+++ b/src/discovery/announcementHub/index.ts
@@ -75,7 +75,7 @@
     /** Sends news, and looks for upstreams that have gone silent, until the signal is aborted. */
     async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
-            await this.options.clock.sleepToBeat(SEND_EVERY_MS, signal);
+            await this.options.clock.sleepToTick(SEND_EVERY_MS, signal);
             this.options.registry.expire();
             this.sendNews();
         }
--- a/src/entry/cacheSurvey/index.ts
+++ b/src/entry/cacheSurvey/index.ts
@@ -52,7 +52,7 @@
     async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
             const ownsAny = this.askNewcomers(signal);
-            await this.options.clock.sleepToBeat(ownsAny ? LOOK_EVERY_MS : IDLE_LOOK_MS, signal);
+            await this.options.clock.sleepToTick(ownsAny ? LOOK_EVERY_MS : IDLE_LOOK_MS, signal);
         }
     }
 
--- a/src/entry/demandReporter/index.ts
+++ b/src/entry/demandReporter/index.ts
@@ -40,7 +40,7 @@
         while (!signal.aborted) {
             const pools = this.describePools();
             if (pools.length > 0) await client.reportDemand({ region, pools });
-            await clock.sleepToBeat(REPORT_EVERY_MS, signal);
+            await clock.sleepToTick(REPORT_EVERY_MS, signal);
         }
     }
 
--- a/src/entry/evacuationWatch/index.ts
+++ b/src/entry/evacuationWatch/index.ts
@@ -49,7 +49,7 @@
     /** Counts until the signal is aborted. */
     async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
-            await this.options.clock.sleepToBeat(COUNT_EVERY_MS, signal);
+            await this.options.clock.sleepToTick(COUNT_EVERY_MS, signal);
             if (this.busy.size > 0) this.count();
         }
     }
--- a/src/entry/fleetDispatcher/index.ts
+++ b/src/entry/fleetDispatcher/index.ts
@@ -176,7 +176,7 @@
     /** Sends what was gathered for the owners, one notice each, until the signal is aborted. */
     async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
-            await this.options.clock.sleepToBeat(PROGRESS_EVERY_MS, signal);
+            await this.options.clock.sleepToTick(PROGRESS_EVERY_MS, signal);
             for (const [owner, sums] of this.gathered) this.sendProgress(owner, sums);
             this.gathered.clear();
             this.warmLinks();
--- a/src/entry/startsSender/index.ts
+++ b/src/entry/startsSender/index.ts
@@ -40,7 +40,7 @@
     /** Sends until the signal is aborted. */
     async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
-            await this.options.clock.sleepToBeat(SEND_EVERY_MS, signal);
+            await this.options.clock.sleepToTick(SEND_EVERY_MS, signal);
             this.sendOnce();
         }
         this.telling?.cancel();
@@ -60,7 +60,7 @@
 
     private tellHolderSoon(): void {
         const { clock } = this.options;
-        this.telling ??= clock.after(clock.untilBeat(TELL_HOLDER_MS), () => this.tellHolder());
+        this.telling ??= clock.after(clock.untilTick(TELL_HOLDER_MS), () => this.tellHolder());
     }
 
     private tellHolder(): void {
--- a/src/entry/usageKeeper/index.ts
+++ b/src/entry/usageKeeper/index.ts
@@ -54,7 +54,7 @@
     /** Hands in what was not released, until the signal is aborted. */
     async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
-            await this.clock.sleepToBeat(LOOK_EVERY_MS, signal);
+            await this.clock.sleepToTick(LOOK_EVERY_MS, signal);
             await this.handInOverdue();
         }
     }
--- a/src/entry/usageMeter/index.ts
+++ b/src/entry/usageMeter/index.ts
@@ -71,7 +71,7 @@
     /** Hands batches to the control log until the signal is aborted, then tries once more. */
     async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
-            await this.options.clock.sleepToBeat(REPORT_PAUSE_MS, signal);
+            await this.options.clock.sleepToTick(REPORT_PAUSE_MS, signal);
             await this.report();
         }
     }
--- a/src/ports/clock/index.ts
+++ b/src/ports/clock/index.ts
@@ -60,20 +60,20 @@
      *
      * @param periodMs - The period, in milliseconds.
      */
-    untilBeat(periodMs: number): number {
+    untilTick(periodMs: number): number {
         const leftMs = periodMs - this.monotonic() % periodMs;
-        // Timers may fire a little early, and a beat must not come twice.
+        // Timers may fire a little early, and a tick must not come twice.
         return Math.ceil(leftMs < EARLY_SHARE * periodMs ? leftMs + periodMs : leftMs);
     }
 
     /**
-     * Waits for the next multiple of a period, as `untilBeat` counts.
+     * Waits for the next multiple of a period, as `untilTick` counts.
      *
      * @param periodMs - The period, in milliseconds.
      * @param signal - As for `sleep`.
      */
-    sleepToBeat(periodMs: number, signal?: AbortSignal): Promise<void> {
-        return this.sleep(this.untilBeat(periodMs), signal);
+    sleepToTick(periodMs: number, signal?: AbortSignal): Promise<void> {
+        return this.sleep(this.untilTick(periodMs), signal);
     }
 }
 
--- a/src/ports/clock/test.ts
+++ b/src/ports/clock/test.ts
@@ -3,27 +3,27 @@
 import { VirtualClock } from "../virtualClock/index.js";
 
 describe("Clock", () => {
-    describe("sleepToBeat", () => {
+    describe("sleepToTick", () => {
         it("lets tasks of equal periods go on at the same moments, whenever they began", async () => {
             const clock = new VirtualClock();
-            const beats = new Set<number>();
+            const ticks = new Set<number>();
             const count = async (): Promise<void> => {
                 for (let times = 0; times < 5; times++) {
-                    await clock.sleepToBeat(200);
-                    beats.add(clock.monotonic());
+                    await clock.sleepToTick(200);
+                    ticks.add(clock.monotonic());
                 }
             };
             void count();
             await clock.advance(70);
             void count();
             await clock.advance(1_500);
-            assert.deepEqual([...beats], [200, 400, 600, 800, 1_000]);
+            assert.deepEqual([...ticks], [200, 400, 600, 800, 1_000]);
         });
 
-        it("gives no beat twice when a timer has fired a little early", async () => {
+        it("gives no tick twice when a timer has fired a little early", async () => {
             const clock = new VirtualClock();
             await clock.advance(199);
-            assert.equal(clock.untilBeat(200), 201);
+            assert.equal(clock.untilTick(200), 201);
         });
     });
 });
--- a/src/wire/peerChannel/index.ts
+++ b/src/wire/peerChannel/index.ts
@@ -249,9 +249,9 @@
                 return;
             }
             if (now - this.lastSentAt >= timing.heartbeatMs) this.send([FrameKind.Ping, 0, ""]);
-            clock.after(clock.untilBeat(timing.heartbeatMs / 2), look);
+            clock.after(clock.untilTick(timing.heartbeatMs / 2), look);
         };
-        clock.after(clock.untilBeat(timing.heartbeatMs / 2), look);
+        clock.after(clock.untilTick(timing.heartbeatMs / 2), look);
     }
 }
 
--- a/src/wire/trafficReporter/index.ts
+++ b/src/wire/trafficReporter/index.ts
@@ -30,7 +30,7 @@
 export async function reportTraffic(options: TrafficReporterOptions, signal: AbortSignal): Promise<void> {
     const { clock, logger, traffic, metrics } = options;
     for (let reports = 1; !signal.aborted; reports++) {
-        await clock.sleepToBeat(REPORT_EVERY_MS, signal);
+        await clock.sleepToTick(REPORT_EVERY_MS, signal);
         if (metrics) traffic.report(metrics);
         if (reports % REPORTS_PER_LINE === 0) logger.info("peer-traffic", describe(traffic));
     }
