--- a/src/control/entryTable/index.ts
+++ b/src/control/entryTable/index.ts
@@ -103,19 +103,19 @@
 
     /** The entries whose lease has not run out, each with the revision that it has in force. */
     listAcknowledged(): readonly AcknowledgedEntry[] {
-        this.dropLapsed();
+        this.dropExpired();
         return [...this.standings.values()].map(({ view, revision }) => ({ ...view, revision }));
     }
 
     /** The entries whose lease has not run out. */
     listLive(): readonly EntryView[] {
-        this.dropLapsed();
+        this.dropExpired();
         return [...this.standings.values()].map(({ view }) => view);
     }
 
     /** What has changed since a version; undefined when that is too long ago. */
     listChangesSince(version: number): EntryChanges | undefined {
-        this.dropLapsed();
+        this.dropExpired();
         if (version < this.changesFrom) return undefined;
         const entries: EntryView[] = [];
         const gone: GoneEntry[] = [];
@@ -135,16 +135,16 @@
 
     /** True once an entry's run can hold no lease any more, known to this holder or not. */
     hasLapsed(host: string, incarnation: string): boolean {
-        this.dropLapsed();
+        this.dropExpired();
         return this.isComplete && !this.standings.has(nameRun({ host, incarnation }));
     }
 
     private isAppliedByAll(revision: number): boolean {
-        this.dropLapsed();
+        this.dropExpired();
         return [...this.standings.values()].every(standing => standing.revision >= revision);
     }
 
-    private dropLapsed(): void {
+    private dropExpired(): void {
         const now = this.clock.monotonic();
         for (const [name, standing] of this.standings) {
             if (now < standing.leaseUntil) continue;
--- a/src/control/routingService/index.ts
+++ b/src/control/routingService/index.ts
@@ -1,5 +1,5 @@
 import { ReplicatedLog } from "../../consensus/index.js";
-import { AnnouncementFollower, AnnouncementHub } from "../../discovery/index.js";
+import { AnnouncementPublisher, AnnouncementSubscriber } from "../../discovery/index.js";
 import { ZoneId } from "../../ids/index.js";
 import { Lifecycle } from "../../lifecycle/index.js";
 import { Logger } from "../../logging/index.js";
@@ -84,24 +84,24 @@
 export class RoutingService {
     readonly registry: UpstreamRegistry;
     /** Where upstreams' announcements are taken. */
-    readonly hub: AnnouncementHub;
+    readonly publisher: AnnouncementPublisher;
     readonly documents: DocumentDesk;
     readonly zones: ZoneEvacuation;
     readonly time: TrueTime;
     private readonly starts: StartsDesk;
-    private readonly follower: AnnouncementFollower;
+    private readonly subscriber: AnnouncementSubscriber;
     private readonly links: ControlLinkSet;
 
     constructor(private readonly options: RoutingServiceOptions) {
         const { clock, router, routing, peers } = options;
         const timing = { silentAfterMs: routing.silentAfterMs, tombstoneMs: TOMBSTONE_MS };
         this.registry = new UpstreamRegistry({ clock, timing });
-        this.hub = new AnnouncementHub({ clock, router, registry: this.registry });
+        this.publisher = new AnnouncementPublisher({ clock, router, registry: this.registry });
         this.documents = new DocumentDesk({ ...options, leastVoters: routing.voters });
         this.zones = new ZoneEvacuation({ ...options, leastVoters: routing.voters, zones: routing.zones });
         this.time = new TrueTime(clock);
         this.starts = new StartsDesk(clock, router);
-        this.follower = new AnnouncementFollower({
+        this.subscriber = new AnnouncementSubscriber({
             ...options,
             registry: this.registry,
             onWallTime: (host, wallMs) => this.time.learn(host, wallMs),
@@ -109,7 +109,7 @@
         this.links = new ControlLinkSet({
             ...options,
             ownAddress: peers,
-            onOpen: channel => void this.follower.follow(channel),
+            onOpen: channel => void this.subscriber.subscribe(channel),
         });
     }
 
@@ -123,9 +123,9 @@
         const { lifecycle, logger, routing } = this.options;
         const onError = (err: unknown): void => logger.error("task-failed", { problem: String((err as Error).stack) });
         this.setSeeds(routing.seeds);
-        lifecycle.run(signal => this.hub.run(signal), onError);
+        lifecycle.run(signal => this.publisher.run(signal), onError);
         lifecycle.run(signal => this.followMembers(signal), onError);
-        lifecycle.run(signal => this.follower.run(signal), onError);
+        lifecycle.run(signal => this.subscriber.run(signal), onError);
     }
 
     /** What the holder of the lease does for routed calls. */
--- a/src/daemon/runControl/index.ts
+++ b/src/daemon/runControl/index.ts
@@ -47,11 +47,11 @@
     });
     lifecycle.own(() => running.close());
     if (running.routing && listen.upstreams) {
-        const { hub } = running.routing;
+        const { publisher } = running.routing;
         const upstreams = await ports.http.serve(
             listen.upstreams,
             DEFAULT_HTTP_LIMITS,
-            serveAnnouncements(announcement => hub.take(announcement)),
+            serveAnnouncements(announcement => publisher.take(announcement)),
         );
         lifecycle.own(() => upstreams.close());
     }
--- a/src/discovery/announcementHub/index.ts
+++ b/src/discovery/announcementPublisher/index.ts
@@ -3,57 +3,64 @@
 import { Announcement, LoadReport } from "../../protocol/index.js";
 import { SpreadRecord, SpreadScope, UpstreamRegistry } from "../../upstream/index.js";
 import { EncodedBody, PeerChannel, PeerRouter } from "../../wire/index.js";
-import { FOLLOW_METHOD, FollowRequest, Lapse, News, NEWS_METHOD, NewsLevel } from "../news/index.js";
+import {
+    AnnouncementUpdate,
+    ExpiredUpstream,
+    SUBSCRIBE_METHOD,
+    SubscribeRequest,
+    UPDATE_METHOD,
+    UpdateLevel,
+} from "../announcementUpdate/index.js";
 
 /** How often news is sent, in milliseconds: a new upstream gets work a little later, and many announcements share a message. */
 const SEND_EVERY_MS = 100;
-/** A follower hears at least this often, in milliseconds: the hub's time of day, and that it still hears its upstreams. */
+/** A subscriber hears at least this often, in milliseconds: the publisher's time of day, and that it still hears its upstreams. */
 const HEARD_EVERY_MS = 1_000;
-/** How long a follower may take to confirm that an upstream leaves, in milliseconds: well under the upstream's own patience. */
+/** How long a subscriber may take to confirm that an upstream leaves, in milliseconds: well under the upstream's own patience. */
 const CONFIRM_MS = 300;
 /** What a record says of load where only membership is told: the true one would soon be out of date, and is not corrected. */
 const NO_LOAD: LoadReport = { running: 0, queued: 0, kv_used: 0, tokens_per_second: 0, age_ms: 0 };
 
-const SCOPES: Readonly<Record<NewsLevel, SpreadScope>> = { membership: "membership", all: "heard" };
+const SCOPES: Readonly<Record<UpdateLevel, SpreadScope>> = { membership: "membership", all: "heard" };
 
-/** What a hub is made of. */
-export interface AnnouncementHubOptions {
+/** What a publisher is made of. */
+export interface AnnouncementPublisherOptions {
     readonly clock: Clock;
     readonly registry: UpstreamRegistry;
-    /** Gets the method by which others follow. */
+    /** Gets the method by which others subscribe. */
     readonly router: PeerRouter;
 }
 
-interface Following {
-    readonly level: NewsLevel;
+interface Subscription {
+    readonly level: UpdateLevel;
     sentAt: number;
 }
 
 /**
- * Takes announcements from upstreams and passes them on to all that follow. What all followers of a level get is made and encoded once, and
- * most followers get only what changes: a hub's work and bytes don't grow with followers × announcements.
+ * Takes announcements from upstreams and passes them on to all that subscribe. What all subscribers of a level get is made and encoded once, and
+ * most subscribers get only what changes: a publisher's work and bytes don't grow with subscribers × announcements.
  *
  * Guards against a leaver that goes on getting work: it is told that its word was taken, this process is lost in the next moment, and
- * no entry has heard of it. So a leaver's word counts as taken only once a follower has confirmed it, and followers pass leavers on
+ * no entry has heard of it. So a leaver's word counts as taken only once a subscriber has confirmed it, and subscribers pass leavers on
  * whoever told them.
  *
  * @example
- * const hub = new AnnouncementHub({ clock, registry, router });
- * const taken = await hub.take(announcement);
+ * const publisher = new AnnouncementPublisher({ clock, registry, router });
+ * const taken = await publisher.take(announcement);
  */
-export class AnnouncementHub {
-    private readonly followers = new Map<PeerChannel, Following>();
-    /** Ready upstreams that announce themselves here, as followers know. */
-    private readonly vouched = new Set<UpstreamId>();
+export class AnnouncementPublisher {
+    private readonly subscribers = new Map<PeerChannel, Subscription>();
+    /** Ready upstreams that announce themselves here, as subscribers know. */
+    private readonly reported = new Set<UpstreamId>();
     /** Followers know what the registry had learned up to this version. */
     private toldVersion = 0;
 
-    constructor(private readonly options: AnnouncementHubOptions) {
-        options.router.add(FOLLOW_METHOD, (body, channel) => this.addFollower(body as FollowRequest, channel));
+    constructor(private readonly options: AnnouncementPublisherOptions) {
+        options.router.add(SUBSCRIBE_METHOD, (body, channel) => this.addFollower(body as SubscribeRequest, channel));
     }
 
-    get followerCount(): number {
-        return this.followers.size;
+    get subscriberCount(): number {
+        return this.subscribers.size;
     }
 
     /**
@@ -65,9 +72,11 @@
         const { registry, clock } = this.options;
         registry.announce(announcement);
         if (announcement.state === "ready") return true;
-        const news: News = { records: [{ announcement, ageMs: 0 }], wallMs: clock.now() };
+        const news: AnnouncementUpdate = { records: [{ announcement, ageMs: 0 }], wallMs: clock.now() };
         const body = new EncodedBody(news);
-        const confirmations = [...this.followers.keys()].map(channel => channel.call(NEWS_METHOD, body, CONFIRM_MS));
+        const confirmations = [...this.subscribers.keys()].map(channel =>
+            channel.call(UPDATE_METHOD, body, CONFIRM_MS)
+        );
         const confirmed = await Promise.all(confirmations);
         return confirmed.some(answer => answer.isRight());
     }
@@ -77,21 +86,21 @@
         while (!signal.aborted) {
             await this.options.clock.sleepToTick(SEND_EVERY_MS, signal);
             this.options.registry.expire();
-            this.sendNews();
+            this.sendUpdates();
         }
     }
 
-    private addFollower({ level = "all" }: FollowRequest, channel: PeerChannel): News {
+    private addFollower({ level = "all" }: SubscribeRequest, channel: PeerChannel): AnnouncementUpdate {
         const { registry, clock } = this.options;
-        if (!this.followers.has(channel)) void channel.closed.then(() => this.followers.delete(channel));
-        this.followers.set(channel, { level, sentAt: clock.monotonic() });
+        if (!this.subscribers.has(channel)) void channel.closed.then(() => this.subscribers.delete(channel));
+        this.subscribers.set(channel, { level, sentAt: clock.monotonic() });
         const { records } = registry.changesSince(0, "all");
         for (const record of records) this.noteTold(record);
         return { records: records.map(record => trimRecord(record, level)), wallMs: clock.now() };
     }
 
-    private sendNews(): void {
-        const lapsed = this.takeLapses();
+    private sendUpdates(): void {
+        const lapsed = this.takeExpired();
         const { registry } = this.options;
         const since = this.toldVersion;
         this.toldVersion = registry.latestVersion;
@@ -102,43 +111,47 @@
         }
     }
 
-    private sendToLevel(level: NewsLevel, records: readonly SpreadRecord[], lapsed: readonly Lapse[]): void {
+    private sendToLevel(
+        level: UpdateLevel,
+        records: readonly SpreadRecord[],
+        lapsed: readonly ExpiredUpstream[],
+    ): void {
         const now = this.options.clock.monotonic();
         const hasNews = records.length > 0 || lapsed.length > 0;
-        const due = [...this.followers].filter(([, following]) =>
-            following.level === level && (hasNews || now - following.sentAt >= HEARD_EVERY_MS)
+        const due = [...this.subscribers].filter(([, subscription]) =>
+            subscription.level === level && (hasNews || now - subscription.sentAt >= HEARD_EVERY_MS)
         );
         if (due.length === 0) return;
         const trimmed = records.map(record => trimRecord(record, level));
-        const news: News = { records: trimmed, lapsed, wallMs: this.options.clock.now() };
+        const news: AnnouncementUpdate = { records: trimmed, lapsed, wallMs: this.options.clock.now() };
         const body = new EncodedBody(news);
-        for (const [channel, following] of due) {
-            following.sentAt = now;
-            channel.notify(NEWS_METHOD, body);
+        for (const [channel, subscription] of due) {
+            subscription.sentAt = now;
+            channel.notify(UPDATE_METHOD, body);
         }
     }
 
     private noteTold({ announcement, relayed }: SpreadRecord): void {
         const id = announcement.id as UpstreamId;
-        if (announcement.state === "ready" && !relayed) this.vouched.add(id);
-        else if (announcement.state !== "ready") this.vouched.delete(id);
+        if (announcement.state === "ready" && !relayed) this.reported.add(id);
+        else if (announcement.state !== "ready") this.reported.delete(id);
     }
 
     /** Upstreams that have gone silent, or announce themselves elsewhere. */
-    private takeLapses(): Lapse[] {
+    private takeExpired(): ExpiredUpstream[] {
         const { registry, clock } = this.options;
-        const lapsed: Lapse[] = [];
-        for (const id of this.vouched) {
+        const lapsed: ExpiredUpstream[] = [];
+        for (const id of this.reported) {
             const upstream = registry.get(id);
             if (upstream?.state === "ready" && upstream.firstHand) continue;
-            this.vouched.delete(id);
+            this.reported.delete(id);
             if (upstream) lapsed.push({ id, ageMs: clock.monotonic() - upstream.aliveAt });
         }
         return lapsed;
     }
 }
 
-function trimRecord(record: SpreadRecord, level: NewsLevel): SpreadRecord {
+function trimRecord(record: SpreadRecord, level: UpdateLevel): SpreadRecord {
     if (level === "all") return record;
     return { ...record, announcement: { ...record.announcement, load: NO_LOAD, cache: undefined } };
 }
--- a/src/discovery/index.ts
+++ b/src/discovery/index.ts
@@ -1,4 +1,4 @@
 /** How announcements of upstreams get from the control process that took them to every entry and control process. */
-export * from "./announcementFollower/index.js";
-export * from "./announcementHub/index.js";
-export type { NewsLevel } from "./news/index.js";
+export * from "./announcementPublisher/index.js";
+export * from "./announcementSubscriber/index.js";
+export type { UpdateLevel } from "./announcementUpdate/index.js";
--- a/src/entry/routeService/index.ts
+++ b/src/entry/routeService/index.ts
@@ -1,5 +1,5 @@
 import { ControlClient, ControlLinkSet, ViewCache } from "../../control/index.js";
-import { AnnouncementFollower, NewsLevel } from "../../discovery/index.js";
+import { AnnouncementSubscriber, UpdateLevel } from "../../discovery/index.js";
 import { Dispatcher } from "../../dispatch/index.js";
 import { ZoneId } from "../../ids/index.js";
 import { Lifecycle } from "../../lifecycle/index.js";
@@ -49,7 +49,7 @@
     readonly dispatcher: Dispatcher;
     readonly isDraining: () => boolean;
     /** What is needed of upstreams' news. */
-    readonly levelNeeded: () => NewsLevel;
+    readonly levelNeeded: () => UpdateLevel;
 }
 
 /**
@@ -62,7 +62,7 @@
 export class RouteService {
     private readonly time: TrueTime;
     private readonly starts: StartMeter;
-    private readonly follower: AnnouncementFollower;
+    private readonly subscriber: AnnouncementSubscriber;
     private view: FleetRouteView | undefined;
     private listener: HttpListener | undefined;
     private limitsOf = -1;
@@ -72,7 +72,7 @@
         const { clock, settings } = options;
         this.time = new TrueTime(clock);
         this.starts = new StartMeter(settings.startsWindowMs);
-        this.follower = new AnnouncementFollower({
+        this.subscriber = new AnnouncementSubscriber({
             ...options,
             onWallTime: (host, wallMs) => this.time.learn(host, wallMs),
         });
@@ -81,7 +81,8 @@
     /** Whether callers can be served: there is a fresh document, and upstreams are heard of. */
     get isReady(): boolean {
         const hasView = this.view !== undefined && this.view.isFresh() && this.view.routes() !== undefined;
-        return hasView && this.follower.hubCount > 0 && this.listener !== undefined && !this.options.isDraining();
+        return hasView && this.subscriber.publisherCount > 0 && this.listener !== undefined
+            && !this.options.isDraining();
     }
 
     /** How many entries serve callers, as far as is known. */
@@ -91,14 +92,14 @@
 
     /** Follows the control process at the other end of a channel. */
     follow(channel: PeerChannel): void {
-        void this.follower.follow(channel);
+        void this.subscriber.subscribe(channel);
     }
 
     /** Follows upstreams' news and opens the callers' port, if there is one. */
     async start(client: ControlClient, cache: ViewCache, links: ControlLinkSet, lifecycle: Lifecycle): Promise<void> {
         const { settings, clock, logger } = this.options;
         const onError = (err: unknown): void => logger.error("task-failed", { problem: String(err) });
-        lifecycle.run(signal => this.follower.run(signal), onError);
+        lifecycle.run(signal => this.subscriber.run(signal), onError);
         const view = new FleetRouteView(clock, client, cache);
         this.view = view;
         if (!settings.callers) return;
--- a/src/faultInjection/routedFleet/index.ts
+++ b/src/faultInjection/routedFleet/index.ts
@@ -309,15 +309,15 @@
 
     /** Lets an upstream say something to one control process. */
     announce(upstream: number, state: "ready" | "leaving" | "gone", through = 0): Promise<boolean> {
-        const { hub } = this.controls[through]!.routing!;
-        return this.run(hub.take(this.upstreams[upstream].announce(state)));
+        const { publisher } = this.controls[through]!.routing!;
+        return this.run(publisher.take(this.upstreams[upstream].announce(state)));
     }
 
     private async announceAll(): Promise<void> {
         while (!this.announcing.signal.aborted) {
             for (const [number, upstream] of this.upstreams.entries()) {
                 const live = this.controls.filter(control => control !== undefined);
-                void live[number % live.length]?.routing!.hub.take(upstream.announce());
+                void live[number % live.length]?.routing!.publisher.take(upstream.announce());
             }
             await this.clock.sleep(HEARTBEAT_MS, this.announcing.signal);
         }
--- a/src/platform/controlPlane/index.ts
+++ b/src/platform/controlPlane/index.ts
@@ -66,7 +66,7 @@
     res: HttpResponse,
 ): Promise<void> {
     const { id: upstream, state, incarnation, sequence } = announcement;
-    const isTaken = await routing.hub.take(announcement);
+    const isTaken = await routing.publisher.take(announcement);
     if (state !== "ready" || !isTaken) {
         logger.info("upstream-state", { upstream, state, incarnation, sequence, isTaken });
     }
--- a/src/upstream/registry/index.ts
+++ b/src/upstream/registry/index.ts
@@ -158,12 +158,12 @@
      *
      * @param at - Monotonic time at which they were heard, in milliseconds.
      */
-    vouch(ids: Iterable<UpstreamId>, at: number): void {
+    confirmAlive(ids: Iterable<UpstreamId>, at: number): void {
         const isRecent = this.clock.monotonic() - at < this.timing.silentAfterMs;
         for (const id of ids) {
             const upstream = this.upstreams.get(id);
             if (upstream?.announcement.state !== "ready") continue;
-            upstream.vouch(at);
+            upstream.confirmAlive(at);
             if (!isRecent || upstream.state !== "silent") continue;
             upstream.markHeard();
             this.tell(upstream);
@@ -211,7 +211,7 @@
         const known = this.upstreams.get(id);
         if (known && !known.isOutdatedBy(announcement)) return false;
         const upstream = known ?? new Upstream(announcement, heardAt, firstHand);
-        // An upstream that now announces itself here is news too: whoever heard it before vouches for it no longer.
+        // An upstream that now announces itself here is news too: whoever heard it before confirms for it no longer.
         const isMembershipNews = !known
             || known.state === "silent"
             || (firstHand && !known.firstHand)
--- a/src/upstream/registry/test.ts
+++ b/src/upstream/registry/test.ts
@@ -80,21 +80,21 @@
             const { clock, registry } = makeRegistry();
             registry.announce(makeAnnouncement());
             await clock.advance(1_500);
-            registry.vouch([ID], clock.monotonic());
+            registry.confirmAlive([ID], clock.monotonic());
             await clock.advance(1_500);
             registry.expire();
             assert.equal(registry.get(ID)?.state, "ready");
             await clock.advance(1_000);
             registry.expire();
             assert.equal(registry.get(ID)?.state, "silent");
-            registry.vouch([ID], clock.monotonic());
+            registry.confirmAlive([ID], clock.monotonic());
             assert.equal(registry.get(ID)?.state, "ready");
         });
 
         it("brings no leaver back", () => {
             const { clock, registry } = makeRegistry();
             registry.announce(makeAnnouncement({ state: "leaving" }));
-            registry.vouch([ID], clock.monotonic());
+            registry.confirmAlive([ID], clock.monotonic());
             assert.equal(registry.get(ID)?.isGrantable, false);
         });
     });
--- a/src/upstream/upstream/index.ts
+++ b/src/upstream/upstream/index.ts
@@ -13,7 +13,7 @@
     private newest: Announcement;
     private parsedAddress: Address;
     private silent = false;
-    private vouchedAt = Number.NEGATIVE_INFINITY;
+    private confirmedAt = Number.NEGATIVE_INFINITY;
     private zoneEvacuated = false;
     /** Until when it is taken to be cold whatever it says; monotonic, in milliseconds. */
     private assumedColdUntil = Number.NEGATIVE_INFINITY;
@@ -68,9 +68,9 @@
         return Math.max(this.assumedColdUntil, this.heardAt + (this.newest.cold_ms ?? 0));
     }
 
-    /** Monotonic time at which it was last known to announce itself, here or at a process that vouches for it, in milliseconds. */
+    /** Monotonic time at which it was last known to announce itself, here or at a process that confirms for it, in milliseconds. */
     get aliveAt(): number {
-        return Math.max(this.heardAt, this.vouchedAt);
+        return Math.max(this.heardAt, this.confirmedAt);
     }
 
     /** Monotonic time at which the reported load was measured, in milliseconds. */
@@ -101,8 +101,8 @@
     }
 
     /** Takes over from a process that hears it when it was last heard; monotonic, in milliseconds. */
-    vouch(at: number): void {
-        this.vouchedAt = at;
+    confirmAlive(at: number): void {
+        this.confirmedAt = at;
     }
 
     /** Marks it as heard of again. */
