--- a/src/cli/runCli/test.ts
+++ b/src/cli/runCli/test.ts
@@ -4,7 +4,7 @@
 import {
     ControlService,
     ControlState,
-    DocumentDesk,
+    DocumentService,
     EntryAdmin,
     EntryAdminServer,
     MemoryControlLog,
@@ -42,7 +42,7 @@
 });
 
 /** Keeps the last document, whatever its version. */
-class FakeDocumentDesk {
+class FakeDocumentService {
     private held: HeldDocument | undefined;
 
     async replace({ document, source }: ReplaceDocumentCommand) {
@@ -110,7 +110,7 @@
 const clock = new SystemClock();
 const http = new NodeHttp();
 const listeners: Listener[] = [];
-const documents = new FakeDocumentDesk() as unknown as DocumentDesk;
+const documents = new FakeDocumentService() as unknown as DocumentService;
 const zones = new FakeZoneEvacuation() as unknown as ZoneEvacuation;
 const group = new MemoryLogGroup(clock);
 const admin = new FakeEntryAdmin();
--- a/src/control/documentDesk/index.ts
+++ b/src/control/documentService/index.ts
@@ -13,8 +13,8 @@
 /** A document that could not be taken or read for sure now; the same call may be made again, here or at another host. */
 export class DocumentUnavailableError extends Error {}
 
-/** What the desk works with. */
-export interface DocumentDeskOptions extends DurableChangeOptions {
+/** What the service works with. */
+export interface DocumentServiceOptions extends DurableChangeOptions {
     readonly log: DurableChangeOptions["log"] & Pick<ReplicatedLog, "readBarrier">;
     readonly state: ControlState;
     readonly logger: Logger;
@@ -24,12 +24,12 @@
  * Replaces and reads the fleet document, at any control process.
  *
  * @example
- * const outcome = await desk.replace({ kind: "document.replace", document, source });
+ * const outcome = await documents.replace({ kind: "document.replace", document, source });
  */
-export class DocumentDesk {
+export class DocumentService {
     private readonly change: DurableChange<ReplaceDocumentCommand, ReplaceDocumentResult>;
 
-    constructor(private readonly options: DocumentDeskOptions) {
+    constructor(private readonly options: DocumentServiceOptions) {
         this.change = new DurableChange(options, {
             method: REPLACE_METHOD,
             findSettled: command => this.findSuperseding(command),
--- a/src/control/operatorRouter/index.ts
+++ b/src/control/operatorRouter/index.ts
@@ -7,7 +7,7 @@
 import { ChangeResult, configChangeSchema } from "../../workspace/index.js";
 import { EvacuatedZone, ZoneCommand, ZoneResult } from "../../zone/index.js";
 import { ControlService, NotHolderError } from "../controlService/index.js";
-import { DocumentDesk, DocumentUnavailableError } from "../documentDesk/index.js";
+import { DocumentService, DocumentUnavailableError } from "../documentService/index.js";
 import { ChangeUnavailableError } from "../durableChange/index.js";
 import { ControlState } from "../state/index.js";
 import { UnknownZoneError, ZoneEvacuation } from "../zoneEvacuation/index.js";
@@ -28,7 +28,7 @@
     readonly state: ControlState;
     readonly service: ControlService;
     /** Undefined where calls are not routed by a fleet document. */
-    readonly documents?: DocumentDesk;
+    readonly documents?: DocumentService;
     /** Undefined where calls are not routed by a fleet document. */
     readonly zones?: ZoneEvacuation;
     /** Control hosts that settings name; others are known by what holders announce. */
@@ -170,7 +170,7 @@
     );
 }
 
-function requireDocuments({ documents }: OperatorContext): DocumentDesk {
+function requireDocuments({ documents }: OperatorContext): DocumentService {
     return requireFound(
         documents,
         "fleet document on these control processes: their settings have no listen.upstreams",
--- a/src/control/routingService/index.ts
+++ b/src/control/routingService/index.ts
@@ -10,15 +10,15 @@
 import { PeerIdentity, PeerRouter, PeerTiming } from "../../wire/index.js";
 import { ControlLinkSet } from "../controlLinkSet/index.js";
 import { ControlService } from "../controlService/index.js";
-import { DocumentDesk } from "../documentDesk/index.js";
+import { DocumentService } from "../documentService/index.js";
 import { FencedCall, FencedSender } from "../fencedSender/index.js";
 import { HolderTask } from "../holderRunner/index.js";
 import { HolderTerm } from "../holderTerm/index.js";
 import { PoolSizer, SizeOrder } from "../poolSizer/index.js";
 import { StartsCloser } from "../startsCloser/index.js";
-import { StartsDesk } from "../startsDesk/index.js";
 import { StartsNoter } from "../startsNoter/index.js";
 import { StartsReporter } from "../startsReporter/index.js";
+import { StartsTable } from "../startsTable/index.js";
 import { ControlState } from "../state/index.js";
 import { ZoneEvacuation } from "../zoneEvacuation/index.js";
 
@@ -85,10 +85,10 @@
     readonly registry: UpstreamRegistry;
     /** Where upstreams' announcements are taken. */
     readonly publisher: AnnouncementPublisher;
-    readonly documents: DocumentDesk;
+    readonly documents: DocumentService;
     readonly zones: ZoneEvacuation;
     readonly time: TrueTime;
-    private readonly starts: StartsDesk;
+    private readonly starts: StartsTable;
     private readonly subscriber: AnnouncementSubscriber;
     private readonly links: ControlLinkSet;
 
@@ -97,10 +97,10 @@
         const timing = { silentAfterMs: routing.silentAfterMs, tombstoneMs: TOMBSTONE_MS };
         this.registry = new UpstreamRegistry({ clock, timing });
         this.publisher = new AnnouncementPublisher({ clock, router, registry: this.registry });
-        this.documents = new DocumentDesk({ ...options, leastVoters: routing.voters });
+        this.documents = new DocumentService({ ...options, leastVoters: routing.voters });
         this.zones = new ZoneEvacuation({ ...options, leastVoters: routing.voters, zones: routing.zones });
         this.time = new TrueTime(clock);
-        this.starts = new StartsDesk(clock, router);
+        this.starts = new StartsTable(clock, router);
         this.subscriber = new AnnouncementSubscriber({
             ...options,
             registry: this.registry,
@@ -132,7 +132,7 @@
     makeTasks(sender: FencedSender): HolderTask[] {
         const { routing } = this.options;
         const { startsWindowMs: windowMs, startsPatienceMs: patienceMs, platform } = routing;
-        const parts = { ...this.options, desk: this.starts, time: this.time, windowMs, patienceMs };
+        const parts = { ...this.options, table: this.starts, time: this.time, windowMs, patienceMs };
         const tasks: HolderTask[] = [new StartsNoter(parts), new StartsCloser(parts)];
         if (!platform) return tasks;
         const { checksFence: platformChecksFence, describeStarts, describeSize } = platform;
--- a/src/control/startsCloser/index.ts
+++ b/src/control/startsCloser/index.ts
@@ -4,7 +4,7 @@
 import { RunStarts, StartCounts } from "../../usage/index.js";
 import { HolderTask } from "../holderRunner/index.js";
 import { HolderTerm } from "../holderTerm/index.js";
-import { StartsDesk } from "../startsDesk/index.js";
+import { StartsTable } from "../startsTable/index.js";
 import { ControlState } from "../state/index.js";
 
 const PAUSE_MS = 250;
@@ -17,7 +17,7 @@
 export interface StartsCloserOptions {
     readonly log: ControlLog;
     readonly state: ControlState;
-    readonly desk: StartsDesk;
+    readonly table: StartsTable;
     readonly time: TrueTime;
     readonly logger: Logger;
     readonly windowMs: number;
@@ -34,9 +34,9 @@
     }
 
     async step(term: HolderTerm): Promise<number> {
-        const { desk, time, windowMs } = this.options;
+        const { table, time, windowMs } = this.options;
         const now = time.now();
-        desk.forgetBefore(now, windowMs);
+        table.forgetBefore(now, windowMs);
         for (let window = this.firstOpen(now); this.isDue(window, now); window++) {
             if (!term.mayAct()) return PAUSE_MS;
             await this.close(window, now);
@@ -53,34 +53,34 @@
     }
 
     private firstCounted(): number {
-        const { state, desk } = this.options;
-        const firsts = [desk.counts.firstWindow(), state.openStarts.firstWindow()];
+        const { state, table } = this.options;
+        const firsts = [table.counts.firstWindow(), state.openStarts.firstWindow()];
         return Math.min(...firsts.map(first => first ?? Number.POSITIVE_INFINITY));
     }
 
     /** What was heard here, and what an earlier holder noted of entries that have ended since. */
     private sum(window: number): StartCounts {
-        const { state, desk } = this.options;
+        const { state, table } = this.options;
         const all = new RunStarts();
         all.mergeAll(state.openStarts.list());
-        all.mergeAll(desk.counts.list());
+        all.mergeAll(table.counts.list());
         return all.sum(window);
     }
 
     private isDue(window: number, now: number): boolean {
-        const { desk, windowMs, patienceMs } = this.options;
+        const { table, windowMs, patienceMs } = this.options;
         const end = (window + 1) * windowMs;
         if (now < end + SETTLE_MS) return false;
-        return now >= end + patienceMs || desk.isWhole(end + SETTLE_MS / 2);
+        return now >= end + patienceMs || table.isWhole(end + SETTLE_MS / 2);
     }
 
     private async close(window: number, now: number): Promise<void> {
-        const { log, desk, logger, windowMs } = this.options;
+        const { log, table, logger, windowMs } = this.options;
         const counts = this.sum(window);
         const closed = await log.propose({ kind: "starts.close", window, counts });
         const workspaces = Object.keys(counts).length;
         const ageMs = Math.round(now - (window + 1) * windowMs);
-        const whole = desk.isWhole((window + 1) * windowMs);
+        const whole = table.isWhole((window + 1) * windowMs);
         logger.info("starts-closed", { window, workspaces, ageMs, whole, committed: closed.isRight() });
     }
 }
--- a/src/control/startsNoter/index.ts
+++ b/src/control/startsNoter/index.ts
@@ -2,7 +2,7 @@
 import { Logger } from "../../logging/index.js";
 import { HolderTask } from "../holderRunner/index.js";
 import { HolderTerm } from "../holderTerm/index.js";
-import { StartsDesk } from "../startsDesk/index.js";
+import { StartsTable } from "../startsTable/index.js";
 
 /** How often counts go into the log, in milliseconds: those of the time since are lost if all processes are. */
 const NOTE_EVERY_MS = 100;
@@ -10,7 +10,7 @@
 /** What the noter is made of. */
 export interface StartsNoterOptions {
     readonly log: ControlLog;
-    readonly desk: StartsDesk;
+    readonly table: StartsTable;
     readonly logger: Logger;
 }
 
@@ -28,16 +28,16 @@
     }
 
     async step(term: HolderTerm): Promise<number> {
-        const { desk, log, logger } = this.options;
-        const runs = desk.takeNews();
+        const { table, log, logger } = this.options;
+        const runs = table.takeUnnoted();
         if (runs.length === 0 || !term.mayAct()) {
-            desk.returnNews(runs);
+            table.returnUnnoted(runs);
             return NOTE_EVERY_MS;
         }
         const noted = await log.propose({ kind: "starts.note", runs });
         noted.ifLeft(err => {
             logger.warn("starts-not-noted", { runs: runs.length, problem: err.message });
-            desk.returnNews(runs);
+            table.returnUnnoted(runs);
         });
         return NOTE_EVERY_MS;
     }
--- a/src/control/startsDesk/index.ts
+++ b/src/control/startsTable/index.ts
@@ -33,12 +33,12 @@
  * What entries have counted, in the memory of each control process: a new holder has the counts of entries that are lost since.
  *
  * @example
- * if (desk.isWhole(windowEnd)) await close(desk.counts.sum(window));
+ * if (table.isWhole(windowEnd)) await close(table.counts.sum(window));
  */
-export class StartsDesk {
+export class StartsTable {
     readonly counts = new RunStarts();
     /** What has come since it was last taken to be noted. */
-    private readonly news = new RunStarts();
+    private readonly unnoted = new RunStarts();
     private readonly runs = new Map<string, Run>();
 
     constructor(private readonly clock: Clock, router: PeerRouter) {
@@ -53,19 +53,19 @@
         run.heardAt = this.clock.monotonic();
         run.countedAt = Math.max(run.countedAt, countedAt);
         const grown = this.counts.merge(name, windows);
-        this.news.merge(name, grown);
+        this.unnoted.merge(name, grown);
     }
 
     /** Gives what has come since the last time, once. */
-    takeNews(): readonly RunReport[] {
-        const runs = this.news.list();
-        this.news.clear();
+    takeUnnoted(): readonly RunReport[] {
+        const runs = this.unnoted.list();
+        this.unnoted.clear();
         return runs;
     }
 
     /** Takes back what could not be noted. */
-    returnNews(runs: readonly RunReport[]): void {
-        this.news.mergeAll(runs);
+    returnUnnoted(runs: readonly RunReport[]): void {
+        this.unnoted.mergeAll(runs);
     }
 
     /** Whether each entry that lives has reported past a moment of true time. */
@@ -79,7 +79,7 @@
     forgetBefore(now: number, windowMs: number): void {
         const oldest = Math.floor((now - KEPT_MS) / windowMs);
         this.counts.forgetBefore(oldest);
-        this.news.forgetBefore(oldest);
+        this.unnoted.forgetBefore(oldest);
         for (const [name, run] of this.runs) {
             if (this.clock.monotonic() - run.heardAt > KEPT_MS) this.runs.delete(name);
         }
--- a/src/control/startsDesk/test.ts
+++ b/src/control/startsTable/test.ts
@@ -13,7 +13,7 @@
 import { StartsNoter } from "../startsNoter/index.js";
 import { StartsReporter } from "../startsReporter/index.js";
 import { ControlState } from "../state/index.js";
-import { StartsDesk, StartsReport } from "./index.js";
+import { StartsReport, StartsTable } from "./index.js";
 
 const WINDOW_MS = 5_000;
 const BUTCHER = "butcher" as WorkspaceId;
@@ -32,17 +32,17 @@
     resetAll(): void {}
 }
 
-async function makeDesk() {
+async function makeTable() {
     const clock = new VirtualClock();
     const state = new ControlState();
     const group = new MemoryLogGroup(clock);
     const log = group.join("control-1" as HostId, state);
     group.elect("control-1" as HostId);
-    const desk = new StartsDesk(clock, new PeerRouter());
+    const table = new StartsTable(clock, new PeerRouter());
     const time = new TrueTime(clock);
     const platform = new FakePlatform();
     const term = { token: 1 as FencingToken, maySend: () => true, mayAct: () => true } as unknown as HolderTerm;
-    const parts = { log, state, desk, time, logger: new SilentLogger(), windowMs: WINDOW_MS, patienceMs: 6_000 };
+    const parts = { log, state, table, time, logger: new SilentLogger(), windowMs: WINDOW_MS, patienceMs: 6_000 };
     const closer = new StartsCloser(parts);
     const reporter = new StartsReporter({
         ...parts,
@@ -57,7 +57,7 @@
     const first = Math.floor(time.now() / WINDOW_MS);
     const report = (host: string, count: number, window = first): void => {
         const windows = [{ window, counts: { [BUTCHER]: count } as StartsReport["windows"][0]["counts"] }];
-        desk.take({ host, incarnation: "1", countedAt: time.now(), windows });
+        table.take({ host, incarnation: "1", countedAt: time.now(), windows });
     };
     const run = async (ms: number, reporting: () => void = () => undefined): Promise<void> => {
         for (let passed = 0; passed < ms; passed += 250) {
@@ -67,12 +67,12 @@
             await clock.advance(250);
         }
     };
-    return { clock, state, log, time, platform, desk, report, run, first };
+    return { clock, state, log, time, platform, table, report, run, first };
 }
 
 describe("windows of started requests", () => {
     it("are reported once all entries have counted past their end, with the sum of their counts", async () => {
-        const { platform, report, run, first } = await makeDesk();
+        const { platform, report, run, first } = await makeTable();
         await run(7_000, () => {
             report("entry-1", 3);
             report("entry-2", 4);
@@ -83,7 +83,7 @@
 
     it("wait for an entry that has fallen silent, but not for ever", async () => {
         // An entry is cut off for a few seconds. Its counts must not be missing from the bill, but the bill is due.
-        const { platform, report, run } = await makeDesk();
+        const { platform, report, run } = await makeTable();
         report("entry-2", 4);
         await run(7_000, () => report("entry-1", 3));
         assert.equal(platform.reports.length, 0);
@@ -92,7 +92,7 @@
     });
 
     it("keep the counts of an entry that is lost", async () => {
-        const { platform, report, run } = await makeDesk();
+        const { platform, report, run } = await makeTable();
         report("entry-2", 4);
         report("entry-2", 2);
         await run(12_000, () => report("entry-1", 3));
@@ -101,20 +101,20 @@
 
     it("keep what was counted when all processes are killed in the middle of them", async () => {
         // Guards against a window that is billed in part: its counts were in the memory of processes that are all gone.
-        const { clock, state, desk, log, report, first, time } = await makeDesk();
+        const { clock, state, table, log, report, first, time } = await makeTable();
         const term = { token: 1 as FencingToken, mayAct: () => true } as unknown as HolderTerm;
         report("entry-1", 3);
         report("entry-2", 4);
-        await new StartsNoter({ log, desk, logger: new SilentLogger() }).step(term);
+        await new StartsNoter({ log, table, logger: new SilentLogger() }).step(term);
         const revived = new ControlState();
         revived.restore(state.snapshot());
         const group = new MemoryLogGroup(clock);
         const nextLog = group.join("control-1" as HostId, revived);
         group.elect("control-1" as HostId);
-        const nextDesk = new StartsDesk(clock, new PeerRouter());
+        const nextTable = new StartsTable(clock, new PeerRouter());
         const windows = [{ window: first, counts: { [BUTCHER]: 5 } as StartsReport["windows"][0]["counts"] }];
-        nextDesk.take({ host: "entry-1", incarnation: "2", countedAt: time.now(), windows });
-        const parts = { log: nextLog, state: revived, desk: nextDesk, time, logger: new SilentLogger() };
+        nextTable.take({ host: "entry-1", incarnation: "2", countedAt: time.now(), windows });
+        const parts = { log: nextLog, state: revived, table: nextTable, time, logger: new SilentLogger() };
         const closer = new StartsCloser({ ...parts, windowMs: WINDOW_MS, patienceMs: 6_000 });
         await clock.advance(12_000);
         await closer.step(term);
@@ -123,14 +123,14 @@
     });
 
     it("are not counted twice by a holder that has heard what is noted", async () => {
-        const { clock, state, desk, log, report, time } = await makeDesk();
+        const { clock, state, table, log, report, time } = await makeTable();
         const term = { token: 1 as FencingToken, mayAct: () => true } as unknown as HolderTerm;
-        const noter = new StartsNoter({ log, desk, logger: new SilentLogger() });
+        const noter = new StartsNoter({ log, table, logger: new SilentLogger() });
         report("entry-1", 3);
         await noter.step(term);
         report("entry-1", 5);
         await noter.step(term);
-        const parts = { log, state, desk, time, logger: new SilentLogger() };
+        const parts = { log, state, table, time, logger: new SilentLogger() };
         await clock.advance(12_000);
         await new StartsCloser({ ...parts, windowMs: WINDOW_MS, patienceMs: 6_000 }).step(term);
         assert.deepEqual(state.starts.listUnreported()[0].counts, { butcher: 5 });
@@ -139,7 +139,7 @@
     it("are sent again with the same counts, whatever has been counted since", async () => {
         // The platform is down when a window is due. An entry's late count arrives before the next try; a report with other counts
         // than the first would be a second bill.
-        const { platform, report, run, first } = await makeDesk();
+        const { platform, report, run, first } = await makeTable();
         platform.status = 503;
         await run(7_000, () => report("entry-1", 3));
         platform.status = 200;
--- a/src/emulator/answerDesk/index.ts
+++ b/src/emulator/answerService/index.ts
@@ -10,7 +10,7 @@
 import { CacheListener, PrefixCache } from "../prefixCache/index.js";
 
 /** How an engine answers. */
-export interface AnswerDeskConfig {
+export interface AnswerServiceConfig {
     readonly pace: EnginePace;
     /** How many prefix blocks fit into its cache. */
     readonly cacheBlocks: number;
@@ -40,7 +40,7 @@
 const KEPT_KV_STATES = 256;
 
 /** The answers of one engine: its batch, its cache and the streams under way. */
-export class AnswerDesk {
+export class AnswerService {
     readonly batch: Batch;
     private readonly cache: PrefixCache;
     private readonly streams = new Set<AnswerStream>();
@@ -61,7 +61,7 @@
      */
     constructor(
         private readonly clock: Clock,
-        private readonly cfg: AnswerDeskConfig,
+        private readonly cfg: AnswerServiceConfig,
         private readonly ledger: ChatLedger,
         listener: CacheListener,
     ) {
--- a/src/emulator/engineStandIn/index.ts
+++ b/src/emulator/engineStandIn/index.ts
@@ -10,7 +10,7 @@
 } from "../../protocol/index.js";
 import { parseJson, sendEmpty, sendJson } from "../_lib/json.js";
 import { StandInPorts } from "../_lib/standInPorts.js";
-import { AnswerDesk, AnswerDeskConfig, AnswerStats } from "../answerDesk/index.js";
+import { AnswerService, AnswerServiceConfig, AnswerStats } from "../answerService/index.js";
 import { ChatLedger } from "../chatLedger/index.js";
 import { FaultQueue } from "../engineFaults/index.js";
 import { kvExportSchema, kvStateSchema } from "../kvTransfer/index.js";
@@ -18,7 +18,7 @@
 import { UpstreamConfig, UpstreamStandIn } from "../upstreamStandIn/index.js";
 
 /** What one stand-in engine is like. */
-export interface EngineConfig extends AnswerDeskConfig, UpstreamConfig {}
+export interface EngineConfig extends AnswerServiceConfig, UpstreamConfig {}
 
 /** What an engine has done up to now. */
 export interface EngineStats extends AnswerStats {
@@ -50,7 +50,7 @@
     /** Models, adapters and roles it was told to take on, in order. */
     readonly loaded: string[] = [];
     protected readonly kind = "engine";
-    private readonly desk: AnswerDesk;
+    private readonly answers: AnswerService;
     private readonly pools: Set<string>;
     private readonly thaw = new Set<() => void>();
     private readonly paceMeter: PaceMeter;
@@ -65,19 +65,19 @@
         super(ports, cfg);
         this.orders = new OrderLog(cfg.identity.checksFence);
         this.pools = new Set(cfg.identity.pools);
-        this.desk = new AnswerDesk(ports.clock, cfg, ledger, event => this.announcer.addCacheEvent(event));
+        this.answers = new AnswerService(ports.clock, cfg, ledger, event => this.announcer.addCacheEvent(event));
         this.paceMeter = new PaceMeter(ports.clock);
     }
 
     override async start(): ReturnType<UpstreamStandIn["start"]> {
-        this.runTask(signal => this.desk.batch.run(signal));
+        this.runTask(signal => this.answers.batch.run(signal));
         return super.start();
     }
 
     /** Stops every task without a word, or lets them go on. Connections stay open. */
     setFrozen(frozen: boolean): void {
         this.isFrozen = frozen;
-        this.desk.batch.setFrozen(frozen);
+        this.answers.batch.setFrozen(frozen);
         this.setMuted(frozen);
         if (frozen) return;
         for (const resume of this.thaw) resume();
@@ -86,13 +86,13 @@
 
     /** Makes it a straggler: each step takes this many times as long. */
     setSlowdown(factor: number): void {
-        this.desk.batch.slowdown = factor;
+        this.answers.batch.slowdown = factor;
     }
 
     readLoad(): LoadReport {
-        const { running, queued, tokens } = this.desk.stats();
+        const { running, queued, tokens } = this.answers.stats();
         const tokensPerSecond = this.paceMeter.read(tokens);
-        return { running, queued, kv_used: this.desk.cacheUse, tokens_per_second: tokensPerSecond, age_ms: 0 };
+        return { running, queued, kv_used: this.answers.cacheUse, tokens_per_second: tokensPerSecond, age_ms: 0 };
     }
 
     /** What it has done up to now. */
@@ -104,7 +104,7 @@
             lateRequests: this.state.lateRequests,
             orders: this.orders.orders.length,
             orderReversals: this.orders.countReversals(),
-            ...this.desk.stats(),
+            ...this.answers.stats(),
         };
     }
 
@@ -117,11 +117,11 @@
     }
 
     protected get openWork(): number {
-        return this.desk.openStreams;
+        return this.answers.openStreams;
     }
 
     protected cutAll(): void {
-        this.desk.cutAll();
+        this.answers.cutAll();
     }
 
     protected async handle(bytes: Uint8Array, req: HttpRequest, res: HttpResponse): Promise<void> {
@@ -149,14 +149,14 @@
         if (!this.pools.has(body.model)) return sendJson(res, 404, { error: `no model ${body.model}` });
         const fault = this.faults.take();
         if (fault?.kind === "refused") return sendJson(res, fault.status, { error: "refused on demand" });
-        await this.desk.answer(body, req, res, fault);
+        await this.answers.answer(body, req, res, fault);
     }
 
     private answerCancel(bytes: Uint8Array, res: HttpResponse): void {
         parseJson(bytes, engineCancelSchema).caseOf({
             Left: err => sendJson(res, 400, { error: err.message }),
             Right: ({ request_id }) => {
-                this.desk.cancel(request_id);
+                this.answers.cancel(request_id);
                 sendEmpty(res, 204);
             },
         });
@@ -166,7 +166,7 @@
         parseJson(bytes, kvExportSchema).caseOf({
             Left: err => sendJson(res, 400, { error: err.message }),
             Right: ({ request_id }) =>
-                this.desk.exportKv(request_id).caseOf({
+                this.answers.exportKv(request_id).caseOf({
                     Left: () => sendJson(res, 404, { error: "no such request" }),
                     Right: state => sendJson(res, 200, state),
                 }),
@@ -177,7 +177,7 @@
         parseJson(bytes, kvStateSchema).caseOf({
             Left: err => sendJson(res, 400, { error: err.message }),
             Right: state => {
-                this.desk.importKv(state);
+                this.answers.importKv(state);
                 sendEmpty(res, 204);
             },
         });
--- a/src/emulator/orderDesk/index.ts
+++ b/src/emulator/orderReceiver/index.ts
@@ -38,7 +38,7 @@
 const MS_PER_HOUR = 3_600_000;
 
 /** The platform's orders: what is on offer, what runs, and what it costs. */
-export class OrderDesk {
+export class OrderReceiver {
     readonly log: OrderLog;
     private readonly leased = new Map<string, Leased>();
     private readonly replies = new Map<string, PlatformOrderReply>();
--- a/src/emulator/platformStandIn/index.ts
+++ b/src/emulator/platformStandIn/index.ts
@@ -4,8 +4,8 @@
 import { parseJson, sendJson } from "../_lib/json.js";
 import { StandInPorts } from "../_lib/standInPorts.js";
 import { Fleet } from "../fleet/index.js";
-import { OrderDesk, OrderError, OrderStats } from "../orderDesk/index.js";
-import { UsageDesk, UsageStats } from "../usageDesk/index.js";
+import { OrderError, OrderReceiver, OrderStats } from "../orderReceiver/index.js";
+import { UsageReceiver, UsageStats } from "../usageReceiver/index.js";
 import { WeightStore, WeightStoreConfig } from "../weightStore/index.js";
 
 /** What the stand-in of the platform is like. */
@@ -56,9 +56,9 @@
  */
 export class PlatformStandIn {
     /** Orders received. */
-    readonly orders: OrderDesk;
+    readonly orders: OrderReceiver;
     /** Usage reports received. */
-    readonly usage: UsageDesk;
+    readonly usage: UsageReceiver;
     private readonly weights: WeightStore;
     private readonly lifecycle = new Lifecycle();
     private readonly faults: PlatformFault[] = [];
@@ -70,8 +70,8 @@
      * @param cfg - What it is like.
      */
     constructor(private readonly ports: StandInPorts, fleet: Fleet, private readonly cfg: PlatformConfig) {
-        this.orders = new OrderDesk(ports.clock, fleet, cfg.offers, cfg.checksFence);
-        this.usage = new UsageDesk(cfg.checksFence);
+        this.orders = new OrderReceiver(ports.clock, fleet, cfg.offers, cfg.checksFence);
+        this.usage = new UsageReceiver(cfg.checksFence);
         this.weights = new WeightStore(ports.clock, cfg.weights);
     }
 
--- a/src/emulator/usageDesk/index.ts
+++ b/src/emulator/usageReceiver/index.ts
@@ -32,9 +32,9 @@
  * Keeps every usage report, and says which windows were reported twice with different figures.
  *
  * @example
- * if (desk.receive(report, clock.monotonic())) accept();
+ * if (receiver.receive(report, clock.monotonic())) accept();
  */
-export class UsageDesk {
+export class UsageReceiver {
     /** In the order of arrival. */
     readonly received: ReceivedReport[] = [];
     private readonly accepted = new Map<string, UsageReport>();
--- a/src/faultInjection/routedFleet/index.ts
+++ b/src/faultInjection/routedFleet/index.ts
@@ -241,10 +241,10 @@
 
     /** Puts a document in force through one control process, or any. */
     async replace(document: unknown, through = 0): Promise<boolean> {
-        const desk = this.controls[through]!.routing!.documents;
+        const { documents } = this.controls[through]!.routing!;
         const source = Buffer.from(JSON.stringify(document));
         const checked = checkDocument(document).unsafeCoerce();
-        const outcome = await this.run(desk.replace({ kind: "document.replace", document: checked, source }));
+        const outcome = await this.run(documents.replace({ kind: "document.replace", document: checked, source }));
         return outcome.isRight();
     }
 
--- a/src/upstream/routedChoice/index.ts
+++ b/src/upstream/routedChoice/index.ts
@@ -144,8 +144,8 @@
         const work = describeWork(request, holders.get(upstream.id) ?? 0);
         const reread = { tokens: Math.max(0, shared.tokens - work.held), held: Math.min(work.held, shared.tokens) };
         const rereadMs = (weights.rereadFactor - 1) * prefill.readMs(reread);
-        const isStranger = shared.home !== undefined && upstream.id !== shared.home;
-        const strangerMs = isStranger ? prefill.readMs({ tokens: shared.tokens, held: 0 }) : 0;
+        const isAwayFromHome = shared.home !== undefined && upstream.id !== shared.home;
+        const awayMs = isAwayFromHome ? prefill.readMs({ tokens: shared.tokens, held: 0 }) : 0;
         const isFar = upstream.zone !== request.zone;
         const farMs = weights.otherZoneMs + weights.otherZoneKilobyteMs * request.bodyBytes / BYTES_PER_KILOBYTE;
         const waitMs = prefill.predictMs(work, now);
@@ -157,7 +157,7 @@
             + weights.overflowTargets * targetMs * overflowShare(own, request, shared.capacity)
             + (isFar ? farMs : 0)
             + weights.silentFactor * own.silentMs(now)
-            + weights.strangerFactor * strangerMs
+            + weights.awayFactor * awayMs
             + weights.failingMs * failureRate;
     }
 
--- a/src/upstream/routedWeights/index.ts
+++ b/src/upstream/routedWeights/index.ts
@@ -23,19 +23,12 @@
      * Any upstream but the one to which a prompt's shared parts belong, while nobody is known to hold them: so many times what
      * reading them takes.
      */
-    readonly strangerFactor: number;
+    readonly awayFactor: number;
 }
 
 /**
- * Reading a shared part again takes the time of all that waits behind it, and is paid for: a prompt waits for its parts up to one and a
- * half times as long as reading them takes. Five times was tried: a quarter less was read again, and twice as many streams came late
- * beside the longer queues.
- *
- * A stream that stalls weighs three tenths of the request's target, so that a request waits for half of its own target before it harms
- * three streams. With a whole target for each, long prompts waited past their deadlines to spare the twenty streams of a full engine.
- * Of streams that may pause for 250 ms, 23 in 100 were late without this weight and the next, 9 in 100 with them, in bursts with engines lost.
- *
- * The rest are differences that callers would notice.
+ * A prompt waits for its parts longer than reading them takes, since reading them again also delays all that waits behind it. A stream that
+ * would stall weighs less than the request's whole target, so that long prompts are not kept back until their own deadlines.
  */
 export const DEFAULT_ROUTED_WEIGHTS: RoutedWeights = {
     rereadFactor: 2.5,
@@ -48,5 +41,5 @@
     stallTargets: 0.3,
     ownStallTargets: 1,
     silentFactor: 3,
-    strangerFactor: 1,
+    awayFactor: 1,
 };
