Pool sizer: comments without the tuning of their values

What they told: READING_SHARE 0.25 cost a tenth more for engines with as many late streams; MOST_READING_SHARE 0.55 left six engines for a burst that keeps twelve busy (a quarter of the streams with short pauses late), 0.3 bought steady ones where streams bear longer pauses; WATCH_MS 2.5 s shrank pools to a few.

--- a/src/control/poolSizer/index.ts
+++ b/src/control/poolSizer/index.ts
@@ -11,15 +11,9 @@
 import { ControlState } from "../state/index.js";
 
 const STEP_MS = 500;
-/**
- * The share of an engine's time that may go into reading prompts: above it, streams beside a prompt pause too often. With 0.25 a tenth more was
- * paid for engines, and as many streams were late.
- */
+/** The share of an engine's time that may go into reading prompts: above it, streams beside a prompt pause too often. */
 const READING_SHARE = 0.35;
-/**
- * The share that it may have where only steady upstreams are to be had. With 0.55 six engines were left for a burst that keeps
- * twelve busy, and a quarter of the streams with short pauses were late; with 0.3 steady ones were paid for where streams bear longer pauses.
- */
+/** The share that it may have where only steady upstreams are to be had, which cost more. */
 const MOST_READING_SHARE = 0.4;
 /** How long a lower need must last before it is believed, in milliseconds: bursts come in rows. */
 const CALM_MS = 15_000;
@@ -27,7 +21,7 @@
 const SOLD_OUT_MS = 3_000;
 /**
  * How long a term first watches, in milliseconds: upstreams announce themselves within little more than a second, but where all has just
- * started some reach a control process only with their third word, and owners report every two seconds. With 2.5 s pools were shrunk to a few.
+ * started some reach a control process only with their third word, and owners report every two seconds.
  */
 const WATCH_MS = 4_000;
 /** How long an order that got no answer waits before it is sent again, in milliseconds. */
