Counts of started requests are forgotten where nobody closes windows

Cause: only the holder's closer pruned the table, so that it grew for ever at all other control processes: with 77 entries by some 77 windows in five seconds each. Windows go 90 s after they were first heard of, by the steady clock. The noter leaves out what is closed: a new holder would have put all that it had heard since its start into one entry of the log. Test: a hundred windows at a process that never holds the lease.

--- a/src/control/startsCloser/index.ts
+++ b/src/control/startsCloser/index.ts
@@ -34,9 +34,7 @@
     }
 
     async step(term: HolderTerm): Promise<number> {
-        const { table, time, windowMs } = this.options;
-        const now = time.now();
-        table.forgetBefore(now, windowMs);
+        const now = this.options.time.now();
         for (let window = this.firstOpen(now); this.isDue(window, now); window++) {
             if (!term.mayAct()) return PAUSE_MS;
             await this.close(window, now);
--- a/src/control/startsNoter/index.ts
+++ b/src/control/startsNoter/index.ts
@@ -1,8 +1,10 @@
 import { ControlLog } from "../../consensus/index.js";
 import { Logger } from "../../logging/index.js";
+import { RunReport } from "../../usage/index.js";
 import { HolderTask } from "../holderRunner/index.js";
 import { HolderTerm } from "../holderTerm/index.js";
 import { StartsTable } from "../startsTable/index.js";
+import { ControlState } from "../state/index.js";
 
 /** How often counts go into the log, in milliseconds: those of the time since are lost if all processes are. */
 const NOTE_EVERY_MS = 100;
@@ -10,6 +12,7 @@
 /** What the noter is made of. */
 export interface StartsNoterOptions {
     readonly log: ControlLog;
+    readonly state: ControlState;
     readonly table: StartsTable;
     readonly logger: Logger;
 }
@@ -29,7 +32,7 @@
 
     async step(term: HolderTerm): Promise<number> {
         const { table, log, logger } = this.options;
-        const runs = table.takeUnnoted();
+        const runs = this.takeOpen();
         if (runs.length === 0 || !term.mayAct()) {
             table.returnUnnoted(runs);
             return NOTE_EVERY_MS;
@@ -41,4 +44,13 @@
         });
         return NOTE_EVERY_MS;
     }
+
+    /** What has come since the last time of windows that are not closed. */
+    private takeOpen(): RunReport[] {
+        const { table, state } = this.options;
+        return table.takeUnnoted().flatMap(({ run, windows }) => {
+            const open = windows.filter(({ window }) => !state.starts.isClosed(window));
+            return open.length > 0 ? [{ run, windows: open }] : [];
+        });
+    }
 }
--- a/src/control/startsTable/index.ts
+++ b/src/control/startsTable/index.ts
@@ -10,7 +10,7 @@
  * of an entry that has ended wait a little longer, and those of one that comes back are whole.
  */
 const LIVE_MS = 20_000;
-/** Windows older than this are closed, in milliseconds. */
+/** A window is closed so long after it was first heard of, in milliseconds. */
 const KEPT_MS = 90_000;
 
 /** What one run of an entry has counted, window by window, since it began. */
@@ -40,6 +40,8 @@
     /** What has come since it was last taken to be noted. */
     private readonly unnoted = new RunStarts();
     private readonly runs = new Map<string, Run>();
+    /** When each window was first heard of; monotonic, in milliseconds. */
+    private readonly windows = new Map<number, number>();
 
     constructor(private readonly clock: Clock, router: PeerRouter) {
         router.add(STARTS_METHOD, body => this.take(body as StartsReport));
@@ -54,6 +56,7 @@
         run.countedAt = Math.max(run.countedAt, countedAt);
         const grown = this.counts.merge(name, windows);
         this.unnoted.merge(name, grown);
+        this.noteWindows(windows);
     }
 
     /** Gives what has come since the last time, once. */
@@ -75,13 +78,25 @@
         return live.length > 0 && live.every(({ countedAt }) => countedAt >= until);
     }
 
-    /** Forgets what is too old to be closed. */
-    forgetBefore(now: number, windowMs: number): void {
-        const oldest = Math.floor((now - KEPT_MS) / windowMs);
-        this.counts.forgetBefore(oldest);
-        this.unnoted.forgetBefore(oldest);
-        for (const [name, run] of this.runs) {
-            if (this.clock.monotonic() - run.heardAt > KEPT_MS) this.runs.delete(name);
+    /**
+     * Guards against a table that grows for ever: most control processes never hold the lease, and close no window.
+     */
+    private noteWindows(windows: readonly StartWindow[]): void {
+        const now = this.clock.monotonic();
+        const added = windows.filter(({ window }) => !this.windows.has(window));
+        if (added.length === 0) return;
+        for (const { window } of added) this.windows.set(window, now);
+        this.forgetOld(now - KEPT_MS);
+    }
+
+    private forgetOld(oldest: number): void {
+        const old = new Set([...this.windows].filter(([, heardAt]) => heardAt < oldest).map(([window]) => window));
+        const isOld = (window: number): boolean => old.has(window);
+        this.counts.forget(isOld);
+        this.unnoted.forget(isOld);
+        for (const window of old) this.windows.delete(window);
+        for (const [name, { heardAt }] of this.runs) {
+            if (heardAt < oldest) this.runs.delete(name);
         }
     }
 }
--- a/src/control/startsTable/test.ts
+++ b/src/control/startsTable/test.ts
@@ -105,7 +105,7 @@
         const term = { token: 1 as FencingToken, mayAct: () => true } as unknown as HolderTerm;
         report("entry-1", 3);
         report("entry-2", 4);
-        await new StartsNoter({ log, table, logger: new SilentLogger() }).step(term);
+        await new StartsNoter({ log, state, table, logger: new SilentLogger() }).step(term);
         const revived = new ControlState();
         revived.restore(state.snapshot());
         const group = new MemoryLogGroup(clock);
@@ -125,7 +125,7 @@
     it("are not counted twice by a holder that has heard what is noted", async () => {
         const { clock, state, table, log, report, time } = await makeTable();
         const term = { token: 1 as FencingToken, mayAct: () => true } as unknown as HolderTerm;
-        const noter = new StartsNoter({ log, table, logger: new SilentLogger() });
+        const noter = new StartsNoter({ log, state, table, logger: new SilentLogger() });
         report("entry-1", 3);
         await noter.step(term);
         report("entry-1", 5);
@@ -148,4 +148,16 @@
         assert.ok(reports.length > 1);
         assert.ok(reports.every(({ counts }) => counts.butcher === 3));
     });
+
+    it("forget windows that are closed, also where nobody closes them", async () => {
+        // Guards against memory that grows for ever at control processes that never hold the lease.
+        const { clock, table, report, first } = await makeTable();
+        for (let window = first; window < first + 100; window++) {
+            report("entry-1", 3, window);
+            await clock.advance(WINDOW_MS);
+        }
+        const [{ windows }] = table.counts.list();
+        assert.ok(windows.length <= 20, `${windows.length}`);
+        assert.equal(table.takeUnnoted()[0].windows.length, windows.length);
+    });
 });
--- a/src/usage/runStarts/index.ts
+++ b/src/usage/runStarts/index.ts
@@ -83,9 +83,14 @@
 
     /** Forgets windows before this one. */
     forgetBefore(oldest: number): void {
+        this.forget(window => window < oldest);
+    }
+
+    /** Forgets the windows that are named. */
+    forget(isForgotten: (window: number) => boolean): void {
         for (const [run, windows] of this.runs) {
             for (const window of windows.keys()) {
-                if (window < oldest) windows.delete(window);
+                if (isForgotten(window)) windows.delete(window);
             }
             if (windows.size === 0) this.runs.delete(run);
         }
