--- a/src/entry/entryProcess/index.ts
+++ b/src/entry/entryProcess/index.ts
@@ -6,7 +6,7 @@
     PoolOwnerTable,
     ROUTED_POLICIES,
 } from "../../dispatch/index.js";
-import { PoolId, ZoneId } from "../../ids/index.js";
+import { ZoneId } from "../../ids/index.js";
 import { Lifecycle } from "../../lifecycle/index.js";
 import { Logger } from "../../logging/index.js";
 import { Metrics } from "../../metrics/index.js";
@@ -26,6 +26,7 @@
 import { PeerIdentity, PeerRouter, PeerTiming, reportTraffic, servePeers } from "../../wire/index.js";
 import { AnnouncementSpreader } from "../announcementSpreader/index.js";
 import { CacheSurvey } from "../cacheSurvey/index.js";
+import { ColdAllowance } from "../coldAllowance/index.js";
 import { DemandReporter } from "../demandReporter/index.js";
 import { EntryContext, EntryLimits } from "../entryContext/index.js";
 import { EvacuationWatch } from "../evacuationWatch/index.js";
@@ -99,6 +100,10 @@
     private readonly lifecycle = new Lifecycle();
     private readonly router = new PeerRouter();
     private readonly cache = new ViewCache();
+    private readonly coldAllowance = new ColdAllowance({
+        findSpec: pool => this.cache.routes?.findPool(pool)?.cold,
+        mayDecide: pool => this.control.isFresh() && this.dispatcher.isLikelyOwner(pool),
+    });
     private readonly links: ControlLinkSet;
     private readonly client: ControlClient;
     private readonly directory: PeerDirectory;
@@ -134,7 +139,7 @@
             registry: this.registry,
             policies: options.routes && ROUTED_POLICIES,
             capacityOf: pool => this.cache.routes?.findPool(pool)?.engine?.kvTokens,
-            coldRateOf: pool => this.coldRateOf(pool),
+            coldRateOf: pool => this.coldAllowance.rateOf(pool),
         });
         this.dispatcher = new FleetDispatcher({
             clock,
@@ -327,15 +332,7 @@
 
     private evacuateZones(zones: readonly ZoneId[]): void {
         this.evacuations.setZones(zones, this.cache.revision);
-        this.registry.setEvacuatedZones(zones, pool => this.cache.routes?.findPool(pool)?.cold?.durationMs ?? 0);
-    }
-
-    /** A host that is cut off may be one of many that believe to own a queue: it sends nothing to what is cold. */
-    private coldRateOf(pool: PoolId): number {
-        const rate = this.cache.routes?.findPool(pool)?.cold?.requestsPerSecond;
-        if (rate === undefined) return Number.POSITIVE_INFINITY;
-        const mayDecide = this.control.isFresh() && this.dispatcher.isLikelyOwner(pool);
-        return mayDecide ? Math.max(1, Math.floor(rate)) : 0;
+        this.registry.setEvacuatedZones(zones, pool => this.coldAllowance.durationOf(pool));
     }
 
     private makeClient(): ControlClient {
--- a/src/faultInjection/index.ts
+++ b/src/faultInjection/index.ts
@@ -2,3 +2,4 @@
 export * from "./replicaFleet/index.js";
 export * from "./routedFleet/index.js";
 export * from "./schedule/index.js";
+export * from "./testCaller/index.js";
--- a/src/faultInjection/routedFleet/index.ts
+++ b/src/faultInjection/routedFleet/index.ts
@@ -10,7 +10,6 @@
     Address,
     DEFAULT_HTTP_LIMITS,
     findHeader,
-    HeaderList,
     MemoryDisk,
     MemoryFabric,
     MemoryWeb,
@@ -20,9 +19,9 @@
 import { checkDocument } from "../../routing/index.js";
 import { DEFAULT_REGISTRY_TIMING } from "../../upstream/index.js";
 import { ZoneCommand } from "../../zone/index.js";
+import { CALL_LIMIT_MS, TestCall, TestCaller, TestReply } from "../testCaller/index.js";
 
 const PORTS = { control: 7001, callers: 8080, peers: 7000, upstream: 9000 } as const;
-const CALLER_HOST = "10.0.8.1";
 const UPSTREAM_HOST = "10.0.9.";
 const PEER_TIMING = { heartbeatMs: 500, silenceMs: 1_300 };
 const LOG_TIMING = { ...DEFAULT_LOG_TIMING, heartbeatMs: 250, leaseMs: 1_200, electionSpreadMs: 600 };
@@ -30,7 +29,6 @@
 const HEARTBEAT_MS = 1_200;
 const SEEDS = 3;
 const START_LIMIT_MS = 30_000;
-const CALL_LIMIT_MS = 30_000;
 
 /** How a fleet is laid out. */
 export interface RoutedLayout {
@@ -44,28 +42,6 @@
     readonly zones?: readonly string[];
 }
 
-/** A call as a test sends it. */
-export interface TestCall {
-    readonly entry: number;
-    readonly path: string;
-    readonly method?: string;
-    readonly body?: string;
-    readonly key?: string;
-    readonly request?: string;
-    readonly headers?: HeaderList;
-    readonly signal?: AbortSignal;
-}
-
-/** What its caller got. */
-export interface TestReply {
-    readonly status: number;
-    readonly headers: HeaderList;
-    readonly body: string;
-    /** False: the connection ended before the answer did. */
-    readonly isWhole: boolean;
-    readonly tookMs: number;
-}
-
 /**
  * Control processes, entries and stand-ins for upstreams with the fleet document, under virtual time: the real code over ports in
  * memory. Entries and control processes know three control processes to begin with, as seeds.
@@ -87,9 +63,9 @@
     readonly upstreams: CallStandIn[] = [];
     readonly layout: RoutedLayout;
     private readonly random: SeededRandom;
+    private readonly caller = new TestCaller(this.clock, this.web);
     private readonly announcing = new AbortController();
     private starts = 0;
-    private calls = 0;
 
     constructor(layout: Partial<RoutedLayout> = {}) {
         this.layout = { seed: 1, controls: 5, entries: 2, upstreams: [{}, {}], queueHosts: false, ...layout };
@@ -261,39 +237,8 @@
     }
 
     /** Sends a call; its answer comes as time passes. */
-    async startCall(
-        { entry, path, method = "POST", body = "", key, headers = [], ...rest }: TestCall,
-    ): Promise<TestReply> {
-        const startedAt = this.clock.monotonic();
-        const request = rest.request ?? `call-${++this.calls}`;
-        const sent = await this.web.http(CALLER_HOST).send({
-            address: { host: `10.0.1.${entry + 1}`, port: PORTS.callers },
-            method,
-            path,
-            headers: [
-                ["host", "shop.example"],
-                [CALL_HEADERS.request, request],
-                ...(key === undefined ? [] : [["authorization", `Bearer ${key}`] as const]),
-                ...headers,
-            ],
-            body: Buffer.from(body),
-            fresh: true,
-            connectTimeoutMs: 1_000,
-            headTimeoutMs: CALL_LIMIT_MS,
-            signal: rest.signal,
-        });
-        const tookMs = (): number => this.clock.monotonic() - startedAt;
-        const reply = sent.toMaybe().extract();
-        if (!reply) return { status: 0, headers: [], body: "", isWhole: false, tookMs: tookMs() };
-        let text = "";
-        let isWhole = true;
-        try {
-            for await (const chunk of reply.body) text += Buffer.from(chunk).toString();
-        }
-        catch {
-            isWhole = false;
-        }
-        return { status: reply.status, headers: reply.headers, body: text, isWhole, tookMs: tookMs() };
+    startCall(call: TestCall): Promise<TestReply> {
+        return this.caller.send({ host: `10.0.1.${call.entry + 1}`, port: PORTS.callers }, call);
     }
 
     /** Which upstream made an answer. */
