--- a/src/bench/slopes/capacity/index.ts
+++ b/src/bench/slopes/capacity/index.ts
@@ -15,7 +15,7 @@
 import { describeVoter } from "./roles/voter.js";
 
 /** Where the page stands, from the repository's root. */
-export const CAPACITY_PAGE = "docs/CAPACITY.md";
+export const COMPONENTS_PAGE = "docs/COMPONENTS.md";
 
 const SECTIONS = [
     describeView,
@@ -34,7 +34,7 @@
  *
  * @throws RangeError when a slope is missing.
  */
-export function formatCapacityPage(file: SlopeFile): string {
+export function formatComponentsPage(file: SlopeFile): string {
     const book = new SlopeBook(file);
     const sections = SECTIONS.map(describe => describe(book));
     const parts = [formatHead(file), formatTotals(sections), ...sections.map(formatSection), formatSlopes(book)];
@@ -43,7 +43,7 @@
 
 function formatHead({ machine, slopes }: SlopeFile): string {
     const dates = [...new Set(slopes.map(slope => slope.date))].sort().join(", ");
-    return `# Capacity
+    return `# Slopes of single components
 
 This page is made by \`npm run slopes\` from the figures in \`bench/slopes.json\`; a test compares the two. It holds today's code,
 measured on one machine, against the size that the users expect in about two years. Figures at that size are computed from
--- a/src/bench/slopes/capacity/test.ts
+++ b/src/bench/slopes/capacity/test.ts
@@ -3,15 +3,15 @@
 import { FileDisk } from "../../../ports/index.js";
 import { LEAST_POINTS } from "../fit/index.js";
 import { readSlopeFile } from "../slopeFile/index.js";
-import { CAPACITY_PAGE, formatCapacityPage } from "./index.js";
+import { COMPONENTS_PAGE, formatComponentsPage } from "./index.js";
 
 const disk = new FileDisk(".");
 const SINGLE_FIGURES = /^(base\.|dispatch\.ticket)/;
 
-describe("formatCapacityPage", () => {
-    it("gives what stands in docs/CAPACITY.md", async () => {
-        const page = Buffer.from(await disk.read(CAPACITY_PAGE) ?? []).toString();
-        assert.equal(page, formatCapacityPage(await readSlopeFile(disk)), "run npm run slopes:page");
+describe("formatComponentsPage", () => {
+    it("gives what stands in docs/COMPONENTS.md", async () => {
+        const page = Buffer.from(await disk.read(COMPONENTS_PAGE) ?? []).toString();
+        assert.equal(page, formatComponentsPage(await readSlopeFile(disk)), "run npm run slopes:page");
     });
 
     it("rests on four sizes at least for each slope", async () => {
--- a/src/bench/slopes/main.ts
+++ b/src/bench/slopes/main.ts
@@ -1,11 +1,11 @@
 /**
  * Measures how each part's processor time, memory, messages and bytes grow with its sizes, and writes the page
- * `docs/CAPACITY.md` from the raw figures in `bench/slopes.json`. Run it in the repository's folder, with `--expose-gc`:
+ * `docs/COMPONENTS.md` from the raw figures in `bench/slopes.json`. Run it in the repository's folder, with `--expose-gc`:
  * `main.js probe NAME` measures one part, `main.js list` names the parts.
  */
 import { cac } from "cac";
 import { FileDisk, SystemClock } from "../../ports/index.js";
-import { CAPACITY_PAGE, formatCapacityPage } from "./capacity/index.js";
+import { COMPONENTS_PAGE, formatComponentsPage } from "./capacity/index.js";
 import { SlopeRecorder } from "./probe/index.js";
 import { loadProbe, PROBE_NAMES } from "./probes/index.js";
 import { mergeSlopes, readSlopeFile, writeSlopeFile } from "./slopeFile/index.js";
@@ -26,18 +26,18 @@
 
 /** Writes the page, or only says whether it is the one that the figures give. */
 async function writePage({ check }: { readonly check?: boolean; }): Promise<void> {
-    const page = formatCapacityPage(await readSlopeFile(disk));
-    if (!check) return disk.replace(CAPACITY_PAGE, Buffer.from(page));
-    const present = Buffer.from(await disk.read(CAPACITY_PAGE) ?? []).toString();
+    const page = formatComponentsPage(await readSlopeFile(disk));
+    if (!check) return disk.replace(COMPONENTS_PAGE, Buffer.from(page));
+    const present = Buffer.from(await disk.read(COMPONENTS_PAGE) ?? []).toString();
     if (present === page) return;
-    console.error(`${CAPACITY_PAGE} is not what bench/slopes.json gives: run npm run slopes:page`);
+    console.error(`${COMPONENTS_PAGE} is not what bench/slopes.json gives: run npm run slopes:page`);
     process.exitCode = 1;
 }
 
 const cli = cac("slopes");
 cli.command("list", "Names the probes").action(() => console.log(PROBE_NAMES.join("\n")));
 cli.command("probe <name>", "Measures one part").action(runProbe);
-cli.command("page", "Writes docs/CAPACITY.md from the figures")
+cli.command("page", "Writes docs/COMPONENTS.md from the figures")
     .option("--check", "Only compare")
     .action(writePage);
 cli.help();
