Pool sizer: an order without an answer is sent again as a number

Cause: the count of an order without an answer was NaN, which the plan of steady upstreams took for what is there and ordered again, as null, for the rest of the holder's term: steady ones were never given back in that zone, at full price, and none could be bought. Ruled out: the reclaimable kind, whose plan does not look at what was ordered.

--- a/src/control/poolSizer/index.ts
+++ b/src/control/poolSizer/index.ts
@@ -58,7 +58,8 @@
 }
 
 interface Ordered {
-    readonly count: number;
+    /** Undefined: the order got no answer, and may have been taken or not. */
+    readonly count: number | undefined;
     /** Monotonic, in milliseconds. */
     readonly sentAt: number;
     readonly retryAt: number;
@@ -225,8 +226,7 @@
         const isTaken = status >= 200 && status < 300;
         const soldOut = status === STATUS_NONE_LEFT;
         const pauseMs = soldOut ? SOLD_OUT_MS : isTaken ? 0 : RETRY_MS;
-        // An order without an answer may have been taken or not: it counts as another number, so that it is sent again.
-        const count = isTaken || soldOut ? order.count : Number.NaN;
+        const count = isTaken || soldOut ? order.count : undefined;
         const sentAt = clock.monotonic();
         this.ordered.set(nameOf(order), { count, soldOut, sentAt, retryAt: sentAt + pauseMs, mostReady: ready });
         const need = this.needs.get(order.pool)?.count;
--- a/src/control/poolSizer/test.ts
+++ b/src/control/poolSizer/test.ts
@@ -168,4 +168,20 @@
         await run(3_000, 0.5);
         assert.ok(platform.orders.length > before);
     });
+
+    it("orders whole numbers after orders that got no answer", async () => {
+        // Guards against a pool that keeps its size for good once the platform has failed to answer: an order of no number is refused each time.
+        const { platform, announce, run } = makeSizer();
+        for (const zone of ZONES) {
+            announce(`${zone}-steady`, zone, false);
+            for (const number of [0, 1, 2]) announce(`${zone}-${number}`, zone, true);
+        }
+        platform.status = 503;
+        await run(24_000, 0.5);
+        platform.status = 200;
+        await run(8_000, 0.5);
+        const strange = platform.orders.filter(({ count }) => !Number.isInteger(count));
+        assert.deepEqual(strange.slice(0, 2), []);
+        assert.ok(ZONES.every(zone => platform.last(zone, false) === 0));
+    });
 });
--- a/src/upstream/registry/index.ts
+++ b/src/upstream/registry/index.ts
@@ -211,7 +211,7 @@
         const known = this.upstreams.get(id);
         if (known && !known.isOutdatedBy(announcement)) return false;
         const upstream = known ?? new Upstream(announcement, heardAt, firstHand);
-        // An upstream that now announces itself here is news too: whoever heard it before confirms for it no longer.
+        // An upstream that now announces itself here is news too: whoever heard it before confirms it no longer.
         const isMembershipNews = !known
             || known.state === "silent"
             || (firstHand && !known.firstHand)
--- a/src/upstream/upstream/index.ts
+++ b/src/upstream/upstream/index.ts
@@ -68,7 +68,7 @@
         return Math.max(this.assumedColdUntil, this.heardAt + (this.newest.cold_ms ?? 0));
     }
 
-    /** Monotonic time at which it was last known to announce itself, here or at a process that confirms for it, in milliseconds. */
+    /** Monotonic time at which it was last known to announce itself, here or at a process that confirms it, in milliseconds. */
     get aliveAt(): number {
         return Math.max(this.heardAt, this.confirmedAt);
     }
