--- a/src/discovery/announcementUpdate/index.ts
+++ b/src/discovery/announcementUpdate/index.ts
@@ -25,7 +25,7 @@
     readonly ageMs: number;
 }
 
-/** What a publisher tells its subscribers. With each message it confirms for the ready upstreams that it has told of, but for those that lapsed. */
+/** What a publisher tells its subscribers. With each message it confirms the ready upstreams that it has told of, but for those that lapsed. */
 export interface AnnouncementUpdate {
     readonly records: readonly SpreadRecord[];
     readonly lapsed?: readonly ExpiredUpstream[];
