One look at the ranked owners; the version of other commands from the state machine itself

FleetDispatcher asked twice, with other numbers, whether this host is among the first owners; ControlState wrote the first entry version again beside StateMachine's.

--- a/src/control/startsTable/index.ts
+++ b/src/control/startsTable/index.ts
@@ -10,7 +10,7 @@
  * of an entry that has ended wait a little longer, and those of one that comes back are whole.
  */
 const LIVE_MS = 20_000;
-/** A window is closed so long after it was first heard of, in milliseconds. */
+/** A window has been closed by so long after it was first heard of, in milliseconds. */
 const KEPT_MS = 90_000;
 
 /** What one run of an entry has counted, window by window, since it began. */
--- a/src/control/state/index.ts
+++ b/src/control/state/index.ts
@@ -105,7 +105,8 @@
 
     override entryVersionOf(command: unknown): number {
         const { kind } = command as ControlCommand;
-        return kind === "zone.evacuate" || kind === "zone.restore" ? ZONES_ENTRY_VERSION : 1;
+        const isZoneOrder = kind === "zone.evacuate" || kind === "zone.restore";
+        return isZoneOrder ? ZONES_ENTRY_VERSION : super.entryVersionOf(command);
     }
 
     /** What entries at a revision need to know; everything when the history does not reach back so far. */
--- a/src/entry/fleetDispatcher/index.ts
+++ b/src/entry/fleetDispatcher/index.ts
@@ -89,9 +89,8 @@
 
     /** Whether this host owns the queue of a pool, or may own it soon. */
     mayDecide(): boolean {
-        const { directory, owners, self, pools } = this.options;
-        const hosts = directory.queueHosts();
-        return (pools?.() ?? []).some(pool => owners.rank(pool, hosts).slice(0, KEPT_OWNERS).includes(self));
+        const pools = this.options.pools?.() ?? [];
+        return pools.some(pool => this.isAmongOwners(pool, KEPT_OWNERS));
     }
 
     /** The upstreams of the grants in use, one for each. */
@@ -104,9 +103,13 @@
      * while the queue changes hands two hosts may, no more.
      */
     isLikelyOwner(pool: PoolId): boolean {
+        return this.options.directory.isOwningKind && this.isAmongOwners(pool, LIKELY_OWNERS);
+    }
+
+    /** Whether this host is one of the first that own a pool's queue, or would own it next. */
+    private isAmongOwners(pool: PoolId, most: number): boolean {
         const { directory, owners, self } = this.options;
-        if (!directory.isOwningKind) return false;
-        return owners.rank(pool, directory.queueHosts()).slice(0, LIKELY_OWNERS).includes(self);
+        return owners.rank(pool, directory.queueHosts()).slice(0, most).includes(self);
     }
 
     onPreempt(listener: (request: RequestId) => void): void {
