Chats are billed when all hosts lose power: their usage takes the same way as starts

Change: UsageMeter only counts and numbers its batches; UsageReplicator sends them to the voters' journals with the starts, and the last event waits for the same majority under the same limits, as do answers of services. The holder proposes the batches to the control log. Entries no longer submit batches or hold others' batches; a report that a majority can't store goes to another entry, which passes it on. A chat that fails after a part was delivered is billed as before; its usage is now sent before the error is.

--- a/src/entry/entryProcess/index.ts
+++ b/src/entry/entryProcess/index.ts
@@ -27,7 +27,6 @@
 import { PositionCounter } from "../../usage/index.js";
 import { PeerIdentity, PeerRouter, PeerTiming, reportTraffic, servePeers } from "../../wire/index.js";
 import { AnnouncementForwarder } from "../announcementForwarder/index.js";
-import { BackupBatchStore } from "../backupBatchStore/index.js";
 import { CacheDiscovery } from "../cacheDiscovery/index.js";
 import { CrashMonitor } from "../crashMonitor/index.js";
 import { DemandReporter } from "../demandReporter/index.js";
@@ -35,7 +34,6 @@
 import { EvacuationMonitor } from "../evacuationMonitor/index.js";
 import { FleetControl } from "../fleetControl/index.js";
 import { FleetDispatcher } from "../fleetDispatcher/index.js";
-import { PeerBatchBackup } from "../peerBatchBackup/index.js";
 import { PeerDirectory } from "../peerDirectory/index.js";
 import { PeerUsageBackup } from "../peerUsageBackup/index.js";
 import { RouteService, RouteServiceSettings } from "../routeService/index.js";
@@ -89,7 +87,6 @@
 }
 
 const VIEW_POLL_MS = 10;
-const BACKLOG_POLL_MS = 50;
 
 /**
  * An entry process: serves callers, receives upstreams' announcements, owns the queues of some pools, and meters usage.
@@ -205,11 +202,7 @@
         this.announcementForwarder = new AnnouncementForwarder(this.registry, this.directory, owners, self.host);
         const positions = new PositionCounter();
         this.replicator = this.makeReplicator(positions);
-        this.meter = new UsageMeter({
-            ...options,
-            backup: new PeerBatchBackup(this.directory, self),
-            control: this.control,
-        });
+        this.meter = new UsageMeter({ ...options, positions, replicator: this.replicator });
         this.routeService = options.routes && this.makeRouteService(options.routes, positions);
     }
 
@@ -257,13 +250,11 @@
         const limit = new AbortController();
         const timer = clock.after(graceMs, () => limit.abort());
         await Promise.race([this.requests.whenIdle(), clock.sleep(graceMs, limit.signal)]);
-        while (this.meter.backlog > 0 && !limit.signal.aborted) await clock.sleep(BACKLOG_POLL_MS);
         const isDurable = await this.replicator.drain(limit.signal);
         timer.cancel();
         this.replicator.sendLast();
-        const batches = this.meter.backlog;
-        logger.info("drain-ended", { requests: this.requests.size, batches, usage: this.replicator.backlog });
-        return this.requests.size === 0 && batches === 0 && isDurable;
+        logger.info("drain-ended", { requests: this.requests.size, usage: this.replicator.backlog });
+        return this.requests.size === 0 && isDurable;
     }
 
     /** Stops everything immediately, without draining. */
@@ -276,8 +267,6 @@
         const { logger } = options;
         const onError = (err: unknown): void => logger.error("task-failed", { problem: String((err as Error).stack) });
         this.controlLinks.setSeeds(options.controlPeers);
-        const batchStore = new BackupBatchStore(options.clock, this.control);
-        batchStore.addTo(this.router);
         const backupStore = new UsageBackupStore(options.clock, this.controlLinks.list);
         backupStore.addTo(this.router);
         const peerRouter = options.sharedRouter ?? this.router;
@@ -293,8 +282,6 @@
         }
         lifecycle.run(running => this.client.run(running), onError);
         lifecycle.run(running => this.dispatcher.run(running), onError);
-        lifecycle.run(running => this.meter.run(running), onError);
-        lifecycle.run(running => batchStore.run(running), onError);
         lifecycle.run(running => this.replicator.run(running), onError);
         lifecycle.run(running => this.evacuationMonitor.run(running), onError);
         lifecycle.run(running => this.crashMonitor.run(running), onError);
--- a/src/entry/runChat/index.ts
+++ b/src/entry/runChat/index.ts
@@ -2,6 +2,7 @@
 import { HostId, UpstreamId } from "../../ids/index.js";
 import { EngineUsage, Outcome } from "../../protocol/index.js";
 import { RunningRequest } from "../../request/index.js";
+import { HoldLimits } from "../../usage/index.js";
 import { CallerError } from "../callerError/index.js";
 import { ChatSink } from "../chatSink/index.js";
 import { checkGrant } from "../checkGrant/index.js";
@@ -129,7 +130,7 @@
         return toRefusalError(refusal, this.failureOutcome());
     }
 
-    /** Completes the answer. The usage is stored on another host before the last event is sent to the caller. */
+    /** Completes the answer. The usage is durable before the last event is sent to the caller, unless that takes too long. */
     private async finish({ usage, finishReason }: EngineStreamEnd): Promise<ChatResult> {
         const { sink } = this.options;
         await this.recordUsage(usage.prompt_tokens, sink.tokens);
@@ -142,22 +143,31 @@
     /** Sends the final error immediately. A caller that received part of a streamed answer is billed for that part. */
     private async fail(err: CallerError): Promise<ChatResult> {
         const { prepared, sink } = this.options;
+        const recorded = sink.delivered > 0 && this.recordUsage(prepared.promptTokens, sink.delivered);
         sink.fail(err);
+        await recorded;
         if (sink.delivered === 0) return { outcome: err.outcome, billedTokens: 0 };
-        await this.recordUsage(prepared.promptTokens, sink.delivered);
         return { outcome: err.outcome, billedTokens: prepared.promptTokens + sink.delivered };
     }
 
     private recordUsage(promptTokens: number, tokens: number): Promise<void> {
         const { workspace, pool, className } = this.options.run.identity;
-        return this.options.ctx.meter.record({
+        const line = {
             workspace,
             pool,
             class: className,
             requests: 1,
             prompt_tokens: promptTokens,
             completion_tokens: tokens,
-        });
+        };
+        return this.options.ctx.meter.record(line, this.describeHoldLimits(tokens));
+    }
+
+    /** A chat's objective is the time that its class allows for the first token and for each further one. */
+    private describeHoldLimits(tokens: number): HoldLimits {
+        const { prepared: { classView }, run } = this.options;
+        const objectiveMs = classView.firstTokenMs + tokens * classView.tokenMs;
+        return { objectiveLeftMs: objectiveMs - run.ageMs(), deadlineLeftMs: Number.POSITIVE_INFINITY };
     }
 
     /** Returns "not-run" only while no byte of any attempt can have been sent. */
--- a/src/entry/serveService/index.ts
+++ b/src/entry/serveService/index.ts
@@ -1,6 +1,7 @@
 import { RequestId } from "../../ids/index.js";
 import { HttpRequest, HttpResponse } from "../../ports/index.js";
 import { OUTCOME_HEADER, REQUEST_HEADER } from "../../protocol/index.js";
+import { RunningRequest } from "../../request/index.js";
 import { PeerIdentity } from "../../wire/index.js";
 import { admitRequest } from "../admitRequest/index.js";
 import { CallerError, sendCallerError } from "../callerError/index.js";
@@ -29,23 +30,30 @@
     const tracked = { id, keyHash: key.hash, workspace, classView: prepared.classView, pool: prepared.pool };
     await trackRequest(ctx, req, tracked, async run => {
         const result = await runService(ctx, prepared, run, self);
-        await recordUsage(ctx, prepared, result);
+        await recordUsage(ctx, prepared, run, result);
         sendResult(res, id, result);
         return { outcome: result.kind === "error" ? result.err.outcome : "answered", tokens: 0 };
     });
 }
 
 /** Records the usage of a call without a call record; a call with a record is billed once, when the record is closed. */
-async function recordUsage(ctx: EntryContext, prepared: PreparedService, result: ServiceResult): Promise<void> {
-    if (result.kind === "error" || prepared.call) return;
-    await ctx.meter.record({
-        workspace: prepared.workspace.id,
-        pool: prepared.pool,
-        class: prepared.classView.name,
+async function recordUsage(
+    ctx: EntryContext,
+    { workspace, pool, classView, call }: PreparedService,
+    run: RunningRequest,
+    result: ServiceResult,
+): Promise<void> {
+    if (result.kind === "error" || call) return;
+    const line = {
+        workspace: workspace.id,
+        pool,
+        class: classView.name,
         requests: 1,
         prompt_tokens: 0,
         completion_tokens: 0,
-    });
+    };
+    const objectiveLeftMs = classView.firstTokenMs - run.ageMs();
+    await ctx.meter.record(line, { objectiveLeftMs, deadlineLeftMs: Number.POSITIVE_INFINITY });
 }
 
 function sendResult(res: HttpResponse, id: RequestId, result: ServiceResult): void {
--- a/src/entry/usageMeter/index.ts
+++ b/src/entry/usageMeter/index.ts
@@ -1,19 +1,9 @@
 import { WindowStart } from "../../ids/index.js";
-import { Logger } from "../../logging/index.js";
 import { Clock } from "../../ports/index.js";
 import { UsageLine } from "../../protocol/index.js";
-import { UsageBatchCommand, UsageSum } from "../../usage/index.js";
+import { HoldLimits, PositionCounter, UsageBatchCommand, UsageChanges, UsageSum } from "../../usage/index.js";
 import { PeerIdentity } from "../../wire/index.js";
-import { ControlAccess } from "../controlAccess/index.js";
-
-/** Backs up this entry's usage batches on another host until the control log has them. */
-export abstract class BatchBackup {
-    /** Sends a batch to another host; resolves to whether that host holds it. */
-    abstract hold(batch: UsageBatchCommand): Promise<boolean>;
-
-    /** Releases the backup of a batch that the control log has accepted. */
-    abstract release(sequence: number): void;
-}
+import { UsageReplicator, UsageSource } from "../usageReplicator/index.js";
 
 /** Options of `UsageMeter`. */
 export interface UsageMeterOptions {
@@ -21,48 +11,45 @@
     readonly self: PeerIdentity;
     /** Length of a usage window, in milliseconds. */
     readonly windowMs: number;
-    readonly backup: BatchBackup;
-    readonly control: ControlAccess;
-    readonly logger: Logger;
+    readonly positions: PositionCounter;
+    readonly replicator: Pick<UsageReplicator, "add" | "notifyChange" | "waitDurable">;
 }
 
-const REPORT_INTERVAL_MS = 500;
-const COMMAND_TIMEOUT_MS = 2_000;
+/** A batch, and the position of the last line in it. */
+interface PositionedBatch {
+    readonly position: number;
+    readonly batch: UsageBatchCommand;
+}
 
 /**
- * Counts workspaces' usage and commits each figure to the control log exactly once.
+ * Counts workspaces' usage in numbered batches.
  *
- * Usage is not lost with an entry: a batch is held by another host (or is in the control log) before the last event of an answer
- * counted in it is sent, and that host submits the batch if this one has ended. Usage is not counted twice: a batch never changes
- * once it has its sequence number, and the log accepts each (host, incarnation, sequence) once, whichever host submits it.
+ * Usage is not counted twice: a batch never changes once it has its sequence number, and the control log accepts each
+ * (host, incarnation, sequence) once, whichever way it comes.
  *
  * @example
- * await meter.record(line);
+ * await meter.record(line, limits);
  * sink.finish("stop", usage);
  */
-export class UsageMeter {
+export class UsageMeter implements UsageSource {
     /** Sums for the next batch, by window, workspace, pool and class. */
     private readonly openSums = new Map<string, UsageSum>();
-    /** Batches not yet accepted by the control log, by sequence number. */
-    private readonly uncommitted = new Map<number, UsageBatchCommand>();
-    /** Callbacks of the lines in the next batch, called once it is secured. */
-    private waitingForBackup: (() => void)[] = [];
-    private flushing = false;
+    private openPosition = 0;
+    /** Batches that are not known to be in the control log, oldest first. */
+    private batches: PositionedBatch[] = [];
     private nextSequence = 1;
 
-    constructor(private readonly options: UsageMeterOptions) {}
-
-    /** Number of batches that the control log does not have yet. */
-    get backlog(): number {
-        return this.uncommitted.size;
+    constructor(private readonly options: UsageMeterOptions) {
+        options.replicator.add(this);
     }
 
-    /** Counts a line. Settles once the line would survive the loss of this host, or all attempts to secure it have failed. */
-    record(line: UsageLine): Promise<void> {
-        this.add(line);
-        const held = new Promise<void>(resolve => this.waitingForBackup.push(resolve));
-        void this.flush();
-        return held;
+    /** Counts a line. Settles once it is durable, or when the answer must not be held any longer. */
+    record(line: UsageLine, limits: HoldLimits): Promise<void> {
+        const { positions, replicator } = this.options;
+        this.addLine(line);
+        this.openPosition = positions.next();
+        replicator.notifyChange();
+        return replicator.waitDurable(this.openPosition, limits);
     }
 
     /** Returns the start of the current usage window. */
@@ -71,63 +58,29 @@
         return (Math.floor(clock.now() / windowMs) * windowMs) as WindowStart;
     }
 
-    /** Submits batches to the control log until the signal is aborted, then makes one last attempt. */
-    async run(signal: AbortSignal): Promise<void> {
-        while (!signal.aborted) {
-            await this.options.clock.sleepToTick(REPORT_INTERVAL_MS, signal);
-            await this.report();
-        }
+    /** Returns the batches with lines after a position. Closes the open batch: what is sent must not change any more. */
+    listChanges(after: number): Pick<UsageChanges, "batches"> {
+        if (this.openSums.size > 0) this.closeBatch();
+        return { batches: this.batches.filter(({ position }) => position > after).map(({ batch }) => batch) };
+    }
+
+    dropRecorded(recorded: number): void {
+        this.batches = this.batches.filter(({ position }) => position > recorded);
     }
 
-    private add(line: UsageLine): void {
+    private addLine(line: UsageLine): void {
         const window = this.currentWindow();
         const name = `${window} ${line.workspace} ${line.pool} ${line.class}`;
         const sum = this.openSums.get(name);
         this.openSums.set(name, { window, line: sum ? addLines(sum.line, line) : line });
     }
 
-    /** Closes and backs up batches, one at a time; lines that arrive meanwhile go into the next batch together. */
-    private async flush(): Promise<void> {
-        if (this.flushing) return;
-        this.flushing = true;
-        while (this.openSums.size > 0) {
-            const waiting = this.waitingForBackup;
-            this.waitingForBackup = [];
-            const batch = this.closeBatch();
-            await this.backUp(batch);
-            for (const resolve of waiting) resolve();
-        }
-        this.flushing = false;
-    }
-
-    private closeBatch(): UsageBatchCommand {
+    private closeBatch(): void {
         const { host, incarnation } = this.options.self;
         const sums = [...this.openSums.values()];
         this.openSums.clear();
         const batch = { kind: "usage.batch", host, incarnation, sequence: this.nextSequence++, sums } as const;
-        this.uncommitted.set(batch.sequence, batch);
-        return batch;
-    }
-
-    private async backUp(batch: UsageBatchCommand): Promise<void> {
-        if (await this.options.backup.hold(batch)) return;
-        if (await this.submit(batch)) return;
-        this.options.logger.warn("usage-unsecured", { sequence: batch.sequence });
-    }
-
-    private async report(): Promise<void> {
-        const batches = [...this.uncommitted.values()];
-        const results = await Promise.all(batches.map(batch => this.submit(batch)));
-        const failed = results.filter(done => !done).length;
-        if (failed > 0) this.options.logger.warn("usage-report-failed", { batches: failed });
-    }
-
-    private async submit(batch: UsageBatchCommand): Promise<boolean> {
-        const result = await this.options.control.command(batch, COMMAND_TIMEOUT_MS);
-        if (result.isLeft()) return false;
-        this.uncommitted.delete(batch.sequence);
-        this.options.backup.release(batch.sequence);
-        return true;
+        this.batches.push({ position: this.openPosition, batch });
     }
 }
 
