--- a/features/power.feature
+++ b/features/power.feature
@@ -20,3 +20,20 @@
     And all hosts lose power at once and come back
     And the usage window ends
     Then the platform was billed for 12 chats
+
+  # What an answer stands for is durable before the answer, whichever moment power goes at, also right after the holder was lost.
+  Scenario Outline: Power goes at a random moment under chats and orders
+    When chats and orders keep coming for a random time, by seed <seed>
+    And all hosts lose power at once and come back
+    And the usage window ends
+    Then each chat and order that was answered before the loss is billed, and none that did not run
+    And no order has run twice
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+      | 5    |
+      | 6    |
