--- a/src/entry/usageBackupStore/index.ts
+++ b/src/entry/usageBackupStore/index.ts
@@ -21,7 +21,7 @@
 }
 
 /** A report that has not been released for this long is sent to the control processes: its host has most likely ended. */
-const SEND_AFTER_MS = 5_000;
+const SEND_AFTER_MS = 2_000;
 const CHECK_INTERVAL_MS = 1_000;
 const REPORT_TIMEOUT_MS = 1_000;
 
--- a/src/entry/usageBackupStore/test.ts
+++ b/src/entry/usageBackupStore/test.ts
@@ -10,7 +10,7 @@
 const RUN = { host: "entry-1", incarnation: "1" };
 const REPORT: UsageReport = { ...RUN, after: 2, upTo: 5, recorded: 0, windows: [], batches: [], countedAt: 1_000 };
 /** Longer than the time after which a report is sent to the control processes, in milliseconds. */
-const OVERDUE_MS = 6_100;
+const OVERDUE_MS = 3_100;
 
 /** A control process that acknowledges each report. */
 class FakeControl {
--- a/src/faultInjection/routedFleet/index.ts
+++ b/src/faultInjection/routedFleet/index.ts
@@ -335,6 +335,7 @@
     }
 }
 
-function controlAddress(number: number): Address {
+/** Returns the address of a control process. */
+export function controlAddress(number: number): Address {
     return { host: `10.0.0.${number + 1}`, port: PORTS.control };
 }
