--- a/src/control/usageJournal/index.ts
+++ b/src/control/usageJournal/index.ts
@@ -67,8 +67,8 @@
 const FOLDER = "usage";
 /** Time between two syncs, in milliseconds, so that their number doesn't grow with that of requests. */
 const MIN_SYNC_INTERVAL_MS = 5;
-/** Size of the file at which what is in the control log is removed from it, in bytes. */
-const MAX_FILE_BYTES = 256 * 1024;
+/** Minimum size of the files at which what is in the control log is removed from them, in bytes. */
+const MIN_COMPACTION_BYTES = 256 * 1024;
 /** A run whose usage is in the control log is forgotten after this time without a report, in milliseconds. */
 const RUN_RETENTION_MS = 600_000;
 
@@ -88,6 +88,8 @@
     private isWriting = false;
     /** Monotonic time of the last sync, in milliseconds. */
     private syncedAt = Number.NEGATIVE_INFINITY;
+    /** Size of the files at which they are compacted next, in bytes. */
+    private compactAboveBytes = MIN_COMPACTION_BYTES;
     private isClosed = false;
 
     private constructor(private readonly options: UsageJournalOptions, private readonly files: RecordJournal) {
@@ -200,7 +202,7 @@
         if (this.isClosed) return new Error("the journal is closed");
         try {
             await this.files.append(bodies);
-            if (this.files.size > MAX_FILE_BYTES) await this.compact();
+            if (this.files.size > this.compactAboveBytes) await this.compact();
             return undefined;
         }
         catch (err) {
@@ -213,6 +215,7 @@
         this.pruneAll();
         const reports = [...this.runs.values()].flatMap(run => run.reports);
         await this.files.replaceAll(reports.map(encodeValue));
+        this.compactAboveBytes = Math.max(MIN_COMPACTION_BYTES, 2 * this.files.size);
     }
 
     private pruneAll(): void {
--- a/src/store/recordJournal/index.ts
+++ b/src/store/recordJournal/index.ts
@@ -1,4 +1,4 @@
-import { AppendFile, Disk } from "../../ports/index.js";
+import { AppendFile, Disk, DiskError } from "../../ports/index.js";
 import { encodeRecord, readRecord } from "../recordFrame/index.js";
 import { toStoreError } from "../storeError/index.js";
 
@@ -20,37 +20,45 @@
  * await journal.append([encodeValue(counts)]);
  */
 export class RecordJournal {
+    /** The file that is written; undefined until the first write. */
+    private file: AppendFile | undefined;
+
+    /**
+     * @param number - Number of the newest file, 0 for none.
+     * @param earlierBytes - Size of all files but the one that is written.
+     */
     private constructor(
         private readonly disk: Disk,
         private readonly folder: string,
-        private file: AppendFile,
         private number: number,
+        private earlierBytes: number,
     ) {}
 
     /**
-     * Reads all files of a folder and opens a new one. A torn record at the end of a file was never acknowledged and is ignored.
+     * Reads all files of a folder. A torn record at the end of a file was never acknowledged and is ignored. Nothing is written before the first
+     * record, so that opening does not delay the start of a process.
      *
      * @param disk - Disk that contains the folder; it must be locked by this process.
-     * @param folder - Path of the folder, created if it does not exist.
+     * @param folder - Path of the folder, created by the first write if it does not exist.
      * @throws StoreError with `damaged` when synced bytes have changed.
      */
     static async open(disk: Disk, folder: string): Promise<OpenedJournal> {
         try {
-            await disk.makeFolder(folder);
-            const names = (await disk.list(folder)).filter(name => name.endsWith(FILE_NAME_SUFFIX));
-            const files = await Promise.all(names.map(name => readBodies(disk, `${folder}/${name}`)));
-            const number = 1 + Math.max(0, ...names.map(name => Number(name.slice(0, -FILE_NAME_SUFFIX.length))));
-            const file = await disk.openAppend(formatPath(folder, number));
-            return { journal: new RecordJournal(disk, folder, file, number), bodies: files.flat() };
+            const names = await listFiles(disk, folder);
+            const files = await Promise.all(names.map(name => readFile(disk, `${folder}/${name}`)));
+            const number = Math.max(0, ...names.map(name => Number(name.slice(0, -FILE_NAME_SUFFIX.length))));
+            const bytes = files.reduce((sum, file) => sum + file.bytes, 0);
+            const journal = new RecordJournal(disk, folder, number, bytes);
+            return { journal, bodies: files.flatMap(file => file.bodies) };
         }
         catch (err) {
             throw toStoreError(err);
         }
     }
 
-    /** Size of the current file, in bytes. */
+    /** Size of all files, in bytes. */
     get size(): number {
-        return this.file.size;
+        return this.earlierBytes + (this.file?.size ?? 0);
     }
 
     /**
@@ -60,12 +68,13 @@
      */
     async append(bodies: readonly Uint8Array[]): Promise<void> {
         try {
+            this.file ??= await this.startFile();
             await this.file.append(Buffer.concat(bodies.map(encodeRecord)));
             await this.file.sync();
         }
         catch (err) {
-            // The next record would follow a torn one.
-            await this.startFile().catch(() => undefined);
+            // In this file, the next record would follow a torn one.
+            await this.endFile();
             throw toStoreError(err);
         }
     }
@@ -77,11 +86,12 @@
      */
     async replaceAll(bodies: readonly Uint8Array[]): Promise<void> {
         try {
-            await this.startFile();
+            await this.endFile();
             await this.append(bodies);
             const current = formatName(this.number);
-            const names = await this.disk.list(this.folder);
+            const names = await listFiles(this.disk, this.folder);
             for (const name of names.filter(each => each < current)) await this.disk.remove(`${this.folder}/${name}`);
+            this.earlierBytes = 0;
         }
         catch (err) {
             throw toStoreError(err);
@@ -89,18 +99,35 @@
     }
 
     async close(): Promise<void> {
-        await this.file.close();
+        await this.endFile();
+    }
+
+    private async startFile(): Promise<AppendFile> {
+        if (this.number === 0) await this.disk.makeFolder(this.folder);
+        return this.disk.openAppend(formatPath(this.folder, ++this.number));
     }
 
-    private async startFile(): Promise<void> {
-        const file = await this.disk.openAppend(formatPath(this.folder, this.number + 1));
-        await this.file.close();
-        this.file = file;
-        this.number++;
+    /** Ends the current file; the next write starts another one. */
+    private async endFile(): Promise<void> {
+        const { file } = this;
+        this.earlierBytes = this.size;
+        this.file = undefined;
+        await file?.close().catch(() => undefined);
+    }
+}
+
+/** Returns the names of a journal's files, oldest first. */
+async function listFiles(disk: Disk, folder: string): Promise<string[]> {
+    try {
+        return (await disk.list(folder)).filter(name => name.endsWith(FILE_NAME_SUFFIX)).sort();
+    }
+    catch (err) {
+        if (err instanceof DiskError && err.reason === "missing") return [];
+        throw err;
     }
 }
 
-async function readBodies(disk: Disk, path: string): Promise<Uint8Array[]> {
+async function readFile(disk: Disk, path: string): Promise<{ bytes: number; bodies: Uint8Array[]; }> {
     const bytes = Buffer.from(await disk.read(path) ?? []);
     const bodies: Uint8Array[] = [];
     for (let offset = 0; offset < bytes.length;) {
@@ -109,7 +136,7 @@
         bodies.push(record.body);
         offset = record.end;
     }
-    return bodies;
+    return { bytes: bytes.length, bodies };
 }
 
 function formatName(number: number): string {
--- a/src/store/recordJournal/test.ts
+++ b/src/store/recordJournal/test.ts
@@ -54,7 +54,19 @@
         await journal.append(encode("c"));
         disk.crash();
         assert.deepEqual((await reopen(disk)).texts, ["b", "c"]);
-        assert.equal((await disk.list(FOLDER)).length, 2);
+        assert.equal((await disk.list(FOLDER)).length, 1);
+    });
+
+    it("counts the size of files from earlier runs, so that they are replaced in time", async () => {
+        const disk = new MemoryDisk(new VirtualClock());
+        await (await reopen(disk)).journal.append(encode("a"));
+        await (await reopen(disk)).journal.append(encode("b"));
+        const { journal } = await reopen(disk);
+        const recordBytes = 13;
+        assert.equal(journal.size, 2 * recordBytes);
+        await journal.append(encode("c"));
+        await journal.replaceAll(encode("d"));
+        assert.equal(journal.size, recordBytes);
     });
 
     it("goes on after the disk was full", async () => {
