Starts that come after their window was closed are counted in the next one

What callers' operators saw: calls that an isolated entry answers within the lease of its view are never billed. Cause: starts of a closed window are dropped; the holder waits 8 s after a window's end for entries that have not reported.

The holder remembers what it counted for each run in the windows that it closed in its term, and counts what comes later in the first open window, under a run of its own. Windows of an earlier holder are left alone: their counts by run are not known, and a start must not be counted twice. No new log command, so older replicas go on.

Also: usage of entries is checked before it is stored (as batches were before they were proposed); reports to a control process that can't store them are sent less and less often (50 ms to 1 s); a backup is released once, when all of it is durable; majority and age of undurable usage have modules of their own.

--- a/src/control/controlProcess/index.ts
+++ b/src/control/controlProcess/index.ts
@@ -11,6 +11,7 @@
 import { ControlState } from "../controlState/index.js";
 import { HolderAnnouncer } from "../holderAnnouncer/index.js";
 import { HolderRunner, HolderTask } from "../holderRunner/index.js";
+import { LateStarts } from "../lateStarts/index.js";
 import { OrderSender } from "../orderSender/index.js";
 import { ProvisioningPolicy, PurchaseRunner } from "../purchaseRunner/index.js";
 import { RoutingOptions, RoutingService } from "../routingService/index.js";
@@ -178,13 +179,14 @@
         const { log, state, journal, startsTable: table } = this;
         const shared = { ...options, log, state, sender };
         const callVoters = log.callVoters.bind(log);
+        const late = new LateStarts();
         const collector = new UsageCollector({ ...options, journal, table, callVoters });
         const tasks: HolderTask[] = [
             collector,
-            new UsageRecorder({ ...shared, table, listBatches: () => journal.listBatches() }),
+            new UsageRecorder({ ...shared, table, late, listBatches: () => journal.listBatches() }),
             new UsageWindowCloser({ ...shared, graceMs, collector }),
             new AbandonedCallReaper({ ...shared, entries: this.service.entries }),
-            ...this.routing?.makeTasks(sender, collector) ?? [],
+            ...this.routing?.makeTasks(sender, collector, late) ?? [],
         ];
         if (operators) {
             const operatorAddress = formatAddress(operators);
--- a/src/control/routingService/index.ts
+++ b/src/control/routingService/index.ts
@@ -15,6 +15,7 @@
 import { FencedCall, FencedSender } from "../fencedSender/index.js";
 import { HolderTask } from "../holderRunner/index.js";
 import { HolderTerm } from "../holderTerm/index.js";
+import { LateStarts } from "../lateStarts/index.js";
 import { PoolSizer, SizeOrder } from "../poolSizer/index.js";
 import { QuarantineService } from "../quarantineService/index.js";
 import { StartsReporter } from "../startsReporter/index.js";
@@ -134,10 +135,10 @@
     }
 
     /** Creates the lease holder's tasks for routed calls. */
-    makeTasks(sender: FencedSender, collector: UsageCollector): HolderTask[] {
+    makeTasks(sender: FencedSender, collector: UsageCollector, late: LateStarts): HolderTask[] {
         const { routing, startsTable: table } = this.options;
         const { startsWindowMs: windowMs, maxStartsReportWaitMs: maxReportWaitMs, platform } = routing;
-        const shared = { ...this.options, table, collector, time: this.time, windowMs, maxReportWaitMs };
+        const shared = { ...this.options, table, collector, late, time: this.time, windowMs, maxReportWaitMs };
         const tasks: HolderTask[] = [new StartsWindowCloser(shared)];
         if (!platform) return tasks;
         const { checksFence: platformChecksFence, describeStarts, describeSize } = platform;
--- a/src/control/startsTable/index.ts
+++ b/src/control/startsTable/index.ts
@@ -2,7 +2,7 @@
 import { EntryRunKey, RunStarts, RunStartWindows, StartWindowCounts } from "../../usage/index.js";
 import { PeerRouter } from "../../wire/index.js";
 
-/** Peer method by which entries report their counts of request starts; the body is a `StartsReport`. */
+/** Peer method by which entries of earlier versions report their counts of request starts; the body is a `StartsReport`. */
 export const STARTS_METHOD = "control.starts";
 
 /**
--- a/src/control/startsTable/test.ts
+++ b/src/control/startsTable/test.ts
@@ -9,6 +9,7 @@
 import { ControlState } from "../controlState/index.js";
 import { FencedCall, FencedSender } from "../fencedSender/index.js";
 import { HolderTerm } from "../holderTerm/index.js";
+import { LateStarts } from "../lateStarts/index.js";
 import { MemoryLogGroup } from "../memoryControlLog/index.js";
 import { StartsReporter } from "../startsReporter/index.js";
 import { computeMaxReportWaitMs, StartsWindowCloser } from "../startsWindowCloser/index.js";
@@ -51,6 +52,7 @@
         table,
         time,
         collector: COLLECTED,
+        late: new LateStarts(),
         logger: new SilentLogger(),
         windowMs: WINDOW_MS,
         maxReportWaitMs,
@@ -164,7 +166,14 @@
         const term = { token: 1 as FencingToken, mayAct: () => true } as unknown as HolderTerm;
         report("entry-1", 3);
         report("entry-2", 4);
-        await new UsageRecorder({ log, state, table, listBatches: () => [], logger: new SilentLogger() }).step(term);
+        await new UsageRecorder({
+            log,
+            state,
+            table,
+            listBatches: () => [],
+            late: new LateStarts(),
+            logger: new SilentLogger(),
+        }).step(term);
         const revived = new ControlState();
         revived.restore(state.snapshot());
         const group = new MemoryLogGroup(clock);
@@ -179,6 +188,7 @@
             table: nextTable,
             time,
             collector: COLLECTED,
+            late: new LateStarts(),
             logger: new SilentLogger(),
         };
         const closer = new StartsWindowCloser({ ...parts, windowMs: WINDOW_MS, maxReportWaitMs: 6_000 });
@@ -199,7 +209,7 @@
                 return asked.length > 1;
             },
         };
-        const parts = { log, state, table, time, collector, logger: new SilentLogger() };
+        const parts = { log, state, table, time, collector, late: new LateStarts(), logger: new SilentLogger() };
         const closer = new StartsWindowCloser({ ...parts, windowMs: WINDOW_MS, maxReportWaitMs: 6_000 });
         report("entry-1", 3);
         await clock.advance(12_000);
@@ -213,12 +223,27 @@
     it("are not counted twice by a holder that has received counts already recorded in the log", async () => {
         const { clock, state, table, log, report, time } = await makeTable();
         const term = { token: 1 as FencingToken, mayAct: () => true } as unknown as HolderTerm;
-        const recorder = new UsageRecorder({ log, state, table, listBatches: () => [], logger: new SilentLogger() });
+        const recorder = new UsageRecorder({
+            log,
+            state,
+            table,
+            listBatches: () => [],
+            late: new LateStarts(),
+            logger: new SilentLogger(),
+        });
         report("entry-1", 3);
         await recorder.step(term);
         report("entry-1", 5);
         await recorder.step(term);
-        const parts = { log, state, table, time, collector: COLLECTED, logger: new SilentLogger() };
+        const parts = {
+            log,
+            state,
+            table,
+            time,
+            collector: COLLECTED,
+            late: new LateStarts(),
+            logger: new SilentLogger(),
+        };
         await clock.advance(12_000);
         await new StartsWindowCloser({ ...parts, windowMs: WINDOW_MS, maxReportWaitMs: 6_000 }).step(term);
         assert.deepEqual(state.starts.listUnreported()[0].counts, { butcher: 5 });
--- a/src/control/startsWindowCloser/index.ts
+++ b/src/control/startsWindowCloser/index.ts
@@ -1,10 +1,11 @@
 import { ControlLog } from "../../consensus/index.js";
 import { Logger } from "../../logging/index.js";
 import { TrueTime } from "../../time/index.js";
-import { RunStarts, StartCounts } from "../../usage/index.js";
+import { RunStarts } from "../../usage/index.js";
 import { ControlState } from "../controlState/index.js";
 import { HolderTask } from "../holderRunner/index.js";
 import { HolderTerm } from "../holderTerm/index.js";
+import { LateStarts } from "../lateStarts/index.js";
 import { StartsTable } from "../startsTable/index.js";
 import { UsageCollector } from "../usageCollector/index.js";
 
@@ -42,6 +43,7 @@
     /** Maximum wait after a window's end for entries that have not reported, in milliseconds. */
     readonly maxReportWaitMs: number;
     readonly collector: Pick<UsageCollector, "hasCollected">;
+    readonly late: LateStarts;
 }
 
 /** Closes windows of request starts by a log entry, which fixes their counts before anything is reported. */
@@ -56,7 +58,7 @@
         const now = this.options.time.now();
         for (let window = this.findFirstOpenWindow(now); this.isReadyToClose(window, now); window++) {
             if (!term.mayAct() || !this.hasCollected(term, window, now)) return PAUSE_MS;
-            await this.close(window, now);
+            await this.close(term, window, now);
         }
         return PAUSE_MS;
     }
@@ -75,13 +77,14 @@
         return Math.min(...firsts.map(first => first ?? Number.POSITIVE_INFINITY));
     }
 
-    /** Sums the counts received here and those recorded in the log by earlier holders, whose entries may have ended since. */
-    private sumCounts(window: number): StartCounts {
+    /** Merges the counts received here and those recorded in the log by earlier holders, whose entries may have ended since. */
+    private mergeCounts(window: number): RunStarts {
         const { state, table } = this.options;
         const all = new RunStarts();
         all.mergeAll(state.openStarts.list());
         all.mergeAll(table.counts.list());
-        return all.sum(window);
+        all.dropWhere(other => other !== window);
+        return all;
     }
 
     private isReadyToClose(window: number, now: number): boolean {
@@ -97,9 +100,11 @@
         return this.options.collector.hasCollected(term, sinceCompleteMs);
     }
 
-    private async close(window: number, now: number): Promise<void> {
-        const { log, table, logger, windowMs } = this.options;
-        const counts = this.sumCounts(window);
+    private async close(term: HolderTerm, window: number, now: number): Promise<void> {
+        const { log, table, logger, windowMs, late } = this.options;
+        const included = this.mergeCounts(window);
+        const counts = included.sum(window);
+        late.recordClose(term, window, included);
         const closed = await log.propose({ kind: "starts.close", window, counts });
         const workspaces = Object.keys(counts).length;
         const ageMs = Math.round(now - (window + 1) * windowMs);
--- a/src/control/usageJournal/index.ts
+++ b/src/control/usageJournal/index.ts
@@ -4,6 +4,7 @@
 import { EntryRunKey, hasUsage, RunStartWindows, UsageBatchCommand, UsageReport } from "../../usage/index.js";
 import { decodeValue, encodeValue, PeerRouter } from "../../wire/index.js";
 import { ControlState } from "../controlState/index.js";
+import { parseEntryCommand } from "../parseEntryCommand/index.js";
 
 /** Peer method by which entries report usage; the body is a `UsageReport`, the reply a `UsageAck`. */
 export const USAGE_REPORT_METHOD = "usage.report";
@@ -49,12 +50,17 @@
     readonly onLoaded: (starts: RunStartWindows) => void;
 }
 
+interface StoredReport extends UsageReport {
+    /** Monotonic time at which this process received or loaded it, in milliseconds. */
+    readonly receivedAt: number;
+}
+
 /** Usage of one run of an entry. */
 interface RunUsage {
     /** Position up to which the run's usage is durable here. */
     position: number;
     /** Stored reports that are not known to be in the control log, oldest first. */
-    readonly reports: UsageReport[];
+    readonly reports: StoredReport[];
     /** Monotonic time of the run's last report, in milliseconds. */
     heardAt: number;
 }
@@ -69,6 +75,8 @@
 const MIN_SYNC_INTERVAL_MS = 5;
 /** Minimum size of the files at which what is in the control log is removed from them, in bytes. */
 const MIN_COMPACTION_BYTES = 256 * 1024;
+/** Starts of a closed window are kept for this long, in milliseconds, so that the holder can still count them. */
+const LATE_RETENTION_MS = 5_000;
 /** A run whose usage is in the control log is forgotten after this time without a report, in milliseconds. */
 const RUN_RETENTION_MS = 600_000;
 
@@ -113,9 +121,10 @@
      * Stores a report.
      *
      * @returns What is durable here, once the report is.
-     * @throws StoreError when the report could not be stored.
+     * @throws StoreError when the report could not be stored, and Error when a batch in it is malformed.
      */
     async accept(report: UsageReport): Promise<UsageAck> {
+        for (const batch of report.batches) parseEntryCommand(batch);
         const run = this.findOrAddRun(report);
         run.heardAt = this.options.clock.monotonic();
         if (isContiguous(run, report)) {
@@ -157,7 +166,7 @@
 
     private load(report: UsageReport): void {
         const run = this.findOrAddRun(report);
-        run.reports.push(report);
+        run.reports.push({ ...report, receivedAt: this.options.clock.monotonic() });
         run.position = Math.max(run.position, report.upTo);
         this.options.onLoaded({ run: formatRunKey(report), windows: report.windows });
     }
@@ -170,7 +179,7 @@
     }
 
     private store(run: RunUsage, report: UsageReport): Promise<void> {
-        run.reports.push(report);
+        run.reports.push({ ...report, receivedAt: this.options.clock.monotonic() });
         return new Promise((resolve, reject) => {
             const settle = (err: Error | undefined): void => err ? reject(err) : resolve();
             this.pendingWrites.push({ body: encodeValue(report), settle });
@@ -232,10 +241,11 @@
         if (run.reports.length === 0 && isOld) this.runs.delete(key);
     }
 
-    /** Whether the control log has all usage of a report. Starts of closed windows can't be counted any more. */
-    private isRecorded(run: EntryRunKey, { windows, batches }: UsageReport): boolean {
+    /** Whether the control log has all usage of a report, or can't have it any more. */
+    private isRecorded(run: EntryRunKey, { windows, batches, receivedAt }: StoredReport): boolean {
         const { starts, openStarts, usage } = this.options.state;
-        return windows.every(counts => starts.isClosed(counts.window) || openStarts.covers(run, counts))
+        const isOld = this.options.clock.monotonic() - receivedAt >= LATE_RETENTION_MS;
+        return windows.every(counts => openStarts.covers(run, counts) || (isOld && starts.isClosed(counts.window)))
             && batches.every(batch => usage.hasCounted(batch));
     }
 }
--- a/src/control/usageJournal/test.ts
+++ b/src/control/usageJournal/test.ts
@@ -102,6 +102,14 @@
             assert.equal(test.clock.monotonic() - startedAt, 20);
         });
 
+        it("refuses a malformed batch, since everything in the control log must be valid to apply", async () => {
+            const test = new TestJournal();
+            const journal = await test.open();
+            const malformed = { ...makeBatch(1), sums: "none" } as unknown as UsageBatchCommand;
+            await assert.rejects(test.run(journal.accept(makeReport(0, 1, { batches: [malformed] }))), /malformed/);
+            assert.deepEqual(journal.read().batches, []);
+        });
+
         it("reports that a full disk has stored nothing", async () => {
             const test = new TestJournal();
             const journal = await test.open();
--- a/src/control/usageRecorder/index.ts
+++ b/src/control/usageRecorder/index.ts
@@ -1,9 +1,10 @@
 import { ControlLog } from "../../consensus/index.js";
 import { Logger } from "../../logging/index.js";
-import { RunStartWindows, UsageBatchCommand } from "../../usage/index.js";
+import { EntryRunKey, RunStartWindows, StartWindowCounts, UsageBatchCommand } from "../../usage/index.js";
 import { ControlState } from "../controlState/index.js";
 import { HolderTask } from "../holderRunner/index.js";
 import { HolderTerm } from "../holderTerm/index.js";
+import { LateStarts } from "../lateStarts/index.js";
 import { StartsTable } from "../startsTable/index.js";
 
 /** Interval at which usage is written to the log, in milliseconds. */
@@ -16,6 +17,7 @@
     readonly table: StartsTable;
     /** Returns the batches that are not in the log. */
     readonly listBatches: () => readonly UsageBatchCommand[];
+    readonly late: LateStarts;
     readonly logger: Logger;
 }
 
@@ -31,13 +33,13 @@
     }
 
     async step(term: HolderTerm): Promise<number> {
-        if (term.mayAct()) await Promise.all([this.recordStarts(), this.recordBatches()]);
+        if (term.mayAct()) await Promise.all([this.recordStarts(term), this.recordBatches()]);
         return RECORD_INTERVAL_MS;
     }
 
-    private async recordStarts(): Promise<void> {
+    private async recordStarts(term: HolderTerm): Promise<void> {
         const { table, log, logger } = this.options;
-        const runs = this.takeOpenWindows();
+        const runs = this.takeOpenWindows(term);
         if (runs.length === 0) return;
         const recorded = await log.propose({ kind: "starts.note", runs });
         recorded.ifLeft(err => {
@@ -53,12 +55,28 @@
         if (failedCount > 0) logger.warn("batches-not-recorded", { batches: failedCount });
     }
 
-    /** Takes the unrecorded counts of windows that are not closed. */
-    private takeOpenWindows(): RunStartWindows[] {
-        const { table, state } = this.options;
-        return table.takeUnrecorded().flatMap(({ run, windows }) => {
-            const open = windows.filter(({ window }) => !state.starts.isClosed(window));
-            return open.length > 0 ? [{ run, windows: open }] : [];
-        });
+    /** Takes the unrecorded counts of windows that are not closed, and moves late ones to the first of these. */
+    private takeOpenWindows(term: HolderTerm): readonly RunStartWindows[] {
+        const { table } = this.options;
+        for (const { run, windows } of table.takeUnrecorded()) {
+            const closed = windows.filter(({ window }) => this.isClosed(window));
+            table.returnUnrecorded([{ run, windows: windows.filter(({ window }) => !this.isClosed(window)) }]);
+            this.carryOver(term, run, closed);
+        }
+        return table.takeUnrecorded();
+    }
+
+    private carryOver(term: HolderTerm, run: EntryRunKey, closed: readonly StartWindowCounts[]): void {
+        const { late, state, table, logger } = this.options;
+        if (closed.length === 0) return;
+        const carried = late.carryOver(term, run, closed, state.starts.lastClosed! + 1);
+        if (!carried) return;
+        const windows = closed.map(({ window }) => window).join(" ");
+        logger.warn("starts-late", { run, windows, countedIn: carried.window });
+        table.merge(`${run} late`, [carried]);
+    }
+
+    private isClosed(window: number): boolean {
+        return this.options.state.starts.isClosed(window);
     }
 }
--- a/src/entry/usageBackupStore/index.ts
+++ b/src/entry/usageBackupStore/index.ts
@@ -2,6 +2,7 @@
 import { Clock } from "../../ports/index.js";
 import { UsageReport } from "../../usage/index.js";
 import { PeerLink, PeerRouter } from "../../wire/index.js";
+import { findMajorityPosition } from "../majorityPosition/index.js";
 
 /** Peer methods with which an entry backs its usage up on another entry. */
 export const USAGE_BACKUP_METHODS = { hold: "usage.backup", release: "usage.release-backup" } as const;
@@ -83,10 +84,8 @@
             this.links.map(link => link.call(USAGE_REPORT_METHOD, body, REPORT_TIMEOUT_MS)),
         );
         const acks = answers.flatMap(answer => answer.isRight() ? [answer.unsafeCoerce() as UsageAck] : []);
-        if (acks.some(({ recorded }) => recorded >= report.upTo)) return true;
-        const voters = Math.max(0, ...acks.map(ack => ack.voters));
-        const stored = acks.filter(({ isVoter, position }) => isVoter && position >= report.upTo);
-        return new Set(stored.map(({ storeId }) => storeId)).size > voters / 2;
+        const isRecorded = acks.some(({ recorded }) => recorded >= report.upTo);
+        return isRecorded || findMajorityPosition(acks) >= report.upTo;
     }
 }
 
--- a/src/entry/usageReplicator/index.ts
+++ b/src/entry/usageReplicator/index.ts
@@ -12,6 +12,8 @@
     UsageReport,
 } from "../../usage/index.js";
 import { EncodedBody, PeerIdentity, PeerLink } from "../../wire/index.js";
+import { findMajorityPosition } from "../majorityPosition/index.js";
+import { UndurableUsage } from "../undurableUsage/index.js";
 
 /** Counts usage and numbers it by the run's positions. */
 export interface UsageSource {
@@ -56,17 +58,12 @@
     position: number;
     ack: UsageAck | undefined;
     isSending: boolean;
+    /** Number of reports in a row that failed. */
+    failures: number;
     /** Whether a report is due although nothing was counted. */
     isReportDue: boolean;
 }
 
-/** Usage that is not durable yet. */
-interface UndurableUsage {
-    readonly position: number;
-    /** Monotonic time at which it was counted, in milliseconds. */
-    readonly countedAt: number;
-}
-
 /** An encoded report, and the monotonic time at which it was made, in milliseconds. */
 interface EncodedReport {
     readonly after: number;
@@ -80,8 +77,9 @@
 const TICK_MS = 500;
 /** Every this many ticks, all control processes get a report, since another one may become the holder before the next. */
 const TICKS_PER_BROADCAST = 4;
-/** Delay after a report that failed, in milliseconds. */
-const RETRY_DELAY_MS = 50;
+/** Delay after a report that failed, in milliseconds; doubled with each further one. */
+const MIN_RETRY_DELAY_MS = 50;
+const MAX_RETRY_DELAY_MS = 1_000;
 /** Usage that is not durable for this long goes to another entry too, in milliseconds. */
 const BACKUP_AFTER_MS = 100;
 /** When usage has not become durable for this long, answers no longer wait for it, only for the other entry; in milliseconds. */
@@ -104,7 +102,7 @@
 export class UsageReplicator extends UsageDurability {
     private readonly sources: UsageSource[] = [];
     private readonly states = new WeakMap<UsageLink, LinkState>();
-    private readonly undurable: UndurableUsage[] = [];
+    private readonly undurable: UndurableUsage;
     private readonly progress = new WaitCondition();
     private readonly lifecycle = new Lifecycle();
     private countsStarts = false;
@@ -120,6 +118,7 @@
 
     constructor(private readonly options: UsageReplicatorOptions) {
         super();
+        this.undurable = new UndurableUsage(options.clock);
     }
 
     /** Number of positions that are not durable yet. */
@@ -139,8 +138,7 @@
 
     /** Called when a source has counted usage. */
     notifyChange(): void {
-        const { clock, positions } = this.options;
-        this.undurable.push({ position: positions.last, countedAt: clock.monotonic() });
+        this.undurable.add(this.options.positions.last);
         this.sendToAll();
     }
 
@@ -149,10 +147,10 @@
         const { clock, metrics } = this.options;
         while (!signal.aborted) {
             await clock.sleepToTick(TICK_MS, signal);
-            metrics.gauge("usage_undurable_age_ms", Math.round(this.ageMs()));
+            metrics.gauge("usage_undurable_age_ms", Math.round(this.undurable.ageMs));
             if (this.countsStarts) this.markReportsDue();
             this.sendToAll();
-            if (this.ageMs() > BACKUP_AFTER_MS) void this.backUp();
+            if (this.undurable.ageMs > BACKUP_AFTER_MS) void this.backUp();
         }
         await this.lifecycle.close();
     }
@@ -204,12 +202,18 @@
         if (state.isSending) return;
         state.isSending = true;
         while (this.hasPending(link, state)) {
-            if (await this.sendReport(link, state)) continue;
-            await this.options.clock.sleep(RETRY_DELAY_MS, this.lifecycle.signal);
+            const isSent = await this.sendReport(link, state);
+            state.failures = isSent ? 0 : state.failures + 1;
+            if (!isSent) await this.pauseAfter(state);
         }
         state.isSending = false;
     }
 
+    private pauseAfter({ failures }: LinkState): Promise<void> {
+        const delayMs = Math.min(MAX_RETRY_DELAY_MS, MIN_RETRY_DELAY_MS * 2 ** (failures - 1));
+        return this.options.clock.sleep(delayMs, this.lifecycle.signal);
+    }
+
     private hasPending(link: UsageLink, { position, isReportDue }: LinkState): boolean {
         if (this.lifecycle.signal.aborted || !link.isOpen || !this.options.links.includes(link)) return false;
         return isReportDue || position < this.options.positions.last;
@@ -227,7 +231,8 @@
         state.ack = ack;
         state.position = ack.position;
         this.advanceRecorded(ack.recorded);
-        this.advanceDurable(Math.max(this.recordedPosition, this.findMajorityPosition()));
+        const acks = this.options.links.flatMap(link => this.states.get(link)?.ack ?? []);
+        this.advanceDurable(Math.max(this.recordedPosition, findMajorityPosition(acks)));
     }
 
     private advanceRecorded(position: number): void {
@@ -238,33 +243,23 @@
 
     private advanceDurable(position: number): void {
         if (position <= this.durablePosition) return;
-        const { clock, metrics, backup } = this.options;
+        const { metrics, backup } = this.options;
         this.durablePosition = position;
-        while (this.undurable.length > 0 && this.undurable[0].position <= position) {
-            metrics.histogram("usage_durable_ms", clock.monotonic() - this.undurable.shift()!.countedAt);
+        for (const ms of this.undurable.removeUpTo(position)) metrics.histogram("usage_durable_ms", ms);
+        if (this.backedUpPosition > 0 && this.backedUpPosition <= position) {
+            backup.release(position);
+            this.backedUpPosition = 0;
         }
-        if (this.backedUpPosition > 0) backup.release(position);
-        if (this.backedUpPosition <= position) this.backedUpPosition = 0;
         this.progress.notifyAll();
     }
 
-    /** Returns the position that a majority of the voters has stored. */
-    private findMajorityPosition(): number {
-        const acks = this.options.links.flatMap(link => this.states.get(link)?.ack ?? []);
-        const voters = Math.max(0, ...acks.map(ack => ack.voters));
-        // Two addresses may lead to the same process.
-        const positions = new Map(acks.filter(({ isVoter }) => isVoter).map(ack => [ack.storeId, ack.position]));
-        const sorted = [...positions.values()].sort((a, b) => b - a);
-        return sorted[Math.floor(voters / 2)] ?? 0;
-    }
-
     /** Waits until usage up to a position is durable, or another entry holds it, or the time is over. */
     private async waitSecured(position: number, until: number): Promise<void> {
         const { clock } = this.options;
         for (;;) {
             const now = clock.monotonic();
             if (Math.max(this.durablePosition, this.backedUpPosition) >= position || now >= until) return;
-            const backupInMs = this.ageMs() >= STALLED_AFTER_MS ? 0 : BACKUP_AFTER_MS - this.ageMs();
+            const backupInMs = this.undurable.ageMs >= STALLED_AFTER_MS ? 0 : BACKUP_AFTER_MS - this.undurable.ageMs;
             if (backupInMs <= 0) void this.backUp();
             const waitMs = backupInMs > 0 ? Math.min(until - now, backupInMs) : until - now;
             await this.progress.wait(clock, waitMs, this.lifecycle.signal);
@@ -285,12 +280,6 @@
         this.progress.notifyAll();
     }
 
-    /** Age of the oldest usage that is not durable, in milliseconds; 0 when there is none. */
-    private ageMs(): number {
-        const oldest = this.undurable[0];
-        return oldest ? this.options.clock.monotonic() - oldest.countedAt : 0;
-    }
-
     private recordUndurableAnswer(heldMs: number): void {
         const { clock, logger, metrics } = this.options;
         metrics.count("answers_before_durable", 1);
@@ -299,7 +288,7 @@
         this.loggedAt = now;
         logger.warn("usage-not-durable", {
             positions: this.backlog,
-            ageMs: Math.round(this.ageMs()),
+            ageMs: Math.round(this.undurable.ageMs),
             heldMs: Math.round(heldMs),
             backedUp: this.backedUpPosition >= this.options.positions.last,
         });
@@ -338,6 +327,7 @@
             position: 0,
             ack: undefined,
             isSending: false,
+            failures: 0,
             isReportDue: false,
         };
         this.states.set(link, state);
--- a/src/entry/usageReplicator/test.ts
+++ b/src/entry/usageReplicator/test.ts
@@ -19,6 +19,7 @@
     readonly reports: UsageReport[] = [];
     readonly peer: { readonly host: HostId; readonly incarnation: Incarnation; };
     isOpen = true;
+    canStore = true;
     isVoter = true;
     syncMs = 5;
     position = 0;
@@ -32,7 +33,7 @@
         const report = decodeValue((body as EncodedBody).bytes) as UsageReport;
         this.reports.push(report);
         await this.clock.sleep(this.syncMs);
-        if (!this.isOpen) return Left(new PeerError("lost", true, ""));
+        if (!this.isOpen || !this.canStore) return Left(new PeerError("lost", true, ""));
         if (report.after <= this.position) this.position = Math.max(this.position, report.upTo);
         const { storeId, isVoter, voters, position, recorded } = this;
         return Right({ storeId, isVoter, voters, position, recorded } satisfies UsageAck);
@@ -161,6 +162,14 @@
             assert.deepEqual([controls[1].position, controls[1].reports.at(-1)!.after], [2, 0]);
         });
 
+        it("sends fewer and fewer reports to a control process that can't store them", async () => {
+            const { clock, controls, recordStart } = makeReplicator();
+            controls[1].canStore = false;
+            recordStart();
+            await clock.advance(5_000);
+            assert.ok(controls[1].reports.length <= 9, `${controls[1].reports.length} reports`);
+        });
+
         it("tells the holder often, and all control processes occasionally, up to when the starts are complete", async () => {
             const { clock, controls, replicator, stop } = makeReplicator();
             replicator.startCountingStarts();
--- a/src/usage/runStarts/index.ts
+++ b/src/usage/runStarts/index.ts
@@ -58,10 +58,14 @@
         for (const { run, windows } of reports) this.merge(run, windows);
     }
 
+    /** Returns the counts of a run in a window. */
+    countsOf(run: EntryRunKey, window: number): StartCounts {
+        return this.runs.get(run)?.get(window) ?? {};
+    }
+
     /** Whether the stored counts of a run in a window are at least these. */
     covers(run: EntryRunKey, { window, counts }: StartWindowCounts): boolean {
-        const stored = this.runs.get(run)?.get(window) ?? {};
-        return Object.keys(selectIncreased(stored, counts)).length === 0;
+        return Object.keys(selectIncreased(this.countsOf(run, window), counts)).length === 0;
     }
 
     /** Lists the counts of every run. */
