--- a/src/control/controlProcess/index.ts
+++ b/src/control/controlProcess/index.ts
@@ -1,9 +1,8 @@
-import { BootstrapMember, findVoters, LogTiming, ReplicatedLog } from "../../consensus/index.js";
+import { BootstrapMember, LogTiming, ReplicatedLog } from "../../consensus/index.js";
 import { Lifecycle } from "../../lifecycle/index.js";
 import { Logger } from "../../logging/index.js";
 import { Metrics } from "../../metrics/index.js";
 import { Address, Clock, Disk, formatAddress, Network, Random } from "../../ports/index.js";
-import { UsageReport } from "../../usage/index.js";
 import { PeerIdentity, PeerRouter, PeerTiming, reportTraffic, servePeers } from "../../wire/index.js";
 import { AbandonedCallReaper } from "../abandonedCallReaper/index.js";
 import { ConnectionSender } from "../connectionSender/index.js";
@@ -12,12 +11,13 @@
 import { HolderAnnouncer } from "../holderAnnouncer/index.js";
 import { HolderRunner, HolderTask } from "../holderRunner/index.js";
 import { LateStarts } from "../lateStarts/index.js";
+import { openUsageJournal } from "../openUsageJournal/index.js";
 import { OrderSender } from "../orderSender/index.js";
 import { ProvisioningPolicy, PurchaseRunner } from "../purchaseRunner/index.js";
 import { RoutingOptions, RoutingService } from "../routingService/index.js";
 import { StartsTable } from "../startsTable/index.js";
 import { UsageCollector } from "../usageCollector/index.js";
-import { JournalOwner, UsageJournal } from "../usageJournal/index.js";
+import { UsageJournal } from "../usageJournal/index.js";
 import { UsageRecorder } from "../usageRecorder/index.js";
 import { UsageReporter } from "../usageReporter/index.js";
 import { UsageWindowCloser } from "../usageWindowCloser/index.js";
@@ -108,7 +108,7 @@
         });
         lifecycle.addCleanUp(() => log.close());
         const startsTable = new StartsTable(clock, router);
-        const journal = await openJournal(options, { log, router, state, startsTable, lifecycle });
+        const journal = await openUsageJournal({ ...options, log, router, state, startsTable, lifecycle });
         const listControls = (): string[] => log.configuration().members.map(member => formatAddress(member.address));
         const service = new ControlService({ log, state, clock, router, viewLeaseMs, listControls });
         lifecycle.addCleanUp(() => service.close());
@@ -204,44 +204,3 @@
         ];
     }
 }
-
-/** The parts of a control process that its usage journal belongs to. */
-interface JournalContext {
-    readonly log: ReplicatedLog;
-    readonly router: PeerRouter;
-    readonly state: ControlState;
-    readonly startsTable: StartsTable;
-    readonly lifecycle: Lifecycle;
-}
-
-async function openJournal(options: ControlProcessOptions, context: JournalContext): Promise<UsageJournal> {
-    const { log, startsTable, lifecycle } = context;
-    const targetVoters = options.routing?.voters ?? 0;
-    const journal = await UsageJournal.open({
-        ...options,
-        ...context,
-        owner: () => describeOwner(log, targetVoters),
-        onReport: report => recordStarts(startsTable, report),
-        onLoaded: ({ run, windows }) => startsTable.merge(run, windows),
-    }).catch(async err => {
-        await lifecycle.close();
-        throw err;
-    });
-    lifecycle.addCleanUp(() => journal.close());
-    return journal;
-}
-
-function describeOwner(log: ReplicatedLog, targetVoters: number): JournalOwner {
-    const { storeId } = log;
-    const voters = findVoters(log.configuration());
-    return {
-        storeId,
-        isVoter: voters.some(voter => voter.storeId === storeId),
-        voters: Math.max(voters.length, targetVoters),
-    };
-}
-
-function recordStarts(table: StartsTable, { countedAt, ...report }: UsageReport): void {
-    if (countedAt === undefined) table.merge(`${report.host} ${report.incarnation}`, report.windows);
-    else table.record({ ...report, countedAt });
-}
