--- a/src/entry/usageReplicator/index.ts
+++ b/src/entry/usageReplicator/index.ts
@@ -82,7 +82,10 @@
 const MAX_RETRY_DELAY_MS = 1_000;
 /** Usage that is not durable for this long goes to another entry too, in milliseconds. */
 const BACKUP_AFTER_MS = 100;
-/** When usage has not become durable for this long, answers no longer wait for it, only for the other entry; in milliseconds. */
+/**
+ * When usage has not become durable for this long, answers no longer wait for it, only for the other entry, and not at all when none took the last
+ * backup; in milliseconds.
+ */
 const STALLED_AFTER_MS = 1_000;
 const LOG_INTERVAL_MS = 1_000;
 /** Time for which an encoded report is used for other control processes, in milliseconds. */
@@ -111,6 +114,8 @@
     private recordedPosition = 0;
     private backedUpPosition = 0;
     private isBackingUp = false;
+    /** Whether no other entry took the last backup. */
+    private hasBackupFailed = false;
     private ticks = 0;
     private loggedAt = Number.NEGATIVE_INFINITY;
     /** The report encoded last, which most links get. */
@@ -259,7 +264,9 @@
         for (;;) {
             const now = clock.monotonic();
             if (Math.max(this.durablePosition, this.backedUpPosition) >= position || now >= until) return;
-            const backupInMs = this.undurable.ageMs >= STALLED_AFTER_MS ? 0 : BACKUP_AFTER_MS - this.undurable.ageMs;
+            const isStalled = this.undurable.ageMs >= STALLED_AFTER_MS;
+            if (isStalled && this.hasBackupFailed) return;
+            const backupInMs = isStalled ? 0 : BACKUP_AFTER_MS - this.undurable.ageMs;
             if (backupInMs <= 0) void this.backUp();
             const waitMs = backupInMs > 0 ? Math.min(until - now, backupInMs) : until - now;
             await this.progress.wait(clock, waitMs, this.lifecycle.signal);
@@ -274,6 +281,7 @@
         const report = this.makeReport(this.durablePosition);
         const isHeld = await this.options.backup.hold(report);
         this.isBackingUp = false;
+        this.hasBackupFailed = !isHeld;
         if (!isHeld) return;
         this.backedUpPosition = report.upTo;
         if (this.durablePosition >= report.upTo) this.options.backup.release(report.upTo);
--- a/src/entry/usageReplicator/test.ts
+++ b/src/entry/usageReplicator/test.ts
@@ -131,6 +131,15 @@
             assert.equal(await measureHold(), 0);
         });
 
+        it("does not wait when nothing has become durable for long and no other entry can be reached", async () => {
+            const { clock, controls, measureHold, backup } = makeReplicator();
+            for (const control of controls) control.syncMs = 10_000;
+            backup.reachable = false;
+            await measureHold();
+            await clock.advance(1_500);
+            assert.equal(await measureHold(), 0);
+        });
+
         it("releases the backup once the usage is durable", async () => {
             const { clock, controls, measureHold, backup } = makeReplicator();
             for (const control of controls) control.syncMs = 300;
