--- a/src/faultInjection/powerSchedule/index.ts
+++ b/src/faultInjection/powerSchedule/index.ts
@@ -110,7 +110,8 @@
     const replies: TestReply[] = [];
     const startedAt = fleet.clock.monotonic();
     const endAt = startedAt + plan.loadMs;
-    const disturbances = Array.from({ length: plan.disturbances }, () => random.between(startedAt, endAt)).sort();
+    const disturbances = Array.from({ length: plan.disturbances }, () => random.between(startedAt, endAt));
+    disturbances.sort((a, b) => a - b);
     const holderLostAt = endAt - (plan.holderLostMs ?? Number.NEGATIVE_INFINITY);
     let isHolderLost = false;
     for (let call = 0; fleet.clock.monotonic() < endAt; call++) {
