--- a/src/dispatch/dispatchObserver/index.ts
+++ b/src/dispatch/dispatchObserver/index.ts
@@ -14,6 +14,14 @@
     preempted(_victim: WaitingTicket, _beneficiary: WaitingTicket): void {}
 
     ejected(_upstream: UpstreamId): void {}
+
+    /**
+     * Called when an upstream gets no requests for a time because it failed one.
+     *
+     * @param _failed - The request that failed.
+     * @param _backOffMs - The time, in milliseconds.
+     */
+    backedOff(_failed: WaitingTicket, _upstream: UpstreamId, _backOffMs: number): void {}
 }
 
 /** An observer that does nothing. */
--- a/src/dispatch/localDispatcher/test.ts
+++ b/src/dispatch/localDispatcher/test.ts
@@ -5,24 +5,39 @@
 import { SeededRandom, VirtualClock } from "../../ports/index.js";
 import { makeAnnouncement, UpstreamRegistry } from "../../upstream/index.js";
 import { makeTicket } from "../_lib/fixtures.js";
+import { DispatchObserver } from "../dispatchObserver/index.js";
 import { ROUTED_POLICIES } from "../dispatchPolicies/index.js";
 import { Completion, Grant, Refusal, Ticket } from "../ticket/index.js";
+import { WaitingTicket } from "../waitingTicket/index.js";
 import { LocalDispatcher } from "./index.js";
 
 type Decision = Either<Refusal, Grant>;
 
+class BackOffRecorder extends DispatchObserver {
+    constructor(private readonly backOffs: string[]) {
+        super();
+    }
+
+    override backedOff({ ticket: { request } }: WaitingTicket, upstream: UpstreamId, backOffMs: number): void {
+        this.backOffs.push(`${upstream} ${backOffMs} ms by ${request}`);
+    }
+}
+
 /** A dispatcher with one upstream, and the decisions and preemptions it has made. */
 class TestPool {
     readonly clock = new VirtualClock();
     readonly registry = new UpstreamRegistry({ clock: this.clock });
+    readonly settled: string[] = [];
+    readonly preempted: string[] = [];
+    /** Back-offs of upstreams, with the request that began each. */
+    readonly backOffs: string[] = [];
     readonly dispatcher = new LocalDispatcher({
         clock: this.clock,
         random: new SeededRandom(1),
         registry: this.registry,
         zone: "vogar" as ZoneId,
+        observer: new BackOffRecorder(this.backOffs),
     });
-    readonly settled: string[] = [];
-    readonly preempted: string[] = [];
     private sequence = 1;
 
     constructor(slots: number) {
@@ -88,6 +103,16 @@
             assert.equal(pool.settled.filter(text => !text.includes(" ")).length, 20);
         });
 
+        it("tells its observer once of each upstream's back-off", async () => {
+            const pool = new TestPool(2);
+            void pool.submit({ request: "first" });
+            void pool.submit({ request: "second" });
+            await pool.clock.advance(1);
+            pool.complete("first", "failed");
+            pool.complete("second", "failed");
+            assert.deepEqual(pool.backOffs, ["u1 500 ms by first"]);
+        });
+
         it("refuses a ticket when its maximum wait has passed without a free slot", async () => {
             const pool = new TestPool(1);
             void pool.submit({ request: "first" });
--- a/src/dispatch/poolQueue/index.ts
+++ b/src/dispatch/poolQueue/index.ts
@@ -388,7 +388,7 @@
         const { waiting, load } = running;
         const cost = costInTokens(completion.promptTokens - completion.cachedTokens, completion.completionTokens);
         this.order.correctCost(waiting, completion.outcome === "unused" ? 0 : cost);
-        if (completion.outcome === "failed") load.markFailed(now);
+        if (completion.outcome === "failed") this.backOff(running, now);
         if (completion.outcome === "refused") load.markBusy(now);
         if (completion.outcome !== "answered") return;
         load.markHealthy();
@@ -399,6 +399,11 @@
         }
     }
 
+    private backOff({ waiting, load }: RunningRequest, now: number): void {
+        const backOffMs = load.markFailed(now);
+        if (backOffMs !== undefined) this.options.observer.backedOff(waiting, load.upstream.id, backOffMs);
+    }
+
     private updateConcurrency(): void {
         this.admission.recordMembers();
         const concurrency = this.grantedSlots + this.options.members.freeSlots;
--- /dev/null
+++ b/src/entry/dispatchLog/index.ts
@@ -0,0 +1,22 @@
+import { DispatchObserver, WaitingTicket } from "../../dispatch/index.js";
+import { UpstreamId } from "../../ids/index.js";
+import { Logger } from "../../logging/index.js";
+import { Metrics } from "../../metrics/index.js";
+
+/**
+ * Logs and counts the back-offs that a queue's owner decides on, with the host whose request began each of them.
+ *
+ * @example
+ * const local = new LocalDispatcher({ ...options, observer: new DispatchLog(logger, metrics) });
+ */
+export class DispatchLog extends DispatchObserver {
+    constructor(private readonly logger: Logger, private readonly metrics: Metrics) {
+        super();
+    }
+
+    override backedOff({ ticket }: WaitingTicket, upstream: UpstreamId, backOffMs: number): void {
+        const { pool, origin, request } = ticket;
+        this.metrics.count("upstreams_rested", 1, { pool });
+        this.logger.info("upstream-rested", { pool, upstream, origin, request, backOffMs });
+    }
+}
--- a/src/entry/entryProcess/index.ts
+++ b/src/entry/entryProcess/index.ts
@@ -30,6 +30,7 @@
 import { CacheDiscovery } from "../cacheDiscovery/index.js";
 import { CrashMonitor } from "../crashMonitor/index.js";
 import { DemandReporter } from "../demandReporter/index.js";
+import { DispatchLog } from "../dispatchLog/index.js";
 import { EntryContext, EntryLimits } from "../entryContext/index.js";
 import { EvacuationMonitor } from "../evacuationMonitor/index.js";
 import { FleetControl } from "../fleetControl/index.js";
@@ -158,6 +159,7 @@
             zone,
             registry: this.registry,
             policies: options.routes && ROUTED_POLICIES,
+            observer: new DispatchLog(options.logger, options.metrics),
             capacityOf: pool => this.cache.routes?.findPool(pool)?.engine?.kvTokens,
             coldRateOf: pool => this.sendAllowance.coldRateOf(pool),
             limitShareOf: pool => this.sendAllowance.limitShareOf(pool),
--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -32,6 +32,8 @@
     readonly status: number;
     readonly attempts: number;
     readonly stream: StreamState;
+    /** When the caller was told to retry, in milliseconds; undefined where it was told nothing. */
+    readonly retryAfterMs?: number;
 }
 
 /** The progress of a call over all its attempts. */
@@ -252,7 +254,8 @@
 function sendError({ call, answer, progress }: CallTask, err: CallError): CallEnd {
     const isTruncated = answer.sentStatus !== undefined;
     answer.sendError(err, call.head.request);
-    return makeCallEnd(isTruncated ? `cut: ${err.kind}` : err.kind, err.status, progress);
+    const end = makeCallEnd(isTruncated ? `cut: ${err.kind}` : err.kind, err.status, progress);
+    return { ...end, retryAfterMs: isTruncated ? undefined : err.retryAfterMs };
 }
 
 function makeCallEnd(outcome: string, status: number, { tries, stream }: CallProgress): CallEnd {
--- a/src/upstream/upstreamLoad/index.ts
+++ b/src/upstream/upstreamLoad/index.ts
@@ -225,12 +225,15 @@
      * Records that the upstream failed a request: it backs off, twice as long each time. Requests that fail during a
      * back-off were sent before it began. They show the same failure, and counting them would turn one broken
      * connection into a back-off of many seconds.
+     *
+     * @returns The length of the back-off, in milliseconds; undefined where none begins.
      */
-    markFailed(now: number): void {
-        if (this.isBackingOff(now)) return;
+    markFailed(now: number): number | undefined {
+        if (this.isBackingOff(now)) return undefined;
         const backoffMs = Math.min(MAX_FAILURE_BACKOFF_MS, INITIAL_FAILURE_BACKOFF_MS * 2 ** this.consecutiveFailures);
         this.consecutiveFailures = Math.min(this.consecutiveFailures + 1, 10);
         this.backoffUntil = now + backoffMs;
+        return backoffMs;
     }
 
     /** Records that the upstream refused a request as full by its own count: it gets no other for a short time. */
