Emulated network: kept connections, and three ways in which a host loses its path to another

Requests use kept connections as NodeHttp's pools do, so that one that goes out on a dead connection hangs; a path is lost silently, with resets, or by refusals of new connections only. Requests held back by a cut arrive once it is healed, unless their sender has reset the connection.

--- a/src/faultInjection/routedFleet/index.ts
+++ b/src/faultInjection/routedFleet/index.ts
@@ -13,6 +13,7 @@
     MemoryDisk,
     MemoryFabric,
     MemoryHttpFabric,
+    PathLoss,
     SeededRandom,
     VirtualClock,
 } from "../../ports/index.js";
@@ -157,7 +158,7 @@
 
     /** Isolates a control host from all entries and upstreams, or reconnects it. */
     cutControl(number: number, isCut: boolean): void {
-        const others = this.entries.map((_, entry) => `10.0.1.${entry + 1}`);
+        const others = this.entries.map((_, entry) => entryHost(entry));
         this.fabric.isolate(controlAddress(number).host, [
             ...others,
             ...this.upstreams.map((_, index) => `${UPSTREAM_HOST_PREFIX}${index + 1}`),
@@ -166,18 +167,28 @@
 
     /** Isolates a control host from some entries; all other hosts still reach it. */
     cutControlFromEntries(number: number, entries: readonly number[]): void {
-        this.fabric.isolate(controlAddress(number).host, entries.map(entry => `10.0.1.${entry + 1}`), true);
+        this.fabric.isolate(controlAddress(number).host, entries.map(entry => entryHost(entry)), true);
+    }
+
+    /** Takes an entry's paths to upstreams away; callers, other entries and control hosts still reach it. */
+    loseUpstreamPaths(entry: number, loss: PathLoss, upstreams = this.upstreams.keys()): void {
+        for (const upstream of upstreams) this.fabric.losePath(entryHost(entry), upstreamHost(upstream), loss);
+    }
+
+    /** Gives an entry its paths to all upstreams back. */
+    restoreUpstreamPaths(entry: number): void {
+        for (const upstream of this.upstreams.keys()) this.fabric.restorePath(entryHost(entry), upstreamHost(upstream));
     }
 
     /** Isolates all entries from each other and from control hosts; they still reach upstreams. */
     cutEntriesApart(): void {
-        const entries = this.entries.map((_, entry) => `10.0.1.${entry + 1}`);
+        const entries = this.entries.map((_, entry) => entryHost(entry));
         const controls = this.controls.map((_, number) => controlAddress(number).host);
         for (const host of entries) this.fabric.isolate(host, [...entries, ...controls], true);
     }
 
     async startEntry(number: number): Promise<void> {
-        const host = `10.0.1.${number + 1}`;
+        const host = entryHost(number);
         this.recordStart(host);
         this.entries[number] = await EntryProcess.start({
             ...this.makePorts(host),
@@ -205,8 +216,8 @@
     async killEntry(number: number): Promise<void> {
         const entry = this.entries[number];
         this.entries[number] = undefined;
-        this.fabric.crash(`10.0.1.${number + 1}`);
-        this.web.crash(`10.0.1.${number + 1}`);
+        this.fabric.crash(entryHost(number));
+        this.web.crash(entryHost(number));
         await entry?.close();
     }
 
@@ -258,7 +269,7 @@
 
     /** Sends a call without advancing time; the response arrives as the test advances it. */
     startCall(call: TestCall): Promise<TestReply> {
-        return this.caller.send({ host: `10.0.1.${call.entry + 1}`, port: PORTS.callers }, call);
+        return this.caller.send({ host: entryHost(call.entry), port: PORTS.callers }, call);
     }
 
     /** Returns the id of the upstream that signed a response. */
@@ -335,6 +346,14 @@
     }
 }
 
+function entryHost(entry: number): string {
+    return `10.0.1.${entry + 1}`;
+}
+
+function upstreamHost(upstream: number): string {
+    return `${UPSTREAM_HOST_PREFIX}${upstream + 1}`;
+}
+
 /** Returns the address of a control process. */
 export function controlAddress(number: number): Address {
     return { host: `10.0.0.${number + 1}`, port: PORTS.control };
--- a/src/ports/memoryFabric/index.ts
+++ b/src/ports/memoryFabric/index.ts
@@ -8,6 +8,12 @@
 
 type AcceptHandler = (connection: Connection) => void;
 
+/**
+ * How a host loses its path to another: `silent`: nothing arrives; `reset`: open connections are reset and new ones refused; `refuse`: new
+ * connections are refused, and open ones live on.
+ */
+export type PathLoss = "silent" | "reset" | "refuse";
+
 /**
  * In-memory network between simulated hosts, with link failures. A cut link holds back data and delivers it once healed,
  * as TCP retransmission does. `blackholeConnections` drops all further data on the open connections of two hosts, as a middlebox that has
@@ -20,6 +26,9 @@
 export class MemoryFabric {
     private readonly listeners = new Map<string, AcceptHandler>();
     private readonly cuts = new Set<string>();
+    private readonly healActions = new Map<string, (() => void)[]>();
+    private readonly refusals = new Set<string>();
+    private readonly resetListeners = new Set<(from: string, to: string) => void>();
     private readonly pipes = new Set<Pipe>();
     private readonly connectActions = new Map<string, () => void>();
 
@@ -43,6 +52,15 @@
     heal(from: string, to: string): void {
         this.cuts.delete(linkKey(from, to));
         for (const pipe of this.pipes) pipe.flush();
+        const actions = this.healActions.get(linkKey(from, to)) ?? [];
+        this.healActions.delete(linkKey(from, to));
+        for (const action of actions) action();
+    }
+
+    /** Runs an action once a cut link is healed. */
+    onceHealed(from: string, to: string, action: () => void): void {
+        const key = linkKey(from, to);
+        this.healActions.set(key, [...this.healActions.get(key) ?? [], action]);
     }
 
     /** Cuts, or heals, the links between a host and all others, in both directions. */
@@ -60,6 +78,41 @@
         }
     }
 
+    /** Takes the path from one host to another away. */
+    losePath(from: string, to: string, loss: PathLoss): void {
+        if (loss === "silent") {
+            this.cut(from, to);
+            this.cut(to, from);
+            return;
+        }
+        this.refusals.add(linkKey(from, to));
+        if (loss === "reset") this.resetConnections(from, to);
+    }
+
+    /** Gives back a path that was taken away, whatever the kind. */
+    restorePath(from: string, to: string): void {
+        this.refusals.delete(linkKey(from, to));
+        this.heal(from, to);
+        this.heal(to, from);
+    }
+
+    /** Whether new connections from one host to another are refused. */
+    refuses(from: string, to: string): boolean {
+        return this.refusals.has(linkKey(from, to));
+    }
+
+    /** Registers a listener that is called when the open connections from one host to another are reset. */
+    onReset(listener: (from: string, to: string) => void): void {
+        this.resetListeners.add(listener);
+    }
+
+    private resetConnections(from: string, to: string): void {
+        for (const pipe of [...this.pipes]) {
+            if ((pipe.from === from && pipe.to === to) || (pipe.from === to && pipe.to === from)) pipe.end();
+        }
+        for (const listener of this.resetListeners) listener(from, to);
+    }
+
     /** Drops all further data on the connections now open between two hosts; new connections work. */
     blackholeConnections(a: string, b: string): void {
         for (const pipe of this.pipes) {
@@ -149,7 +202,7 @@
             return Left(new NetworkError("timeout", formatAddress(address)));
         }
         await fabric.clock.sleep(Math.min(roundTripMs, timeoutMs));
-        const accept = fabric.findListener(address);
+        const accept = fabric.refuses(host, address.host) ? undefined : fabric.findListener(address);
         if (!accept) return Left(new NetworkError("refused", formatAddress(address)));
         const outgoing = fabric.openPipe(host, address.host);
         const incoming = fabric.openPipe(address.host, host);
--- a/src/ports/memoryHttpFabric/index.ts
+++ b/src/ports/memoryHttpFabric/index.ts
@@ -3,6 +3,7 @@
 import { serveRawConnection } from "../_lib/serveRawConnection.js";
 import {
     BodyError,
+    findHeader,
     HeaderList,
     Http,
     HttpCall,
@@ -17,13 +18,21 @@
 import { MemoryFabric } from "../memoryFabric/index.js";
 import { Address, formatAddress, NetworkError } from "../network/index.js";
 
-/** HTTP servers and running exchanges of an in-memory network that all simulated hosts share. */
+/** Maximum idle time of a kept connection, as with the connection pools of `NodeHttp`, in milliseconds. */
+const MAX_POOL_IDLE_MS = 2_000;
+const MAX_RECENT_IDLE_MS = 300;
+
+/** HTTP servers, kept connections and running exchanges of an in-memory network that all simulated hosts share. */
 export class MemoryHttpFabric {
     /** Handlers by `host:port`. */
     readonly servers = new Map<string, HttpHandler>();
+    /** By client host and `host:port` of the server, the monotonic times since which kept connections are idle, in milliseconds. */
+    private readonly keptConnections = new Map<string, number[]>();
 
     /** @param fabric - The network whose latencies and cuts apply to requests. */
-    constructor(readonly fabric: MemoryFabric) {}
+    constructor(readonly fabric: MemoryFabric) {
+        fabric.onReset((client, server) => this.resetExchanges(client, server));
+    }
 
     /** Returns the HTTP port of one host. */
     http(host: string): Http {
@@ -38,9 +47,42 @@
         for (const exchange of [...this.exchanges]) {
             if (exchange.client === host || exchange.server === host) exchange.failClient();
         }
+        for (const key of [...this.keptConnections.keys()]) {
+            if (key.startsWith(`${host}>`) || key.includes(`>${host}:`)) this.keptConnections.delete(key);
+        }
     }
 
     readonly exchanges = new Set<Exchange>();
+
+    /** Adds a connection whose exchange is complete to those that later requests may use. */
+    keepConnection(client: string, target: string): void {
+        const key = `${client}>${target}`;
+        this.keptConnections.set(key, [...this.keptConnections.get(key) ?? [], this.fabric.clock.monotonic()]);
+    }
+
+    /**
+     * Takes the most recently used kept connection.
+     *
+     * @param maxIdleMs - Maximum idle time, in milliseconds; connections that were idle for longer are closed.
+     * @returns Whether there was one.
+     */
+    takeConnection(client: string, target: string, maxIdleMs: number): boolean {
+        const key = `${client}>${target}`;
+        const oldest = this.fabric.clock.monotonic() - maxIdleMs;
+        const usable = (this.keptConnections.get(key) ?? []).filter(idleSince => idleSince >= oldest);
+        const isFound = usable.pop() !== undefined;
+        this.keptConnections.set(key, usable);
+        return isFound;
+    }
+
+    private resetExchanges(client: string, server: string): void {
+        for (const exchange of [...this.exchanges]) {
+            if (exchange.client === client && exchange.server === server) exchange.failClient();
+        }
+        for (const key of [...this.keptConnections.keys()]) {
+            if (key.startsWith(`${client}>${server}:`)) this.keptConnections.delete(key);
+        }
+    }
 }
 
 class MemoryHttp extends Http {
@@ -68,14 +110,17 @@
         const serverHost = call.address.host;
         const target = formatAddress(call.address);
         if (call.signal?.aborted) return Left(new HttpError("aborted", false, target));
+        const maxIdleMs = call.recentlyUsedOnly ? MAX_RECENT_IDLE_MS : MAX_POOL_IDLE_MS;
+        const isKept = !call.newConnection && this.httpFabric.takeConnection(this.host, target, maxIdleMs);
+        if (isKept) return new Exchange(this.httpFabric, this.host, call).run(false);
         if (fabric.isCut(this.host, serverHost) || fabric.isCut(serverHost, this.host)) {
             await fabric.clock.sleep(call.connectTimeoutMs, call.signal);
             return Left(new HttpError(call.signal?.aborted ? "aborted" : "timeout", false, target));
         }
         await fabric.clock.sleep(fabric.latency(this.host, serverHost));
-        const handler = servers.get(target);
-        if (!handler) return Left(new HttpError("refused", false, target));
-        return new Exchange(this.httpFabric, this.host, call).run(handler);
+        const isRefused = fabric.refuses(this.host, serverHost) || !servers.has(target);
+        if (isRefused) return Left(new HttpError("refused", false, target));
+        return new Exchange(this.httpFabric, this.host, call).run(true);
     }
 }
 
@@ -91,6 +136,34 @@
     readonly headers: HeaderList;
 }
 
+/** One direction of an exchange. Actions run in order at the receiving end, after the link's latency, or once the link is healed. */
+class ExchangeDirection {
+    private held: (() => void)[] = [];
+
+    constructor(private readonly fabric: MemoryFabric, private readonly from: string, private readonly to: string) {}
+
+    run(action: () => void): void {
+        const { fabric, from, to } = this;
+        if (this.held.length === 0 && !fabric.isCut(from, to)) {
+            fabric.clock.after(fabric.latency(from, to), action);
+            return;
+        }
+        this.held.push(action);
+        if (this.held.length === 1) fabric.onceHealed(from, to, () => this.release());
+    }
+
+    /** Drops the actions that wait for the link to be healed. */
+    drop(): void {
+        this.held = [];
+    }
+
+    private release(): void {
+        const held = this.held;
+        this.held = [];
+        for (const action of held) this.run(action);
+    }
+}
+
 /** One request and its response, over links that may be cut meanwhile. */
 class Exchange {
     readonly client: string;
@@ -101,24 +174,30 @@
     private readonly head = new Promise<Either<HttpError, ResponseHead>>(resolve => {
         this.resolveHead = resolve;
     });
-    private readonly heldActions: (() => void)[] = [];
+    private readonly toClient: ExchangeDirection;
+    private readonly toServer: ExchangeDirection;
     private isFinished = false;
+    private endsConnection = false;
     private failureReason: HttpError["reason"] = "closed";
 
     constructor(private readonly httpFabric: MemoryHttpFabric, client: string, private readonly call: HttpCall) {
+        const { fabric } = httpFabric;
         this.client = client;
         this.server = call.address.host;
+        this.toClient = new ExchangeDirection(fabric, this.server, client);
+        this.toServer = new ExchangeDirection(fabric, client, this.server);
         httpFabric.exchanges.add(this);
     }
 
-    async run(handler: HttpHandler): Promise<Either<HttpError, HttpReply>> {
+    /** @param isConnected - Whether a new connection has just been opened for the request: it arrives at once. */
+    async run(isConnected: boolean): Promise<Either<HttpError, HttpReply>> {
         const { call } = this;
         const { clock } = this.httpFabric.fabric;
         const headTimer = clock.after(call.headTimeoutMs, () => this.abandon("timeout"));
         const abort = (): void => this.abandon("aborted");
         call.signal?.addEventListener("abort", abort);
-        const res = new MemoryResponse(this);
-        handler(new MemoryRequest(call, this.client, this.requestClosed.signal), res).catch(() => res.fail());
+        if (isConnected) this.handle();
+        else this.toServer.run(() => this.handle());
         const head = await this.head;
         headTimer.cancel();
         return head.map(({ status, headers }) => ({
@@ -129,28 +208,24 @@
         }));
     }
 
-    /** Runs an action on the client's side after the link's latency, in order; waits while the link is cut. */
-    runAtClient(action: () => void): void {
-        const { fabric } = this.httpFabric;
-        if (this.heldActions.length > 0 || fabric.isCut(this.server, this.client)) {
-            this.heldActions.push(action);
-            this.waitUntilHealed();
-            return;
-        }
-        fabric.clock.after(fabric.latency(this.server, this.client), action);
-    }
-
     sendHead(head: ResponseHead): void {
-        this.runAtClient(() => this.resolveHead(Right(head)));
+        this.endsConnection = findHeader(head.headers, "connection") === "close";
+        this.toClient.run(() => this.resolveHead(Right(head)));
     }
 
     sendPart(part: BodyPart): void {
-        this.runAtClient(() => {
+        this.toClient.run(() => {
             this.parts.put(part);
+            if (part.kind === "end" && !this.isFinished) this.keepConnection();
             if (part.kind !== "chunk") this.finish();
         });
     }
 
+    /** Ends the exchange with an error on the client's side, once the server's reset has arrived. */
+    sendReset(): void {
+        this.toClient.run(() => this.failClient());
+    }
+
     /** Ends the exchange with an error on the client's side. */
     failClient(): void {
         this.parts.put({ kind: "cut" });
@@ -158,6 +233,21 @@
         this.finish();
     }
 
+    private handle(): void {
+        const { call, httpFabric } = this;
+        const handler = httpFabric.servers.get(formatAddress(call.address));
+        // A request that was held back is lost if its sender has reset the connection meanwhile.
+        if (this.isFinished) return;
+        if (!handler) return this.failClient();
+        const res = new MemoryResponse(this);
+        handler(new MemoryRequest(call, this.client, this.requestClosed.signal), res).catch(() => res.fail());
+    }
+
+    private keepConnection(): void {
+        const { call, client, httpFabric } = this;
+        if (!call.newConnection && !this.endsConnection) httpFabric.keepConnection(client, formatAddress(call.address));
+    }
+
     private abandon(reason: HttpError["reason"]): void {
         if (this.isFinished) return;
         this.failureReason = reason;
@@ -168,24 +258,9 @@
         if (this.isFinished) return;
         this.isFinished = true;
         this.httpFabric.exchanges.delete(this);
-        const { fabric } = this.httpFabric;
-        fabric.clock.after(fabric.latency(this.client, this.server), () => this.requestClosed.abort());
-    }
-
-    /** Polls until the link is healed, then runs the held actions. */
-    private waitUntilHealed(): void {
-        const { fabric } = this.httpFabric;
-        if (this.heldActions.length !== 1) return;
-        const poll = (): void => {
-            if (this.isFinished) return;
-            if (fabric.isCut(this.server, this.client)) {
-                fabric.clock.after(1, poll);
-                return;
-            }
-            const actions = this.heldActions.splice(0);
-            for (const action of actions) this.runAtClient(action);
-        };
-        fabric.clock.after(1, poll);
+        this.toClient.drop();
+        this.toServer.drop();
+        this.toServer.run(() => this.requestClosed.abort());
     }
 
     private async *readBody(): AsyncIterable<Uint8Array> {
@@ -244,7 +319,7 @@
 
     reset(): void {
         this.isEnded = true;
-        this.exchange.runAtClient(() => this.exchange.failClient());
+        this.exchange.sendReset();
     }
 
     /** Handles an error thrown by the handler: sends a 500 if no headers were sent, else cuts the connection. */
