Failing test: hosts that lose their paths to all upstreams serve a sixth of the first tries, or none

Seven entries in three zones, five control hosts that own the queues, six upstreams; one host, most of a zone or a whole zone loses its paths silently, with resets, or by refusals of new connections, under calls that must not be repeated, repeatable ones and streams. From 3 s after the loss on 4 of 24, 16 of 96 and 12 of 72 first tries are served there (the last ones, whose next tries come after the loss), 0 with resets; the other hosts serve all.

--- a/src/faultInjection/routedFleet/index.ts
+++ b/src/faultInjection/routedFleet/index.ts
@@ -44,6 +44,8 @@
     readonly queueHosts: boolean;
     /** The zones that may be evacuated; undefined for any. */
     readonly zones?: readonly string[];
+    /** The zone of each entry; undefined: all are in the upstreams' zone. */
+    readonly entryZones?: readonly string[];
 }
 
 /**
@@ -194,7 +196,7 @@
             ...this.makePorts(host),
             metrics: new NoMetrics(),
             self: this.makeIdentity(`entry-${number}`),
-            zone: "vogar" as ZoneId,
+            zone: (this.layout.entryZones?.[number] ?? "vogar") as ZoneId,
             region: "sudurnes",
             peers: { host, port: PORTS.peers },
             controlPeers: this.seedAddresses(),
