--- a/src/control/controlClient/index.ts
+++ b/src/control/controlClient/index.ts
@@ -22,7 +22,7 @@
 /** Identity and addresses of the entry, sent with each pull. */
 export type EntryIdentity = Pick<
     ViewPull,
-    "host" | "incarnation" | "zone" | "peerAddress" | "adminAddress" | "ownsQueues"
+    "host" | "incarnation" | "zone" | "peerAddress" | "adminAddress" | "relayAddress" | "ownsQueues"
 >;
 
 /** The part of a reply that describes the list of entries. */
--- a/src/control/entryTable/index.ts
+++ b/src/control/entryTable/index.ts
@@ -78,7 +78,7 @@
 
     /** Records an entry's pull. The entry's lease is extended only by the reply. */
     recordPull(pull: ViewPull): void {
-        const { host, incarnation, zone, peerAddress, adminAddress, draining, ownsQueues } = pull;
+        const { host, incarnation, zone, peerAddress, adminAddress, relayAddress, draining, ownsQueues } = pull;
         const runKey = formatRunKey(pull);
         const known = this.leases.get(runKey);
         const view = {
@@ -88,6 +88,7 @@
             peerAddress,
             adminAddress,
             draining,
+            ...(relayAddress !== undefined && { relayAddress }),
             ...(ownsQueues && { ownsQueues }),
         };
         const changed = !known || known.view.draining !== draining || known.view.peerAddress !== peerAddress;
--- a/src/control/view/index.ts
+++ b/src/control/view/index.ts
@@ -53,6 +53,8 @@
     readonly peerAddress: string;
     /** `IP:port` of the entry's listener for operators. */
     readonly adminAddress?: string;
+    /** `IP:port` at which it sends requests to upstreams for hosts that have lost their paths; undefined: it sends none for others. */
+    readonly relayAddress?: string;
     /** The revision that the entry uses; 0 for none. */
     readonly revision: number;
     /** Maximum wait for a change, in milliseconds. */
@@ -79,6 +81,7 @@
     readonly zone: string;
     readonly peerAddress: string;
     readonly adminAddress?: string;
+    readonly relayAddress?: string;
     readonly draining: boolean;
     /** It only owns queues of pools and serves no callers. */
     readonly ownsQueues?: boolean;
--- a/src/daemon/runEntry/index.ts
+++ b/src/daemon/runEntry/index.ts
@@ -36,6 +36,7 @@
         upstreams: listen.upstreams,
         peers: listen.peers,
         admin: listen.admin,
+        relay: listen.relay,
         controlPeers: control.members.map(member => member.address),
         callerLimits: limits,
         limits: {
--- a/src/dispatch/ticket/index.ts
+++ b/src/dispatch/ticket/index.ts
@@ -1,6 +1,6 @@
 import { ClassName, HostId, PoolId, RequestId, UpstreamId, WorkspaceId, ZoneId } from "../../ids/index.js";
 import { Address } from "../../ports/index.js";
-import { BackOff, PromptPart, RequestLimit } from "../../upstream/index.js";
+import { BackOff, PromptPart, RequestLimit, UpstreamTarget } from "../../upstream/index.js";
 
 /** The owner's view of a request, without its body and its key. */
 export interface Ticket {
@@ -79,6 +79,11 @@
     readonly decidedBy?: HostId;
 }
 
+/** Returns the upstream that a grant of a pool is for. */
+export function toTarget(pool: PoolId, { upstream, incarnation, address }: Grant): UpstreamTarget {
+    return { pool, upstream, incarnation, address };
+}
+
 /** Why a request was not granted. With each of these, the request has not run. */
 export type RefusalReason =
     | "no-upstream"
--- a/src/entry/cacheDiscovery/index.ts
+++ b/src/entry/cacheDiscovery/index.ts
@@ -3,9 +3,9 @@
 import { HostId, PoolId } from "../../ids/index.js";
 import { Logger } from "../../logging/index.js";
 import { CallDialect } from "../../passthrough/index.js";
-import { Clock, Http, readReplyText } from "../../ports/index.js";
+import { Clock, readReplyText } from "../../ports/index.js";
 import { RouteTable } from "../../routing/index.js";
-import { PromptPart, Upstream, UpstreamRegistry } from "../../upstream/index.js";
+import { PromptPart, Upstream, UpstreamHttp, UpstreamRegistry } from "../../upstream/index.js";
 import { FleetDispatcher } from "../fleetDispatcher/index.js";
 
 /** Interval between checks for upstreams not yet queried, in milliseconds. A new upstream gets its first call after about the same time. */
@@ -21,7 +21,7 @@
 /** Options of `CacheDiscovery`. */
 export interface CacheDiscoveryOptions {
     readonly clock: Clock;
-    readonly http: Http;
+    readonly upstreamHttp: UpstreamHttp;
     readonly logger: Logger;
     readonly self: HostId;
     /** Formats the query and parses the list in the engines' protocol. */
@@ -110,9 +110,10 @@
         { id, address, announcement: { incarnation } }: Upstream,
         signal: AbortSignal,
     ): Promise<Either<Error, PromptPart[]>> {
-        const { http, dialect, sendGuard } = this.options;
-        const sent = await http.send({
-            address,
+        const { upstreamHttp, dialect, sendGuard } = this.options;
+        const target = { pool, upstream: id, incarnation, address };
+        const sent = await upstreamHttp.send({
+            target,
             ...dialect.writeCacheQuery(id),
             newConnection: false,
             connectTimeoutMs: CONNECT_TIMEOUT_MS,
--- a/src/entry/crashMonitor/index.ts
+++ b/src/entry/crashMonitor/index.ts
@@ -1,9 +1,9 @@
 import { ControlClient, ViewCache } from "../../control/index.js";
-import { LogIndex, RequestFingerprint, UpstreamId } from "../../ids/index.js";
+import { LogIndex, RequestFingerprint } from "../../ids/index.js";
 import { WaitCondition } from "../../lifecycle/index.js";
 import { Logger } from "../../logging/index.js";
 import { Metrics } from "../../metrics/index.js";
-import { Address, Clock, Network } from "../../ports/index.js";
+import { Clock } from "../../ports/index.js";
 import {
     CrashGuard,
     QuarantineResult,
@@ -12,11 +12,12 @@
     UpstreamCrash,
 } from "../../quarantine/index.js";
 import { TrueTime } from "../../time/index.js";
-import { UpstreamRegistry } from "../../upstream/index.js";
-import { probeUpstream } from "../probeUpstream/index.js";
+import { PathFinding, UpstreamRegistry, UpstreamTarget } from "../../upstream/index.js";
 
 /** Delay between an upstream's first ended connection and the probe, in milliseconds; its other connections have ended by then. */
 const PROBE_DELAY_MS = 20;
+/** Number of probes of an upstream that nobody reaches: a first packet may be lost. */
+const MAX_PROBES = 3;
 /** Timeout of one attempt to report crashes, and the delay after a failed attempt, in milliseconds. */
 const REPORT_TIMEOUT_MS = 5_000;
 const REPORT_RETRY_DELAY_MS = 200;
@@ -27,7 +28,8 @@
 /** Options of `CrashMonitor`. */
 export interface CrashMonitorOptions {
     readonly clock: Clock;
-    readonly network: Network;
+    /** Determines who reaches an upstream. */
+    readonly probe: (target: UpstreamTarget) => Promise<PathFinding>;
     readonly logger: Logger;
     readonly metrics: Metrics;
     readonly registry: Pick<UpstreamRegistry, "get">;
@@ -38,9 +40,8 @@
 
 /** An upstream that recently ended connections, and the calls that it was running on them. */
 interface SuspectUpstream {
-    readonly upstream: UpstreamId;
+    readonly target: UpstreamTarget;
     readonly incarnation: number;
-    readonly address: Address;
     readonly fingerprints: Set<RequestFingerprint>;
 }
 
@@ -48,7 +49,8 @@
  * Detects crashes of upstreams and applies quarantine on an entry: probes an upstream that ended connections, reports to the control log which
  * requests a crashed upstream was running, and holds back the requests that the log has quarantined.
  *
- * Connections also end for other reasons, so an upstream counts as crashed only if nothing listens at its address any more.
+ * Connections also end for other reasons, so an upstream counts as crashed only if nothing listens at its address any more, and other hosts
+ * find the same.
  *
  * @example
  * const monitor = new CrashMonitor(options);
@@ -88,7 +90,8 @@
         this.served.record(fingerprint);
     }
 
-    recordConnectionEnd(fingerprint: RequestFingerprint, upstream: UpstreamId, address: Address): void {
+    recordConnectionEnd(fingerprint: RequestFingerprint, target: UpstreamTarget): void {
+        const { upstream } = target;
         if (this.served.isRecent(fingerprint)) return;
         const announcement = this.options.registry.get(upstream)?.announcement;
         const isExpectedToEnd = announcement?.state === "gone" || announcement?.reclaim_in_ms !== undefined;
@@ -98,7 +101,7 @@
         const suspect = this.suspects.get(name);
         if (suspect && suspect.fingerprints.size < MAX_CALLS_PER_UPSTREAM) suspect.fingerprints.add(fingerprint);
         if (suspect) return;
-        this.suspects.set(name, { upstream, incarnation, address, fingerprints: new Set([fingerprint]) });
+        this.suspects.set(name, { target, incarnation, fingerprints: new Set([fingerprint]) });
         void this.investigate(name);
     }
 
@@ -128,18 +131,26 @@
     }
 
     private async investigate(name: string): Promise<void> {
-        const { clock, network, logger, metrics } = this.options;
+        const { clock, logger, metrics } = this.options;
         await clock.sleep(PROBE_DELAY_MS);
         const suspect = this.suspects.get(name)!;
-        const finding = await probeUpstream(network, suspect.address);
+        const finding = await this.probe(suspect.target);
         this.suspects.delete(name);
-        const { upstream, incarnation } = suspect;
+        const { target: { upstream }, incarnation } = suspect;
         const fingerprints = [...suspect.fingerprints];
         metrics.count("upstreams_probed", 1, { finding });
         logger.info("upstream-probed", { upstream, incarnation, finding, fingerprints: fingerprints.join(" ") });
         if (finding === "crashed") this.queueReport({ upstream, incarnation, fingerprints });
     }
 
+    private async probe(target: UpstreamTarget): Promise<PathFinding> {
+        for (let attempt = 1; attempt < MAX_PROBES; attempt++) {
+            const finding = await this.options.probe(target);
+            if (finding !== "unreachable") return finding;
+        }
+        return this.options.probe(target);
+    }
+
     private queueReport(crash: UpstreamCrash): void {
         this.unreported.push(crash);
         if (this.unreported.length > MAX_UNREPORTED_CRASHES) {
--- a/src/entry/crashMonitor/test.ts
+++ b/src/entry/crashMonitor/test.ts
@@ -2,12 +2,12 @@
 import { describe, it } from "node:test";
 import { Either, Left, Right } from "purify-ts";
 import { ControlClientError, EntryCommand, ViewCache } from "../../control/index.js";
-import { RequestFingerprint, UpstreamId } from "../../ids/index.js";
+import { PoolId, RequestFingerprint, UpstreamId } from "../../ids/index.js";
 import { SilentLogger } from "../../logging/index.js";
 import { NoMetrics } from "../../metrics/index.js";
-import { Address, MemoryFabric, VirtualClock } from "../../ports/index.js";
+import { Address, VirtualClock } from "../../ports/index.js";
 import { Announcement } from "../../protocol/index.js";
-import { Upstream } from "../../upstream/index.js";
+import { PathFinding, Upstream } from "../../upstream/index.js";
 import { CrashMonitor } from "./index.js";
 
 const ADDRESS: Address = { host: "10.0.0.2", port: 9000 };
@@ -17,13 +17,17 @@
 
 describe("CrashMonitor", () => {
     /** Starts a monitor of upstreams at whose addresses nothing listens, and collects its reports. */
-    function startMonitor(parts: Partial<Announcement> = {}, replies: Reply[] = []) {
+    function startMonitor(
+        parts: Partial<Announcement> = {},
+        replies: Reply[] = [],
+        finding: PathFinding = "crashed",
+    ) {
         const clock = new VirtualClock();
         const reports: EntryCommand[] = [];
         const announcement = { incarnation: 1, state: "ready", address: "10.0.0.2:9000", ...parts } as Announcement;
         const monitor = new CrashMonitor({
             clock,
-            network: new MemoryFabric(clock, () => 1).network("10.0.0.1"),
+            probe: async () => finding,
             logger: new SilentLogger(),
             metrics: new NoMetrics(),
             registry: { get: () => new Upstream(announcement, 0, true) },
@@ -47,7 +51,8 @@
     }
 
     function endConnection(monitor: CrashMonitor, upstream: string, fingerprint: string = REQUEST): void {
-        monitor.recordConnectionEnd(fingerprint as RequestFingerprint, upstream as UpstreamId, ADDRESS);
+        const target = { pool: "draft" as PoolId, upstream: upstream as UpstreamId, incarnation: 1, address: ADDRESS };
+        monitor.recordConnectionEnd(fingerprint as RequestFingerprint, target);
     }
 
     it("reports all calls that were running on an upstream in one report", async () => {
--- a/src/entry/engineStream/index.ts
+++ b/src/entry/engineStream/index.ts
@@ -1,6 +1,7 @@
 import { Either, Left, Right } from "purify-ts";
 import { Clock, HttpError, HttpReply } from "../../ports/index.js";
 import { EngineChunk, EngineUsage, STREAM_DONE } from "../../protocol/index.js";
+import { PathError } from "../../upstream/index.js";
 
 /** An engine's answer that failed before or during the stream. */
 export class EngineStreamError extends Error {
@@ -10,6 +11,7 @@
      * belongs to another request. `gap`: tokens are missing. `truncated`: the stream ended without its terminal event.
      * `malformed`: an event could not be parsed, or the usage is missing. `stopped`: this host aborted the request.
      * @param connectionEnded - Whether the engine closed or reset the connection while it was handling the request.
+     * @param isPathFailure - Whether the way to the engine failed, which says nothing about the engine.
      */
     constructor(
         readonly reason:
@@ -23,6 +25,7 @@
             | "stopped",
         detail: string,
         readonly connectionEnded = false,
+        readonly isPathFailure = false,
     ) {
         super(`${reason}: ${detail}`);
     }
@@ -96,7 +99,9 @@
     catch (err) {
         if (!(err instanceof HttpError)) throw err;
         const reason = err.reason === "aborted" ? "stopped" : "truncated";
-        return Left(new EngineStreamError(reason, err.message, err.reason === "closed"));
+        const isPathFailure = err instanceof PathError;
+        const connectionEnded = err.reason === "closed" && !isPathFailure;
+        return Left(new EngineStreamError(reason, err.message, connectionEnded, isPathFailure));
     }
     return Left(new EngineStreamError("truncated", "no terminal event"));
 }
--- a/src/entry/entryContext/index.ts
+++ b/src/entry/entryContext/index.ts
@@ -1,9 +1,10 @@
 import { AttemptBudget, Dispatcher, SendGuard } from "../../dispatch/index.js";
 import { Logger } from "../../logging/index.js";
 import { Metrics } from "../../metrics/index.js";
-import { Clock, Http, Random } from "../../ports/index.js";
+import { Clock, Random } from "../../ports/index.js";
 import { CrashGuard } from "../../quarantine/index.js";
 import { RequestRegistry } from "../../request/index.js";
+import { UpstreamHttp } from "../../upstream/index.js";
 import { ControlAccess } from "../controlAccess/index.js";
 import { SpendLimiter } from "../spendLimiter/index.js";
 import { UsageMeter } from "../usageMeter/index.js";
@@ -47,7 +48,8 @@
 export interface EntryContext {
     readonly clock: Clock;
     readonly random: Random;
-    readonly http: Http;
+    /** Sends requests to upstreams. */
+    readonly upstreamHttp: UpstreamHttp;
     readonly control: ControlAccess;
     readonly dispatcher: Dispatcher;
     readonly requests: RequestRegistry;
--- a/src/entry/entryProcess/index.ts
+++ b/src/entry/entryProcess/index.ts
@@ -10,6 +10,7 @@
 import { Lifecycle } from "../../lifecycle/index.js";
 import { Logger } from "../../logging/index.js";
 import { Metrics } from "../../metrics/index.js";
+import { CallDialect } from "../../passthrough/index.js";
 import {
     Address,
     Clock,
@@ -17,13 +18,15 @@
     formatAddress,
     Http,
     HttpLimits,
+    HttpReply,
     Listener,
     Network,
     Random,
 } from "../../ports/index.js";
+import { UpstreamAccess } from "../../relay/index.js";
 import { RequestRegistry } from "../../request/index.js";
 import { TrueTime } from "../../time/index.js";
-import { RegistryTiming, UpstreamRegistry } from "../../upstream/index.js";
+import { NO_SIGNALS, RegistryTiming, UpstreamRegistry, UpstreamSignals } from "../../upstream/index.js";
 import { PositionCounter } from "../../usage/index.js";
 import { PeerIdentity, PeerRouter, PeerTiming, reportTraffic, servePeers } from "../../wire/index.js";
 import { AnnouncementForwarder } from "../announcementForwarder/index.js";
@@ -37,6 +40,7 @@
 import { FleetDispatcher } from "../fleetDispatcher/index.js";
 import { PeerDirectory } from "../peerDirectory/index.js";
 import { PeerUsageBackup } from "../peerUsageBackup/index.js";
+import { readNativeSignals } from "../reportSignals/index.js";
 import { RouteService, RouteServiceSettings } from "../routeService/index.js";
 import { SendAllowance } from "../sendAllowance/index.js";
 import { serveAnnouncements } from "../serveAnnouncements/index.js";
@@ -67,6 +71,8 @@
     readonly peers: Address;
     /** Address of the admin API. */
     readonly admin?: Address;
+    /** Address at which this process sends requests to upstreams for hosts that have lost their paths; undefined: it sends none for others. */
+    readonly relay?: Address;
     /** Whether this process only owns queues of pools and serves no callers. */
     readonly ownsQueues?: boolean;
     /** Router of the process that already listens at `peers` and also serves this one's queue methods; undefined: this process listens there. */
@@ -125,6 +131,7 @@
     private readonly evacuationMonitor: EvacuationMonitor;
     private readonly crashMonitor: CrashMonitor;
     private readonly signals: SignalExchange;
+    private readonly access: UpstreamAccess;
     private readonly trueTime: TrueTime;
     private draining = false;
     /** Set once the load balancer has had time to notice the drain. */
@@ -194,8 +201,17 @@
             listRunning: () => this.dispatcher.listRunning(),
         });
         this.trueTime = new TrueTime(clock);
+        this.access = new UpstreamAccess({
+            ...options,
+            self: self.host,
+            registry: this.registry,
+            directory: this.directory,
+            sendGuard: this.signals,
+            readSignals: reply => readUpstreamSignals(reply, options.routes?.dialect),
+        });
         this.crashMonitor = new CrashMonitor({
             ...options,
+            probe: target => this.access.http.probe(target),
             registry: this.registry,
             client: this.client,
             cache: this.cache,
@@ -247,16 +263,18 @@
         logger.info("drain-started", { requests: this.requests.size });
         await clock.sleep(balancerMs);
         this.refusingRequests = true;
+        this.access.relays.drain();
         this.local.drain();
         void this.routeService?.stopAccepting();
         const limit = new AbortController();
         const timer = clock.after(graceMs, () => limit.abort());
-        await Promise.race([this.requests.whenIdle(), clock.sleep(graceMs, limit.signal)]);
+        const idle = Promise.all([this.requests.whenIdle(), this.access.relays.whenIdle(limit.signal)]);
+        await Promise.race([idle, clock.sleep(graceMs, limit.signal)]);
         const isDurable = await this.replicator.drain(limit.signal);
         timer.cancel();
         this.replicator.sendLast();
         logger.info("drain-ended", { requests: this.requests.size, usage: this.replicator.backlog });
-        return this.requests.size === 0 && isDurable;
+        return this.requests.size === 0 && this.access.relays.size === 0 && isDurable;
     }
 
     /** Stops everything immediately, without draining. */
@@ -287,12 +305,14 @@
         lifecycle.run(running => this.replicator.run(running), onError);
         lifecycle.run(running => this.evacuationMonitor.run(running), onError);
         lifecycle.run(running => this.crashMonitor.run(running), onError);
+        lifecycle.run(running => this.access.paths.run(running), onError);
         lifecycle.run(running => backupStore.run(running), onError);
         const { traffic } = this.router;
         lifecycle.run(running => reportTraffic({ ...options, traffic }, running), onError);
         const reporter = this.makeDemandReporter();
         lifecycle.child().run(running => reporter.run(running), onError);
         if (options.upstreams) await this.openUpstreams(options.upstreams);
+        if (options.relay) await this.openRelay(options.relay);
         await this.routeService?.start(this.client, this.cache, lifecycle);
         if (options.routes) lifecycle.run(running => this.makeCacheDiscovery(options.routes!).run(running), onError);
         if (!options.callers) return;
@@ -311,6 +331,11 @@
         this.lifecycle.addCleanUp(() => upstreams.close());
     }
 
+    private async openRelay(address: Address): Promise<void> {
+        const relays = await this.options.http.serve(address, DEFAULT_HTTP_LIMITS, this.access.relays.handler);
+        this.lifecycle.addCleanUp(() => relays.close());
+    }
+
     private async awaitView(signal?: AbortSignal): Promise<void> {
         while (!this.control.isFresh() && !signal?.aborted && !this.lifecycle.isClosing) {
             await this.options.clock.sleep(VIEW_POLL_MS);
@@ -341,6 +366,7 @@
         return new CacheDiscovery({
             ...this.options,
             self,
+            upstreamHttp: this.access.http,
             sendGuard,
             dialect,
             registry,
@@ -361,6 +387,7 @@
             retryBudget: new AttemptBudget(this.options.clock, DEFAULT_RETRY_LIMITS),
             crashGuard: this.crashMonitor,
             sendGuard: this.signals,
+            upstreamHttp: this.access.http,
             isDraining: () => this.draining,
             isRefusing: () => this.refusingRequests,
         };
@@ -386,6 +413,8 @@
             requests: this.requests,
             dispatcher: this.dispatcher,
             sendGuard: this.signals,
+            upstreamHttp: this.access.http,
+            hasWay: () => this.access.hasWay,
             crashes: this.crashMonitor,
             time: this.trueTime,
             positions,
@@ -412,6 +441,7 @@
                 zone: options.zone,
                 peerAddress: formatAddress(options.peers),
                 adminAddress: options.admin && formatAddress(options.admin),
+                relayAddress: options.relay && formatAddress(options.relay),
                 ownsQueues: options.ownsQueues,
             },
             cache,
@@ -425,3 +455,10 @@
         });
     }
 }
+
+/** Reads what an upstream's answer states; an answer of another upstream at its address states nothing about it. */
+function readUpstreamSignals(reply: HttpReply, dialect: CallDialect | undefined): UpstreamSignals {
+    if (!dialect) return readNativeSignals(reply);
+    const { signals, misdirected } = dialect.readReply(reply);
+    return misdirected ? NO_SIGNALS : signals;
+}
--- a/src/entry/peerDirectory/index.ts
+++ b/src/entry/peerDirectory/index.ts
@@ -1,7 +1,8 @@
 import { EntryView } from "../../control/index.js";
-import { HostId } from "../../ids/index.js";
+import { HostId, ZoneId } from "../../ids/index.js";
 import { Lifecycle } from "../../lifecycle/index.js";
 import { Clock, Network, parseAddress, Random } from "../../ports/index.js";
+import { RelayDirectory, RelayHost } from "../../relay/index.js";
 import { PeerIdentity, PeerLink, PeerRouter, PeerTiming } from "../../wire/index.js";
 import { ControlAccess } from "../controlAccess/index.js";
 
@@ -37,6 +38,10 @@
     readonly byHost: ReadonlyMap<HostId, EntryView>;
     readonly queueHosts: readonly HostId[];
     readonly callerHosts: readonly HostId[];
+    /** The other entries that send requests to upstreams on behalf of hosts. */
+    readonly relays: readonly RelayHost[];
+    /** IP addresses of all entries. */
+    readonly ips: ReadonlySet<string>;
 }
 
 const NO_PEERS: PeerLists = {
@@ -45,6 +50,8 @@
     byHost: new Map(),
     queueHosts: [],
     callerHosts: [],
+    relays: [],
+    ips: new Set(),
 };
 
 /** Time for which a peer that could not be reached is excluded from choices, in milliseconds. */
@@ -56,13 +63,23 @@
  * @example
  * directory.linkTo(owner)?.call("dispatch.submit", ticket, 1_000);
  */
-export class PeerDirectory {
+export class PeerDirectory extends RelayDirectory {
     private readonly links = new Map<HostId, OpenLink>();
     /** Monotonic time at which the suspicion of each host ends, in milliseconds. */
     private readonly suspects = new Map<HostId, number>();
     private peers = NO_PEERS;
 
-    constructor(private readonly options: PeerDirectoryOptions) {}
+    constructor(private readonly options: PeerDirectoryOptions) {
+        super();
+    }
+
+    listRelays(): readonly RelayHost[] {
+        return this.getPeers().relays;
+    }
+
+    isMember(ip: string): boolean {
+        return this.getPeers().ips.has(ip);
+    }
 
     /**
      * The hosts among which the owners of queues are chosen: the dedicated queue hosts, or the entries that serve callers where no queue host
@@ -135,7 +152,9 @@
         const owners = hostsOf(true);
         // Where a host is listed with two incarnations, the first in the holder's order is kept.
         const byHost = new Map([...entries].reverse().map(entry => [entry.host as HostId, entry]));
-        return { entries, validUntil, byHost, callerHosts, queueHosts: owners.length > 0 ? owners : callerHosts };
+        const queueHosts = owners.length > 0 ? owners : callerHosts;
+        const ips = new Set(entries.flatMap(entry => parseAddress(entry.peerAddress)?.host ?? []));
+        return { entries, validUntil, byHost, callerHosts, queueHosts, ips, relays: toRelays(usable, self.host) };
     }
 
     private openLink(host: HostId, entry: EntryView): PeerLink | undefined {
@@ -155,3 +174,10 @@
         void open.lifecycle.close();
     }
 }
+
+function toRelays(entries: readonly EntryView[], self: HostId): RelayHost[] {
+    return entries.flatMap(({ host, zone, relayAddress }) => {
+        const address = relayAddress === undefined ? undefined : parseAddress(relayAddress);
+        return address && host !== self ? [{ host: host as HostId, zone: zone as ZoneId, address }] : [];
+    });
+}
--- a/src/entry/reportSignals/index.ts
+++ b/src/entry/reportSignals/index.ts
@@ -8,9 +8,15 @@
 
 const HEADER_NAMES: SignalHeaderNames = { requestLimit: REQUEST_LIMIT_HEADER, leaving: LEAVING_HEADER };
 
+/** Reads what an answer in this system's own protocol states about its upstream. */
+export function readNativeSignals(reply: HttpReply): UpstreamSignals {
+    return readSignals(reply, HEADER_NAMES);
+}
+
 /**
  * Reads what an engine's or a service's answer states about it, and passes that to the send guard.
  *
+ * @param isRelayed - Whether another host sent the request: that host is the one that is asked to back off.
  * @returns What the answer states.
  */
 export function reportSignals(
@@ -18,8 +24,10 @@
     pool: PoolId,
     { upstream, incarnation, request }: Grant,
     reply: HttpReply,
+    isRelayed: boolean,
 ): UpstreamSignals {
-    const signals = readSignals(reply, HEADER_NAMES);
-    sendGuard.recordAnswer({ pool, upstream, incarnation, request, signals });
+    const signals = readNativeSignals(reply);
+    const own = isRelayed ? { ...signals, backOffMs: undefined } : signals;
+    sendGuard.recordAnswer({ pool, upstream, incarnation, request, signals: own });
     return signals;
 }
--- a/src/entry/routeService/index.ts
+++ b/src/entry/routeService/index.ts
@@ -11,7 +11,7 @@
 import { RequestRegistry } from "../../request/index.js";
 import { CallerLimits, DEFAULT_CALLER_LIMITS } from "../../routing/index.js";
 import { TrueTime } from "../../time/index.js";
-import { UpstreamRegistry } from "../../upstream/index.js";
+import { UpstreamHttp, UpstreamRegistry } from "../../upstream/index.js";
 import { PositionCounter, StartMeter } from "../../usage/index.js";
 import { PeerChannel, PeerIdentity, PeerRouter } from "../../wire/index.js";
 import { FleetRouteView } from "../fleetRouteView/index.js";
@@ -38,6 +38,10 @@
     readonly clock: Clock;
     readonly random: Random;
     readonly http: Http;
+    /** Sends requests to upstreams. */
+    readonly upstreamHttp: UpstreamHttp;
+    /** Whether this host can send requests to upstreams, itself or through another host. */
+    readonly hasWay: () => boolean;
     readonly logger: Logger;
     readonly metrics: Metrics;
     readonly self: PeerIdentity;
@@ -85,11 +89,11 @@
         });
     }
 
-    /** Whether callers can be served: there is a fresh document, and at least one publisher of announcements is subscribed to. */
+    /** Whether callers can be served: there is a fresh document, a publisher of announcements is subscribed to, and upstreams can be reached. */
     get isReady(): boolean {
         const hasView = this.view !== undefined && this.view.isFresh() && this.view.routes() !== undefined;
         return hasView && this.subscriber.publisherCount > 0 && this.listener !== undefined
-            && !this.options.isDraining();
+            && !this.options.isDraining() && this.options.hasWay();
     }
 
     /** Number of entries known to serve callers. */
--- a/src/entry/runChat/index.ts
+++ b/src/entry/runChat/index.ts
@@ -1,4 +1,4 @@
-import { Completion, Grant, Refusal, Ticket } from "../../dispatch/index.js";
+import { Completion, findFailureOutcome, Grant, Refusal, Ticket, toTarget } from "../../dispatch/index.js";
 import { HostId, UpstreamId } from "../../ids/index.js";
 import { EngineUsage, Outcome } from "../../protocol/index.js";
 import { RunningRequest } from "../../request/index.js";
@@ -77,19 +77,30 @@
         const attempt = await sendChat(ctx, prepared, run, grant, sink);
         this.mayHaveRun ||= attempt.mayHaveRun;
         this.recordTimes(attempt, sentAtMs);
-        ctx.dispatcher.complete(this.makeCompletion(grant, attempt));
         this.updateCrashGuard(grant, attempt);
+        ctx.dispatcher.complete(this.makeCompletion(grant, attempt, await this.findOutcome(grant, attempt)));
         return attempt;
     }
 
-    private updateCrashGuard({ upstream, address }: Grant, { result }: ChatAttempt): void {
-        const { ctx: { crashGuard }, prepared: { fingerprint } } = this.options;
+    private updateCrashGuard(grant: Grant, { result }: ChatAttempt): void {
+        const { ctx: { crashGuard }, prepared: { fingerprint, pool } } = this.options;
         result.ifRight(() => crashGuard.recordServed(fingerprint));
         result.ifLeft(({ connectionEnded }) => {
-            if (connectionEnded) crashGuard.recordConnectionEnd(fingerprint, upstream, address);
+            if (connectionEnded) crashGuard.recordConnectionEnd(fingerprint, toTarget(pool, grant));
         });
     }
 
+    private findOutcome(grant: Grant, attempt: ChatAttempt): Promise<Completion["outcome"]> | Completion["outcome"] {
+        const { ctx, prepared, run } = this.options;
+        const outcome = outcomeOf(attempt, run);
+        const err = attempt.result.swap().toMaybe().extract();
+        if (!err || outcome !== "failed") return outcome;
+        const { connectionEnded, isPathFailure } = err;
+        const { mayHaveRun: mayHaveBeenSent, isRelayed, sentAt } = attempt;
+        const failure = { isPathFailure, mayHaveBeenSent, isRelayed, connectionEnded, sentAt };
+        return findFailureOutcome(ctx.upstreamHttp, toTarget(prepared.pool, grant), failure);
+    }
+
     /** Returns a grant unused because the chat's content was quarantined meanwhile, and fails the chat. */
     private releaseUnused(grant: Grant, leftMs: number): Promise<ChatResult> {
         const { ctx, prepared, run } = this.options;
@@ -189,15 +200,16 @@
         return { workspace, class: className };
     }
 
-    private makeCompletion(grant: Grant, attempt: ChatAttempt): Completion {
-        const { prepared, run } = this.options;
+    private makeCompletion(grant: Grant, attempt: ChatAttempt, outcome: Completion["outcome"]): Completion {
+        const { ctx, prepared, run } = this.options;
+        const isPaceKnown = !ctx.upstreamHttp.hadLostPath(toTarget(prepared.pool, grant), attempt.sentAt);
         const usage = attempt.result.map(end => end.usage).toMaybe().extract() as EngineUsage | undefined;
         return {
             request: run.identity.id,
             upstream: grant.upstream,
-            outcome: outcomeOf(attempt, run),
+            outcome,
             firstTokenMs: attempt.firstTokenMs,
-            tokenMs: attempt.tokenMs,
+            tokenMs: isPaceKnown ? attempt.tokenMs : undefined,
             promptTokens: usage?.prompt_tokens ?? prepared.promptTokens,
             cachedTokens: usage?.cached_tokens ?? 0,
             completionTokens: attempt.tokens,
--- a/src/entry/runService/index.ts
+++ b/src/entry/runService/index.ts
@@ -1,4 +1,4 @@
-import { Completion, Grant, Refusal, Ticket } from "../../dispatch/index.js";
+import { Completion, findFailureOutcome, Grant, Refusal, Ticket, toTarget } from "../../dispatch/index.js";
 import { UpstreamId } from "../../ids/index.js";
 import { Outcome } from "../../protocol/index.js";
 import { RunningRequest } from "../../request/index.js";
@@ -134,14 +134,22 @@
         workspace: run.identity.workspace,
         class: run.identity.className,
     });
-    const result = await sendService(ctx, prepared, run, grant);
-    result.ifLeft(err => run.recordStep("attempt-failed", `${grant.upstream}: ${err.message}`));
-    completeGrant(ctx, run, grant, result.map(outcomeOf).orDefault("failed"));
-    const { fingerprint } = prepared;
-    result.ifRight(() => ctx.crashGuard.recordServed(fingerprint));
-    result.ifLeft(({ connectionEnded }) => {
-        if (connectionEnded) ctx.crashGuard.recordConnectionEnd(fingerprint, grant.upstream, grant.address);
-    });
+    const sentAt = ctx.clock.monotonic();
+    let isRelayed = false;
+    const result = await sendService(ctx, prepared, run, grant, () => isRelayed = true);
+    const { fingerprint, pool } = prepared;
+    const target = toTarget(pool, grant);
+    if (result.isRight()) {
+        completeGrant(ctx, run, grant, outcomeOf(result.unsafeCoerce()));
+        ctx.crashGuard.recordServed(fingerprint);
+        return result;
+    }
+    const { message, mayHaveRun: mayHaveBeenSent, connectionEnded, isPathFailure } = result
+        .extract() as ServiceCallError;
+    run.recordStep("attempt-failed", `${grant.upstream}: ${message}`);
+    if (connectionEnded) ctx.crashGuard.recordConnectionEnd(fingerprint, target);
+    const failure = { isPathFailure, mayHaveBeenSent, isRelayed, connectionEnded, sentAt };
+    completeGrant(ctx, run, grant, await findFailureOutcome(ctx.upstreamHttp, target, failure));
     return result;
 }
 
--- a/src/entry/sendChat/index.ts
+++ b/src/entry/sendChat/index.ts
@@ -1,7 +1,8 @@
 import { Either, Left } from "purify-ts";
-import { Grant } from "../../dispatch/index.js";
+import { Grant, toTarget } from "../../dispatch/index.js";
 import { ENGINE_PATHS, EngineRequest } from "../../protocol/index.js";
 import { RunningRequest } from "../../request/index.js";
+import { PathError } from "../../upstream/index.js";
 import { ChatSink } from "../chatSink/index.js";
 import { EngineStreamEnd, EngineStreamError, readEngineStream } from "../engineStream/index.js";
 import { EntryContext } from "../entryContext/index.js";
@@ -25,6 +26,10 @@
     readonly tokens: number;
     /** Whether the engine turned the chat away and asked this host to back off. */
     readonly isTurnedAway?: boolean;
+    /** Monotonic time at which it was sent, in milliseconds. */
+    readonly sentAt: number;
+    /** Whether another host sent it on behalf of this one. */
+    readonly isRelayed: boolean;
 }
 
 /**
@@ -45,10 +50,11 @@
     const { clock, limits } = ctx;
     const offset = sink.tokens;
     const sentAt = clock.monotonic();
+    let isRelayed = false;
     let firstAt: number | undefined;
     let lastAt = sentAt;
-    const sent = await ctx.http.send({
-        address: grant.address,
+    const sent = await ctx.upstreamHttp.send({
+        target: toTarget(prepared.pool, grant),
         method: "POST",
         path: ENGINE_PATHS.chat,
         headers: [["content-type", "application/json"], ["accept", "text/event-stream"]],
@@ -57,19 +63,22 @@
         connectTimeoutMs: limits.connectMs,
         headTimeoutMs: limits.firstTokenStallMs,
         signal: run.signal,
+        onRelay: () => isRelayed = true,
     });
     if (sent.isLeft()) {
         const err = sent.extract();
-        const connectionEnded = err.reason === "closed";
-        return failedAttempt(new EngineStreamError("unreachable", err.message, connectionEnded), err.mayHaveBeenSent);
+        const isPathFailure = err instanceof PathError;
+        const connectionEnded = err.reason === "closed" && !isPathFailure;
+        const failure = new EngineStreamError("unreachable", err.message, connectionEnded, isPathFailure);
+        return { ...failedAttempt(failure, err.mayHaveBeenSent), sentAt, isRelayed };
     }
     const reply = sent.unsafeCoerce();
-    const { backOffMs } = reportSignals(ctx, prepared.pool, grant, reply);
+    const { backOffMs } = reportSignals(ctx, prepared.pool, grant, reply, isRelayed);
     if (reply.status !== 200) {
         reply.reset();
         const reason = isRejection(reply.status) ? "rejected" : "refused";
         const failed = failedAttempt(new EngineStreamError(reason, `status ${reply.status}`), true);
-        return { ...failed, isTurnedAway: backOffMs !== undefined };
+        return { ...failed, sentAt, isRelayed, isTurnedAway: backOffMs !== undefined };
     }
     const stallTimer = new StallTimer(clock, () => run.cancel("stalled"));
     stallTimer.expectWithin(limits.firstTokenStallMs);
@@ -89,6 +98,8 @@
     return {
         result,
         mayHaveRun: true,
+        sentAt,
+        isRelayed,
         tokens,
         firstTokenMs: firstAt === undefined ? undefined : firstAt - sentAt,
         tokenMs: firstAt === undefined || tokens < 2 ? undefined : (lastAt - firstAt) / (tokens - 1),
@@ -100,7 +111,10 @@
     return status >= 400 && status < 500 && !TRANSIENT_STATUSES.includes(status);
 }
 
-function failedAttempt(err: EngineStreamError, mayHaveRun: boolean): ChatAttempt {
+function failedAttempt(
+    err: EngineStreamError,
+    mayHaveRun: boolean,
+): Pick<ChatAttempt, "result" | "mayHaveRun" | "tokens"> {
     return { result: Left(err), mayHaveRun, tokens: 0 };
 }
 
--- a/src/entry/sendService/index.ts
+++ b/src/entry/sendService/index.ts
@@ -1,8 +1,9 @@
 import { Either, Left, Right } from "purify-ts";
-import { Grant } from "../../dispatch/index.js";
+import { Grant, toTarget } from "../../dispatch/index.js";
 import { findHeader, HttpError, HttpReply } from "../../ports/index.js";
 import { REQUEST_ID_HEADER } from "../../protocol/index.js";
 import { RunningRequest } from "../../request/index.js";
+import { PathError } from "../../upstream/index.js";
 import { EntryContext } from "../entryContext/index.js";
 import { PreparedService } from "../prepareService/index.js";
 import { reportSignals } from "../reportSignals/index.js";
@@ -12,8 +13,14 @@
     /**
      * @param mayHaveRun - False only when no byte of the call can have been sent.
      * @param connectionEnded - Whether the service closed or reset the connection while it was handling the call.
+     * @param isPathFailure - Whether the way to the service failed, which says nothing about the service.
      */
-    constructor(readonly mayHaveRun: boolean, detail: string, readonly connectionEnded = false) {
+    constructor(
+        readonly mayHaveRun: boolean,
+        detail: string,
+        readonly connectionEnded = false,
+        readonly isPathFailure = false,
+    ) {
         super(detail);
     }
 }
@@ -32,16 +39,19 @@
  *
  * On a pooled connection that has become unresponsive, it is unknown whether a call arrived, so a non-repeatable call uses a
  * connection of its own. To detect answers to other requests, an answer that echoes a request id must echo this request's.
+ *
+ * @param onRelay - Called when the call is handed to another host that sends it on.
  */
 export async function sendService(
     ctx: EntryContext,
     prepared: PreparedService,
     run: RunningRequest,
     grant: Grant,
+    onRelay: () => void,
 ): Promise<Either<ServiceCallError, ServiceAnswer>> {
     const { limits } = ctx;
-    const sent = await ctx.http.send({
-        address: grant.address,
+    const sent = await ctx.upstreamHttp.send({
+        target: toTarget(prepared.pool, grant),
         method: prepared.method,
         path: prepared.path,
         headers: [
@@ -54,16 +64,24 @@
         connectTimeoutMs: limits.connectMs,
         headTimeoutMs: limits.serviceMs,
         signal: run.signal,
+        onRelay,
     });
     if (sent.isLeft()) {
         const err = sent.extract();
-        return Left(new ServiceCallError(err.mayHaveBeenSent, err.message, err.reason === "closed"));
+        return Left(toServiceError(err, err.mayHaveBeenSent));
     }
-    const { backOffMs } = reportSignals(ctx, prepared.pool, grant, sent.unsafeCoerce());
+    const isRelayed = sent.unsafeCoerce().relay !== undefined;
+    const { backOffMs } = reportSignals(ctx, prepared.pool, grant, sent.unsafeCoerce(), isRelayed);
     const answer = await readAnswer(sent.unsafeCoerce(), run, limits.bodyBytes, limits.serviceMs, ctx);
     return answer.map(read => ({ ...read, isTurnedAway: backOffMs !== undefined }));
 }
 
+function toServiceError(err: HttpError, mayHaveRun: boolean): ServiceCallError {
+    const isPathFailure = err instanceof PathError;
+    const connectionEnded = err.reason === "closed" && !isPathFailure;
+    return new ServiceCallError(mayHaveRun, err.message, connectionEnded, isPathFailure);
+}
+
 async function readAnswer(
     reply: HttpReply,
     run: RunningRequest,
@@ -100,8 +118,7 @@
         }
     }
     catch (err) {
-        const { message, reason } = err as HttpError;
-        return Left(new ServiceCallError(true, message, reason === "closed"));
+        return Left(toServiceError(err as HttpError, true));
     }
     return Right(Buffer.concat(chunks));
 }
--- a/src/faultInjection/routedFleet/index.ts
+++ b/src/faultInjection/routedFleet/index.ts
@@ -22,7 +22,7 @@
 import { ZoneCommand } from "../../zone/index.js";
 import { CALL_TIMEOUT_MS, TestCall, TestCaller, TestReply } from "../testCaller/index.js";
 
-const PORTS = { control: 7001, callers: 8080, peers: 7000, upstream: 9000 } as const;
+const PORTS = { control: 7001, callers: 8080, peers: 7000, relay: 7002, upstream: 9000 } as const;
 const UPSTREAM_HOST_PREFIX = "10.0.9.";
 const PEER_TIMING = { heartbeatMs: 500, silenceMs: 1_300 };
 const LOG_TIMING = { ...DEFAULT_LOG_TIMING, heartbeatMs: 250, leaseMs: 1_200, electionSpreadMs: 600 };
@@ -199,6 +199,7 @@
             zone: (this.layout.entryZones?.[number] ?? "vogar") as ZoneId,
             region: "sudurnes",
             peers: { host, port: PORTS.peers },
+            relay: { host, port: PORTS.relay },
             controlPeers: this.seedAddresses(),
             callerLimits: DEFAULT_HTTP_LIMITS,
             limits: DEFAULT_ENTRY_LIMITS,
--- a/src/features/world/memoryFleet.ts
+++ b/src/features/world/memoryFleet.ts
@@ -66,7 +66,15 @@
 const PEER_TIMING = { heartbeatMs: 300, silenceMs: 1_200 };
 const START_TIMEOUT_MS = 30_000;
 const DRAIN_TIMEOUT_MS = 60_000;
-const PORTS = { control: 7001, callers: 8080, upstreams: 8090, peers: 7000, admin: 7100, platform: 9000 } as const;
+const PORTS = {
+    control: 7001,
+    callers: 8080,
+    upstreams: 8090,
+    peers: 7000,
+    relay: 7002,
+    admin: 7100,
+    platform: 9000,
+} as const;
 export const EMULATOR_HOST = "10.0.9.1";
 export const CALLER_HOST = "10.0.8.1";
 
@@ -164,6 +172,7 @@
             callers: { host, port: PORTS.callers },
             upstreams: { host, port: PORTS.upstreams },
             peers: { host, port: PORTS.peers },
+            relay: { host, port: PORTS.relay },
             admin: { host, port: PORTS.admin },
             controlPeers: this.controlNumbers().map(other => ({ host: controlHost(other), port: PORTS.control })),
             callerLimits: DEFAULT_HTTP_LIMITS,
--- a/src/passthrough/attempt/index.ts
+++ b/src/passthrough/attempt/index.ts
@@ -1,5 +1,5 @@
 import { Grant } from "../../dispatch/index.js";
-import { RequestId } from "../../ids/index.js";
+import { HostId, RequestId } from "../../ids/index.js";
 import { HeaderList } from "../../ports/index.js";
 import { RunningRequest } from "../../request/index.js";
 import { CallAnswer } from "../callAnswer/index.js";
@@ -23,6 +23,8 @@
     readonly ticketId: RequestId;
     /** Tokens that one event of the stream stands for. */
     readonly tokensPerEvent: number;
+    /** The host that sends the call on behalf of this one; undefined while this host sends it itself. */
+    relay?: HostId;
 }
 
 /** A complete answer of an upstream. */
@@ -53,4 +55,6 @@
         readonly misdirected?: boolean;
         /** Whether the upstream closed or reset the connection during the attempt. */
         readonly connectionEnded?: boolean;
+        /** Whether the attempt failed on its way, which says nothing about the upstream. */
+        readonly isPathFailure?: boolean;
     };
--- a/src/passthrough/callContext/index.ts
+++ b/src/passthrough/callContext/index.ts
@@ -2,11 +2,12 @@
 import { HostId, ZoneId } from "../../ids/index.js";
 import { Logger } from "../../logging/index.js";
 import { Metrics } from "../../metrics/index.js";
-import { Clock, Http, Random } from "../../ports/index.js";
+import { Clock, Random } from "../../ports/index.js";
 import { CrashGuard } from "../../quarantine/index.js";
 import { RequestRegistry } from "../../request/index.js";
 import { RouteTable } from "../../routing/index.js";
 import { TrueTime } from "../../time/index.js";
+import { UpstreamHttp } from "../../upstream/index.js";
 import { StartMeter, UsageDurability } from "../../usage/index.js";
 import { CallDialect } from "../callDialect/index.js";
 import { RepeatBudget } from "../repeatBudget/index.js";
@@ -35,7 +36,8 @@
 export interface CallContext {
     readonly clock: Clock;
     readonly random: Random;
-    readonly http: Http;
+    /** Sends requests to upstreams. */
+    readonly upstreamHttp: UpstreamHttp;
     readonly logger: Logger;
     readonly metrics: Metrics;
     /** The host of this process. */
--- a/src/passthrough/callDialect/index.ts
+++ b/src/passthrough/callDialect/index.ts
@@ -80,6 +80,9 @@
 
 /** Maps calls to and from HTTP heads: the header names and error bodies that callers and upstreams use. */
 export abstract class CallDialect {
+    /** Name of the header, in lower case, that states to an upstream how many milliseconds remain. */
+    abstract readonly deadlineHeader: string;
+
     /** Parses the head of a caller's request. */
     abstract readHead(req: HttpRequest): Either<CallError, CallHead>;
 
--- a/src/passthrough/endWithHttpError/index.ts
+++ b/src/passthrough/endWithHttpError/index.ts
@@ -1,4 +1,5 @@
 import { HttpError } from "../../ports/index.js";
+import { PathError } from "../../upstream/index.js";
 import { AttemptResult } from "../attempt/index.js";
 import { AttemptEnd } from "../nextStep/index.js";
 
@@ -12,6 +13,8 @@
  *     return endWithHttpError("lost", err as HttpError);
  * }
  */
-export function endWithHttpError(end: AttemptEnd, { message, reason }: HttpError): AttemptResult {
-    return { kind: "ended", end, detail: message, connectionEnded: reason === "closed" };
+export function endWithHttpError(end: AttemptEnd, err: HttpError): AttemptResult {
+    const isPathFailure = err instanceof PathError;
+    const connectionEnded = err.reason === "closed" && !isPathFailure;
+    return { kind: "ended", end, detail: err.message, connectionEnded, isPathFailure };
 }
--- a/src/passthrough/nativeDialect/index.ts
+++ b/src/passthrough/nativeDialect/index.ts
@@ -66,6 +66,8 @@
 
 /** Sequoiamux's own dialect of routed calls: keys as bearer tokens, and headers that begin with `x-sequoiamux-`. */
 export class NativeDialect extends CallDialect {
+    readonly deadlineHeader = CALL_HEADERS.deadlineMs;
+
     readHead({ headers }: HttpRequest): Either<CallError, CallHead> {
         const request = findHeader(headers, CALL_HEADERS.request);
         if (!request) return Left(new CallError("malformed", `a call needs a ${CALL_HEADERS.request} header`));
--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -1,7 +1,16 @@
-import { Completion, Grant, recordDecline, Refusal, SendBlock, Ticket } from "../../dispatch/index.js";
-import { ClassName, RequestId, UpstreamId, WorkspaceId } from "../../ids/index.js";
+import {
+    Completion,
+    findFailureOutcome,
+    Grant,
+    recordDecline,
+    Refusal,
+    SendBlock,
+    Ticket,
+    toTarget,
+} from "../../dispatch/index.js";
+import { ClassName, HostId, RequestId, UpstreamId, WorkspaceId } from "../../ids/index.js";
 import { RunningRequest } from "../../request/index.js";
-import { AttemptResult, BufferedAnswer } from "../attempt/index.js";
+import { Attempt, AttemptResult, BufferedAnswer } from "../attempt/index.js";
 import { CallAnswer } from "../callAnswer/index.js";
 import { CallContext } from "../callContext/index.js";
 import { CallError } from "../callError/index.js";
@@ -32,6 +41,8 @@
     readonly status: number;
     readonly attempts: number;
     readonly stream: StreamState;
+    /** The host that sent the call on behalf of this one, if one did. */
+    readonly relay?: HostId;
     /** When the caller was told to retry, in milliseconds; undefined where it was told nothing. */
     readonly retryAfterMs?: number;
 }
@@ -45,6 +56,8 @@
     begun: number;
     /** The last failure answer of an upstream. */
     upstreamFailure: BufferedAnswer | undefined;
+    /** The host that sent the call on behalf of this one, in the last attempt that had one. */
+    relay: HostId | undefined;
     lastDetail: string;
 }
 
@@ -80,7 +93,8 @@
 }
 
 function createProgress(): CallProgress {
-    return { avoid: [], stream: createStreamState(), tries: 0, begun: 0, upstreamFailure: undefined, lastDetail: "" };
+    const stream = createStreamState();
+    return { avoid: [], stream, tries: 0, begun: 0, upstreamFailure: undefined, relay: undefined, lastDetail: "" };
 }
 
 /** Runs one attempt at one upstream. Returns undefined when the call continues at another one. */
@@ -99,22 +113,41 @@
     progress.tries++;
     run.recordGrant(grant);
     const sentAt = ctx.clock.monotonic();
-    const result = await sendGranted(task, grant);
-    const idleMs = ctx.clock.monotonic() - Math.max(sentAt, progress.stream.lastEventAt);
-    completeGrant(task, grant, outcomeOf(result, run, idleMs));
+    const attempt = makeAttempt(task, grant);
+    const result = await sendCall(ctx, attempt);
+    progress.relay = attempt.relay ?? progress.relay;
+    const completed = completeAttempt(task, attempt, result, sentAt);
     recordForCrashGuard(task, grant, result);
     if (result.kind === "answered") {
         await waitDurable(task);
         result.deliver();
         return makeCallEnd("answered", result.status, progress);
     }
-    recordAttempt(task, grant, result);
+    recordAttempt(task, attempt, result);
     if (run.isCancelled) return endCancelled(task);
     if (decideNext(task, result.end) === "give-up") return endWithFailure(task, result.end);
+    // The grant's slot must be free before the call's ticket is submitted again.
+    await completed;
     progress.avoid.push(grant.upstream);
     return undefined;
 }
 
+/** Reports the outcome of an attempt to the owner of the queue; finding it out may take a moment where the attempt failed. */
+async function completeAttempt(task: CallTask, attempt: Attempt, result: AttemptResult, sentAt: number): Promise<void> {
+    const { ctx, call, run, progress } = task;
+    const { grant, relay } = attempt;
+    const idleMs = ctx.clock.monotonic() - Math.max(sentAt, progress.stream.lastEventAt);
+    const outcome = outcomeOf(result, run, idleMs);
+    if (result.kind === "answered" || outcome !== "failed" || result.misdirected) {
+        return completeGrant(task, grant, outcome, sentAt);
+    }
+    const { end, connectionEnded = false, isPathFailure = false } = result;
+    const mayHaveBeenSent = end !== "not-sent";
+    const failure = { isPathFailure, mayHaveBeenSent, isRelayed: relay !== undefined, connectionEnded, sentAt };
+    const target = toTarget(call.pool, grant);
+    completeGrant(task, grant, await findFailureOutcome(ctx.upstreamHttp, target, failure), sentAt);
+}
+
 /**
  * Declines a grant for an upstream to which nothing may be sent: the owner of the queue may be cut off from the control
  * processes and grant what all others know to be closed. The call is submitted again; if the owner offers the same
@@ -137,7 +170,7 @@
     return undefined;
 }
 
-async function sendGranted({ ctx, call, run, answer, progress, ticketId }: CallTask, grant: Grant) {
+function makeAttempt({ ctx, call, run, answer, progress, ticketId }: CallTask, grant: Grant): Attempt {
     const { stream } = progress;
     const canUseAnotherUpstream = call.route.kind === "idempotent" || call.route.resumable;
     const hasAttemptsLeft = progress.begun + 1 < call.route.attempts;
@@ -145,7 +178,7 @@
         ? Math.max(MIN_FIRST_BYTE_TIMEOUT_MS, FIRST_BYTE_TARGET_FACTOR * call.route.targetMs)
         : undefined;
     const tokensPerEvent = tokensPerEventOf(ctx, call);
-    return sendCall(ctx, { call, grant, run, answer, stream, firstByteTimeoutMs, ticketId, tokensPerEvent });
+    return { call, grant, run, answer, stream, firstByteTimeoutMs, ticketId, tokensPerEvent };
 }
 
 function decideNext({ ctx, call, progress }: CallTask, end: AttemptEnd) {
@@ -157,8 +190,8 @@
 
 function recordAttempt(
     { ctx, call, run, progress }: CallTask,
-    { upstream }: Grant,
-    { end, detail, failure, connectionEnded }: Extract<AttemptResult, { kind: "ended"; }>,
+    { grant: { upstream }, relay }: Attempt,
+    { end, detail, failure, connectionEnded, isPathFailure }: Extract<AttemptResult, { kind: "ended"; }>,
 ): void {
     if (end !== "not-sent" && end !== "refused") progress.begun++;
     progress.upstreamFailure = failure ?? progress.upstreamFailure;
@@ -176,6 +209,8 @@
         end,
         detail,
         connectionEnded,
+        isPathFailure,
+        relay,
         tries,
         begun,
         events,
@@ -183,10 +218,10 @@
     });
 }
 
-function recordForCrashGuard({ ctx, call }: CallTask, { upstream, address }: Grant, result: AttemptResult): void {
-    const { fingerprint } = call;
+function recordForCrashGuard({ ctx, call }: CallTask, grant: Grant, result: AttemptResult): void {
+    const { fingerprint, pool } = call;
     if (result.kind === "answered") ctx.crashes.recordServed(fingerprint);
-    else if (result.connectionEnded) ctx.crashes.recordConnectionEnd(fingerprint, upstream, address);
+    else if (result.connectionEnded) ctx.crashes.recordConnectionEnd(fingerprint, toTarget(pool, grant));
 }
 
 /**
@@ -258,17 +293,21 @@
     return { ...end, retryAfterMs: isTruncated ? undefined : err.retryAfterMs };
 }
 
-function makeCallEnd(outcome: string, status: number, { tries, stream }: CallProgress): CallEnd {
-    return { outcome, status, attempts: tries, stream };
+function makeCallEnd(outcome: string, status: number, { tries, stream, relay }: CallProgress): CallEnd {
+    return { outcome, status, attempts: tries, stream, relay };
 }
 
 function completeGrant(
     { ctx, call, ticketId: request, progress: { stream, tries } }: CallTask,
-    { upstream }: Grant,
+    grant: Grant,
     outcome: Completion["outcome"],
+    sentAt?: number,
 ): void {
+    const { upstream } = grant;
     const tokensPerEvent = tokensPerEventOf(ctx, call);
-    const gaps = stream.eventCount - 1;
+    // The pace of a stream whose path was lost meanwhile is not that of its upstream.
+    const isPaceKnown = sentAt === undefined || !ctx.upstreamHttp.hadLostPath(toTarget(call.pool, grant), sentAt);
+    const gaps = isPaceKnown ? stream.eventCount - 1 : 0;
     const tokenMs = gaps > 0 ? (stream.lastEventAt - stream.firstEventAt) / gaps / tokensPerEvent : undefined;
     ctx.dispatcher.complete({
         request,
--- a/src/passthrough/sendCall/index.ts
+++ b/src/passthrough/sendCall/index.ts
@@ -1,4 +1,5 @@
 import { Either } from "purify-ts";
+import { toTarget } from "../../dispatch/index.js";
 import { findHeader, HttpError, HttpReply } from "../../ports/index.js";
 import { Attempt, AttemptResult } from "../attempt/index.js";
 import { CallContext } from "../callContext/index.js";
@@ -28,8 +29,8 @@
     const remainingMs = Math.floor(call.deadlineAt - ctx.clock.monotonic());
     if (remainingMs < MIN_REMAINING_MS) return { kind: "ended", end: "not-sent", detail: "no time is left" };
     const firstByteTimer = startFirstByteTimeout(ctx, attempt, remainingMs);
-    const sent = await ctx.http.send({
-        address: grant.address,
+    const sent = await ctx.upstreamHttp.send({
+        target: toTarget(call.pool, grant),
         method: call.method,
         path: call.path,
         headers: ctx.dialect.writeHead(call.head, {
@@ -48,6 +49,8 @@
         connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, remainingMs),
         headTimeoutMs: remainingMs,
         signal: run.signal,
+        deadlineHeader: ctx.dialect.deadlineHeader,
+        onRelay: relay => attempt.relay = relay,
     });
     const result = await handleReply(ctx, attempt, sent);
     firstByteTimer?.cancel();
@@ -114,8 +117,10 @@
     return { kind: "ended", end: "failed", detail: `the upstream answers ${reply.status} in place of a stream's rest` };
 }
 
-function recordSignals({ sendGuard }: CallContext, { call, grant }: Attempt, { signals }: ReplyHead): void {
+function recordSignals({ sendGuard }: CallContext, { call, grant, relay }: Attempt, head: ReplyHead): void {
     const { upstream, incarnation } = grant;
+    // An upstream asks the host that sent the call to back off.
+    const signals = relay === undefined ? head.signals : { ...head.signals, backOffMs: undefined };
     sendGuard.recordAnswer({ pool: call.pool, upstream, incarnation, request: call.head.request, signals });
 }
 
--- a/src/passthrough/serveCalls/index.ts
+++ b/src/passthrough/serveCalls/index.ts
@@ -64,7 +64,7 @@
 
 function recordEnd(ctx: CallContext, call: PreparedCall, run: RunningRequest, end: CallEnd): void {
     const { route, workspace, pool, head, tier, fingerprint } = call;
-    const { outcome, status, attempts, stream, retryAfterMs } = end;
+    const { outcome, status, attempts, stream, relay, retryAfterMs } = end;
     const ms = Math.round(run.ageMs());
     const firstMs = stream.firstEventMs === undefined ? undefined : Math.round(stream.firstEventMs);
     run.recordEnd(outcome);
@@ -90,6 +90,7 @@
         targetMs: route.targetMs,
         gapBoundMs: route.gapMs,
         upstream,
+        relay,
         waitedMs: Math.round(waitedMs),
         reason,
         decidedBy,
--- a/src/platform/nodeSettings/index.ts
+++ b/src/platform/nodeSettings/index.ts
@@ -21,6 +21,8 @@
     readonly controlPeerPort: number;
     /** Port on which entries accept connections of the system's other processes. */
     readonly entryPeerPort: number;
+    /** Port on which entries send requests to upstreams for each other. */
+    readonly relayPort: number;
     /**
      * Peer addresses of control processes. The file's `seeds` lists their public addresses, of which only the IP address is
      * used; the port is `controlPeerPort`.
@@ -105,6 +107,7 @@
         control: readAddress("listen.controlPlane"),
         controlPeerPort,
         entryPeerPort: controlPeerPort + 1,
+        relayPort: controlPeerPort + 2,
         seeds,
         isSeed: seeds.some(({ host }) => host === ip),
         isFirstStart: file.get("firstStart") === "true",
--- a/src/platform/platformDialect/index.ts
+++ b/src/platform/platformDialect/index.ts
@@ -76,6 +76,8 @@
 
 /** Reads and writes calls in the platform's header format. */
 export class PlatformDialect extends CallDialect {
+    readonly deadlineHeader = HEADER_NAMES.deadline;
+
     readHead(req: HttpRequest): Either<CallError, CallHead> {
         const { headers } = req;
         const attempts = headers.filter(([name]) => name === HEADER_NAMES.attempt);
--- a/src/platform/runEntryNode/index.ts
+++ b/src/platform/runEntryNode/index.ts
@@ -38,6 +38,7 @@
         zone: settings.zone,
         region: settings.region,
         peers: { host: ip, port: settings.entryPeerPort },
+        relay: { host: ip, port: settings.relayPort },
         controlPeers: settings.seeds,
         callerLimits: DEFAULT_HTTP_LIMITS,
         limits: DEFAULT_ENTRY_LIMITS,
--- a/src/ports/http/index.ts
+++ b/src/ports/http/index.ts
@@ -21,6 +21,8 @@
     readonly headTimeoutMs: number;
     /** Resets the connection when aborted. */
     readonly signal?: AbortSignal;
+    /** Called when a new connection is being opened for the request, and when it is open; not called for a pooled one. */
+    readonly onConnection?: (state: "opening" | "open") => void;
 }
 
 /** The response to an outgoing request. */
--- a/src/ports/memoryHttpFabric/index.ts
+++ b/src/ports/memoryHttpFabric/index.ts
@@ -113,6 +113,7 @@
         const maxIdleMs = call.recentlyUsedOnly ? MAX_RECENT_IDLE_MS : MAX_POOL_IDLE_MS;
         const isKept = !call.newConnection && this.httpFabric.takeConnection(this.host, target, maxIdleMs);
         if (isKept) return new Exchange(this.httpFabric, this.host, call).run(false);
+        call.onConnection?.("opening");
         if (fabric.isCut(this.host, serverHost) || fabric.isCut(serverHost, this.host)) {
             await fabric.clock.sleep(call.connectTimeoutMs, call.signal);
             return Left(new HttpError(call.signal?.aborted ? "aborted" : "timeout", false, target));
@@ -120,6 +121,8 @@
         await fabric.clock.sleep(fabric.latency(this.host, serverHost));
         const isRefused = fabric.refuses(this.host, serverHost) || !servers.has(target);
         if (isRefused) return Left(new HttpError("refused", false, target));
+        if (call.signal?.aborted) return Left(new HttpError("aborted", false, target));
+        call.onConnection?.("open");
         return new Exchange(this.httpFabric, this.host, call).run(true);
     }
 }
--- a/src/ports/nodeHttp/index.ts
+++ b/src/ports/nodeHttp/index.ts
@@ -104,8 +104,12 @@
                     clearTimeout(timer);
                     timer = setTimeout(() => cancel("timeout"), call.headTimeoutMs);
                 };
-                if (socket.connecting) socket.once("connect", startHeadTimeout);
-                else startHeadTimeout();
+                if (!socket.connecting) return startHeadTimeout();
+                call.onConnection?.("opening");
+                socket.once("connect", () => {
+                    startHeadTimeout();
+                    call.onConnection?.("open");
+                });
             });
             req.on("error", err => {
                 hasFailed = true;
--- a/src/quarantine/crashGuard/index.ts
+++ b/src/quarantine/crashGuard/index.ts
@@ -1,5 +1,5 @@
-import { RequestFingerprint, UpstreamId } from "../../ids/index.js";
-import { Address } from "../../ports/index.js";
+import { RequestFingerprint } from "../../ids/index.js";
+import { UpstreamTarget } from "../../upstream/index.js";
 
 /**
  * Keeps requests that crash upstreams away from further ones. It is notified of the outcome of requests, and queried
@@ -19,7 +19,7 @@
     /**
      * Called when an upstream ended the connection while it was running a request, whether it crashed or not.
      *
-     * @param address - Address that the request was sent to.
+     * @param target - The upstream that the request was sent to.
      */
-    abstract recordConnectionEnd(fingerprint: RequestFingerprint, upstream: UpstreamId, address: Address): void;
+    abstract recordConnectionEnd(fingerprint: RequestFingerprint, target: UpstreamTarget): void;
 }
--- a/src/settings/schema/index.ts
+++ b/src/settings/schema/index.ts
@@ -83,6 +83,10 @@
         callers: required(ipAddress, "Where callers send requests, behind the platform's balancer."),
         upstreams: required(ipAddress, "Where upstreams announce themselves."),
         peers: required(ipAddress, "Where the system's other processes connect."),
+        relay: optional(
+            ipAddress,
+            "Where this host sends requests to upstreams for entries that have lost their paths to them. Keep it closed to everybody but the fleet's hosts. Without it this host sends none for others.",
+        ),
         admin: required(ipAddress, "Health, readiness and the operator tool. Keep it on the operators' network."),
         routes: optional(
             ipAddress,
--- a/src/tools/fleet/index.ts
+++ b/src/tools/fleet/index.ts
@@ -44,6 +44,7 @@
     readonly callers: number;
     readonly upstreams: number;
     readonly peers: number;
+    readonly relay: number;
     readonly admin: number;
 }
 
@@ -53,6 +54,7 @@
 }
 
 const HOST = "127.0.0.1";
+const PORTS_PER_ENTRY = 5;
 const READY_TIMEOUT_MS = 30_000;
 const QUERY_TIMEOUT_MS = 1_000;
 
@@ -79,10 +81,10 @@
     /** Starts all processes and waits until each entry is ready and has discovered all upstreams. */
     static async start(plan: FleetPlan): Promise<ProcessFleet> {
         const folder = await mkdtemp(join(tmpdir(), "sequoiamux-"));
-        const ports = await findFreePorts(plan.entries * 4 + plan.controls * 2);
+        const ports = await findFreePorts(plan.entries * PORTS_PER_ENTRY + plan.controls * 2);
         const entryPorts = range(plan.entries).map(() => {
-            const [callers, upstreams, peers, admin] = ports.splice(0, 4);
-            return { callers, upstreams, peers, admin };
+            const [callers, upstreams, peers, relay, admin] = ports.splice(0, PORTS_PER_ENTRY);
+            return { callers, upstreams, peers, relay, admin };
         });
         const controlPorts = range(plan.controls).map(() => {
             const [peers, operators] = ports.splice(0, 2);
@@ -224,13 +226,14 @@
     }
 
     private formatEntrySettings(number: number): string {
-        const { callers, upstreams, peers, admin } = this.entryPorts[number];
+        const { callers, upstreams, peers, relay, admin } = this.entryPorts[number];
         return formatIni("entry", {
             host: this.makeHostSection(`entry-${number + 1}`, number),
             listen: {
                 callers: `${HOST}:${callers}`,
                 upstreams: `${HOST}:${upstreams}`,
                 peers: `${HOST}:${peers}`,
+                relay: `${HOST}:${relay}`,
                 admin: `${HOST}:${admin}`,
             },
             control: { members: this.formatMembers() },
--- a/src/upstream/index.ts
+++ b/src/upstream/index.ts
@@ -21,6 +21,7 @@
 export * from "./selectionPolicy/index.js";
 export * from "./stragglerPolicy/index.js";
 export * from "./upstream/index.js";
+export * from "./upstreamHttp/index.js";
 export * from "./upstreamLoad/index.js";
 export * from "./upstreamRegistry/index.js";
 export * from "./upstreamSignals/index.js";
