An upstream that is silent for a second or so keeps its streams

Callers saw streams stop and begin again elsewhere, where prompts are read in anew: resumable routed streams moved after 1.0 s without an event, or before their first one, and chats moved since a pause counted as the pace of a straggler. Now a stall takes 1.6 s (callers leave after 2.0 s at the soonest), and a single pause is no pace; an upstream that pauses before each piece still is a straggler.

--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -12,6 +12,7 @@
 export * from "./poolQueue/index.js";
 export * from "./preemptionPolicy/index.js";
 export * from "./recordDecline/index.js";
+export { MAX_PACE_GAP_MS } from "./runningSet/index.js";
 export * from "./sendGuard/index.js";
 export * from "./spendingAllotments/index.js";
 export * from "./ticket/index.js";
--- a/src/dispatch/localDispatcher/test.ts
+++ b/src/dispatch/localDispatcher/test.ts
@@ -357,4 +357,57 @@
             assert.deepEqual(tested.settled, ["next"]);
         });
     });
+
+    describe("a pool with streams", () => {
+        /** Runs two streams on each of four upstreams for some seconds; returns the requests that were moved elsewhere. */
+        async function runStreams(tokensAt: (upstream: string, ms: number) => number): Promise<string[]> {
+            const clock = new VirtualClock();
+            const registry = new UpstreamRegistry({ clock });
+            const dispatcher = new LocalDispatcher({
+                clock,
+                registry,
+                random: new SeededRandom(1),
+                zone: "vogar" as ZoneId,
+            });
+            const moved: string[] = [];
+            dispatcher.onPreempt(request => moved.push(request));
+            const upstreams = ["u1", "u2", "u3", "u4"];
+            const announce = (sequence: number): void => {
+                for (const id of upstreams) registry.announce(makeAnnouncement({ id, slots: 3, sequence }));
+            };
+            announce(1);
+            const grants: Grant[] = [];
+            for (let index = 0; index < 8; index++) {
+                const ticket = makeTicket({ request: `r${index}`, resumable: true, maxTokens: 1_000 });
+                const decision = dispatcher.submit(ticket, new AbortController().signal);
+                void decision.then(settled => settled.ifRight(grant => grants.push(grant)));
+                await clock.advance(1);
+            }
+            for (let ms = 0; ms < 8_000; ms += 200) {
+                for (const { request, upstream } of grants) {
+                    const tokens = tokensAt(upstream, ms);
+                    if (tokens > 0) dispatcher.progress(request, tokens);
+                }
+                announce(2 + ms);
+                await clock.advance(200);
+            }
+            dispatcher.close();
+            return moved;
+        }
+
+        it("leaves them where they are when an upstream is silent for a second or so", async () => {
+            const isSilent = (upstream: string, ms: number): boolean => upstream === "u1" && ms >= 3_000 && ms < 4_300;
+            assert.deepEqual(await runStreams((upstream, ms) => isSilent(upstream, ms) ? 0 : 8), []);
+        });
+
+        it("moves them off an upstream that has become far slower than the others", async () => {
+            const moved = await runStreams((upstream, ms) => upstream === "u1" && ms >= 3_000 ? 2 : 8);
+            assert.notDeepEqual(moved, []);
+        });
+
+        it("moves them off an upstream that pauses before each piece", async () => {
+            const moved = await runStreams((upstream, ms) => upstream === "u1" && ms % 1_000 > 0 ? 0 : 8);
+            assert.notDeepEqual(moved, []);
+        });
+    });
 });
--- a/src/dispatch/runningSet/index.ts
+++ b/src/dispatch/runningSet/index.ts
@@ -19,6 +19,9 @@
     tokens: number;
     /** The start of the current pace measurement. */
     paceFrom?: PaceSample;
+    /** Monotonic time of the last tokens, in milliseconds, and whether they came after a pause. */
+    tokensAt?: number;
+    isAfterPause?: boolean;
     /** Whether it was asked to stop for a higher tier. */
     isPreempted: boolean;
     /** Frees its slot in the queue. */
@@ -27,6 +30,11 @@
 
 /** Tokens per pace measurement. */
 const PACE_SAMPLE_TOKENS = 8;
+/**
+ * A longer time without tokens, in milliseconds, is a pause of the upstream and says nothing about its pace, unless each token comes after
+ * one.
+ */
+export const MAX_PACE_GAP_MS = 700;
 
 /**
  * Records tokens received by a request.
@@ -38,7 +46,11 @@
  */
 export function recordTokens(running: RunningRequest, tokens: number, now: number): number | undefined {
     running.tokens += tokens;
-    const from = running.paceFrom;
+    const isAfterPause = running.tokensAt !== undefined && now - running.tokensAt > MAX_PACE_GAP_MS;
+    const isSinglePause = isAfterPause && !running.isAfterPause;
+    running.tokensAt = now;
+    running.isAfterPause = isAfterPause;
+    const from = isSinglePause ? undefined : running.paceFrom;
     const newTokens = from ? running.tokens - from.tokens : 0;
     if (from && newTokens < PACE_SAMPLE_TOKENS) return undefined;
     running.paceFrom = { at: now, tokens: running.tokens };
--- a/src/emulator/emulatedCallUpstream/index.ts
+++ b/src/emulator/emulatedCallUpstream/index.ts
@@ -100,6 +100,7 @@
     private readonly cachedPartTokens = new Map<string, number>();
     private announcementSequence = 0;
     private coldUntilMs = 0;
+    private silentUntilMs = 0;
     private requestLimit: number | undefined;
     private retryAfter: string | undefined;
     private isTurnedAway: (from: string) => boolean = () => true;
@@ -170,6 +171,11 @@
         this.isTurnedAway = isTurnedAway;
     }
 
+    /** Sends nothing for a time, in milliseconds, and goes on after it. */
+    fallSilent(ms: number): void {
+        this.silentUntilMs = this.options.clock.monotonic() + ms;
+    }
+
     /** States in all its answers that it is about to end; its announcements go on as before. */
     stateDeparture(): void {
         this.isLeaving = true;
@@ -230,6 +236,7 @@
         this.addCachedParts(findHeader(req.headers, CALL_HEADERS.parts));
         this.openResponses.add(res);
         await this.options.clock.sleep(this.options.workMs, req.closed);
+        await this.waitWhileSilent(req.closed);
         if (!this.openResponses.has(res)) return;
         if (body === this.options.crashesOn) await this.crash();
         else if (fault === "lost") res.reset();
@@ -237,6 +244,11 @@
         this.openResponses.delete(res);
     }
 
+    private waitWhileSilent(closed: AbortSignal): Promise<void> {
+        const { clock } = this.options;
+        return clock.sleep(Math.max(0, this.silentUntilMs - clock.monotonic()), closed);
+    }
+
     private addCachedParts(parts = ""): void {
         for (const part of parts.split(",").filter(Boolean)) {
             const [id, tokens] = part.split(":");
@@ -290,6 +302,7 @@
         const firstEventId = Number(findHeader(req.headers, CALL_HEADERS.lastEventId) ?? 0) + 1;
         res.head(200, [...headers, ["content-type", "text/event-stream"], ["transfer-encoding", "chunked"]]);
         for (let id = firstEventId; id <= events; id++) {
+            await this.waitWhileSilent(req.closed);
             if (req.closed.aborted) return;
             if (fault === "break" && id === firstEventId + BREAK_AFTER_EVENTS) {
                 await res.write(`id: ${id}\nda`);
--- a/src/entry/sendChat/index.ts
+++ b/src/entry/sendChat/index.ts
@@ -1,5 +1,5 @@
 import { Either, Left } from "purify-ts";
-import { Grant, toTarget } from "../../dispatch/index.js";
+import { Grant, MAX_PACE_GAP_MS, toTarget } from "../../dispatch/index.js";
 import { ENGINE_PATHS, EngineRequest } from "../../protocol/index.js";
 import { RunningRequest } from "../../request/index.js";
 import { PathError } from "../../upstream/index.js";
@@ -20,7 +20,7 @@
     readonly mayHaveRun: boolean;
     /** Time from sending to the first token, in milliseconds. */
     readonly firstTokenMs?: number;
-    /** Mean time between tokens, in milliseconds. */
+    /** Mean time between tokens without the longest pause, in milliseconds. */
     readonly tokenMs?: number;
     /** Number of tokens received in this attempt. */
     readonly tokens: number;
@@ -53,6 +53,7 @@
     let isRelayed = false;
     let firstAt: number | undefined;
     let lastAt = sentAt;
+    let pausedMs = 0;
     const sent = await ctx.upstreamHttp.send({
         target: toTarget(prepared.pool, grant),
         method: "POST",
@@ -83,7 +84,9 @@
     const stallTimer = new StallTimer(clock, () => run.cancel("stalled"));
     stallTimer.expectWithin(limits.firstTokenStallMs);
     const result = await readEngineStream(reply, run.identity.id, offset, ({ text, tokens }) => {
+        const gapMs = clock.monotonic() - lastAt;
         lastAt = clock.monotonic();
+        if (firstAt !== undefined && gapMs > MAX_PACE_GAP_MS) pausedMs = Math.max(pausedMs, gapMs);
         if (firstAt === undefined) {
             firstAt = lastAt;
             stallTimer.expectWithin(limits.tokenStallMs);
@@ -102,7 +105,7 @@
         isRelayed,
         tokens,
         firstTokenMs: firstAt === undefined ? undefined : firstAt - sentAt,
-        tokenMs: firstAt === undefined || tokens < 2 ? undefined : (lastAt - firstAt) / (tokens - 1),
+        tokenMs: firstAt === undefined || tokens < 2 ? undefined : (lastAt - firstAt - pausedMs) / (tokens - 1),
     };
 }
 
--- a/src/faultInjection/index.ts
+++ b/src/faultInjection/index.ts
@@ -1,6 +1,7 @@
 /** Simulated fleets of real processes over in-memory ports, with faults drawn from a seed or injected by a test. */
 export * from "./callSchedule/index.js";
 export * from "./powerSchedule/index.js";
+export * from "./recordingLogger/index.js";
 export * from "./replicaFleet/index.js";
 export * from "./routedFleet/index.js";
 export * from "./schedule/index.js";
--- a/src/faultInjection/routedFleet/index.ts
+++ b/src/faultInjection/routedFleet/index.ts
@@ -3,7 +3,7 @@
 import { EmulatedCallUpstream, EmulatedCallUpstreamOptions } from "../../emulator/index.js";
 import { DEFAULT_ENTRY_LIMITS, EntryProcess, startQueueHost } from "../../entry/index.js";
 import { HostId, Incarnation, PoolId, ZoneId } from "../../ids/index.js";
-import { SilentLogger } from "../../logging/index.js";
+import { Logger, SilentLogger } from "../../logging/index.js";
 import { NoMetrics } from "../../metrics/index.js";
 import { CALL_HEADERS, NativeDialect } from "../../passthrough/index.js";
 import {
@@ -44,6 +44,8 @@
     readonly queueHosts: boolean;
     /** The zones that may be evacuated; undefined for any. */
     readonly zones?: readonly string[];
+    /** Receives the log lines of all processes; undefined: they are dropped. */
+    readonly logger?: Logger;
     /** The zone of each entry; undefined: all are in the upstreams' zone. */
     readonly entryZones?: readonly string[];
 }
@@ -344,7 +346,7 @@
             random: new SeededRandom(this.random.integer(1, 1_000_000)),
             network: this.fabric.network(host),
             http: this.web.http(host),
-            logger: new SilentLogger(),
+            logger: this.layout.logger ?? new SilentLogger(),
         };
     }
 }
--- a/src/passthrough/relayStream/index.ts
+++ b/src/passthrough/relayStream/index.ts
@@ -7,8 +7,8 @@
 
 /** A resumable stream without events for this many times its longest allowed pause is resumed at another upstream. */
 const STALL_GAP_FACTOR = 3;
-/** Minimum pause that counts as a stall, in milliseconds. */
-const MIN_STALL_MS = 1_000;
+/** Minimum pause that counts as a stall, in milliseconds: upstreams that work may be silent for a second or so. */
+export const MIN_STALL_MS = 1_600;
 
 /**
  * Forwards a stream of events as they arrive, complete events only.
--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -17,6 +17,7 @@
 import { AttemptEnd, chooseNextStep } from "../nextStep/index.js";
 import { checkQuarantine, PreparedCall, recheckKey } from "../prepareCall/index.js";
 import { sendBuffered } from "../relayAnswer/index.js";
+import { MIN_STALL_MS } from "../relayStream/index.js";
 import { sendCall } from "../sendCall/index.js";
 import { createStreamState, StreamState } from "../streamState/index.js";
 
@@ -174,8 +175,9 @@
     const { stream } = progress;
     const canUseAnotherUpstream = call.route.kind === "idempotent" || call.route.resumable;
     const hasAttemptsLeft = progress.begun + 1 < call.route.attempts;
+    const minTimeoutMs = call.route.kind === "stream" ? MIN_STALL_MS : MIN_FIRST_BYTE_TIMEOUT_MS;
     const firstByteTimeoutMs = canUseAnotherUpstream && hasAttemptsLeft
-        ? Math.max(MIN_FIRST_BYTE_TIMEOUT_MS, FIRST_BYTE_TARGET_FACTOR * call.route.targetMs)
+        ? Math.max(minTimeoutMs, FIRST_BYTE_TARGET_FACTOR * call.route.targetMs)
         : undefined;
     const tokensPerEvent = tokensPerEventOf(ctx, call);
     return { call, grant, run, answer, stream, firstByteTimeoutMs, ticketId, tokensPerEvent };
