--- a/src/emulator/emulatedCallUpstream/index.ts
+++ b/src/emulator/emulatedCallUpstream/index.ts
@@ -78,6 +78,7 @@
     readonly restartMs?: number;
 }
 
+const MS_PER_SECOND = 1_000;
 const MAX_BODY_BYTES = 16 * 1024 * 1024;
 const BREAK_AFTER_EVENTS = 2;
 
@@ -101,6 +102,10 @@
     private announcementSequence = 0;
     private coldUntilMs = 0;
     private silentUntilMs = 0;
+    private rejectionLimit: number | undefined;
+    private room: number;
+    /** Times at which it turned calls away for want of room, in milliseconds on the monotonic clock. */
+    private rejections: number[] = [];
     private requestLimit: number | undefined;
     private retryAfter: string | undefined;
     private isTurnedAway: (from: string) => boolean = () => true;
@@ -112,6 +117,7 @@
     readonly crashes: number[] = [];
 
     private constructor(private readonly options: EmulatedCallUpstreamOptions) {
+        this.room = options.slots;
         for (const { id, tokens } of options.holds ?? []) this.cachedPartTokens.set(id, tokens);
         this.becomeCold(options.coldMs ?? 0);
     }
@@ -171,6 +177,18 @@
         this.isTurnedAway = isTurnedAway;
     }
 
+    /**
+     * Becomes brittle: it states how many calls it can turn away within a second, has room for fewer calls than slots, and crashes when it
+     * has to turn away more.
+     *
+     * @param rejectionLimit - The number that its answers state; undefined: it is no longer brittle.
+     * @param room - Number of calls that it takes at a time.
+     */
+    becomeBrittle(rejectionLimit: number | undefined, room = this.options.slots): void {
+        this.rejectionLimit = rejectionLimit;
+        this.room = rejectionLimit === undefined ? this.options.slots : room;
+    }
+
     /** Sends nothing for a time, in milliseconds, and goes on after it. */
     fallSilent(ms: number): void {
         this.silentUntilMs = this.options.clock.monotonic() + ms;
@@ -228,7 +246,8 @@
         if (req.path === CACHE_PATH) return this.sendCachedParts(res);
         if (retryAfter !== undefined) return this.sendNotRun(res, 503, [["retry-after", retryAfter]]);
         const fault = this.faults.shift();
-        if (fault === "refuse" || this.openResponses.size >= this.options.slots) return this.sendNotRun(res, 503);
+        if (fault === "refuse") return this.sendNotRun(res, 503);
+        if (this.openResponses.size >= this.room) return this.reject(res);
         const body = (await req.body(MAX_BODY_BYTES)).map(bytes => Buffer.from(bytes).toString()).orDefault("");
         const workspace = findHeader(req.headers, CALL_HEADERS.workspace);
         const at = this.options.clock.monotonic();
@@ -244,6 +263,15 @@
         this.openResponses.delete(res);
     }
 
+    private async reject(res: HttpResponse): Promise<void> {
+        const now = this.options.clock.monotonic();
+        this.rejections = [...this.rejections.filter(at => at > now - MS_PER_SECOND), now];
+        this.sendNotRun(res, 503);
+        if (this.rejections.length <= (this.rejectionLimit ?? Number.POSITIVE_INFINITY)) return;
+        this.rejections = [];
+        await this.crash();
+    }
+
     private waitWhileSilent(closed: AbortSignal): Promise<void> {
         const { clock } = this.options;
         return clock.sleep(Math.max(0, this.silentUntilMs - clock.monotonic()), closed);
@@ -289,7 +317,9 @@
 
     /** Headers of each answer that state something about this upstream. */
     private stateHeaders(): [string, string][] {
-        return this.isLeaving ? [[CALL_HEADERS.leaving, "1"]] : [];
+        const headers: [string, string][] = this.isLeaving ? [[CALL_HEADERS.leaving, "1"]] : [];
+        if (this.rejectionLimit !== undefined) headers.push([CALL_HEADERS.rejectionLimit, String(this.rejectionLimit)]);
+        return headers;
     }
 
     private async sendEvents(
--- a/src/passthrough/nativeDialect/index.ts
+++ b/src/passthrough/nativeDialect/index.ts
@@ -2,7 +2,7 @@
 import * as z from "zod";
 import { RequestId, UpstreamId } from "../../ids/index.js";
 import { findHeader, formatAddress, HeaderList, HttpReply, HttpRequest } from "../../ports/index.js";
-import { LEAVING_HEADER, REQUEST_LIMIT_HEADER } from "../../protocol/index.js";
+import { LEAVING_HEADER, REJECTION_LIMIT_HEADER, REQUEST_LIMIT_HEADER } from "../../protocol/index.js";
 import { PromptPart } from "../../upstream/index.js";
 import {
     CacheListError,
@@ -40,6 +40,8 @@
     requestLimit: REQUEST_LIMIT_HEADER,
     /** 1 in the answers of an upstream that is about to end. */
     leaving: LEAVING_HEADER,
+    /** Requests that the upstream can turn away within a second, as long as its answers state it. */
+    rejectionLimit: REJECTION_LIMIT_HEADER,
 } as const;
 
 /** Path of an engine's list of cached prompt parts. */
--- a/src/protocol/engine/index.ts
+++ b/src/protocol/engine/index.ts
@@ -83,3 +83,5 @@
 export const REQUEST_LIMIT_HEADER = "x-sequoiamux-request-limit";
 /** Response header, with the value 1, of an upstream that is about to end. */
 export const LEAVING_HEADER = "x-sequoiamux-leaving";
+/** Header in which an upstream states how many requests it can turn away within a second; one more, and it ends. */
+export const REJECTION_LIMIT_HEADER = "x-sequoiamux-rejection-limit";
