Upstreams that say that they are brittle don't fall over

They fell over again and again (LIMIT): what they turned away came back within milliseconds, until they had turned away more than they can within a second. Cause: nothing read the statement (`Server-Brittle`), and the owner of a queue knew slots, but not how much an upstream takes when it takes less.

Now it is one more statement in the one design of these: read in readSignals, known to the owner and the next one by notices, tickets and grants. They learn how much an upstream takes, and try one request beyond that at most once a second after a rejection. Missing: not brittle (any more); 0: no more than it took before; unreadable: logged, nothing changes. A rejection still is no failure, no crash and no reason to order upstreams.

--- a/src/dispatch/_lib/makeGrant.ts
+++ b/src/dispatch/_lib/makeGrant.ts
@@ -1,4 +1,4 @@
-import { Choice } from "../../upstream/index.js";
+import { AdvertisedLimit, Choice } from "../../upstream/index.js";
 import { Grant } from "../ticket/index.js";
 import { WaitingTicket } from "../waitingTicket/index.js";
 
@@ -8,7 +8,7 @@
     { load, reason, fetch }: Choice,
     now: number,
 ): Grant {
-    const { limit } = load;
+    const { limit, rejectionLimit } = load;
     return {
         request: ticket.request,
         upstream: load.upstream.id,
@@ -17,7 +17,12 @@
         priority: ticket.tier,
         waitedMs: now - arrivedAt,
         reason: limit ? `${reason}, limited to ${limit.perSecond} a second` : reason,
-        ...(limit ? { limit: { perSecond: limit.perSecond, ageMs: now - limit.answeredAt } } : {}),
+        ...(limit ? { limit: toAged(limit, now) } : {}),
+        ...(rejectionLimit ? { rejectionLimit: toAged(rejectionLimit, now) } : {}),
         ...(fetch ? { fetchFrom: fetch.from.upstream.address } : {}),
     };
 }
+
+function toAged({ perSecond, answeredAt }: AdvertisedLimit, now: number): { perSecond: number; ageMs: number; } {
+    return { perSecond, ageMs: now - answeredAt };
+}
--- a/src/dispatch/localDispatcher/index.ts
+++ b/src/dispatch/localDispatcher/index.ts
@@ -95,6 +95,16 @@
         this.queues.get(pool)?.recordLimit(upstream, perSecond, ageMs);
     }
 
+    /**
+     * Records how many requests an upstream can turn away within a second, as stated in an answer.
+     *
+     * @param perSecond - Requests per second from all hosts together; undefined when the answer states no such limit.
+     * @param ageMs - Time since the answer arrived, in milliseconds.
+     */
+    recordRejectionLimit(pool: PoolId, upstream: UpstreamId, perSecond: number | undefined, ageMs = 0): void {
+        this.queues.get(pool)?.recordRejectionLimit(upstream, perSecond, ageMs);
+    }
+
     /** Records that an upstream asked a host to back off. */
     recordBackOff(pool: PoolId, host: HostId, backOff: BackOff): void {
         this.queues.get(pool)?.recordBackOff(host, backOff);
--- a/src/dispatch/poolQueue/index.ts
+++ b/src/dispatch/poolQueue/index.ts
@@ -247,6 +247,16 @@
         this.updateConcurrency();
     }
 
+    /** Implements `LocalDispatcher.recordRejectionLimit` for this pool. */
+    recordRejectionLimit(upstream: UpstreamId, perSecond: number | undefined, ageMs: number): void {
+        const { members, clock } = this.options;
+        const load = members.get(upstream);
+        if (!load) return;
+        load.updateRejectionLimit(perSecond, clock.monotonic() - ageMs);
+        members.refresh(load);
+        this.updateConcurrency();
+    }
+
     /** Implements `LocalDispatcher.recordBackOff` for this pool. */
     recordBackOff(host: HostId, { upstream, leftMs }: BackOff): void {
         const now = this.options.clock.monotonic();
@@ -257,7 +267,7 @@
     forgetUpstream(upstream: UpstreamId): void {
         this.choice.forget(upstream);
         this.backOffs.forgetUpstream(upstream);
-        this.options.members.get(upstream)?.forgetLimit();
+        this.options.members.get(upstream)?.forgetLimits();
     }
 
     /** Applies a change of an upstream in the registry. */
@@ -289,8 +299,11 @@
         }
     }
 
-    private applySignals({ origin, limits = [], backOffs = [] }: Ticket): void {
+    private applySignals({ origin, limits = [], rejectionLimits = [], backOffs = [] }: Ticket): void {
         for (const { upstream, perSecond, ageMs } of limits) this.recordLimit(upstream, perSecond, ageMs);
+        for (const { upstream, perSecond, ageMs } of rejectionLimits) {
+            this.recordRejectionLimit(upstream, perSecond, ageMs);
+        }
         for (const backOff of backOffs) this.recordBackOff(origin, backOff);
     }
 
--- a/src/dispatch/ticket/index.ts
+++ b/src/dispatch/ticket/index.ts
@@ -54,6 +54,8 @@
      * Request rate limits stated by upstreams of the pool, as received by the entry: the owner must respect them too.
      */
     readonly limits?: readonly RequestLimit[];
+    /** Limits on rejections stated by upstreams of the pool, as received by the entry. */
+    readonly rejectionLimits?: readonly RequestLimit[];
     /** Upstreams of the pool that have asked the entry to back off: the owner must not grant it requests for them. */
     readonly backOffs?: readonly BackOff[];
 }
@@ -75,6 +77,8 @@
     readonly reason: string;
     /** The request rate limit stated by the upstream, and the time since it was received, in milliseconds. */
     readonly limit?: Pick<RequestLimit, "perSecond" | "ageMs">;
+    /** How many requests the upstream can turn away within a second, and the time since it stated that, in milliseconds. */
+    readonly rejectionLimit?: Pick<RequestLimit, "perSecond" | "ageMs">;
     /** The host that made the grant. */
     readonly decidedBy?: HostId;
 }
--- a/src/entry/fleetDispatcher/index.ts
+++ b/src/entry/fleetDispatcher/index.ts
@@ -27,7 +27,7 @@
     /** Queues of this host, for the pools that it owns. */
     readonly local: LocalDispatcher;
     /** What upstreams state in their answers, as this host knows it. */
-    readonly signals: Pick<SignalExchange, "listLimits" | "listBackOffs" | "recordGrant">;
+    readonly signals: Pick<SignalExchange, "listLimits" | "listRejectionLimits" | "listBackOffs" | "recordGrant">;
     /** Lists the pools that calls are routed to, where these are known before the first ticket. */
     readonly pools?: () => readonly PoolId[];
 }
@@ -151,16 +151,18 @@
         return this.decideLocally(this.refreshTicket(ticket, startedAt), signal);
     }
 
-    /** Updates a ticket's age, and adds the request limits and back-offs that this host knows: the deciding host, such as a new owner, may not know them. */
+    /** Updates a ticket's age, and adds the limits and back-offs that this host knows: the deciding host, such as a new owner, may not know them. */
     private refreshTicket(ticket: Ticket, startedAt: number): Ticket {
         const { signals, clock } = this.options;
         const limits = signals.listLimits(ticket.pool);
+        const rejectionLimits = signals.listRejectionLimits(ticket.pool);
         const backOffs = signals.listBackOffs(ticket.pool);
         const ageMs = ticket.ageMs + clock.monotonic() - startedAt;
         return {
             ...ticket,
             ageMs,
             ...(limits.length > 0 ? { limits } : {}),
+            ...(rejectionLimits.length > 0 ? { rejectionLimits } : {}),
             ...(backOffs.length > 0 ? { backOffs } : {}),
         };
     }
--- a/src/entry/reportSignals/index.ts
+++ b/src/entry/reportSignals/index.ts
@@ -2,11 +2,15 @@
 import { PoolId } from "../../ids/index.js";
 import { readSignals, SignalHeaderNames } from "../../passthrough/index.js";
 import { HttpReply } from "../../ports/index.js";
-import { LEAVING_HEADER, REQUEST_LIMIT_HEADER } from "../../protocol/index.js";
+import { LEAVING_HEADER, REJECTION_LIMIT_HEADER, REQUEST_LIMIT_HEADER } from "../../protocol/index.js";
 import { UpstreamSignals } from "../../upstream/index.js";
 import { EntryContext } from "../entryContext/index.js";
 
-const HEADER_NAMES: SignalHeaderNames = { requestLimit: REQUEST_LIMIT_HEADER, leaving: LEAVING_HEADER };
+const HEADER_NAMES: SignalHeaderNames = {
+    requestLimit: REQUEST_LIMIT_HEADER,
+    leaving: LEAVING_HEADER,
+    rejectionLimit: REJECTION_LIMIT_HEADER,
+};
 
 /** Reads what an answer in this system's own protocol states about its upstream. */
 export function readNativeSignals(reply: HttpReply): UpstreamSignals {
--- a/src/entry/signalExchange/index.ts
+++ b/src/entry/signalExchange/index.ts
@@ -16,13 +16,32 @@
     readonly self: HostId;
     readonly directory: Pick<PeerDirectory, "linkTo">;
     readonly registry: Pick<UpstreamRegistry, "get" | "isDeparting" | "markLeaving">;
-    readonly local: Pick<LocalDispatcher, "recordLimit" | "recordBackOff">;
+    readonly local: Pick<LocalDispatcher, "recordLimit" | "recordRejectionLimit" | "recordBackOff">;
     /** Reports an upstream's departure to other hosts. */
     readonly reportDeparture: (pool: PoolId, departure: DepartureNotice) => void;
     /** Returns the owner of a pool's queue. */
     readonly ownerOf: (pool: PoolId) => HostId;
 }
 
+/** What a limit is on: requests that an upstream accepts, or requests that it can turn away. */
+type LimitKind = "requests" | "rejections";
+
+/** Log events, gauge and notice to the owner of a queue of each kind of limit. */
+const LIMIT_EVENTS = {
+    requests: {
+        change: "request-limit",
+        unreadable: "request-limit-unreadable",
+        gauge: "upstreams_limited",
+        method: DISPATCH_METHODS.limit,
+    },
+    rejections: {
+        change: "rejection-limit",
+        unreadable: "rejection-limit-unreadable",
+        gauge: "upstreams_brittle",
+        method: DISPATCH_METHODS.rejectionLimit,
+    },
+} as const;
+
 /**
  * What upstreams state about themselves in their answers, as this host knows it. Answers to this host report it to the
  * owners of the queues; grants bring this host the request limits that other hosts received.
@@ -32,21 +51,21 @@
  * const limits = exchange.listLimits(pool);
  */
 export class SignalExchange extends SendGuard {
-    private readonly limits: RequestLimits;
+    private readonly limits: Readonly<Record<LimitKind, RequestLimits>>;
     private readonly backOffs: BackOffs;
 
     constructor(private readonly options: SignalExchangeOptions) {
         super();
-        this.limits = new RequestLimits(options.clock);
+        const { clock } = options;
+        this.limits = { requests: new RequestLimits(clock), rejections: new RequestLimits(clock) };
         this.backOffs = new BackOffs(options.clock);
     }
 
     recordAnswer(answer: AnswerSignals): void {
-        const { pool, upstream, request, signals: { requestLimit, backOffMs, isLeaving } } = answer;
+        const { upstream, request, signals: { requestLimit, rejectionLimit, backOffMs, isLeaving } } = answer;
         const { logger } = this.options;
-        if (Number.isNaN(requestLimit)) logger.warn("request-limit-unreadable", { upstream, request });
-        // The answer to a query of this system's own may leave out a limit that still applies.
-        else if (requestLimit !== undefined || request !== undefined) this.recordLimit(pool, upstream, requestLimit);
+        this.recordLimit("requests", answer, requestLimit);
+        this.recordLimit("rejections", answer, rejectionLimit);
         if (Number.isNaN(backOffMs)) logger.warn("back-off-unreadable", { upstream, request });
         else if (backOffMs !== undefined) this.recordBackOff(answer, backOffMs);
         if (isLeaving) this.recordDeparture(answer);
@@ -60,16 +79,23 @@
         return backOff && { reason: "backing-off", ...backOff };
     }
 
-    /** Records the limit in a grant. */
-    recordGrant(pool: PoolId, { upstream, limit }: Grant): void {
-        if (!limit) return;
-        this.options.metrics.count("grants_limited", 1, { pool });
-        this.updateLimit(pool, upstream, limit.perSecond, limit.ageMs);
+    /** Records the limits in a grant. */
+    recordGrant(pool: PoolId, { upstream, limit, rejectionLimit }: Grant): void {
+        if (limit || rejectionLimit) this.options.metrics.count("grants_limited", 1, { pool });
+        if (limit) this.updateLimit("requests", pool, upstream, limit.perSecond, limit.ageMs);
+        if (rejectionLimit) {
+            this.updateLimit("rejections", pool, upstream, rejectionLimit.perSecond, rejectionLimit.ageMs);
+        }
     }
 
-    /** Lists the known limits of a pool's upstreams. */
+    /** Lists the known limits on requests of a pool's upstreams. */
     listLimits(pool: PoolId): readonly RequestLimit[] {
-        return this.limits.list(pool);
+        return this.limits.requests.list(pool);
+    }
+
+    /** Lists the known limits on rejections of a pool's upstreams. */
+    listRejectionLimits(pool: PoolId): readonly RequestLimit[] {
+        return this.limits.rejections.list(pool);
     }
 
     /** Lists the current back-offs from a pool's upstreams. */
@@ -79,7 +105,8 @@
 
     /** Drops what an upstream that has ended stated. */
     forget(upstream: UpstreamId): void {
-        this.limits.forget(upstream);
+        this.limits.requests.forget(upstream);
+        this.limits.rejections.forget(upstream);
         this.backOffs.forget(upstream);
     }
 
@@ -108,23 +135,35 @@
         if (owner !== self) directory.linkTo(owner)?.notify(DISPATCH_METHODS.backOff, notice);
     }
 
-    /** Records the limit in an upstream's answer, and reports a change to the owner of the pool's queue. */
-    private recordLimit(pool: PoolId, upstream: UpstreamId, perSecond: number | undefined): void {
-        const { self, local, directory, ownerOf } = this.options;
-        if (!this.updateLimit(pool, upstream, perSecond, 0)) return;
-        local.recordLimit(pool, upstream, perSecond);
+    /** Records a limit in an upstream's answer, and reports a change to the owner of the pool's queue. */
+    private recordLimit(kind: LimitKind, answer: AnswerSignals, perSecond: number | undefined): void {
+        const { self, local, directory, ownerOf, logger } = this.options;
+        const { pool, upstream, request } = answer;
+        if (Number.isNaN(perSecond)) return logger.warn(LIMIT_EVENTS[kind].unreadable, { upstream, request });
+        // The answer to a query of this system's own may leave out a limit that still applies.
+        if (perSecond === undefined && request === undefined) return;
+        if (!this.updateLimit(kind, pool, upstream, perSecond, 0)) return;
+        if (kind === "requests") local.recordLimit(pool, upstream, perSecond);
+        else local.recordRejectionLimit(pool, upstream, perSecond);
         const owner = ownerOf(pool);
         const notice: LimitNotice = { pool, upstream, perSecond };
-        if (owner !== self) directory.linkTo(owner)?.notify(DISPATCH_METHODS.limit, notice);
+        if (owner !== self) directory.linkTo(owner)?.notify(LIMIT_EVENTS[kind].method, notice);
     }
 
     /** @returns Whether the limit is a change. */
-    private updateLimit(pool: PoolId, upstream: UpstreamId, perSecond: number | undefined, ageMs: number): boolean {
+    private updateLimit(
+        kind: LimitKind,
+        pool: PoolId,
+        upstream: UpstreamId,
+        perSecond: number | undefined,
+        ageMs: number,
+    ): boolean {
         const { logger, metrics } = this.options;
-        const change = this.limits.record(pool, upstream, perSecond, ageMs);
+        const limits = this.limits[kind];
+        const change = limits.record(pool, upstream, perSecond, ageMs);
         if (!change) return false;
-        logger.info("request-limit", { upstream, pool, change, perSecond, ageMs: Math.round(ageMs) });
-        metrics.gauge("upstreams_limited", this.limits.size);
+        logger.info(LIMIT_EVENTS[kind].change, { upstream, pool, change, perSecond, ageMs: Math.round(ageMs) });
+        metrics.gauge(LIMIT_EVENTS[kind].gauge, limits.size);
         return true;
     }
 }
--- a/src/entry/signalExchange/test.ts
+++ b/src/entry/signalExchange/test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { Grant } from "../../dispatch/index.js";
 import { HostId, PoolId, RequestId, UpstreamId } from "../../ids/index.js";
 import { SilentLogger } from "../../logging/index.js";
 import { NoMetrics } from "../../metrics/index.js";
@@ -27,7 +28,11 @@
         metrics: new NoMetrics(),
         self: "entry-1" as HostId,
         directory: { linkTo: () => ({ notify }) as unknown as PeerLink },
-        local: { recordLimit: () => undefined, recordBackOff: () => undefined },
+        local: {
+            recordLimit: () => undefined,
+            recordRejectionLimit: () => undefined,
+            recordBackOff: () => undefined,
+        },
         ownerOf: () => OWNER,
         reportDeparture: (_pool, { incarnation }) => void departures.push(incarnation),
     });
@@ -47,6 +52,33 @@
 }
 
 describe("SignalExchange", () => {
+    describe("a limit on rejections", () => {
+        it("is told to the queue's owner when it begins, changes and ends", () => {
+            const { exchange, notices, record } = makeExchange();
+            for (const rejectionLimit of [10, 10, 5, undefined, undefined]) record({ rejectionLimit });
+            assert.deepEqual(notices, Array.from({ length: 3 }, () => "dispatch.rejection-limit"));
+            assert.deepEqual(exchange.listRejectionLimits(POOL), []);
+        });
+
+        it("is not ended by an unreadable one, nor by the answer to a query of this system's own", () => {
+            const { exchange, record } = makeExchange();
+            record({ rejectionLimit: 10 });
+            record({ rejectionLimit: Number.NaN });
+            record({}, undefined, true);
+            assert.deepEqual(exchange.listRejectionLimits(POOL).map(({ perSecond }) => perSecond), [10]);
+            exchange.forget(UPSTREAM);
+            assert.deepEqual(exchange.listRejectionLimits(POOL), []);
+        });
+
+        it("is known from grants, too", () => {
+            // A host that must decide on its own has perhaps had no answer of the upstream.
+            const { exchange } = makeExchange();
+            const grant = { upstream: UPSTREAM, rejectionLimit: { perSecond: 4, ageMs: 20 } } as Grant;
+            exchange.recordGrant(POOL, grant);
+            assert.deepEqual(exchange.listRejectionLimits(POOL), [{ upstream: UPSTREAM, perSecond: 4, ageMs: 20 }]);
+        });
+    });
+
     describe("a back-off", () => {
         it("blocks grants that were made before, until its end", async () => {
             // Such a grant is on its way while the answer arrives, and its owner could not know.
--- a/src/entry/ticketServer/index.ts
+++ b/src/entry/ticketServer/index.ts
@@ -14,6 +14,7 @@
     queued: "dispatch.queued",
     adopt: "dispatch.adopt",
     limit: "dispatch.limit",
+    rejectionLimit: "dispatch.rejection-limit",
     backOff: "dispatch.back-off",
 } as const;
 
@@ -33,11 +34,11 @@
     readonly runningMs: number;
 }
 
-/** The request limit in an upstream's answer. */
+/** A limit on requests, or on rejections, in an upstream's answer. */
 export interface LimitNotice {
     readonly pool: PoolId;
     readonly upstream: UpstreamId;
-    /** Requests per second; undefined where the upstream no longer sets a limit. */
+    /** Per second; undefined where the upstream no longer states the limit. */
     readonly perSecond?: number;
 }
 
@@ -106,6 +107,10 @@
             const { pool, upstream, perSecond } = body as LimitNotice;
             this.local.recordLimit(pool, upstream, perSecond);
         });
+        router.add(DISPATCH_METHODS.rejectionLimit, body => {
+            const { pool, upstream, perSecond } = body as LimitNotice;
+            this.local.recordRejectionLimit(pool, upstream, perSecond);
+        });
         router.add(DISPATCH_METHODS.backOff, body => {
             const { pool, host, backOff } = body as BackOffNotice;
             this.local.recordBackOff(pool, host, backOff);
--- a/src/passthrough/readSignals/index.ts
+++ b/src/passthrough/readSignals/index.ts
@@ -7,6 +7,7 @@
 export interface SignalHeaderNames {
     readonly requestLimit: string;
     readonly leaving: string;
+    readonly rejectionLimit: string;
 }
 
 /** Statuses with which an upstream turns a request away, so that `Retry-After` asks this host to back off. */
@@ -28,6 +29,7 @@
     return {
         requestLimit: readRequestLimit(findHeader(headers, names.requestLimit)),
         backOffMs: isTurnedAway ? readRetryAfter(findHeader(headers, "retry-after")) : undefined,
+        rejectionLimit: readRequestLimit(findHeader(headers, names.rejectionLimit)),
         isLeaving: findHeader(headers, names.leaving)?.trim() === "1",
     };
 }
--- a/src/passthrough/readSignals/test.ts
+++ b/src/passthrough/readSignals/test.ts
@@ -4,7 +4,7 @@
 import { NO_SIGNALS } from "../../upstream/index.js";
 import { readSignals } from "./index.js";
 
-const NAMES = { requestLimit: "limit", leaving: "leaving" };
+const NAMES = { requestLimit: "limit", leaving: "leaving", rejectionLimit: "brittle" };
 
 function read(status: number, headers: HeaderList) {
     return readSignals({ status, headers }, NAMES);
@@ -21,12 +21,19 @@
         for (const status of [200, 500, 302]) assert.equal(read(status, [["retry-after", "3"]]).backOffMs, undefined);
     });
 
-    it("reads a departure and a limit from an answer of any status", () => {
+    it("reads a departure and limits from an answer of any status", () => {
         for (const status of [200, 421, 500, 503]) {
-            const { isLeaving, requestLimit } = read(status, [["leaving", "1"], ["limit", "2.5"]]);
+            const headers: HeaderList = [["leaving", "1"], ["limit", "2.5"], ["brittle", "12"]];
+            const { isLeaving, requestLimit, rejectionLimit } = read(status, headers);
             assert.ok(isLeaving);
             assert.equal(requestLimit, 2.5);
+            assert.equal(rejectionLimit, 12);
         }
         assert.ok(!read(200, [["leaving", "0"]]).isLeaving);
     });
+
+    it("tells a limit of 0 from none and from an unreadable one", () => {
+        const values = ["0", "-1", "", "many"].map(text => read(200, [["brittle", text]]).rejectionLimit);
+        assert.deepEqual(values, [0, Number.NaN, Number.NaN, Number.NaN]);
+    });
 });
--- a/src/platform/platformDialect/index.ts
+++ b/src/platform/platformDialect/index.ts
@@ -35,6 +35,8 @@
     requestLimit: "server-limit",
     /** 1 in the responses of an engine that is about to end. */
     leaving: "server-leaving",
+    /** Requests that an upstream can turn away within a second; one more, and it falls over. */
+    rejectionLimit: "server-brittle",
     priority: "sequoiamux-priority-class",
     lastEventId: "last-event-id",
     /** `IP:PORT` of another engine from which the addressed engine fetches the parts of the prompt that it lacks. */
--- a/src/upstream/index.ts
+++ b/src/upstream/index.ts
@@ -15,6 +15,7 @@
 export * from "./prefillQueue/index.js";
 export * from "./prefixIndex/index.js";
 export * from "./promptCache/index.js";
+export * from "./rejectionGuard/index.js";
 export * from "./requestAllowance/index.js";
 export * from "./requestLimits/index.js";
 export * from "./requestRate/index.js";
--- a/src/upstream/upstreamLoad/index.ts
+++ b/src/upstream/upstreamLoad/index.ts
@@ -1,4 +1,5 @@
 import { Announcement } from "../../protocol/index.js";
+import { RejectionGuard } from "../rejectionGuard/index.js";
 import { RequestAllowance } from "../requestAllowance/index.js";
 import { RequestRate } from "../requestRate/index.js";
 import { Upstream } from "../upstream/index.js";
@@ -35,6 +36,7 @@
     private readonly history: OutstandingSample[] = [];
     private readonly sendRate = new RequestRate();
     private readonly allowance: RequestAllowance;
+    private readonly rejectionGuard: RejectionGuard;
     private ownCount = 0;
     /** Load report from which the load of others was last calculated. */
     private foreignReport: Announcement | undefined;
@@ -65,6 +67,7 @@
         limitShare: () => number = () => 1,
     ) {
         this.allowance = new RequestAllowance(limitShare);
+        this.rejectionGuard = new RejectionGuard(limitShare);
     }
 
     /** Whether it is excluded as a straggler and gets single probes only. */
@@ -100,7 +103,11 @@
     freeSlots(now: number): number {
         if (!this.acceptsWork(now)) return 0;
         const slots = this.isEjected ? this.countDueProbes(now) : Math.max(0, this.upstream.slots - this.outstanding);
-        const free = Math.min(slots, this.allowance.available(now));
+        const free = Math.min(
+            slots,
+            this.allowance.available(now),
+            this.rejectionGuard.available(now, this.outstanding),
+        );
         return this.isCold(now) ? Math.min(free, this.coldAllowance(now)) : free;
     }
 
@@ -120,14 +127,31 @@
         this.allowance.update(perSecond, answeredAt, now, this.sendRate.count(now));
     }
 
-    /** Forgets the limit of an earlier incarnation. */
-    forgetLimit(): void {
+    /** How many requests it can turn away within a second, with the time of the answer; undefined if it states no such limit. */
+    get rejectionLimit(): AdvertisedLimit | undefined {
+        const { perSecond, answeredAt } = this.rejectionGuard;
+        return perSecond === undefined ? undefined : { perSecond, answeredAt };
+    }
+
+    /**
+     * Updates the limit on rejections from an answer.
+     *
+     * @param perSecond - Requests that it can turn away within a second; undefined if the answer states none.
+     * @param answeredAt - Monotonic time of the answer, in milliseconds.
+     */
+    updateRejectionLimit(perSecond: number | undefined, answeredAt: number): void {
+        this.rejectionGuard.update(perSecond, answeredAt, this.outstanding);
+    }
+
+    /** Forgets the limits of an earlier incarnation. */
+    forgetLimits(): void {
         this.allowance.reset();
+        this.rejectionGuard.reset();
     }
 
-    /** Whether its stated limit allows no request now. */
+    /** Whether its stated limits allow no request now. */
     isAtLimit(now: number): boolean {
-        return this.allowance.available(now) === 0;
+        return this.allowance.available(now) === 0 || this.rejectionGuard.available(now, this.outstanding) === 0;
     }
 
     /**
@@ -135,7 +159,8 @@
      * alone.
      */
     isThrottled(now: number): boolean {
-        return this.isCold(now) || this.allowance.perSecond !== undefined;
+        return this.isCold(now) || this.allowance.perSecond !== undefined
+            || this.rejectionGuard.perSecond !== undefined;
     }
 
     /** Whether it has recently started and can serve only few requests per second. */
@@ -169,6 +194,7 @@
         this.ownCount++;
         this.sendRate.record(now);
         this.allowance.consume(now);
+        this.rejectionGuard.recordSent(now, this.outstanding);
         if (this.isEjected) this.probedAt = now;
         this.recordSample(now);
     }
@@ -238,6 +264,7 @@
 
     /** Records that the upstream refused a request as full by its own count: it gets no other for a short time. */
     markBusy(now: number): void {
+        this.rejectionGuard.recordRejection(now, this.outstanding);
         this.busyUntil = Math.max(this.busyUntil, now + BUSY_BACKOFF_MS);
     }
 
--- a/src/upstream/upstreamSignals/index.ts
+++ b/src/upstream/upstreamSignals/index.ts
@@ -10,9 +10,19 @@
      * back-off, NaN when the time is unreadable.
      */
     readonly backOffMs: number | undefined;
+    /**
+     * Requests that it can turn away within a second for want of room, from all hosts together: one more, and it ends. Undefined when it
+     * states no such limit, NaN when the limit is unreadable.
+     */
+    readonly rejectionLimit: number | undefined;
     /** Whether this incarnation of it is about to end. */
     readonly isLeaving: boolean;
 }
 
 /** The signals of an answer that states nothing. */
-export const NO_SIGNALS: UpstreamSignals = { requestLimit: undefined, backOffMs: undefined, isLeaving: false };
+export const NO_SIGNALS: UpstreamSignals = {
+    requestLimit: undefined,
+    backOffMs: undefined,
+    rejectionLimit: undefined,
+    isLeaving: false,
+};
