Lost paths: what hosts find out of upstreams, crashes on lost paths, lost relays, paths that come and go; chats and orders

A crash of an upstream was not found from a host whose path to it is lost silently: only its own refusal counted. Now other hosts' refusals do.

--- a/src/entry/lostUpstreamPaths/test.ts
+++ b/src/entry/lostUpstreamPaths/test.ts
@@ -1,7 +1,9 @@
 import assert from "node:assert/strict";
-import { describe, it } from "node:test";
-import { RoutedFleet } from "../../faultInjection/index.js";
-import { PathLoss } from "../../ports/index.js";
+import { afterEach, describe, it } from "node:test";
+import { EmulatedCallUpstreamOptions } from "../../emulator/index.js";
+import { RecordingLogger, RoutedFleet, TestReply } from "../../faultInjection/index.js";
+import { CALL_HEADERS } from "../../passthrough/index.js";
+import { findHeader, PathLoss } from "../../ports/index.js";
 import { DraftDocument, makeDocument, makeRoute } from "../../routing/index.js";
 
 const KEY = "butcher-key";
@@ -10,6 +12,8 @@
 /** Time after the loss from which the rule counts, and time for which the loss lasts, in milliseconds. */
 const CONTACT_MS = 3_000;
 const LOSS_MS = 9_000;
+/** Time after the loss from which all calls are served: the goal. */
+const DETECTION_MS = 1_000;
 const CALLS_PER_S = 28;
 /** The rule: hosts without paths serve this share of what the others serve, or at most so many calls fail, and one in so many. */
 const MIN_SERVED_SHARE = 2 / 3;
@@ -78,20 +82,31 @@
         const running = await startFleet(route);
         const before = await sendFirstTries(running, 2_000, "before");
         for (const entry of cut) running.loseUpstreamPaths(entry, loss);
-        const early = await sendFirstTries(running, CONTACT_MS, "early");
+        const first = await sendFirstTries(running, DETECTION_MS, "first");
+        const early = await sendFirstTries(running, CONTACT_MS - DETECTION_MS, "early");
         const during = await sendFirstTries(running, LOSS_MS - CONTACT_MS, "during");
         for (const entry of cut) running.restoreUpstreamPaths(entry);
         const after = await sendFirstTries(running, 4_000, "after");
-        await running.run(Promise.all([...before, ...early]));
+        await running.run(Promise.all([...before, ...first]));
+        const triesDuring = await running.run(Promise.all(during));
+        const triesAfter = await running.run(Promise.all(after));
         const breaches = [
-            ["during", findBreach(await running.run(Promise.all(during)), cut)],
-            ["after", findBreach(await running.run(Promise.all(after)), cut)],
+            ["during", findBreach(triesDuring, cut)],
+            ["after", findBreach(triesAfter, cut)],
+            ["from a second on", describeFailures([...await running.run(Promise.all(early)), ...triesDuring])],
+            ["after, the goal", describeFailures(triesAfter)],
         ];
         if (route.kind !== "idempotent") checkRunOnce(running);
         await running.close();
         return breaches.filter(([, breach]) => breach !== undefined).map(([when, breach]) => `${when}: ${breach}`);
     }
 
+    /** Returns how many tries failed; undefined where none did. */
+    function describeFailures(tries: readonly FirstTry[]): string | undefined {
+        const failed = tries.filter(({ isServed }) => !isServed).length;
+        return failed === 0 ? undefined : `${failed} of ${tries.length} failed`;
+    }
+
     function checkRunOnce(running: RoutedFleet): void {
         const runs = running.upstreams.flatMap(upstream => upstream.runs.map(({ request }) => request));
         assert.equal(new Set(runs).size, runs.length, "a call ran twice");
@@ -110,4 +125,90 @@
             assert.deepEqual(breaches, []);
         });
     }
+
+    describe("with what they find out of upstreams", () => {
+        const fleet = { running: undefined as RoutedFleet | undefined };
+
+        async function start(route: DraftDocument, upstream: Partial<EmulatedCallUpstreamOptions> = {}) {
+            const logger = new RecordingLogger();
+            const upstreams = Array.from({ length: 4 }, () => ({ slots: 12, workMs: 300, ...upstream }));
+            const running = new RoutedFleet({ entries: 4, upstreams, queueHosts: true, logger });
+            fleet.running = running;
+            await running.start(makeDocument({ routes: [makeRoute(route)] }));
+            await running.advance(BUDGET_WINDOW_MS);
+            return { running, logger };
+        }
+
+        afterEach(() => fleet.running?.close());
+
+        for (const loss of LOSSES) {
+            it(`have none of them rest or quarantined that other hosts reach: ${loss}`, async () => {
+                // One host's loss would otherwise keep upstreams, and requests, from all hosts.
+                const { running, logger } = await start({ kind: "idempotent", attempts: 2, timeoutMs: 2_000 });
+                const tries = await sendFirstTries(running, 2_000, "before");
+                running.loseUpstreamPaths(1, loss);
+                tries.push(...await sendFirstTries(running, 4_000, "during"));
+                running.restoreUpstreamPaths(1);
+                tries.push(...await sendFirstTries(running, 4_000, "after"));
+                await running.run(Promise.all(tries));
+                assert.deepEqual(logger.list("upstream-rested"), []);
+                assert.deepEqual(logger.list("request-quarantined"), []);
+                const findings = logger.list("upstream-probed").map(({ finding }) => finding);
+                assert.deepEqual(findings.filter(finding => finding === "crashed"), []);
+                // Kept connections live on under refusals, so that nothing need be found out.
+                if (loss === "refuse") return;
+                assert.ok(logger.list("path-lost").length > 0);
+                assert.ok(logger.list("paths-restored").length > 0);
+            });
+        }
+
+        it("still have a request quarantined that crashes upstreams", async () => {
+            // Its crashes reach the host through a relay, and its own connections prove nothing.
+            const crashing = "a deadly order";
+            const { running, logger } = await start({ kind: "once" }, { crashesOn: crashing, restartMs: 1_000 });
+            running.loseUpstreamPaths(1, "silent");
+            await running.run(Promise.all(await sendFirstTries(running, 1_000, "before")));
+            for (let attempt = 0; attempt < 6; attempt++) {
+                await running.call({ entry: 1, path: "/orders/deadly", key: KEY, body: crashing });
+                await running.advance(200);
+            }
+            assert.ok(logger.list("request-quarantined").length > 0);
+            const crashes = running.upstreams.reduce((sum, upstream) => sum + upstream.crashes.length, 0);
+            assert.ok(crashes <= 4, `${crashes} crashes`);
+        });
+
+        it("tell their callers the truth while relays are lost one after the other", async () => {
+            // A relay may have sent a request before it was lost.
+            const { running } = await start({ kind: "once", timeoutMs: 2_000 });
+            running.loseUpstreamPaths(0, "refuse");
+            const replies: Promise<TestReply>[] = [];
+            for (let call = 0; call < 60; call++) {
+                const request = `order-${call}`;
+                replies.push(running.startCall({ entry: 0, path: "/orders/1", key: KEY, request }));
+                await running.advance(50);
+                if (call % 20 === 10) await running.killEntry(1 + Math.floor(call / 20));
+            }
+            const answered = await running.run(Promise.all(replies));
+            const runs = running.upstreams.flatMap(upstream => upstream.runs.map(({ request }) => request));
+            assert.equal(new Set(runs).size, runs.length, "a call ran twice");
+            for (const [call, { status, headers }] of answered.entries()) {
+                const isNotRun = findHeader(headers, CALL_HEADERS.notRun) === "1" || status === 503;
+                if (isNotRun) assert.ok(!runs.includes(`order-${call}`), `order-${call} has run`);
+            }
+            assert.ok(answered.filter(({ status }) => status === 200).length > 40);
+        });
+
+        it("cost callers of a path that comes and goes no more than those of a lost one", async () => {
+            const { running } = await start({ kind: "once", timeoutMs: 2_000, targetMs: 500 }, { workMs: 60 });
+            const tries: Promise<FirstTry>[] = [];
+            for (let round = 0; round < 8; round++) {
+                if (round % 2 === 0) running.loseUpstreamPaths(1, "silent");
+                else running.restoreUpstreamPaths(1);
+                tries.push(...await sendFirstTries(running, 1_000, `round-${round}`));
+            }
+            const failed = (await running.run(Promise.all(tries))).filter(({ isServed }) => !isServed);
+            // What was on its way when the path went is lost, and nothing else.
+            assert.ok(failed.length <= 4, `${failed.length} of ${tries.length} failed`);
+        });
+    });
 });
--- a/src/relay/pathMonitor/index.ts
+++ b/src/relay/pathMonitor/index.ts
@@ -182,8 +182,9 @@
         }
         const own = await connecting;
         if (own === "open") return "open";
-        const isConfirmed = finding === "refused" || !peers.hasPeers();
-        return own === "refused" && isConfirmed ? "crashed" : "unreachable";
+        // On a lost path only other hosts can tell.
+        if (finding === "refused" && (own === "refused" || this.isLost(target))) return "crashed";
+        return own === "refused" && !peers.hasPeers() ? "crashed" : "unreachable";
     }
 
     private async connect(target: UpstreamTarget, timeoutMs = CONNECT_TIMEOUT_MS): Promise<ConnectResult> {
--- a/src/relay/relayedHttp/test.ts
+++ b/src/relay/relayedHttp/test.ts
@@ -257,6 +257,14 @@
             assert.equal(await probe(), "crashed");
         });
 
+        it("finds a crash on a lost path by what other hosts find", async () => {
+            const fleet = await start();
+            fleet.losePaths(0, "silent");
+            assert.equal(await probe(), "cut-off");
+            for (const host of [1, 2, 3]) fleet.losePaths(host, "refuse", [0]);
+            assert.equal(await probe(), "crashed");
+        });
+
         it("finds a crash alone where there are no other hosts", async () => {
             const fleet = await start({ hosts: 1 });
             fleet.losePaths(0, "refuse");
