Calls that hang on a lost path free their places; random schedules of lost paths

Upstreams that ran only calls of a host without paths looked silent to the owner of the queue until these calls' deadlines, so that it avoided them (entry/lostUpstreamPaths: 9 of 9 calls counted as running 1.5 s after the loss, 3 now). Schedule paths of the soak: hosts lose their paths silently, by resets and refusals, beside crashes, silences, brittle upstreams and lost processes; nothing runs twice, no refused call has run, each answered call is counted, the rule on first tries, falls of brittle upstreams.

--- a/src/emulator/emulatedCallUpstream/index.ts
+++ b/src/emulator/emulatedCallUpstream/index.ts
@@ -113,6 +113,8 @@
     private incarnation = 1;
     private readonly openResponses = new Set<HttpResponse>();
     private listener: Listener | undefined;
+    /** Number of crashes because it had to turn away too many calls. */
+    falls = 0;
     /** Times of its crashes, in milliseconds on the monotonic clock. */
     readonly crashes: number[] = [];
 
@@ -269,6 +271,7 @@
         this.sendNotRun(res, 503);
         if (this.rejections.length <= (this.rejectionLimit ?? Number.POSITIVE_INFINITY)) return;
         this.rejections = [];
+        this.falls++;
         await this.crash();
     }
 
--- a/src/entry/entryProcess/index.ts
+++ b/src/entry/entryProcess/index.ts
@@ -209,6 +209,7 @@
             sendGuard: this.signals,
             readSignals: reply => readUpstreamSignals(reply, options.routes?.dialect),
         });
+        this.access.paths.onLost(({ upstream }) => this.dispatcher.releaseHanging(upstream));
         this.crashMonitor = new CrashMonitor({
             ...options,
             probe: target => this.access.http.probe(target),
--- a/src/entry/fleetDispatcher/index.ts
+++ b/src/entry/fleetDispatcher/index.ts
@@ -41,8 +41,12 @@
     readonly grantedAt: number;
     /** Whether the first token has been reported to the owner. */
     hasProgress: boolean;
+    /** Monotonic time of the grant or of the last tokens, in milliseconds. */
+    progressAt: number;
 }
 
+/** A request without tokens for this long when its path is found lost is taken for one that hangs, in milliseconds. */
+const HANGING_AFTER_MS = 400;
 /** Added to a ticket's longest wait for the round trip to the owner, in milliseconds. */
 const REPLY_SLACK_MS = 500;
 const PROGRESS_INTERVAL_MS = 200;
@@ -184,13 +188,27 @@
         this.options.directory.linkTo(owner)?.notify(DISPATCH_METHODS.complete, completion);
     }
 
+    /**
+     * Ends the grants of requests that hang on a lost path to an upstream. Otherwise the owner would take the upstream for one that shows
+     * no progress until their deadlines. The end of each request is reported once more, and ignored.
+     */
+    releaseHanging(upstream: UpstreamId): void {
+        const hangingSince = this.options.clock.monotonic() - HANGING_AFTER_MS;
+        for (const [request, { grant, progressAt }] of [...this.runningGrants]) {
+            if (grant.upstream !== upstream || progressAt > hangingSince) continue;
+            const nothingUsed = { promptTokens: 0, cachedTokens: 0, completionTokens: 0 };
+            this.complete({ request, upstream, outcome: "cancelled", ...nothingUsed });
+        }
+    }
+
     progress(request: RequestId, tokens: number): void {
-        const owner = this.runningGrants.get(request)?.owner;
+        const running = this.runningGrants.get(request);
+        const owner = running?.owner;
+        if (running) running.progressAt = this.options.clock.monotonic();
         if (owner === undefined || owner === this.options.self) {
             this.options.local.progress(request, tokens);
             return;
         }
-        const running = this.runningGrants.get(request);
         if (running && !running.hasProgress) {
             // The owner predicts first-token times from those observed, so the first token is reported immediately.
             running.hasProgress = true;
@@ -338,6 +356,7 @@
                 grant,
                 grantedAt,
                 hasProgress: false,
+                progressAt: grantedAt,
             })
         );
     }
--- a/src/entry/lostUpstreamPaths/test.ts
+++ b/src/entry/lostUpstreamPaths/test.ts
@@ -2,11 +2,13 @@
 import { afterEach, describe, it } from "node:test";
 import { EmulatedCallUpstreamOptions } from "../../emulator/index.js";
 import { RecordingLogger, RoutedFleet, TestReply } from "../../faultInjection/index.js";
+import { PoolId } from "../../ids/index.js";
 import { CALL_HEADERS } from "../../passthrough/index.js";
 import { findHeader, PathLoss } from "../../ports/index.js";
 import { DraftDocument, makeDocument, makeRoute } from "../../routing/index.js";
 
 const KEY = "butcher-key";
+const POOL = "ledger" as PoolId;
 /** Time after its start in which an entry repeats few calls, in milliseconds. */
 const BUDGET_WINDOW_MS = 10_000;
 /** Time after the loss from which the rule counts, and time for which the loss lasts, in milliseconds. */
@@ -162,6 +164,24 @@
             });
         }
 
+        it("do not keep upstreams looking busy with calls that hang on a lost path", async () => {
+            // The owner of the queue would avoid upstreams that show no progress until the deadlines of these calls.
+            const { running } = await start({ kind: "stream", timeoutMs: 20_000 }, { events: 400, gapMs: 30 });
+            const owner = running.queues[running.queueOwner(POOL)]!;
+            const hung = Array.from({ length: 6 }, () => running.startCall({ entry: 1, path: "/orders/1", key: KEY }));
+            const others = Array.from(
+                { length: 3 },
+                () => running.startCall({ entry: 0, path: "/orders/1", key: KEY }),
+            );
+            await running.advance(1_000);
+            assert.equal(owner.local.countRunning(POOL), hung.length + others.length);
+            running.loseUpstreamPaths(1, "silent");
+            await running.advance(1_500);
+            assert.equal(owner.local.countRunning(POOL), others.length);
+            await running.run(Promise.all([...hung, ...others]));
+            assert.equal(owner.local.countRunning(POOL), 0);
+        });
+
         it("still have a request quarantined that crashes upstreams", async () => {
             // Its crashes reach the host through a relay, and its own connections prove nothing.
             const crashing = "a deadly order";
--- a/src/faultInjection/index.ts
+++ b/src/faultInjection/index.ts
@@ -1,5 +1,6 @@
 /** Simulated fleets of real processes over in-memory ports, with faults drawn from a seed or injected by a test. */
 export * from "./callSchedule/index.js";
+export * from "./pathSchedule/index.js";
 export * from "./powerSchedule/index.js";
 export * from "./recordingLogger/index.js";
 export * from "./replicaFleet/index.js";
--- a/src/faultInjection/powerSchedule/index.ts
+++ b/src/faultInjection/powerSchedule/index.ts
@@ -1,6 +1,7 @@
 import { WorkspaceId } from "../../ids/index.js";
 import { SeededRandom } from "../../ports/index.js";
 import { makeDocument, makeRoute } from "../../routing/index.js";
+import { countStarts } from "../countStarts/index.js";
 import { InvariantError } from "../recordingStateMachine/index.js";
 import { controlAddress, RoutedFleet } from "../routedFleet/index.js";
 import { TestReply } from "../testCaller/index.js";
@@ -78,7 +79,7 @@
         seed,
         answered: replies.filter(({ status }) => status === 200).length,
         ran: countRuns(fleet),
-        counted: countStarts(fleet),
+        counted: countStarts(fleet, WORKSPACE),
         virtualMs: fleet.clock.monotonic(),
     };
     await fleet.close();
@@ -176,14 +177,6 @@
     return requests.length;
 }
 
-/** Returns how many started requests the control log holds, in open and closed windows. */
-function countStarts(fleet: RoutedFleet): number {
-    const { starts, openStarts } = fleet.controls[fleet.holder()]!.state;
-    const closed = starts.listUnreported().map(({ counts }) => counts[WORKSPACE] ?? 0);
-    const open = openStarts.list().flatMap(({ windows }) => windows.map(({ counts }) => counts[WORKSPACE] ?? 0));
-    return [...closed, ...open].reduce((sum, count) => sum + count, 0);
-}
-
 function checkCounts({ answered, ran, counted }: PowerScheduleReport, plan: PowerPlan): void {
     const figures = `${answered} answered, ${counted} counted, ${ran} ran; ${JSON.stringify(plan)}`;
     if (counted < answered) throw new InvariantError(`answered calls are not counted: ${figures}`);
--- a/src/relay/pathMonitor/index.ts
+++ b/src/relay/pathMonitor/index.ts
@@ -56,6 +56,7 @@
     private readonly peerChecks = new Map<UpstreamId, Promise<RelayFinding>>();
     private readonly peerProbes = new Map<UpstreamId, Promise<ConnectResult>>();
     private readonly lossFound = new WaitCondition();
+    private readonly lossListeners: ((target: UpstreamTarget) => void)[] = [];
     private nextProbe = 0;
 
     constructor(private readonly options: PathMonitorOptions) {
@@ -77,6 +78,11 @@
         return this.table.hadLost(target, since);
     }
 
+    /** Registers a listener that is called when a path is found lost. */
+    onLost(listener: (target: UpstreamTarget) => void): void {
+        this.lossListeners.push(listener);
+    }
+
     /** Records that a new connection to an upstream has been opened from this host. */
     recordConnection(target: UpstreamTarget): void {
         this.table.recordConnection(target);
@@ -97,6 +103,7 @@
         this.options.metrics.count("paths_lost", 1, { pool });
         this.updateGauge();
         this.lossFound.notifyAll();
+        for (const listener of this.lossListeners) listener(target);
         if (isFirst) this.checkFurther(target);
     }
 
--- a/src/relay/silenceWatch/index.ts
+++ b/src/relay/silenceWatch/index.ts
@@ -52,7 +52,7 @@
         this.isArmed = false;
         if (this.awaited.size === 0) return;
         const now = this.clock.monotonic();
-        const dueInMs = Math.max(SILENCE_MS - this.silentMs, this.checkedAt + MIN_CHECK_INTERVAL_MS - now);
+        const dueInMs = Math.ceil(Math.max(SILENCE_MS - this.silentMs, this.checkedAt + MIN_CHECK_INTERVAL_MS - now));
         if (dueInMs > 0) return this.arm(dueInMs);
         this.checkedAt = now;
         const [{ target }] = this.awaited;
--- a/src/tools/soak/main.ts
+++ b/src/tools/soak/main.ts
@@ -1,9 +1,10 @@
 /**
- * Runs random fault schedules, one per seed, against the control log, against routed calls, or with a loss of all power:
+ * Runs random fault schedules, one per seed, against the control log, against routed calls, with hosts that lose their paths to upstreams, or
+ * with a loss of all power:
  * `node dist/tools/soak/main.js --schedule calls --seeds 500 --from 1`.
  */
 import { cac } from "cac";
-import { runCallSchedule, runPowerSchedule, runReplicaSchedule } from "../../faultInjection/index.js";
+import { runCallSchedule, runPathSchedule, runPowerSchedule, runReplicaSchedule } from "../../faultInjection/index.js";
 
 interface SoakOptions {
     readonly schedule: string;
@@ -21,6 +22,10 @@
         const { calls, answered, crashes, virtualMs } = await runCallSchedule(seed);
         return `${answered} of ${calls} answered, ${crashes} crashes in ${toSeconds(virtualMs)} s of virtual time`;
     },
+    paths: async seed => {
+        const { calls, answered, judged, falls } = await runPathSchedule(seed);
+        return `${answered} of ${calls} answered, ${judged} losses judged, ${falls} falls`;
+    },
     power: async seed => {
         const { answered, counted, ran } = await runPowerSchedule(seed);
         return `${answered} answered, ${counted} counted, ${ran} ran`;
