--- a/src/faultInjection/pathSchedule/index.ts
+++ b/src/faultInjection/pathSchedule/index.ts
@@ -64,6 +64,10 @@
 const CONTROL_COUNT = 5;
 const MAX_CONTROLS_LOST = 2;
 const ZONES = ["sohar", "barka", "muscat"];
+const SLOTS = 32;
+const EVENT_GAP_MS = 30;
+/** Share of the upstreams' slots that calls need: with more, calls would be refused without any fault. */
+const MAX_LOAD = 0.5;
 const LOSSES: readonly PathLoss[] = ["silent", "reset", "refuse"];
 const LOSS_COUNT = 6;
 /** Time in which entries repeat few calls after their start, in milliseconds. */
@@ -115,7 +119,7 @@
 }
 
 function drawPlan(random: SeededRandom): PathPlan {
-    return {
+    const plan = {
         entries: random.integer(2, 10),
         upstreams: random.integer(2, 10),
         queueHosts: random.next() < 0.7,
@@ -124,11 +128,14 @@
         events: random.next() < 0.3 ? random.integer(2, 20) : 0,
         hasOtherFaults: random.next() < 0.5,
     };
+    const callMs = plan.workMs + plan.events * EVENT_GAP_MS;
+    const maxCallsPerS = MAX_LOAD * plan.upstreams * SLOTS * 1_000 / callMs;
+    return { ...plan, callsPerS: Math.min(plan.callsPerS, maxCallsPerS) };
 }
 
 async function startRun(seed: number, random: SeededRandom, plan: PathPlan): Promise<PathRun> {
     const { entries, queueHosts, workMs, events } = plan;
-    const upstream = { slots: 32, workMs, events, gapMs: 30, restartMs: 2_500 };
+    const upstream = { slots: SLOTS, workMs, events, gapMs: EVENT_GAP_MS, restartMs: 2_500 };
     const upstreams = Array.from({ length: plan.upstreams }, () => upstream);
     const entryZones = Array.from({ length: entries }, (_, entry) => ZONES[entry % ZONES.length]);
     const fleet = new RoutedFleet({ seed, controls: CONTROL_COUNT, entries, entryZones, upstreams, queueHosts });
--- a/src/faultInjection/routedFleet/index.ts
+++ b/src/faultInjection/routedFleet/index.ts
@@ -174,6 +174,11 @@
         this.fabric.isolate(controlAddress(number).host, entries.map(entry => entryHost(entry)), true);
     }
 
+    /** Reconnects a control host to entries from which it was isolated. */
+    restoreControlToEntries(number: number, entries: readonly number[]): void {
+        this.fabric.isolate(controlAddress(number).host, entries.map(entry => entryHost(entry)), false);
+    }
+
     /** Takes an entry's paths to upstreams away; callers, other entries and control hosts still reach it. */
     loseUpstreamPaths(entry: number, loss: PathLoss, upstreams = this.upstreams.keys()): void {
         for (const upstream of upstreams) this.fabric.losePath(entryHost(entry), upstreamHost(upstream), loss);
