Entries that do not reach the holder ask it by way of another control process

Such an entry refused all calls with keys once its view had ended (4 s), though each other control host reached both it and the holder: it knew no other way. A control process now passes pulls, commands and demand reports on; the holder judges by itself whether it still is the holder, and a lease counts from when the entry sent its pull.

--- a/src/control/controlClient/index.ts
+++ b/src/control/controlClient/index.ts
@@ -3,6 +3,7 @@
 import { PeerError, PeerLink } from "../../wire/index.js";
 import { DEMAND_METHOD, DemandReport } from "../demandReport/index.js";
 import { COMMAND_METHOD, CommandReply, EntryCommand } from "../entryCommand/index.js";
+import { FORWARD_METHOD, ForwardRequest } from "../holderForwarder/index.js";
 import { EntryView, VIEW_PULL_METHOD, ViewChange, ViewPull, ViewPullReply } from "../view/index.js";
 import { ViewCache } from "../viewCache/index.js";
 
@@ -12,6 +13,8 @@
 const RETRY_DELAY_MS = 40;
 /** Time that a pull may take beyond the holder's wait, in milliseconds. */
 const PULL_MARGIN_MS = 1_500;
+/** Time that a call may take longer by way of another control process, in milliseconds. */
+const FORWARD_MARGIN_MS = 200;
 const DEFAULT_PULL_WAIT_MS = 2_000;
 /** Interval at which a pending pull checks whether the view has become stale, in milliseconds. */
 const STALE_CHECK_INTERVAL_MS = 200;
@@ -72,6 +75,8 @@
     private entryList: readonly EntryView[] = [];
     private entriesVersion: string | undefined;
     private hasPulled = false;
+    /** The holder, while this entry has no open link to it and another control process passes calls on. */
+    private unreachableHolder: string | undefined;
 
     constructor(private readonly options: ControlClientOptions) {}
 
@@ -120,21 +125,19 @@
             const reply = await this.tryCommand(command, Math.min(ATTEMPT_TIMEOUT_MS, leftMs));
             if (reply.kind === "applied") return Right(reply.result as Result);
             if (reply.kind === "failed") mayHaveApplied ||= reply.mayCommit;
-            const isRedirected = reply.kind === "not-holder" && this.switchToHost(reply.holder);
-            if (isRedirected) continue;
-            this.linkIndex++;
+            const holder = reply.kind === "not-holder" ? reply.holder : undefined;
+            if (this.leaveLink(holder)) continue;
             await this.pause();
         }
     }
 
     /** Reports the demand of the pools owned here to the holder. A lost report is not resent, since the next one replaces it. */
     async reportDemand(report: DemandReport): Promise<void> {
-        await this.currentLink().call(DEMAND_METHOD, report, ATTEMPT_TIMEOUT_MS);
+        await this.callHolder(DEMAND_METHOD, report, ATTEMPT_TIMEOUT_MS);
     }
 
     private async tryCommand(command: EntryCommand, timeoutMs: number): Promise<CommandReply> {
-        const link = this.currentLink();
-        const answer = await link.call(COMMAND_METHOD, command, timeoutMs);
+        const answer = await this.callHolder(COMMAND_METHOD, command, timeoutMs);
         return answer.caseOf<CommandReply>({
             Left: err => ({ kind: "failed", mayCommit: err.mayHaveArrived, reason: err.message }),
             Right: reply => reply as CommandReply,
@@ -156,13 +159,13 @@
             takesEntryChanges: true,
         };
         const sentAt = clock.monotonicWithSuspend();
-        const pending = this.currentLink().call(VIEW_PULL_METHOD, pull, waitMs + PULL_MARGIN_MS);
+        const pending = this.callHolder(VIEW_PULL_METHOD, pull, waitMs + PULL_MARGIN_MS);
         const answer = await this.raceStaleness(pending, waitMs);
         if (!answer) {
             this.hasPulled = false;
             return true;
         }
-        answer.ifLeft(err => this.switchLink(err));
+        answer.ifLeft(err => this.leaveLink(/not-holder (\S+)/.exec(err.message)?.[1]));
         answer.ifRight(reply => this.applyReply(reply as ViewPullReply, sentAt));
         return answer.isRight();
     }
@@ -220,9 +223,31 @@
         this.entryList = [...kept, ...entries];
     }
 
-    private switchLink(err: PeerError): void {
-        const holder = /not-holder (\S+)/.exec(err.message)?.[1];
-        if (!this.switchToHost(holder)) this.linkIndex++;
+    /** Calls a method of the holder, by way of another control process while only that one reaches it. */
+    private callHolder(method: string, body: unknown, timeoutMs: number): Promise<Either<PeerError, unknown>> {
+        if (this.switchToHost(this.unreachableHolder)) this.unreachableHolder = undefined;
+        const link = this.currentLink();
+        if (this.unreachableHolder === undefined) return link.call(method, body, timeoutMs);
+        const request: ForwardRequest = { method, body, timeoutMs };
+        return link.call(FORWARD_METHOD, request, timeoutMs + FORWARD_MARGIN_MS);
+    }
+
+    /**
+     * Changes the way to the holder after a call has failed.
+     *
+     * @param holder - The holder by the word of the process that was called, where it named one.
+     * @returns Whether a way to that holder is known.
+     */
+    private leaveLink(holder: string | undefined): boolean {
+        const wasForwarded = this.unreachableHolder !== undefined;
+        this.unreachableHolder = undefined;
+        if (this.switchToHost(holder)) return true;
+        if (!wasForwarded && holder !== undefined && holder !== this.currentLink().peer?.host) {
+            this.unreachableHolder = holder;
+            return true;
+        }
+        this.linkIndex++;
+        return false;
     }
 
     /** Switches to the link of a host. Returns false when there is no open link to it or it is the current one. */
--- a/src/control/controlProcess/index.ts
+++ b/src/control/controlProcess/index.ts
@@ -9,6 +9,7 @@
 import { ControlService } from "../controlService/index.js";
 import { ControlState } from "../controlState/index.js";
 import { HolderAnnouncer } from "../holderAnnouncer/index.js";
+import { serveForwards } from "../holderForwarder/index.js";
 import { HolderRunner, HolderTask } from "../holderRunner/index.js";
 import { LateStarts } from "../lateStarts/index.js";
 import { openUsageJournal } from "../openUsageJournal/index.js";
@@ -112,6 +113,7 @@
         const listControls = (): string[] => log.configuration().members.map(member => formatAddress(member.address));
         const service = new ControlService({ log, state, clock, router, viewLeaseMs, listControls });
         lifecycle.addCleanUp(() => service.close());
+        serveForwards(router, log);
         const shared = { ...options, log, state, service, router, lifecycle, startsTable };
         const routingService = routing && new RoutingService({ ...shared, routing });
         const control = new ControlProcess(
--- a/src/control/index.ts
+++ b/src/control/index.ts
@@ -18,6 +18,7 @@
 export * from "./entryTable/index.js";
 export * from "./fencedSender/index.js";
 export * from "./holderAnnouncer/index.js";
+export * from "./holderForwarder/index.js";
 export * from "./holderRunner/index.js";
 export * from "./holderTerm/index.js";
 export * from "./memoryControlLog/index.js";
