Relays: a request that this host gives up is no loss of its path; modules for the request, the reply and the probe

A relayed answer that this host cancelled at a deadline or a stall counted as a failure on the way, so that a silent upstream was never left.

--- a/src/entry/crashMonitor/test.ts
+++ b/src/entry/crashMonitor/test.ts
@@ -20,14 +20,14 @@
     function startMonitor(
         parts: Partial<Announcement> = {},
         replies: Reply[] = [],
-        finding: PathFinding = "crashed",
+        findings: PathFinding[] = [],
     ) {
         const clock = new VirtualClock();
         const reports: EntryCommand[] = [];
         const announcement = { incarnation: 1, state: "ready", address: "10.0.0.2:9000", ...parts } as Announcement;
         const monitor = new CrashMonitor({
             clock,
-            probe: async () => finding,
+            probe: async () => findings.shift() ?? "crashed",
             logger: new SilentLogger(),
             metrics: new NoMetrics(),
             registry: { get: () => new Upstream(announcement, 0, true) },
@@ -82,6 +82,27 @@
         await stopMonitor();
     });
 
+    it("reports nothing of an upstream that listens, or that only other hosts reach", async () => {
+        for (const finding of ["open", "cut-off"] as const) {
+            const { clock, monitor, reports, stopMonitor } = startMonitor({}, [], [finding]);
+            endConnection(monitor, "a");
+            await clock.advance(1_000);
+            assert.deepEqual(reports, []);
+            await stopMonitor();
+        }
+    });
+
+    it("probes an upstream that nobody reaches three times", async () => {
+        const unreachable: PathFinding[] = ["unreachable", "unreachable", "unreachable"];
+        for (const [findings, count] of [[unreachable, 0], [unreachable.slice(1), 1]] as const) {
+            const { clock, monitor, reports, stopMonitor } = startMonitor({}, [], [...findings]);
+            endConnection(monitor, "a");
+            await clock.advance(1_000);
+            assert.equal(reports.length, count);
+            await stopMonitor();
+        }
+    });
+
     it("does not count connections of an upstream that was expected to end", async () => {
         // Without this, requests would be quarantined because the platform reclaims the upstreams that run them.
         for (const parts of [{ state: "gone" }, { state: "leaving", reclaim_in_ms: 500 }] as const) {
--- a/src/relay/relayedHttp/test.ts
+++ b/src/relay/relayedHttp/test.ts
@@ -203,7 +203,10 @@
         await fleet.clock.advance(1_000);
         const leftAt = fleet.clock.monotonic();
         caller.abort();
-        assert.equal(errorOf(await fleet.clock.runUntil(sending, LIMIT_MS)).reason, "aborted");
+        const err = errorOf(await fleet.clock.runUntil(sending, LIMIT_MS));
+        assert.equal(err.reason, "aborted");
+        // A request that this host gives up because its upstream is silent still counts against that.
+        assert.equal(err instanceof PathError, false);
         await fleet.clock.advance(500);
         assert.ok(seen[0].closedAt! - leftAt <= 500, `${seen[0].closedAt! - leftAt} ms`);
     });
--- a/src/relay/upstreamAccess/index.ts
+++ b/src/relay/upstreamAccess/index.ts
@@ -10,6 +10,7 @@
 import { RelayDirectory } from "../relayDirectory/index.js";
 import { RelayedHttp } from "../relayedHttp/index.js";
 import { RelayPicker } from "../relayPicker/index.js";
+import { RelayProbe } from "../relayProbe/index.js";
 import { RelayServer } from "../relayServer/index.js";
 import { SilenceWatch } from "../silenceWatch/index.js";
 
@@ -50,7 +51,8 @@
         const picker = new RelayPicker(options);
         const zoneOf = (upstream: UpstreamId): ZoneId | undefined => registry.get(upstream)?.zone;
         const client = new RelayClient({ ...options, picker, zoneOf });
-        const peers = { probe: client.probe.bind(client), hasPeers: () => options.directory.listRelays().length > 0 };
+        const probe = new RelayProbe({ ...options, picker });
+        const peers = { probe: probe.ask.bind(probe), hasPeers: () => options.directory.listRelays().length > 0 };
         const paths = new PathMonitor({ ...options, peers });
         const silence = new SilenceWatch(clock, target => void paths.check(target));
         const sender = new DirectSender(http, silence);
