Logs say which software version upstreams run, and at which one a stream began

- Announcements carry the software version; empty, missing and very long ones count as unknown, other types are refused as before for other fields.
An incarnation that announces two has none.

--- a/src/dispatch/_lib/makeGrant.ts
+++ b/src/dispatch/_lib/makeGrant.ts
@@ -8,11 +8,12 @@
     { load, reason, fetch }: Choice,
     now: number,
 ): Grant {
-    const { limit, rejectionLimit } = load;
+    const { limit, rejectionLimit, upstream: { software } } = load;
     return {
         request: ticket.request,
         upstream: load.upstream.id,
         incarnation: load.upstream.announcement.incarnation,
+        ...(software === undefined ? {} : { software }),
         address: load.upstream.address,
         priority: ticket.tier,
         waitedMs: now - arrivedAt,
--- a/src/dispatch/sendGuard/index.ts
+++ b/src/dispatch/sendGuard/index.ts
@@ -1,4 +1,4 @@
-import { PoolId, RequestId, UpstreamId } from "../../ids/index.js";
+import { PoolId, RequestId, SoftwareVersion, UpstreamId } from "../../ids/index.js";
 import { UpstreamSignals } from "../../upstream/index.js";
 import { Grant } from "../ticket/index.js";
 
@@ -36,6 +36,9 @@
 
     /** Returns why a grant must not be used; undefined if it may be. */
     abstract findBlock(grant: Pick<Grant, "upstream" | "incarnation">): SendBlock | undefined;
+
+    /** Returns the version of the software that a granted upstream runs; undefined if it is unknown or has been replaced. */
+    abstract findSoftware(grant: Pick<Grant, "upstream" | "incarnation" | "software">): SoftwareVersion | undefined;
 }
 
 /** A guard that lets every grant be used, for tests. */
@@ -45,4 +48,8 @@
     findBlock(): undefined {
         return undefined;
     }
+
+    findSoftware({ software }: Pick<Grant, "software">): SoftwareVersion | undefined {
+        return software;
+    }
 }
--- a/src/dispatch/ticket/index.ts
+++ b/src/dispatch/ticket/index.ts
@@ -1,4 +1,13 @@
-import { ClassName, HostId, PoolId, RequestId, UpstreamId, WorkspaceId, ZoneId } from "../../ids/index.js";
+import {
+    ClassName,
+    HostId,
+    PoolId,
+    RequestId,
+    SoftwareVersion,
+    UpstreamId,
+    WorkspaceId,
+    ZoneId,
+} from "../../ids/index.js";
 import { Address } from "../../ports/index.js";
 import { BackOff, PromptPart, RequestLimit, UpstreamTarget } from "../../upstream/index.js";
 
@@ -66,6 +75,8 @@
     readonly upstream: UpstreamId;
     /** The upstream's incarnation, as the deciding host knows it. */
     readonly incarnation?: number;
+    /** Version of the upstream's software, as the deciding host knows it. */
+    readonly software?: SoftwareVersion;
     readonly address: Address;
     /** The upstream from which to fetch cached parts of the prompt before the prefill of the rest. */
     readonly fetchFrom?: Address;
--- a/src/entry/entryProcess/index.ts
+++ b/src/entry/entryProcess/index.ts
@@ -46,6 +46,7 @@
 import { serveAnnouncements } from "../serveAnnouncements/index.js";
 import { serveCallers } from "../serveCallers/index.js";
 import { SignalExchange } from "../signalExchange/index.js";
+import { SoftwareMonitor } from "../softwareMonitor/index.js";
 import { SpendLimiter } from "../spendLimiter/index.js";
 import { TicketServer } from "../ticketServer/index.js";
 import { UsageBackupStore } from "../usageBackupStore/index.js";
@@ -195,6 +196,8 @@
         this.registry.onChange(({ id, state }) => {
             if (state === "gone") this.signals.forget(id);
         });
+        const softwareMonitor = new SoftwareMonitor(options);
+        this.registry.onChange(upstream => softwareMonitor.update(upstream));
         this.evacuationMonitor = new EvacuationMonitor({
             ...options,
             registry: this.registry,
--- a/src/entry/signalExchange/index.ts
+++ b/src/entry/signalExchange/index.ts
@@ -1,6 +1,6 @@
 import { DepartureNotice } from "../../discovery/index.js";
 import { AnswerSignals, Grant, LocalDispatcher, SendBlock, SendGuard } from "../../dispatch/index.js";
-import { HostId, PoolId, UpstreamId } from "../../ids/index.js";
+import { HostId, PoolId, SoftwareVersion, UpstreamId } from "../../ids/index.js";
 import { Logger } from "../../logging/index.js";
 import { Metrics } from "../../metrics/index.js";
 import { Clock } from "../../ports/index.js";
@@ -79,6 +79,15 @@
         return backOff && { reason: "backing-off", ...backOff };
     }
 
+    findSoftware(
+        { upstream, incarnation, software }: Pick<Grant, "upstream" | "incarnation" | "software">,
+    ): SoftwareVersion | undefined {
+        const known = this.options.registry.get(upstream);
+        const knownIncarnation = known?.announcement.incarnation;
+        if (knownIncarnation === undefined || knownIncarnation < (incarnation ?? knownIncarnation)) return software;
+        return knownIncarnation === (incarnation ?? knownIncarnation) ? known?.software : undefined;
+    }
+
     /** Records the limits in a grant. */
     recordGrant(pool: PoolId, { upstream, limit, rejectionLimit }: Grant): void {
         if (limit || rejectionLimit) this.options.metrics.count("grants_limited", 1, { pool });
--- a/src/ids/index.ts
+++ b/src/ids/index.ts
@@ -28,6 +28,8 @@
 export type RequestFingerprint = Brand<string, "RequestFingerprint">;
 /** Id of an upstream: a model engine or a plain service process. */
 export type UpstreamId = Brand<string, "UpstreamId">;
+/** Version of the software that an upstream runs, as it announces it; not that of a model's weights. */
+export type SoftwareVersion = Brand<string, "SoftwareVersion">;
 /** Id of a pool of interchangeable upstreams: the name of a model or a service. */
 export type PoolId = Brand<string, "PoolId">;
 /** Name of a service class of a template. */
--- a/src/passthrough/nativeDialect/index.ts
+++ b/src/passthrough/nativeDialect/index.ts
@@ -27,6 +27,8 @@
     /** The prompt's parts, `id:tokens` each, separated by commas. */
     parts: "x-sequoiamux-parts",
     lastEventId: "last-event-id",
+    /** The caller's id of the attempt that brought a stream's first event, on an attempt that resumes the stream. */
+    resumes: "x-sequoiamux-resumes",
     workspace: "x-sequoiamux-workspace",
     upstream: "x-sequoiamux-upstream",
     priority: "x-sequoiamux-priority",
@@ -87,6 +89,7 @@
             hintedTokens: undefined,
             parts: readParts(findHeader(headers, CALL_HEADERS.parts)),
             lastEventId: findHeader(headers, CALL_HEADERS.lastEventId),
+            resumes: findHeader(headers, CALL_HEADERS.resumes) as RequestId | undefined,
             headers: endToEndHeaders(headers, HEADERS_NOT_FORWARDED),
         });
     }
--- a/src/passthrough/relayStream/index.ts
+++ b/src/passthrough/relayStream/index.ts
@@ -57,9 +57,10 @@
     answer.sendHead(status, headers.filter(([name]) => name !== "content-length"));
 }
 
-function recordEvents(ctx: CallContext, { call, stream }: Attempt, { count, lastId }: ScannedEvents): void {
+function recordEvents(ctx: CallContext, { call, grant, stream }: Attempt, { count, lastId }: ScannedEvents): void {
     const now = ctx.clock.monotonic();
     if (stream.eventCount === 0) {
+        stream.startedBy = ctx.sendGuard.findSoftware(grant);
         stream.firstEventMs = now - call.arrivedAt;
         stream.firstEventAt = now;
     }
--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -8,7 +8,7 @@
     Ticket,
     toTarget,
 } from "../../dispatch/index.js";
-import { ClassName, HostId, RequestId, UpstreamId, WorkspaceId } from "../../ids/index.js";
+import { ClassName, HostId, RequestId, SoftwareVersion, UpstreamId, WorkspaceId } from "../../ids/index.js";
 import { RunningRequest } from "../../request/index.js";
 import { Attempt, AttemptResult, BufferedAnswer } from "../attempt/index.js";
 import { CallAnswer } from "../callAnswer/index.js";
@@ -42,6 +42,8 @@
     readonly status: number;
     readonly attempts: number;
     readonly stream: StreamState;
+    /** Version of the software of the upstream tried last. */
+    readonly software: SoftwareVersion | undefined;
     /** The host that sent the call on behalf of this one, if one did. */
     readonly relay?: HostId;
     /** When the caller was told to retry, in milliseconds; undefined where it was told nothing. */
@@ -57,6 +59,8 @@
     begun: number;
     /** The last failure answer of an upstream. */
     upstreamFailure: BufferedAnswer | undefined;
+    /** Version of the software of the upstream tried last. */
+    software: SoftwareVersion | undefined;
     /** The host that sent the call on behalf of this one, in the last attempt that had one. */
     relay: HostId | undefined;
     lastDetail: string;
@@ -95,7 +99,16 @@
 
 function createProgress(): CallProgress {
     const stream = createStreamState();
-    return { avoid: [], stream, tries: 0, begun: 0, upstreamFailure: undefined, relay: undefined, lastDetail: "" };
+    return {
+        avoid: [],
+        stream,
+        tries: 0,
+        begun: 0,
+        upstreamFailure: undefined,
+        software: undefined,
+        relay: undefined,
+        lastDetail: "",
+    };
 }
 
 /** Runs one attempt at one upstream. Returns undefined when the call continues at another one. */
@@ -112,6 +125,7 @@
         return run.isCancelled ? endCancelled(task) : failNotRun(task, error!);
     }
     progress.tries++;
+    progress.software = ctx.sendGuard.findSoftware(grant);
     run.recordGrant(grant);
     const sentAt = ctx.clock.monotonic();
     const attempt = makeAttempt(task, grant);
@@ -192,9 +206,10 @@
 
 function recordAttempt(
     { ctx, call, run, progress }: CallTask,
-    { grant: { upstream }, relay }: Attempt,
+    { grant, relay }: Attempt,
     { end, detail, failure, connectionEnded, isPathFailure }: Extract<AttemptResult, { kind: "ended"; }>,
 ): void {
+    const { upstream } = grant;
     if (end !== "not-sent" && end !== "refused") progress.begun++;
     progress.upstreamFailure = failure ?? progress.upstreamFailure;
     progress.lastDetail = detail;
@@ -208,6 +223,7 @@
         request,
         fingerprint,
         upstream,
+        software: ctx.sendGuard.findSoftware(grant),
         end,
         detail,
         connectionEnded,
@@ -295,8 +311,8 @@
     return { ...end, retryAfterMs: isTruncated ? undefined : err.retryAfterMs };
 }
 
-function makeCallEnd(outcome: string, status: number, { tries, stream, relay }: CallProgress): CallEnd {
-    return { outcome, status, attempts: tries, stream, relay };
+function makeCallEnd(outcome: string, status: number, { tries, stream, software, relay }: CallProgress): CallEnd {
+    return { outcome, status, attempts: tries, stream, software, relay };
 }
 
 function completeGrant(
--- a/src/passthrough/serveCalls/index.ts
+++ b/src/passthrough/serveCalls/index.ts
@@ -64,7 +64,7 @@
 
 function recordEnd(ctx: CallContext, call: PreparedCall, run: RunningRequest, end: CallEnd): void {
     const { route, workspace, pool, head, tier, fingerprint } = call;
-    const { outcome, status, attempts, stream, relay, retryAfterMs } = end;
+    const { outcome, status, attempts, stream, software, relay, retryAfterMs } = end;
     const ms = Math.round(run.ageMs());
     const firstMs = stream.firstEventMs === undefined ? undefined : Math.round(stream.firstEventMs);
     run.recordEnd(outcome);
@@ -86,10 +86,14 @@
         ms,
         firstMs,
         events: stream.eventCount,
+        startedBy: stream.startedBy,
+        resumes: head.resumes,
+        lastEventId: head.lastEventId,
         gapMs: Math.round(stream.longestGapMs),
         targetMs: route.targetMs,
         gapBoundMs: route.gapMs,
         upstream,
+        software,
         relay,
         waitedMs: Math.round(waitedMs),
         reason,
--- a/src/passthrough/streamState/index.ts
+++ b/src/passthrough/streamState/index.ts
@@ -1,9 +1,13 @@
+import { SoftwareVersion } from "../../ids/index.js";
+
 /** The part of a stream that the caller has received, from all upstreams together. */
 export interface StreamState {
     /** Number of complete events sent to the caller. */
     eventCount: number;
     /** The id of the last event that had one. */
     lastEventId: string | undefined;
+    /** Version of the software of the upstream that sent the first event; undefined before it, or where it is unknown. */
+    startedBy: SoftwareVersion | undefined;
     /** Whether the head of the answer has been sent to the caller. */
     isHeadSent: boolean;
     /** Time from the call's arrival to the first event, in milliseconds; undefined before it. */
@@ -22,6 +26,7 @@
     return {
         eventCount: 0,
         lastEventId: undefined,
+        startedBy: undefined,
         isHeadSent: false,
         firstEventMs: undefined,
         firstEventAt: 0,
--- a/src/platform/heartbeat/index.ts
+++ b/src/platform/heartbeat/index.ts
@@ -1,7 +1,7 @@
 import { Either } from "purify-ts";
 import * as z from "zod";
 import { parseAddress } from "../../ports/index.js";
-import { Announcement, LoadReport } from "../../protocol/index.js";
+import { Announcement, LoadReport, MAX_SOFTWARE_VERSION_LENGTH } from "../../protocol/index.js";
 
 /** A heartbeat that is malformed, so that its upstream can't be used. */
 export class HeartbeatError extends Error {}
@@ -12,6 +12,8 @@
     /** `IP:port` at which the engine accepts requests. */
     address: z.string().refine(text => parseAddress(text) !== undefined, "no IP:port"),
     zone: z.string().min(1),
+    /** Version of the engine's software. */
+    version: z.string().optional(),
     slots: z.int().min(1),
     state: z.enum(["ready", "draining"]),
     /** Number of heartbeats that the engine has sent since its start. */
@@ -55,6 +57,7 @@
             checks_fence: false,
             load: UNKNOWN_LOAD,
             ...(heartbeat.coldRemainingMs > 0 ? { cold_ms: heartbeat.coldRemainingMs } : {}),
+            ...(isUsableVersion(heartbeat.version) ? { software_version: heartbeat.version } : {}),
             ...(heartbeat.leaves_ms === undefined ? {} : { reclaim_in_ms: heartbeat.leaves_ms }),
         }));
 }
@@ -67,6 +70,11 @@
     return { ...last, state: "gone", sequence: last.sequence + 1 };
 }
 
+/** Whether a version can be compared: an empty or very long one counts as unknown. */
+function isUsableVersion(version: string | undefined): boolean {
+    return version !== undefined && version.length > 0 && version.length <= MAX_SOFTWARE_VERSION_LENGTH;
+}
+
 function describeError(err: Error): string {
     if (!(err instanceof z.ZodError)) return err.message;
     const [issue] = err.issues;
--- a/src/platform/heartbeat/test.ts
+++ b/src/platform/heartbeat/test.ts
@@ -44,6 +44,14 @@
         assert.ok(parse({ ...HEARTBEAT, coldRemainingMs: "soon" }).isLeft());
     });
 
+    it("reads the version of an engine's software", () => {
+        assert.equal(parse(HEARTBEAT).unsafeCoerce().software_version, "v1");
+        for (const version of [undefined, "", "v".repeat(257)]) {
+            assert.equal(parse({ ...HEARTBEAT, version }).unsafeCoerce().software_version, undefined);
+        }
+        assert.ok(parse({ ...HEARTBEAT, version: 1 }).isLeft());
+    });
+
     it("refuses fields that are missing or of the wrong type", () => {
         for (
             const part of [{ service: 1 }, { state: "resting" }, { address: "nowhere" }, { slots: "4" }, { born: 1.5 }]
--- a/src/platform/platformDialect/index.ts
+++ b/src/platform/platformDialect/index.ts
@@ -39,6 +39,8 @@
     rejectionLimit: "server-brittle",
     priority: "sequoiamux-priority-class",
     lastEventId: "last-event-id",
+    /** Attempt ID of the client attempt that brought the first event of the stream that is resumed. */
+    resumes: "resumes",
     /** `IP:PORT` of another engine from which the addressed engine fetches the parts of the prompt that it lacks. */
     fetchFrom: "kv-fetch",
 } as const;
@@ -98,6 +100,7 @@
             model: findHeader(headers, HEADER_NAMES.model),
             parts: parsePromptParts(findHeader(headers, HEADER_NAMES.prefix)),
             lastEventId: findHeader(headers, HEADER_NAMES.lastEventId),
+            resumes: findHeader(headers, HEADER_NAMES.resumes) as RequestId | undefined,
             headers: dropHeadersWithKey(endToEndHeaders(headers, RESERVED_HEADERS), key),
         });
     }
--- a/src/protocol/announcement/index.ts
+++ b/src/protocol/announcement/index.ts
@@ -27,6 +27,9 @@
 });
 export type CacheEvents = z.infer<typeof cacheEventsSchema>;
 
+/** Maximum length of a software version, in characters. */
+export const MAX_SOFTWARE_VERSION_LENGTH = 256;
+
 /** One announcement. It replaces those with a lower (incarnation, sequence). */
 export const announcementSchema = z.object({
     id: z.string().min(1).max(128),
@@ -54,6 +57,8 @@
     cache: cacheEventsSchema.optional(),
     /** Time for which it is still cold after its start, and can handle only few requests per second, in milliseconds. */
     cold_ms: z.number().min(0).optional(),
+    /** Version of its software: a stream may be continued only by upstreams of the version that began it. Undefined: unknown. */
+    software_version: z.string().min(1).max(MAX_SOFTWARE_VERSION_LENGTH).optional(),
     /** Time until the platform reclaims it, in milliseconds. */
     reclaim_in_ms: z.number().min(0).optional(),
 });
--- a/src/relay/relayServer/test.ts
+++ b/src/relay/relayServer/test.ts
@@ -18,6 +18,10 @@
         this.answers.push(answer);
     }
 
+    findSoftware(): undefined {
+        return undefined;
+    }
+
     findBlock(): SendBlock | undefined {
         return this.block;
     }
--- a/src/upstream/upstream/index.ts
+++ b/src/upstream/upstream/index.ts
@@ -1,4 +1,4 @@
-import { PoolId, UpstreamId, ZoneId } from "../../ids/index.js";
+import { PoolId, SoftwareVersion, UpstreamId, ZoneId } from "../../ids/index.js";
 import { Address, parseAddress } from "../../ports/index.js";
 import { Announcement } from "../../protocol/index.js";
 
@@ -15,6 +15,9 @@
     private isSilent = false;
     private confirmedAt = Number.NEGATIVE_INFINITY;
     private inEvacuatedZone = false;
+    private knownSoftware: SoftwareVersion | undefined;
+    /** Whether one incarnation has announced several software versions, so that none of them can be relied on. */
+    private isSoftwareAmbiguous = false;
     /** Monotonic time until which it is assumed to be cold whatever it announces, in milliseconds. */
     private assumedColdUntil = Number.NEGATIVE_INFINITY;
 
@@ -27,6 +30,7 @@
         this.id = announcement.id as UpstreamId;
         this.newest = announcement;
         this.parsedAddress = parseAddress(announcement.address) ?? UNKNOWN_ADDRESS;
+        this.updateSoftware(announcement);
     }
 
     get announcement(): Announcement {
@@ -45,6 +49,11 @@
         return this.newest.pools as PoolId[];
     }
 
+    /** Version of the software that this incarnation runs; undefined while it is unknown. */
+    get software(): SoftwareVersion | undefined {
+        return this.isSoftwareAmbiguous ? undefined : this.knownSoftware;
+    }
+
     get slots(): number {
         return this.newest.slots;
     }
@@ -98,6 +107,8 @@
         if (announcement.address !== this.newest.address) {
             this.parsedAddress = parseAddress(announcement.address) ?? UNKNOWN_ADDRESS;
         }
+        if (announcement.incarnation !== this.newest.incarnation) this.forgetSoftware();
+        this.updateSoftware(announcement);
         this.newest = announcement;
         this.announcedAt = announcedAt;
         this.firstHand = firstHand;
@@ -132,6 +143,18 @@
     markSilent(): void {
         this.isSilent = true;
     }
+
+    private forgetSoftware(): void {
+        this.knownSoftware = undefined;
+        this.isSoftwareAmbiguous = false;
+    }
+
+    /** Keeps a version that an announcement leaves out: hosts of an earlier build pass announcements on without it. */
+    private updateSoftware({ software_version: announced }: Announcement): void {
+        if (announced === undefined) return;
+        if (this.knownSoftware !== undefined && this.knownSoftware !== announced) this.isSoftwareAmbiguous = true;
+        this.knownSoftware = announced as SoftwareVersion;
+    }
 }
 
 /**
@@ -148,6 +171,7 @@
         && one.zone === other.zone
         && one.address === other.address
         && one.slots === other.slots
+        && one.software_version === other.software_version
         && one.price_per_hour === other.price_per_hour
         && one.reclaimable === other.reclaimable
         && one.checks_fence === other.checks_fence
