Failing test: streams go on at another software version

Emulated upstreams announce a version, state it in each event, join and leave while the fleet runs; test callers take streams up again and name the try that brought the first event.

The text that routeService's test expects of a stream has the version in each event now.

--- a/src/emulator/emulatedCallUpstream/index.ts
+++ b/src/emulator/emulatedCallUpstream/index.ts
@@ -76,11 +76,14 @@
     readonly crashesOn?: string;
     /** Time from a crash to the restart, in milliseconds; undefined: it doesn't restart. */
     readonly restartMs?: number;
+    /** Version of its software, which it announces and states in each event; "1.0" by default, undefined for none. */
+    readonly software?: string;
 }
 
 const MS_PER_SECOND = 1_000;
 const MAX_BODY_BYTES = 16 * 1024 * 1024;
 const BREAK_AFTER_EVENTS = 2;
+const DEFAULT_SOFTWARE = "1.0";
 
 /**
  * Emulates an upstream that receives routed calls with the router's own headers: answers, streams resumable events and fails on demand.
@@ -111,6 +114,7 @@
     private isTurnedAway: (from: string) => boolean = () => true;
     private isLeaving = false;
     private incarnation = 1;
+    private software: string | undefined;
     private readonly openResponses = new Set<HttpResponse>();
     private listener: Listener | undefined;
     /** Number of crashes because it had to turn away too many calls. */
@@ -120,6 +124,7 @@
 
     private constructor(private readonly options: EmulatedCallUpstreamOptions) {
         this.room = options.slots;
+        this.software = "software" in options ? options.software : DEFAULT_SOFTWARE;
         for (const { id, tokens } of options.holds ?? []) this.cachedPartTokens.set(id, tokens);
         this.becomeCold(options.coldMs ?? 0);
     }
@@ -154,10 +159,16 @@
             price_per_hour: 0,
             reclaimable: false,
             checks_fence: false,
+            ...(this.software === undefined ? {} : { software_version: this.software }),
             ...(coldMs > 0 ? { cold_ms: coldMs } : {}),
         };
     }
 
+    /** Replaces its software, starting with its next incarnation or, for a faulty upstream, its next announcement. */
+    replaceSoftware(software: string | undefined): void {
+        this.software = software;
+    }
+
     /** Makes it cold for the given time, starting with its next announcement. */
     becomeCold(ms: number): void {
         this.coldUntilMs = this.options.clock.monotonic() + ms;
@@ -342,7 +353,7 @@
                 res.reset();
                 return;
             }
-            await res.write(`id: ${id}\ndata: event ${id}\n\n`);
+            await res.write(`id: ${id}\nevent: ${this.software ?? "unknown"}\ndata: event ${id}\n\n`);
             await clock.sleep(gapMs, req.closed);
         }
         res.end();
--- a/src/entry/routeService/test.ts
+++ b/src/entry/routeService/test.ts
@@ -198,7 +198,9 @@
 
     describe("streams", () => {
         const STREAMS = [{ events: 6 }, { events: 6 }];
-        const WHOLE = Array.from({ length: 6 }, (_, at) => `id: ${at + 1}\ndata: event ${at + 1}\n\n`).join("");
+        const WHOLE = Array.from({ length: 6 }, (_, at) => `id: ${at + 1}\nevent: 1.0\ndata: event ${at + 1}\n\n`).join(
+            "",
+        );
 
         it("arrive complete", async () => {
             await startFleet({ upstreams: STREAMS });
--- a/src/faultInjection/index.ts
+++ b/src/faultInjection/index.ts
@@ -7,4 +7,5 @@
 export * from "./routedFleet/index.js";
 export * from "./schedule/index.js";
 export * from "./sendCalls/index.js";
+export * from "./streamCaller/index.js";
 export * from "./testCaller/index.js";
--- a/src/faultInjection/routedFleet/index.ts
+++ b/src/faultInjection/routedFleet/index.ts
@@ -282,6 +282,20 @@
         return this.caller.send({ host: entryHost(call.entry), port: PORTS.callers }, call);
     }
 
+    /** Starts a further upstream. Returns its number. */
+    async addUpstream(options: Partial<EmulatedCallUpstreamOptions>): Promise<number> {
+        const number = this.upstreams.length;
+        this.upstreams.push(await EmulatedCallUpstream.start(this.makeUpstreamOptions(number, options)));
+        await this.announce(number, "ready");
+        return number;
+    }
+
+    /** Has an upstream announce that it leaves, and end after a time, in milliseconds, with all calls that still run there. */
+    async retireUpstream(number: number, afterMs: number): Promise<void> {
+        await this.announce(number, "leaving");
+        this.clock.after(afterMs, () => void this.upstreams[number].crash());
+    }
+
     /** Returns the id of the upstream that signed a response. */
     upstreamOf({ headers }: TestReply): string | undefined {
         return findHeader(headers, CALL_HEADERS.signature)?.split("/")[0];
