--- a/src/bench/policy/engineFake/index.ts
+++ b/src/bench/policy/engineFake/index.ts
@@ -167,6 +167,7 @@
             price_per_hour: this.profile.pricePerHour,
             reclaimable: this.profile.reclaimable,
             checks_fence: true,
+            software_version: "1.0",
             load: {
                 running: sample.running,
                 queued: sample.queued,
--- a/src/bench/slopes/probes/announcements/index.ts
+++ b/src/bench/slopes/probes/announcements/index.ts
@@ -46,6 +46,7 @@
         price_per_hour: 2_450_000,
         reclaimable: true,
         checks_fence: true,
+        software_version: "1.0",
         load: { running: 41, queued: 3, kv_used: 0.7231, tokens_per_second: 1_093.4, age_ms: 212 },
         cache: { sequence: 123_456, events: prefixes.map(prefix => ({ kind: "stored", prefix })) },
     };
--- a/src/cli/fleetCommands/index.ts
+++ b/src/cli/fleetCommands/index.ts
@@ -91,6 +91,7 @@
         { title: "POOLS", read: row => row.pools.join(",") },
         { title: "ZONE", read: row => row.zone },
         { title: "STATE", read: row => row.state },
+        { title: "SOFTWARE", read: row => row.software },
         { title: "RUNNING", read: row => `${row.running}/${row.slots}` },
         { title: "QUEUED", read: row => row.queued },
         { title: "KV", read: row => row.kvUsed.toFixed(2) },
--- a/src/control/entryAdmin/index.ts
+++ b/src/control/entryAdmin/index.ts
@@ -8,6 +8,8 @@
     readonly zone: string;
     readonly address: string;
     readonly state: string;
+    /** Version of its software; undefined if it is unknown. */
+    readonly software?: string;
     readonly slots: number;
     /** Running requests according to its latest report. */
     readonly running: number;
--- a/src/dispatch/admissionControl/index.ts
+++ b/src/dispatch/admissionControl/index.ts
@@ -54,6 +54,12 @@
         this.predictsFrom = Math.max(this.predictsFrom, this.options.clock.monotonic() + TAKEOVER_SETTLE_MS);
     }
 
+    /** Whether this process started too recently to have discovered all upstreams. */
+    mayUpstreamsBeUnknown(): boolean {
+        const { clock, startedAt } = this.options;
+        return clock.monotonic() - startedAt < EMPTY_POOL_GRACE_MS;
+    }
+
     /** Returns the refusal of a new ticket; undefined when it may wait. */
     checkNew(waiting: WaitingTicket): Refusal | undefined {
         const { members, clock } = this.options;
--- a/src/dispatch/heldTickets/index.ts
+++ b/src/dispatch/heldTickets/index.ts
@@ -1,15 +1,14 @@
-import { HostId } from "../../ids/index.js";
 import { Clock } from "../../ports/index.js";
-import { AdmissionControl } from "../admissionControl/index.js";
-import { Refusal } from "../ticket/index.js";
+import { AdmissionControl, makeRefusal } from "../admissionControl/index.js";
+import { Refusal, Ticket } from "../ticket/index.js";
 import { UpstreamPicker } from "../upstreamPicker/index.js";
 import { WaitingTicket } from "../waitingTicket/index.js";
 
 /** Options of `HeldTickets`. */
 export interface HeldTicketsOptions {
     readonly clock: Clock;
-    readonly picker: Pick<UpstreamPicker, "hasFreeFor" | "backOffLeftMs">;
-    readonly admission: Pick<AdmissionControl, "checkDelay">;
+    readonly picker: Pick<UpstreamPicker, "hasFreeFor" | "hasSoftwareFor" | "backOffLeftMs">;
+    readonly admission: Pick<AdmissionControl, "checkDelay" | "mayUpstreamsBeUnknown">;
 }
 
 /** A held ticket that can wait no longer. */
@@ -18,8 +17,12 @@
     readonly refusal: Refusal;
 }
 
+/** Retry delay where no upstream runs the software that began a stream, in milliseconds: one may be restarting. */
+const RETRY_AFTER_NO_SOFTWARE_MS = 1_000;
+
 /**
- * The waiting tickets of a pool whose host was asked to back off by every upstream that has a free slot.
+ * The waiting tickets of a pool that can't use the upstreams with a free slot: these asked the ticket's host to back off, or run other software
+ * than the one that began the ticket's stream.
  *
  * They are not in the queue: each free slot would go to the first of them, which can't use it, and all others would wait
  * behind it.
@@ -33,9 +36,9 @@
         return this.tickets.has(waiting);
     }
 
-    /** Holds a ticket; returns a refusal instead where it can't wait until an upstream accepts its host again. */
+    /** Holds a ticket; returns a refusal instead where it can't wait until an upstream can run it. */
     hold(waiting: WaitingTicket): Refusal | undefined {
-        const refusal = this.check(waiting, this.backOffLeftMs(waiting.ticket.origin));
+        const refusal = this.check(waiting, this.backOffLeftMs(waiting.ticket));
         if (!refusal) this.tickets.add(waiting);
         return refusal;
     }
@@ -45,9 +48,9 @@
         this.tickets.delete(waiting);
     }
 
-    /** Whether an upstream that accepts the ticket's host has a free slot. */
-    hasFreeFor({ ticket: { origin } }: WaitingTicket): boolean {
-        return this.options.picker.hasFreeFor(origin, this.options.clock.monotonic());
+    /** Whether an upstream that may run the ticket has a free slot. */
+    hasFreeFor({ ticket }: WaitingTicket): boolean {
+        return this.options.picker.hasFreeFor(ticket, this.options.clock.monotonic());
     }
 
     /**
@@ -56,12 +59,12 @@
      * @param enqueue - Called with each of them; may use the slot up.
      */
     release(enqueue: (waiting: WaitingTicket) => void): void {
-        const hostsWithoutSlot = new Set<HostId>();
+        const withoutSlot = new Set<string>();
         for (const waiting of [...this.tickets]) {
-            const { origin } = waiting.ticket;
-            if (!this.tickets.has(waiting) || hostsWithoutSlot.has(origin)) continue;
+            const needs = describeNeeds(waiting.ticket);
+            if (!this.tickets.has(waiting) || withoutSlot.has(needs)) continue;
             if (!this.hasFreeFor(waiting)) {
-                hostsWithoutSlot.add(origin);
+                withoutSlot.add(needs);
                 continue;
             }
             this.tickets.delete(waiting);
@@ -71,24 +74,34 @@
 
     /** Returns the tickets that can wait no longer. */
     listLate(): LateTicket[] {
-        const leftMsByHost = new Map<HostId, number>();
+        const leftMsByNeeds = new Map<string, number>();
         return [...this.tickets].flatMap(waiting => {
-            const { origin } = waiting.ticket;
-            const leftMs = leftMsByHost.get(origin) ?? this.backOffLeftMs(origin);
-            leftMsByHost.set(origin, leftMs);
+            const needs = describeNeeds(waiting.ticket);
+            const leftMs = leftMsByNeeds.get(needs) ?? this.backOffLeftMs(waiting.ticket);
+            leftMsByNeeds.set(needs, leftMs);
             const refusal = this.check(waiting, leftMs);
             return refusal ? [{ waiting, refusal }] : [];
         });
     }
 
-    private backOffLeftMs(host: HostId): number {
-        return this.options.picker.backOffLeftMs(host, this.options.clock.monotonic());
+    private backOffLeftMs(ticket: Ticket): number {
+        return this.options.picker.backOffLeftMs(ticket, this.options.clock.monotonic());
     }
 
     private check(waiting: WaitingTicket, leftMs: number): Refusal | undefined {
+        const { picker, admission } = this.options;
+        if (!picker.hasSoftwareFor(waiting.ticket) && !admission.mayUpstreamsBeUnknown()) {
+            const detail = `no upstream runs ${waiting.ticket.software}, which began the stream`;
+            return makeRefusal(waiting, "no-upstream", RETRY_AFTER_NO_SOFTWARE_MS, detail);
+        }
         const detail = leftMs === 0
-            ? "no upstream that accepts requests of this host became free"
+            ? "no upstream that may run this request became free"
             : `all upstreams asked this host to back off, the first for ${Math.round(leftMs)} ms more`;
-        return this.options.admission.checkDelay(waiting, leftMs, detail);
+        return admission.checkDelay(waiting, leftMs, detail);
     }
 }
+
+/** Returns a key that is equal for tickets that the same upstreams may run. */
+function describeNeeds({ origin, software }: Ticket): string {
+    return `${origin} ${software ?? ""}`;
+}
--- a/src/dispatch/order/fifoOrder/index.ts
+++ b/src/dispatch/order/fifoOrder/index.ts
@@ -35,6 +35,8 @@
 
     revertTake(): void {}
 
+    chargeGrant(): void {}
+
     lowestTierFirst(): Iterable<WaitingTicket> {
         return [...this.tickets].reverse();
     }
--- a/src/dispatch/order/orderPolicy/index.ts
+++ b/src/dispatch/order/orderPolicy/index.ts
@@ -27,6 +27,9 @@
     /** Reverts what `takeNext` recorded for a ticket that was not granted after all. The ticket stays removed. */
     abstract revertTake(waiting: WaitingTicket): void;
 
+    /** Records that a ticket that was never queued is granted now, in milliseconds on the monotonic clock. */
+    abstract chargeGrant(waiting: WaitingTicket, now: number): void;
+
     /** Returns the predicted cost of the tickets that will be granted before this one, in tokens. */
     abstract costAhead(waiting: WaitingTicket): number;
 
--- a/src/dispatch/order/tierFairOrder/index.ts
+++ b/src/dispatch/order/tierFairOrder/index.ts
@@ -48,6 +48,11 @@
         this.totalGrantedCost = Math.max(0, this.totalGrantedCost - cost);
     }
 
+    chargeGrant(waiting: WaitingTicket, now: number): void {
+        this.queueOf(waiting).chargeGrant(waiting);
+        this.recordGrant(waiting.ticket.tier, waiting.cost, now);
+    }
+
     costAhead(waiting: WaitingTicket): number {
         const { tier } = waiting.ticket;
         const above = this.tierQueues.slice(0, tier).reduce((sum, queue) => sum + queue.cost, 0);
--- a/src/dispatch/order/tierQueue/index.ts
+++ b/src/dispatch/order/tierQueue/index.ts
@@ -93,6 +93,13 @@
         return waiting;
     }
 
+    /** Charges the workspace of a ticket that was granted without waiting here the predicted cost. */
+    chargeGrant(waiting: WaitingTicket): void {
+        const queue = this.findQueue(waiting);
+        queue.runningCount++;
+        this.charge(queue, waiting.cost);
+    }
+
     /** Charges the workspace of an ended ticket the difference between its actual and predicted cost. */
     correctCost(waiting: WaitingTicket, actualCost: number): void {
         const queue = this.queues.get(waiting.ticket.workspace);
--- a/src/dispatch/poolQueue/index.ts
+++ b/src/dispatch/poolQueue/index.ts
@@ -53,6 +53,8 @@
     private readonly queue: PQueue<TicketQueue, TicketQueueOptions>;
     private readonly decisions = new PendingDecisions();
     private readonly held: HeldTickets;
+    /** Tickets of streams that certain software must continue. */
+    private readonly bound: HeldTickets;
     private readonly backOffs = new HostBackOffs();
     private readonly running = new RunningSet();
     private readonly forecast = new PoolForecast();
@@ -79,7 +81,9 @@
         const { pool, capacityOf } = options;
         this.choice = policies.createChoice({ random, prefixes, capacity: () => capacityOf?.(pool) });
         this.picker = new UpstreamPicker({ ...options, choice: this.choice, backOffs: this.backOffs });
-        this.held = new HeldTickets({ ...options, picker: this.picker, admission: this.admission });
+        const { picker, admission } = this;
+        this.held = new HeldTickets({ ...options, picker, admission });
+        this.bound = new HeldTickets({ ...options, picker, admission });
         const tickets = new TicketQueue(this.order, () => this.readOrderContext());
         this.tickets = tickets;
         // p-queue constructs its queue itself, without arguments.
@@ -101,9 +105,9 @@
         return this.decisions.listTickets();
     }
 
-    /** Returns the waiting tickets without those whose host was asked to back off: more upstreams would not serve them. */
+    /** Returns the waiting tickets that more upstreams would serve. */
     listUnserved(): WaitingTicket[] {
-        return this.decisions.listTickets().filter(waiting => !this.held.has(waiting));
+        return this.decisions.listTickets().filter(waiting => !this.held.has(waiting) && !this.bound.has(waiting));
     }
 
     /** Returns the tickets of the running requests in no particular order. */
@@ -127,9 +131,7 @@
         const waiting = makeWaitingTicket(ticket, now, this.options.lengths.predictMean(ticket, remainingTokens));
         this.forecast.recordArrival(waiting, now);
         this.options.observer.queued(waiting);
-        const refusal = signal.aborted
-            ? makeRefusal(waiting, "cancelled", 0, "the caller has gone")
-            : this.admission.checkNew(waiting);
+        const refusal = this.checkSubmitted(waiting, signal);
         if (refusal) {
             this.options.observer.refused(waiting, refusal);
             return Promise.resolve(Left(this.withLimits(refusal)));
@@ -138,6 +140,10 @@
             const onAbort = (): void =>
                 this.refuseWaiting(waiting, makeRefusal(waiting, "cancelled", 0, "the caller has gone"));
             this.decisions.add(waiting, resolve, signal, onAbort);
+            if (isBound(waiting)) {
+                this.grantOrHoldBound(waiting);
+                return this.updateConcurrency();
+            }
             this.enqueue(waiting);
             if (!this.decisions.has(waiting) || this.held.has(waiting)) return;
             this.preempter.preemptForNew(waiting, this.order.costAhead(waiting));
@@ -286,7 +292,8 @@
         else this.options.members.refreshThrottled();
         this.updateConcurrency();
         if (this.decisions.size === 0) return;
-        for (const { waiting, refusal } of this.held.listLate()) this.refuseWaiting(waiting, refusal);
+        const late = [...this.held.listLate(), ...this.bound.listLate()];
+        for (const { waiting, refusal } of late) this.refuseWaiting(waiting, refusal);
         if (this.decisions.size > LONG_QUEUE_TICKETS && tickNumber % LONG_QUEUE_REVIEW_TICKS !== 0) return;
         this.refuseLateTickets();
         this.preempter.preemptForWaiting(this.order.highestTierFirst());
@@ -299,6 +306,11 @@
         }
     }
 
+    private checkSubmitted(waiting: WaitingTicket, { aborted }: AbortSignal): Refusal | undefined {
+        if (aborted) return makeRefusal(waiting, "cancelled", 0, "the caller has gone");
+        return isBound(waiting) ? undefined : this.admission.checkNew(waiting);
+    }
+
     private applySignals({ origin, limits = [], rejectionLimits = [], backOffs = [] }: Ticket): void {
         for (const { upstream, perSecond, ageMs } of limits) this.recordLimit(upstream, perSecond, ageMs);
         for (const { upstream, perSecond, ageMs } of rejectionLimits) {
@@ -341,6 +353,22 @@
         });
     }
 
+    /**
+     * Grants a ticket of a stream that certain software must continue as soon as such an upstream has a free slot, before the tickets in the
+     * queue: these can use any upstream, and would take each slot of the few that it can use.
+     */
+    private grantOrHoldBound(waiting: WaitingTicket): void {
+        const now = this.options.clock.monotonic();
+        const choice = this.picker.pick(waiting, now);
+        if (!choice) {
+            const refusal = this.bound.hold(waiting);
+            if (refusal) this.refuseWaiting(waiting, refusal);
+            return;
+        }
+        this.order.chargeGrant(waiting, now);
+        this.grant(waiting, choice, () => undefined);
+    }
+
     private holdOrEnqueue(waiting: WaitingTicket): void {
         const isHeld = this.options.members.freeSlots > 0 && !this.held.hasFreeFor(waiting);
         if (!isHeld) return this.enqueue(waiting);
@@ -389,6 +417,7 @@
         if (!this.decisions.has(waiting)) return;
         this.tickets.withdraw(waiting);
         this.held.remove(waiting);
+        this.bound.remove(waiting);
         this.options.observer.refused(waiting, refusal);
         this.decisions.settle(waiting, Left(this.withLimits(refusal)));
     }
@@ -419,6 +448,7 @@
 
     private updateConcurrency(): void {
         this.admission.recordMembers();
+        this.bound.release(waiting => this.grantOrHoldBound(waiting));
         const concurrency = this.grantedSlots + this.options.members.freeSlots;
         if (concurrency === 0) {
             this.queue.pause();
@@ -440,3 +470,8 @@
         };
     }
 }
+
+/** Whether a ticket is of a stream that certain software must continue. */
+function isBound({ ticket }: WaitingTicket): boolean {
+    return ticket.software !== undefined;
+}
--- a/src/dispatch/preempter/index.ts
+++ b/src/dispatch/preempter/index.ts
@@ -4,7 +4,7 @@
 import { DispatchObserver } from "../dispatchObserver/index.js";
 import { PoolForecast } from "../poolForecast/index.js";
 import { PreemptionPolicy } from "../preemptionPolicy/index.js";
-import { RunningSet } from "../runningSet/index.js";
+import { RunningRequest, RunningSet } from "../runningSet/index.js";
 import { WaitingTicket } from "../waitingTicket/index.js";
 
 /** Options of `Preempter`. */
@@ -66,13 +66,20 @@
         let remaining = room;
         for (const running of this.options.running.listMovable()) {
             if (remaining <= 0) return;
-            if (running.load !== load) continue;
+            if (running.load !== load || !this.canContinueElsewhere(running)) continue;
             remaining--;
             this.options.running.markMoving(running);
             this.options.preempt(running.waiting.ticket.request);
         }
     }
 
+    /** Whether an upstream of the software that began the answer has a free slot; any will do for one that has not begun. */
+    private canContinueElsewhere({ load, tokens, waiting: { ticket } }: RunningRequest): boolean {
+        if (tokens === 0 && ticket.software === undefined) return true;
+        const { software } = load.upstream;
+        return this.options.members.hasFree(other => other !== load && other.upstream.software === software);
+    }
+
     private preemptFor(waiting: WaitingTicket, ticketsAhead: number): void {
         const { policy, running, forecast, members, clock } = this.options;
         const { tier } = waiting.ticket;
--- a/src/dispatch/runningSet/index.ts
+++ b/src/dispatch/runningSet/index.ts
@@ -82,7 +82,10 @@
 
     add(running: RunningRequest): void {
         this.byRequest.set(running.waiting.ticket.request, running);
-        if (running.waiting.ticket.resumable) this.resumableOf(running.waiting.ticket.tier).add(running);
+        const { waiting: { ticket }, load: { upstream } } = running;
+        // Nobody could tell which software must continue the answer.
+        if (upstream.software === undefined) return;
+        if (ticket.resumable) this.resumableOf(ticket.tier).add(running);
     }
 
     remove(running: RunningRequest): void {
--- a/src/dispatch/sendGuard/index.ts
+++ b/src/dispatch/sendGuard/index.ts
@@ -1,6 +1,5 @@
 import { PoolId, RequestId, SoftwareVersion, UpstreamId } from "../../ids/index.js";
-import { UpstreamSignals } from "../../upstream/index.js";
-import { Grant } from "../ticket/index.js";
+import { GrantedUpstream, UpstreamSignals } from "../../upstream/index.js";
 
 /** What an answer of an upstream states about the upstream itself. */
 export interface AnswerSignals {
@@ -15,7 +14,7 @@
 
 /** Why nothing may be sent to an upstream now. */
 export interface SendBlock {
-    readonly reason: "leaving" | "zone-evacuated" | "backing-off";
+    readonly reason: "leaving" | "zone-evacuated" | "backing-off" | "other-software";
     /** Time until it ends, in milliseconds; undefined where that is unknown. */
     readonly leftMs?: number;
     /** Time since this host was told, in milliseconds, where that is known. */
@@ -34,11 +33,12 @@
     /** Records what an answer states; to be called for each answer of an upstream, whatever its status. */
     abstract recordAnswer(answer: AnswerSignals): void;
 
-    /** Returns why a grant must not be used; undefined if it may be. */
-    abstract findBlock(grant: Pick<Grant, "upstream" | "incarnation">): SendBlock | undefined;
-
-    /** Returns the version of the software that a granted upstream runs; undefined if it is unknown or has been replaced. */
-    abstract findSoftware(grant: Pick<Grant, "upstream" | "incarnation" | "software">): SoftwareVersion | undefined;
+    /**
+     * Returns why a grant must not be used; undefined if it may be.
+     *
+     * @param software - Version of the software that must run the request; undefined: any.
+     */
+    abstract findBlock(grant: GrantedUpstream, software?: SoftwareVersion): SendBlock | undefined;
 }
 
 /** A guard that lets every grant be used, for tests. */
@@ -48,8 +48,4 @@
     findBlock(): undefined {
         return undefined;
     }
-
-    findSoftware({ software }: Pick<Grant, "software">): SoftwareVersion | undefined {
-        return software;
-    }
 }
--- a/src/dispatch/ticket/index.ts
+++ b/src/dispatch/ticket/index.ts
@@ -57,6 +57,8 @@
     readonly repeatable: boolean;
     /** Upstreams that have failed this request. */
     readonly avoid: readonly UpstreamId[];
+    /** Version of the software that began the stream and must continue it; undefined for a stream that has not begun. */
+    readonly software?: SoftwareVersion;
     /** Number of tokens that the caller already has, when an answer is continued. */
     readonly resumeOffset: number;
     /**
@@ -94,9 +96,17 @@
     readonly decidedBy?: HostId;
 }
 
-/** Returns the upstream that a grant of a pool is for. */
-export function toTarget(pool: PoolId, { upstream, incarnation, address }: Grant): UpstreamTarget {
-    return { pool, upstream, incarnation, address };
+/**
+ * Returns the upstream that a grant of a pool is for.
+ *
+ * @param software - Version of the software that must run the request; undefined: any.
+ */
+export function toTarget(
+    pool: PoolId,
+    { upstream, incarnation, address }: Grant,
+    software?: SoftwareVersion,
+): UpstreamTarget {
+    return { pool, upstream, incarnation, address, ...(software === undefined ? {} : { software }) };
 }
 
 /** Why a request was not granted. With each of these, the request has not run. */
--- a/src/dispatch/upstreamPicker/index.ts
+++ b/src/dispatch/upstreamPicker/index.ts
@@ -1,4 +1,4 @@
-import { HostId, PoolId, UpstreamId, ZoneId } from "../../ids/index.js";
+import { PoolId, SoftwareVersion, UpstreamId, ZoneId } from "../../ids/index.js";
 import { Random } from "../../ports/index.js";
 import {
     Choice,
@@ -30,7 +30,7 @@
     constructor(private readonly options: UpstreamPickerOptions) {}
 
     /**
-     * Returns the upstream for a ticket; undefined when none has a free slot for the ticket's host.
+     * Returns the upstream for a ticket; undefined when none that may run it has a free slot.
      *
      * @param now - Monotonic time, in milliseconds.
      */
@@ -45,22 +45,29 @@
     }
 
     /**
-     * Whether any upstream with a free slot accepts a request from a host.
+     * Whether any upstream with a free slot may run a request.
      *
      * @param now - Monotonic time, in milliseconds.
      */
-    hasFreeFor(host: HostId, now: number): boolean {
-        return this.options.members.hasFree(load => this.isEligible(host, load, now));
+    hasFreeFor(ticket: Ticket, now: number): boolean {
+        return this.options.members.hasFree(load => this.isEligible(ticket, load, now));
+    }
+
+    /** Whether any upstream that may get work, busy or not, runs the software that a request needs. */
+    hasSoftwareFor({ software }: Ticket): boolean {
+        const { all } = this.options.members;
+        return software === undefined
+            || all.some(({ upstream }) => upstream.isGrantable && upstream.software === software);
     }
 
     /**
-     * Returns the time until the first upstream accepts requests from a host again, in milliseconds; 0 if one does now.
+     * Returns the time until the first upstream accepts a request from its host again, in milliseconds; 0 if one does now.
      *
      * @param now - Monotonic time, in milliseconds.
      */
-    backOffLeftMs(host: HostId, now: number): number {
+    backOffLeftMs({ origin: host, software }: Ticket, now: number): number {
         const { members, backOffs } = this.options;
-        const ready = members.all.filter(load => load.isReady(now));
+        const ready = members.all.filter(load => load.isReady(now) && runsSoftware(load, software));
         return ready.length === 0
             ? 0
             : Math.min(...ready.map(({ upstream }) => backOffs.leftMs(host, upstream.id, now)));
@@ -110,11 +117,12 @@
      */
     private findCandidates(ticket: Ticket, now: number): readonly UpstreamLoad[] {
         const { members, prefixes, random, choice, backOffs } = this.options;
-        const isEligible = (load: UpstreamLoad): boolean => this.isEligible(ticket.origin, load, now);
+        const isEligible = (load: UpstreamLoad): boolean => this.isEligible(ticket, load, now);
+        const isRestricted = ticket.software !== undefined || backOffs.hasAny(ticket.origin);
         const sample = members.candidates(
             choice.maxCandidates,
             random,
-            backOffs.hasAny(ticket.origin) ? isEligible : undefined,
+            isRestricted ? isEligible : undefined,
         );
         const holders = prefixes.likelyHolders(ticket.prefixes);
         if (holders.length === 0) return sample;
@@ -137,8 +145,8 @@
         return 2 * others.length >= loads.length ? others : loads;
     }
 
-    private isEligible(host: HostId, { upstream }: UpstreamLoad, now: number): boolean {
-        return this.options.backOffs.mayGrant(host, upstream.id, now);
+    private isEligible({ origin, software }: Ticket, load: UpstreamLoad, now: number): boolean {
+        return runsSoftware(load, software) && this.options.backOffs.mayGrant(origin, load.upstream.id, now);
     }
 
     private excludeUnsuitable(ticket: Ticket, candidates: readonly UpstreamLoad[]): readonly UpstreamLoad[] {
@@ -151,6 +159,11 @@
     }
 }
 
+/** Whether an upstream runs a version of the software; an unknown one matches none. */
+function runsSoftware({ upstream }: UpstreamLoad, software: SoftwareVersion | undefined): boolean {
+    return software === undefined || upstream.software === software;
+}
+
 /** Returns the matching upstreams, or all when none matches. */
 function preferMatching(
     loads: readonly UpstreamLoad[],
--- a/src/emulator/answerService/index.ts
+++ b/src/emulator/answerService/index.ts
@@ -8,6 +8,7 @@
 import { EngineFault } from "../engineFaults/index.js";
 import { KvState } from "../kvTransfer/index.js";
 import { CacheListener, PrefixCache } from "../prefixCache/index.js";
+import { DEFAULT_SOFTWARE, UpstreamIdentity } from "../upstreamState/index.js";
 
 /** Config of an engine's chat answers. */
 export interface AnswerServiceConfig {
@@ -17,6 +18,8 @@
     readonly cacheBlocks: number;
     /** Mean length of answers whose prompt has no length hint, in tokens. */
     readonly meanTokens: number;
+    /** Names the engine's software in the ledger. */
+    readonly identity: UpstreamIdentity;
 }
 
 /** Counts of an engine's answers so far. */
@@ -168,7 +171,8 @@
         this.streams.delete(stream);
         this.batch.remove(stream);
         this.endedStreamTokens += stream.producedTokens;
-        this.ledger.record(stream.req.request_id, stream.producedTokens);
+        const { software = DEFAULT_SOFTWARE } = this.cfg.identity;
+        this.ledger.record(stream.req.request_id, stream.producedTokens, software);
         this.kvStates.set(stream.req.request_id, describeKvState(stream));
         if (this.kvStates.size > MAX_KEPT_KV_STATES) this.kvStates.delete(this.kvStates.keys().next().value!);
     }
--- a/src/emulator/chatLedger/index.ts
+++ b/src/emulator/chatLedger/index.ts
@@ -5,6 +5,8 @@
     readonly runs: number;
     /** Number of tokens that all these streams produced together. */
     readonly tokens: number;
+    /** Versions of the software of the engines that produced any of them. */
+    readonly software: readonly string[];
 }
 
 /** The oldest chats beyond this number are dropped, which bounds the memory of a long benchmark. */
@@ -19,11 +21,17 @@
      *
      * @param request - Request id.
      * @param tokens - Number of tokens that the stream produced.
+     * @param software - Version of the engine's software.
      */
-    record(request: string, tokens: number): void {
-        const previous = this.chats.get(request);
-        const runs = (previous?.runs ?? 0) + 1;
-        this.chats.set(request, { request, runs, tokens: (previous?.tokens ?? 0) + tokens });
+    record(request: string, tokens: number, software: string): void {
+        const known = this.chats.get(request) ?? { request, runs: 0, tokens: 0, software: [] };
+        const isAdded = tokens > 0 && !known.software.includes(software);
+        this.chats.set(request, {
+            request,
+            runs: known.runs + 1,
+            tokens: known.tokens + tokens,
+            software: isAdded ? [...known.software, software] : known.software,
+        });
         if (this.chats.size > MAX_CHATS) this.chats.delete(this.chats.keys().next().value!);
     }
 
--- a/src/emulator/emulatedCallUpstream/index.ts
+++ b/src/emulator/emulatedCallUpstream/index.ts
@@ -12,6 +12,7 @@
 import { DEFAULT_HTTP_LIMITS, formatAddress } from "../../ports/index.js";
 import { Announcement } from "../../protocol/index.js";
 import { PromptPart } from "../../upstream/index.js";
+import { DEFAULT_SOFTWARE } from "../upstreamState/index.js";
 
 /** Fault to inject into the answer of a call. */
 export type CallFault =
@@ -83,7 +84,6 @@
 const MS_PER_SECOND = 1_000;
 const MAX_BODY_BYTES = 16 * 1024 * 1024;
 const BREAK_AFTER_EVENTS = 2;
-const DEFAULT_SOFTWARE = "1.0";
 
 /**
  * Emulates an upstream that receives routed calls with the router's own headers: answers, streams resumable events and fails on demand.
--- a/src/emulator/emulatedUpstream/index.ts
+++ b/src/emulator/emulatedUpstream/index.ts
@@ -5,7 +5,7 @@
 import { sendJson } from "../_lib/json.js";
 import { StatementResponse } from "../_lib/statementResponse.js";
 import { AnnouncementSource, Announcer, AnnouncerConfig } from "../announcer/index.js";
-import { UpstreamIdentity, UpstreamState } from "../upstreamState/index.js";
+import { DEFAULT_SOFTWARE, UpstreamIdentity, UpstreamState } from "../upstreamState/index.js";
 
 /** Config that all emulated upstreams have in common. */
 export interface UpstreamConfig {
@@ -147,7 +147,7 @@
     }
 
     describe(): ReturnType<AnnouncementSource["describe"]> {
-        const { id, incarnation, zone, pricePerHour, reclaimable, checksFence } = this.config.identity;
+        const { id, incarnation, zone, pricePerHour, reclaimable, checksFence, software } = this.config.identity;
         return {
             id,
             incarnation,
@@ -160,6 +160,7 @@
             price_per_hour: pricePerHour,
             reclaimable,
             checks_fence: checksFence,
+            software_version: software ?? DEFAULT_SOFTWARE,
             reclaim_in_ms: this.state.reclaimInMs(),
         };
     }
--- a/src/emulator/emulator/index.ts
+++ b/src/emulator/emulator/index.ts
@@ -44,6 +44,8 @@
     private entries: readonly Address[];
     /** Tokens that engines had produced before they were restarted. */
     private tokensBeforeRestarts = 0;
+    /** Number of upstreams started so far. */
+    private startCount = 0;
 
     /**
      * @param ports - Clock, random numbers, HTTP and key watch, shared by all.
@@ -155,9 +157,10 @@
         pricePerHour: number,
         reclaimable: boolean,
     ): UpstreamIdentity {
-        const { checksFence } = this.settings;
+        const { checksFence, software: versions } = this.settings;
+        const software = versions[this.startCount++ % versions.length];
         const incarnation = Math.floor(this.ports.clock.now());
-        return { id, incarnation, pools: [pool], zone, pricePerHour, reclaimable, checksFence };
+        return { id, incarnation, pools: [pool], zone, pricePerHour, reclaimable, checksFence, software };
     }
 
     private async startEngine(identity: UpstreamIdentity): Promise<void> {
--- a/src/emulator/emulator/test.ts
+++ b/src/emulator/emulator/test.ts
@@ -37,7 +37,7 @@
             assert.equal(contents, expectedAnswer(MESSAGES, answerLength(MESSAGES)));
             assert.match(text, /data: \[DONE\]\n\n$/);
             assert.equal(emulator.stats().keys.watchedKeys, 1);
-            assert.deepEqual(emulator.chatLedger.list(), [{ request: "r1", runs: 1, tokens: 5 }]);
+            assert.deepEqual(emulator.chatLedger.list(), [{ request: "r1", runs: 1, tokens: 5, software: ["1.0"] }]);
         }
         finally {
             await emulator.close();
--- a/src/emulator/emulatorSettings/index.ts
+++ b/src/emulator/emulatorSettings/index.ts
@@ -3,6 +3,7 @@
 import { Address, parseAddress } from "../../ports/index.js";
 import { DEFAULT_ANNOUNCER_CONFIG } from "../announcer/index.js";
 import { DEFAULT_ENGINE_TIMING } from "../batch/index.js";
+import { DEFAULT_SOFTWARE } from "../upstreamState/index.js";
 
 /** Invalid settings of the emulator. */
 export class SettingsError extends Error {}
@@ -38,6 +39,8 @@
     zones: listSchema.refine(zones => zones.length > 0).default(["keflavik"]),
     /** Zones in which the engines that run from the start are reclaimable. */
     reclaimableZones: listSchema.default([]),
+    /** Versions of the software; the upstreams are assigned to them in turn. */
+    software: listSchema.refine(versions => versions.length > 0).default([DEFAULT_SOFTWARE]),
     /** Address to listen on. */
     host: z.string().default("127.0.0.1"),
     /** Port of the platform's API; 0 selects any free port. */
--- a/src/emulator/upstreamState/index.ts
+++ b/src/emulator/upstreamState/index.ts
@@ -15,8 +15,13 @@
     readonly reclaimable: boolean;
     /** Whether it refuses orders with an old fencing token. */
     readonly checksFence: boolean;
+    /** Version of its software; `DEFAULT_SOFTWARE` if left out. */
+    readonly software?: string;
 }
 
+/** Version of an emulated upstream's software where none is given. */
+export const DEFAULT_SOFTWARE = "1.0";
+
 /** Time after the first leaving announcement in which new requests do not count as late, in milliseconds. */
 const LEAVING_GRACE_MS = 2_000;
 
--- a/src/entry/checkGrant/index.ts
+++ b/src/entry/checkGrant/index.ts
@@ -1,5 +1,5 @@
 import { Grant, recordDecline, SendBlock } from "../../dispatch/index.js";
-import { UpstreamId } from "../../ids/index.js";
+import { SoftwareVersion, UpstreamId } from "../../ids/index.js";
 import { Outcome } from "../../protocol/index.js";
 import { RunningRequest } from "../../request/index.js";
 import { CallerError } from "../callerError/index.js";
@@ -17,6 +17,7 @@
  *
  * @param avoid - Upstreams that the request's next ticket avoids; the declined one is added.
  * @param outcome - The request's outcome if it fails.
+ * @param software - Version of the software that must run the request; undefined: any.
  */
 export function checkGrant(
     ctx: EntryContext,
@@ -24,8 +25,9 @@
     grant: Grant,
     avoid: UpstreamId[],
     outcome: Outcome,
+    software?: SoftwareVersion,
 ): GrantCheck {
-    const block = ctx.sendGuard.findBlock(grant);
+    const block = ctx.sendGuard.findBlock(grant, software);
     if (!block) return "usable";
     const { id: request, pool } = run.identity;
     const { upstream } = grant;
--- a/src/entry/entryContext/index.ts
+++ b/src/entry/entryContext/index.ts
@@ -4,7 +4,7 @@
 import { Clock, Random } from "../../ports/index.js";
 import { CrashGuard } from "../../quarantine/index.js";
 import { RequestRegistry } from "../../request/index.js";
-import { UpstreamHttp } from "../../upstream/index.js";
+import { SoftwareView, UpstreamHttp } from "../../upstream/index.js";
 import { ControlAccess } from "../controlAccess/index.js";
 import { SpendLimiter } from "../spendLimiter/index.js";
 import { UsageMeter } from "../usageMeter/index.js";
@@ -61,6 +61,8 @@
     readonly crashGuard: CrashGuard;
     /** Checks grants by what upstreams state in their answers. */
     readonly sendGuard: SendGuard;
+    /** The software versions of upstreams. */
+    readonly software: SoftwareView;
     readonly metrics: Metrics;
     readonly logger: Logger;
     readonly limits: EntryLimits;
--- a/src/entry/entryProcess/index.ts
+++ b/src/entry/entryProcess/index.ts
@@ -26,7 +26,7 @@
 import { UpstreamAccess } from "../../relay/index.js";
 import { RequestRegistry } from "../../request/index.js";
 import { TrueTime } from "../../time/index.js";
-import { NO_SIGNALS, RegistryTiming, UpstreamRegistry, UpstreamSignals } from "../../upstream/index.js";
+import { NO_SIGNALS, RegistryTiming, SoftwareView, UpstreamRegistry, UpstreamSignals } from "../../upstream/index.js";
 import { PositionCounter } from "../../usage/index.js";
 import { PeerIdentity, PeerRouter, PeerTiming, reportTraffic, servePeers } from "../../wire/index.js";
 import { AnnouncementForwarder } from "../announcementForwarder/index.js";
@@ -107,6 +107,7 @@
 export class EntryProcess {
     readonly requests = new RequestRegistry();
     readonly registry: UpstreamRegistry;
+    readonly software: SoftwareView;
     readonly control: FleetControl;
     /** Queues of the pools that this process owns. */
     readonly local: LocalDispatcher;
@@ -161,6 +162,7 @@
         });
         const owners = new PoolOwnerTable(region);
         this.registry = new UpstreamRegistry({ clock, timing: options.registryTiming });
+        this.software = new SoftwareView(this.registry);
         this.local = new LocalDispatcher({
             clock,
             random,
@@ -177,6 +179,7 @@
             self: self.host,
             directory: this.directory,
             registry: this.registry,
+            software: this.software,
             local: this.local,
             ownerOf: pool => this.dispatcher.ownerOf(pool),
             reportDeparture: (pool, departure) => {
@@ -391,6 +394,7 @@
             retryBudget: new AttemptBudget(this.options.clock, DEFAULT_RETRY_LIMITS),
             crashGuard: this.crashMonitor,
             sendGuard: this.signals,
+            software: this.software,
             upstreamHttp: this.access.http,
             isDraining: () => this.draining,
             isRefusing: () => this.refusingRequests,
@@ -417,6 +421,7 @@
             requests: this.requests,
             dispatcher: this.dispatcher,
             sendGuard: this.signals,
+            software: this.software,
             upstreamHttp: this.access.http,
             hasWay: () => this.access.hasWay,
             crashes: this.crashMonitor,
--- a/src/entry/entryProcessAdmin/index.ts
+++ b/src/entry/entryProcessAdmin/index.ts
@@ -86,6 +86,7 @@
         zone: announcement.zone,
         address: announcement.address,
         state: upstream.state,
+        software: upstream.software,
         slots: announcement.slots,
         running: announcement.load.running,
         queued: announcement.load.queued,
--- a/src/entry/routeService/index.ts
+++ b/src/entry/routeService/index.ts
@@ -11,7 +11,7 @@
 import { RequestRegistry } from "../../request/index.js";
 import { CallerLimits, DEFAULT_CALLER_LIMITS } from "../../routing/index.js";
 import { TrueTime } from "../../time/index.js";
-import { UpstreamHttp, UpstreamRegistry } from "../../upstream/index.js";
+import { SoftwareView, UpstreamHttp, UpstreamRegistry } from "../../upstream/index.js";
 import { PositionCounter, StartMeter } from "../../usage/index.js";
 import { PeerChannel, PeerIdentity, PeerRouter } from "../../wire/index.js";
 import { FleetRouteView } from "../fleetRouteView/index.js";
@@ -52,6 +52,8 @@
     readonly dispatcher: Dispatcher;
     /** Checks grants by what upstreams state in their answers. */
     readonly sendGuard: SendGuard;
+    /** The software versions of upstreams. */
+    readonly software: SoftwareView;
     /** Quarantine of requests that crash upstreams. */
     readonly crashes: CrashGuard;
     /** Clock that is synchronized with the control processes. */
--- a/src/entry/runChat/index.ts
+++ b/src/entry/runChat/index.ts
@@ -1,5 +1,5 @@
 import { Completion, findFailureOutcome, Grant, Refusal, Ticket, toTarget } from "../../dispatch/index.js";
-import { HostId, UpstreamId } from "../../ids/index.js";
+import { HostId, SoftwareVersion, UpstreamId } from "../../ids/index.js";
 import { EngineUsage, Outcome } from "../../protocol/index.js";
 import { RunningRequest } from "../../request/index.js";
 import { HoldLimits } from "../../usage/index.js";
@@ -46,6 +46,8 @@
     private readonly avoid: UpstreamId[] = [];
     private attemptCount = 0;
     private mayHaveRun = false;
+    /** Version of the software that began the answer; undefined before its first token, or where it is unknown. */
+    private software: SoftwareVersion | undefined;
 
     constructor(private readonly options: ChatOptions) {}
 
@@ -58,7 +60,7 @@
             const grant = decision.extract() as Grant;
             const leftMs = ctx.crashGuard.quarantineLeftMs(prepared.fingerprint);
             if (leftMs !== undefined) return this.releaseUnused(grant, leftMs);
-            const check = checkGrant(ctx, run, grant, this.avoid, this.failureOutcome());
+            const check = checkGrant(ctx, run, grant, this.avoid, this.failureOutcome(), this.software);
             if (check === "declined") continue;
             if (check !== "usable") return this.fail(check);
             const attempt = await this.attempt(grant);
@@ -74,7 +76,9 @@
         ctx.metrics.histogram("wait_ms", grant.waitedMs, this.tags());
         if (this.attemptCount++ === 0) ctx.retryBudget.recordFirstAttempt();
         const sentAtMs = run.ageMs();
-        const attempt = await sendChat(ctx, prepared, run, grant, sink);
+        const isStart = sink.tokens === 0;
+        const attempt = await sendChat(ctx, prepared, run, grant, sink, this.software);
+        if (isStart) this.software = attempt.software;
         this.mayHaveRun ||= attempt.mayHaveRun;
         this.recordTimes(attempt, sentAtMs);
         this.updateCrashGuard(grant, attempt);
@@ -127,6 +131,9 @@
         const { ctx, run, sink } = this.options;
         run.recordStep("attempt-failed", `${grant.upstream} with ${sink.tokens} tokens delivered: ${err.message}`);
         if (run.isCancelled) return makeCancelError(run.cancelReason!, this.failureOutcome());
+        if (sink.tokens > 0 && this.software === undefined) {
+            return makeUpstreamError(this.attemptCount, this.failureOutcome());
+        }
         if (run.cancelReason === "preempted") return undefined;
         if (err.reason === "rejected") return makeRejectionError(err);
         this.avoid.push(grant.upstream);
@@ -238,6 +245,7 @@
             resumable: true,
             repeatable: true,
             avoid: this.avoid,
+            ...(this.software === undefined ? {} : { software: this.software }),
             resumeOffset: sink.tokens,
         };
     }
--- a/src/entry/sendChat/index.ts
+++ b/src/entry/sendChat/index.ts
@@ -1,5 +1,6 @@
 import { Either, Left } from "purify-ts";
 import { Grant, MAX_PACE_GAP_MS, toTarget } from "../../dispatch/index.js";
+import { SoftwareVersion } from "../../ids/index.js";
 import { ENGINE_PATHS, EngineRequest } from "../../protocol/index.js";
 import { RunningRequest } from "../../request/index.js";
 import { PathError } from "../../upstream/index.js";
@@ -24,6 +25,8 @@
     readonly tokenMs?: number;
     /** Number of tokens received in this attempt. */
     readonly tokens: number;
+    /** Version of the software of the engine that sent the first token; undefined where none came, or the version is unknown. */
+    readonly software?: SoftwareVersion;
     /** Whether the engine turned the chat away and asked this host to back off. */
     readonly isTurnedAway?: boolean;
     /** Monotonic time at which it was sent, in milliseconds. */
@@ -39,6 +42,7 @@
  * not arrive within its limit, and the connection is reset so that no late data on it reaches another request.
  *
  * @param sink - Receives the tokens; the engine must continue after the tokens that the sink already has.
+ * @param required - Version of the software that must run the chat, since it began the answer; undefined: any.
  */
 export async function sendChat(
     ctx: EntryContext,
@@ -46,16 +50,18 @@
     run: RunningRequest,
     grant: Grant,
     sink: ChatSink,
+    required?: SoftwareVersion,
 ): Promise<ChatAttempt> {
     const { clock, limits } = ctx;
     const offset = sink.tokens;
     const sentAt = clock.monotonic();
     let isRelayed = false;
     let firstAt: number | undefined;
+    let software: SoftwareVersion | undefined;
     let lastAt = sentAt;
     let pausedMs = 0;
     const sent = await ctx.upstreamHttp.send({
-        target: toTarget(prepared.pool, grant),
+        target: toTarget(prepared.pool, grant, required),
         method: "POST",
         path: ENGINE_PATHS.chat,
         headers: [["content-type", "application/json"], ["accept", "text/event-stream"]],
@@ -81,6 +87,12 @@
         const failed = failedAttempt(new EngineStreamError(reason, `status ${reply.status}`), true);
         return { ...failed, sentAt, isRelayed, isTurnedAway: backOffMs !== undefined };
     }
+    // Another incarnation may have announced itself while the chat was on its way.
+    if (required !== undefined && ctx.software.find(grant) !== required) {
+        reply.reset();
+        const failed = failedAttempt(new EngineStreamError("refused", "the engine runs other software now"), true);
+        return { ...failed, sentAt, isRelayed };
+    }
     const stallTimer = new StallTimer(clock, () => run.cancel("stalled"));
     stallTimer.expectWithin(limits.firstTokenStallMs);
     const result = await readEngineStream(reply, run.identity.id, offset, ({ text, tokens }) => {
@@ -89,6 +101,7 @@
         if (firstAt !== undefined && gapMs > MAX_PACE_GAP_MS) pausedMs = Math.max(pausedMs, gapMs);
         if (firstAt === undefined) {
             firstAt = lastAt;
+            software = ctx.software.find(grant);
             stallTimer.expectWithin(limits.tokenStallMs);
         }
         stallTimer.touch();
@@ -104,6 +117,7 @@
         sentAt,
         isRelayed,
         tokens,
+        software,
         firstTokenMs: firstAt === undefined ? undefined : firstAt - sentAt,
         tokenMs: firstAt === undefined || tokens < 2 ? undefined : (lastAt - firstAt - pausedMs) / (tokens - 1),
     };
--- a/src/entry/signalExchange/index.ts
+++ b/src/entry/signalExchange/index.ts
@@ -4,7 +4,15 @@
 import { Logger } from "../../logging/index.js";
 import { Metrics } from "../../metrics/index.js";
 import { Clock } from "../../ports/index.js";
-import { BackOff, BackOffs, RequestLimit, RequestLimits, UpstreamRegistry } from "../../upstream/index.js";
+import {
+    BackOff,
+    BackOffs,
+    GrantedUpstream,
+    RequestLimit,
+    RequestLimits,
+    SoftwareView,
+    UpstreamRegistry,
+} from "../../upstream/index.js";
 import { PeerDirectory } from "../peerDirectory/index.js";
 import { BackOffNotice, DISPATCH_METHODS, LimitNotice } from "../ticketServer/index.js";
 
@@ -16,6 +24,7 @@
     readonly self: HostId;
     readonly directory: Pick<PeerDirectory, "linkTo">;
     readonly registry: Pick<UpstreamRegistry, "get" | "isDeparting" | "markLeaving">;
+    readonly software: Pick<SoftwareView, "find">;
     readonly local: Pick<LocalDispatcher, "recordLimit" | "recordRejectionLimit" | "recordBackOff">;
     /** Reports an upstream's departure to other hosts. */
     readonly reportDeparture: (pool: PoolId, departure: DepartureNotice) => void;
@@ -71,23 +80,16 @@
         if (isLeaving) this.recordDeparture(answer);
     }
 
-    findBlock({ upstream: id, incarnation }: Pick<Grant, "upstream" | "incarnation">): SendBlock | undefined {
-        const { registry } = this.options;
+    findBlock(grant: GrantedUpstream, software?: SoftwareVersion): SendBlock | undefined {
+        const { registry, software: softwareView } = this.options;
+        const { upstream: id, incarnation } = grant;
         if (registry.isDeparting(id, incarnation)) return { reason: "leaving" };
         if (registry.get(id)?.isZoneEvacuated) return { reason: "zone-evacuated" };
+        if (software !== undefined && softwareView.find(grant) !== software) return { reason: "other-software" };
         const backOff = this.backOffs.find(id);
         return backOff && { reason: "backing-off", ...backOff };
     }
 
-    findSoftware(
-        { upstream, incarnation, software }: Pick<Grant, "upstream" | "incarnation" | "software">,
-    ): SoftwareVersion | undefined {
-        const known = this.options.registry.get(upstream);
-        const knownIncarnation = known?.announcement.incarnation;
-        if (knownIncarnation === undefined || knownIncarnation < (incarnation ?? knownIncarnation)) return software;
-        return knownIncarnation === (incarnation ?? knownIncarnation) ? known?.software : undefined;
-    }
-
     /** Records the limits in a grant. */
     recordGrant(pool: PoolId, { upstream, limit, rejectionLimit }: Grant): void {
         if (limit || rejectionLimit) this.options.metrics.count("grants_limited", 1, { pool });
--- a/src/entry/signalExchange/test.ts
+++ b/src/entry/signalExchange/test.ts
@@ -1,11 +1,11 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { Grant } from "../../dispatch/index.js";
-import { HostId, PoolId, RequestId, UpstreamId } from "../../ids/index.js";
+import { HostId, PoolId, RequestId, SoftwareVersion, UpstreamId } from "../../ids/index.js";
 import { SilentLogger } from "../../logging/index.js";
 import { NoMetrics } from "../../metrics/index.js";
 import { VirtualClock } from "../../ports/index.js";
-import { makeAnnouncement, NO_SIGNALS, UpstreamRegistry, UpstreamSignals } from "../../upstream/index.js";
+import { makeAnnouncement, NO_SIGNALS, SoftwareView, UpstreamRegistry, UpstreamSignals } from "../../upstream/index.js";
 import { PeerLink } from "../../wire/index.js";
 import { SignalExchange } from "./index.js";
 
@@ -23,6 +23,7 @@
     const notify = (method: string): void => void notices.push(method);
     const exchange = new SignalExchange({
         clock,
+        software: new SoftwareView(registry),
         registry,
         logger: new SilentLogger(),
         metrics: new NoMetrics(),
@@ -112,6 +113,27 @@
         });
     });
 
+    describe("the software that must run a request", () => {
+        const OLD = "1.0" as SoftwareVersion;
+        const NEW = "2.0" as SoftwareVersion;
+
+        it("blocks grants for an upstream that runs other software, whatever the grant says", () => {
+            // The owner of a queue may know less than this host, or be of a build that ignores the constraint.
+            const { exchange } = makeExchange();
+            assert.equal(exchange.findBlock({ upstream: UPSTREAM, incarnation: 2 }, OLD), undefined);
+            const other = { upstream: UPSTREAM, incarnation: 2, software: NEW };
+            assert.deepEqual(exchange.findBlock(other, NEW), { reason: "other-software" });
+        });
+
+        it("blocks grants for an incarnation that has been replaced, or that nobody knows", () => {
+            const { exchange } = makeExchange();
+            const replaced = { upstream: UPSTREAM, incarnation: 1, software: OLD };
+            assert.deepEqual(exchange.findBlock(replaced, OLD), { reason: "other-software" });
+            const unknown = { upstream: "u9" as UpstreamId, incarnation: 1 };
+            assert.deepEqual(exchange.findBlock(unknown, OLD), { reason: "other-software" });
+        });
+    });
+
     describe("a departure", () => {
         it("blocks grants for that incarnation, and is reported once", () => {
             const { exchange, departures, record } = makeExchange();
--- a/src/load/crossCheck/index.ts
+++ b/src/load/crossCheck/index.ts
@@ -43,12 +43,12 @@
     request: TraceRequest,
     result: RequestResult,
     calls: ReadonlyMap<string, CallRuns>,
-    chats: ReadonlyMap<string, ChatRuns>,
-): CallRuns | ChatRuns | undefined {
+    chats: ReadonlyMap<string, Pick<ChatRuns, "runs">>,
+): Pick<ChatRuns, "runs"> | undefined {
     return request.kind === "service" ? calls.get(digestCall(request)) : chats.get(result.request ?? "");
 }
 
-function isUntruthful(result: RequestResult, runs: CallRuns | ChatRuns | undefined): boolean {
+function isUntruthful(result: RequestResult, runs: Pick<ChatRuns, "runs"> | undefined): boolean {
     if (result.verdict === "refused") return runs !== undefined;
     return result.verdict === "answered" && runs === undefined;
 }
--- a/src/passthrough/attempt/index.ts
+++ b/src/passthrough/attempt/index.ts
@@ -1,5 +1,5 @@
 import { Grant } from "../../dispatch/index.js";
-import { HostId, RequestId } from "../../ids/index.js";
+import { HostId, RequestId, SoftwareVersion } from "../../ids/index.js";
 import { HeaderList } from "../../ports/index.js";
 import { RunningRequest } from "../../request/index.js";
 import { CallAnswer } from "../callAnswer/index.js";
@@ -15,6 +15,8 @@
     readonly answer: CallAnswer;
     /** The part of the stream that the caller has received so far. */
     readonly stream: StreamState;
+    /** Version of the software that must run the call, since it began the stream; undefined: any. */
+    readonly required: SoftwareVersion | undefined;
     /**
      * Timeout for the upstream's first byte, in milliseconds; undefined when the call must not go to another upstream.
      */
--- a/src/passthrough/callContext/index.ts
+++ b/src/passthrough/callContext/index.ts
@@ -7,7 +7,7 @@
 import { RequestRegistry } from "../../request/index.js";
 import { RouteTable } from "../../routing/index.js";
 import { TrueTime } from "../../time/index.js";
-import { UpstreamHttp } from "../../upstream/index.js";
+import { SoftwareView, UpstreamHttp } from "../../upstream/index.js";
 import { StartMeter, UsageDurability } from "../../usage/index.js";
 import { CallDialect } from "../callDialect/index.js";
 import { RepeatBudget } from "../repeatBudget/index.js";
@@ -48,6 +48,8 @@
     readonly dispatcher: Dispatcher;
     /** Checks grants by what upstreams state in their answers. */
     readonly sendGuard: SendGuard;
+    /** The software versions of upstreams. */
+    readonly software: SoftwareView;
     readonly requests: RequestRegistry;
     readonly repeats: RepeatBudget;
     readonly crashes: CrashGuard;
--- a/src/passthrough/nextStep/index.ts
+++ b/src/passthrough/nextStep/index.ts
@@ -18,6 +18,8 @@
     readonly end: AttemptEnd;
     readonly kind: CallKind;
     readonly resumable: boolean;
+    /** Whether it is known which software must continue the stream; true for one that has not begun. */
+    readonly isSoftwareKnown: boolean;
     /** Number of upstreams that have, or may have, begun to work on the call. */
     readonly begun: number;
     /** Maximum number of upstreams that may begin to work on it. */
@@ -48,7 +50,7 @@
  */
 export function chooseNextStep(summary: AttemptSummary): NextStep {
     const { end, tries, tryTakeRepeat } = summary;
-    if (tries >= MAX_TRIES) return "give-up";
+    if (tries >= MAX_TRIES || !summary.isSoftwareKnown) return "give-up";
     if (end === "not-sent") return "again";
     if (end !== "refused" && !mayRepeat(summary)) return "give-up";
     return tryTakeRepeat() ? "again" : "give-up";
--- a/src/passthrough/nextStep/test.ts
+++ b/src/passthrough/nextStep/test.ts
@@ -6,6 +6,7 @@
     const summary: AttemptSummary = {
         end,
         kind: "once",
+        isSoftwareKnown: true,
         resumable: false,
         begun: 1,
         attempts: 2,
--- a/src/passthrough/relayStream/index.ts
+++ b/src/passthrough/relayStream/index.ts
@@ -60,7 +60,7 @@
 function recordEvents(ctx: CallContext, { call, grant, stream }: Attempt, { count, lastId }: ScannedEvents): void {
     const now = ctx.clock.monotonic();
     if (stream.eventCount === 0) {
-        stream.startedBy = ctx.sendGuard.findSoftware(grant);
+        stream.startedBy = ctx.software.find(grant);
         stream.firstEventMs = now - call.arrivedAt;
         stream.firstEventAt = now;
     }
@@ -98,7 +98,15 @@
     restart(): void {
         this.stop();
         if (this.timeoutMs === Number.POSITIVE_INFINITY) return;
-        this.timer = this.ctx.clock.after(this.timeoutMs, () => this.attempt.run.cancel("stalled"));
+        this.timer = this.ctx.clock.after(this.timeoutMs, () => this.cancelOrWait());
+    }
+
+    /** Waits on where no other upstream could continue the stream: an upstream may recover from its pause. */
+    private cancelOrWait(): void {
+        const { call: { pool }, grant: { upstream }, run, stream: { startedBy } } = this.attempt;
+        const isMovable = startedBy !== undefined && this.ctx.software.hasOther(pool, upstream, startedBy);
+        if (isMovable) run.cancel("stalled");
+        else this.restart();
     }
 
     stop(): void {
--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -117,7 +117,7 @@
     const decision = await ctx.dispatcher.submit(makeTicket(task), run.signal);
     if (decision.isLeft()) return endWithRefusal(task, decision.extract() as Refusal);
     const grant = decision.extract() as Grant;
-    const block = ctx.sendGuard.findBlock(grant);
+    const block = ctx.sendGuard.findBlock(grant, progress.stream.startedBy);
     if (block) return declineGrant(task, grant, block);
     const error = recheckKey(ctx, call) ?? checkQuarantine(ctx, call);
     if (run.isCancelled || error) {
@@ -125,7 +125,7 @@
         return run.isCancelled ? endCancelled(task) : failNotRun(task, error!);
     }
     progress.tries++;
-    progress.software = ctx.sendGuard.findSoftware(grant);
+    progress.software = ctx.software.find(grant);
     run.recordGrant(grant);
     const sentAt = ctx.clock.monotonic();
     const attempt = makeAttempt(task, grant);
@@ -194,14 +194,16 @@
         ? Math.max(minTimeoutMs, FIRST_BYTE_TARGET_FACTOR * call.route.targetMs)
         : undefined;
     const tokensPerEvent = tokensPerEventOf(ctx, call);
-    return { call, grant, run, answer, stream, firstByteTimeoutMs, ticketId, tokensPerEvent };
+    const required = stream.startedBy;
+    return { call, grant, run, answer, stream, required, firstByteTimeoutMs, ticketId, tokensPerEvent };
 }
 
 function decideNext({ ctx, call, progress }: CallTask, end: AttemptEnd) {
     const { kind, resumable, attempts } = call.route;
-    const { begun, tries } = progress;
+    const { begun, tries, stream } = progress;
+    const isSoftwareKnown = stream.eventCount === 0 || stream.startedBy !== undefined;
     const tryTakeRepeat = (): boolean => ctx.repeats.tryTake(call.pool, ctx.view.entryCount());
-    return chooseNextStep({ end, kind, resumable, begun, attempts, tries, tryTakeRepeat });
+    return chooseNextStep({ end, kind, resumable, isSoftwareKnown, begun, attempts, tries, tryTakeRepeat });
 }
 
 function recordAttempt(
@@ -223,7 +225,7 @@
         request,
         fingerprint,
         upstream,
-        software: ctx.sendGuard.findSoftware(grant),
+        software: ctx.software.find(grant),
         end,
         detail,
         connectionEnded,
@@ -368,6 +370,7 @@
         resumable: false,
         repeatable: route.kind === "idempotent",
         avoid: progress.avoid,
+        software: progress.stream.startedBy,
         resumeOffset: progress.stream.eventCount * tokensPerEvent,
     };
 }
--- a/src/passthrough/sendCall/index.ts
+++ b/src/passthrough/sendCall/index.ts
@@ -5,7 +5,6 @@
 import { CallContext } from "../callContext/index.js";
 import { ReplyHead } from "../callDialect/index.js";
 import { endWithHttpError } from "../endWithHttpError/index.js";
-import { PreparedCall } from "../prepareCall/index.js";
 import { relayAnswer } from "../relayAnswer/index.js";
 import { relayStream } from "../relayStream/index.js";
 
@@ -25,12 +24,12 @@
  * not reused.
  */
 export async function sendCall(ctx: CallContext, attempt: Attempt): Promise<AttemptResult> {
-    const { call, grant, run } = attempt;
+    const { call, grant, run, required } = attempt;
     const remainingMs = Math.floor(call.deadlineAt - ctx.clock.monotonic());
     if (remainingMs < MIN_REMAINING_MS) return { kind: "ended", end: "not-sent", detail: "no time is left" };
     const firstByteTimer = startFirstByteTimeout(ctx, attempt, remainingMs);
     const sent = await ctx.upstreamHttp.send({
-        target: toTarget(call.pool, grant),
+        target: toTarget(call.pool, grant, required),
         method: call.method,
         path: call.path,
         headers: ctx.dialect.writeHead(call.head, {
@@ -81,7 +80,7 @@
     }
     const reply = sent.unsafeCoerce();
     const head = ctx.dialect.readReply(reply);
-    const mismatch = findReplyMismatch(attempt.call, reply, head);
+    const mismatch = findReplyMismatch(ctx, attempt, reply, head);
     if (mismatch !== undefined) {
         reply.reset();
         return { kind: "ended", end: "lost", detail: mismatch };
@@ -125,8 +124,15 @@
 }
 
 /** Returns why an answer cannot belong to this call; undefined when it can. */
-function findReplyMismatch({ head }: PreparedCall, reply: HttpReply, answer: ReplyHead): string | undefined {
+function findReplyMismatch(
+    ctx: CallContext,
+    { call: { head }, grant, required }: Attempt,
+    reply: HttpReply,
+    answer: ReplyHead,
+): string | undefined {
     if (answer.request !== undefined && answer.request !== head.request) return "the answer is that of another call";
+    // Another incarnation may have announced itself while the call was on its way.
+    if (required !== undefined && ctx.software.find(grant) !== required) return "the upstream runs other software now";
     const isSuccess = reply.status < 300;
     return isSuccess && !answer.isSigned ? "a success without an upstream's mark" : undefined;
 }
--- a/src/relay/relayCall/index.ts
+++ b/src/relay/relayCall/index.ts
@@ -64,8 +64,9 @@
     };
 }
 
-function toRelayTarget({ pool, upstream, incarnation = 0, address }: UpstreamTarget): RelayTarget {
-    return { pool, upstream, incarnation, address: formatAddress(address) };
+function toRelayTarget({ pool, upstream, incarnation = 0, software, address }: UpstreamTarget): RelayTarget {
+    const required = software === undefined ? {} : { software };
+    return { pool, upstream, incarnation, ...required, address: formatAddress(address) };
 }
 
 /** Takes the time that has passed off the header that states the remaining time. */
--- a/src/relay/relayMessage/index.ts
+++ b/src/relay/relayMessage/index.ts
@@ -9,6 +9,8 @@
     readonly pool: string;
     readonly upstream: string;
     readonly incarnation: number;
+    /** Version of the software that must run the request; undefined: any. */
+    readonly software?: string;
     /** `IP:port`. */
     readonly address: string;
 }
--- a/src/relay/relayServer/index.ts
+++ b/src/relay/relayServer/index.ts
@@ -1,6 +1,6 @@
 import { Either } from "purify-ts";
 import { SendGuard } from "../../dispatch/index.js";
-import { PoolId, UpstreamId } from "../../ids/index.js";
+import { PoolId, SoftwareVersion, UpstreamId } from "../../ids/index.js";
 import { WaitCondition } from "../../lifecycle/index.js";
 import { Logger } from "../../logging/index.js";
 import { Metrics } from "../../metrics/index.js";
@@ -190,12 +190,15 @@
     }
 
     /** Returns the registered upstream that a request names; undefined where none runs there as named. */
-    private findTarget({ pool, upstream: id, incarnation, address }: RelayTarget): UpstreamTarget | undefined {
+    private findTarget(
+        { pool, upstream: id, incarnation, software, address }: RelayTarget,
+    ): UpstreamTarget | undefined {
         const upstream = this.options.registry.get(id as UpstreamId);
         if (!upstream || upstream.state === "gone" || !upstream.pools.includes(pool as PoolId)) return undefined;
         if (upstream.announcement.incarnation !== incarnation) return undefined;
         if (formatAddress(upstream.address) !== address) return undefined;
-        return { pool: pool as PoolId, upstream: upstream.id, incarnation, address: upstream.address };
+        const required = software === undefined ? {} : { software: software as SoftwareVersion };
+        return { pool: pool as PoolId, upstream: upstream.id, incarnation, ...required, address: upstream.address };
     }
 
     private findRefusal(target: UpstreamTarget, body: Uint8Array): RelayRefusal | undefined {
@@ -205,7 +208,8 @@
             return { reason: "full", detail: `${this.bodyBytes} bytes of requests are under way` };
         }
         if (this.options.paths.isLost(target)) return { reason: "cut-off", detail: "this host has lost its path too" };
-        const block = this.options.sendGuard.findBlock(target);
+        const { upstream, incarnation, software } = target;
+        const block = this.options.sendGuard.findBlock({ upstream, incarnation }, software);
         return block && { reason: "blocked", detail: block.reason, leftMs: block.leftMs };
     }
 
--- a/src/relay/relayServer/test.ts
+++ b/src/relay/relayServer/test.ts
@@ -1,8 +1,9 @@
 import assert from "node:assert/strict";
 import { afterEach, describe, it } from "node:test";
 import { AnswerSignals, SendBlock, SendGuard } from "../../dispatch/index.js";
+import { SoftwareVersion } from "../../ids/index.js";
 import { HttpCall, HttpHandler, readReplyText } from "../../ports/index.js";
-import { NO_SIGNALS } from "../../upstream/index.js";
+import { GrantedUpstream, NO_SIGNALS } from "../../upstream/index.js";
 import { RelayTestFleet, RelayTestFleetOptions } from "../fixtures/index.js";
 import { decodeRelayMessage, encodeRelayMessage, FRAME_KINDS, readRelayFrames } from "../relayFrame/index.js";
 import { RELAY_PATH, RelayAnswer, RelayRequest, RelayTarget } from "../relayMessage/index.js";
@@ -13,16 +14,15 @@
 class TestGuard extends SendGuard {
     readonly answers: AnswerSignals[] = [];
     block: SendBlock | undefined;
+    /** The software that the last request had to be run by. */
+    required: SoftwareVersion | undefined;
 
     recordAnswer(answer: AnswerSignals): void {
         this.answers.push(answer);
     }
 
-    findSoftware(): undefined {
-        return undefined;
-    }
-
-    findBlock(): SendBlock | undefined {
+    findBlock(_grant: GrantedUpstream, software?: SoftwareVersion): SendBlock | undefined {
+        this.required = software;
         return this.block;
     }
 }
@@ -120,6 +120,15 @@
         assert.deepEqual(paths, []);
     });
 
+    it("asks its own guard whether the upstream runs the software that must continue a stream", async () => {
+        // The host that asks may not have heard that the upstream came back with other software.
+        const fleet = await start();
+        guard.block = { reason: "other-software" };
+        const answered = await ask(makeCall(fleet, { software: "1.0" }));
+        assert.deepEqual([reasonOf(answered), guard.required], ["blocked", "1.0"]);
+        assert.deepEqual(paths, []);
+    });
+
     it("tells its own guard what an upstream's answer states", async () => {
         const fleet = await start({ signals: { ...NO_SIGNALS, backOffMs: 3_000 } });
         await ask(makeCall(fleet));
--- a/src/upstream/index.ts
+++ b/src/upstream/index.ts
@@ -20,6 +20,7 @@
 export * from "./requestLimits/index.js";
 export * from "./requestRate/index.js";
 export * from "./selectionPolicy/index.js";
+export * from "./softwareView/index.js";
 export * from "./stragglerPolicy/index.js";
 export * from "./upstream/index.js";
 export * from "./upstreamHttp/index.js";
--- a/src/upstream/upstreamHttp/index.ts
+++ b/src/upstream/upstreamHttp/index.ts
@@ -1,5 +1,5 @@
 import { Either } from "purify-ts";
-import { HostId, PoolId, UpstreamId } from "../../ids/index.js";
+import { HostId, PoolId, SoftwareVersion, UpstreamId } from "../../ids/index.js";
 import { Address, Http, HttpCall, HttpError, HttpReply } from "../../ports/index.js";
 
 /** The upstream that a request is meant for. */
@@ -8,6 +8,8 @@
     readonly upstream: UpstreamId;
     /** The run of the upstream; undefined where the sender does not know it. */
     readonly incarnation?: number;
+    /** Version of the software that must run the request; undefined: any. */
+    readonly software?: SoftwareVersion;
     readonly address: Address;
 }
 
