A stream that its caller takes up again goes on at the version that began it, at any host

Callers who came back after a broken connection got the rest of their stream from an upstream of any version: nobody knew where a stream had begun but the host that held its connection.

A try that takes a stream up asks all control processes. It stays in the pool in which the stream began, goes only to that version, and is refused as not run, with a time to come back, where the start is unknown, ambiguous or unconfirmed, or the document in force no longer allows it.

--- a/src/control/index.ts
+++ b/src/control/index.ts
@@ -33,6 +33,7 @@
 export * from "./quarantineService/index.js";
 export * from "./routingService/index.js";
 export * from "./serveOperators/index.js";
+export * from "./serveStreamStarts/index.js";
 export * from "./startsTable/index.js";
 export * from "./startsWindowCloser/index.js";
 export * from "./trpcHttp/index.js";
--- a/src/control/openUsageJournal/index.ts
+++ b/src/control/openUsageJournal/index.ts
@@ -2,10 +2,12 @@
 import { Lifecycle } from "../../lifecycle/index.js";
 import { Logger } from "../../logging/index.js";
 import { Clock, Disk } from "../../ports/index.js";
+import { StreamStartTable } from "../../resumption/index.js";
 import { UsageReport } from "../../usage/index.js";
 import { PeerRouter } from "../../wire/index.js";
 import { ControlState } from "../controlState/index.js";
 import { RoutingOptions } from "../routingService/index.js";
+import { serveStreamStarts } from "../serveStreamStarts/index.js";
 import { StartsTable } from "../startsTable/index.js";
 import { JournalOwner, UsageJournal } from "../usageJournal/index.js";
 
@@ -33,11 +35,14 @@
  * const journal = await openUsageJournal({ ...options, log, router, state, startsTable, lifecycle });
  */
 export async function openUsageJournal(options: OpenUsageJournalOptions): Promise<UsageJournal> {
-    const { log, startsTable, lifecycle, routing } = options;
+    const { clock, router, log, startsTable, lifecycle, routing } = options;
+    const streamStarts = new StreamStartTable(clock);
+    serveStreamStarts(router, streamStarts);
     const targetVoters = routing?.voters ?? 0;
     try {
         const journal = await UsageJournal.open({
             ...options,
+            streamStarts,
             owner: () => describeOwner(log, targetVoters),
             onReport: report => recordStarts(startsTable, report),
             onLoaded: ({ run, windows }) => startsTable.merge(run, windows),
--- a/src/control/usageCollector/test.ts
+++ b/src/control/usageCollector/test.ts
@@ -3,6 +3,7 @@
 import { FencingToken, WorkspaceId } from "../../ids/index.js";
 import { SilentLogger } from "../../logging/index.js";
 import { MemoryDisk, VirtualClock } from "../../ports/index.js";
+import { StreamStartTable } from "../../resumption/index.js";
 import { StartCounts } from "../../usage/index.js";
 import { PeerRouter } from "../../wire/index.js";
 import { ControlState } from "../controlState/index.js";
@@ -32,6 +33,7 @@
         router,
         state: new ControlState(),
         logger,
+        streamStarts: new StreamStartTable(clock),
         owner: () => ({ storeId: "a", isVoter: true, voters: 5 }),
         onReport: () => undefined,
         onLoaded: () => undefined,
--- a/src/control/usageJournal/index.ts
+++ b/src/control/usageJournal/index.ts
@@ -1,5 +1,6 @@
 import { Logger } from "../../logging/index.js";
 import { Clock, Disk } from "../../ports/index.js";
+import { groupStarts, listStarts, StreamStartTable } from "../../resumption/index.js";
 import { RecordJournal } from "../../store/index.js";
 import { EntryRunKey, hasUsage, RunStartWindows, UsageBatchCommand, UsageReport } from "../../usage/index.js";
 import { decodeValue, encodeValue, PeerRouter } from "../../wire/index.js";
@@ -42,6 +43,8 @@
     readonly router: PeerRouter;
     readonly state: ControlState;
     readonly logger: Logger;
+    /** Receives the starts of streams in reports and files. */
+    readonly streamStarts: StreamStartTable;
     /** Returns what this process is for the control log. */
     readonly owner: () => JournalOwner;
     /** Called with the request starts of each report, before they are stored. */
@@ -129,6 +132,7 @@
         run.heardAt = this.options.clock.monotonic();
         if (isContiguous(run, report)) {
             this.options.onReport(report);
+            this.addStreamStarts(report);
             if (report.upTo > run.position && hasUsage(report)) await this.store(run, report);
             run.position = Math.max(run.position, report.upTo);
         }
@@ -164,9 +168,15 @@
         await this.files.close();
     }
 
+    private addStreamStarts({ streams = [] }: UsageReport): void {
+        for (const start of listStarts(streams)) this.options.streamStarts.add(start);
+    }
+
     private load(report: UsageReport): void {
+        this.addStreamStarts(report);
+        if (report.host === NO_USAGE.host) return;
         const run = this.findOrAddRun(report);
-        run.reports.push({ ...report, receivedAt: this.options.clock.monotonic() });
+        run.reports.push(this.toStored(report));
         run.position = Math.max(run.position, report.upTo);
         this.options.onLoaded({ run: formatRunKey(report), windows: report.windows });
     }
@@ -179,7 +189,7 @@
     }
 
     private store(run: RunUsage, report: UsageReport): Promise<void> {
-        run.reports.push({ ...report, receivedAt: this.options.clock.monotonic() });
+        run.reports.push(this.toStored(report));
         return new Promise((resolve, reject) => {
             const settle = (err: Error | undefined): void => err ? reject(err) : resolve();
             this.pendingWrites.push({ body: encodeValue(report), settle });
@@ -187,6 +197,11 @@
         });
     }
 
+    /** Leaves out the starts of streams, which are kept in their own table. */
+    private toStored({ streams: _streams, ...report }: UsageReport): StoredReport {
+        return { ...report, receivedAt: this.options.clock.monotonic() };
+    }
+
     /** Writes one group of reports at a time; those that arrive meanwhile form the next group. */
     private async writePending(): Promise<void> {
         if (this.isWriting) return;
@@ -219,10 +234,12 @@
         }
     }
 
-    /** Replaces the files by one with the reports that are not known to be in the control log. */
+    /** Replaces the files by one with the reports that are not known to be in the control log, and the starts of streams. */
     private async compact(): Promise<void> {
         this.pruneAll();
-        const reports = [...this.runs.values()].flatMap(run => run.reports);
+        const reports: UsageReport[] = [...this.runs.values()].flatMap(run => run.reports);
+        const streams = groupStarts(this.options.streamStarts.list());
+        if (streams.length > 0) reports.push({ ...NO_USAGE, streams });
         await this.files.replaceAll(reports.map(encodeValue));
         this.compactAboveBytes = Math.max(MIN_COMPACTION_BYTES, 2 * this.files.size);
     }
@@ -250,6 +267,9 @@
     }
 }
 
+/** A report of no run, which carries the starts of streams when the files are compacted. */
+const NO_USAGE: UsageReport = { host: "", incarnation: "", after: 0, upTo: 0, recorded: 0, windows: [], batches: [] };
+
 /** Whether a report leaves out nothing that is neither stored here nor in the control log. */
 function isContiguous({ position }: RunUsage, { after, recorded }: UsageReport): boolean {
     return after <= position || after <= recorded;
--- a/src/control/usageJournal/test.ts
+++ b/src/control/usageJournal/test.ts
@@ -1,8 +1,9 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { LogIndex, WorkspaceId } from "../../ids/index.js";
+import { LogIndex, PoolId, RequestId, SoftwareVersion, WorkspaceId } from "../../ids/index.js";
 import { SilentLogger } from "../../logging/index.js";
 import { MemoryDisk, VirtualClock } from "../../ports/index.js";
+import { StreamStartGroup, StreamStartTable } from "../../resumption/index.js";
 import { RunStartWindows, StartCounts, UsageBatchCommand, UsageReport } from "../../usage/index.js";
 import { PeerRouter } from "../../wire/index.js";
 import { ControlState } from "../controlState/index.js";
@@ -22,15 +23,22 @@
     return { kind: "usage.batch", ...RUN, sequence, sums: [] };
 }
 
+function makeStreams(attempt: string, keepMs = 60_000): StreamStartGroup {
+    const origin = { workspace: BUTCHER, pool: "draft" as PoolId, software: "1.0" as SoftwareVersion, keepMs };
+    return { ...origin, attempts: [attempt as RequestId] };
+}
+
 class TestJournal {
     readonly clock = new VirtualClock();
     readonly disk = new MemoryDisk(this.clock);
     state = new ControlState();
     loaded: RunStartWindows[] = [];
     reported: UsageReport[] = [];
+    streamStarts = new StreamStartTable(this.clock);
 
     async open(): Promise<UsageJournal> {
         this.loaded = [];
+        this.streamStarts = new StreamStartTable(this.clock);
         return this.clock.runUntil(
             UsageJournal.open({
                 clock: this.clock,
@@ -38,6 +46,7 @@
                 router: new PeerRouter(),
                 state: this.state,
                 logger: new SilentLogger(),
+                streamStarts: this.streamStarts,
                 owner: () => OWNER,
                 onReport: report => this.reported.push(report),
                 onLoaded: starts => this.loaded.push(starts),
@@ -151,4 +160,37 @@
             assert.deepEqual(reopened.listBatches().map(({ sequence }) => sequence), [2]);
         });
     });
+
+    describe("the starts of streams", () => {
+        function findSoftware({ streamStarts }: TestJournal, attempt: string): string[] {
+            return streamStarts.find(BUTCHER, attempt as RequestId).map(({ software }) => software);
+        }
+
+        it("are known as soon as they arrive, and survive a loss of power once they are acknowledged", async () => {
+            // Otherwise no stream could go on after a loss of power at all hosts.
+            const test = new TestJournal();
+            const journal = await test.open();
+            test.disk.syncDurationMs = 20;
+            const accepted = journal.accept(makeReport(0, 1, { windows: [], streams: [makeStreams("a")] }));
+            assert.deepEqual(findSoftware(test, "a"), ["1.0"]);
+            assert.equal((await test.run(accepted)).position, 1);
+            test.disk.crash();
+            await test.open();
+            assert.deepEqual(findSoftware(test, "a"), ["1.0"]);
+        });
+
+        it("survive when the usage that was stored with them is removed from the files", async () => {
+            // They are not in the control log, so the files alone have them.
+            const test = new TestJournal();
+            const journal = await test.open();
+            await test.run(journal.accept(makeReport(0, 1, { streams: [makeStreams("a"), makeStreams("old", 1)] })));
+            for (let upTo = 2; upTo < 3_000; upTo++) {
+                test.recordStarts(upTo);
+                await test.run(journal.accept(makeReport(upTo - 1, upTo)));
+            }
+            test.disk.crash();
+            await test.open();
+            assert.deepEqual([findSoftware(test, "a"), findSoftware(test, "old")], [["1.0"], []]);
+        });
+    });
 });
--- a/src/entry/entryProcess/index.ts
+++ b/src/entry/entryProcess/index.ts
@@ -38,6 +38,7 @@
 import { EvacuationMonitor } from "../evacuationMonitor/index.js";
 import { FleetControl } from "../fleetControl/index.js";
 import { FleetDispatcher } from "../fleetDispatcher/index.js";
+import { FleetStreamStarts } from "../fleetStreamStarts/index.js";
 import { PeerDirectory } from "../peerDirectory/index.js";
 import { PeerUsageBackup } from "../peerUsageBackup/index.js";
 import { readNativeSignals } from "../reportSignals/index.js";
@@ -48,6 +49,7 @@
 import { SignalExchange } from "../signalExchange/index.js";
 import { SoftwareMonitor } from "../softwareMonitor/index.js";
 import { SpendLimiter } from "../spendLimiter/index.js";
+import { StreamStartLog } from "../streamStartLog/index.js";
 import { TicketServer } from "../ticketServer/index.js";
 import { UsageBackupStore } from "../usageBackupStore/index.js";
 import { UsageMeter } from "../usageMeter/index.js";
@@ -428,11 +430,20 @@
             time: this.trueTime,
             positions,
             replicator: this.replicator,
+            streams: this.makeStreamStarts(positions),
             isDraining: () => this.draining,
             requiredLevel: () => this.dispatcher.mayOwnQueues() ? "all" : "membership",
         });
     }
 
+    private makeStreamStarts(positions: PositionCounter): FleetStreamStarts {
+        const { clock } = this.options;
+        const log = new StreamStartLog(clock, positions);
+        this.replicator.add(log);
+        const report = (): void => this.replicator.notifyChange();
+        return new FleetStreamStarts({ clock, log, links: this.controlLinks.list, report });
+    }
+
     private applyEvacuatedZones(zones: readonly ZoneId[]): void {
         this.evacuationMonitor.setZones(zones, this.cache.revision);
         this.registry.setEvacuatedZones(zones, pool => this.sendAllowance.coldMsOf(pool));
--- a/src/entry/routeService/index.ts
+++ b/src/entry/routeService/index.ts
@@ -9,6 +9,7 @@
 import { Address, Clock, formatAddress, Http, HttpLimits, HttpListener, Random } from "../../ports/index.js";
 import { CrashGuard } from "../../quarantine/index.js";
 import { RequestRegistry } from "../../request/index.js";
+import { StreamStartRegistry } from "../../resumption/index.js";
 import { CallerLimits, DEFAULT_CALLER_LIMITS } from "../../routing/index.js";
 import { TrueTime } from "../../time/index.js";
 import { SoftwareView, UpstreamHttp, UpstreamRegistry } from "../../upstream/index.js";
@@ -61,6 +62,8 @@
     /** Numbers the usage that this entry counts. */
     readonly positions: PositionCounter;
     readonly replicator: UsageReplicator;
+    /** Remembers where streams began. */
+    readonly streams: StreamStartRegistry;
     readonly isDraining: () => boolean;
     /** Returns the level of detail needed in announcements of upstreams. */
     readonly requiredLevel: () => UpdateLevel;
--- a/src/entry/usageReplicator/index.ts
+++ b/src/entry/usageReplicator/index.ts
@@ -316,6 +316,7 @@
     private makeReport(after: number): UsageReport {
         const { self: { host, incarnation }, positions, trueNow } = this.options;
         const changes = this.sources.map(source => source.listChanges(after));
+        const streams = changes.flatMap(each => each.streams ?? []);
         return {
             host,
             incarnation,
@@ -324,6 +325,7 @@
             recorded: this.recordedPosition,
             windows: changes.flatMap(({ windows = [] }) => windows),
             batches: changes.flatMap(({ batches = [] }) => batches),
+            ...(streams.length > 0 ? { streams } : {}),
             ...(this.countsStarts ? { countedAt: trueNow() } : {}),
         };
     }
--- a/src/faultInjection/routedFleet/index.ts
+++ b/src/faultInjection/routedFleet/index.ts
@@ -189,6 +189,14 @@
         for (const upstream of this.upstreams.keys()) this.fabric.restorePath(entryHost(entry), upstreamHost(upstream));
     }
 
+    /** Isolates an entry from all other entries and from control hosts, or reconnects it; callers and upstreams still reach it. */
+    isolateEntry(number: number, isCut: boolean): void {
+        const entries = this.entries.map((_, entry) => entryHost(entry));
+        const controls = this.controls.map((_, control) => controlAddress(control).host);
+        const others = [...entries, ...controls].filter(host => host !== entryHost(number));
+        this.fabric.isolate(entryHost(number), others, isCut);
+    }
+
     /** Isolates all entries from each other and from control hosts; they still reach upstreams. */
     cutEntriesApart(): void {
         const entries = this.entries.map((_, entry) => entryHost(entry));
--- a/src/passthrough/callContext/index.ts
+++ b/src/passthrough/callContext/index.ts
@@ -5,6 +5,7 @@
 import { Clock, Random } from "../../ports/index.js";
 import { CrashGuard } from "../../quarantine/index.js";
 import { RequestRegistry } from "../../request/index.js";
+import { StreamStartRegistry } from "../../resumption/index.js";
 import { RouteTable } from "../../routing/index.js";
 import { TrueTime } from "../../time/index.js";
 import { SoftwareView, UpstreamHttp } from "../../upstream/index.js";
@@ -54,6 +55,8 @@
     readonly repeats: RepeatBudget;
     readonly crashes: CrashGuard;
     readonly starts: StartMeter;
+    /** Remembers where streams began. */
+    readonly streams: StreamStartRegistry;
     /** Holds back answers until their starts are durable. */
     readonly durability: UsageDurability;
     readonly time: TrueTime;
--- a/src/passthrough/callDialect/index.ts
+++ b/src/passthrough/callDialect/index.ts
@@ -22,8 +22,8 @@
     readonly parts: readonly PromptPart[];
     /** The last event that the caller has received, when it resumes a stream. */
     readonly lastEventId: string | undefined;
-    /** The caller's id of the attempt that brought the stream's first event, when it resumes a stream. */
-    readonly resumes: RequestId | undefined;
+    /** The caller's ids of the attempts that it says brought the stream's first event; one where it resumes a stream correctly. */
+    readonly resumes: readonly RequestId[];
     /**
      * Headers forwarded to the upstream unchanged: without the key, hop-by-hop headers and headers that this system
      * sets.
--- a/src/passthrough/callError/index.ts
+++ b/src/passthrough/callError/index.ts
@@ -14,6 +14,7 @@
     | "over-capacity"
     | "refused"
     | "quarantined"
+    | "not-resumable"
     | "timeout-waiting"
     | "timeout-running"
     | "upstream-lost";
@@ -36,6 +37,7 @@
     "over-capacity": { status: 503, notRun: true },
     "refused": { status: 503, notRun: true },
     "quarantined": { status: 503, notRun: true },
+    "not-resumable": { status: 503, notRun: true },
     "timeout-waiting": { status: 503, notRun: true },
     "timeout-running": { status: 504, notRun: false },
     "upstream-lost": { status: 502, notRun: false },
--- a/src/passthrough/nativeDialect/index.ts
+++ b/src/passthrough/nativeDialect/index.ts
@@ -1,7 +1,7 @@
 import { Either, Left, Right } from "purify-ts";
 import * as z from "zod";
 import { RequestId, UpstreamId } from "../../ids/index.js";
-import { findHeader, formatAddress, HeaderList, HttpReply, HttpRequest } from "../../ports/index.js";
+import { findHeader, findHeaders, formatAddress, HeaderList, HttpReply, HttpRequest } from "../../ports/index.js";
 import { LEAVING_HEADER, REJECTION_LIMIT_HEADER, REQUEST_LIMIT_HEADER } from "../../protocol/index.js";
 import { PromptPart } from "../../upstream/index.js";
 import {
@@ -89,7 +89,7 @@
             hintedTokens: undefined,
             parts: readParts(findHeader(headers, CALL_HEADERS.parts)),
             lastEventId: findHeader(headers, CALL_HEADERS.lastEventId),
-            resumes: findHeader(headers, CALL_HEADERS.resumes) as RequestId | undefined,
+            resumes: findHeaders(headers, CALL_HEADERS.resumes) as RequestId[],
             headers: endToEndHeaders(headers, HEADERS_NOT_FORWARDED),
         });
     }
--- a/src/passthrough/prepareCall/index.ts
+++ b/src/passthrough/prepareCall/index.ts
@@ -2,10 +2,12 @@
 import { PoolId, RequestFingerprint, WorkspaceId } from "../../ids/index.js";
 import { BodyError, findHeader, HttpRequest } from "../../ports/index.js";
 import { fingerprintRequest } from "../../quarantine/index.js";
+import { StreamStart } from "../../resumption/index.js";
 import { pickTargetPool, Route, RouteTable } from "../../routing/index.js";
 import { CallContext } from "../callContext/index.js";
 import { CallHead } from "../callDialect/index.js";
 import { CallError, CallErrorKind } from "../callError/index.js";
+import { resolveResumption } from "../resolveResumption/index.js";
 
 /**
  * Retry delay of calls refused for lack of a fresh document, in milliseconds: a lost holder of the control lease is
@@ -33,6 +35,8 @@
     readonly fingerprint: RequestFingerprint;
     readonly route: Route;
     readonly pool: PoolId;
+    /** Where the stream began that the call takes up; undefined for a call that takes none up. */
+    readonly resumption: StreamStart | undefined;
     /** Undefined where the route needs no key. */
     readonly workspace: WorkspaceId | undefined;
     /** 0 is the highest. */
@@ -72,6 +76,9 @@
     if (read.isLeft()) return read as Either<CallError, never>;
     const { head, route, caller } = read.unsafeCoerce();
     const body = await req.body(routes.limits.bodyBytes);
+    const resolved = await resolveResumption(ctx, route, caller.workspace, head);
+    if (resolved.isLeft()) return resolved as Either<CallError, never>;
+    const resumption = resolved.unsafeCoerce();
     const limitMs = Math.min(route.timeoutMs, head.deadlineMs ?? Number.POSITIVE_INFINITY);
     const prepared = body.mapLeft(toCallError).map((bytes): PreparedCall => ({
         ...caller,
@@ -81,7 +88,8 @@
         path: req.path,
         body: bytes,
         fingerprint: fingerprintRequest({ ...caller, ...requestTarget(req), body: bytes }),
-        pool: pickTargetPool(route, ctx.random),
+        pool: resumption?.pool ?? pickTargetPool(route, ctx.random),
+        resumption,
         arrivedAt,
         deadlineAt: arrivedAt + limitMs,
     }));
--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -117,7 +117,7 @@
     const decision = await ctx.dispatcher.submit(makeTicket(task), run.signal);
     if (decision.isLeft()) return endWithRefusal(task, decision.extract() as Refusal);
     const grant = decision.extract() as Grant;
-    const block = ctx.sendGuard.findBlock(grant, progress.stream.startedBy);
+    const block = ctx.sendGuard.findBlock(grant, requiredSoftware(task));
     if (block) return declineGrant(task, grant, block);
     const error = recheckKey(ctx, call) ?? checkQuarantine(ctx, call);
     if (run.isCancelled || error) {
@@ -194,7 +194,7 @@
         ? Math.max(minTimeoutMs, FIRST_BYTE_TARGET_FACTOR * call.route.targetMs)
         : undefined;
     const tokensPerEvent = tokensPerEventOf(ctx, call);
-    const required = stream.startedBy;
+    const required = requiredSoftware({ call, progress });
     return { call, grant, run, answer, stream, required, firstByteTimeoutMs, ticketId, tokensPerEvent };
 }
 
@@ -370,11 +370,16 @@
         resumable: false,
         repeatable: route.kind === "idempotent",
         avoid: progress.avoid,
-        software: progress.stream.startedBy,
+        software: requiredSoftware({ call, progress }),
         resumeOffset: progress.stream.eventCount * tokensPerEvent,
     };
 }
 
+/** Returns the version of the software that must run the call, since it began the stream; undefined: any. */
+function requiredSoftware({ call, progress }: Pick<CallTask, "call" | "progress">): SoftwareVersion | undefined {
+    return progress.stream.startedBy ?? call.resumption?.software;
+}
+
 function tokensPerEventOf(ctx: CallContext, { pool }: PreparedCall): number {
     return ctx.view.routes()?.findPool(pool)?.engine?.tokensPerEvent ?? 1;
 }
--- a/src/passthrough/sendCall/index.ts
+++ b/src/passthrough/sendCall/index.ts
@@ -5,6 +5,7 @@
 import { CallContext } from "../callContext/index.js";
 import { ReplyHead } from "../callDialect/index.js";
 import { endWithHttpError } from "../endWithHttpError/index.js";
+import { recordStart } from "../recordStart/index.js";
 import { relayAnswer } from "../relayAnswer/index.js";
 import { relayStream } from "../relayStream/index.js";
 
@@ -91,7 +92,6 @@
         const { misdirected } = head;
         return { kind: "ended", end: "refused", detail: `the upstream answers ${reply.status}`, misdirected };
     }
-    recordStart(ctx, attempt);
     const result = await relay(ctx, attempt, reply, head);
     return result.kind === "ended" ? { ...result, isTurnedAway: head.signals.backOffMs !== undefined } : result;
 }
@@ -104,6 +104,7 @@
 ): Promise<AttemptResult> | AttemptResult {
     const isStream = attempt.call.route.kind === "stream" && reply.status < 300 && isEventStream(reply);
     if (isStream) return relayStream(ctx, attempt, reply, head);
+    recordStart(ctx, attempt, ctx.time.now());
     return attempt.answer.sentStatus === undefined ? relayAnswer(ctx, attempt, reply, head) : rejectContinuation(reply);
 }
 
@@ -141,12 +142,6 @@
     return findHeader(headers, "content-type")?.startsWith("text/event-stream") ?? false;
 }
 
-/** Records a request start for the call's workspace, at the first byte of its answer. */
-function recordStart(ctx: CallContext, { call, stream }: Attempt): void {
-    if (call.workspace === undefined || stream.isHeadSent) return;
-    stream.startPosition = ctx.starts.recordStart(call.workspace, ctx.time.now());
-}
-
 /** Reads and discards the rest of an answer, so that its connection can be reused. */
 async function drainBody(reply: HttpReply): Promise<void> {
     try {
--- a/src/passthrough/serveCalls/index.ts
+++ b/src/passthrough/serveCalls/index.ts
@@ -87,7 +87,7 @@
         firstMs,
         events: stream.eventCount,
         startedBy: stream.startedBy,
-        resumes: head.resumes,
+        resumes: head.resumes.join(" ") || undefined,
         lastEventId: head.lastEventId,
         gapMs: Math.round(stream.longestGapMs),
         targetMs: route.targetMs,
--- a/src/platform/platformDialect/index.ts
+++ b/src/platform/platformDialect/index.ts
@@ -13,7 +13,7 @@
     UpstreamCallFields,
     UpstreamQuery,
 } from "../../passthrough/index.js";
-import { findHeader, formatAddress, HeaderList, HttpReply, HttpRequest } from "../../ports/index.js";
+import { findHeader, findHeaders, formatAddress, HeaderList, HttpReply, HttpRequest } from "../../ports/index.js";
 import { PromptPart } from "../../upstream/index.js";
 
 /** Names of the platform's headers. */
@@ -100,7 +100,7 @@
             model: findHeader(headers, HEADER_NAMES.model),
             parts: parsePromptParts(findHeader(headers, HEADER_NAMES.prefix)),
             lastEventId: findHeader(headers, HEADER_NAMES.lastEventId),
-            resumes: findHeader(headers, HEADER_NAMES.resumes) as RequestId | undefined,
+            resumes: findHeaders(headers, HEADER_NAMES.resumes) as RequestId[],
             headers: dropHeadersWithKey(endToEndHeaders(headers, RESERVED_HEADERS), key),
         });
     }
--- a/src/ports/http/index.ts
+++ b/src/ports/http/index.ts
@@ -147,6 +147,15 @@
     return headers.find(([key]) => key === name)?.[1];
 }
 
+/**
+ * Returns the values of all headers with a name, in their order.
+ *
+ * @param name - In lower case.
+ */
+export function findHeaders(headers: HeaderList, name: string): string[] {
+    return headers.filter(([key]) => key === name).map(([, value]) => value);
+}
+
 /**
  * Reads the whole body of a response as text.
  *
--- a/src/upstream/softwareView/index.ts
+++ b/src/upstream/softwareView/index.ts
@@ -37,11 +37,9 @@
         );
     }
 
-    /** Whether the upstreams of a pool run several versions, as far as known. */
+    /** Whether the upstreams of a pool that announce themselves run several versions; an unknown one counts as another. */
     isMixed(pool: PoolId): boolean {
-        const versions = new Set(
-            this.registry.list(pool).filter(({ state }) => state !== "gone").map(({ software }) => software),
-        );
-        return versions.size > 1;
+        const serving = this.registry.list(pool).filter(({ state }) => state === "ready" || state === "leaving");
+        return new Set(serving.map(({ software }) => software)).size > 1;
     }
 }
--- a/src/usage/usageReport/index.ts
+++ b/src/usage/usageReport/index.ts
@@ -1,3 +1,4 @@
+import { StreamStartGroup } from "../../resumption/index.js";
 import { StartWindowCounts } from "../startMeter/index.js";
 import { UsageBatchCommand } from "../usageCommands/index.js";
 
@@ -7,6 +8,8 @@
     readonly windows: readonly StartWindowCounts[];
     /** Batches closed in the range; they never change. */
     readonly batches: readonly UsageBatchCommand[];
+    /** Where streams began, in the range; undefined for none. */
+    readonly streams?: readonly StreamStartGroup[];
 }
 
 /**
@@ -26,7 +29,7 @@
     readonly isLast?: boolean;
 }
 
-/** Whether a report contains any usage. */
-export function hasUsage({ windows, batches }: UsageChanges): boolean {
-    return windows.length > 0 || batches.length > 0;
+/** Whether a report contains anything to store. */
+export function hasUsage({ windows, batches, streams = [] }: UsageChanges): boolean {
+    return windows.length > 0 || batches.length > 0 || streams.length > 0;
 }
