Random schedules of upstreams with several software versions

Checked over all tries of a caller: events of one version, none missing or twice, no refused try that ran, and the share of streams that go on.

--- a/src/faultInjection/index.ts
+++ b/src/faultInjection/index.ts
@@ -1,5 +1,6 @@
 /** Simulated fleets of real processes over in-memory ports, with faults drawn from a seed or injected by a test. */
 export * from "./callSchedule/index.js";
+export * from "./checkStreams/index.js";
 export * from "./pathSchedule/index.js";
 export * from "./powerSchedule/index.js";
 export * from "./recordingLogger/index.js";
@@ -7,5 +8,6 @@
 export * from "./routedFleet/index.js";
 export * from "./schedule/index.js";
 export * from "./sendCalls/index.js";
+export * from "./softwareSchedule/index.js";
 export * from "./streamCaller/index.js";
 export * from "./testCaller/index.js";
--- a/src/faultInjection/routedFleet/index.ts
+++ b/src/faultInjection/routedFleet/index.ts
@@ -294,13 +294,13 @@
     async addUpstream(options: Partial<EmulatedCallUpstreamOptions>): Promise<number> {
         const number = this.upstreams.length;
         this.upstreams.push(await EmulatedCallUpstream.start(this.makeUpstreamOptions(number, options)));
-        await this.announce(number, "ready");
+        await this.announce(number, "ready", this.liveControl());
         return number;
     }
 
     /** Has an upstream announce that it leaves, and end after a time, in milliseconds, with all calls that still run there. */
     async retireUpstream(number: number, afterMs: number): Promise<void> {
-        await this.announce(number, "leaving");
+        await this.announce(number, "leaving", this.liveControl());
         this.clock.after(afterMs, () => void this.upstreams[number].crash());
     }
 
@@ -321,6 +321,10 @@
         return this.run(publisher.receive(this.upstreams[upstream].announce(state)));
     }
 
+    private liveControl(): number {
+        return this.controls.findIndex(control => control !== undefined);
+    }
+
     private async announcePeriodically(): Promise<void> {
         while (!this.announcementsAbort.signal.aborted) {
             for (const [number, upstream] of this.upstreams.entries()) {
--- a/src/tools/soak/main.ts
+++ b/src/tools/soak/main.ts
@@ -1,10 +1,16 @@
 /**
- * Runs random fault schedules, one per seed, against the control log, against routed calls, with hosts that lose their paths to upstreams, or
- * with a loss of all power:
+ * Runs random fault schedules, one per seed, against the control log, against routed calls, with hosts that lose their paths to upstreams,
+ * with a loss of all power, or with upstreams of several software versions:
  * `node dist/tools/soak/main.js --schedule calls --seeds 500 --from 1`.
  */
 import { cac } from "cac";
-import { runCallSchedule, runPathSchedule, runPowerSchedule, runReplicaSchedule } from "../../faultInjection/index.js";
+import {
+    runCallSchedule,
+    runPathSchedule,
+    runPowerSchedule,
+    runReplicaSchedule,
+    runSoftwareSchedule,
+} from "../../faultInjection/index.js";
 
 interface SoakOptions {
     readonly schedule: string;
@@ -26,6 +32,10 @@
         const { calls, answered, judged, falls } = await runPathSchedule(seed);
         return `${answered} of ${calls} answered, ${judged} losses judged, ${falls} falls`;
     },
+    software: async seed => {
+        const { sent, begun, resumed, continued, whole } = await runSoftwareSchedule(seed);
+        return `${begun} of ${sent} streams begun, ${continued} of ${resumed} went on, ${whole} whole`;
+    },
     power: async seed => {
         const { answered, counted, ran } = await runPowerSchedule(seed);
         return `${answered} answered, ${counted} counted, ${ran} ran`;
