A stream goes on at an upstream only while its announced incarnation certainly runs

Whoever decides now gives such a ticket only an upstream whose newest announcement came after its last failure, and is at most half of the time old after which it counts as silent.

--- a/src/dispatch/heldTickets/test.ts
+++ b/src/dispatch/heldTickets/test.ts
@@ -5,7 +5,7 @@
 import { makeAnnouncement, UpstreamRegistry } from "../../upstream/index.js";
 import { makeTicket } from "../_lib/fixtures.js";
 import { LocalDispatcher } from "../localDispatcher/index.js";
-import { Grant, Refusal, Ticket } from "../ticket/index.js";
+import { Completion, Grant, Refusal, Ticket } from "../ticket/index.js";
 
 /** Time after the start in which an owner may not have heard of all upstreams, in milliseconds. */
 const DISCOVERY_MS = 2_000;
@@ -49,9 +49,13 @@
         await this.clock.advance(1);
     }
 
-    async complete(request: string, upstream: string): Promise<void> {
+    async complete(
+        request: string,
+        upstream: string,
+        outcome: Completion["outcome"] = "answered",
+    ): Promise<void> {
         const ids = { request: request as RequestId, upstream: upstream as UpstreamId };
-        this.dispatcher.complete({ ...ids, outcome: "answered", ...NOTHING_USED });
+        this.dispatcher.complete({ ...ids, outcome, ...NOTHING_USED });
         await this.clock.advance(1);
     }
 
@@ -130,4 +134,30 @@
         await pool.submit("lost", { software: "2.0" });
         assert.deepEqual(pool.decisions, ["lost no-upstream"]);
     });
+
+    describe("at an upstream that may have come back with other software at its address", () => {
+        it("wait for its next announcement after it has failed a request", async () => {
+            // It crashed, and has not announced its next incarnation yet.
+            const pool = new MixedPool();
+            await pool.submit("a", { software: "2.0" });
+            await pool.submit("b", { software: "2.0" });
+            await pool.complete("b", pool.upstreamOf("b")!, "failed");
+            await pool.clock.advance(600);
+            await pool.submit("late", { software: "2.0" });
+            assert.equal(pool.upstreamOf("late"), undefined);
+            pool.announce();
+            await pool.clock.advance(50);
+            assert.equal(pool.upstreamOf("late"), pool.upstreamOf("b"));
+        });
+
+        it("wait for its next announcement when the last one is old", async () => {
+            const pool = new MixedPool();
+            await pool.clock.advance(1_100);
+            await pool.submit("late", { software: "2.0" });
+            assert.equal(pool.upstreamOf("late"), undefined);
+            pool.announce();
+            await pool.clock.advance(50);
+            assert.notEqual(pool.upstreamOf("late"), undefined);
+        });
+    });
 });
--- a/src/dispatch/upstreamPicker/index.ts
+++ b/src/dispatch/upstreamPicker/index.ts
@@ -67,7 +67,7 @@
      */
     backOffLeftMs({ origin: host, software }: Ticket, now: number): number {
         const { members, backOffs } = this.options;
-        const ready = members.all.filter(load => load.isReady(now) && runsSoftware(load, software));
+        const ready = members.all.filter(load => load.isReady(now) && announcesSoftware(load, software));
         return ready.length === 0
             ? 0
             : Math.min(...ready.map(({ upstream }) => backOffs.leftMs(host, upstream.id, now)));
@@ -146,7 +146,9 @@
     }
 
     private isEligible({ origin, software }: Ticket, load: UpstreamLoad, now: number): boolean {
-        return runsSoftware(load, software) && this.options.backOffs.mayGrant(origin, load.upstream.id, now);
+        const { members, backOffs } = this.options;
+        const isFitting = software === undefined || members.runsSoftware(load, software);
+        return isFitting && backOffs.mayGrant(origin, load.upstream.id, now);
     }
 
     private excludeUnsuitable(ticket: Ticket, candidates: readonly UpstreamLoad[]): readonly UpstreamLoad[] {
@@ -159,8 +161,8 @@
     }
 }
 
-/** Whether an upstream runs a version of the software; an unknown one matches none. */
-function runsSoftware({ upstream }: UpstreamLoad, software: SoftwareVersion | undefined): boolean {
+/** Whether an upstream has announced a version of the software; any will do if none is given. */
+function announcesSoftware({ upstream }: UpstreamLoad, software: SoftwareVersion | undefined): boolean {
     return software === undefined || upstream.software === software;
 }
 
--- a/src/upstream/poolMembers/index.ts
+++ b/src/upstream/poolMembers/index.ts
@@ -1,4 +1,4 @@
-import { PoolId, UpstreamId } from "../../ids/index.js";
+import { PoolId, SoftwareVersion, UpstreamId } from "../../ids/index.js";
 import { Clock, Random } from "../../ports/index.js";
 import { Upstream } from "../upstream/index.js";
 import { UpstreamLoad } from "../upstreamLoad/index.js";
@@ -173,6 +173,13 @@
         return [...found];
     }
 
+    /** Whether a member certainly runs a version of the software; an unknown version matches none. */
+    runsSoftware(load: UpstreamLoad, software: SoftwareVersion): boolean {
+        const { clock, registry } = this.options;
+        return load.upstream.software === software
+            && load.isIncarnationCertain(clock.monotonic(), registry.maxCertainAgeMs);
+    }
+
     /** Whether any member that can take a request now matches. */
     hasFree(matches: (load: UpstreamLoad) => boolean): boolean {
         return this.freeList.some(matches);
--- a/src/upstream/upstreamLoad/index.ts
+++ b/src/upstream/upstreamLoad/index.ts
@@ -44,6 +44,8 @@
     private smoothedTokenMs: number | undefined;
     private tokenMsSampleCount = 0;
     private consecutiveFailures = 0;
+    /** Monotonic time of the last failure, in milliseconds. */
+    private failedAt = Number.NEGATIVE_INFINITY;
     /**
      * Monotonic times until which it backs off after a failure, and until which it is full by its own account, in
      * milliseconds.
@@ -234,6 +236,17 @@
         this.busyUntil = 0;
     }
 
+    /**
+     * Whether its newest announcement shows that the announced incarnation still runs: it came after the last failure, and not too long ago.
+     * An upstream that has crashed since may have come back with other software at the same address.
+     *
+     * @param maxAgeMs - Maximum age of the announcement, in milliseconds.
+     */
+    isIncarnationCertain(now: number, maxAgeMs: number): boolean {
+        const { announcedAt } = this.upstream;
+        return announcedAt > this.failedAt && now - announcedAt <= maxAgeMs;
+    }
+
     /** Whether it is backing off after a failure, disregarding `setIgnoresBackoff`. */
     isBackingOff(now: number): boolean {
         return now < this.backoffUntil;
@@ -255,6 +268,7 @@
      * @returns The length of the back-off, in milliseconds; undefined where none begins.
      */
     markFailed(now: number): number | undefined {
+        this.failedAt = now;
         if (this.isBackingOff(now)) return undefined;
         const backoffMs = Math.min(MAX_FAILURE_BACKOFF_MS, INITIAL_FAILURE_BACKOFF_MS * 2 ** this.consecutiveFailures);
         this.consecutiveFailures = Math.min(this.consecutiveFailures + 1, 10);
--- a/src/upstream/upstreamRegistry/index.ts
+++ b/src/upstream/upstreamRegistry/index.ts
@@ -140,6 +140,11 @@
         return known.state === "leaving" || known.state === "gone";
     }
 
+    /** Maximum age of an announcement, in milliseconds, for its incarnation to be taken as running: one or two may be lost. */
+    get maxCertainAgeMs(): number {
+        return this.timing.silentAfterMs / 2;
+    }
+
     /** Version of the latest change. */
     get latestVersion(): number {
         return this.version;
