Cached parts of prompts are fetched only from upstreams of the same software version

Found while looking for the same class: what an upstream of another version has computed was fetched into the memory of the chosen one (the new test failed before). A choice among upstreams of one version, and its cost, are as before.

--- a/src/upstream/firstTokenPolicy/index.ts
+++ b/src/upstream/firstTokenPolicy/index.ts
@@ -194,12 +194,14 @@
         if (!findSource || shared.tokens === 0) return undefined;
         const findProvider = (id: UpstreamId): UpstreamLoad | undefined => {
             const load = findSource(id);
-            return load && this.canProvideParts(load, now) ? load : undefined;
+            return load && this.canProvideParts(load, chosen, now) ? load : undefined;
         };
         return this.placement.findFetch(chosen, findProvider, shared.parts, now);
     }
 
-    private canProvideParts({ upstream }: UpstreamLoad, now: number): boolean {
+    private canProvideParts({ upstream }: UpstreamLoad, chosen: UpstreamLoad, now: number): boolean {
+        // What one version of an engine's software has computed may be unreadable to another.
+        if (upstream.software === undefined || upstream.software !== chosen.upstream.software) return false;
         // An upstream that has gone was forgotten by this policy; looking up its work would create a new record.
         if (upstream.state === "gone") return false;
         const work = this.workOf(upstream.id);
--- a/src/upstream/firstTokenPolicy/test.ts
+++ b/src/upstream/firstTokenPolicy/test.ts
@@ -10,7 +10,11 @@
 import { FirstTokenPolicy } from "./index.js";
 
 function makeLoads(ids: readonly string[]): UpstreamLoad[] {
-    return ids.map(id => new UpstreamLoad(new Upstream(makeAnnouncement({ id, slots: 64 }), 0, true)));
+    return ids.map(id => makeLoad({ id }));
+}
+
+function makeLoad(fields: Parameters<typeof makeAnnouncement>[0]): UpstreamLoad {
+    return new UpstreamLoad(new Upstream(makeAnnouncement({ slots: 64, ...fields }), 0, true));
 }
 
 let nextRequest = 0;
@@ -261,6 +265,16 @@
             assert.deepEqual([fetch?.from.upstream.id, fetch?.tokens], ["leaver", 13_000]);
         });
 
+        it("are not fetched from one of another software version, or of an unknown one", () => {
+            // What two versions write does not fit together.
+            for (const software_version of ["2.0", undefined]) {
+                const policy = new FirstTokenPolicy(() => undefined);
+                const loads = [makeLoad({ id: "leaver", software_version }), makeLoad({ id: "stays" })];
+                runOnLeavingUpstream(policy, loads, 0);
+                assert.equal(policy.choose([loads[1]], makeDocumentRequest(2_000, loads)).fetch, undefined);
+            }
+        });
+
         it("are not fetched from one whose prefill of them is still running", () => {
             const policy = new FirstTokenPolicy(() => undefined);
             const loads = makeLoads(["leaver", "stays"]);
