A stream's start is known only where the software of the upstream that began it is certain

A grant names the version only where the deciding host is certain of it (an announcement after the last failure, and a recent one), and a stream whose grant names none can't go on elsewhere. New streams prefer upstreams that are certain while these are half of the candidates. A chat that can't go on for want of its version ends as upstream-failed, as one whose engines are all lost did before.

--- a/src/dispatch/_lib/makeGrant.ts
+++ b/src/dispatch/_lib/makeGrant.ts
@@ -1,14 +1,20 @@
+import { SoftwareVersion } from "../../ids/index.js";
 import { AdvertisedLimit, Choice } from "../../upstream/index.js";
 import { Grant } from "../ticket/index.js";
 import { WaitingTicket } from "../waitingTicket/index.js";
 
-/** Creates the grant that sends a ticket to the chosen upstream now. */
+/**
+ * Creates the grant that sends a ticket to the chosen upstream now.
+ *
+ * @param software - Version of the software that the upstream certainly runs.
+ */
 export function makeGrant(
     { ticket, arrivedAt }: WaitingTicket,
     { load, reason, fetch }: Choice,
     now: number,
+    software: SoftwareVersion | undefined,
 ): Grant {
-    const { limit, rejectionLimit, upstream: { software } } = load;
+    const { limit, rejectionLimit } = load;
     return {
         request: ticket.request,
         upstream: load.upstream.id,
--- a/src/dispatch/heldTickets/test.ts
+++ b/src/dispatch/heldTickets/test.ts
@@ -17,6 +17,8 @@
     readonly registry = new UpstreamRegistry({ clock: this.clock });
     /** The upstream of each granted request, and the reason for each refusal, in order. */
     readonly decisions: string[] = [];
+    /** By request. */
+    readonly grants = new Map<string, Grant>();
     readonly dispatcher = new LocalDispatcher({
         clock: this.clock,
         random: new SeededRandom(1),
@@ -40,6 +42,7 @@
 
     async submit(request: string, fields: Partial<Record<keyof Ticket, unknown>> = {}): Promise<void> {
         const decision = this.dispatcher.submit(makeTicket({ request, ...fields }), new AbortController().signal);
+        void decision.then(settled => settled.ifRight(grant => this.grants.set(request, grant)));
         void decision.then(settled =>
             this.decisions.push(settled.caseOf({
                 Left: ({ reason }: Refusal) => `${request} ${reason}`,
@@ -150,6 +153,15 @@
             assert.equal(pool.upstreamOf("late"), pool.upstreamOf("b"));
         });
 
+        it("are not given a version by grants of other tickets, so that a new stream is not taken for one of the old software", async () => {
+            const pool = new MixedPool();
+            await pool.submit("new");
+            await pool.clock.advance(1_100);
+            await pool.submit("later");
+            const versions = ["new", "later"].map(request => pool.grants.get(request)?.software);
+            assert.ok(versions[0] !== undefined && versions[1] === undefined);
+        });
+
         it("wait for its next announcement when the last one is old", async () => {
             const pool = new MixedPool();
             await pool.clock.advance(1_100);
--- a/src/dispatch/poolQueue/index.ts
+++ b/src/dispatch/poolQueue/index.ts
@@ -380,6 +380,7 @@
         const { load } = choice;
         const now = this.options.clock.monotonic();
         const { ticket } = waiting;
+        const software = this.options.members.findSoftware(load);
         load.markSent(now);
         this.backOffs.recordGrant(ticket.origin, load.upstream.id, now);
         this.options.members.refresh(load);
@@ -387,7 +388,7 @@
         this.running.add({ waiting, load, grantedAt: now, tokens: 0, isPreempted: false, release });
         const reason = choice.reason + this.options.members.describeLimits()
             + this.picker.describeBackOffs(ticket, now);
-        const grant = makeGrant(waiting, { ...choice, reason }, now);
+        const grant = makeGrant(waiting, { ...choice, reason }, now, software);
         this.options.observer.granted(waiting, grant);
         this.decisions.settle(waiting, Right(grant));
     }
--- a/src/dispatch/ticket/index.ts
+++ b/src/dispatch/ticket/index.ts
@@ -77,7 +77,7 @@
     readonly upstream: UpstreamId;
     /** The upstream's incarnation, as the deciding host knows it. */
     readonly incarnation?: number;
-    /** Version of the upstream's software, as the deciding host knows it. */
+    /** Version of the upstream's software, where the deciding host is certain of it. */
     readonly software?: SoftwareVersion;
     readonly address: Address;
     /** The upstream from which to fetch cached parts of the prompt before the prefill of the rest. */
--- a/src/dispatch/upstreamPicker/index.ts
+++ b/src/dispatch/upstreamPicker/index.ts
@@ -36,7 +36,7 @@
      */
     pick(waiting: WaitingTicket, now: number): Choice | undefined {
         const found = this.excludeUnsuitable(waiting.ticket, this.findCandidates(waiting.ticket, now));
-        const candidates = this.preferNotShedding(found, now);
+        const candidates = this.preferCertainSoftware(waiting.ticket, this.preferNotShedding(found, now));
         if (candidates.length === 0) return undefined;
         const request = this.toChoiceRequest(waiting, now);
         const chosen = this.options.choice.choose(candidates, request);
@@ -145,9 +145,22 @@
         return 2 * others.length >= loads.length ? others : loads;
     }
 
+    /**
+     * Prefers upstreams whose software is certain for a new stream while these are at least half of the candidates: one that begins
+     * elsewhere can't go on after a failure.
+     */
+    private preferCertainSoftware(
+        { gapMs, resumable }: Ticket,
+        loads: readonly UpstreamLoad[],
+    ): readonly UpstreamLoad[] {
+        if (gapMs === undefined && !resumable) return loads;
+        const certain = loads.filter(load => this.options.members.findSoftware(load) !== undefined);
+        return 2 * certain.length >= loads.length ? certain : loads;
+    }
+
     private isEligible({ origin, software }: Ticket, load: UpstreamLoad, now: number): boolean {
         const { members, backOffs } = this.options;
-        const isFitting = software === undefined || members.runsSoftware(load, software);
+        const isFitting = software === undefined || members.findSoftware(load) === software;
         return isFitting && backOffs.mayGrant(origin, load.upstream.id, now);
     }
 
--- a/src/entry/runChat/index.ts
+++ b/src/entry/runChat/index.ts
@@ -145,6 +145,8 @@
         const { run } = this.options;
         run.recordRefusal(refusal.reason, refusal.detail);
         if (run.isCancelled) return makeCancelError(run.cancelReason!, this.failureOutcome());
+        const isUnfinished = this.software !== undefined && refusal.reason === "no-upstream";
+        if (isUnfinished) return makeUpstreamError(this.attemptCount, this.failureOutcome());
         return toRefusalError(refusal, this.failureOutcome());
     }
 
--- a/src/entry/signalExchange/test.ts
+++ b/src/entry/signalExchange/test.ts
@@ -120,7 +120,7 @@
         it("blocks grants for an upstream that runs other software, whatever the grant says", () => {
             // The owner of a queue may know less than this host, or be of a build that ignores the constraint.
             const { exchange } = makeExchange();
-            assert.equal(exchange.findBlock({ upstream: UPSTREAM, incarnation: 2 }, OLD), undefined);
+            assert.equal(exchange.findBlock({ upstream: UPSTREAM, incarnation: 2, software: OLD }, OLD), undefined);
             const other = { upstream: UPSTREAM, incarnation: 2, software: NEW };
             assert.deepEqual(exchange.findBlock(other, NEW), { reason: "other-software" });
         });
--- a/src/relay/relayServer/index.ts
+++ b/src/relay/relayServer/index.ts
@@ -209,7 +209,7 @@
         }
         if (this.options.paths.isLost(target)) return { reason: "cut-off", detail: "this host has lost its path too" };
         const { upstream, incarnation, software } = target;
-        const block = this.options.sendGuard.findBlock({ upstream, incarnation }, software);
+        const block = this.options.sendGuard.findBlock({ upstream, incarnation, software }, software);
         return block && { reason: "blocked", detail: block.reason, leftMs: block.leftMs };
     }
 
--- a/src/upstream/poolMembers/index.ts
+++ b/src/upstream/poolMembers/index.ts
@@ -173,11 +173,11 @@
         return [...found];
     }
 
-    /** Whether a member certainly runs a version of the software; an unknown version matches none. */
-    runsSoftware(load: UpstreamLoad, software: SoftwareVersion): boolean {
+    /** Returns the version of the software that a member certainly runs; undefined if that is unknown, or it may have been replaced. */
+    findSoftware(load: UpstreamLoad): SoftwareVersion | undefined {
         const { clock, registry } = this.options;
-        return load.upstream.software === software
-            && load.isIncarnationCertain(clock.monotonic(), registry.maxCertainAgeMs);
+        const isCertain = load.isIncarnationCertain(clock.monotonic(), registry.maxCertainAgeMs);
+        return isCertain ? load.upstream.software : undefined;
     }
 
     /** Whether any member that can take a request now matches. */
--- a/src/upstream/softwareView/index.ts
+++ b/src/upstream/softwareView/index.ts
@@ -1,7 +1,7 @@
 import { PoolId, SoftwareVersion, UpstreamId } from "../../ids/index.js";
 import { UpstreamRegistry } from "../upstreamRegistry/index.js";
 
-/** An upstream that a request is granted to, as the deciding host knows it. */
+/** An upstream that a request is granted to, and the version of its software, where the deciding host is certain of it. */
 export interface GrantedUpstream {
     readonly upstream: UpstreamId;
     readonly incarnation?: number;
@@ -18,16 +18,17 @@
     constructor(private readonly registry: Pick<UpstreamRegistry, "get" | "list">) {}
 
     /**
-     * Returns the version that a granted upstream runs.
+     * Returns the version that a granted upstream runs: that of the grant, unless this process knows otherwise.
      *
-     * @returns undefined if it is unknown, or if another incarnation has replaced the granted one.
+     * @returns undefined if it is not certain, or if another incarnation has replaced the granted one.
      */
     find({ upstream, incarnation, software }: GrantedUpstream): SoftwareVersion | undefined {
         const known = this.registry.get(upstream);
         if (!known) return software;
         const granted = incarnation ?? known.announcement.incarnation;
         if (known.announcement.incarnation < granted) return software;
-        return known.announcement.incarnation === granted ? known.software : undefined;
+        const isConfirmed = known.announcement.incarnation === granted && known.software === software;
+        return isConfirmed ? software : undefined;
     }
 
     /** Whether an upstream other than the given one runs a version and may get work. */
--- a/src/upstream/softwareView/test.ts
+++ b/src/upstream/softwareView/test.ts
@@ -21,8 +21,8 @@
     describe("the version of a granted upstream", () => {
         it("is the announced one", () => {
             const { view } = makeView({ software_version: OLD });
-            assert.equal(view.find({ upstream: FIRST, incarnation: 1 }), OLD);
-            assert.equal(view.find({ upstream: FIRST }), OLD);
+            assert.equal(view.find({ upstream: FIRST, incarnation: 1, software: OLD }), OLD);
+            assert.equal(view.find({ upstream: FIRST, software: OLD }), OLD);
         });
 
         it("is that of the grant while this process has not heard of the incarnation", () => {
@@ -35,12 +35,18 @@
             // An upstream that comes back with other software at the same id would be taken for the one before.
             const { view } = makeView({ software_version: OLD }, { software_version: NEW, incarnation: 2 });
             assert.equal(view.find({ upstream: FIRST, incarnation: 1, software: OLD }), undefined);
-            assert.equal(view.find({ upstream: FIRST, incarnation: 2 }), NEW);
+            assert.equal(view.find({ upstream: FIRST, incarnation: 2, software: NEW }), NEW);
+        });
+
+        it("is unknown where the deciding host was not certain of it, or of another one", () => {
+            const { view } = makeView({ software_version: OLD });
+            assert.equal(view.find({ upstream: FIRST, incarnation: 1 }), undefined);
+            assert.equal(view.find({ upstream: FIRST, incarnation: 1, software: NEW }), undefined);
         });
 
         it("is unknown where one incarnation announces two", () => {
             const { view } = makeView({ software_version: OLD }, { software_version: NEW, sequence: 2 });
-            assert.equal(view.find({ upstream: FIRST, incarnation: 1 }), undefined);
+            assert.equal(view.find({ upstream: FIRST, incarnation: 1, software: NEW }), undefined);
         });
 
         it("is kept where an announcement leaves it out", () => {
@@ -50,13 +56,13 @@
                 sequence: 2,
                 state: "leaving",
             });
-            assert.equal(view.find({ upstream: FIRST, incarnation: 1 }), OLD);
+            assert.equal(view.find({ upstream: FIRST, incarnation: 1, software: OLD }), OLD);
         });
 
         it("is not taken from an earlier incarnation whose announcement is late", () => {
             const { registry, view } = makeView({ software_version: NEW, incarnation: 2 });
             registry.announce(makeAnnouncement({ software_version: OLD, incarnation: 1, sequence: 9 }));
-            assert.equal(view.find({ upstream: FIRST, incarnation: 2 }), NEW);
+            assert.equal(view.find({ upstream: FIRST, incarnation: 2, software: NEW }), NEW);
         });
     });
 
