Only a sign that an upstream has ended makes its software uncertain

Now a completion says whether the upstream may have ended: its connection ended or could not be made, and nobody was found listening at its address right after.

--- a/src/dispatch/failureOutcome/index.ts
+++ b/src/dispatch/failureOutcome/index.ts
@@ -1,6 +1,9 @@
 import { UpstreamHttp, UpstreamTarget } from "../../upstream/index.js";
 import { Completion } from "../ticket/index.js";
 
+/** How a request ended for the owner of the queue, and what that says of the upstream. */
+export type CompletionOutcome = Pick<Completion, "outcome" | "mayHaveEnded">;
+
 /** A granted request that got no complete answer. */
 export interface RequestFailure {
     /** Whether the way to the upstream failed, by the word of the HTTP client. */
@@ -20,14 +23,18 @@
  * otherwise a host that has lost its paths would have all upstreams back off for all hosts.
  *
  * @example
- * dispatcher.complete({ ...completion, outcome: await findFailureOutcome(upstreamHttp, target, failure) });
+ * dispatcher.complete({ ...completion, ...await findFailureOutcome(upstreamHttp, target, failure) });
  */
 export async function findFailureOutcome(
     upstreamHttp: UpstreamHttp,
     target: UpstreamTarget,
     { isPathFailure, mayHaveBeenSent, isRelayed, connectionEnded, sentAt }: RequestFailure,
-): Promise<Completion["outcome"]> {
-    if (isPathFailure) return mayHaveBeenSent ? "cancelled" : "unused";
-    if (isRelayed || !mayHaveBeenSent) return "failed";
-    return await upstreamHttp.isPathFailure(target, { sentAt, connectionEnded }) ? "cancelled" : "failed";
+): Promise<CompletionOutcome> {
+    if (isPathFailure) return { outcome: mayHaveBeenSent ? "cancelled" : "unused" };
+    if (!mayHaveBeenSent) return { outcome: "failed", mayHaveEnded: true };
+    if (isRelayed) return { outcome: "failed", mayHaveEnded: connectionEnded };
+    const cause = await upstreamHttp.findFailureCause(target, { sentAt, connectionEnded });
+    return cause === "path"
+        ? { outcome: "cancelled" }
+        : { outcome: "failed", mayHaveEnded: cause === "upstream-ended" };
 }
--- a/src/dispatch/heldTickets/test.ts
+++ b/src/dispatch/heldTickets/test.ts
@@ -55,10 +55,10 @@
     async complete(
         request: string,
         upstream: string,
-        outcome: Completion["outcome"] = "answered",
+        outcome: Pick<Completion, "outcome" | "mayHaveEnded"> = { outcome: "answered" },
     ): Promise<void> {
         const ids = { request: request as RequestId, upstream: upstream as UpstreamId };
-        this.dispatcher.complete({ ...ids, outcome, ...NOTHING_USED });
+        this.dispatcher.complete({ ...ids, ...outcome, ...NOTHING_USED });
         await this.clock.advance(1);
     }
 
@@ -139,12 +139,12 @@
     });
 
     describe("at an upstream that may have come back with other software at its address", () => {
-        it("wait for its next announcement after it has failed a request", async () => {
+        it("wait for its next announcement after a sign that it ended", async () => {
             // It crashed, and has not announced its next incarnation yet.
             const pool = new MixedPool();
             await pool.submit("a", { software: "2.0" });
             await pool.submit("b", { software: "2.0" });
-            await pool.complete("b", pool.upstreamOf("b")!, "failed");
+            await pool.complete("b", pool.upstreamOf("b")!, { outcome: "failed", mayHaveEnded: true });
             await pool.clock.advance(600);
             await pool.submit("late", { software: "2.0" });
             assert.equal(pool.upstreamOf("late"), undefined);
@@ -153,6 +153,17 @@
             assert.equal(pool.upstreamOf("late"), pool.upstreamOf("b"));
         });
 
+        it("get it at once after a failure that is no such sign", async () => {
+            // A reset connection of an upstream that goes on listening would keep streams from going on there.
+            const pool = new MixedPool();
+            await pool.submit("a", { software: "2.0" });
+            await pool.submit("b", { software: "2.0" });
+            await pool.complete("b", pool.upstreamOf("b")!, { outcome: "failed", mayHaveEnded: false });
+            await pool.clock.advance(600);
+            await pool.submit("late", { software: "2.0" });
+            assert.equal(pool.upstreamOf("late"), pool.upstreamOf("b"));
+        });
+
         it("are not given a version by grants of other tickets, so that a new stream is not taken for one of the old software", async () => {
             const pool = new MixedPool();
             await pool.submit("new");
--- a/src/dispatch/poolQueue/index.ts
+++ b/src/dispatch/poolQueue/index.ts
@@ -432,6 +432,7 @@
         const cost = costInTokens(completion.promptTokens - completion.cachedTokens, completion.completionTokens);
         this.order.correctCost(waiting, completion.outcome === "unused" ? 0 : cost);
         if (completion.outcome === "failed") this.backOff(running, now);
+        if (completion.mayHaveEnded) load.markPerhapsEnded(now);
         if (completion.outcome === "refused") load.markBusy(now);
         if (completion.outcome !== "answered") return;
         load.markHealthy();
--- a/src/dispatch/ticket/index.ts
+++ b/src/dispatch/ticket/index.ts
@@ -139,6 +139,8 @@
      * `unused`: the request was never sent.
      */
     readonly outcome: "answered" | "failed" | "errored" | "refused" | "cancelled" | "unused";
+    /** Whether the upstream may have ended, so that another incarnation may replace it before it announces itself. */
+    readonly mayHaveEnded?: boolean;
     /** Time from sending to the first token, in milliseconds; undefined when none came. */
     readonly firstTokenMs?: number;
     /** Mean time between tokens, in milliseconds; undefined with fewer than two. */
--- a/src/entry/runChat/index.ts
+++ b/src/entry/runChat/index.ts
@@ -1,4 +1,12 @@
-import { Completion, findFailureOutcome, Grant, Refusal, Ticket, toTarget } from "../../dispatch/index.js";
+import {
+    Completion,
+    CompletionOutcome,
+    findFailureOutcome,
+    Grant,
+    Refusal,
+    Ticket,
+    toTarget,
+} from "../../dispatch/index.js";
 import { HostId, SoftwareVersion, UpstreamId } from "../../ids/index.js";
 import { EngineUsage, Outcome } from "../../protocol/index.js";
 import { RunningRequest } from "../../request/index.js";
@@ -94,11 +102,11 @@
         });
     }
 
-    private findOutcome(grant: Grant, attempt: ChatAttempt): Promise<Completion["outcome"]> | Completion["outcome"] {
+    private findOutcome(grant: Grant, attempt: ChatAttempt): Promise<CompletionOutcome> | CompletionOutcome {
         const { ctx, prepared, run } = this.options;
         const outcome = outcomeOf(attempt, run);
         const err = attempt.result.swap().toMaybe().extract();
-        if (!err || outcome !== "failed") return outcome;
+        if (!err || outcome !== "failed") return { outcome };
         const { connectionEnded, isPathFailure } = err;
         const { mayHaveRun: mayHaveBeenSent, isRelayed, sentAt } = attempt;
         const failure = { isPathFailure, mayHaveBeenSent, isRelayed, connectionEnded, sentAt };
@@ -209,7 +217,11 @@
         return { workspace, class: className };
     }
 
-    private makeCompletion(grant: Grant, attempt: ChatAttempt, outcome: Completion["outcome"]): Completion {
+    private makeCompletion(
+        grant: Grant,
+        attempt: ChatAttempt,
+        { outcome, mayHaveEnded }: CompletionOutcome,
+    ): Completion {
         const { ctx, prepared, run } = this.options;
         const isPaceKnown = !ctx.upstreamHttp.hadLostPath(toTarget(prepared.pool, grant), attempt.sentAt);
         const usage = attempt.result.map(end => end.usage).toMaybe().extract() as EngineUsage | undefined;
@@ -217,6 +229,7 @@
             request: run.identity.id,
             upstream: grant.upstream,
             outcome,
+            ...(mayHaveEnded ? { mayHaveEnded } : {}),
             firstTokenMs: attempt.firstTokenMs,
             tokenMs: isPaceKnown ? attempt.tokenMs : undefined,
             promptTokens: usage?.prompt_tokens ?? prepared.promptTokens,
--- a/src/entry/runService/index.ts
+++ b/src/entry/runService/index.ts
@@ -149,7 +149,8 @@
     run.recordStep("attempt-failed", `${grant.upstream}: ${message}`);
     if (connectionEnded) ctx.crashGuard.recordConnectionEnd(fingerprint, target);
     const failure = { isPathFailure, mayHaveBeenSent, isRelayed, connectionEnded, sentAt };
-    completeGrant(ctx, run, grant, await findFailureOutcome(ctx.upstreamHttp, target, failure));
+    const { outcome, mayHaveEnded } = await findFailureOutcome(ctx.upstreamHttp, target, failure);
+    completeGrant(ctx, run, grant, outcome, mayHaveEnded);
     return result;
 }
 
@@ -162,8 +163,10 @@
     run: RunningRequest,
     grant: Grant,
     outcome: Completion["outcome"],
+    mayHaveEnded?: boolean,
 ): void {
     ctx.dispatcher.complete({
+        ...(mayHaveEnded ? { mayHaveEnded } : {}),
         request: run.identity.id,
         upstream: grant.upstream,
         outcome,
--- a/src/faultInjection/routedFleet/index.ts
+++ b/src/faultInjection/routedFleet/index.ts
@@ -28,6 +28,7 @@
 const LOG_TIMING = { ...DEFAULT_LOG_TIMING, heartbeatMs: 250, leaseMs: 1_200, electionSpreadMs: 600 };
 const VIEW_LEASE_MS = 4_000;
 const ANNOUNCEMENT_INTERVAL_MS = 1_200;
+const REGISTRY_TIMING = { ...DEFAULT_REGISTRY_TIMING, silentAfterMs: 4 * ANNOUNCEMENT_INTERVAL_MS };
 const SEED_COUNT = 3;
 const START_TIMEOUT_MS = 30_000;
 
@@ -149,7 +150,7 @@
             controlPeers: this.seedAddresses(),
             dialect: new NativeDialect(),
             timing: PEER_TIMING,
-            registryTiming: { ...DEFAULT_REGISTRY_TIMING, silentAfterMs: 4 * ANNOUNCEMENT_INTERVAL_MS },
+            registryTiming: REGISTRY_TIMING,
             windowMs: 5_000,
         });
     }
@@ -219,6 +220,7 @@
             callerLimits: DEFAULT_HTTP_LIMITS,
             limits: DEFAULT_ENTRY_LIMITS,
             timing: PEER_TIMING,
+            registryTiming: REGISTRY_TIMING,
             windowMs: 5_000,
             balancerMs: 500,
             routes: {
--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -160,7 +160,8 @@
     const mayHaveBeenSent = end !== "not-sent";
     const failure = { isPathFailure, mayHaveBeenSent, isRelayed: relay !== undefined, connectionEnded, sentAt };
     const target = toTarget(call.pool, grant);
-    completeGrant(task, grant, await findFailureOutcome(ctx.upstreamHttp, target, failure), sentAt);
+    const { outcome: failedOutcome, mayHaveEnded } = await findFailureOutcome(ctx.upstreamHttp, target, failure);
+    completeGrant(task, grant, failedOutcome, sentAt, mayHaveEnded);
 }
 
 /**
@@ -322,6 +323,7 @@
     grant: Grant,
     outcome: Completion["outcome"],
     sentAt?: number,
+    mayHaveEnded?: boolean,
 ): void {
     const { upstream } = grant;
     const tokensPerEvent = tokensPerEventOf(ctx, call);
@@ -333,6 +335,7 @@
         request,
         upstream,
         outcome,
+        ...(mayHaveEnded ? { mayHaveEnded } : {}),
         firstTokenMs: stream.firstEventMs,
         tokenMs,
         longestGapMs: gaps > 0 && tries === 1 ? stream.longestGapMs : undefined,
--- a/src/relay/relayedHttp/index.ts
+++ b/src/relay/relayedHttp/index.ts
@@ -1,6 +1,7 @@
 import { Either, Left } from "purify-ts";
 import { Clock, HttpError } from "../../ports/index.js";
 import {
+    FailureCause,
     PathFinding,
     SentFailure,
     UpstreamCall,
@@ -58,11 +59,13 @@
         return this.options.paths.hadLost(target, since);
     }
 
-    async isPathFailure(target: UpstreamTarget, { sentAt, connectionEnded }: SentFailure): Promise<boolean> {
+    async findFailureCause(target: UpstreamTarget, { sentAt, connectionEnded }: SentFailure): Promise<FailureCause> {
         const { paths, silence } = this.options;
-        if (paths.hadLost(target, sentAt)) return true;
-        if (!connectionEnded && silence.silentMs < SUSPICIOUS_SILENCE_MS) return false;
-        return await this.probe(target) === "cut-off";
+        if (paths.hadLost(target, sentAt)) return "path";
+        if (!connectionEnded && silence.silentMs < SUSPICIOUS_SILENCE_MS) return "upstream";
+        const finding = await this.probe(target);
+        if (finding === "cut-off") return "path";
+        return connectionEnded && finding !== "open" ? "upstream-ended" : "upstream";
     }
 
     /** @returns "cut-off" where nothing was sent, and another host reaches the upstream. */
--- a/src/relay/relayedHttp/test.ts
+++ b/src/relay/relayedHttp/test.ts
@@ -111,8 +111,8 @@
         assert.equal(fleet.accesses[0].paths.lostCount, 0);
         const target = fleet.target();
         const failure = { sentAt: 0, connectionEnded: false };
-        const isPathFailure = fleet.accesses[0].http.isPathFailure(target, failure);
-        assert.equal(await fleet.clock.runUntil(isPathFailure, LIMIT_MS), false);
+        const cause = fleet.accesses[0].http.findFailureCause(target, failure);
+        assert.equal(await fleet.clock.runUntil(cause, LIMIT_MS), "upstream");
     });
 
     it("fails at the usual time where no host reaches the upstream", async () => {
@@ -211,29 +211,35 @@
         assert.ok(seen[0].closedAt! - leftAt <= 500, `${seen[0].closedAt! - leftAt} ms`);
     });
 
-    describe("isPathFailure", () => {
-        it("holds for a connection that was reset with the path, at once", async () => {
+    describe("findFailureCause", () => {
+        it("is the path for a connection that was reset with the path, at once", async () => {
             const fleet = await start({ upstreams: [answerAfter(5_000), answerAfter(20)] });
             const sentAt = fleet.clock.monotonic();
             const sending = fleet.accesses[0].http.send(fleet.call());
             await fleet.clock.advance(100);
             fleet.losePaths(0, "reset");
             assert.equal(errorOf(await fleet.clock.runUntil(sending, LIMIT_MS)).reason, "closed");
-            const isPathFailure = fleet.accesses[0].http.isPathFailure(fleet.target(), {
-                sentAt,
-                connectionEnded: true,
-            });
-            assert.equal(await fleet.clock.runUntil(isPathFailure, LIMIT_MS), true);
+            const cause = fleet.accesses[0].http.findFailureCause(fleet.target(), { sentAt, connectionEnded: true });
+            assert.equal(await fleet.clock.runUntil(cause, LIMIT_MS), "path");
         });
 
-        it("does not hold for a connection that an upstream reset", async () => {
+        it("is the upstream, which has not ended, for a connection that it reset", async () => {
             const fleet = await start({ upstreams: [async (_, res) => res.reset()] });
             assert.equal(errorOf((await send()).sent).reason, "closed");
-            const isPathFailure = fleet.accesses[0].http.isPathFailure(fleet.target(), {
-                sentAt: 0,
-                connectionEnded: true,
-            });
-            assert.equal(await fleet.clock.runUntil(isPathFailure, LIMIT_MS), false);
+            const failure = { sentAt: 0, connectionEnded: true };
+            const cause = fleet.accesses[0].http.findFailureCause(fleet.target(), failure);
+            assert.equal(await fleet.clock.runUntil(cause, LIMIT_MS), "upstream");
+        });
+
+        it("is the end of the upstream where nobody listens at its address any more", async () => {
+            const fleet = await start({ upstreams: [answerAfter(5_000)] });
+            const sending = fleet.accesses[0].http.send(fleet.call());
+            await fleet.clock.advance(100);
+            fleet.crashUpstream(0);
+            assert.equal(errorOf(await fleet.clock.runUntil(sending, LIMIT_MS)).reason, "closed");
+            const failure = { sentAt: 0, connectionEnded: true };
+            const cause = fleet.accesses[0].http.findFailureCause(fleet.target(), failure);
+            assert.equal(await fleet.clock.runUntil(cause, LIMIT_MS), "upstream-ended");
         });
     });
 
--- a/src/upstream/upstreamHttp/index.ts
+++ b/src/upstream/upstreamHttp/index.ts
@@ -50,6 +50,12 @@
  */
 export type PathFinding = "open" | "cut-off" | "crashed" | "unreachable";
 
+/**
+ * Why a request got no complete response: this host's own path was lost, which says nothing about the upstream; the upstream failed it; or
+ * the upstream may have ended, since the connection did and nobody was found listening at its address.
+ */
+export type FailureCause = "path" | "upstream" | "upstream-ended";
+
 /** A request that may have been sent, and got no complete response. */
 export interface SentFailure {
     /** Monotonic time at which it was sent, in milliseconds. */
@@ -78,8 +84,8 @@
      */
     abstract hadLostPath(target: UpstreamTarget, since: number): boolean;
 
-    /** Determines whether a request that this host sent itself failed for the loss of its own path: that says nothing about the upstream. */
-    abstract isPathFailure(target: UpstreamTarget, failure: SentFailure): Promise<boolean>;
+    /** Determines why a request that this host sent itself got no complete response. */
+    abstract findFailureCause(target: UpstreamTarget, failure: SentFailure): Promise<FailureCause>;
 }
 
 /** Sends each request directly, from a host that has no peers. */
@@ -100,7 +106,7 @@
         return false;
     }
 
-    isPathFailure(): Promise<boolean> {
-        return Promise.resolve(false);
+    findFailureCause(_target: UpstreamTarget, { connectionEnded }: SentFailure): Promise<FailureCause> {
+        return Promise.resolve(connectionEnded ? "upstream-ended" : "upstream");
     }
 }
--- a/src/upstream/upstreamLoad/index.ts
+++ b/src/upstream/upstreamLoad/index.ts
@@ -44,8 +44,8 @@
     private smoothedTokenMs: number | undefined;
     private tokenMsSampleCount = 0;
     private consecutiveFailures = 0;
-    /** Monotonic time of the last failure, in milliseconds. */
-    private failedAt = Number.NEGATIVE_INFINITY;
+    /** Monotonic time at which it was last found to have perhaps ended, in milliseconds. */
+    private perhapsEndedAt = Number.NEGATIVE_INFINITY;
     /**
      * Monotonic times until which it backs off after a failure, and until which it is full by its own account, in
      * milliseconds.
@@ -237,14 +237,14 @@
     }
 
     /**
-     * Whether its newest announcement shows that the announced incarnation still runs: it came after the last failure, and not too long ago.
-     * An upstream that has crashed since may have come back with other software at the same address.
+     * Whether its newest announcement shows that the announced incarnation still runs: it came after any sign that it ended, and not too
+     * long ago. An upstream that has crashed since may have come back with other software at the same address.
      *
      * @param maxAgeMs - Maximum age of the announcement, in milliseconds.
      */
     isIncarnationCertain(now: number, maxAgeMs: number): boolean {
         const { announcedAt } = this.upstream;
-        return announcedAt > this.failedAt && now - announcedAt <= maxAgeMs;
+        return announcedAt > this.perhapsEndedAt && now - announcedAt <= maxAgeMs;
     }
 
     /** Whether it is backing off after a failure, disregarding `setIgnoresBackoff`. */
@@ -268,7 +268,6 @@
      * @returns The length of the back-off, in milliseconds; undefined where none begins.
      */
     markFailed(now: number): number | undefined {
-        this.failedAt = now;
         if (this.isBackingOff(now)) return undefined;
         const backoffMs = Math.min(MAX_FAILURE_BACKOFF_MS, INITIAL_FAILURE_BACKOFF_MS * 2 ** this.consecutiveFailures);
         this.consecutiveFailures = Math.min(this.consecutiveFailures + 1, 10);
@@ -276,6 +275,11 @@
         return backoffMs;
     }
 
+    /** Records that it may have ended: a connection to it did, or could not be made, and nobody was found listening at its address. */
+    markPerhapsEnded(now: number): void {
+        this.perhapsEndedAt = now;
+    }
+
     /** Records that the upstream refused a request as full by its own count: it gets no other for a short time. */
     markBusy(now: number): void {
         this.rejectionGuard.recordRejection(now, this.outstanding);
