New streams leave out the only upstream of a software version

A stream that begins there is lost with it, since nobody could continue it. New streams prefer upstreams that are not the last of their version, while these are half of the candidates.

Pools of one version are not affected.

--- a/src/dispatch/upstreamPicker/index.ts
+++ b/src/dispatch/upstreamPicker/index.ts
@@ -36,7 +36,7 @@
      */
     pick(waiting: WaitingTicket, now: number): Choice | undefined {
         const found = this.excludeUnsuitable(waiting.ticket, this.findCandidates(waiting.ticket, now));
-        const candidates = this.preferCertainSoftware(waiting.ticket, this.preferNotShedding(found, now));
+        const candidates = this.preferContinuable(waiting.ticket, this.preferNotShedding(found, now));
         if (candidates.length === 0) return undefined;
         const request = this.toChoiceRequest(waiting, now);
         const chosen = this.options.choice.choose(candidates, request);
@@ -141,21 +141,22 @@
     private preferNotShedding(loads: readonly UpstreamLoad[], now: number): readonly UpstreamLoad[] {
         const { backOffs } = this.options;
         if (!backOffs.hasShedding) return loads;
-        const others = loads.filter(({ upstream }) => !backOffs.isShedding(upstream.id, now));
-        return 2 * others.length >= loads.length ? others : loads;
+        return preferMost(loads, ({ upstream }) => !backOffs.isShedding(upstream.id, now));
     }
 
     /**
-     * Prefers upstreams whose software is certain for a new stream while these are at least half of the candidates: one that begins
-     * elsewhere can't go on after a failure.
+     * Prefers upstreams for a new stream after whose failure another one could continue it, while these are at least half of the candidates:
+     * upstreams whose software is certain, and not the only ones that run it.
      */
-    private preferCertainSoftware(
-        { gapMs, resumable }: Ticket,
+    private preferContinuable(
+        { gapMs, resumable, software }: Ticket,
         loads: readonly UpstreamLoad[],
     ): readonly UpstreamLoad[] {
-        if (gapMs === undefined && !resumable) return loads;
-        const certain = loads.filter(load => this.options.members.findSoftware(load) !== undefined);
-        return 2 * certain.length >= loads.length ? certain : loads;
+        const isNewStream = software === undefined && (gapMs !== undefined || resumable);
+        if (!isNewStream) return loads;
+        const { members } = this.options;
+        const certain = preferMost(loads, load => members.findSoftware(load) !== undefined);
+        return preferMost(certain, load => !members.isLastOfSoftware(load));
     }
 
     private isEligible({ origin, software }: Ticket, load: UpstreamLoad, now: number): boolean {
@@ -179,6 +180,15 @@
     return software === undefined || upstream.software === software;
 }
 
+/** Returns the matching upstreams, or all when fewer than half match: these would be overloaded by all requests. */
+function preferMost(
+    loads: readonly UpstreamLoad[],
+    matches: (load: UpstreamLoad) => boolean,
+): readonly UpstreamLoad[] {
+    const matching = loads.filter(matches);
+    return 2 * matching.length >= loads.length ? matching : loads;
+}
+
 /** Returns the matching upstreams, or all when none matches. */
 function preferMatching(
     loads: readonly UpstreamLoad[],
--- a/src/upstream/poolMembers/index.ts
+++ b/src/upstream/poolMembers/index.ts
@@ -180,6 +180,14 @@
         return isCertain ? load.upstream.software : undefined;
     }
 
+    /** Whether no other member that may get work runs the software of a member. */
+    isLastOfSoftware(load: UpstreamLoad): boolean {
+        const { software } = load.upstream;
+        return !this.members.some(other =>
+            other !== load && other.upstream.software === software && other.upstream.isGrantable
+        );
+    }
+
     /** Whether any member that can take a request now matches. */
     hasFree(matches: (load: UpstreamLoad) => boolean): boolean {
         return this.freeList.some(matches);
