Proofs: what fails without each part of the guard on software versions

A test for the part that none covered: the first event waits until its stream's start is on disks (fails without the wait).

--- a/src/entry/resumedStreams/test.ts
+++ b/src/entry/resumedStreams/test.ts
@@ -225,6 +225,38 @@
         });
     });
 
+    describe("after all hosts lost power right behind its first event", () => {
+        it("goes on, since its start was on disks before its caller had the event", async () => {
+            // Nobody would know which version may continue it.
+            const running = await startFleet();
+            for (const disk of running.disks) disk.syncDurationMs = 20;
+            const sent = await running.run(
+                running.web.http("10.0.8.2").send({
+                    address: { host: "10.0.1.1", port: 8080 },
+                    method: "POST",
+                    path: "/orders/1",
+                    headers: [["host", "shop.example"], [CALL_HEADERS.request, "first"], [
+                        "authorization",
+                        `Bearer ${KEY}`,
+                    ]],
+                    body: Buffer.from(""),
+                    newConnection: true,
+                    connectTimeoutMs: 1_000,
+                    headTimeoutMs: 5_000,
+                }),
+            );
+            assert.equal(sent.unsafeCoerce().status, 200);
+            for (const number of running.entries.keys()) void running.killEntry(number);
+            for (const number of running.controls.keys()) void running.killControl(number);
+            await running.advance(1_000);
+            await running.run(Promise.all([...running.controls.keys()].map(number => running.startControl(number))));
+            await running.run(Promise.all([...running.entries.keys()].map(number => running.startEntry(number))));
+            await running.advance(8_000);
+            const rest = await resume(running, ["first"], { lastEventId: "1" });
+            assert.equal(countEvents(rest), UPSTREAM.events - 1);
+        });
+    });
+
     describe("while the host that had it still runs", () => {
         it("goes on elsewhere, and gives its first place back, though that host is cut off from all others", async () => {
             // The queue's owner would count the first place as taken for good, and the old answer could go on beside the new one.
