--- a/src/entry/resumedStreams/test.ts
+++ b/src/entry/resumedStreams/test.ts
@@ -225,7 +225,7 @@
         });
     });
 
-    describe("after all hosts lost power right behind its first event", () => {
+    describe("after all hosts lost power right after its first event", () => {
         it("goes on, since its start was on disks before its caller had the event", async () => {
             // Nobody would know which version may continue it.
             const running = await startFleet();
