Logs say which priority was sent, what the decider believed, and when an entry leaves a queue's owner

The lines of calls had the tier after the workspace's replaced the route's, and nothing of what was sent; nobody could see how many tokens an upstream's running requests keep by the owner's count, nor how old its load report was. An entry that left the owner of a queue for another host wrote nothing.

--- a/src/entry/fleetDispatcher/index.ts
+++ b/src/entry/fleetDispatcher/index.ts
@@ -136,7 +136,7 @@
     }
 
     async submit(ticket: Ticket, signal: AbortSignal): Promise<Either<Refusal, Grant>> {
-        const { clock, directory } = this.options;
+        const { clock } = this.options;
         const startedAt = clock.monotonic();
         let unresponsive = 0;
         for (let attempts = 0; attempts < MAX_OWNER_ATTEMPTS && unresponsive < MAX_UNRESPONSIVE_OWNERS; attempts++) {
@@ -147,14 +147,23 @@
             if (signal.aborted && reply.isLeft()) return Left(makeRefusal(ticket, "cancelled", "the caller has gone"));
             const decision = reply.toMaybe().extract();
             if (decision && !isHandover(decision)) return this.acceptDecision(current, owner, decision);
-            if (clock.monotonic() - askedAt >= FAST_FAILURE_MS) unresponsive++;
-            directory.suspect(owner);
+            const tookMs = clock.monotonic() - askedAt;
+            if (tookMs >= FAST_FAILURE_MS) unresponsive++;
+            const problem = reply.swap().map(err => err.message).orDefault("draining");
+            this.suspectOwner(owner, ticket.pool, { problem, tookMs: Math.round(tookMs) });
             // The next owner must know the running requests before it decides on waiting tickets.
             this.reassignGrants();
         }
         return this.decideLocally(this.refreshTicket(ticket, startedAt), signal);
     }
 
+    /** Excludes an owner from choices for some time, and logs who owns the pool's queue instead. */
+    private suspectOwner(owner: HostId, pool: PoolId, evidence: { problem: string; tookMs?: number; }): void {
+        const { directory, logger } = this.options;
+        if (!directory.suspect(owner)) return;
+        logger.info("queue-owner-suspected", { pool, owner, next: this.ownerOf(pool), ...evidence });
+    }
+
     /** Updates a ticket's age, and adds the limits and back-offs that this host knows: the deciding host, such as a new owner, may not know them. */
     private refreshTicket(ticket: Ticket, startedAt: number): Ticket {
         const { signals, clock } = this.options;
@@ -249,9 +258,10 @@
      */
     private suspectLostOwners(): void {
         const { directory, self } = this.options;
-        const owners = new Set([...this.runningGrants.values()].map(({ owner }) => owner));
-        for (const owner of owners) {
-            if (owner !== self && !directory.linkTo(owner)?.isOpen) directory.suspect(owner);
+        const poolByOwner = new Map([...this.runningGrants.values()].map(({ owner, ticket }) => [owner, ticket.pool]));
+        for (const [owner, pool] of poolByOwner) {
+            if (owner === self || directory.linkTo(owner)?.isOpen) continue;
+            this.suspectOwner(owner, pool, { problem: "no open link" });
         }
     }
 
--- a/src/entry/peerDirectory/index.ts
+++ b/src/entry/peerDirectory/index.ts
@@ -103,10 +103,17 @@
         return this.getPeers().callerHosts;
     }
 
-    /** Excludes a host that could not be reached from choices for `SUSPICION_MS`. */
-    suspect(host: HostId): void {
-        this.suspects.set(host, this.options.clock.monotonic() + SUSPICION_MS);
+    /**
+     * Excludes a host that could not be reached from choices for `SUSPICION_MS`.
+     *
+     * @returns Whether it was not excluded before.
+     */
+    suspect(host: HostId): boolean {
+        const now = this.options.clock.monotonic();
+        const isNew = (this.suspects.get(host) ?? Number.NEGATIVE_INFINITY) <= now;
+        this.suspects.set(host, now + SUSPICION_MS);
         this.peers = NO_PEERS;
+        return isNew;
     }
 
     /**
--- a/src/passthrough/serveCalls/index.ts
+++ b/src/passthrough/serveCalls/index.ts
@@ -71,7 +71,7 @@
     ctx.metrics.count("calls", 1, { outcome, class: route.name });
     ctx.metrics.histogram("call_ms", ms, { class: route.name });
     if (firstMs !== undefined) ctx.metrics.histogram("first_byte_ms", firstMs, { class: route.name });
-    const { upstream, waitedMs, reason, decidedBy } = run.history;
+    const { upstream, waitedMs, reason, decidedBy, priority } = run.history;
     ctx.logger.info("call-ended", {
         request: head.request,
         fingerprint,
@@ -79,6 +79,8 @@
         workspace,
         pool,
         tier,
+        routeTier: route.tier,
+        priority,
         outcome,
         status,
         attempts,
--- a/src/request/runningRequest/index.ts
+++ b/src/request/runningRequest/index.ts
@@ -36,6 +36,8 @@
     upstream?: UpstreamId;
     /** The host that chose the upstream. */
     decidedBy?: HostId;
+    /** The priority sent to the upstream; 0 is the most urgent. */
+    priority?: number;
     /** Reason for the choice of the upstream, or for a refusal. */
     reason: string;
 }
@@ -85,11 +87,12 @@
     }
 
     /** Records that an upstream was chosen. */
-    recordGrant({ upstream, waitedMs, reason, decidedBy }: Grant): void {
+    recordGrant({ upstream, waitedMs, reason, decidedBy, priority }: Grant): void {
         if (this.history.upstream === undefined) this.history.waitedMs = waitedMs;
         this.history.upstream = upstream;
         this.history.reason = reason;
         this.history.decidedBy = decidedBy;
+        this.history.priority = priority;
         this.recordStep("granted", `${upstream} after ${Math.round(waitedMs)} ms: ${reason}`);
     }
 
--- a/src/upstream/firstTokenPolicy/index.ts
+++ b/src/upstream/firstTokenPolicy/index.ts
@@ -85,7 +85,9 @@
         const backlog = this.workOf(best.upstream.id).prefillQueue.backlogMs(now);
         const reason = `weight ${Math.round(weight)} ms, backlog ${Math.round(backlog)} ms, `
             + `${held} of ${promptTokens} tokens held, ${best.outstanding} running`
-            + (fetch ? `, ${fetch.tokens} from ${fetch.from.upstream.id}` : "");
+            + (fetch ? `, ${fetch.tokens} from ${fetch.from.upstream.id}` : "")
+            + `, ${this.workOf(best.upstream.id).memory.tokens} tokens in use`
+            + `, load ${Math.round(now - best.upstream.loadMeasuredAt)} ms old`;
         return { load: best, reason, fetch };
     }
 
