Failing test: urgent requests give way to less urgent ones

Emulated upstreams for routed calls can batch as engines do: slots, a waiting list ordered by the priority that they are sent, chunks of prompts between tokens, and memory that may run out first; what has to give way is the newest of the least urgent requests. 20 entries, 5 control hosts and 12 such upstreams get prompts of three routes and three workspaces, two of them of the same rank, in a burst of the longest kind.

--- a/src/emulator/batch/index.ts
+++ b/src/emulator/batch/index.ts
@@ -12,6 +12,10 @@
     readonly prefillMsPerToken: number;
     /** Maximum number of prompt tokens computed in one step. */
     readonly prefillTokensPerStep: number;
+    /** Whether a waiting request takes the slot of a less urgent running one. */
+    readonly preemptsSlots?: boolean;
+    /** Number of tokens that the requests of the batch can keep in memory together; unlimited by default. */
+    readonly memoryTokens?: number;
 }
 
 /** Timing of an engine that produces about 1,300 tokens per second with all slots taken. */
@@ -31,6 +35,19 @@
     /** @param priority - 0 is the most urgent. */
     constructor(readonly priority: number) {}
 
+    /** Number of tokens that it keeps in memory while it is in the batch. */
+    get memoryTokens(): number {
+        return 0;
+    }
+
+    /**
+     * Called when it loses its slot to another request or for lack of memory. It waits again, and its prompt and answer
+     * so far are computed again.
+     *
+     * @param _others - The requests that stay in the batch.
+     */
+    recordPreemption(_others: readonly Sequence[]): void {}
+
     /** Called when the request gets a slot; returns the number of prompt tokens to compute. */
     abstract startPrefill(): number;
 
@@ -99,6 +116,7 @@
     async run(signal: AbortSignal): Promise<void> {
         signal.addEventListener("abort", () => this.wake?.());
         while (!signal.aborted) {
+            this.keepWithinMemory();
             this.fillSlots();
             if (this.isFrozen || this.running.length === 0) {
                 await this.waitForWork();
@@ -111,14 +129,49 @@
     }
 
     private fillSlots(): void {
-        while (this.running.length < this.timing.slots) {
-            const next = this.waiting.shift();
-            if (!next) return;
+        while (this.waiting.length > 0 && this.makeRoom(this.waiting[0])) {
+            const next = this.waiting.shift()!;
             next.remainingPrefillTokens = next.startPrefill();
             this.running.push(next);
         }
     }
 
+    /** Preempts less urgent requests until a waiting one has a slot and memory. Returns false where it must wait. */
+    private makeRoom(next: Sequence): boolean {
+        const { slots, preemptsSlots = false, memoryTokens = Number.POSITIVE_INFINITY } = this.timing;
+        const isFree = (): boolean =>
+            this.running.length < slots
+            && (this.running.length === 0 || this.usedMemory() + next.memoryTokens <= memoryTokens);
+        while (!isFree()) {
+            const victim = preemptsSlots ? this.findVictim() : undefined;
+            if (!victim || victim.priority <= next.priority) return false;
+            this.preempt(victim);
+        }
+        return true;
+    }
+
+    /** Preempts requests while those in the batch need more memory than there is; one is always left. */
+    private keepWithinMemory(): void {
+        const { memoryTokens = Number.POSITIVE_INFINITY } = this.timing;
+        while (this.running.length > 1 && this.usedMemory() > memoryTokens) this.preempt(this.findVictim()!);
+    }
+
+    /** Returns the newest of the least urgent requests of the batch. */
+    private findVictim(): Sequence | undefined {
+        const lowest = Math.max(...this.running.map(({ priority }) => priority));
+        return this.running.findLast(({ priority }) => priority === lowest);
+    }
+
+    private preempt(victim: Sequence): void {
+        removeItem(this.running, victim);
+        victim.recordPreemption(this.running);
+        this.add(victim);
+    }
+
+    private usedMemory(): number {
+        return sum(this.running.map(sequence => sequence.memoryTokens));
+    }
+
     private async waitForWork(): Promise<void> {
         await new Promise<void>(resolve => {
             this.wake = resolve;
--- a/src/emulator/emulatedCallUpstream/index.ts
+++ b/src/emulator/emulatedCallUpstream/index.ts
@@ -12,6 +12,7 @@
 import { DEFAULT_HTTP_LIMITS, formatAddress } from "../../ports/index.js";
 import { Announcement } from "../../protocol/index.js";
 import { PromptPart } from "../../upstream/index.js";
+import { CallEngine, CallEngineOptions, EnginePreemption, EngineRun } from "../callEngine/index.js";
 import { DEFAULT_SOFTWARE } from "../upstreamState/index.js";
 
 /** Fault to inject into the answer of a call. */
@@ -79,6 +80,8 @@
     readonly restartMs?: number;
     /** Version of its software, which it announces and states in each event; "1.0" by default, undefined for none. */
     readonly software?: string;
+    /** Streams calls as a model engine does, with slots, a waiting list and memory; undefined: each call takes `workMs` for itself. */
+    readonly engine?: CallEngineOptions;
 }
 
 const MS_PER_SECOND = 1_000;
@@ -116,6 +119,8 @@
     private incarnation = 1;
     private software: string | undefined;
     private readonly openResponses = new Set<HttpResponse>();
+    /** The engine of each incarnation, the current one last; empty where it is no engine. */
+    private readonly engines: CallEngine[] = [];
     private listener: Listener | undefined;
     /** Number of crashes because it had to turn away too many calls. */
     falls = 0;
@@ -126,6 +131,7 @@
         this.room = options.slots;
         this.software = "software" in options ? options.software : DEFAULT_SOFTWARE;
         for (const { id, tokens } of options.holds ?? []) this.cachedPartTokens.set(id, tokens);
+        if (options.engine) this.engines.push(new CallEngine(options.clock, options.engine));
         this.becomeCold(options.coldMs ?? 0);
     }
 
@@ -140,10 +146,21 @@
         return this.listener !== undefined;
     }
 
+    /** What its engine did with each call, over all incarnations. */
+    get engineRuns(): readonly EngineRun[] {
+        return this.engines.flatMap(({ runs }) => runs);
+    }
+
+    /** Calls that its engine put back, over all incarnations. */
+    get preemptions(): readonly EnginePreemption[] {
+        return this.engines.flatMap(({ preemptions }) => preemptions);
+    }
+
     /** Returns its next announcement. */
     announce(state: Announcement["state"] = "ready"): Announcement {
         const { id, pool, zone, address, slots } = this.options;
-        const load = { running: 0, queued: 0, kv_used: 0, tokens_per_second: 0, age_ms: 0 };
+        const { runningCount: running = 0, waitingCount: queued = 0 } = this.engines.at(-1) ?? {};
+        const load = { running, queued, kv_used: 0, tokens_per_second: 0, age_ms: 0 };
         const coldMs = this.coldUntilMs - this.options.clock.monotonic();
         return {
             id,
@@ -214,6 +231,7 @@
 
     async close(): Promise<void> {
         const { listener } = this;
+        this.engines.at(-1)?.stop();
         this.listener = undefined;
         await listener?.close();
     }
@@ -239,6 +257,8 @@
         this.retryAfter = undefined;
         this.announcementSequence = 0;
         this.cachedPartTokens.clear();
+        const { engine, clock } = this.options;
+        if (engine) this.engines.push(new CallEngine(clock, engine));
         await this.listen();
     }
 
@@ -260,11 +280,13 @@
         if (retryAfter !== undefined) return this.sendNotRun(res, 503, [["retry-after", retryAfter]]);
         const fault = this.faults.shift();
         if (fault === "refuse") return this.sendNotRun(res, 503);
-        if (this.openResponses.size >= this.room) return this.reject(res);
+        const engine = this.engines.at(-1);
+        if (engine ? engine.isFull : this.openResponses.size >= this.room) return this.reject(res);
         const body = (await req.body(MAX_BODY_BYTES)).map(bytes => Buffer.from(bytes).toString()).orDefault("");
         const workspace = findHeader(req.headers, CALL_HEADERS.workspace);
         const at = this.options.clock.monotonic();
         this.runs.push({ request, workspace, path: req.path, body, headers: req.headers, at });
+        if (engine) return this.answerFromEngine(engine, req, res, request);
         this.addCachedParts(findHeader(req.headers, CALL_HEADERS.parts));
         this.openResponses.add(res);
         await this.options.clock.sleep(this.options.workMs, req.closed);
@@ -276,6 +298,46 @@
         this.openResponses.delete(res);
     }
 
+    private async answerFromEngine(
+        engine: CallEngine,
+        req: HttpRequest,
+        res: HttpResponse,
+        request: string,
+    ): Promise<void> {
+        const parts = findHeader(req.headers, CALL_HEADERS.parts);
+        const [promptTokens, answerTokens] = (findHeader(req.headers, CALL_HEADERS.tokens) ?? "0,1").split(",");
+        const engineRequest = {
+            request,
+            priority: Number(findHeader(req.headers, CALL_HEADERS.priority)),
+            promptTokens: Number(promptTokens),
+            answerTokens: Number(answerTokens),
+            countCached: () => this.countCachedTokens(parts),
+        };
+        const sendEvent = (number: number): void => {
+            if (!this.openResponses.has(res)) return;
+            if (number === 1) {
+                this.addCachedParts(parts);
+                res.head(200, this.streamHeaders(request));
+            }
+            void res.write(this.formatEvent(number));
+        };
+        this.openResponses.add(res);
+        const isComplete = await engine.run(engineRequest, sendEvent, req.closed);
+        if (isComplete && this.openResponses.has(res)) res.end();
+        this.openResponses.delete(res);
+    }
+
+    /** Returns the tokens of a prompt's leading parts that are cached. */
+    private countCachedTokens(parts = ""): number {
+        let tokens = 0;
+        for (const part of parts.split(",").filter(Boolean)) {
+            const cached = this.cachedPartTokens.get(part.split(":")[0]);
+            if (cached === undefined) break;
+            tokens += cached;
+        }
+        return tokens;
+    }
+
     private async reject(res: HttpResponse): Promise<void> {
         const now = this.options.clock.monotonic();
         this.rejections = [...this.rejections.filter(at => at > now - MS_PER_SECOND), now];
@@ -317,16 +379,33 @@
         request: string,
         fault: CallFault | undefined,
     ): Promise<void> {
+        const headers = this.answerHeaders(request);
+        if (this.options.events > 0 && fault !== "error") return this.sendEvents(req, res, request, fault);
+        const text = `${fault === "error" ? "failed" : "answered"} by ${this.options.id}`;
+        res.head(fault === "error" ? 500 : 200, [...headers, ["content-length", String(text.length)]]);
+        res.end(text);
+    }
+
+    private answerHeaders(request: string): [string, string][] {
         const headers: [string, string][] = [
             [CALL_HEADERS.request, request],
             [CALL_HEADERS.signature, `${this.options.id}/${request}`],
             ...this.stateHeaders(),
         ];
         if (this.requestLimit !== undefined) headers.push([CALL_HEADERS.requestLimit, String(this.requestLimit)]);
-        if (this.options.events > 0 && fault !== "error") return this.sendEvents(req, res, headers, fault);
-        const text = `${fault === "error" ? "failed" : "answered"} by ${this.options.id}`;
-        res.head(fault === "error" ? 500 : 200, [...headers, ["content-length", String(text.length)]]);
-        res.end(text);
+        return headers;
+    }
+
+    private streamHeaders(request: string): [string, string][] {
+        return [
+            ...this.answerHeaders(request),
+            ["content-type", "text/event-stream"],
+            ["transfer-encoding", "chunked"],
+        ];
+    }
+
+    private formatEvent(id: number): string {
+        return `id: ${id}\nevent: ${this.software ?? "unknown"}\ndata: event ${id}\n\n`;
     }
 
     /** Headers of each answer that state something about this upstream. */
@@ -339,12 +418,12 @@
     private async sendEvents(
         req: HttpRequest,
         res: HttpResponse,
-        headers: [string, string][],
+        request: string,
         fault: CallFault | undefined,
     ): Promise<void> {
         const { events, gapMs, clock } = this.options;
         const firstEventId = Number(findHeader(req.headers, CALL_HEADERS.lastEventId) ?? 0) + 1;
-        res.head(200, [...headers, ["content-type", "text/event-stream"], ["transfer-encoding", "chunked"]]);
+        res.head(200, this.streamHeaders(request));
         for (let id = firstEventId; id <= events; id++) {
             await this.waitWhileSilent(req.closed);
             if (req.closed.aborted) return;
@@ -353,7 +432,7 @@
                 res.reset();
                 return;
             }
-            await res.write(`id: ${id}\nevent: ${this.software ?? "unknown"}\ndata: event ${id}\n\n`);
+            await res.write(this.formatEvent(id));
             await clock.sleep(gapMs, req.closed);
         }
         res.end();
--- a/src/emulator/index.ts
+++ b/src/emulator/index.ts
@@ -3,6 +3,7 @@
 export * from "./announcer/index.js";
 export * from "./answerText/index.js";
 export * from "./batch/index.js";
+export * from "./callEngine/index.js";
 export * from "./chatLedger/index.js";
 export * from "./controlAction/index.js";
 export * from "./controlApi/index.js";
--- a/src/faultInjection/index.ts
+++ b/src/faultInjection/index.ts
@@ -3,6 +3,7 @@
 export * from "./checkStreams/index.js";
 export * from "./pathSchedule/index.js";
 export * from "./powerSchedule/index.js";
+export * from "./promptLoad/index.js";
 export * from "./recordingLogger/index.js";
 export * from "./replicaFleet/index.js";
 export * from "./routedFleet/index.js";
--- a/src/faultInjection/routedFleet/index.ts
+++ b/src/faultInjection/routedFleet/index.ts
@@ -198,11 +198,11 @@
         this.fabric.isolate(entryHost(number), others, isCut);
     }
 
-    /** Isolates all entries from each other and from control hosts; they still reach upstreams. */
-    cutEntriesApart(): void {
+    /** Isolates all entries from each other and from control hosts, or reconnects them; they still reach upstreams. */
+    cutEntriesApart(isCut = true): void {
         const entries = this.entries.map((_, entry) => entryHost(entry));
         const controls = this.controls.map((_, number) => controlAddress(number).host);
-        for (const host of entries) this.fabric.isolate(host, [...entries, ...controls], true);
+        for (const host of entries) this.fabric.isolate(host, [...entries, ...controls], isCut);
     }
 
     async startEntry(number: number): Promise<void> {
