Calls are ranked by the tier of their workspace and then by that of their route

Cause: a workspace's tier replaced that of the route. Where all workspaces have one, as on these deployments, all calls of a workspace were equal to the queue and to the upstream. The queue served them by age, and an upstream whose memory or slots ran out put back the newest, whatever it was.

RouteTable ranks all pairs of tiers in a document. Queues order by this rank; upstreams are told it as their priority, evenly spread where there are more ranks than priorities.

--- a/src/passthrough/callDialect/index.ts
+++ b/src/passthrough/callDialect/index.ts
@@ -85,6 +85,9 @@
     /** Name of the header, in lower case, that states to an upstream how many milliseconds remain. */
     abstract readonly deadlineHeader: string;
 
+    /** Number of priorities that upstreams distinguish. */
+    abstract readonly priorityLevels: number;
+
     /** Parses the head of a caller's request. */
     abstract readHead(req: HttpRequest): Either<CallError, CallHead>;
 
--- a/src/passthrough/nativeDialect/index.ts
+++ b/src/passthrough/nativeDialect/index.ts
@@ -71,6 +71,7 @@
 /** Sequoiamux's own dialect of routed calls: keys as bearer tokens, and headers that begin with `x-sequoiamux-`. */
 export class NativeDialect extends CallDialect {
     readonly deadlineHeader = CALL_HEADERS.deadlineMs;
+    readonly priorityLevels = Number.MAX_SAFE_INTEGER;
 
     readHead({ headers }: HttpRequest): Either<CallError, CallHead> {
         const request = findHeader(headers, CALL_HEADERS.request);
--- a/src/passthrough/prepareCall/index.ts
+++ b/src/passthrough/prepareCall/index.ts
@@ -39,7 +39,7 @@
     readonly resumption: StreamStart | undefined;
     /** Undefined where the route needs no key. */
     readonly workspace: WorkspaceId | undefined;
-    /** 0 is the highest. */
+    /** Rank by the tiers of its workspace and its route; 0 is the most urgent. */
     readonly tier: number;
     /** Monotonic time of its arrival, in milliseconds. */
     readonly arrivedAt: number;
@@ -161,12 +161,14 @@
     route: Route,
     { key }: CallHead,
 ): Either<CallError, Caller> {
-    if (route.keyless || !routes.requiresKeys) return Right({ workspace: undefined, tier: route.tier });
+    if (route.keyless || !routes.requiresKeys) {
+        return Right({ workspace: undefined, tier: routes.ranks.find(route.tier) });
+    }
     if (!ctx.view.isFresh()) return Left(staleViewError(ctx));
     if (key === undefined) return Left(new CallError("key-missing", "this route needs a key"));
     const owner = routes.findOwner(key);
     if (!owner) return Left(new CallError("key-unknown", "the key is unknown or was withdrawn"));
-    return Right({ workspace: owner.workspace, tier: owner.tier ?? route.tier });
+    return Right({ workspace: owner.workspace, tier: routes.ranks.find(route.tier, owner.tier) });
 }
 
 function staleViewError(
--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -20,6 +20,7 @@
 import { MIN_STALL_MS } from "../relayStream/index.js";
 import { sendCall } from "../sendCall/index.js";
 import { createStreamState, StreamState } from "../streamState/index.js";
+import { toUpstreamPriority } from "../upstreamPriority/index.js";
 
 /** Retry delay after the loss of an upstream, in milliseconds: the others of the pool continue to serve. */
 const RETRY_AFTER_LOSS_MS = 100;
@@ -116,7 +117,7 @@
     const { ctx, call, run, progress } = task;
     const decision = await ctx.dispatcher.submit(makeTicket(task), run.signal);
     if (decision.isLeft()) return endWithRefusal(task, decision.extract() as Refusal);
-    const grant = decision.extract() as Grant;
+    const grant = setPriority(task, decision.extract() as Grant);
     const block = ctx.sendGuard.findBlock(grant, requiredSoftware(task));
     if (block) return declineGrant(task, grant, block);
     const error = recheckKey(ctx, call) ?? checkQuarantine(ctx, call);
@@ -147,6 +148,12 @@
     return undefined;
 }
 
+/** Sets the priority that the upstream is told, by the rank of the call in the document in force. */
+function setPriority({ ctx, call }: CallTask, grant: Grant): Grant {
+    const rankCount = ctx.view.routes()?.ranks.count ?? 0;
+    return { ...grant, priority: toUpstreamPriority(call.tier, rankCount, ctx.dialect.priorityLevels) };
+}
+
 /** Reports the outcome of an attempt to the owner of the queue; finding it out may take a moment where the attempt failed. */
 async function completeAttempt(task: CallTask, attempt: Attempt, result: AttemptResult, sentAt: number): Promise<void> {
     const { ctx, call, run, progress } = task;
--- a/src/platform/platformDialect/index.ts
+++ b/src/platform/platformDialect/index.ts
@@ -67,7 +67,7 @@
 const STATUS_OK = 200;
 const STATUS_MISDIRECTED = 421;
 const MS_PER_SECOND = 1_000;
-const MAX_PRIORITY_CLASS = 9;
+const PRIORITY_CLASS_COUNT = 10;
 const ATTEMPT_ID_PATTERN = /^[\x21-\x7e]{1,200}$/;
 const AUTHORIZATION_PATTERN = /^token +(\S+)$/i;
 const PROMPT_PART_PATTERN = /^([0-9a-f]+):(\d+)$/i;
@@ -81,6 +81,7 @@
 /** Reads and writes calls in the platform's header format. */
 export class PlatformDialect extends CallDialect {
     readonly deadlineHeader = HEADER_NAMES.deadline;
+    readonly priorityLevels = PRIORITY_CLASS_COUNT;
 
     readHead(req: HttpRequest): Either<CallError, CallHead> {
         const { headers } = req;
@@ -110,7 +111,7 @@
         const added: [string, string][] = [
             [HEADER_NAMES.deadline, String(deadlineMs)],
             [HEADER_NAMES.expectInstance, upstream],
-            [HEADER_NAMES.priority, String(Math.min(MAX_PRIORITY_CLASS, priority))],
+            [HEADER_NAMES.priority, String(priority)],
         ];
         if (workspace !== undefined) added.push([HEADER_NAMES.tenant, workspace]);
         if (lastEventId !== undefined) added.push([HEADER_NAMES.lastEventId, lastEventId]);
--- a/src/routing/fleetDocument/index.ts
+++ b/src/routing/fleetDocument/index.ts
@@ -112,7 +112,7 @@
 const workspaceSchema = z.object({
     workspace: workspaceIdSchema,
     keys: z.array(z.string().min(1)),
-    /** Overrides the tier of the route. */
+    /** Goes before the tier of the route: calls of workspaces of the same tier are ranked by those of their routes. */
     tier: z.int().min(0).optional(),
 });
 /** A workspace with its API keys. */
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -1,4 +1,5 @@
 /** The fleet document: routes, pools, limits, and workspaces with their keys. It is replaced as a whole, by version. */
+export * from "./callRanks/index.js";
 export * from "./checkDocument/index.js";
 export * from "./documentStore/index.js";
 export * from "./fixtures/index.js";
--- a/src/routing/routeTable/index.ts
+++ b/src/routing/routeTable/index.ts
@@ -1,11 +1,12 @@
 import { PoolId, WorkspaceId } from "../../ids/index.js";
 import { Random } from "../../ports/index.js";
+import { CallRanks } from "../callRanks/index.js";
 import { CallerLimits, FleetDocument, PoolSpec, Route } from "../fleetDocument/index.js";
 
 /** The workspace that a key belongs to. */
 export interface KeyOwner {
     readonly workspace: WorkspaceId;
-    /** Overrides the tier of the route. */
+    /** Goes before the tier of the route. */
     readonly tier: number | undefined;
 }
 
@@ -20,6 +21,8 @@
     readonly limits: CallerLimits;
     /** Whether calls need keys; false if the document contains no workspaces. */
     readonly requiresKeys: boolean;
+    /** Ranks of calls by urgency. */
+    readonly ranks: CallRanks;
     private readonly routesByHost = new Map<string, Route[]>();
     private readonly owners = new Map<string, KeyOwner>();
     private readonly pools = new Map<PoolId, PoolSpec>();
@@ -29,6 +32,7 @@
         this.version = version;
         this.limits = limits;
         this.requiresKeys = workspaces !== undefined;
+        this.ranks = new CallRanks(document);
         for (const route of routes) this.addRoute(route);
         for (const list of this.routesByHost.values()) {
             list.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
