--- a/src/entry/urgentRequests/test.ts
+++ b/src/entry/urgentRequests/test.ts
@@ -28,6 +28,8 @@
 const MAX_INVERSIONS = 9;
 /** By how much urgent requests may begin in time less often than less urgent ones, as a share of the requests. */
 const MAX_SERVED_GAP = 0.05;
+/** How many urgent streams that begin in time must have no long pause, as a share. */
+const MIN_SMOOTH_SHARE = 0.9;
 /** By how much urgent streams may be on time less often than less urgent ones, as a share of the requests. */
 const MAX_ON_TIME_GAP = 0.15;
 
@@ -147,4 +149,10 @@
             assert.ok(question.onTime >= sheet.onTime - MAX_ON_TIME_GAP, figures);
         }
     });
+
+    it("have no long pause in nine of ten streams that begin in time", async () => {
+        // Long prompts are placed beside urgent streams, which stand still while these are read.
+        const { question: { inTime, onTime } } = await play("nothing is lost");
+        assert.ok(onTime >= MIN_SMOOTH_SHARE * inTime, `${onTime.toFixed(3)} of ${inTime.toFixed(3)}`);
+    });
 });
