A lost owner of a queue counts as a candidate again only once a link to it is open

Callers of the most urgent kind waited 0.3 to 1.1 s for a grant, for half a second every two seconds after the owner of the queue was lost, while less urgent requests ran.

Cause: an entry that cannot reach an owner leaves it out for two seconds, then ranks it first again, whether it runs or not. At that moment it released all its running requests at the successor, which took them for ended and granted as many more; then it found the owner unreachable and reported them again. The successor counted 202 running requests on 144 slots, and nothing was free for a second.

Dedicated queue hosts are candidates while the entry's link to them is open. An entry that stops no longer opens links to possible owners in its last round, which closing had to wait for.

--- a/src/entry/fleetDispatcher/index.ts
+++ b/src/entry/fleetDispatcher/index.ts
@@ -233,6 +233,7 @@
     async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
             await this.options.clock.sleepToTick(PROGRESS_INTERVAL_MS, signal);
+            if (signal.aborted) return;
             for (const [owner, sums] of this.pendingProgress) this.sendProgress(owner, sums);
             this.pendingProgress.clear();
             this.openOwnerLinks();
--- a/src/entry/peerDirectory/index.ts
+++ b/src/entry/peerDirectory/index.ts
@@ -32,6 +32,8 @@
 /** Lists of hosts derived from the entries that the holder reports. */
 interface PeerLists {
     readonly entries: readonly EntryView[];
+    /** The hosts of control processes to which a link was open. */
+    readonly reachedControls: string;
     /** Monotonic time at which the next suspicion ends and the lists must be rebuilt, in milliseconds. */
     readonly validUntil: number;
     /** All entries, including draining and suspected ones. */
@@ -46,6 +48,7 @@
 
 const NO_PEERS: PeerLists = {
     entries: [],
+    reachedControls: "",
     validUntil: Number.NEGATIVE_INFINITY,
     byHost: new Map(),
     queueHosts: [],
@@ -83,7 +86,7 @@
 
     /**
      * The hosts among which the owners of queues are chosen: the dedicated queue hosts, or the entries that serve callers where no queue host
-     * exists or responds.
+     * exists or can be reached.
      */
     queueHosts(): readonly HostId[] {
         return this.getPeers().queueHosts;
@@ -138,16 +141,30 @@
         const { control, clock } = this.options;
         const now = clock.monotonic();
         const entries = control.entries();
-        if (this.peers.entries !== entries || now >= this.peers.validUntil) this.peers = this.buildLists(entries, now);
+        const reachedControls = this.listReachedControls().join(" ");
+        const { peers } = this;
+        const isValid = peers.entries === entries && peers.reachedControls === reachedControls
+            && now < peers.validUntil;
+        if (!isValid) this.peers = this.buildLists(entries, reachedControls, now);
         return this.peers;
     }
 
-    private buildLists(entries: readonly EntryView[], now: number): PeerLists {
+    private listReachedControls(): HostId[] {
+        return this.options.controlLinks.flatMap(({ isOpen, peer }) => isOpen && peer ? [peer.host] : []);
+    }
+
+    private buildLists(entries: readonly EntryView[], reachedControls: string, now: number): PeerLists {
         const { self, ownsQueues = false } = this.options;
         for (const [host, until] of this.suspects) {
             if (until <= now) this.suspects.delete(host);
         }
-        const usable = entries.filter(({ host, draining }) => !draining && !this.suspects.has(host as HostId));
+        const reached = new Set<string>(this.listReachedControls());
+        // A lost owner that counted as a candidate again after some time would take the queue from its successor for a moment, which would
+        // count all running requests as ended.
+        const isReached = ({ host, ownsQueues: isDedicated }: EntryView): boolean => !isDedicated || reached.has(host);
+        const usable = entries.filter(entry =>
+            !entry.draining && !this.suspects.has(entry.host as HostId) && isReached(entry)
+        );
         const hostsOf = (dedicated: boolean): HostId[] => {
             const hosts = usable.filter(entry => (entry.ownsQueues ?? false) === dedicated).map(({ host }) =>
                 host as HostId
@@ -161,7 +178,16 @@
         const byHost = new Map([...entries].reverse().map(entry => [entry.host as HostId, entry]));
         const queueHosts = owners.length > 0 ? owners : callerHosts;
         const ips = new Set(entries.flatMap(entry => parseAddress(entry.peerAddress)?.host ?? []));
-        return { entries, validUntil, byHost, callerHosts, queueHosts, ips, relays: toRelays(usable, self.host) };
+        return {
+            entries,
+            reachedControls,
+            validUntil,
+            byHost,
+            callerHosts,
+            queueHosts,
+            ips,
+            relays: toRelays(usable, self.host),
+        };
     }
 
     private openLink(host: HostId, entry: EntryView): PeerLink | undefined {
