Hosts that own the same queue tell each other what they have granted, and what waits there

On the users' deployment two control hosts granted about half of the calls each for two seconds after a restart, and one of them a sixth for four more.

Cause: an owner knew the other's requests only from load reports that are up to 1.2 s old, and nothing of the tickets that waited at the other.

Each owner sends the hosts that rank next what its requests use of each upstream (number, memory, prefill), and how many tickets of each rank wait, every 100 ms while it has any. Receivers count the larger of that and of the load report, and leave free the slots that more urgent tickets wait for elsewhere. A request that its entry reports to the next owner is taken out of the first one's account at once.

--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -8,6 +8,7 @@
 export * from "./lengthEstimator/index.js";
 export * from "./localDispatcher/index.js";
 export * from "./order/index.js";
+export * from "./otherOwners/index.js";
 export * from "./poolOwnerTable/index.js";
 export * from "./poolQueue/index.js";
 export * from "./preemptionPolicy/index.js";
--- a/src/dispatch/localDispatcher/index.ts
+++ b/src/dispatch/localDispatcher/index.ts
@@ -6,6 +6,7 @@
 import { DispatchObserver, NoDispatchObserver } from "../dispatchObserver/index.js";
 import { DEFAULT_POLICIES, DispatchPolicies } from "../dispatchPolicies/index.js";
 import { LengthEstimator } from "../lengthEstimator/index.js";
+import { QueueState } from "../otherOwners/index.js";
 import { PoolQueue } from "../poolQueue/index.js";
 import { Completion, Grant, Refusal, Ticket } from "../ticket/index.js";
 import { WaitingTicket } from "../waitingTicket/index.js";
@@ -119,10 +120,22 @@
      * them to the new owner, whose view of the load would otherwise be one load report out of date.
      *
      * @param runningMs - Time since it was granted, in milliseconds.
+     * @param previousOwner - The owner that counted it until now, where that is another host.
      */
-    adopt(ticket: Ticket, grant: Grant, runningMs: number): void {
+    adopt(ticket: Ticket, grant: Grant, runningMs: number, previousOwner?: HostId): void {
         this.poolOfRequest.set(ticket.request, ticket.pool);
-        this.queueOf(ticket.pool).adopt(ticket, grant, runningMs);
+        this.queueOf(ticket.pool).adopt(ticket, grant, runningMs, previousOwner);
+        this.armTimer();
+    }
+
+    /** Returns what this process has granted in a pool, and what waits here; undefined where it has had no ticket. */
+    describeState(pool: PoolId): QueueState | undefined {
+        return this.queues.get(pool)?.describeState();
+    }
+
+    /** Records what another owner of a pool's queue has granted, and what waits there. */
+    recordOtherOwner(pool: PoolId, host: HostId, state: QueueState): void {
+        this.queueOf(pool).recordOtherOwner(host, state);
         this.armTimer();
     }
 
--- a/src/dispatch/poolQueue/index.ts
+++ b/src/dispatch/poolQueue/index.ts
@@ -1,7 +1,15 @@
 import PQueue from "p-queue";
 import { Either, Left, Right } from "purify-ts";
 import { HostId, RequestId, UpstreamId } from "../../ids/index.js";
-import { BackOff, Choice, PromptPart, SelectionPolicy, StragglerPolicy, Upstream } from "../../upstream/index.js";
+import {
+    BackOff,
+    Choice,
+    PromptPart,
+    SelectionPolicy,
+    StragglerPolicy,
+    Upstream,
+    UpstreamLoad,
+} from "../../upstream/index.js";
 import { makeGrant } from "../_lib/makeGrant.js";
 import { PendingDecisions } from "../_lib/pendingDecisions.js";
 import { AdmissionControl, makeRefusal } from "../admissionControl/index.js";
@@ -9,6 +17,7 @@
 import { HeldTickets } from "../heldTickets/index.js";
 import { HostBackOffs } from "../hostBackOffs/index.js";
 import { OrderContext, OrderPolicy } from "../order/index.js";
+import { OtherOwners, QueueState } from "../otherOwners/index.js";
 import { PoolForecast } from "../poolForecast/index.js";
 import { PoolQueueOptions } from "../poolQueueOptions/index.js";
 import { Preempter } from "../preempter/index.js";
@@ -56,6 +65,7 @@
     /** Tickets of streams that certain software must continue. */
     private readonly bound: HeldTickets;
     private readonly backOffs = new HostBackOffs();
+    private readonly otherOwners = new OtherOwners();
     private readonly running = new RunningSet();
     private readonly forecast = new PoolForecast();
     private grantedSlots = 0;
@@ -190,11 +200,14 @@
      * again.
      *
      * @param runningMs - Time since it was granted, in milliseconds.
+     * @param previousOwner - The owner that counted it until now, where that is another host.
      */
-    adopt(ticket: Ticket, grant: Grant, runningMs: number): void {
+    adopt(ticket: Ticket, grant: Grant, runningMs: number, previousOwner?: HostId): void {
         const load = this.options.members.get(grant.upstream);
         if (!load || this.running.get(ticket.request)) return;
         const now = this.options.clock.monotonic();
+        if (previousOwner !== undefined) this.otherOwners.takeOver(previousOwner, grant.upstream);
+        this.updateOthersUse(load, now);
         this.admission.recordTakeover();
         load.adopt(now - runningMs);
         this.applySignals(ticket);
@@ -237,6 +250,28 @@
         return this.choice.prefillLoad(this.options.clock.monotonic());
     }
 
+    /** Returns what this owner has granted, and what waits here, for other owners of the queue. */
+    describeState(): QueueState {
+        const now = this.options.clock.monotonic();
+        const uses = this.options.members.all.filter(({ ownOutstanding }) => ownOutstanding > 0);
+        const waiting = new Map<number, number>();
+        for (const { ticket: { tier } } of this.listUnserved()) waiting.set(tier, (waiting.get(tier) ?? 0) + 1);
+        return {
+            uses: uses.map(({ upstream: { id: upstream }, ownOutstanding: requests }) => ({
+                upstream,
+                requests,
+                ...this.choice.describeUse(upstream, now),
+            })),
+            waiting: [...waiting].sort(([a], [b]) => a - b),
+        };
+    }
+
+    /** Records what another owner of the queue has granted, and what waits there. */
+    recordOtherOwner(host: HostId, state: QueueState): void {
+        const now = this.options.clock.monotonic();
+        this.updateOthersUses(this.otherOwners.record(host, state, now), now);
+    }
+
     /** Records parts of prompts that an upstream reports to have cached. */
     recordHeldParts(upstream: UpstreamId, parts: readonly PromptPart[]): void {
         this.choice.recordHeldParts(upstream, parts, this.options.clock.monotonic());
@@ -288,6 +323,8 @@
      */
     tick(): void {
         const tickNumber = this.ticks++;
+        const now = this.options.clock.monotonic();
+        this.updateOthersUses(this.otherOwners.expire(now), now);
         if (tickNumber % STRAGGLER_REVIEW_TICKS === 0) this.ejectStragglers();
         else this.options.members.refreshThrottled();
         this.updateConcurrency();
@@ -319,6 +356,22 @@
         for (const backOff of backOffs) this.recordBackOff(origin, backOff);
     }
 
+    private updateOthersUses(upstreams: ReadonlySet<UpstreamId>, now: number): void {
+        if (upstreams.size === 0) return;
+        for (const upstream of upstreams) {
+            const load = this.options.members.get(upstream);
+            if (load) this.updateOthersUse(load, now);
+        }
+        this.updateConcurrency();
+    }
+
+    private updateOthersUse(load: UpstreamLoad, now: number): void {
+        const use = this.otherOwners.useOf(load.upstream.id);
+        load.setOthersOutstanding(use.requests);
+        this.choice.recordOthersUse(use, now);
+        this.options.members.refresh(load);
+    }
+
     private ejectStragglers(): void {
         const { members, observer, clock } = this.options;
         const ejected = this.stragglers.review(members.all, clock.monotonic());
@@ -451,7 +504,7 @@
     private updateConcurrency(): void {
         this.admission.recordMembers();
         this.bound.release(waiting => this.grantOrHoldBound(waiting));
-        const concurrency = this.grantedSlots + this.options.members.freeSlots;
+        const concurrency = this.grantedSlots + this.countGrantableSlots();
         if (concurrency === 0) {
             this.queue.pause();
             return;
@@ -461,6 +514,14 @@
         this.held.release(waiting => this.enqueue(waiting));
     }
 
+    /** Returns the number of free slots but for those that more urgent tickets wait for at other owners of the queue. */
+    private countGrantableSlots(): number {
+        const { freeSlots } = this.options.members;
+        if (!this.otherOwners.hasWaiting) return freeSlots;
+        const [first] = this.order.highestTierFirst();
+        return first ? Math.max(0, freeSlots - this.otherOwners.waitingAbove(first.ticket.tier)) : freeSlots;
+    }
+
     private readOrderContext(): OrderContext {
         const now = this.options.clock.monotonic();
         const { usableSlots } = this.options.members;
--- a/src/entry/entryProcess/index.ts
+++ b/src/entry/entryProcess/index.ts
@@ -39,6 +39,7 @@
 import { FleetControl } from "../fleetControl/index.js";
 import { FleetDispatcher } from "../fleetDispatcher/index.js";
 import { FleetStreamStarts } from "../fleetStreamStarts/index.js";
+import { OwnerExchange } from "../ownerExchange/index.js";
 import { PeerDirectory } from "../peerDirectory/index.js";
 import { PeerUsageBackup } from "../peerUsageBackup/index.js";
 import { readNativeSignals } from "../reportSignals/index.js";
@@ -301,6 +302,9 @@
         const peerRouter = options.sharedRouter ?? this.router;
         this.announcementForwarder.addTo(peerRouter);
         this.dispatcher.addTo(this.router);
+        const { local, dispatcher, directory } = this;
+        const exchange = new OwnerExchange({ ...options, self: options.self.host, local, dispatcher, directory });
+        exchange.addTo(peerRouter);
         new TicketServer(this.local, options.clock, request => this.dispatcher.preemptLocal(request)).addTo(peerRouter);
         this.dispatcher.onPreempt(request => this.requests.cancel(request, "preempted"));
         this.control.onViewChange(() => this.requests.cancelWithdrawn(hash => !!this.control.findWorkspace(hash)));
@@ -311,6 +315,7 @@
         }
         lifecycle.run(running => this.client.run(running), onError);
         lifecycle.run(running => this.dispatcher.run(running), onError);
+        lifecycle.run(running => exchange.run(running), onError);
         lifecycle.run(running => this.replicator.run(running), onError);
         lifecycle.run(running => this.evacuationMonitor.run(running), onError);
         lifecycle.run(running => this.crashMonitor.run(running), onError);
--- a/src/entry/fleetDispatcher/index.ts
+++ b/src/entry/fleetDispatcher/index.ts
@@ -101,7 +101,7 @@
     /** Whether this host owns the queue of any pool, or may soon own one. */
     mayOwnQueues(): boolean {
         const pools = this.options.pools?.() ?? [];
-        return pools.some(pool => this.isAmongOwners(pool, OWNER_CANDIDATE_COUNT));
+        return pools.some(pool => this.listOwnerCandidates(pool).includes(this.options.self));
     }
 
     /** Lists the upstreams of the grants in use, one item per grant. */
@@ -120,10 +120,10 @@
         return rank < 0 ? undefined : rank;
     }
 
-    /** Whether this host is among the first `count` hosts in the ranking of owners of a pool's queue. */
-    private isAmongOwners(pool: PoolId, count: number): boolean {
-        const { directory, owners, self } = this.options;
-        return owners.rank(pool, directory.queueHosts()).slice(0, count).includes(self);
+    /** Lists the owner of a pool's queue and the hosts that come next, according to this host's view. */
+    listOwnerCandidates(pool: PoolId): readonly HostId[] {
+        const { directory, owners } = this.options;
+        return owners.rank(pool, directory.queueHosts()).slice(0, OWNER_CANDIDATE_COUNT);
     }
 
     onPreempt(listener: (request: RequestId) => void): void {
@@ -244,10 +244,9 @@
 
     /** Opens the links to possible owners in advance: links open on first use, and a ticket would wait for that. */
     private openOwnerLinks(): void {
-        const { directory, owners, self, pools } = this.options;
-        const hosts = directory.queueHosts();
+        const { directory, self, pools } = this.options;
         for (const pool of pools?.() ?? []) {
-            for (const host of owners.rank(pool, hosts).slice(0, OWNER_CANDIDATE_COUNT)) {
+            for (const host of this.listOwnerCandidates(pool)) {
                 if (host !== self) directory.linkTo(host);
             }
         }
@@ -285,13 +284,14 @@
         const { self, local, directory, clock } = this.options;
         const ticket = this.refreshTicket(running.ticket, running.grantedAt);
         const runningMs = clock.monotonic() - running.grantedAt;
-        this.releaseFromOwner(running.owner, running);
+        const { owner: previousOwner } = running;
+        this.releaseFromOwner(previousOwner, running);
         running.owner = owner;
         if (owner === self) {
-            local.adopt(ticket, grant, runningMs);
+            local.adopt(ticket, grant, runningMs, previousOwner);
             return;
         }
-        const notice: AdoptNotice = { ticket, grant, runningMs };
+        const notice: AdoptNotice = { ticket, grant, runningMs, previousOwner };
         directory.linkTo(owner)?.notify(DISPATCH_METHODS.adopt, notice);
     }
 
--- a/src/entry/ticketServer/index.ts
+++ b/src/entry/ticketServer/index.ts
@@ -32,6 +32,8 @@
     readonly grant: Grant;
     /** Time since the grant was made, in milliseconds. */
     readonly runningMs: number;
+    /** The owner that counted it until now. */
+    readonly previousOwner?: HostId;
 }
 
 /** A limit on requests, or on rejections, in an upstream's answer. */
@@ -138,10 +140,10 @@
         return { kind: "grant", grant };
     }
 
-    private adopt({ ticket, grant, runningMs }: AdoptNotice, channel: PeerChannel): void {
+    private adopt({ ticket, grant, runningMs, previousOwner }: AdoptNotice, channel: PeerChannel): void {
         if (this.remoteTickets.has(ticket.request)) return;
         this.track(ticket.request, channel).grant = grant;
-        this.local.adopt(ticket, grant, runningMs);
+        this.local.adopt(ticket, grant, runningMs, previousOwner);
     }
 
     /** Counts a completion; that of an abandoned request has been counted already. */
--- a/src/entry/urgentRequests/test.ts
+++ b/src/entry/urgentRequests/test.ts
@@ -71,6 +71,14 @@
         fleet.upstreams[2].fallSilent(3_000);
         await load.sendFor(2_000, BURST);
     },
+    "half of the entries lose the owner of the queue": async (fleet, load) => {
+        const owner = fleet.queueOwner(POOL);
+        const half = Array.from({ length: ENTRIES / 2 }, (_, entry) => entry);
+        fleet.cutControlFromEntries(owner, half);
+        await load.sendFor(3_000, BURST);
+        fleet.restoreControlToEntries(owner, half);
+        await load.sendFor(1_000, BURST);
+    },
     "the entries are cut apart": async (fleet, load) => {
         fleet.cutEntriesApart();
         await load.sendFor(2_000, BURST);
--- a/src/upstream/firstTokenPolicy/index.ts
+++ b/src/upstream/firstTokenPolicy/index.ts
@@ -8,6 +8,7 @@
 import { PromptCache, PromptPart } from "../promptCache/index.js";
 import { Choice, PartsFetch, SelectionPolicy, SelectionRequest } from "../selectionPolicy/index.js";
 import { UpstreamLoad } from "../upstreamLoad/index.js";
+import { UpstreamUse } from "../upstreamUse/index.js";
 import { GrantedRequest, UpstreamWork } from "../upstreamWork/index.js";
 
 const BYTES_PER_KILOBYTE = 1_024;
@@ -86,7 +87,7 @@
         const reason = `weight ${Math.round(weight)} ms, backlog ${Math.round(backlog)} ms, `
             + `${held} of ${promptTokens} tokens held, ${best.outstanding} running`
             + (fetch ? `, ${fetch.tokens} from ${fetch.from.upstream.id}` : "")
-            + `, ${this.workOf(best.upstream.id).memory.tokens} tokens in use`
+            + `, ${this.workOf(best.upstream.id).memoryTokens} tokens in use`
             + `, load ${Math.round(now - best.upstream.loadMeasuredAt)} ms old`;
         return { load: best, reason, fetch };
     }
@@ -128,6 +129,15 @@
         this.workOf(granted.upstream).ended(granted, failed, now, longestGapMs);
     }
 
+    override describeUse(upstream: UpstreamId, now: number): Pick<UpstreamUse, "memoryTokens" | "backlogMs"> {
+        const { memory, prefillQueue } = this.workOf(upstream);
+        return { memoryTokens: memory.tokens, backlogMs: Math.round(prefillQueue.backlogMs(now)) };
+    }
+
+    override recordOthersUse(use: UpstreamUse, now: number): void {
+        this.workOf(use.upstream).recordOthersUse(use, now);
+    }
+
     override recordHeldParts(upstream: UpstreamId, parts: readonly PromptPart[], now: number): void {
         this.promptCache.recordReported(parts, upstream, now);
     }
@@ -163,7 +173,7 @@
         const isOtherZone = upstream.zone !== request.zone;
         const otherZoneMs = weights.otherZoneMs
             + weights.otherZoneMsPerKilobyte * request.bodyBytes / BYTES_PER_KILOBYTE;
-        const waitMs = prefillQueue.predictFirstTokenMs(prefillWork, now);
+        const waitMs = prefillQueue.predictFirstTokenMs(prefillWork, now) + upstreamWork.othersBacklogMs(now);
         // A wait beyond the target makes the answer late, so the weight grows as the wait approaches the target.
         return waitMs * (1 + waitMs / targetMs)
             + recomputeMs
@@ -235,11 +245,15 @@
 }
 
 /** Returns the share of the request's memory demand that exceeds the upstream's free memory, from 0 to 1. */
-function memoryOverflowShare({ memory }: UpstreamWork, request: SelectionRequest, capacityTokens: number): number {
+function memoryOverflowShare(
+    { memory, memoryTokens }: UpstreamWork,
+    request: SelectionRequest,
+    capacityTokens: number,
+): number {
     // Most upstreams have room for the whole request, so that shared parts need not be looked up.
-    if (memory.tokens + request.promptTokens + request.predictedTokens <= capacityTokens) return 0;
+    if (memoryTokens + request.promptTokens + request.predictedTokens <= capacityTokens) return 0;
     const needed = memory.tokensFor(request);
-    return Math.max(0, Math.min(1, (memory.tokens + needed - capacityTokens) / Math.max(1, needed)));
+    return Math.max(0, Math.min(1, (memoryTokens + needed - capacityTokens) / Math.max(1, needed)));
 }
 
 function makePrefillWork({ promptTokens }: SelectionRequest, heldTokens: number): PrefillWork {
--- a/src/upstream/index.ts
+++ b/src/upstream/index.ts
@@ -27,4 +27,5 @@
 export * from "./upstreamLoad/index.js";
 export * from "./upstreamRegistry/index.js";
 export * from "./upstreamSignals/index.js";
+export * from "./upstreamUse/index.js";
 export * from "./upstreamWork/index.js";
--- a/src/upstream/selectionPolicy/index.ts
+++ b/src/upstream/selectionPolicy/index.ts
@@ -4,6 +4,7 @@
 import { PromptPart } from "../promptCache/index.js";
 import { medianTokenMs } from "../stragglerPolicy/index.js";
 import { UpstreamLoad } from "../upstreamLoad/index.js";
+import { UpstreamUse } from "../upstreamUse/index.js";
 
 /** Properties of a request that the selection of an upstream depends on. */
 export interface SelectionRequest {
@@ -92,6 +93,14 @@
         return undefined;
     }
 
+    /** Returns what the requests of this process use of an upstream, as far as the policy tracks it. */
+    describeUse(_upstream: UpstreamId, _now: number): Pick<UpstreamUse, "memoryTokens" | "backlogMs"> {
+        return { memoryTokens: 0, backlogMs: 0 };
+    }
+
+    /** Called with what the requests of other owners of the queue use of an upstream. */
+    recordOthersUse(_use: UpstreamUse, _now: number): void {}
+
     /** Called with the prompt parts that an upstream reports to hold. */
     recordHeldParts(_upstream: UpstreamId, _parts: readonly PromptPart[], _now: number): void {}
 
--- a/src/upstream/upstreamLoad/index.ts
+++ b/src/upstream/upstreamLoad/index.ts
@@ -41,6 +41,8 @@
     /** Load report from which the load of others was last calculated. */
     private foreignReport: Announcement | undefined;
     private foreignCount = 0;
+    /** Number of requests that other owners of the queue report to have there. */
+    private othersCount = 0;
     private smoothedTokenMs: number | undefined;
     private tokenMsSampleCount = 0;
     private consecutiveFailures = 0;
@@ -223,6 +225,11 @@
         );
     }
 
+    /** Sets the number of requests that other owners of the queue have there: they are known sooner than from its load report. */
+    setOthersOutstanding(count: number): void {
+        this.othersCount = count;
+    }
+
     /** Records that a request ended, whatever the outcome. */
     markEnded(now: number): void {
         this.ownCount = Math.max(0, this.ownCount - 1);
@@ -342,7 +349,7 @@
             this.foreignCount = Math.max(0, running + queued - this.maxOwnAround(loadMeasuredAt));
             this.foreignReport = announcement;
         }
-        return this.foreignCount;
+        return Math.max(this.foreignCount, this.othersCount);
     }
 
     /**
--- a/src/upstream/upstreamWork/index.ts
+++ b/src/upstream/upstreamWork/index.ts
@@ -5,6 +5,7 @@
 import { PrefillModel, PrefillWork } from "../prefillModel/index.js";
 import { PendingPrefill, PrefillQueue } from "../prefillQueue/index.js";
 import { SelectionRequest } from "../selectionPolicy/index.js";
+import { UpstreamUse } from "../upstreamUse/index.js";
 
 /**
  * How long a working upstream may show no progress beyond its pending prefill, in milliseconds: entries report progress
@@ -40,6 +41,9 @@
     /** Monotonic time of the last sign of progress, or of the first request after an idle time, in milliseconds. */
     private lastProgressAt = 0;
     private failureShare = 0;
+    private othersMemoryTokens = 0;
+    /** Monotonic time at which the prefill of other owners' prompts will be done, in milliseconds. */
+    private othersDrainedAt = 0;
 
     constructor(
         private readonly upstream: UpstreamId,
@@ -54,6 +58,22 @@
         return this.failureShare;
     }
 
+    /** Tokens that running requests keep in its memory, those of other owners of the queue included. */
+    get memoryTokens(): number {
+        return this.memory.tokens + this.othersMemoryTokens;
+    }
+
+    /** Returns the remaining duration of the prefill of other owners' prompts, in milliseconds. */
+    othersBacklogMs(now: number): number {
+        return Math.max(0, this.othersDrainedAt - now);
+    }
+
+    /** Records what the requests of other owners of the queue use. */
+    recordOthersUse({ memoryTokens, backlogMs }: UpstreamUse, now: number): void {
+        this.othersMemoryTokens = memoryTokens;
+        this.othersDrainedAt = now + backlogMs;
+    }
+
     /** Records that a request is sent there. Running streams pause during the current prefill period. */
     begin(request: SelectionRequest, work: PrefillWork): GrantedRequest {
         const { now, promptTokens } = request;
