Urgent streams with short pauses share few upstreams, which read no other prompts

Cause: an engine emits one token of each stream between two chunks of prompts, and an event holds several. Long prompts were weighed against the streams that they would delay, but streams were spread over all upstreams, and in a burst the only free slot was beside some of them.

FirstTokenPolicy learns how long pauses beside prefill get (the quantile of nine in ten), and which streams are the first to be late by that. As many upstreams as these streams need, a quarter of the pool at most, take no other prompts; they keep their role while the streams fluctuate. A less urgent prompt waits for another upstream, a more urgent one for a tenth of its target. The queue does not try tickets of a tier again that found only such upstreams free until another one is.

--- a/src/bench/policy/speed/main.ts
+++ b/src/bench/policy/speed/main.ts
@@ -59,6 +59,7 @@
             const request: SelectionRequest = {
                 request: `r${nextNumber++}` as RequestId,
                 pool: "draft" as PoolId,
+                tier: 0,
                 prefixes: [],
                 parts,
                 findSource: undefined,
@@ -67,6 +68,7 @@
                 targetMs: 500,
                 bodyBytes: 4_000,
                 now,
+                ageMs: 0,
                 promptTokens: 7_000,
                 predictedTokens: 100,
                 zone: `z${nextNumber % 6}` as ZoneId,
--- a/src/dispatch/order/fifoOrder/index.ts
+++ b/src/dispatch/order/fifoOrder/index.ts
@@ -10,6 +10,10 @@
         return this.tickets.size;
     }
 
+    get highestTier(): number | undefined {
+        return this.size === 0 ? undefined : Math.min(...[...this.tickets].map(({ ticket }) => ticket.tier));
+    }
+
     add(waiting: WaitingTicket): void {
         this.tickets.add(waiting);
         this.totalCost += waiting.cost;
--- a/src/dispatch/order/orderPolicy/index.ts
+++ b/src/dispatch/order/orderPolicy/index.ts
@@ -16,6 +16,9 @@
 export abstract class OrderPolicy {
     abstract readonly size: number;
 
+    /** The highest tier of which a ticket waits; undefined where none waits. */
+    abstract readonly highestTier: number | undefined;
+
     abstract add(waiting: WaitingTicket): void;
 
     /** Removes a ticket that will not be granted; false when it is not queued. */
--- a/src/dispatch/order/tierFairOrder/index.ts
+++ b/src/dispatch/order/tierFairOrder/index.ts
@@ -24,6 +24,11 @@
         return this.tierQueues.reduce((sum, tier) => sum + (tier?.size ?? 0), 0);
     }
 
+    get highestTier(): number | undefined {
+        const tier = this.tierQueues.findIndex(({ size }) => size > 0);
+        return tier < 0 ? undefined : tier;
+    }
+
     add(waiting: WaitingTicket): void {
         this.queueOf(waiting).add(waiting);
     }
--- a/src/dispatch/poolQueue/index.ts
+++ b/src/dispatch/poolQueue/index.ts
@@ -69,6 +69,8 @@
     private readonly running = new RunningSet();
     private readonly forecast = new PoolForecast();
     private grantedSlots = 0;
+    /** Tier from which on tickets wait, though slots are free, since these are left to more urgent requests; undefined: none. */
+    private blockedTier: number | undefined;
     private ticks = 0;
 
     constructor(private readonly options: PoolQueueOptions) {
@@ -155,6 +157,7 @@
                 return this.updateConcurrency();
             }
             this.enqueue(waiting);
+            if (this.blockedTier !== undefined) this.updateConcurrency();
             if (!this.decisions.has(waiting) || this.held.has(waiting)) return;
             this.preempter.preemptForNew(waiting, this.order.costAhead(waiting));
         });
@@ -179,6 +182,7 @@
         this.recordCompletion(running, completion, now);
         this.options.members.refresh(running.load);
         running.release();
+        if (!this.choice.isReserved(completion.upstream)) this.blockedTier = undefined;
         this.updateConcurrency();
         return true;
     }
@@ -325,6 +329,7 @@
         const tickNumber = this.ticks++;
         const now = this.options.clock.monotonic();
         this.updateOthersUses(this.otherOwners.expire(now), now);
+        this.blockedTier = undefined;
         if (tickNumber % STRAGGLER_REVIEW_TICKS === 0) this.ejectStragglers();
         else this.options.members.refreshThrottled();
         this.updateConcurrency();
@@ -392,7 +397,9 @@
         if (!choice) {
             this.order.revertTake(waiting);
             this.options.members.refreshAll();
-            this.updateConcurrency();
+            const { tier } = waiting.ticket;
+            if (this.held.hasFreeFor(waiting)) this.blockedTier = tier;
+            this.updateConcurrency(tier);
             this.holdOrEnqueue(waiting);
             return Promise.resolve();
         }
@@ -501,10 +508,11 @@
         if (backOffMs !== undefined) this.options.observer.backedOff(waiting, load.upstream.id, backOffMs);
     }
 
-    private updateConcurrency(): void {
+    /** @param returningTier - Tier of a ticket that is about to return to the queue; undefined if there is none. */
+    private updateConcurrency(returningTier?: number): void {
         this.admission.recordMembers();
         this.bound.release(waiting => this.grantOrHoldBound(waiting));
-        const concurrency = this.grantedSlots + this.countGrantableSlots();
+        const concurrency = this.grantedSlots + this.countGrantableSlots(returningTier);
         if (concurrency === 0) {
             this.queue.pause();
             return;
@@ -514,12 +522,14 @@
         this.held.release(waiting => this.enqueue(waiting));
     }
 
-    /** Returns the number of free slots but for those that more urgent tickets wait for at other owners of the queue. */
-    private countGrantableSlots(): number {
+    /** Returns the number of free slots that the first waiting ticket may use; others are left to more urgent requests, here or at other owners. */
+    private countGrantableSlots(returningTier = Number.POSITIVE_INFINITY): number {
         const { freeSlots } = this.options.members;
-        if (!this.otherOwners.hasWaiting) return freeSlots;
-        const [first] = this.order.highestTierFirst();
-        return first ? Math.max(0, freeSlots - this.otherOwners.waitingAbove(first.ticket.tier)) : freeSlots;
+        if (!this.otherOwners.hasWaiting && this.blockedTier === undefined) return freeSlots;
+        const tier = Math.min(this.order.highestTier ?? Number.POSITIVE_INFINITY, returningTier);
+        if (tier === Number.POSITIVE_INFINITY) return freeSlots;
+        if (this.blockedTier !== undefined && tier >= this.blockedTier) return 0;
+        return Math.max(0, freeSlots - this.otherOwners.waitingAbove(tier));
     }
 
     private readOrderContext(): OrderContext {
--- a/src/dispatch/upstreamPicker/index.ts
+++ b/src/dispatch/upstreamPicker/index.ts
@@ -36,9 +36,11 @@
      */
     pick(waiting: WaitingTicket, now: number): Choice | undefined {
         const found = this.excludeUnsuitable(waiting.ticket, this.findCandidates(waiting.ticket, now));
-        const candidates = this.preferContinuable(waiting.ticket, this.preferNotShedding(found, now));
-        if (candidates.length === 0) return undefined;
+        const suitable = this.preferContinuable(waiting.ticket, this.preferNotShedding(found, now));
+        if (suitable.length === 0) return undefined;
         const request = this.toChoiceRequest(waiting, now);
+        const candidates = this.options.choice.reserve(suitable, request, this.options.members.all);
+        if (candidates.length === 0) return undefined;
         const chosen = this.options.choice.choose(candidates, request);
         this.options.choice.granted(chosen, request);
         return chosen;
@@ -88,9 +90,9 @@
      *
      * @param now - Monotonic time, in milliseconds.
      */
-    toChoiceRequest({ ticket, predictedTokens }: WaitingTicket, now: number): SelectionRequest {
+    toChoiceRequest({ ticket, predictedTokens, arrivedAt }: WaitingTicket, now: number): SelectionRequest {
         const { pool, zone, members } = this.options;
-        const { request, prefixes, promptTokens, gapMs, parts = [], bodyBytes = 0 } = ticket;
+        const { request, tier, prefixes, promptTokens, gapMs, parts = [], bodyBytes = 0 } = ticket;
         const targetMs = ticket.firstTokenMs;
         const eventTokens = gapMs === undefined ? 1 : Math.max(1, gapMs / ticket.tokenMs);
         const findSource = ticket.canFetch ? (id: UpstreamId) => members.get(id) : undefined;
@@ -99,6 +101,7 @@
         return {
             request,
             pool,
+            tier,
             prefixes,
             parts,
             findSource,
@@ -106,6 +109,7 @@
             eventTokens,
             targetMs,
             now,
+            ageMs: now - arrivedAt,
             zone: senderZone,
             ...size,
         };
--- a/src/upstream/firstTokenPolicy/index.ts
+++ b/src/upstream/firstTokenPolicy/index.ts
@@ -6,7 +6,9 @@
 import { PrefillLoad } from "../prefillLoad/index.js";
 import { PrefillModel, PrefillWork } from "../prefillModel/index.js";
 import { PromptCache, PromptPart } from "../promptCache/index.js";
+import { QuietUpstreams } from "../quietUpstreams/index.js";
 import { Choice, PartsFetch, SelectionPolicy, SelectionRequest } from "../selectionPolicy/index.js";
+import { SensitiveStreams } from "../sensitiveStreams/index.js";
 import { UpstreamLoad } from "../upstreamLoad/index.js";
 import { UpstreamUse } from "../upstreamUse/index.js";
 import { GrantedRequest, UpstreamWork } from "../upstreamWork/index.js";
@@ -15,6 +17,10 @@
 /** An upstream with a higher failure rate is not used as a source of prompt parts. */
 const MAX_SOURCE_FAILURE_RATE = 0.3;
 
+/** How long a request waits for another upstream than a quiet one whose streams are less urgent, as a share of its target. */
+const MAX_HOLD_TARGETS = 0.1;
+/** Prefill of a quiet upstream beyond which a stream goes elsewhere, as a share of its target. */
+const MAX_QUIET_BACKLOG_TARGETS = 0.25;
 /** Upstreams that hold leading parts of a prompt, with the number of tokens held. */
 type HeldTokens = ReadonlyMap<UpstreamId, number>;
 
@@ -43,6 +49,8 @@
  *   hash, which is the one that held them before.
  * - Long prompts beside short ones: running streams pause while an engine does prefill, so a long prompt goes where no
  *   stream runs for which the pause would be too long.
+ * - Long prompts beside urgent streams with short pauses, when all engines are busy: these streams share few engines,
+ *   which get no less urgent long prompts.
  * - Engines whose memory fills up before their slots do: they preempt requests, even urgent ones, and prefill them
  *   again.
  */
@@ -56,6 +64,8 @@
     private readonly prefillModel = new PrefillModel();
     private readonly pauseForecast = new PauseForecast(this.prefillModel);
     private readonly loadAverage = new PrefillLoad();
+    private readonly quiet = new QuietUpstreams();
+    private readonly sensitiveStreams = new SensitiveStreams(this.pauseForecast);
 
     /**
      * @param capacityTokens - Returns the KV cache capacity of an upstream in tokens; undefined if unknown.
@@ -87,11 +97,54 @@
         const reason = `weight ${Math.round(weight)} ms, backlog ${Math.round(backlog)} ms, `
             + `${held} of ${promptTokens} tokens held, ${best.outstanding} running`
             + (fetch ? `, ${fetch.tokens} from ${fetch.from.upstream.id}` : "")
-            + `, ${this.workOf(best.upstream.id).memoryTokens} tokens in use`
+            + `, ${Math.round(this.workOf(best.upstream.id).memoryTokens)} tokens in use`
             + `, load ${Math.round(now - best.upstream.loadMeasuredAt)} ms old`;
         return { load: best, reason, fetch };
     }
 
+    /**
+     * Keeps few upstreams for the streams that long prompts would delay, and all other prompts off them. A prompt that is more urgent than some
+     * of these streams waits only for a moment for another upstream.
+     */
+    override reserve(
+        candidates: readonly UpstreamLoad[],
+        request: SelectionRequest,
+        pool: readonly UpstreamLoad[],
+    ): readonly UpstreamLoad[] {
+        this.reviewQuiet(pool, request.now);
+        if (this.quiet.size === 0) return candidates;
+        if (this.sensitiveStreams.record(request)) return this.preferQuiet(candidates, request);
+        const others = candidates.filter(({ upstream }) => !this.quiet.has(upstream.id));
+        const mayWait = !this.sensitiveStreams.isMoreUrgent(request.tier)
+            || request.ageMs < MAX_HOLD_TARGETS * request.targetMs;
+        return others.length > 0 || mayWait ? others : candidates;
+    }
+
+    override isReserved(upstream: UpstreamId): boolean {
+        return this.quiet.has(upstream);
+    }
+
+    /** Prefers quiet upstreams for a stream that long prompts would delay, while they are not busy with prefill themselves. */
+    private preferQuiet(
+        candidates: readonly UpstreamLoad[],
+        { now, targetMs }: SelectionRequest,
+    ): readonly UpstreamLoad[] {
+        const quiet = candidates.filter(({ upstream: { id } }) =>
+            this.quiet.has(id) && this.workOf(id).prefillQueue.backlogMs(now) < MAX_QUIET_BACKLOG_TARGETS * targetMs
+        );
+        return quiet.length > 0 ? quiet : candidates;
+    }
+
+    private reviewQuiet(pool: readonly UpstreamLoad[], now: number): void {
+        if (!this.quiet.isReviewDue(now)) return;
+        const candidates = pool.filter(({ upstream }) => upstream.isGrantable).map(({ upstream: { id, slots } }) => ({
+            id,
+            slots,
+            sensitiveStreams: this.workByUpstream.get(id)?.sensitiveStreams ?? 0,
+        }));
+        this.quiet.review(candidates, now);
+    }
+
     override granted({ load: { upstream }, fetch }: Choice, request: SelectionRequest): void {
         const { now, parts } = request;
         const work = this.workOf(upstream.id);
@@ -99,7 +152,10 @@
         const prefillWork = makePrefillWork(request, held);
         this.promptCache.recordSent(parts, upstream.id, now);
         this.loadAverage.add(work.prefillQueue.prefillMs(prefillWork), now);
-        this.grantedRequests.set(request.request, work.begin(request, prefillWork));
+        this.grantedRequests.set(
+            request.request,
+            work.begin(request, prefillWork, this.sensitiveStreams.record(request)),
+        );
     }
 
     /**
@@ -108,7 +164,8 @@
      */
     override adopted({ upstream }: UpstreamLoad, request: SelectionRequest, runningMs: number): void {
         this.promptCache.recordSent(request.parts, upstream.id, request.now - runningMs);
-        this.grantedRequests.set(request.request, this.workOf(upstream.id).adopt(request, runningMs));
+        const isSensitive = this.sensitiveStreams.record(request);
+        this.grantedRequests.set(request.request, this.workOf(upstream.id).adopt(request, runningMs, isSensitive));
     }
 
     override prefillLoad(now: number): number {
--- a/src/upstream/firstTokenPolicy/test.ts
+++ b/src/upstream/firstTokenPolicy/test.ts
@@ -22,6 +22,7 @@
     return {
         request: `r${++nextRequest}` as RequestId,
         pool: "draft" as PoolId,
+        tier: 0,
         prefixes: [],
         parts: [],
         findSource: undefined,
@@ -30,6 +31,7 @@
         targetMs: 1_000,
         bodyBytes: 0,
         now: 0,
+        ageMs: 0,
         promptTokens: 0,
         predictedTokens: 100,
         zone: "vogar" as ZoneId,
@@ -386,4 +388,53 @@
             assert.ok(weighed < offered / 10, `${weighed} of ${offered}`);
         });
     });
+
+    describe("streams that long prompts delay", () => {
+        const STREAM = { gapMs: 250, eventTokens: 4, tier: 1, promptTokens: 500, targetMs: 1_000 };
+        const LONG_PROMPT = { gapMs: 1_000, eventTokens: 4, tier: 2, promptTokens: 40_000, targetMs: 2_500 };
+
+        /** Has streams run beside long prompts, which make them late, and then on all upstreams at once. */
+        function runStreams(policy: FirstTokenPolicy, loads: readonly UpstreamLoad[]): void {
+            for (let round = 0; round < 800; round += 100) {
+                const stream = makeRequest({ ...STREAM, now: round });
+                policy.granted({ load: loads[0], reason: "" }, stream);
+                policy.progressed(stream.request, true, round + 40);
+                const prompt = makeRequest({ ...LONG_PROMPT, now: round + 50 });
+                policy.granted({ load: loads[0], reason: "" }, prompt);
+                policy.ended(stream.request, false, 4_000, 280);
+                policy.ended(prompt.request, false, 4_000);
+            }
+            for (const load of loads) policy.granted({ load, reason: "" }, makeRequest({ ...STREAM, now: 9_000 }));
+            policy.granted({ load: loads[1], reason: "" }, makeRequest({ ...STREAM, now: 9_000 }));
+        }
+
+        function listIds(loads: readonly UpstreamLoad[]): string[] {
+            return loads.map(({ upstream }) => upstream.id);
+        }
+
+        it("share an upstream, which other prompts leave to them", () => {
+            const policy = new FirstTokenPolicy(() => undefined);
+            const loads = makeLoads(["a", "b", "c", "d"]);
+            runStreams(policy, loads);
+            const now = 9_500;
+            assert.deepEqual(listIds(policy.reserve(loads, makeRequest({ ...LONG_PROMPT, now }), loads)), [
+                "a",
+                "c",
+                "d",
+            ]);
+            assert.deepEqual(listIds(policy.reserve(loads, makeRequest({ ...STREAM, now }), loads)), ["b"]);
+            assert.equal(policy.isReserved("b" as UpstreamId), true);
+        });
+
+        it("let a less urgent prompt wait for another upstream, and a more urgent one only for a moment", () => {
+            const policy = new FirstTokenPolicy(() => undefined);
+            const loads = makeLoads(["a", "b", "c", "d"]);
+            runStreams(policy, loads);
+            const findFor = (fields: Partial<SelectionRequest>): string[] =>
+                listIds(policy.reserve([loads[1]], makeRequest({ ...LONG_PROMPT, now: 9_500, ...fields }), loads));
+            assert.deepEqual(findFor({ ageMs: 2_000 }), []);
+            assert.deepEqual(findFor({ tier: 0 }), []);
+            assert.deepEqual(findFor({ tier: 0, ageMs: 300 }), ["b"]);
+        });
+    });
 });
--- a/src/upstream/selectionPolicy/index.ts
+++ b/src/upstream/selectionPolicy/index.ts
@@ -10,6 +10,8 @@
 export interface SelectionRequest {
     readonly request: RequestId;
     readonly pool: PoolId;
+    /** Its rank; 0 is the most urgent. */
+    readonly tier: number;
     /** Parts of the prompt with their sizes; empty if unknown. */
     readonly parts: readonly PromptPart[];
     /**
@@ -30,6 +32,8 @@
     readonly bodyBytes: number;
     /** Monotonic time, in milliseconds. */
     readonly now: number;
+    /** Time since its arrival, in milliseconds. */
+    readonly ageMs: number;
     readonly prefixes: readonly string[];
     readonly promptTokens: number;
     /** Predicted length of the answer, in tokens. */
@@ -69,6 +73,25 @@
      */
     abstract choose(candidates: readonly UpstreamLoad[], request: SelectionRequest): Choice;
 
+    /**
+     * Returns the candidates that a request may use without harm to more urgent ones; none where it should wait for another upstream.
+     *
+     * @param candidates - Members with a free slot.
+     * @param _pool - All members.
+     */
+    reserve(
+        candidates: readonly UpstreamLoad[],
+        _request: SelectionRequest,
+        _pool: readonly UpstreamLoad[],
+    ): readonly UpstreamLoad[] {
+        return candidates;
+    }
+
+    /** Whether an upstream is left to more urgent requests at the moment. */
+    isReserved(_upstream: UpstreamId): boolean {
+        return false;
+    }
+
     /** Called when a request has been granted to the selected upstream. */
     granted(_choice: Choice, _request: SelectionRequest): void {}
 
--- a/src/upstream/upstreamWork/index.ts
+++ b/src/upstream/upstreamWork/index.ts
@@ -28,6 +28,8 @@
     startedAt: number;
     /** Longest prefill period beside it so far. */
     longestPeriod: PrefillPeriod | undefined;
+    /** Whether its stream would probably pause for too long beside a long prompt. */
+    readonly isSensitive: boolean;
     /** Probability that it has already paused for too long or will, from 0 to 1. */
     lateProbability: number;
 }
@@ -38,6 +40,7 @@
     readonly memory = new MemoryUse();
     private readonly prefillHistory = new PrefillHistory();
     private readonly running = new Set<GrantedRequest>();
+    private sensitiveCount = 0;
     /** Monotonic time of the last sign of progress, or of the first request after an idle time, in milliseconds. */
     private lastProgressAt = 0;
     private failureShare = 0;
@@ -74,23 +77,27 @@
         this.othersDrainedAt = now + backlogMs;
     }
 
-    /** Records that a request is sent there. Running streams pause during the current prefill period. */
-    begin(request: SelectionRequest, work: PrefillWork): GrantedRequest {
+    /**
+     * Records that a request is sent there. Running streams pause during the current prefill period.
+     *
+     * @param isSensitive - Whether its stream would probably pause for too long beside a long prompt.
+     */
+    begin(request: SelectionRequest, work: PrefillWork, isSensitive: boolean): GrantedRequest {
         const { now, promptTokens } = request;
         const prefill = this.prefillQueue.add(work, now);
         const period = this.prefillHistory.record(now + this.prefillQueue.backlogMs(now), promptTokens, now);
         for (const stream of this.running) {
             if (!stream.prefill) this.recordPeriodBeside(stream, period);
         }
-        return this.add(request, now, prefill);
+        return this.add(request, now, prefill, isSensitive);
     }
 
     /**
      * Records a request granted by another process that has been running for `runningMs` milliseconds. Whether it has
      * produced a token is unknown; most have.
      */
-    adopt(request: SelectionRequest, runningMs: number): GrantedRequest {
-        return this.add(request, request.now - runningMs, undefined);
+    adopt(request: SelectionRequest, runningMs: number, isSensitive: boolean): GrantedRequest {
+        return this.add(request, request.now - runningMs, undefined, isSensitive);
     }
 
     /**
@@ -109,7 +116,10 @@
 
     /** Records that a request has ended; parameters as in the selection policy. */
     ended(granted: GrantedRequest, failed: boolean | undefined, now: number, longestGapMs: number | undefined): void {
-        if (this.running.delete(granted)) this.memory.remove(granted);
+        if (this.running.delete(granted)) {
+            this.memory.remove(granted);
+            if (granted.isSensitive) this.sensitiveCount--;
+        }
         if (granted.prefill) this.prefillQueue.remove(granted.prefill, now);
         if (longestGapMs !== undefined) this.learnPause(granted, longestGapMs, now);
         if (failed === undefined) return;
@@ -149,7 +159,17 @@
         return this.prefillHistory.harmProbability(overrunOf, runningMs, request.now);
     }
 
-    private add(request: SelectionRequest, startedAt: number, prefill: PendingPrefill | undefined): GrantedRequest {
+    /** Number of running streams that would probably pause for too long beside a long prompt. */
+    get sensitiveStreams(): number {
+        return this.sensitiveCount;
+    }
+
+    private add(
+        request: SelectionRequest,
+        startedAt: number,
+        prefill: PendingPrefill | undefined,
+        isSensitive: boolean,
+    ): GrantedRequest {
         const { upstream } = this;
         const { parts, promptTokens, predictedTokens, gapMs, eventTokens, now } = request;
         if (this.running.size === 0) this.lastProgressAt = now;
@@ -160,8 +180,10 @@
             prefill,
             startedAt,
             longestPeriod: undefined,
+            isSensitive,
             lateProbability: 0,
         };
+        if (granted.isSensitive) this.sensitiveCount++;
         this.running.add(granted);
         this.memory.add(granted);
         return granted;
