--- a/src/entry/softwareMonitor/index.ts
+++ b/src/entry/softwareMonitor/index.ts
@@ -13,7 +13,8 @@
 type UpstreamsByVersion = Map<SoftwareVersion, Set<UpstreamId>>;
 
 /**
- * Logs and measures which software versions serve each pool, as this process knows it.
+ * Logs and measures which software versions serve each pool, as this process knows it. A large pool would fill the log if each upstream had
+ * a line, so one is written when a version begins or ends to serve.
  *
  * @example
  * const monitor = new SoftwareMonitor({ logger, metrics });
@@ -21,6 +22,8 @@
  */
 export class SoftwareMonitor {
     private readonly byPool = new Map<PoolId, UpstreamsByVersion>();
+    /** Pool and version of those that serve, as logged. */
+    private readonly logged = new Set<string>();
 
     constructor(private readonly options: SoftwareMonitorOptions) {}
 
@@ -52,6 +55,10 @@
         const { logger, metrics } = this.options;
         metrics.gauge("upstreams_by_software", upstreams.size, { pool, software });
         if (upstreams.size === 0) versions.delete(software);
+        const isNew = upstreams.size === 1 && !this.logged.has(`${pool} ${software}`);
+        if (!isNew && upstreams.size > 0) return;
+        if (isNew) this.logged.add(`${pool} ${software}`);
+        else this.logged.delete(`${pool} ${software}`);
         logger.info("software-changed", {
             pool,
             software,
