--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -10,6 +10,7 @@
 } from "../../dispatch/index.js";
 import { ClassName, HostId, RequestId, SoftwareVersion, UpstreamId, WorkspaceId } from "../../ids/index.js";
 import { RunningRequest } from "../../request/index.js";
+import { PromptPart } from "../../upstream/index.js";
 import { Attempt, AttemptResult, BufferedAnswer } from "../attempt/index.js";
 import { CallAnswer } from "../callAnswer/index.js";
 import { CallContext } from "../callContext/index.js";
@@ -36,6 +37,8 @@
 /** Maximum answer length assumed when the caller states none, in tokens. */
 const DEFAULT_MAX_TOKENS = 1;
 const DEFAULT_TOKEN_MS = 50;
+/** Maximum number of parts of a prompt in a log line. */
+const MAX_LOGGED_PARTS = 16;
 
 /** The end of a call, for its log record and metrics. */
 export interface CallEnd {
@@ -226,12 +229,13 @@
     run.recordStep("attempt-ended", `${upstream} ${end}: ${detail}`);
     const { tries, begun } = progress;
     const events = progress.stream.eventCount;
-    const { fingerprint, pool, head: { request } } = call;
+    const { fingerprint, pool, head: { request, parts } } = call;
     const ageMs = Math.round(run.ageMs());
     ctx.metrics.count("attempts_ended", 1, { pool, end, connection: connectionEnded ? "ended" : "open" });
     ctx.logger.info("attempt-ended", {
         request,
         fingerprint,
+        parts: connectionEnded ? describeSharedParts(parts) : undefined,
         upstream,
         software: ctx.software.find(grant),
         end,
@@ -246,6 +250,13 @@
     });
 }
 
+/** Lists the ids of the parts of a prompt that other prompts may share: all but the last. */
+function describeSharedParts(parts: readonly PromptPart[]): string | undefined {
+    const ids = parts.slice(0, -1).map(({ id }) => id);
+    if (ids.length === 0) return undefined;
+    return ids.slice(0, MAX_LOGGED_PARTS).join(" ") + (ids.length > MAX_LOGGED_PARTS ? " ..." : "");
+}
+
 function recordForCrashGuard({ ctx, call }: CallTask, grant: Grant, result: AttemptResult): void {
     const { fingerprint, pool } = call;
     if (result.kind === "answered") ctx.crashes.recordServed(fingerprint);
