--- a/src/emulator/emulatedCallUpstream/index.ts
+++ b/src/emulator/emulatedCallUpstream/index.ts
@@ -76,6 +76,8 @@
     readonly coldMs?: number;
     /** Body of calls that crash the upstream while it runs them, before the answer; undefined: no call does. */
     readonly crashesOn?: string;
+    /** Ids of prompt parts that crash the upstream as it begins to answer a call whose prompt has one of them, but not as its last part. */
+    readonly crashesOnParts?: readonly string[];
     /** Time from a crash to the restart, in milliseconds; undefined: it doesn't restart. */
     readonly restartMs?: number;
     /** Version of its software, which it announces and states in each event; "1.0" by default, undefined for none. */
@@ -292,7 +294,7 @@
         await this.options.clock.sleep(this.options.workMs, req.closed);
         await this.waitWhileSilent(req.closed);
         if (!this.openResponses.has(res)) return;
-        if (body === this.options.crashesOn) await this.crash();
+        if (body === this.options.crashesOn || this.hasCrashingPart(req)) await this.crash();
         else if (fault === "lost") res.reset();
         else await this.sendAnswer(req, res, fault === "crossed" ? "another" : request, fault);
         this.openResponses.delete(res);
@@ -338,6 +340,12 @@
         return tokens;
     }
 
+    private hasCrashingPart({ headers }: HttpRequest): boolean {
+        const { crashesOnParts = [] } = this.options;
+        const parts = (findHeader(headers, CALL_HEADERS.parts) ?? "").split(",").slice(0, -1);
+        return parts.some(part => crashesOnParts.includes(part.split(":")[0]));
+    }
+
     private async reject(res: HttpResponse): Promise<void> {
         const now = this.options.clock.monotonic();
         this.rejections = [...this.rejections.filter(at => at > now - MS_PER_SECOND), now];
--- /dev/null
+++ b/src/entry/crashingParts/test.ts
@@ -0,0 +1,142 @@
+import assert from "node:assert/strict";
+import { afterEach, describe, it } from "node:test";
+import { RoutedFleet, RoutedFleetOptions, TestReply } from "../../faultInjection/index.js";
+import { CALL_HEADERS } from "../../passthrough/index.js";
+import { findHeader, SeededRandom } from "../../ports/index.js";
+import { makeDocument, makeRoute } from "../../routing/index.js";
+
+const KEY = "butcher-key";
+const CRASHING = "crashing";
+const ENTRIES = 7;
+const UPSTREAMS = 8;
+const FIRST_PARTS = 8;
+const SECOND_PARTS = 60;
+const SOUND_PER_S = 16;
+const GUILTY_PER_S = 1.5;
+const UPSTREAM = { slots: 64, workMs: 120, events: 20, gapMs: 30, crashesOnParts: [CRASHING], restartMs: 3_000 };
+const ROUTE = { kind: "stream", attempts: 1, timeoutMs: 8_000, targetMs: 600, gapMs: 500 };
+/** Time after a crash in which hosts that are connected learn of it, in milliseconds. */
+const CONTACT_MS = 3_000;
+/** After this many crashes, at most `MAX_LATE_SENDS` requests with the part may be sent later than `CONTACT_MS`. */
+const MAX_CRASHES = 5;
+const MAX_LATE_SENDS = 3;
+/** Number of crashes after which a part should reach no upstream, but for requests that are already on their way. */
+const CRASHES_TO_QUARANTINE = 3;
+/** Share of the sound requests that must begin, against the time before. */
+const MIN_SOUND_SHARE = 0.9;
+
+/** A call that a test sent. */
+interface SentCall {
+    readonly isGuilty: boolean;
+    readonly first: string;
+    /** Monotonic time, in milliseconds. */
+    readonly at: number;
+    readonly reply: Promise<TestReply>;
+}
+
+/** Sends sound questions and guilty ones, which share first parts, through all entries. */
+class PartLoad {
+    readonly sent: SentCall[] = [];
+
+    constructor(private readonly fleet: RoutedFleet, private readonly random = new SeededRandom(7)) {}
+
+    /** @param makeGuilty - Returns the parts of a guilty prompt, but for its own. */
+    async sendFor(ms: number, makeGuilty?: () => readonly string[]): Promise<void> {
+        const { fleet, random } = this;
+        const endsAt = fleet.clock.monotonic() + ms;
+        while (fleet.clock.monotonic() < endsAt) {
+            const isGuilty = makeGuilty !== undefined && random.next() < GUILTY_PER_S / (SOUND_PER_S + GUILTY_PER_S);
+            const second = random.integer(0, SECOND_PARTS);
+            const sound = [`first-${second % FIRST_PARTS}`, `second-${second}`];
+            this.send(isGuilty ? makeGuilty() : sound, isGuilty);
+            await fleet.advance(random.between(0, 2_000 / (SOUND_PER_S + GUILTY_PER_S)));
+        }
+    }
+
+    send(shared: readonly string[], isGuilty = false, entry?: number): SentCall {
+        const { fleet, random, sent } = this;
+        const live = [...fleet.entries.keys()].filter(number => fleet.entries[number]);
+        const parts = [...shared, `own-${sent.length}`].map(id => `${id}:100`).join(",");
+        const reply = fleet.startCall({
+            entry: entry ?? random.pick(live),
+            path: `/orders/${sent.length}`,
+            key: KEY,
+            body: `question ${sent.length}`,
+            headers: [[CALL_HEADERS.parts, parts], [CALL_HEADERS.tokens, "300,100"]],
+        });
+        const call = { isGuilty, first: shared[0], at: fleet.clock.monotonic(), reply };
+        sent.push(call);
+        return call;
+    }
+
+    /** Returns the share of sound calls that began, of those sent within a time and with a first part, if one is given. */
+    async findSoundShare(from: number, to: number, first?: string): Promise<number> {
+        const calls = this.sent.filter(call => !call.isGuilty && call.at >= from && call.at < to)
+            .filter(call => first === undefined || call.first === first);
+        assert.ok(calls.length >= 20, `only ${calls.length} calls`);
+        const replies = await this.fleet.run(Promise.all(calls.map(({ reply }) => reply)));
+        return replies.filter(({ status }) => status === 200).length / calls.length;
+    }
+}
+
+describe("a part of a prompt that crashes every upstream that answers on it", () => {
+    const fleet = { running: undefined as RoutedFleet | undefined };
+
+    async function startFleet(layout: Partial<RoutedFleetOptions> = {}): Promise<RoutedFleet> {
+        const upstreams = Array.from({ length: UPSTREAMS }, () => UPSTREAM);
+        const started = new RoutedFleet({ entries: ENTRIES, upstreams, queueHosts: true, ...layout });
+        fleet.running = started;
+        await started.start(makeDocument({ routes: [makeRoute(ROUTE)] }));
+        return started;
+    }
+
+    function listCrashes(running: RoutedFleet): number[] {
+        return running.upstreams.flatMap(({ crashes }) => crashes).sort((a, b) => a - b);
+    }
+
+    /** Counts requests with a crashing part that reached an upstream later than the users' bound. */
+    function countLateSends(running: RoutedFleet): number {
+        const from = (listCrashes(running)[MAX_CRASHES - 1] ?? Number.POSITIVE_INFINITY) + CONTACT_MS;
+        const sends = running.upstreams.flatMap(({ runs }) => runs);
+        return sends.filter(({ at, headers }) =>
+            at > from && (findHeader(headers, CALL_HEADERS.parts) ?? "").includes(CRASHING)
+        )
+            .length;
+    }
+
+    afterEach(() => fleet.running?.close());
+
+    const SHAPES: Readonly<Record<string, () => readonly string[]>> = {
+        "in the middle": () => ["first-0", CRASHING],
+        "first": () => [CRASHING, "second-8"],
+        "alone": () => [CRASHING],
+    };
+
+    for (const [place, makeGuilty] of Object.entries(SHAPES)) {
+        it(`reaches few upstreams after its fifth crash, whatever else the prompts hold (${place})`, async () => {
+            // No two requests are alike, so a memory of whole requests never meets the same one twice.
+            const running = await startFleet();
+            const load = new PartLoad(running);
+            await load.sendFor(5_000);
+            await load.sendFor(20_000, makeGuilty);
+            assert.ok(listCrashes(running).length >= CRASHES_TO_QUARANTINE);
+            assert.ok(countLateSends(running) <= MAX_LATE_SENDS, `${countLateSends(running)} sent late`);
+        });
+    }
+
+    it("does not keep sound requests of its caller, or with its first part, from being answered", async () => {
+        // The first part and the caller are in each crash, too.
+        const running = await startFleet();
+        const load = new PartLoad(running);
+        await load.sendFor(12_000);
+        const from = running.clock.monotonic();
+        await load.sendFor(20_000, SHAPES["in the middle"]);
+        const fifth = listCrashes(running)[MAX_CRASHES - 1] ?? listCrashes(running).at(-1)!;
+        const to = running.clock.monotonic();
+        for (const first of [undefined, "first-0"]) {
+            const before = await load.findSoundShare(0, from, first);
+            const after = await load.findSoundShare(fifth + 2 * CONTACT_MS, to, first);
+            assert.ok(after >= MIN_SOUND_SHARE * before, `${first ?? "all"}: ${after} of ${before}`);
+        }
+    });
+});
