Parts of prompts that crash upstreams are quarantined

Cause: only whole requests were quarantined, by the content of all of their parts.

Change: each crash is recorded in the control log with the parts of the prompts on which the upstream had not begun to answer, the last part of each left out, since no other prompt shares it. Of each such prompt the part is blamed that crashes most often, counted against the answers that entries report for suspected parts; of several equal ones the last, which is the least shared. A part that is to blame for three crashes at different moments, and crashes at least as often as it is answered, is quarantined at all hosts: prompts with it are refused at once as not run, with the time after which one request may try it again. Messages of chats are parts of the same kind. An operator lists quarantined parts and lifts their quarantine.

--- a/src/consensus/entryPayload/index.ts
+++ b/src/consensus/entryPayload/index.ts
@@ -5,7 +5,7 @@
  * Newest entry version that this program can read. Raised when older programs can't read a new kind of entry; optional
  * fields may be added without raising it.
  */
-const SUPPORTED_ENTRY_VERSION = 3;
+const SUPPORTED_ENTRY_VERSION = 4;
 /** Version that every program can read. Used for entries that require no newer one. */
 const BASE_ENTRY_VERSION = 1;
 
--- a/src/control/controlState/index.ts
+++ b/src/control/controlState/index.ts
@@ -3,7 +3,12 @@
 import { CallLedger, CallRecord, CloseCallsResult, FinishCallCommand } from "../../ledger/index.js";
 import { OrderIntentCommand, OrderLedger, OrderOutcomeCommand, OrderSnapshot } from "../../order/index.js";
 import {
+    LiftPartCommand,
     LiftQuarantineCommand,
+    PartCommand,
+    PartResult,
+    PartTable,
+    PartTableSnapshot,
     QuarantineCommand,
     QuarantineResult,
     QuarantineSnapshot,
@@ -34,15 +39,17 @@
 import { ViewHistory } from "../viewHistory/index.js";
 
 /**
- * Versions of the snapshot layout: without zones and quarantine, with zones only, and with both. Fields may be added without raising the
+ * Versions of the snapshot layout: without zones and quarantine, with zones only, with both, and with quarantined parts of prompts. Fields may be added without raising the
  * version.
  */
 const PLAIN_VERSION = 1;
 const ZONES_VERSION = 2;
 const QUARANTINE_VERSION = 3;
+const PARTS_VERSION = 4;
 /** Minimum program versions that support zone commands and quarantine commands. */
 const ZONES_ENTRY_VERSION = 2;
 const QUARANTINE_ENTRY_VERSION = 3;
+const PARTS_ENTRY_VERSION = 4;
 
 /** A command in the control log. */
 export type ControlCommand =
@@ -58,7 +65,8 @@
     | RecordStartsCommand
     | StartsReportedCommand
     | ZoneCommand
-    | LiftQuarantineCommand;
+    | LiftQuarantineCommand
+    | LiftPartCommand;
 
 /**
  * Result of a command whose kind this version does not know. Each new kind gets its own entry version, so that older replicas stop at it:
@@ -87,6 +95,8 @@
     readonly zones?: ZoneSnapshot;
     /** Missing in snapshots of older versions. */
     readonly quarantine?: QuarantineSnapshot;
+    /** Missing in snapshots of older versions. */
+    readonly parts?: PartTableSnapshot;
 }
 
 /**
@@ -110,13 +120,15 @@
     readonly zones = new EvacuationTable();
     /** Quarantined requests, which have crashed upstreams. */
     readonly quarantine = new QuarantineTable();
+    /** Parts of prompts that are suspected to have crashed upstreams, or quarantined for it. */
+    readonly parts = new PartTable();
     private readonly history = new ViewHistory();
     private readonly listeners = new Set<() => void>();
 
     /** Revision of the entries' view: workspaces, keys, fleet document, zones and quarantined requests. */
     get revision(): Revision {
-        const { registry, documents, zones, quarantine } = this;
-        return Math.max(registry.revision, documents.revision, zones.revision, quarantine.revision) as Revision;
+        const revisions = [this.registry, this.documents, this.zones, this.quarantine, this.parts];
+        return Math.max(...revisions.map(({ revision }) => revision)) as Revision;
     }
 
     apply(command: unknown, context: ApplyContext): unknown {
@@ -127,18 +139,20 @@
         const { kind } = command as ControlCommand;
         if (kind === "zone.evacuate" || kind === "zone.restore") return ZONES_ENTRY_VERSION;
         if (kind === "crash.note" || kind === "quarantine.lift") return QUARANTINE_ENTRY_VERSION;
+        if (kind.startsWith("parts.")) return PARTS_ENTRY_VERSION;
         return super.entryVersionOf(command);
     }
 
     /** Returns the changes of the view since a revision; the full view when the history doesn't go back that far. */
     changeSince(revision: number): ViewChange {
-        const { registry, documents, zones, quarantine } = this;
+        const { registry, documents, zones, quarantine, parts } = this;
         const change = this.history.changeSince(Math.min(revision, registry.revision), registry);
         const isNewDocument = documents.revision > revision;
         const document = isNewDocument ? { document: documents.current!.document } : {};
         const evacuated = zones.revision > revision ? { evacuatedZones: zones.list().map(({ zone }) => zone) } : {};
         const quarantined = quarantine.revision > revision ? { quarantined: quarantine.list() } : {};
-        return { ...change, ...document, ...evacuated, ...quarantined, revision: this.revision };
+        const partView = parts.revision > revision ? { parts: parts.view() } : {};
+        return { ...change, ...document, ...evacuated, ...quarantined, ...partView, revision: this.revision };
     }
 
     /** Registers a listener for changes of the revision; returns a function that removes it. */
@@ -161,13 +175,14 @@
             openStarts: this.openStarts.list(),
             zones: this.zones.snapshot(),
             quarantine: this.quarantine.snapshot(),
+            parts: this.parts.snapshot(),
         } satisfies ControlSnapshot;
     }
 
     /** @throws Error when the snapshot's layout is newer than this version supports. */
     restore(snapshot: unknown): void {
         const { version, registry, calls, usage, spend, orders, ...optionalParts } = snapshot as ControlSnapshot;
-        if (version > QUARANTINE_VERSION) throw new Error(`unsupported snapshot version ${version}`);
+        if (version > PARTS_VERSION) throw new Error(`unsupported snapshot version ${version}`);
         this.registry.restore(registry);
         this.ledger.restore(calls);
         this.usage.restore(usage);
@@ -180,11 +195,13 @@
         this.openStarts.mergeAll(optionalParts.openStarts ?? []);
         this.zones.restore(optionalParts.zones);
         this.quarantine.restore(optionalParts.quarantine);
+        this.parts.restore(optionalParts.parts);
         this.history.restart(this.registry.revision);
         this.notifyListeners();
     }
 
     private snapshotVersion(): number {
+        if (!this.parts.isEmpty) return PARTS_VERSION;
         if (!this.quarantine.isEmpty) return QUARANTINE_VERSION;
         return this.zones.revision > 0 ? ZONES_VERSION : PLAIN_VERSION;
     }
@@ -227,6 +244,11 @@
             case "crash.note":
             case "quarantine.lift":
                 return this.applyQuarantineCommand(command, context);
+            case "parts.crashed":
+            case "parts.answered":
+            case "parts.try":
+            case "parts.lift":
+                return this.applyPartCommand(command, context);
             case "template.put":
             case "workspace.create":
             case "workspace.limit":
@@ -274,6 +296,12 @@
         return result;
     }
 
+    private applyPartCommand(command: PartCommand, context: ApplyContext): PartResult {
+        const result = this.parts.apply(command, context);
+        if (result.state === "changed") this.notifyListeners();
+        return result;
+    }
+
     private reserveTokens(command: ReserveCommand, context: ApplyContext): unknown {
         // A removed workspace has no recorded limit and must not be mistaken for one without a limit.
         const isKnown = this.registry.workspace(command.workspace) !== undefined;
--- a/src/control/controlState/test.ts
+++ b/src/control/controlState/test.ts
@@ -52,7 +52,16 @@
     { kind: "crash.note", crashes: CRASHES },
     { kind: "quarantine.lift", fingerprint: "f2" },
 ];
-const ALL_COMMANDS = [...COMMANDS, ...QUARANTINE_COMMANDS];
+const PART_COMMANDS = [
+    ...[1, 2, 3].map(incarnation => ({
+        kind: "parts.crashed",
+        crashes: [{ upstream: "u", incarnation, at: 1_000, calls: [["p1", "p2"]] }],
+    })),
+    { kind: "parts.answered", parts: [{ part: "p1", count: 1 }] },
+    { kind: "parts.try", part: "p2", host: "e1" },
+    { kind: "parts.lift", part: "p3" },
+];
+const ALL_COMMANDS = [...COMMANDS, ...QUARANTINE_COMMANDS, ...PART_COMMANDS];
 
 function applyAll(state: ControlState, commands: readonly object[], from = 0): unknown[] {
     return commands.map((command, offset) => {
@@ -82,7 +91,7 @@
         });
 
         it("refuses an unsupported layout version", () => {
-            assert.throws(() => new ControlState().restore({ version: 4 }), /version 4/);
+            assert.throws(() => new ControlState().restore({ version: 5 }), /version 5/);
         });
     });
 
@@ -106,6 +115,13 @@
             applyAll(state, QUARANTINE_COMMANDS.slice(0, 1));
             assert.equal((takeSnapshot(state) as { version: number; }).version, 3);
         });
+
+        it("prevents replicas of the previous version from skipping commands about parts of prompts", () => {
+            const state = new ControlState();
+            for (const command of PART_COMMANDS) assert.equal(state.entryVersionOf(command), 4, command.kind);
+            applyAll(state, PART_COMMANDS.slice(0, 1));
+            assert.equal((takeSnapshot(state) as { version: number; }).version, 4);
+        });
     });
 
     describe("apply", () => {
@@ -127,7 +143,7 @@
 
         it("includes the quarantined requests in changes since any revision", () => {
             const state = new ControlState();
-            applyAll(state, ALL_COMMANDS);
+            applyAll(state, [...COMMANDS, ...QUARANTINE_COMMANDS]);
             const revision = COMMANDS.length + 2;
             assert.equal(state.revision, revision);
             for (const since of [0, 1, revision - 1]) {
@@ -136,6 +152,17 @@
             assert.equal(state.changeSince(revision).quarantined, undefined);
         });
 
+        it("includes the suspected parts of prompts in changes since any revision", () => {
+            const state = new ControlState();
+            applyAll(state, [...COMMANDS, ...PART_COMMANDS]);
+            const revision = COMMANDS.length + 1;
+            assert.equal(state.revision, revision);
+            for (const since of [0, 1, revision - 1]) {
+                assert.deepEqual(state.changeSince(since).parts, { suspects: ["p1", "p2"], quarantined: [] });
+            }
+            assert.equal(state.changeSince(revision).parts, undefined);
+        });
+
         it("grants no tokens to a workspace that was removed", () => {
             const state = new ControlState();
             applyAll(state, COMMANDS.slice(0, 2));
--- a/src/control/entryCommand/index.ts
+++ b/src/control/entryCommand/index.ts
@@ -1,5 +1,10 @@
 import { AbandonCallsCommand, BeginCallCommand, FinishCallCommand } from "../../ledger/index.js";
-import { RecordCrashesCommand } from "../../quarantine/index.js";
+import {
+    RecordCrashesCommand,
+    RecordPartAnswersCommand,
+    RecordPartCrashesCommand,
+    TryPartCommand,
+} from "../../quarantine/index.js";
 import { ReserveCommand, UsageBatchCommand } from "../../usage/index.js";
 
 /** Peer method by which entries send commands to the holder; the body is an `EntryCommand`. */
@@ -18,4 +23,7 @@
     | AbandonCallsCommand
     | UsageBatchCommand
     | ReserveCommand
-    | RecordCrashesCommand;
+    | RecordCrashesCommand
+    | RecordPartCrashesCommand
+    | RecordPartAnswersCommand
+    | TryPartCommand;
--- a/src/control/operatorRouter/index.ts
+++ b/src/control/operatorRouter/index.ts
@@ -2,8 +2,8 @@
 import { Either } from "purify-ts";
 import * as z from "zod";
 import { ControlLog } from "../../consensus/index.js";
-import { HostId, RequestFingerprint, TemplateName, WindowStart, WorkspaceId, ZoneId } from "../../ids/index.js";
-import { QuarantinedRequest, QuarantineResult } from "../../quarantine/index.js";
+import { HostId, PartId, RequestFingerprint, TemplateName, WindowStart, WorkspaceId, ZoneId } from "../../ids/index.js";
+import { PartResult, QuarantinedPart, QuarantinedRequest, QuarantineResult } from "../../quarantine/index.js";
 import { checkDocument, DocumentError } from "../../routing/index.js";
 import { ChangeResult, configChangeSchema } from "../../workspace/index.js";
 import { EvacuatedZone, ZoneCommand, ZoneResult } from "../../zone/index.js";
@@ -160,6 +160,16 @@
             return outcome.caseOf({ Left: throwUnavailable, Right: result => result });
         },
     ),
+    quarantinedParts: trpc.procedure.query(async ({ ctx }): Promise<readonly QuarantinedPart[]> => {
+        const read = await requireQuarantine(ctx).readParts();
+        return read.caseOf({ Left: throwUnavailable, Right: parts => parts });
+    }),
+    liftPartQuarantine: trpc.procedure.input(z.string().min(1)).mutation(
+        async ({ ctx, input }): Promise<PartResult> => {
+            const outcome = await requireQuarantine(ctx).liftPart(input as PartId);
+            return outcome.caseOf({ Left: throwUnavailable, Right: result => result });
+        },
+    ),
     revision: holderProcedure.query(({ ctx }) => ctx.state.revision),
 });
 
--- a/src/control/parseEntryCommand/index.ts
+++ b/src/control/parseEntryCommand/index.ts
@@ -7,6 +7,11 @@
 /** Maximum number of fingerprints per crash. */
 const MAX_FINGERPRINTS = 256;
 
+/** Maximum number of calls per crash, of parts per call, and of parts in one report of answers. */
+const MAX_CALLS = 64;
+const MAX_PARTS = 4_096;
+const MAX_ANSWERED_PARTS = 4_096;
+
 const nameSchema = z.string().min(1).max(256);
 const runFields = { host: nameSchema, incarnation: nameSchema };
 const callFields = { workspace: nameSchema, key: nameSchema, request: nameSchema };
@@ -20,6 +25,13 @@
     incarnation: z.int().min(0),
     fingerprints: z.array(nameSchema).max(MAX_FINGERPRINTS),
 });
+const partCrashSchema = z.looseObject({
+    upstream: nameSchema,
+    incarnation: z.int().min(0),
+    at: z.number(),
+    calls: z.array(z.array(z.string().max(256)).max(MAX_PARTS)).max(MAX_CALLS),
+});
+const partAnswersSchema = z.looseObject({ part: z.string().max(256), count: z.int().min(1) });
 const usageSumSchema = z.looseObject({ window: z.int().min(0), line: usageLineSchema.loose() });
 
 const entryCommandSchema = z.discriminatedUnion("kind", [
@@ -47,6 +59,9 @@
         tokens: z.int().min(0),
     }),
     z.looseObject({ kind: z.literal("crash.note"), crashes: z.array(crashSchema).max(MAX_CRASHES) }),
+    z.looseObject({ kind: z.literal("parts.crashed"), crashes: z.array(partCrashSchema).max(MAX_CRASHES) }),
+    z.looseObject({ kind: z.literal("parts.answered"), parts: z.array(partAnswersSchema).max(MAX_ANSWERED_PARTS) }),
+    z.looseObject({ kind: z.literal("parts.try"), part: nameSchema, host: nameSchema }),
 ]);
 
 /**
--- a/src/control/view/index.ts
+++ b/src/control/view/index.ts
@@ -1,5 +1,5 @@
 import { KeyHash, Revision, WorkspaceId, ZoneId } from "../../ids/index.js";
-import { QuarantinedRequest } from "../../quarantine/index.js";
+import { PartView, QuarantinedRequest } from "../../quarantine/index.js";
 import { FleetDocument } from "../../routing/index.js";
 import { KeyView, WorkspaceView } from "../../workspace/index.js";
 
@@ -39,6 +39,8 @@
     readonly evacuatedZones?: readonly ZoneId[];
     /** All quarantined requests, if they have changed since the requested revision. */
     readonly quarantined?: readonly QuarantinedRequest[];
+    /** All suspected and quarantined parts of prompts, if they have changed since the requested revision. */
+    readonly parts?: PartView;
 }
 
 /** Peer method by which an entry pulls changes from the holder and renews its freshness lease. */
--- a/src/control/viewCache/index.ts
+++ b/src/control/viewCache/index.ts
@@ -1,5 +1,5 @@
-import { KeyHash, RequestFingerprint, Revision, WorkspaceId, ZoneId } from "../../ids/index.js";
-import { QuarantinedRequest } from "../../quarantine/index.js";
+import { KeyHash, PartId, RequestFingerprint, Revision, WorkspaceId, ZoneId } from "../../ids/index.js";
+import { PartView, QuarantinedPart, QuarantinedRequest } from "../../quarantine/index.js";
 import { RouteTable } from "../../routing/index.js";
 import { WorkspaceView } from "../../workspace/index.js";
 import { HASH_BYTES, NO_LIMIT, packChange, packHash } from "../packedView/index.js";
@@ -8,6 +8,12 @@
 /** Maximum size of the profile table; beyond it the table is cleared, while existing workspaces keep their shared profiles. */
 const MAX_SHARED_PROFILES = 4_096;
 
+/** Suspected and quarantined parts of prompts, for look-ups. */
+export interface CachedParts {
+    readonly suspects: ReadonlySet<PartId>;
+    readonly quarantined: ReadonlyMap<PartId, QuarantinedPart>;
+}
+
 /**
  * An entry's view of workspaces, keys, fleet document, zones and quarantined requests. A workspace and a key take one map entry each
  * and profiles are shared, so that 40,000 workspaces fit into a process's memory beside everything else.
@@ -25,6 +31,8 @@
     private evacuated: readonly ZoneId[] = [];
     private quarantinedRequests: ReadonlyMap<RequestFingerprint, QuarantinedRequest> = new Map();
 
+    private cachedParts: CachedParts = { suspects: new Set(), quarantined: new Map() };
+
     /** Revision of the view; 0 before the first one. */
     get revision(): Revision {
         return this.latestRevision as Revision;
@@ -45,6 +53,11 @@
         return this.quarantinedRequests;
     }
 
+    /** Parts of prompts that are suspected to crash upstreams, and those that are quarantined for it. */
+    get parts(): CachedParts {
+        return this.cachedParts;
+    }
+
     get workspaceCount(): number {
         return this.workspaces.size;
     }
@@ -69,6 +82,7 @@
         if (change.document) this.routeTable = new RouteTable(change.document);
         if (change.evacuatedZones) this.evacuated = change.evacuatedZones;
         if (change.quarantined) this.quarantinedRequests = mapByFingerprint(change.quarantined);
+        if (change.parts) this.cachedParts = cacheParts(change.parts);
         this.latestRevision = change.revision;
         return true;
     }
@@ -125,3 +139,7 @@
 function mapByFingerprint(requests: readonly QuarantinedRequest[]): Map<RequestFingerprint, QuarantinedRequest> {
     return new Map(requests.map(each => [each.fingerprint, each]));
 }
+
+function cacheParts({ suspects, quarantined }: PartView): CachedParts {
+    return { suspects: new Set(suspects), quarantined: new Map(quarantined.map(each => [each.part, each])) };
+}
--- a/src/entry/crashMonitor/index.ts
+++ b/src/entry/crashMonitor/index.ts
@@ -1,5 +1,5 @@
 import { ControlClient, ViewCache } from "../../control/index.js";
-import { LogIndex, RequestFingerprint } from "../../ids/index.js";
+import { LogIndex, RequestFingerprint, UpstreamId } from "../../ids/index.js";
 import { WaitCondition } from "../../lifecycle/index.js";
 import { Logger } from "../../logging/index.js";
 import { Metrics } from "../../metrics/index.js";
@@ -36,6 +36,8 @@
     readonly client: Pick<ControlClient, "command">;
     readonly cache: Pick<ViewCache, "quarantined" | "revision">;
     readonly time: Pick<TrueTime, "now">;
+    /** Called when it is known whether an upstream that ended connections has crashed. */
+    readonly onFinding?: (upstream: UpstreamId, incarnation: number, hasCrashed: boolean) => void;
 }
 
 /** An upstream that recently ended connections, and the calls that it was running on them. */
@@ -140,6 +142,7 @@
         const fingerprints = [...suspect.fingerprints];
         metrics.count("upstreams_probed", 1, { finding });
         logger.info("upstream-probed", { upstream, incarnation, finding, fingerprints: fingerprints.join(" ") });
+        this.options.onFinding?.(upstream, incarnation, finding === "crashed");
         if (finding === "crashed") this.queueReport({ upstream, incarnation, fingerprints });
     }
 
--- a/src/entry/crashingParts/test.ts
+++ b/src/entry/crashingParts/test.ts
@@ -7,13 +7,21 @@
 
 const KEY = "butcher-key";
 const CRASHING = "crashing";
+const ALSO_CRASHING = "also-crashing";
 const ENTRIES = 7;
 const UPSTREAMS = 8;
 const FIRST_PARTS = 8;
 const SECOND_PARTS = 60;
 const SOUND_PER_S = 16;
 const GUILTY_PER_S = 1.5;
-const UPSTREAM = { slots: 64, workMs: 120, events: 20, gapMs: 30, crashesOnParts: [CRASHING], restartMs: 3_000 };
+const UPSTREAM = {
+    slots: 64,
+    workMs: 120,
+    events: 20,
+    gapMs: 30,
+    crashesOnParts: [CRASHING, ALSO_CRASHING],
+    restartMs: 3_000,
+};
 const ROUTE = { kind: "stream", attempts: 1, timeoutMs: 8_000, targetMs: 600, gapMs: 500 };
 /** Time after a crash in which hosts that are connected learn of it, in milliseconds. */
 const CONTACT_MS = 3_000;
@@ -97,11 +105,28 @@
     /** Counts requests with a crashing part that reached an upstream later than the users' bound. */
     function countLateSends(running: RoutedFleet): number {
         const from = (listCrashes(running)[MAX_CRASHES - 1] ?? Number.POSITIVE_INFINITY) + CONTACT_MS;
+        return countSends(running, from);
+    }
+
+    /** Counts requests with a crashing part that reached an upstream later than a monotonic time, in milliseconds. */
+    function countSends(running: RoutedFleet, from = 0): number {
         const sends = running.upstreams.flatMap(({ runs }) => runs);
-        return sends.filter(({ at, headers }) =>
-            at > from && (findHeader(headers, CALL_HEADERS.parts) ?? "").includes(CRASHING)
-        )
-            .length;
+        const hasPart = (parts = ""): boolean => parts.split(",").some(part => part.startsWith(`${CRASHING}:`));
+        return sends.filter(({ at, headers }) => at > from && hasPart(findHeader(headers, CALL_HEADERS.parts))).length;
+    }
+
+    /** Lets the part crash upstreams until no request with it is sent to any. */
+    async function startQuarantined(): Promise<{ running: RoutedFleet; load: PartLoad; }> {
+        const running = await startFleet();
+        const load = new PartLoad(running);
+        await load.sendFor(15_000, SHAPES["in the middle"]);
+        assert.ok(listCrashes(running).length >= CRASHES_TO_QUARANTINE);
+        return { running, load };
+    }
+
+    /** Sends a request with the part to an entry. */
+    async function sendGuilty({ running, load }: { running: RoutedFleet; load: PartLoad; }, entry: number) {
+        return running.run(load.send(SHAPES["in the middle"](), true, entry).reply);
     }
 
     afterEach(() => fleet.running?.close());
@@ -139,4 +164,91 @@
             assert.ok(after >= MIN_SOUND_SHARE * before, `${first ?? "all"}: ${after} of ${before}`);
         }
     });
+
+    it("is found beside a second one", async () => {
+        // The crashes of both mix, and each explains only its own.
+        const running = await startFleet();
+        const load = new PartLoad(running);
+        await load.sendFor(5_000);
+        let count = 0;
+        await load.sendFor(30_000, () => ["first-0", count++ % 2 === 0 ? CRASHING : ALSO_CRASHING]);
+        assert.ok(listCrashes(running).length <= 2 * MAX_CRASHES, `${listCrashes(running).length} crashes`);
+        const sends = countSends(running);
+        await load.sendFor(5_000, SHAPES["in the middle"]);
+        assert.equal(countSends(running), sends);
+    });
+
+    it("is not blamed for upstreams that crash at the same moment while it becomes popular", async () => {
+        // A part that no upstream has answered yet stands in all of these crashes, although their cause is another one.
+        const running = await startFleet();
+        const load = new PartLoad(running);
+        await load.sendFor(3_000);
+        const popular = Array.from({ length: 40 }, () => load.send(["first-0", "popular"]));
+        await running.advance(30);
+        for (const number of [0, 1, 2, 3, 4]) void running.upstreams[number].crash();
+        await running.run(Promise.all(popular.map(({ reply }) => reply)));
+        await running.advance(CONTACT_MS);
+        const { status } = await running.run(load.send(["first-0", "popular"]).reply);
+        assert.equal(status, 200);
+    });
+
+    it("is refused at once, as not run, with a retry time, at an entry that is started afterwards", async () => {
+        const { running, load } = await startQuarantined();
+        await running.run(running.startEntry(ENTRIES));
+        await running.advance(CONTACT_MS);
+        const sends = countSends(running);
+        const reply = await sendGuilty({ running, load }, ENTRIES);
+        assert.equal(reply.status, 503);
+        assert.equal(findHeader(reply.headers, CALL_HEADERS.notRun), "1");
+        assert.ok(Number(findHeader(reply.headers, "retry-after")) > 60);
+        assert.ok(reply.tookMs < 50, `${reply.tookMs} ms`);
+        assert.equal(countSends(running), sends);
+    });
+
+    it("stays quarantined when the holder of the control lease is lost", async () => {
+        const { running, load } = await startQuarantined();
+        await running.killControl(running.holder());
+        await running.advance(2 * CONTACT_MS);
+        const sends = countSends(running);
+        await load.sendFor(5_000, SHAPES["in the middle"]);
+        assert.equal(countSends(running), sends);
+    });
+
+    it("stays quarantined when all processes lose power at once", async () => {
+        const { running, load } = await startQuarantined();
+        for (let number = 0; number < running.layout.controls; number++) await running.killControl(number);
+        for (let number = 0; number < ENTRIES; number++) await running.killEntry(number);
+        for (let number = 0; number < running.layout.controls; number++) {
+            await running.run(running.startControl(number));
+        }
+        for (let number = 0; number < ENTRIES; number++) await running.run(running.startEntry(number));
+        await running.advance(CONTACT_MS);
+        const sends = countSends(running);
+        await load.sendFor(5_000, SHAPES["in the middle"]);
+        assert.equal(countSends(running), sends);
+    });
+
+    it("is known to a host that reaches no control host from its own crashes", async () => {
+        const running = await startFleet();
+        const load = new PartLoad(running);
+        running.isolateEntry(0, true);
+        for (let count = 0; count < 8; count++) {
+            load.send(SHAPES["in the middle"](), true, 0);
+            await running.advance(1_000);
+        }
+        assert.equal(listCrashes(running).length, CRASHES_TO_QUARANTINE);
+    });
+
+    it("reaches upstreams again once an operator has lifted its quarantine", async () => {
+        const fixture = await startQuarantined();
+        const { running } = fixture;
+        const { quarantine } = running.controls[running.holder()]!.routing!;
+        const [listed] = (await running.run(quarantine.readParts())).unsafeCoerce();
+        assert.equal(listed.part, CRASHING);
+        await running.run(quarantine.liftPart(listed.part));
+        await running.advance(CONTACT_MS);
+        const sends = countSends(running);
+        await sendGuilty(fixture, 1);
+        assert.ok(countSends(running) > sends);
+    });
 });
--- a/src/entry/entryContext/index.ts
+++ b/src/entry/entryContext/index.ts
@@ -2,7 +2,7 @@
 import { Logger } from "../../logging/index.js";
 import { Metrics } from "../../metrics/index.js";
 import { Clock, Random } from "../../ports/index.js";
-import { CrashGuard } from "../../quarantine/index.js";
+import { CrashGuard, PartGuard } from "../../quarantine/index.js";
 import { RequestRegistry } from "../../request/index.js";
 import { SoftwareView, UpstreamHttp } from "../../upstream/index.js";
 import { ControlAccess } from "../controlAccess/index.js";
@@ -59,6 +59,8 @@
     readonly retryBudget: AttemptBudget;
     /** Quarantine of requests that crash upstreams. */
     readonly crashGuard: CrashGuard;
+    /** Quarantine of parts of prompts that crash upstreams. */
+    readonly partGuard: PartGuard;
     /** Checks grants by what upstreams state in their answers. */
     readonly sendGuard: SendGuard;
     /** The software versions of upstreams. */
--- a/src/entry/entryProcess/index.ts
+++ b/src/entry/entryProcess/index.ts
@@ -40,6 +40,7 @@
 import { FleetDispatcher } from "../fleetDispatcher/index.js";
 import { FleetStreamStarts } from "../fleetStreamStarts/index.js";
 import { OwnerExchange } from "../ownerExchange/index.js";
+import { PartMonitor } from "../partMonitor/index.js";
 import { PeerDirectory } from "../peerDirectory/index.js";
 import { PeerUsageBackup } from "../peerUsageBackup/index.js";
 import { readNativeSignals } from "../reportSignals/index.js";
@@ -135,6 +136,7 @@
     private readonly announcementForwarder: AnnouncementForwarder;
     private readonly evacuationMonitor: EvacuationMonitor;
     private readonly crashMonitor: CrashMonitor;
+    private readonly partMonitor: PartMonitor;
     private readonly signals: SignalExchange;
     private readonly access: UpstreamAccess;
     private readonly trueTime: TrueTime;
@@ -219,13 +221,16 @@
             readSignals: reply => readUpstreamSignals(reply, options.routes?.dialect),
         });
         this.access.paths.onLost(({ upstream }) => this.dispatcher.releaseHanging(upstream));
+        const { client, cache, trueTime: time } = this;
+        this.partMonitor = new PartMonitor({ ...options, self: self.host, client, cache, time });
         this.crashMonitor = new CrashMonitor({
             ...options,
             probe: target => this.access.http.probe(target),
             registry: this.registry,
-            client: this.client,
-            cache: this.cache,
-            time: this.trueTime,
+            client,
+            cache,
+            time,
+            onFinding: (...finding) => this.partMonitor.recordFinding(...finding),
         });
         this.announcementForwarder = new AnnouncementForwarder(this.registry, this.directory, owners, self.host);
         const positions = new PositionCounter();
@@ -319,6 +324,7 @@
         lifecycle.run(running => this.replicator.run(running), onError);
         lifecycle.run(running => this.evacuationMonitor.run(running), onError);
         lifecycle.run(running => this.crashMonitor.run(running), onError);
+        lifecycle.run(running => this.partMonitor.run(running), onError);
         lifecycle.run(running => this.access.paths.run(running), onError);
         lifecycle.run(running => backupStore.run(running), onError);
         const { traffic } = this.router;
@@ -400,6 +406,7 @@
             spendLimiter: new SpendLimiter({ ...this.options, control: this.control }),
             retryBudget: new AttemptBudget(this.options.clock, DEFAULT_RETRY_LIMITS),
             crashGuard: this.crashMonitor,
+            partGuard: this.partMonitor,
             sendGuard: this.signals,
             software: this.software,
             upstreamHttp: this.access.http,
@@ -432,6 +439,7 @@
             upstreamHttp: this.access.http,
             hasWay: () => this.access.hasWay,
             crashes: this.crashMonitor,
+            parts: this.partMonitor,
             time: this.trueTime,
             positions,
             replicator: this.replicator,
@@ -474,6 +482,7 @@
                 if (change.evacuatedZones) this.applyEvacuatedZones(change.evacuatedZones);
                 this.control.viewChanged();
                 this.crashMonitor.viewChanged();
+                this.partMonitor.viewChanged();
                 this.routeService?.viewChanged();
             },
             onControls: addresses => this.controlLinks.setMembers(addresses),
--- a/src/entry/prepareChat/index.ts
+++ b/src/entry/prepareChat/index.ts
@@ -1,8 +1,8 @@
 import { Either, Left, Right } from "purify-ts";
-import { PoolId, RequestFingerprint } from "../../ids/index.js";
+import { PartId, PoolId, RequestFingerprint } from "../../ids/index.js";
 import { HttpRequest } from "../../ports/index.js";
 import { CALLER_PATHS, ChatRequest, chatRequestSchema, hashPrefixes } from "../../protocol/index.js";
-import { fingerprintRequest } from "../../quarantine/index.js";
+import { fingerprintRequest, identifyMessage } from "../../quarantine/index.js";
 import { ClassView, WorkspaceView } from "../../workspace/index.js";
 import { readBody } from "../_lib/readBody.js";
 import { Admission, checkPool, chooseClass } from "../admitRequest/index.js";
@@ -23,6 +23,8 @@
     readonly prefixes: readonly string[];
     /** Identifies the chat by its content. */
     readonly fingerprint: RequestFingerprint;
+    /** Identifies all of its messages but the last, each by its content. */
+    readonly sharedParts: readonly PartId[];
 }
 
 const CHARACTERS_PER_TOKEN = 4;
@@ -63,6 +65,7 @@
         maxTokens: chat.max_tokens ?? ctx.limits.defaultMaxTokens,
         promptTokens: Math.ceil(characters / CHARACTERS_PER_TOKEN),
         prefixes: hashPrefixes(chat.messages, MAX_PREFIX_COUNT),
+        sharedParts: chat.messages.slice(0, -1).map(identifyMessage),
         fingerprint: fingerprintRequest({
             method: "POST",
             host: "",
--- a/src/entry/routeService/index.ts
+++ b/src/entry/routeService/index.ts
@@ -7,7 +7,7 @@
 import { Metrics } from "../../metrics/index.js";
 import { CallDialect, RepeatBudget, RepeatLimits, serveCalls } from "../../passthrough/index.js";
 import { Address, Clock, formatAddress, Http, HttpLimits, HttpListener, Random } from "../../ports/index.js";
-import { CrashGuard } from "../../quarantine/index.js";
+import { CrashGuard, PartGuard } from "../../quarantine/index.js";
 import { RequestRegistry } from "../../request/index.js";
 import { StreamStartRegistry } from "../../resumption/index.js";
 import { CallerLimits, DEFAULT_CALLER_LIMITS } from "../../routing/index.js";
@@ -57,6 +57,8 @@
     readonly software: SoftwareView;
     /** Quarantine of requests that crash upstreams. */
     readonly crashes: CrashGuard;
+    /** Quarantine of parts of prompts that crash upstreams. */
+    readonly parts: PartGuard;
     /** Clock that is synchronized with the control processes. */
     readonly time: TrueTime;
     /** Numbers the usage that this entry counts. */
--- a/src/entry/runChat/index.ts
+++ b/src/entry/runChat/index.ts
@@ -66,7 +66,8 @@
             const decision = await ctx.dispatcher.submit(this.makeTicket(), run.signal);
             if (decision.isLeft()) return this.fail(this.describeRefusal(decision.extract() as Refusal));
             const grant = decision.extract() as Grant;
-            const leftMs = ctx.crashGuard.quarantineLeftMs(prepared.fingerprint);
+            const leftMs = ctx.crashGuard.quarantineLeftMs(prepared.fingerprint)
+                ?? ctx.partGuard.findQuarantine(prepared)?.leftMs;
             if (leftMs !== undefined) return this.releaseUnused(grant, leftMs);
             const check = checkGrant(ctx, run, grant, this.avoid, this.failureOutcome(), this.software);
             if (check === "declined") continue;
@@ -84,21 +85,28 @@
         ctx.metrics.histogram("wait_ms", grant.waitedMs, this.tags());
         if (this.attemptCount++ === 0) ctx.retryBudget.recordFirstAttempt();
         const sentAtMs = run.ageMs();
-        const isStart = sink.tokens === 0;
+        const tokensBefore = sink.tokens;
+        const isStart = tokensBefore === 0;
         const attempt = await sendChat(ctx, prepared, run, grant, sink, this.software);
         if (isStart) this.software = attempt.software;
         this.mayHaveRun ||= attempt.mayHaveRun;
         this.recordTimes(attempt, sentAtMs);
-        this.updateCrashGuard(grant, attempt);
+        this.updateCrashGuards(grant, attempt, sink.tokens > tokensBefore);
         ctx.dispatcher.complete(this.makeCompletion(grant, attempt, await this.findOutcome(grant, attempt)));
         return attempt;
     }
 
-    private updateCrashGuard(grant: Grant, { result }: ChatAttempt): void {
-        const { ctx: { crashGuard }, prepared: { fingerprint, pool } } = this.options;
+    /** @param hasBegun - Whether tokens came in this attempt. */
+    private updateCrashGuards(grant: Grant, { result }: ChatAttempt, hasBegun: boolean): void {
+        const { ctx: { crashGuard, partGuard }, prepared } = this.options;
+        const { fingerprint, pool } = prepared;
+        if (hasBegun) partGuard.recordBegun(prepared);
         result.ifRight(() => crashGuard.recordServed(fingerprint));
         result.ifLeft(({ connectionEnded }) => {
-            if (connectionEnded) crashGuard.recordConnectionEnd(fingerprint, toTarget(pool, grant));
+            if (!connectionEnded) return;
+            const target = toTarget(pool, grant);
+            if (!hasBegun) partGuard.recordUnanswered(prepared, target);
+            crashGuard.recordConnectionEnd(fingerprint, target);
         });
     }
 
--- a/src/ids/index.ts
+++ b/src/ids/index.ts
@@ -26,6 +26,8 @@
 export type RequestId = Brand<string, "RequestId">;
 /** Fingerprint of a request's content: the same for each retry, whatever its request id. */
 export type RequestFingerprint = Brand<string, "RequestFingerprint">;
+/** Id of a part of a prompt, which other prompts may share. */
+export type PartId = Brand<string, "PartId">;
 /** Id of an upstream: a model engine or a plain service process. */
 export type UpstreamId = Brand<string, "UpstreamId">;
 /** Version of the software that an upstream runs, as it announces it; not that of a model's weights. */
--- a/src/passthrough/callContext/index.ts
+++ b/src/passthrough/callContext/index.ts
@@ -3,7 +3,7 @@
 import { Logger } from "../../logging/index.js";
 import { Metrics } from "../../metrics/index.js";
 import { Clock, Random } from "../../ports/index.js";
-import { CrashGuard } from "../../quarantine/index.js";
+import { CrashGuard, PartGuard } from "../../quarantine/index.js";
 import { RequestRegistry } from "../../request/index.js";
 import { StreamStartRegistry } from "../../resumption/index.js";
 import { RouteTable } from "../../routing/index.js";
@@ -53,7 +53,9 @@
     readonly software: SoftwareView;
     readonly requests: RequestRegistry;
     readonly repeats: RepeatBudget;
+    /** Quarantine of requests that crash upstreams, by their whole content and by parts of their prompts. */
     readonly crashes: CrashGuard;
+    readonly parts: PartGuard;
     readonly starts: StartMeter;
     /** Remembers where streams began. */
     readonly streams: StreamStartRegistry;
--- a/src/passthrough/prepareCall/index.ts
+++ b/src/passthrough/prepareCall/index.ts
@@ -1,5 +1,5 @@
 import { Either, Left, Right } from "purify-ts";
-import { PoolId, RequestFingerprint, WorkspaceId } from "../../ids/index.js";
+import { PartId, PoolId, RequestFingerprint, WorkspaceId } from "../../ids/index.js";
 import { BodyError, findHeader, HttpRequest } from "../../ports/index.js";
 import { fingerprintRequest } from "../../quarantine/index.js";
 import { StreamStart } from "../../resumption/index.js";
@@ -33,6 +33,8 @@
     readonly body: Uint8Array;
     /** Hash of the call's content. */
     readonly fingerprint: RequestFingerprint;
+    /** Ids of the parts of its prompt but the last, which other prompts may share. */
+    readonly sharedParts: readonly PartId[];
     readonly route: Route;
     readonly pool: PoolId;
     /** Where the stream began that the call takes up; undefined for a call that takes none up. */
@@ -88,6 +90,7 @@
         path: req.path,
         body: bytes,
         fingerprint: fingerprintRequest({ ...caller, ...requestTarget(req), body: bytes }),
+        sharedParts: head.parts.slice(0, -1).map(({ id }) => id as PartId),
         pool: resumption?.pool ?? pickTargetPool(route, ctx.random),
         resumption,
         arrivedAt,
@@ -135,15 +138,21 @@
 }
 
 /**
- * Checks whether a call's content is quarantined.
+ * Checks whether a call's content, or a part of its prompt, is quarantined.
  *
  * @returns Why the call must not be sent; undefined when it may.
  */
-export function checkQuarantine(ctx: CallContext, { fingerprint }: PreparedCall): CallError | undefined {
+export function checkQuarantine(ctx: CallContext, call: PreparedCall): CallError | undefined {
+    const { fingerprint } = call;
     const remainingMs = ctx.crashes.quarantineLeftMs(fingerprint);
-    if (remainingMs === undefined) return undefined;
-    const detail = `requests with this content crash upstreams; it is quarantined as ${fingerprint}`;
-    return new CallError("quarantined", detail, remainingMs);
+    if (remainingMs !== undefined) {
+        const detail = `requests with this content crash upstreams; it is quarantined as ${fingerprint}`;
+        return new CallError("quarantined", detail, remainingMs);
+    }
+    const quarantine = ctx.parts.findQuarantine(call);
+    if (!quarantine) return undefined;
+    const detail = `prompts with the part ${quarantine.part} crash upstreams; it is quarantined`;
+    return new CallError("quarantined", detail, quarantine.leftMs);
 }
 
 function findRoute(ctx: CallContext, routes: RouteTable, req: HttpRequest): Either<CallError, Route> {
--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -132,11 +132,12 @@
     progress.software = ctx.software.find(grant);
     run.recordGrant(grant);
     const sentAt = ctx.clock.monotonic();
+    const { eventCount } = progress.stream;
     const attempt = makeAttempt(task, grant);
     const result = await sendCall(ctx, attempt);
     progress.relay = attempt.relay ?? progress.relay;
     const completed = completeAttempt(task, attempt, result, sentAt);
-    recordForCrashGuard(task, grant, result);
+    recordForCrashGuards(task, grant, result, progress.stream.eventCount > eventCount);
     if (result.kind === "answered") {
         await waitDurable(task);
         result.deliver();
@@ -257,10 +258,14 @@
     return ids.slice(0, MAX_LOGGED_PARTS).join(" ") + (ids.length > MAX_LOGGED_PARTS ? " ..." : "");
 }
 
-function recordForCrashGuard({ ctx, call }: CallTask, grant: Grant, result: AttemptResult): void {
+/** @param hasBegun - Whether an event came in this attempt. */
+function recordForCrashGuards({ ctx, call }: CallTask, grant: Grant, result: AttemptResult, hasBegun: boolean): void {
     const { fingerprint, pool } = call;
-    if (result.kind === "answered") ctx.crashes.recordServed(fingerprint);
-    else if (result.connectionEnded) ctx.crashes.recordConnectionEnd(fingerprint, toTarget(pool, grant));
+    if (result.kind === "answered") return ctx.crashes.recordServed(fingerprint);
+    if (!result.connectionEnded) return;
+    const target = toTarget(pool, grant);
+    if (!hasBegun) ctx.parts.recordUnanswered(call, target);
+    ctx.crashes.recordConnectionEnd(fingerprint, target);
 }
 
 /**
--- a/src/passthrough/sendCall/index.ts
+++ b/src/passthrough/sendCall/index.ts
@@ -105,6 +105,7 @@
     const isStream = attempt.call.route.kind === "stream" && reply.status < 300 && isEventStream(reply);
     if (isStream) return relayStream(ctx, attempt, reply, head);
     recordStart(ctx, attempt, ctx.time.now());
+    if (reply.status < 300) ctx.parts.recordBegun(attempt.call);
     return attempt.answer.sentStatus === undefined ? relayAnswer(ctx, attempt, reply, head) : rejectContinuation(reply);
 }
 
--- a/src/passthrough/streamBeginning/index.ts
+++ b/src/passthrough/streamBeginning/index.ts
@@ -42,6 +42,7 @@
     async awaitRecorded(): Promise<void> {
         if (this.isRecorded) return;
         this.record();
+        this.ctx.parts.recordBegun(this.attempt.call);
         const { ctx, attempt: { call: { pool, route, arrivedAt, deadlineAt }, stream } } = this;
         if (stream.startPosition === undefined || stream.isHeadSent || !ctx.software.isMixed(pool)) return;
         const now = ctx.clock.monotonic();
