--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -20,7 +20,7 @@
 
 export class Deployment {
     constructor(folder, options = {}) {
-        this.options = { cores: 5, spares: 1, edges: 2, engines: 3, serviceMs: 20, ...options };
+        this.options = { cores: 5, spares: 1, edges: 2, engines: 3, serviceMs: 20, deadlineMs: 4_000, ...options };
         this.recordFile = join(folder, "record.txt");
         writeFileSync(this.recordFile, "");
         this.startedAt = performance.now();
@@ -177,6 +177,7 @@
             engine.runs++;
             engine.lastRuns.push({ at: this.now(), attempt });
             this.record(`engine ${engine.id} runs ${attempt} (${req.method} ${req.url})`);
+            if (this.options.spoil?.(engine, attempt, req.socket)) return engine.running--;
             await sleep(serviceMs);
             engine.running--;
             const stamp = `${engine.id}.${engine.runs}.${randomBytes(4).toString("hex")}`;
@@ -295,6 +296,7 @@
     }
 
     async sendRequest() {
+        const { deadlineMs } = this.options;
         const isRead = Math.random() < 0.5;
         const attempt = randomBytes(8).toString("hex");
         const pool = this.rotation?.length ? this.rotation : this.edges;
@@ -302,11 +304,12 @@
         const item = { attempt, at: this.now(), entry: m.name, isRead };
         this.sent.set(attempt, item);
         const path = `${isRead ? "/read/" : "/place/"}${attempt}`;
-        const reply = await call(`${m.ip}:${this.ports.frontend}`, isRead ? "GET" : "POST", path, isRead ? undefined : "order", 4_500, {
-            "host": HOST, "sequoiamux-attempt-id": attempt, "sequoiamux-deadline-ms": "4000", "authorization": `Token ${KEY}`,
+        const reply = await call(`${m.ip}:${this.ports.frontend}`, isRead ? "GET" : "POST", path, isRead ? undefined : "order", deadlineMs + 500, {
+            "host": HOST, "sequoiamux-attempt-id": attempt, "sequoiamux-deadline-ms": String(deadlineMs), "authorization": `Token ${KEY}`,
         });
         item.endedAt = this.now();
         item.status = reply?.status;
+        if (reply) item.answeredAt = item.endedAt;
         item.isServed = reply?.status === 200 && reply.headers["sequoiamux-response-stamp"] !== undefined && reply.body === `answer to ${attempt}`;
         this.record(`request ${attempt} sent at ${item.at.toFixed(3)} to ${m.name}: ${reply ? reply.status : "no answer"}${item.isServed ? " served" : ""}`);
     }
