--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -156,10 +156,10 @@
     }
 
     async startEngine(i) {
-        const engine = { id: `i-${randomBytes(4).toString("hex")}`, ip: this.engineIps[i], sequence: 0, born: Date.now(), target: i, runs: 0, running: 0, lastRuns: [] };
+        const engine = { id: `i-${randomBytes(4).toString("hex")}`, ip: this.engineIps[i], sequence: 0, born: Date.now(), target: i, runs: 0, running: 0, lastRuns: [], atWork: new Set() };
         this.engines.push(engine);
         const { serviceMs } = this.options;
-        await this.serve(engine.ip, this.ports.service, async (req, res) => {
+        engine.server = await this.serve(engine.ip, this.ports.service, async (req, res) => {
             const echo = {
                 "sequoiamux-instance-id": engine.id,
                 "sequoiamux-instance-load": `${engine.running},0,8`,
@@ -178,7 +178,9 @@
             engine.lastRuns.push({ at: this.now(), attempt });
             this.record(`engine ${engine.id} runs ${attempt} (${req.method} ${req.url})`);
             if (this.options.spoil?.(engine, attempt, req.socket)) return engine.running--;
+            engine.atWork.add(attempt);
             await sleep(serviceMs);
+            engine.atWork.delete(attempt);
             engine.running--;
             const stamp = `${engine.id}.${engine.runs}.${randomBytes(4).toString("hex")}`;
             res.writeHead(200, { ...echo, "sequoiamux-response-stamp": stamp, "content-type": "text/plain" }).end(`answer to ${attempt}`);
@@ -218,6 +220,14 @@
         return false;
     }
 
+    /** Ends an engine's process: its port closes, and what runs there is lost. Returns the attempts that were running. */
+    exitEngine(engine) {
+        engine.server.close();
+        engine.server.closeAllConnections();
+        this.record(`engine ${engine.id} exits; it was at work on ${[...engine.atWork].join(" ") || "nothing"}`);
+        return [...engine.atWork];
+    }
+
     config(version, extraRoutes = []) {
         const route = (name, pathPrefix, kind, maxAttempts) => ({
             name, host: HOST, pathPrefix, kind, timeoutMs: 4_000, targetLatencyMs: 300, priority: 1, service: "ledger", maxAttempts,
