Logs name silent voters when one is removed, and a fleet that is short of voters

The woken host's log never says what it was answered: its lines were limited to one in ten seconds, whatever had changed between them. Nothing about membership is decided differently.

member-removed has a reason and the silence of the voters; voters-missing and voters-complete and three gauges compare the voters that answer with those wanted; a change of a join request's result is logged at once. Tests: consensus/voterMonitor.

--- a/src/consensus/election/test.ts
+++ b/src/consensus/election/test.ts
@@ -11,7 +11,7 @@
 const HOSTS = ["a", "b", "c"];
 
 async function startFleet(seed: number, timing = FLEET_LOG_TIMING) {
-    const fleet = new ReplicaFleet(new SeededRandom(seed), HOSTS, timing);
+    const fleet = new ReplicaFleet(new SeededRandom(seed), HOSTS, { timing });
     await fleet.startAll();
     await fleet.advanceUntil(() => fleet.hasFullMembership());
     return fleet;
--- a/src/consensus/membershipManager/index.ts
+++ b/src/consensus/membershipManager/index.ts
@@ -1,4 +1,6 @@
 import { StoreId } from "../../ids/index.js";
+import { LogFields } from "../../logging/index.js";
+import { Metrics } from "../../metrics/index.js";
 import { Address, formatAddress } from "../../ports/index.js";
 import { Leadership } from "../leadership/index.js";
 import {
@@ -15,6 +17,7 @@
 import { JoinReply, JoinRequest, RpcMethod } from "../message/index.js";
 import { PeerLinks } from "../peerLinks/index.js";
 import { Replica } from "../replica/index.js";
+import { describeSilences, VoterMonitor, VoterSilence } from "../voterMonitor/index.js";
 
 const LOG_INTERVAL_MS = 10_000;
 /**
@@ -23,6 +26,17 @@
  */
 const DEAD_VOTER_TIMEOUT_MS = 3_000;
 
+/** Results of join requests, the most conclusive first. */
+const JOIN_RESULTS: readonly JoinReply["result"][] = ["member", "added", "retired", "busy", "not-leader"];
+
+/** Optional settings of `MembershipManager`. */
+export interface MembershipOptions {
+    /** Desired number of voters; undefined: each member becomes one. */
+    readonly targetVoters?: number;
+    /** Receives gauges of the voters; undefined: none are recorded. */
+    readonly metrics?: Metrics;
+}
+
 /**
  * Maintains the cluster membership: a replica that is not a member requests to join, and the leader adds it as a
  * learner, promotes it and removes the identity that it replaces, one change at a time.
@@ -36,20 +50,29 @@
  * membershipManager.applyDueChange(leadership);
  */
 export class MembershipManager {
+    private loggedJoinResult: string | undefined;
     private nextLogAt = 0;
+    /** Desired number of voters. Once it is reached, a learner is promoted only in place of a dead voter. */
+    private readonly targetVoters: number;
+    private readonly voterMonitor: VoterMonitor;
 
     constructor(
         private readonly replica: Replica,
         private readonly links: PeerLinks,
         private readonly address: Address,
         private readonly bootstrap: readonly Address[],
-        /** Desired number of voters. Once it is reached, a learner is promoted only in place of a dead voter. */
-        private readonly targetVoters = Number.POSITIVE_INFINITY,
-    ) {}
+        options: MembershipOptions = {},
+    ) {
+        this.targetVoters = options.targetVoters ?? Number.POSITIVE_INFINITY;
+        const { targetVoters } = this;
+        this.voterMonitor = new VoterMonitor({ replica, metrics: options.metrics, targetVoters });
+    }
 
     /** Appends the next membership change that is due, if any. */
     applyDueChange(leadership: Leadership): void {
         const { configuration } = this.replica;
+        const unresponsive = this.listUnresponsiveVoters(leadership);
+        this.voterMonitor.observe(unresponsive);
         if (!leadership.mayChangeMembers()) return;
         const learner = configuration.members.find(member => {
             return member.role === "learner" && this.isCaughtUp(member, leadership);
@@ -57,12 +80,19 @@
         if (!learner) return;
         const replaced = findReplacedMember(configuration, learner);
         const isFull = findVoters(configuration).length >= this.targetVoters;
-        const dead = replaced ?? (isFull ? this.findDeadVoter(leadership) : undefined);
+        const dead = replaced ?? (isFull ? unresponsive[0]?.voter : undefined);
         if (isFull && !dead) return;
-        const next = dead
-            ? removeMember(configuration, dead.storeId)
-            : promoteLearner(configuration, learner.storeId);
-        this.appendChange(leadership, next, dead ? "member-removed" : "learner-promoted", dead ?? learner);
+        if (!dead) {
+            const next = promoteLearner(configuration, learner.storeId);
+            this.appendChange(leadership, next, "learner-promoted", learner);
+            return;
+        }
+        const fields = {
+            reason: replaced ? "superseded" : "unresponsive",
+            replacedBy: learner.host,
+            unresponsive: describeSilences(unresponsive),
+        };
+        this.appendChange(leadership, removeMember(configuration, dead.storeId), "member-removed", dead, fields);
     }
 
     /** Handles a request to join the cluster. */
@@ -99,7 +129,8 @@
         const { configuration } = this.replica;
         const member = findMember(configuration, storeId);
         if (!member || !leadership.mayChangeMembers()) return false;
-        this.appendChange(leadership, removeMember(configuration, storeId), "member-removed", member);
+        const next = removeMember(configuration, storeId);
+        this.appendChange(leadership, next, "member-removed", member, { reason: "requested" });
         return true;
     }
 
@@ -138,14 +169,16 @@
         this.logJoinResults(replies);
     }
 
-    /** Logs, at most once per interval, why this replica is not a member yet. */
+    /** Logs why this replica is not a member yet: when that changes, and at most once per interval otherwise. */
     private logJoinResults(replies: readonly (JoinReply | undefined)[]): void {
         const { clock, logger, storeId } = this.replica;
-        if (clock.monotonic() < this.nextLogAt) return;
-        this.nextLogAt = clock.monotonic() + LOG_INTERVAL_MS;
         const results = replies.flatMap(reply => reply ? [reply.result] : []);
-        if (results.includes("retired")) logger.error("member-retired", { storeId });
-        else if (!results.includes("member") && !results.includes("added")) logger.warn("join-waits", { storeId });
+        const result = JOIN_RESULTS.find(known => results.includes(known)) ?? "unanswered";
+        if (result === this.loggedJoinResult && clock.monotonic() < this.nextLogAt) return;
+        this.loggedJoinResult = result;
+        this.nextLogAt = clock.monotonic() + LOG_INTERVAL_MS;
+        if (result === "retired") logger.error("member-retired", { storeId });
+        else if (result !== "member" && result !== "added") logger.warn("join-waits", { storeId, result });
     }
 
     private async sendJoinRequest(address: Address): Promise<JoinReply | undefined> {
@@ -162,20 +195,22 @@
     }
 
     /**
-     * Returns the voter that has been out of contact longest, if that is long enough to consider its host lost.
+     * Returns the voters that have been out of contact long enough to consider their hosts lost, the longest first.
      *
      * Prevents the gradual loss of the cluster: when hosts are replaced by new ones with other names, each lost host
      * would otherwise remain a voter forever, until a majority of the voters no longer exists.
      */
-    private findDeadVoter(leadership: Leadership): Member | undefined {
+    private listUnresponsiveVoters(leadership: Leadership): VoterSilence[] {
         const { configuration, clock, storeId } = this.replica;
-        const silentMs = (member: Member): number => {
+        const silentMsOf = (member: Member): number => {
             const contactAt = leadership.replicatorOf(member.storeId)?.contactAt ?? Number.NEGATIVE_INFINITY;
             return clock.monotonicWithSuspend() - Math.max(contactAt, leadership.startedAt);
         };
         const others = findVoters(configuration).filter(member => member.storeId !== storeId);
-        const unresponsive = others.filter(member => silentMs(member) >= DEAD_VOTER_TIMEOUT_MS);
-        return unresponsive.sort((a, b) => silentMs(b) - silentMs(a))[0];
+        return others
+            .map(voter => ({ voter, silentMs: silentMsOf(voter) }))
+            .filter(({ silentMs }) => silentMs >= DEAD_VOTER_TIMEOUT_MS)
+            .sort((a, b) => b.silentMs - a.silentMs);
     }
 
     private isCaughtUp(learner: Member, leadership: Leadership): boolean {
@@ -198,8 +233,14 @@
         });
     }
 
-    private appendChange(leadership: Leadership, next: Configuration, event: string, member: Member): void {
+    private appendChange(
+        leadership: Leadership,
+        next: Configuration,
+        event: string,
+        member: Member,
+        fields: LogFields = {},
+    ): void {
         if (!leadership.changeMembers(next)) return;
-        this.replica.logger.info(event, { memberHost: member.host, storeId: member.storeId });
+        this.replica.logger.info(event, { memberHost: member.host, storeId: member.storeId, ...fields });
     }
 }
--- a/src/consensus/replicatedLog/index.ts
+++ b/src/consensus/replicatedLog/index.ts
@@ -2,6 +2,7 @@
 import { FencingToken, HostId, LogIndex, StoreId } from "../../ids/index.js";
 import { Lifecycle, WaitCondition } from "../../lifecycle/index.js";
 import { Logger } from "../../logging/index.js";
+import { Metrics } from "../../metrics/index.js";
 import { Address, Clock, Disk, Network, Random, Timer } from "../../ports/index.js";
 import { LogStore } from "../../store/index.js";
 import { PeerError, PeerIdentity, PeerRouter, PeerTiming } from "../../wire/index.js";
@@ -55,6 +56,8 @@
     readonly timing?: LogTiming;
     readonly peerTiming?: PeerTiming;
     readonly logger: Logger;
+    /** Receives gauges of the voters; undefined: none are recorded. */
+    readonly metrics?: Metrics;
 }
 
 /** Replies of voters to a call. */
@@ -137,7 +140,7 @@
             this.links,
             options.address,
             addresses,
-            options.targetVoters,
+            options,
         );
         this.registerHandlers(options.router);
     }
--- a/src/consensus/restartPause/test.ts
+++ b/src/consensus/restartPause/test.ts
@@ -10,7 +10,7 @@
 const SEEDS = [1, 2, 3, 4, 5, 6, 67, 172, 199, 285, 313, 370];
 
 async function startFleet(seed: number) {
-    const fleet = new ReplicaFleet(new SeededRandom(seed), HOSTS, EAGER_TIMING);
+    const fleet = new ReplicaFleet(new SeededRandom(seed), HOSTS, { timing: EAGER_TIMING });
     await fleet.startAll();
     await fleet.advanceUntil(() => fleet.hasFullMembership());
     await fleet.advance(fleet.random.between(0, 2_000));
--- a/src/faultInjection/replicaFleet/index.ts
+++ b/src/faultInjection/replicaFleet/index.ts
@@ -1,6 +1,6 @@
 import { BootstrapMember, DEFAULT_LOG_TIMING, LogTiming, ReplicatedLog } from "../../consensus/index.js";
 import { HostId, Incarnation, LogIndex } from "../../ids/index.js";
-import { SilentLogger } from "../../logging/index.js";
+import { Logger, SilentLogger } from "../../logging/index.js";
 import {
     Address,
     LatencyModel,
@@ -27,6 +27,15 @@
 const RECOVERY_TIMEOUT_MS = 120_000;
 const CHECK_INTERVAL_MS = 20;
 
+/** Options of a simulated fleet. */
+export interface ReplicaFleetOptions {
+    readonly timing?: LogTiming;
+    /** Desired number of voters; undefined: each member becomes one. */
+    readonly targetVoters?: number;
+    /** Returns the logger of a host's processes; undefined: nothing is logged. */
+    readonly loggerOf?: (name: string) => Logger;
+}
+
 /** One simulated host. Its disk survives its processes. */
 export interface ReplicaHost {
     readonly name: HostId;
@@ -74,7 +83,7 @@
     constructor(
         readonly random: Random,
         bootstrapHosts: readonly string[],
-        private readonly timing = FLEET_LOG_TIMING,
+        private readonly options: ReplicaFleetOptions = {},
     ) {
         this.fabric = new MemoryFabric(this.clock, (from, to) => this.latency(from, to));
         this.bootstrapMembers = bootstrapHosts.map(name => ({ host: name as HostId, address: addressOf(name) }));
@@ -113,8 +122,9 @@
             address,
             bootstrap: isBootstrapMember ? this.bootstrapMembers : [...this.bootstrapMembers, member],
             stateMachine: recorder,
-            timing: this.timing,
-            logger: new SilentLogger(),
+            timing: this.options.timing ?? FLEET_LOG_TIMING,
+            targetVoters: this.options.targetVoters,
+            logger: this.options.loggerOf?.(name) ?? new SilentLogger(),
         });
         await servePeers({ network, clock, address, self, router, timing: DEFAULT_PEER_TIMING });
         log.onHolderChange(() => this.runCheck(() => this.checkInvariants()));
