A voter that is removed while it is silent may join again with its data folder

Cause: a learner of another host takes the place of the voter that has been silent longest. Silence doesn't tell whether a host comes back. The removed folder was put on the list of retired ones, so a host that was only frozen (or cut off, or stopped for some seconds) was answered "retired" for good, and the voter that was really gone was never replaced, since no learner was left to take its place. Two more losses then left two voters of five.

Why it works: whoever was removed becomes a learner within seconds of being back, and takes the place of the voter that stays silent. Folders that were removed on request, or that the same host has replaced by a newer one, stay retired.

--- a/src/consensus/member/index.ts
+++ b/src/consensus/member/index.ts
@@ -17,7 +17,10 @@
  */
 export interface Configuration {
     readonly members: readonly Member[];
-    /** Store ids of removed members. They are never admitted again; their hosts may rejoin with a new data folder. */
+    /**
+     * Store ids of members that were removed for good: on request, or because their host has a newer data folder. They are
+     * never admitted again; their hosts may rejoin with a new data folder.
+     */
     readonly retired: readonly StoreId[];
 }
 
@@ -61,7 +64,7 @@
 /** Adds a learner and removes learners of the same host with an older data folder, since that folder is lost. */
 export function addLearner(configuration: Configuration, learner: Member): Configuration {
     const replaced = configuration.members.filter(member => member.host === learner.host && member.role === "learner");
-    const withoutReplaced = replaced.reduce((rest, member) => removeMember(rest, member.storeId), configuration);
+    const withoutReplaced = replaced.reduce((rest, member) => retireMember(rest, member.storeId), configuration);
     return { ...withoutReplaced, members: [...withoutReplaced.members, learner] };
 }
 
@@ -75,11 +78,15 @@
     return updateMember(configuration, storeId, member => ({ ...member, address }));
 }
 
-/** Returns a configuration without a member, whose store id is retired. */
+/** Returns a configuration without a member, which may join again with the same data folder. */
 export function removeMember(configuration: Configuration, storeId: StoreId): Configuration {
-    const members = configuration.members.filter(member => member.storeId !== storeId);
+    return { ...configuration, members: configuration.members.filter(member => member.storeId !== storeId) };
+}
+
+/** Returns a configuration without a member, whose store id is never admitted again. */
+export function retireMember(configuration: Configuration, storeId: StoreId): Configuration {
     const retired = [...configuration.retired, storeId].slice(-MAX_RETIRED_COUNT);
-    return { ...configuration, members, retired };
+    return { ...removeMember(configuration, storeId), retired };
 }
 
 /**
--- a/src/consensus/membershipManager/index.ts
+++ b/src/consensus/membershipManager/index.ts
@@ -12,6 +12,7 @@
     Member,
     promoteLearner,
     removeMember,
+    retireMember,
     updateMemberAddress,
 } from "../member/index.js";
 import { JoinReply, JoinRequest, RpcMethod } from "../message/index.js";
@@ -20,10 +21,7 @@
 import { describeSilences, VoterMonitor, VoterSilence } from "../voterMonitor/index.js";
 
 const LOG_INTERVAL_MS = 10_000;
-/**
- * A voter without contact for this long may be replaced by a waiting learner of another host. Three lease durations: a
- * restart takes less, and premature replacement would cost a returning host its data folder.
- */
+/** A voter without contact for this long may be replaced by a waiting learner of another host; a restart takes less. */
 const DEAD_VOTER_TIMEOUT_MS = 3_000;
 
 /** Results of join requests, the most conclusive first. */
@@ -46,6 +44,9 @@
  * to no majority. It avoids a configuration in which both folders of the host are voters, where losing the host again
  * would stop the log permanently.
  *
+ * A voter that was removed because it did not respond may be frozen or cut off, which can't be told from lost. It keeps
+ * its term, its vote and its log, so it is admitted again as a learner, and takes the place of a voter that is really lost.
+ *
  * @example
  * membershipManager.applyDueChange(leadership);
  */
@@ -92,7 +93,8 @@
             replacedBy: learner.host,
             unresponsive: describeSilences(unresponsive),
         };
-        this.appendChange(leadership, removeMember(configuration, dead.storeId), "member-removed", dead, fields);
+        const next = replaced ? retireMember(configuration, dead.storeId) : removeMember(configuration, dead.storeId);
+        this.appendChange(leadership, next, "member-removed", dead, fields);
     }
 
     /** Handles a request to join the cluster. */
@@ -129,7 +131,7 @@
         const { configuration } = this.replica;
         const member = findMember(configuration, storeId);
         if (!member || !leadership.mayChangeMembers()) return false;
-        const next = removeMember(configuration, storeId);
+        const next = retireMember(configuration, storeId);
         this.appendChange(leadership, next, "member-removed", member, { reason: "requested" });
         return true;
     }
--- a/src/consensus/membershipManager/test.ts
+++ b/src/consensus/membershipManager/test.ts
@@ -114,6 +114,73 @@
         });
     });
 
+    describe("a voter that is removed while it can't be reached", () => {
+        const FIVE_HOSTS = ["a", "b", "c", "d", "e"];
+
+        async function startFullFleet() {
+            const fleet = new ReplicaFleet(new SeededRandom(1), FIVE_HOSTS, { targetVoters: FIVE_HOSTS.length });
+            await fleet.startAll();
+            await fleet.advanceUntil(() => fleet.hasFullMembership());
+            return fleet;
+        }
+
+        /** One host stays away for some time, and meanwhile another one is replaced for good. */
+        async function replaceBeside(fleet: ReplicaFleet, leave: (name: string) => void, come: (name: string) => void) {
+            const [away, gone] = followersOf(fleet);
+            const { storeId } = fleet.find(away).process!.log;
+            leave(away);
+            await fleet.advance(800);
+            fleet.removeHost(gone, true);
+            await fleet.advance(1_000);
+            fleet.addHost("x");
+            await fleet.start("x");
+            await fleet.advanceUntil(() => isRemoved(fleet, storeId));
+            come(away);
+            return { away, storeId };
+        }
+
+        function isRemoved(fleet: ReplicaFleet, storeId: string) {
+            return fleet.holder()?.process!.log.committedConfiguration().members.every(member => {
+                return member.storeId !== storeId;
+            }) ?? false;
+        }
+
+        it("becomes a voter again with its data folder once it thaws", async () => {
+            // Guards against a frozen host that is locked out for good, while the host that is gone goes on counting as a voter.
+            const fleet = await startFullFleet();
+            const { away, storeId } = await replaceBeside(
+                fleet,
+                name => fleet.find(name).process!.host.freeze(),
+                name => fleet.find(name).process!.host.thaw(),
+            );
+            await fleet.advanceUntil(() => fleet.hasFullMembership(), 8_000);
+            assert.equal(fleet.find(away).process!.log.storeId, storeId);
+            for (const name of [...fleet.hosts.keys()].slice(0, 2)) fleet.wipe(name);
+            for (const { name, process } of fleet.hosts.values()) {
+                if (!process) await fleet.start(name, undefined, ["c", "d", "x"]);
+            }
+            await fleet.converge();
+        });
+
+        it("becomes a voter again after a partition", async () => {
+            const fleet = await startFullFleet();
+            const others = [...FIVE_HOSTS, "x"];
+            await replaceBeside(
+                fleet,
+                name => fleet.fabric.isolate(name, others, true),
+                name => fleet.fabric.isolate(name, others, false),
+            );
+            await fleet.advanceUntil(() => fleet.hasFullMembership(), 8_000);
+        });
+
+        it("becomes a voter again when it restarts after its removal", async () => {
+            const fleet = await startFullFleet();
+            const { away } = await replaceBeside(fleet, name => fleet.crash(name), () => undefined);
+            await fleet.start(away);
+            await fleet.advanceUntil(() => fleet.hasFullMembership(), 8_000);
+        });
+    });
+
     describe("a learner whose addition was reverted", () => {
         it("asks again", async () => {
             // Prevents a new host from never becoming a member. The leader adds it and is cut off before a majority has
--- a/src/faultInjection/index.ts
+++ b/src/faultInjection/index.ts
@@ -5,6 +5,7 @@
 export * from "./powerSchedule/index.js";
 export * from "./promptLoad/index.js";
 export * from "./recordingLogger/index.js";
+export * from "./replacementSchedule/index.js";
 export * from "./replicaFleet/index.js";
 export * from "./routedFleet/index.js";
 export * from "./schedule/index.js";
--- a/src/faultInjection/replicaFleet/index.ts
+++ b/src/faultInjection/replicaFleet/index.ts
@@ -86,7 +86,7 @@
         private readonly options: ReplicaFleetOptions = {},
     ) {
         this.fabric = new MemoryFabric(this.clock, (from, to) => this.latency(from, to));
-        this.bootstrapMembers = bootstrapHosts.map(name => ({ host: name as HostId, address: addressOf(name) }));
+        this.bootstrapMembers = bootstrapHosts.map(makeBootstrapMember);
         for (const name of bootstrapHosts) this.addHost(name);
     }
 
@@ -101,17 +101,19 @@
         for (const name of this.hosts.keys()) await this.start(name);
     }
 
-    /** Starts the control process of a host. */
-    async start(name: string, port = PORT): Promise<void> {
+    /**
+     * Starts the control process of a host.
+     *
+     * @param seeds - Hosts in its settings; it then only joins a cluster. Undefined: the bootstrap hosts.
+     */
+    async start(name: string, port = PORT, seeds?: readonly string[]): Promise<void> {
         const { disk, clockRate } = this.find(name);
         const host = new MemoryHost({ clock: this.clock, network: this.fabric.network(name), disk, clockRate });
         const recorder = new RecordingStateMachine(this.history, err => this.recordViolation(err));
         const router = new PeerRouter();
         const self = { host: name as HostId, incarnation: String(this.clock.monotonic()) as Incarnation };
         const { clock, network } = host;
-        const isBootstrapMember = this.bootstrapMembers.some(bootstrapMember => bootstrapMember.host === name);
         const address = addressOf(name, port);
-        const member = { host: name as HostId, address };
         const log = await ReplicatedLog.open({
             network,
             clock,
@@ -120,7 +122,8 @@
             router,
             self,
             address,
-            bootstrap: isBootstrapMember ? this.bootstrapMembers : [...this.bootstrapMembers, member],
+            bootstrap: this.listBootstrapMembers(name, address, seeds),
+            mayBootstrap: seeds === undefined,
             stateMachine: recorder,
             timing: this.options.timing ?? FLEET_LOG_TIMING,
             targetVoters: this.options.targetVoters,
@@ -132,6 +135,16 @@
         this.find(name).process = { host, log, recorder };
     }
 
+    private listBootstrapMembers(
+        name: string,
+        address: Address,
+        seeds?: readonly string[],
+    ): readonly BootstrapMember[] {
+        const members = seeds ? seeds.map(makeBootstrapMember) : this.bootstrapMembers;
+        const isListed = members.some(({ host }) => host === name);
+        return isListed ? members : [...members, { host: name as HostId, address }];
+    }
+
     /** Kills the control process of a host. Each file loses its unsynced bytes except for the first `keptUnsynced`. */
     crash(name: string, keptUnsynced = 0): void {
         const host = this.find(name);
@@ -147,6 +160,22 @@
         this.find(name).disk.wipe();
     }
 
+    /**
+     * Ends a host for good.
+     *
+     * @param isSilent - Whether the host answers nothing from now on, as without power; otherwise it refuses connections.
+     */
+    removeHost(name: string, isSilent: boolean): void {
+        if (isSilent) {
+            this.fabric.isolate(name, [...this.hosts.keys()], true);
+            this.find(name).process?.host.kill();
+        }
+        else {
+            this.crash(name);
+        }
+        this.hosts.delete(name);
+    }
+
     find(name: string): ReplicaHost {
         return this.hosts.get(name)!;
     }
@@ -238,12 +267,14 @@
         }
     }
 
-    /** Whether the committed membership consists of exactly the hosts' current data folders, all of them voters. */
+    /** Whether the committed membership consists of exactly the hosts' current data folders, as many voters as wanted among them. */
     hasFullMembership(): boolean {
         const members = this.holder()?.process?.log.committedConfiguration().members ?? [];
         const stores = [...this.hosts.values()].map(({ process }) => process?.log.storeId);
+        const voters = members.filter(({ role }) => role === "voter");
         return members.length === stores.length
-            && members.every(({ role, storeId }) => role === "voter" && stores.includes(storeId));
+            && members.every(({ storeId }) => stores.includes(storeId))
+            && voters.length === Math.min(stores.length, this.options.targetVoters ?? stores.length);
     }
 
     /** Checks that all replicas applied the same sequence of commands, with each accepted command in it once. */
@@ -307,6 +338,10 @@
     }
 }
 
+function makeBootstrapMember(name: string): BootstrapMember {
+    return { host: name as HostId, address: addressOf(name) };
+}
+
 function addressOf(name: string, port = PORT): Address {
     return { host: name, port };
 }
--- a/src/tools/soak/main.ts
+++ b/src/tools/soak/main.ts
@@ -8,6 +8,7 @@
     runCallSchedule,
     runPathSchedule,
     runPowerSchedule,
+    runReplacementSchedule,
     runReplicaSchedule,
     runSoftwareSchedule,
 } from "../../faultInjection/index.js";
@@ -36,6 +37,12 @@
         const { sent, begun, resumed, continued, whole } = await runSoftwareSchedule(seed);
         return `${begun} of ${sent} streams begun, ${continued} of ${resumed} went on, ${whole} whole`;
     },
+    replacement: async seed => {
+        const { accepted, removals, restoredMs, virtualMs } = await runReplacementSchedule(seed);
+        return `${accepted} accepted, ${removals} members removed, restored after ${restoredMs} ms, ${
+            toSeconds(virtualMs)
+        } s of virtual time`;
+    },
     power: async seed => {
         const { answered, counted, ran } = await runPowerSchedule(seed);
         return `${answered} answered, ${counted} counted, ${ran} ran`;
