A step of the leader's wall clock no longer looks like silence of its voters

Callers saw nothing but a lost spare: with a sixth host waiting, a leader whose wall clock was set forward by more than three seconds removed a voter that answered, and promoted the waiting host in its place.

Cause: silence was the time since a voter's last answer, on the clock that includes suspensions. A jump of the wall clock looks like a suspension, so for one heartbeat all voters had been silent for the length of the jump; the learner that answered first made the removal due.

Why it works: silence is counted in the time between heartbeats that were sent and not answered. A leader that was frozen itself, or whose clock jumped, has asked nobody meanwhile, so that time doesn't count.

--- a/src/consensus/leadership/index.ts
+++ b/src/consensus/leadership/index.ts
@@ -27,7 +27,7 @@
     private readonly replicators = new Map<StoreId, Replicator>();
     private readonly pendingProposals = new Map<LogIndex, (result: ProposeResult) => void>();
     /** Start of the leadership (`Clock.monotonicWithSuspend`). */
-    readonly startedAt: number;
+    private readonly startedAt: number;
     private termStartIndex = 0 as LogIndex;
     private hasEnded = false;
 
--- a/src/consensus/membershipManager/index.ts
+++ b/src/consensus/membershipManager/index.ts
@@ -203,14 +203,10 @@
      * would otherwise remain a voter forever, until a majority of the voters no longer exists.
      */
     private listUnresponsiveVoters(leadership: Leadership): VoterSilence[] {
-        const { configuration, clock, storeId } = this.replica;
-        const silentMsOf = (member: Member): number => {
-            const contactAt = leadership.replicatorOf(member.storeId)?.contactAt ?? Number.NEGATIVE_INFINITY;
-            return clock.monotonicWithSuspend() - Math.max(contactAt, leadership.startedAt);
-        };
+        const { configuration, storeId } = this.replica;
         const others = findVoters(configuration).filter(member => member.storeId !== storeId);
         return others
-            .map(voter => ({ voter, silentMs: silentMsOf(voter) }))
+            .map(voter => ({ voter, silentMs: leadership.replicatorOf(voter.storeId)?.silentMs ?? 0 }))
             .filter(({ silentMs }) => silentMs >= DEAD_VOTER_TIMEOUT_MS)
             .sort((a, b) => b.silentMs - a.silentMs);
     }
--- a/src/consensus/membershipManager/test.ts
+++ b/src/consensus/membershipManager/test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "node:test";
 import { ReplicaFleet } from "../../faultInjection/index.js";
 import { SeededRandom } from "../../ports/index.js";
+import { findVoters } from "../member/index.js";
 
 async function startFleet(seed = 1, founders = ["a", "b", "c"]) {
     const fleet = new ReplicaFleet(new SeededRandom(seed), founders);
@@ -181,6 +182,25 @@
         });
     });
 
+    describe("a leader whose wall clock is set forward", () => {
+        it("removes no voter that answers", async () => {
+            // Guards against a healthy voter that gives way to a waiting learner, because a jump of the clock looks like silence.
+            const fleet = new ReplicaFleet(new SeededRandom(1), ["a", "b", "c"], { targetVoters: 3 });
+            await fleet.startAll();
+            await fleet.advanceUntil(() => fleet.hasFullMembership());
+            fleet.addHost("x");
+            await fleet.start("x");
+            await fleet.advanceUntil(() => fleet.hasFullMembership());
+            for (let step = 0; step < 10; step++) {
+                fleet.holder()!.process!.host.clock.stepWallClock(10_000);
+                await fleet.advance(fleet.random.between(3_000, 6_000));
+                await fleet.advanceUntil(() => fleet.holder() !== undefined);
+            }
+            const voters = findVoters(fleet.holder()!.process!.log.committedConfiguration());
+            assert.deepEqual(voters.map(({ host }) => host).sort(), ["a", "b", "c"]);
+        });
+    });
+
     describe("a learner whose addition was reverted", () => {
         it("asks again", async () => {
             // Prevents a new host from never becoming a member. The leader adds it and is cut off before a majority has
--- a/src/consensus/replicator/index.ts
+++ b/src/consensus/replicator/index.ts
@@ -15,10 +15,13 @@
 } from "../message/index.js";
 import { PeerLinks } from "../peerLinks/index.js";
 import { Replica } from "../replica/index.js";
+import { SilenceMeter } from "../silenceMeter/index.js";
 
 const MAX_BATCH_BYTES = 256 * 1024;
 const MAX_IN_FLIGHT_BATCHES = 8;
 const SNAPSHOT_CHUNK_BYTES = 256 * 1024;
+/** The most that the time between two heartbeats counts as silence, in heartbeat intervals. */
+const MAX_HEARTBEAT_GAPS = 2;
 
 /** Callbacks for the acknowledgements of a peer. */
 export interface ReplicatorListener {
@@ -42,6 +45,7 @@
     private nextIndex: LogIndex;
     private matchedIndex = 0 as LogIndex;
     private lastContactAt: number;
+    private readonly silence: SilenceMeter;
     private inFlight = 0;
     private isProbing = true;
     /** Incremented when sending restarts, so that rejections of earlier batches are ignored. */
@@ -56,6 +60,7 @@
         this.term = replica.term;
         this.nextIndex = replica.log.lastIndex + 1 as LogIndex;
         this.lastContactAt = Number.NEGATIVE_INFINITY;
+        this.silence = new SilenceMeter(replica.clock, MAX_HEARTBEAT_GAPS * replica.timing.heartbeatMs);
     }
 
     /** Last index known to be synced on the peer. */
@@ -68,6 +73,11 @@
         return this.lastContactAt;
     }
 
+    /** For how long the peer has not answered heartbeats, in milliseconds. */
+    get silentMs(): number {
+        return this.silence.silentMs;
+    }
+
     start(): void {
         this.links.linkTo(this.member.address);
         const onError = (err: unknown): void => this.replica.fail(err as Error);
@@ -95,6 +105,7 @@
         reply.ifRight(({ ok }) => {
             if (!ok) return;
             this.lastContactAt = Math.max(this.lastContactAt, sentAt);
+            this.silence.recordAnswer();
             this.listener.onContact();
         });
     }
@@ -102,6 +113,7 @@
     private async runHeartbeats(signal: AbortSignal): Promise<void> {
         const { clock, timing } = this.replica;
         while (!signal.aborted) {
+            this.silence.recordRequest();
             void this.sendHeartbeat();
             await clock.sleep(timing.heartbeatMs, signal);
         }
