A new leader goes on from the silence that its predecessor had measured

Cause: a leader counted the silence of each voter from its own election on. When the leader itself was the one to be replaced, or the leader changed while another voter was gone, the three seconds began anew, after an election of one to two seconds.

Why it works: heartbeats name the members that don't answer and for how long, and a follower that becomes the leader counts on from there, and from the last heartbeat of the old leader. It removes nobody before it has asked in vain for a lease itself, so outdated knowledge removes nobody who answers.

--- a/src/consensus/follower/index.ts
+++ b/src/consensus/follower/index.ts
@@ -51,6 +51,7 @@
         const { replica } = this;
         replica.checkAddressee(req);
         if (!replica.followLeader(req)) return { term: replica.term, ok: false };
+        replica.silences.recordHeartbeat(req.from, req.silences);
         this.advanceCommit(req.term, req.commit);
         return { term: replica.term, ok: true };
     }
--- a/src/consensus/leadership/index.ts
+++ b/src/consensus/leadership/index.ts
@@ -9,10 +9,13 @@
 import { PeerLinks } from "../peerLinks/index.js";
 import { Replica } from "../replica/index.js";
 import { Replicator } from "../replicator/index.js";
+import { SilenceReport } from "../reportedSilences/index.js";
 
 type ProposeResult = Either<ProposeError, unknown>;
 
 const MAX_PENDING_PROPOSALS = 20_000;
+/** A shorter silence is not reported to followers, in heartbeat intervals: one answer may be late. */
+const MIN_REPORTED_GAPS = 2;
 
 /**
  * One replica's leadership of one term: replicates and commits entries and holds the lease.
@@ -196,12 +199,21 @@
             const replicator = new Replicator(member, replica, this.links, {
                 onMatch: () => this.advanceCommit(),
                 onContact: () => this.onLeaseExtended(),
+                listSilences: () => this.listSilences(),
             });
             this.replicators.set(member.storeId, replicator);
             replicator.start();
         }
     }
 
+    /** Returns the members that have missed more than one heartbeat. */
+    private listSilences(): SilenceReport[] {
+        const minMs = MIN_REPORTED_GAPS * this.replica.timing.heartbeatMs;
+        return [...this.replicators]
+            .filter(([, { silence }]) => silence.silentMs >= minMs)
+            .map(([storeId, { silence }]) => [storeId, Math.round(silence.silentMs)]);
+    }
+
     private wakeReplicators(): void {
         for (const replicator of this.replicators.values()) replicator.wake();
     }
--- a/src/consensus/membershipManager/index.ts
+++ b/src/consensus/membershipManager/index.ts
@@ -24,6 +24,7 @@
 /** A voter without contact for this long may be replaced by a waiting learner of another host; a restart takes less. */
 const DEAD_VOTER_TIMEOUT_MS = 3_000;
 
+const NO_SILENCE = { silentMs: 0, observedMs: 0 };
 /** Results of join requests, the most conclusive first. */
 const JOIN_RESULTS: readonly JoinReply["result"][] = ["member", "added", "retired", "busy", "not-leader"];
 
@@ -197,17 +198,19 @@
     }
 
     /**
-     * Returns the voters that have been out of contact long enough to consider their hosts lost, the longest first.
+     * Returns the voters that have been out of contact long enough to consider their hosts lost, the longest first. A new
+     * leader must have asked for a lease itself: what it knows of earlier silences may be outdated.
      *
      * Prevents the gradual loss of the cluster: when hosts are replaced by new ones with other names, each lost host
      * would otherwise remain a voter forever, until a majority of the voters no longer exists.
      */
     private listUnresponsiveVoters(leadership: Leadership): VoterSilence[] {
-        const { configuration, storeId } = this.replica;
+        const { configuration, storeId, timing } = this.replica;
         const others = findVoters(configuration).filter(member => member.storeId !== storeId);
         return others
-            .map(voter => ({ voter, silentMs: leadership.replicatorOf(voter.storeId)?.silentMs ?? 0 }))
-            .filter(({ silentMs }) => silentMs >= DEAD_VOTER_TIMEOUT_MS)
+            .map(voter => ({ voter, silence: leadership.replicatorOf(voter.storeId)?.silence ?? NO_SILENCE }))
+            .filter(({ silence }) => silence.silentMs >= DEAD_VOTER_TIMEOUT_MS && silence.observedMs >= timing.leaseMs)
+            .map(({ voter, silence }) => ({ voter, silentMs: silence.silentMs }))
             .sort((a, b) => b.silentMs - a.silentMs);
     }
 
--- a/src/consensus/membershipManager/test.ts
+++ b/src/consensus/membershipManager/test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { ReplicaFleet } from "../../faultInjection/index.js";
+import { EAGER_LOG_TIMING, ReplicaFleet } from "../../faultInjection/index.js";
 import { SeededRandom } from "../../ports/index.js";
 import { findVoters } from "../member/index.js";
 
@@ -182,6 +182,41 @@
         });
     });
 
+    describe("a leader that is replaced", () => {
+        const FIVE_HOSTS = ["a", "b", "c", "d", "e"];
+        const CATCH_UP_MS = 4_000;
+
+        for (let seed = 1; seed <= 6; seed++) {
+            it(`is no voter any more once its successor has caught up (seed ${seed})`, async () => {
+                // Guards against a voter that counts for seconds longer when it was the leader, since the next one begins to count its silence anew.
+                const options = { timing: EAGER_LOG_TIMING, targetVoters: FIVE_HOSTS.length };
+                const fleet = new ReplicaFleet(new SeededRandom(seed), FIVE_HOSTS, options);
+                await fleet.startAll();
+                await fleet.advanceUntil(() => fleet.hasFullMembership());
+                fleet.removeHost(fleet.holder()!.name, true);
+                await fleet.advance(100);
+                fleet.addHost("x");
+                await fleet.start("x");
+                await fleet.advanceUntil(() => fleet.hasFullMembership(), CATCH_UP_MS);
+            });
+        }
+
+        it("is no voter any more, nor is a follower that was lost before it", async () => {
+            const options = { timing: EAGER_LOG_TIMING, targetVoters: FIVE_HOSTS.length };
+            const fleet = new ReplicaFleet(new SeededRandom(1), FIVE_HOSTS, options);
+            await fleet.startAll();
+            await fleet.advanceUntil(() => fleet.hasFullMembership());
+            fleet.removeHost(followersOf(fleet)[0], true);
+            await fleet.advance(1_500);
+            fleet.removeHost(fleet.holder()!.name, true);
+            for (const name of ["x", "y"]) {
+                fleet.addHost(name);
+                await fleet.start(name);
+            }
+            await fleet.advanceUntil(() => fleet.hasFullMembership(), CATCH_UP_MS);
+        });
+    });
+
     describe("a leader whose wall clock is set forward", () => {
         it("removes no voter that answers", async () => {
             // Guards against a healthy voter that gives way to a waiting learner, because a jump of the clock looks like silence.
--- a/src/consensus/message/index.ts
+++ b/src/consensus/message/index.ts
@@ -1,6 +1,7 @@
 import { ClusterId, HostId, LogIndex, StoreId, Term } from "../../ids/index.js";
 import { Address } from "../../ports/index.js";
 import { Configuration } from "../member/index.js";
+import { SilenceReport } from "../reportedSilences/index.js";
 
 /** RPC methods that replicas call on each other. */
 export const RpcMethod = {
@@ -71,6 +72,8 @@
 export interface HeartbeatRequest extends LeaderMessage {
     /** The leader's commit index. */
     readonly commit: LogIndex;
+    /** Members that do not answer the leader, except for those that were silent for a moment only. */
+    readonly silences?: readonly SilenceReport[];
 }
 
 /** Reply to a heartbeat. `ok` means that the sender renewed its promise to the leader. */
--- a/src/consensus/replica/index.ts
+++ b/src/consensus/replica/index.ts
@@ -10,6 +10,7 @@
 import { Configuration, isVoter } from "../member/index.js";
 import { MemberHistory } from "../memberHistory/index.js";
 import { LeaderMessage, MemberMessage } from "../message/index.js";
+import { ReportedSilences } from "../reportedSilences/index.js";
 import { StateMachine } from "../stateMachine/index.js";
 import { VotingState } from "../votingState/index.js";
 
@@ -59,6 +60,8 @@
     readonly logger: Logger;
     /** Notified at each change of role, term or configuration. */
     readonly changed = new WaitCondition();
+    /** Members that are known to be silent; a later leader starts from it. */
+    readonly silences: ReportedSilences;
     private readonly options: ReplicaOptions;
     private readonly votingState: VotingState;
     private readonly configurations: MemberHistory;
@@ -85,6 +88,7 @@
         this.timing = timing;
         this.store = store;
         this.logger = options.logger;
+        this.silences = new ReportedSilences(clock);
         this.log = new EntryLog(store, {
             onDurable: () => options.events.onDurable(),
             onStoreError: err => this.handleStoreError(err),
--- a/src/consensus/replicator/index.ts
+++ b/src/consensus/replicator/index.ts
@@ -15,6 +15,7 @@
 } from "../message/index.js";
 import { PeerLinks } from "../peerLinks/index.js";
 import { Replica } from "../replica/index.js";
+import { SilenceReport } from "../reportedSilences/index.js";
 import { SilenceMeter } from "../silenceMeter/index.js";
 
 const MAX_BATCH_BYTES = 256 * 1024;
@@ -23,12 +24,14 @@
 /** The most that the time between two heartbeats counts as silence, in heartbeat intervals. */
 const MAX_HEARTBEAT_GAPS = 2;
 
-/** Callbacks for the acknowledgements of a peer. */
+/** The leadership to which a replicator belongs. */
 export interface ReplicatorListener {
     /** Called when the peer has synced more entries. */
     onMatch(): void;
     /** Called when the peer has renewed its promise. */
     onContact(): void;
+    /** Returns the members that do not answer, of which each heartbeat tells the peer. */
+    listSilences(): readonly SilenceReport[];
 }
 
 /**
@@ -45,7 +48,7 @@
     private nextIndex: LogIndex;
     private matchedIndex = 0 as LogIndex;
     private lastContactAt: number;
-    private readonly silence: SilenceMeter;
+    private readonly silenceMeter: SilenceMeter;
     private inFlight = 0;
     private isProbing = true;
     /** Incremented when sending restarts, so that rejections of earlier batches are ignored. */
@@ -60,7 +63,9 @@
         this.term = replica.term;
         this.nextIndex = replica.log.lastIndex + 1 as LogIndex;
         this.lastContactAt = Number.NEGATIVE_INFINITY;
-        this.silence = new SilenceMeter(replica.clock, MAX_HEARTBEAT_GAPS * replica.timing.heartbeatMs);
+        const { clock, silences, timing } = replica;
+        const earlierMs = silences.silentMsOf(member.storeId);
+        this.silenceMeter = new SilenceMeter(clock, MAX_HEARTBEAT_GAPS * timing.heartbeatMs, earlierMs);
     }
 
     /** Last index known to be synced on the peer. */
@@ -73,9 +78,9 @@
         return this.lastContactAt;
     }
 
-    /** For how long the peer has not answered heartbeats, in milliseconds. */
-    get silentMs(): number {
-        return this.silence.silentMs;
+    /** For how long the peer has not answered heartbeats. */
+    get silence(): Readonly<Pick<SilenceMeter, "silentMs" | "observedMs">> {
+        return this.silenceMeter;
     }
 
     start(): void {
@@ -100,12 +105,17 @@
         // Read before the request is sent: the peer's promise starts later, so the lease counted from here ends
         // earlier.
         const sentAt = replica.clock.monotonicWithSuspend();
-        const request: HeartbeatRequest = { ...this.header(), commit: replica.commitIndex };
+        const silences = this.listener.listSilences();
+        const request: HeartbeatRequest = {
+            ...this.header(),
+            commit: replica.commitIndex,
+            ...(silences.length > 0 && { silences }),
+        };
         const reply = await this.call<HeartbeatReply>(RpcMethod.Heartbeat, request, replica.timing.leaseMs);
         reply.ifRight(({ ok }) => {
             if (!ok) return;
             this.lastContactAt = Math.max(this.lastContactAt, sentAt);
-            this.silence.recordAnswer();
+            this.silenceMeter.recordAnswer();
             this.listener.onContact();
         });
     }
@@ -113,7 +123,7 @@
     private async runHeartbeats(signal: AbortSignal): Promise<void> {
         const { clock, timing } = this.replica;
         while (!signal.aborted) {
-            this.silence.recordRequest();
+            this.silenceMeter.recordRequest();
             void this.sendHeartbeat();
             await clock.sleep(timing.heartbeatMs, signal);
         }
--- a/src/consensus/silenceMeter/index.ts
+++ b/src/consensus/silenceMeter/index.ts
@@ -15,11 +15,19 @@
     private requestedAt: number | undefined;
     private unansweredMs = 0;
 
-    /** @param maxGapMs - The most that the time between two requests counts, in milliseconds. */
-    constructor(private readonly clock: Clock, private readonly maxGapMs: number) {}
+    /**
+     * @param maxGapMs - The most that the time between two requests counts, in milliseconds.
+     * @param earlierMs - For how long the peer is known to have been silent before, in milliseconds.
+     */
+    constructor(private readonly clock: Clock, private readonly maxGapMs: number, private earlierMs = 0) {}
 
-    /** Time between the first and the last request since the last answer, in milliseconds. */
+    /** For how long the peer has not answered, in milliseconds, including the time before this meter. */
     get silentMs(): number {
+        return this.earlierMs + this.unansweredMs;
+    }
+
+    /** Time between the first and the last request since the last answer, in milliseconds. */
+    get observedMs(): number {
         return this.unansweredMs;
     }
 
@@ -32,5 +40,6 @@
     recordAnswer(): void {
         this.requestedAt = undefined;
         this.unansweredMs = 0;
+        this.earlierMs = 0;
     }
 }
--- a/src/consensus/silenceMeter/test.ts
+++ b/src/consensus/silenceMeter/test.ts
@@ -32,6 +32,15 @@
         assert.equal(meter.silentMs, 400);
     });
 
+    it("goes on from an earlier silence until the first answer", async () => {
+        const clock = new VirtualClock();
+        const meter = new SilenceMeter(clock, MAX_GAP_MS, 1_000);
+        await ask(meter, clock, 6);
+        assert.deepEqual([meter.silentMs, meter.observedMs], [2_000, 1_000]);
+        meter.recordAnswer();
+        assert.deepEqual([meter.silentMs, meter.observedMs], [0, 0]);
+    });
+
     it("does not count the time in which nothing was asked", async () => {
         // Guards against a leader that takes all others for lost after it was frozen itself.
         const clock = new VirtualClock();
--- a/src/faultInjection/replacementSchedule/index.ts
+++ b/src/faultInjection/replacementSchedule/index.ts
@@ -1,9 +1,9 @@
-import { findVoters, LogTiming } from "../../consensus/index.js";
+import { findVoters } from "../../consensus/index.js";
 import { SeededRandom } from "../../ports/index.js";
 import { LossTally } from "../lossTally/index.js";
 import { RecordingLogger } from "../recordingLogger/index.js";
 import { InvariantError } from "../recordingStateMachine/index.js";
-import { FLEET_LOG_TIMING, ReplicaFleet } from "../replicaFleet/index.js";
+import { EAGER_LOG_TIMING, ReplicaFleet } from "../replicaFleet/index.js";
 
 /** Result of one run. */
 export interface ReplacementReport {
@@ -27,15 +27,6 @@
 const CATCH_UP_MS = 4_000;
 /** Time in which a fleet accepts commands again after a fault that it is meant to bear, in milliseconds. */
 const RECOVERY_MS = 12_000;
-/** Timing with which a lost holder is replaced within little more than a second. */
-const TIMING: LogTiming = {
-    ...FLEET_LOG_TIMING,
-    heartbeatMs: 200,
-    leaseMs: 900,
-    electionSpreadMs: 450,
-    appendTimeoutMs: 4_000,
-    joinRetryMs: 250,
-};
 const DEFAULT_EVENT_COUNT = 8;
 const MAX_TORN_BYTES = 80;
 const POLL_MS = 20;
@@ -68,7 +59,7 @@
     private nextHostNumber = 1;
 
     constructor(readonly random: SeededRandom) {
-        const options = { timing: TIMING, targetVoters: WANTED_VOTERS, loggerOf: () => this.logger };
+        const options = { timing: EAGER_LOG_TIMING, targetVoters: WANTED_VOTERS, loggerOf: () => this.logger };
         this.fleet = new ReplicaFleet(random, FOUNDERS, options);
         this.losses = new LossTally(this.fleet.clock, CATCH_UP_MS);
     }
--- a/src/faultInjection/replicaFleet/index.ts
+++ b/src/faultInjection/replicaFleet/index.ts
@@ -21,6 +21,15 @@
     trailingEntries: 5,
     segmentBytes: 1_000,
 };
+/** Timing with which a lost holder is replaced within little more than a second. */
+export const EAGER_LOG_TIMING: LogTiming = {
+    ...FLEET_LOG_TIMING,
+    heartbeatMs: 200,
+    leaseMs: 900,
+    electionSpreadMs: 450,
+    appendTimeoutMs: 4_000,
+    joinRetryMs: 250,
+};
 /** Maximum deviation of a host's clock rate from 1, below the drift that the lease tolerates. */
 const MAX_CLOCK_DRIFT = 0.009;
 /** Maximum time in which a fleet without faults must recover. */
