A host that wakes from a suspension asks to join at once, not after two leases

Cause: a replica asked to join only once it had heard no leader for two leases of the monotonic clock, which stands still during a suspension, checked that once a lease, and heartbeats that had waited in its sockets counted as news.

Why it works: silence of the leader is measured with suspensions, against one lease, three times a lease. Logs of waiting replicas begin a lease later, so that starts and elections no longer write join-waits.

--- a/src/consensus/membershipManager/index.ts
+++ b/src/consensus/membershipManager/index.ts
@@ -24,6 +24,8 @@
 /** A voter without contact for this long may be replaced by a waiting learner of another host; a restart takes less. */
 const DEAD_VOTER_TIMEOUT_MS = 3_000;
 
+/** How often a member checks whether a leader treats it as one: a suspended host finds out soon after it wakes. */
+const RECOGNITION_CHECKS_PER_LEASE = 3;
 const NO_SILENCE = { silentMs: 0, observedMs: 0 };
 /** Results of join requests, the most conclusive first. */
 const JOIN_RESULTS: readonly JoinReply["result"][] = ["member", "added", "retired", "busy", "not-leader"];
@@ -52,6 +54,8 @@
  * membershipManager.applyDueChange(leadership);
  */
 export class MembershipManager {
+    /** Monotonic time since which this replica has asked to join, in milliseconds; undefined: a leader treats it as a member. */
+    private askingSince: number | undefined;
     private loggedJoinResult: string | undefined;
     private nextLogAt = 0;
     /** Desired number of voters. Once it is reached, a learner is promoted only in place of a dead voter. */
@@ -142,9 +146,11 @@
         const { clock, timing, changed } = this.replica;
         while (!signal.aborted) {
             if (this.isRecognizedAsMember()) {
-                await changed.wait(clock, timing.leaseMs, signal);
+                this.askingSince = undefined;
+                await changed.wait(clock, timing.leaseMs / RECOGNITION_CHECKS_PER_LEASE, signal);
                 continue;
             }
+            this.askingSince ??= clock.monotonic();
             await this.requestJoin();
             await clock.sleep(timing.joinRetryMs, signal);
         }
@@ -159,8 +165,7 @@
         const { replica } = this;
         if (replica.isLeader) return true;
         const isMember = findMember(replica.configuration, replica.storeId) !== undefined;
-        const silentMs = replica.clock.monotonic() - replica.promisedUntil;
-        return isMember && silentMs < replica.timing.leaseMs;
+        return isMember && replica.leaderSilenceMs < replica.timing.leaseMs;
     }
 
     private async requestJoin(): Promise<void> {
@@ -172,9 +177,13 @@
         this.logJoinResults(replies);
     }
 
-    /** Logs why this replica is not a member yet: when that changes, and at most once per interval otherwise. */
+    /**
+     * Logs why this replica is not a member yet: when that changes, and at most once per interval otherwise. An election
+     * or the start of a process is over before it is logged.
+     */
     private logJoinResults(replies: readonly (JoinReply | undefined)[]): void {
-        const { clock, logger, storeId } = this.replica;
+        const { clock, logger, storeId, timing } = this.replica;
+        if (clock.monotonic() - this.askingSince! < timing.leaseMs) return;
         const results = replies.flatMap(reply => reply ? [reply.result] : []);
         const result = JOIN_RESULTS.find(known => results.includes(known)) ?? "unanswered";
         if (result === this.loggedJoinResult && clock.monotonic() < this.nextLogAt) return;
--- a/src/consensus/membershipManager/test.ts
+++ b/src/consensus/membershipManager/test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "node:test";
 import { EAGER_LOG_TIMING, ReplicaFleet } from "../../faultInjection/index.js";
 import { SeededRandom } from "../../ports/index.js";
+import { LogTiming } from "../logTiming/index.js";
 import { findVoters } from "../member/index.js";
 
 async function startFleet(seed = 1, founders = ["a", "b", "c"]) {
@@ -118,8 +119,9 @@
     describe("a voter that is removed while it can't be reached", () => {
         const FIVE_HOSTS = ["a", "b", "c", "d", "e"];
 
-        async function startFullFleet() {
-            const fleet = new ReplicaFleet(new SeededRandom(1), FIVE_HOSTS, { targetVoters: FIVE_HOSTS.length });
+        async function startFullFleet(timing?: LogTiming) {
+            const options = { targetVoters: FIVE_HOSTS.length, timing };
+            const fleet = new ReplicaFleet(new SeededRandom(1), FIVE_HOSTS, options);
             await fleet.startAll();
             await fleet.advanceUntil(() => fleet.hasFullMembership());
             return fleet;
@@ -136,6 +138,7 @@
             fleet.addHost("x");
             await fleet.start("x");
             await fleet.advanceUntil(() => isRemoved(fleet, storeId));
+            await fleet.advance(2_000);
             come(away);
             return { away, storeId };
         }
@@ -163,6 +166,17 @@
             await fleet.converge();
         });
 
+        it("becomes a voter again within a second and a half once its suspended machine wakes", async () => {
+            // Guards against a host that waits for its leader for seconds by a clock that stood still, before it asks to join.
+            const fleet = await startFullFleet(EAGER_LOG_TIMING);
+            await replaceBeside(
+                fleet,
+                name => fleet.find(name).process!.host.suspend(),
+                name => fleet.find(name).process!.host.thaw(),
+            );
+            await fleet.advanceUntil(() => fleet.hasFullMembership(), 1_500);
+        });
+
         it("becomes a voter again after a partition", async () => {
             const fleet = await startFullFleet();
             const others = [...FIVE_HOSTS, "x"];
--- a/src/consensus/replica/index.ts
+++ b/src/consensus/replica/index.ts
@@ -73,6 +73,8 @@
      */
     private leaderPromiseUntil = Number.NEGATIVE_INFINITY;
     private promisedLeader: StoreId | undefined;
+    /** Time (`Clock.monotonicWithSuspend`) of the last message from a leader. */
+    private leaderHeardAt: number;
     /** Monotonic time until which this replica may be bound by a promise from before its restart. */
     private restartPauseUntil: number;
     private diskFullUntil = Number.NEGATIVE_INFINITY;
@@ -97,6 +99,7 @@
         // Promises are lost in a restart. Without this pause, a replica that restarts quickly could help to elect a
         // second leader while the first still relies on the promise, which would create two simultaneous lease holders.
         this.restartPauseUntil = clock.monotonic() + timing.leaseMs;
+        this.leaderHeardAt = clock.monotonicWithSuspend();
         this.committedIndex = store.snapshot?.index ?? 0 as LogIndex;
         this.applier = new Applier(options.stateMachine, options.logger, this.committedIndex);
         const members = store.snapshot ? store.snapshot.configuration : store.identity.founding;
@@ -133,6 +136,14 @@
         return Math.max(this.leaderPromiseUntil, this.restartPauseUntil);
     }
 
+    /**
+     * Time without a message from a leader, in milliseconds, since the process started. Includes the time for which the machine was
+     * suspended.
+     */
+    get leaderSilenceMs(): number {
+        return this.clock.monotonicWithSuspend() - this.leaderHeardAt;
+    }
+
     /** Whether a leader may still rely on a promise from before the restart. */
     get isInRestartPause(): boolean {
         return this.clock.monotonic() < this.restartPauseUntil;
@@ -270,6 +281,7 @@
         }
         this.leaderPromiseUntil = Math.max(this.leaderPromiseUntil, this.clock.monotonic() + this.timing.leaseMs);
         this.promisedLeader = message.from;
+        this.leaderHeardAt = this.clock.monotonicWithSuspend();
         return true;
     }
 
--- a/src/faultInjection/replacementSchedule/index.ts
+++ b/src/faultInjection/replacementSchedule/index.ts
@@ -57,6 +57,7 @@
     readonly logger = new RecordingLogger();
     private pending: PendingAction[] = [];
     private nextHostNumber = 1;
+    private freezes = 0;
 
     constructor(readonly random: SeededRandom) {
         const options = { timing: EAGER_LOG_TIMING, targetVoters: WANTED_VOTERS, loggerOf: () => this.logger };
@@ -100,6 +101,11 @@
         return `x${this.nextHostNumber++}`;
     }
 
+    /** Whether the next host to freeze is suspended as a whole machine, which is every other one. */
+    mustSuspend(): boolean {
+        return this.freezes++ % 2 === 1;
+    }
+
     /** Picks a running host that is not lost, the holder in every other case; undefined if no more may be lost. */
     pickTarget(): string | undefined {
         const { fleet, losses, random } = this;
@@ -210,7 +216,8 @@
 async function freezeHost(run: ReplacementRun, name: string): Promise<void> {
     const { fleet, losses, random } = run;
     const { host } = fleet.find(name).process!;
-    host.freeze();
+    if (run.mustSuspend()) host.suspend();
+    else host.freeze();
     losses.markAway(name);
     run.schedule(random.between(500, 8_000), () => {
         host.thaw();
--- a/src/ports/memoryHost/index.ts
+++ b/src/ports/memoryHost/index.ts
@@ -15,7 +15,8 @@
 
 /**
  * Clock, network and disk of one simulated process, from its start to its end. The process can be frozen, as by SIGSTOP:
- * its clock goes on, but timers, received bytes and disk results are deferred until it is thawed. Once it is killed, no
+ * its clock goes on, but timers, received bytes and disk results are deferred until it is thawed. Or its machine is
+ * suspended, and its clock stands still as well. Once it is killed, no
  * callback runs any more and its own sends, closes and disk operations have no effect.
  *
  * @example
@@ -49,9 +50,16 @@
         this.isFrozen = true;
     }
 
+    /** Suspends the machine: its monotonic clock stands still as well, until `thaw`. */
+    suspend(): void {
+        this.freeze();
+        this.clock.suspend();
+    }
+
     /** Runs the deferred callbacks, in order. */
     thaw(): void {
         this.isFrozen = false;
+        this.clock.resume();
         const deferred = this.deferred;
         this.deferred = [];
         for (const action of deferred) action();
@@ -81,12 +89,19 @@
     }
 }
 
+/** Rounding error of the readings of a clock that was suspended, in milliseconds. */
+const MAX_ROUNDING_MS = 1e-3;
+
 /** A host's clock, which may run fast or slow and whose wall time may be stepped. */
 export class HostClock extends Clock {
     /** Simulation time and host time at the last change of the rate, in milliseconds. */
     private baseTrueMs = 0;
     private baseHostMs = 0;
     private wallOffsetMs = 0;
+    /** Simulation time at which the machine was suspended; undefined: it runs. */
+    private suspendedAt: number | undefined;
+    /** Total time for which the machine was suspended, in milliseconds. */
+    private suspendedMs = 0;
 
     constructor(private readonly host: MemoryHost, private readonly clock: Clock, private rate: number) {
         super();
@@ -104,24 +119,49 @@
         this.wallOffsetMs += ms;
     }
 
+    /** Stops the monotonic clock. */
+    suspend(): void {
+        this.suspendedAt ??= this.clock.monotonic();
+    }
+
+    /** Lets the monotonic clock go on after `suspend`. */
+    resume(): void {
+        if (this.suspendedAt === undefined) return;
+        const durationMs = this.clock.monotonic() - this.suspendedAt;
+        this.suspendedAt = undefined;
+        this.suspendedMs += durationMs;
+        this.baseTrueMs += durationMs;
+    }
+
     now(): number {
         return this.clock.now() + this.wallOffsetMs;
     }
 
     override monotonicWithSuspend(): number {
-        return this.monotonic() + this.wallOffsetMs;
+        const now = this.clock.monotonic();
+        const presentSuspensionMs = now - (this.suspendedAt ?? now);
+        return this.monotonic() + this.suspendedMs + presentSuspensionMs + this.wallOffsetMs;
     }
 
     monotonic(): number {
-        return this.baseHostMs + (this.clock.monotonic() - this.baseTrueMs) * this.rate;
+        const trueMs = this.suspendedAt ?? this.clock.monotonic();
+        return this.baseHostMs + (trueMs - this.baseTrueMs) * this.rate;
     }
 
     after(ms: number, callback: () => void): Timer {
         let isCancelled = false;
-        const runUnlessCancelled = (): void => {
-            if (!isCancelled) callback();
+        const dueAt = this.monotonic() + ms;
+        const suspendedBeforeMs = this.suspendedMs;
+        const runWhenDue = (): void => {
+            if (isCancelled) return;
+            const remainingMs = this.suspendedMs > suspendedBeforeMs ? dueAt - this.monotonic() : 0;
+            if (remainingMs <= MAX_ROUNDING_MS) {
+                callback();
+                return;
+            }
+            timer = this.schedule(remainingMs, runWhenDue);
         };
-        const timer = this.clock.after(ms / this.rate, () => this.host.runWhenRunnable(runUnlessCancelled));
+        let timer = this.schedule(ms, runWhenDue);
         return {
             cancel: () => {
                 isCancelled = true;
@@ -129,6 +169,12 @@
             },
         };
     }
+
+    /** Schedules a callback, slightly late on a clock whose readings are rounded, so that it never reads a time before the due one. */
+    private schedule(ms: number, callback: () => void): Timer {
+        const latenessMs = this.suspendedMs > 0 ? MAX_ROUNDING_MS : 0;
+        return this.clock.after(ms / this.rate + latenessMs, () => this.host.runWhenRunnable(callback));
+    }
 }
 
 class HostNetwork extends Network {
