The control log looks for its cluster at the seeds that the settings name now

Callers saw nothing by themselves: a new host of the core whose seeds had all been replaced before it joined never became a member, though its settings named living hosts soon after, and the fleet had one voter less than its operators believed.

Cause: settings are read again while a process runs, and the new seeds reached the links for announcements and queues, but not the control log, which went on asking the addresses of its start.

New test of consensus/clusterBootstrap, "a host whose seeds are all gone", in which the log had no way to be told.

Why it works: the log asks the present seeds beside those of its start, both to find a cluster and to find a leader. They play no part in founding a cluster, which needs the same list at each host. A request to join goes to each address once, no longer twice to those that are seeds and members.

--- a/src/consensus/clusterBootstrap/index.ts
+++ b/src/consensus/clusterBootstrap/index.ts
@@ -77,6 +77,8 @@
         private readonly bootstrap: readonly BootstrapMember[],
         /** False: this host only joins a cluster, for example because its previous data folder is known to be lost. */
         private readonly mayInitiate = true,
+        /** Returns further addresses at which a cluster to join may be found; they play no part in founding one. */
+        private readonly listSeeds: () => readonly Address[] = () => [],
     ) {
         this.nextLogAt = replica.clock.monotonic() + LOG_INTERVAL_MS;
     }
@@ -114,13 +116,14 @@
             await this.join(joinable.cluster!, joinable.founding!);
             return;
         }
-        const areAllEmpty = statuses.length === this.others().length && statuses.every(({ reply }) => !reply.cluster);
+        const listed = statuses.filter(({ address }) => this.others().some(other => isSame(other.address, address)));
+        const areAllEmpty = listed.length === this.others().length && listed.every(({ reply }) => !reply.cluster);
         if (!areAllEmpty) this.logWaiting(statuses);
         const isFresh = replica.clock.monotonic() - startedAt < MAX_STATUS_AGE_MS;
         const isInitiator = this.mayInitiate && this.isInitiator(this.self.host, formatAddress(this.self.address));
         if (!areAllEmpty || !isFresh || !isInitiator) return;
         const cluster = Buffer.from(this.random.bytes(CLUSTER_ID_BYTES)).toString("hex") as ClusterId;
-        await this.join(cluster, this.initialConfiguration(statuses));
+        await this.join(cluster, this.initialConfiguration(listed));
         replica.logger.info("cluster-founded", { cluster, members: this.bootstrap.length });
     }
 
@@ -152,7 +155,7 @@
         const { storeId, host, timing } = this.replica;
         const request: BootstrapStatusRequest = { host, storeId, address: formatAddress(this.self.address) };
         const statuses = await Promise.all(
-            this.others().map(async ({ host: expected, address }) => {
+            this.listQueried().map(async ({ host: expected, address }) => {
                 const answer = await this.links.call<BootstrapStatusReply>(
                     address,
                     RpcMethod.BootstrapStatus,
@@ -184,6 +187,12 @@
         return { members, retired: [] };
     }
 
+    private listQueried(): readonly BootstrapMember[] {
+        const isListed = (seed: Address): boolean => this.bootstrap.some(({ address }) => isSame(address, seed));
+        const isOther = (seed: Address): boolean => !isSame(seed, this.self.address) && !isListed(seed);
+        return [...this.others(), ...this.listSeeds().filter(isOther).map(address => ({ address }))];
+    }
+
     private others(): readonly BootstrapMember[] {
         return this.bootstrap.filter(({ address }) => !isSame(address, this.self.address));
     }
--- a/src/consensus/clusterBootstrap/test.ts
+++ b/src/consensus/clusterBootstrap/test.ts
@@ -52,6 +52,21 @@
 }
 
 describe("ClusterBootstrap", () => {
+    describe("a host whose seeds are all gone", () => {
+        it("joins once its settings name others", async () => {
+            // Guards against a new host that waits for replaced ones for good, though it could reach the cluster.
+            const fleet = new ReplicaFleet(new SeededRandom(1), ["a", "b", "c"]);
+            await fleet.startAll();
+            await fleet.advanceUntil(() => fleet.hasFullMembership());
+            fleet.addHost("x");
+            await fleet.start("x", undefined, ["gone"]);
+            await fleet.advance(5_000);
+            assert.equal(fleet.hasFullMembership(), false);
+            fleet.find("x").process!.log.setSeeds([{ host: "b", port: 7000 }]);
+            await fleet.advanceUntil(() => fleet.hasFullMembership(), 5_000);
+        });
+    });
+
     it("joins only the cluster of the folder to which it reported that its own is empty", async () => {
         // Prevents a new installation from never starting because one host refuses all others. The initiator loses its
         // disk and bootstraps again, and its earlier reply arrives late at a host that has already answered the new
--- a/src/consensus/membershipManager/index.ts
+++ b/src/consensus/membershipManager/index.ts
@@ -66,7 +66,8 @@
         private readonly replica: Replica,
         private readonly links: PeerLinks,
         private readonly address: Address,
-        private readonly bootstrap: readonly Address[],
+        /** Returns the addresses in the settings at which a leader, or a member that knows it, may be found. */
+        private readonly listSeeds: () => readonly Address[],
         options: MembershipOptions = {},
     ) {
         this.targetVoters = options.targetVoters ?? Number.POSITIVE_INFINITY;
@@ -170,8 +171,9 @@
 
     private async requestJoin(): Promise<void> {
         const { replica } = this;
-        const addresses = [...this.bootstrap, ...replica.configuration.members.map(member => member.address)];
-        const replies = await Promise.all(addresses.map(address => this.sendJoinRequest(address)));
+        const known = [...this.listSeeds(), ...replica.configuration.members.map(member => member.address)];
+        const addresses = new Map(known.map(address => [formatAddress(address), address]));
+        const replies = await Promise.all([...addresses.values()].map(address => this.sendJoinRequest(address)));
         const leader = replies.find(reply => reply?.leader)?.leader;
         if (leader) replies.push(await this.sendJoinRequest(leader));
         this.logJoinResults(replies);
--- a/src/consensus/replicatedLog/index.ts
+++ b/src/consensus/replicatedLog/index.ts
@@ -89,6 +89,7 @@
     private readonly listeners = new Set<(holds: boolean) => void>();
     private readonly entryApplied = new WaitCondition();
     private leadership: Leadership | undefined;
+    private seeds: readonly Address[] = [];
     private leaseExpiryTimer: Timer | undefined;
     private lastNotifiedHolds = false;
     private resolveStopped: (err: Error | undefined) => void = () => undefined;
@@ -133,13 +134,14 @@
             member,
             bootstrap,
             mayBootstrap,
+            () => this.seeds,
         );
-        const addresses = bootstrap.map(({ address }) => address);
+        const bootstrapAddresses = bootstrap.map(({ address }) => address);
         this.membershipManager = new MembershipManager(
             this.replica,
             this.links,
             options.address,
-            addresses,
+            () => [...bootstrapAddresses, ...this.seeds],
             options,
         );
         this.registerHandlers(options.router);
@@ -161,6 +163,14 @@
         this.lifecycle.run(signal => this.participate(signal), err => this.replica.fail(err as Error));
     }
 
+    /**
+     * Sets further addresses at which the members of the cluster may be found. The hosts from the settings that this process started with may
+     * all have been replaced before it joined.
+     */
+    setSeeds(seeds: readonly Address[]): void {
+        this.seeds = seeds;
+    }
+
     /** Stops participating. Accepted entries remain on disk. */
     async close(): Promise<void> {
         await this.end(undefined);
--- a/src/control/routingService/index.ts
+++ b/src/control/routingService/index.ts
@@ -122,6 +122,7 @@
     /** Replaces the seed addresses by which other control processes are discovered. */
     setSeeds(seeds: readonly Address[]): void {
         this.links.setSeeds(seeds);
+        this.options.log.setSeeds(seeds);
     }
 
     /** Starts publishing announcements and subscribing to those of the other control processes. */
