The next change of the members is planned by a function of its own

MembershipManager looked at the first learner that had caught up, and at nothing else. A spare host that had joined earlier hid the new, empty folder of a voter: the voter's old folder was replaced only once it had been silent for three seconds, by the spare.

planMemberChange is given what the leader knows and returns one change: first folders that are superseded, whichever learner shows it, then promotions and replacements as before.

--- a/src/consensus/membershipManager/index.ts
+++ b/src/consensus/membershipManager/index.ts
@@ -7,7 +7,6 @@
     addLearner,
     Configuration,
     findMember,
-    findReplacedMember,
     findVoters,
     Member,
     promoteLearner,
@@ -17,6 +16,7 @@
 } from "../member/index.js";
 import { JoinReply, JoinRequest, RpcMethod } from "../message/index.js";
 import { PeerLinks } from "../peerLinks/index.js";
+import { planMemberChange } from "../planMemberChange/index.js";
 import { Replica } from "../replica/index.js";
 import { describeSilences, VoterMonitor, VoterSilence } from "../voterMonitor/index.js";
 
@@ -81,26 +81,24 @@
         const unresponsive = this.listUnresponsiveVoters(leadership);
         this.voterMonitor.observe(unresponsive);
         if (!leadership.mayChangeMembers()) return;
-        const learner = configuration.members.find(member => {
-            return member.role === "learner" && this.isCaughtUp(member, leadership);
+        const change = planMemberChange(configuration, {
+            targetVoters: this.targetVoters,
+            unresponsive: unresponsive.map(({ voter }) => voter),
+            caughtUp: configuration.members.filter(member => this.isCaughtUpLearner(member, leadership)),
         });
-        if (!learner) return;
-        const replaced = findReplacedMember(configuration, learner);
-        const isFull = findVoters(configuration).length >= this.targetVoters;
-        const dead = replaced ?? (isFull ? unresponsive[0]?.voter : undefined);
-        if (isFull && !dead) return;
-        if (!dead) {
-            const next = promoteLearner(configuration, learner.storeId);
-            this.appendChange(leadership, next, "learner-promoted", learner);
+        if (!change) return;
+        const { member } = change;
+        if (change.kind === "promote") {
+            this.appendChange(leadership, promoteLearner(configuration, member.storeId), "learner-promoted", member);
             return;
         }
-        const fields = {
-            reason: replaced ? "superseded" : "unresponsive",
-            replacedBy: learner.host,
+        const { reason, replacedBy } = change;
+        const remove = reason === "superseded" ? retireMember : removeMember;
+        this.appendChange(leadership, remove(configuration, member.storeId), "member-removed", member, {
+            reason,
+            replacedBy: replacedBy.host,
             unresponsive: describeSilences(unresponsive),
-        };
-        const next = replaced ? retireMember(configuration, dead.storeId) : removeMember(configuration, dead.storeId);
-        this.appendChange(leadership, next, "member-removed", dead, fields);
+        });
     }
 
     /** Handles a request to join the cluster. */
@@ -225,9 +223,9 @@
             .sort((a, b) => b.silentMs - a.silentMs);
     }
 
-    private isCaughtUp(learner: Member, leadership: Leadership): boolean {
-        const replicator = leadership.replicatorOf(learner.storeId);
-        return replicator !== undefined && replicator.matchIndex >= this.replica.commitIndex
+    private isCaughtUpLearner({ role, storeId }: Member, leadership: Leadership): boolean {
+        const replicator = leadership.replicatorOf(storeId);
+        return role === "learner" && replicator !== undefined && replicator.matchIndex >= this.replica.commitIndex
             && this.replica.clock.monotonicWithSuspend() - replicator.contactAt < this.replica.timing.leaseMs;
     }
 
