--- a/src/consensus/membershipManager/index.ts
+++ b/src/consensus/membershipManager/index.ts
@@ -14,22 +14,15 @@
     retireMember,
     updateMemberAddress,
 } from "../member/index.js";
-import { JoinReply, JoinRequest, RpcMethod } from "../message/index.js";
-import { PeerLinks } from "../peerLinks/index.js";
+import { JoinReply, JoinRequest } from "../message/index.js";
 import { planMemberChange } from "../planMemberChange/index.js";
 import { Replica } from "../replica/index.js";
 import { describeSilences, VoterMonitor, VoterSilence } from "../voterMonitor/index.js";
 
-const LOG_INTERVAL_MS = 10_000;
 /** A voter without contact for this long may be replaced by a waiting learner of another host; a restart takes less. */
 const DEAD_VOTER_TIMEOUT_MS = 3_000;
 
-/** How often a member checks whether a leader treats it as one: a suspended host finds out soon after it wakes. */
-const RECOGNITION_CHECKS_PER_LEASE = 3;
 const NO_SILENCE = { silentMs: 0, observedMs: 0 };
-/** Results of join requests, the most conclusive first. */
-const JOIN_RESULTS: readonly JoinReply["result"][] = ["member", "added", "retired", "busy", "not-leader"];
-
 /** Optional settings of `MembershipManager`. */
 export interface MembershipOptions {
     /** Desired number of voters; undefined: each member becomes one. */
@@ -39,8 +32,8 @@
 }
 
 /**
- * Maintains the cluster membership: a replica that is not a member requests to join, and the leader adds it as a
- * learner, promotes it and removes the identity that it replaces, one change at a time.
+ * Maintains the cluster membership at the leader: adds replicas that request to join as learners, promotes them and removes
+ * the members that they replace, one change at a time.
  *
  * After a lost disk, the new data folder first becomes a learner. Once it has synced all committed entries, the dead
  * identity is removed, and then the learner is promoted. Removing first costs nothing, since a dead voter contributes
@@ -54,22 +47,11 @@
  * membershipManager.applyDueChange(leadership);
  */
 export class MembershipManager {
-    /** Monotonic time since which this replica has asked to join, in milliseconds; undefined: a leader treats it as a member. */
-    private askingSince: number | undefined;
-    private loggedJoinResult: string | undefined;
-    private nextLogAt = 0;
     /** Desired number of voters. Once it is reached, a learner is promoted only in place of a dead voter. */
     private readonly targetVoters: number;
     private readonly voterMonitor: VoterMonitor;
 
-    constructor(
-        private readonly replica: Replica,
-        private readonly links: PeerLinks,
-        private readonly address: Address,
-        /** Returns the addresses in the settings at which a leader, or a member that knows it, may be found. */
-        private readonly listSeeds: () => readonly Address[],
-        options: MembershipOptions = {},
-    ) {
+    constructor(private readonly replica: Replica, options: MembershipOptions = {}) {
         this.targetVoters = options.targetVoters ?? Number.POSITIVE_INFINITY;
         const { targetVoters } = this;
         this.voterMonitor = new VoterMonitor({ replica, metrics: options.metrics, targetVoters });
@@ -140,67 +122,6 @@
         return true;
     }
 
-    /** Requests to join whenever no leader treats this replica as a member. Runs until the signal is aborted. */
-    async run(signal: AbortSignal): Promise<void> {
-        const { clock, timing, changed } = this.replica;
-        while (!signal.aborted) {
-            if (this.isRecognizedAsMember()) {
-                this.askingSince = undefined;
-                await changed.wait(clock, timing.leaseMs / RECOGNITION_CHECKS_PER_LEASE, signal);
-                continue;
-            }
-            this.askingSince ??= clock.monotonic();
-            await this.requestJoin();
-            await clock.sleep(timing.joinRetryMs, signal);
-        }
-    }
-
-    /**
-     * Returns whether a leader treats this replica as a member. The local configuration is not sufficient: the entry
-     * that added a learner may have been removed by a later leader, and a removed replica does not receive the entry
-     * that removes it. A member that receives nothing from a leader for a lease is therefore not recognized either.
-     */
-    private isRecognizedAsMember(): boolean {
-        const { replica } = this;
-        if (replica.isLeader) return true;
-        const isMember = findMember(replica.configuration, replica.storeId) !== undefined;
-        return isMember && replica.leaderSilenceMs < replica.timing.leaseMs;
-    }
-
-    private async requestJoin(): Promise<void> {
-        const { replica } = this;
-        const known = [...this.listSeeds(), ...replica.configuration.members.map(member => member.address)];
-        const addresses = new Map(known.map(address => [formatAddress(address), address]));
-        const replies = await Promise.all([...addresses.values()].map(address => this.sendJoinRequest(address)));
-        const leader = replies.find(reply => reply?.leader)?.leader;
-        if (leader) replies.push(await this.sendJoinRequest(leader));
-        this.logJoinResults(replies);
-    }
-
-    /**
-     * Logs why this replica is not a member yet: when that changes, and at most once per interval otherwise. An election
-     * or the start of a process is over before it is logged.
-     */
-    private logJoinResults(replies: readonly (JoinReply | undefined)[]): void {
-        const { clock, logger, storeId, timing } = this.replica;
-        if (clock.monotonic() - this.askingSince! < timing.leaseMs) return;
-        const results = replies.flatMap(reply => reply ? [reply.result] : []);
-        const result = JOIN_RESULTS.find(known => results.includes(known)) ?? "unanswered";
-        if (result === this.loggedJoinResult && clock.monotonic() < this.nextLogAt) return;
-        this.loggedJoinResult = result;
-        this.nextLogAt = clock.monotonic() + LOG_INTERVAL_MS;
-        if (result === "retired") logger.error("member-retired", { storeId });
-        else if (result !== "member" && result !== "added") logger.warn("join-waits", { storeId, result });
-    }
-
-    private async sendJoinRequest(address: Address): Promise<JoinReply | undefined> {
-        if (formatAddress(address) === formatAddress(this.address)) return undefined;
-        const { cluster, storeId, host, timing } = this.replica;
-        const request = { cluster, host, storeId, address: this.address } as JoinRequest;
-        const reply = await this.links.call<JoinReply>(address, RpcMethod.Join, request, timing.leaseMs);
-        return reply.toMaybe().extract();
-    }
-
     private findLeaderAddress(): Address | undefined {
         const { leader, configuration } = this.replica;
         return leader && findMember(configuration, leader.storeId)?.address;
--- a/src/consensus/replica/test.ts
+++ b/src/consensus/replica/test.ts
@@ -130,7 +130,7 @@
             const { replica, follower, leadership } = await startLeadership();
             follower["recordMatch"](2 as LogIndex, 0);
             const address = { host: "b", port: 7001 };
-            const membership = new MembershipManager(replica, undefined as never, address, () => []);
+            const membership = new MembershipManager(replica);
             const request = { cluster: CLUSTER, host: "b" as HostId, storeId: "b2" as StoreId, address };
             follower["lastContactAt"] = replica.clock.monotonic();
             assert.equal(membership.handleJoin(request, leadership).result, "busy");
--- a/src/consensus/replicatedLog/index.ts
+++ b/src/consensus/replicatedLog/index.ts
@@ -10,6 +10,7 @@
 import { ControlLog, ProposeError } from "../controlLog/index.js";
 import { Election } from "../election/index.js";
 import { Follower } from "../follower/index.js";
+import { JoinTask } from "../joinTask/index.js";
 import { Leadership } from "../leadership/index.js";
 import { DEFAULT_LOG_TIMING, LogTiming } from "../logTiming/index.js";
 import { Configuration, findVoters } from "../member/index.js";
@@ -85,6 +86,7 @@
     private readonly restartPause: RestartPause;
     private readonly snapshotter: Snapshotter;
     private readonly clusterBootstrap: ClusterBootstrap;
+    private readonly joinTask: JoinTask;
     private readonly membershipManager: MembershipManager;
     private readonly listeners = new Set<(holds: boolean) => void>();
     private readonly entryApplied = new WaitCondition();
@@ -137,13 +139,9 @@
             () => this.seeds,
         );
         const bootstrapAddresses = bootstrap.map(({ address }) => address);
-        this.membershipManager = new MembershipManager(
-            this.replica,
-            this.links,
-            options.address,
-            () => [...bootstrapAddresses, ...this.seeds],
-            options,
-        );
+        const listSeeds = (): readonly Address[] => [...bootstrapAddresses, ...this.seeds];
+        this.joinTask = new JoinTask(this.replica, this.links, options.address, listSeeds);
+        this.membershipManager = new MembershipManager(this.replica, options);
         this.registerHandlers(options.router);
     }
 
@@ -263,7 +261,7 @@
             if (voter.storeId !== this.storeId) this.links.linkTo(voter.address);
         }
         const election = new Election(this.replica, this.links, this.options.random, () => this.beginLeadership());
-        await Promise.all([election.run(signal), this.membershipManager.run(signal), this.restartPause.run(signal)]);
+        await Promise.all([election.run(signal), this.joinTask.run(signal), this.restartPause.run(signal)]);
     }
 
     private registerHandlers(router: PeerRouter): void {
