A host that is stopped as planned hands its vote and its leadership over

A host that gets SIGTERM left at once and told nobody; its vote went on counting until it had been silent for three seconds, and three of them within that time were a majority. A leader that left cost a lease and an election besides.

Why it works: the process that stops asks the leader for a successor before it ends. Since it still answers, its successor is promoted first and it is removed after that, so the fleet bears its tolerated losses all the while. A leader lets a successor be promoted, waits until another voter has all entries, steps down, and asks that voter to campaign at once: voters may vote for it though their promise to the old leader runs on, because the old leader relies on none of them any more in that term. All of it has three seconds; without anybody who could take over it ends at once. A host that left may join again with its folder.

--- a/src/consensus/election/index.ts
+++ b/src/consensus/election/index.ts
@@ -1,8 +1,8 @@
-import { Term } from "../../ids/index.js";
+import { StoreId, Term } from "../../ids/index.js";
 import { Random } from "../../ports/index.js";
 import { StoreError } from "../../store/index.js";
 import { findVoters, majoritySize, Member } from "../member/index.js";
-import { RpcMethod, VoteReply, VoteRequest } from "../message/index.js";
+import { RpcMethod, TakeOverRequest, VoteReply, VoteRequest } from "../message/index.js";
 import { PeerLinks } from "../peerLinks/index.js";
 import { Replica } from "../replica/index.js";
 
@@ -76,14 +76,31 @@
         const termBefore = replica.term;
         if (!await this.requestVotes(true, signal)) return;
         if (signal.aborted || replica.term !== termBefore || !replica.mayCampaign()) return;
+        await this.runElection(signal);
+    }
+
+    /**
+     * Campaigns at once, because the leader has handed over to this replica.
+     *
+     * @returns Whether this replica leads.
+     */
+    async takeOver({ from, term }: TakeOverRequest, signal: AbortSignal): Promise<boolean> {
+        const { replica } = this;
+        if (replica.term !== term || !replica.mayTakeOver(from)) return false;
+        await this.runElection(signal, from);
+        return replica.isLeader;
+    }
+
+    private async runElection(signal: AbortSignal, releasedBy?: StoreId): Promise<void> {
+        const { replica } = this;
         const term = await replica.startElectionTerm().catch(ignoreFullDisk);
-        if (term === undefined || replica.term !== term || !await this.requestVotes(false, signal)) return;
+        if (term === undefined || replica.term !== term || !await this.requestVotes(false, signal, releasedBy)) return;
         if (signal.aborted || replica.term !== term || replica.leader) return;
         replica.becomeLeader();
         this.onWon();
     }
 
-    private async requestVotes(isPreVote: boolean, signal: AbortSignal): Promise<boolean> {
+    private async requestVotes(isPreVote: boolean, signal: AbortSignal, releasedBy?: StoreId): Promise<boolean> {
         const { replica, links } = this;
         const { cluster, storeId, log, configuration, timing } = replica;
         const term = replica.term + (isPreVote ? 1 : 0);
@@ -96,6 +113,7 @@
             pre: isPreVote,
             lastIndex: log.lastIndex,
             lastTerm: log.lastTerm,
+            ...(releasedBy && { releasedBy }),
         };
         const requestVote = async (voter: Member): Promise<boolean> => {
             if (voter.storeId === storeId) return true;
--- a/src/consensus/follower/index.ts
+++ b/src/consensus/follower/index.ts
@@ -35,7 +35,9 @@
     async handleVote(req: VoteRequest): Promise<VoteReply> {
         const { replica } = this;
         replica.checkAddressee(req);
-        if (!replica.mayVoteFor(req.from) || req.term < replica.term) return { term: replica.term, granted: false };
+        if (!replica.mayVoteFor(req.from, req.releasedBy) || req.term < replica.term) {
+            return { term: replica.term, granted: false };
+        }
         if (req.pre) return { term: replica.term, granted: req.term > replica.term && this.isUpToDate(req) };
         replica.adoptTerm(req.term);
         const granted = this.isUpToDate(req) && replica.grantVote(req.from);
--- a/src/consensus/index.ts
+++ b/src/consensus/index.ts
@@ -4,6 +4,7 @@
  */
 export type { BootstrapMember } from "./clusterBootstrap/index.js";
 export * from "./controlLog/index.js";
+export type { DepartureResult } from "./departure/index.js";
 export * from "./logTiming/index.js";
 export { type Configuration, findVoters, type Member } from "./member/index.js";
 export * from "./replicatedLog/index.js";
--- a/src/consensus/joinTask/index.ts
+++ b/src/consensus/joinTask/index.ts
@@ -21,6 +21,7 @@
     private askingSince: number | undefined;
     private loggedResult: string | undefined;
     private nextLogAt = 0;
+    private isStopped = false;
 
     constructor(
         private readonly replica: Replica,
@@ -31,10 +32,15 @@
         private readonly listSeeds: () => readonly Address[],
     ) {}
 
-    /** Runs until the signal is aborted. */
+    /** Ends the requests, because this replica is about to stop. */
+    stop(): void {
+        this.isStopped = true;
+    }
+
+    /** Runs until the signal is aborted or `stop` was called. */
     async run(signal: AbortSignal): Promise<void> {
         const { clock, timing, changed } = this.replica;
-        while (!signal.aborted) {
+        while (!signal.aborted && !this.isStopped) {
             if (this.isRecognized()) {
                 this.askingSince = undefined;
                 await changed.wait(clock, timing.leaseMs / RECOGNITION_CHECKS_PER_LEASE, signal);
--- a/src/consensus/leadership/index.ts
+++ b/src/consensus/leadership/index.ts
@@ -32,6 +32,7 @@
     /** Start of the leadership (`Clock.monotonicWithSuspend`). */
     private readonly startedAt: number;
     private termStartIndex = 0 as LogIndex;
+    private isPaused = false;
     private hasEnded = false;
 
     /**
@@ -70,10 +71,20 @@
         return this.quorumContactAt() + leaderLeaseMs(this.replica.timing);
     }
 
+    /** Refuses proposals as `busy` from now on, before the leadership is handed over. */
+    pauseProposals(): void {
+        this.isPaused = true;
+    }
+
+    /** Accepts proposals again. */
+    resumeProposals(): void {
+        this.isPaused = false;
+    }
+
     /** Appends a command and waits until it is committed and applied. */
     propose(command: unknown): Promise<ProposeResult> {
         const { replica } = this;
-        if (this.pendingProposals.size >= MAX_PENDING_PROPOSALS) {
+        if (this.isPaused || this.pendingProposals.size >= MAX_PENDING_PROPOSALS) {
             return Promise.resolve(Left(new ProposeError("busy", false, replica.host)));
         }
         const { index } = replica.appendAsLeader({ kind: "command", command, at: replica.clock.now() });
@@ -105,6 +116,12 @@
         return this.replicators.get(storeId);
     }
 
+    /** Returns whether a member has answered within the last lease. */
+    isInContact(storeId: StoreId): boolean {
+        const contactAt = this.replicators.get(storeId)?.contactAt ?? Number.NEGATIVE_INFINITY;
+        return this.replica.clock.monotonicWithSuspend() - contactAt < this.replica.timing.leaseMs;
+    }
+
     /** Resolves the proposal of an applied entry with its result. */
     resolveProposal(entry: StoredEntry, result: unknown): void {
         const resolve = this.pendingProposals.get(entry.index);
--- a/src/consensus/membershipManager/index.ts
+++ b/src/consensus/membershipManager/index.ts
@@ -14,7 +14,7 @@
     retireMember,
     updateMemberAddress,
 } from "../member/index.js";
-import { JoinReply, JoinRequest } from "../message/index.js";
+import { JoinReply, JoinRequest, LeaveReply, LeaveRequest } from "../message/index.js";
 import { planMemberChange } from "../planMemberChange/index.js";
 import { Replica } from "../replica/index.js";
 import { describeSilences, VoterMonitor, VoterSilence } from "../voterMonitor/index.js";
@@ -22,6 +22,9 @@
 /** A voter without contact for this long may be replaced by a waiting learner of another host; a restart takes less. */
 const DEAD_VOTER_TIMEOUT_MS = 3_000;
 
+/** How long a member counts as leaving after its last request, in milliseconds; it repeats the request more often. */
+const LEAVE_MEMORY_MS = 2_000;
+const LEAVING = { reason: "leaving" };
 const NO_SILENCE = { silentMs: 0, observedMs: 0 };
 /** Optional settings of `MembershipManager`. */
 export interface MembershipOptions {
@@ -50,6 +53,8 @@
     /** Desired number of voters. Once it is reached, a learner is promoted only in place of a dead voter. */
     private readonly targetVoters: number;
     private readonly voterMonitor: VoterMonitor;
+    /** Monotonic time until which a member is known to be about to stop. */
+    private readonly leavingUntil = new Map<StoreId, number>();
 
     constructor(private readonly replica: Replica, options: MembershipOptions = {}) {
         this.targetVoters = options.targetVoters ?? Number.POSITIVE_INFINITY;
@@ -67,6 +72,8 @@
             targetVoters: this.targetVoters,
             unresponsive: unresponsive.map(({ voter }) => voter),
             caughtUp: configuration.members.filter(member => this.isCaughtUpLearner(member, leadership)),
+            leaving: configuration.members.filter(member => this.isLeaving(member)),
+            leader: this.replica.storeId,
         });
         if (!change) return;
         const { member } = change;
@@ -78,7 +85,7 @@
         const remove = reason === "superseded" ? retireMember : removeMember;
         this.appendChange(leadership, remove(configuration, member.storeId), "member-removed", member, {
             reason,
-            replacedBy: replacedBy.host,
+            replacedBy: replacedBy?.host,
             unresponsive: describeSilences(unresponsive),
         });
     }
@@ -112,6 +119,60 @@
         return { result: "member" };
     }
 
+    /** Handles a request from a member that is about to stop as planned; it repeats the request until then. */
+    handleLeave(req: LeaveRequest, leadership: Leadership | undefined): LeaveReply {
+        const { replica } = this;
+        if (req.cluster !== replica.cluster) throw new Error("the request is from another cluster");
+        if (!leadership) return { result: "not-leader" };
+        return { result: this.progressLeave(req.storeId, leadership) };
+    }
+
+    /**
+     * Takes the next step to replace a member that is about to stop, and returns how far that is.
+     *
+     * @param storeId - The member, which may be this replica.
+     */
+    progressLeave(storeId: StoreId, leadership: Leadership): Exclude<LeaveReply["result"], "not-leader"> {
+        this.recordLeaving(storeId);
+        this.applyDueChange(leadership);
+        if (!leadership.mayChangeMembers()) return "waiting";
+        const { configuration } = this.replica;
+        const member = findMember(configuration, storeId);
+        if (!member) return "left";
+        if (member.role === "learner") {
+            this.appendChange(leadership, removeMember(configuration, storeId), "member-removed", member, LEAVING);
+            return "waiting";
+        }
+        return this.hasExcessVoter || this.hasSuccessor(leadership) ? "waiting" : "no-successor";
+    }
+
+    /** Whether there are more voters than wanted, because a successor was promoted for one that is about to stop. */
+    get hasExcessVoter(): boolean {
+        return findVoters(this.replica.configuration).length > this.targetVoters;
+    }
+
+    /** Returns whether a member is about to stop as planned. */
+    isLeaving({ storeId }: Member): boolean {
+        return (this.leavingUntil.get(storeId) ?? 0) > this.replica.clock.monotonic();
+    }
+
+    private recordLeaving(storeId: StoreId): void {
+        const now = this.replica.clock.monotonic();
+        for (const [other, until] of this.leavingUntil) {
+            if (until <= now) this.leavingUntil.delete(other);
+        }
+        this.leavingUntil.set(storeId, now + LEAVE_MEMORY_MS);
+    }
+
+    /** Returns whether a learner is there that may become a voter, caught up or not. */
+    private hasSuccessor(leadership: Leadership): boolean {
+        const { configuration, timing } = this.replica;
+        return configuration.members.some(member => {
+            const { silentMs } = leadership.replicatorOf(member.storeId)?.silence ?? NO_SILENCE;
+            return member.role === "learner" && !this.isLeaving(member) && silentMs < timing.leaseMs;
+        });
+    }
+
     /** Removes a member permanently. Returns false when another change is pending or the replica is not a member. */
     remove(storeId: StoreId, leadership: Leadership): boolean {
         const { configuration } = this.replica;
@@ -147,7 +208,7 @@
     private isCaughtUpLearner({ role, storeId }: Member, leadership: Leadership): boolean {
         const replicator = leadership.replicatorOf(storeId);
         return role === "learner" && replicator !== undefined && replicator.matchIndex >= this.replica.commitIndex
-            && this.replica.clock.monotonicWithSuspend() - replicator.contactAt < this.replica.timing.leaseMs;
+            && leadership.isInContact(storeId);
     }
 
     /**
@@ -155,12 +216,9 @@
      * two processes run under the same host name.
      */
     private isKnownFolderAlive(req: JoinRequest, leadership: Leadership): boolean {
-        const { clock, timing, configuration, storeId } = this.replica;
+        const { configuration, storeId } = this.replica;
         return configuration.members.some(({ host, storeId: known }) => {
-            if (host !== req.host) return false;
-            if (known === storeId) return true;
-            const contactAt = leadership.replicatorOf(known)?.contactAt ?? Number.NEGATIVE_INFINITY;
-            return clock.monotonicWithSuspend() - contactAt < timing.leaseMs;
+            return host === req.host && (known === storeId || leadership.isInContact(known));
         });
     }
 
--- a/src/consensus/message/index.ts
+++ b/src/consensus/message/index.ts
@@ -12,6 +12,8 @@
     Snapshot: "consensus.snapshot",
     BootstrapStatus: "consensus.status",
     Join: "consensus.join",
+    Leave: "consensus.leave",
+    TakeOver: "consensus.takeOver",
     ReadIndex: "consensus.readIndex",
 } as const;
 
@@ -33,6 +35,8 @@
     readonly lastIndex: LogIndex;
     /** Term of that entry. */
     readonly lastTerm: Term;
+    /** The leader that has handed over to the candidate; it relies on no promise made to it any more. */
+    readonly releasedBy?: StoreId;
 }
 
 /** Reply to a vote or pre-vote request. */
@@ -164,6 +168,29 @@
     readonly leader?: Address;
 }
 
+/** Asks the leader to find a successor for the sender, which is about to stop as planned. */
+export interface LeaveRequest {
+    readonly cluster: ClusterId;
+    readonly storeId: StoreId;
+}
+
+/** Result of a leave request. */
+export interface LeaveReply {
+    /**
+     * `left`: the sender is no member any more. `waiting`: a successor is taking its place. `no-successor`: nobody can, and it
+     * stays a member. `not-leader`: ask another one.
+     */
+    readonly result: "left" | "waiting" | "no-successor" | "not-leader";
+}
+
+/** Sent by a leader that has stepped down: asks the receiver to campaign at once. */
+export type TakeOverRequest = LeaderMessage;
+
+/** Reply to a take-over request, once the election has ended. */
+export interface TakeOverReply {
+    readonly isLeader: boolean;
+}
+
 /** Index that a replica must have applied for an up-to-date read. */
 export interface ReadIndexReply {
     /** Undefined when the receiver does not hold the lease. */
--- a/src/consensus/planMemberChange/index.ts
+++ b/src/consensus/planMemberChange/index.ts
@@ -1,3 +1,4 @@
+import { StoreId } from "../../ids/index.js";
 import { Configuration, findReplacedMember, findVoters, Member } from "../member/index.js";
 
 /** What the leader knows of the members, beside the configuration. */
@@ -8,6 +9,10 @@
     readonly unresponsive: readonly Member[];
     /** Learners that have synced all committed entries. */
     readonly caughtUp: readonly Member[];
+    /** Members that are about to stop as planned. */
+    readonly leaving: readonly Member[];
+    /** The leader, which can't be removed while it leads. */
+    readonly leader: StoreId;
 }
 
 /** A change of one member. */
@@ -16,24 +21,26 @@
     | {
         readonly kind: "remove";
         readonly member: Member;
-        /** `superseded`: its host has a newer data folder. `unresponsive`: it gives way to a learner that is there. */
-        readonly reason: "superseded" | "unresponsive";
-        /** The learner that takes its place. */
-        readonly replacedBy: Member;
+        /** `superseded`: its host has a newer data folder. `unresponsive`, `leaving`: it gives way to a member that stays. */
+        readonly reason: "superseded" | "unresponsive" | "leaving";
+        /** The learner that takes its place; undefined if one has done so already. */
+        readonly replacedBy?: Member;
     };
 
 /**
  * Returns the next change that brings the voters closer to those wanted.
  *
  * A voter that is lost is removed before its successor is promoted. That costs nothing, since it contributes to no majority, and avoids a
- * configuration in which one more loss would stop the log.
+ * configuration in which one more loss would stop the log. A voter that is about to stop still contributes, so it is removed only after its
+ * successor was promoted.
  *
  * @returns The change, or undefined if there is none to make.
  * @example
  * planMemberChange(configuration, { targetVoters: 5, unresponsive: [lost], caughtUp: [spare] });
  */
 export function planMemberChange(configuration: Configuration, facts: MemberFacts): MemberChange | undefined {
-    return planSupersession(configuration, facts) ?? planReplacement(configuration, facts);
+    return planSupersession(configuration, facts) ?? planExcess(configuration, facts)
+        ?? planReplacement(configuration, facts);
 }
 
 function planSupersession(configuration: Configuration, { caughtUp }: MemberFacts): MemberChange | undefined {
@@ -44,9 +51,23 @@
     return undefined;
 }
 
+/** More voters than wanted: a successor was promoted while the voter that it replaces still ran. */
+function planExcess(configuration: Configuration, facts: MemberFacts): MemberChange | undefined {
+    const { targetVoters, unresponsive: [lost], leaving, leader } = facts;
+    const voters = findVoters(configuration);
+    if (voters.length <= targetVoters) return undefined;
+    const leaver = leaving.find(member => member.storeId !== leader && voters.includes(member));
+    if (leaver) return { kind: "remove", member: leaver, reason: "leaving" };
+    return lost && { kind: "remove", member: lost, reason: "unresponsive" };
+}
+
 function planReplacement(configuration: Configuration, facts: MemberFacts): MemberChange | undefined {
-    const { targetVoters, unresponsive: [lost], caughtUp: [learner] } = facts;
+    const { targetVoters, unresponsive: [lost], caughtUp, leaving } = facts;
+    const learner = caughtUp.find(member => !leaving.includes(member));
     if (!learner) return undefined;
-    if (findVoters(configuration).length < targetVoters) return { kind: "promote", member: learner };
-    return lost && { kind: "remove", member: lost, reason: "unresponsive", replacedBy: learner };
+    const voters = findVoters(configuration);
+    if (voters.length < targetVoters) return { kind: "promote", member: learner };
+    if (lost) return { kind: "remove", member: lost, reason: "unresponsive", replacedBy: learner };
+    const isVoterLeaving = leaving.some(member => voters.includes(member));
+    return isVoterLeaving && voters.length === targetVoters ? { kind: "promote", member: learner } : undefined;
 }
--- a/src/consensus/planMemberChange/test.ts
+++ b/src/consensus/planMemberChange/test.ts
@@ -20,7 +20,8 @@
 
 function plan(members: readonly Member[], facts: Partial<MemberFacts> = {}) {
     const configuration: Configuration = { members, retired: [] };
-    const change = planMemberChange(configuration, { targetVoters: 3, unresponsive: [], caughtUp: [], ...facts });
+    const defaults = { targetVoters: 3, unresponsive: [], caughtUp: [], leaving: [], leader: VOTERS[0].storeId };
+    const change = planMemberChange(configuration, { ...defaults, ...facts });
     return change && `${change.kind} ${change.member.storeId}`;
 }
 
@@ -53,6 +54,44 @@
         });
     });
 
+    describe("a voter that is about to stop", () => {
+        const leaving = [VOTERS[1]];
+
+        it("stays a voter without a learner to take its place", () => {
+            assert.equal(plan(VOTERS, { leaving }), undefined);
+        });
+
+        it("is removed after its successor was promoted", () => {
+            assert.equal(plan([...VOTERS, LEARNER], { leaving, caughtUp: [LEARNER] }), "promote x");
+            const promoted = makeMember("x", "voter", 9);
+            assert.equal(plan([...VOTERS, promoted], { leaving }), "remove b");
+        });
+
+        it("is not removed while it leads", () => {
+            const promoted = makeMember("x", "voter", 9);
+            assert.equal(plan([...VOTERS, promoted], { leaving, leader: VOTERS[1].storeId }), undefined);
+        });
+
+        it("gets no successor that is about to stop itself", () => {
+            assert.equal(
+                plan([...VOTERS, LEARNER], { leaving: [...leaving, LEARNER], caughtUp: [LEARNER] }),
+                undefined,
+            );
+        });
+
+        it("is removed before another successor is promoted", () => {
+            const promoted = makeMember("x", "voter", 9);
+            const other = makeMember("y", "learner", 10);
+            const facts = { leaving: [VOTERS[1], VOTERS[2]], caughtUp: [other] };
+            assert.equal(plan([...VOTERS, promoted, other], facts), "remove b");
+        });
+
+        it("is removed though it was killed meanwhile", () => {
+            const promoted = makeMember("x", "voter", 9);
+            assert.equal(plan([...VOTERS, promoted], { unresponsive: leaving }), "remove b");
+        });
+    });
+
     describe("a host with a newer data folder", () => {
         const newFolder = makeMember("b2", "learner", 12);
 
--- a/src/consensus/replica/index.ts
+++ b/src/consensus/replica/index.ts
@@ -192,8 +192,7 @@
      * accepts writes.
      */
     mayCampaign(): boolean {
-        return this.clock.monotonic() >= this.diskFullUntil && this.mayVote()
-            && isVoter(this.configuration, this.storeId);
+        return !this.isDiskFull && this.mayVote() && isVoter(this.configuration, this.storeId);
     }
 
     /** Returns whether this replica may vote, because no leader relies on its promise. */
@@ -207,10 +206,30 @@
      * Prevents seconds without a leader: a newly elected leader may be unseated by a candidate that started before it
      * received the leader's messages. If a promise blocked all candidates, every replica that made one to the new
      * leader would refuse every candidate, including that leader. A promise therefore blocks only other candidates.
+     *
+     * @param releasedBy - The leader that has handed over to the candidate, if any. It has stepped down, so it relies on no promise.
+     */
+    mayVoteFor(candidate: StoreId, releasedBy?: StoreId): boolean {
+        const isFree = this.promisedLeader === candidate || this.isPromisedTo(releasedBy);
+        return this.mayVote() || (!this.hasLeadership && !this.isInRestartPause && isFree);
+    }
+
+    /**
+     * Returns whether this replica may campaign at once because its leader has handed over to it.
+     *
+     * @param leader - The leader that has stepped down.
      */
-    mayVoteFor(candidate: StoreId): boolean {
-        const isPromisedToCandidate = this.promisedLeader === candidate && !this.isInRestartPause;
-        return this.mayVote() || (!this.hasLeadership && isPromisedToCandidate);
+    mayTakeOver(leader: StoreId): boolean {
+        return this.isPromisedTo(leader) && !this.hasLeadership && !this.isInRestartPause && !this.isDiskFull
+            && isVoter(this.configuration, this.storeId);
+    }
+
+    private isPromisedTo(leader: StoreId | undefined): boolean {
+        return leader !== undefined && this.promisedLeader === leader;
+    }
+
+    private get isDiskFull(): boolean {
+        return this.clock.monotonic() < this.diskFullUntil;
     }
 
     /** Binds the replica to its cluster, once. */
@@ -279,8 +298,7 @@
             this.knownLeader = { host: message.host, storeId: message.from };
             this.changed.notifyAll();
         }
-        this.leaderPromiseUntil = Math.max(this.leaderPromiseUntil, this.clock.monotonic() + this.timing.leaseMs);
-        this.promisedLeader = message.from;
+        this.promiseTo(message.from);
         this.leaderHeardAt = this.clock.monotonicWithSuspend();
         return true;
     }
@@ -292,6 +310,18 @@
         this.changed.notifyAll();
     }
 
+    /** Stops leading in favour of a voter. */
+    handOverTo(successor: StoreId): void {
+        this.stepDown();
+        this.promiseTo(successor);
+    }
+
+    /** Helps to elect no other leader for a lease. */
+    private promiseTo(leader: StoreId): void {
+        this.leaderPromiseUntil = Math.max(this.leaderPromiseUntil, this.clock.monotonic() + this.timing.leaseMs);
+        this.promisedLeader = leader;
+    }
+
     /** Stops leading. Has no effect on a replica that does not lead. */
     stepDown(): void {
         if (!this.hasLeadership) return;
--- a/src/consensus/replicatedLog/index.ts
+++ b/src/consensus/replicatedLog/index.ts
@@ -8,6 +8,7 @@
 import { PeerError, PeerIdentity, PeerRouter, PeerTiming } from "../../wire/index.js";
 import { BootstrapMember, ClusterBootstrap } from "../clusterBootstrap/index.js";
 import { ControlLog, ProposeError } from "../controlLog/index.js";
+import { Departure, DepartureResult } from "../departure/index.js";
 import { Election } from "../election/index.js";
 import { Follower } from "../follower/index.js";
 import { JoinTask } from "../joinTask/index.js";
@@ -21,9 +22,12 @@
     HeartbeatRequest,
     JoinRequest,
     LeadershipStatusRequest,
+    LeaveRequest,
     ReadIndexReply,
     RpcMethod,
     SnapshotRequest,
+    TakeOverReply,
+    TakeOverRequest,
     VoteRequest,
 } from "../message/index.js";
 import { PeerLinks } from "../peerLinks/index.js";
@@ -88,6 +92,8 @@
     private readonly clusterBootstrap: ClusterBootstrap;
     private readonly joinTask: JoinTask;
     private readonly membershipManager: MembershipManager;
+    private readonly election: Election;
+    private readonly departure: Departure;
     private readonly listeners = new Set<(holds: boolean) => void>();
     private readonly entryApplied = new WaitCondition();
     private leadership: Leadership | undefined;
@@ -101,7 +107,7 @@
         this.resolveStopped = resolve;
     });
 
-    private constructor(private readonly options: ReplicatedLogOptions, store: LogStore) {
+    private constructor(options: ReplicatedLogOptions, store: LogStore) {
         super();
         const { self, clock, timing = DEFAULT_LOG_TIMING, peerTiming = LOG_PEER_TIMING, logger } = options;
         this.replica = new Replica({
@@ -142,6 +148,13 @@
         const listSeeds = (): readonly Address[] => [...bootstrapAddresses, ...this.seeds];
         this.joinTask = new JoinTask(this.replica, this.links, options.address, listSeeds);
         this.membershipManager = new MembershipManager(this.replica, options);
+        this.election = new Election(this.replica, this.links, options.random, () => this.beginLeadership());
+        this.departure = new Departure({
+            replica: this.replica,
+            links: this.links,
+            membershipManager: this.membershipManager,
+            findLeadership: () => this.leadership,
+        });
         this.registerHandlers(options.router);
     }
 
@@ -254,14 +267,24 @@
         return this.leadership !== undefined && this.membershipManager.remove(storeId, this.leadership);
     }
 
+    /**
+     * Hands the vote and the leadership over before a planned stop of the process. The replica takes part until `close`, but does not ask to
+     * join again.
+     *
+     * @param limitMs - Maximum time, in milliseconds. Returns at once when nobody can take over.
+     */
+    leave(limitMs: number): Promise<DepartureResult> {
+        this.joinTask.stop();
+        return this.departure.run(limitMs, this.lifecycle.signal);
+    }
+
     private async participate(signal: AbortSignal): Promise<void> {
         await this.clusterBootstrap.run(signal);
         if (signal.aborted) return;
         for (const voter of findVoters(this.replica.configuration)) {
             if (voter.storeId !== this.storeId) this.links.linkTo(voter.address);
         }
-        const election = new Election(this.replica, this.links, this.options.random, () => this.beginLeadership());
-        await Promise.all([election.run(signal), this.joinTask.run(signal), this.restartPause.run(signal)]);
+        await Promise.all([this.election.run(signal), this.joinTask.run(signal), this.restartPause.run(signal)]);
     }
 
     private registerHandlers(router: PeerRouter): void {
@@ -278,6 +301,8 @@
             body => this.clusterBootstrap.handleStatus(body as BootstrapStatusRequest),
         );
         router.add(RpcMethod.Join, body => this.membershipManager.handleJoin(body as JoinRequest, this.leadership));
+        router.add(RpcMethod.Leave, body => this.membershipManager.handleLeave(body as LeaveRequest, this.leadership));
+        router.add(RpcMethod.TakeOver, body => this.handleTakeOver(body as TakeOverRequest));
         router.add(RpcMethod.ReadIndex, (): ReadIndexReply => this.holdsLease() ? { index: this.appliedIndex() } : {});
     }
 
@@ -323,6 +348,11 @@
         return reply.map(({ index }) => index).orDefault(undefined);
     }
 
+    private async handleTakeOver(req: TakeOverRequest): Promise<TakeOverReply> {
+        this.replica.checkAddressee(req);
+        return { isLeader: await this.election.takeOver(req, this.lifecycle.signal) };
+    }
+
     private onEntriesDurable(): void {
         this.leadership?.advanceCommit();
         if (!this.leadership) this.follower.commitDurable();
--- a/src/control/controlProcess/index.ts
+++ b/src/control/controlProcess/index.ts
@@ -23,6 +23,9 @@
 import { UsageReporter } from "../usageReporter/index.js";
 import { UsageWindowCloser } from "../usageWindowCloser/index.js";
 
+/** Maximum time for handing over the vote and the leadership at a planned stop, in milliseconds. */
+const MAX_LEAVE_MS = 3_000;
+
 /** Connection and purchase settings for the platform that starts and stops upstreams. */
 export interface PlatformAccess {
     readonly address: Address;
@@ -157,6 +160,16 @@
         });
     }
 
+    /**
+     * Hands over what this process holds in the control log, before a planned stop.
+     *
+     * @param limitMs - Maximum time, in milliseconds. Returns at once when nobody can take over.
+     * @returns Whether nothing was left to hand over.
+     */
+    async leave(limitMs = MAX_LEAVE_MS): Promise<boolean> {
+        return await this.log.leave(limitMs) !== "timeout";
+    }
+
     /** Stops all tasks, connections and the control log immediately. */
     close(): Promise<void> {
         return this.lifecycle.close();
--- a/src/control/index.ts
+++ b/src/control/index.ts
@@ -11,6 +11,7 @@
 export * from "./demandReport/index.js";
 export * from "./demandTable/index.js";
 export * from "./documentService/index.js";
+export * from "./drainControl/index.js";
 export * from "./durableChange/index.js";
 export * from "./entryAdmin/index.js";
 export * from "./entryAdminServer/index.js";
--- a/src/daemon/runControl/index.ts
+++ b/src/daemon/runControl/index.ts
@@ -3,6 +3,7 @@
     ControlProcess,
     CoverPolicy,
     createTrpcHandler,
+    drainControl,
     NoProvisioning,
     OfferReader,
     operatorRouter,
@@ -69,7 +70,7 @@
     const handler = serveHealth(() => running.isReady, handleOperatorCall);
     const health = await ports.http.serve(listen.operators, DEFAULT_HTTP_LIMITS, handler);
     lifecycle.addCleanUp(() => health.close());
-    return { lifecycle, drain: async () => await queues?.drain(0) ?? true, failed: running.awaitFailure() };
+    return { lifecycle, drain: () => drainControl(running, queues), failed: running.awaitFailure() };
 }
 
 function startQueues(
--- a/src/faultInjection/replicaFleet/index.ts
+++ b/src/faultInjection/replicaFleet/index.ts
@@ -1,4 +1,10 @@
-import { BootstrapMember, DEFAULT_LOG_TIMING, LogTiming, ReplicatedLog } from "../../consensus/index.js";
+import {
+    BootstrapMember,
+    DEFAULT_LOG_TIMING,
+    DepartureResult,
+    LogTiming,
+    ReplicatedLog,
+} from "../../consensus/index.js";
 import { HostId, Incarnation, LogIndex } from "../../ids/index.js";
 import { Logger, SilentLogger } from "../../logging/index.js";
 import {
@@ -30,6 +36,8 @@
     appendTimeoutMs: 4_000,
     joinRetryMs: 250,
 };
+/** Time in which a process that is stopped hands over what it holds, in milliseconds. */
+const MAX_LEAVE_MS = 3_000;
 /** Maximum deviation of a host's clock rate from 1, below the drift that the lease tolerates. */
 const MAX_CLOCK_DRIFT = 0.009;
 /** Maximum time in which a fleet without faults must recover. */
@@ -169,6 +177,14 @@
         this.find(name).disk.wipe();
     }
 
+    /** Stops the control process of a host as planned: it hands over what it holds, and ends. */
+    async stop(name: string): Promise<DepartureResult> {
+        const { log } = this.find(name).process!;
+        const result = await log.leave(MAX_LEAVE_MS);
+        this.crash(name);
+        return result;
+    }
+
     /**
      * Ends a host for good.
      *
--- a/src/platform/runControlNode/index.ts
+++ b/src/platform/runControlNode/index.ts
@@ -1,4 +1,4 @@
-import { computeMaxReportWaitMs, ControlProcess, RoutingPlatform } from "../../control/index.js";
+import { computeMaxReportWaitMs, ControlProcess, drainControl, RoutingPlatform } from "../../control/index.js";
 import { DaemonPorts, DaemonProcess } from "../../daemon/index.js";
 import { startQueueHost } from "../../entry/index.js";
 import { Lifecycle } from "../../lifecycle/index.js";
@@ -77,7 +77,7 @@
     lifecycle.addCleanUp(() => queues.close());
     return {
         lifecycle,
-        drain: () => queues.drain(0),
+        drain: () => drainControl(running, queues),
         failed: running.awaitFailure(),
         reload: changed => {
             routing.setSeeds(changed.seeds);
