Each voter keeps links to the voters that joined later

Callers saw an outage that was longer than it had to be: after hosts of the core had been exchanged, a leader that handed over, or was lost, was followed by another one only after a further round of the election.

Cause: a replica opened links to the voters that it knew when it started, and to others on first use. A candidate's first request to a voter that had joined later failed as "unreachable", and with as many of them as the majority needs the election was lost.

New test of consensus/departure, "a leader that stops among voters that joined later": no leader within 500 ms on the code before, one at once now.

Why it works: links to all other voters are opened whenever the configuration changes.

--- a/src/consensus/departure/test.ts
+++ b/src/consensus/departure/test.ts
@@ -106,6 +106,18 @@
         });
     });
 
+    describe("a leader that stops among voters that joined later", () => {
+        it("is followed by another one at once", async () => {
+            // Guards against an election that can't reach voters to which nobody has opened a link yet.
+            const fleet = await startFleet(["x", "y", "z"]);
+            await stopHosts(fleet, followersOf(fleet).slice(0, 3));
+            await fleet.advanceUntil(() => fleet.hasFullMembership(), PROMPT_MS);
+            await fleet.advance(1_000);
+            await stopHosts(fleet, [fleet.holder()!.name], PROMPT_MS);
+            await fleet.advanceUntil(() => fleet.holder() !== undefined, PROMPT_MS);
+        });
+    });
+
     describe("without a successor", () => {
         it("does not wait", async () => {
             const fleet = await startFleet();
--- a/src/consensus/replicatedLog/index.ts
+++ b/src/consensus/replicatedLog/index.ts
@@ -281,10 +281,22 @@
     private async participate(signal: AbortSignal): Promise<void> {
         await this.clusterBootstrap.run(signal);
         if (signal.aborted) return;
-        for (const voter of findVoters(this.replica.configuration)) {
-            if (voter.storeId !== this.storeId) this.links.linkTo(voter.address);
+        await Promise.all([
+            this.keepLinks(signal),
+            this.election.run(signal),
+            this.joinTask.run(signal),
+            this.restartPause.run(signal),
+        ]);
+    }
+
+    /** Keeps links to all other voters open, so that an election reaches each of them at once. */
+    private async keepLinks(signal: AbortSignal): Promise<void> {
+        const { clock, changed, timing } = this.replica;
+        while (!signal.aborted) {
+            const others = findVoters(this.replica.configuration).filter(({ storeId }) => storeId !== this.storeId);
+            for (const { address } of others) this.links.linkTo(address);
+            await changed.wait(clock, timing.leaseMs, signal);
         }
-        await Promise.all([this.election.run(signal), this.joinTask.run(signal), this.restartPause.run(signal)]);
     }
 
     private registerHandlers(router: PeerRouter): void {
