A learner that is gone for good is forgotten, and joins again if it comes back

Callers saw nothing by themselves. A host that joined and was lost before it became a voter stayed on the list of members for good: every other host of the core and every entry went on connecting to its address, and the list only grew.

Cause: voters give way to learners, learners to nobody. A removal was final until now, so none could be made for silence alone.

Evidence: new test of consensus/membershipManager, one frozen and one lost learner: both still members after 60 s on the code before; removed after 30 s of silence now, and the frozen one is a member again within 5 s of its thaw.

Why it works: a learner has no vote, so its removal changes no majority, and the way back is the same as for a voter that was removed while it was silent.

--- a/src/consensus/membershipManager/index.ts
+++ b/src/consensus/membershipManager/index.ts
@@ -22,6 +22,8 @@
 /** A voter without contact for this long may be replaced by a waiting learner of another host; a restart takes less. */
 const DEAD_VOTER_TIMEOUT_MS = 3_000;
 
+/** A learner without contact for this long is no member any more; it joins again if it comes back. */
+const LOST_LEARNER_TIMEOUT_MS = 30_000;
 /** How long a member counts as leaving after its last request, in milliseconds; it repeats the request more often. */
 const LEAVE_MEMORY_MS = 2_000;
 const LEAVING = { reason: "leaving" };
@@ -71,6 +73,7 @@
         const change = planMemberChange(configuration, {
             targetVoters: this.targetVoters,
             unresponsive: unresponsive.map(({ voter }) => voter),
+            lostLearners: configuration.members.filter(member => this.isLostLearner(member, leadership)),
             caughtUp: configuration.members.filter(member => this.isCaughtUpLearner(member, leadership)),
             leaving: configuration.members.filter(member => this.isLeaving(member)),
             leader: this.replica.storeId,
@@ -205,6 +208,11 @@
             .sort((a, b) => b.silentMs - a.silentMs);
     }
 
+    private isLostLearner({ role, storeId }: Member, leadership: Leadership): boolean {
+        const { silentMs, observedMs } = leadership.replicatorOf(storeId)?.silence ?? NO_SILENCE;
+        return role === "learner" && silentMs >= LOST_LEARNER_TIMEOUT_MS && observedMs >= this.replica.timing.leaseMs;
+    }
+
     private isCaughtUpLearner({ role, storeId }: Member, leadership: Leadership): boolean {
         const replicator = leadership.replicatorOf(storeId);
         return role === "learner" && replicator !== undefined && replicator.matchIndex >= this.replica.commitIndex
--- a/src/consensus/membershipManager/test.ts
+++ b/src/consensus/membershipManager/test.ts
@@ -59,6 +59,25 @@
             assert.ok(fleet.find(lost).process!.log["replica"].log.durableIndex >= accepted);
         });
 
+        it("is no member any more once it is gone for good, and joins again if it is not", async () => {
+            // Guards against a list of members that grows with each host that was lost before it became a voter.
+            const fleet = new ReplicaFleet(new SeededRandom(1), ["a", "b", "c"], { targetVoters: 3 });
+            await fleet.startAll();
+            for (const name of ["x", "y"]) {
+                fleet.addHost(name);
+                await fleet.start(name);
+            }
+            await fleet.advanceUntil(() => fleet.hasFullMembership());
+            const frozen = fleet.find("x").process!.host;
+            frozen.freeze();
+            fleet.removeHost("y", true);
+            const listMembers = () =>
+                fleet.holder()!.process!.log.committedConfiguration().members.map(({ host }) => host);
+            await fleet.advanceUntil(() => listMembers().length === 3, 60_000);
+            frozen.thaw();
+            await fleet.advanceUntil(() => listMembers().length === 4, 5_000);
+        });
+
         it("does not raise the size of a majority", async () => {
             // Prevents changes from hanging when a newly added host goes down before it is synced, while one of three
             // hosts is down. A learner must not raise the size of the majority.
--- a/src/consensus/planMemberChange/index.ts
+++ b/src/consensus/planMemberChange/index.ts
@@ -7,6 +7,8 @@
     readonly targetVoters: number;
     /** Voters that do not respond, the longest silent first. */
     readonly unresponsive: readonly Member[];
+    /** Learners that have not responded for so long that they are forgotten. */
+    readonly lostLearners: readonly Member[];
     /** Learners that have synced all committed entries. */
     readonly caughtUp: readonly Member[];
     /** Members that are about to stop as planned. */
@@ -21,9 +23,9 @@
     | {
         readonly kind: "remove";
         readonly member: Member;
-        /** `superseded`: its host has a newer data folder. `unresponsive`, `leaving`: it gives way to a member that stays. */
+        /** `superseded`: its host has a newer data folder. `unresponsive`, `leaving`: it is not there, or soon won't be. */
         readonly reason: "superseded" | "unresponsive" | "leaving";
-        /** The learner that takes its place; undefined if one has done so already. */
+        /** The learner that takes its place; undefined if one has done so already, or nobody has to. */
         readonly replacedBy?: Member;
     };
 
@@ -40,7 +42,8 @@
  */
 export function planMemberChange(configuration: Configuration, facts: MemberFacts): MemberChange | undefined {
     return planSupersession(configuration, facts) ?? planExcess(configuration, facts)
-        ?? planReplacement(configuration, facts);
+        ?? planReplacement(configuration, facts)
+        ?? planForgetting(facts);
 }
 
 function planSupersession(configuration: Configuration, { caughtUp }: MemberFacts): MemberChange | undefined {
@@ -71,3 +74,8 @@
     const isVoterLeaving = leaving.some(member => voters.includes(member));
     return isVoterLeaving && voters.length === targetVoters ? { kind: "promote", member: learner } : undefined;
 }
+
+/** A learner that is gone for good would stay on the list of members, and be asked for by all hosts. */
+function planForgetting({ lostLearners: [lost] }: MemberFacts): MemberChange | undefined {
+    return lost && { kind: "remove", member: lost, reason: "unresponsive" };
+}
--- a/src/consensus/planMemberChange/test.ts
+++ b/src/consensus/planMemberChange/test.ts
@@ -20,7 +20,8 @@
 
 function plan(members: readonly Member[], facts: Partial<MemberFacts> = {}) {
     const configuration: Configuration = { members, retired: [] };
-    const defaults = { targetVoters: 3, unresponsive: [], caughtUp: [], leaving: [], leader: VOTERS[0].storeId };
+    const noMembers = { unresponsive: [], lostLearners: [], caughtUp: [], leaving: [] };
+    const defaults = { targetVoters: 3, leader: VOTERS[0].storeId, ...noMembers };
     const change = planMemberChange(configuration, { ...defaults, ...facts });
     return change && `${change.kind} ${change.member.storeId}`;
 }
@@ -92,6 +93,16 @@
         });
     });
 
+    describe("a learner that is lost", () => {
+        it("is forgotten once nothing else is to be done", () => {
+            const other = makeMember("y", "learner", 10);
+            const members = [...VOTERS, LEARNER, other];
+            assert.equal(plan(members, { lostLearners: [LEARNER] }), "remove x");
+            const facts = { lostLearners: [LEARNER], unresponsive: [VOTERS[1]], caughtUp: [other] };
+            assert.equal(plan(members, facts), "remove b");
+        });
+    });
+
     describe("a host with a newer data folder", () => {
         const newFolder = makeMember("b2", "learner", 12);
 
