The control log stops connecting to hosts that were replaced

Callers saw nothing by themselves: each process of the core went on connecting, once a second and for good, to the address of every host that it had ever known as a member.

Cause: PeerLinks kept a link for each address until the process ended.

--- a/src/consensus/replicatedLog/index.ts
+++ b/src/consensus/replicatedLog/index.ts
@@ -289,12 +289,12 @@
         ]);
     }
 
-    /** Keeps links to all other voters open, so that an election reaches each of them at once. */
+    /** Keeps links to all other voters open, so that an election reaches each of them at once, and no links to hosts that are gone. */
     private async keepLinks(signal: AbortSignal): Promise<void> {
         const { clock, changed, timing } = this.replica;
         while (!signal.aborted) {
             const others = findVoters(this.replica.configuration).filter(({ storeId }) => storeId !== this.storeId);
-            for (const { address } of others) this.links.linkTo(address);
+            this.links.retain(others.map(({ address }) => address));
             await changed.wait(clock, timing.leaseMs, signal);
         }
     }
