--- a/src/faultInjection/replacementSchedule/index.ts
+++ b/src/faultInjection/replacementSchedule/index.ts
@@ -28,6 +28,10 @@
 /** Time in which a fleet accepts commands again after a fault that it is meant to bear, in milliseconds. */
 const RECOVERY_MS = 12_000;
 const DEFAULT_EVENT_COUNT = 8;
+/** Probability of a planned exchange beside an event. */
+const EXCHANGE_PROBABILITY = 0.3;
+/** Maximum number of hosts, so that planned exchanges do not pile up. */
+const MAX_HOSTS = 8;
 const MAX_TORN_BYTES = 80;
 const POLL_MS = 20;
 
@@ -55,18 +59,22 @@
     readonly fleet: ReplicaFleet;
     readonly losses: LossTally;
     readonly logger = new RecordingLogger();
+    /** Draws the planned exchanges, apart from the other events. */
+    readonly exchangeRandom: SeededRandom;
     private pending: PendingAction[] = [];
+    private readonly stopping = new Set<string>();
     private nextHostNumber = 1;
     private freezes = 0;
 
-    constructor(readonly random: SeededRandom) {
+    constructor(seed: number, readonly random = new SeededRandom(seed)) {
+        this.exchangeRandom = new SeededRandom(seed + 1);
         const options = { timing: EAGER_LOG_TIMING, targetVoters: WANTED_VOTERS, loggerOf: () => this.logger };
         this.fleet = new ReplicaFleet(random, FOUNDERS, options);
         this.losses = new LossTally(this.fleet.clock, CATCH_UP_MS);
     }
 
     get hasPending(): boolean {
-        return this.pending.length > 0;
+        return this.pending.length > 0 || this.stopping.size > 0;
     }
 
     /** Performs an action later, while time advances. */
@@ -96,11 +104,33 @@
         await fleet.start(name, undefined, others);
     }
 
+    /** Stops a host as planned. It ends for good if another host has taken its place, and starts again otherwise. */
+    stopHost(name: string): void {
+        this.stopping.add(name);
+        void this.fleet.stop(name).then(async result => {
+            if (result === "left") {
+                this.fleet.hosts.delete(name);
+            }
+            else {
+                this.losses.markAway(name);
+                await this.startHost(name);
+                this.losses.markBack(name);
+            }
+            this.stopping.delete(name);
+        });
+    }
+
     /** Returns the name of a host that did not exist before, at an address of its own. */
     makeHostName(): string {
         return `x${this.nextHostNumber++}`;
     }
 
+    /** Whether a host runs, is not lost and is not about to stop. */
+    isTarget(name: string): boolean {
+        return this.fleet.hosts.get(name)?.process !== undefined && !this.losses.isLost(name)
+            && !this.stopping.has(name);
+    }
+
     /** Whether the next host to freeze is suspended as a whole machine, which is every other one. */
     mustSuspend(): boolean {
         return this.freezes++ % 2 === 1;
@@ -111,15 +141,15 @@
         const { fleet, losses, random } = this;
         if (losses.count() >= TOLERATED_LOSSES) return undefined;
         const holder = fleet.holder()?.name;
-        if (holder && !losses.isLost(holder) && random.next() < 0.5) return holder;
-        const names = [...fleet.hosts.keys()].filter(name => fleet.find(name).process && !losses.isLost(name));
+        if (holder && this.isTarget(holder) && random.next() < 0.5) return holder;
+        const names = [...fleet.hosts.keys()].filter(name => this.isTarget(name));
         return names.length > 0 ? random.pick(names) : undefined;
     }
 }
 
 /**
- * Runs one random schedule of hosts that freeze, are replaced at other addresses, lose their disks or their links, never more at a time than
- * the fleet tolerates. Some time after the last one is back, as many hosts as tolerated lose their disks at the same moment.
+ * Runs one random schedule of hosts that freeze, are replaced at other addresses, with a planned stop or without, lose their disks or their
+ * links, never more at a time than the fleet tolerates. Some time after the last one is back, as many hosts as tolerated lose their disks at the same moment.
  *
  * Checks that from `CATCH_UP_MS` after the last return each running host is a voter or a learner and the tolerated losses may follow, that
  * commands are accepted again after them, and that no accepted command is lost.
@@ -134,12 +164,13 @@
     seed: number,
     eventCount = DEFAULT_EVENT_COUNT,
 ): Promise<ReplacementReport> {
-    const run = new ReplacementRun(new SeededRandom(seed));
+    const run = new ReplacementRun(seed);
     const { fleet, random } = run;
     await startFleet(run);
     for (let step = 0; step < eventCount; step++) {
         const target = run.pickTarget();
         if (target) await random.pick(WEIGHTED_EVENTS)(run, target);
+        if (run.exchangeRandom.next() < EXCHANGE_PROBABILITY) await exchangeHost(run);
         await run.advance(random.next() < 0.5 ? random.between(50, 1_000) : random.between(1_000, 4_000));
     }
     const restoredMs = await awaitRestoredTolerance(run);
@@ -239,6 +270,22 @@
     });
 }
 
+/** A successor starts, and once it has had the time to catch up, another host is stopped as planned. */
+async function exchangeHost(run: ReplacementRun): Promise<void> {
+    const { fleet, losses, exchangeRandom: random } = run;
+    if (fleet.hosts.size >= MAX_HOSTS) return;
+    const successor = run.makeHostName();
+    fleet.addHost(successor);
+    await run.startHost(successor);
+    run.schedule(random.between(CATCH_UP_MS, 2 * CATCH_UP_MS), () => {
+        if (losses.count() >= TOLERATED_LOSSES) return;
+        const names = [...fleet.hosts.keys()].filter(name => run.isTarget(name));
+        const holder = fleet.holder()?.name;
+        const leaver = holder && random.next() < 0.4 ? holder : random.pick(names);
+        if (run.isTarget(leaver)) run.stopHost(leaver);
+    });
+}
+
 async function loseDisk(run: ReplacementRun, name: string): Promise<void> {
     run.fleet.wipe(name);
     startLater(run, name);
