A control host that is replaced by one with another name is no voter for good

Callers saw nothing by themselves: in fleets of the product's own settings without routed calls, a control host that was replaced under another name went on counting as a voter, so that a later loss ended the majority sooner than the operators expected.

Cause: the number of voters was limited only where calls are routed by a document. Without a limit each member becomes a voter, and nobody gives way.

Evidence: new test of control/controlProcess, "a control host that is replaced by one with another name": voters c1, c2, c3 (gone) and c4 on the code before; c1, c2 and c4 now.

--- a/src/control/controlProcess/index.ts
+++ b/src/control/controlProcess/index.ts
@@ -108,7 +108,7 @@
             timing: logTiming,
             peerTiming: timing,
             mayBootstrap: routing?.mayBootstrap,
-            targetVoters: routing?.voters,
+            targetVoters: routing?.voters ?? members.length,
         });
         lifecycle.addCleanUp(() => log.close());
         const startsTable = new StartsTable(clock, router);
--- a/src/control/controlProcess/test.ts
+++ b/src/control/controlProcess/test.ts
@@ -105,7 +105,8 @@
         void this.rotateKeys();
     }
 
-    async startControl(host: ControlHost): Promise<void> {
+    /** Starts a control process with these control hosts in its settings. */
+    async startControl(host: ControlHost, members = CONTROLS): Promise<void> {
         const network = this.fabric.network(host.name);
         const { disk, clockRate, name } = host;
         const machine = new MemoryHost({ clock: this.clock, network, disk, clockRate });
@@ -118,7 +119,7 @@
             logger: new SilentLogger(),
             self: { host: name, incarnation: String(this.clock.monotonic()) as Incarnation },
             peerAddress: { host: name, port: 1 },
-            members: CONTROLS.map(member => ({ host: member, address: { host: member, port: 1 } })),
+            members: members.map(member => ({ host: member, address: { host: member, port: 1 } })),
             logTiming: { ...DEFAULT_LOG_TIMING, snapshotEntries: 60, trailingEntries: 10 },
             timing: DEFAULT_PEER_TIMING,
             viewLeaseMs: VIEW_LEASE_MS,
@@ -312,6 +313,26 @@
 }
 
 describe("ControlProcess", () => {
+    describe("a control host that is replaced by one with another name", () => {
+        it("counts as a voter no longer", async () => {
+            // Guards against lost hosts that count as voters for good, until the others are no majority of them.
+            const fleet = new Fleet(1);
+            for (const host of fleet.hosts) await fleet.startControl(host);
+            await fleet.clock.advance(5_000);
+            const [kept, other, lost] = fleet.hosts;
+            fleet.crash(lost);
+            const successor: ControlHost = { name: "c4" as HostId, disk: new MemoryDisk(fleet.clock), clockRate: 1 };
+            await fleet.startControl(successor, [kept.name, other.name, successor.name]);
+            await fleet.clock.advance(15_000);
+            const { members } = kept.control!.log.committedConfiguration();
+            assert.deepEqual(members.map(({ host, role }) => `${host} ${role}`).sort(), [
+                "c1 voter",
+                "c2 voter",
+                "c4 voter",
+            ]);
+        });
+    });
+
     describe("cuts, freezes, crashes of the holder and of others", () => {
         // Whatever hosts fail in the middle of an operation, no window may be reported with two different sums, no usage lost or counted
         // twice, no call made twice, and no withdrawn key may still work. Such faults arise where code takes an
