--- /dev/null
+++ b/src/ports/nodeHttpClient/index.ts
@@ -0,0 +1,181 @@
+import { Agent, ClientRequest, IncomingMessage, request } from "node:http";
+import { Socket } from "node:net";
+import { Either, Left, Right } from "purify-ts";
+import { toHeaderList } from "../_lib/toHeaderList.js";
+import { HeaderList, HttpCall, HttpError, HttpReply } from "../http/index.js";
+import { formatAddress } from "../network/index.js";
+
+/** Maximum idle time of a pooled connection: a middlebox may have dropped its state for one that was idle for longer. */
+const MAX_POOL_IDLE_MS = 2_000;
+/**
+ * Maximum idle time of a pooled connection for `recentlyUsedOnly` requests, which must not be lost on a connection that the
+ * server has closed.
+ */
+const MAX_RECENT_IDLE_MS = 300;
+const MAX_FREE_SOCKETS_PER_ADDRESS = 256;
+/**
+ * HTTP client on `node:http` with a pool of kept connections.
+ *
+ * @example
+ * const client = new NodeHttpClient();
+ * const reply = await client.send(call);
+ */
+export class NodeHttpClient {
+    private readonly pool = makeAgent(MAX_POOL_IDLE_MS);
+    private readonly recentPool = makeAgent(MAX_RECENT_IDLE_MS);
+
+    /** Sends a request; resolves once the response's headers have arrived. */
+    send(call: HttpCall): Promise<Either<HttpError, HttpReply>> {
+        if (call.signal?.aborted) return Promise.resolve(Left(new HttpError("aborted", false, "before sending")));
+        return new Promise(resolve => {
+            let isConnected = false;
+            let hasFailed = false;
+            let reason: HttpError["reason"] = "closed";
+            const req = request({
+                host: call.address.host,
+                port: call.address.port,
+                method: call.method,
+                path: call.path,
+                headers: addRequiredHeaders(call).flat() as unknown as string[],
+                agent: this.chooseAgent(call),
+            });
+            const cancel = (failureReason: HttpError["reason"]): void => {
+                reason = failureReason;
+                req.destroy(new Error(failureReason));
+            };
+            let timer = setTimeout(() => cancel("timeout"), call.connectTimeoutMs);
+            const abort = (): void => cancel("aborted");
+            call.signal?.addEventListener("abort", abort);
+            req.on("socket", socket => {
+                const startHeadTimeout = (): void => {
+                    isConnected = true;
+                    clearTimeout(timer);
+                    timer = setTimeout(() => cancel("timeout"), call.headTimeoutMs);
+                };
+                if (!socket.connecting) return startHeadTimeout();
+                call.onConnection?.("opening");
+                socket.once("connect", () => {
+                    startHeadTimeout();
+                    call.onConnection?.("open");
+                });
+            });
+            req.on("error", err => {
+                hasFailed = true;
+                clearTimeout(timer);
+                call.signal?.removeEventListener("abort", abort);
+                const failureReason = isConnected || reason !== "closed" ? reason : "refused";
+                resolve(
+                    Left(new HttpError(failureReason, isConnected, `${formatAddress(call.address)} ${err.message}`)),
+                );
+            });
+            req.on("response", message => {
+                clearTimeout(timer);
+                const endProbe = isSelfDelimited(message) ? undefined : new ConnectionEndProbe(message.socket);
+                message.once("close", () => call.signal?.removeEventListener("abort", abort));
+                resolve(Right({
+                    status: message.statusCode!,
+                    headers: toHeaderList(message.rawHeaders),
+                    body: readReplyBody(
+                        message,
+                        async () => hasFailed || (await endProbe?.wasReset() ?? false),
+                        () => reason,
+                    ),
+                    reset: () => req.destroy(),
+                }));
+            });
+            req.end(call.body);
+        });
+    }
+
+    private chooseAgent({ newConnection, recentlyUsedOnly }: HttpCall): Agent {
+        if (newConnection) return new Agent({ keepAlive: false });
+        return recentlyUsedOnly ? this.recentPool : this.pool;
+    }
+}
+
+function makeAgent(idleMs: number): Agent {
+    return new IdleDataGuardAgent({ keepAlive: true, timeout: idleMs, maxFreeSockets: MAX_FREE_SOCKETS_PER_ADDRESS });
+}
+
+/**
+ * Connection pool that destroys connections on which data arrives while they are idle.
+ *
+ * Such data may be a second response to a request that was already answered: without this check, it would be read as the
+ * response to the next request on the connection.
+ */
+class IdleDataGuardAgent extends Agent {
+    private readonly dataListeners = new WeakMap<Socket, () => void>();
+
+    // Node calls `keepSocketAlive` when a request returns its connection to the pool, and `reuseSocket` when the next takes it.
+    override keepSocketAlive(socket: Socket): boolean {
+        const destroyOnData = (): void => void socket.destroy();
+        this.dataListeners.set(socket, destroyOnData);
+        socket.once("data", destroyOnData);
+        return super.keepSocketAlive(socket) as unknown as boolean;
+    }
+
+    override reuseSocket(socket: Socket, req: ClientRequest): void {
+        const destroyOnData = this.dataListeners.get(socket);
+        if (destroyOnData) socket.removeListener("data", destroyOnData);
+        super.reuseSocket(socket, req);
+    }
+}
+
+/** Whether a response's headers delimit its body, so that it does not end with its connection. */
+function isSelfDelimited({ headers }: IncomingMessage): boolean {
+    return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+}
+
+/**
+ * Detects whether a connection that has ended was reset instead of closed.
+ *
+ * A reset right behind the last bytes is read together with them, and the event loop then reports the end of the stream
+ * instead of the error. The error stays pending on the socket, so that a write fails with it; on a connection that the
+ * server has merely closed, a write succeeds. The probe writes an empty line, which HTTP allows between messages.
+ */
+class ConnectionEndProbe {
+    private probe: Promise<boolean> | undefined;
+
+    constructor(socket: Socket) {
+        // Must run before Node's own listener, which ends the writable side.
+        socket.prependOnceListener("end", () => {
+            this.probe = new Promise(resolve => socket.write("\r\n", err => resolve(Boolean(err))));
+        });
+    }
+
+    async wasReset(): Promise<boolean> {
+        return await this.probe ?? false;
+    }
+}
+
+/** Adds `host` and `content-length`: Node adds neither to headers given as a list, and sends no body without a length. */
+function addRequiredHeaders(call: HttpCall): HeaderList {
+    const added: [string, string][] = [];
+    const has = (name: string): boolean => call.headers.some(([existing]) => existing.toLowerCase() === name);
+    if (!has("host")) added.push(["host", formatAddress(call.address)]);
+    if (call.body && !has("content-length")) added.push(["content-length", String(call.body.length)]);
+    return [...call.headers, ...added];
+}
+
+/**
+ * Reads the body of a response to its end.
+ *
+ * Prevents a truncated body from passing as complete: a response without a length ends with its connection, and Node
+ * reports it as complete even if that connection was reset.
+ *
+ * @param endedAbnormally - Returns whether the connection failed or was reset.
+ * @param reason - Returns the reason for an error that the stream reports.
+ */
+async function* readReplyBody(
+    message: IncomingMessage,
+    endedAbnormally: () => Promise<boolean>,
+    reason: () => HttpError["reason"],
+): AsyncIterable<Uint8Array> {
+    try {
+        for await (const chunk of message) yield chunk as Uint8Array;
+    }
+    catch (err) {
+        throw new HttpError(reason(), true, (err as Error).message);
+    }
+    if (!message.complete || await endedAbnormally()) throw new HttpError("closed", true, "the body was cut off");
+}
--- /dev/null
+++ b/src/ports/nodeHttpServer/index.ts
@@ -0,0 +1,161 @@
+import { createServer, IncomingMessage, Server, ServerResponse } from "node:http";
+import { Either, Left, Right } from "purify-ts";
+import { toHeaderList } from "../_lib/toHeaderList.js";
+import {
+    BodyError,
+    HeaderList,
+    HttpHandler,
+    HttpLimits,
+    HttpListener,
+    HttpRequest,
+    HttpResponse,
+} from "../http/index.js";
+import { Address, NetworkError } from "../network/index.js";
+import { answerClientErrors, limitBodyDiscard } from "../serverGuards/index.js";
+
+/** Maximum idle time of a caller's connection where the limits have none: Node's default. */
+const DEFAULT_KEEP_ALIVE_MS = 5_000;
+/** Number of checks for timed-out requests within the shortest request timeout. */
+const CHECKS_PER_TIMEOUT = 6;
+
+/**
+ * Starts an HTTP server on `node:http`.
+ *
+ * @returns Its listener, once the address is bound.
+ * @throws NetworkError when the address is in use.
+ * @example
+ * const listener = await serveNodeHttp(address, limits, handler);
+ */
+export function serveNodeHttp(address: Address, limits: HttpLimits, handler: HttpHandler): Promise<HttpListener> {
+    const server = createServer({
+        maxHeaderSize: limits.headerBytes,
+        headersTimeout: limits.headerTimeoutMs,
+        requestTimeout: limits.requestTimeoutMs,
+        connectionsCheckingInterval: Math.ceil(
+            Math.min(limits.headerTimeoutMs, limits.requestTimeoutMs) / CHECKS_PER_TIMEOUT,
+        ),
+        keepAliveTimeout: limits.idleTimeoutMs ?? DEFAULT_KEEP_ALIVE_MS,
+        noDelay: true,
+    }, (req, res) => void runHandler(new NodeRequest(req, res), new NodeResponse(res), handler));
+    answerClientErrors(server);
+    limitBodyDiscard(server);
+    return new Promise((resolve, reject) => {
+        server.once("error", err => reject(new NetworkError("refused", err.message)));
+        server.listen(address.port, address.host, () => {
+            const bound = server.address() as { port: number; };
+            const stopAccepting = (): Promise<void> =>
+                new Promise<void>(done => {
+                    server.close(() => done());
+                    server.closeIdleConnections();
+                });
+            resolve({
+                address: { host: address.host, port: bound.port },
+                setLimits: changed => applyLimits(server, changed),
+                stopAccepting,
+                close: stopAccepting,
+            });
+        });
+    });
+}
+
+function applyLimits(server: Server, limits: HttpLimits): void {
+    server.headersTimeout = limits.headerTimeoutMs;
+    server.requestTimeout = limits.requestTimeoutMs;
+    server.keepAliveTimeout = limits.idleTimeoutMs ?? DEFAULT_KEEP_ALIVE_MS;
+}
+
+async function runHandler(req: NodeRequest, res: NodeResponse, handler: HttpHandler): Promise<void> {
+    try {
+        await handler(req, res);
+    }
+    catch {
+        res.fail();
+    }
+}
+
+class NodeRequest extends HttpRequest {
+    readonly method: string;
+    readonly path: string;
+    readonly headers: HeaderList;
+    readonly remote: string;
+    private readonly abort = new AbortController();
+    readonly closed = this.abort.signal;
+
+    constructor(private readonly message: IncomingMessage, res: ServerResponse) {
+        super();
+        this.method = message.method!;
+        this.path = message.url!;
+        this.headers = toHeaderList(message.rawHeaders);
+        this.remote = `${message.socket.remoteAddress}:${message.socket.remotePort}`;
+        res.once("close", () => {
+            if (!res.writableFinished) this.abort.abort();
+        });
+    }
+
+    body(limitBytes: number): Promise<Either<BodyError, Uint8Array>> {
+        return new Promise(resolve => {
+            const chunks: Buffer[] = [];
+            let size = 0;
+            // A content length over the limit is refused before any of the body is read.
+            if (Number(this.message.headers["content-length"] ?? 0) > limitBytes) {
+                resolve(Left(new BodyError("too-large")));
+                return;
+            }
+            this.message.on("data", (chunk: Buffer) => {
+                size += chunk.length;
+                if (size <= limitBytes) {
+                    chunks.push(chunk);
+                    return;
+                }
+                chunks.length = 0;
+                resolve(Left(new BodyError("too-large")));
+            });
+            this.message.on("end", () => resolve(Right(Buffer.concat(chunks))));
+            this.message.on("close", () => {
+                if (!this.message.complete) resolve(Left(new BodyError("closed")));
+            });
+        });
+    }
+}
+
+class NodeResponse extends HttpResponse {
+    constructor(private readonly res: ServerResponse) {
+        super();
+    }
+
+    head(status: number, headers: HeaderList): void {
+        this.res.writeHead(status, headers.flat() as unknown as string[]);
+        this.res.flushHeaders();
+    }
+
+    write(chunk: string | Uint8Array): Promise<void> {
+        if (this.res.destroyed || this.res.write(chunk)) return Promise.resolve();
+        return new Promise(resolve => {
+            const finish = (): void => {
+                this.res.removeListener("drain", finish);
+                this.res.removeListener("close", finish);
+                resolve();
+            };
+            this.res.once("drain", finish);
+            this.res.once("close", finish);
+        });
+    }
+
+    end(chunk?: string | Uint8Array): void {
+        this.res.end(chunk);
+    }
+
+    reset(): void {
+        this.res.destroy();
+    }
+
+    /** Handles an error thrown by the handler: sends a 500 if no headers were sent, else cuts the connection. */
+    fail(): void {
+        if (this.res.headersSent) {
+            this.res.destroy();
+            return;
+        }
+        this.res.writeHead(500, { "content-type": "application/json" });
+        this.res.end(JSON.stringify({ error: { type: "internal", message: "internal error", outcome: "unknown" } }));
+    }
+}
