Logs tell which calls a stop has cut, and what a cancelled attempt had left

Callers lost the rest of their streams around the stop of an entry, and the logs could not tell why: drain-ended gave the number of calls that were still running, not which, how old, when they had come, or what they waited for; attempt-ended gave no reason for a cancel.

Nothing is decided by them.

--- a/src/entry/entryProcess/index.ts
+++ b/src/entry/entryProcess/index.ts
@@ -21,6 +21,7 @@
     HttpReply,
     Listener,
     Network,
+    OpenAnswers,
     Random,
 } from "../../ports/index.js";
 import { UpstreamAccess } from "../../relay/index.js";
@@ -53,6 +54,7 @@
 import { SpendLimiter } from "../spendLimiter/index.js";
 import { StreamStartLog } from "../streamStartLog/index.js";
 import { TicketServer } from "../ticketServer/index.js";
+import { reportUnfinishedRequests } from "../unfinishedRequests/index.js";
 import { UsageBackupStore } from "../usageBackupStore/index.js";
 import { UsageMeter } from "../usageMeter/index.js";
 import { UsageReplicator } from "../usageReplicator/index.js";
@@ -99,6 +101,7 @@
 }
 
 const VIEW_POLL_MS = 10;
+const NO_OPEN_ANSWERS: OpenAnswers = { requests: 0, unsentBytes: 0 };
 
 /**
  * An entry process: serves callers, receives upstreams' announcements, owns the queues of some pools, and meters usage.
@@ -273,6 +276,7 @@
      */
     async drain(graceMs: number): Promise<boolean> {
         const { clock, balancerMs, logger } = this.options;
+        const stopAt = clock.monotonic();
         this.draining = true;
         this.client.setDraining(true);
         logger.info("drain-started", { requests: this.requests.size });
@@ -288,7 +292,15 @@
         const isDurable = await this.replicator.drain(limit.signal);
         timer.cancel();
         this.replicator.sendLast();
-        logger.info("drain-ended", { requests: this.requests.size, usage: this.replicator.backlog });
+        reportUnfinishedRequests({ clock, logger, requests: this.requests, stopAt });
+        const { requests: openAnswers, unsentBytes } = this.routeService?.countOpenAnswers() ?? NO_OPEN_ANSWERS;
+        logger.info("drain-ended", {
+            requests: this.requests.size,
+            relayed: this.access.relays.size,
+            openAnswers,
+            unsentBytes,
+            usage: this.replicator.backlog,
+        });
         return this.requests.size === 0 && this.access.relays.size === 0 && isDurable;
     }
 
--- a/src/entry/routeService/index.ts
+++ b/src/entry/routeService/index.ts
@@ -6,7 +6,16 @@
 import { Logger } from "../../logging/index.js";
 import { Metrics } from "../../metrics/index.js";
 import { CallDialect, RepeatBudget, RepeatLimits, serveCalls } from "../../passthrough/index.js";
-import { Address, Clock, formatAddress, Http, HttpLimits, HttpListener, Random } from "../../ports/index.js";
+import {
+    Address,
+    Clock,
+    formatAddress,
+    Http,
+    HttpLimits,
+    HttpListener,
+    OpenAnswers,
+    Random,
+} from "../../ports/index.js";
 import { CrashGuard, PartGuard } from "../../quarantine/index.js";
 import { RequestRegistry } from "../../request/index.js";
 import { StreamStartRegistry } from "../../resumption/index.js";
@@ -169,6 +178,11 @@
         this.options.logger.info("document-in-force", { version: routes.version });
     }
 
+    /** Counts the answers to callers that have not been sent whole. */
+    countOpenAnswers(): OpenAnswers {
+        return this.listener?.countOpenAnswers() ?? { requests: 0, unsentBytes: 0 };
+    }
+
     /** Stops accepting connections; running answers continue. */
     async stopAccepting(): Promise<void> {
         await this.listener?.stopAccepting();
--- a/src/passthrough/relayStream/index.ts
+++ b/src/passthrough/relayStream/index.ts
@@ -61,8 +61,13 @@
     answer.sendHead(status, headers.filter(([name]) => name !== "content-length"));
 }
 
-function recordEvents(ctx: CallContext, { call, grant, stream }: Attempt, { count, lastId }: ScannedEvents): void {
+function recordEvents(
+    ctx: CallContext,
+    { call, grant, run, stream }: Attempt,
+    { count, lastId }: ScannedEvents,
+): void {
     const now = ctx.clock.monotonic();
+    run.waitFor("more");
     if (stream.eventCount === 0) {
         stream.startedBy = ctx.software.find(grant);
         stream.firstEventMs = now - call.arrivedAt;
--- a/src/passthrough/repeatBudget/index.ts
+++ b/src/passthrough/repeatBudget/index.ts
@@ -58,15 +58,23 @@
      * @param entries - Number of entries that share the slack.
      */
     tryTake(pool: PoolId, entries: number): boolean {
+        if (this.countLeft(pool, entries) === 0) return false;
+        this.countsOf(pool).repeats.push(this.clock.monotonic());
+        return true;
+    }
+
+    /**
+     * Returns how many repeats may be made now.
+     *
+     * @param entries - Number of entries that share the slack.
+     */
+    countLeft(pool: PoolId, entries: number): number {
         const { ratio, slack, windowMs } = this.limits;
-        const now = this.clock.monotonic();
         const counts = this.countsOf(pool);
-        const isNew = now - this.startedAt < windowMs;
+        const isNew = this.clock.monotonic() - this.startedAt < windowMs;
         const share = isNew ? 0 : slack / Math.max(1, entries);
         const maxRepeats = WINDOW_EDGE_RATIO * (ratio * counts.requests.length + share);
-        if (counts.repeats.length + 1 > maxRepeats) return false;
-        counts.repeats.push(now);
-        return true;
+        return Math.max(0, Math.floor(maxRepeats - counts.repeats.length));
     }
 
     private countsOf(pool: PoolId): PoolCounts {
--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -139,6 +139,7 @@
     const completed = completeAttempt(task, attempt, result, sentAt);
     recordForCrashGuards(task, grant, result, progress.stream.eventCount > eventCount);
     if (result.kind === "answered") {
+        run.waitFor("durability");
         await waitDurable(task);
         result.deliver();
         return makeCallEnd("answered", result.status, progress);
@@ -227,10 +228,11 @@
     if (end !== "not-sent" && end !== "refused") progress.begun++;
     progress.upstreamFailure = failure ?? progress.upstreamFailure;
     progress.lastDetail = detail;
+    const { cancelReason: cancelled } = run;
     run.recordStep("attempt-ended", `${upstream} ${end}: ${detail}`);
     const { tries, begun } = progress;
     const events = progress.stream.eventCount;
-    const { fingerprint, pool, head: { request, parts } } = call;
+    const { fingerprint, pool, route, head: { request, parts } } = call;
     const ageMs = Math.round(run.ageMs());
     ctx.metrics.count("attempts_ended", 1, { pool, end, connection: connectionEnded ? "ended" : "open" });
     ctx.logger.info("attempt-ended", {
@@ -241,13 +243,19 @@
         software: ctx.software.find(grant),
         end,
         detail,
+        cancelled,
+        waitedFor: run.waitsFor,
+        waitingMs: Math.round(run.waitingMs()),
         connectionEnded,
         isPathFailure,
         relay,
         tries,
         begun,
+        attempts: route.attempts,
+        repeatsLeft: ctx.repeats.countLeft(pool, ctx.view.entryCount()),
         events,
         ageMs,
+        leftMs: Math.round(call.deadlineAt - ctx.clock.monotonic()),
     });
 }
 
--- a/src/ports/http/index.ts
+++ b/src/ports/http/index.ts
@@ -105,10 +105,20 @@
     readonly idleTimeoutMs?: number;
 }
 
+/** Answers that a server has not sent whole yet. */
+export interface OpenAnswers {
+    /** Number of requests without a whole answer; their bodies may still be arriving. */
+    readonly requests: number;
+    /** Bytes of answers that the operating system has not taken yet. */
+    readonly unsentBytes: number;
+}
+
 /** A listening HTTP server. */
 export interface HttpListener extends Listener {
     /** Changes the limits from now on, except `headerBytes`, which keeps its initial value. */
     setLimits(limits: HttpLimits): void;
+    /** Counts the answers that have not been sent whole. */
+    countOpenAnswers(): OpenAnswers;
     /** Stops accepting connections and closes idle ones; resolves once all running responses have ended. */
     stopAccepting(): Promise<void>;
 }
--- a/src/ports/memoryHttpFabric/index.ts
+++ b/src/ports/memoryHttpFabric/index.ts
@@ -14,6 +14,7 @@
     HttpReply,
     HttpRequest,
     HttpResponse,
+    OpenAnswers,
 } from "../http/index.js";
 import { MemoryFabric } from "../memoryFabric/index.js";
 import { Address, formatAddress, NetworkError } from "../network/index.js";
@@ -102,7 +103,12 @@
             this.httpFabric.servers.delete(hostPort);
             this.httpFabric.fabric.unregister(bound);
         };
-        return { address: bound, setLimits: () => undefined, stopAccepting, close: stopAccepting };
+        const isServedHere = (exchange: Exchange): boolean => formatAddress(exchange.target) === hostPort;
+        const countOpenAnswers = (): OpenAnswers => ({
+            requests: [...this.httpFabric.exchanges].filter(isServedHere).length,
+            unsentBytes: 0,
+        });
+        return { address: bound, setLimits: () => undefined, countOpenAnswers, stopAccepting, close: stopAccepting };
     }
 
     async send(call: HttpCall): Promise<Either<HttpError, HttpReply>> {
@@ -192,6 +198,11 @@
         httpFabric.exchanges.add(this);
     }
 
+    /** Address of the server. */
+    get target(): Address {
+        return this.call.address;
+    }
+
     /** @param isConnected - Whether a new connection has just been opened for the request: it arrives at once. */
     async run(isConnected: boolean): Promise<Either<HttpError, HttpReply>> {
         const { call } = this;
--- a/src/ports/nodeHttp/test.ts
+++ b/src/ports/nodeHttp/test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { AddressInfo, createServer, Socket } from "node:net";
 import { after, before, describe, it } from "node:test";
-import { Address, DEFAULT_HTTP_LIMITS, HttpCall, HttpError, Listener } from "../index.js";
+import { Address, DEFAULT_HTTP_LIMITS, HttpCall, HttpError, Listener, readReplyText } from "../index.js";
 import { NodeHttp } from "./index.js";
 
 const http = new NodeHttp();
@@ -69,6 +69,21 @@
             assert.equal(reply.status, 413);
             reply.reset();
         });
+
+        it("counts an answer as open until its caller has read enough of it", async () => {
+            const size = 64 * 1024 * 1024;
+            const server = await http.serve({ host: "127.0.0.1", port: 0 }, DEFAULT_HTTP_LIMITS, async (_, res) => {
+                res.head(200, []);
+                res.end(Buffer.alloc(size));
+            });
+            const reply = (await http.send(callTo(server.address, "/"))).unsafeCoerce();
+            const { requests, unsentBytes } = server.countOpenAnswers();
+            assert.equal(requests, 1);
+            assert.ok(unsentBytes > 0 && unsentBytes <= size + 1_000, `${unsentBytes} bytes`);
+            await readReplyText(reply);
+            await server.close();
+            assert.deepEqual(server.countOpenAnswers(), { requests: 0, unsentBytes: 0 });
+        });
     });
 });
 
--- a/src/ports/nodeHttpServer/index.ts
+++ b/src/ports/nodeHttpServer/index.ts
@@ -9,6 +9,7 @@
     HttpListener,
     HttpRequest,
     HttpResponse,
+    OpenAnswers,
 } from "../http/index.js";
 import { Address, NetworkError } from "../network/index.js";
 import { answerClientErrors, limitBodyDiscard } from "../serverGuards/index.js";
@@ -39,6 +40,7 @@
     }, (req, res) => void runHandler(new NodeRequest(req, res), new NodeResponse(res), handler));
     answerClientErrors(server);
     limitBodyDiscard(server);
+    const openResponses = trackOpenResponses(server);
     return new Promise((resolve, reject) => {
         server.once("error", err => reject(new NetworkError("refused", err.message)));
         server.listen(address.port, address.host, () => {
@@ -51,6 +53,7 @@
             resolve({
                 address: { host: address.host, port: bound.port },
                 setLimits: changed => applyLimits(server, changed),
+                countOpenAnswers: () => countOpenAnswers(openResponses),
                 stopAccepting,
                 close: stopAccepting,
             });
@@ -58,6 +61,22 @@
     });
 }
 
+/** Returns the responses of a server that have not been sent whole, kept up to date. */
+function trackOpenResponses(server: Server): ReadonlySet<ServerResponse> {
+    const open = new Set<ServerResponse>();
+    server.on("request", (_, res: ServerResponse) => {
+        open.add(res);
+        res.once("finish", () => open.delete(res));
+        res.once("close", () => open.delete(res));
+    });
+    return open;
+}
+
+function countOpenAnswers(open: ReadonlySet<ServerResponse>): OpenAnswers {
+    const unsentBytes = [...open].reduce((sum, { writableLength }) => sum + writableLength, 0);
+    return { requests: open.size, unsentBytes };
+}
+
 function applyLimits(server: Server, limits: HttpLimits): void {
     server.headersTimeout = limits.headerTimeoutMs;
     server.requestTimeout = limits.requestTimeoutMs;
--- a/src/request/requestRegistry/index.ts
+++ b/src/request/requestRegistry/index.ts
@@ -20,6 +20,11 @@
         return this.running.size;
     }
 
+    /** Returns the running requests, in the order of their arrival. */
+    list(): RunningRequest[] {
+        return [...this.running.values()];
+    }
+
     add(request: RunningRequest): void {
         this.running.set(request.identity.id, request);
     }
--- a/src/request/runningRequest/index.ts
+++ b/src/request/runningRequest/index.ts
@@ -13,6 +13,9 @@
 /** Reason for which a running request was stopped from outside. */
 export type CancelReason = "caller-gone" | "key-withdrawn" | "preempted" | "stalled" | "stopping" | "timeout";
 
+/** What a running request waits for: an upstream, the beginning of its answer, more of it, or the record of its usage. */
+export type WaitState = "grant" | "answer" | "more" | "durability";
+
 /** Identity of a request: its id, its origin and its target. */
 export interface RequestIdentity {
     readonly id: RequestId;
@@ -53,11 +56,14 @@
     private attemptController = new AbortController();
     private latestCancelReason: CancelReason | undefined;
     private isFinal = false;
+    private waitState: WaitState = "grant";
+    private waitingSince: number;
     /** Whether a non-repeatable call was sent: from then on it runs until its outcome is recorded. */
     mustFinish = false;
 
     constructor(readonly identity: RequestIdentity, private readonly clock: Clock) {
         this.arrivedMonotonicAt = clock.monotonic();
+        this.waitingSince = this.arrivedMonotonicAt;
         this.history = { steps: [], arrivedAt: clock.now(), waitedMs: 0, reason: "" };
     }
 
@@ -76,6 +82,22 @@
         return this.isFinal;
     }
 
+    /** What the request waits for. */
+    get waitsFor(): WaitState {
+        return this.waitState;
+    }
+
+    /** Returns the time for which it has waited for that, in milliseconds. */
+    waitingMs(): number {
+        return this.clock.monotonic() - this.waitingSince;
+    }
+
+    /** Records what the request waits for from now on. */
+    waitFor(state: WaitState): void {
+        this.waitState = state;
+        this.waitingSince = this.clock.monotonic();
+    }
+
     /** Returns the time since the request's arrival, in milliseconds. */
     ageMs(): number {
         return this.clock.monotonic() - this.arrivedMonotonicAt;
@@ -93,6 +115,7 @@
         this.history.reason = reason;
         this.history.decidedBy = decidedBy;
         this.history.priority = priority;
+        this.waitFor("answer");
         this.recordStep("granted", `${upstream} after ${Math.round(waitedMs)} ms: ${reason}`);
     }
 
@@ -121,6 +144,7 @@
     /** Starts a new attempt with its own signal, unless the request was stopped. */
     beginAttempt(): void {
         if (this.isFinal) return;
+        this.waitFor("grant");
         this.latestCancelReason = undefined;
         this.attemptController = new AbortController();
     }
