A stopping host ends each connection after its last answer, and runs no call that still arrives

What callers saw: a stream on a kept connection was cut 7.3 s after SIGTERM though its request was sent seconds after the host had stopped accepting.

Cause: a stream whose head had been sent before SIGTERM could not tell its caller to close the connection. `Server.close` and `closeIdleConnections` end only what is idle at that moment, so the connection's next request was read after its stream had ended, and routed calls knew no state in which they are refused.

Fix: `ServerConnections` follows each connection and its open responses. After the stop a connection ends once its last response was sent; only the last response that is under way announces it, and a request behind that announcement is never handled. Its end is sent first and the connection is read for a second, since closing with unread data would reset it. Routed calls that arrive after accepting has stopped get 503 "stopping", not run, with a Retry-After of 100 ms: a new connection leads to another host. Connections of chats end in the same way; their port still accepts, since health is asked there. The in-memory servers keep no connection after the stop either.

--- a/src/entry/entryProcess/index.ts
+++ b/src/entry/entryProcess/index.ts
@@ -18,8 +18,8 @@
     formatAddress,
     Http,
     HttpLimits,
+    HttpListener,
     HttpReply,
-    Listener,
     Network,
     OpenAnswers,
     Random,
@@ -146,7 +146,7 @@
     private draining = false;
     /** Set once the load balancer has had time to notice the drain. */
     private refusingRequests = false;
-    private callerListener: Listener | undefined;
+    private callerListener: HttpListener | undefined;
 
     private constructor(private readonly options: EntryOptions) {
         const { clock, random, self, zone, region } = options;
@@ -284,6 +284,7 @@
         this.refusingRequests = true;
         this.access.relays.drain();
         this.local.drain();
+        this.callerListener?.closeConnections();
         void this.routeService?.stopAccepting();
         const limit = new AbortController();
         const timer = clock.after(graceMs, () => limit.abort());
@@ -457,6 +458,7 @@
             replicator: this.replicator,
             streams: this.makeStreamStarts(positions),
             isDraining: () => this.draining,
+            isRefusing: () => this.refusingRequests,
             requiredLevel: () => this.dispatcher.mayOwnQueues() ? "all" : "membership",
         });
     }
--- a/src/entry/routeService/index.ts
+++ b/src/entry/routeService/index.ts
@@ -76,6 +76,8 @@
     /** Remembers where streams began. */
     readonly streams: StreamStartRegistry;
     readonly isDraining: () => boolean;
+    /** Whether calls are refused: the load balancer has had time to notice the planned stop. */
+    readonly isRefusing: () => boolean;
     /** Returns the level of detail needed in announcements of upstreams. */
     readonly requiredLevel: () => UpdateLevel;
 }
--- a/src/entry/routeService/test.ts
+++ b/src/entry/routeService/test.ts
@@ -306,6 +306,29 @@
         });
     });
 
+    describe("an entry that stops", () => {
+        const CALLERS = "10.0.1.1:8080";
+
+        it("refuses a call on an open connection once it has stopped accepting", async () => {
+            // Failure: a stream is cut. Its request comes on a connection that is still open seconds after SIGTERM, is sent to an
+            // upstream, and the process exits in the middle of its answer.
+            await startFleet();
+            const handler = fleet.web.servers.get(CALLERS)!;
+            const drained = fleet.entries[0]!.drain(5_000);
+            await fleet.advance(510);
+            fleet.web.servers.set(CALLERS, handler);
+            const reply = await fleet.call({ entry: 0, path: "/sheets/1", key: KEY, request: "late" });
+            const header = (name: string): string | undefined => findHeader(reply.headers, name);
+            assert.equal(countRuns("late"), 0);
+            assert.deepEqual(
+                [reply.status, header(CALL_HEADERS.notRun), header("connection"), header("retry-after")],
+                [503, "1", "close", "0.100"],
+            );
+            fleet.web.servers.delete(CALLERS);
+            await fleet.run(drained);
+        });
+    });
+
     describe("time", () => {
         it("ends each call as soon as its route's timeout expires", async () => {
             await startFleet({ upstreams: [{ workMs: 60_000 }] });
--- a/src/passthrough/callContext/index.ts
+++ b/src/passthrough/callContext/index.ts
@@ -64,4 +64,6 @@
     readonly time: TrueTime;
     /** Whether a planned stop has begun: each answer then closes its connection. */
     readonly isDraining: () => boolean;
+    /** Whether further calls are refused: the load balancer has had time to notice the planned stop. */
+    readonly isRefusing: () => boolean;
 }
--- a/src/passthrough/callError/index.ts
+++ b/src/passthrough/callError/index.ts
@@ -15,6 +15,7 @@
     | "refused"
     | "quarantined"
     | "not-resumable"
+    | "stopping"
     | "timeout-waiting"
     | "timeout-running"
     | "upstream-lost";
@@ -38,6 +39,7 @@
     "refused": { status: 503, notRun: true },
     "quarantined": { status: 503, notRun: true },
     "not-resumable": { status: 503, notRun: true },
+    "stopping": { status: 503, notRun: true },
     "timeout-waiting": { status: 503, notRun: true },
     "timeout-running": { status: 504, notRun: false },
     "upstream-lost": { status: 502, notRun: false },
--- a/src/passthrough/serveCalls/index.ts
+++ b/src/passthrough/serveCalls/index.ts
@@ -9,6 +9,9 @@
 import { prepareCall, PreparedCall } from "../prepareCall/index.js";
 import { CallEnd, runCall } from "../runCall/index.js";
 
+/** Retry delay of calls that a stopping host refuses, in milliseconds: a new connection leads to another host. */
+const OTHER_HOST_RETRY_MS = 100;
+
 /**
  * Creates the HTTP handler of routed calls.
  *
@@ -19,12 +22,17 @@
     return async (req, res) => {
         const answer = new CallAnswer({ res, dialect: ctx.dialect, isDraining: ctx.isDraining });
         const head = ctx.dialect.readHead(req);
+        if (ctx.isRefusing()) return refuse(ctx, head, answer, makeStoppingError());
         const prepared = await prepareCall(ctx, req, head);
         if (prepared.isLeft()) return refuse(ctx, head, answer, prepared.extract() as CallError);
         await trackCall(ctx, req, answer, prepared.unsafeCoerce());
     };
 }
 
+function makeStoppingError(): CallError {
+    return new CallError("stopping", "this host is stopping", OTHER_HOST_RETRY_MS);
+}
+
 function refuse(
     ctx: CallContext,
     readHead: Either<CallError, CallHead>,
--- a/src/ports/http/index.ts
+++ b/src/ports/http/index.ts
@@ -119,7 +119,11 @@
     setLimits(limits: HttpLimits): void;
     /** Counts the answers that have not been sent whole. */
     countOpenAnswers(): OpenAnswers;
-    /** Stops accepting connections and closes idle ones; resolves once all running responses have ended. */
+    /** Resolves once each request has its whole answer, as far as the operating system has taken it. */
+    whenAnswered(): Promise<void>;
+    /** Closes each connection as soon as its running answers have been sent: idle ones now. New ones are still accepted. */
+    closeConnections(): void;
+    /** Stops accepting connections and closes them as `closeConnections` does; resolves once all are closed. */
     stopAccepting(): Promise<void>;
 }
 
--- a/src/ports/memoryHttpFabric/index.ts
+++ b/src/ports/memoryHttpFabric/index.ts
@@ -54,6 +54,49 @@
     }
 
     readonly exchanges = new Set<Exchange>();
+    /** Handlers of servers that close each connection after its running answers. */
+    private readonly closing = new WeakSet<HttpHandler>();
+    private answerWaiters: (() => void)[] = [];
+
+    /** Whether a server keeps a connection after an answer that was begun by this handler. */
+    keepsConnections(target: string, handler: HttpHandler | undefined): boolean {
+        return handler !== undefined && this.servers.get(target) === handler && !this.closing.has(handler);
+    }
+
+    /** Returns the exchanges that a handler has begun and that are not complete. */
+    listServed(handler: HttpHandler): Exchange[] {
+        return [...this.exchanges].filter(({ servedBy }) => servedBy === handler);
+    }
+
+    /** Resolves once no exchange of a handler is incomplete. */
+    async whenAnswered(handler: HttpHandler): Promise<void> {
+        while (this.listServed(handler).length > 0) {
+            await new Promise<void>(resolve => this.answerWaiters.push(resolve));
+        }
+    }
+
+    /** Removes an exchange that is complete or was given up. */
+    removeExchange(exchange: Exchange): void {
+        this.exchanges.delete(exchange);
+        for (const resolve of this.answerWaiters.splice(0)) resolve();
+    }
+
+    /** Closes the idle connections of a server, as far as its clients have not used them again before they learn of it. */
+    closeConnections(target: string, handler: HttpHandler): void {
+        this.closing.add(handler);
+        for (const key of this.keptConnections.keys()) {
+            if (!key.endsWith(`>${target}`)) continue;
+            const [client] = key.split(">");
+            const [server] = target.split(":");
+            const closing = this.keptConnections.get(key)!;
+            new ExchangeDirection(this.fabric, server, client).run(() => this.dropConnections(key, closing));
+        }
+    }
+
+    private dropConnections(key: string, closing: readonly number[]): void {
+        const remaining = this.keptConnections.get(key)?.filter(idleSince => !closing.includes(idleSince));
+        if (remaining) this.keptConnections.set(key, remaining);
+    }
 
     /** Adds a connection whose exchange is complete to those that later requests may use. */
     keepConnection(client: string, target: string): void {
@@ -102,13 +145,22 @@
         const stopAccepting = async (): Promise<void> => {
             this.httpFabric.servers.delete(hostPort);
             this.httpFabric.fabric.unregister(bound);
+            closeConnections();
         };
-        const isServedHere = (exchange: Exchange): boolean => formatAddress(exchange.target) === hostPort;
+        const closeConnections = (): void => this.httpFabric.closeConnections(hostPort, handler);
         const countOpenAnswers = (): OpenAnswers => ({
-            requests: [...this.httpFabric.exchanges].filter(isServedHere).length,
+            requests: this.httpFabric.listServed(handler).length,
             unsentBytes: 0,
         });
-        return { address: bound, setLimits: () => undefined, countOpenAnswers, stopAccepting, close: stopAccepting };
+        return {
+            address: bound,
+            setLimits: () => undefined,
+            countOpenAnswers,
+            whenAnswered: () => this.httpFabric.whenAnswered(handler),
+            closeConnections,
+            stopAccepting,
+            close: stopAccepting,
+        };
     }
 
     async send(call: HttpCall): Promise<Either<HttpError, HttpReply>> {
@@ -188,6 +240,7 @@
     private isFinished = false;
     private endsConnection = false;
     private failureReason: HttpError["reason"] = "closed";
+    private handler: HttpHandler | undefined;
 
     constructor(private readonly httpFabric: MemoryHttpFabric, client: string, private readonly call: HttpCall) {
         const { fabric } = httpFabric;
@@ -198,9 +251,9 @@
         httpFabric.exchanges.add(this);
     }
 
-    /** Address of the server. */
-    get target(): Address {
-        return this.call.address;
+    /** The handler that has begun to serve the request; undefined while none has. */
+    get servedBy(): HttpHandler | undefined {
+        return this.handler;
     }
 
     /** @param isConnected - Whether a new connection has just been opened for the request: it arrives at once. */
@@ -253,13 +306,16 @@
         // A request that was held back is lost if its sender has reset the connection meanwhile.
         if (this.isFinished) return;
         if (!handler) return this.failClient();
+        this.handler = handler;
         const res = new MemoryResponse(this);
         handler(new MemoryRequest(call, this.client, this.requestClosed.signal), res).catch(() => res.fail());
     }
 
     private keepConnection(): void {
-        const { call, client, httpFabric } = this;
-        if (!call.newConnection && !this.endsConnection) httpFabric.keepConnection(client, formatAddress(call.address));
+        const { call, client, handler, httpFabric } = this;
+        const target = formatAddress(call.address);
+        if (call.newConnection || this.endsConnection || !httpFabric.keepsConnections(target, handler)) return;
+        httpFabric.keepConnection(client, target);
     }
 
     private abandon(reason: HttpError["reason"]): void {
@@ -271,7 +327,7 @@
     private finish(): void {
         if (this.isFinished) return;
         this.isFinished = true;
-        this.httpFabric.exchanges.delete(this);
+        this.httpFabric.removeExchange(this);
         this.toClient.drop();
         this.toServer.drop();
         this.toServer.run(() => this.requestClosed.abort());
--- a/src/ports/nodeHttpServer/index.ts
+++ b/src/ports/nodeHttpServer/index.ts
@@ -9,9 +9,9 @@
     HttpListener,
     HttpRequest,
     HttpResponse,
-    OpenAnswers,
 } from "../http/index.js";
 import { Address, NetworkError } from "../network/index.js";
+import { ServerConnections } from "../serverConnections/index.js";
 import { answerClientErrors, limitBodyDiscard } from "../serverGuards/index.js";
 
 /** Maximum idle time of a caller's connection where the limits have none: Node's default. */
@@ -37,23 +37,25 @@
         ),
         keepAliveTimeout: limits.idleTimeoutMs ?? DEFAULT_KEEP_ALIVE_MS,
         noDelay: true,
-    }, (req, res) => void runHandler(new NodeRequest(req, res), new NodeResponse(res), handler));
+    });
+    const connections = new ServerConnections(server);
     answerClientErrors(server);
     limitBodyDiscard(server);
-    const openResponses = trackOpenResponses(server);
+    server.on("request", (req, res) => {
+        if (!connections.isServed(req, res)) return;
+        void runHandler(new NodeRequest(req, res), new NodeResponse(res, connections), handler);
+    });
     return new Promise((resolve, reject) => {
         server.once("error", err => reject(new NetworkError("refused", err.message)));
         server.listen(address.port, address.host, () => {
             const bound = server.address() as { port: number; };
-            const stopAccepting = (): Promise<void> =>
-                new Promise<void>(done => {
-                    server.close(() => done());
-                    server.closeIdleConnections();
-                });
+            const stopAccepting = (): Promise<void> => new Promise<void>(done => void server.close(() => done()));
             resolve({
                 address: { host: address.host, port: bound.port },
                 setLimits: changed => applyLimits(server, changed),
-                countOpenAnswers: () => countOpenAnswers(openResponses),
+                countOpenAnswers: () => connections.countOpen(),
+                whenAnswered: () => connections.whenAnswered(),
+                closeConnections: () => connections.closeWhenAnswered(),
                 stopAccepting,
                 close: stopAccepting,
             });
@@ -61,22 +63,6 @@
     });
 }
 
-/** Returns the responses of a server that have not been sent whole, kept up to date. */
-function trackOpenResponses(server: Server): ReadonlySet<ServerResponse> {
-    const open = new Set<ServerResponse>();
-    server.on("request", (_, res: ServerResponse) => {
-        open.add(res);
-        res.once("finish", () => open.delete(res));
-        res.once("close", () => open.delete(res));
-    });
-    return open;
-}
-
-function countOpenAnswers(open: ReadonlySet<ServerResponse>): OpenAnswers {
-    const unsentBytes = [...open].reduce((sum, { writableLength }) => sum + writableLength, 0);
-    return { requests: open.size, unsentBytes };
-}
-
 function applyLimits(server: Server, limits: HttpLimits): void {
     server.headersTimeout = limits.headerTimeoutMs;
     server.requestTimeout = limits.requestTimeoutMs;
@@ -138,12 +124,16 @@
 }
 
 class NodeResponse extends HttpResponse {
-    constructor(private readonly res: ServerResponse) {
+    constructor(private readonly res: ServerResponse, private readonly connections: ServerConnections) {
         super();
     }
 
     head(status: number, headers: HeaderList): void {
-        this.res.writeHead(status, headers.flat() as unknown as string[]);
+        const isEndWanted = headers.some(([name, value]) => name === "connection" && value === "close");
+        // Node writes the header itself.
+        if (this.connections.decideEnd(this.res, isEndWanted)) this.res.shouldKeepAlive = false;
+        const kept = headers.filter(([name]) => name !== "connection");
+        this.res.writeHead(status, kept.flat() as unknown as string[]);
         this.res.flushHeaders();
     }
 
--- /dev/null
+++ b/src/ports/serverConnections/index.ts
@@ -0,0 +1,120 @@
+import { IncomingMessage, Server, ServerResponse } from "node:http";
+import { Socket } from "node:net";
+import { OpenAnswers } from "../http/index.js";
+
+/** Time for which a connection is still read after its end was sent, in milliseconds. */
+const LINGER_MS = 1_000;
+
+/** State of one connection. */
+interface ConnectionState {
+    /** Responses that have not been sent whole, in the order of their requests. */
+    readonly open: Set<ServerResponse>;
+    /** Whether the caller has been told that the connection ends, or its end was sent. */
+    isEnding: boolean;
+    /** Bytes received until the latest response had been sent. */
+    bytesAnswered: number;
+}
+
+/**
+ * The connections of an HTTP server and their open responses.
+ *
+ * Node destroys a connection as idle when its response has been ended, even if the operating system has not taken all of it, and
+ * keeps one whose response ends after `closeIdleConnections`. Here a connection ends after its last response was sent.
+ *
+ * @example
+ * const connections = new ServerConnections(server);
+ * connections.closeWhenAnswered();
+ * await connections.whenAnswered();
+ */
+export class ServerConnections {
+    private readonly states = new Map<Socket, ConnectionState>();
+    private readonly open = new Set<ServerResponse>();
+    private isClosing = false;
+    private waiters: (() => void)[] = [];
+
+    constructor(server: Server) {
+        // `Server.close` calls it.
+        server.closeIdleConnections = () => this.closeWhenAnswered();
+        server.on("connection", (socket: Socket) => this.add(socket));
+        server.prependListener("request", (req: IncomingMessage, res: ServerResponse) => this.addResponse(req, res));
+    }
+
+    /**
+     * Whether a request may be handled. One that comes after its caller was told that the connection ends is not handled: its answer
+     * could not be sent.
+     */
+    isServed({ socket }: IncomingMessage, res: ServerResponse): boolean {
+        return this.states.get(socket)?.open.has(res) ?? false;
+    }
+
+    /**
+     * Decides whether a response ends its connection, when its head is sent. A response does not if later requests on its connection
+     * are being handled.
+     *
+     * @param isWanted - Whether the handler wants the connection to end.
+     */
+    decideEnd(res: ServerResponse, isWanted: boolean): boolean {
+        const state = this.states.get(res.req.socket);
+        if (!state || [...state.open].at(-1) !== res) return false;
+        state.isEnding ||= isWanted || this.isClosing || !res.shouldKeepAlive;
+        return state.isEnding;
+    }
+
+    /** Closes each connection as soon as its responses have been sent: idle ones now. */
+    closeWhenAnswered(): void {
+        this.isClosing = true;
+        for (const [socket, { open, bytesAnswered }] of this.states) {
+            // Part of a request's head may have arrived: its request is answered first.
+            if (open.size === 0 && socket.bytesRead === bytesAnswered) this.end(socket);
+        }
+    }
+
+    /** Counts the responses that have not been sent whole. */
+    countOpen(): OpenAnswers {
+        const unsentBytes = [...this.open].reduce((sum, { writableLength }) => sum + writableLength, 0);
+        return { requests: this.open.size, unsentBytes };
+    }
+
+    /** Resolves once there is no request without a response that the operating system has taken whole. */
+    whenAnswered(): Promise<void> {
+        if (this.open.size === 0) return Promise.resolve();
+        return new Promise(resolve => this.waiters.push(resolve));
+    }
+
+    private add(socket: Socket): void {
+        this.states.set(socket, { open: new Set(), isEnding: false, bytesAnswered: 0 });
+        socket.once("close", () => this.states.delete(socket));
+    }
+
+    private addResponse({ socket }: IncomingMessage, res: ServerResponse): void {
+        const state = this.states.get(socket);
+        if (!state) return;
+        if (state.isEnding) {
+            if (state.open.size === 0) socket.destroy();
+            return;
+        }
+        state.open.add(res);
+        this.open.add(res);
+        res.once("finish", () => this.removeResponse(socket, state, res));
+        res.once("close", () => this.removeResponse(socket, state, res));
+    }
+
+    private removeResponse(socket: Socket, state: ConnectionState, res: ServerResponse): void {
+        if (!state.open.delete(res)) return;
+        this.open.delete(res);
+        state.bytesAnswered = socket.bytesRead;
+        if (this.isClosing && state.open.size === 0) this.end(socket);
+        if (this.open.size > 0) return;
+        for (const resolve of this.waiters.splice(0)) resolve();
+    }
+
+    /** Sends the end of a connection, and reads on for a while: closing with unread data would reset it and lose what was sent. */
+    private end(socket: Socket): void {
+        const state = this.states.get(socket);
+        if (!state) return;
+        state.isEnding = true;
+        socket.end();
+        const timer = setTimeout(() => socket.destroy(), LINGER_MS);
+        socket.once("close", () => clearTimeout(timer));
+    }
+}
