A body that a reset has cut off is not whole whatever its transfer coding

What callers saw: an answer with a transfer coding other than chunked, as `gzip`, and without a length passed as whole though its connection was reset in the middle. Such a body ends with its connection, as one without any coding does, but the client took each transfer coding for one that marks its own end, and did not ask whether the connection had been reset.

Evidence: "are cut off when their connection is reset, also with a transfer coding that does not mark their end" (src/ports/nodeHttp); before: actual 'whole: part', expected 'cut: closed'.

Only a list of codings that ends with `chunked` marks the end of the body now.

--- a/src/ports/nodeHttp/test.ts
+++ b/src/ports/nodeHttp/test.ts
@@ -89,10 +89,10 @@
 
 describe("NodeHttp's responses without a length", () => {
     /** Reads the response of a server that writes a part of a body and then ends its connection by `end`. */
-    async function readFrom(end: (socket: Socket) => void, pauseMs = 20): Promise<string> {
+    async function readFrom(end: (socket: Socket) => void, pauseMs = 20, headers = ""): Promise<string> {
         const server = createServer(socket => {
             socket.once("data", () => {
-                socket.write("HTTP/1.1 200 OK\r\n\r\npart");
+                socket.write(`HTTP/1.1 200 OK\r\n${headers}\r\npart`);
                 if (pauseMs > 0) setTimeout(() => end(socket), pauseMs);
                 else end(socket);
             });
@@ -136,4 +136,10 @@
         // is reset when the upstream crashes in the middle.
         assert.equal(await readFrom(socket => socket.resetAndDestroy()), "cut: closed");
     });
+
+    it("are cut off when their connection is reset, also with a transfer coding that does not mark their end", async () => {
+        // Failure: a truncated response counts as complete, since any transfer coding was taken for one in chunks.
+        const coding = "Transfer-Encoding: gzip\r\n";
+        assert.equal(await readFrom(socket => socket.resetAndDestroy(), 0, coding), "cut: closed");
+    });
 });
--- a/src/ports/nodeHttpClient/index.ts
+++ b/src/ports/nodeHttpClient/index.ts
@@ -13,6 +13,9 @@
  */
 const MAX_RECENT_IDLE_MS = 300;
 const MAX_FREE_SOCKETS_PER_ADDRESS = 256;
+/** Matches a list of transfer codings that marks the end of the body: others end with the connection. */
+const CHUNKED_LAST = /(^|,)\s*chunked\s*$/i;
+
 /**
  * HTTP client on `node:http` with a pool of kept connections.
  *
@@ -123,7 +126,7 @@
 
 /** Whether a response's headers delimit its body, so that it does not end with its connection. */
 function isSelfDelimited({ headers }: IncomingMessage): boolean {
-    return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+    return headers["content-length"] !== undefined || CHUNKED_LAST.test(headers["transfer-encoding"] ?? "");
 }
 
 /**
