An answer of status 101 that nobody asked for ends its request at once

What callers saw: no answer at all where an upstream answers `101 Switching Protocols` to a plain request, and the upstream's slot taken for good. With an `Upgrade` header, Node emits `upgrade`; without a listener it destroys the connection and closes the request with neither a response nor an error, and the client waits for one of the two. The deadline does not help: it destroys a request that is destroyed already. Without that header Node takes 101 for a final status, and the caller could get it as its answer.

Both end the request as a malformed answer now, with the connection closed. Whatever else lets Node close a request without a response ends it, too.

--- a/src/ports/nodeHttpClient/index.ts
+++ b/src/ports/nodeHttpClient/index.ts
@@ -13,6 +13,7 @@
  */
 const MAX_RECENT_IDLE_MS = 300;
 const MAX_FREE_SOCKETS_PER_ADDRESS = 256;
+const MIN_FINAL_STATUS = 200;
 /** Matches a list of transfer codings that marks the end of the body: others end with the connection. */
 const CHUNKED_LAST = /(^|,)\s*chunked\s*$/i;
 
@@ -32,6 +33,7 @@
         if (call.signal?.aborted) return Promise.resolve(Left(new HttpError("aborted", false, "before sending")));
         return new Promise(resolve => {
             let isConnected = false;
+            let hasReply = false;
             let hasFailed = false;
             let reason: HttpError["reason"] = "closed";
             const req = request({
@@ -62,16 +64,27 @@
                     call.onConnection?.("open");
                 });
             });
-            req.on("error", err => {
+            const fail = (detail: string): void => {
                 hasFailed = true;
                 clearTimeout(timer);
                 call.signal?.removeEventListener("abort", abort);
                 const failureReason = isConnected || reason !== "closed" ? reason : "refused";
-                resolve(
-                    Left(new HttpError(failureReason, isConnected, `${formatAddress(call.address)} ${err.message}`)),
-                );
+                resolve(Left(new HttpError(failureReason, isConnected, `${formatAddress(call.address)} ${detail}`)));
+            };
+            req.on("error", err => fail(err.message));
+            req.on("upgrade", (_, socket) => {
+                socket.destroy();
+                reason = "malformed";
+                fail("a change of protocol that was not requested");
+            });
+            // Node may close a request that has neither a response nor an error.
+            req.on("close", () => {
+                if (!hasReply && !hasFailed) fail("no response");
             });
             req.on("response", message => {
+                // Of the interim statuses, Node takes 101 without an `Upgrade` header for a final one.
+                if (message.statusCode! < MIN_FINAL_STATUS) return cancel("malformed");
+                hasReply = true;
                 clearTimeout(timer);
                 const endProbe = isSelfDelimited(message) ? undefined : new ConnectionEndProbe(message.socket);
                 message.once("close", () => call.signal?.removeEventListener("abort", abort));
