A silent upstream is left only once another one is granted

What callers saw: streams whose upstream was sound and only silent were cut long before their timeout, and repeatable calls got 502: the second silence of a stream with two attempts, many calls that stall at once, or a ticket for another upstream that is refused in the end.

Cause: the timers of a stalled stream and of a late first byte cancelled the attempt, and only then the call was asked whether it has attempts and repeats left and whether another upstream takes it.

Now a call first reserves a repeat, within its attempts and tries, and submits a ticket of its own while the attempt goes on. The attempt is cancelled when a usable grant for another upstream is there; the call goes on with that grant. Data that arrives before withdraws the ticket and returns grant and repeat. Both timers are one mechanism, StallMove, which also watches the beginning of a continued stream. It doesn't run while the caller is not ready for more: a slow caller is no silence.

A ticket has an id of its own, since a call may hold two grants for a moment. The end of an attempt is reported as it was when it ended.

--- a/src/passthrough/attempt/index.ts
+++ b/src/passthrough/attempt/index.ts
@@ -7,6 +7,18 @@
 import { PreparedCall } from "../prepareCall/index.js";
 import { StreamState } from "../streamState/index.js";
 
+/** Watches an attempt for silence of its upstream. */
+export abstract class SilenceWatch {
+    /** Expects the first data of the answer. */
+    abstract expectBeginning(): void;
+
+    /** Expects more of an answer that has begun. */
+    abstract expectMore(): void;
+
+    /** Expects nothing, since this host or the caller is not ready for more. */
+    abstract pause(): void;
+}
+
 /** One attempt to run a call at one upstream. */
 export interface Attempt {
     readonly call: PreparedCall;
@@ -17,10 +29,8 @@
     readonly stream: StreamState;
     /** Version of the software that must run the call, since it began the stream; undefined: any. */
     readonly required: SoftwareVersion | undefined;
-    /**
-     * Timeout for the upstream's first byte, in milliseconds; undefined when the call must not go to another upstream.
-     */
-    readonly firstByteTimeoutMs: number | undefined;
+    /** Seeks another upstream while this one is silent. */
+    readonly silence: SilenceWatch;
     /** Id of the call's ticket at the queue's owner. */
     readonly ticketId: RequestId;
     /** Tokens that one event of the stream stands for. */
--- a/src/passthrough/relayStream/index.ts
+++ b/src/passthrough/relayStream/index.ts
@@ -6,11 +6,6 @@
 import { EventScanner, ScannedEvents } from "../eventScanner/index.js";
 import { StreamBeginning } from "../streamBeginning/index.js";
 
-/** A resumable stream without events for this many times its longest allowed pause is resumed at another upstream. */
-const STALL_GAP_FACTOR = 3;
-/** Minimum pause that counts as a stall, in milliseconds: upstreams that work may be silent for a second or so. */
-export const MIN_STALL_MS = 1_600;
-
 /**
  * Forwards a stream of events as they arrive, complete events only.
  *
@@ -24,27 +19,27 @@
     reply: HttpReply,
     head: ReplyHead,
 ): Promise<AttemptResult> {
-    const { answer, stream } = attempt;
+    const { answer, stream, silence } = attempt;
     const scanner = new EventScanner();
-    const stall = new StallTimer(ctx, attempt);
     const beginning = new StreamBeginning(ctx, attempt);
     try {
         for await (const chunk of reply.body) {
             const events = scanner.push(chunk);
             if (events.count === 0) continue;
-            stall.restart();
+            silence.pause();
             recordEvents(ctx, attempt, events);
             await beginning.awaitRecorded();
             ctx.dispatcher.progress(attempt.ticketId, events.count * attempt.tokensPerEvent);
             if (!stream.isHeadSent) sendStreamHead(attempt, reply, head);
             await answer.write(events.bytes);
+            silence.expectMore();
         }
     }
     catch (err) {
         return endWithHttpError(attemptEndOf(attempt), err as HttpError);
     }
     finally {
-        stall.stop();
+        silence.pause();
         beginning.record();
     }
     if (scanner.hasPartialEvent && !hasHttpFraming(reply)) {
@@ -90,35 +85,3 @@
     return findHeader(headers, "transfer-encoding") !== undefined
         || findHeader(headers, "content-length") !== undefined;
 }
-
-/** Cancels an attempt whose stream has stalled, when another upstream can resume it. */
-class StallTimer {
-    private timer: { cancel(): void; } | undefined;
-    private readonly timeoutMs: number;
-
-    constructor(private readonly ctx: CallContext, private readonly attempt: Attempt) {
-        const { gapMs = 0, attempts } = attempt.call.route;
-        const canResumeElsewhere = attempt.call.route.resumable && attempts > 1;
-        this.timeoutMs = canResumeElsewhere
-            ? Math.max(MIN_STALL_MS, STALL_GAP_FACTOR * gapMs)
-            : Number.POSITIVE_INFINITY;
-    }
-
-    restart(): void {
-        this.stop();
-        if (this.timeoutMs === Number.POSITIVE_INFINITY) return;
-        this.timer = this.ctx.clock.after(this.timeoutMs, () => this.cancelOrWait());
-    }
-
-    /** Waits on where no other upstream could continue the stream: an upstream may recover from its pause. */
-    private cancelOrWait(): void {
-        const { call: { pool }, grant: { upstream }, run, stream: { startedBy } } = this.attempt;
-        const isMovable = startedBy !== undefined && this.ctx.software.hasOther(pool, upstream, startedBy);
-        if (isMovable) run.cancel("stalled");
-        else this.restart();
-    }
-
-    stop(): void {
-        this.timer?.cancel();
-    }
-}
--- a/src/passthrough/repeatBudget/index.ts
+++ b/src/passthrough/repeatBudget/index.ts
@@ -25,6 +25,16 @@
 interface PoolCounts {
     requests: number[];
     repeats: number[];
+    /** Number of repeats that are reserved and not yet made. */
+    reserved: number;
+}
+
+/** A repeat that may be made at any time until it is given back. */
+export interface RepeatReservation {
+    /** Counts the repeat as made now. */
+    use(): void;
+    /** Returns the repeat to the budget. */
+    giveBack(): void;
 }
 
 /**
@@ -58,9 +68,30 @@
      * @param entries - Number of entries that share the slack.
      */
     tryTake(pool: PoolId, entries: number): boolean {
-        if (this.countLeft(pool, entries) === 0) return false;
-        this.countsOf(pool).repeats.push(this.clock.monotonic());
-        return true;
+        const reservation = this.tryReserve(pool, entries);
+        reservation?.use();
+        return reservation !== undefined;
+    }
+
+    /**
+     * Takes one repeat that may be given back; either method of the reservation must be called once.
+     *
+     * @param entries - Number of entries that share the slack.
+     * @returns undefined when the repeat must not be made.
+     */
+    tryReserve(pool: PoolId, entries: number): RepeatReservation | undefined {
+        if (this.countLeft(pool, entries) === 0) return undefined;
+        const counts = this.countsOf(pool);
+        counts.reserved++;
+        return {
+            use: () => {
+                counts.reserved--;
+                counts.repeats.push(this.clock.monotonic());
+            },
+            giveBack: () => {
+                counts.reserved--;
+            },
+        };
     }
 
     /**
@@ -74,12 +105,12 @@
         const isNew = this.clock.monotonic() - this.startedAt < windowMs;
         const share = isNew ? 0 : slack / Math.max(1, entries);
         const maxRepeats = WINDOW_EDGE_RATIO * (ratio * counts.requests.length + share);
-        return Math.max(0, Math.floor(maxRepeats - counts.repeats.length));
+        return Math.max(0, Math.floor(maxRepeats - counts.repeats.length - counts.reserved));
     }
 
     private countsOf(pool: PoolId): PoolCounts {
         const oldest = this.clock.monotonic() - this.limits.windowMs;
-        const counts = this.pools.get(pool) ?? { requests: [], repeats: [] };
+        const counts = this.pools.get(pool) ?? { requests: [], repeats: [], reserved: 0 };
         counts.requests = dropBefore(counts.requests, oldest);
         counts.repeats = dropBefore(counts.repeats, oldest);
         this.pools.set(pool, counts);
--- a/src/passthrough/repeatBudget/test.ts
+++ b/src/passthrough/repeatBudget/test.ts
@@ -40,4 +40,22 @@
         await clock.advance(1_001);
         assert.equal(takeAll(budget, 7), first);
     });
+
+    it("counts a reserved repeat until it is given back, and a used one from its use", async () => {
+        // Repeats that are not made would be missing elsewhere, or one made late would leave the window too early.
+        const clock = new VirtualClock();
+        const budget = new RepeatBudget(clock, LIMITS);
+        await clock.advance(10_000);
+        const reserved = Array.from({ length: 6 }, () => budget.tryReserve(POOL, 7));
+        assert.equal(budget.tryReserve(POOL, 7), undefined);
+        assert.equal(budget.tryTake(POOL, 7), false);
+        reserved[0]!.giveBack();
+        assert.equal(budget.countLeft(POOL, 7), 1);
+        await clock.advance(9_000);
+        reserved[1]!.use();
+        await clock.advance(9_000);
+        assert.equal(budget.countLeft(POOL, 7), 1);
+        await clock.advance(1_001);
+        assert.equal(budget.countLeft(POOL, 7), 2);
+    });
 });
--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -1,42 +1,35 @@
-import {
-    Completion,
-    findFailureOutcome,
-    Grant,
-    recordDecline,
-    Refusal,
-    SendBlock,
-    Ticket,
-    toTarget,
-} from "../../dispatch/index.js";
-import { ClassName, HostId, RequestId, SoftwareVersion, UpstreamId, WorkspaceId } from "../../ids/index.js";
+import { findFailureOutcome, Grant, recordDecline, Refusal, SendBlock, toTarget } from "../../dispatch/index.js";
+import { HostId, RequestId, SoftwareVersion } from "../../ids/index.js";
 import { RunningRequest } from "../../request/index.js";
 import { PromptPart } from "../../upstream/index.js";
-import { Attempt, AttemptResult, BufferedAnswer } from "../attempt/index.js";
+import { Attempt, AttemptResult, SilenceWatch } from "../attempt/index.js";
 import { CallAnswer } from "../callAnswer/index.js";
 import { CallContext } from "../callContext/index.js";
 import { CallError } from "../callError/index.js";
+import {
+    CallProgress,
+    CallTask,
+    completeGrant,
+    createProgress,
+    GrantEnd,
+    HeldGrant,
+    makeTicket,
+    requiredSoftware,
+    returnGrant,
+    tokensPerEventOf,
+} from "../callTask/index.js";
 import { AttemptEnd, chooseNextStep } from "../nextStep/index.js";
 import { checkQuarantine, PreparedCall, recheckKey } from "../prepareCall/index.js";
 import { sendBuffered } from "../relayAnswer/index.js";
-import { MIN_STALL_MS } from "../relayStream/index.js";
 import { sendCall } from "../sendCall/index.js";
-import { createStreamState, StreamState } from "../streamState/index.js";
+import { MoveGrant, StallMove } from "../stallMove/index.js";
+import { StreamState } from "../streamState/index.js";
 import { toUpstreamPriority } from "../upstreamPriority/index.js";
 
 /** Retry delay after the loss of an upstream, in milliseconds: the others of the pool continue to serve. */
 const RETRY_AFTER_LOSS_MS = 100;
-/**
- * Maximum share of a call's time limit that it may wait for an upstream: after that too little time remains to run it.
- */
-const MAX_WAIT_RATIO = 0.6;
-/** Without a first byte for this many targets, the attempt is cancelled when the call can go to another upstream. */
-const FIRST_BYTE_TARGET_FACTOR = 2;
-const MIN_FIRST_BYTE_TIMEOUT_MS = 400;
 /** Without data for this long when its caller disconnects, an upstream counts as unresponsive, in milliseconds. */
 const UNRESPONSIVE_AFTER_MS = 1_500;
-/** Maximum answer length assumed when the caller states none, in tokens. */
-const DEFAULT_MAX_TOKENS = 1;
-const DEFAULT_TOKEN_MS = 50;
 /** Maximum number of parts of a prompt in a log line. */
 const MAX_LOGGED_PARTS = 16;
 
@@ -54,31 +47,10 @@
     readonly retryAfterMs?: number;
 }
 
-/** The progress of a call over all its attempts. */
-interface CallProgress {
-    readonly avoid: UpstreamId[];
-    readonly stream: StreamState;
-    tries: number;
-    /** Number of upstreams that have, or may have, begun to work on it. */
-    begun: number;
-    /** The last failure answer of an upstream. */
-    upstreamFailure: BufferedAnswer | undefined;
-    /** Version of the software of the upstream tried last. */
-    software: SoftwareVersion | undefined;
-    /** The host that sent the call on behalf of this one, in the last attempt that had one. */
-    relay: HostId | undefined;
-    lastDetail: string;
-}
-
-/** A call that has not received its final answer. */
-interface CallTask {
-    readonly ctx: CallContext;
-    readonly call: PreparedCall;
-    readonly run: RunningRequest;
-    readonly answer: CallAnswer;
-    /** Id of the call's ticket at the queue's owner; unlike the caller's id, it is never used twice. */
-    readonly ticketId: RequestId;
-    readonly progress: CallProgress;
+/** How an attempt left its call: `end` when it has its final answer, otherwise the grant that it goes on with, if it holds one. */
+interface AttemptOutcome {
+    readonly end?: CallEnd;
+    readonly next?: MoveGrant;
 }
 
 /**
@@ -91,66 +63,82 @@
     run: RunningRequest,
     answer: CallAnswer,
 ): Promise<CallEnd> {
-    const ticketId = ctx.random.id() as RequestId;
-    const task: CallTask = { ctx, call, run, answer, ticketId, progress: createProgress() };
+    const task: CallTask = { ctx, call, run, answer, progress: createProgress() };
     ctx.repeats.recordRequest(call.pool);
+    let next: MoveGrant | undefined;
     for (;;) {
-        const end = await attemptOnce(task);
-        if (end) return end;
+        const outcome = await attemptOnce(task, next);
+        if (outcome.end) return outcome.end;
+        next = outcome.next;
         run.beginAttempt();
     }
 }
 
-function createProgress(): CallProgress {
-    const stream = createStreamState();
-    return {
-        avoid: [],
-        stream,
-        tries: 0,
-        begun: 0,
-        upstreamFailure: undefined,
-        software: undefined,
-        relay: undefined,
-        lastDetail: "",
-    };
+/**
+ * Runs one attempt at one upstream.
+ *
+ * @param moved - The grant for it, if the call has moved off another upstream; otherwise one is requested.
+ */
+async function attemptOnce(task: CallTask, moved: MoveGrant | undefined): Promise<AttemptOutcome> {
+    if (!moved) return requestGrant(task);
+    moved.repeat.use();
+    return sendGranted(task, moved);
 }
 
-/** Runs one attempt at one upstream. Returns undefined when the call continues at another one. */
-async function attemptOnce(task: CallTask): Promise<CallEnd | undefined> {
-    const { ctx, call, run, progress } = task;
-    const decision = await ctx.dispatcher.submit(makeTicket(task), run.signal);
-    if (decision.isLeft()) return endWithRefusal(task, decision.extract() as Refusal);
-    const grant = setPriority(task, decision.extract() as Grant);
-    const block = ctx.sendGuard.findBlock(grant, requiredSoftware(task));
-    if (block) return declineGrant(task, grant, block);
+async function requestGrant(task: CallTask): Promise<AttemptOutcome> {
+    const { ctx, call, run } = task;
+    const ticketId = ctx.random.id() as RequestId;
+    const decision = await ctx.dispatcher.submit(makeTicket(task, ticketId), run.signal);
+    if (decision.isLeft()) return { end: await endWithRefusal(task, decision.extract() as Refusal) };
+    const held = { ticketId, grant: decision.extract() as Grant };
+    const block = ctx.sendGuard.findBlock(held.grant, requiredSoftware(task));
+    if (block) return { end: await declineGrant(task, held, block) };
     const error = recheckKey(ctx, call) ?? checkQuarantine(ctx, call);
-    if (run.isCancelled || error) {
-        completeGrant(task, grant, "unused");
-        return run.isCancelled ? endCancelled(task) : failNotRun(task, error!);
-    }
+    if (!run.isCancelled && !error) return sendGranted(task, held);
+    returnGrant(task, held);
+    return { end: run.isCancelled ? endCancelled(task) : await failNotRun(task, error!) };
+}
+
+async function sendGranted(task: CallTask, { ticketId, grant: unranked }: HeldGrant): Promise<AttemptOutcome> {
+    const { ctx, run, progress } = task;
+    const grant = setPriority(task, unranked);
     progress.tries++;
     progress.software = ctx.software.find(grant);
     run.recordGrant(grant);
     const sentAt = ctx.clock.monotonic();
     const { eventCount } = progress.stream;
-    const attempt = makeAttempt(task, grant);
+    const move = new StallMove(task, grant);
+    const attempt = makeAttempt(task, { ticketId, grant }, move);
     const result = await sendCall(ctx, attempt);
+    const next = move.end();
     progress.relay = attempt.relay ?? progress.relay;
     const completed = completeAttempt(task, attempt, result, sentAt);
     recordForCrashGuards(task, grant, result, progress.stream.eventCount > eventCount);
     if (result.kind === "answered") {
+        returnMove(task, next);
         run.waitFor("durability");
         await waitDurable(task);
         result.deliver();
-        return makeCallEnd("answered", result.status, progress);
+        return { end: makeCallEnd("answered", result.status, progress) };
     }
     recordAttempt(task, attempt, result);
-    if (run.isCancelled) return endCancelled(task);
-    if (decideNext(task, result.end) === "give-up") return endWithFailure(task, result.end);
-    // The grant's slot must be free before the call's ticket is submitted again.
-    await completed;
+    if (run.isCancelled) {
+        returnMove(task, next);
+        return { end: endCancelled(task) };
+    }
     progress.avoid.push(grant.upstream);
-    return undefined;
+    if (next) return { next };
+    if (decideNext(task, result.end) === "give-up") return { end: await endWithFailure(task, result.end) };
+    // The owner of the queue must know how the attempt ended before it chooses another upstream.
+    await completed;
+    return {};
+}
+
+/** Returns the grant for another upstream, where the call needs none any more. */
+function returnMove(task: CallTask, next: MoveGrant | undefined): void {
+    if (!next) return;
+    next.repeat.giveBack();
+    returnGrant(task, next);
 }
 
 /** Sets the priority that the upstream is told, by the rank of the call in the document in force. */
@@ -165,15 +153,14 @@
     const { grant, relay } = attempt;
     const idleMs = ctx.clock.monotonic() - Math.max(sentAt, progress.stream.lastEventAt);
     const outcome = outcomeOf(result, run, idleMs);
-    if (result.kind === "answered" || outcome !== "failed" || result.misdirected) {
-        return completeGrant(task, grant, outcome, sentAt);
-    }
+    const ended = { stream: { ...progress.stream }, tries: progress.tries };
+    const complete = (end: GrantEnd): void => completeGrant(task, attempt, end, ended, sentAt);
+    if (result.kind === "answered" || outcome !== "failed" || result.misdirected) return complete({ outcome });
     const { end, connectionEnded = false, isPathFailure = false } = result;
     const mayHaveBeenSent = end !== "not-sent";
     const failure = { isPathFailure, mayHaveBeenSent, isRelayed: relay !== undefined, connectionEnded, sentAt };
     const target = toTarget(call.pool, grant);
-    const { outcome: failedOutcome, mayHaveEnded } = await findFailureOutcome(ctx.upstreamHttp, target, failure);
-    completeGrant(task, grant, failedOutcome, sentAt, mayHaveEnded);
+    complete(await findFailureOutcome(ctx.upstreamHttp, target, failure));
 }
 
 /**
@@ -181,10 +168,11 @@
  * processes and grant what all others know to be closed. The call is submitted again; if the owner offers the same
  * upstream again, the call is refused.
  */
-async function declineGrant(task: CallTask, grant: Grant, block: SendBlock): Promise<CallEnd | undefined> {
+async function declineGrant(task: CallTask, held: HeldGrant, block: SendBlock): Promise<CallEnd | undefined> {
     const { ctx, call, run, progress } = task;
+    const { grant } = held;
     const isRepeated = progress.avoid.includes(grant.upstream);
-    completeGrant(task, grant, "unused");
+    returnGrant(task, held);
     const { request } = call.head;
     const { pool } = call;
     recordDecline(ctx, { request, pool, grant, block, outcome: isRepeated ? "refused" : "submitted-again" });
@@ -198,17 +186,10 @@
     return undefined;
 }
 
-function makeAttempt({ ctx, call, run, answer, progress, ticketId }: CallTask, grant: Grant): Attempt {
-    const { stream } = progress;
-    const canUseAnotherUpstream = call.route.kind === "idempotent" || call.route.resumable;
-    const hasAttemptsLeft = progress.begun + 1 < call.route.attempts;
-    const minTimeoutMs = call.route.kind === "stream" ? MIN_STALL_MS : MIN_FIRST_BYTE_TIMEOUT_MS;
-    const firstByteTimeoutMs = canUseAnotherUpstream && hasAttemptsLeft
-        ? Math.max(minTimeoutMs, FIRST_BYTE_TARGET_FACTOR * call.route.targetMs)
-        : undefined;
+function makeAttempt(task: CallTask, { ticketId, grant }: HeldGrant, silence: SilenceWatch): Attempt {
+    const { ctx, call, run, answer, progress: { stream } } = task;
     const tokensPerEvent = tokensPerEventOf(ctx, call);
-    const required = requiredSoftware({ call, progress });
-    return { call, grant, run, answer, stream, required, firstByteTimeoutMs, ticketId, tokensPerEvent };
+    return { call, grant, run, answer, stream, required: requiredSoftware(task), silence, ticketId, tokensPerEvent };
 }
 
 function decideNext({ ctx, call, progress }: CallTask, end: AttemptEnd) {
@@ -280,7 +261,7 @@
  * Returns the outcome to report for an attempt. A disconnected caller reveals nothing about the upstream, unless it had
  * been waiting for it: an unresponsive upstream shows by callers that give up.
  */
-function outcomeOf(result: AttemptResult, run: RunningRequest, idleMs: number): Completion["outcome"] {
+function outcomeOf(result: AttemptResult, run: RunningRequest, idleMs: number): GrantEnd["outcome"] {
     if (result.kind === "answered") return "answered";
     if (run.cancelReason === "caller-gone") return idleMs >= UNRESPONSIVE_AFTER_MS ? "failed" : "cancelled";
     if (result.end === "refused") return result.misdirected ? "failed" : "refused";
@@ -348,72 +329,3 @@
 function makeCallEnd(outcome: string, status: number, { tries, stream, software, relay }: CallProgress): CallEnd {
     return { outcome, status, attempts: tries, stream, software, relay };
 }
-
-function completeGrant(
-    { ctx, call, ticketId: request, progress: { stream, tries } }: CallTask,
-    grant: Grant,
-    outcome: Completion["outcome"],
-    sentAt?: number,
-    mayHaveEnded?: boolean,
-): void {
-    const { upstream } = grant;
-    const tokensPerEvent = tokensPerEventOf(ctx, call);
-    // The pace of a stream whose path was lost meanwhile is not that of its upstream.
-    const isPaceKnown = sentAt === undefined || !ctx.upstreamHttp.hadLostPath(toTarget(call.pool, grant), sentAt);
-    const gaps = isPaceKnown ? stream.eventCount - 1 : 0;
-    const tokenMs = gaps > 0 ? (stream.lastEventAt - stream.firstEventAt) / gaps / tokensPerEvent : undefined;
-    ctx.dispatcher.complete({
-        request,
-        upstream,
-        outcome,
-        ...(mayHaveEnded ? { mayHaveEnded } : {}),
-        firstTokenMs: stream.firstEventMs,
-        tokenMs,
-        longestGapMs: gaps > 0 && tries === 1 ? stream.longestGapMs : undefined,
-        promptTokens: call.head.promptTokens,
-        cachedTokens: 0,
-        completionTokens: stream.eventCount * tokensPerEvent,
-    });
-}
-
-function makeTicket({ ctx, call, ticketId: request, progress }: CallTask): Ticket {
-    const { route, head } = call;
-    const now = ctx.clock.monotonic();
-    const tokensPerEvent = tokensPerEventOf(ctx, call);
-    return {
-        request,
-        origin: ctx.self,
-        workspace: call.workspace ?? "" as WorkspaceId,
-        className: route.name as ClassName,
-        tier: call.tier,
-        weight: 1,
-        pool: call.pool,
-        promptTokens: head.promptTokens,
-        maxTokens: Math.max(DEFAULT_MAX_TOKENS, head.maxTokens),
-        firstTokenMs: route.targetMs,
-        tokenMs: route.gapMs === undefined ? DEFAULT_TOKEN_MS : route.gapMs / tokensPerEvent,
-        maxWaitMs: MAX_WAIT_RATIO * (call.deadlineAt - call.arrivedAt),
-        guaranteedShare: 0,
-        ageMs: now - call.arrivedAt,
-        prefixes: [],
-        parts: head.parts,
-        gapMs: route.kind === "stream" ? route.gapMs : undefined,
-        bodyBytes: call.body.length,
-        canFetch: ctx.view.routes()?.findPool(call.pool)?.engine?.canMove,
-        zone: ctx.zone,
-        resumable: false,
-        repeatable: route.kind === "idempotent",
-        avoid: progress.avoid,
-        software: requiredSoftware({ call, progress }),
-        resumeOffset: progress.stream.eventCount * tokensPerEvent,
-    };
-}
-
-/** Returns the version of the software that must run the call, since it began the stream; undefined: any. */
-function requiredSoftware({ call, progress }: Pick<CallTask, "call" | "progress">): SoftwareVersion | undefined {
-    return progress.stream.startedBy ?? call.resumption?.software;
-}
-
-function tokensPerEventOf(ctx: CallContext, { pool }: PreparedCall): number {
-    return ctx.view.routes()?.findPool(pool)?.engine?.tokensPerEvent ?? 1;
-}
--- a/src/passthrough/sendCall/index.ts
+++ b/src/passthrough/sendCall/index.ts
@@ -28,7 +28,7 @@
     const { call, grant, run, required } = attempt;
     const remainingMs = Math.floor(call.deadlineAt - ctx.clock.monotonic());
     if (remainingMs < MIN_REMAINING_MS) return { kind: "ended", end: "not-sent", detail: "no time is left" };
-    const firstByteTimer = startFirstByteTimeout(ctx, attempt, remainingMs);
+    attempt.silence.expectBeginning();
     const sent = await ctx.upstreamHttp.send({
         target: toTarget(call.pool, grant, required),
         method: call.method,
@@ -52,22 +52,7 @@
         deadlineHeader: ctx.dialect.deadlineHeader,
         onRelay: relay => attempt.relay = relay,
     });
-    const result = await handleReply(ctx, attempt, sent);
-    firstByteTimer?.cancel();
-    return result;
-}
-
-/** Cancels an attempt without a first byte in time, when the call can go to another upstream. */
-function startFirstByteTimeout(
-    ctx: CallContext,
-    { run, firstByteTimeoutMs, stream }: Attempt,
-    remainingMs: number,
-) {
-    if (firstByteTimeoutMs === undefined || firstByteTimeoutMs >= remainingMs) return undefined;
-    const { eventCount } = stream;
-    return ctx.clock.after(firstByteTimeoutMs, () => {
-        if (stream.eventCount === eventCount && !stream.isHeadSent) run.cancel("stalled");
-    });
+    return handleReply(ctx, attempt, sent);
 }
 
 async function handleReply(
