A drain waits until each answer has left, also those of calls that are not registered yet

What callers saw: the connection was closed before the last bytes of an answer, or before a call had any answer.

Cause: a drain looked at the registry of running requests alone. A call is in it only after its body has been read and the first document has come, and leaves it when its last bytes are handed to the connection, not when they have left. The process then exits, which drops what the operating system has not taken.

Fix: a drain ends within its grace only once the listeners of chats, routed calls and relays have no open answers either. The result of a drain says so too.

--- a/src/entry/entryProcess/index.ts
+++ b/src/entry/entryProcess/index.ts
@@ -101,7 +101,6 @@
 }
 
 const VIEW_POLL_MS = 10;
-const NO_OPEN_ANSWERS: OpenAnswers = { requests: 0, unsentBytes: 0 };
 
 /**
  * An entry process: serves callers, receives upstreams' announcements, owns the queues of some pools, and meters usage.
@@ -147,6 +146,7 @@
     /** Set once the load balancer has had time to notice the drain. */
     private refusingRequests = false;
     private callerListener: HttpListener | undefined;
+    private relayListener: HttpListener | undefined;
 
     private constructor(private readonly options: EntryOptions) {
         const { clock, random, self, zone, region } = options;
@@ -288,13 +288,12 @@
         void this.routeService?.stopAccepting();
         const limit = new AbortController();
         const timer = clock.after(graceMs, () => limit.abort());
-        const idle = Promise.all([this.requests.whenIdle(), this.access.relays.whenIdle(limit.signal)]);
-        await Promise.race([idle, clock.sleep(graceMs, limit.signal)]);
+        await Promise.race([this.awaitIdle(limit.signal), clock.sleep(graceMs, limit.signal)]);
         const isDurable = await this.replicator.drain(limit.signal);
         timer.cancel();
         this.replicator.sendLast();
         reportUnfinishedRequests({ clock, logger, requests: this.requests, stopAt });
-        const { requests: openAnswers, unsentBytes } = this.routeService?.countOpenAnswers() ?? NO_OPEN_ANSWERS;
+        const { requests: openAnswers, unsentBytes } = this.countOpenAnswers();
         logger.info("drain-ended", {
             requests: this.requests.size,
             relayed: this.access.relays.size,
@@ -302,7 +301,34 @@
             unsentBytes,
             usage: this.replicator.backlog,
         });
-        return this.requests.size === 0 && this.access.relays.size === 0 && isDurable;
+        return this.isIdle() && isDurable;
+    }
+
+    /** Whether nothing runs here and each answer has been sent whole, also those of requests that are not registered yet. */
+    private isIdle(): boolean {
+        return this.requests.size === 0 && this.access.relays.size === 0 && this.countOpenAnswers().requests === 0;
+    }
+
+    private async awaitIdle(limit: AbortSignal): Promise<void> {
+        while (!this.isIdle() && !limit.aborted) {
+            const answered = this.listeners.map(listener => listener.whenAnswered());
+            await Promise.all([this.requests.whenIdle(), this.access.relays.whenIdle(limit), ...answered]);
+        }
+    }
+
+    /** Counts the answers to callers and to other hosts that have not been sent whole. */
+    private countOpenAnswers(): OpenAnswers {
+        const open = this.listeners.map(listener => listener.countOpenAnswers());
+        return {
+            requests: open.reduce((sum, { requests }) => sum + requests, 0),
+            unsentBytes: open.reduce((sum, { unsentBytes }) => sum + unsentBytes, 0),
+        };
+    }
+
+    /** The listeners at which callers and other hosts are served. */
+    private get listeners(): HttpListener[] {
+        const listeners = [this.callerListener, this.relayListener, this.routeService?.callerListener];
+        return listeners.filter(listener => listener !== undefined);
     }
 
     /** Stops everything immediately, without draining. */
@@ -366,6 +392,7 @@
 
     private async openRelay(address: Address): Promise<void> {
         const relays = await this.options.http.serve(address, DEFAULT_HTTP_LIMITS, this.access.relays.handler);
+        this.relayListener = relays;
         this.lifecycle.addCleanUp(() => relays.close());
     }
 
--- a/src/entry/routeService/index.ts
+++ b/src/entry/routeService/index.ts
@@ -6,16 +6,7 @@
 import { Logger } from "../../logging/index.js";
 import { Metrics } from "../../metrics/index.js";
 import { CallDialect, RepeatBudget, RepeatLimits, serveCalls } from "../../passthrough/index.js";
-import {
-    Address,
-    Clock,
-    formatAddress,
-    Http,
-    HttpLimits,
-    HttpListener,
-    OpenAnswers,
-    Random,
-} from "../../ports/index.js";
+import { Address, Clock, formatAddress, Http, HttpLimits, HttpListener, Random } from "../../ports/index.js";
 import { CrashGuard, PartGuard } from "../../quarantine/index.js";
 import { RequestRegistry } from "../../request/index.js";
 import { StreamStartRegistry } from "../../resumption/index.js";
@@ -180,9 +171,9 @@
         this.options.logger.info("document-in-force", { version: routes.version });
     }
 
-    /** Counts the answers to callers that have not been sent whole. */
-    countOpenAnswers(): OpenAnswers {
-        return this.listener?.countOpenAnswers() ?? { requests: 0, unsentBytes: 0 };
+    /** The listener at which callers are served; undefined while there is none. */
+    get callerListener(): HttpListener | undefined {
+        return this.listener;
     }
 
     /** Stops accepting connections; running answers continue. */
--- a/src/entry/routeService/test.ts
+++ b/src/entry/routeService/test.ts
@@ -329,6 +329,48 @@
         });
     });
 
+    describe("the drain of an entry", () => {
+        /** Drains entry 0 while a call is running. Returns when the drain had ended and when the call had, in milliseconds. */
+        async function drainBeside(
+            call: Promise<unknown>,
+        ): Promise<{ readonly drainedAt: number; readonly endedAt: number; }> {
+            const now = (): number => fleet.clock.monotonic();
+            const drained = fleet.entries[0]!.drain(5_000).then(isClean => {
+                assert.ok(isClean);
+                return now();
+            });
+            const [drainedAt, endedAt] = await fleet.run(Promise.all([drained, call.then(now)]));
+            return { drainedAt, endedAt };
+        }
+
+        it("waits for a call that waits for the first document", async () => {
+            // Failure: a caller gets a closed connection. Its call is not among the running ones while it waits for the first document.
+            await startFleet();
+            for (const number of [0, 1, 2, 3, 4]) await fleet.killControl(number);
+            await fleet.killEntry(0);
+            await fleet.run(fleet.startEntry(0));
+            const headers: HeaderList = [["x-sequoiamux-deadline-ms", "30000"]];
+            const pending = fleet.startCall({ entry: 0, path: "/open/1", headers });
+            await fleet.advance(50);
+            const { drainedAt, endedAt } = await drainBeside(pending);
+            assert.equal((await pending).status, 503);
+            assert.ok(drainedAt >= endedAt, `drained ${endedAt - drainedAt} ms before the answer`);
+        });
+
+        it("waits until the last bytes of an answer have left", async () => {
+            // Failure: an answer to a slow reader is cut. The call counts as ended when its last bytes are handed to the connection.
+            await startFleet({ upstreams: [{ events: 6 }, { events: 6 }] });
+            const pending = fleet.startCall({ entry: 0, path: "/sheets/1", key: KEY });
+            await fleet.advance(40);
+            const [caller, entry] = ["10.0.8.1", "10.0.1.1"];
+            fleet.fabric.isolate(entry, [caller], true);
+            fleet.clock.after(2_000, () => fleet.fabric.isolate(entry, [caller], false));
+            const { drainedAt, endedAt } = await drainBeside(pending);
+            assert.ok((await pending).isWhole);
+            assert.ok(drainedAt >= endedAt, `drained ${endedAt - drainedAt} ms before the answer had come`);
+        });
+    });
+
     describe("time", () => {
         it("ends each call as soon as its route's timeout expires", async () => {
             await startFleet({ upstreams: [{ workMs: 60_000 }] });
