Calls without an answer get a truthful one before a stopping process exits

What callers saw: at the end of a drain's grace the connection was closed, without any answer, also for calls that had never been sent to an upstream. A caller whose call must not run twice could not send it again.

Cause: nothing was done about open calls at the end of the grace.

Fix: 200 ms before the end of the grace, calls that wait for an upstream, whose body arrives, or that wait for the first document are refused as not run, with a Retry-After; a call that an upstream has begun without an answer so far is ended with 502 and no promise. The drain then still waits for their bytes to leave. Answers that have begun go on until the exit.

--- a/src/entry/admitRequest/index.ts
+++ b/src/entry/admitRequest/index.ts
@@ -24,7 +24,7 @@
  */
 export function admitRequest(ctx: EntryContext, req: HttpRequest): Either<CallerError, Admission> {
     return readKey(req).chain(key => {
-        if (ctx.isRefusing()) return Left(unavailable("draining", "this host is stopping", OTHER_HOST_RETRY_AFTER_MS));
+        if (ctx.isRefusing()) return Left(makeStoppingError());
         if (!ctx.control.isFresh()) {
             return Left(
                 unavailable("stale-view", "this host has lost touch with the control processes", RETRY_AFTER_MS),
@@ -62,6 +62,11 @@
     return Left(new CallerError(404, "pool-unknown", `the workspace has no model or service ${pool.slice(0, 128)}`));
 }
 
+/** Creates the error of a request that this host does not run, because it is stopping. */
+export function makeStoppingError(): CallerError {
+    return unavailable("draining", "this host is stopping", OTHER_HOST_RETRY_AFTER_MS);
+}
+
 function unavailable(type: string, message: string, retryAfterMs: number): CallerError {
     return new CallerError(503, type, message, "not-run", retryAfterMs);
 }
--- a/src/entry/entryContext/index.ts
+++ b/src/entry/entryContext/index.ts
@@ -72,4 +72,6 @@
     readonly isDraining: () => boolean;
     /** Whether new requests are refused: the load balancer has had time to notice the planned stop. */
     readonly isRefusing: () => boolean;
+    /** Aborted when the process is about to exit: requests that have not begun are refused. */
+    readonly exitSignal: AbortSignal;
 }
--- a/src/entry/entryProcess/index.ts
+++ b/src/entry/entryProcess/index.ts
@@ -101,6 +101,8 @@
 }
 
 const VIEW_POLL_MS = 10;
+/** Part of a drain's grace in which requests without an answer get a final one, in milliseconds. */
+const FINAL_ANSWERS_MS = 200;
 
 /**
  * An entry process: serves callers, receives upstreams' announcements, owns the queues of some pools, and meters usage.
@@ -145,6 +147,7 @@
     private draining = false;
     /** Set once the load balancer has had time to notice the drain. */
     private refusingRequests = false;
+    private readonly exitAbort = new AbortController();
     private callerListener: HttpListener | undefined;
     private relayListener: HttpListener | undefined;
 
@@ -288,7 +291,9 @@
         void this.routeService?.stopAccepting();
         const limit = new AbortController();
         const timer = clock.after(graceMs, () => limit.abort());
+        const finalTimer = clock.after(Math.max(0, graceMs - FINAL_ANSWERS_MS), () => this.answerWaiting());
         await Promise.race([this.awaitIdle(limit.signal), clock.sleep(graceMs, limit.signal)]);
+        finalTimer.cancel();
         const isDurable = await this.replicator.drain(limit.signal);
         timer.cancel();
         this.replicator.sendLast();
@@ -304,6 +309,12 @@
         return this.isIdle() && isDurable;
     }
 
+    /** Gives requests without an answer a final one while there is time to send it; answers that have begun go on. */
+    private answerWaiting(): void {
+        this.exitAbort.abort();
+        this.requests.cancelUnanswered();
+    }
+
     /** Whether nothing runs here and each answer has been sent whole, also those of requests that are not registered yet. */
     private isIdle(): boolean {
         return this.requests.size === 0 && this.access.relays.size === 0 && this.countOpenAnswers().requests === 0;
@@ -452,6 +463,7 @@
             upstreamHttp: this.access.http,
             isDraining: () => this.draining,
             isRefusing: () => this.refusingRequests,
+            exitSignal: this.exitAbort.signal,
         };
     }
 
@@ -486,6 +498,7 @@
             streams: this.makeStreamStarts(positions),
             isDraining: () => this.draining,
             isRefusing: () => this.refusingRequests,
+            exitSignal: this.exitAbort.signal,
             requiredLevel: () => this.dispatcher.mayOwnQueues() ? "all" : "membership",
         });
     }
--- a/src/entry/routeService/index.ts
+++ b/src/entry/routeService/index.ts
@@ -69,6 +69,8 @@
     readonly isDraining: () => boolean;
     /** Whether calls are refused: the load balancer has had time to notice the planned stop. */
     readonly isRefusing: () => boolean;
+    /** Aborted when the process is about to exit: requests that have not begun are refused. */
+    readonly exitSignal: AbortSignal;
     /** Returns the level of detail needed in announcements of upstreams. */
     readonly requiredLevel: () => UpdateLevel;
 }
--- a/src/entry/routeService/test.ts
+++ b/src/entry/routeService/test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { afterEach, describe, it } from "node:test";
-import { RoutedFleet, RoutedFleetOptions } from "../../faultInjection/index.js";
+import { RoutedFleet, RoutedFleetOptions, TestCall, TestReply } from "../../faultInjection/index.js";
 import { PoolId } from "../../ids/index.js";
 import { CALL_HEADERS } from "../../passthrough/index.js";
 import { findHeader, HeaderList } from "../../ports/index.js";
@@ -329,6 +329,55 @@
         });
     });
 
+    describe("the end of a drain's grace", () => {
+        const BALANCER_MS = 500;
+        const GRACE_MS = 500;
+
+        /** Drains entry 0 while a call is under way. Returns the call's reply, and whether it came before the drain's end. */
+        async function endDrainBeside(call: TestCall): Promise<TestReply & { readonly isInTime: boolean; }> {
+            const pending = fleet.startCall(call);
+            await fleet.advance(50);
+            const exitAt = fleet.clock.monotonic() + BALANCER_MS + GRACE_MS;
+            const drained = fleet.entries[0]!.drain(GRACE_MS);
+            const reply = await fleet.run(pending);
+            const isInTime = fleet.clock.monotonic() < exitAt;
+            await fleet.run(drained);
+            return { ...reply, isInTime };
+        }
+
+        it("refuses a call that waits for an upstream", async () => {
+            // Failure: a caller whose call was never sent gets a closed connection, and may not send the call again.
+            await startFleet({ upstreams: [{ slots: 1, workMs: 60_000 }] });
+            const first = fleet.startCall({ entry: 1, path: "/orders/1", key: KEY });
+            await fleet.advance(50);
+            const { status, headers, isInTime } = await endDrainBeside({ entry: 0, path: "/orders/2", key: KEY });
+            assert.deepEqual([status, findHeader(headers, CALL_HEADERS.notRun), isInTime], [503, "1", true]);
+            await fleet.run(first);
+        });
+
+        it("refuses a call that waits for the first document", async () => {
+            // Failure: a caller gets a closed connection, as its call is not among the running ones yet.
+            await startFleet();
+            for (const number of [0, 1, 2, 3, 4]) await fleet.killControl(number);
+            await fleet.killEntry(0);
+            await fleet.run(fleet.startEntry(0));
+            const { status, headers, isInTime } = await endDrainBeside({ entry: 0, path: "/open/1" });
+            assert.deepEqual([status, findHeader(headers, CALL_HEADERS.notRun), isInTime], [503, "1", true]);
+        });
+
+        it("tells the caller of a running call without an answer that it may have run", async () => {
+            await startFleet({ upstreams: [{ workMs: 60_000 }] });
+            const { status, headers, isInTime } = await endDrainBeside({ entry: 0, path: "/orders/1", key: KEY });
+            assert.deepEqual([status, findHeader(headers, CALL_HEADERS.notRun), isInTime], [502, undefined, true]);
+        });
+
+        it("lets a stream go on that has begun", async () => {
+            await startFleet({ upstreams: [{ events: 6, gapMs: 170 }, { events: 6, gapMs: 170 }] });
+            const reply = await endDrainBeside({ entry: 0, path: "/sheets/1", key: KEY });
+            assert.deepEqual([reply.isWhole, reply.isInTime], [true, true]);
+        });
+    });
+
     describe("the drain of an entry", () => {
         /** Drains entry 0 while a call is running. Returns when the drain had ended and when the call had, in milliseconds. */
         async function drainBeside(
--- a/src/entry/serveCallers/test.ts
+++ b/src/entry/serveCallers/test.ts
@@ -179,6 +179,17 @@
         });
     });
 
+    it("refuses a request whose body is still arriving when the process is about to exit", TEST_TIMEOUT, async () => {
+        // Failure: a caller gets a closed connection and can't tell whether its request has run.
+        const stopping = new CallerServer();
+        const caller = await RawCaller.connect(await stopping.start());
+        caller.send(format({}).slice(0, -1));
+        stopping.exitAbort.abort();
+        assert.deepEqual(readError(await caller.readAnswer()), [503, "draining", "not-run"]);
+        caller.connection.reset();
+        await stopping.close();
+    });
+
     describe("on one connection", () => {
         it("answers consecutive requests, with an error between them", async () => {
             const caller = await RawCaller.connect(address);
--- a/src/entry/serveChat/index.ts
+++ b/src/entry/serveChat/index.ts
@@ -1,7 +1,8 @@
+import { Either, Left } from "purify-ts";
 import { HostId, RequestId } from "../../ids/index.js";
 import { HttpRequest, HttpResponse } from "../../ports/index.js";
-import { RunningRequest } from "../../request/index.js";
-import { admitRequest } from "../admitRequest/index.js";
+import { orOnAbort, RunningRequest } from "../../request/index.js";
+import { admitRequest, makeStoppingError } from "../admitRequest/index.js";
 import { CallerError, sendCallerError } from "../callerError/index.js";
 import { BufferedSink, ChatSink, StreamSink } from "../chatSink/index.js";
 import { EntryContext } from "../entryContext/index.js";
@@ -27,7 +28,8 @@
     const admission = admitRequest(ctx, req);
     if (admission.isLeft()) return sendCallerError(res, admission.extract() as CallerError, id);
     const { key, workspace } = admission.unsafeCoerce();
-    const checked = await prepareChat(ctx, req, { key, workspace });
+    const refusal = (): Either<CallerError, PreparedChat> => Left(makeStoppingError());
+    const checked = await orOnAbort(prepareChat(ctx, req, { key, workspace }), ctx.exitSignal, refusal);
     if (checked.isLeft()) return sendCallerError(res, checked.extract() as CallerError, id);
     const prepared = checked.unsafeCoerce();
     const tracked = { id, keyHash: key.hash, workspace, classView: prepared.classView, pool: prepared.pool };
--- a/src/entry/serveService/index.ts
+++ b/src/entry/serveService/index.ts
@@ -1,9 +1,10 @@
+import { Either, Left } from "purify-ts";
 import { RequestId } from "../../ids/index.js";
 import { HttpRequest, HttpResponse } from "../../ports/index.js";
 import { OUTCOME_HEADER, REQUEST_HEADER } from "../../protocol/index.js";
-import { RunningRequest } from "../../request/index.js";
+import { orOnAbort, RunningRequest } from "../../request/index.js";
 import { PeerIdentity } from "../../wire/index.js";
-import { admitRequest } from "../admitRequest/index.js";
+import { admitRequest, makeStoppingError } from "../admitRequest/index.js";
 import { CallerError, sendCallerError } from "../callerError/index.js";
 import { EntryContext } from "../entryContext/index.js";
 import { PreparedService, prepareService } from "../prepareService/index.js";
@@ -24,7 +25,8 @@
     const admission = admitRequest(ctx, req);
     if (admission.isLeft()) return sendCallerError(res, admission.extract() as CallerError, id);
     const { key, workspace } = admission.unsafeCoerce();
-    const checked = await prepareService(ctx, req, { key, workspace });
+    const refusal = (): Either<CallerError, PreparedService> => Left(makeStoppingError());
+    const checked = await orOnAbort(prepareService(ctx, req, { key, workspace }), ctx.exitSignal, refusal);
     if (checked.isLeft()) return sendCallerError(res, checked.extract() as CallerError, id);
     const prepared = checked.unsafeCoerce();
     const tracked = { id, keyHash: key.hash, workspace, classView: prepared.classView, pool: prepared.pool };
--- a/src/passthrough/callContext/index.ts
+++ b/src/passthrough/callContext/index.ts
@@ -66,4 +66,6 @@
     readonly isDraining: () => boolean;
     /** Whether further calls are refused: the load balancer has had time to notice the planned stop. */
     readonly isRefusing: () => boolean;
+    /** Aborted when the process is about to exit: requests that have not begun are refused. */
+    readonly exitSignal: AbortSignal;
 }
--- a/src/passthrough/callError/index.ts
+++ b/src/passthrough/callError/index.ts
@@ -16,6 +16,7 @@
     | "quarantined"
     | "not-resumable"
     | "stopping"
+    | "stopping-running"
     | "timeout-waiting"
     | "timeout-running"
     | "upstream-lost";
@@ -42,9 +43,13 @@
     "stopping": { status: 503, notRun: true },
     "timeout-waiting": { status: 503, notRun: true },
     "timeout-running": { status: 504, notRun: false },
+    "stopping-running": { status: 502, notRun: false },
     "upstream-lost": { status: 502, notRun: false },
 };
 
+/** Retry delay of calls that a stopping host does not run, in milliseconds: a new connection leads to another host. */
+const OTHER_HOST_RETRY_MS = 100;
+
 /** An error that this system sends as the answer of a routed call. */
 export class CallError extends Error {
     /**
@@ -64,3 +69,12 @@
         return ERROR_SPECS[this.kind].notRun;
     }
 }
+
+/**
+ * Creates the error of a call that this host does not run to its end, because it is stopping.
+ *
+ * @param hasBegun - Whether an upstream has, or may have, begun to run the call.
+ */
+export function makeStoppingError(hasBegun: boolean): CallError {
+    return new CallError(hasBegun ? "stopping-running" : "stopping", "this host is stopping", OTHER_HOST_RETRY_MS);
+}
--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -5,7 +5,7 @@
 import { Attempt, AttemptResult, SilenceWatch } from "../attempt/index.js";
 import { CallAnswer } from "../callAnswer/index.js";
 import { CallContext } from "../callContext/index.js";
-import { CallError } from "../callError/index.js";
+import { CallError, makeStoppingError } from "../callError/index.js";
 import {
     CallProgress,
     CallTask,
@@ -281,6 +281,7 @@
 function endCancelled(task: CallTask): CallEnd {
     const { run, progress } = task;
     if (run.cancelReason === "caller-gone") return makeCallEnd("caller-gone", 0, progress);
+    if (run.cancelReason === "stopping") return sendError(task, makeStoppingError(progress.begun > 0));
     const kind = progress.begun > 0 ? "timeout-running" : "timeout-waiting";
     return sendError(task, new CallError(kind, "the call's time is over", RETRY_AFTER_LOSS_MS));
 }
--- a/src/passthrough/serveCalls/index.ts
+++ b/src/passthrough/serveCalls/index.ts
@@ -1,17 +1,14 @@
-import { Either } from "purify-ts";
+import { Either, Left } from "purify-ts";
 import { ClassName, WorkspaceId } from "../../ids/index.js";
 import { HttpHandler, HttpRequest } from "../../ports/index.js";
-import { RunningRequest } from "../../request/index.js";
+import { orOnAbort, RunningRequest } from "../../request/index.js";
 import { CallAnswer } from "../callAnswer/index.js";
 import { CallContext } from "../callContext/index.js";
 import { CallHead } from "../callDialect/index.js";
-import { CallError } from "../callError/index.js";
+import { CallError, makeStoppingError } from "../callError/index.js";
 import { prepareCall, PreparedCall } from "../prepareCall/index.js";
 import { CallEnd, runCall } from "../runCall/index.js";
 
-/** Retry delay of calls that a stopping host refuses, in milliseconds: a new connection leads to another host. */
-const OTHER_HOST_RETRY_MS = 100;
-
 /**
  * Creates the HTTP handler of routed calls.
  *
@@ -22,17 +19,14 @@
     return async (req, res) => {
         const answer = new CallAnswer({ res, dialect: ctx.dialect, isDraining: ctx.isDraining });
         const head = ctx.dialect.readHead(req);
-        if (ctx.isRefusing()) return refuse(ctx, head, answer, makeStoppingError());
-        const prepared = await prepareCall(ctx, req, head);
+        if (ctx.isRefusing()) return refuse(ctx, head, answer, makeStoppingError(false));
+        const refusal = (): Either<CallError, PreparedCall> => Left(makeStoppingError(false));
+        const prepared = await orOnAbort(prepareCall(ctx, req, head), ctx.exitSignal, refusal);
         if (prepared.isLeft()) return refuse(ctx, head, answer, prepared.extract() as CallError);
         await trackCall(ctx, req, answer, prepared.unsafeCoerce());
     };
 }
 
-function makeStoppingError(): CallError {
-    return new CallError("stopping", "this host is stopping", OTHER_HOST_RETRY_MS);
-}
-
 function refuse(
     ctx: CallContext,
     readHead: Either<CallError, CallHead>,
--- a/src/request/requestRegistry/index.ts
+++ b/src/request/requestRegistry/index.ts
@@ -44,6 +44,13 @@
         this.running.get(id)?.cancel(reason);
     }
 
+    /** Stops the requests whose answers have not begun, because the process is about to exit. */
+    cancelUnanswered(): void {
+        for (const request of this.running.values()) {
+            if (request.waitsFor === "grant" || request.waitsFor === "answer") request.cancel("stopping");
+        }
+    }
+
     /**
      * Stops the requests whose key is no longer in force, so that a withdrawal also takes effect on open connections.
      * Routed calls are not affected: they have no key hash here, and their key is checked each time they are sent.
