A ticket that may wait for a resting upstream is not refused

What callers saw: a stream left a silent upstream, the next one turned it away and asked the host to back off for 20 s, and the stream was cut, though the upstream that it had left takes work again after 500 ms.

Cause: the time until a ticket can be granted was taken from the ready upstreams alone. One that rests after a failure was left out, so that the ticket was refused for the back-offs of all others.

Now the end of its rest counts as well. As before, a pool without any ready upstream holds the ticket.

Evidence: src/dispatch/heldTickets, the new test fails on the code before (no upstream instead of u3). In src/entry/silentCalls the three tests in which the other upstream turns calls away fail without this change (the stream is cut, calls are answered with an error).

--- a/src/dispatch/heldTickets/test.ts
+++ b/src/dispatch/heldTickets/test.ts
@@ -129,6 +129,18 @@
         assert.equal(pool.upstreamOf("early"), "u5");
     });
 
+    it("wait for an upstream that rests after failures where all others ask their host to back off for long", async () => {
+        // A stream would be cut though the upstream that began it is back within a second.
+        const pool = new MixedPool();
+        await pool.submit("a", { software: "2.0" });
+        const resting = pool.upstreamOf("a")!;
+        await pool.complete("a", resting, { outcome: "failed", mayHaveEnded: false });
+        const backOffs = [{ upstream: resting === "u3" ? "u4" : "u3", leftMs: 20_000 }];
+        await pool.submit("late", { software: "2.0", resumeOffset: 3, maxWaitMs: 2_000, backOffs });
+        await pool.wait(1_000);
+        assert.equal(pool.upstreamOf("late"), resting);
+    });
+
     it("match no upstream whose software is unknown", async () => {
         const pool = new MixedPool();
         await pool.wait(DISCOVERY_MS);
--- a/src/dispatch/upstreamPicker/index.ts
+++ b/src/dispatch/upstreamPicker/index.ts
@@ -69,10 +69,13 @@
      */
     backOffLeftMs({ origin: host, software }: Ticket, now: number): number {
         const { members, backOffs } = this.options;
-        const ready = members.all.filter(load => load.isReady(now) && announcesSoftware(load, software));
-        return ready.length === 0
-            ? 0
-            : Math.min(...ready.map(({ upstream }) => backOffs.leftMs(host, upstream.id, now)));
+        const fitting = members.all.filter(load => announcesSoftware(load, software));
+        if (!fitting.some(load => load.isReady(now))) return 0;
+        const usable = fitting.filter(load => load.isReady(now) || isResting(load, now));
+        return Math.min(...usable.map(load => {
+            const restMs = load.isReady(now) ? 0 : load.backOffLeftMs(now);
+            return Math.max(restMs, backOffs.leftMs(host, load.upstream.id, now));
+        }));
     }
 
     /**
@@ -184,6 +187,11 @@
     return software === undefined || upstream.software === software;
 }
 
+/** Whether an upstream may get work as soon as its back-off after failures has ended. */
+function isResting(load: UpstreamLoad, now: number): boolean {
+    return load.upstream.isGrantable && !load.ejected && load.isBackingOff(now);
+}
+
 /** Returns the matching upstreams, or all when fewer than half match: these would be overloaded by all requests. */
 function preferMost(
     loads: readonly UpstreamLoad[],
--- a/src/entry/silentCalls/test.ts
+++ b/src/entry/silentCalls/test.ts
@@ -97,6 +97,17 @@
             await checkWhole(replies);
         });
 
+        it("end whole where the only other upstream asks this host to back off", async () => {
+            // A stream that was turned away there would be cut, though the upstream that it left takes it again soon.
+            await startFleet(STREAM, { upstreams: [STREAMING, STREAMING] });
+            const replies = await startCalls(1);
+            const first = upstreamOf("call-0");
+            fleet.upstreams[1 - first].turnAway("20");
+            fleet.upstreams[first].fallSilent(8_000);
+            await checkWhole(replies);
+            assert.equal(countRuns(), 2);
+        });
+
         it("end whole where the only other upstream has no free slot", async () => {
             // A stall would end a stream whose new ticket waits until it is refused.
             await startFleet(STREAM, { upstreams: [{ ...STREAMING, slots: 1 }, { ...STREAMING, slots: 1 }] });
@@ -149,6 +160,16 @@
                 await checkWhole(await startCalls(2));
                 assert.equal(countRuns(), 2);
             });
+
+            it("are answered where the only other upstream turns them away", async () => {
+                // A call that was turned away there would end, though the upstream that it left takes it again soon.
+                await startFleet(route, { upstreams: [upstream, upstream] });
+                for (const each of fleet.upstreams) each.fallSilent(8_000);
+                const replies = await startCalls(1);
+                fleet.upstreams[1 - upstreamOf("call-0")].turnAway("20");
+                await checkWhole(replies);
+                assert.equal(countRuns(), 2);
+            });
         });
     }
 
--- a/src/upstream/upstreamLoad/index.ts
+++ b/src/upstream/upstreamLoad/index.ts
@@ -259,6 +259,11 @@
         return now < this.backoffUntil;
     }
 
+    /** Returns the time until the end of its back-off, in milliseconds; 0 if there is none. */
+    backOffLeftMs(now: number): number {
+        return Math.max(0, this.backoffUntil - now);
+    }
+
     /**
      * Sets whether it gets work although it is backing off: if most of a pool backs off, its other members can't do the
      * work of all.
