Soak with separate processes: entries are stopped while upstreams fall silent

Callers keep their connections open and go on using them until the process is gone: prompt readers, readers that read the rest of a large answer late, bodies in pieces, requests one after the other.

--logs FOLDER keeps what caller, upstreams and entry saw of each fault. An unknown option of the soak, or a number that is none, ends it with exit code 2 (it was ignored, and the wrong seeds ran).

--- a/src/emulator/emulatedCallUpstream/index.ts
+++ b/src/emulator/emulatedCallUpstream/index.ts
@@ -37,6 +37,16 @@
     readonly headers: readonly (readonly [string, string])[];
     /** Start of the run, in milliseconds on the monotonic clock. */
     readonly at: number;
+    /** Its end by a whole answer or with its connection; undefined while it runs. Recorded for runs without an engine. */
+    end?: CallRunEnd;
+}
+
+/** How the run of a call ended. */
+export interface CallRunEnd {
+    /** In milliseconds on the monotonic clock. */
+    readonly at: number;
+    /** Whether the whole answer was handed to the connection. */
+    readonly isWhole: boolean;
 }
 
 /** A request that reached an emulated upstream, whether it ran it or not. */
@@ -66,8 +76,10 @@
     readonly slots: number;
     /** Duration of a call before its answer, in milliseconds. */
     readonly workMs: number;
-    /** Number of events in a streamed answer; 0 for plain answers. */
+    /** Number of events in a streamed answer, unless the body of the call has `[events=N]`; 0 for plain answers. */
     readonly events: number;
+    /** Number of bytes by which each event is longer; 0 by default. */
+    readonly eventPadding?: number;
     /** Pause between two events, in milliseconds. */
     readonly gapMs: number;
     /** Prompt parts that are in its cache from the start. */
@@ -89,6 +101,7 @@
 const MS_PER_SECOND = 1_000;
 const MAX_BODY_BYTES = 16 * 1024 * 1024;
 const BREAK_AFTER_EVENTS = 2;
+const EVENTS_PATTERN = /\[events=(\d+)\]/;
 
 /**
  * Emulates an upstream that receives routed calls with the router's own headers: answers, streams resumable events and fails on demand.
@@ -287,7 +300,8 @@
         const body = (await req.body(MAX_BODY_BYTES)).map(bytes => Buffer.from(bytes).toString()).orDefault("");
         const workspace = findHeader(req.headers, CALL_HEADERS.workspace);
         const at = this.options.clock.monotonic();
-        this.runs.push({ request, workspace, path: req.path, body, headers: req.headers, at });
+        const run: CallRun = { request, workspace, path: req.path, body, headers: req.headers, at };
+        this.runs.push(run);
         if (engine) return this.answerFromEngine(engine, req, res, request);
         this.addCachedParts(findHeader(req.headers, CALL_HEADERS.parts));
         this.openResponses.add(res);
@@ -296,8 +310,9 @@
         if (!this.openResponses.has(res)) return;
         if (body === this.options.crashesOn || this.hasCrashingPart(req)) await this.crash();
         else if (fault === "lost") res.reset();
-        else await this.sendAnswer(req, res, fault === "crossed" ? "another" : request, fault);
+        else await this.sendAnswer(req, res, { ...run, request: fault === "crossed" ? "another" : request }, fault);
         this.openResponses.delete(res);
+        run.end = { at: this.options.clock.monotonic(), isWhole: !req.closed.aborted };
     }
 
     private async answerFromEngine(
@@ -384,11 +399,11 @@
     private async sendAnswer(
         req: HttpRequest,
         res: HttpResponse,
-        request: string,
+        run: CallRun,
         fault: CallFault | undefined,
     ): Promise<void> {
-        const headers = this.answerHeaders(request);
-        if (this.options.events > 0 && fault !== "error") return this.sendEvents(req, res, request, fault);
+        const headers = this.answerHeaders(run.request);
+        if (this.options.events > 0 && fault !== "error") return this.sendEvents(req, res, run, fault);
         const text = `${fault === "error" ? "failed" : "answered"} by ${this.options.id}`;
         res.head(fault === "error" ? 500 : 200, [...headers, ["content-length", String(text.length)]]);
         res.end(text);
@@ -413,7 +428,8 @@
     }
 
     private formatEvent(id: number): string {
-        return `id: ${id}\nevent: ${this.software ?? "unknown"}\ndata: event ${id}\n\n`;
+        const padding = ".".repeat(this.options.eventPadding ?? 0);
+        return `id: ${id}\nevent: ${this.software ?? "unknown"}\ndata: event ${id}${padding}\n\n`;
     }
 
     /** Headers of each answer that state something about this upstream. */
@@ -426,10 +442,11 @@
     private async sendEvents(
         req: HttpRequest,
         res: HttpResponse,
-        request: string,
+        { request, body }: CallRun,
         fault: CallFault | undefined,
     ): Promise<void> {
-        const { events, gapMs, clock } = this.options;
+        const { gapMs, clock } = this.options;
+        const events = Number(EVENTS_PATTERN.exec(body)?.[1] ?? this.options.events);
         const firstEventId = Number(findHeader(req.headers, CALL_HEADERS.lastEventId) ?? 0) + 1;
         res.head(200, this.streamHeaders(request));
         for (let id = firstEventId; id <= events; id++) {
--- a/src/emulator/index.ts
+++ b/src/emulator/index.ts
@@ -4,6 +4,7 @@
 export * from "./answerText/index.js";
 export * from "./batch/index.js";
 export * from "./callEngine/index.js";
+export * from "./callUpstreamControl/index.js";
 export * from "./chatLedger/index.js";
 export * from "./controlAction/index.js";
 export * from "./controlApi/index.js";
--- a/src/tools/fleet/index.ts
+++ b/src/tools/fleet/index.ts
@@ -25,6 +25,12 @@
     /** Whether the platform refuses orders and reports with an outdated fencing token. */
     readonly platformChecksFence: boolean;
     readonly logLevel: string;
+    /** How long a stopping entry still takes new requests, in milliseconds. */
+    readonly balancerMs: number;
+    /** Maximum time that a stopping entry waits for running work after that, in milliseconds; undefined: the daemon's default. */
+    readonly graceMs?: number;
+    /** Whether entries serve the routes of the fleet document, and control processes take the announcements of upstreams. */
+    readonly servesRoutes: boolean;
 }
 
 /** Default options of a fleet. */
@@ -38,6 +44,8 @@
     windowGraceMs: 1_000,
     platformChecksFence: true,
     logLevel: "info",
+    balancerMs: 200,
+    servesRoutes: false,
 };
 
 interface EntryPorts {
@@ -46,15 +54,18 @@
     readonly peers: number;
     readonly relay: number;
     readonly admin: number;
+    readonly routes: number;
 }
 
 interface ControlPorts {
     readonly peers: number;
     readonly operators: number;
+    readonly upstreams: number;
 }
 
 const HOST = "127.0.0.1";
-const PORTS_PER_ENTRY = 5;
+const PORTS_PER_ENTRY = 6;
+const PORTS_PER_CONTROL = 3;
 const READY_TIMEOUT_MS = 30_000;
 const QUERY_TIMEOUT_MS = 1_000;
 
@@ -81,14 +92,14 @@
     /** Starts all processes and waits until each entry is ready and has discovered all upstreams. */
     static async start(plan: FleetPlan): Promise<ProcessFleet> {
         const folder = await mkdtemp(join(tmpdir(), "sequoiamux-"));
-        const ports = await findFreePorts(plan.entries * PORTS_PER_ENTRY + plan.controls * 2);
+        const ports = await findFreePorts(plan.entries * PORTS_PER_ENTRY + plan.controls * PORTS_PER_CONTROL);
         const entryPorts = range(plan.entries).map(() => {
-            const [callers, upstreams, peers, relay, admin] = ports.splice(0, PORTS_PER_ENTRY);
-            return { callers, upstreams, peers, relay, admin };
+            const [callers, upstreams, peers, relay, admin, routes] = ports.splice(0, PORTS_PER_ENTRY);
+            return { callers, upstreams, peers, relay, admin, routes };
         });
         const controlPorts = range(plan.controls).map(() => {
-            const [peers, operators] = ports.splice(0, 2);
-            return { peers, operators };
+            const [peers, operators, upstreams] = ports.splice(0, PORTS_PER_CONTROL);
+            return { peers, operators, upstreams };
         });
         const fleet = new ProcessFleet(plan, folder, entryPorts, controlPorts);
         try {
@@ -106,6 +117,16 @@
         return this.entryPorts.map(({ callers }) => ({ host: HOST, port: callers }));
     }
 
+    /** Addresses of the entries for calls routed by the fleet document. */
+    get routeAddresses(): Address[] {
+        return this.entryPorts.map(({ routes }) => ({ host: HOST, port: routes }));
+    }
+
+    /** Addresses of the control processes to which upstreams of routed calls announce themselves. */
+    get announcementAddresses(): Address[] {
+        return this.controlPorts.map(({ upstreams }) => ({ host: HOST, port: upstreams }));
+    }
+
     /** Addresses of the control processes' operators' API. */
     get operatorAddresses(): Address[] {
         return this.controlPorts.map(({ operators }) => ({ host: HOST, port: operators }));
@@ -154,6 +175,11 @@
         return respondsOk(`http://${HOST}:${this.controlPorts[number].operators}${CALLER_PATHS.ready}`);
     }
 
+    /** Whether an entry process reports that it is ready for new callers. */
+    isEntryReady(number: number): Promise<boolean> {
+        return respondsOk(`http://${HOST}:${this.entryPorts[number].admin}${CALLER_PATHS.ready}`);
+    }
+
     /** Fetches the counters of the emulated upstreams and the emulated platform. */
     emulatorStats(): Promise<unknown> {
         return this.queryEmulator(CONTROL_PATHS.stats);
@@ -226,7 +252,8 @@
     }
 
     private formatEntrySettings(number: number): string {
-        const { callers, upstreams, peers, relay, admin } = this.entryPorts[number];
+        const { callers, upstreams, peers, relay, admin, routes } = this.entryPorts[number];
+        const { balancerMs, graceMs, servesRoutes } = this.plan;
         return formatIni("entry", {
             host: this.makeHostSection(`entry-${number + 1}`, number),
             listen: {
@@ -235,19 +262,27 @@
                 peers: `${HOST}:${peers}`,
                 relay: `${HOST}:${relay}`,
                 admin: `${HOST}:${admin}`,
+                ...(servesRoutes ? { routes: `${HOST}:${routes}` } : {}),
             },
             control: { members: this.formatMembers() },
-            stop: { balancer_ms: "200" },
+            stop: {
+                balancer_ms: String(balancerMs),
+                ...(graceMs === undefined ? {} : { grace_ms: String(graceMs) }),
+            },
             usage: { window_ms: String(this.plan.windowMs) },
             log: { level: this.plan.logLevel },
         });
     }
 
     private formatControlSettings(number: number): string {
-        const { peers, operators } = this.controlPorts[number];
+        const { peers, operators, upstreams } = this.controlPorts[number];
         return formatIni("control", {
             host: this.makeHostSection(`control-${number + 1}`, number),
-            listen: { peers: `${HOST}:${peers}`, operators: `${HOST}:${operators}` },
+            listen: {
+                peers: `${HOST}:${peers}`,
+                operators: `${HOST}:${operators}`,
+                ...(this.plan.servesRoutes ? { upstreams: `${HOST}:${upstreams}` } : {}),
+            },
             control: { members: this.formatMembers() },
             data: { folder: this.dataFolderPath(number) },
             platform: {
--- a/src/tools/soak/main.ts
+++ b/src/tools/soak/main.ts
@@ -1,9 +1,11 @@
 /**
  * Runs random fault schedules, one per seed, against the control log, against routed calls, with hosts that lose their paths to upstreams,
- * with a loss of all power, or with upstreams of several software versions:
+ * with a loss of all power, with upstreams of several software versions, or with separate processes that are stopped:
  * `node dist/tools/soak/main.js --schedule calls --seeds 500 --from 1`.
  */
 import { cac } from "cac";
+import { mkdir, writeFile } from "node:fs/promises";
+import { join } from "node:path";
 import {
     ReplicaScheduleReport,
     runCallSchedule,
@@ -13,15 +15,25 @@
     runReplicaSchedule,
     runSoftwareSchedule,
 } from "../../faultInjection/index.js";
+import { runStops, StopReport } from "../stops/index.js";
 
 interface SoakOptions {
     readonly schedule: string;
     readonly seeds: number;
     readonly from: number;
+    /** Factor on the number of processes and callers of the schedule `stops`. */
+    readonly size: number;
+    /** The signals of the schedule `stops`, separated by commas. */
+    readonly signals: string;
+    /** Folder for what is known of each fault of the schedule `stops`. */
+    readonly logs?: string;
 }
 
+/** Longest time that an entry may take to read a request, in milliseconds. */
+const READ_MS = 200;
+
 /** Functions by schedule name that run one seed and return a one-line result. */
-const SCHEDULE_RUNNERS: Readonly<Record<string, (seed: number) => Promise<string>>> = {
+const SCHEDULE_RUNNERS: Readonly<Record<string, (seed: number, options: SoakOptions) => Promise<string>>> = {
     "log": async seed => describeReplicaReport(await runReplicaSchedule(seed)),
     "log-limited": async seed => describeReplicaReport(await runReplicaSchedule(seed, undefined, true)),
     "calls": async seed => {
@@ -46,8 +58,37 @@
         const { answered, counted, ran } = await runPowerSchedule(seed);
         return `${answered} answered, ${counted} counted, ${ran} ran`;
     },
+    "stops": async (seed, { size, signals, logs }) => {
+        const report = await runStops(seed, { size, signals: signals.split(","), readMs: READ_MS });
+        if (logs !== undefined && report.faults.length > 0) await writeFaults(logs, seed, report);
+        return describeStopReport(report);
+    },
 };
 
+/** Throws when there are faults. */
+function describeStopReport({ record: { exchanges, lives, limits }, faults }: StopReport): string {
+    const served = exchanges.filter(({ end, status }) => end === "whole" && status === 200).length;
+    const exits = lives.filter(({ exitedAt }) => exitedAt !== undefined).length;
+    const text = `${served} of ${exchanges.length} answered, ${exits} exits, requests count as read after ${
+        Math.round(limits.readMs)
+    } ms`;
+    if (faults.length === 0) return text;
+    const lines = faults.map(({ kind, exchange, life, detail }) =>
+        `  ${kind} ${exchange?.request ?? ""} ${exchange?.route ?? ""} at entry ${life?.entry} ${detail}`
+    );
+    throw new Error([`${text}, ${faults.length} faults`, ...lines].join("\n"));
+}
+
+/** Writes what the caller, the upstreams and the entry saw of each fault. */
+async function writeFaults(folder: string, seed: number, { record, faults, logs }: StopReport): Promise<void> {
+    const texts = faults.map((fault, index) => {
+        const runs = record.runs.filter(({ request }) => request === fault.exchange?.request);
+        return [JSON.stringify(fault), ...runs.map(run => `  run ${JSON.stringify(run)}`), ...logs[index]].join("\n");
+    });
+    await mkdir(folder, { recursive: true });
+    await writeFile(join(folder, `soak-stops-${seed}.txt`), `${texts.join("\n\n")}\n`);
+}
+
 function describeReplicaReport({ accepted, virtualMs }: ReplicaScheduleReport): string {
     return `${accepted} accepted in ${toSeconds(virtualMs)} s of virtual time`;
 }
@@ -56,11 +97,12 @@
     return Math.round(ms / 1_000);
 }
 
-async function runSeeds({ schedule, seeds, from }: SoakOptions): Promise<number[]> {
+async function runSeeds(options: SoakOptions): Promise<number[]> {
+    const { schedule, seeds, from } = options;
     const failedSeeds: number[] = [];
     for (let seed = from; seed < from + seeds; seed++) {
         try {
-            console.log(`seed ${seed}: ${await SCHEDULE_RUNNERS[schedule](seed)}`);
+            console.log(`seed ${seed}: ${await SCHEDULE_RUNNERS[schedule](seed, options)}`);
         }
         catch (err) {
             failedSeeds.push(seed);
@@ -74,10 +116,14 @@
 program.option("--schedule <name>", `What runs: ${Object.keys(SCHEDULE_RUNNERS).join(", ")}`, { default: "log" });
 program.option("--seeds <count>", "How many seeds to run", { default: 100 });
 program.option("--from <seed>", "The first seed", { default: 1 });
+program.option("--size <factor>", "How many times as many processes the schedule stops has", { default: 1 });
+program.option("--signals <names>", "Which signals the schedule stops sends", { default: "SIGTERM,SIGHUP" });
+program.option("--logs <folder>", "Where the schedule stops writes what is known of its faults");
 program.help();
 const { options } = program.parse();
-if (!options.help && !(options.schedule in SCHEDULE_RUNNERS)) {
-    console.error(`there is no schedule ${options.schedule}; --help lists them`);
+const problem = options.help ? undefined : findProblem(options);
+if (problem !== undefined) {
+    console.error(`${problem}; --help lists what there is`);
     process.exitCode = 2;
 }
 else if (!options.help) {
@@ -85,3 +131,13 @@
     console.log(`${options.seeds - failed.length} seeds passed, ${failed.length} failed: ${failed.join(" ")}`);
     process.exitCode = failed.length > 0 ? 1 : 0;
 }
+
+/** Returns what is wrong with the command line; undefined: nothing. */
+function findProblem(given: Readonly<Record<string, unknown>>): string | undefined {
+    const known = new Set(["--", ...program.globalCommand.options.map(({ name }) => name)]);
+    const unknown = Object.keys(given).find(name => !known.has(name));
+    if (unknown !== undefined) return `there is no option ${unknown}`;
+    const noNumber = ["seeds", "from", "size"].find(name => !Number.isInteger(given[name]));
+    if (noNumber !== undefined) return `--${noNumber} is not a whole number`;
+    return String(given.schedule) in SCHEDULE_RUNNERS ? undefined : `there is no schedule ${given.schedule}`;
+}
