Soak of stops: a supervisor kills what outlives its grace

An entry that had not exited 8 s after SIGTERM was left alone, so that answers which a supervisor would have cut counted as whole. Streams are longer and callers more, since requests that follow a stream which outlasts the close of idle connections were rare.

--- a/src/tools/index.ts
+++ b/src/tools/index.ts
@@ -4,3 +4,4 @@
 export * from "./fleet/index.js";
 export * from "./processes/index.js";
 export * from "./scratchFolder/index.js";
+export * from "./stops/index.js";
--- a/src/tools/soak/main.ts
+++ b/src/tools/soak/main.ts
@@ -59,19 +59,18 @@
         return `${answered} answered, ${counted} counted, ${ran} ran`;
     },
     "stops": async (seed, { size, signals, logs }) => {
-        const report = await runStops(seed, { size, signals: signals.split(","), readMs: READ_MS });
+        const report = await runStops(seed, { size, signals: signals.split(","), readMs: READ_MS, toleranceMs: 0 });
         if (logs !== undefined && report.faults.length > 0) await writeFaults(logs, seed, report);
         return describeStopReport(report);
     },
 };
 
 /** Throws when there are faults. */
-function describeStopReport({ record: { exchanges, lives, limits }, faults }: StopReport): string {
+function describeStopReport({ record: { exchanges, lives, limits }, faults, problems }: StopReport): string {
     const served = exchanges.filter(({ end, status }) => end === "whole" && status === 200).length;
     const exits = lives.filter(({ exitedAt }) => exitedAt !== undefined).length;
-    const text = `${served} of ${exchanges.length} answered, ${exits} exits, requests count as read after ${
-        Math.round(limits.readMs)
-    } ms`;
+    const counts = `${served} of ${exchanges.length} answered, ${exits} exits`;
+    const text = [counts, `requests count as read after ${Math.round(limits.readMs)} ms`, ...problems].join(", ");
     if (faults.length === 0) return text;
     const lines = faults.map(({ kind, exchange, life, detail }) =>
         `  ${kind} ${exchange?.request ?? ""} ${exchange?.route ?? ""} at entry ${life?.entry} ${detail}`
--- a/src/tools/stops/runStops/index.ts
+++ b/src/tools/stops/runStops/index.ts
@@ -12,6 +12,8 @@
     readonly faults: readonly StopFault[];
     /** Log lines of entries that tell of a fault, by the fault's position in `faults`. */
     readonly logs: readonly (readonly string[])[];
+    /** What failed, but breaks no guarantee. */
+    readonly problems: readonly string[];
 }
 
 /** How a run is played and judged. */
@@ -22,6 +24,8 @@
     readonly signals: readonly string[];
     /** Longest time that an entry may take to read a request, in milliseconds. */
     readonly readMs: number;
+    /** By which a busy machine may be late, in milliseconds. */
+    readonly toleranceMs: number;
     /** Shortens the plan where set; in milliseconds. */
     readonly durationMs?: number;
 }
@@ -30,7 +34,8 @@
 
 const BALANCER_MS = 3_000;
 const DRAIN_MS = 4_300;
-const EXIT_MS = 700;
+/** From SIGTERM until the supervisor kills a process. */
+const GRACE_MS = BALANCER_MS + DRAIN_MS + 700;
 const READY_POLL_MS = 1_000;
 /** Failed readiness checks in a row after which the balancer sends an entry no new connections. */
 const MAX_FAILED_POLLS = 2;
@@ -43,7 +48,7 @@
  *
  * @param seed - Determines the plan; the times of processes vary from run to run.
  * @example
- * const { faults } = await runStops(42, { size: 1, signals: ["SIGTERM"], readMs: 200 });
+ * const { faults } = await runStops(42, { size: 1, signals: ["SIGTERM"], readMs: 200, toleranceMs: 0 });
  */
 export async function runStops(seed: number, options: StopRunOptions): Promise<StopReport> {
     const plan = { ...drawStopPlan(seed, options.size) };
@@ -69,6 +74,8 @@
     private readonly timers: NodeJS.Timeout[] = [];
     /** Delays of this process, which make what callers saw look later than it was. */
     private readonly delays = monitorEventLoopDelay({ resolution: 10 });
+    /** Documents that no control process has taken. */
+    private readonly problems: string[] = [];
     private isOpen = true;
 
     constructor(
@@ -138,7 +145,12 @@
                 for (const upstream of upstreams) void this.fleet.silence(upstream, durationMs);
             });
         }
-        for (const { atMs, document } of documents) this.after(atMs, () => void this.fleet.applyDocument(document));
+        for (const { atMs, document } of documents) {
+            this.after(
+                atMs,
+                () => void this.fleet.applyDocument(document).catch(err => this.problems.push(String(err))),
+            );
+        }
     }
 
     private after(ms: number, action: () => void): void {
@@ -150,8 +162,11 @@
         const life = this.lives.findLast(each => each.entry === entry)!;
         const isStarted = life.program.stdout.includes("\"ready\"");
         if (!life.program.isRunning || !isStarted || (signal === "SIGTERM" && life.stoppedAt !== undefined)) return;
-        if (signal === "SIGTERM") life.stoppedAt = Date.now();
         life.program.signal(signal);
+        if (signal === "SIGHUP") return;
+        life.stoppedAt = Date.now();
+        const kill = setTimeout(() => life.program.signal("SIGKILL"), GRACE_MS + this.options.toleranceMs);
+        void life.program.exited.then(() => clearTimeout(kill));
     }
 
     private async runCallers(): Promise<void> {
@@ -179,13 +194,14 @@
             timeouts: this.findTimeouts(),
             onceRoutes: new Set(STOP_ROUTES.filter(({ kind }) => kind === "once").map(({ name }) => name)),
             limits: {
-                graceMs: BALANCER_MS + DRAIN_MS + EXIT_MS,
+                graceMs: GRACE_MS,
                 acceptMs: BALANCER_MS,
                 readMs: this.options.readMs + this.delays.max / NS_PER_MS,
+                toleranceMs: this.options.toleranceMs,
             },
         };
         const faults = checkStops(record);
-        return { record, faults, logs: faults.map(fault => this.findLogLines(fault)) };
+        return { record, faults, logs: faults.map(fault => this.findLogLines(fault)), problems: this.problems };
     }
 
     private findTimeouts(): Map<string, number> {
--- a/src/tools/stops/stopPlan/index.ts
+++ b/src/tools/stops/stopPlan/index.ts
@@ -74,7 +74,7 @@
 /** Routes of all documents, except for those that a document adds. */
 export const STOP_ROUTES: readonly StopRoute[] = [
     makeRoute({ name: "drafts", pool: "writer", kind: "stream", attempts: 2, resumable: true, events: [10, 30] }),
-    makeRoute({ name: "reports", pool: "writer", kind: "stream", attempts: 2, resumable: true, events: [60, 100] }),
+    makeRoute({ name: "reports", pool: "writer", kind: "stream", attempts: 2, resumable: true, events: [60, 160] }),
     makeRoute({ name: "letters", pool: "writer", kind: "stream", attempts: 1, events: [10, 60] }),
     makeRoute({ name: "orders", pool: "ledger", kind: "once", timeoutMs: 10_000 }),
     makeRoute({ name: "lookups", pool: "ledger", kind: "idempotent", timeoutMs: 10_000, attempts: 2 }),
@@ -93,8 +93,18 @@
     2,
 ]];
 const ENTRIES = 4;
-const CALLERS_PER_ENTRY = 10;
-const HABITS: readonly CallerHabit[] = ["prompt", "prompt", "prompt", "piecewise", "late-reader"];
+const CALLERS_PER_ENTRY = 16;
+/** Habits are drawn from these; one that occurs more often is more frequent. */
+const HABITS: readonly CallerHabit[] = [
+    "prompt",
+    "prompt",
+    "prompt",
+    "prompt",
+    "prompt",
+    "piecewise",
+    "piecewise",
+    "late-reader",
+];
 const DURATION_MS = 14_000;
 const LAST_SIGNAL_MS = 10_000;
 const ROLL_INTERVAL_MS = 2_500;
