Signals begin one planned stop, from the first moment of a process on

What callers saw: all answers of a host were cut at once by SIGHUP to `sequoiamuxd`, by a SIGHUP or SIGTERM that came while a process was starting, or by a second SIGTERM during a stop. A stop of `sequoiamuxd` hung until it was killed while any connection had sent a part of a request.

Cause: handlers were installed only after the start, `sequoiamuxd` had none for SIGHUP, whose default action ends a process, a second SIGTERM exited, and closing waited for each connection without a limit.

Fix: `StopSignals`, shared by both programs, is created before anything else. SIGHUP reloads the settings, also during a stop, or does nothing. `sequoiamuxd` closes for two seconds at most.

Evidence, on the code before: SIGHUP ended `sequoiamuxd`; with half a request on a connection it was killed 30 s after SIGTERM.

--- a/src/daemon/index.ts
+++ b/src/daemon/index.ts
@@ -1,2 +1,3 @@
-/** Types shared by the programs that run an entry or a control process. */
+/** Types and signal handling shared by the programs that run an entry or a control process. */
 export * from "./daemonPorts/index.js";
+export * from "./stopSignals/index.js";
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -11,6 +11,10 @@
 import { readSettings } from "./readSettings/index.js";
 import { runControl } from "./runControl/index.js";
 import { runEntry } from "./runEntry/index.js";
+import { StopSignals } from "./stopSignals/index.js";
+
+/** Maximum time for closing a drained process, in milliseconds. */
+const CLOSE_LIMIT_MS = 2_000;
 
 interface CommandLineFlags {
     readonly settings?: string;
@@ -58,20 +62,18 @@
     return settings.role === "entry" ? runEntry(ports, settings) : runControl(ports, settings);
 }
 
-/** Drains and exits on the first SIGTERM or SIGINT; exits immediately on the second. */
-function stopOnSignal(daemon: DaemonProcess, logger: Logger, flushMetrics: () => Promise<void>): void {
-    let isStopping = false;
-    const stop = async (): Promise<void> => {
-        if (isStopping) process.exit(EXIT_CODES.incomplete);
-        isStopping = true;
-        const isClean = await daemon.drain();
-        await daemon.lifecycle.close();
-        await flushMetrics();
-        logger.info("stopped", { whole: isClean });
-        process.exit(isClean ? EXIT_CODES.ok : EXIT_CODES.incomplete);
-    };
-    process.on("SIGTERM", () => void stop());
-    process.on("SIGINT", () => void stop());
+/** Drains the daemon, closes it and ends the process. */
+async function drainAndExit(daemon: DaemonProcess, { clock, logger, flushMetrics }: DaemonPorts): Promise<never> {
+    const isClean = await daemon.drain();
+    // A connection that never ends would hold up the exit.
+    await Promise.race([daemon.lifecycle.close(), clock.sleep(CLOSE_LIMIT_MS)]);
+    await flushMetrics();
+    logger.info("stopped", { whole: isClean });
+    process.exit(isClean ? EXIT_CODES.ok : EXIT_CODES.incomplete);
+}
+
+function exitNow(reason: "forced" | "not-started"): never {
+    process.exit(reason === "forced" ? EXIT_CODES.incomplete : EXIT_CODES.ok);
 }
 
 /**
@@ -92,6 +94,7 @@
 async function main(): Promise<void> {
     const flags = parseCommandLine();
     if (flags.help) return;
+    const signals = new StopSignals({ source: process, clock: new SystemClock(), exitNow });
     if (typeof flags.settings !== "string") exitWithErrors(["--settings FILE is missing"], EXIT_CODES.usage);
     const result = await readSettings(flags.settings);
     if (result.isLeft()) exitWithErrors(result.extract() as readonly string[], EXIT_CODES.usage);
@@ -103,7 +106,7 @@
     const ports = makePorts(settings);
     ports.logger.info("starting", { pid: process.pid });
     const daemon = await startDaemon(ports, settings);
-    stopOnSignal(daemon, ports.logger, ports.flushMetrics);
+    signals.begin({ logger: ports.logger, stop: () => drainAndExit(daemon, ports) });
     void daemon.failed?.then(err => exitOnFailure(err, ports.logger));
     console.log(JSON.stringify({ event: "ready", role: settings.role, host: settings.host.id }));
 }
--- a/src/daemon/test.ts
+++ b/src/daemon/test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
+import { TcpNetwork } from "../ports/index.js";
 import { findFreePorts, Program, ScratchFolder } from "../tools/index.js";
 import { EXIT_CODES } from "./exitCodes/index.js";
 
@@ -12,6 +13,8 @@
     readonly data: string;
 }
 
+/** Time after which a process that is stopped is killed. */
+const STOP_LIMIT_MS = 30_000;
 /** Aborts a test that hangs. */
 const TEST_TIMEOUT = { timeout: 60_000 };
 
@@ -107,6 +110,34 @@
         });
     });
 
+    describe("signals", () => {
+        it("SIGHUP does not end it", TEST_TIMEOUT, async () => {
+            // Failure: all answers are cut, as the default action of SIGHUP ends the process.
+            const control = await startControl({ peers: ports[0], operators: ports[1], data: "hangup" });
+            await control.line("\"ready\"");
+            control.signal("SIGHUP");
+            const { code, signal } = await control.stop(STOP_LIMIT_MS);
+            assert.deepEqual([code, signal], [EXIT_CODES.ok, undefined]);
+        });
+
+        it("SIGTERM ends it though a request never arrives whole", TEST_TIMEOUT, async () => {
+            // Failure: a stop hangs until the supervisor kills the process, as closing the listener waits for each connection.
+            const control = await startControl({ peers: ports[0], operators: ports[1], data: "half" });
+            await control.line("\"ready\"");
+            const address = { host: "127.0.0.1", port: ports[1] };
+            const [half, whole] = (await Promise.all(
+                [1, 2].map(() => new TcpNetwork().connect(address, STOP_LIMIT_MS)),
+            )).map(connected => connected.unsafeCoerce());
+            half.send(Buffer.from("GET /readyz HTTP/1.1\r\nhost:"));
+            whole.send(Buffer.from("GET /readyz HTTP/1.1\r\nhost: a\r\n\r\n"));
+            // Once this one is answered, the first has been read.
+            assert.ok(await whole.receive());
+            const { code, signal } = await control.stop(STOP_LIMIT_MS);
+            for (const connection of [half, whole]) connection.reset();
+            assert.deepEqual([code, signal], [EXIT_CODES.ok, undefined]);
+        });
+    });
+
     it("names a port that is in use", TEST_TIMEOUT, async () => {
         const first = await startControl({ peers: ports[0], operators: ports[1], data: "first" });
         await first.line("\"ready\"");
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -1,5 +1,5 @@
 /** The program that the platform starts on each machine. The first command-line argument selects the role of the process. */
-import { DaemonPorts, DaemonProcess } from "../daemon/index.js";
+import { DaemonPorts, DaemonProcess, StopSignals } from "../daemon/index.js";
 import { Incarnation } from "../ids/index.js";
 import { BoundedOutput, JsonLogger, Logger } from "../logging/index.js";
 import { PromMetrics } from "../metrics/index.js";
@@ -33,8 +33,9 @@
 async function main(): Promise<void> {
     const [role] = process.argv.slice(2);
     if (role !== "entry" && role !== "control") exitWithUsageError(["usage: sequoiamux entry|control"]);
-    const settings = await loadSettings();
     const clock = new SystemClock();
+    const signals = new StopSignals({ source: process, clock, exitNow });
+    const settings = await loadSettings();
     const output = new BoundedOutput(writeToStandardOutput, (ms, callback) => void clock.after(ms, callback));
     const logger = new JsonLogger({
         clock,
@@ -52,8 +53,8 @@
         ? await runEntryNode(ports, settings)
         : await runControlNode(ports, settings);
     await serveMetrics(ports, settings, metrics);
-    watchSettings(node, logger, clock);
-    stopOnSignal(node, logger);
+    const reload = watchSettings(node, logger, clock);
+    signals.begin({ logger, stop: () => drainAndExit(node, logger), reload });
     void node.failed?.then(err => exitOnFailure(err, logger));
     logger.info("started", { seeds: settings.seeds.map(({ host }) => host).join(" ") });
 }
@@ -104,10 +105,11 @@
 }
 
 /**
- * Reloads the settings file at an interval and on SIGHUP, and applies changed seeds. When the file can't be read, the
- * settings in use stay.
+ * Reloads the settings file at an interval, and applies changed seeds. When the file can't be read, the settings in use stay.
+ *
+ * @returns Reloads it at once.
  */
-function watchSettings(node: RunningNode, logger: Logger, clock: SystemClock): void {
+function watchSettings(node: RunningNode, logger: Logger, clock: SystemClock): () => void {
     const reload = async (cause: string): Promise<void> => {
         try {
             const settings = await loadSettings();
@@ -123,22 +125,18 @@
         clock.after(SETTINGS_POLL_INTERVAL_MS, poll);
     };
     clock.after(SETTINGS_POLL_INTERVAL_MS, poll);
-    process.on("SIGHUP", () => void reload("signal"));
+    return () => void reload("signal");
 }
 
-/** Drains and exits on the first SIGTERM or SIGINT; exits immediately on the second. */
-function stopOnSignal(node: RunningNode, logger: Logger): void {
-    let isStopping = false;
-    const stop = async (): Promise<void> => {
-        if (isStopping) process.exit(EXIT_FAILURE);
-        isStopping = true;
-        logger.info("stopping");
-        const isClean = await node.drain();
-        logger.info("stopped", { whole: isClean });
-        process.exit(0);
-    };
-    process.on("SIGTERM", () => void stop());
-    process.on("SIGINT", () => void stop());
+async function drainAndExit(node: RunningNode, logger: Logger): Promise<never> {
+    logger.info("stopping");
+    const isClean = await node.drain();
+    logger.info("stopped", { whole: isClean });
+    process.exit(0);
+}
+
+function exitNow(reason: "forced" | "not-started"): never {
+    process.exit(reason === "forced" ? EXIT_FAILURE : 0);
 }
 
 function exitOnFailure(err: unknown, logger: Logger): void {
