A chat leaves a silent engine only if it can go on elsewhere

What callers saw: a chat whose engine sent no token for the stall limit ended with an error in the middle of its answer, though the engine was sound, where its attempts were used up, the retry budget was spent, or no other engine runs the software that began it.

Cause: the stall timer stopped the attempt, and attempts, budget and software were checked only afterwards.

Now the timer asks first, and takes the attempt from the budget; it asks again each time that the silence has grown by the limit. A chat that can't go on elsewhere waits, up to the limit for a first token: chats have no deadline, and a connection that is lost without a reset must not hold its caller for good. An attempt that was taken and not made is given back.

Evidence: src/entry/runChat, on the code before the tests for attempts, budget and software fail (partly-run with 5 and 3 of 6 tokens; a second engine gets the chat though it announces nothing).

--- a/src/dispatch/attemptBudget/index.ts
+++ b/src/dispatch/attemptBudget/index.ts
@@ -88,4 +88,9 @@
     tryTake(repeatable: boolean): boolean {
         return repeatable && this.bucket.tryTake();
     }
+
+    /** Returns an attempt that was taken and not made. */
+    giveBack(): void {
+        this.bucket.deposit(1);
+    }
 }
--- a/src/entry/runChat/index.ts
+++ b/src/entry/runChat/index.ts
@@ -54,6 +54,8 @@
     private readonly avoid: UpstreamId[] = [];
     private attemptCount = 0;
     private mayHaveRun = false;
+    /** Whether a further attempt has been taken from the budget and not been made. */
+    private hasReservedAttempt = false;
     /** Version of the software that began the answer; undefined before its first token, or where it is unknown. */
     private software: SoftwareVersion | undefined;
 
@@ -87,7 +89,8 @@
         const sentAtMs = run.ageMs();
         const tokensBefore = sink.tokens;
         const isStart = tokensBefore === 0;
-        const attempt = await sendChat(ctx, prepared, run, grant, sink, this.software);
+        const onSilence = (software: SoftwareVersion | undefined): boolean => this.reserveMove(grant, software);
+        const attempt = await sendChat(ctx, prepared, run, grant, sink, onSilence, this.software);
         if (isStart) this.software = attempt.software;
         this.mayHaveRun ||= attempt.mayHaveRun;
         this.recordTimes(attempt, sentAtMs);
@@ -144,7 +147,7 @@
      * @returns The final error; undefined to make another attempt.
      */
     private handleFailure(grant: Grant, err: EngineStreamError): CallerError | undefined {
-        const { ctx, run, sink } = this.options;
+        const { run, sink } = this.options;
         run.recordStep("attempt-failed", `${grant.upstream} with ${sink.tokens} tokens delivered: ${err.message}`);
         if (run.isCancelled) return makeCancelError(run.cancelReason!, this.failureOutcome());
         if (sink.tokens > 0 && this.software === undefined) {
@@ -153,8 +156,32 @@
         if (run.cancelReason === "preempted") return undefined;
         if (err.reason === "rejected") return makeRejectionError(err);
         this.avoid.push(grant.upstream);
-        if (this.attemptCount < ctx.limits.attempts && ctx.retryBudget.tryTake(true)) return undefined;
-        return makeUpstreamError(this.attemptCount, this.failureOutcome());
+        if (!this.reserveAttempt()) return makeUpstreamError(this.attemptCount, this.failureOutcome());
+        this.hasReservedAttempt = false;
+        return undefined;
+    }
+
+    /**
+     * Reserves the attempt with which the chat moves off a silent upstream.
+     *
+     * Prevents silence from ending an answer: the upstream may go on at any time, and is left only if the chat can go on elsewhere.
+     *
+     * @param software - Version of the software that began the answer; undefined where none has, or where it is unknown.
+     */
+    private reserveMove({ upstream }: Grant, software: SoftwareVersion | undefined): boolean {
+        const { ctx, prepared, sink } = this.options;
+        const isMovable = software === undefined
+            ? sink.tokens === 0
+            : ctx.software.hasOther(prepared.pool, upstream, software);
+        return isMovable && this.reserveAttempt();
+    }
+
+    /** Takes a further attempt from the budget, unless one is reserved; false when it must not be made. */
+    private reserveAttempt(): boolean {
+        const { limits, retryBudget } = this.options.ctx;
+        if (this.hasReservedAttempt) return true;
+        this.hasReservedAttempt = this.attemptCount < limits.attempts && retryBudget.tryTake(true);
+        return this.hasReservedAttempt;
     }
 
     private describeRefusal(refusal: Refusal): CallerError {
@@ -168,7 +195,8 @@
 
     /** Completes the answer. The usage is durable before the last event is sent to the caller, unless that takes too long. */
     private async finish({ usage, finishReason }: EngineStreamEnd): Promise<ChatResult> {
-        const { sink } = this.options;
+        const { ctx, sink } = this.options;
+        if (this.hasReservedAttempt) ctx.retryBudget.giveBack();
         await this.recordUsage(usage.prompt_tokens, sink.tokens);
         // After a resume the engine counts cached tokens of a prompt that includes part of the answer.
         const cached_tokens = this.attemptCount === 1 ? usage.cached_tokens : 0;
--- a/src/entry/sendChat/index.ts
+++ b/src/entry/sendChat/index.ts
@@ -38,10 +38,13 @@
 /**
  * Sends a chat to the granted engine and streams its tokens to the sink.
  *
- * Handles an engine or a connection that becomes unresponsive: the stream is abandoned when the first or the next token does
- * not arrive within its limit, and the connection is reset so that no late data on it reaches another request.
+ * Handles an engine or a connection that becomes unresponsive: when the next token does not arrive within its limit, the stream is
+ * abandoned if the chat can go on elsewhere, and otherwise as late as one without a first token. The connection is reset so that no late
+ * data on it reaches another request.
  *
  * @param sink - Receives the tokens; the engine must continue after the tokens that the sink already has.
+ * @param onSilence - Called when the next token is late, with the software that began the answer; returns whether the chat goes on
+ * elsewhere.
  * @param required - Version of the software that must run the chat, since it began the answer; undefined: any.
  */
 export async function sendChat(
@@ -50,6 +53,7 @@
     run: RunningRequest,
     grant: Grant,
     sink: ChatSink,
+    onSilence: (software: SoftwareVersion | undefined) => boolean,
     required?: SoftwareVersion,
 ): Promise<ChatAttempt> {
     const { clock, limits } = ctx;
@@ -93,7 +97,10 @@
         const failed = failedAttempt(new EngineStreamError("refused", "the engine runs other software now"), true);
         return { ...failed, sentAt, isRelayed };
     }
-    const stallTimer = new StallTimer(clock, () => run.cancel("stalled"));
+    const stallTimer = new StallTimer(clock, silentMs => {
+        const isGivenUp = silentMs >= limits.firstTokenStallMs;
+        if (onSilence(required ?? software) || isGivenUp) run.cancel("stalled");
+    });
     stallTimer.expectWithin(limits.firstTokenStallMs);
     const result = await readEngineStream(reply, run.identity.id, offset, ({ text, tokens }) => {
         const gapMs = clock.monotonic() - lastAt;
--- a/src/entry/stallTimer/index.ts
+++ b/src/entry/stallTimer/index.ts
@@ -1,7 +1,7 @@
 import { Clock, Timer } from "../../ports/index.js";
 
 /**
- * Detects that expected data has not arrived. A whole stream uses one timer, which is rearmed only when it expires, so that no timer
+ * Detects that expected data has not arrived, and reports it again while it does not arrive. A whole stream uses one timer, which is rearmed only when it expires, so that no timer
  * is set per token.
  *
  * @example
@@ -13,9 +13,11 @@
     private timer: Timer | undefined;
     private limitMs = 0;
     private lastTouch = 0;
+    /** Monotonic time of the last report since the last data, in milliseconds. */
+    private reportedAt = 0;
 
-    /** @param onStall - Called once, when nothing has arrived within the limit. */
-    constructor(private readonly clock: Clock, private readonly onStall: () => void) {}
+    /** @param onStall - Called with the time without data, in milliseconds, each time that it has grown by the limit. */
+    constructor(private readonly clock: Clock, private readonly onStall: (silentMs: number) => void) {}
 
     /** Restarts the timer with a maximum time between calls of `touch`, in milliseconds. */
     expectWithin(limitMs: number): void {
@@ -40,12 +42,15 @@
     }
 
     private check(): void {
-        const remainingMs = this.lastTouch + this.limitMs - this.clock.monotonic();
+        const now = this.clock.monotonic();
+        const since = Math.max(this.lastTouch, this.reportedAt);
+        const remainingMs = since + this.limitMs - now;
         if (remainingMs > 0) {
             this.arm(remainingMs);
             return;
         }
-        this.timer = undefined;
-        this.onStall();
+        this.reportedAt = now;
+        this.arm(this.limitMs);
+        this.onStall(now - this.lastTouch);
     }
 }
