A caller that reads slowly is no silence of its engine

What callers saw: a caller whose connection takes no more for longer than the stall limit had its chat moved from engine to engine, and lost it once no attempts were left.

Cause: the stall timer ran on while a token waited for the caller, when nothing is read from the engine.

--- a/src/entry/runChat/test.ts
+++ b/src/entry/runChat/test.ts
@@ -53,12 +53,12 @@
     onPreempt(): void {}
 }
 
-/** Keeps an answer's text. */
+/** Keeps an answer's text, and takes some time for each token. */
 class TextSink extends ChatSink {
     text = "";
     end: string | undefined;
 
-    constructor() {
+    constructor(private readonly clock: VirtualClock, private readonly takesMs: number) {
         super({} as HttpResponse, { request: "r" as RequestId, model: POOL, created: 0 });
     }
 
@@ -66,9 +66,10 @@
         return this.tokenCount;
     }
 
-    write(text: string, tokens: number): void {
+    write(text: string, tokens: number): Promise<void> | void {
         this.text += text;
         this.tokenCount += tokens;
+        return this.takesMs > 0 ? this.clock.sleep(this.takesMs) : undefined;
     }
 
     finish(): void {
@@ -84,9 +85,9 @@
     /** Runs a chat while some of its tokens come late. */
     async function play(
         pauses: Record<string, number>,
-        options: { attempts?: number; isBudgetSpent?: boolean; engines?: string[]; } = {},
+        options: { attempts?: number; isBudgetSpent?: boolean; engines?: string[]; takesMs?: number; } = {},
     ) {
-        const { attempts = 4, isBudgetSpent = false, engines = ENGINES } = options;
+        const { attempts = 4, isBudgetSpent = false, engines = ENGINES, takesMs = 0 } = options;
         const clock = new VirtualClock();
         const registry = new UpstreamRegistry({ clock });
         for (const id of engines) registry.announce(makeAnnouncement({ id }));
@@ -121,7 +122,7 @@
             promptTokens: 1,
             prefixes: [],
         };
-        const sink = new TextSink();
+        const sink = new TextSink(clock, takesMs);
         const self = "entry-1" as HostId;
         const running = runChat({ ctx, prepared: prepared as unknown as PreparedChat, run, sink, self });
         const { outcome } = await clock.runUntil(running, RUN_TIMEOUT_MS);
@@ -158,4 +159,10 @@
             assert.deepEqual([outcome, end], ["partly-run", "1 upstreams failed"]);
         });
     });
+
+    it("does not take a caller that reads slowly for an engine that is silent", async () => {
+        // A slow caller's answer would be moved, and lost once no attempts are left.
+        const { outcome, text, runs } = await play({}, { takesMs: 4_000 });
+        assert.deepEqual([outcome, text, runs], ["answered", WHOLE, ["u1 from 0"]]);
+    });
 });
--- a/src/entry/sendChat/index.ts
+++ b/src/entry/sendChat/index.ts
@@ -113,7 +113,7 @@
         }
         stallTimer.touch();
         ctx.dispatcher.progress(run.identity.id, tokens);
-        return sink.write(text, tokens);
+        return awaitCaller(sink.write(text, tokens), stallTimer);
     }, clock);
     stallTimer.stop();
     if (result.isLeft()) reply.reset();
@@ -130,6 +130,13 @@
     };
 }
 
+/** Lets a caller take its time, which is no silence of the engine. */
+function awaitCaller(written: Promise<void> | void, stallTimer: StallTimer): Promise<void> | void {
+    if (!written) return;
+    stallTimer.pause();
+    return written.then(() => stallTimer.touch());
+}
+
 /** Whether a status means that the request itself is invalid; time-outs, conflicts and overload (408, 409, 425, 429) are transient. */
 function isRejection(status: number): boolean {
     return status >= 400 && status < 500 && !TRANSIENT_STATUSES.includes(status);
--- a/src/entry/stallTimer/index.ts
+++ b/src/entry/stallTimer/index.ts
@@ -15,6 +15,7 @@
     private lastTouch = 0;
     /** Monotonic time of the last report since the last data, in milliseconds. */
     private reportedAt = 0;
+    private isPaused = false;
 
     /** @param onStall - Called with the time without data, in milliseconds, each time that it has grown by the limit. */
     constructor(private readonly clock: Clock, private readonly onStall: (silentMs: number) => void) {}
@@ -27,11 +28,17 @@
         this.arm(limitMs);
     }
 
-    /** Records that data has arrived. */
+    /** Records that data has arrived, or that more of it can be read again. */
     touch(): void {
+        this.isPaused = false;
         this.lastTouch = this.clock.monotonic();
     }
 
+    /** Expects no data until the next call of `touch`, since none can be read. */
+    pause(): void {
+        this.isPaused = true;
+    }
+
     stop(): void {
         this.timer?.cancel();
         this.timer = undefined;
@@ -43,7 +50,7 @@
 
     private check(): void {
         const now = this.clock.monotonic();
-        const since = Math.max(this.lastTouch, this.reportedAt);
+        const since = this.isPaused ? now : Math.max(this.lastTouch, this.reportedAt);
         const remainingMs = since + this.limitMs - now;
         if (remainingMs > 0) {
             this.arm(remainingMs);
