A call that has left a silent upstream is not ended by refusals

What callers saw: a stream left an upstream that was only silent, the next ones were full and turned it away, each refusal took a repeat from the budget, and with none left the stream was cut with seconds to go.

Cause: an attempt that left a silent upstream was followed by the same rules as one whose upstream failed: five tries, a repeat for each, and the end at the first refused ticket.

Now such a call ends only with its time limits, its attempts, or its upstream's own failure. It pauses 100 ms before each further try, waits for a repeat where none is left, and submits a refused ticket again. The repeats that it may make are as limited as before.

Evidence: src/entry/silentCalls, the test with refusals until the budget is spent fails on the code before (call 1 is cut).

--- a/src/entry/silentCalls/test.ts
+++ b/src/entry/silentCalls/test.ts
@@ -108,6 +108,16 @@
             assert.equal(countRuns(), 2);
         });
 
+        it("end whole where the upstreams to which they move turn them away until the repeats budget is spent", async () => {
+            // A stream would be cut with seconds left, though the upstream that it left is sound.
+            await startFleet(STREAM, { upstreams: [STREAMING, STREAMING, STREAMING] }, 0);
+            const replies = await startCalls(20);
+            const [silent, ...others] = fleet.upstreams;
+            silent.fallSilent(2_500);
+            for (const { faults } of others) faults.push(...Array.from({ length: 10 }, () => "refuse" as const));
+            await checkWhole(replies);
+        });
+
         it("end whole where the only other upstream has no free slot", async () => {
             // A stall would end a stream whose new ticket waits until it is refused.
             await startFleet(STREAM, { upstreams: [{ ...STREAMING, slots: 1 }, { ...STREAMING, slots: 1 }] });
--- a/src/passthrough/callTask/index.ts
+++ b/src/passthrough/callTask/index.ts
@@ -29,6 +29,8 @@
     tries: number;
     /** Number of upstreams that have, or may have, begun to work on it. */
     begun: number;
+    /** Whether it has left a silent upstream, which may have been sound. */
+    hasMoved: boolean;
     /** The last failure answer of an upstream. */
     upstreamFailure: BufferedAnswer | undefined;
     /** Version of the software of the upstream tried last. */
@@ -57,6 +59,7 @@
         stream: createStreamState(),
         tries: 0,
         begun: 0,
+        hasMoved: false,
         upstreamFailure: undefined,
         software: undefined,
         relay: undefined,
--- a/src/passthrough/nextStep/index.ts
+++ b/src/passthrough/nextStep/index.ts
@@ -26,12 +26,14 @@
     readonly attempts: number;
     /** Number of times the call was sent or could not be sent, including this attempt. */
     readonly tries: number;
+    /** Whether the call has left a sound upstream, so that only its time limits end it. */
+    readonly mayWait: boolean;
     /** Takes one repeat from the budget; called only when nothing else prevents the repeat. */
     readonly tryTakeRepeat: () => boolean;
 }
 
-/** `again`: try another upstream. `give-up`: send the caller its final answer now. */
-export type NextStep = "again" | "give-up";
+/** `again`: try another upstream. `later`: decide again after a pause. `give-up`: send the caller its final answer now. */
+export type NextStep = "again" | "later" | "give-up";
 
 /**
  * Maximum number of tries: a call that has reached no upstream by then will not reach one later, since its pool is
@@ -49,11 +51,13 @@
  * if (chooseNextStep(summary) === "give-up") return answer.sendError(err, request);
  */
 export function chooseNextStep(summary: AttemptSummary): NextStep {
-    const { end, tries, tryTakeRepeat } = summary;
-    if (tries >= MAX_TRIES || !summary.isSoftwareKnown) return "give-up";
+    const { end, tries, mayWait, tryTakeRepeat } = summary;
+    if (!summary.isSoftwareKnown) return "give-up";
+    if (tries >= MAX_TRIES && !mayWait) return "give-up";
     if (end === "not-sent") return "again";
     if (end !== "refused" && !mayRepeat(summary)) return "give-up";
-    return tryTakeRepeat() ? "again" : "give-up";
+    if (tryTakeRepeat()) return "again";
+    return mayWait ? "later" : "give-up";
 }
 
 function mayRepeat({ end, kind, resumable, begun, attempts }: AttemptSummary): boolean {
--- a/src/passthrough/nextStep/test.ts
+++ b/src/passthrough/nextStep/test.ts
@@ -11,6 +11,7 @@
         begun: 1,
         attempts: 2,
         tries: 1,
+        mayWait: false,
         tryTakeRepeat: () => true,
         ...fields,
     };
@@ -55,4 +56,20 @@
             assert.equal(choose("not-sent", { tries: 5 }), "give-up");
         });
     });
+
+    describe("a call that has left a sound upstream", () => {
+        it("waits for a repeat, however often it was turned away since", () => {
+            // Its answer would end because its upstream was silent for a moment.
+            const moved = { mayWait: true, kind: "stream", resumable: true } as const;
+            for (const tries of [2, 20]) {
+                assert.equal(choose("refused", { ...moved, tries }), "again");
+                assert.equal(choose("refused", { ...moved, tries, tryTakeRepeat: () => false }), "later");
+                assert.equal(choose("not-sent", { ...moved, tries }), "again");
+            }
+        });
+
+        it("ends with its last attempt all the same", () => {
+            assert.equal(choose("broken", { mayWait: true, kind: "stream", resumable: true, begun: 2 }), "give-up");
+        });
+    });
 });
--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -18,7 +18,7 @@
     returnGrant,
     tokensPerEventOf,
 } from "../callTask/index.js";
-import { AttemptEnd, chooseNextStep } from "../nextStep/index.js";
+import { AttemptEnd, chooseNextStep, NextStep } from "../nextStep/index.js";
 import { checkQuarantine, PreparedCall, recheckKey } from "../prepareCall/index.js";
 import { sendBuffered } from "../relayAnswer/index.js";
 import { sendCall } from "../sendCall/index.js";
@@ -28,6 +28,8 @@
 
 /** Retry delay after the loss of an upstream, in milliseconds: the others of the pool continue to serve. */
 const RETRY_AFTER_LOSS_MS = 100;
+/** Pause of a call that has left a silent upstream before it tries again, in milliseconds. */
+const MOVED_RETRY_PAUSE_MS = 100;
 /** Without data for this long when its caller disconnects, an upstream counts as unresponsive, in milliseconds. */
 const UNRESPONSIVE_AFTER_MS = 1_500;
 /** Maximum number of parts of a prompt in a log line. */
@@ -89,10 +91,10 @@
     const { ctx, call, run } = task;
     const ticketId = ctx.random.id() as RequestId;
     const decision = await ctx.dispatcher.submit(makeTicket(task, ticketId), run.signal);
-    if (decision.isLeft()) return { end: await endWithRefusal(task, decision.extract() as Refusal) };
+    if (decision.isLeft()) return endOrWait(task, () => endWithRefusal(task, decision.extract() as Refusal));
     const held = { ticketId, grant: decision.extract() as Grant };
     const block = ctx.sendGuard.findBlock(held.grant, requiredSoftware(task));
-    if (block) return { end: await declineGrant(task, held, block) };
+    if (block) return declineGrant(task, held, block);
     const error = recheckKey(ctx, call) ?? checkQuarantine(ctx, call);
     if (!run.isCancelled && !error) return sendGranted(task, held);
     returnGrant(task, held);
@@ -127,13 +129,40 @@
         return { end: endCancelled(task) };
     }
     progress.avoid.push(grant.upstream);
-    if (next) return { next };
-    if (decideNext(task, result.end) === "give-up") return { end: await endWithFailure(task, result.end) };
+    if (next) {
+        progress.hasMoved = true;
+        return { next };
+    }
+    const step = await awaitNextStep(task, result.end);
+    if (run.isCancelled) return { end: endCancelled(task) };
+    if (step === "give-up") return { end: await endWithFailure(task, result.end) };
     // The owner of the queue must know how the attempt ended before it chooses another upstream.
     await completed;
     return {};
 }
 
+/**
+ * Prevents a call from ending because its upstream was silent for a moment: once it has left that upstream, it tries again until its time is
+ * over.
+ */
+async function endOrWait(task: CallTask, end: () => Promise<CallEnd>): Promise<AttemptOutcome> {
+    const { ctx, run, progress } = task;
+    if (progress.hasMoved) await ctx.clock.sleep(MOVED_RETRY_PAUSE_MS, run.signal);
+    if (run.isCancelled) return { end: endCancelled(task) };
+    return progress.hasMoved ? {} : { end: await end() };
+}
+
+/** Decides how a call goes on; one that has left a silent upstream waits until it may be sent again. */
+async function awaitNextStep(task: CallTask, end: AttemptEnd): Promise<NextStep> {
+    const { ctx, run, progress } = task;
+    if (!progress.hasMoved) return decideNext(task, end);
+    for (;;) {
+        await ctx.clock.sleep(MOVED_RETRY_PAUSE_MS, run.signal);
+        const step = run.isCancelled ? "give-up" : decideNext(task, end);
+        if (step !== "later") return step;
+    }
+}
+
 /** Returns the grant for another upstream, where the call needs none any more. */
 function returnMove(task: CallTask, next: MoveGrant | undefined): void {
     if (!next) return;
@@ -168,7 +197,7 @@
  * processes and grant what all others know to be closed. The call is submitted again; if the owner offers the same
  * upstream again, the call is refused.
  */
-async function declineGrant(task: CallTask, held: HeldGrant, block: SendBlock): Promise<CallEnd | undefined> {
+async function declineGrant(task: CallTask, held: HeldGrant, block: SendBlock): Promise<AttemptOutcome> {
     const { ctx, call, run, progress } = task;
     const { grant } = held;
     const isRepeated = progress.avoid.includes(grant.upstream);
@@ -177,13 +206,14 @@
     const { pool } = call;
     recordDecline(ctx, { request, pool, grant, block, outcome: isRepeated ? "refused" : "submitted-again" });
     run.recordStep("grant-unused", `${grant.upstream} is ${block.reason}`);
-    if (run.isCancelled) return endCancelled(task);
+    if (run.isCancelled) return { end: endCancelled(task) };
     if (isRepeated) {
         const detail = "the only upstream that was offered takes no more work";
-        return failNotRun(task, new CallError("refused", detail, block.leftMs ?? RETRY_AFTER_LOSS_MS));
+        const error = new CallError("refused", detail, block.leftMs ?? RETRY_AFTER_LOSS_MS);
+        return endOrWait(task, () => failNotRun(task, error));
     }
     progress.avoid.push(grant.upstream);
-    return undefined;
+    return {};
 }
 
 function makeAttempt(task: CallTask, { ticketId, grant }: HeldGrant, silence: SilenceWatch): Attempt {
@@ -194,10 +224,10 @@
 
 function decideNext({ ctx, call, progress }: CallTask, end: AttemptEnd) {
     const { kind, resumable, attempts } = call.route;
-    const { begun, tries, stream } = progress;
+    const { begun, tries, stream, hasMoved: mayWait } = progress;
     const isSoftwareKnown = stream.eventCount === 0 || stream.startedBy !== undefined;
     const tryTakeRepeat = (): boolean => ctx.repeats.tryTake(call.pool, ctx.view.entryCount());
-    return chooseNextStep({ end, kind, resumable, isSoftwareKnown, begun, attempts, tries, tryTakeRepeat });
+    return chooseNextStep({ end, kind, resumable, isSoftwareKnown, begun, attempts, tries, mayWait, tryTakeRepeat });
 }
 
 function recordAttempt(
--- a/src/passthrough/stallMove/index.ts
+++ b/src/passthrough/stallMove/index.ts
@@ -125,6 +125,7 @@
             tries,
             isSoftwareKnown: !hasEvents || stream.startedBy !== undefined,
             begun: begun + 1,
+            mayWait: false,
             tryTakeRepeat: () => {
                 repeat = ctx.repeats.tryReserve(call.pool, ctx.view.entryCount());
                 return repeat !== undefined;
