A peer connection that both ends end at once leaves no descriptor

What was seen: a descriptor was left for good, and a test that had passed ran on at its end, each time a connection was reset as soon as the other end had closed it. On the end of what it reads, Node closes the other direction by itself; while that is under way the reset of the operating system's handle is refused, and Node neither closes the handle nor says so. Links between processes do just that when a peer ends, and so does the sender of orders when a receiver closes its connection without a whole answer.

Connections between processes stay open for writing until their owner resets or closes them, as each owner does at the end of what it reads. A reset then discards unsent bytes as before.

--- a/src/ports/tcpNetwork/index.ts
+++ b/src/ports/tcpNetwork/index.ts
@@ -12,7 +12,7 @@
 export class TcpNetwork extends Network {
     listen(address: Address, accept: (connection: Connection) => void): Promise<Listener> {
         const openSockets = new Set<Socket>();
-        const server = createServer({ noDelay: true }, socket => {
+        const server = createServer({ noDelay: true, allowHalfOpen: true }, socket => {
             openSockets.add(socket);
             socket.on("close", () => openSockets.delete(socket));
             accept(new TcpConnection(socket));
@@ -37,7 +37,7 @@
 
     connect(address: Address, timeoutMs: number): Promise<Either<NetworkError, Connection>> {
         return new Promise(resolve => {
-            const socket = new Socket();
+            const socket = new Socket({ allowHalfOpen: true });
             const timer = setTimeout(() => fail("timeout"), timeoutMs);
             const fail = (reason: NetworkError["reason"]): void => {
                 clearTimeout(timer);
