Answers to orders and reports are parsed by HTTP, whatever a receiver sends

What was seen, with a receiver (the platform, an engine) that sends odd bytes: - a chunk size of -6 sent the parser back to where it was: the process that holds the lease did nothing else any more, and ended without memory; - an interim answer, as 103, was taken for the final one: an order that had been executed counted as refused; - all that had come was copied and parsed again for each piece, so that a body in small chunks blocked the process for seconds; - an answer without a length that this end reset at its time limit counted as whole.

ReplyParser takes bytes as they come, each once. It skips interim answers, and rejects a change of protocol, lengths and sizes that are none, contradictory headers, lines over 16 KiB, and more than 4 MiB in all. The sender gives up an answer whose connection it has reset itself.

Evidence (src/control/connectionSender): before, "reads the final answer behind interim ones" got 103 in place of 200; "rejects a negative chunk size" ended in "JavaScript heap out of memory"; "gives up on a body without end" ended by its time limit of 20 s in place of the limit of bytes. The seeded test runs the wrong answers of the HTTP client's test against the sender; the answers stand beside the other test doubles of the ports now.

--- a/src/control/connectionSender/index.ts
+++ b/src/control/connectionSender/index.ts
@@ -1,12 +1,12 @@
 import { Either, Left, Right } from "purify-ts";
 import { Clock, Connection, Network } from "../../ports/index.js";
-import { formatPost, parseReply } from "../_lib/httpMessage.js";
+import { formatPost } from "../_lib/formatPost.js";
 import { FencedCall, FencedReply, FencedSender, FencedSendError } from "../fencedSender/index.js";
+import { ReplyParser } from "../replyParser/index.js";
 
 const CONNECT_TIMEOUT_MS = 2_000;
 /** Time without a complete response after which the connection is reset and the kernel's send buffer dropped, in milliseconds. */
 const DEFAULT_MAX_DELIVERY_MS = 5_000;
-const MAX_REPLY_BYTES = 4 * 1024 * 1024;
 
 /**
  * Sends over the `Network` port, with a fresh connection for each request.
@@ -44,7 +44,7 @@
     }
 
     resetAll(): void {
-        for (const connection of this.openConnections) connection.reset();
+        for (const connection of this.openConnections) this.reset(connection);
     }
 
     private async awaitReply(connection: Connection): Promise<Either<FencedSendError, FencedReply>> {
@@ -52,24 +52,30 @@
         this.openConnections.add(connection);
         const timer = this.clock.after(this.maxDeliveryMs, () => {
             reason = "timeout";
-            connection.reset();
+            this.reset(connection);
         });
         const reply = await readReply(connection);
         timer.cancel();
+        // A response that ends with its connection is not complete when this end has reset it.
+        const isWhole = reply !== undefined && this.openConnections.has(connection);
+        this.reset(connection);
+        return isWhole ? Right(reply) : Left(new FencedSendError(reason, true));
+    }
+
+    private reset(connection: Connection): void {
         this.openConnections.delete(connection);
         connection.reset();
-        return reply ? Right(reply) : Left(new FencedSendError(reason, true));
     }
 }
 
 async function readReply(connection: Connection): Promise<FencedReply | undefined> {
-    let bytes = Buffer.alloc(0);
+    const parser = new ReplyParser();
     try {
         for (;;) {
             const chunk = await connection.receive();
-            if (chunk) bytes = Buffer.concat([bytes, chunk]);
-            const reply = parseReply(bytes, chunk === undefined);
-            if (reply || !chunk || bytes.length > MAX_REPLY_BYTES) return reply;
+            if (!chunk) return parser.end();
+            const reply = parser.push(chunk);
+            if (reply) return reply;
         }
     }
     catch {
--- a/src/ports/index.ts
+++ b/src/ports/index.ts
@@ -21,3 +21,5 @@
 export * from "./tcpNetwork/index.js";
 export * from "./virtualClock/index.js";
 export * from "./writeToStandardOutput/index.js";
+export * from "./wrongAnswer/index.js";
+export * from "./wrongServer/index.js";
--- a/src/ports/nodeHttpClient/test.ts
+++ b/src/ports/nodeHttpClient/test.ts
@@ -2,8 +2,8 @@
 import { describe, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { HttpError, readReplyText } from "../http/index.js";
+import { makeWrongAnswers, ORDINARY_BODY, WRONG_PATH, WrongAnswer, WrongServer } from "../index.js";
 import { Address } from "../network/index.js";
-import { makeWrongAnswers, ORDINARY_BODY, WRONG_PATH, WrongAnswer, WrongServer } from "./fixtures/index.js";
 import { NodeHttpClient } from "./index.js";
 
 const SEED = 1;
