--- a/src/tools/routedProcesses/index.ts
+++ b/src/tools/routedProcesses/index.ts
@@ -70,6 +70,14 @@
         await fetch(`${this.controlUrl(upstream)}${CALL_UPSTREAM_PATHS.silence}`, { method: "POST", body });
     }
 
+    /** Freezes an upstream's process for a time, in milliseconds. */
+    async freeze(upstream: number, ms: number): Promise<void> {
+        const { program } = this.upstreams[upstream];
+        program.signal("SIGSTOP");
+        await new Promise(resolve => setTimeout(resolve, ms));
+        program.signal("SIGCONT");
+    }
+
     /** Returns the calls that all upstreams have begun to run. */
     async listRuns(): Promise<UpstreamRun[]> {
         const lists = await Promise.all(this.upstreams.map(async (_, number) => {
--- a/src/tools/stops/runStops/index.ts
+++ b/src/tools/stops/runStops/index.ts
@@ -4,7 +4,7 @@
 import { RoutedProcessFleet } from "../../routedProcesses/index.js";
 import { checkStops, EntryLife, Exchange, StopFault, StopRecord } from "../checkStops/index.js";
 import { StopCaller } from "../stopCaller/index.js";
-import { drawStopPlan, makeFirstDocument, STOP_ROUTES, StopPlan } from "../stopPlan/index.js";
+import { drawStopPlan, makeFirstDocument, PlannedSilence, STOP_ROUTES, StopPlan } from "../stopPlan/index.js";
 
 /** Result of one run. */
 export interface StopReport {
@@ -140,11 +140,7 @@
         const { signals, silences, documents } = this.plan;
         const sent = signals.filter(({ signal }) => this.options.signals.includes(signal));
         for (const { atMs, entry, signal } of sent) this.after(atMs, () => this.signal(entry, signal));
-        for (const { atMs, durationMs, upstreams } of silences) {
-            this.after(atMs, () => {
-                for (const upstream of upstreams) void this.fleet.silence(upstream, durationMs);
-            });
-        }
+        for (const silence of silences) this.after(silence.atMs, () => this.silence(silence));
         for (const { atMs, document } of documents) {
             this.after(
                 atMs,
@@ -153,6 +149,13 @@
         }
     }
 
+    private silence({ upstreams, durationMs, isFrozen }: PlannedSilence): void {
+        for (const upstream of upstreams) {
+            if (isFrozen) void this.fleet.freeze(upstream, durationMs);
+            else void this.fleet.silence(upstream, durationMs);
+        }
+    }
+
     private after(ms: number, action: () => void): void {
         if (ms < this.plan.durationMs) this.timers.push(setTimeout(action, ms));
     }
--- a/src/tools/stops/stopCaller/index.ts
+++ b/src/tools/stops/stopCaller/index.ts
@@ -1,8 +1,8 @@
 import { Agent, ClientRequest, IncomingMessage, request as sendHttp } from "node:http";
 import { CALL_HEADERS } from "../../../passthrough/index.js";
-import { Address, SeededRandom } from "../../../ports/index.js";
+import { Address, Random } from "../../../ports/index.js";
 import { Exchange } from "../checkStops/index.js";
-import { CallerPlan, ROUTE_HOST, STOP_ROUTES, StopRoute } from "../stopPlan/index.js";
+import { CallerPlan, makeRandom, ROUTE_HOST, STOP_ROUTES, StopRoute } from "../stopPlan/index.js";
 
 /** What a caller needs to know of the fleet. */
 export interface CallerSurroundings {
@@ -34,7 +34,7 @@
  */
 export class StopCaller {
     private readonly agent = new Agent({ keepAlive: true, maxSockets: 1 });
-    private readonly random: SeededRandom;
+    private readonly random: Random;
     private entry = 0;
     private sentCount = 0;
 
@@ -43,7 +43,7 @@
         private readonly plan: CallerPlan,
         private readonly surroundings: CallerSurroundings,
     ) {
-        this.random = new SeededRandom(plan.seed);
+        this.random = makeRandom(plan.seed);
     }
 
     /** Sends requests until no more may be begun, and waits for the last answer. */
--- a/src/tools/stops/stopPlan/index.ts
+++ b/src/tools/stops/stopPlan/index.ts
@@ -28,6 +28,8 @@
     readonly atMs: number;
     readonly durationMs: number;
     readonly upstreams: readonly number[];
+    /** Whether their processes are frozen, so that they don't announce themselves either. */
+    readonly isFrozen: boolean;
 }
 
 /** A fleet document that is put in force. */
@@ -110,6 +112,7 @@
 const ROLL_INTERVAL_MS = 2_500;
 const SILENCE_MS: readonly [number, number] = [500, 4_000];
 const MAX_SEED = 1_000_000;
+const SKIPPED_NUMBERS = 32;
 
 /**
  * Draws a run: entries that are stopped one at a time or several at once, upstreams that fall silent, and changes of the document.
@@ -120,7 +123,7 @@
  * const plan = drawStopPlan(42, 1);
  */
 export function drawStopPlan(seed: number, size: number): StopPlan {
-    const random = new SeededRandom(seed);
+    const random = makeRandom(seed);
     const entries = ENTRIES * size;
     const upstreams = UPSTREAMS_PER_POOL.flatMap(([pool, count]) => repeat(count * size, () => UPSTREAMS[pool]));
     return {
@@ -137,6 +140,13 @@
     };
 }
 
+/** Makes a random generator. The first numbers of similar seeds are similar, and are skipped. */
+export function makeRandom(seed: number): Random {
+    const random = new SeededRandom(seed);
+    random.bytes(SKIPPED_NUMBERS);
+    return random;
+}
+
 /** Makes the document that is in force from the start. */
 export function makeFirstDocument(): StopDocument {
     return makeDocument({ version: 1, timeoutFactor: 1, idleTimeoutMs: 15_000, addedRoutes: 0 });
@@ -179,6 +189,7 @@
             atMs: random.between(0, DURATION_MS),
             durationMs: random.between(...SILENCE_MS),
             upstreams: Array.from({ length: upstreams }, (_, number) => number).filter(() => random.next() < share),
+            isFrozen: random.pick([false, true]),
         };
     });
 }
