--- a/src/tools/soak/main.ts
+++ b/src/tools/soak/main.ts
@@ -25,6 +25,8 @@
     readonly size: number;
     /** The signals of the schedule `stops`, separated by commas. */
     readonly signals: string;
+    /** By which a busy machine may be late in the schedule `stops`, in milliseconds. */
+    readonly tolerance: number;
     /** Folder for what is known of each fault of the schedule `stops`. */
     readonly logs?: string;
 }
@@ -58,8 +60,13 @@
         const { answered, counted, ran } = await runPowerSchedule(seed);
         return `${answered} answered, ${counted} counted, ${ran} ran`;
     },
-    "stops": async (seed, { size, signals, logs }) => {
-        const report = await runStops(seed, { size, signals: signals.split(","), readMs: READ_MS, toleranceMs: 0 });
+    "stops": async (seed, { size, signals, tolerance, logs }) => {
+        const report = await runStops(seed, {
+            size,
+            signals: signals.split(","),
+            readMs: READ_MS,
+            toleranceMs: tolerance,
+        });
         if (logs !== undefined && report.faults.length > 0) await writeFaults(logs, seed, report);
         return describeStopReport(report);
     },
@@ -117,6 +124,7 @@
 program.option("--from <seed>", "The first seed", { default: 1 });
 program.option("--size <factor>", "How many times as many processes the schedule stops has", { default: 1 });
 program.option("--signals <names>", "Which signals the schedule stops sends", { default: "SIGTERM,SIGHUP" });
+program.option("--tolerance <ms>", "By which a busy machine may be late in the schedule stops", { default: 500 });
 program.option("--logs <folder>", "Where the schedule stops writes what is known of its faults");
 program.help();
 const { options } = program.parse();
@@ -136,7 +144,7 @@
     const known = new Set(["--", ...program.globalCommand.options.map(({ name }) => name)]);
     const unknown = Object.keys(given).find(name => !known.has(name));
     if (unknown !== undefined) return `there is no option ${unknown}`;
-    const noNumber = ["seeds", "from", "size"].find(name => !Number.isInteger(given[name]));
+    const noNumber = ["seeds", "from", "size", "tolerance"].find(name => !Number.isInteger(given[name]));
     if (noNumber !== undefined) return `--${noNumber} is not a whole number`;
     return String(given.schedule) in SCHEDULE_RUNNERS ? undefined : `there is no schedule ${given.schedule}`;
 }
