--- a/src/tools/stops/runStops/index.ts
+++ b/src/tools/stops/runStops/index.ts
@@ -54,7 +54,7 @@
     const plan = { ...drawStopPlan(seed, options.size) };
     const durationMs = options.durationMs ?? plan.durationMs;
     const fleet = await RoutedProcessFleet.start(
-        { entries: plan.entries, balancerMs: BALANCER_MS, graceMs: DRAIN_MS },
+        { entries: plan.entries, controls: plan.controls, balancerMs: BALANCER_MS, graceMs: DRAIN_MS },
         plan.upstreams,
     );
     try {
@@ -137,9 +137,10 @@
     }
 
     private schedule(): void {
-        const { signals, silences, documents } = this.plan;
+        const { signals, silences, documents, controlStops } = this.plan;
         const sent = signals.filter(({ signal }) => this.options.signals.includes(signal));
         for (const { atMs, entry, signal } of sent) this.after(atMs, () => this.signal(entry, signal));
+        for (const { atMs, control } of controlStops) this.after(atMs, () => this.stopControl(control));
         for (const silence of silences) this.after(silence.atMs, () => this.silence(silence));
         for (const { atMs, document } of documents) {
             this.after(
@@ -149,6 +150,12 @@
         }
     }
 
+    private stopControl(control: number): void {
+        const program = this.processes.controls[control];
+        program.signal("SIGTERM");
+        void program.exited.then(() => this.isOpen && this.processes.startControl(control));
+    }
+
     private silence({ upstreams, durationMs, isFrozen }: PlannedSilence): void {
         for (const upstream of upstreams) {
             if (isFrozen) void this.fleet.freeze(upstream, durationMs);
--- a/src/tools/stops/stopPlan/index.ts
+++ b/src/tools/stops/stopPlan/index.ts
@@ -23,6 +23,12 @@
     readonly signal: "SIGTERM" | "SIGHUP";
 }
 
+/** A planned stop of a control process, which is started again. */
+export interface PlannedControlStop {
+    readonly atMs: number;
+    readonly control: number;
+}
+
 /** A time in which some upstreams send nothing. */
 export interface PlannedSilence {
     readonly atMs: number;
@@ -62,9 +68,11 @@
 /** Everything that happens in one run, drawn from its seed. */
 export interface StopPlan {
     readonly entries: number;
+    readonly controls: number;
     readonly upstreams: readonly UpstreamPlan[];
     readonly callers: readonly CallerPlan[];
     readonly signals: readonly PlannedSignal[];
+    readonly controlStops: readonly PlannedControlStop[];
     readonly silences: readonly PlannedSilence[];
     readonly documents: readonly PlannedDocument[];
     /** Time in which callers begin requests, in milliseconds. */
@@ -95,6 +103,9 @@
     2,
 ]];
 const ENTRIES = 4;
+const CONTROLS = 3;
+/** Longer than a control process needs to stop, start and catch up. */
+const CONTROL_STOP_INTERVAL_MS = 6_000;
 const CALLERS_PER_ENTRY = 16;
 /** Habits are drawn from these; one that occurs more often is more frequent. */
 const HABITS: readonly CallerHabit[] = [
@@ -128,6 +139,7 @@
     const upstreams = UPSTREAMS_PER_POOL.flatMap(([pool, count]) => repeat(count * size, () => UPSTREAMS[pool]));
     return {
         entries,
+        controls: CONTROLS,
         upstreams,
         callers: repeat(entries * CALLERS_PER_ENTRY, () => ({
             seed: random.integer(1, MAX_SEED),
@@ -136,6 +148,7 @@
         signals: [...drawStops(random, entries), ...drawHangups(random, entries)].sort((a, b) => a.atMs - b.atMs),
         silences: drawSilences(random, upstreams.length),
         documents: drawDocuments(random),
+        controlStops: drawControlStops(random),
         durationMs: DURATION_MS,
     };
 }
@@ -182,6 +195,17 @@
     }));
 }
 
+/** Stops control processes one at a time, in every second run. */
+function drawControlStops(random: Random): PlannedControlStop[] {
+    const count = random.pick([0, random.integer(1, 3)]);
+    const firstAtMs = random.between(0, DURATION_MS - count * CONTROL_STOP_INTERVAL_MS);
+    const first = random.integer(0, CONTROLS);
+    return repeat(count, number => ({
+        atMs: firstAtMs + number * CONTROL_STOP_INTERVAL_MS,
+        control: (first + number) % CONTROLS,
+    }));
+}
+
 function drawSilences(random: Random, upstreams: number): PlannedSilence[] {
     return repeat(random.pick([0, random.integer(1, 6)]), () => {
         const share = random.pick([0.3, 0.8, 1]);
--- a/src/tools/stops/stopPlan/test.ts
+++ b/src/tools/stops/stopPlan/test.ts
@@ -11,10 +11,11 @@
         assert.notDeepEqual(drawStopPlan(7, 1), drawStopPlan(8, 1));
     });
 
-    it("draws plans with and without silence, SIGHUP and several stops at once", () => {
+    it("draws plans with and without silence, SIGHUP and stops of control processes", () => {
         const plans = SEEDS.map(seed => drawStopPlan(seed, 1));
         assert.ok(plans.some(({ silences }) => silences.length === 0));
         assert.ok(plans.some(({ silences }) => silences.length > 2));
+        assert.ok(plans.some(({ controlStops }) => controlStops.length > 0));
         assert.ok(plans.some(({ signals }) => signals.some(({ signal }) => signal === "SIGHUP")));
         assert.ok(plans.some(({ signals }) => signals.every(({ signal }) => signal === "SIGTERM")));
     });
