A stop first reads the requests that have arrived

Cause: after a stall of the event loop its timers run before it accepts connections and reads from them. The timer that ends the time for accepting closed the listener and all connections that looked idle, though their requests were in the buffers of the operating system. Nothing was logged of them.

Evidence: the new test of ports/nodeHttp sends a request from a thread of its own while the event loop stands still, and stops then: '' in place of the answer on the code before.

Why it works: announcing the close and ending what is idle are two steps now, with a few turns of the event loop between them, in which arrived requests are read and refused as not run. The wait for open answers reads first, too, so that the process does not exit before.

--- a/src/entry/entryProcess/index.ts
+++ b/src/entry/entryProcess/index.ts
@@ -325,10 +325,11 @@
     }
 
     private async awaitIdle(limit: AbortSignal): Promise<void> {
-        while (!this.isIdle() && !limit.aborted) {
+        do {
             const answered = this.listeners.map(listener => listener.whenAnswered());
             await Promise.all([this.requests.whenIdle(), this.access.relays.whenIdle(limit), ...answered]);
         }
+        while (!this.isIdle() && !limit.aborted);
     }
 
     /** Counts the answers to callers and to other hosts that have not been sent whole. */
--- a/src/ports/nodeHttp/test.ts
+++ b/src/ports/nodeHttp/test.ts
@@ -1,12 +1,29 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { AddressInfo, createServer, Socket } from "node:net";
 import { after, before, describe, it } from "node:test";
+import { Worker } from "node:worker_threads";
 import { Address, DEFAULT_HTTP_LIMITS, HttpCall, HttpError, Listener, readReplyText } from "../index.js";
 import { NodeHttp } from "./index.js";
 
 const http = new NodeHttp();
 const LIMIT_BYTES = 1_000;
 
+/** Sends a request from a thread of its own, tells when the operating system has it, and posts what comes back. */
+const SEND_REQUEST = `
+    const { parentPort, workerData: { port, sent } } = require("node:worker_threads");
+    let received = "";
+    const socket = require("node:net").connect(port, "127.0.0.1", () => {
+        socket.write("GET / HTTP/1.1\\r\\nhost: a\\r\\n\\r\\n", () => {
+            Atomics.store(sent, 0, 1);
+            Atomics.notify(sent, 0);
+        });
+    });
+    socket.on("data", chunk => received += chunk);
+    socket.on("error", () => undefined);
+    socket.on("close", () => parentPort.postMessage(received.split("\\r\\n")[0]));
+`;
+
 function callTo(address: Address, path: string, body?: string): HttpCall {
     return {
         address,
@@ -70,6 +87,21 @@
             reply.reset();
         });
 
+        it("answers a request that arrived while the event loop stood still before the stop", async () => {
+            // Failure: after a stall, a stop closes connections whose requests were sent seconds ago and not read yet.
+            const server = await http.serve({ host: "127.0.0.1", port: 0 }, DEFAULT_HTTP_LIMITS, async (_, res) => {
+                res.head(503, [["content-length", "0"]]);
+                res.end();
+            });
+            const sent = new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT));
+            const workerData = { port: server.address.port, sent };
+            const worker = new Worker(SEND_REQUEST, { eval: true, workerData });
+            const received = once(worker, "message");
+            Atomics.wait(sent, 0, 0);
+            await server.stopAccepting();
+            assert.deepEqual(await received, ["HTTP/1.1 503 Service Unavailable"]);
+        });
+
         it("counts an answer as open until its caller has read enough of it", async () => {
             const size = 64 * 1024 * 1024;
             const server = await http.serve({ host: "127.0.0.1", port: 0 }, DEFAULT_HTTP_LIMITS, async (_, res) => {
--- a/src/ports/nodeHttpServer/index.ts
+++ b/src/ports/nodeHttpServer/index.ts
@@ -18,6 +18,8 @@
 const DEFAULT_KEEP_ALIVE_MS = 5_000;
 /** Number of checks for timed-out requests within the shortest request timeout. */
 const CHECKS_PER_TIMEOUT = 6;
+/** Turns of the event loop in which arrived requests are read: the rest of the present one, one to accept connections, one to read from them. */
+const TURNS_TO_READ = 3;
 
 /**
  * Starts an HTTP server on `node:http`.
@@ -49,13 +51,25 @@
         server.once("error", err => reject(new NetworkError("refused", err.message)));
         server.listen(address.port, address.host, () => {
             const bound = server.address() as { port: number; };
-            const stopAccepting = (): Promise<void> => new Promise<void>(done => void server.close(() => done()));
+            const closeConnections = async (): Promise<void> => {
+                connections.announceClose();
+                await readArrived();
+                connections.endIdle();
+            };
+            const stopAccepting = async (): Promise<void> => {
+                await closeConnections();
+                await new Promise<void>(done => void server.close(() => done()));
+            };
+            const whenAnswered = async (): Promise<void> => {
+                await readArrived();
+                await connections.whenAnswered();
+            };
             resolve({
                 address: { host: address.host, port: bound.port },
                 setLimits: changed => applyLimits(server, changed),
                 countOpenAnswers: () => connections.countOpen(),
-                whenAnswered: () => connections.whenAnswered(),
-                closeConnections: () => connections.closeWhenAnswered(),
+                whenAnswered,
+                closeConnections: () => void closeConnections(),
                 stopAccepting,
                 close: stopAccepting,
             });
@@ -63,6 +77,19 @@
     });
 }
 
+/**
+ * Resolves once the event loop has accepted the connections, and read the requests, that the operating system holds: after a stall, timers
+ * run before either.
+ */
+async function readArrived(): Promise<void> {
+    for (let turn = 0; turn < TURNS_TO_READ; turn++) await nextTurn();
+}
+
+/** Resolves in the event loop's check phase, right after it has polled for input. */
+function nextTurn(): Promise<void> {
+    return new Promise(resolve => setImmediate(resolve));
+}
+
 function applyLimits(server: Server, limits: HttpLimits): void {
     server.headersTimeout = limits.headerTimeoutMs;
     server.requestTimeout = limits.requestTimeoutMs;
--- a/src/ports/serverConnections/index.ts
+++ b/src/ports/serverConnections/index.ts
@@ -23,7 +23,8 @@
  *
  * @example
  * const connections = new ServerConnections(server);
- * connections.closeWhenAnswered();
+ * connections.announceClose();
+ * connections.endIdle();
  * await connections.whenAnswered();
  */
 export class ServerConnections {
@@ -34,7 +35,7 @@
 
     constructor(server: Server) {
         // `Server.close` calls it.
-        server.closeIdleConnections = () => this.closeWhenAnswered();
+        server.closeIdleConnections = () => this.endIdle();
         server.on("connection", (socket: Socket) => this.add(socket));
         server.prependListener("request", (req: IncomingMessage, res: ServerResponse) => this.addResponse(req, res));
     }
@@ -60,9 +61,13 @@
         return state.isEnding;
     }
 
-    /** Closes each connection as soon as its responses have been sent: idle ones now. */
-    closeWhenAnswered(): void {
+    /** Closes each connection as soon as its responses have been sent, from now on. */
+    announceClose(): void {
         this.isClosing = true;
+    }
+
+    /** Closes the connections without a response under way. */
+    endIdle(): void {
         for (const [socket, { open, bytesAnswered }] of this.states) {
             // Part of a request's head may have arrived: its request is answered first.
             if (open.size === 0 && socket.bytesRead === bytesAnswered) this.end(socket);
