Preemptions do not use up a chat's attempts

What callers saw: a chat that had given way to more urgent ones three times ended with an error when the first engine broke off its answer.

Cause: the limit of attempts counted those that were stopped for more urgent requests, though they say nothing about their engines and take nothing from the retry budget.

Evidence: src/entry/runChat, on the code before the test of preemptions ends partly-run with 3 of 6 tokens; now another engine continues it.

--- a/src/entry/runChat/index.ts
+++ b/src/entry/runChat/index.ts
@@ -53,6 +53,8 @@
     /** Upstreams that failed this chat. */
     private readonly avoid: UpstreamId[] = [];
     private attemptCount = 0;
+    /** Number of attempts that were stopped for more urgent requests: they say nothing about their upstreams. */
+    private preemptionCount = 0;
     private mayHaveRun = false;
     /** Whether a further attempt has been taken from the budget and not been made. */
     private hasReservedAttempt = false;
@@ -153,7 +155,10 @@
         if (sink.tokens > 0 && this.software === undefined) {
             return makeUpstreamError(this.attemptCount, this.failureOutcome());
         }
-        if (run.cancelReason === "preempted") return undefined;
+        if (run.cancelReason === "preempted") {
+            this.preemptionCount++;
+            return undefined;
+        }
         if (err.reason === "rejected") return makeRejectionError(err);
         this.avoid.push(grant.upstream);
         if (!this.reserveAttempt()) return makeUpstreamError(this.attemptCount, this.failureOutcome());
@@ -180,7 +185,8 @@
     private reserveAttempt(): boolean {
         const { limits, retryBudget } = this.options.ctx;
         if (this.hasReservedAttempt) return true;
-        this.hasReservedAttempt = this.attemptCount < limits.attempts && retryBudget.tryTake(true);
+        const mayTryAgain = this.attemptCount - this.preemptionCount < limits.attempts;
+        this.hasReservedAttempt = mayTryAgain && retryBudget.tryTake(true);
         return this.hasReservedAttempt;
     }
 
--- a/src/entry/runChat/test.ts
+++ b/src/entry/runChat/test.ts
@@ -85,14 +85,23 @@
     /** Runs a chat while some of its tokens come late. */
     async function play(
         pauses: Record<string, number>,
-        options: { attempts?: number; isBudgetSpent?: boolean; engines?: string[]; takesMs?: number; } = {},
+        options: {
+            attempts?: number;
+            isBudgetSpent?: boolean;
+            engines?: string[];
+            takesMs?: number;
+            preemptAt?: number[];
+            breaks?: string[];
+        } = {},
     ) {
-        const { attempts = 4, isBudgetSpent = false, engines = ENGINES, takesMs = 0 } = options;
+        const { attempts = 4, isBudgetSpent = false, engines = ENGINES, takesMs = 0, preemptAt = [], breaks = [] } =
+            options;
         const clock = new VirtualClock();
         const registry = new UpstreamRegistry({ clock });
         for (const id of engines) registry.announce(makeAnnouncement({ id }));
         const upstreamHttp = new ScriptedEngines(clock);
         for (const [token, ms] of Object.entries(pauses)) upstreamHttp.pauses.set(token, ms);
+        for (const token of breaks) upstreamHttp.breaks.add(token);
         const retryBudget = new AttemptBudget(clock, { ...DEFAULT_RETRY_LIMITS, perSecond: 0 });
         while (isBudgetSpent && retryBudget.tryTake(true));
         const ctx = {
@@ -124,6 +133,7 @@
         };
         const sink = new TextSink(clock, takesMs);
         const self = "entry-1" as HostId;
+        for (const ms of preemptAt) clock.after(ms, () => run.cancel("preempted"));
         const running = runChat({ ctx, prepared: prepared as unknown as PreparedChat, run, sink, self });
         const { outcome } = await clock.runUntil(running, RUN_TIMEOUT_MS);
         return { outcome, text: sink.text, end: sink.end, runs: upstreamHttp.runs };
@@ -165,4 +175,11 @@
         const { outcome, text, runs } = await play({}, { takesMs: 4_000 });
         assert.deepEqual([outcome, text, runs], ["answered", WHOLE, ["u1 from 0"]]);
     });
+
+    it("does not count preemptions as attempts at upstreams that failed", async () => {
+        // An answer that has given way to others a few times would be lost with the first engine that fails it.
+        const { outcome, text, runs } = await play({}, { preemptAt: [30, 50, 70], breaks: ["3:3"] });
+        assert.deepEqual([outcome, text, runs.at(-1)], ["answered", WHOLE, "u2 from 3"]);
+        assert.equal(runs.length, 5);
+    });
 });
