Test that a slow caller's stream is not taken for a silent upstream

The timer of a stalled stream ran on while an event waited for the caller, until it was replaced. This shows that it pauses.

--- /dev/null
+++ b/src/passthrough/relayStream/test.ts
@@ -0,0 +1,65 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { HttpReply, VirtualClock } from "../../ports/index.js";
+import { Attempt, SilenceWatch } from "../attempt/index.js";
+import { CallContext } from "../callContext/index.js";
+import { ReplyHead } from "../callDialect/index.js";
+import { createStreamState } from "../streamState/index.js";
+import { relayStream } from "./index.js";
+
+const EVENT = "id: 1\ndata: one\n\n";
+
+/** Records what is expected of the upstream, among the other steps of a stream. */
+class RecordingWatch extends SilenceWatch {
+    constructor(private readonly steps: string[]) {
+        super();
+    }
+
+    expectBeginning(): void {}
+
+    expectMore(): void {
+        this.steps.push("expect more");
+    }
+
+    pause(): void {
+        this.steps.push("pause");
+    }
+}
+
+describe("relayStream", () => {
+    it("expects nothing of the upstream while the caller takes an event", async () => {
+        // A caller that reads slowly would have its stream moved off an upstream that is not silent.
+        const clock = new VirtualClock();
+        const steps: string[] = [];
+        const write = async (): Promise<void> => {
+            await clock.sleep(60_000);
+            steps.push("written");
+        };
+        const call = { route: { resumable: false }, pool: "ledger", sharedParts: [], head: {}, arrivedAt: 0 };
+        const attempt = {
+            call,
+            grant: {},
+            run: { waitFor() {} },
+            answer: { write, sendHead() {}, end() {} },
+            stream: createStreamState(),
+            silence: new RecordingWatch(steps),
+            tokensPerEvent: 1,
+        } as unknown as Attempt;
+        const ctx = {
+            clock,
+            time: { now: () => 0 },
+            dispatcher: { progress() {} },
+            software: { find: () => undefined, isMixed: () => false },
+            parts: { recordBegun() {} },
+        } as unknown as CallContext;
+        const body = (async function*(): AsyncGenerator<Uint8Array> {
+            yield Buffer.from(EVENT);
+            yield Buffer.from(EVENT.slice(0, 5));
+            yield Buffer.from(EVENT.slice(5));
+        })();
+        const reply: HttpReply = { status: 200, headers: [["transfer-encoding", "chunked"]], body, reset() {} };
+        await clock.runUntil(relayStream(ctx, attempt, reply, { headers: [] } as unknown as ReplyHead), 600_000);
+        const event = ["pause", "written", "expect more"];
+        assert.deepEqual(steps, [...event, ...event, "pause"]);
+    });
+});
