An owner that lets the ticket of a begun answer wait is not suspected

What callers saw: streams that were to go on at another upstream were granted full ones and turned away, several times in a row.

Cause: the owner of a queue lets the ticket of a begun answer wait twice the wait limit from its submission on. The host that submitted it counted the limit from the request's arrival, and after half a second took an old stream's silent owner for lost. The next owners decided without knowing what runs.

Evidence: src/entry/silentCalls, the test of suspected owners fails on the code before (two owners suspected: after 5,716 ms, then after 500 ms).

--- a/src/dispatch/waitingTicket/index.ts
+++ b/src/dispatch/waitingTicket/index.ts
@@ -30,18 +30,27 @@
  * @param predictedTokens - The predicted length of the rest of its answer, in tokens.
  */
 export function makeWaitingTicket(ticket: Ticket, now: number, predictedTokens: number): WaitingTicket {
-    const isResumed = ticket.resumeOffset > 0;
-    const arrivedAt = isResumed ? now : now - ticket.ageMs;
+    const arrivedAt = isResumed(ticket) ? now : now - ticket.ageMs;
     return {
         ticket,
         arrivedAt,
         targetAt: arrivedAt + ticket.firstTokenMs,
-        expiresAt: arrivedAt + (isResumed ? RESUMED_MAX_WAIT_FACTOR : 1) * ticket.maxWaitMs,
+        expiresAt: now + findWaitLeftMs(ticket),
         predictedTokens,
         cost: costInTokens(ticket.promptTokens, predictedTokens),
     };
 }
 
+/** Returns the time for which a ticket may wait from its submission on, in milliseconds; negative where that is over. */
+export function findWaitLeftMs(ticket: Ticket): number {
+    const { maxWaitMs, ageMs } = ticket;
+    return isResumed(ticket) ? RESUMED_MAX_WAIT_FACTOR * maxWaitMs : maxWaitMs - ageMs;
+}
+
+function isResumed({ resumeOffset }: Ticket): boolean {
+    return resumeOffset > 0;
+}
+
 /** Returns the cost of a request, in answer tokens. */
 export function costInTokens(promptTokens: number, completionTokens: number): number {
     return completionTokens + PROMPT_TOKEN_COST * promptTokens;
--- a/src/entry/fleetDispatcher/index.ts
+++ b/src/entry/fleetDispatcher/index.ts
@@ -2,6 +2,7 @@
 import {
     Completion,
     Dispatcher,
+    findWaitLeftMs,
     Grant,
     LocalDispatcher,
     PoolOwnerTable,
@@ -335,7 +336,7 @@
     /** Waits for the owner's decision; times out if the owner neither decides nor confirms that the ticket is queued. */
     private async awaitDecision(link: PeerLink, ticket: Ticket): Promise<Either<PeerError, unknown>> {
         const { clock } = this.options;
-        const limitMs = Math.max(0, ticket.maxWaitMs - ticket.ageMs) + REPLY_SLACK_MS;
+        const limitMs = Math.max(0, findWaitLeftMs(ticket)) + REPLY_SLACK_MS;
         const timeout = new Promise<Either<PeerError, unknown>>(resolve => {
             const giveUp = (): void =>
                 resolve(Left(new PeerError("timeout", true, "no reply from the owner of the queue")));
--- a/src/entry/silentCalls/test.ts
+++ b/src/entry/silentCalls/test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { afterEach, describe, it } from "node:test";
 import { EmulatedCallUpstreamOptions } from "../../emulator/index.js";
-import { RoutedFleet, RoutedFleetOptions, TestReply } from "../../faultInjection/index.js";
+import { RecordingLogger, RoutedFleet, RoutedFleetOptions, TestReply } from "../../faultInjection/index.js";
 import { PoolId } from "../../ids/index.js";
 import { DraftDocument, makeDocument, makeRoute } from "../../routing/index.js";
 
@@ -127,6 +127,17 @@
             assert.equal(countRuns(), 2);
         });
 
+        it("have no owner of a queue suspected that lets their tickets wait", async () => {
+            // Another owner would decide on them without knowing what runs, and upstreams that are full would turn them away.
+            const logger = new RecordingLogger();
+            const upstreams = [{ ...STREAMING, slots: 1 }, { ...STREAMING, slots: 1 }];
+            await startFleet(STREAM, { upstreams, logger });
+            const replies = await startCalls(2);
+            for (const upstream of fleet.upstreams) upstream.fallSilent(8_500);
+            await checkWhole(replies);
+            assert.deepEqual(logger.list("queue-owner-suspected"), []);
+        });
+
         it("end whole where the only other upstream states that it is about to end", async () => {
             // The grant for it must not be used, and the stream would end with its refusal.
             await startFleet(STREAM, { upstreams: [STREAMING, STREAMING] });
