--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -147,9 +147,9 @@
  */
 async function endOrWait(task: CallTask, end: () => Promise<CallEnd>): Promise<AttemptOutcome> {
     const { ctx, run, progress } = task;
-    if (progress.hasMoved) await ctx.clock.sleep(MOVED_RETRY_PAUSE_MS, run.signal);
-    if (run.isCancelled) return { end: endCancelled(task) };
-    return progress.hasMoved ? {} : { end: await end() };
+    if (!progress.hasMoved) return { end: await end() };
+    await ctx.clock.sleep(MOVED_RETRY_PAUSE_MS, run.signal);
+    return run.isCancelled ? { end: endCancelled(task) } : {};
 }
 
 /** Decides how a call goes on; one that has left a silent upstream waits until it may be sent again. */
