An answer through a relay ends with its last frame or its reader

What was seen, with a relay between an entry and an upstream: - a reader that stops in the middle of a body, since the bytes are wrong, left the connection to the relay open for good; its upstream went on; - an answer that was complete waited for the end of whatever the relay sent after the last frame, at the longest until the caller's deadline; - a first message of `null` ended the call by an exception, and the upstream's slot was never given back.

A reader that stops closes the connection now; a frame after the last one does, too; a message that is no object is a malformed answer.

--- a/src/relay/relayReply/index.ts
+++ b/src/relay/relayReply/index.ts
@@ -40,7 +40,7 @@
     }
     onEnd();
     if (answer instanceof HttpError) reply.reset();
-    else void drain(frames);
+    else void finish(frames);
     return toFailedAttempt(answer);
 }
 
@@ -56,7 +56,7 @@
     }
     const frames = readRelayFrames(reply.body)[Symbol.asyncIterator]();
     const answer = await readAnswer(frames);
-    await drain(frames);
+    await finish(frames);
     return !(answer instanceof HttpError) && answer.kind === "probed" ? answer.finding : "unknown";
 }
 
@@ -70,7 +70,7 @@
 async function readAnswer(frames: AsyncIterator<RelayFrame>): Promise<RelayAnswer | HttpError> {
     try {
         const frame = await readFrame(frames);
-        if (frame.kind === FRAME_KINDS.message) return decodeRelayMessage(frame) as RelayAnswer;
+        if (frame.kind === FRAME_KINDS.message) return toAnswer(decodeRelayMessage(frame));
         return new PathError("malformed", true, "the relay's answer has no beginning");
     }
     catch (err) {
@@ -78,6 +78,11 @@
     }
 }
 
+function toAnswer(message: unknown): RelayAnswer | HttpError {
+    const isAnswer = typeof message === "object" && Boolean(message);
+    return isAnswer ? message as RelayAnswer : new PathError("malformed", true, "the relay's message is no answer");
+}
+
 /** Reads the upstream's body. Without its last frame it is not complete. */
 async function* readBody(frames: AsyncIterator<RelayFrame>, onEnd: () => void): AsyncIterable<Uint8Array> {
     try {
@@ -87,10 +92,12 @@
             frame = await readFrame(frames);
         }
         if (frame.kind !== FRAME_KINDS.end) throw toBodyError(frame);
-        await drain(frames);
+        await finish(frames);
     }
     finally {
         onEnd();
+        // Closes the connection to the relay where the reader stops early.
+        await frames.return?.();
     }
 }
 
@@ -115,10 +122,11 @@
     return next.value;
 }
 
-/** Reads what is left, so that the connection to the relay can be used again. */
-async function drain(frames: AsyncIterator<RelayFrame>): Promise<void> {
+/** Reads the end of an answer, so that the connection to the relay can be used again, or closes it where more frames follow. */
+async function finish(frames: AsyncIterator<RelayFrame>): Promise<void> {
     try {
-        while (!(await frames.next()).done);
+        const next = await frames.next();
+        if (!next.done) await frames.return?.();
     }
     catch {
         // The connection ended, so it cannot be used again.
--- /dev/null
+++ b/src/relay/relayReply/test.ts
@@ -0,0 +1,76 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { HostId } from "../../ids/index.js";
+import { HttpReply } from "../../ports/index.js";
+import { encodeRelayFrame, encodeRelayMessage, FRAME_KINDS } from "../relayFrame/index.js";
+import { readRelayReply } from "./index.js";
+
+const RELAY = "relay" as HostId;
+const HEAD = encodeRelayMessage(FRAME_KINDS.message, { kind: "reply", status: 200, headers: [] });
+const DATA = encodeRelayFrame(FRAME_KINDS.data, Buffer.from("data: x"));
+/** Pieces after which a body that is still read counts as read without end. */
+const MAX_PIECES = 1_000;
+
+/** A relay's answer, and whether its connection has been given up: the body ended, or its reader left it. */
+class RelayAnswerDouble {
+    isClosed = false;
+    pieces = 0;
+
+    constructor(private readonly first: readonly Uint8Array[], private readonly endless?: Uint8Array) {}
+
+    readonly reply: HttpReply = {
+        status: 200,
+        headers: [],
+        body: this.send(),
+        reset: () => this.isClosed = true,
+    };
+
+    private async *send(): AsyncIterable<Uint8Array> {
+        try {
+            yield* this.first;
+            while (this.endless && this.pieces < MAX_PIECES) {
+                this.pieces++;
+                yield this.endless;
+            }
+        }
+        finally {
+            this.isClosed = true;
+        }
+    }
+}
+
+describe("readRelayReply", () => {
+    it("closes the connection to the relay when the body's reader stops", async () => {
+        // Failure: the connection stays open for good where an upstream's bytes are rejected in the middle.
+        const relay = new RelayAnswerDouble([HEAD], DATA);
+        let ended = 0;
+        const attempt = await readRelayReply(relay.reply, RELAY, () => ended++);
+        assert.equal(attempt.kind, "reply");
+        if (attempt.kind !== "reply") return;
+        const body = attempt.reply.body[Symbol.asyncIterator]();
+        await body.next();
+        await body.return?.();
+        assert.deepEqual([relay.isClosed, ended], [true, 1]);
+    });
+
+    it("ends a complete body at its last frame, whatever follows", async () => {
+        // Failure: a caller waits for an answer that is complete until its deadline.
+        const relay = new RelayAnswerDouble([HEAD, DATA, encodeRelayFrame(FRAME_KINDS.end)], DATA);
+        const attempt = await readRelayReply(relay.reply, RELAY, () => undefined);
+        assert.equal(attempt.kind, "reply");
+        if (attempt.kind !== "reply") return;
+        let size = 0;
+        for await (const chunk of attempt.reply.body) size += chunk.length;
+        assert.equal(size, "data: x".length);
+        assert.ok(relay.isClosed && relay.pieces < MAX_PIECES, `${relay.pieces} pieces`);
+    });
+
+    for (const json of ["null", "7", "\"reply\"", "{}"]) {
+        it(`takes the message ${json} for a malformed answer`, async () => {
+            // Failure: the call ends by an exception, and its upstream's slot is never given back.
+            const relay = new RelayAnswerDouble([encodeRelayMessage(FRAME_KINDS.message, JSON.parse(json))]);
+            const attempt = await readRelayReply(relay.reply, RELAY, () => undefined);
+            assert.equal(attempt.kind === "lost" ? attempt.err.reason : attempt.kind, "malformed");
+        });
+    }
+});
