Bodies of offers and cache lists have a time limit, as their heads do

What was seen: a platform that begins its list of offers and does not end it stopped all purchases: the task that buys waited for the body for good, since only the headers have a timeout. The list of an engine's cached parts had no limit for its body either.

--- a/src/control/offerReader/index.ts
+++ b/src/control/offerReader/index.ts
@@ -1,10 +1,11 @@
 import { Either, Left, Right } from "purify-ts";
 import * as z from "zod";
-import { Address, Http, HttpReply, readReplyText } from "../../ports/index.js";
+import { Address, Clock, Http, HttpReply, readReplyText, readWithin } from "../../ports/index.js";
 import { Offer, offerSchema, PLATFORM_PATHS } from "../../protocol/index.js";
 
 const CONNECT_TIMEOUT_MS = 2_000;
-const HEAD_TIMEOUT_MS = 5_000;
+/** Timeout for the headers, and for the body after them, in milliseconds. */
+const DEFAULT_TIMEOUT_MS = 5_000;
 const STATUS_OK = 200;
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
 
@@ -13,7 +14,12 @@
 
 /** Fetches the upstreams that the platform offers. */
 export class OfferReader {
-    constructor(private readonly http: Http, private readonly platform: Address) {}
+    constructor(
+        private readonly http: Http,
+        private readonly clock: Clock,
+        private readonly platform: Address,
+        private readonly timeoutMs = DEFAULT_TIMEOUT_MS,
+    ) {}
 
     /** Fetches the offers over a fresh connection. */
     async read(): Promise<Either<OfferError, readonly Offer[]>> {
@@ -24,7 +30,7 @@
             headers: [],
             newConnection: true,
             connectTimeoutMs: CONNECT_TIMEOUT_MS,
-            headTimeoutMs: HEAD_TIMEOUT_MS,
+            headTimeoutMs: this.timeoutMs,
         });
         const reply = sent.toMaybe().extract();
         if (!reply) return Left(new OfferError("no answer"));
@@ -32,15 +38,17 @@
             reply.reset();
             return Left(new OfferError(`status ${reply.status}`));
         }
-        return readOffers(reply);
+        return this.readOffers(reply);
     }
-}
 
-async function readOffers(reply: HttpReply): Promise<Either<OfferError, readonly Offer[]>> {
-    try {
-        return Right(z.array(offerSchema).parse(JSON.parse(await readReplyText(reply, MAX_BODY_BYTES))));
-    }
-    catch (err) {
-        return Left(new OfferError(`invalid response: ${(err as Error).message}`));
+    private async readOffers(reply: HttpReply): Promise<Either<OfferError, readonly Offer[]>> {
+        const readText = (): Promise<string> => readReplyText(reply, MAX_BODY_BYTES);
+        try {
+            const text = await readWithin(reply, this.clock, this.timeoutMs, readText);
+            return Right(z.array(offerSchema).parse(JSON.parse(text)));
+        }
+        catch (err) {
+            return Left(new OfferError(`invalid response: ${(err as Error).message}`));
+        }
     }
 }
--- a/src/entry/cacheDiscovery/index.ts
+++ b/src/entry/cacheDiscovery/index.ts
@@ -3,7 +3,7 @@
 import { HostId, PoolId } from "../../ids/index.js";
 import { Logger } from "../../logging/index.js";
 import { CallDialect } from "../../passthrough/index.js";
-import { Clock, readReplyText } from "../../ports/index.js";
+import { Clock, readReplyText, readWithin } from "../../ports/index.js";
 import { RouteTable } from "../../routing/index.js";
 import { PromptPart, Upstream, UpstreamHttp, UpstreamRegistry } from "../../upstream/index.js";
 import { FleetDispatcher } from "../fleetDispatcher/index.js";
@@ -12,7 +12,7 @@
 const QUERY_INTERVAL_MS = 50;
 /** Interval between checks for queue ownership while this process owns no queue, in milliseconds. */
 const OWNERSHIP_CHECK_INTERVAL_MS = 200;
-/** Time within which an upstream must answer, in milliseconds; a later list would be out of date. */
+/** Time for the head of an upstream's answer, and for the list after it, in milliseconds; a later list would be out of date. */
 const ANSWER_TIMEOUT_MS = 500;
 const CONNECT_TIMEOUT_MS = 250;
 /** Maximum size of a list, in bytes: about ten thousand prompt parts. */
@@ -110,7 +110,7 @@
         { id, address, announcement: { incarnation } }: Upstream,
         signal: AbortSignal,
     ): Promise<Either<Error, PromptPart[]>> {
-        const { upstreamHttp, dialect, sendGuard } = this.options;
+        const { clock, upstreamHttp, dialect, sendGuard } = this.options;
         const target = { pool, upstream: id, incarnation, address };
         const sent = await upstreamHttp.send({
             target,
@@ -125,7 +125,9 @@
         const { signals, misdirected } = dialect.readReply(reply);
         if (!misdirected) sendGuard.recordAnswer({ pool, upstream: id, incarnation, request: undefined, signals });
         try {
-            return dialect.readCacheList(reply.status, await readReplyText(reply, MAX_LIST_BYTES));
+            const readText = (): Promise<string> => readReplyText(reply, MAX_LIST_BYTES);
+            const text = await readWithin(reply, clock, ANSWER_TIMEOUT_MS, readText);
+            return dialect.readCacheList(reply.status, text);
         }
         catch (err) {
             return Left(err as Error);
--- a/src/ports/index.ts
+++ b/src/ports/index.ts
@@ -14,6 +14,7 @@
 export * from "./network/index.js";
 export * from "./nodeHttp/index.js";
 export * from "./random/index.js";
+export * from "./replyLimits/index.js";
 export * from "./seededRandom/index.js";
 export * from "./sleepDetector/index.js";
 export * from "./systemClock/index.js";
