A frame in small pieces costs time in proportion to its size

What was seen: the readers of frames, on links between processes and on answers through relays, copied all that had come for each further piece. A frame of some megabytes in small pieces blocked the process, which includes its heartbeats, for most of a minute.

Both keep bytes in a ByteBuffer now.

--- a/src/relay/relayFrame/index.ts
+++ b/src/relay/relayFrame/index.ts
@@ -1,4 +1,4 @@
-import { HttpError } from "../../ports/index.js";
+import { ByteBuffer, HttpError } from "../../ports/index.js";
 import { decodeValue, encodeValue } from "../../wire/index.js";
 
 /** Kinds of frames between a host and its relay: a message, bytes of a body, the end of a complete body, or why a body is not complete. */
@@ -52,12 +52,16 @@
  * for await (const { kind, payload } of readRelayFrames(reply.body)) handle(kind, payload);
  */
 export async function* readRelayFrames(chunks: AsyncIterable<Uint8Array>): AsyncIterable<RelayFrame> {
-    let buffered: Buffer = Buffer.alloc(0);
+    const buffered = new ByteBuffer();
     for await (const chunk of chunks) {
-        buffered = buffered.length === 0 ? Buffer.from(chunk) : Buffer.concat([buffered, chunk]);
-        for (let length = frameLength(buffered); buffered.length >= length; length = frameLength(buffered)) {
-            yield { kind: buffered.readUInt8(0), payload: buffered.subarray(HEADER_BYTES, length) };
-            buffered = buffered.subarray(length);
+        buffered.append(chunk);
+        for (
+            let length = frameLength(buffered.view());
+            buffered.length >= length;
+            length = frameLength(buffered.view())
+        ) {
+            const frame = buffered.take(length);
+            yield { kind: frame.readUInt8(0), payload: frame.subarray(HEADER_BYTES) };
         }
     }
     if (buffered.length > 0) throw new HttpError("closed", true, "the relay's answer ends within a frame");
--- a/src/relay/relayFrame/test.ts
+++ b/src/relay/relayFrame/test.ts
@@ -26,6 +26,14 @@
 }
 
 describe("relay frames", () => {
+    it("are read when a large one comes in small pieces", async () => {
+        // Failure: each piece copies all that came before, so that one answer blocks the process for minutes.
+        const payload = Buffer.alloc(2 * 1024 * 1024, "x");
+        const sizes = Array.from({ length: payload.length / 16 }, () => 16);
+        const [frame] = await collect(splitInto(encodeRelayFrame(FRAME_KINDS.data, payload), sizes));
+        assert.ok(payload.equals(frame.payload));
+    });
+
     it("are read as they were written, however the bytes are split", async () => {
         const payloads = fc.array(fc.uint8Array({ maxLength: 40 }), { maxLength: 6 });
         const sizes = fc.array(fc.integer({ min: 0, max: 20 }), { maxLength: 20 });
--- a/src/wire/frame/index.ts
+++ b/src/wire/frame/index.ts
@@ -1,5 +1,5 @@
 import { Packr } from "msgpackr";
-import { Connection } from "../../ports/index.js";
+import { ByteBuffer, Connection } from "../../ports/index.js";
 
 const LENGTH_BYTES = 4;
 /** First byte of a msgpack array of up to fifteen items, without its length. */
@@ -63,7 +63,7 @@
  * const frame = await new FrameReader(connection).next();
  */
 export class FrameReader {
-    private buffered: Buffer = Buffer.alloc(0);
+    private readonly buffered = new ByteBuffer();
     private lastBytes = 0;
 
     /** @param connection - Connection that only this reader reads. */
@@ -88,18 +88,16 @@
             }
             const chunk = await this.connection.receive();
             if (!chunk) return undefined;
-            this.buffered = this.buffered.length === 0 ? Buffer.from(chunk) : Buffer.concat([this.buffered, chunk]);
+            this.buffered.append(chunk);
         }
     }
 
     private extractFrame(): Buffer | undefined {
         if (this.buffered.length < LENGTH_BYTES) return undefined;
-        const length = this.buffered.readUInt32BE(0);
+        const length = this.buffered.view().readUInt32BE(0);
         if (length > MAX_FRAME_BYTES) throw new Error(`frame of ${length} bytes exceeds the limit`);
         const end = LENGTH_BYTES + length;
         if (this.buffered.length < end) return undefined;
-        const frame = this.buffered.subarray(LENGTH_BYTES, end);
-        this.buffered = this.buffered.subarray(end);
-        return frame;
+        return this.buffered.take(end).subarray(LENGTH_BYTES);
     }
 }
