An event without end ends a chat's attempt, too

What was seen: the reader of engines' answers to chats held an incomplete event of any size, and searched it from its beginning for each piece that came.

It holds 1 MiB at most now, as the scanner of routed streams does, and searches new text only; a longer event is a malformed answer.

--- a/src/entry/engineStream/index.ts
+++ b/src/entry/engineStream/index.ts
@@ -49,6 +49,8 @@
 /** Maximum time from the terminal event to the end of the body, in milliseconds. */
 const BODY_END_TIMEOUT_MS = 1_000;
 const EVENT_SEPARATOR = "\n\n";
+/** Maximum length of an incomplete event, in characters. */
+const MAX_EVENT_CHARACTERS = 1024 * 1024;
 const DATA_PREFIX = "data:";
 
 /**
@@ -77,23 +79,22 @@
     const reader = new EventReader(request, offset, sink);
     const decoder = new TextDecoder();
     const body = reply.body[Symbol.asyncIterator]();
-    let buffered = "";
+    const splitter = new EventSplitter();
     try {
         for (let part = await body.next(); !part.done; part = await body.next()) {
-            buffered += decoder.decode(part.value, { stream: true });
-            let end = buffered.indexOf(EVENT_SEPARATOR);
-            let start = 0;
-            while (end >= 0) {
-                const problem = await reader.handleEvent(buffered.slice(start, end));
+            for (const event of splitter.push(decoder.decode(part.value, { stream: true }))) {
+                const problem = await reader.handleEvent(event);
                 if (problem) return Left(problem);
                 if (reader.end) {
                     void drainBody(reply, body, clock);
                     return Right(reader.end);
                 }
-                start = end + EVENT_SEPARATOR.length;
-                end = buffered.indexOf(EVENT_SEPARATOR, start);
             }
-            if (start > 0) buffered = buffered.slice(start);
+            if (splitter.heldLength > MAX_EVENT_CHARACTERS) {
+                return Left(
+                    new EngineStreamError("malformed", `an event of more than ${MAX_EVENT_CHARACTERS} characters`),
+                );
+            }
         }
     }
     catch (err) {
@@ -122,6 +123,32 @@
     limit.cancel();
 }
 
+/** Splits text into events, and holds back the last one until it is complete. */
+class EventSplitter {
+    private held: string[] = [];
+    private lastCharacter = "";
+    private length = 0;
+
+    /** Length of the incomplete event, in characters. */
+    get heldLength(): number {
+        return this.length;
+    }
+
+    /** Adds text and returns the events that are complete now. Only the new text is searched. */
+    push(text: string): string[] {
+        const searched = this.lastCharacter + text;
+        this.lastCharacter = searched.slice(-1);
+        this.held.push(text);
+        this.length += text.length;
+        if (!searched.includes(EVENT_SEPARATOR)) return [];
+        const events = this.held.join("").split(EVENT_SEPARATOR);
+        const rest = events.pop()!;
+        this.held = [rest];
+        this.length = rest.length;
+        return events;
+    }
+}
+
 /** Parses events in order and passes their tokens to the sink. */
 class EventReader {
     /** Set once the terminal event has been read. */
--- a/src/entry/engineStream/test.ts
+++ b/src/entry/engineStream/test.ts
@@ -85,6 +85,21 @@
         });
     });
 
+    describe("an event without end", () => {
+        it("is rejected", async () => {
+            // Failure: memory grows, and all that came is searched for each piece, for as long as an engine sends.
+            const pieces = Array.from({ length: 4 * 1024 }, () => "x".repeat(1_024));
+            assert.deepEqual(await read(replyOf(token(0), "data: ", ...pieces)), { text: "t0 ", result: "malformed" });
+        });
+
+        it("costs time only once while it may still end", async () => {
+            // Failure: the process is blocked for minutes by some hundred thousand small pieces.
+            const pieces = Array.from({ length: 60_000 }, () => "x".repeat(16));
+            const reply = replyOf(": ", ...pieces, "\n\n", token(0), token(1), token(2), end(), DONE);
+            assert.deepEqual(await read(reply), { text: "t0 t1 t2 ", result: "stop" });
+        });
+    });
+
     it("rejects an event of another request", async () => {
         const other = token(0).replace(REQUEST, "request-2");
         assert.deepEqual(await read(replyOf(other, end(), DONE)), { text: "", result: "crossed" });
