A caller that does not read holds no slot beyond its deadline

What was seen: an answer that is forwarded as it arrives waits for its caller to receive more. The deadline cancels the call and closes the connection to the upstream, but nobody looked at that before the caller read on or closed: the call, its slot and the caller's connection stayed for as long as it liked.

writeToCaller ends the wait when the call is cancelled; relayAnswer uses it. Answers that are buffered until their end are kept in a ByteBuffer, so that small pieces take no more memory than large ones.

--- a/src/passthrough/relayAnswer/index.ts
+++ b/src/passthrough/relayAnswer/index.ts
@@ -1,8 +1,9 @@
-import { HeaderList, HttpError, HttpReply } from "../../ports/index.js";
+import { ByteBuffer, HeaderList, HttpError, HttpReply } from "../../ports/index.js";
 import { Attempt, AttemptResult, BufferedAnswer } from "../attempt/index.js";
 import { CallContext } from "../callContext/index.js";
 import { ReplyHead } from "../callDialect/index.js";
 import { endWithHttpError } from "../endWithHttpError/index.js";
+import { writeToCaller } from "../writeToCaller/index.js";
 
 /**
  * Answers up to this size are buffered before they are forwarded, in bytes: one that breaks off can then be replaced by
@@ -19,17 +20,15 @@
     { headers }: ReplyHead,
 ): Promise<AttemptResult> {
     const { answer } = attempt;
-    const chunks: Uint8Array[] = [];
-    let size = 0;
+    const buffered = new ByteBuffer();
     try {
         for await (const chunk of reply.body) {
-            size += chunk.length;
             if (answer.sentStatus !== undefined) {
-                await answer.write(chunk);
+                await writeToCaller(attempt, chunk);
                 continue;
             }
-            chunks.push(chunk);
-            if (size > MAX_BUFFERED_BYTES) await startUnbuffered(attempt, reply, headers, chunks);
+            buffered.append(chunk);
+            if (buffered.length > MAX_BUFFERED_BYTES) await startUnbuffered(attempt, reply, headers, buffered.take());
         }
     }
     catch (err) {
@@ -38,18 +37,18 @@
     if (answer.sentStatus !== undefined) {
         return { kind: "answered", status: reply.status, deliver: () => answer.end() };
     }
-    return finishBuffered(ctx, attempt, { status: reply.status, headers, body: Buffer.concat(chunks) });
+    return finishBuffered(ctx, attempt, { status: reply.status, headers, body: buffered.take() });
 }
 
 async function startUnbuffered(
-    { answer, stream }: Attempt,
+    attempt: Attempt,
     { status }: HttpReply,
     headers: HeaderList,
-    chunks: Uint8Array[],
+    buffered: Uint8Array,
 ): Promise<void> {
-    answer.sendHead(status, headers);
-    stream.isHeadSent = true;
-    for (const chunk of chunks.splice(0)) await answer.write(chunk);
+    attempt.answer.sendHead(status, headers);
+    attempt.stream.isHeadSent = true;
+    await writeToCaller(attempt, buffered);
 }
 
 function finishBuffered(ctx: CallContext, { call, answer, stream }: Attempt, buffered: BufferedAnswer): AttemptResult {
