--- a/src/tools/soak/main.ts
+++ b/src/tools/soak/main.ts
@@ -76,7 +76,8 @@
 function describeStopReport({ record: { exchanges, lives, limits }, faults, problems }: StopReport): string {
     const served = exchanges.filter(({ end, status }) => end === "whole" && status === 200).length;
     const exits = lives.filter(({ exitedAt }) => exitedAt !== undefined).length;
-    const counts = `${served} of ${exchanges.length} answered, ${exits} exits`;
+    const cut = exchanges.filter(({ end }) => end === "cut").length;
+    const counts = `${served} of ${exchanges.length} answered, ${cut} cut, ${exits} exits`;
     const text = [counts, `requests count as read after ${Math.round(limits.readMs)} ms`, ...problems].join(", ");
     if (faults.length === 0) return text;
     const lines = faults.map(({ kind, exchange, life, detail }) =>
--- a/src/tools/stops/checkStops/test.ts
+++ b/src/tools/stops/checkStops/test.ts
@@ -68,6 +68,14 @@
             assert.deepEqual(check(makeCut({ beganAt: late, sentAt: late }), [makeRun({ at: late })]), ["cut"]);
         });
 
+        it("counts the time for which new requests are taken from the moment that the process noticed the signal", () => {
+            const late = STOPPED_AT + LIMITS.acceptMs + 300;
+            const exchange = makeCut({ beganAt: late, sentAt: late });
+            const noticing = (afterMs: number) => ({ lives: [makeLife({ noticedAt: STOPPED_AT + afterMs })] });
+            assert.deepEqual(check(exchange, [makeRun()], noticing(300)), []);
+            assert.deepEqual(check(exchange, [makeRun()], noticing(299)), ["cut"]);
+        });
+
         it("allows for a machine that is late by the tolerance", () => {
             const limits = { ...LIMITS, toleranceMs: 500 };
             const late = STOPPED_AT + LIMITS.acceptMs + 500;
--- a/src/tools/stops/runStops/index.ts
+++ b/src/tools/stops/runStops/index.ts
@@ -34,8 +34,10 @@
 
 const BALANCER_MS = 3_000;
 const DRAIN_MS = 4_300;
-/** From SIGTERM until the supervisor kills a process. */
+/** From SIGTERM until the caller of an answer must have it. */
 const GRACE_MS = BALANCER_MS + DRAIN_MS + 700;
+/** From SIGTERM until the supervisor kills a process, which may take a while to close after its drain. */
+const KILL_MS = GRACE_MS + 3_000;
 const READY_POLL_MS = 1_000;
 /** Failed readiness checks in a row after which the balancer sends an entry no new connections. */
 const MAX_FAILED_POLLS = 2;
@@ -175,7 +177,7 @@
         life.program.signal(signal);
         if (signal === "SIGHUP") return;
         life.stoppedAt = Date.now();
-        const kill = setTimeout(() => life.program.signal("SIGKILL"), GRACE_MS + this.options.toleranceMs);
+        const kill = setTimeout(() => life.program.signal("SIGKILL"), KILL_MS + this.options.toleranceMs);
         void life.program.exited.then(() => clearTimeout(kill));
     }
 
@@ -200,7 +202,7 @@
         const record: StopRecord = {
             exchanges,
             runs: await this.fleet.listRuns(),
-            lives: lives.map(({ program: _, ...life }) => life),
+            lives: lives.map(({ program, ...life }) => ({ ...life, noticedAt: findStopTime(program) })),
             timeouts: this.findTimeouts(),
             onceRoutes: new Set(STOP_ROUTES.filter(({ kind }) => kind === "once").map(({ name }) => name)),
             limits: {
@@ -234,6 +236,12 @@
     }
 }
 
+/** Returns when a process began to drain, by its log. */
+function findStopTime({ stderr }: Program): number | undefined {
+    const line = stderr.split("\n").find(text => text.includes("\"drain-started\""));
+    return line === undefined ? undefined : Date.parse((JSON.parse(line) as { time: string; }).time);
+}
+
 function sleep(ms: number): Promise<void> {
     return new Promise(resolve => setTimeout(resolve, ms));
 }
