--- a/src/tools/stops/runStops/index.ts
+++ b/src/tools/stops/runStops/index.ts
@@ -36,8 +36,8 @@
 const DRAIN_MS = 4_300;
 /** From SIGTERM until the caller of an answer must have it. */
 const GRACE_MS = BALANCER_MS + DRAIN_MS + 700;
-/** From SIGTERM until the supervisor kills a process, which may take a while to close after its drain. */
-const KILL_MS = GRACE_MS + 3_000;
+/** From SIGTERM until a process that hangs is killed. A busy machine may deliver the signal seconds late. */
+const KILL_MS = GRACE_MS + 10_000;
 const READY_POLL_MS = 1_000;
 /** Failed readiness checks in a row after which the balancer sends an entry no new connections. */
 const MAX_FAILED_POLLS = 2;
