--- a/features/processes.feature
+++ b/features/processes.feature
@@ -67,3 +67,15 @@
     Then the streams end with the error "key-withdrawn" and the outcome "partly-run"
     And neither entry takes the key any more
     And no upstream of the processes has seen a key
+
+  # Callers keep their connections open and go on using them while entries are stopped and upstreams are silent. An entry
+  # must not cut an answer because its upstream says nothing, nor take a request that it can't finish before it exits.
+  @stop @silence
+  Scenario Outline: Entries are stopped while upstreams are silent, drawn from seed <seed>
+    When the stops drawn from seed <seed> are played for 8000 ms between processes
+    Then no answer that was due has been cut, and no call has run twice
+
+    Examples:
+      | seed |
+      | 8    |
+      | 27   |
