A stopping host leaves new connections time for their first request

Cause: a connection on which nothing has arrived was closed like one whose last answer had been sent, though its caller is likely to be about to send, or has sent.

Why it works: such a connection is kept for a second more; a request on it is refused as not run and closes it. Test: ports/serverConnections, "serve a first request that comes after the stop"; on the code before, the connection is closed at the stop (its close while unused was intended there).

--- a/src/ports/nodeHttpServer/index.ts
+++ b/src/ports/nodeHttpServer/index.ts
@@ -18,6 +18,8 @@
 const DEFAULT_KEEP_ALIVE_MS = 5_000;
 /** Number of checks for timed-out requests within the shortest request timeout. */
 const CHECKS_PER_TIMEOUT = 6;
+/** Time that a new connection has for its first request once the server has stopped accepting, in milliseconds. */
+const FIRST_REQUEST_MS = 1_000;
 /** Turns of the event loop in which arrived requests are read: the rest of the present one, one to accept connections, one to read from them. */
 const TURNS_TO_READ = 3;
 
@@ -55,6 +57,7 @@
                 connections.announceClose();
                 await readArrived();
                 connections.endIdle();
+                void endUnusedLater(connections);
             };
             const stopAccepting = async (): Promise<void> => {
                 await closeConnections();
@@ -85,6 +88,13 @@
     for (let turn = 0; turn < TURNS_TO_READ; turn++) await nextTurn();
 }
 
+/** Ends connections that have sent nothing once their callers have had time for a first request. */
+async function endUnusedLater(connections: ServerConnections): Promise<void> {
+    await new Promise<void>(resolve => setTimeout(resolve, FIRST_REQUEST_MS));
+    await readArrived();
+    connections.endUnused();
+}
+
 /** Resolves in the event loop's check phase, right after it has polled for input. */
 function nextTurn(): Promise<void> {
     return new Promise(resolve => setImmediate(resolve));
--- a/src/ports/serverConnections/index.ts
+++ b/src/ports/serverConnections/index.ts
@@ -66,11 +66,17 @@
         this.isClosing = true;
     }
 
-    /** Closes the connections without a response under way. */
+    /** Closes the connections without a response under way, except those on which nothing has arrived so far. */
     endIdle(): void {
-        for (const [socket, { open, bytesAnswered }] of this.states) {
-            // Part of a request's head may have arrived: its request is answered first.
-            if (open.size === 0 && socket.bytesRead === bytesAnswered) this.end(socket);
+        for (const socket of this.states.keys()) {
+            if (socket.bytesRead > 0 && this.isIdle(socket)) this.end(socket);
+        }
+    }
+
+    /** Closes the connections on which nothing has arrived. */
+    endUnused(): void {
+        for (const socket of this.states.keys()) {
+            if (socket.bytesRead === 0) this.end(socket);
         }
     }
 
@@ -86,6 +92,12 @@
         return new Promise(resolve => this.waiters.push(resolve));
     }
 
+    /** Whether nothing has arrived that is not answered; part of a request's head is answered when the rest has come. */
+    private isIdle(socket: Socket): boolean {
+        const { open, bytesAnswered } = this.states.get(socket)!;
+        return open.size === 0 && socket.bytesRead === bytesAnswered;
+    }
+
     private add(socket: Socket): void {
         this.states.set(socket, { open: new Set(), isEnding: false, bytesAnswered: 0 });
         socket.once("close", () => this.states.delete(socket));
--- a/src/ports/serverConnections/test.ts
+++ b/src/ports/serverConnections/test.ts
@@ -13,6 +13,7 @@
 class RawClient {
     received = "";
     receivedBytes = 0;
+    readonly connected: Promise<void>;
     readonly ended: Promise<void>;
     private readonly socket: Socket;
     private waiters: (() => void)[] = [];
@@ -25,6 +26,7 @@
             if (this.received.length < LARGE_BYTES / 64) this.received += chunk.toString("latin1");
             this.notify();
         });
+        this.connected = new Promise(resolve => this.socket.once("connect", () => resolve()));
         this.ended = new Promise(resolve => this.socket.once("close", () => resolve()));
         void this.ended.then(() => this.notify());
     }
@@ -163,6 +165,22 @@
         assert.deepEqual(paths, ["/first"]);
     });
 
+    it("serve a first request that comes after the stop", TEST_TIMEOUT, async () => {
+        // Failure: a busy host that stops closes connections that it has just accepted, under the requests that are on their way.
+        const server = await serve(async (_, res) => {
+            res.head(503, [["content-length", "7"]]);
+            res.end("refused");
+        });
+        const client = open(server);
+        await client.connected;
+        void server.stopAccepting();
+        // The server has read what had arrived.
+        for (let turn = 0; turn < 5; turn++) await new Promise(resolve => setImmediate(resolve));
+        void client.send("/first");
+        assert.ok(await client.readUntil("refused"));
+        await client.ended;
+    });
+
     it("end at once when they are idle", TEST_TIMEOUT, async () => {
         const server = await serve(async (_, res) => {
             res.head(200, [["content-length", "4"]]);
