A caller that does not read its stream holds no slot beyond its deadline

Callers saw nothing by themselves: a call whose caller had stopped reading kept its slot and both connections until the caller closed, long after the deadline, and a drain waited for it.

Cause: as for answers that are no streams (passthrough/relayAnswer): the wait until the caller can take more was not ended by the call's cancel.

Evidence: passthrough/relayStream, "ends when the call is cancelled while its caller does not read": not settled within 10,000 ms on the code before.

--- a/src/passthrough/relayStream/index.ts
+++ b/src/passthrough/relayStream/index.ts
@@ -5,6 +5,7 @@
 import { endWithHttpError } from "../endWithHttpError/index.js";
 import { EventScanner, ScannedEvents } from "../eventScanner/index.js";
 import { StreamBeginning } from "../streamBeginning/index.js";
+import { writeToCaller } from "../writeToCaller/index.js";
 
 /**
  * Forwards a stream of events as they arrive, complete events only.
@@ -31,7 +32,7 @@
             await beginning.awaitRecorded();
             ctx.dispatcher.progress(attempt.ticketId, events.count * attempt.tokensPerEvent);
             if (!stream.isHeadSent) sendStreamHead(attempt, reply, head);
-            await answer.write(events.bytes);
+            await writeToCaller(attempt, events.bytes);
             silence.expectMore();
         }
     }
