A stopping control process answers the requests that it has read

What operators saw: the connection was closed without an answer when a control process was stopped while their request arrived or was being worked on, so that they could not tell whether a change is in force.

Cause: the process exited as soon as it had left the control log and handed its queues over.

Fix: after that, it stops accepting and waits for the answers of its operators' and upstreams' port, within the grace period and with the same reserve for the exit as entries have.

Evidence, on the code before: the drain ended while the body of a request was still arriving.

--- a/src/platform/runControlNode/index.ts
+++ b/src/platform/runControlNode/index.ts
@@ -1,5 +1,5 @@
 import { computeMaxReportWaitMs, ControlProcess, drainControl, RoutingPlatform } from "../../control/index.js";
-import { DaemonPorts, DaemonProcess } from "../../daemon/index.js";
+import { answerOpenRequests, DaemonPorts, DaemonProcess } from "../../daemon/index.js";
 import { startQueueHost } from "../../entry/index.js";
 import { Lifecycle } from "../../lifecycle/index.js";
 import { DEFAULT_HTTP_LIMITS, FileDisk } from "../../ports/index.js";
@@ -10,6 +10,7 @@
 import { PlatformDialect } from "../platformDialect/index.js";
 import {
     CONTROL_LOG_TIMING,
+    EXIT_RESERVE_MS,
     INTERNAL_PEER_TIMING,
     MAX_PLATFORM_CALL_MS,
     upstreamTimeoutMs,
@@ -77,7 +78,12 @@
     lifecycle.addCleanUp(() => queues.close());
     return {
         lifecycle,
-        drain: () => drainControl(running, queues),
+        drain: async () => {
+            const exitAt = ports.clock.monotonic() + settings.graceMs - EXIT_RESERVE_MS;
+            const isHandedOver = await drainControl(running, queues);
+            const limitMs = Math.max(0, exitAt - ports.clock.monotonic());
+            return await answerOpenRequests(listener, ports.clock, limitMs) && isHandedOver;
+        },
         failed: running.awaitFailure(),
         reload: changed => {
             routing.setSeeds(changed.seeds);
--- a/src/platform/runEntryNode/index.ts
+++ b/src/platform/runEntryNode/index.ts
@@ -6,15 +6,13 @@
 import { NodeSettings } from "../nodeSettings/index.js";
 import { PlatformDialect } from "../platformDialect/index.js";
 import { serveReadiness } from "../serveReadiness/index.js";
-import { INTERNAL_PEER_TIMING, upstreamTimeoutMs } from "../timing/index.js";
+import { EXIT_RESERVE_MS, INTERNAL_PEER_TIMING, upstreamTimeoutMs } from "../timing/index.js";
 
 /**
  * Time until the platform's balancer sends no more callers to an entry that is not ready: it checks every second and acts on
  * two failed checks.
  */
 const BALANCER_DETECTION_MS = 3_000;
-/** Part of the grace period that is reserved for ending the process after the drain. */
-const EXIT_RESERVE_MS = 700;
 
 /** A running entry process. */
 export interface EntryNode extends DaemonProcess {
--- a/src/platform/timing/index.ts
+++ b/src/platform/timing/index.ts
@@ -32,6 +32,9 @@
 /** Maximum time for which a call to the platform may be in flight; a healthy platform answers within a few milliseconds. */
 export const MAX_PLATFORM_CALL_MS = 1_000;
 
+/** Part of a planned stop's grace period that is reserved for ending the process after the drain, in milliseconds. */
+export const EXIT_RESERVE_MS = 700;
+
 /** Number of missed heartbeats after which an upstream is treated as gone: one may be late and the next one lost. */
 const MISSED_HEARTBEATS_UNTIL_GONE = 4;
 
