Tests that limits set while a server runs end no answer

Shorter header and idle timeouts were suspected to cut answers that are silent before or behind their head, and bodies that are arriving, when a configuration sets them on open connections. On a real server they do not: the three tests pass without a change.

--- /dev/null
+++ b/src/ports/nodeHttpServer/test.ts
@@ -0,0 +1,67 @@
+import assert from "node:assert/strict";
+import { connect, Socket } from "node:net";
+import { afterEach, describe, it } from "node:test";
+import { HttpHandler, HttpLimits, HttpListener } from "../http/index.js";
+import { serveNodeHttp } from "./index.js";
+
+/** Aborts a test that hangs. */
+const TEST_TIMEOUT = { timeout: 20_000 };
+const LIMITS: HttpLimits = {
+    headerBytes: 16_384,
+    headerTimeoutMs: 6_000,
+    requestTimeoutMs: 6_000,
+    idleTimeoutMs: 6_000,
+};
+const SHORT_LIMITS: HttpLimits = { ...LIMITS, headerTimeoutMs: 20, idleTimeoutMs: 20 };
+/** Longer than the interval at which timeouts are checked, which is a sixth of the first limits. */
+const SILENCE_MS = 1_500;
+
+function sleep(ms: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, ms));
+}
+
+async function readToEnd(socket: Socket): Promise<string> {
+    let text = "";
+    for await (const chunk of socket) text += chunk;
+    return text;
+}
+
+describe("shorter limits that are set while a server runs", () => {
+    let listener: HttpListener | undefined;
+
+    async function open(handler: HttpHandler): Promise<Socket> {
+        listener = await serveNodeHttp({ host: "127.0.0.1", port: 0 }, LIMITS, handler);
+        return connect(listener.address.port, "127.0.0.1");
+    }
+
+    afterEach(() => listener?.close());
+
+    const silences = { "before its head": [SILENCE_MS, 0], "between its head and its first bytes": [0, SILENCE_MS] };
+    for (const [where, [beforeHeadMs, afterHeadMs]] of Object.entries(silences)) {
+        it(`do not end an answer that is silent ${where}`, TEST_TIMEOUT, async () => {
+            // Failure: a stream is cut by a change of the configuration while its upstream is silent.
+            const socket = await open(async (_, res) => {
+                listener!.setLimits(SHORT_LIMITS);
+                await sleep(beforeHeadMs);
+                res.head(200, [["connection", "close"]]);
+                await sleep(afterHeadMs);
+                res.end("whole");
+            });
+            socket.write("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+            assert.match(await readToEnd(socket), /^HTTP\/1.1 200 [^]*whole\r\n0\r\n\r\n$/);
+        });
+    }
+
+    it("do not end a request whose body is arriving", TEST_TIMEOUT, async () => {
+        // Failure: a caller's request is refused by a change of the configuration while it sends a long body.
+        const socket = await open(async (req, res) => {
+            listener!.setLimits(SHORT_LIMITS);
+            setTimeout(() => socket.write("dy"), SILENCE_MS);
+            const body = await req.body(100);
+            res.head(200, [["connection", "close"]]);
+            res.end(body.orDefault(Buffer.from("none")));
+        });
+        socket.write("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nbo");
+        assert.match(await readToEnd(socket), /^HTTP\/1.1 200 [^]*body\r\n0\r\n\r\n$/);
+    });
+});
