--- a/src/tools/processes/index.ts
+++ b/src/tools/processes/index.ts
@@ -4,11 +4,15 @@
 
 const DIST = join(dirname(fileURLToPath(import.meta.url)), "..", "..");
 
+/** Exit code of a launcher that was ended by a signal. */
+const EXIT_SIGNALLED = 130;
 /** Running child processes. They are killed when the launcher exits: a crashed launcher would leave its fleet running. */
 const runningChildren = new Set<ChildProcess>();
 process.once("exit", () => {
     for (const child of runningChildren) child.kill("SIGKILL");
 });
+// The default action of a signal ends the launcher without "exit".
+for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"] as const) process.once(signal, () => process.exit(EXIT_SIGNALLED));
 
 /** Exit status of a program. */
 export interface ProgramExit {
