A body in small pieces takes memory by its size

What was seen: readers of whole bodies kept a list of pieces.

readReplyText and the reader of services' answers keep the bytes in a ByteBuffer.

--- a/src/entry/sendService/index.ts
+++ b/src/entry/sendService/index.ts
@@ -1,6 +1,6 @@
 import { Either, Left, Right } from "purify-ts";
 import { Grant, toTarget } from "../../dispatch/index.js";
-import { findHeader, HttpError, HttpReply } from "../../ports/index.js";
+import { ByteBuffer, findHeader, HttpError, HttpReply } from "../../ports/index.js";
 import { REQUEST_ID_HEADER } from "../../protocol/index.js";
 import { RunningRequest } from "../../request/index.js";
 import { PathError } from "../../upstream/index.js";
@@ -105,13 +105,11 @@
 }
 
 async function readWhole(reply: HttpReply, limitBytes: number): Promise<Either<ServiceCallError, Uint8Array>> {
-    const chunks: Uint8Array[] = [];
-    let size = 0;
+    const body = new ByteBuffer();
     try {
         for await (const chunk of reply.body) {
-            size += chunk.length;
-            chunks.push(chunk);
-            if (size > limitBytes) {
+            body.append(chunk);
+            if (body.length > limitBytes) {
                 reply.reset();
                 return Left(new ServiceCallError(true, `the answer has more than ${limitBytes} bytes`));
             }
@@ -120,5 +118,5 @@
     catch (err) {
         return Left(toServiceError(err as HttpError, true));
     }
-    return Right(Buffer.concat(chunks));
+    return Right(body.take());
 }
--- a/src/ports/http/index.ts
+++ b/src/ports/http/index.ts
@@ -1,4 +1,5 @@
 import { Either } from "purify-ts";
+import { ByteBuffer } from "../byteBuffer/index.js";
 import { Address, Listener } from "../network/index.js";
 
 /** Headers in order, with names in lower case; a name may occur more than once. */
@@ -179,15 +180,13 @@
  * const offers = JSON.parse(await readReplyText(reply, 1_000_000));
  */
 export async function readReplyText(reply: HttpReply, maxBytes = Number.POSITIVE_INFINITY): Promise<string> {
-    const chunks: Uint8Array[] = [];
-    let size = 0;
+    const body = new ByteBuffer();
     for await (const chunk of reply.body) {
-        size += chunk.length;
-        if (size > maxBytes) {
+        body.append(chunk);
+        if (body.length > maxBytes) {
             reply.reset();
             throw new HttpError("malformed", true, `a body of more than ${maxBytes} bytes`);
         }
-        chunks.push(chunk);
     }
-    return Buffer.concat(chunks).toString();
+    return body.take().toString();
 }
