The tests of signals wait until the control process has a leader

The first of them failed once, in a run of all tests on a machine with 20 to 37 runnable processes: sequoiamuxd ended with 3 in place of 0. Cause: the test stopped the only control process of a cluster right after its start, before it had elected itself. A process that stops has three seconds to take its leave of a leader; there was none in time, and 3, "incomplete", is the truthful exit code.

Readiness of a control process says that it knows a leader, and the tests wait for that now; the exit code is asserted as before.

--- a/src/daemon/test.ts
+++ b/src/daemon/test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
-import { TcpNetwork } from "../ports/index.js";
-import { findFreePorts, Program, ScratchFolder } from "../tools/index.js";
+import { NodeHttp, TcpNetwork } from "../ports/index.js";
+import { findFreePorts, Program, ScratchFolder, waitFor } from "../tools/index.js";
 import { EXIT_CODES } from "./exitCodes/index.js";
 
 interface ControlProcessOptions {
@@ -56,6 +56,23 @@
         return startProgram("--settings", file);
     }
 
+    /** Waits until a control process knows the holder of the lease: one that stops before has nobody to take its leave of. */
+    async function awaitHolder(operators: number): Promise<void> {
+        const isReady = async (): Promise<true | undefined> => {
+            const sent = await new NodeHttp().send({
+                address: { host: "127.0.0.1", port: operators },
+                method: "GET",
+                path: "/readyz",
+                headers: [],
+                newConnection: true,
+                connectTimeoutMs: STOP_LIMIT_MS,
+                headTimeoutMs: STOP_LIMIT_MS,
+            });
+            return sent.map(({ status }) => status).extract() === 200 ? true : undefined;
+        };
+        assert.ok(await waitFor(isReady, STOP_LIMIT_MS), "no holder");
+    }
+
     /** Waits until the program exits; returns the exit code and the lines written to standard error. */
     async function waitForFailure(
         program: Program,
@@ -115,6 +132,7 @@
             // Failure: all answers are cut, as the default action of SIGHUP ends the process.
             const control = await startControl({ peers: ports[0], operators: ports[1], data: "hangup" });
             await control.line("\"ready\"");
+            await awaitHolder(ports[1]);
             control.signal("SIGHUP");
             const { code, signal } = await control.stop(STOP_LIMIT_MS);
             assert.deepEqual([code, signal], [EXIT_CODES.ok, undefined]);
@@ -124,6 +142,7 @@
             // Failure: a stop hangs until the supervisor kills the process, as closing the listener waits for each connection.
             const control = await startControl({ peers: ports[0], operators: ports[1], data: "half" });
             await control.line("\"ready\"");
+            await awaitHolder(ports[1]);
             const address = { host: "127.0.0.1", port: ports[1] };
             const [half, whole] = (await Promise.all(
                 [1, 2].map(() => new TcpNetwork().connect(address, STOP_LIMIT_MS)),
