The body of a request takes memory by its size, however small its chunks are

What callers saw: nothing by themselves; one caller could end an entry with a body within its limit, sent in chunks of one byte, and cut the answers of all others. Each chunk was kept as a buffer of its own.

Evidence: ports/nodeHttpServer, "takes memory by its size, however small its chunks are": 11.3 MB of heap for 200,000 bytes on the code before.

--- a/src/ports/nodeHttpServer/index.ts
+++ b/src/ports/nodeHttpServer/index.ts
@@ -1,6 +1,7 @@
 import { createServer, IncomingMessage, Server, ServerResponse } from "node:http";
 import { Either, Left, Right } from "purify-ts";
 import { toHeaderList } from "../_lib/toHeaderList.js";
+import { ByteBuffer } from "../byteBuffer/index.js";
 import {
     BodyError,
     HeaderList,
@@ -136,7 +137,7 @@
 
     body(limitBytes: number): Promise<Either<BodyError, Uint8Array>> {
         return new Promise(resolve => {
-            const chunks: Buffer[] = [];
+            const received = new ByteBuffer();
             let size = 0;
             // A content length over the limit is refused before any of the body is read.
             if (Number(this.message.headers["content-length"] ?? 0) > limitBytes) {
@@ -146,13 +147,13 @@
             this.message.on("data", (chunk: Buffer) => {
                 size += chunk.length;
                 if (size <= limitBytes) {
-                    chunks.push(chunk);
+                    received.append(chunk);
                     return;
                 }
-                chunks.length = 0;
+                received.take();
                 resolve(Left(new BodyError("too-large")));
             });
-            this.message.on("end", () => resolve(Right(Buffer.concat(chunks))));
+            this.message.on("end", () => resolve(Right(received.take())));
             this.message.on("close", () => {
                 if (!this.message.complete) resolve(Left(new BodyError("closed")));
             });
--- a/src/ports/nodeHttpServer/test.ts
+++ b/src/ports/nodeHttpServer/test.ts
@@ -1,6 +1,9 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { connect, Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
 import { HttpHandler, HttpLimits, HttpListener } from "../http/index.js";
 import { serveNodeHttp } from "./index.js";
 
@@ -15,17 +18,53 @@
 const SHORT_LIMITS: HttpLimits = { ...LIMITS, headerTimeoutMs: 20, idleTimeoutMs: 20 };
 /** Longer than the interval at which timeouts are checked, which is a sixth of the first limits. */
 const SILENCE_MS = 1_500;
+const CHUNKS = 200_000;
+const CHUNKS_PER_WRITE = 1_000;
+/** Heap that the body and the state of its connection may take, in bytes; a buffer for each chunk takes ten times as much. */
+const MAX_HEAP_BYTES = 6 * 1024 * 1024;
+const SETTLE_MS = 200;
 
 function sleep(ms: number): Promise<void> {
     return new Promise(resolve => setTimeout(resolve, ms));
 }
 
+/** Returns the size of the heap without garbage, in bytes. */
+function measureHeap(): number {
+    setFlagsFromString("--expose-gc");
+    (runInNewContext("gc") as () => void)();
+    return process.memoryUsage().heapUsed;
+}
+
 async function readToEnd(socket: Socket): Promise<string> {
     let text = "";
     for await (const chunk of socket) text += chunk;
     return text;
 }
 
+describe("the body of a request", () => {
+    it("takes memory by its size, however small its chunks are", TEST_TIMEOUT, async () => {
+        // Failure: one caller ends the process with a body within its limit, as each chunk of one byte takes hundreds of bytes.
+        const listener = await serveNodeHttp({ host: "127.0.0.1", port: 0 }, LIMITS, async (req, res) => {
+            await req.body(CHUNKS);
+            res.head(200, [["connection", "close"]]);
+            res.end();
+        });
+        const socket = connect(listener.address.port, "127.0.0.1");
+        socket.write("POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n");
+        const before = measureHeap();
+        for (let sent = 0; sent < CHUNKS; sent += CHUNKS_PER_WRITE) {
+            if (!socket.write("1\r\nx\r\n".repeat(CHUNKS_PER_WRITE))) await once(socket, "drain");
+        }
+        // The server has read as far as the buffers of both ends allow.
+        await sleep(SETTLE_MS);
+        const heapBytes = measureHeap() - before;
+        socket.write("0\r\n\r\n");
+        assert.match(await readToEnd(socket), /^HTTP\/1.1 200 /);
+        await listener.close();
+        assert.ok(heapBytes < MAX_HEAP_BYTES, `${heapBytes} bytes`);
+    });
+});
+
 describe("shorter limits that are set while a server runs", () => {
     let listener: HttpListener | undefined;
 
