The rest of a refusal is read within bounds

Callers saw nothing by themselves: an upstream that refuses a call, or answers a failure in place of a stream's rest, with a body without end kept its connection for good; nothing ended it once the call had gone on elsewhere.

discardReply reads at most 64 KiB for at most a second and resets the connection otherwise (tests: ports/replyLimits); sendCall had a function of its own without either bound. Found by a review of the change.

--- a/src/passthrough/sendCall/index.ts
+++ b/src/passthrough/sendCall/index.ts
@@ -1,6 +1,6 @@
 import { Either } from "purify-ts";
 import { toTarget } from "../../dispatch/index.js";
-import { findHeader, HttpError, HttpReply } from "../../ports/index.js";
+import { discardReply, findHeader, HttpError, HttpReply } from "../../ports/index.js";
 import { Attempt, AttemptResult } from "../attempt/index.js";
 import { CallContext } from "../callContext/index.js";
 import { ReplyHead } from "../callDialect/index.js";
@@ -73,7 +73,7 @@
     }
     if (!head.misdirected) recordSignals(ctx, attempt, head);
     if (head.refused || head.misdirected) {
-        void drainBody(reply);
+        void discardReply(reply, ctx.clock);
         const { misdirected } = head;
         return { kind: "ended", end: "refused", detail: `the upstream answers ${reply.status}`, misdirected };
     }
@@ -91,15 +91,17 @@
     if (isStream) return relayStream(ctx, attempt, reply, head);
     recordStart(ctx, attempt, ctx.time.now());
     if (reply.status < 300) ctx.parts.recordBegun(attempt.call);
-    return attempt.answer.sentStatus === undefined ? relayAnswer(ctx, attempt, reply, head) : rejectContinuation(reply);
+    return attempt.answer.sentStatus === undefined
+        ? relayAnswer(ctx, attempt, reply, head)
+        : rejectContinuation(ctx, reply);
 }
 
 /**
  * Prevents a failure's body from being appended to a partly sent stream, which would then look complete: only a stream
  * of events can continue it.
  */
-function rejectContinuation(reply: HttpReply): AttemptResult {
-    void drainBody(reply);
+function rejectContinuation(ctx: CallContext, reply: HttpReply): AttemptResult {
+    void discardReply(reply, ctx.clock);
     return { kind: "ended", end: "failed", detail: `the upstream answers ${reply.status} in place of a stream's rest` };
 }
 
@@ -127,14 +129,3 @@
 function isEventStream({ headers }: HttpReply): boolean {
     return findHeader(headers, "content-type")?.startsWith("text/event-stream") ?? false;
 }
-
-/** Reads and discards the rest of an answer, so that its connection can be reused. */
-async function drainBody(reply: HttpReply): Promise<void> {
-    try {
-        const chunks = reply.body[Symbol.asyncIterator]();
-        while (!(await chunks.next()).done);
-    }
-    catch {
-        // The connection ended, so it cannot be reused.
-    }
-}
