A call that seeks another upstream leaves its repeat as soon as its attempt has ended

What callers saw: a stream whose upstream was silent and then broke off was cut, or its caller got 502, though a repeat was free.

Cause: the repeat that a search for another upstream had reserved was given back once the queue's owner had answered the withdrawn ticket, and the call decided before whether it may be sent again.

Evidence: passthrough/stallMove, "leaves a repeat to its call as soon as the attempt has ended": 0 left in place of 1 on the code before. Found by a review of the change.

--- a/src/passthrough/stallMove/index.ts
+++ b/src/passthrough/stallMove/index.ts
@@ -36,6 +36,8 @@
     private limitMs = Number.POSITIVE_INFINITY;
     /** Withdraws the ticket for another upstream; undefined while there is none. */
     private ticket: AbortController | undefined;
+    /** The repeat that the ticket would take; undefined while there is no ticket. */
+    private repeat: RepeatReservation | undefined;
     private next: MoveGrant | undefined;
 
     /** @param grant - The grant of the attempt. */
@@ -58,6 +60,9 @@
         this.timer = undefined;
         this.ticket?.abort();
         this.ticket = undefined;
+        // At once: the attempt may have ended, and its call may need the repeat to go on.
+        this.repeat?.giveBack();
+        this.repeat = undefined;
     }
 
     /**
@@ -91,20 +96,24 @@
         const repeat = this.reserveRepeat();
         if (!repeat) return this.arm();
         const { ctx, progress, run } = this.task;
+        this.repeat = repeat;
         const ticket = new AbortController();
         this.ticket = ticket;
         const ticketId = ctx.random.id() as RequestId;
         const avoid = [...progress.avoid, this.grant.upstream];
         const decision = await ctx.dispatcher.submit(makeTicket(this.task, ticketId, avoid), ticket.signal);
         const grant = decision.toMaybe().extract();
-        if (grant && !ticket.signal.aborted && this.isUsable(grant)) {
+        const isWithdrawn = ticket.signal.aborted;
+        if (grant && !isWithdrawn && this.isUsable(grant)) {
+            this.repeat = undefined;
             this.next = { ticketId, grant, repeat };
             run.cancel("stalled");
             return;
         }
-        repeat.giveBack();
         if (grant) returnGrant(this.task, { ticketId, grant });
-        if (!ticket.signal.aborted) this.arm();
+        if (isWithdrawn) return;
+        this.pause();
+        this.arm();
     }
 
     /** Takes a repeat from the budget if the call may run at another upstream now, and one is known. */
--- /dev/null
+++ b/src/passthrough/stallMove/test.ts
@@ -0,0 +1,44 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { Grant } from "../../dispatch/index.js";
+import { PoolId } from "../../ids/index.js";
+import { VirtualClock } from "../../ports/index.js";
+import { CallTask, createProgress } from "../callTask/index.js";
+import { RepeatBudget } from "../repeatBudget/index.js";
+import { StallMove } from "./index.js";
+
+const POOL = "drafting" as PoolId;
+const ENTRIES = 1;
+const SILENCE_MS = 2_000;
+
+/** A call whose ticket for another upstream stays in the queue. */
+function makeTask(clock: VirtualClock, repeats: RepeatBudget): CallTask {
+    const route = { kind: "stream", resumable: true, attempts: 2, targetMs: 100, gapMs: 100 };
+    const ctx = {
+        clock,
+        repeats,
+        random: { id: () => "ticket" },
+        self: "host",
+        zone: "zone",
+        view: { routes: () => undefined, entryCount: () => ENTRIES },
+        dispatcher: { submit: () => new Promise(() => undefined) },
+        software: { hasOther: () => true },
+    };
+    const call = { route, pool: POOL, head: { parts: [] }, body: Buffer.alloc(0), arrivedAt: 0, deadlineAt: 60_000 };
+    return { ctx, call, run: {}, answer: {}, progress: createProgress() } as unknown as CallTask;
+}
+
+describe("StallMove", () => {
+    it("leaves a repeat to its call as soon as the attempt has ended", async () => {
+        // Failure: a call whose silent upstream breaks off is given up, as its own search for another one holds the last repeat.
+        const clock = new VirtualClock();
+        const repeats = new RepeatBudget(clock, { ratio: 2, windowMs: 60_000, slack: 0 });
+        repeats.recordRequest(POOL);
+        const move = new StallMove(makeTask(clock, repeats), { upstream: "u1" } as Grant);
+        move.expectBeginning();
+        await clock.advance(SILENCE_MS);
+        assert.equal(repeats.countLeft(POOL, ENTRIES), 0);
+        move.end();
+        assert.equal(repeats.countLeft(POOL, ENTRIES), 1);
+    });
+});
