Answers that have begun go on until a stopping process exits, whatever they are

What callers saw: 200 ms before the exit of a stopping host, answers were cut though they had begun: each streaming chat, each plain answer over 256 KiB, and each stream that had left a silent upstream and waited for its second one.

Cause: whether an answer had begun was taken from what the request waits for, which only event streams of routed calls keep up to date, and which is a grant while a stream moves.

Found by a review of the change.

Now the request itself says whether its caller has the head of the answer.

--- a/src/entry/runChat/index.ts
+++ b/src/entry/runChat/index.ts
@@ -201,7 +201,8 @@
 
     /** Completes the answer. The usage is durable before the last event is sent to the caller, unless that takes too long. */
     private async finish({ usage, finishReason }: EngineStreamEnd): Promise<ChatResult> {
-        const { ctx, sink } = this.options;
+        const { ctx, run, sink } = this.options;
+        run.hasAnswerBegun = true;
         if (this.hasReservedAttempt) ctx.retryBudget.giveBack();
         await this.recordUsage(usage.prompt_tokens, sink.tokens);
         // After a resume the engine counts cached tokens of a prompt that includes part of the answer.
--- a/src/entry/sendChat/index.ts
+++ b/src/entry/sendChat/index.ts
@@ -113,7 +113,9 @@
         }
         stallTimer.touch();
         ctx.dispatcher.progress(run.identity.id, tokens);
-        return awaitCaller(sink.write(text, tokens), stallTimer);
+        const written = sink.write(text, tokens);
+        run.hasAnswerBegun ||= sink.delivered > 0;
+        return awaitCaller(written, stallTimer);
     }, clock);
     stallTimer.stop();
     if (result.isLeft()) reply.reset();
--- a/src/passthrough/relayAnswer/index.ts
+++ b/src/passthrough/relayAnswer/index.ts
@@ -48,6 +48,7 @@
 ): Promise<void> {
     attempt.answer.sendHead(status, headers);
     attempt.stream.isHeadSent = true;
+    attempt.run.hasAnswerBegun = true;
     await writeToCaller(attempt, buffered);
 }
 
--- a/src/passthrough/relayStream/index.ts
+++ b/src/passthrough/relayStream/index.ts
@@ -51,8 +51,9 @@
     return { kind: "answered", status: reply.status, deliver: () => answer.end(scanner.takePartialEvent()) };
 }
 
-function sendStreamHead({ answer, stream }: Attempt, { status }: HttpReply, { headers }: ReplyHead): void {
+function sendStreamHead({ answer, run, stream }: Attempt, { status }: HttpReply, { headers }: ReplyHead): void {
     stream.isHeadSent = true;
+    run.hasAnswerBegun = true;
     // If another upstream continues the stream, the length is only that of this upstream's part.
     answer.sendHead(status, headers.filter(([name]) => name !== "content-length"));
 }
--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -119,6 +119,7 @@
     if (result.kind === "answered") {
         returnMove(task, next);
         run.waitFor("durability");
+        run.hasAnswerBegun = true;
         await waitDurable(task);
         result.deliver();
         return { end: makeCallEnd("answered", result.status, progress) };
--- a/src/request/requestRegistry/index.ts
+++ b/src/request/requestRegistry/index.ts
@@ -47,7 +47,7 @@
     /** Stops the requests whose answers have not begun, because the process is about to exit. */
     cancelUnanswered(): void {
         for (const request of this.running.values()) {
-            if (request.waitsFor === "grant" || request.waitsFor === "answer") request.cancel("stopping");
+            if (!request.hasAnswerBegun) request.cancel("stopping");
         }
     }
 
--- a/src/request/runningRequest/index.ts
+++ b/src/request/runningRequest/index.ts
@@ -60,6 +60,8 @@
     private waitingSince: number;
     /** Whether a non-repeatable call was sent: from then on it runs until its outcome is recorded. */
     mustFinish = false;
+    /** Whether the caller has got the head of the answer, or all of the answer is there. */
+    hasAnswerBegun = false;
 
     constructor(readonly identity: RequestIdentity, private readonly clock: Clock) {
         this.arrivedMonotonicAt = clock.monotonic();
