All moments of a planned stop count from its beginning

What callers saw: on a busy host the process that stopped was killed at the end of its grace, with answers under way: the limits of a drain were timers started one after the other, so that each late timer postponed the exit.

--- a/src/entry/entryProcess/index.ts
+++ b/src/entry/entryProcess/index.ts
@@ -35,6 +35,7 @@
 import { CrashMonitor } from "../crashMonitor/index.js";
 import { DemandReporter } from "../demandReporter/index.js";
 import { DispatchLog } from "../dispatchLog/index.js";
+import { DrainSchedule } from "../drainSchedule/index.js";
 import { EntryContext, EntryLimits } from "../entryContext/index.js";
 import { EvacuationMonitor } from "../evacuationMonitor/index.js";
 import { FleetControl } from "../fleetControl/index.js";
@@ -101,8 +102,6 @@
 }
 
 const VIEW_POLL_MS = 10;
-/** Part of a drain's grace in which requests without an answer get a final one, in milliseconds. */
-const FINAL_ANSWERS_MS = 200;
 
 /**
  * An entry process: serves callers, receives upstreams' announcements, owns the queues of some pools, and meters usage.
@@ -148,8 +147,8 @@
     /** Set once the load balancer has had time to notice the drain. */
     private refusingRequests = false;
     private readonly exitAbort = new AbortController();
-    /** Monotonic time at which a planned stop ends calls without an answer, in milliseconds. */
-    private finalAnswersAt = Number.POSITIVE_INFINITY;
+    /** The planned stop; undefined while none has begun. */
+    private stop: DrainSchedule | undefined;
     private callerListener: HttpListener | undefined;
     private relayListener: HttpListener | undefined;
 
@@ -281,10 +280,9 @@
      */
     async drain(graceMs: number): Promise<boolean> {
         const { clock, balancerMs, logger } = this.options;
-        const stopAt = clock.monotonic();
+        const stop = new DrainSchedule(clock, { balancerMs, graceMs });
+        this.stop = stop;
         this.draining = true;
-        const finalAnswersMs = Math.max(0, graceMs - FINAL_ANSWERS_MS);
-        this.finalAnswersAt = stopAt + balancerMs + finalAnswersMs;
         this.client.setDraining(true);
         logger.info("drain-started", { requests: this.requests.size });
         await clock.sleep(balancerMs);
@@ -294,14 +292,14 @@
         this.callerListener?.closeConnections();
         void this.routeService?.stopAccepting();
         const limit = new AbortController();
-        const timer = clock.after(graceMs, () => limit.abort());
-        const finalTimer = clock.after(finalAnswersMs, () => this.answerWaiting());
-        await Promise.race([this.awaitIdle(limit.signal), clock.sleep(graceMs, limit.signal)]);
+        const timer = clock.after(stop.exitLeftMs, () => limit.abort());
+        const finalTimer = clock.after(stop.finalAnswersLeftMs, () => this.answerWaiting());
+        await Promise.race([this.awaitIdle(limit.signal), clock.sleep(stop.exitLeftMs, limit.signal)]);
         finalTimer.cancel();
         const isDurable = await this.replicator.drain(limit.signal);
         timer.cancel();
         this.replicator.sendLast();
-        reportUnfinishedRequests({ clock, logger, requests: this.requests, stopAt });
+        reportUnfinishedRequests({ clock, logger, requests: this.requests, stopAt: stop.startedAt });
         const { requests: openAnswers, unsentBytes } = this.countOpenAnswers();
         logger.info("drain-ended", {
             requests: this.requests.size,
@@ -504,7 +502,7 @@
             isDraining: () => this.draining,
             isRefusing: () => this.refusingRequests,
             exitSignal: this.exitAbort.signal,
-            timeLeftMs: () => this.finalAnswersAt - this.options.clock.monotonic(),
+            timeLeftMs: () => this.stop?.finalAnswersLeftMs ?? Number.POSITIVE_INFINITY,
             requiredLevel: () => this.dispatcher.mayOwnQueues() ? "all" : "membership",
         });
     }
