A stopping host checks once more before it sends a call that has waited

What callers saw: a call that came early in a stop and waited for an upstream was sent just before the exit. Its stream was cut, or it was answered 502 where 503, not run, was true a moment before.

Cause: whether a call ends in time was checked at its arrival only.

Evidence: entry/routeService, "is refused where its grant comes too late": 200 without a refusal on the code before, since the emulated fleet goes on after the drain. Found by a review of the change.

--- a/src/entry/routeService/test.ts
+++ b/src/entry/routeService/test.ts
@@ -353,6 +353,20 @@
             assert.equal(countRuns("long"), 0);
         });
 
+        it("is refused where its grant comes too late", async () => {
+            // Failure: a call that has waited for an upstream is sent just before the exit, and its answer is cut.
+            await startFleet({ upstreams: [{ events: STREAM_MS / GAP_MS, gapMs: GAP_MS, slots: 1 }] });
+            const call = { path: "/sheets/1", key: KEY };
+            for (let i = 0; i < 10; i++) await fleet.call({ ...call, entry: 0 });
+            const running = fleet.startCall({ ...call, entry: 1 });
+            await fleet.advance(50);
+            const drained = fleet.entries[0]!.drain(STREAM_MS);
+            const reply = await fleet.call({ ...call, entry: 0, request: "granted-late" });
+            assert.deepEqual([reply.status, findHeader(reply.headers, CALL_HEADERS.notRun)], [503, "1"]);
+            assert.equal(countRuns("granted-late"), 0);
+            await fleet.run(Promise.all([running, drained]));
+        });
+
         it("is run where calls of its route end in time", async () => {
             const { status, isWhole } = await callWhileDraining("short", 2 * STREAM_MS);
             assert.deepEqual([status, isWhole], [200, true]);
--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -23,6 +23,7 @@
 import { sendBuffered } from "../relayAnswer/index.js";
 import { sendCall } from "../sendCall/index.js";
 import { MoveGrant, StallMove } from "../stallMove/index.js";
+import { mayEndInTime } from "../stopMargin/index.js";
 import { StreamState } from "../streamState/index.js";
 import { toUpstreamPriority } from "../upstreamPriority/index.js";
 
@@ -95,12 +96,18 @@
     const held = { ticketId, grant: decision.extract() as Grant };
     const block = ctx.sendGuard.findBlock(held.grant, requiredSoftware(task));
     if (block) return declineGrant(task, held, block);
-    const error = recheckKey(ctx, call) ?? checkQuarantine(ctx, call);
+    const error = recheckKey(ctx, call) ?? checkQuarantine(ctx, call) ?? checkStop(task);
     if (!run.isCancelled && !error) return sendGranted(task, held);
     returnGrant(task, held);
     return { end: run.isCancelled ? endCancelled(task) : await failNotRun(task, error!) };
 }
 
+/** Checks again whether the call may end before a planned stop does: it may have waited for its grant. */
+function checkStop({ ctx, call, progress }: CallTask): CallError | undefined {
+    const isRefused = progress.begun === 0 && !mayEndInTime(ctx, call);
+    return isRefused ? makeStoppingError(false) : undefined;
+}
+
 async function sendGranted(task: CallTask, { ticketId, grant: unranked }: HeldGrant): Promise<AttemptOutcome> {
     const { ctx, run, progress } = task;
     const grant = setPriority(task, unranked);
--- a/src/passthrough/serveCalls/index.ts
+++ b/src/passthrough/serveCalls/index.ts
@@ -8,6 +8,7 @@
 import { CallError, makeStoppingError } from "../callError/index.js";
 import { prepareCall, PreparedCall } from "../prepareCall/index.js";
 import { CallEnd, runCall } from "../runCall/index.js";
+import { mayEndInTime } from "../stopMargin/index.js";
 
 /**
  * Creates the HTTP handler of routed calls.
@@ -29,16 +30,6 @@
     };
 }
 
-/**
- * Whether a call will probably end before a planned stop ends it. Otherwise it is refused before it is sent: another host can run it,
- * while an answer that is cut is lost where the call may run once only.
- */
-function mayEndInTime({ clock, durations, timeLeftMs }: CallContext, { route, deadlineAt }: PreparedCall): boolean {
-    const leftMs = timeLeftMs();
-    if (deadlineAt - clock.monotonic() <= leftMs) return true;
-    return (durations.usualMs(route.name) ?? 0) <= leftMs;
-}
-
 function refuse(
     ctx: CallContext,
     readHead: Either<CallError, CallHead>,
