Events of a cancelled attempt do not count as delivered

What callers saw: nothing so far. A stream whose attempt was cancelled with an event already read would have gone on elsewhere behind that event, which its caller never got.

Cause: an event was recorded before it was written, and a cancelled attempt writes nothing.

Evidence: passthrough/relayStream, "counts no event of a cancelled attempt as delivered": fails on the code before. No order of events in which Node's client does this was found; found by a review of the change.

--- a/src/passthrough/relayStream/index.ts
+++ b/src/passthrough/relayStream/index.ts
@@ -20,7 +20,7 @@
     reply: HttpReply,
     head: ReplyHead,
 ): Promise<AttemptResult> {
-    const { answer, stream, silence } = attempt;
+    const { answer, run, stream, silence } = attempt;
     const scanner = new EventScanner();
     const beginning = new StreamBeginning(ctx, attempt);
     try {
@@ -28,6 +28,8 @@
             const events = scanner.push(chunk);
             if (events.count === 0) continue;
             silence.pause();
+            // Events of a cancelled attempt are not written, so they must not count as delivered.
+            if (run.signal.aborted) throw new HttpError("aborted", true, "before an event was forwarded");
             recordEvents(ctx, attempt, events);
             await beginning.awaitRecorded();
             ctx.dispatcher.progress(attempt.ticketId, events.count * attempt.tokensPerEvent);
--- a/src/passthrough/relayStream/test.ts
+++ b/src/passthrough/relayStream/test.ts
@@ -32,6 +32,7 @@
     write: () => Promise<void>,
     signal: AbortSignal,
     steps: string[] = [],
+    stream = createStreamState(),
 ): Promise<AttemptResult> {
     const call = { route: { resumable: false }, pool: "ledger", sharedParts: [], head: {}, arrivedAt: 0 };
     const attempt = {
@@ -39,7 +40,7 @@
         grant: {},
         run: { signal, waitFor() {} },
         answer: { write, sendHead() {}, end() {} },
-        stream: createStreamState(),
+        stream,
         silence: new RecordingWatch(steps),
         tokensPerEvent: 1,
     } as unknown as Attempt;
@@ -73,6 +74,14 @@
         assert.deepEqual(steps, [...event, ...event, "pause"]);
     });
 
+    it("counts no event of a cancelled attempt as delivered", async () => {
+        // Failure: a stream goes on at another upstream behind an event that its caller has never received.
+        const stream = createStreamState();
+        const cancelled = AbortSignal.abort();
+        const result = await relay(new VirtualClock(), async () => undefined, cancelled, [], stream);
+        assert.deepEqual([result.kind, stream.eventCount], ["ended", 0]);
+    });
+
     it("ends when the call is cancelled while its caller does not read", async () => {
         // Failure: the slot and both connections stay taken until the caller closes its own.
         const clock = new VirtualClock();
