An answer that arrives is not taken for silence of its upstream

What callers saw: a repeatable call whose answer took longer than its first-byte limit was cancelled while its body arrived, and run a second time.

Cause: the timer of the first byte ran until the whole answer was there.

Evidence: passthrough/relayAnswer, "expects the next piece anew with each one that has come": 0 in place of 5 on the code before.

--- a/src/passthrough/relayAnswer/index.ts
+++ b/src/passthrough/relayAnswer/index.ts
@@ -19,7 +19,7 @@
     reply: HttpReply,
     { headers }: ReplyHead,
 ): Promise<AttemptResult> {
-    const { answer } = attempt;
+    const { answer, silence } = attempt;
     const buffered = new ByteBuffer();
     try {
         for await (const chunk of reply.body) {
@@ -28,6 +28,7 @@
                 continue;
             }
             buffered.append(chunk);
+            silence.expectBeginning();
             if (buffered.length > MAX_BUFFERED_BYTES) await startUnbuffered(attempt, reply, headers, buffered.take());
         }
     }
@@ -46,6 +47,7 @@
     headers: HeaderList,
     buffered: Uint8Array,
 ): Promise<void> {
+    attempt.silence.pause();
     attempt.answer.sendHead(status, headers);
     attempt.stream.isHeadSent = true;
     attempt.run.hasAnswerBegun = true;
--- a/src/passthrough/relayAnswer/test.ts
+++ b/src/passthrough/relayAnswer/test.ts
@@ -38,6 +38,8 @@
 /** Relays an answer to a caller, of which it is the `CallAnswer`. */
 class CallerDouble {
     readonly received: Uint8Array[] = [];
+    /** How often the next piece of the answer was expected anew. */
+    expectations = 0;
     sentStatus: number | undefined;
     private readonly clock = new VirtualClock();
     readonly run = new RunningRequest({} as never, this.clock);
@@ -46,7 +48,9 @@
     constructor(private readonly reads: boolean) {}
 
     relay({ reply }: AnswerDouble): Promise<AttemptResult> {
-        const attempt = { run: this.run, answer: this, stream: {}, call: { arrivedAt: 0 } } as unknown as Attempt;
+        const silence = { expectBeginning: () => this.expectations++, pause: () => undefined };
+        const call = { arrivedAt: 0 };
+        const attempt = { run: this.run, answer: this, stream: {}, call, silence } as unknown as Attempt;
         return relayAnswer({ clock: this.clock } as unknown as CallContext, attempt, reply, HEAD);
     }
 
@@ -75,6 +79,13 @@
         assert.ok(answer.isClosed);
     });
 
+    it("expects the next piece anew with each one that has come", async () => {
+        // Failure: an answer that arrives steadily is run a second time elsewhere, since it is not whole in time.
+        const caller = new CallerDouble(true);
+        await caller.relay(new AnswerDouble(Buffer.from("ab"), 5));
+        assert.equal(caller.expectations, 5);
+    });
+
     it("forwards a large answer in small pieces whole", async () => {
         const caller = new CallerDouble(true);
         const result = await caller.relay(new AnswerDouble(Buffer.from("ab"), 200_000));
