A call that a stopping host cancels says nothing about its upstream

What callers saw: nothing by themselves. Calls that were cancelled before the exit of a stopping host counted as failures of their upstreams, which then got less work.

Cause: only callers that had left were told apart. No test of its own: the outcome is decided by a function of runCall, beside that for callers that have left.

--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -302,6 +302,7 @@
 function outcomeOf(result: AttemptResult, run: RunningRequest, idleMs: number): GrantEnd["outcome"] {
     if (result.kind === "answered") return "answered";
     if (run.cancelReason === "caller-gone") return idleMs >= UNRESPONSIVE_AFTER_MS ? "failed" : "cancelled";
+    if (run.cancelReason === "stopping") return "cancelled";
     if (result.end === "refused") return result.misdirected ? "failed" : "refused";
     if (result.isTurnedAway) return "refused";
     return result.end === "failed" ? "errored" : "failed";
