--- a/src/settings/schema/index.ts
+++ b/src/settings/schema/index.ts
@@ -127,7 +127,7 @@
         tokenStallMs: withDefault(
             durationMs,
             "5000",
-            "A stream without a token for this long is continued elsewhere, in milliseconds.",
+            "A stream without a token for this long is continued elsewhere where it can be, and otherwise given up after the limit of a first token, in milliseconds.",
         ),
     }),
     stop: z.object({
