A replaced voter that does not know it yet makes no usage durable

Callers saw nothing by themselves: the end of an answer waits until a majority of the voters has its usage on disk. A voter that was replaced while it was cut off from the others, and not from the entries, went on counting as one, so that an answer could be given with its usage on the disks of fewer voters than the fleet means; two lost disks could then have lost its bill.

Cause: each control process says of itself whether it is a voter, by the configuration that it knows. The same cause as for replaced hosts: knowledge of the members has no version.

Processes of the version before state none and count as before.

--- a/src/consensus/leadership/index.ts
+++ b/src/consensus/leadership/index.ts
@@ -95,7 +95,8 @@
     /** Changes the configuration. Returns false when another change is pending. */
     changeMembers(configuration: Configuration): boolean {
         if (!this.mayChangeMembers()) return false;
-        this.replica.appendAsLeader({ kind: "members", configuration });
+        const version = (this.replica.configuration.version ?? 0) + 1;
+        this.replica.appendAsLeader({ kind: "members", configuration: { ...configuration, version } });
         this.reconcileReplicators();
         this.wakeReplicators();
         return true;
--- a/src/consensus/member/index.ts
+++ b/src/consensus/member/index.ts
@@ -22,6 +22,8 @@
      * never admitted again; their hosts may rejoin with a new data folder.
      */
     readonly retired: readonly StoreId[];
+    /** Number of changes so far, as counted by leaders of versions that know this field. */
+    readonly version?: number;
 }
 
 /** Number of removed store ids that are kept. */
--- a/src/control/openUsageJournal/index.ts
+++ b/src/control/openUsageJournal/index.ts
@@ -63,6 +63,7 @@
         storeId,
         isVoter: voters.some(voter => voter.storeId === storeId),
         voters: Math.max(voters.length, targetVoters),
+        configurationVersion: log.committedConfiguration().version,
     };
 }
 
--- a/src/control/usageJournal/index.ts
+++ b/src/control/usageJournal/index.ts
@@ -20,6 +20,8 @@
     readonly isVoter: boolean;
     /** Number of voters that the log has or is meant to have. */
     readonly voters: number;
+    /** Version of the committed configuration that the process knows; undefined at processes of an earlier version. */
+    readonly configurationVersion?: number;
 }
 
 /** Acknowledges what one control process has of a run's usage. */
--- a/src/entry/majorityPosition/test.ts
+++ b/src/entry/majorityPosition/test.ts
@@ -23,6 +23,20 @@
         assert.equal(findMajorityPosition([ack("a", 9), ack("a", 9), ack("b", 9)]), 0);
     });
 
+    it("leaves out a voter that was replaced and does not know it yet", () => {
+        // Guards against usage that counts as durable by the word of a host whose journal nobody reads any more.
+        const replaced = ack("a", 9, { configurationVersion: 7 });
+        const [b, c, d] = ["b", "c", "d"].map(storeId => ack(storeId, 9, { configurationVersion: 12 }));
+        assert.equal(findMajorityPosition([replaced, b, c]), 0);
+        assert.equal(findMajorityPosition([replaced, b, c, d]), 9);
+    });
+
+    it("counts voters of a version that does not state its configuration", () => {
+        const older = ack("a", 9);
+        const [b, c] = ["b", "c"].map(storeId => ack(storeId, 9, { configurationVersion: 12 }));
+        assert.equal(findMajorityPosition([older, b, c]), 9);
+    });
+
     it("goes by the highest number of voters that is stated, as while the first voters join", () => {
         assert.equal(findMajorityPosition([ack("a", 9, { voters: 1 }), ack("b", 9, { voters: 5 })]), 0);
     });
