A connection is closed as idle only after what has arrived on it was read

Cause: as at a stop, timers run before the event loop reads after a stall. The idle timeout of a kept connection destroyed it with the request in the buffers of the operating system.

Evidence: ports/nodeHttp, "answers a request that arrived while the event loop stood still beyond the idle timeout": 1 answer in place of 2 on the code before, with a reset.

Why it works: when the timeout is over, arrived bytes are read first; a connection on which nothing has come is ended as at a stop: its end is sent, and it is read for a second more.

--- a/src/ports/nodeHttp/test.ts
+++ b/src/ports/nodeHttp/test.ts
@@ -9,6 +9,23 @@
 const http = new NodeHttp();
 const LIMIT_BYTES = 1_000;
 
+const IDLE_TIMEOUT_MS = 2_000;
+
+/** Sends a request from a thread of its own, and a second one on the same connection after the idle timeout. */
+const SEND_TWO_REQUESTS = `
+    const { parentPort, workerData: { port, sent, pauseMs } } = require("node:worker_threads");
+    const request = "GET / HTTP/1.1\\r\\nhost: a\\r\\n\\r\\n";
+    let received = "";
+    const socket = require("node:net").connect(port, "127.0.0.1", () => socket.write(request));
+    socket.once("data", () => setTimeout(() => socket.write(request, () => {
+        Atomics.store(sent, 0, 1);
+        Atomics.notify(sent, 0);
+    }), pauseMs));
+    socket.on("data", chunk => received += chunk);
+    socket.on("error", () => undefined);
+    socket.on("close", () => parentPort.postMessage(received.split("HTTP/1.1 200 OK").length - 1));
+`;
+
 /** Sends a request from a thread of its own, tells when the operating system has it, and posts what comes back. */
 const SEND_REQUEST = `
     const { parentPort, workerData: { port, sent } } = require("node:worker_threads");
@@ -102,6 +119,24 @@
             assert.deepEqual(await received, ["HTTP/1.1 503 Service Unavailable"]);
         });
 
+        it("answers a request that arrived while the event loop stood still beyond the idle timeout", async () => {
+            // Failure: after a stall, connections are closed as idle under requests that were sent long ago.
+            const sent = new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT));
+            const limits = { ...DEFAULT_HTTP_LIMITS, idleTimeoutMs: IDLE_TIMEOUT_MS };
+            let count = 0;
+            const server = await http.serve({ host: "127.0.0.1", port: 0 }, limits, async (_, res) => {
+                const isLast = ++count === 2;
+                res.head(200, [["content-length", "0"], ...(isLast ? [["connection", "close"] as const] : [])]);
+                res.end();
+                // Timers are the next phase after that of immediates.
+                if (!isLast) setTimeout(() => setImmediate(() => Atomics.wait(sent, 0, 0)), 50);
+            });
+            const workerData = { port: server.address.port, sent, pauseMs: 2 * IDLE_TIMEOUT_MS + 500 };
+            const worker = new Worker(SEND_TWO_REQUESTS, { eval: true, workerData });
+            assert.deepEqual(await once(worker, "message"), [2]);
+            await server.close();
+        });
+
         it("counts an answer as open until its caller has read enough of it", async () => {
             const size = 64 * 1024 * 1024;
             const server = await http.serve({ host: "127.0.0.1", port: 0 }, DEFAULT_HTTP_LIMITS, async (_, res) => {
--- a/src/ports/nodeHttpServer/index.ts
+++ b/src/ports/nodeHttpServer/index.ts
@@ -1,4 +1,5 @@
 import { createServer, IncomingMessage, Server, ServerResponse } from "node:http";
+import { Socket } from "node:net";
 import { Either, Left, Right } from "purify-ts";
 import { toHeaderList } from "../_lib/toHeaderList.js";
 import { ByteBuffer } from "../byteBuffer/index.js";
@@ -46,6 +47,8 @@
     const connections = new ServerConnections(server);
     answerClientErrors(server);
     limitBodyDiscard(server);
+    // With a listener, Node does not destroy idle connections itself.
+    server.on("timeout", (socket: Socket) => void readArrived().then(() => connections.endIfIdle(socket)));
     server.on("request", (req, res) => {
         if (!connections.isServed(req, res)) return;
         void runHandler(new NodeRequest(req, res), new NodeResponse(res, connections), handler);
--- a/src/ports/serverConnections/index.ts
+++ b/src/ports/serverConnections/index.ts
@@ -73,6 +73,11 @@
         }
     }
 
+    /** Closes a connection if nothing has arrived on it since its last answer. */
+    endIfIdle(socket: Socket): void {
+        if (this.states.has(socket) && this.isIdle(socket)) this.end(socket);
+    }
+
     /** Closes the connections on which nothing has arrived. */
     endUnused(): void {
         for (const socket of this.states.keys()) {
