No warning of too many listeners while requests are admitted

Each request listens to the signal of the exit while it is admitted; with more than ten at once, Node printed a warning of a leak to the log (four times in a run of the scenarios).

--- a/src/entry/entryProcess/index.ts
+++ b/src/entry/entryProcess/index.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from "node:events";
 import { ControlClient, ControlLinkSet, ViewCache } from "../../control/index.js";
 import {
     AttemptBudget,
@@ -154,6 +155,8 @@
 
     private constructor(private readonly options: EntryOptions) {
         const { clock, random, self, zone, region } = options;
+        // All requests that are being admitted listen to this signal, so a large number of listeners is not a leak.
+        setMaxListeners(0, this.exitAbort.signal);
         this.controlLinks = new ControlLinkSet({
             ...options,
             router: this.router,
