--- a/src/emulator/emulatedCallUpstream/index.ts
+++ b/src/emulator/emulatedCallUpstream/index.ts
@@ -290,13 +290,13 @@
             statesDeparture: this.isLeaving,
         });
         const expected = findHeader(req.headers, CALL_HEADERS.upstream);
-        if (expected !== this.options.id) return this.sendNotRun(res, 421);
+        if (expected !== this.options.id) return this.sendNotRun(res, request, 421);
         if (req.path === CACHE_PATH) return this.sendCachedParts(res);
-        if (retryAfter !== undefined) return this.sendNotRun(res, 503, [["retry-after", retryAfter]]);
+        if (retryAfter !== undefined) return this.sendNotRun(res, request, 503, [["retry-after", retryAfter]]);
         const fault = this.faults.shift();
-        if (fault === "refuse") return this.sendNotRun(res, 503);
+        if (fault === "refuse") return this.sendNotRun(res, request, 503);
         const engine = this.engines.at(-1);
-        if (engine ? engine.isFull : this.openResponses.size >= this.room) return this.reject(res);
+        if (engine ? engine.isFull : this.openResponses.size >= this.room) return this.reject(res, request);
         const body = (await req.body(MAX_BODY_BYTES)).map(bytes => Buffer.from(bytes).toString()).orDefault("");
         const workspace = findHeader(req.headers, CALL_HEADERS.workspace);
         const at = this.options.clock.monotonic();
@@ -361,10 +361,10 @@
         return parts.some(part => crashesOnParts.includes(part.split(":")[0]));
     }
 
-    private async reject(res: HttpResponse): Promise<void> {
+    private async reject(res: HttpResponse, request: string): Promise<void> {
         const now = this.options.clock.monotonic();
         this.rejections = [...this.rejections.filter(at => at > now - MS_PER_SECOND), now];
-        this.sendNotRun(res, 503);
+        this.sendNotRun(res, request, 503);
         if (this.rejections.length <= (this.rejectionLimit ?? Number.POSITIVE_INFINITY)) return;
         this.rejections = [];
         this.falls++;
@@ -391,8 +391,9 @@
         res.end(text);
     }
 
-    private sendNotRun(res: HttpResponse, status: number, headers: HeaderList = []): void {
-        res.head(status, [[CALL_HEADERS.notRun, "1"], ["content-length", "0"], ...this.stateHeaders(), ...headers]);
+    private sendNotRun(res: HttpResponse, request: string, status: number, headers: HeaderList = []): void {
+        const refusal: HeaderList = [[CALL_HEADERS.request, request], [CALL_HEADERS.notRun, "1"]];
+        res.head(status, [...refusal, ["content-length", "0"], ...this.stateHeaders(), ...headers]);
         res.end();
     }
 
