Logs say which answer was believed, and what the promise that a call has not run rests on

attempt-ended: status of the answer, whose id it had, whether it stated that the call has not run, how often the call had been sent to this upstream before, and what the connection had carried, this call among it. call-ended of a refused call: number of tries that were refused, and in which nothing was sent. No decision is changed.

--- a/src/entry/sendChat/index.ts
+++ b/src/entry/sendChat/index.ts
@@ -68,6 +68,7 @@
         target: toTarget(prepared.pool, grant, required),
         method: "POST",
         path: ENGINE_PATHS.chat,
+        id: run.identity.id,
         headers: [["content-type", "application/json"], ["accept", "text/event-stream"]],
         body: encodeRequest(prepared, run, grant, offset),
         newConnection: false,
--- a/src/entry/sendService/index.ts
+++ b/src/entry/sendService/index.ts
@@ -54,6 +54,7 @@
         target: toTarget(prepared.pool, grant),
         method: prepared.method,
         path: prepared.path,
+        id: run.identity.id,
         headers: [
             ...prepared.headers,
             [REQUEST_ID_HEADER, run.identity.id],
--- a/src/passthrough/attempt/index.ts
+++ b/src/passthrough/attempt/index.ts
@@ -1,6 +1,6 @@
 import { Grant } from "../../dispatch/index.js";
 import { HostId, RequestId, SoftwareVersion } from "../../ids/index.js";
-import { HeaderList } from "../../ports/index.js";
+import { ConnectionUse, HeaderList } from "../../ports/index.js";
 import { RunningRequest } from "../../request/index.js";
 import { CallAnswer } from "../callAnswer/index.js";
 import { AttemptEnd } from "../nextStep/index.js";
@@ -19,6 +19,15 @@
     abstract pause(): void;
 }
 
+/** What the head of an upstream's answer stated, for logs. */
+export interface ReplyTrace {
+    readonly status: number;
+    /** Whose id it has: `several` where it has more than one. */
+    readonly names: "this-call" | "another-call" | "no-call" | "several";
+    /** Whether it states that the upstream has not run the call. */
+    readonly statesNotRun: boolean;
+}
+
 /** One attempt to run a call at one upstream. */
 export interface Attempt {
     readonly call: PreparedCall;
@@ -37,6 +46,10 @@
     readonly tokensPerEvent: number;
     /** The host that sends the call on behalf of this one; undefined while this host sends it itself. */
     relay?: HostId;
+    /** The use of the connection to the upstream; undefined where none was opened, or it is not known. */
+    connection?: ConnectionUse;
+    /** Undefined while there is no answer. */
+    reply?: ReplyTrace;
 }
 
 /** A complete answer of an upstream. */
--- a/src/passthrough/callDialect/index.ts
+++ b/src/passthrough/callDialect/index.ts
@@ -49,8 +49,8 @@
 
 /** Contents of the head of an upstream's answer. */
 export interface ReplyHead {
-    /** The id of the call that it answers; undefined when not stated. */
-    readonly request: string | undefined;
+    /** The ids of calls that it states to answer: one, in a correct answer. */
+    readonly requests: readonly string[];
     /** Whether the upstream states that it has not run the call and will not. */
     readonly refused: boolean;
     /** Whether another upstream has the address now. */
--- a/src/passthrough/callTask/index.ts
+++ b/src/passthrough/callTask/index.ts
@@ -27,6 +27,10 @@
     readonly avoid: UpstreamId[];
     readonly stream: StreamState;
     tries: number;
+    /** Upstreams to which the call was sent, one for each send. */
+    readonly sentTo: UpstreamId[];
+    /** Number of tries that ended with a refusal of the upstream. */
+    refusals: number;
     /** Number of upstreams that have, or may have, begun to work on it. */
     begun: number;
     /** Whether it has left a silent upstream, which may have been sound. */
@@ -58,6 +62,8 @@
         avoid: [],
         stream: createStreamState(),
         tries: 0,
+        sentTo: [],
+        refusals: 0,
         begun: 0,
         hasMoved: false,
         upstreamFailure: undefined,
--- a/src/passthrough/nativeDialect/index.ts
+++ b/src/passthrough/nativeDialect/index.ts
@@ -110,7 +110,7 @@
 
     readReply({ status, headers }: HttpReply): ReplyHead {
         return {
-            request: findHeader(headers, CALL_HEADERS.request),
+            requests: findHeaders(headers, CALL_HEADERS.request),
             refused: findHeader(headers, CALL_HEADERS.notRun) !== undefined,
             misdirected: status === STATUS_MISDIRECTED,
             isSigned: findHeader(headers, CALL_HEADERS.signature) !== undefined,
--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -48,6 +48,16 @@
     readonly relay?: HostId;
     /** When the caller was told to retry, in milliseconds; undefined where it was told nothing. */
     readonly retryAfterMs?: number;
+    /** What the promise that the call has not run rests on; undefined where there is no promise. */
+    readonly notRun?: NotRunBasis;
+}
+
+/** Why a call can't have run: each send of it was refused. */
+export interface NotRunBasis {
+    /** Number of tries in which nothing was sent. */
+    readonly unsent: number;
+    /** Number of tries that were refused by their upstream. */
+    readonly refusals: number;
 }
 
 /** How an attempt left its call: `end` when it has its final answer, otherwise the grant that it goes on with, if it holds one. */
@@ -240,11 +250,14 @@
 
 function recordAttempt(
     { ctx, call, run, progress }: CallTask,
-    { grant, relay }: Attempt,
+    { grant, relay, connection, reply }: Attempt,
     { end, detail, failure, connectionEnded, isPathFailure }: Extract<AttemptResult, { kind: "ended"; }>,
 ): void {
     const { upstream } = grant;
     if (end !== "not-sent" && end !== "refused") progress.begun++;
+    const sentBefore = progress.sentTo.filter(earlier => earlier === upstream).length;
+    if (end !== "not-sent") progress.sentTo.push(upstream);
+    if (end === "refused") progress.refusals++;
     progress.upstreamFailure = failure ?? progress.upstreamFailure;
     progress.lastDetail = detail;
     const { cancelReason: cancelled } = run;
@@ -268,6 +281,12 @@
         connectionEnded,
         isPathFailure,
         relay,
+        sentBefore,
+        connectionUses: connection?.earlierRequests,
+        sentOnConnection: connection?.sameId,
+        status: reply?.status,
+        names: reply?.names,
+        statesNotRun: reply?.statesNotRun,
         tries,
         begun,
         attempts: route.attempts,
@@ -363,7 +382,10 @@
     const isTruncated = answer.sentStatus !== undefined;
     answer.sendError(err, call.head.request);
     const end = makeCallEnd(isTruncated ? `cut: ${err.kind}` : err.kind, err.status, progress);
-    return { ...end, retryAfterMs: isTruncated ? undefined : err.retryAfterMs };
+    if (isTruncated) return end;
+    const { tries, refusals } = progress;
+    const notRun = err.notRun ? { refusals, unsent: tries - refusals } : undefined;
+    return { ...end, retryAfterMs: err.retryAfterMs, notRun };
 }
 
 function makeCallEnd(outcome: string, status: number, { tries, stream, software, relay }: CallProgress): CallEnd {
--- a/src/passthrough/sendCall/index.ts
+++ b/src/passthrough/sendCall/index.ts
@@ -1,7 +1,7 @@
 import { Either } from "purify-ts";
 import { toTarget } from "../../dispatch/index.js";
 import { discardReply, findHeader, HttpError, HttpReply } from "../../ports/index.js";
-import { Attempt, AttemptResult } from "../attempt/index.js";
+import { Attempt, AttemptResult, ReplyTrace } from "../attempt/index.js";
 import { CallContext } from "../callContext/index.js";
 import { ReplyHead } from "../callDialect/index.js";
 import { endWithHttpError } from "../endWithHttpError/index.js";
@@ -33,6 +33,7 @@
         target: toTarget(call.pool, grant, required),
         method: call.method,
         path: call.path,
+        id: call.head.request,
         headers: ctx.dialect.writeHead(call.head, {
             upstream: grant.upstream,
             workspace: call.workspace,
@@ -62,10 +63,13 @@
 ): Promise<AttemptResult> {
     if (sent.isLeft()) {
         const err = sent.extract() as HttpError;
+        attempt.connection = err.connection;
         return endWithHttpError(err.mayHaveBeenSent ? "lost" : "not-sent", err);
     }
     const reply = sent.unsafeCoerce();
     const head = ctx.dialect.readReply(reply);
+    attempt.connection = reply.connection;
+    attempt.reply = traceReply(attempt, reply, head);
     const mismatch = findReplyMismatch(ctx, attempt, reply, head);
     if (mismatch !== undefined) {
         reply.reset();
@@ -81,6 +85,14 @@
     return result.kind === "ended" ? { ...result, isTurnedAway: head.signals.backOffMs !== undefined } : result;
 }
 
+function traceReply({ call }: Attempt, { status }: HttpReply, head: ReplyHead): ReplyTrace {
+    const statesNotRun = head.refused || head.misdirected;
+    const [request] = head.requests;
+    if (head.requests.length > 1) return { status, statesNotRun, names: "several" };
+    if (request === undefined) return { status, statesNotRun, names: "no-call" };
+    return { status, statesNotRun, names: request === call.head.request ? "this-call" : "another-call" };
+}
+
 function relay(
     ctx: CallContext,
     attempt: Attempt,
@@ -119,7 +131,8 @@
     reply: HttpReply,
     answer: ReplyHead,
 ): string | undefined {
-    if (answer.request !== undefined && answer.request !== head.request) return "the answer is that of another call";
+    const [request = head.request] = answer.requests;
+    if (request !== head.request) return "the answer is that of another call";
     // Another incarnation may have announced itself while the call was on its way.
     if (required !== undefined && ctx.software.find(grant) !== required) return "the upstream runs other software now";
     const isSuccess = reply.status < 300;
--- a/src/passthrough/serveCalls/index.ts
+++ b/src/passthrough/serveCalls/index.ts
@@ -69,7 +69,7 @@
 
 function recordEnd(ctx: CallContext, call: PreparedCall, run: RunningRequest, end: CallEnd): void {
     const { route, workspace, pool, head, tier, fingerprint } = call;
-    const { outcome, status, attempts, stream, software, relay, retryAfterMs } = end;
+    const { outcome, status, attempts, stream, software, relay, retryAfterMs, notRun } = end;
     const ms = Math.round(run.ageMs());
     const firstMs = stream.firstEventMs === undefined ? undefined : Math.round(stream.firstEventMs);
     run.recordEnd(outcome);
@@ -91,6 +91,8 @@
         status,
         attempts,
         retryAfterMs,
+        refusals: notRun?.refusals,
+        unsent: notRun?.unsent,
         ms,
         firstMs,
         events: stream.eventCount,
--- a/src/platform/platformDialect/index.ts
+++ b/src/platform/platformDialect/index.ts
@@ -122,7 +122,7 @@
     readReply({ status, headers }: HttpReply): ReplyHead {
         const isEncoded = findHeader(headers, "content-encoding") !== undefined;
         return {
-            request: findHeader(headers, HEADER_NAMES.attempt),
+            requests: findHeaders(headers, HEADER_NAMES.attempt),
             refused: findHeader(headers, HEADER_NAMES.notExecuted) !== undefined,
             misdirected: status === STATUS_MISDIRECTED,
             // Callers don't request an encoding, so an encoded body isn't the one that the upstream produced and signed.
--- a/src/ports/http/index.ts
+++ b/src/ports/http/index.ts
@@ -5,6 +5,14 @@
 /** Headers in order, with names in lower case; a name may occur more than once. */
 export type HeaderList = readonly (readonly [name: string, value: string])[];
 
+/** What a connection had carried when a request was sent on it. */
+export interface ConnectionUse {
+    /** Number of earlier requests; 0 for a connection that was opened for the request. */
+    readonly earlierRequests: number;
+    /** Number of those that had the id of the request: answers to them can't be told from its answer. */
+    readonly sameId: number;
+}
+
 /** An outgoing request. */
 export interface HttpCall {
     readonly address: Address;
@@ -12,6 +20,8 @@
     readonly path: string;
     readonly headers: HeaderList;
     readonly body?: Uint8Array;
+    /** The id that the answer to this request repeats, where it has one. */
+    readonly id?: string;
     /** Whether to use a new connection that is closed after the response, instead of a pooled one. */
     readonly newConnection: boolean;
     /** Whether to reuse only recently used pooled connections, which the server is unlikely to have closed yet. */
@@ -32,6 +42,8 @@
     readonly headers: HeaderList;
     /** The body's bytes. Iteration throws HttpError if the connection ends before the body is complete. */
     readonly body: AsyncIterable<Uint8Array>;
+    /** The use of the connection on which the request was sent; undefined where it is not known. */
+    readonly connection?: ConnectionUse;
     /** Resets the connection, so that it is not reused. */
     reset(): void;
 }
@@ -42,11 +54,13 @@
      * @param reason - The class of failure.
      * @param mayHaveBeenSent - Whether any byte of the request may have been sent; false only if certainly none was.
      * @param detail - Further text for logs.
+     * @param connection - The use of the connection on which it was sent, where that is known.
      */
     constructor(
         readonly reason: "refused" | "timeout" | "closed" | "aborted" | "malformed",
         readonly mayHaveBeenSent: boolean,
         detail: string,
+        readonly connection?: ConnectionUse,
     ) {
         super(`${reason}: ${detail}`);
     }
--- a/src/ports/memoryHttpFabric/index.ts
+++ b/src/ports/memoryHttpFabric/index.ts
@@ -1,8 +1,10 @@
 import { Either, Left, Right } from "purify-ts";
 import { Mailbox } from "../_lib/mailbox.js";
 import { serveRawConnection } from "../_lib/serveRawConnection.js";
+import { ConnectionHistory } from "../connectionHistory/index.js";
 import {
     BodyError,
+    ConnectionUse,
     findHeader,
     HeaderList,
     Http,
@@ -23,12 +25,21 @@
 const MAX_POOL_IDLE_MS = 2_000;
 const MAX_RECENT_IDLE_MS = 300;
 
+/** A connection whose exchange is complete. */
+interface KeptConnection {
+    /** Monotonic time, in milliseconds. */
+    readonly idleSince: number;
+    /** Identifies the connection. */
+    readonly ref: object;
+}
+
 /** HTTP servers, kept connections and running exchanges of an in-memory network that all simulated hosts share. */
 export class MemoryHttpFabric {
     /** Handlers by `host:port`. */
     readonly servers = new Map<string, HttpHandler>();
-    /** By client host and `host:port` of the server, the monotonic times since which kept connections are idle, in milliseconds. */
-    private readonly keptConnections = new Map<string, number[]>();
+    /** By client host and `host:port` of the server. */
+    private readonly keptConnections = new Map<string, KeptConnection[]>();
+    private readonly history = new ConnectionHistory<object>();
 
     /** @param fabric - The network whose latencies and cuts apply to requests. */
     constructor(readonly fabric: MemoryFabric) {
@@ -93,30 +104,36 @@
         }
     }
 
-    private dropConnections(key: string, closing: readonly number[]): void {
-        const remaining = this.keptConnections.get(key)?.filter(idleSince => !closing.includes(idleSince));
+    private dropConnections(key: string, closing: readonly KeptConnection[]): void {
+        const remaining = this.keptConnections.get(key)?.filter(kept => !closing.includes(kept));
         if (remaining) this.keptConnections.set(key, remaining);
     }
 
     /** Adds a connection whose exchange is complete to those that later requests may use. */
-    keepConnection(client: string, target: string): void {
+    keepConnection(client: string, target: string, ref: object): void {
         const key = `${client}>${target}`;
-        this.keptConnections.set(key, [...this.keptConnections.get(key) ?? [], this.fabric.clock.monotonic()]);
+        const kept = { idleSince: this.fabric.clock.monotonic(), ref };
+        this.keptConnections.set(key, [...this.keptConnections.get(key) ?? [], kept]);
+    }
+
+    /** Records that a request is sent on a connection. */
+    recordUse(ref: object, id: string | undefined): ConnectionUse {
+        return this.history.record(ref, id);
     }
 
     /**
      * Takes the most recently used kept connection.
      *
      * @param maxIdleMs - Maximum idle time, in milliseconds; connections that were idle for longer are closed.
-     * @returns Whether there was one.
+     * @returns Its identity; undefined where there is none.
      */
-    takeConnection(client: string, target: string, maxIdleMs: number): boolean {
+    takeConnection(client: string, target: string, maxIdleMs: number): object | undefined {
         const key = `${client}>${target}`;
         const oldest = this.fabric.clock.monotonic() - maxIdleMs;
-        const usable = (this.keptConnections.get(key) ?? []).filter(idleSince => idleSince >= oldest);
-        const isFound = usable.pop() !== undefined;
+        const usable = (this.keptConnections.get(key) ?? []).filter(({ idleSince }) => idleSince >= oldest);
+        const taken = usable.pop();
         this.keptConnections.set(key, usable);
-        return isFound;
+        return taken?.ref;
     }
 
     private resetExchanges(client: string, server: string): void {
@@ -169,8 +186,8 @@
         const target = formatAddress(call.address);
         if (call.signal?.aborted) return Left(new HttpError("aborted", false, target));
         const maxIdleMs = call.recentlyUsedOnly ? MAX_RECENT_IDLE_MS : MAX_POOL_IDLE_MS;
-        const isKept = !call.newConnection && this.httpFabric.takeConnection(this.host, target, maxIdleMs);
-        if (isKept) return new Exchange(this.httpFabric, this.host, call).run(false);
+        const kept = call.newConnection ? undefined : this.httpFabric.takeConnection(this.host, target, maxIdleMs);
+        if (kept) return new Exchange(this.httpFabric, this.host, call, kept).run(false);
         call.onConnection?.("opening");
         if (fabric.isCut(this.host, serverHost) || fabric.isCut(serverHost, this.host)) {
             await fabric.clock.sleep(call.connectTimeoutMs, call.signal);
@@ -181,7 +198,7 @@
         if (isRefused) return Left(new HttpError("refused", false, target));
         if (call.signal?.aborted) return Left(new HttpError("aborted", false, target));
         call.onConnection?.("open");
-        return new Exchange(this.httpFabric, this.host, call).run(true);
+        return new Exchange(this.httpFabric, this.host, call, {}).run(true);
     }
 }
 
@@ -242,7 +259,16 @@
     private failureReason: HttpError["reason"] = "closed";
     private handler: HttpHandler | undefined;
 
-    constructor(private readonly httpFabric: MemoryHttpFabric, client: string, private readonly call: HttpCall) {
+    private readonly connection: ConnectionUse;
+
+    /** @param ref - The connection on which the request is sent. */
+    constructor(
+        private readonly httpFabric: MemoryHttpFabric,
+        client: string,
+        private readonly call: HttpCall,
+        private readonly ref: object,
+    ) {
+        this.connection = httpFabric.recordUse(ref, call.id);
         const { fabric } = httpFabric;
         this.client = client;
         this.server = call.address.host;
@@ -270,6 +296,7 @@
         return head.map(({ status, headers }) => ({
             status,
             headers,
+            connection: this.connection,
             body: this.readBody(),
             reset: () => this.abandon("closed"),
         }));
@@ -296,7 +323,8 @@
     /** Ends the exchange with an error on the client's side. */
     failClient(): void {
         this.parts.put({ kind: "cut" });
-        this.resolveHead(Left(new HttpError(this.failureReason, true, formatAddress(this.call.address))));
+        const address = formatAddress(this.call.address);
+        this.resolveHead(Left(new HttpError(this.failureReason, true, address, this.connection)));
         this.finish();
     }
 
@@ -315,7 +343,7 @@
         const { call, client, handler, httpFabric } = this;
         const target = formatAddress(call.address);
         if (call.newConnection || this.endsConnection || !httpFabric.keepsConnections(target, handler)) return;
-        httpFabric.keepConnection(client, target);
+        httpFabric.keepConnection(client, target, this.ref);
     }
 
     private abandon(reason: HttpError["reason"]): void {
--- a/src/ports/nodeHttpClient/index.ts
+++ b/src/ports/nodeHttpClient/index.ts
@@ -2,7 +2,8 @@
 import { Socket } from "node:net";
 import { Either, Left, Right } from "purify-ts";
 import { toHeaderList } from "../_lib/toHeaderList.js";
-import { HeaderList, HttpCall, HttpError, HttpReply } from "../http/index.js";
+import { ConnectionHistory } from "../connectionHistory/index.js";
+import { ConnectionUse, HeaderList, HttpCall, HttpError, HttpReply } from "../http/index.js";
 import { formatAddress } from "../network/index.js";
 
 /** Maximum idle time of a pooled connection: a middlebox may have dropped its state for one that was idle for longer. */
@@ -27,6 +28,7 @@
 export class NodeHttpClient {
     private readonly pool = makeAgent(MAX_POOL_IDLE_MS);
     private readonly recentPool = makeAgent(MAX_RECENT_IDLE_MS);
+    private readonly history = new ConnectionHistory<Socket>();
 
     /** Sends a request; resolves once the response's headers have arrived. */
     send(call: HttpCall): Promise<Either<HttpError, HttpReply>> {
@@ -36,6 +38,7 @@
             let hasReply = false;
             let hasFailed = false;
             let reason: HttpError["reason"] = "closed";
+            let connection: ConnectionUse | undefined;
             const req = request({
                 host: call.address.host,
                 port: call.address.port,
@@ -52,6 +55,7 @@
             const abort = (): void => cancel("aborted");
             call.signal?.addEventListener("abort", abort);
             req.on("socket", socket => {
+                connection = this.history.record(socket, call.id);
                 const startHeadTimeout = (): void => {
                     isConnected = true;
                     clearTimeout(timer);
@@ -69,7 +73,8 @@
                 clearTimeout(timer);
                 call.signal?.removeEventListener("abort", abort);
                 const failureReason = isConnected || reason !== "closed" ? reason : "refused";
-                resolve(Left(new HttpError(failureReason, isConnected, `${formatAddress(call.address)} ${detail}`)));
+                const text = `${formatAddress(call.address)} ${detail}`;
+                resolve(Left(new HttpError(failureReason, isConnected, text, connection)));
             };
             req.on("error", err => fail(err.message));
             req.on("upgrade", (_, socket) => {
@@ -91,6 +96,7 @@
                 resolve(Right({
                     status: message.statusCode!,
                     headers: toHeaderList(message.rawHeaders),
+                    connection,
                     body: readReplyBody(
                         message,
                         async () => hasFailed || (await endProbe?.wasReset() ?? false),
--- a/src/relay/relayCall/index.ts
+++ b/src/relay/relayCall/index.ts
@@ -19,7 +19,7 @@
  * const sent = await http.send(makeRelayCall(relay, self, call, 12));
  */
 export function makeRelayCall(relay: RelayHost, origin: HostId, call: UpstreamCall, elapsedMs: number): HttpCall {
-    const { target, method, path, deadlineHeader, newConnection, recentlyUsedOnly = false, signal } = call;
+    const { target, method, path, id, deadlineHeader, newConnection, recentlyUsedOnly = false, signal } = call;
     const headTimeoutMs = Math.max(1, call.headTimeoutMs - elapsedMs);
     const request: RelayRequest = {
         kind: "call",
@@ -27,6 +27,7 @@
         target: toRelayTarget(target),
         method,
         path,
+        ...(id === undefined ? {} : { id }),
         headers: reduceDeadline(call.headers, deadlineHeader, elapsedMs),
         hasBody: call.body !== undefined,
         newConnection,
--- a/src/relay/relayMessage/index.ts
+++ b/src/relay/relayMessage/index.ts
@@ -1,4 +1,4 @@
-import { HeaderList, HttpError } from "../../ports/index.js";
+import { ConnectionUse, HeaderList, HttpError } from "../../ports/index.js";
 
 /** Path at which hosts accept requests to relay. */
 export const RELAY_PATH = "/sequoiamux/relay";
@@ -24,6 +24,8 @@
         readonly target: RelayTarget;
         readonly method: string;
         readonly path: string;
+        /** The id that the upstream's answer repeats, where it has one. */
+        readonly id?: string;
         readonly headers: HeaderList;
         /** Whether the request has a body, even an empty one. */
         readonly hasBody: boolean;
@@ -46,7 +48,13 @@
 
 /** The first frame of a relay's answer. After `reply` follow the upstream's body and a frame that says whether it is complete. */
 export type RelayAnswer =
-    | { readonly kind: "reply"; readonly status: number; readonly headers: HeaderList; }
+    | {
+        readonly kind: "reply";
+        readonly status: number;
+        readonly headers: HeaderList;
+        /** The use of the relay's connection to the upstream. */
+        readonly connection?: ConnectionUse;
+    }
     | {
         readonly kind: "not-sent";
         readonly reason: RelayRefusalReason;
--- a/src/relay/relayReply/index.ts
+++ b/src/relay/relayReply/index.ts
@@ -35,8 +35,9 @@
             onEnd();
             reply.reset();
         };
-        const { status, headers } = answer;
-        return { kind: "reply", reply: { status, headers, relay, reset, body: readBody(frames, onEnd) } };
+        const { status, headers, connection } = answer;
+        const body = readBody(frames, onEnd);
+        return { kind: "reply", reply: { status, headers, connection, relay, reset, body } };
     }
     onEnd();
     if (answer instanceof HttpError) reply.reset();
--- a/src/relay/relayServer/index.ts
+++ b/src/relay/relayServer/index.ts
@@ -159,16 +159,16 @@
             return res.end(encodeAnswer(answer));
         }
         const reply = sent.unsafeCoerce();
-        const { status, headers } = reply;
+        const { status, headers, connection } = reply;
         const { pool, upstream, incarnation } = target;
         const signals = this.options.readSignals(reply);
         this.options.sendGuard.recordAnswer({ pool, upstream, incarnation, request: undefined, signals });
-        await res.write(encodeAnswer({ kind: "reply", status, headers }));
+        await res.write(encodeAnswer({ kind: "reply", status, headers, connection }));
         this.recordOutcome(call, await forwardBody(reply, res) ? "reply" : "broken");
     }
 
     private send(
-        { method, path, headers, hasBody, newConnection, recentlyUsedOnly, headTimeoutMs }: RelayedCall,
+        { method, path, id, headers, hasBody, newConnection, recentlyUsedOnly, headTimeoutMs }: RelayedCall,
         target: UpstreamTarget,
         body: Uint8Array,
         signal: AbortSignal,
@@ -177,6 +177,7 @@
             target,
             method,
             path,
+            id,
             headers,
             body: hasBody ? body : undefined,
             newConnection,
