A connection that was destroyed while it was idle is given to no request

What callers saw: a call that may run once could end with 502 though nothing of it was sent. Cause: Node's agent removes a destroyed connection from its pool only once it has closed, and hands out the newest idle one before; only the oldest is checked. The request fails on it and counts as possibly sent. Connections are destroyed while idle when an extra answer arrives, or by their timeout. Why this works: before a request chooses a connection, destroyed ones are removed from the pool. The pool is a module of its own. Its test 'hands out no connection that has just been destroyed' failed before (socket hang up).

--- a/src/ports/index.ts
+++ b/src/ports/index.ts
@@ -5,6 +5,7 @@
 export * from "./byteBuffer/index.js";
 export * from "./clock/index.js";
 export * from "./connectionHistory/index.js";
+export * from "./connectionPool/index.js";
 export * from "./disk/index.js";
 export * from "./fileDisk/index.js";
 export * from "./http/index.js";
--- a/src/ports/nodeHttpClient/index.ts
+++ b/src/ports/nodeHttpClient/index.ts
@@ -1,8 +1,9 @@
-import { Agent, ClientRequest, IncomingMessage, request } from "node:http";
+import { Agent, IncomingMessage, request } from "node:http";
 import { Socket } from "node:net";
 import { Either, Left, Right } from "purify-ts";
 import { toHeaderList } from "../_lib/toHeaderList.js";
 import { ConnectionHistory } from "../connectionHistory/index.js";
+import { ConnectionPool } from "../connectionPool/index.js";
 import { ConnectionUse, HeaderList, HttpCall, HttpError, HttpReply } from "../http/index.js";
 import { formatAddress } from "../network/index.js";
 
@@ -13,7 +14,6 @@
  * server has closed.
  */
 const MAX_RECENT_IDLE_MS = 300;
-const MAX_FREE_SOCKETS_PER_ADDRESS = 256;
 const MIN_FINAL_STATUS = 200;
 /** Matches a list of transfer codings that marks the end of the body: others end with the connection. */
 const CHUNKED_LAST = /(^|,)\s*chunked\s*$/i;
@@ -26,9 +26,9 @@
  * const reply = await client.send(call);
  */
 export class NodeHttpClient {
-    private readonly pool = makeAgent(MAX_POOL_IDLE_MS);
-    private readonly recentPool = makeAgent(MAX_RECENT_IDLE_MS);
     private readonly history = new ConnectionHistory<Socket>();
+    private readonly pool = new ConnectionPool(MAX_POOL_IDLE_MS);
+    private readonly recentPool = new ConnectionPool(MAX_RECENT_IDLE_MS);
 
     /** Sends a request; resolves once the response's headers have arrived. */
     send(call: HttpCall): Promise<Either<HttpError, HttpReply>> {
@@ -109,37 +109,11 @@
         });
     }
 
-    private chooseAgent({ newConnection, recentlyUsedOnly }: HttpCall): Agent {
+    private chooseAgent({ address, newConnection, recentlyUsedOnly }: HttpCall): Agent {
         if (newConnection) return new Agent({ keepAlive: false });
-        return recentlyUsedOnly ? this.recentPool : this.pool;
-    }
-}
-
-function makeAgent(idleMs: number): Agent {
-    return new IdleDataGuardAgent({ keepAlive: true, timeout: idleMs, maxFreeSockets: MAX_FREE_SOCKETS_PER_ADDRESS });
-}
-
-/**
- * Connection pool that destroys connections on which data arrives while they are idle.
- *
- * Such data may be a second response to a request that was already answered: without this check, it would be read as the
- * response to the next request on the connection.
- */
-class IdleDataGuardAgent extends Agent {
-    private readonly dataListeners = new WeakMap<Socket, () => void>();
-
-    // Node calls `keepSocketAlive` when a request returns its connection to the pool, and `reuseSocket` when the next takes it.
-    override keepSocketAlive(socket: Socket): boolean {
-        const destroyOnData = (): void => void socket.destroy();
-        this.dataListeners.set(socket, destroyOnData);
-        socket.once("data", destroyOnData);
-        return super.keepSocketAlive(socket) as unknown as boolean;
-    }
-
-    override reuseSocket(socket: Socket, req: ClientRequest): void {
-        const destroyOnData = this.dataListeners.get(socket);
-        if (destroyOnData) socket.removeListener("data", destroyOnData);
-        super.reuseSocket(socket, req);
+        const pool = recentlyUsedOnly ? this.recentPool : this.pool;
+        pool.removeDestroyed(address);
+        return pool;
     }
 }
 
