A call is sent on no connection that has carried it before

What callers saw: orders ran twice and were answered 503 'not run'; orders ran that had been refused; orders ran three times. Cause: an upstream sends a refusal twice, the second copy when the next request comes. With three upstreams that all refuse, the fourth and fifth try go where the call has been, on the same kept connection: the copy has the call's id and is read as the answer to the new send, while the upstream runs the call. Evidence: tools/refusedOrders, real processes beside raw upstreams. Why this works: the HTTP client records which ids a connection has carried, and closes an idle connection before it would carry an id again. An answer with this call's id on a connection that has carried the call once only is the answer to that send. The record is exact: a connection that has carried 256 ids is not kept. Calls, chats and services have an id, also where a relay sends them on. An expectation of entry/refusedCalls changes with it: the second send uses a new connection.

--- a/src/entry/refusedCalls/test.ts
+++ b/src/entry/refusedCalls/test.ts
@@ -32,7 +32,7 @@
         const fields = ["status", "names", "statesNotRun", "sentBefore", "connectionUses"];
         assert.deepEqual(readLines("attempt-ended", fields), [
             [503, "this-call", true, 0, 0],
-            [503, "this-call", true, 1, 1],
+            [503, "this-call", true, 1, 0],
         ]);
         assert.deepEqual(readLines("call-ended", ["status", "refusals", "unsent"]), [[200, undefined, undefined]]);
     });
--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -283,7 +283,7 @@
         relay,
         sentBefore,
         connectionUses: connection?.earlierRequests,
-        sentOnConnection: connection?.sameId,
+        sentOnConnection: connection?.hasCarried,
         status: reply?.status,
         names: reply?.names,
         statesNotRun: reply?.statesNotRun,
--- a/src/ports/connectionHistory/index.ts
+++ b/src/ports/connectionHistory/index.ts
@@ -1,8 +1,13 @@
 import { ConnectionUse } from "../http/index.js";
 
-/** Maximum number of ids that are kept for a connection, the latest ones. */
+/** Maximum number of requests with an id that a connection carries. */
 const MAX_IDS = 256;
 
+interface ConnectionRecord {
+    requests: number;
+    readonly ids: Set<string>;
+}
+
 /**
  * Records the requests that connections have carried.
  *
@@ -10,7 +15,7 @@
  * const use = history.record(socket, "a1b2");
  */
 export class ConnectionHistory<Connection extends object> {
-    private readonly records = new WeakMap<Connection, { requests: number; readonly ids: string[]; }>();
+    private readonly records = new WeakMap<Connection, ConnectionRecord>();
 
     /**
      * Records that a request is sent on a connection.
@@ -19,16 +24,29 @@
      * @returns What the connection had carried before.
      */
     record(connection: Connection, id: string | undefined): ConnectionUse {
-        const record = this.records.get(connection) ?? { requests: 0, ids: [] };
-        this.records.set(connection, record);
-        const use = { earlierRequests: record.requests, sameId: countEqual(record.ids, id) };
+        const record = this.recordOf(connection);
+        const hasCarried = id !== undefined && record.ids.has(id);
+        const use = { hasCarried, earlierRequests: record.requests };
         record.requests++;
-        if (id !== undefined) record.ids.push(id);
-        if (record.ids.length > MAX_IDS) record.ids.shift();
+        if (id !== undefined) record.ids.add(id);
         return use;
     }
-}
 
-function countEqual(ids: readonly string[], id: string | undefined): number {
-    return ids.filter(known => known === id).length;
+    /** Whether a connection has carried a request with an id. */
+    hasCarried(connection: Connection, id: string): boolean {
+        return this.records.get(connection)?.ids.has(id) ?? false;
+    }
+
+    /** Whether a connection must carry no further request, since its record takes no more ids. */
+    isFull(connection: Connection): boolean {
+        return (this.records.get(connection)?.ids.size ?? 0) >= MAX_IDS;
+    }
+
+    private recordOf(connection: Connection): ConnectionRecord {
+        const known = this.records.get(connection);
+        if (known) return known;
+        const created = { requests: 0, ids: new Set<string>() };
+        this.records.set(connection, created);
+        return created;
+    }
 }
--- a/src/ports/connectionPool/index.ts
+++ b/src/ports/connectionPool/index.ts
@@ -1,5 +1,6 @@
 import { Agent, ClientRequest } from "node:http";
 import { Socket } from "node:net";
+import { ConnectionHistory } from "../connectionHistory/index.js";
 import { Address } from "../network/index.js";
 
 const MAX_FREE_SOCKETS_PER_ADDRESS = 256;
@@ -11,28 +12,37 @@
  * would be read as the response to the next request on the connection.
  *
  * @example
- * const pool = new ConnectionPool(2_000);
- * pool.removeDestroyed(address);
+ * const pool = new ConnectionPool(2_000, history);
+ * pool.closeUnfit(address, "a1b2");
  * const req = request({ agent: pool, ...options });
  */
 export class ConnectionPool extends Agent {
     private readonly dataListeners = new WeakMap<Socket, () => void>();
 
-    /** @param idleMs - Maximum idle time of a connection, in milliseconds. */
-    constructor(idleMs: number) {
+    /**
+     * @param idleMs - Maximum idle time of a connection, in milliseconds.
+     * @param history - The requests that connections have carried.
+     */
+    constructor(idleMs: number, private readonly history: ConnectionHistory<Socket>) {
         super({ keepAlive: true, timeout: idleMs, maxFreeSockets: MAX_FREE_SOCKETS_PER_ADDRESS });
     }
 
-    /** Removes connections to an address that were destroyed: Node does so only once they have closed, and may hand them out before. */
-    removeDestroyed(address: Address): void {
+    /**
+     * Closes idle connections on which a request must not be sent: those that have carried one with its id, since a late second response to
+     * that one could not be told from its own.
+     */
+    closeUnfit(address: Address, id: string | undefined): void {
         const idle = this.freeSockets[this.getName(address)] ?? [];
         for (const socket of [...idle]) {
+            if (id !== undefined && this.history.hasCarried(socket, id)) socket.destroy();
+            // Node removes a destroyed connection from the pool only once it has closed, and may hand it out before.
             if (socket.destroyed) socket.emit("agentRemove");
         }
     }
 
     // Node calls `keepSocketAlive` when a request returns its connection to the pool, and `reuseSocket` when the next takes it.
     override keepSocketAlive(socket: Socket): boolean {
+        if (this.history.isFull(socket)) return false;
         const destroyOnData = (): void => void socket.destroy();
         this.dataListeners.set(socket, destroyOnData);
         socket.once("data", destroyOnData);
--- a/src/ports/connectionPool/test.ts
+++ b/src/ports/connectionPool/test.ts
@@ -3,6 +3,7 @@
 import { AddressInfo, createServer, Server, Socket } from "node:net";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { setImmediate as nextTurn } from "node:timers/promises";
+import { ConnectionHistory } from "../connectionHistory/index.js";
 import { Address } from "../network/index.js";
 import { ConnectionPool } from "./index.js";
 
@@ -14,6 +15,7 @@
     let server: Server;
     let address: Address;
     let pool: ConnectionPool;
+    let history: ConnectionHistory<Socket>;
     let opened = 0;
 
     beforeEach(async () => {
@@ -25,7 +27,8 @@
         });
         await new Promise<void>(resolve => server.listen(0, HOST, resolve));
         address = { host: HOST, port: (server.address() as AddressInfo).port };
-        pool = new ConnectionPool(IDLE_MS);
+        history = new ConnectionHistory();
+        pool = new ConnectionPool(IDLE_MS, history);
     });
 
     afterEach(async () => {
@@ -34,10 +37,11 @@
     });
 
     /** Sends a request, and waits until its connection is idle. */
-    async function send(): Promise<void> {
-        pool.removeDestroyed(address);
+    async function send(id: string): Promise<void> {
+        pool.closeUnfit(address, id);
         await new Promise<void>((resolve, reject) => {
             const req = request({ ...address, agent: pool }, res => res.resume().once("close", resolve));
+            req.once("socket", socket => history.record(socket, id));
             req.once("error", reject);
             req.end();
         });
@@ -48,16 +52,30 @@
         return Object.values(pool.freeSockets).flatMap(sockets => sockets ?? []);
     }
 
-    it("reuses a connection", async () => {
-        for (let number = 0; number < 3; number++) await send();
+    it("reuses a connection for requests with other ids", async () => {
+        for (const id of ["a", "b", "c"]) await send(id);
         assert.equal(opened, 1);
     });
 
+    it("sends no request on a connection that has carried one with its id", async () => {
+        // A late second answer to the earlier one would be read as its answer.
+        for (const id of ["a", "b", "a"]) await send(id);
+        assert.equal(opened, 2);
+    });
+
     it("hands out no connection that has just been destroyed", async () => {
         // The request would fail on it, and count as sent.
-        await Promise.all([send(), send()]);
+        await Promise.all([send("a"), send("b")]);
         listIdle().at(-1)!.destroy();
-        await send();
+        await send("c");
         assert.equal(opened, 2);
     });
+
+    it("closes a connection once it has carried as many ids as are recorded", async () => {
+        // An id that is forgotten would no longer keep its connection from being used for it again.
+        for (let number = 0; opened < 2; number++) {
+            assert.ok(number < 1_000);
+            await send(`id-${number}`);
+        }
+    });
 });
--- a/src/ports/http/index.ts
+++ b/src/ports/http/index.ts
@@ -9,8 +9,8 @@
 export interface ConnectionUse {
     /** Number of earlier requests; 0 for a connection that was opened for the request. */
     readonly earlierRequests: number;
-    /** Number of those that had the id of the request: answers to them can't be told from its answer. */
-    readonly sameId: number;
+    /** Whether one of them had the id of the request: a late answer to it can't be told from the request's own. */
+    readonly hasCarried: boolean;
 }
 
 /** An outgoing request. */
@@ -20,7 +20,7 @@
     readonly path: string;
     readonly headers: HeaderList;
     readonly body?: Uint8Array;
-    /** The id that the answer to this request repeats, where it has one. */
+    /** The id that the answer to this request repeats, where it has one. It is sent on no connection that has carried the same id. */
     readonly id?: string;
     /** Whether to use a new connection that is closed after the response, instead of a pooled one. */
     readonly newConnection: boolean;
--- a/src/ports/memoryHttpFabric/index.ts
+++ b/src/ports/memoryHttpFabric/index.ts
@@ -111,6 +111,7 @@
 
     /** Adds a connection whose exchange is complete to those that later requests may use. */
     keepConnection(client: string, target: string, ref: object): void {
+        if (this.history.isFull(ref)) return;
         const key = `${client}>${target}`;
         const kept = { idleSince: this.fabric.clock.monotonic(), ref };
         this.keptConnections.set(key, [...this.keptConnections.get(key) ?? [], kept]);
@@ -122,15 +123,17 @@
     }
 
     /**
-     * Takes the most recently used kept connection.
+     * Takes the most recently used kept connection that has not carried a request with the same id.
      *
      * @param maxIdleMs - Maximum idle time, in milliseconds; connections that were idle for longer are closed.
      * @returns Its identity; undefined where there is none.
      */
-    takeConnection(client: string, target: string, maxIdleMs: number): object | undefined {
+    takeConnection(client: string, target: string, maxIdleMs: number, id: string | undefined): object | undefined {
         const key = `${client}>${target}`;
         const oldest = this.fabric.clock.monotonic() - maxIdleMs;
-        const usable = (this.keptConnections.get(key) ?? []).filter(({ idleSince }) => idleSince >= oldest);
+        const isUsable = ({ idleSince, ref }: KeptConnection): boolean =>
+            idleSince >= oldest && !(id !== undefined && this.history.hasCarried(ref, id));
+        const usable = (this.keptConnections.get(key) ?? []).filter(isUsable);
         const taken = usable.pop();
         this.keptConnections.set(key, usable);
         return taken?.ref;
@@ -186,7 +189,12 @@
         const target = formatAddress(call.address);
         if (call.signal?.aborted) return Left(new HttpError("aborted", false, target));
         const maxIdleMs = call.recentlyUsedOnly ? MAX_RECENT_IDLE_MS : MAX_POOL_IDLE_MS;
-        const kept = call.newConnection ? undefined : this.httpFabric.takeConnection(this.host, target, maxIdleMs);
+        const kept = call.newConnection ? undefined : this.httpFabric.takeConnection(
+            this.host,
+            target,
+            maxIdleMs,
+            call.id,
+        );
         if (kept) return new Exchange(this.httpFabric, this.host, call, kept).run(false);
         call.onConnection?.("opening");
         if (fabric.isCut(this.host, serverHost) || fabric.isCut(serverHost, this.host)) {
--- a/src/ports/nodeHttpClient/index.ts
+++ b/src/ports/nodeHttpClient/index.ts
@@ -27,8 +27,8 @@
  */
 export class NodeHttpClient {
     private readonly history = new ConnectionHistory<Socket>();
-    private readonly pool = new ConnectionPool(MAX_POOL_IDLE_MS);
-    private readonly recentPool = new ConnectionPool(MAX_RECENT_IDLE_MS);
+    private readonly pool = new ConnectionPool(MAX_POOL_IDLE_MS, this.history);
+    private readonly recentPool = new ConnectionPool(MAX_RECENT_IDLE_MS, this.history);
 
     /** Sends a request; resolves once the response's headers have arrived. */
     send(call: HttpCall): Promise<Either<HttpError, HttpReply>> {
@@ -109,10 +109,10 @@
         });
     }
 
-    private chooseAgent({ address, newConnection, recentlyUsedOnly }: HttpCall): Agent {
+    private chooseAgent({ address, id, newConnection, recentlyUsedOnly }: HttpCall): Agent {
         if (newConnection) return new Agent({ keepAlive: false });
         const pool = recentlyUsedOnly ? this.recentPool : this.pool;
-        pool.removeDestroyed(address);
+        pool.closeUnfit(address, id);
         return pool;
     }
 }
--- a/src/tools/index.ts
+++ b/src/tools/index.ts
@@ -3,5 +3,8 @@
 export * from "./findFreePorts/index.js";
 export * from "./fleet/index.js";
 export * from "./processes/index.js";
+export * from "./rawAnswer/index.js";
+export * from "./rawUpstream/index.js";
+export * from "./routedProcesses/index.js";
 export * from "./scratchFolder/index.js";
 export * from "./stops/index.js";
--- /dev/null
+++ b/src/tools/refusedOrders/test.ts
@@ -0,0 +1,130 @@
+import assert from "node:assert/strict";
+import { Agent, request as sendHttp } from "node:http";
+import { after, before, describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { CALL_HEADERS } from "../../passthrough/index.js";
+import { makeDocument, makeRoute } from "../../routing/index.js";
+import { formatRawAnswer, RawReply, RawRequest, RawUpstream, RoutedProcessFleet } from "../index.js";
+
+const ZONES = ["keflavik", "grindavik", "vogar"];
+const START_LIMIT_MS = 20_000;
+const MIN_WARM_CALLS = 400;
+const WARM_CONCURRENCY = 40;
+const ORDERS = 10;
+/** Duration of a run, in milliseconds: longer than a copy takes to arrive. */
+const RUN_MS = 60;
+/** Statuses that promise that the order has not run and never will. */
+const PROMISES: readonly number[] = [408, 421, 429, 503];
+
+interface OrderEnd {
+    readonly status: number;
+    readonly isNotRun: boolean;
+}
+
+/** Sends an order, on a connection of its own. */
+function sendOrder(port: number, pool: string, id: string): Promise<OrderEnd> {
+    return new Promise((resolve, reject) => {
+        const headers = { "host": "shop.example", "content-length": "5", [CALL_HEADERS.request]: id };
+        const agent = new Agent({ keepAlive: false });
+        const req = sendHttp({ agent, headers, port, host: "127.0.0.1", method: "POST", path: `/${pool}/1` }, res => {
+            const isNotRun = res.headers[CALL_HEADERS.notRun] !== undefined;
+            res.resume();
+            res.once("close", () => resolve({ status: res.statusCode!, isNotRun }));
+        });
+        req.once("error", reject);
+        req.end("order");
+    });
+}
+
+describe("orders at upstreams that refuse them", () => {
+    let fleet: RoutedProcessFleet;
+    let port = 0;
+    const upstreams: RawUpstream[] = [];
+
+    before(async () => {
+        fleet = await RoutedProcessFleet.start({ entries: 1, controls: 1 }, []);
+        [{ port }] = fleet.processes.routeAddresses;
+    });
+
+    after(async () => {
+        await Promise.all(upstreams.map(upstream => upstream.close()));
+        await fleet.close();
+    });
+
+    /** Starts the upstreams of a pool, and waits until it serves a call. */
+    async function startPool(
+        pool: string,
+        version: number,
+        reply: (request: RawRequest, upstream: number) => RawReply,
+    ) {
+        const routes = [makeRoute({ pathPrefix: `/${pool}/`, keyless: true, targets: [{ pool, weight: 1 }] })];
+        await fleet.applyDocument(makeDocument({ version, routes, pools: [{ pool, connections: 100 }] }));
+        let isWarm = false;
+        const started = await Promise.all(ZONES.map((zone, number) =>
+            RawUpstream.start({
+                zone,
+                pool,
+                id: `${pool}-${number}`,
+                slots: 64,
+                announceTo: fleet.processes.announcementAddresses,
+                reply: request => isWarm ? reply(request, number) : serve(request, 0),
+            })
+        ));
+        upstreams.push(...started);
+        await warmUp(pool, started);
+        isWarm = true;
+        return started;
+    }
+
+    /** Sends calls until each upstream has had some and the repeats budget, which grows with calls, allows the test's repeats. */
+    async function warmUp(pool: string, started: readonly RawUpstream[]): Promise<void> {
+        const giveUpAt = Date.now() + START_LIMIT_MS;
+        for (let sent = 0; sent < MIN_WARM_CALLS || started.some(({ arrivals }) => arrivals.length === 0);) {
+            assert.ok(Date.now() < giveUpAt, "some upstreams got no call");
+            const ids = Array.from({ length: WARM_CONCURRENCY }, () => `warm-${sent++}`);
+            await Promise.all(ids.map(id => sendOrder(port, pool, id)));
+        }
+    }
+
+    /** Sends orders one after the other, and checks each by what the upstreams ran. */
+    async function checkOrders(pool: string, started: readonly RawUpstream[]): Promise<OrderEnd[]> {
+        const ends: OrderEnd[] = [];
+        const faults: string[] = [];
+        for (let number = 0; number < ORDERS; number++) {
+            const id = `order-${number}`;
+            const end = await sendOrder(port, pool, id);
+            await sleep(RUN_MS);
+            const runs = countRuns(started, id);
+            if (runs > 1) faults.push(`${id} ran ${runs} times`);
+            if (runs > 0 && PROMISES.includes(end.status)) faults.push(`${id} ran, answered ${end.status}`);
+            ends.push(end);
+        }
+        assert.deepEqual(faults, []);
+        return ends;
+    }
+
+    function countRuns(pool: readonly RawUpstream[], id: string): number {
+        return pool.flatMap(({ runs }) => runs).filter(run => run.id === id).length;
+    }
+
+    it("run once at most, and not if they are answered so, where each refusal comes twice", async () => {
+        // A late copy of a refusal would be believed for the next send of the same order.
+        const seen = new Set<string>();
+        const started = await startPool("copies", 1, ({ id }, upstream) => {
+            const key = `${upstream} ${id}`;
+            if (seen.has(key)) return serve({ id }, RUN_MS);
+            seen.add(key);
+            return refuse(formatRawAnswer({ status: 503, ids: [id], statesNotRun: true }));
+        });
+        await checkOrders("copies", started);
+    });
+});
+
+function serve({ id }: Pick<RawRequest, "id">, delayMs: number): RawReply {
+    return { delayMs, bytes: formatRawAnswer({ ids: [id] }), runs: true, resets: false };
+}
+
+/** Refuses a call, and sends the refusal once more when the next request comes. */
+function refuse(bytes: string): RawReply {
+    return { bytes, runs: false, delayMs: 0, resets: false, copy: "next-request" };
+}
