A statement that a call has not run is believed only if it names that call alone

What callers saw: orders that an upstream ran were answered 503 'not run', and ran again at others. Cause: an answer without an id passed as this call's, one with several ids counted by the first; a refusal or status 421 in it was taken as proof. Evidence: tools/refusedOrders, three tests (refusals without an id, with two ids, 421 without an id). Why this works: one place, execution/judgeReply, decides what an answer proves, from the request, the connection and the answer: never sent, rejected, or unknown. Only a statement with this id alone, on a connection that has carried the id once, proves that nothing runs.

--- /dev/null
+++ b/src/execution/judgeReply/test.ts
@@ -0,0 +1,32 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { judgeReply, ReplyStatement } from "./index.js";
+
+const REFUSAL: ReplyStatement = {
+    requests: ["a"],
+    statesNotRun: true,
+    connection: { earlierRequests: 3, hasCarried: false },
+};
+
+describe("judgeReply", () => {
+    it("believes a statement that names the request, on a connection that has not carried it before", () => {
+        assert.deepEqual(judgeReply("a", REFUSAL), { owner: "this-call", execution: "rejected" });
+        assert.equal(judgeReply("a", { ...REFUSAL, connection: undefined }).execution, "rejected");
+    });
+
+    it("believes no statement that may be about an earlier send of the request", () => {
+        // A late copy of an earlier refusal would count as the answer to a send that runs.
+        const connection = { earlierRequests: 1, hasCarried: true };
+        assert.equal(judgeReply("a", { ...REFUSAL, connection }).execution, "unknown");
+    });
+
+    it("believes no statement that names another request, none or several", () => {
+        for (const requests of [["b"], [], ["a", "b"], ["a", "a"], ["a, b"]]) {
+            assert.equal(judgeReply("a", { ...REFUSAL, requests }).execution, "unknown", requests.join());
+        }
+    });
+
+    it("takes an answer without a statement for no proof", () => {
+        assert.equal(judgeReply("a", { ...REFUSAL, statesNotRun: false }).execution, "unknown");
+    });
+});
--- a/src/passthrough/attempt/index.ts
+++ b/src/passthrough/attempt/index.ts
@@ -1,4 +1,5 @@
 import { Grant } from "../../dispatch/index.js";
+import { ReplyOwner } from "../../execution/index.js";
 import { HostId, RequestId, SoftwareVersion } from "../../ids/index.js";
 import { ConnectionUse, HeaderList } from "../../ports/index.js";
 import { RunningRequest } from "../../request/index.js";
@@ -22,8 +23,7 @@
 /** What the head of an upstream's answer stated, for logs. */
 export interface ReplyTrace {
     readonly status: number;
-    /** Whose id it has: `several` where it has more than one. */
-    readonly names: "this-call" | "another-call" | "no-call" | "several";
+    readonly names: ReplyOwner;
     /** Whether it states that the upstream has not run the call. */
     readonly statesNotRun: boolean;
 }
--- a/src/passthrough/sendCall/index.ts
+++ b/src/passthrough/sendCall/index.ts
@@ -1,7 +1,8 @@
 import { Either } from "purify-ts";
 import { toTarget } from "../../dispatch/index.js";
+import { Execution, judgeFailure, judgeReply, ReplyOwner, ReplyVerdict } from "../../execution/index.js";
 import { discardReply, findHeader, HttpError, HttpReply } from "../../ports/index.js";
-import { Attempt, AttemptResult, ReplyTrace } from "../attempt/index.js";
+import { Attempt, AttemptResult } from "../attempt/index.js";
 import { CallContext } from "../callContext/index.js";
 import { ReplyHead } from "../callDialect/index.js";
 import { endWithHttpError } from "../endWithHttpError/index.js";
@@ -64,33 +65,46 @@
     if (sent.isLeft()) {
         const err = sent.extract() as HttpError;
         attempt.connection = err.connection;
-        return endWithHttpError(err.mayHaveBeenSent ? "lost" : "not-sent", err);
+        return endWithHttpError(judgeFailure(err) === "never-sent" ? "not-sent" : "lost", err);
     }
     const reply = sent.unsafeCoerce();
     const head = ctx.dialect.readReply(reply);
+    const { owner, execution } = judgeHead(attempt, reply, head);
     attempt.connection = reply.connection;
-    attempt.reply = traceReply(attempt, reply, head);
-    const mismatch = findReplyMismatch(ctx, attempt, reply, head);
+    attempt.reply = { status: reply.status, names: owner, statesNotRun: statesNotRun(head) };
+    const mismatch = findReplyMismatch(ctx, attempt, reply, head, owner);
     if (mismatch !== undefined) {
         reply.reset();
         return { kind: "ended", end: "lost", detail: mismatch };
     }
     if (!head.misdirected) recordSignals(ctx, attempt, head);
-    if (head.refused || head.misdirected) {
-        void discardReply(reply, ctx.clock);
-        const { misdirected } = head;
-        return { kind: "ended", end: "refused", detail: `the upstream answers ${reply.status}`, misdirected };
-    }
+    if (statesNotRun(head)) return endWithRefusal(ctx, reply, head, execution);
     const result = await relay(ctx, attempt, reply, head);
     return result.kind === "ended" ? { ...result, isTurnedAway: head.signals.backOffMs !== undefined } : result;
 }
 
-function traceReply({ call }: Attempt, { status }: HttpReply, head: ReplyHead): ReplyTrace {
-    const statesNotRun = head.refused || head.misdirected;
-    const [request] = head.requests;
-    if (head.requests.length > 1) return { status, statesNotRun, names: "several" };
-    if (request === undefined) return { status, statesNotRun, names: "no-call" };
-    return { status, statesNotRun, names: request === call.head.request ? "this-call" : "another-call" };
+function judgeHead({ call }: Attempt, { connection }: HttpReply, head: ReplyHead): ReplyVerdict {
+    const { requests } = head;
+    return judgeReply(call.head.request, { requests, connection, statesNotRun: statesNotRun(head) });
+}
+
+function statesNotRun({ refused, misdirected }: ReplyHead): boolean {
+    return refused || misdirected;
+}
+
+function endWithRefusal(
+    ctx: CallContext,
+    reply: HttpReply,
+    { misdirected }: ReplyHead,
+    execution: Execution,
+): AttemptResult {
+    if (execution === "rejected") {
+        void discardReply(reply, ctx.clock);
+        return { kind: "ended", end: "refused", detail: `the upstream answers ${reply.status}`, misdirected };
+    }
+    reply.reset();
+    const detail = `a refusal with status ${reply.status} that may be about another send`;
+    return { kind: "ended", end: "lost", detail, misdirected };
 }
 
 function relay(
@@ -127,12 +141,13 @@
 /** Returns why an answer cannot belong to this call; undefined when it can. */
 function findReplyMismatch(
     ctx: CallContext,
-    { call: { head }, grant, required }: Attempt,
+    { grant, required }: Attempt,
     reply: HttpReply,
     answer: ReplyHead,
+    owner: ReplyOwner,
 ): string | undefined {
-    const [request = head.request] = answer.requests;
-    if (request !== head.request) return "the answer is that of another call";
+    if (owner === "another-call") return "the answer is that of another call";
+    if (owner === "several") return "the answer is that of several calls";
     // Another incarnation may have announced itself while the call was on its way.
     if (required !== undefined && ctx.software.find(grant) !== required) return "the upstream runs other software now";
     const isSuccess = reply.status < 300;
--- a/src/tools/refusedOrders/test.ts
+++ b/src/tools/refusedOrders/test.ts
@@ -4,7 +4,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { CALL_HEADERS } from "../../passthrough/index.js";
 import { makeDocument, makeRoute } from "../../routing/index.js";
-import { formatRawAnswer, RawReply, RawRequest, RawUpstream, RoutedProcessFleet } from "../index.js";
+import { formatRawAnswer, RawAnswer, RawReply, RawRequest, RawUpstream, RoutedProcessFleet } from "../index.js";
 
 const ZONES = ["keflavik", "grindavik", "vogar"];
 const START_LIMIT_MS = 20_000;
@@ -118,6 +118,24 @@
         });
         await checkOrders("copies", started);
     });
+
+    const unnamed: readonly (readonly [name: string, answer: (id: string) => Partial<RawAnswer>])[] = [
+        ["refusals without an id", () => ({ status: 503, statesNotRun: true })],
+        ["refusals with two ids", id => ({ status: 503, ids: [id, "other"], statesNotRun: true })],
+        ["refusals with status 421 without an id", () => ({ status: 421 })],
+    ];
+    for (const [index, [name, answer]] of unnamed.entries()) {
+        it(`run once at most, and not if they are answered so, where upstreams that run them send ${name}`, async () => {
+            // A statement that does not name the order alone would be believed, and the order sent again.
+            const pool = `unnamed-${index}`;
+            const started = await startPool(pool, 10 + index, ({ id }) => {
+                const bytes = formatRawAnswer(answer(id));
+                return { bytes, runs: true, delayMs: 0, resets: false };
+            });
+            const ends = await checkOrders(pool, started);
+            assert.deepEqual(ends.map(({ status }) => status), ends.map(() => 502));
+        });
+    }
 });
 
 function serve({ id }: Pick<RawRequest, "id">, delayMs: number): RawReply {
