A success or redirect is no statement that a call has not run

What callers saw: orders that an upstream ran and answered with 200 were answered 503 'not run', and ran again. Cause: the header that states 'not run' was believed with any status. Why this works: execution/judgeReply takes the statement for proof with error statuses only; the other is a contradiction and proves nothing.

--- a/src/execution/judgeReply/index.ts
+++ b/src/execution/judgeReply/index.ts
@@ -1,11 +1,15 @@
 import { ConnectionUse } from "../../ports/index.js";
 import { Execution } from "../execution/index.js";
 
+/** A lower status contradicts a statement that a request has not run. */
+const MIN_ERROR_STATUS = 400;
+
 /** Whose id an answer has: `several` where it has more than one. */
 export type ReplyOwner = "this-call" | "another-call" | "no-call" | "several";
 
 /** The parts of an answer's head that tell which request it answers, and whether that has run. */
 export interface ReplyStatement {
+    readonly status: number;
     /** The ids of requests that it states to answer. */
     readonly requests: readonly string[];
     /** Whether it states that the upstream has not run the request. */
@@ -28,15 +32,16 @@
  *
  * @param request - The id of the request.
  * @example
- * const { execution } = judgeReply(id, { requests: [id], statesNotRun: true, connection });
+ * const { execution } = judgeReply(id, { status: 503, requests: [id], statesNotRun: true, connection });
  */
 export function judgeReply(
     request: string,
-    { requests, statesNotRun, connection }: ReplyStatement,
+    { status, requests, statesNotRun, connection }: ReplyStatement,
 ): ReplyVerdict {
     const owner = findOwner(request, requests);
     const isAboutThisSend = owner === "this-call" && connection?.hasCarried !== true;
-    return { owner, execution: statesNotRun && isAboutThisSend ? "rejected" : "unknown" };
+    const isRejection = statesNotRun && status >= MIN_ERROR_STATUS;
+    return { owner, execution: isRejection && isAboutThisSend ? "rejected" : "unknown" };
 }
 
 function findOwner(request: string, requests: readonly string[]): ReplyOwner {
--- a/src/execution/judgeReply/test.ts
+++ b/src/execution/judgeReply/test.ts
@@ -3,6 +3,7 @@
 import { judgeReply, ReplyStatement } from "./index.js";
 
 const REFUSAL: ReplyStatement = {
+    status: 503,
     requests: ["a"],
     statesNotRun: true,
     connection: { earlierRequests: 3, hasCarried: false },
@@ -26,6 +27,16 @@
         }
     });
 
+    it("believes no statement that its status contradicts", () => {
+        // A request that was answered with success would be sent again.
+        for (const status of [200, 204, 304]) {
+            assert.equal(judgeReply("a", { ...REFUSAL, status }).execution, "unknown");
+        }
+        for (const status of [400, 421, 429, 500]) {
+            assert.equal(judgeReply("a", { ...REFUSAL, status }).execution, "rejected");
+        }
+    });
+
     it("takes an answer without a statement for no proof", () => {
         assert.equal(judgeReply("a", { ...REFUSAL, statesNotRun: false }).execution, "unknown");
     });
--- a/src/passthrough/sendCall/index.ts
+++ b/src/passthrough/sendCall/index.ts
@@ -83,9 +83,9 @@
     return result.kind === "ended" ? { ...result, isTurnedAway: head.signals.backOffMs !== undefined } : result;
 }
 
-function judgeHead({ call }: Attempt, { connection }: HttpReply, head: ReplyHead): ReplyVerdict {
+function judgeHead({ call }: Attempt, { status, connection }: HttpReply, head: ReplyHead): ReplyVerdict {
     const { requests } = head;
-    return judgeReply(call.head.request, { requests, connection, statesNotRun: statesNotRun(head) });
+    return judgeReply(call.head.request, { status, requests, connection, statesNotRun: statesNotRun(head) });
 }
 
 function statesNotRun({ refused, misdirected }: ReplyHead): boolean {
@@ -103,7 +103,7 @@
         return { kind: "ended", end: "refused", detail: `the upstream answers ${reply.status}`, misdirected };
     }
     reply.reset();
-    const detail = `a refusal with status ${reply.status} that may be about another send`;
+    const detail = `a refusal with status ${reply.status} that proves nothing about this send`;
     return { kind: "ended", end: "lost", detail, misdirected };
 }
 
--- a/src/tools/refusedOrders/test.ts
+++ b/src/tools/refusedOrders/test.ts
@@ -136,6 +136,15 @@
             assert.deepEqual(ends.map(({ status }) => status), ends.map(() => 502));
         });
     }
+
+    it("run once at most where a success states that they have not run", async () => {
+        // The order would be sent again, though an upstream answered it with a success.
+        const started = await startPool("contradictions", 20, ({ id }) => {
+            const bytes = formatRawAnswer({ ids: [id], statesNotRun: true });
+            return { bytes, runs: true, delayMs: 0, resets: false };
+        });
+        await checkOrders("contradictions", started);
+    });
 });
 
 function serve({ id }: Pick<RawRequest, "id">, delayMs: number): RawReply {
