A status that promises 'not run' reaches callers only with the upstream's statement

What callers saw: orders that an upstream had run were answered 503, 429 or 408, as the upstream had answered, and these statuses promise that the order has not run and never will. Cause: an upstream's answer was forwarded whatever its status. Evidence: tools/refusedOrders, three tests: before, ten of ten orders each were answered 408, 429 and 503 though they ran. Now each is answered 502 by this system.

--- a/src/passthrough/relayAnswer/index.ts
+++ b/src/passthrough/relayAnswer/index.ts
@@ -1,4 +1,5 @@
-import { ByteBuffer, HeaderList, HttpError, HttpReply } from "../../ports/index.js";
+import { promisesNotRun } from "../../execution/index.js";
+import { ByteBuffer, discardReply, HeaderList, HttpError, HttpReply } from "../../ports/index.js";
 import { Attempt, AttemptResult, BufferedAnswer } from "../attempt/index.js";
 import { CallContext } from "../callContext/index.js";
 import { ReplyHead } from "../callDialect/index.js";
@@ -20,6 +21,7 @@
     { headers }: ReplyHead,
 ): Promise<AttemptResult> {
     const { answer, silence } = attempt;
+    if (promisesNotRun(reply.status)) return withholdPromise(ctx, reply);
     const buffered = new ByteBuffer();
     try {
         for await (const chunk of reply.body) {
@@ -41,6 +43,13 @@
     return finishBuffered(ctx, attempt, { status: reply.status, headers, body: buffered.take() });
 }
 
+/** Ends an attempt whose answer would tell the caller that the call has not run, though its upstream does not state that. */
+function withholdPromise(ctx: CallContext, reply: HttpReply): AttemptResult {
+    void discardReply(reply, ctx.clock);
+    const detail = `the upstream answers ${reply.status} without a statement that it has not run the call`;
+    return { kind: "ended", end: "failed", detail };
+}
+
 async function startUnbuffered(
     attempt: Attempt,
     { status }: HttpReply,
--- a/src/tools/refusedOrders/test.ts
+++ b/src/tools/refusedOrders/test.ts
@@ -145,6 +145,19 @@
         });
         await checkOrders("contradictions", started);
     });
+
+    for (const [index, status] of PROMISES.entries()) {
+        if (status === 421) continue;
+        it(`are not answered ${status} where upstreams that have run them answer so`, async () => {
+            // The upstream's status would promise the caller that the order has not run.
+            const pool = `plain-${status}`;
+            const started = await startPool(pool, 30 + index, ({ id }) => {
+                const bytes = formatRawAnswer({ status, ids: [id] });
+                return { bytes, runs: true, delayMs: 0, resets: false };
+            });
+            await checkOrders(pool, started);
+        });
+    }
 });
 
 function serve({ id }: Pick<RawRequest, "id">, delayMs: number): RawReply {
