An answer that names no call belongs to one only on a connection that has carried no other

What callers saw: the answer to another caller's order, with status 200. Cause: an answer without an id passed as this call's, also on a kept connection, where a second answer to an earlier call may come late. Evidence: tools/refusedOrders, 'get no answer that names no call and may be that of another one': before, order-1 got the body of order-0. Upstreams there send no id, and each answer once more when the next request comes. Why this works: execution/judgeReply takes such an answer for the call's own only on a connection that was opened for it. What such an answer states about its upstream (back-off, limits, leaving) is still recorded.

--- a/src/execution/judgeReply/index.ts
+++ b/src/execution/judgeReply/index.ts
@@ -21,6 +21,8 @@
 /** What an answer proves. */
 export interface ReplyVerdict {
     readonly owner: ReplyOwner;
+    /** Whether it answers the request, and no other one that its connection has carried. */
+    readonly isOwn: boolean;
     readonly execution: Execution;
 }
 
@@ -41,7 +43,11 @@
     const owner = findOwner(request, requests);
     const isAboutThisSend = owner === "this-call" && connection?.hasCarried !== true;
     const isRejection = statesNotRun && status >= MIN_ERROR_STATUS;
-    return { owner, execution: isRejection && isAboutThisSend ? "rejected" : "unknown" };
+    return {
+        owner,
+        isOwn: owner === "this-call" || (owner === "no-call" && connection?.earlierRequests === 0),
+        execution: isRejection && isAboutThisSend ? "rejected" : "unknown",
+    };
 }
 
 function findOwner(request: string, requests: readonly string[]): ReplyOwner {
--- a/src/execution/judgeReply/test.ts
+++ b/src/execution/judgeReply/test.ts
@@ -11,7 +11,7 @@
 
 describe("judgeReply", () => {
     it("believes a statement that names the request, on a connection that has not carried it before", () => {
-        assert.deepEqual(judgeReply("a", REFUSAL), { owner: "this-call", execution: "rejected" });
+        assert.deepEqual(judgeReply("a", REFUSAL), { owner: "this-call", isOwn: true, execution: "rejected" });
         assert.equal(judgeReply("a", { ...REFUSAL, connection: undefined }).execution, "rejected");
     });
 
@@ -37,6 +37,15 @@
         }
     });
 
+    it("takes an answer that names no request for its own on a connection that has carried no other", () => {
+        const unnamed = { ...REFUSAL, requests: [], statesNotRun: false };
+        const isOwn = (connection: ReplyStatement["connection"]): boolean =>
+            judgeReply("a", { ...unnamed, connection }).isOwn;
+        assert.equal(isOwn({ earlierRequests: 0, hasCarried: false }), true);
+        assert.equal(isOwn({ earlierRequests: 1, hasCarried: false }), false);
+        assert.equal(isOwn(undefined), false);
+    });
+
     it("takes an answer without a statement for no proof", () => {
         assert.equal(judgeReply("a", { ...REFUSAL, statesNotRun: false }).execution, "unknown");
     });
--- a/src/passthrough/sendCall/index.ts
+++ b/src/passthrough/sendCall/index.ts
@@ -1,6 +1,6 @@
 import { Either } from "purify-ts";
 import { toTarget } from "../../dispatch/index.js";
-import { Execution, judgeFailure, judgeReply, ReplyOwner, ReplyVerdict } from "../../execution/index.js";
+import { Execution, judgeFailure, judgeReply, ReplyVerdict } from "../../execution/index.js";
 import { discardReply, findHeader, HttpError, HttpReply } from "../../ports/index.js";
 import { Attempt, AttemptResult } from "../attempt/index.js";
 import { CallContext } from "../callContext/index.js";
@@ -69,15 +69,17 @@
     }
     const reply = sent.unsafeCoerce();
     const head = ctx.dialect.readReply(reply);
-    const { owner, execution } = judgeHead(attempt, reply, head);
+    const verdict = judgeHead(attempt, reply, head);
+    const { owner, execution } = verdict;
     attempt.connection = reply.connection;
     attempt.reply = { status: reply.status, names: owner, statesNotRun: statesNotRun(head) };
-    const mismatch = findReplyMismatch(ctx, attempt, reply, head, owner);
+    const mismatch = findReplyMismatch(ctx, attempt, reply, head, verdict);
+    // What an upstream states about itself holds whichever call it answers.
+    if (!head.misdirected && (mismatch === undefined || owner === "no-call")) recordSignals(ctx, attempt, head);
     if (mismatch !== undefined) {
         reply.reset();
-        return { kind: "ended", end: "lost", detail: mismatch };
+        return { kind: "ended", end: "lost", detail: mismatch, misdirected: head.misdirected };
     }
-    if (!head.misdirected) recordSignals(ctx, attempt, head);
     if (statesNotRun(head)) return endWithRefusal(ctx, reply, head, execution);
     const result = await relay(ctx, attempt, reply, head);
     return result.kind === "ended" ? { ...result, isTurnedAway: head.signals.backOffMs !== undefined } : result;
@@ -144,10 +146,11 @@
     { grant, required }: Attempt,
     reply: HttpReply,
     answer: ReplyHead,
-    owner: ReplyOwner,
+    { owner, isOwn }: ReplyVerdict,
 ): string | undefined {
     if (owner === "another-call") return "the answer is that of another call";
     if (owner === "several") return "the answer is that of several calls";
+    if (!isOwn) return "the answer names no call, and may be that of another one";
     // Another incarnation may have announced itself while the call was on its way.
     if (required !== undefined && ctx.software.find(grant) !== required) return "the upstream runs other software now";
     const isSuccess = reply.status < 300;
--- a/src/tools/refusedOrders/test.ts
+++ b/src/tools/refusedOrders/test.ts
@@ -13,12 +13,15 @@
 const ORDERS = 10;
 /** Duration of a run, in milliseconds: longer than a copy takes to arrive. */
 const RUN_MS = 60;
+/** Time after which no connection that is idle is used any more, in milliseconds. */
+const MAX_IDLE_MS = 400;
 /** Statuses that promise that the order has not run and never will. */
 const PROMISES: readonly number[] = [408, 421, 429, 503];
 
 interface OrderEnd {
     readonly status: number;
     readonly isNotRun: boolean;
+    readonly body: string;
 }
 
 /** Sends an order, on a connection of its own. */
@@ -28,8 +31,9 @@
         const agent = new Agent({ keepAlive: false });
         const req = sendHttp({ agent, headers, port, host: "127.0.0.1", method: "POST", path: `/${pool}/1` }, res => {
             const isNotRun = res.headers[CALL_HEADERS.notRun] !== undefined;
-            res.resume();
-            res.once("close", () => resolve({ status: res.statusCode!, isNotRun }));
+            let body = "";
+            res.on("data", chunk => body += chunk);
+            res.once("close", () => resolve({ body, isNotRun, status: res.statusCode! }));
         });
         req.once("error", reject);
         req.end("order");
@@ -158,6 +162,26 @@
             await checkOrders(pool, started);
         });
     }
+
+    it("get no answer that names no call and may be that of another one", async () => {
+        // A second answer without an id, which comes late, would answer the next order on its connection.
+        const bodies = new Map<string, string>();
+        const started = await startPool("strangers", 40, ({ id }) => {
+            const body = `the body of ${id}`;
+            bodies.set(id, body);
+            return { runs: true, delayMs: 5, resets: false, copy: "next-request", bytes: formatRawAnswer({ body }) };
+        });
+        await sleep(MAX_IDLE_MS);
+        const statuses: number[] = [];
+        for (let number = 0; number < ORDERS; number++) {
+            const { status, body } = await sendOrder(port, "strangers", `order-${number}`);
+            if (status === 200) assert.equal(body, bodies.get(`order-${number}`));
+            assert.equal(countRuns(started, `order-${number}`), 1);
+            statuses.push(status);
+        }
+        assert.deepEqual(statuses.filter(status => status !== 200 && status !== 502), []);
+        assert.ok(statuses.includes(200), "an answer on a new connection is the order's own");
+    });
 });
 
 function serve({ id }: Pick<RawRequest, "id">, delayMs: number): RawReply {
