No error of a chat or service call that may have run has a status that promises otherwise

What callers saw: a chat or service call that an upstream had begun was answered 503 or 429 (host stopping, refused after a first attempt, quarantined meanwhile), with the true outcome in the body only. Cause: the status was chosen by the reason, the outcome beside it. Evidence: entry/callerError, 'has no status that promises that a request has not run, where it may have' failed before (no-upstream, partly-run: 503). Why this works: CallerError replaces such a status by 502 unless the outcome is not-run; each error of both kinds is one.

--- a/src/entry/callerError/index.ts
+++ b/src/entry/callerError/index.ts
@@ -1,26 +1,34 @@
+import { promisesNotRun } from "../../execution/index.js";
 import { RequestId } from "../../ids/index.js";
 import { HttpResponse } from "../../ports/index.js";
 import { ErrorBody, Outcome, OUTCOME_HEADER, REQUEST_HEADER } from "../../protocol/index.js";
 
 const MS_PER_SECOND = 1_000;
 
+/** Replaces a status that promises that a request has not run, where it may have. */
+const BAD_GATEWAY = 502;
+
 /** An error response to a caller. */
 export class CallerError extends Error {
+    /** The HTTP status. */
+    readonly status: number;
+
     /**
-     * @param status - The HTTP status.
+     * @param status - The HTTP status of a request that has not run. One that may have run gets no status that promises otherwise.
      * @param type - Machine-readable error type.
      * @param message - Human-readable description.
      * @param outcome - Whether the request ran; callers rely on it when they decide whether to resend.
      * @param retryAfterMs - Time after which a retry may succeed, in milliseconds; undefined where a retry does not help.
      */
     constructor(
-        readonly status: number,
+        status: number,
         readonly type: string,
         message: string,
         readonly outcome: Outcome = "not-run",
         readonly retryAfterMs?: number,
     ) {
         super(message);
+        this.status = outcome !== "not-run" && promisesNotRun(status) ? BAD_GATEWAY : status;
     }
 }
 
