A relay's word that it has not sent a request is believed only of that request

What callers could see: a call that may run once is sent by a second host although what listens at the first relay's address has sent it. Cause: 403, 404, 413 and 431 of whatever listens at a relay's address, and the frame not-sent, counted as proof without naming the request. Evidence: relay/relayReply, five tests 'is believed ... only if it names the request to the relay'; before, each status was believed without a name. Why this works: each request to a relay has an id, which every answer of a relay repeats; without it a statement proves nothing. Answers of upstreams that a relay passes on have the call's id and are judged by that.

--- a/src/relay/relayCall/index.ts
+++ b/src/relay/relayCall/index.ts
@@ -3,7 +3,7 @@
 import { UpstreamCall, UpstreamTarget } from "../../upstream/index.js";
 import { RelayHost } from "../relayDirectory/index.js";
 import { encodeRelayMessage, FRAME_KINDS } from "../relayFrame/index.js";
-import { RELAY_METHOD, RELAY_PATH, RelayRequest, RelayTarget } from "../relayMessage/index.js";
+import { RELAY_EXCHANGE_HEADER, RELAY_METHOD, RELAY_PATH, RelayRequest, RelayTarget } from "../relayMessage/index.js";
 
 /** Timeout for connecting to a relay, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 150;
@@ -15,10 +15,17 @@
  *
  * @param origin - The host that asks.
  * @param elapsedMs - Time that has passed of the request's time limits, in milliseconds.
+ * @param exchange - Id of this request, which the relay's answer repeats.
  * @example
- * const sent = await http.send(makeRelayCall(relay, self, call, 12));
+ * const sent = await http.send(makeRelayCall(relay, self, call, 12, "host-1/7"));
  */
-export function makeRelayCall(relay: RelayHost, origin: HostId, call: UpstreamCall, elapsedMs: number): HttpCall {
+export function makeRelayCall(
+    relay: RelayHost,
+    origin: HostId,
+    call: UpstreamCall,
+    elapsedMs: number,
+    exchange: string,
+): HttpCall {
     const { target, method, path, id, deadlineHeader, newConnection, recentlyUsedOnly = false, signal } = call;
     const headTimeoutMs = Math.max(1, call.headTimeoutMs - elapsedMs);
     const request: RelayRequest = {
@@ -34,7 +41,9 @@
         recentlyUsedOnly,
         headTimeoutMs,
     };
-    return { ...makeHttpCall(relay, request, headTimeoutMs, call.body), newConnection, recentlyUsedOnly, signal };
+    const sent = makeHttpCall(relay, request, headTimeoutMs, call.body);
+    const headers: HeaderList = [...sent.headers, [RELAY_EXCHANGE_HEADER, exchange]];
+    return { ...sent, headers, newConnection, recentlyUsedOnly, signal };
 }
 
 /**
--- a/src/relay/relayClient/index.ts
+++ b/src/relay/relayClient/index.ts
@@ -39,13 +39,15 @@
 /**
  * Sends requests to upstreams by way of other hosts, for a host that has lost its own paths.
  *
- * Prevents a request from running twice: another relay is asked only if the last one states that it has not sent the request, or if the
- * connection to it could not be opened.
+ * Prevents a request from running twice: another relay is asked only if the last one states of this request that it has not sent it, or if
+ * the connection to it could not be opened.
  *
  * @example
  * const sent = await client.send(call, clock.monotonic());
  */
 export class RelayClient {
+    private exchangeCount = 0;
+
     constructor(private readonly options: RelayClientOptions) {}
 
     /**
@@ -80,12 +82,13 @@
     private async ask(relay: RelayHost, call: UpstreamCall, elapsedMs: number): Promise<RelayAttempt> {
         const { http, picker, self } = this.options;
         const end = picker.begin(relay.host);
-        const sent = await http.send(makeRelayCall(relay, self, call, elapsedMs));
+        const exchange = `${self}/${++this.exchangeCount}`;
+        const sent = await http.send(makeRelayCall(relay, self, call, elapsedMs, exchange));
         if (sent.isLeft()) {
             end();
             return toAttempt(sent.extract() as HttpError);
         }
-        const attempt = await readRelayReply(sent.unsafeCoerce(), relay.host, end);
+        const attempt = await readRelayReply(sent.unsafeCoerce(), relay.host, exchange, end);
         if (attempt.kind === "reply") picker.markProved(relay.host);
         return attempt;
     }
--- a/src/relay/relayMessage/index.ts
+++ b/src/relay/relayMessage/index.ts
@@ -3,6 +3,8 @@
 /** Path at which hosts accept requests to relay. */
 export const RELAY_PATH = "/sequoiamux/relay";
 export const RELAY_METHOD = "POST";
+/** Header with the id of a request to a relay, which each answer of the relay repeats. */
+export const RELAY_EXCHANGE_HEADER = "x-sequoiamux-relay-exchange";
 
 /** The upstream of a relayed request. */
 export interface RelayTarget {
--- a/src/relay/relayReply/index.ts
+++ b/src/relay/relayReply/index.ts
@@ -1,8 +1,14 @@
 import { HostId } from "../../ids/index.js";
-import { HttpError, HttpReply } from "../../ports/index.js";
+import { findHeader, HttpError, HttpReply } from "../../ports/index.js";
 import { PathError, UpstreamReply } from "../../upstream/index.js";
 import { decodeRelayMessage, FRAME_KINDS, readRelayFrames, RelayFrame } from "../relayFrame/index.js";
-import { BrokenBody, RelayAnswer, RelayFinding, RelayRefusalReason } from "../relayMessage/index.js";
+import {
+    BrokenBody,
+    RELAY_EXCHANGE_HEADER,
+    RelayAnswer,
+    RelayFinding,
+    RelayRefusalReason,
+} from "../relayMessage/index.js";
 
 /** Result of asking one relay to send a request: `lost` as a reason means that the relay could not be reached. */
 export type RelayAttempt =
@@ -19,13 +25,20 @@
  * Reads a relay's answer up to the head of the upstream's response.
  *
  * @param relay - The relay.
+ * @param exchange - Id of the request to the relay. Only an answer that repeats it can state that the relay has not sent the request.
  * @param onEnd - Called at the end of the upstream's body, or of the answer where there is no body.
  */
-export async function readRelayReply(reply: HttpReply, relay: HostId, onEnd: () => void): Promise<RelayAttempt> {
+export async function readRelayReply(
+    reply: HttpReply,
+    relay: HostId,
+    exchange: string,
+    onEnd: () => void,
+): Promise<RelayAttempt> {
+    const isOwn = findHeader(reply.headers, RELAY_EXCHANGE_HEADER) === exchange;
     if (reply.status !== STATUS_OK) {
         onEnd();
         reply.reset();
-        if (STATUSES_NOT_SENT.includes(reply.status)) return { kind: "not-sent", reason: "lost" };
+        if (isOwn && STATUSES_NOT_SENT.includes(reply.status)) return { kind: "not-sent", reason: "lost" };
         return { kind: "lost", err: new PathError("malformed", true, `the relay answers ${reply.status}`) };
     }
     const frames = readRelayFrames(reply.body)[Symbol.asyncIterator]();
@@ -42,7 +55,9 @@
     onEnd();
     if (answer instanceof HttpError) reply.reset();
     else void finish(frames);
-    return toFailedAttempt(answer);
+    const attempt = toFailedAttempt(answer);
+    if (attempt.kind !== "not-sent" || isOwn) return attempt;
+    return { kind: "lost", err: new PathError("malformed", true, "the relay's answer is to another request") };
 }
 
 /**
--- a/src/relay/relayReply/test.ts
+++ b/src/relay/relayReply/test.ts
@@ -1,11 +1,13 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { HostId } from "../../ids/index.js";
-import { HttpReply } from "../../ports/index.js";
+import { HeaderList, HttpReply } from "../../ports/index.js";
 import { encodeRelayFrame, encodeRelayMessage, FRAME_KINDS } from "../relayFrame/index.js";
+import { RELAY_EXCHANGE_HEADER } from "../relayMessage/index.js";
 import { readRelayReply } from "./index.js";
 
 const RELAY = "relay" as HostId;
+const EXCHANGE = "host-1/1";
 const HEAD = encodeRelayMessage(FRAME_KINDS.message, { kind: "reply", status: 200, headers: [] });
 const DATA = encodeRelayFrame(FRAME_KINDS.data, Buffer.from("data: x"));
 /** Pieces after which a body that is still read counts as read without end. */
@@ -44,7 +46,7 @@
         // Failure: the connection stays open for good where an upstream's bytes are rejected in the middle.
         const relay = new RelayAnswerDouble([HEAD], DATA);
         let ended = 0;
-        const attempt = await readRelayReply(relay.reply, RELAY, () => ended++);
+        const attempt = await readRelayReply(relay.reply, RELAY, EXCHANGE, () => ended++);
         assert.equal(attempt.kind, "reply");
         if (attempt.kind !== "reply") return;
         const body = attempt.reply.body[Symbol.asyncIterator]();
@@ -56,7 +58,7 @@
     it("ends a complete body at its last frame, whatever follows", async () => {
         // Failure: a caller waits for an answer that is complete until its deadline.
         const relay = new RelayAnswerDouble([HEAD, DATA, encodeRelayFrame(FRAME_KINDS.end)], DATA);
-        const attempt = await readRelayReply(relay.reply, RELAY, () => undefined);
+        const attempt = await readRelayReply(relay.reply, RELAY, EXCHANGE, () => undefined);
         assert.equal(attempt.kind, "reply");
         if (attempt.kind !== "reply") return;
         let size = 0;
@@ -69,8 +71,26 @@
         it(`takes the message ${json} for a malformed answer`, async () => {
             // Failure: the call ends by an exception, and its upstream's slot is never given back.
             const relay = new RelayAnswerDouble([encodeRelayMessage(FRAME_KINDS.message, JSON.parse(json))]);
-            const attempt = await readRelayReply(relay.reply, RELAY, () => undefined);
+            const attempt = await readRelayReply(relay.reply, RELAY, EXCHANGE, () => undefined);
             assert.equal(attempt.kind === "lost" ? attempt.err.reason : attempt.kind, "malformed");
         });
     }
+
+    describe("a statement that a request was not sent", () => {
+        const NOT_SENT = encodeRelayMessage(FRAME_KINDS.message, { kind: "not-sent", reason: "full", detail: "" });
+
+        async function read(status: number, headers: HeaderList): Promise<string> {
+            const { reply } = new RelayAnswerDouble([NOT_SENT]);
+            return (await readRelayReply({ ...reply, status, headers }, RELAY, EXCHANGE, () => undefined)).kind;
+        }
+
+        for (const status of [200, 403, 404, 413, 431]) {
+            it(`is believed with status ${status} only if it names the request to the relay`, async () => {
+                // Failure: another host sends the request too, though something at the relay's address has sent it.
+                assert.equal(await read(status, [[RELAY_EXCHANGE_HEADER, EXCHANGE]]), "not-sent");
+                assert.equal(await read(status, [[RELAY_EXCHANGE_HEADER, "host-1/2"]]), "lost");
+                assert.equal(await read(status, []), "lost");
+            });
+        }
+    });
 });
--- a/src/relay/relayServer/index.ts
+++ b/src/relay/relayServer/index.ts
@@ -6,7 +6,9 @@
 import { Metrics } from "../../metrics/index.js";
 import {
     Clock,
+    findHeader,
     formatAddress,
+    HeaderList,
     HttpError,
     HttpHandler,
     HttpReply,
@@ -20,6 +22,7 @@
 import { encodeRelayFrame, encodeRelayMessage, FRAME_KINDS, splitRelayRequest } from "../relayFrame/index.js";
 import {
     BrokenBody,
+    RELAY_EXCHANGE_HEADER,
     RELAY_METHOD,
     RELAY_PATH,
     RelayAnswer,
@@ -86,13 +89,13 @@
 
     /** Handles requests of other hosts. */
     readonly handler: HttpHandler = async (req, res) => {
-        if (!this.isAllowed(req)) return sendStatus(res, 403);
-        if (req.method !== RELAY_METHOD || req.path !== RELAY_PATH) return sendStatus(res, 404);
+        if (!this.isAllowed(req)) return sendStatus(req, res, 403);
+        if (req.method !== RELAY_METHOD || req.path !== RELAY_PATH) return sendStatus(req, res, 404);
         const bytes = (await req.body(MAX_REQUEST_BYTES)).toMaybe().extract();
-        if (!bytes) return sendStatus(res, 413);
+        if (!bytes) return sendStatus(req, res, 413);
         const { message, body } = splitRelayRequest(bytes);
         const request = message as RelayRequest;
-        if (request.kind === "probe") return this.answerProbe(request.target, res);
+        if (request.kind === "probe") return this.answerProbe(request.target, req, res);
         return this.relay(request, body, req, res);
     };
 
@@ -117,10 +120,10 @@
         return false;
     }
 
-    private async answerProbe(relayTarget: RelayTarget, res: HttpResponse): Promise<void> {
+    private async answerProbe(relayTarget: RelayTarget, req: HttpRequest, res: HttpResponse): Promise<void> {
         const target = this.findTarget(relayTarget);
         const finding = target ? await this.options.paths.probeForPeer(target) : "unknown";
-        res.head(200, [CONTENT_TYPE]);
+        res.head(200, answerHeaders(req));
         res.end(encodeAnswer({ kind: "probed", finding }));
     }
 
@@ -129,7 +132,7 @@
         const refusal = target ? this.findRefusal(target, body) : describeUnknown(call.target);
         if (refusal || !target) {
             this.recordOutcome(call, refusal!.reason);
-            res.head(200, [CONTENT_TYPE]);
+            res.head(200, answerHeaders(req));
             return res.end(encodeAnswer({ kind: "not-sent", ...refusal! }));
         }
         this.underWay++;
@@ -148,11 +151,11 @@
         call: RelayedCall,
         target: UpstreamTarget,
         body: Uint8Array,
-        { closed }: HttpRequest,
+        req: HttpRequest,
         res: HttpResponse,
     ): Promise<void> {
-        const sent = await this.send(call, target, body, closed);
-        res.head(200, [CONTENT_TYPE]);
+        const sent = await this.send(call, target, body, req.closed);
+        res.head(200, answerHeaders(req));
         if (sent.isLeft()) {
             const answer = describeFailure(sent.extract() as HttpError);
             this.recordOutcome(call, answer.kind);
@@ -252,7 +255,13 @@
     return encodeRelayMessage(FRAME_KINDS.message, answer);
 }
 
-function sendStatus(res: HttpResponse, status: number): void {
-    res.head(status, [["content-length", "0"]]);
+/** Returns the headers of each answer to a request. */
+function answerHeaders({ headers }: HttpRequest): HeaderList {
+    const exchange = findHeader(headers, RELAY_EXCHANGE_HEADER);
+    return exchange === undefined ? [CONTENT_TYPE] : [CONTENT_TYPE, [RELAY_EXCHANGE_HEADER, exchange]];
+}
+
+function sendStatus(req: HttpRequest, res: HttpResponse, status: number): void {
+    res.head(status, [...answerHeaders(req), ["content-length", "0"]]);
     res.end();
 }
