A service's 503, 429, 408 or 421 does not reach the caller of a call that may have run

What callers saw: a call with an idempotency key that the service had run was answered 503 with the outcome 'answered'; the status promises that it has not run. Cause: a service's answer was passed on whatever its status. Evidence: features/calls.feature, 'The answer is unavailable', failed before (503 in place of 502 outcome-unknown). Why this works: such an answer counts as no answer: the record of the call is closed as unknown, a repeatable call is sent to another upstream as after any failure. A service that asks this host to back off is still reported as such.

--- a/features/calls.feature
+++ b/features/calls.feature
@@ -38,6 +38,7 @@
       | lost    |
       | silent  |
       | crossed |
+      | unavailable |
 
   Scenario: All services refuse connections
     Given the services' hosts refuse connections
--- a/src/emulator/controlAction/index.ts
+++ b/src/emulator/controlAction/index.ts
@@ -19,7 +19,7 @@
     z.strictObject({ kind: z.literal("late"), delayMs: z.number() }),
     z.strictObject({ kind: z.enum(["lost", "silent"]) }),
     z.strictObject({ kind: z.literal("crossed"), id: z.string() }),
-    z.strictObject({ kind: z.literal("refused"), status: z.int() }),
+    z.strictObject({ kind: z.enum(["failed", "refused"]), status: z.int() }),
 ]);
 const platformFaultSchema = z.discriminatedUnion("kind", [
     z.strictObject({ kind: z.literal("lost") }),
--- a/src/entry/runService/index.ts
+++ b/src/entry/runService/index.ts
@@ -144,9 +144,13 @@
         ctx.crashGuard.recordServed(fingerprint);
         return result;
     }
-    const { message, mayHaveRun: mayHaveBeenSent, connectionEnded, isPathFailure } = result
+    const { message, mayHaveRun: mayHaveBeenSent, connectionEnded, isPathFailure, isTurnedAway } = result
         .extract() as ServiceCallError;
     run.recordStep("attempt-failed", `${grant.upstream}: ${message}`);
+    if (isTurnedAway) {
+        completeGrant(ctx, run, grant, "refused");
+        return result;
+    }
     if (connectionEnded) ctx.crashGuard.recordConnectionEnd(fingerprint, target);
     const failure = { isPathFailure, mayHaveBeenSent, isRelayed, connectionEnded, sentAt };
     const { outcome, mayHaveEnded } = await findFailureOutcome(ctx.upstreamHttp, target, failure);
--- a/src/entry/sendService/index.ts
+++ b/src/entry/sendService/index.ts
@@ -1,6 +1,7 @@
 import { Either, Left, Right } from "purify-ts";
 import { Grant, toTarget } from "../../dispatch/index.js";
-import { ByteBuffer, findHeader, HttpError, HttpReply } from "../../ports/index.js";
+import { promisesNotRun } from "../../execution/index.js";
+import { ByteBuffer, discardReply, findHeader, HttpError, HttpReply } from "../../ports/index.js";
 import { REQUEST_ID_HEADER } from "../../protocol/index.js";
 import { RunningRequest } from "../../request/index.js";
 import { PathError } from "../../upstream/index.js";
@@ -14,12 +15,14 @@
      * @param mayHaveRun - False only when no byte of the call can have been sent.
      * @param connectionEnded - Whether the service closed or reset the connection while it was handling the call.
      * @param isPathFailure - Whether the way to the service failed, which says nothing about the service.
+     * @param isTurnedAway - Whether the service asked this host to back off.
      */
     constructor(
         readonly mayHaveRun: boolean,
         detail: string,
         readonly connectionEnded = false,
         readonly isPathFailure = false,
+        readonly isTurnedAway = false,
     ) {
         super(detail);
     }
@@ -73,8 +76,17 @@
     }
     const isRelayed = sent.unsafeCoerce().relay !== undefined;
     const { backOffMs } = reportSignals(ctx, prepared.pool, grant, sent.unsafeCoerce(), isRelayed);
-    const answer = await readAnswer(sent.unsafeCoerce(), run, limits.bodyBytes, limits.serviceMs, ctx);
-    return answer.map(read => ({ ...read, isTurnedAway: backOffMs !== undefined }));
+    const isTurnedAway = backOffMs !== undefined;
+    const reply = sent.unsafeCoerce();
+    if (promisesNotRun(reply.status)) return Left(withholdPromise(reply, isTurnedAway, ctx));
+    const answer = await readAnswer(reply, run, limits.bodyBytes, limits.serviceMs, ctx);
+    return answer.map(read => ({ ...read, isTurnedAway }));
+}
+
+/** Creates the error of an answer that would tell the caller that the call has not run, which a service does not state. */
+function withholdPromise(reply: HttpReply, isTurnedAway: boolean, { clock }: EntryContext): ServiceCallError {
+    void discardReply(reply, clock);
+    return new ServiceCallError(true, `the service answers ${reply.status}`, false, false, isTurnedAway);
 }
 
 function toServiceError(err: HttpError, mayHaveRun: boolean): ServiceCallError {
--- a/src/features/steps/calls.ts
+++ b/src/features/steps/calls.ts
@@ -13,6 +13,7 @@
 
 function makeFault(kind: string): ServiceFault {
     if (kind === "crossed") return { kind, id: "request-of-somebody-else" };
+    if (kind === "unavailable") return { kind: "failed", status: 503 };
     return { kind: kind as "lost" | "silent" };
 }
 
