Soak of refusals: raw upstreams beside entries that freeze, restart and are loaded

Upstreams refuse, run, answer twice (at once, late, after the next request has come), without id, with another id, with two, with a statement and a broken body, with statuses of their own, or reset before, within and after the answer. The oracle has only what callers and upstreams saw.

--- a/src/tools/rawAnswer/index.ts
+++ b/src/tools/rawAnswer/index.ts
@@ -10,6 +10,8 @@
     /** Whether it has the mark of an upstream's own answers. */
     readonly isSigned: boolean;
     readonly body: string;
+    /** Whether the body is a stream of events. */
+    readonly isStream: boolean;
     /** Number of bytes of the body that are not sent. */
     readonly missingBytes: number;
 }
@@ -30,15 +32,17 @@
         statesNotRun: false,
         isSigned: true,
         body: BODY,
+        isStream: false,
         missingBytes: 0,
         ...parts,
     };
-    const { status, ids, statesNotRun, isSigned, body, missingBytes } = answer;
+    const { status, ids, statesNotRun, isSigned, body, isStream, missingBytes } = answer;
     return [
         `HTTP/1.1 ${status} Status`,
         ...ids.map(id => `${CALL_HEADERS.request}: ${id}`),
         ...(statesNotRun ? [`${CALL_HEADERS.notRun}: 1`] : []),
         ...(isSigned ? [`${CALL_HEADERS.signature}: raw`] : []),
+        ...(isStream ? ["content-type: text/event-stream"] : []),
         `content-length: ${body.length}`,
         "",
         body.slice(0, body.length - missingBytes),
--- a/src/tools/soak/main.ts
+++ b/src/tools/soak/main.ts
@@ -1,6 +1,7 @@
 /**
  * Runs random fault schedules, one per seed, against the control log, against routed calls, with hosts that lose their paths to upstreams,
- * with a loss of all power, with upstreams of several software versions, or with separate processes that are stopped:
+ * with a loss of all power, with upstreams of several software versions, with separate processes that are stopped, or with upstreams that
+ * refuse calls and repeat or garble their answers beside separate processes:
  * `node dist/tools/soak/main.js --schedule calls --seeds 500 --from 1`.
  */
 import { cac } from "cac";
@@ -15,19 +16,20 @@
     runReplicaSchedule,
     runSoftwareSchedule,
 } from "../../faultInjection/index.js";
+import { RefusalReport, runRefusals } from "../refusals/index.js";
 import { runStops, StopReport } from "../stops/index.js";
 
 interface SoakOptions {
     readonly schedule: string;
     readonly seeds: number;
     readonly from: number;
-    /** Factor on the number of processes and callers of the schedule `stops`. */
+    /** Factor on the number of processes and callers of the schedules `stops` and `refusals`. */
     readonly size: number;
     /** The signals of the schedule `stops`, separated by commas. */
     readonly signals: string;
     /** By which a busy machine may be late in the schedule `stops`, in milliseconds. */
     readonly tolerance: number;
-    /** Folder for what is known of each fault of the schedule `stops`. */
+    /** Folder for what is known of each fault of the schedules `stops` and `refusals`. */
     readonly logs?: string;
 }
 
@@ -70,6 +72,11 @@
         if (logs !== undefined && report.faults.length > 0) await writeFaults(logs, seed, report);
         return describeStopReport(report);
     },
+    "refusals": async (seed, { size, logs }) => {
+        const report = await runRefusals(seed, { size });
+        if (logs !== undefined && report.faults.length > 0) await writeRefusalFaults(logs, seed, report);
+        return describeRefusalReport(report);
+    },
 };
 
 /** Throws when there are faults. */
@@ -86,6 +93,31 @@
     throw new Error([`${text}, ${faults.length} faults`, ...lines].join("\n"));
 }
 
+/** Throws when there are faults. */
+function describeRefusalReport({ record: { exchanges, runs }, faults }: RefusalReport): string {
+    const count = (isCounted: (exchange: RefusalReport["record"]["exchanges"][number]) => boolean): number =>
+        exchanges.filter(isCounted).length;
+    const text = [
+        `${count(({ status }) => status === 200)} of ${exchanges.length} answered`,
+        `${count(({ statesNotRun }) => statesNotRun)} refused`,
+        `${count(({ status }) => status === 502 || status === 504)} unknown`,
+        `${count(({ end }) => end === "cut")} cut`,
+        `${runs.length} runs`,
+    ].join(", ");
+    if (faults.length === 0) return text;
+    const lines = faults.map(({ kind, exchange, detail }) =>
+        `  ${kind} ${exchange?.request ?? ""} ${exchange?.route ?? ""} ${detail}`
+    );
+    throw new Error([`${text}, ${faults.length} faults`, ...lines].join("\n"));
+}
+
+/** Writes what the caller and the entries saw of each fault. */
+async function writeRefusalFaults(folder: string, seed: number, { faults, logs }: RefusalReport): Promise<void> {
+    const texts = faults.map((fault, index) => [JSON.stringify(fault), ...logs[index]].join("\n"));
+    await mkdir(folder, { recursive: true });
+    await writeFile(join(folder, `soak-refusals-${seed}.txt`), `${texts.join("\n\n")}\n`);
+}
+
 /** Writes what the caller, the upstreams and the entry saw of each fault. */
 async function writeFaults(folder: string, seed: number, { record, faults, logs }: StopReport): Promise<void> {
     const texts = faults.map((fault, index) => {
@@ -123,10 +155,12 @@
 program.option("--schedule <name>", `What runs: ${Object.keys(SCHEDULE_RUNNERS).join(", ")}`, { default: "log" });
 program.option("--seeds <count>", "How many seeds to run", { default: 100 });
 program.option("--from <seed>", "The first seed", { default: 1 });
-program.option("--size <factor>", "How many times as many processes the schedule stops has", { default: 1 });
+program.option("--size <factor>", "How many times as many processes the schedules stops and refusals have", {
+    default: 1,
+});
 program.option("--signals <names>", "Which signals the schedule stops sends", { default: "SIGTERM,SIGHUP" });
 program.option("--tolerance <ms>", "By which a busy machine may be late in the schedule stops", { default: 500 });
-program.option("--logs <folder>", "Where the schedule stops writes what is known of its faults");
+program.option("--logs <folder>", "Where the schedules stops and refusals write what is known of their faults");
 program.help();
 const { options } = program.parse();
 const problem = options.help ? undefined : findProblem(options);
--- a/src/tools/stops/stopCaller/index.ts
+++ b/src/tools/stops/stopCaller/index.ts
@@ -1,8 +1,9 @@
 import { Agent, ClientRequest, IncomingMessage, request as sendHttp } from "node:http";
 import { CALL_HEADERS } from "../../../passthrough/index.js";
 import { Address, Random } from "../../../ports/index.js";
+import { makeRandom } from "../../makeRandom/index.js";
 import { Exchange } from "../checkStops/index.js";
-import { CallerPlan, makeRandom, ROUTE_HOST, STOP_ROUTES, StopRoute } from "../stopPlan/index.js";
+import { CallerPlan, ROUTE_HOST, STOP_ROUTES, StopRoute } from "../stopPlan/index.js";
 
 /** What a caller needs to know of the fleet. */
 export interface CallerSurroundings {
--- a/src/tools/stops/stopPlan/index.ts
+++ b/src/tools/stops/stopPlan/index.ts
@@ -1,4 +1,5 @@
-import { Random, SeededRandom } from "../../../ports/index.js";
+import { Random } from "../../../ports/index.js";
+import { makeRandom } from "../../makeRandom/index.js";
 import { UpstreamPlan } from "../../routedProcesses/index.js";
 
 /** How a caller uses its connection. */
@@ -123,7 +124,6 @@
 const ROLL_INTERVAL_MS = 2_500;
 const SILENCE_MS: readonly [number, number] = [500, 4_000];
 const MAX_SEED = 1_000_000;
-const SKIPPED_NUMBERS = 32;
 
 /**
  * Draws a run: entries that are stopped one at a time or several at once, upstreams that fall silent, and changes of the document.
@@ -153,13 +153,6 @@
     };
 }
 
-/** Makes a random generator. The first numbers of similar seeds are similar, and are skipped. */
-export function makeRandom(seed: number): Random {
-    const random = new SeededRandom(seed);
-    random.bytes(SKIPPED_NUMBERS);
-    return random;
-}
-
 /** Makes the document that is in force from the start. */
 export function makeFirstDocument(): StopDocument {
     return makeDocument({ version: 1, timeoutFactor: 1, idleTimeoutMs: 15_000, addedRoutes: 0 });
