The error of a request that could not be received is not sent while an earlier one runs

What callers saw: a caller that sends its next request before the answer to the last one, and breaks off within its body, got 400 or 408 'not run' as the answer to the first request, which an upstream was running. Cause: the guard looked at the latest request of the connection only. Evidence: ports/nodeHttpServer, 'is not sent while an earlier request of its connection runs', failed before (400 with outcome not-run). Why this works: all requests of the connection that are not finished count.

--- a/src/ports/nodeHttpServer/test.ts
+++ b/src/ports/nodeHttpServer/test.ts
@@ -104,3 +104,28 @@
         assert.match(await readToEnd(socket), /^HTTP\/1.1 200 [^]*body\r\n0\r\n\r\n$/);
     });
 });
+
+describe("the error of a request that could not be received", () => {
+    const FIRST = "POST /first HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n\r\nx";
+    const BROKEN_BODY = "POST /second HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\nno size\r\n";
+
+    it("is not sent while an earlier request of its connection runs", TEST_TIMEOUT, async () => {
+        // Failure: the caller takes it for the answer to the earlier one, which would not have run.
+        let running = 0;
+        const listener = await serveNodeHttp({ host: "127.0.0.1", port: 0 }, LIMITS, async (req, res) => {
+            await req.body(CHUNKS);
+            if (req.path !== "/first") return;
+            running++;
+            await sleep(SETTLE_MS);
+            res.head(200, []);
+            res.end();
+        });
+        const socket = connect(listener.address.port, "127.0.0.1");
+        socket.on("error", () => undefined);
+        socket.write(FIRST + BROKEN_BODY);
+        const received = await readToEnd(socket).catch(() => "");
+        await listener.close();
+        assert.equal(running, 1);
+        assert.doesNotMatch(received, /^HTTP\/1\.1 4/);
+    });
+});
--- a/src/ports/serverGuards/index.ts
+++ b/src/ports/serverGuards/index.ts
@@ -40,17 +40,18 @@
  * Answers requests that Node itself refuses (headers too large, request too slow, invalid HTTP) with the system's usual
  * error body.
  *
- * On a connection whose last request has arrived completely, that request may be running and its response partly written:
- * an error response would state the wrong outcome or end up inside the other response. Such a connection is destroyed
- * without a response.
+ * On a connection on which a request has arrived completely, that request may be running and its response partly written: an error
+ * response would state the wrong outcome or end up inside the other response. Such a connection is destroyed without a response.
  */
 export function answerClientErrors(server: Server): void {
-    const latestResponses = new WeakMap<Socket, ServerResponse>();
-    server.on("request", (req: IncomingMessage, res: ServerResponse) => latestResponses.set(req.socket, res));
+    const openResponses = new WeakMap<Socket, readonly ServerResponse[]>();
+    server.on("request", ({ socket }: IncomingMessage, res: ServerResponse) => {
+        openResponses.set(socket, [...(openResponses.get(socket) ?? []).filter(isOpen), res]);
+    });
     server.on("clientError", (err: NodeJS.ErrnoException, stream) => {
         const socket = stream as Socket;
-        const res = latestResponses.get(socket);
-        if (!socket.writable || err.code === "ECONNRESET" || (res && hasOwnResponse(res))) {
+        const isAnswered = [...openResponses.get(socket) ?? []].some(hasOwnResponse);
+        if (!socket.writable || err.code === "ECONNRESET" || isAnswered) {
             socket.destroy();
             return;
         }
@@ -81,8 +82,12 @@
 
 /** Whether the request's handler has sent or will send a response. */
 function hasOwnResponse(res: ServerResponse): boolean {
-    const { req, headersSent, writableFinished } = res;
-    return headersSent ? !writableFinished || !req.complete : req.complete;
+    return res.headersSent ? isOpen(res) : res.req.complete;
+}
+
+/** Whether the response has not been sent whole, or the request has not arrived whole. */
+function isOpen({ req, writableFinished }: ServerResponse): boolean {
+    return !writableFinished || !req.complete;
 }
 
 function formatResponse({ status, phrase, type, message }: ClientErrorResponse): string {
