--- a/src/ports/nodeHttpClient/test.ts
+++ b/src/ports/nodeHttpClient/test.ts
@@ -1,9 +1,12 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { describe, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
+import { Worker } from "node:worker_threads";
 import { HttpError, readReplyText } from "../http/index.js";
 import { makeWrongAnswers, ORDINARY_BODY, WRONG_PATH, WrongAnswer, WrongServer } from "../index.js";
 import { Address } from "../network/index.js";
+import { SeededRandom } from "../seededRandom/index.js";
 import { NodeHttpClient } from "./index.js";
 
 const SEED = 1;
@@ -15,6 +18,25 @@
 /** Time after which a request counts as hanging, and a connection as left open, in milliseconds: far beyond the deadline. */
 const HANG_MS = 20_000;
 const POLL_MS = 10;
+/** Requests that are sent while the event loop stalls, the time for which it does so, and their connect timeout, in milliseconds. */
+const STALLED_REQUESTS = 300;
+const MAX_STALL_MS = 300;
+const STALLED_CONNECT_MS = 20;
+
+/** Accepts and answers requests on a thread of its own, and posts the paths of those that have arrived when it is asked. */
+const RECORDING_SERVER = `
+    const { parentPort } = require("node:worker_threads");
+    const arrived = new Set();
+    const server = require("node:net").createServer(socket => {
+        socket.on("error", () => undefined);
+        socket.on("data", chunk => {
+            for (const [, path] of chunk.toString().matchAll(/POST \\/(\\S+)/g)) arrived.add(path);
+            socket.write("HTTP/1.1 200 OK\\r\\nContent-Length: 0\\r\\n\\r\\n");
+        });
+    });
+    server.listen(0, "127.0.0.1", () => parentPort.postMessage(server.address().port));
+    parentPort.on("message", () => parentPort.postMessage([...arrived]));
+`;
 
 /** Sends a request and reads its answer; returns the body, or the class of failure. */
 async function fetchText(
@@ -47,6 +69,12 @@
     }
 }
 
+/** Blocks the event loop. */
+function stall(ms: number): void {
+    const until = performance.now() + ms;
+    while (performance.now() < until);
+}
+
 async function waitUntil(condition: () => boolean): Promise<boolean> {
     for (let waitedMs = 0; waitedMs < HANG_MS && !condition(); waitedMs += POLL_MS) await sleep(POLL_MS);
     return condition();
@@ -124,4 +152,44 @@
         assert.ok(answers.length > 200, `${answers.length} answers`);
         assert.deepEqual(faults, []);
     });
+
+    it("counts no request as not sent that its server has got, however the event loop stalls", async () => {
+        // Guards against a call that is sent again though it runs: its connection may open while nothing looks.
+        const worker = new Worker(RECORDING_SERVER, { eval: true });
+        const [port] = await once(worker, "message") as [number];
+        const random = new SeededRandom(SEED);
+        const client = new NodeHttpClient();
+        const unsent: string[] = [];
+        const send = async (id: string, newConnection: boolean, abortAfterMs: number | undefined): Promise<void> => {
+            const abort = new AbortController();
+            if (abortAfterMs !== undefined) setTimeout(() => abort.abort(), abortAfterMs);
+            const sent = await client.send({
+                id,
+                newConnection,
+                address: { host: "127.0.0.1", port },
+                method: "POST",
+                path: `/${id}`,
+                headers: [],
+                recentlyUsedOnly: true,
+                connectTimeoutMs: STALLED_CONNECT_MS,
+                headTimeoutMs: WRONG_DEADLINE_MS,
+                signal: abort.signal,
+            });
+            sent.ifLeft(({ mayHaveBeenSent }) => !mayHaveBeenSent && unsent.push(id));
+            if (sent.isRight()) await readReplyText(sent.unsafeCoerce()).catch(() => undefined);
+        };
+        const work: Promise<void>[] = [];
+        for (let number = 0; number < STALLED_REQUESTS; number++) {
+            const abortAfterMs = random.next() < 0.2 ? random.between(0, STALLED_CONNECT_MS) : undefined;
+            work.push(send(`request-${number}`, random.next() < 0.4, abortAfterMs));
+            if (random.next() < 0.1) stall(random.between(0, MAX_STALL_MS));
+            else await sleep(random.between(0, 3));
+        }
+        await Promise.all(work);
+        worker.postMessage("list");
+        const [arrived] = await once(worker, "message") as [string[]];
+        await worker.terminate();
+        assert.ok(arrived.length > STALLED_REQUESTS / 2, `${arrived.length} arrived`);
+        assert.deepEqual(unsent.filter(id => arrived.includes(id)), []);
+    });
 });
