A routed call with two ids is malformed

What callers saw: nothing yet; found by reading for the same cause. With our own headers the first of two ids counted, and both reached the upstream, so that an answer to it has two ids or the other one: it would count as another call's. Evidence: entry/refusedCalls, 'are refused as malformed where they have two ids', failed before (the call was run). Why this works: as in the platform's headers, exactly one id is taken.

--- a/src/entry/refusedCalls/test.ts
+++ b/src/entry/refusedCalls/test.ts
@@ -2,6 +2,7 @@
 import { afterEach, describe, it } from "node:test";
 import { CallFault } from "../../emulator/index.js";
 import { RecordedLine, RecordingLogger, RoutedFleet } from "../../faultInjection/index.js";
+import { CALL_HEADERS } from "../../passthrough/index.js";
 import { makeDocument, makeRoute } from "../../routing/index.js";
 
 const KEY = "butcher-key";
@@ -49,4 +50,13 @@
         assert.deepEqual(readLines("attempt-ended", ["end", "names"]), [["lost", "another-call"]]);
         assert.deepEqual(readLines("call-ended", ["status", "refusals", "unsent"]), [[502, undefined, undefined]]);
     });
+
+    it("are refused as malformed where they have two ids", async () => {
+        // Both would reach the upstream, and its answer could not be told from that to another call.
+        await startFleet([[]]);
+        const headers = [[CALL_HEADERS.request, "order-2"]] as const;
+        const { status } = await fleet.call({ headers, entry: 0, path: "/orders/1", key: KEY, request: "order-1" });
+        assert.equal(status, 400);
+        assert.deepEqual(fleet.upstreams[0].arrivals, []);
+    });
 });
--- a/src/passthrough/nativeDialect/index.ts
+++ b/src/passthrough/nativeDialect/index.ts
@@ -74,8 +74,10 @@
     readonly priorityLevels = Number.MAX_SAFE_INTEGER;
 
     readHead({ headers }: HttpRequest): Either<CallError, CallHead> {
-        const request = findHeader(headers, CALL_HEADERS.request);
-        if (!request) return Left(new CallError("malformed", `a call needs a ${CALL_HEADERS.request} header`));
+        const [request, ...others] = findHeaders(headers, CALL_HEADERS.request);
+        if (!request || others.length > 0) {
+            return Left(new CallError("malformed", `a call needs one ${CALL_HEADERS.request} header`));
+        }
         const [promptTokens = 0, maxTokens = 0] = (findHeader(headers, CALL_HEADERS.tokens) ?? "0").split(",").map(
             Number,
         );
