--- a/src/tools/soak/main.ts
+++ b/src/tools/soak/main.ts
@@ -5,8 +5,6 @@
  * `node dist/tools/soak/main.js --schedule calls --seeds 500 --from 1`.
  */
 import { cac } from "cac";
-import { mkdir, writeFile } from "node:fs/promises";
-import { join } from "node:path";
 import {
     ReplicaScheduleReport,
     runCallSchedule,
@@ -16,8 +14,8 @@
     runReplicaSchedule,
     runSoftwareSchedule,
 } from "../../faultInjection/index.js";
-import { RefusalReport, runRefusals } from "../refusals/index.js";
-import { runStops, StopReport } from "../stops/index.js";
+import { describeRefusals, runRefusals, writeRefusalFaults } from "../refusals/index.js";
+import { describeStops, runStops, writeStopFaults } from "../stops/index.js";
 
 interface SoakOptions {
     readonly schedule: string;
@@ -69,65 +67,16 @@
             readMs: READ_MS,
             toleranceMs: tolerance,
         });
-        if (logs !== undefined && report.faults.length > 0) await writeFaults(logs, seed, report);
-        return describeStopReport(report);
+        if (logs !== undefined && report.faults.length > 0) await writeStopFaults(logs, seed, report);
+        return describeStops(report);
     },
     "refusals": async (seed, { size, logs }) => {
         const report = await runRefusals(seed, { size });
         if (logs !== undefined && report.faults.length > 0) await writeRefusalFaults(logs, seed, report);
-        return describeRefusalReport(report);
+        return describeRefusals(report);
     },
 };
 
-/** Throws when there are faults. */
-function describeStopReport({ record: { exchanges, lives, limits }, faults, problems }: StopReport): string {
-    const served = exchanges.filter(({ end, status }) => end === "whole" && status === 200).length;
-    const exits = lives.filter(({ exitedAt }) => exitedAt !== undefined).length;
-    const cut = exchanges.filter(({ end }) => end === "cut").length;
-    const counts = `${served} of ${exchanges.length} answered, ${cut} cut, ${exits} exits`;
-    const text = [counts, `requests count as read after ${Math.round(limits.readMs)} ms`, ...problems].join(", ");
-    if (faults.length === 0) return text;
-    const lines = faults.map(({ kind, exchange, life, detail }) =>
-        `  ${kind} ${exchange?.request ?? ""} ${exchange?.route ?? ""} at entry ${life?.entry} ${detail}`
-    );
-    throw new Error([`${text}, ${faults.length} faults`, ...lines].join("\n"));
-}
-
-/** Throws when there are faults. */
-function describeRefusalReport({ record: { exchanges, runs }, faults }: RefusalReport): string {
-    const count = (isCounted: (exchange: RefusalReport["record"]["exchanges"][number]) => boolean): number =>
-        exchanges.filter(isCounted).length;
-    const text = [
-        `${count(({ status }) => status === 200)} of ${exchanges.length} answered`,
-        `${count(({ statesNotRun }) => statesNotRun)} refused`,
-        `${count(({ status }) => status === 502 || status === 504)} unknown`,
-        `${count(({ end }) => end === "cut")} cut`,
-        `${runs.length} runs`,
-    ].join(", ");
-    if (faults.length === 0) return text;
-    const lines = faults.map(({ kind, exchange, detail }) =>
-        `  ${kind} ${exchange?.request ?? ""} ${exchange?.route ?? ""} ${detail}`
-    );
-    throw new Error([`${text}, ${faults.length} faults`, ...lines].join("\n"));
-}
-
-/** Writes what the caller and the entries saw of each fault. */
-async function writeRefusalFaults(folder: string, seed: number, { faults, logs }: RefusalReport): Promise<void> {
-    const texts = faults.map((fault, index) => [JSON.stringify(fault), ...logs[index]].join("\n"));
-    await mkdir(folder, { recursive: true });
-    await writeFile(join(folder, `soak-refusals-${seed}.txt`), `${texts.join("\n\n")}\n`);
-}
-
-/** Writes what the caller, the upstreams and the entry saw of each fault. */
-async function writeFaults(folder: string, seed: number, { record, faults, logs }: StopReport): Promise<void> {
-    const texts = faults.map((fault, index) => {
-        const runs = record.runs.filter(({ request }) => request === fault.exchange?.request);
-        return [JSON.stringify(fault), ...runs.map(run => `  run ${JSON.stringify(run)}`), ...logs[index]].join("\n");
-    });
-    await mkdir(folder, { recursive: true });
-    await writeFile(join(folder, `soak-stops-${seed}.txt`), `${texts.join("\n\n")}\n`);
-}
-
 function describeReplicaReport({ accepted, virtualMs }: ReplicaScheduleReport): string {
     return `${accepted} accepted in ${toSeconds(virtualMs)} s of virtual time`;
 }
