--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -52,7 +52,7 @@
     readonly notRun?: NotRunBasis;
 }
 
-/** Why a call can't have run: each send of it was refused. */
+/** Why a call can't have run: in each try it was not sent, or its upstream refused it. */
 export interface NotRunBasis {
     /** Number of tries in which nothing was sent. */
     readonly unsent: number;
--- a/src/ports/connectionHistory/index.ts
+++ b/src/ports/connectionHistory/index.ts
@@ -1,6 +1,6 @@
 import { ConnectionUse } from "../http/index.js";
 
-/** Maximum number of requests with an id that a connection carries. */
+/** Maximum number of different ids that a connection carries. */
 const MAX_IDS = 256;
 
 interface ConnectionRecord {
