Logs say when a retry was decided and when it was sent, what it waited for, and the budget at both moments

The report of too many retries could not be traced: attempt-ended had the retries left at its end and nothing else. repeat-sent has the decision, the send and the figures of the budget at both; counters tell made and denied ones by reason. No decision is changed.

--- a/src/passthrough/callTask/index.ts
+++ b/src/passthrough/callTask/index.ts
@@ -4,7 +4,9 @@
 import { BufferedAnswer } from "../attempt/index.js";
 import { CallAnswer } from "../callAnswer/index.js";
 import { CallContext } from "../callContext/index.js";
+import { AttemptEnd } from "../nextStep/index.js";
 import { PreparedCall } from "../prepareCall/index.js";
+import { RepeatBudgetState } from "../repeatBudget/index.js";
 import { createStreamState, StreamState } from "../streamState/index.js";
 
 /**
@@ -22,6 +24,18 @@
     readonly grant: Grant;
 }
 
+/** A repeat that was decided and not yet sent, for logs. */
+export interface PendingRepeat {
+    /** The end of the attempt that is repeated; `stalled` for one that is cancelled for it. */
+    readonly reason: AttemptEnd | "stalled";
+    /** Monotonic time of the decision, in milliseconds. */
+    readonly decidedAt: number;
+    /** The budget at the decision. */
+    readonly budget: RepeatBudgetState;
+    /** Time for which the call has paused since the decision, in milliseconds. */
+    pausedMs: number;
+}
+
 /** The progress of a call over all its attempts. */
 export interface CallProgress {
     readonly avoid: UpstreamId[];
@@ -42,6 +56,8 @@
     /** The host that sent the call on behalf of this one, in the last attempt that had one. */
     relay: HostId | undefined;
     lastDetail: string;
+    /** Undefined while no repeat is decided. */
+    pendingRepeat: PendingRepeat | undefined;
 }
 
 /** A call that has not received its final answer. */
@@ -70,6 +86,7 @@
         software: undefined,
         relay: undefined,
         lastDetail: "",
+        pendingRepeat: undefined,
     };
 }
 
--- a/src/passthrough/repeatBudget/index.ts
+++ b/src/passthrough/repeatBudget/index.ts
@@ -29,6 +29,19 @@
     reserved: number;
 }
 
+/** What an entry has counted for a pool in the current window, for logs. */
+export interface RepeatBudgetState {
+    readonly requests: number;
+    /** Repeats that were made. */
+    readonly repeats: number;
+    /** Repeats that are reserved and not yet made. */
+    readonly reserved: number;
+    /** Number of entries that share the slack. */
+    readonly entries: number;
+    /** Repeats that may still be made. */
+    readonly left: number;
+}
+
 /** A repeat that may be made at any time until it is given back. */
 export interface RepeatReservation {
     /** Counts the repeat as made now. */
@@ -108,6 +121,17 @@
         return Math.max(0, Math.floor(maxRepeats - counts.repeats.length - counts.reserved));
     }
 
+    /**
+     * Returns the counts of a pool, for logs.
+     *
+     * @param entries - Number of entries that share the slack.
+     */
+    describe(pool: PoolId, entries: number): RepeatBudgetState {
+        const { requests, repeats, reserved } = this.countsOf(pool);
+        const left = this.countLeft(pool, entries);
+        return { requests: requests.length, repeats: repeats.length, reserved, entries, left };
+    }
+
     private countsOf(pool: PoolId): PoolCounts {
         const oldest = this.clock.monotonic() - this.limits.windowMs;
         const counts = this.pools.get(pool) ?? { requests: [], repeats: [], reserved: 0 };
--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -20,6 +20,13 @@
 } from "../callTask/index.js";
 import { AttemptEnd, chooseNextStep, NextStep } from "../nextStep/index.js";
 import { checkQuarantine, PreparedCall, recheckKey } from "../prepareCall/index.js";
+import {
+    describeBudget,
+    readBudget,
+    recordRepeatDecided,
+    recordRepeatDenied,
+    recordRepeatSent,
+} from "../recordRepeat/index.js";
 import { sendBuffered } from "../relayAnswer/index.js";
 import { sendCall } from "../sendCall/index.js";
 import { MoveGrant, StallMove } from "../stallMove/index.js";
@@ -94,6 +101,7 @@
  */
 async function attemptOnce(task: CallTask, moved: MoveGrant | undefined): Promise<AttemptOutcome> {
     if (!moved) return requestGrant(task);
+    recordRepeatDecided(task, "stalled");
     moved.repeat.use();
     return sendGranted(task, moved);
 }
@@ -124,6 +132,7 @@
     progress.tries++;
     progress.software = ctx.software.find(grant);
     run.recordGrant(grant);
+    recordRepeatSent(task, grant);
     const sentAt = ctx.clock.monotonic();
     const { eventCount } = progress.stream;
     const move = new StallMove(task, grant);
@@ -167,6 +176,7 @@
     const { ctx, run, progress } = task;
     if (!progress.hasMoved) return { end: await end() };
     await ctx.clock.sleep(MOVED_RETRY_PAUSE_MS, run.signal);
+    if (progress.pendingRepeat) progress.pendingRepeat.pausedMs += MOVED_RETRY_PAUSE_MS;
     return run.isCancelled ? { end: endCancelled(task) } : {};
 }
 
@@ -240,19 +250,26 @@
     return { call, grant, run, answer, stream, required: requiredSoftware(task), silence, ticketId, tokensPerEvent };
 }
 
-function decideNext({ ctx, call, progress }: CallTask, end: AttemptEnd) {
+function decideNext(task: CallTask, end: AttemptEnd): NextStep {
+    const { ctx, call, progress } = task;
     const { kind, resumable, attempts } = call.route;
     const { begun, tries, stream, hasMoved: mayWait } = progress;
     const isSoftwareKnown = stream.eventCount === 0 || stream.startedBy !== undefined;
-    const tryTakeRepeat = (): boolean => ctx.repeats.tryTake(call.pool, ctx.view.entryCount());
+    const tryTakeRepeat = (): boolean => {
+        const isTaken = ctx.repeats.tryTake(call.pool, ctx.view.entryCount());
+        if (isTaken) recordRepeatDecided(task, end);
+        else recordRepeatDenied(task, end);
+        return isTaken;
+    };
     return chooseNextStep({ end, kind, resumable, isSoftwareKnown, begun, attempts, tries, mayWait, tryTakeRepeat });
 }
 
 function recordAttempt(
-    { ctx, call, run, progress }: CallTask,
+    task: CallTask,
     { grant, relay, connection, reply }: Attempt,
     { end, detail, failure, connectionEnded, isPathFailure }: Extract<AttemptResult, { kind: "ended"; }>,
 ): void {
+    const { ctx, call, run, progress } = task;
     const { upstream } = grant;
     if (end !== "not-sent" && end !== "refused") progress.begun++;
     const sentBefore = progress.sentTo.filter(earlier => earlier === upstream).length;
@@ -290,7 +307,7 @@
         tries,
         begun,
         attempts: route.attempts,
-        repeatsLeft: ctx.repeats.countLeft(pool, ctx.view.entryCount()),
+        ...describeBudget(readBudget(task), "budget"),
         events,
         ageMs,
         leftMs: Math.round(call.deadlineAt - ctx.clock.monotonic()),
