--- a/src/faultInjection/routedFleet/index.ts
+++ b/src/faultInjection/routedFleet/index.ts
@@ -5,7 +5,7 @@
 import { HostId, Incarnation, PoolId, ZoneId } from "../../ids/index.js";
 import { Logger, SilentLogger } from "../../logging/index.js";
 import { NoMetrics } from "../../metrics/index.js";
-import { CALL_HEADERS, NativeDialect } from "../../passthrough/index.js";
+import { CALL_HEADERS, NativeDialect, RepeatLimits } from "../../passthrough/index.js";
 import {
     Address,
     DEFAULT_HTTP_LIMITS,
@@ -31,6 +31,8 @@
 const REGISTRY_TIMING = { ...DEFAULT_REGISTRY_TIMING, silentAfterMs: 4 * ANNOUNCEMENT_INTERVAL_MS };
 const SEED_COUNT = 3;
 const START_TIMEOUT_MS = 30_000;
+/** Those of a deployment with a handful of entries. */
+const REPEAT_LIMITS: RepeatLimits = { ratio: 0.2, windowMs: 10_000, slack: 54 };
 
 /** Options of a `RoutedFleet`. */
 export interface RoutedFleetOptions {
@@ -47,6 +49,8 @@
     readonly zones?: readonly string[];
     /** Receives the log lines of all processes; undefined: they are dropped. */
     readonly logger?: Logger;
+    /** Limits on retries of a pool, for all entries together. */
+    readonly repeats: RepeatLimits;
     /** The zone of each entry; undefined: all are in the upstreams' zone. */
     readonly entryZones?: readonly string[];
 }
@@ -79,7 +83,15 @@
     private startCount = 0;
 
     constructor(layout: Partial<RoutedFleetOptions> = {}) {
-        this.layout = { seed: 1, controls: 5, entries: 2, upstreams: [{}, {}], queueHosts: false, ...layout };
+        this.layout = {
+            seed: 1,
+            controls: 5,
+            entries: 2,
+            upstreams: [{}, {}],
+            queueHosts: false,
+            repeats: REPEAT_LIMITS,
+            ...layout,
+        };
         this.random = new SeededRandom(this.layout.seed);
     }
 
@@ -226,7 +238,7 @@
             routes: {
                 callers: { host, port: PORTS.callers },
                 dialect: new NativeDialect(),
-                repeats: { ratio: 0.2, windowMs: 10_000, slack: 1_000 },
+                repeats: this.layout.repeats,
                 startsWindowMs: 5_000,
             },
         });
