The slack of the retry limits is divided by the most entries known within a minute

What callers saw: upstreams that were failing got more retries than the limit of their pool, and stayed overloaded for it. Cause: each entry divided the slack by the entries in its list at that moment. Once the leases of killed entries had lapsed, those left shared the slack out anew, while what the others had used was still in the window. Why it works: an entry that is gone counts for a minute, six windows, so that the shares of all that have used theirs add up to the slack at most. One that has had no fresh view for 40 s, so that others may soon forget it, has no share.

--- a/src/entry/entryProcess/index.ts
+++ b/src/entry/entryProcess/index.ts
@@ -546,6 +546,7 @@
                 this.partMonitor.viewChanged();
                 this.routeService?.viewChanged();
             },
+            onEntries: () => this.routeService?.entriesChanged(),
             onControls: addresses => this.controlLinks.setMembers(addresses),
         });
     }
--- a/src/entry/fleetRouteView/index.ts
+++ b/src/entry/fleetRouteView/index.ts
@@ -3,11 +3,23 @@
 import { RouteView } from "../../passthrough/index.js";
 import { Clock } from "../../ports/index.js";
 import { RouteTable } from "../../routing/index.js";
+import { RecentMaximum } from "../recentMaximum/index.js";
+
+/**
+ * Time for which entries that are gone still count, in milliseconds: they may run on without being known, and what they have sent counts
+ * against limits of the fleet.
+ */
+const ENTRY_MEMORY_MS = 60_000;
+/** Time without a fresh view after which other entries may have stopped counting this one, in milliseconds. */
+const MAX_STALE_MS = 40_000;
 
 /** View of the fleet document that the control client keeps up to date. */
 export class FleetRouteView extends RouteView {
     /** Notified at each change of the cache. */
     private readonly changeGate = new WaitCondition();
+    private readonly entries: RecentMaximum;
+    /** Monotonic time at which the view was last known to be fresh, in milliseconds. */
+    private freshAt: number;
 
     constructor(
         private readonly clock: Clock,
@@ -15,6 +27,9 @@
         private readonly cache: ViewCache,
     ) {
         super();
+        this.entries = new RecentMaximum(clock, ENTRY_MEMORY_MS);
+        this.freshAt = clock.monotonic();
+        this.notifyEntries();
     }
 
     isFresh(): boolean {
@@ -39,7 +54,15 @@
         this.changeGate.notifyAll();
     }
 
+    /** Called when the list of entries has changed. */
+    notifyEntries(): void {
+        this.entries.record(this.client.entries.filter(({ ownsQueues }) => !ownsQueues).length);
+    }
+
     entryCount(): number {
-        return Math.max(1, this.client.entries.filter(({ ownsQueues }) => !ownsQueues).length);
+        const now = this.clock.monotonic();
+        if (this.isFresh()) this.freshAt = now;
+        if (now - this.freshAt > MAX_STALE_MS) return Number.POSITIVE_INFINITY;
+        return Math.max(1, this.entries.value);
     }
 }
--- a/src/entry/routeService/index.ts
+++ b/src/entry/routeService/index.ts
@@ -109,11 +109,16 @@
             && !this.options.isDraining() && this.options.hasWay();
     }
 
-    /** Number of entries known to serve callers. */
+    /** Number of entries by which limits of the fleet are divided. */
     get entryCount(): number {
         return this.view?.entryCount() ?? 1;
     }
 
+    /** Called when the list of entries has changed. */
+    entriesChanged(): void {
+        this.view?.notifyEntries();
+    }
+
     /** Subscribes to the announcements of the control process at the other end of a channel. */
     subscribeTo(channel: PeerChannel): void {
         void this.subscriber.subscribe(channel);
--- a/src/passthrough/callContext/index.ts
+++ b/src/passthrough/callContext/index.ts
@@ -30,7 +30,10 @@
      */
     abstract waitForRoutes(limitMs: number, signal: AbortSignal): Promise<void>;
 
-    /** Returns the number of entries, including this one. */
+    /**
+     * Returns by how many entries a limit of the fleet is to be divided, including this one: the most that were known lately, and infinitely
+     * many while this entry may have been forgotten by the others.
+     */
     abstract entryCount(): number;
 }
 
