A retry counts when it is sent

What callers saw: upstreams that failed twice within some ten seconds got the retries of both times at once, more than their pool's limit. Cause: a retry was counted when it was decided and then waited for a slot, an owner of the queue or an upstream. One that waits leaves the window of its entry that much too early. Evidence: 12 of 28 calls lose their upstream while the only other one is full for four seconds; six seconds after their retries were sent 12 more calls are refused: 23 retries of 15.6 allowed. The test fails before and passes now. Why it works: a retry is a permit, reserved when it is decided and counted right before the send; a send of which nothing has left returns the permit to its call, and the end of the call releases it, whatever the way out. RepeatBudget.tryTake is gone with its last caller; its tests reserve and use instead and assert the same figures.

--- a/src/entry/retryLimits/test.ts
+++ b/src/entry/retryLimits/test.ts
@@ -58,4 +58,25 @@
             });
         }
     });
+
+    describe("retries that wait for a slot", () => {
+        it("count when they are sent", async () => {
+            // Failure: retries that wait leave the window too early, so that those of two bursts arrive within one window.
+            const upstreams = [{ slots: 12, workMs: 5_000 }, { slots: 16, workMs: 5_000 }];
+            const repeats = { ratio: 0.2, windowMs: 10_000, slack: 10 };
+            const fleet = new RoutedFleet({ controls: 3, entries: 1, upstreams, queueHosts: true, repeats });
+            const route = makeRoute({ kind: "idempotent", attempts: 3, timeoutMs: 15_000, targetMs: 10_000 });
+            await fleet.start(makeDocument({ routes: [route] }));
+            const load = new RepeatLoad({ fleet, random: new SeededRandom(1), callsPerS: 1 });
+            await fleet.advance(12_000);
+            load.sendAtOnce(28);
+            await fleet.advance(1_000);
+            await fleet.run(fleet.upstreams[0].crash());
+            await fleet.advance(10_200);
+            load.setFault("refuse", [1]);
+            load.sendAtOnce(12);
+            await fleet.advance(3_000);
+            await assertWithinLimits(fleet, load);
+        });
+    });
 });
--- a/src/passthrough/callTask/index.ts
+++ b/src/passthrough/callTask/index.ts
@@ -6,7 +6,7 @@
 import { CallContext } from "../callContext/index.js";
 import { AttemptEnd } from "../nextStep/index.js";
 import { PreparedCall } from "../prepareCall/index.js";
-import { RepeatBudgetState } from "../repeatBudget/index.js";
+import { RepeatBudgetState, RepeatPermit } from "../repeatBudget/index.js";
 import { createStreamState, StreamState } from "../streamState/index.js";
 
 /**
@@ -58,6 +58,8 @@
     lastDetail: string;
     /** Undefined while no repeat is decided. */
     pendingRepeat: PendingRepeat | undefined;
+    /** The permit for the next send, or that of the last one. */
+    permit: RepeatPermit | undefined;
 }
 
 /** A call that has not received its final answer. */
@@ -87,6 +89,7 @@
         relay: undefined,
         lastDetail: "",
         pendingRepeat: undefined,
+        permit: undefined,
     };
 }
 
--- a/src/passthrough/repeatBudget/index.ts
+++ b/src/passthrough/repeatBudget/index.ts
@@ -22,11 +22,34 @@
  */
 const WINDOW_EDGE_RATIO = 0.9;
 
-interface PoolCounts {
-    requests: number[];
-    repeats: number[];
+/** What an entry has counted for a pool. */
+class RepeatAccount {
+    requests: number[] = [];
+    repeats: number[] = [];
     /** Number of repeats that are reserved and not yet made. */
-    reserved: number;
+    reserved = 0;
+
+    constructor(private readonly clock: Clock, private readonly windowMs: number) {}
+
+    recordRequest(): void {
+        this.requests.push(this.clock.monotonic());
+    }
+
+    recordRepeat(): void {
+        this.repeats.push(this.clock.monotonic());
+    }
+
+    takeRepeatBack(): void {
+        this.repeats.pop();
+    }
+
+    /** Forgets what is no longer in the window. */
+    settle(): this {
+        const oldest = this.clock.monotonic() - this.windowMs;
+        this.requests = dropBefore(this.requests, oldest);
+        this.repeats = dropBefore(this.repeats, oldest);
+        return this;
+    }
 }
 
 /** What an entry has counted for a pool in the current window, for logs. */
@@ -42,12 +65,44 @@
     readonly left: number;
 }
 
-/** A repeat that may be made at any time until it is given back. */
-export interface RepeatReservation {
-    /** Counts the repeat as made now. */
-    use(): void;
-    /** Returns the repeat to the budget. */
-    giveBack(): void;
+/**
+ * A repeat that is reserved for a call. It counts as made at the moment it is sent, since limits are on arrivals; until then it is kept from
+ * other calls.
+ */
+export class RepeatPermit {
+    private state: "reserved" | "used" | "released" = "reserved";
+
+    constructor(private readonly account: RepeatAccount) {
+        account.reserved++;
+    }
+
+    /** Whether the repeat may still be sent. */
+    get isReserved(): boolean {
+        return this.state === "reserved";
+    }
+
+    /** Counts the repeat as made now, right before it is sent. */
+    use(): void {
+        if (this.state !== "reserved") return;
+        this.state = "used";
+        this.account.reserved--;
+        this.account.recordRepeat();
+    }
+
+    /** Takes a use back, where it turned out that nothing was sent. */
+    restore(): void {
+        if (this.state !== "used") return;
+        this.state = "reserved";
+        this.account.reserved++;
+        this.account.takeRepeatBack();
+    }
+
+    /** Returns a repeat that was not sent to the budget; without effect on one that was. */
+    release(): void {
+        if (this.state !== "reserved") return;
+        this.state = "released";
+        this.account.reserved--;
+    }
 }
 
 /**
@@ -60,10 +115,12 @@
  *
  * @example
  * budget.recordRequest(pool);
- * if (budget.tryTake(pool, entries)) await sendAgain();
+ * const permit = budget.tryReserve(pool, entries);
+ * permit?.use();
+ * if (permit) await sendAgain();
  */
 export class RepeatBudget {
-    private readonly pools = new Map<PoolId, PoolCounts>();
+    private readonly pools = new Map<PoolId, RepeatAccount>();
     private readonly startedAt: number;
 
     constructor(private readonly clock: Clock, private readonly limits: RepeatLimits) {
@@ -72,39 +129,17 @@
 
     /** Records a call that a caller sent. */
     recordRequest(pool: PoolId): void {
-        this.countsOf(pool).requests.push(this.clock.monotonic());
-    }
-
-    /**
-     * Takes one repeat from the budget; false when it must not be made.
-     *
-     * @param entries - Number of entries that share the slack.
-     */
-    tryTake(pool: PoolId, entries: number): boolean {
-        const reservation = this.tryReserve(pool, entries);
-        reservation?.use();
-        return reservation !== undefined;
+        this.accountOf(pool).recordRequest();
     }
 
     /**
-     * Takes one repeat that may be given back; either method of the reservation must be called once.
+     * Reserves a repeat, which must be used or released.
      *
      * @param entries - Number of entries that share the slack.
      * @returns undefined when the repeat must not be made.
      */
-    tryReserve(pool: PoolId, entries: number): RepeatReservation | undefined {
-        if (this.countLeft(pool, entries) === 0) return undefined;
-        const counts = this.countsOf(pool);
-        counts.reserved++;
-        return {
-            use: () => {
-                counts.reserved--;
-                counts.repeats.push(this.clock.monotonic());
-            },
-            giveBack: () => {
-                counts.reserved--;
-            },
-        };
+    tryReserve(pool: PoolId, entries: number): RepeatPermit | undefined {
+        return this.countLeft(pool, entries) === 0 ? undefined : new RepeatPermit(this.accountOf(pool));
     }
 
     /**
@@ -114,7 +149,7 @@
      */
     countLeft(pool: PoolId, entries: number): number {
         const { ratio, slack, windowMs } = this.limits;
-        const counts = this.countsOf(pool);
+        const counts = this.accountOf(pool);
         const isNew = this.clock.monotonic() - this.startedAt < windowMs;
         const share = isNew ? 0 : slack / Math.max(1, entries);
         const maxRepeats = WINDOW_EDGE_RATIO * (ratio * counts.requests.length + share);
@@ -127,18 +162,18 @@
      * @param entries - Number of entries that share the slack.
      */
     describe(pool: PoolId, entries: number): RepeatBudgetState {
-        const { requests, repeats, reserved } = this.countsOf(pool);
+        const { requests, repeats, reserved } = this.accountOf(pool);
         const left = this.countLeft(pool, entries);
         return { requests: requests.length, repeats: repeats.length, reserved, entries, left };
     }
 
-    private countsOf(pool: PoolId): PoolCounts {
-        const oldest = this.clock.monotonic() - this.limits.windowMs;
-        const counts = this.pools.get(pool) ?? { requests: [], repeats: [], reserved: 0 };
-        counts.requests = dropBefore(counts.requests, oldest);
-        counts.repeats = dropBefore(counts.repeats, oldest);
-        this.pools.set(pool, counts);
-        return counts;
+    private accountOf(pool: PoolId): RepeatAccount {
+        let account = this.pools.get(pool);
+        if (!account) {
+            account = new RepeatAccount(this.clock, this.limits.windowMs);
+            this.pools.set(pool, account);
+        }
+        return account.settle();
     }
 }
 
--- a/src/passthrough/repeatBudget/test.ts
+++ b/src/passthrough/repeatBudget/test.ts
@@ -9,8 +9,12 @@
 
 function takeAll(budget: RepeatBudget, entries: number): number {
     let taken = 0;
-    while (budget.tryTake(POOL, entries)) taken++;
-    return taken;
+    for (;;) {
+        const permit = budget.tryReserve(POOL, entries);
+        if (!permit) return taken;
+        permit.use();
+        taken++;
+    }
 }
 
 describe("RepeatBudget", () => {
@@ -48,8 +52,8 @@
         await clock.advance(10_000);
         const reserved = Array.from({ length: 6 }, () => budget.tryReserve(POOL, 7));
         assert.equal(budget.tryReserve(POOL, 7), undefined);
-        assert.equal(budget.tryTake(POOL, 7), false);
-        reserved[0]!.giveBack();
+        assert.equal(takeAll(budget, 7), 0);
+        reserved[0]!.release();
         assert.equal(budget.countLeft(POOL, 7), 1);
         await clock.advance(9_000);
         reserved[1]!.use();
@@ -58,4 +62,30 @@
         await clock.advance(1_001);
         assert.equal(budget.countLeft(POOL, 7), 2);
     });
+
+    it("takes back the use of a repeat that was not sent", async () => {
+        const clock = new VirtualClock();
+        const budget = new RepeatBudget(clock, LIMITS);
+        await clock.advance(10_000);
+        const permit = budget.tryReserve(POOL, 7)!;
+        permit.use();
+        permit.restore();
+        assert.equal(budget.countLeft(POOL, 7), 5);
+        permit.release();
+        assert.equal(budget.countLeft(POOL, 7), 6);
+    });
+
+    it("returns no repeat twice, and none that was sent", async () => {
+        const clock = new VirtualClock();
+        const budget = new RepeatBudget(clock, LIMITS);
+        await clock.advance(10_000);
+        const [sent, unsent] = [budget.tryReserve(POOL, 7)!, budget.tryReserve(POOL, 7)!];
+        sent.use();
+        sent.use();
+        sent.release();
+        unsent.release();
+        unsent.release();
+        unsent.use();
+        assert.equal(budget.countLeft(POOL, 7), 5);
+    });
 });
--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -85,12 +85,21 @@
 ): Promise<CallEnd> {
     const task: CallTask = { ctx, call, run, answer, progress: createProgress() };
     ctx.repeats.recordRequest(call.pool);
+    try {
+        return await runAttempts(task);
+    }
+    finally {
+        task.progress.permit?.release();
+    }
+}
+
+async function runAttempts(task: CallTask): Promise<CallEnd> {
     let next: MoveGrant | undefined;
     for (;;) {
         const outcome = await attemptOnce(task, next);
         if (outcome.end) return outcome.end;
         next = outcome.next;
-        run.beginAttempt();
+        task.run.beginAttempt();
     }
 }
 
@@ -102,7 +111,7 @@
 async function attemptOnce(task: CallTask, moved: MoveGrant | undefined): Promise<AttemptOutcome> {
     if (!moved) return requestGrant(task);
     recordRepeatDecided(task, "stalled");
-    moved.repeat.use();
+    task.progress.permit = moved.repeat;
     return sendGranted(task, moved);
 }
 
@@ -132,6 +141,7 @@
     progress.tries++;
     progress.software = ctx.software.find(grant);
     run.recordGrant(grant);
+    progress.permit?.use();
     recordRepeatSent(task, grant);
     const sentAt = ctx.clock.monotonic();
     const { eventCount } = progress.stream;
@@ -142,6 +152,7 @@
     progress.relay = attempt.relay ?? progress.relay;
     const completed = completeAttempt(task, attempt, result, sentAt);
     recordForCrashGuards(task, grant, result, progress.stream.eventCount > eventCount);
+    if (result.kind === "ended" && result.end === "not-sent") progress.permit?.restore();
     if (result.kind === "answered") {
         returnMove(task, next);
         run.waitFor("durability");
@@ -194,7 +205,7 @@
 /** Returns the grant for another upstream, where the call needs none any more. */
 function returnMove(task: CallTask, next: MoveGrant | undefined): void {
     if (!next) return;
-    next.repeat.giveBack();
+    next.repeat.release();
     returnGrant(task, next);
 }
 
@@ -251,19 +262,27 @@
 }
 
 function decideNext(task: CallTask, end: AttemptEnd): NextStep {
-    const { ctx, call, progress } = task;
+    const { call, progress } = task;
     const { kind, resumable, attempts } = call.route;
     const { begun, tries, stream, hasMoved: mayWait } = progress;
     const isSoftwareKnown = stream.eventCount === 0 || stream.startedBy !== undefined;
-    const tryTakeRepeat = (): boolean => {
-        const isTaken = ctx.repeats.tryTake(call.pool, ctx.view.entryCount());
-        if (isTaken) recordRepeatDecided(task, end);
-        else recordRepeatDenied(task, end);
-        return isTaken;
-    };
+    const tryTakeRepeat = (): boolean => tryReserveRepeat(task, end);
     return chooseNextStep({ end, kind, resumable, isSoftwareKnown, begun, attempts, tries, mayWait, tryTakeRepeat });
 }
 
+/** Reserves the repeat that follows an attempt. */
+function tryReserveRepeat(task: CallTask, end: AttemptEnd): boolean {
+    const { ctx, call, progress } = task;
+    const permit = ctx.repeats.tryReserve(call.pool, ctx.view.entryCount());
+    if (!permit) {
+        recordRepeatDenied(task, end);
+        return false;
+    }
+    progress.permit = permit;
+    recordRepeatDecided(task, end);
+    return true;
+}
+
 function recordAttempt(
     task: CallTask,
     { grant, relay, connection, reply }: Attempt,
--- a/src/passthrough/stallMove/index.ts
+++ b/src/passthrough/stallMove/index.ts
@@ -5,7 +5,7 @@
 import { CallTask, HeldGrant, makeTicket, requiredSoftware, returnGrant } from "../callTask/index.js";
 import { chooseNextStep } from "../nextStep/index.js";
 import { checkQuarantine, recheckKey } from "../prepareCall/index.js";
-import { RepeatReservation } from "../repeatBudget/index.js";
+import { RepeatPermit } from "../repeatBudget/index.js";
 
 /** Without a first byte for this many targets, another upstream is sought. */
 const FIRST_BYTE_TARGET_FACTOR = 2;
@@ -17,7 +17,7 @@
 
 /** A grant for the upstream at which a call goes on, and the repeat that this takes from the budget. */
 export interface MoveGrant extends HeldGrant {
-    readonly repeat: RepeatReservation;
+    readonly repeat: RepeatPermit;
 }
 
 /**
@@ -37,7 +37,7 @@
     /** Withdraws the ticket for another upstream; undefined while there is none. */
     private ticket: AbortController | undefined;
     /** The repeat that the ticket would take; undefined while there is no ticket. */
-    private repeat: RepeatReservation | undefined;
+    private repeat: RepeatPermit | undefined;
     private next: MoveGrant | undefined;
 
     /** @param grant - The grant of the attempt. */
@@ -61,7 +61,7 @@
         this.ticket?.abort();
         this.ticket = undefined;
         // At once: the attempt may have ended, and its call may need the repeat to go on.
-        this.repeat?.giveBack();
+        this.repeat?.release();
         this.repeat = undefined;
     }
 
@@ -117,7 +117,7 @@
     }
 
     /** Takes a repeat from the budget if the call may run at another upstream now, and one is known. */
-    private reserveRepeat(): RepeatReservation | undefined {
+    private reserveRepeat(): RepeatPermit | undefined {
         const { ctx, call, answer, progress: { stream, begun, tries } } = this.task;
         const { kind, resumable, attempts } = call.route;
         const hasEvents = stream.eventCount > 0;
@@ -125,7 +125,7 @@
         const isHeldByAnswer = answer.sentStatus !== undefined && !hasEvents;
         const isLast = required !== undefined && !ctx.software.hasOther(call.pool, this.grant.upstream, required);
         if (isHeldByAnswer || isLast) return undefined;
-        let repeat: RepeatReservation | undefined;
+        let repeat: RepeatPermit | undefined;
         chooseNextStep({
             end: hasEvents ? "broken" : "lost",
             kind,
