What an entry may repeat is earned by its requests, and savings are bounded by recent ones

What callers saw: when callers moved to other hosts while upstreams failed, a pool got its limit of retries from the hosts that they left and once more from those that they came to. Cause: each entry compared its retries with its own requests of the last window. The requests of a window allowed retries at one entry, and the same callers' next requests allowed a whole window's retries at another one within that window; an entry that restarted forgot what it had used. A permit whose earnings have left the window lapses.

--- a/src/entry/retryLimits/test.ts
+++ b/src/entry/retryLimits/test.ts
@@ -1,7 +1,11 @@
+import fc from "fast-check";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { RepeatLoad, RoutedFleet } from "../../faultInjection/index.js";
-import { SeededRandom } from "../../ports/index.js";
+import { Arrival } from "../../emulator/index.js";
+import { checkRepeats, RepeatLoad, RoutedFleet } from "../../faultInjection/index.js";
+import { PoolId } from "../../ids/index.js";
+import { RepeatBudget, RepeatPermit } from "../../passthrough/index.js";
+import { SeededRandom, VirtualClock } from "../../ports/index.js";
 import { makeDocument, makeRoute } from "../../routing/index.js";
 
 const UPSTREAMS = 8;
@@ -33,7 +37,71 @@
     assert.ok(repeats <= allowed, `${repeats} retries of ${allowed} allowed`);
 }
 
+/** A part of a random run over several budgets, in which one entry gets all requests. */
+interface BudgetPhase {
+    readonly entry: number;
+    readonly seconds: number;
+    /** What becomes of the requests: all succeed, all fail and are repeated at once, or they are repeated at the end of the phase. */
+    readonly outcome: "success" | "failure" | "late-failure";
+    /** Number of an entry that restarts before it, if there is one of that number. */
+    readonly restarted: number;
+}
+
+const BUDGETS = 4;
+const REQUESTS_PER_S = 20;
+const LIMITS = { ratio: 0.2, windowMs: 10_000, slack: 4 };
+const POOL = "ledger" as PoolId;
+
+const PHASES: fc.Arbitrary<BudgetPhase[]> = fc.array(
+    fc.record({
+        entry: fc.nat(BUDGETS - 1),
+        seconds: fc.integer({ min: 1, max: 12 }),
+        outcome: fc.constantFrom("success" as const, "failure" as const, "late-failure" as const),
+        restarted: fc.nat(2 * BUDGETS),
+    }),
+    { minLength: 4, maxLength: 12 },
+);
+
+/** Runs phases over the budgets of several entries, and checks what arrives at their pool together. */
+async function checkSum(phases: readonly BudgetPhase[]): Promise<void> {
+    const clock = new VirtualClock();
+    const budgets = Array.from({ length: BUDGETS }, () => new RepeatBudget(clock, LIMITS));
+    const arrivals: Pick<Arrival, "request" | "at">[] = [{ request: "call", at: 0 }];
+    const sentAt: number[] = [];
+    await clock.advance(LIMITS.windowMs);
+    for (const { entry, seconds, outcome, restarted } of phases) {
+        if (restarted < BUDGETS) budgets[restarted] = new RepeatBudget(clock, LIMITS);
+        const permits: RepeatPermit[] = [];
+        const sendAll = (): void => {
+            const sent = permits.splice(0).filter(permit => permit.tryUse(BUDGETS));
+            arrivals.push(...sent.map(() => ({ request: "call", at: clock.monotonic() })));
+        };
+        for (let i = 0; i < seconds * REQUESTS_PER_S; i++) {
+            budgets[entry].recordRequest(POOL);
+            sentAt.push(clock.monotonic());
+            if (outcome !== "success") permits.push(...reserveAll(budgets[entry]));
+            if (outcome === "failure") sendAll();
+            await clock.advance(1_000 / REQUESTS_PER_S);
+        }
+        sendAll();
+    }
+    checkRepeats(arrivals, sentAt, LIMITS);
+}
+
+function reserveAll(budget: RepeatBudget): RepeatPermit[] {
+    const permits: RepeatPermit[] = [];
+    for (let permit = budget.tryReserve(POOL, BUDGETS); permit; permit = budget.tryReserve(POOL, BUDGETS)) {
+        permits.push(permit);
+    }
+    return permits;
+}
+
 describe("limits on retries of a pool", () => {
+    it("hold for the sum over entries that restart, wait and get the callers of others", async () => {
+        // Failure: what each host counts by itself adds up to more than the limit of the fleet.
+        await fc.assert(fc.asyncProperty(PHASES, checkSum), { numRuns: 300, seed: 1 });
+    });
+
     describe("hosts that vanish after a failure of all upstreams", () => {
         for (const slack of [30, 60]) {
             it(`leave no more of a slack of ${slack} to the others than before`, async () => {
@@ -79,4 +147,24 @@
             await assertWithinLimits(fleet, load);
         });
     });
+
+    describe("callers that move to other hosts during a failure of all upstreams", () => {
+        it("bring no second share of the limit with them", async () => {
+            // Failure: the hosts that callers leave have used their share of a window, and those that they come to earn one again within it.
+            const route = { kind: "once", timeoutMs: 2_000 };
+            const { fleet, load } = await startLoad({
+                seed: 1,
+                entries: 6,
+                slack: 15,
+                callsPerS: 100,
+                workMs: 20,
+                route,
+            });
+            await load.sendFor(10_000, { isChosen: entry => entry < 3 });
+            load.setFault("refuse");
+            await load.sendFor(2_000, { isChosen: entry => entry < 3 });
+            await load.sendFor(7_500, { isChosen: entry => entry >= 3 });
+            await assertWithinLimits(fleet, load);
+        });
+    });
 });
--- a/src/passthrough/callTask/index.ts
+++ b/src/passthrough/callTask/index.ts
@@ -6,7 +6,8 @@
 import { CallContext } from "../callContext/index.js";
 import { AttemptEnd } from "../nextStep/index.js";
 import { PreparedCall } from "../prepareCall/index.js";
-import { RepeatBudgetState, RepeatPermit } from "../repeatBudget/index.js";
+import { RepeatBudgetState } from "../repeatBudget/index.js";
+import { RepeatPermit } from "../repeatPermit/index.js";
 import { createStreamState, StreamState } from "../streamState/index.js";
 
 /**
@@ -55,6 +56,8 @@
     software: SoftwareVersion | undefined;
     /** The host that sent the call on behalf of this one, in the last attempt that had one. */
     relay: HostId | undefined;
+    /** How the last attempt ended. */
+    lastEnd: AttemptEnd;
     lastDetail: string;
     /** Undefined while no repeat is decided. */
     pendingRepeat: PendingRepeat | undefined;
@@ -87,6 +90,7 @@
         upstreamFailure: undefined,
         software: undefined,
         relay: undefined,
+        lastEnd: "not-sent",
         lastDetail: "",
         pendingRepeat: undefined,
         permit: undefined,
--- a/src/passthrough/index.ts
+++ b/src/passthrough/index.ts
@@ -12,4 +12,5 @@
 export * from "./readRetryAfter/index.js";
 export * from "./readSignals/index.js";
 export * from "./repeatBudget/index.js";
+export * from "./repeatPermit/index.js";
 export * from "./serveCalls/index.js";
--- /dev/null
+++ b/src/passthrough/repeatPermit/index.ts
@@ -0,0 +1,51 @@
+import { RepeatAccount, RepeatCharge } from "../repeatAccount/index.js";
+
+/**
+ * A repeat that is reserved for a call. It counts as made at the moment it is sent, since limits are on arrivals; until then it is kept from
+ * other calls.
+ *
+ * @example
+ * if (permit.tryUse(entries)) await send();
+ * permit.release();
+ */
+export class RepeatPermit {
+    private isReserved = true;
+    private charge: RepeatCharge | undefined;
+
+    /** @param slackShare - Returns the share of the slack that this entry may use, by the number of entries that share it. */
+    constructor(
+        private readonly account: RepeatAccount,
+        private readonly slackShare: (entries: number) => number,
+    ) {
+        account.reserved++;
+    }
+
+    /**
+     * Counts the repeat as made now, right before it is sent. A permit lapses where the budget has shrunk since it was reserved.
+     *
+     * @param entries - Number of entries that share the slack.
+     * @returns Whether it may be sent.
+     */
+    tryUse(entries: number): boolean {
+        if (!this.isReserved) return false;
+        this.release();
+        this.charge = this.account.tryCharge(this.slackShare(entries));
+        return this.charge !== undefined;
+    }
+
+    /** Takes a use back, where it turned out that nothing was sent. */
+    restore(): void {
+        if (!this.charge) return;
+        this.account.refund(this.charge);
+        this.charge = undefined;
+        this.isReserved = true;
+        this.account.reserved++;
+    }
+
+    /** Returns a repeat that was not sent to the budget; without effect on one that was. */
+    release(): void {
+        if (!this.isReserved) return;
+        this.isReserved = false;
+        this.account.reserved--;
+    }
+}
--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -28,6 +28,7 @@
     recordRepeatSent,
 } from "../recordRepeat/index.js";
 import { sendBuffered } from "../relayAnswer/index.js";
+import { RepeatPermit } from "../repeatPermit/index.js";
 import { sendCall } from "../sendCall/index.js";
 import { MoveGrant, StallMove } from "../stallMove/index.js";
 import { mayEndInTime } from "../stopMargin/index.js";
@@ -111,7 +112,7 @@
 async function attemptOnce(task: CallTask, moved: MoveGrant | undefined): Promise<AttemptOutcome> {
     if (!moved) return requestGrant(task);
     recordRepeatDecided(task, "stalled");
-    task.progress.permit = moved.repeat;
+    holdPermit(task, moved.repeat);
     return sendGranted(task, moved);
 }
 
@@ -138,10 +139,13 @@
 async function sendGranted(task: CallTask, { ticketId, grant: unranked }: HeldGrant): Promise<AttemptOutcome> {
     const { ctx, run, progress } = task;
     const grant = setPriority(task, unranked);
+    if (!tryUsePermit(task)) {
+        returnGrant(task, { ticketId, grant });
+        return goOn(task, progress.lastEnd);
+    }
     progress.tries++;
     progress.software = ctx.software.find(grant);
     run.recordGrant(grant);
-    progress.permit?.use();
     recordRepeatSent(task, grant);
     const sentAt = ctx.clock.monotonic();
     const { eventCount } = progress.stream;
@@ -171,12 +175,28 @@
         progress.hasMoved = true;
         return { next };
     }
-    const step = await awaitNextStep(task, result.end);
-    if (run.isCancelled) return { end: endCancelled(task) };
-    if (step === "give-up") return { end: await endWithFailure(task, result.end) };
+    const outcome = await goOn(task, result.end);
     // The owner of the queue must know how the attempt ended before it chooses another upstream.
-    await completed;
-    return {};
+    if (!outcome.end) await completed;
+    return outcome;
+}
+
+/** Ends a call after an attempt, or lets it go on at another upstream. */
+async function goOn(task: CallTask, end: AttemptEnd): Promise<AttemptOutcome> {
+    const step = await awaitNextStep(task, end);
+    if (task.run.isCancelled) return { end: endCancelled(task) };
+    return step === "give-up" ? { end: await endWithFailure(task, end) } : {};
+}
+
+/** Whether a call may be sent now: it has reached no upstream, or has a permit for a repeat, which is thereby used. */
+function tryUsePermit({ ctx, progress }: CallTask): boolean {
+    if (progress.sentTo.length === 0) return true;
+    return progress.permit?.tryUse(ctx.view.entryCount()) ?? false;
+}
+
+function holdPermit({ progress }: CallTask, permit: RepeatPermit): void {
+    progress.permit?.release();
+    progress.permit = permit;
 }
 
 /**
@@ -272,13 +292,13 @@
 
 /** Reserves the repeat that follows an attempt. */
 function tryReserveRepeat(task: CallTask, end: AttemptEnd): boolean {
-    const { ctx, call, progress } = task;
+    const { ctx, call } = task;
     const permit = ctx.repeats.tryReserve(call.pool, ctx.view.entryCount());
     if (!permit) {
         recordRepeatDenied(task, end);
         return false;
     }
-    progress.permit = permit;
+    holdPermit(task, permit);
     recordRepeatDecided(task, end);
     return true;
 }
@@ -295,6 +315,7 @@
     if (end !== "not-sent") progress.sentTo.push(upstream);
     if (end === "refused") progress.refusals++;
     progress.upstreamFailure = failure ?? progress.upstreamFailure;
+    progress.lastEnd = end;
     progress.lastDetail = detail;
     const { cancelReason: cancelled } = run;
     run.recordStep("attempt-ended", `${upstream} ${end}: ${detail}`);
--- a/src/passthrough/stallMove/index.ts
+++ b/src/passthrough/stallMove/index.ts
@@ -5,7 +5,7 @@
 import { CallTask, HeldGrant, makeTicket, requiredSoftware, returnGrant } from "../callTask/index.js";
 import { chooseNextStep } from "../nextStep/index.js";
 import { checkQuarantine, recheckKey } from "../prepareCall/index.js";
-import { RepeatPermit } from "../repeatBudget/index.js";
+import { RepeatPermit } from "../repeatPermit/index.js";
 
 /** Without a first byte for this many targets, another upstream is sought. */
 const FIRST_BYTE_TARGET_FACTOR = 2;
--- a/src/passthrough/stallMove/test.ts
+++ b/src/passthrough/stallMove/test.ts
@@ -32,7 +32,7 @@
     it("leaves a repeat to its call as soon as the attempt has ended", async () => {
         // Failure: a call whose silent upstream breaks off is given up, as its own search for another one holds the last repeat.
         const clock = new VirtualClock();
-        const repeats = new RepeatBudget(clock, { ratio: 2, windowMs: 60_000, slack: 0 });
+        const repeats = new RepeatBudget(clock, { ratio: 4, windowMs: 60_000, slack: 0 });
         repeats.recordRequest(POOL);
         const move = new StallMove(makeTask(clock, repeats), { upstream: "u1" } as Grant);
         move.expectBeginning();
