Each schedule counts the retries that reach upstreams, and one of them provokes them

No schedule counted retries, and the in-memory fleet had no limit that they could reach. The schedule retries plays failures of upstreams twice within about a window, beside hosts that are killed, started, cut off and left by their callers, control processes that restart, crashes, silence and bursts, with 1 to 8 retries of slack for each entry. The same oracle judges the schedules calls, paths, power and software, and refusals, which has separate processes.

--- a/src/faultInjection/callSchedule/index.ts
+++ b/src/faultInjection/callSchedule/index.ts
@@ -1,5 +1,6 @@
 import { SeededRandom } from "../../ports/index.js";
 import { makeDocument, makeRoute } from "../../routing/index.js";
+import { checkFleetRepeats } from "../checkRepeats/index.js";
 import { checkSignals } from "../checkSignals/index.js";
 import { InvariantError } from "../recordingStateMachine/index.js";
 import { RoutedFleet } from "../routedFleet/index.js";
@@ -104,6 +105,7 @@
     const faultFreeSince = fleet.clock.monotonic();
     await advanceUnderCalls(run, FAULT_FREE_MS);
     const replies = await fleet.run(Promise.all(run.sent.map(({ reply }) => reply)));
+    checkFleetRepeats(fleet);
     checkAtMostOnce(run, replies);
     checkQuarantine(run, faultFreeSince);
     checkRequestLimit(run, faultFreeSince);
--- a/src/faultInjection/checkRepeats/index.ts
+++ b/src/faultInjection/checkRepeats/index.ts
@@ -2,7 +2,7 @@
 import { RepeatLimits } from "../../passthrough/index.js";
 import { InvariantError } from "../recordingStateMachine/index.js";
 
-/** The window of a run in which a pool's retries came closest to their limit, or passed it by most. */
+/** The window of a run in which a pool's retries took the largest part of their limit, or passed it by most. */
 export interface RepeatWindow {
     /** Start of the window, in milliseconds on the monotonic clock. */
     readonly from: number;
@@ -11,6 +11,14 @@
     readonly allowed: number;
 }
 
+/** What is known of a fleet's retries. */
+export interface RepeatSubject {
+    readonly upstreams: readonly { readonly arrivals: readonly Pick<Arrival, "request" | "at">[]; }[];
+    /** Times at which callers sent calls, in milliseconds on the monotonic clock. */
+    readonly callTimes: readonly number[];
+    readonly layout: { readonly repeats: RepeatLimits; };
+}
+
 /**
  * Finds the worst window of a run, by what upstreams and callers saw.
  *
@@ -30,8 +38,12 @@
         const count = countBelow(repeats, from + windowMs) - index;
         return { from, repeats: count, allowed: ratio * requests + slack };
     });
-    const worst = { from: 0, repeats: 0, allowed: slack };
-    return windows.reduce((a, b) => b.repeats - b.allowed > a.repeats - a.allowed ? b : a, worst);
+    return windows.reduce((a, b) => shareOf(b) > shareOf(a) ? b : a, { from: 0, repeats: 0, allowed: slack });
+}
+
+/** Returns the part of a window's limit that its retries take. */
+function shareOf({ repeats, allowed }: RepeatWindow): number {
+    return repeats === 0 ? 0 : repeats / allowed;
 }
 
 /**
@@ -48,6 +60,15 @@
     );
 }
 
+/**
+ * Checks the retries of a fleet whose upstreams are all of one pool.
+ *
+ * @throws InvariantError when a window has more than the fleet's limits allow.
+ */
+export function checkFleetRepeats({ upstreams, callTimes, layout }: RepeatSubject): RepeatWindow {
+    return checkRepeats(upstreams.flatMap(({ arrivals }) => arrivals), callTimes, layout.repeats);
+}
+
 /** Returns the times of the arrivals that are not the first of their request, in order. */
 function listRepeats(arrivals: readonly Pick<Arrival, "request" | "at">[]): number[] {
     const seen = new Set<string>();
--- a/src/faultInjection/index.ts
+++ b/src/faultInjection/index.ts
@@ -7,6 +7,7 @@
 export * from "./promptLoad/index.js";
 export * from "./recordingLogger/index.js";
 export * from "./repeatLoad/index.js";
+export * from "./repeatSchedule/index.js";
 export * from "./replacementSchedule/index.js";
 export * from "./replicaFleet/index.js";
 export * from "./routedFleet/index.js";
--- a/src/faultInjection/repeatLoad/index.ts
+++ b/src/faultInjection/repeatLoad/index.ts
@@ -1,7 +1,6 @@
 import { CallFault } from "../../emulator/index.js";
-import { RepeatLimits } from "../../passthrough/index.js";
 import { SeededRandom } from "../../ports/index.js";
-import { checkRepeats, findWorstRepeats, RepeatWindow } from "../checkRepeats/index.js";
+import { findWorstRepeats, RepeatWindow } from "../checkRepeats/index.js";
 import { RoutedFleet } from "../routedFleet/index.js";
 import { TestReply } from "../testCaller/index.js";
 
@@ -30,19 +29,13 @@
  * @example
  * const load = new RepeatLoad({ fleet, random, callsPerS: 12 });
  * await load.sendFor(10_000);
- * load.check();
+ * const { repeats, allowed } = load.findWorst();
  */
 export class RepeatLoad {
     readonly replies: Promise<TestReply>[] = [];
-    private readonly sentAt: number[] = [];
 
     constructor(private readonly options: RepeatLoadOptions) {}
 
-    /** The limits that hold for the fleet as a whole. */
-    private get limits(): RepeatLimits {
-        return this.options.fleet.layout.repeats;
-    }
-
     /**
      * Sends calls for a time.
      *
@@ -78,26 +71,13 @@
 
     /** Returns the window in which retries came closest to their limit. */
     findWorst(): RepeatWindow {
-        return findWorstRepeats(this.listArrivals(), this.sentAt, this.limits);
-    }
-
-    /**
-     * Checks the retries of the run.
-     *
-     * @throws InvariantError when more arrived in a window than the limits allow.
-     */
-    check(): RepeatWindow {
-        return checkRepeats(this.listArrivals(), this.sentAt, this.limits);
+        const { upstreams, callTimes, layout } = this.options.fleet;
+        return findWorstRepeats(upstreams.flatMap(({ arrivals }) => arrivals), callTimes, layout.repeats);
     }
 
     private send(entry: number): void {
         const { fleet } = this.options;
         const request = `call-${this.replies.length}`;
-        this.sentAt.push(fleet.clock.monotonic());
         this.replies.push(fleet.startCall({ entry, path: "/orders/1", key: KEY, request }));
     }
-
-    private listArrivals() {
-        return this.options.fleet.upstreams.flatMap(({ arrivals }) => arrivals);
-    }
 }
--- a/src/faultInjection/routedFleet/index.ts
+++ b/src/faultInjection/routedFleet/index.ts
@@ -76,6 +76,8 @@
     readonly upstreams: EmulatedCallUpstream[] = [];
     /** Times at which each host was started, by its address, in milliseconds on the monotonic clock. */
     readonly hostStarts = new Map<string, number[]>();
+    /** Times at which callers sent calls, in milliseconds on the monotonic clock. */
+    readonly callTimes: number[] = [];
     readonly layout: RoutedFleetOptions;
     private readonly random: SeededRandom;
     private readonly caller = new TestCaller(this.clock, this.web);
@@ -301,6 +303,7 @@
 
     /** Sends a call without advancing time; the response arrives as the test advances it. */
     startCall(call: TestCall): Promise<TestReply> {
+        this.callTimes.push(this.clock.monotonic());
         return this.caller.send({ host: entryHost(call.entry), port: PORTS.callers }, call);
     }
 
--- a/src/tools/rawUpstream/index.ts
+++ b/src/tools/rawUpstream/index.ts
@@ -10,6 +10,8 @@
     readonly path: string;
     /** Number of earlier requests on the connection. */
     readonly earlierRequests: number;
+    /** Wall clock at its arrival, in milliseconds. */
+    readonly at: number;
 }
 
 /** What a raw upstream does with a request. */
@@ -163,7 +165,8 @@
             this.received = this.received.slice(end);
             for (const copy of this.copies.splice(0)) this.socket.write(copy, "latin1");
             const [, path = ""] = head.split(" ", 2);
-            this.handle({ path, id: readHeader(head, CALL_HEADERS.request) ?? "", earlierRequests: this.requests++ });
+            const id = readHeader(head, CALL_HEADERS.request) ?? "";
+            this.handle({ path, id, earlierRequests: this.requests++, at: Date.now() });
         }
     }
 }
--- a/src/tools/refusals/checkRefusals/index.ts
+++ b/src/tools/refusals/checkRefusals/index.ts
@@ -1,4 +1,6 @@
 import { promisesNotRun } from "../../../execution/index.js";
+import { findWorstRepeats } from "../../../faultInjection/index.js";
+import { RepeatLimits } from "../../../passthrough/index.js";
 import { RawRun } from "../../rawUpstream/index.js";
 
 /** A request as its caller saw it. */
@@ -6,6 +8,8 @@
     readonly request: string;
     readonly route: string;
     readonly entry: number;
+    /** Wall clock at which it was sent, in milliseconds. */
+    readonly sentAt: number;
     /** Undefined: no head of an answer came. */
     readonly status?: number;
     /** Whether the answer states that the call has not run. */
@@ -24,6 +28,10 @@
     readonly onceRoutes: ReadonlySet<string>;
     /** Entries whose process ended without a signal that ends it. */
     readonly endedEntries: readonly number[];
+    /** All requests that reached upstreams, by the wall clock in milliseconds. */
+    readonly arrivals: readonly { readonly request: string; readonly at: number; }[];
+    /** Limits on retries of the pool. */
+    readonly repeats: RepeatLimits;
 }
 
 /** Kinds of violated guarantees. */
@@ -37,7 +45,9 @@
     /** A request had no end long after its timeout. */
     | "unanswered"
     /** An entry's process ended by itself. */
-    | "process-ended";
+    | "process-ended"
+    /** More retries reached the upstreams within a window than the limits allow. */
+    | "too-many-retries";
 
 /** A violated guarantee. */
 export interface RefusalFault {
@@ -62,7 +72,13 @@
         listFaults(exchange, runs.get(exchange.request) ?? [], record.onceRoutes).map(fault => ({ exchange, ...fault }))
     );
     const ended = record.endedEntries.map(entry => ({ kind: "process-ended" as const, detail: `entry ${entry}` }));
-    return [...faults, ...ended];
+    return [...faults, ...ended, ...findTooManyRepeats(record)];
+}
+
+function findTooManyRepeats({ arrivals, exchanges, repeats: limits }: RefusalRecord): RefusalFault[] {
+    const { repeats, allowed } = findWorstRepeats(arrivals, exchanges.map(({ sentAt }) => sentAt), limits);
+    if (repeats <= allowed) return [];
+    return [{ kind: "too-many-retries", detail: `${repeats} of ${allowed} allowed within a window` }];
 }
 
 function groupRuns(runs: readonly RawRun[]): Map<string, RawRun[]> {
--- a/src/tools/refusals/checkRefusals/test.ts
+++ b/src/tools/refusals/checkRefusals/test.ts
@@ -6,6 +6,7 @@
     request: "a",
     route: "orders",
     entry: 0,
+    sentAt: 0,
     status: 200,
     statesNotRun: false,
     body: "the answer to [a]",
@@ -16,7 +17,8 @@
     const runs = Array.from({ length: runCount }, (_, at) => ({ at, id: "a", upstream: `u${at}` }));
     const exchanges = [{ ...EXCHANGE, ...exchange }];
     const onceRoutes = new Set(["orders"]);
-    return checkRefusals({ exchanges, runs, onceRoutes, endedEntries: [], ...record }).map(({ kind }) => kind);
+    const defaults = { endedEntries: [], arrivals: [], repeats: { ratio: 0.2, windowMs: 10_000, slack: 2 } };
+    return checkRefusals({ ...defaults, exchanges, runs, onceRoutes, ...record }).map(({ kind }) => kind);
 }
 
 describe("checkRefusals", () => {
@@ -42,4 +44,10 @@
         assert.deepEqual(check({ status: undefined, end: "unanswered" }, 1), ["unanswered"]);
         assert.deepEqual(check({}, 1, { endedEntries: [2] }), ["process-ended"]);
     });
+
+    it("finds more retries within a window than the limits allow", () => {
+        const arrivals = Array.from({ length: 4 }, (_, number) => ({ request: "a", at: 100 * number }));
+        assert.deepEqual(check({}, 1, { arrivals }), ["too-many-retries"]);
+        assert.deepEqual(check({}, 1, { arrivals: arrivals.slice(1) }), []);
+    });
 });
--- a/src/tools/refusals/refusalCaller/index.ts
+++ b/src/tools/refusals/refusalCaller/index.ts
@@ -59,6 +59,7 @@
             request: `${this.name}-${++this.sentCount}`,
             route: route.name,
             entry: this.entry,
+            sentAt: Date.now(),
             statesNotRun: false,
             body: "",
             end: "cut",
--- a/src/tools/refusals/runRefusals/index.ts
+++ b/src/tools/refusals/runRefusals/index.ts
@@ -1,3 +1,4 @@
+import { DEFAULT_REPEAT_LIMITS } from "../../../passthrough/index.js";
 import { ProcessFleet } from "../../fleet/index.js";
 import { makeRandom } from "../../makeRandom/index.js";
 import { Program, waitFor } from "../../processes/index.js";
@@ -209,11 +210,24 @@
     private judge(): RefusalReport {
         const { exchanges, endedEntries } = this;
         const onceRoutes = new Set(REFUSAL_ROUTES.filter(({ kind }) => kind !== "idempotent").map(({ name }) => name));
-        const record = { exchanges, endedEntries, onceRoutes, runs: this.upstreams.flatMap(({ runs }) => runs) };
+        const record = {
+            exchanges,
+            endedEntries,
+            onceRoutes,
+            runs: this.upstreams.flatMap(({ runs }) => runs),
+            arrivals: this.listArrivals(),
+            repeats: DEFAULT_REPEAT_LIMITS,
+        };
         const faults = checkRefusals(record);
         return { record, faults, logs: faults.map(fault => this.findLogLines(fault)) };
     }
 
+    /** Lists what reached upstreams since the start; what the probes before it sent is not recorded either. */
+    private listArrivals() {
+        const arrivals = this.upstreams.flatMap(upstream => upstream.arrivals);
+        return arrivals.filter(({ at }) => at >= this.startedAt).map(({ id, at }) => ({ request: id, at }));
+    }
+
     private findLogLines({ exchange }: RefusalFault): string[] {
         if (!exchange) return [];
         const lines = [...this.programs.keys()].flatMap(({ stderr }) => stderr.split("\n"));
--- a/src/tools/soak/main.ts
+++ b/src/tools/soak/main.ts
@@ -1,6 +1,6 @@
 /**
  * Runs random fault schedules, one per seed, against the control log, against routed calls, with hosts that lose their paths to upstreams,
- * with a loss of all power, with upstreams of several software versions, with separate processes that are stopped, or with upstreams that
+ * with a loss of all power, with upstreams of several software versions, with failures that make hosts repeat calls, with separate processes that are stopped, or with upstreams that
  * refuse calls and repeat or garble their answers beside separate processes:
  * `node dist/tools/soak/main.js --schedule calls --seeds 500 --from 1`.
  */
@@ -10,6 +10,7 @@
     runCallSchedule,
     runPathSchedule,
     runPowerSchedule,
+    runRepeatSchedule,
     runReplacementSchedule,
     runReplicaSchedule,
     runSoftwareSchedule,
@@ -60,6 +61,10 @@
         const { answered, counted, ran } = await runPowerSchedule(seed);
         return `${answered} answered, ${counted} counted, ${ran} ran`;
     },
+    "retries": async seed => {
+        const { answered, calls, repeats, allowed } = await runRepeatSchedule(seed);
+        return `${answered} of ${calls} answered, ${repeats} of ${Math.round(allowed)} retries in the worst window`;
+    },
     "stops": async (seed, { size, signals, tolerance, logs }) => {
         const report = await runStops(seed, {
             size,
