An entry that others may have forgotten has no share of the slack

Cause: an entry that was cut off kept its share for 40 s, while the others stopped counting it when its lease lapsed. One that was started meanwhile never knew of it, so that the shares of all added up to more than the slack. Why it works: the control client tells that its view has not been fresh for five seconds, or was not until ten seconds ago. A lease lapses for the others before it does so for the entry plus these five seconds, and an entry that starts uses no slack in its first window, so that whoever uses a share is counted by all others that do. Entries that are gone now count for half a minute, which covers a lapse and a window.

--- a/src/control/controlClient/index.ts
+++ b/src/control/controlClient/index.ts
@@ -19,6 +19,11 @@
 /** Interval at which a pending pull checks whether the view has become stale, in milliseconds. */
 const STALE_CHECK_INTERVAL_MS = 200;
 
+/** Time without a fresh view after which other entries may have forgotten this one, in milliseconds. */
+const MAX_STALE_MS = 5_000;
+/** Time after which an entry that was forgotten is known to all others again, in milliseconds. */
+const KNOWN_AGAIN_MS = 10_000;
+
 /** A link to one control host. */
 export type ControlLink = Pick<PeerLink, "isOpen" | "peer" | "call" | "notify">;
 
@@ -71,6 +76,8 @@
     private linkIndex = 0;
     /** Time by `Clock.monotonicWithSuspend` at which the freshness lease ends, in milliseconds. */
     private freshUntil = -Infinity;
+    /** Time by the same clock until which other entries may not know this one again. */
+    private forgottenUntil = -Infinity;
     private draining = false;
     private entryList: readonly EntryView[] = [];
     private entriesVersion: string | undefined;
@@ -95,6 +102,15 @@
         return this.options.clock.monotonicWithSuspend() < this.freshUntil;
     }
 
+    /**
+     * Whether other entries may not count this one, since it had no fresh view for some seconds: it must not use a share of what they
+     * divide among those that they know.
+     */
+    mayBeForgotten(): boolean {
+        const now = this.options.clock.monotonicWithSuspend();
+        return now > this.freshUntil + MAX_STALE_MS || now < this.forgottenUntil;
+    }
+
     /** Sets whether further pulls announce that this entry is about to stop. */
     setDraining(draining: boolean): void {
         this.draining = draining;
@@ -197,6 +213,9 @@
         const { cache, onChange, onEntries } = this.options;
         const isApplied = change !== undefined && cache.apply(change);
         this.hasPulled = true;
+        const now = this.options.clock.monotonicWithSuspend();
+        const wasForgotten = this.freshUntil > -Infinity && now > this.freshUntil + MAX_STALE_MS;
+        if (wasForgotten) this.forgottenUntil = now + KNOWN_AGAIN_MS;
         this.freshUntil = Math.max(this.freshUntil, sentAt + leaseMs);
         if (isApplied) onChange?.(change);
         if (controls) this.options.onControls?.(controls);
--- a/src/control/controlClient/test.ts
+++ b/src/control/controlClient/test.ts
@@ -1,10 +1,10 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { Right } from "purify-ts";
+import { Left, Right } from "purify-ts";
 import { HostId, Incarnation, TemplateName, WorkspaceId } from "../../ids/index.js";
 import { BeginCallResult } from "../../ledger/index.js";
 import { MemoryFabric, SeededRandom, VirtualClock } from "../../ports/index.js";
-import { DEFAULT_PEER_TIMING, PeerLink, PeerRouter, servePeers } from "../../wire/index.js";
+import { DEFAULT_PEER_TIMING, PeerError, PeerLink, PeerRouter, servePeers } from "../../wire/index.js";
 import { hashKey } from "../../workspace/index.js";
 import {
     ControlClient,
@@ -258,6 +258,41 @@
         });
     });
 
+    describe("an entry without a fresh view for some seconds", () => {
+        it("counts as forgotten until others have had time to hear of it again", async () => {
+            // Failure: an entry that was cut off uses its share of a limit that the others divide among themselves.
+            const clock = new VirtualClock();
+            let isCut = false;
+            const link = {
+                isOpen: true,
+                peer: undefined,
+                notify: () => undefined,
+                call: async () => {
+                    await clock.sleep(500);
+                    return isCut
+                        ? Left(new PeerError("unreachable", false, "cut off"))
+                        : Right({ leaseMs: LEASE_MS, entries: [] });
+                },
+            };
+            const self = { host: "e1", incarnation: "1", zone: "vogar", peerAddress: "e1:1" };
+            const options = { links: [link], clock, random: new SeededRandom(1), self, cache: new ViewCache() };
+            const client = new ControlClient(options);
+            void client.run(new AbortController().signal);
+            await clock.advance(2_000);
+            assert.ok(!client.mayBeForgotten());
+            isCut = true;
+            await clock.advance(LEASE_MS + 4_000);
+            assert.ok(!client.mayBeForgotten());
+            await clock.advance(2_000);
+            assert.ok(client.mayBeForgotten());
+            isCut = false;
+            await clock.advance(9_500);
+            assert.ok(client.isFresh() && client.mayBeForgotten());
+            await clock.advance(3_000);
+            assert.ok(!client.mayBeForgotten());
+        });
+    });
+
     describe("entries", () => {
         it("stay known to each other when the holder changes, except one that has gone", async () => {
             // A new holder's list of entries is incomplete at first. An entry that applied it would assume that it is the only one, so that
--- a/src/entry/fleetRouteView/index.ts
+++ b/src/entry/fleetRouteView/index.ts
@@ -9,17 +9,13 @@
  * Time for which entries that are gone still count, in milliseconds: they may run on without being known, and what they have sent counts
  * against limits of the fleet.
  */
-const ENTRY_MEMORY_MS = 60_000;
-/** Time without a fresh view after which other entries may have stopped counting this one, in milliseconds. */
-const MAX_STALE_MS = 40_000;
+const ENTRY_MEMORY_MS = 30_000;
 
 /** View of the fleet document that the control client keeps up to date. */
 export class FleetRouteView extends RouteView {
     /** Notified at each change of the cache. */
     private readonly changeGate = new WaitCondition();
     private readonly entries: RecentMaximum;
-    /** Monotonic time at which the view was last known to be fresh, in milliseconds. */
-    private freshAt: number;
 
     constructor(
         private readonly clock: Clock,
@@ -28,7 +24,6 @@
     ) {
         super();
         this.entries = new RecentMaximum(clock, ENTRY_MEMORY_MS);
-        this.freshAt = clock.monotonic();
         this.notifyEntries();
     }
 
@@ -60,9 +55,6 @@
     }
 
     entryCount(): number {
-        const now = this.clock.monotonic();
-        if (this.isFresh()) this.freshAt = now;
-        if (now - this.freshAt > MAX_STALE_MS) return Number.POSITIVE_INFINITY;
-        return Math.max(1, this.entries.value);
+        return this.client.mayBeForgotten() ? Number.POSITIVE_INFINITY : Math.max(1, this.entries.value);
     }
 }
