The budget of retries knows by how many entries it is divided

No behaviour is changed: the number of entries was passed with each question, by way of the view of the fleet document. It is now counted by a class of its own, next to the budget's construction, so that chats and services can have the budget too.

--- a/src/entry/fleetRouteView/test.ts
+++ b/src/entry/entryCounter/test.ts
@@ -1,32 +1,28 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { ControlClient, ViewCache } from "../../control/index.js";
+import { EntryView } from "../../control/index.js";
 import { VirtualClock } from "../../ports/index.js";
-import { FleetRouteView } from "./index.js";
+import { EntryCounter } from "./index.js";
 
 /** A control client whose list a test sets. */
 class FakeClient {
     isForgotten = false;
-    entries: { ownsQueues: boolean; }[] = [];
+    entries: EntryView[] = [];
 
     mayBeForgotten(): boolean {
         return this.isForgotten;
     }
 
     know(count: number): void {
-        this.entries = Array.from({ length: count }, () => ({ ownsQueues: false }));
+        this.entries = Array.from({ length: count }, () => ({ ownsQueues: false }) as EntryView);
     }
 }
 
-function makeView(clock: VirtualClock, client: FakeClient): FleetRouteView {
-    return new FleetRouteView(clock, client as unknown as ControlClient, {} as ViewCache);
-}
-
 /** An entry of a random run. */
 interface ModelEntry {
     readonly client: FakeClient;
-    readonly view: FleetRouteView;
+    readonly counter: EntryCounter;
     readonly startedAt: number;
     /** Time by which it hears of changes, in seconds. */
     readonly delayS: number;
@@ -54,12 +50,12 @@
     let largest = 0;
     const start = (number: number): void => {
         const client = new FakeClient();
-        const view = makeView(clock, client);
+        const counter = new EntryCounter(clock, client);
         const delayS = number % (MAX_DELAY_S + 1);
         const now = listed.length;
         entries.push({
             client,
-            view,
+            counter,
             startedAt: now,
             delayS,
             reachedAt: now,
@@ -77,13 +73,13 @@
         }
         const known = [...entries.map(({ reachedAt }) => reachedAt), ...gone].filter(at => now - at <= LEASE_S).length;
         listed.push(known);
-        for (const { client, view, isCut, delayS, reachedAt, backAt } of entries) {
+        for (const { client, counter, isCut, delayS, reachedAt, backAt } of entries) {
             client.isForgotten = now - reachedAt > LEASE_S + MAX_STALE_S || now - backAt < KNOWN_AGAIN_S;
             if (!isCut) client.know(listed[Math.max(0, now - delayS)]);
-            view.notifyEntries();
+            counter.notifyChange();
         }
-        const shares = entries.filter(({ startedAt }) => now - startedAt >= WINDOW_S).map(({ view }) =>
-            1 / view.entryCount()
+        const shares = entries.filter(({ startedAt }) => now - startedAt >= WINDOW_S).map(({ counter }) =>
+            1 / counter.count()
         );
         largest = Math.max(largest, shares.reduce((sum, share) => sum + share, 0));
         await clock.advance(1_000);
@@ -103,26 +99,26 @@
     return largest;
 }
 
-describe("FleetRouteView", () => {
+describe("EntryCounter", () => {
     describe("the number of entries that share a limit", () => {
         it("counts entries that are gone for half a minute", async () => {
             const clock = new VirtualClock();
             const client = new FakeClient();
             client.know(12);
-            const view = makeView(clock, client);
+            const counter = new EntryCounter(clock, client);
             client.know(4);
-            view.notifyEntries();
+            counter.notifyChange();
             await clock.advance(29_000);
-            assert.equal(view.entryCount(), 12);
+            assert.equal(counter.count(), 12);
             await clock.advance(2_000);
-            assert.equal(view.entryCount(), 4);
+            assert.equal(counter.count(), 4);
         });
 
         it("is infinite while others may have forgotten this one", () => {
             const client = new FakeClient();
-            const view = makeView(new VirtualClock(), client);
+            const counter = new EntryCounter(new VirtualClock(), client);
             client.isForgotten = true;
-            assert.equal(view.entryCount(), Number.POSITIVE_INFINITY);
+            assert.equal(counter.count(), Number.POSITIVE_INFINITY);
         });
 
         it("gives shares that add up to one at most, whatever each entry knows of the others", async () => {
--- a/src/entry/entryProcess/index.ts
+++ b/src/entry/entryProcess/index.ts
@@ -11,7 +11,7 @@
 import { Lifecycle } from "../../lifecycle/index.js";
 import { Logger } from "../../logging/index.js";
 import { Metrics } from "../../metrics/index.js";
-import { CallDialect } from "../../passthrough/index.js";
+import { CallDialect, DEFAULT_REPEAT_LIMITS, RepeatBudget } from "../../passthrough/index.js";
 import {
     Address,
     Clock,
@@ -38,6 +38,7 @@
 import { DispatchLog } from "../dispatchLog/index.js";
 import { DrainSchedule } from "../drainSchedule/index.js";
 import { EntryContext, EntryLimits } from "../entryContext/index.js";
+import { EntryCounter } from "../entryCounter/index.js";
 import { EvacuationMonitor } from "../evacuationMonitor/index.js";
 import { FleetControl } from "../fleetControl/index.js";
 import { FleetDispatcher } from "../fleetDispatcher/index.js";
@@ -136,6 +137,9 @@
     });
     private readonly controlLinks: ControlLinkSet;
     private readonly client: ControlClient;
+    /** Counts the entries among which limits of the fleet are divided. */
+    readonly entryCounter: EntryCounter;
+    private readonly repeats: RepeatBudget;
     private readonly directory: PeerDirectory;
     private readonly announcementForwarder: AnnouncementForwarder;
     private readonly evacuationMonitor: EvacuationMonitor;
@@ -167,6 +171,9 @@
             },
         });
         this.client = this.makeClient();
+        this.entryCounter = new EntryCounter(options.clock, this.client);
+        const repeatLimits = options.routes?.repeats ?? DEFAULT_REPEAT_LIMITS;
+        this.repeats = new RepeatBudget(options.clock, repeatLimits, () => this.entryCounter.count());
         this.control = new FleetControl(this.client, this.cache);
         this.directory = new PeerDirectory({
             ...options,
@@ -501,6 +508,7 @@
             time: this.trueTime,
             positions,
             replicator: this.replicator,
+            repeats: this.repeats,
             streams: this.makeStreamStarts(positions),
             isDraining: () => this.draining,
             isRefusing: () => this.refusingRequests,
@@ -546,7 +554,7 @@
                 this.partMonitor.viewChanged();
                 this.routeService?.viewChanged();
             },
-            onEntries: () => this.routeService?.entriesChanged(),
+            onEntries: () => this.entryCounter.notifyChange(),
             onControls: addresses => this.controlLinks.setMembers(addresses),
         });
     }
--- a/src/entry/fleetRouteView/index.ts
+++ b/src/entry/fleetRouteView/index.ts
@@ -3,19 +3,11 @@
 import { RouteView } from "../../passthrough/index.js";
 import { Clock } from "../../ports/index.js";
 import { RouteTable } from "../../routing/index.js";
-import { RecentMaximum } from "../recentMaximum/index.js";
-
-/**
- * Time for which entries that are gone still count, in milliseconds: they may run on without being known, and what they have sent counts
- * against limits of the fleet.
- */
-const ENTRY_MEMORY_MS = 30_000;
 
 /** View of the fleet document that the control client keeps up to date. */
 export class FleetRouteView extends RouteView {
     /** Notified at each change of the cache. */
     private readonly changeGate = new WaitCondition();
-    private readonly entries: RecentMaximum;
 
     constructor(
         private readonly clock: Clock,
@@ -23,8 +15,6 @@
         private readonly cache: ViewCache,
     ) {
         super();
-        this.entries = new RecentMaximum(clock, ENTRY_MEMORY_MS);
-        this.notifyEntries();
     }
 
     isFresh(): boolean {
@@ -48,13 +38,4 @@
     notifyChange(): void {
         this.changeGate.notifyAll();
     }
-
-    /** Called when the list of entries has changed. */
-    notifyEntries(): void {
-        this.entries.record(this.client.entries.filter(({ ownsQueues }) => !ownsQueues).length);
-    }
-
-    entryCount(): number {
-        return this.client.mayBeForgotten() ? Number.POSITIVE_INFINITY : Math.max(1, this.entries.value);
-    }
 }
--- a/src/entry/retryLimits/test.ts
+++ b/src/entry/retryLimits/test.ts
@@ -65,15 +65,15 @@
 /** Runs phases over the budgets of several entries, and checks what arrives at their pool together. */
 async function checkSum(phases: readonly BudgetPhase[]): Promise<void> {
     const clock = new VirtualClock();
-    const budgets = Array.from({ length: BUDGETS }, () => new RepeatBudget(clock, LIMITS));
+    const budgets = Array.from({ length: BUDGETS }, () => new RepeatBudget(clock, LIMITS, () => BUDGETS));
     const arrivals: Pick<Arrival, "request" | "at">[] = [{ request: "call", at: 0 }];
     const sentAt: number[] = [];
     await clock.advance(LIMITS.windowMs);
     for (const { entry, seconds, outcome, restarted } of phases) {
-        if (restarted < BUDGETS) budgets[restarted] = new RepeatBudget(clock, LIMITS);
+        if (restarted < BUDGETS) budgets[restarted] = new RepeatBudget(clock, LIMITS, () => BUDGETS);
         const permits: RepeatPermit[] = [];
         const sendAll = (): void => {
-            const sent = permits.splice(0).filter(permit => permit.tryUse(BUDGETS));
+            const sent = permits.splice(0).filter(permit => permit.tryUse());
             arrivals.push(...sent.map(() => ({ request: "call", at: clock.monotonic() })));
         };
         for (let i = 0; i < seconds * REQUESTS_PER_S; i++) {
@@ -90,7 +90,7 @@
 
 function reserveAll(budget: RepeatBudget): RepeatPermit[] {
     const permits: RepeatPermit[] = [];
-    for (let permit = budget.tryReserve(POOL, BUDGETS); permit; permit = budget.tryReserve(POOL, BUDGETS)) {
+    for (let permit = budget.tryReserve(POOL); permit; permit = budget.tryReserve(POOL)) {
         permits.push(permit);
     }
     return permits;
--- a/src/entry/routeService/index.ts
+++ b/src/entry/routeService/index.ts
@@ -64,6 +64,8 @@
     /** Numbers the usage that this entry counts. */
     readonly positions: PositionCounter;
     readonly replicator: UsageReplicator;
+    /** Limits how often calls are sent again. */
+    readonly repeats: RepeatBudget;
     /** Remembers where streams began. */
     readonly streams: StreamStartRegistry;
     readonly isDraining: () => boolean;
@@ -109,16 +111,6 @@
             && !this.options.isDraining() && this.options.hasWay();
     }
 
-    /** Number of entries by which limits of the fleet are divided. */
-    get entryCount(): number {
-        return this.view?.entryCount() ?? 1;
-    }
-
-    /** Called when the list of entries has changed. */
-    entriesChanged(): void {
-        this.view?.notifyEntries();
-    }
-
     /** Subscribes to the announcements of the control process at the other end of a channel. */
     subscribeTo(channel: PeerChannel): void {
         void this.subscriber.subscribe(channel);
@@ -155,13 +147,12 @@
 
     /** Opens the callers' port. Calls that arrive before the first document wait for it for a limited time. */
     private async openCallers(callers: Address, view: FleetRouteView, lifecycle: Lifecycle): Promise<void> {
-        const { settings, http, self, clock } = this.options;
+        const { settings, http, self } = this.options;
         const handler = serveCalls({
             ...this.options,
             self: self.host,
             dialect: settings.dialect,
             view,
-            repeats: new RepeatBudget(clock, settings.repeats),
             starts: this.startMeter,
             durations: new CallDurations(),
             durability: this.options.replicator,
--- a/src/entry/routeService/test.ts
+++ b/src/entry/routeService/test.ts
@@ -584,7 +584,7 @@
         it("share the retry budget among entries only", async () => {
             await startOwned(2);
             assert.equal(fleet.entries[0]!.control.entries().length, 7);
-            assert.equal(fleet.entries[0]!.routeService!.entryCount, 2);
+            assert.equal(fleet.entries[0]!.entryCounter.count(), 2);
         });
     });
 });
--- a/src/passthrough/callContext/index.ts
+++ b/src/passthrough/callContext/index.ts
@@ -29,12 +29,6 @@
      * @param signal - Aborts the wait.
      */
     abstract waitForRoutes(limitMs: number, signal: AbortSignal): Promise<void>;
-
-    /**
-     * Returns by how many entries a limit of the fleet is to be divided, including this one: the most that were known lately, and infinitely
-     * many while this entry may have been forgotten by the others.
-     */
-    abstract entryCount(): number;
 }
 
 /** Dependencies of the functions that handle routed calls. */
--- a/src/passthrough/recordRepeat/index.ts
+++ b/src/passthrough/recordRepeat/index.ts
@@ -11,19 +11,18 @@
 
 /** Returns the state of the budget for a call's pool. */
 export function readBudget({ ctx, call }: CallTask): RepeatBudgetState {
-    return ctx.repeats.describe(call.pool, ctx.view.entryCount());
+    return ctx.repeats.describe(call.pool);
 }
 
 /**
- * Makes log fields of the state of a budget.
+ * Makes log fields of the state of a budget; an infinite number of entries is left out.
  *
  * @param moment - The first word of each field's name.
  */
 export function describeBudget(state: RepeatBudgetState, moment: string): Record<string, number> {
-    const fields = Object.entries(state).map((
-        [name, count],
-    ) => [moment + name[0].toUpperCase() + name.slice(1), count]);
-    return Object.fromEntries(fields) as Record<string, number>;
+    const counts = Object.entries(state) as [string, number][];
+    const known = counts.filter(([, count]) => Number.isFinite(count));
+    return Object.fromEntries(known.map(([name, count]) => [moment + name[0].toUpperCase() + name.slice(1), count]));
 }
 
 /** Records that a call will be sent again. */
--- a/src/passthrough/repeatBudget/index.ts
+++ b/src/passthrough/repeatBudget/index.ts
@@ -42,14 +42,19 @@
  *
  * @example
  * budget.recordRequest(pool);
- * const permit = budget.tryReserve(pool, entries);
- * if (permit?.tryUse(entries)) await sendAgain();
+ * const permit = budget.tryReserve(pool);
+ * if (permit?.tryUse()) await sendAgain();
  */
 export class RepeatBudget {
     private readonly pools = new Map<PoolId, RepeatAccount>();
     private readonly startedAt: number;
 
-    constructor(private readonly clock: Clock, private readonly limits: RepeatLimits) {
+    /** @param countEntries - Returns the number of entries that share the slack; infinite where it is not known. */
+    constructor(
+        private readonly clock: Clock,
+        private readonly limits: RepeatLimits,
+        private readonly countEntries: () => number,
+    ) {
         this.startedAt = clock.monotonic();
     }
 
@@ -61,38 +66,29 @@
     /**
      * Reserves a repeat, which must be used or released.
      *
-     * @param entries - Number of entries that share the slack.
      * @returns undefined when the repeat must not be made.
      */
-    tryReserve(pool: PoolId, entries: number): RepeatPermit | undefined {
-        if (this.countLeft(pool, entries) === 0) return undefined;
-        return new RepeatPermit(this.accountOf(pool), sharers => this.slackShare(sharers));
+    tryReserve(pool: PoolId): RepeatPermit | undefined {
+        if (this.countLeft(pool) === 0) return undefined;
+        return new RepeatPermit(this.accountOf(pool), () => this.slackShare());
     }
 
-    /**
-     * Returns how many repeats may be reserved now.
-     *
-     * @param entries - Number of entries that share the slack.
-     */
-    countLeft(pool: PoolId, entries: number): number {
+    /** Returns how many repeats may be reserved now. */
+    countLeft(pool: PoolId): number {
         const account = this.accountOf(pool);
-        return Math.max(0, Math.floor(account.available(this.slackShare(entries)) - account.reserved));
+        return Math.max(0, Math.floor(account.available(this.slackShare()) - account.reserved));
     }
 
-    /**
-     * Returns the counts of a pool, for logs.
-     *
-     * @param entries - Number of entries that share the slack.
-     */
-    describe(pool: PoolId, entries: number): RepeatBudgetState {
+    /** Returns the counts of a pool, for logs. */
+    describe(pool: PoolId): RepeatBudgetState {
         const { requestCount: requests, repeatCount: repeats, reserved } = this.accountOf(pool);
-        return { requests, repeats, reserved, entries, left: this.countLeft(pool, entries) };
+        return { requests, repeats, reserved, entries: this.countEntries(), left: this.countLeft(pool) };
     }
 
-    private slackShare(entries: number): number {
+    private slackShare(): number {
         const { slack, windowMs } = this.limits;
         const isNew = this.clock.monotonic() - this.startedAt < windowMs;
-        return isNew ? 0 : slack / Math.max(1, entries);
+        return isNew ? 0 : slack / Math.max(1, this.countEntries());
     }
 
     private accountOf(pool: PoolId): RepeatAccount {
--- a/src/passthrough/repeatPermit/index.ts
+++ b/src/passthrough/repeatPermit/index.ts
@@ -5,31 +5,27 @@
  * other calls.
  *
  * @example
- * if (permit.tryUse(entries)) await send();
+ * if (permit.tryUse()) await send();
  * permit.release();
  */
 export class RepeatPermit {
     private isReserved = true;
     private charge: RepeatCharge | undefined;
 
-    /** @param slackShare - Returns the share of the slack that this entry may use, by the number of entries that share it. */
-    constructor(
-        private readonly account: RepeatAccount,
-        private readonly slackShare: (entries: number) => number,
-    ) {
+    /** @param slackShare - Returns the share of the slack that this entry may use in a window. */
+    constructor(private readonly account: RepeatAccount, private readonly slackShare: () => number) {
         account.reserved++;
     }
 
     /**
      * Counts the repeat as made now, right before it is sent. A permit lapses where the budget has shrunk since it was reserved.
      *
-     * @param entries - Number of entries that share the slack.
      * @returns Whether it may be sent.
      */
-    tryUse(entries: number): boolean {
+    tryUse(): boolean {
         if (!this.isReserved) return false;
         this.release();
-        this.charge = this.account.tryCharge(this.slackShare(entries));
+        this.charge = this.account.tryCharge(this.slackShare());
         return this.charge !== undefined;
     }
 
--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -189,9 +189,8 @@
 }
 
 /** Whether a call may be sent now: it has reached no upstream, or has a permit for a repeat, which is thereby used. */
-function tryUsePermit({ ctx, progress }: CallTask): boolean {
-    if (progress.sentTo.length === 0) return true;
-    return progress.permit?.tryUse(ctx.view.entryCount()) ?? false;
+function tryUsePermit({ progress }: CallTask): boolean {
+    return progress.sentTo.length === 0 || (progress.permit?.tryUse() ?? false);
 }
 
 function holdPermit({ progress }: CallTask, permit: RepeatPermit): void {
@@ -293,7 +292,7 @@
 /** Reserves the repeat that follows an attempt. */
 function tryReserveRepeat(task: CallTask, end: AttemptEnd): boolean {
     const { ctx, call } = task;
-    const permit = ctx.repeats.tryReserve(call.pool, ctx.view.entryCount());
+    const permit = ctx.repeats.tryReserve(call.pool);
     if (!permit) {
         recordRepeatDenied(task, end);
         return false;
--- a/src/passthrough/stallMove/index.ts
+++ b/src/passthrough/stallMove/index.ts
@@ -136,7 +136,7 @@
             begun: begun + 1,
             mayWait: false,
             tryTakeRepeat: () => {
-                repeat = ctx.repeats.tryReserve(call.pool, ctx.view.entryCount());
+                repeat = ctx.repeats.tryReserve(call.pool);
                 return repeat !== undefined;
             },
         });
--- a/src/passthrough/stallMove/test.ts
+++ b/src/passthrough/stallMove/test.ts
@@ -8,7 +8,6 @@
 import { StallMove } from "./index.js";
 
 const POOL = "drafting" as PoolId;
-const ENTRIES = 1;
 const SILENCE_MS = 2_000;
 
 /** A call whose ticket for another upstream stays in the queue. */
@@ -20,7 +19,7 @@
         random: { id: () => "ticket" },
         self: "host",
         zone: "zone",
-        view: { routes: () => undefined, entryCount: () => ENTRIES },
+        view: { routes: () => undefined },
         dispatcher: { submit: () => new Promise(() => undefined) },
         software: { hasOther: () => true },
     };
@@ -32,13 +31,13 @@
     it("leaves a repeat to its call as soon as the attempt has ended", async () => {
         // Failure: a call whose silent upstream breaks off is given up, as its own search for another one holds the last repeat.
         const clock = new VirtualClock();
-        const repeats = new RepeatBudget(clock, { ratio: 4, windowMs: 60_000, slack: 0 });
+        const repeats = new RepeatBudget(clock, { ratio: 4, windowMs: 60_000, slack: 0 }, () => 1);
         repeats.recordRequest(POOL);
         const move = new StallMove(makeTask(clock, repeats), { upstream: "u1" } as Grant);
         move.expectBeginning();
         await clock.advance(SILENCE_MS);
-        assert.equal(repeats.countLeft(POOL, ENTRIES), 0);
+        assert.equal(repeats.countLeft(POOL), 0);
         move.end();
-        assert.equal(repeats.countLeft(POOL, ENTRIES), 1);
+        assert.equal(repeats.countLeft(POOL), 1);
     });
 });
