A call whose permit has lapsed asks for a new one by its last sent try

Cause: how a call goes on after a lapsed permit was decided by its last try, which may have sent nothing; such a try needs no retry, so that the call would ask for grants without end. Evidence: a call whose second try was not sent and whose third grant comes a window later is not settled within 60 s of virtual time with the code before, and ends with its failure now. A second test shows that a try that was not sent leaves its permit to the next one.

--- a/src/passthrough/callTask/index.ts
+++ b/src/passthrough/callTask/index.ts
@@ -56,8 +56,8 @@
     software: SoftwareVersion | undefined;
     /** The host that sent the call on behalf of this one, in the last attempt that had one. */
     relay: HostId | undefined;
-    /** How the last attempt ended. */
-    lastEnd: AttemptEnd;
+    /** How the last attempt ended that may have reached its upstream; "not-sent" while none has. */
+    lastSentEnd: AttemptEnd;
     lastDetail: string;
     /** Undefined while no repeat is decided. */
     pendingRepeat: PendingRepeat | undefined;
@@ -90,7 +90,7 @@
         upstreamFailure: undefined,
         software: undefined,
         relay: undefined,
-        lastEnd: "not-sent",
+        lastSentEnd: "not-sent",
         lastDetail: "",
         pendingRepeat: undefined,
         permit: undefined,
--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -141,7 +141,7 @@
     const grant = setPriority(task, unranked);
     if (!tryUsePermit(task)) {
         returnGrant(task, { ticketId, grant });
-        return goOn(task, progress.lastEnd);
+        return goOn(task, progress.lastSentEnd);
     }
     progress.tries++;
     progress.software = ctx.software.find(grant);
@@ -311,10 +311,12 @@
     const { upstream } = grant;
     if (end !== "not-sent" && end !== "refused") progress.begun++;
     const sentBefore = progress.sentTo.filter(earlier => earlier === upstream).length;
-    if (end !== "not-sent") progress.sentTo.push(upstream);
+    if (end !== "not-sent") {
+        progress.sentTo.push(upstream);
+        progress.lastSentEnd = end;
+    }
     if (end === "refused") progress.refusals++;
     progress.upstreamFailure = failure ?? progress.upstreamFailure;
-    progress.lastEnd = end;
     progress.lastDetail = detail;
     const { cancelReason: cancelled } = run;
     run.recordStep("attempt-ended", `${upstream} ${end}: ${detail}`);
