--- a/src/entry/retryLimits/test.ts
+++ b/src/entry/retryLimits/test.ts
@@ -127,6 +127,21 @@
         }
     });
 
+    describe("hosts that vanish during a failure of all upstreams", () => {
+        it("leave no second share of the limit to those that their callers come to", async () => {
+            // Failure: two thirds of the hosts are lost after their retries, and those left earn a share by the same callers' next requests.
+            const route = { kind: "once", timeoutMs: 4_000, targetMs: 1_500 };
+            const size = { entries: 24, slack: 62, callsPerS: 112, workMs: 300 };
+            const { fleet, load } = await startLoad({ seed: 1, ...size, route });
+            load.setFault("refuse");
+            await load.sendFor(2_500);
+            const killed = Array.from({ length: 16 }, (_, number) => fleet.killEntry(number));
+            await fleet.run(Promise.all(killed));
+            await load.sendFor(5_000);
+            await assertWithinLimits(fleet, load);
+        });
+    });
+
     describe("retries that wait for a slot", () => {
         it("count when they are sent", async () => {
             // Failure: retries that wait leave the window too early, so that those of two bursts arrive within one window.
