Logs say which block of an upstream's stream is not its next event

Without it the hypotheses could not be told apart: no line said what a block held, whether the rest of a body was sent behind the last empty line, or which event a resumption asked for. Each event of a stream is now judged in one place (src/eventStream) by what its dialect promises: consecutive numbers from 1, or from behind the last event of an earlier answer; one id; data; fields alone; UTF-8. The first block that is none gives the line stream-unproven and the metric streams_unproven with its kind; call-ended has lastSentId.

--- a/src/passthrough/callDialect/index.ts
+++ b/src/passthrough/callDialect/index.ts
@@ -1,4 +1,5 @@
 import { Either } from "purify-ts";
+import { EventRules } from "../../eventStream/index.js";
 import { RequestId, UpstreamId, WorkspaceId } from "../../ids/index.js";
 import { Address, HeaderList, HttpReply, HttpRequest } from "../../ports/index.js";
 import { PromptPart, UpstreamSignals } from "../../upstream/index.js";
@@ -97,6 +98,13 @@
     /** Parses the head of an upstream's answer. */
     abstract readReply(reply: HttpReply): ReplyHead;
 
+    /**
+     * Returns what the events of a stream must be like.
+     *
+     * @param isResumable - Whether the stream may go on at another upstream.
+     */
+    abstract eventRules(isResumable: boolean): EventRules;
+
     /**
      * Creates an error answer of this system.
      *
--- a/src/passthrough/nativeDialect/index.ts
+++ b/src/passthrough/nativeDialect/index.ts
@@ -1,5 +1,6 @@
 import { Either, Left, Right } from "purify-ts";
 import * as z from "zod";
+import { EventRules } from "../../eventStream/index.js";
 import { RequestId, UpstreamId } from "../../ids/index.js";
 import { findHeader, findHeaders, formatAddress, HeaderList, HttpReply, HttpRequest } from "../../ports/index.js";
 import { LEAVING_HEADER, REJECTION_LIMIT_HEADER, REQUEST_LIMIT_HEADER } from "../../protocol/index.js";
@@ -121,6 +122,10 @@
         };
     }
 
+    eventRules(isResumable: boolean): EventRules {
+        return { mayOmitIds: !isResumable, maxDataLines: Number.POSITIVE_INFINITY };
+    }
+
     writeError(err: CallError, request: RequestId | undefined): ErrorReply {
         const { status, kind, message, notRun, retryAfterMs } = err;
         const headers: [string, string][] = [["content-type", "application/json"]];
--- a/src/passthrough/relayStream/index.ts
+++ b/src/passthrough/relayStream/index.ts
@@ -1,9 +1,11 @@
+import { EventError, EventReader, EventSequence, parseEventId } from "../../eventStream/index.js";
 import { findHeader, HttpError, HttpReply } from "../../ports/index.js";
 import { Attempt, AttemptResult } from "../attempt/index.js";
 import { CallContext } from "../callContext/index.js";
 import { ReplyHead } from "../callDialect/index.js";
 import { endWithHttpError } from "../endWithHttpError/index.js";
 import { EventScanner, ScannedEvents } from "../eventScanner/index.js";
+import { recordUnproven } from "../recordUnproven/index.js";
 import { StreamBeginning } from "../streamBeginning/index.js";
 import { writeToCaller } from "../writeToCaller/index.js";
 
@@ -22,10 +24,13 @@
 ): Promise<AttemptResult> {
     const { answer, run, stream, silence } = attempt;
     const scanner = new EventScanner();
+    const reader = makeReader(ctx, attempt);
+    let fault: EventError | undefined;
     const beginning = new StreamBeginning(ctx, attempt);
     try {
         for await (const chunk of reply.body) {
             const events = scanner.push(chunk);
+            if (!fault) fault = findFault(ctx, attempt, reader, chunk);
             if (events.count === 0) continue;
             silence.pause();
             // Events of a cancelled attempt are not written, so they must not count as delivered.
@@ -45,6 +50,9 @@
         silence.pause();
         beginning.record();
     }
+    if (scanner.hasPartialEvent) {
+        recordUnproven(ctx, attempt, { kind: "partial", detail: "the stream ends within an event" });
+    }
     if (scanner.hasPartialEvent && !hasHttpFraming(reply)) {
         const detail = "the stream ends within an event";
         return { kind: "ended", end: attemptEndOf(attempt), detail, connectionEnded: true };
@@ -53,6 +61,22 @@
     return { kind: "answered", status: reply.status, deliver: () => answer.end(scanner.takePartialEvent()) };
 }
 
+function makeReader(ctx: CallContext, { call, stream }: Attempt): EventReader {
+    const lastId = parseEventId(stream.lastEventId ?? call.head.lastEventId ?? "");
+    return new EventReader(new EventSequence(ctx.dialect.eventRules(call.route.resumable), lastId));
+}
+
+function findFault(
+    ctx: CallContext,
+    attempt: Attempt,
+    reader: EventReader,
+    chunk: Uint8Array,
+): EventError | undefined {
+    const { error } = reader.push(chunk);
+    if (error) recordUnproven(ctx, attempt, { kind: error.kind, detail: error.message });
+    return error;
+}
+
 function sendStreamHead({ answer, run, stream }: Attempt, { status }: HttpReply, { headers }: ReplyHead): void {
     stream.isHeadSent = true;
     run.hasAnswerBegun = true;
--- a/src/passthrough/relayStream/test.ts
+++ b/src/passthrough/relayStream/test.ts
@@ -50,6 +50,9 @@
         dispatcher: { progress() {} },
         software: { find: () => undefined, isMixed: () => false },
         parts: { recordBegun() {} },
+        dialect: { eventRules: () => ({ mayOmitIds: true, maxDataLines: 1 }) },
+        metrics: { count() {} },
+        logger: { warn() {} },
     } as unknown as CallContext;
     const body = (async function*(): AsyncGenerator<Uint8Array> {
         yield Buffer.from(EVENT);
--- a/src/passthrough/serveCalls/index.ts
+++ b/src/passthrough/serveCalls/index.ts
@@ -99,6 +99,7 @@
         startedBy: stream.startedBy,
         resumes: head.resumes.join(" ") || undefined,
         lastEventId: head.lastEventId,
+        lastSentId: stream.lastEventId,
         gapMs: Math.round(stream.longestGapMs),
         targetMs: route.targetMs,
         gapBoundMs: route.gapMs,
--- a/src/platform/platformDialect/index.ts
+++ b/src/platform/platformDialect/index.ts
@@ -1,5 +1,6 @@
 import { Either, Left, Right } from "purify-ts";
 import * as z from "zod";
+import { EventRules } from "../../eventStream/index.js";
 import { RequestId, UpstreamId } from "../../ids/index.js";
 import {
     CacheListError,
@@ -72,6 +73,13 @@
 const AUTHORIZATION_PATTERN = /^token +(\S+)$/i;
 const PROMPT_PART_PATTERN = /^([0-9a-f]+):(\d+)$/i;
 
+/** Engines number all events of a stream, and write the version of their weights before the event at which it changes. */
+const EVENT_RULES: EventRules = {
+    mayOmitIds: false,
+    maxDataLines: 1,
+    firstLine: /^sequoiamux-weight-versions: ?\d+$/,
+};
+
 /** An engine's list of cached prompt parts. The fields `epoch` and `next`, for clients that follow changes, are not used. */
 const cacheListSchema = z.looseObject({
     /** Per part: an empty string, the part's ID, its number of tokens, and the model. */
@@ -132,6 +140,10 @@
         };
     }
 
+    eventRules(): EventRules {
+        return EVENT_RULES;
+    }
+
     writeError(err: CallError): ErrorReply {
         const { status, kind, message, notRun, retryAfterMs } = err;
         const headers: [string, string][] = [["content-type", "application/json"]];
