A body that ends within an event is a stream that broke off

Cause: what was left behind the last empty line was sent as the last event wherever HTTP framed the body. An event ends with an empty line, so half of one proves that the rest is missing, whatever the framing says: the attempt ends, a stream that may be resumed goes on elsewhere, any other is broken off. Line ends alone are no event.

The five new tests of src/passthrough/relayStream for framed bodies and trailing line ends failed before.

--- a/src/passthrough/relayStream/index.ts
+++ b/src/passthrough/relayStream/index.ts
@@ -13,7 +13,7 @@
  * Forwards a stream of events as they arrive, complete events only.
  *
  * Prevents truncated streams that look complete: the answer to the caller ends only when the upstream's answer has
- * ended correctly by HTTP; a stream that breaks off is resumed at another upstream, or its connection is reset. Its
+ * ended correctly by HTTP, and behind a whole event; a stream that breaks off is resumed at another upstream, or its connection is reset. Its
  * head is sent with the first event, so that a stream that never begins can still get an error answer.
  */
 export async function relayStream(
@@ -50,15 +50,13 @@
         silence.pause();
         beginning.record();
     }
-    if (scanner.hasPartialEvent) {
-        recordUnproven(ctx, attempt, { kind: "partial", detail: "the stream ends within an event" });
-    }
-    if (scanner.hasPartialEvent && !hasHttpFraming(reply)) {
+    if (reader.hasPartialEvent) {
         const detail = "the stream ends within an event";
-        return { kind: "ended", end: attemptEndOf(attempt), detail, connectionEnded: true };
+        recordUnproven(ctx, attempt, { kind: "partial", detail });
+        return { kind: "ended", end: attemptEndOf(attempt), detail, connectionEnded: !hasHttpFraming(reply) };
     }
     if (!stream.isHeadSent) sendStreamHead(attempt, reply, head);
-    return { kind: "answered", status: reply.status, deliver: () => answer.end(scanner.takePartialEvent()) };
+    return { kind: "answered", status: reply.status, deliver: () => answer.end() };
 }
 
 function makeReader(ctx: CallContext, { call, stream }: Attempt): EventReader {
--- a/src/passthrough/relayStream/test.ts
+++ b/src/passthrough/relayStream/test.ts
@@ -1,13 +1,15 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { HttpReply, VirtualClock } from "../../ports/index.js";
+import { HeaderList, HttpReply, VirtualClock } from "../../ports/index.js";
 import { Attempt, AttemptResult, SilenceWatch } from "../attempt/index.js";
 import { CallContext } from "../callContext/index.js";
 import { ReplyHead } from "../callDialect/index.js";
-import { createStreamState } from "../streamState/index.js";
+import { NativeDialect } from "../nativeDialect/index.js";
+import { createStreamState, StreamState } from "../streamState/index.js";
 import { relayStream } from "./index.js";
 
-const EVENT = "id: 1\ndata: one\n\n";
+const EVENT = "data: one\n\n";
+const NO_HEAD = { headers: [] } as unknown as ReplyHead;
 
 /** Records what is expected of the upstream, among the other steps of a stream. */
 class RecordingWatch extends SilenceWatch {
@@ -26,6 +28,19 @@
     }
 }
 
+function makeContext(clock: VirtualClock): CallContext {
+    return {
+        clock,
+        time: { now: () => 0 },
+        dispatcher: { progress() {} },
+        software: { find: () => undefined, isMixed: () => false },
+        parts: { recordBegun() {} },
+        dialect: new NativeDialect(),
+        metrics: { count() {} },
+        logger: { warn() {} },
+    } as unknown as CallContext;
+}
+
 /** Relays a stream of two events, the second in two pieces. */
 function relay(
     clock: VirtualClock,
@@ -44,23 +59,74 @@
         silence: new RecordingWatch(steps),
         tokensPerEvent: 1,
     } as unknown as Attempt;
-    const ctx = {
-        clock,
-        time: { now: () => 0 },
-        dispatcher: { progress() {} },
-        software: { find: () => undefined, isMixed: () => false },
-        parts: { recordBegun() {} },
-        dialect: { eventRules: () => ({ mayOmitIds: true, maxDataLines: 1 }) },
-        metrics: { count() {} },
-        logger: { warn() {} },
-    } as unknown as CallContext;
     const body = (async function*(): AsyncGenerator<Uint8Array> {
         yield Buffer.from(EVENT);
         yield Buffer.from(EVENT.slice(0, 5));
         yield Buffer.from(EVENT.slice(5));
     })();
     const reply: HttpReply = { status: 200, headers: [["transfer-encoding", "chunked"]], body, reset() {} };
-    return relayStream(ctx, attempt, reply, { headers: [] } as unknown as ReplyHead);
+    return relayStream(makeContext(clock), attempt, reply, NO_HEAD);
+}
+
+/** How an upstream frames the body of a stream. */
+type Framing = "chunked" | "length" | "close";
+
+const FRAMINGS: readonly Framing[] = ["chunked", "length", "close"];
+const FRAMING_HEADERS: Readonly<Record<Framing, HeaderList>> = {
+    chunked: [["transfer-encoding", "chunked"]],
+    length: [["content-length", "1000"]],
+    close: [],
+};
+
+/** What became of a stream of which an upstream sent some bytes. */
+interface Played {
+    readonly result: AttemptResult;
+    /** What the caller received. */
+    readonly written: string;
+    readonly stream: StreamState;
+    readonly isReset: boolean;
+}
+
+interface Play {
+    readonly framing?: Framing;
+    readonly resumable?: boolean;
+    /** The last event that the caller says it has. */
+    readonly lastEventId?: string;
+    readonly stream?: StreamState;
+}
+
+/** Relays a body that arrives in one piece. */
+async function play(text: string, options: Play = {}): Promise<Played> {
+    const { framing = "chunked", resumable = true, lastEventId, stream = createStreamState() } = options;
+    const written: string[] = [];
+    let isReset = false;
+    const signal = new AbortController().signal;
+    const route = { name: "letters", kind: "stream", resumable };
+    const attempt = {
+        call: { route, pool: "ledger", sharedParts: [], head: { lastEventId }, arrivedAt: 0 },
+        grant: {},
+        run: { signal, waitFor() {} },
+        answer: {
+            write: async (bytes: Uint8Array) => void written.push(String(bytes)),
+            sendHead() {},
+            end: (bytes?: Uint8Array) => void written.push(bytes ? String(bytes) : ""),
+        },
+        stream,
+        silence: new RecordingWatch([]),
+        tokensPerEvent: 1,
+    } as unknown as Attempt;
+    const body = (async function*(): AsyncGenerator<Uint8Array> {
+        yield Buffer.from(text);
+    })();
+    const reset = (): void => void (isReset = true);
+    const reply: HttpReply = { status: 200, headers: FRAMING_HEADERS[framing], body, reset };
+    const result = await relayStream(makeContext(new VirtualClock()), attempt, reply, NO_HEAD);
+    if (result.kind === "answered") result.deliver();
+    return { result, written: written.join(""), stream, isReset };
+}
+
+function event(id: number): string {
+    return `id: ${id}\ndata: event ${id}\n\n`;
 }
 
 describe("relayStream", () => {
@@ -94,4 +160,19 @@
         const result = await clock.runUntil(relayed, 10_000);
         assert.equal(result.kind, "ended");
     });
+
+    describe("the end of a body", () => {
+        for (const framing of FRAMINGS) {
+            it(`counts as the end of the stream behind a whole event, framed by ${framing}`, async () => {
+                const { result, written } = await play(`${event(1)}${event(2)}\n`, { framing });
+                assert.deepEqual([result.kind, written], ["answered", event(1) + event(2)]);
+            });
+
+            it(`does not count as the end of the stream within an event, framed by ${framing}`, async () => {
+                // Failure: the caller gets half an event, and an answer that ends as complete.
+                const { result, written, stream } = await play(`${event(1)}id: 2\ndata: ev`, { framing });
+                assert.deepEqual([result.kind, written, stream.lastEventId], ["ended", event(1), "1"]);
+            });
+        }
+    });
 });
