What an upstream sends in place of the next event reaches no caller

What callers saw: an event with an empty id behind a numbered one, from an upstream that sent garbage; in trials also events without an id, repeated and skipped ones, the head of a second answer, an id without data, and, at the joint with an upstream that ignores last-event-id, the stream from its beginning once more. Cause: every block of text up to an empty line was forwarded as an event, whatever it was; nothing held its id against the one before, and an empty id replaced the last good one, so that the next upstream was asked to begin anew. The class: bytes count as part of a run because of where they stand.

Now each block is judged before anything is written (src/eventStream). One that is not the next event is not forwarded, the connection is reset, the attempt counts as the upstream's failure without a look at the path, and the owner of its queue backs off from that upstream. A stream that may be resumed goes on behind the last good event elsewhere, within its attempts and permits; any other is broken off. Comments are left out.

Why it works: a caller gets a prefix of consecutive events in any case (property over random blocks and cuts, eventReader).

--- a/src/emulator/emulatedCallUpstream/index.ts
+++ b/src/emulator/emulatedCallUpstream/index.ts
@@ -25,6 +25,10 @@
     | "refuse"
     /** Resets the connection in the middle of an event, after the first complete events. */
     | "break"
+    /** Sends garbage in place of an event, behind the first complete events, and goes on to a correct end. */
+    | "garble"
+    /** Sends a stream from its first event on, whichever event it was asked to begin behind. */
+    | "begin-anew"
     /** Answers with the id of another call. */
     | "crossed";
 
@@ -101,6 +105,7 @@
 const MS_PER_SECOND = 1_000;
 const MAX_BODY_BYTES = 16 * 1024 * 1024;
 const BREAK_AFTER_EVENTS = 2;
+const GARBAGE = "q8Zx\n\n";
 const EVENTS_PATTERN = /\[events=(\d+)\]/;
 
 /**
@@ -448,7 +453,8 @@
     ): Promise<void> {
         const { gapMs, clock } = this.options;
         const events = Number(EVENTS_PATTERN.exec(body)?.[1] ?? this.options.events);
-        const firstEventId = Number(findHeader(req.headers, CALL_HEADERS.lastEventId) ?? 0) + 1;
+        const lastEventId = fault === "begin-anew" ? 0 : Number(findHeader(req.headers, CALL_HEADERS.lastEventId) ?? 0);
+        const firstEventId = lastEventId + 1;
         res.head(200, this.streamHeaders(request));
         for (let id = firstEventId; id <= events; id++) {
             await this.waitWhileSilent(req.closed);
@@ -458,7 +464,8 @@
                 res.reset();
                 return;
             }
-            await res.write(this.formatEvent(id));
+            const isGarbled = fault === "garble" && id === firstEventId + BREAK_AFTER_EVENTS;
+            await res.write(isGarbled ? GARBAGE : this.formatEvent(id));
             await clock.sleep(gapMs, req.closed);
         }
         res.end();
--- a/src/entry/routeService/test.ts
+++ b/src/entry/routeService/test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { afterEach, describe, it } from "node:test";
+import { CallFault } from "../../emulator/index.js";
 import { RoutedFleet, RoutedFleetOptions, TestCall, TestReply } from "../../faultInjection/index.js";
 import { PoolId } from "../../ids/index.js";
 import { CALL_HEADERS } from "../../passthrough/index.js";
@@ -48,7 +49,7 @@
     }
 
     /** Makes the next call to each upstream fail. */
-    function injectFault(fault: "lost" | "error" | "refuse" | "break" | "crossed"): void {
+    function injectFault(fault: CallFault): void {
         for (const upstream of fleet.upstreams) upstream.faults.push(fault);
     }
 
@@ -220,6 +221,36 @@
             assert.deepEqual([second.body, second.isWhole], [WHOLE, true]);
         });
 
+        it("go on at another upstream behind garbage, without a gap or a duplicate", async () => {
+            // Failure: a caller receives a piece that no run made, and an answer that ends as complete.
+            await startFleet({ upstreams: STREAMS });
+            await fleet.advance(10_000);
+            fleet.upstreams[0].faults.push("garble");
+            const replies = [0, 1].map(number => fleet.startCall({ entry: 0, path: `/notes/${number}`, key: KEY }));
+            const settled = await fleet.run(Promise.all(replies));
+            assert.deepEqual(settled.map(({ body, isWhole }) => [body, isWhole]), [[WHOLE, true], [WHOLE, true]]);
+        });
+
+        it("are cut behind garbage where they may not be resumed", async () => {
+            // Failure: a caller receives a piece that no run made, and an answer that ends as complete.
+            await startFleet({ upstreams: STREAMS });
+            injectFault("garble");
+            const reply = await fleet.call({ entry: 0, path: "/sheets/1", key: KEY });
+            assert.deepEqual([WHOLE.startsWith(reply.body), reply.isWhole], [true, false]);
+        });
+
+        it("are cut where the upstream that should resume begins anew", async () => {
+            // Failure: the joint repeats pieces that the caller has.
+            await startFleet({ upstreams: STREAMS });
+            await fleet.advance(10_000);
+            for (const { faults } of fleet.upstreams) faults.push("break", "begin-anew");
+            const [first, second] = [0, 1].map(number =>
+                fleet.startCall({ entry: 0, path: `/notes/${number}`, key: KEY })
+            );
+            const settled = await fleet.run(Promise.all([first, second]));
+            for (const { body, isWhole } of settled) assert.deepEqual([WHOLE.startsWith(body), isWhole], [true, false]);
+        });
+
         it("are cut where the engine that should resume fails, whichever engine breaks off", async () => {
             // Failure: a caller mistakes half of a brief for the whole. An engine crashes while it streams, the engine that should resume
             // answers with an error, and the text of that error is appended to the stream, though the answer is not a stream.
--- a/src/passthrough/attempt/index.ts
+++ b/src/passthrough/attempt/index.ts
@@ -80,6 +80,8 @@
         readonly misdirected?: boolean;
         /** Whether the upstream closed or reset the connection during the attempt. */
         readonly connectionEnded?: boolean;
+        /** Whether the answer itself proves that the upstream failed, whatever the way to it. */
+        readonly isUpstreamFault?: boolean;
         /** Whether the attempt failed on its way, which says nothing about the upstream. */
         readonly isPathFailure?: boolean;
     };
--- a/src/passthrough/index.ts
+++ b/src/passthrough/index.ts
@@ -6,7 +6,6 @@
 export * from "./callDurations/index.js";
 export * from "./callError/index.js";
 export * from "./endToEndHeaders/index.js";
-export * from "./eventScanner/index.js";
 export * from "./nativeDialect/index.js";
 export * from "./readRequestLimit/index.js";
 export * from "./readRetryAfter/index.js";
--- a/src/passthrough/relayStream/index.ts
+++ b/src/passthrough/relayStream/index.ts
@@ -1,20 +1,19 @@
-import { EventError, EventReader, EventSequence, parseEventId } from "../../eventStream/index.js";
+import { EventReader, EventSequence, parseEventId, ReadEvents } from "../../eventStream/index.js";
 import { findHeader, HttpError, HttpReply } from "../../ports/index.js";
 import { Attempt, AttemptResult } from "../attempt/index.js";
 import { CallContext } from "../callContext/index.js";
 import { ReplyHead } from "../callDialect/index.js";
 import { endWithHttpError } from "../endWithHttpError/index.js";
-import { EventScanner, ScannedEvents } from "../eventScanner/index.js";
 import { recordUnproven } from "../recordUnproven/index.js";
 import { StreamBeginning } from "../streamBeginning/index.js";
 import { writeToCaller } from "../writeToCaller/index.js";
 
 /**
- * Forwards a stream of events as they arrive, complete events only.
+ * Forwards a stream of events as they arrive: each one only once it proves to be the next event of the stream.
  *
  * Prevents truncated streams that look complete: the answer to the caller ends only when the upstream's answer has
- * ended correctly by HTTP, and behind a whole event; a stream that breaks off is resumed at another upstream, or its connection is reset. Its
- * head is sent with the first event, so that a stream that never begins can still get an error answer.
+ * ended correctly by HTTP, and behind a whole event; a stream that breaks off is resumed at another upstream, or its connection is reset.
+ * Its head is sent with the first event, so that a stream that never begins can still get an error answer.
  */
 export async function relayStream(
     ctx: CallContext,
@@ -22,25 +21,16 @@
     reply: HttpReply,
     head: ReplyHead,
 ): Promise<AttemptResult> {
-    const { answer, run, stream, silence } = attempt;
-    const scanner = new EventScanner();
+    const { answer, stream, silence } = attempt;
     const reader = makeReader(ctx, attempt);
-    let fault: EventError | undefined;
     const beginning = new StreamBeginning(ctx, attempt);
     try {
         for await (const chunk of reply.body) {
-            const events = scanner.push(chunk);
-            if (!fault) fault = findFault(ctx, attempt, reader, chunk);
-            if (events.count === 0) continue;
-            silence.pause();
-            // Events of a cancelled attempt are not written, so they must not count as delivered.
-            if (run.signal.aborted) throw new HttpError("aborted", true, "before an event was forwarded");
-            recordEvents(ctx, attempt, events);
-            await beginning.awaitRecorded();
-            ctx.dispatcher.progress(attempt.ticketId, events.count * attempt.tokensPerEvent);
-            if (!stream.isHeadSent) sendStreamHead(attempt, reply, head);
-            await writeToCaller(attempt, events.bytes);
-            silence.expectMore();
+            const events = reader.push(chunk);
+            if (events.count > 0) {
+                await forward(ctx, attempt, events, beginning, () => sendStreamHead(attempt, reply, head));
+            }
+            if (events.error) return endAsUnproven(ctx, attempt, reply, events.error.kind, events.error.message);
         }
     }
     catch (err) {
@@ -51,28 +41,51 @@
         beginning.record();
     }
     if (reader.hasPartialEvent) {
-        const detail = "the stream ends within an event";
-        recordUnproven(ctx, attempt, { kind: "partial", detail });
-        return { kind: "ended", end: attemptEndOf(attempt), detail, connectionEnded: !hasHttpFraming(reply) };
+        const isFramed = hasHttpFraming(reply);
+        const ended = endAsUnproven(ctx, attempt, reply, "partial", "the stream ends within an event");
+        // Where the connection ended the body, upstream or path may have.
+        return { ...ended, isUpstreamFault: isFramed, connectionEnded: !isFramed };
     }
     if (!stream.isHeadSent) sendStreamHead(attempt, reply, head);
     return { kind: "answered", status: reply.status, deliver: () => answer.end() };
 }
 
 function makeReader(ctx: CallContext, { call, stream }: Attempt): EventReader {
-    const lastId = parseEventId(stream.lastEventId ?? call.head.lastEventId ?? "");
+    const lastId = stream.lastEventId ?? parseEventId(call.head.lastEventId ?? "");
     return new EventReader(new EventSequence(ctx.dialect.eventRules(call.route.resumable), lastId));
 }
 
-function findFault(
+/** Forwards complete events to the caller, and waits until it can receive more. */
+async function forward(
     ctx: CallContext,
     attempt: Attempt,
-    reader: EventReader,
-    chunk: Uint8Array,
-): EventError | undefined {
-    const { error } = reader.push(chunk);
-    if (error) recordUnproven(ctx, attempt, { kind: error.kind, detail: error.message });
-    return error;
+    events: ReadEvents,
+    beginning: StreamBeginning,
+    sendHead: () => void,
+): Promise<void> {
+    const { run, stream, silence } = attempt;
+    silence.pause();
+    // Events of a cancelled attempt are not written, so they must not count as delivered.
+    if (run.signal.aborted) throw new HttpError("aborted", true, "before an event was forwarded");
+    recordEvents(ctx, attempt, events);
+    await beginning.awaitRecorded();
+    ctx.dispatcher.progress(attempt.ticketId, events.count * attempt.tokensPerEvent);
+    if (!stream.isHeadSent) sendHead();
+    await writeToCaller(attempt, events.bytes);
+    silence.expectMore();
+}
+
+/** Ends an attempt whose upstream sent what is no part of the stream. Its connection is not used again. */
+function endAsUnproven(
+    ctx: CallContext,
+    attempt: Attempt,
+    reply: HttpReply,
+    kind: string,
+    detail: string,
+): Extract<AttemptResult, { kind: "ended"; }> {
+    recordUnproven(ctx, attempt, { kind, detail });
+    reply.reset();
+    return { kind: "ended", end: attemptEndOf(attempt), detail, isUpstreamFault: true };
 }
 
 function sendStreamHead({ answer, run, stream }: Attempt, { status }: HttpReply, { headers }: ReplyHead): void {
@@ -85,7 +98,7 @@
 function recordEvents(
     ctx: CallContext,
     { call, grant, run, stream }: Attempt,
-    { count, lastId }: ScannedEvents,
+    { count, lastId }: ReadEvents,
 ): void {
     const now = ctx.clock.monotonic();
     run.waitFor("more");
--- a/src/passthrough/relayStream/test.ts
+++ b/src/passthrough/relayStream/test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { EventId } from "../../ids/index.js";
 import { HeaderList, HttpReply, VirtualClock } from "../../ports/index.js";
 import { Attempt, AttemptResult, SilenceWatch } from "../attempt/index.js";
 import { CallContext } from "../callContext/index.js";
@@ -171,7 +172,74 @@
             it(`does not count as the end of the stream within an event, framed by ${framing}`, async () => {
                 // Failure: the caller gets half an event, and an answer that ends as complete.
                 const { result, written, stream } = await play(`${event(1)}id: 2\ndata: ev`, { framing });
-                assert.deepEqual([result.kind, written, stream.lastEventId], ["ended", event(1), "1"]);
+                assert.deepEqual([result.kind, written, stream.lastEventId], ["ended", event(1), 1 as EventId]);
+            });
+        }
+    });
+
+    describe("blocks that are not the next event", () => {
+        // Failure: the caller gets pieces that no run made, since a block counts as an event because it stands where one is due.
+        const faults: readonly (readonly [string, string])[] = [
+            ["garbage", "q8Zx\n\n"],
+            ["garbage without an end", "q8Zx"],
+            ["an empty id", "id: \ndata: event 3\n\n"],
+            ["an id that is no number", "id: x\ndata: event 3\n\n"],
+            ["no id", "data: event 3\n\n"],
+            ["an id without data", "id: 3\n\n"],
+            ["the last event once more", event(2)],
+            ["the first event once more", event(1)],
+            ["a later event", event(4)],
+            ["the head of a second answer", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"],
+            ["half an event and a whole one", `id: 3\nda${event(3)}`],
+        ];
+        for (const framing of FRAMINGS) {
+            for (const [name, block] of faults) {
+                it(`forwards nothing from ${name} on, framed by ${framing}`, async () => {
+                    const good = event(1) + event(2);
+                    const { result, written, stream, isReset } = await play(good + block + event(3), { framing });
+                    assert.deepEqual([result.kind, written, stream.lastEventId], ["ended", good, 2 as EventId]);
+                    assert.equal(result.kind === "ended" && result.end, "broken");
+                    assert.equal(isReset, true);
+                });
+            }
+        }
+
+        it("leaves comments out", async () => {
+            const { result, written } = await play(`${event(1)}: note\n\n${event(2)}`);
+            assert.deepEqual([result.kind, written], ["answered", event(1) + event(2)]);
+        });
+
+        it("forwards events without ids where the stream can't be resumed", async () => {
+            const { result, written } = await play("data: a\n\ndata: b\n\n", { resumable: false });
+            assert.deepEqual([result.kind, written], ["answered", "data: a\n\ndata: b\n\n"]);
+        });
+
+        it("counts as lost where it is the first", async () => {
+            const { result, written } = await play(`q8Zx\n\n${event(1)}`);
+            assert.equal(result.kind === "ended" && result.end, "lost");
+            assert.equal(written, "");
+        });
+    });
+
+    describe("a stream that another upstream continues", () => {
+        const begun = (): StreamState => ({ ...createStreamState(), eventCount: 2, lastEventId: 2 as EventId });
+
+        it("goes on behind the last event of the first one", async () => {
+            const { result, written, stream } = await play(event(3), { stream: begun() });
+            assert.deepEqual([result.kind, written, stream.eventCount], ["answered", event(3), 3]);
+        });
+
+        it("goes on behind the last event that the caller has", async () => {
+            assert.equal((await play(event(8), { lastEventId: "7" })).written, event(8));
+        });
+
+        for (
+            const [name, options] of [["this host", { stream: begun() }], ["the caller", { lastEventId: "2" }]] as const
+        ) {
+            it(`does not begin anew where ${name} has asked for its rest`, async () => {
+                // Failure: an upstream that ignores the last event's id brings the caller each piece twice.
+                const { result, written } = await play(event(1) + event(2) + event(3), options);
+                assert.deepEqual([result.kind, written], ["ended", ""]);
             });
         }
     });
--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -243,7 +243,8 @@
     const ended = { stream: { ...progress.stream }, tries: progress.tries };
     const complete = (end: GrantEnd): void => completeGrant(task, attempt, end, ended, sentAt);
     if (result.kind === "answered" || outcome !== "failed" || result.misdirected) return complete({ outcome });
-    const { end, connectionEnded = false, isPathFailure = false } = result;
+    const { end, connectionEnded = false, isPathFailure = false, isUpstreamFault = false } = result;
+    if (isUpstreamFault) return complete({ outcome });
     const mayHaveBeenSent = end !== "not-sent";
     const failure = { isPathFailure, mayHaveBeenSent, isRelayed: relay !== undefined, connectionEnded, sentAt };
     const target = toTarget(call.pool, grant);
--- a/src/passthrough/sendCall/index.ts
+++ b/src/passthrough/sendCall/index.ts
@@ -41,7 +41,7 @@
             deadlineMs: remainingMs,
             priority: grant.priority,
             fetchFrom: grant.fetchFrom,
-            lastEventId: attempt.stream.lastEventId ?? call.head.lastEventId,
+            lastEventId: attempt.stream.lastEventId?.toString() ?? call.head.lastEventId,
         }),
         body: call.body.length > 0 || !METHODS_WITHOUT_BODY.includes(call.method) ? call.body : undefined,
         newConnection: false,
--- a/src/passthrough/streamState/index.ts
+++ b/src/passthrough/streamState/index.ts
@@ -1,11 +1,11 @@
-import { SoftwareVersion } from "../../ids/index.js";
+import { EventId, SoftwareVersion } from "../../ids/index.js";
 
 /** The part of a stream that the caller has received, from all upstreams together. */
 export interface StreamState {
     /** Number of complete events sent to the caller. */
     eventCount: number;
-    /** The id of the last event that had one. */
-    lastEventId: string | undefined;
+    /** The id of the last event; undefined before it, and where events have no ids. */
+    lastEventId: EventId | undefined;
     /** Version of the software of the upstream that sent the first event; undefined before it, or where it is unknown. */
     startedBy: SoftwareVersion | undefined;
     /** Whether the head of the answer has been sent to the caller. */
