An answer without an event is no whole stream

Callers of a stream got an answer that ended as complete with nothing in it, or with what an earlier upstream had sent: an upstream that is asked for the rest of a stream and answers 200 with no event ended the stream, wherever that was. Cause: an end framed by HTTP counted as the end of the run. It proves nothing without an event of that run. Now the attempt ends as a failure of the upstream; only streams without ids, of which nothing has been sent, may be empty. Weighed: to accept an empty rest as the end, since a stream that breaks off between its last event and its end can't be finished otherwise. A caller who lacks the end knows it, one who lacks pieces does not.

--- a/src/passthrough/relayStream/index.ts
+++ b/src/passthrough/relayStream/index.ts
@@ -23,6 +23,7 @@
 ): Promise<AttemptResult> {
     const { answer, stream, silence } = attempt;
     const reader = makeReader(ctx, attempt);
+    const { eventCount: earlierEvents } = stream;
     const beginning = new StreamBeginning(ctx, attempt);
     try {
         for await (const chunk of reply.body) {
@@ -41,10 +42,10 @@
         beginning.record();
     }
     if (reader.hasPartialEvent) {
-        const isFramed = hasHttpFraming(reply);
-        const ended = endAsUnproven(ctx, attempt, reply, "partial", "the stream ends within an event");
-        // Where the connection ended the body, upstream or path may have.
-        return { ...ended, isUpstreamFault: isFramed, connectionEnded: !isFramed };
+        return endAsIncomplete(ctx, attempt, reply, "partial", "the stream ends within an event");
+    }
+    if (stream.eventCount === earlierEvents && !mayBeEmpty(ctx, attempt)) {
+        return endAsIncomplete(ctx, attempt, reply, "empty", "the stream ends without an event");
     }
     if (!stream.isHeadSent) sendStreamHead(attempt, reply, head);
     return { kind: "answered", status: reply.status, deliver: () => answer.end() };
@@ -88,6 +89,25 @@
     return { kind: "ended", end: attemptEndOf(attempt), detail, isUpstreamFault: true };
 }
 
+/** Ends an attempt whose answer ended, although its body does not prove to be whole. */
+function endAsIncomplete(
+    ctx: CallContext,
+    attempt: Attempt,
+    reply: HttpReply,
+    kind: string,
+    detail: string,
+): AttemptResult {
+    const isFramed = hasHttpFraming(reply);
+    const ended = endAsUnproven(ctx, attempt, reply, kind, detail);
+    // Where the connection ended the body, upstream or path may have failed.
+    return { ...ended, isUpstreamFault: isFramed, connectionEnded: !isFramed };
+}
+
+/** Whether a stream may consist of no event: none of it is known to exist, and no id would tell whether one is missing. */
+function mayBeEmpty(ctx: CallContext, { call, stream }: Attempt): boolean {
+    return stream.eventCount === 0 && ctx.dialect.eventRules(call.route.resumable).mayOmitIds;
+}
+
 function sendStreamHead({ answer, run, stream }: Attempt, { status }: HttpReply, { headers }: ReplyHead): void {
     stream.isHeadSent = true;
     run.hasAnswerBegun = true;
--- a/src/passthrough/relayStream/test.ts
+++ b/src/passthrough/relayStream/test.ts
@@ -221,6 +221,33 @@
         });
     });
 
+    describe("an answer without an event", () => {
+        for (const framing of FRAMINGS) {
+            for (
+                const [name, text] of [["no byte", ""], ["an empty line", "\n\n"], ["a comment", ": note\n\n"]] as const
+            ) {
+                it(`is no stream that has ended, with ${name}, framed by ${framing}`, async () => {
+                    // Failure: the caller takes nothing for the whole stream.
+                    const { result, written } = await play(text, { framing });
+                    assert.equal(result.kind === "ended" && result.end, "lost");
+                    assert.equal(written, "");
+                });
+
+                it(`does not end the rest of a stream, with ${name}, framed by ${framing}`, async () => {
+                    // Failure: a stream ends as complete before its last piece, at an upstream that was asked for its rest.
+                    const stream = { ...createStreamState(), eventCount: 2, lastEventId: 2 as EventId };
+                    const { result } = await play(text, { framing, stream });
+                    assert.equal(result.kind === "ended" && result.end, "broken");
+                });
+            }
+        }
+
+        it("may be the whole of a stream whose events have no ids", async () => {
+            const { result } = await play("", { resumable: false });
+            assert.equal(result.kind, "answered");
+        });
+    });
+
     describe("a stream that another upstream continues", () => {
         const begun = (): StreamState => ({ ...createStreamState(), eventCount: 2, lastEventId: 2 as EventId });
 
