A stream is not taken up behind an id that no event has

A caller that had an event with an empty id asked to go on behind it, and the upstream, asked for the events behind an empty id, began anew: all pieces came twice. Cause: any text counted as the id of the last event, and an empty one as none. Ids are numbers from 1; 0 says that the caller has no event, and begins the stream; any other text is a malformed call, with status 400. The four tests of malformed ids in entry/resumedStreams failed before. A test of the platform's dialect states the form of an engine's events, as read in recorded streams.

--- a/src/entry/resumedStreams/test.ts
+++ b/src/entry/resumedStreams/test.ts
@@ -142,6 +142,24 @@
             });
         }
 
+        for (const lastEventId of ["", "x", "-1", "2.5"]) {
+            it(`is malformed where the last event's id is ${JSON.stringify(lastEventId)}`, async () => {
+                // Failure: the upstream is asked to go on behind no event, and begins anew.
+                const running = await startFleet();
+                await breakOff(running, "first");
+                const before = countRuns(running);
+                const reply = await resume(running, ["first"], { lastEventId });
+                assert.deepEqual([reply.status, countRuns(running)], [400, before]);
+            });
+        }
+
+        it("begins where its caller has no event", async () => {
+            const running = await startFleet();
+            const whole = await running.call({ entry: 0, path: "/orders/1", key: KEY, request: "whole" });
+            const reply = await resume(running, ["first"], { lastEventId: "0" });
+            assert.deepEqual([reply.status, countEvents(reply)], [200, countEvents(whole)]);
+        });
+
         it("is refused as not run: an attempt of another workspace", async () => {
             const running = await startFleet();
             await breakOff(running, "first");
--- a/src/passthrough/resolveResumption/index.ts
+++ b/src/passthrough/resolveResumption/index.ts
@@ -1,4 +1,5 @@
 import { Either, Left, Right } from "purify-ts";
+import { parseEventId } from "../../eventStream/index.js";
 import { WorkspaceId } from "../../ids/index.js";
 import { StreamStart } from "../../resumption/index.js";
 import { Route } from "../../routing/index.js";
@@ -8,6 +9,8 @@
 
 /** Retry delay of callers whose stream can't go on now, in milliseconds: hosts that know its start may be back by then. */
 const RETRY_AFTER_MS = 1_000;
+/** What callers that have no event yet may send as the id of the last one. */
+const NO_EVENT = "0";
 
 const REASONS = {
     unknown: "nobody knows where the stream of that attempt began",
@@ -28,7 +31,12 @@
     workspace: WorkspaceId | undefined,
     head: CallHead,
 ): Promise<Either<CallError, StreamStart | undefined>> {
-    if (route.kind !== "stream" || !head.lastEventId) return Right(undefined);
+    if (route.kind !== "stream" || head.lastEventId === undefined || head.lastEventId === NO_EVENT) {
+        return Right(undefined);
+    }
+    if (parseEventId(head.lastEventId) === undefined) {
+        return Left(new CallError("malformed", "the id of the last event is no number from 1"));
+    }
     if (!route.resumable) return refuse("streams of this route can't be taken up again");
     if (head.resumes.length !== 1) return refuse("one attempt must be named that brought the stream's first event");
     const lookup = await ctx.streams.find(workspace, head.resumes[0]);
--- a/src/platform/platformDialect/test.ts
+++ b/src/platform/platformDialect/test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { EventSequence } from "../../eventStream/index.js";
 import { UpstreamId, WorkspaceId } from "../../ids/index.js";
 import { CallError } from "../../passthrough/index.js";
 import { HeaderList, HttpReply, HttpRequest } from "../../ports/index.js";
@@ -100,6 +101,26 @@
         });
     });
 
+    describe("an engine's events", () => {
+        const rules = dialect.eventRules();
+        const judge = (text: string): string =>
+            new EventSequence(rules, undefined).judge(Buffer.from(text)).map(({ kind }): string => kind)
+                .mapLeft(({ kind }) => kind).extract();
+
+        it("have a number and a line of data each, and may state the version of the weights before them", () => {
+            assert.equal(judge("id: 1\ndata: x\n\n"), "next");
+            assert.equal(judge("sequoiamux-weight-versions: 3\nid: 1\ndata: x\n\n"), "next");
+        });
+
+        it("are no events in any other form", () => {
+            // Failure: garbage that looks like lines of an event reaches the caller as one.
+            assert.equal(judge("data: x\n\n"), "no-id");
+            assert.equal(judge("id: 1\ndata: x\ndata: y\n\n"), "malformed");
+            assert.equal(judge("sequoiamux-weight-versions: x\nid: 1\ndata: x\n\n"), "malformed");
+            assert.equal(judge("id: 1\nsequoiamux-weight-versions: 3\ndata: x\n\n"), "malformed");
+        });
+    });
+
     describe("an engine's list of cached prompt parts", () => {
         const list = (body: unknown) => dialect.readCacheList(200, JSON.stringify(body));
 
