A relay's answer counts only if it names the request to the relay, whatever it says

Callers of a host that has lost its paths could get the answer to another call. A second answer that stood on the kept connection to a relay was taken for this call's, since only the statement 'not sent' was held against the id of the request to the relay.

Now any answer of a relay that does not repeat the id is lost on its way and its connection is reset; the call may have run, so that it is not sent again unless it may be repeated. Relays have repeated the id in each answer before.

The test double of a relay now names the request, as relays do; no assertion changed.

--- a/src/relay/relayReply/index.ts
+++ b/src/relay/relayReply/index.ts
@@ -25,7 +25,8 @@
  * Reads a relay's answer up to the head of the upstream's response.
  *
  * @param relay - The relay.
- * @param exchange - Id of the request to the relay. Only an answer that repeats it can state that the relay has not sent the request.
+ * @param exchange - Id of the request to the relay. Only an answer that repeats it says anything about this request: what became of it, or
+ * what the upstream has answered.
  * @param onEnd - Called at the end of the upstream's body, or of the answer where there is no body.
  */
 export async function readRelayReply(
@@ -41,6 +42,11 @@
         if (isOwn && STATUSES_NOT_SENT.includes(reply.status)) return { kind: "not-sent", reason: "lost" };
         return { kind: "lost", err: new PathError("malformed", true, `the relay answers ${reply.status}`) };
     }
+    if (!isOwn) {
+        onEnd();
+        reply.reset();
+        return { kind: "lost", err: new PathError("malformed", true, "the relay's answer is to another request") };
+    }
     const frames = readRelayFrames(reply.body)[Symbol.asyncIterator]();
     const answer = await readAnswer(frames);
     if (!(answer instanceof HttpError) && answer.kind === "reply") {
@@ -55,9 +61,7 @@
     onEnd();
     if (answer instanceof HttpError) reply.reset();
     else void finish(frames);
-    const attempt = toFailedAttempt(answer);
-    if (attempt.kind !== "not-sent" || isOwn) return attempt;
-    return { kind: "lost", err: new PathError("malformed", true, "the relay's answer is to another request") };
+    return toFailedAttempt(answer);
 }
 
 /**
--- a/src/relay/relayReply/test.ts
+++ b/src/relay/relayReply/test.ts
@@ -22,7 +22,7 @@
 
     readonly reply: HttpReply = {
         status: 200,
-        headers: [],
+        headers: [[RELAY_EXCHANGE_HEADER, EXCHANGE]],
         body: this.send(),
         reset: () => this.isClosed = true,
     };
@@ -67,6 +67,18 @@
         assert.ok(relay.isClosed && relay.pieces < MAX_PIECES, `${relay.pieces} pieces`);
     });
 
+    for (const exchange of ["host-1/2", undefined]) {
+        const name = exchange === undefined ? "no request" : "another request";
+        it(`takes an upstream's answer for lost where the relay's answer names ${name}`, async () => {
+            // Failure: a caller gets the answer to another call, which a relay has sent where this call's was due.
+            const relay = new RelayAnswerDouble([HEAD, DATA, encodeRelayFrame(FRAME_KINDS.end)]);
+            const headers: HeaderList = exchange === undefined ? [] : [[RELAY_EXCHANGE_HEADER, exchange]];
+            let ended = 0;
+            const attempt = await readRelayReply({ ...relay.reply, headers }, RELAY, EXCHANGE, () => ended++);
+            assert.deepEqual([attempt.kind, relay.isClosed, ended], ["lost", true, 1]);
+        });
+    }
+
     for (const json of ["null", "7", "\"reply\"", "{}"]) {
         it(`takes the message ${json} for a malformed answer`, async () => {
             // Failure: the call ends by an exception, and its upstream's slot is never given back.
