A chat's answer ends behind its last token, and nothing follows its end

Callers of chats could get an answer that lacks its last words and counts as complete: the event with the finish reason and the usage has no tokens of its own, and only events with tokens were held against the offset that was due. The end of a shorter run, sent by an engine that ignores the offset, ended a longer answer in the same way; and tokens behind the end were appended.

The event that ends an answer must now stand at the offset behind the last token, also after a resume, and only the terminal event may follow it. What does not is an engine's failure, after which the chat goes on elsewhere behind its last good token.

The test of the end of the body sent one token of three and then the end; it sends all three now, and its assertion is unchanged.

--- a/src/entry/engineStream/index.ts
+++ b/src/entry/engineStream/index.ts
@@ -9,7 +9,8 @@
      * @param reason - `unreachable`: the request could not be sent or got no response. `refused`: the engine answered with an
      * error status. `rejected`: the engine considers the request itself invalid, as any other engine would. `crossed`: an event
      * belongs to another request. `gap`: tokens are missing. `truncated`: the stream ended without its terminal event.
-     * `malformed`: an event could not be parsed, or the usage is missing. `stopped`: this host aborted the request.
+     * `malformed`: an event could not be parsed, the usage is missing, or an event follows the one with the usage. `stopped`: this host
+     * aborted the request.
      * @param connectionEnded - Whether the engine closed or reset the connection while it was handling the request.
      * @param isPathFailure - Whether the way to the engine failed, which says nothing about the engine.
      */
@@ -57,8 +58,8 @@
  * Reads an engine's answer up to its terminal event.
  *
  * Rejects anything but the whole answer to this request: an event with another request's id (a connection whose previous
- * answer was not read to its end), a jump in the offsets (lost events), and an end without `[DONE]` (an engine that crashed, or
- * an intermediary that closed the connection cleanly). Tokens delivered before a resume are skipped, so that the caller
+ * answer was not read to its end), a jump in the offsets (lost events), an end that does not follow the last token, and an end
+ * without `[DONE]` (an engine that crashed, or an intermediary that closed the connection cleanly). Tokens delivered before a resume are skipped, so that the caller
  * receives each token once.
  *
  * @param reply - The engine's reply, with its body unread.
@@ -170,10 +171,16 @@
         const chunk = parseChunk(data);
         if (!chunk) return new EngineStreamError("malformed", data.slice(0, 80));
         if (chunk.id !== this.request) return new EngineStreamError("crossed", `an event of ${chunk.id}`);
-        const problem = await this.handleTokens(chunk);
-        const choice = chunk.choices[0];
-        if (choice.finish_reason && chunk.usage) this.last = { finishReason: choice.finish_reason, usage: chunk.usage };
-        return problem;
+        if (this.last) return new EngineStreamError("malformed", "an event behind the end of the answer");
+        return await this.handleTokens(chunk) ?? this.handleEnd(chunk);
+    }
+
+    /** Reads the finish reason and usage where an event has them: it ends the answer behind the last token. */
+    private handleEnd({ choices: [choice], usage, offset, tokens }: EngineChunk): EngineStreamError | undefined {
+        if (!choice.finish_reason || !usage) return undefined;
+        if (offset + tokens !== this.nextOffset) return this.reportGap(offset + tokens);
+        this.last = { finishReason: choice.finish_reason, usage };
+        return undefined;
     }
 
     private handleDone(): EngineStreamError | undefined {
@@ -184,14 +191,16 @@
 
     private async handleTokens(chunk: EngineChunk): Promise<EngineStreamError | undefined> {
         if (chunk.tokens === 0 || chunk.offset + chunk.tokens <= this.nextOffset) return undefined;
-        if (chunk.offset !== this.nextOffset) {
-            return new EngineStreamError("gap", `token ${chunk.offset} where ${this.nextOffset} was due`);
-        }
+        if (chunk.offset !== this.nextOffset) return this.reportGap(chunk.offset);
         this.nextOffset += chunk.tokens;
         const wait = this.sink({ text: chunk.choices[0].delta.content ?? "", tokens: chunk.tokens });
         if (wait) await wait;
         return undefined;
     }
+
+    private reportGap(offset: number): EngineStreamError {
+        return new EngineStreamError("gap", `token ${offset} where ${this.nextOffset} was due`);
+    }
 }
 
 /** Checks only the fields in use, by hand: schema validation of each token would cost as much as all other work on it. */
--- a/src/entry/engineStream/test.ts
+++ b/src/entry/engineStream/test.ts
@@ -85,6 +85,32 @@
         });
     });
 
+    describe("an answer whose end does not follow its last token", () => {
+        it("is rejected where the token before its end is missing", async () => {
+            // Failure: a caller's answer lacks its last words and counts as complete, since only tokens are held against the offset.
+            const reply = replyOf(token(0), token(1), end(), DONE);
+            assert.deepEqual(await read(reply), { text: "t0 t1 ", result: "gap" });
+        });
+
+        it("is rejected where an engine that ignores the offset ends before it", async () => {
+            // Failure: a shorter answer of another run ends this one as complete.
+            const reply = replyOf(token(0), token(1), end().replace("\"offset\":3", "\"offset\":2"), DONE);
+            assert.deepEqual(await read(reply, 3), { text: "", result: "gap" });
+        });
+
+        it("is rejected where tokens follow its end", async () => {
+            // Failure: tokens of another run are appended to a complete answer.
+            const reply = replyOf(token(0), token(1), token(2), end(), token(3), DONE);
+            assert.deepEqual(await read(reply), { text: "t0 t1 t2 ", result: "malformed" });
+        });
+    });
+
+    it("refuses tokens that begin before the next one and end behind it", async () => {
+        // Failure: a caller receives the text of tokens twice, which cannot be divided.
+        const reply = replyOf(token(0), token(1), token(1).replace("\"tokens\":1", "\"tokens\":2"), end(), DONE);
+        assert.deepEqual(await read(reply), { text: "t0 t1 ", result: "gap" });
+    });
+
     describe("an event without end", () => {
         it("is rejected", async () => {
             // Failure: memory grows, and all that came is searched for each piece, for as long as an engine sends.
@@ -110,7 +136,7 @@
         // the HTTP client closes a connection whose body was not read to its end.
         let isReadToEnd = false;
         async function* body(): AsyncIterable<Uint8Array> {
-            yield Buffer.from(token(0) + end() + DONE);
+            yield Buffer.from(token(0) + token(1) + token(2) + end() + DONE);
             isReadToEnd = true;
         }
         await read({ ...replyOf(), body: body() });
