A chat event whose text or counts are none is the engine's failure

A chat ended by an exception where an engine sent an event without a delta: the check of the fields took null for an object. Text that was a number was written to the caller. Counts were not held against their range: an event with fewer than no tokens was passed over, and a finish reason or a usage of any type ended the answer, so that a workspace would be charged by what is no number.

Each of these is a malformed answer now: counts are exact numbers from 0, the text is text or missing, and finish reason and usage are checked by their schemas once an answer. The check of each token is still by hand.

--- a/src/entry/engineStream/index.ts
+++ b/src/entry/engineStream/index.ts
@@ -1,6 +1,6 @@
 import { Either, Left, Right } from "purify-ts";
 import { Clock, HttpError, HttpReply } from "../../ports/index.js";
-import { EngineChunk, EngineUsage, STREAM_DONE } from "../../protocol/index.js";
+import { EngineChunk, engineFinishSchema, EngineUsage, engineUsageSchema, STREAM_DONE } from "../../protocol/index.js";
 import { PathError } from "../../upstream/index.js";
 
 /** An engine's answer that failed before or during the stream. */
@@ -179,7 +179,12 @@
     private handleEnd({ choices: [choice], usage, offset, tokens }: EngineChunk): EngineStreamError | undefined {
         if (!choice.finish_reason || !usage) return undefined;
         if (offset + tokens !== this.nextOffset) return this.reportGap(offset + tokens);
-        this.last = { finishReason: choice.finish_reason, usage };
+        const finishReason = engineFinishSchema.safeParse(choice.finish_reason);
+        const counts = engineUsageSchema.safeParse(usage);
+        if (!finishReason.success || !counts.success) {
+            return new EngineStreamError("malformed", "an end whose finish reason or usage is none");
+        }
+        this.last = { finishReason: finishReason.data, usage: counts.data };
         return undefined;
     }
 
@@ -207,12 +212,16 @@
 function parseChunk(data: string): EngineChunk | undefined {
     try {
         const chunk = JSON.parse(data) as EngineChunk;
-        const wellFormed = typeof chunk.id === "string" && Number.isInteger(chunk.offset)
-            && Number.isInteger(chunk.tokens)
-            && typeof chunk.choices?.[0]?.delta === "object";
-        return wellFormed ? chunk : undefined;
+        const content: unknown = chunk.choices[0].delta.content ?? "";
+        const isWellFormed = typeof chunk.id === "string" && typeof content === "string"
+            && isCount(chunk.offset) && isCount(chunk.tokens) && isCount(chunk.offset + chunk.tokens);
+        return isWellFormed ? chunk : undefined;
     }
     catch {
         return undefined;
     }
 }
+
+function isCount(value: number): boolean {
+    return Number.isSafeInteger(value) && value >= 0;
+}
--- a/src/entry/engineStream/test.ts
+++ b/src/entry/engineStream/test.ts
@@ -105,6 +105,41 @@
         });
     });
 
+    describe("a malformed event", () => {
+        const malformed: readonly (readonly [name: string, from: string, to: string])[] = [
+            ["without a delta", "\"delta\":{\"content\":\"t1 \"}", "\"delta\":null"],
+            ["whose text is a number", "\"content\":\"t1 \"", "\"content\":7"],
+            ["with an offset below 0", "\"offset\":1", "\"offset\":-1"],
+            ["with an offset that is no exact number", "\"offset\":1", "\"offset\":1e300"],
+            ["with less than no tokens", "\"tokens\":1", "\"tokens\":-1"],
+            ["with a number of tokens that is not exact", "\"tokens\":1", "\"tokens\":1e300"],
+        ];
+        for (const [name, from, to] of malformed) {
+            it(`${name} is rejected`, async () => {
+                // Failure: the chat ends by an exception, or its counts and its text by what is no text and no count.
+                const event = token(1).replace(from, to);
+                assert.notEqual(event, token(1));
+                const reply = replyOf(token(0), event, token(1), token(2), end(), DONE);
+                assert.deepEqual(await read(reply), { text: "t0 ", result: "malformed" });
+            });
+        }
+
+        const ends: readonly (readonly [name: string, from: string, to: string])[] = [
+            ["an unknown finish reason", "\"stop\"", "7"],
+            ["a usage that is none", "\"completion_tokens\":3", "\"completion_tokens\":null"],
+            ["a usage below 0", "\"prompt_tokens\":3", "\"prompt_tokens\":-3"],
+        ];
+        for (const [name, from, to] of ends) {
+            it(`at the end, with ${name}, is rejected`, async () => {
+                // Failure: a workspace is charged by a usage that is no number.
+                const event = end().replace(from, to);
+                assert.notEqual(event, end());
+                const reply = replyOf(token(0), token(1), token(2), event, DONE);
+                assert.deepEqual(await read(reply), { text: "t0 t1 t2 ", result: "malformed" });
+            });
+        }
+    });
+
     it("refuses tokens that begin before the next one and end behind it", async () => {
         // Failure: a caller receives the text of tokens twice, which cannot be divided.
         const reply = replyOf(token(0), token(1), token(1).replace("\"tokens\":1", "\"tokens\":2"), end(), DONE);
--- a/src/protocol/engine/index.ts
+++ b/src/protocol/engine/index.ts
@@ -40,6 +40,9 @@
 });
 export type EngineUsage = z.infer<typeof engineUsageSchema>;
 
+/** Why an answer ended. */
+export const engineFinishSchema = z.enum(["stop", "length", "cancelled"]);
+
 /**
  * One event of an answer. `id` is the request's `request_id`, `offset` the number of the event's first token, and `tokens` the
  * number of its tokens. The last event before `[DONE]` has `finish_reason` and `usage`.
@@ -53,7 +56,7 @@
     choices: z.array(z.looseObject({
         index: z.int(),
         delta: z.looseObject({ content: z.string().optional() }),
-        finish_reason: z.enum(["stop", "length", "cancelled"]).optional(),
+        finish_reason: engineFinishSchema.optional(),
     })).length(1),
     usage: engineUsageSchema.optional(),
 });
