A chat event is read by its data lines, wherever they stand in it

A chat failed, or went on elsewhere again and again, at engines whose events are correct server-sent events of another format: a comment or another field in front of the data hid the whole event, as did a field behind it, lines that end in CR LF or CR were never taken for the end of an event, and data of several lines was not JSON. Where the hidden event was the last one with tokens, the answer counted as complete without it.

The data of an event is now that of all its data lines, other lines are passed over, and lines may end in LF, CR or both, as the format says. An event with one line of data, as engines send it, is read as before.

--- a/src/entry/engineStream/index.ts
+++ b/src/entry/engineStream/index.ts
@@ -49,7 +49,9 @@
 
 /** Maximum time from the terminal event to the end of the body, in milliseconds. */
 const BODY_END_TIMEOUT_MS = 1_000;
-const EVENT_SEPARATOR = "\n\n";
+const LINE_FEED = "\n";
+const CARRIAGE_RETURN = "\r";
+const EVENT_SEPARATOR = LINE_FEED + LINE_FEED;
 /** Maximum length of an incomplete event, in characters. */
 const MAX_EVENT_CHARACTERS = 1024 * 1024;
 const DATA_PREFIX = "data:";
@@ -124,11 +126,16 @@
     limit.cancel();
 }
 
-/** Splits text into events, and holds back the last one until it is complete. */
+/**
+ * Splits text into events, and holds back the last one until it is complete. Lines may end in LF, CR or both; those of the events end in
+ * LF.
+ */
 class EventSplitter {
     private held: string[] = [];
     private lastCharacter = "";
     private length = 0;
+    /** Whether the text so far ended in CR: an LF at the beginning of the next one ends the same line. */
+    private endsInCarriageReturn = false;
 
     /** Length of the incomplete event, in characters. */
     get heldLength(): number {
@@ -136,7 +143,8 @@
     }
 
     /** Adds text and returns the events that are complete now. Only the new text is searched. */
-    push(text: string): string[] {
+    push(received: string): string[] {
+        const text = this.unifyLineEnds(received);
         const searched = this.lastCharacter + text;
         this.lastCharacter = searched.slice(-1);
         this.held.push(text);
@@ -148,6 +156,21 @@
         this.length = rest.length;
         return events;
     }
+
+    private unifyLineEnds(received: string): string {
+        if (received === "") return received;
+        const text = this.endsInCarriageReturn && received.startsWith(LINE_FEED) ? received.slice(1) : received;
+        this.endsInCarriageReturn = received.endsWith(CARRIAGE_RETURN);
+        return text.includes(CARRIAGE_RETURN) ? text.replace(/\r\n?/g, LINE_FEED) : text;
+    }
+}
+
+/** Returns the data of an event; undefined where it has none, such as a comment. */
+function readData(event: string): string | undefined {
+    if (event.startsWith(DATA_PREFIX) && !event.includes(LINE_FEED)) return event.slice(DATA_PREFIX.length).trim();
+    const lines = event.split(LINE_FEED).filter(line => line.startsWith(DATA_PREFIX));
+    if (lines.length === 0) return undefined;
+    return lines.map(line => line.slice(DATA_PREFIX.length)).join(LINE_FEED).trim();
 }
 
 /** Parses events in order and passes their tokens to the sink. */
@@ -165,8 +188,8 @@
 
     /** Processes one event; returns an error if the event is invalid. */
     async handleEvent(event: string): Promise<EngineStreamError | undefined> {
-        if (!event.startsWith(DATA_PREFIX)) return undefined;
-        const data = event.slice(DATA_PREFIX.length).trim();
+        const data = readData(event);
+        if (data === undefined) return undefined;
         if (data === STREAM_DONE) return this.handleDone();
         const chunk = parseChunk(data);
         if (!chunk) return new EngineStreamError("malformed", data.slice(0, 80));
--- a/src/entry/engineStream/test.ts
+++ b/src/entry/engineStream/test.ts
@@ -140,6 +140,28 @@
         }
     });
 
+    describe("the format of events", () => {
+        const formats: readonly (readonly [name: string, format: (event: string) => string])[] = [
+            ["comments between events", event => `: a comment\n\n${event}`],
+            ["comment lines within events", event => `: a comment\n${event}`],
+            ["other fields before the data", event => `event: message\nid: 1\n${event}`],
+            ["other fields behind the data", event => event.replace("\n\n", "\nretry: 100\n\n")],
+            ["no space before the data", event => event.replace("data: ", "data:")],
+            ["lines that end in CR and LF", event => event.replaceAll("\n", "\r\n")],
+            ["lines that end in CR", event => event.replaceAll("\n", "\r")],
+            ["data of several lines", event => event.replace("\"tokens\"", "\ndata: \"tokens\"")],
+        ];
+        for (const [name, format] of formats) {
+            it(`may have ${name}`, async () => {
+                // Failure: an event is passed over, so that tokens of an answer are missing or the whole answer is given up.
+                const whole = [token(0), token(1), token(2), end(), DONE].map(format).join("");
+                for (const reply of [replyOf(whole), replyOf(...whole)]) {
+                    assert.deepEqual(await read(reply), { text: "t0 t1 t2 ", result: "stop" });
+                }
+            });
+        }
+    });
+
     it("refuses tokens that begin before the next one and end behind it", async () => {
         // Failure: a caller receives the text of tokens twice, which cannot be divided.
         const reply = replyOf(token(0), token(1), token(1).replace("\"tokens\":1", "\"tokens\":2"), end(), DONE);
