A service's answer must name the call, as a routed call's answer must

Callers of a service could get the answer to another call: an answer without an id was taken for this call's on any connection, also one that had carried other calls, where a late second answer to one of those may stand; and of several ids only the first was looked at.

The same rule as for routed calls decides now (judgeReply): an answer names this call alone, or it names none and its connection was opened for the call. Any other is reset and counts as a call that may have run, so that it is sent again only if it may be repeated. Services name the call in their responses, as the protocol says; a service that does not gets one call a connection. The emulated service named the call in its successes only, and does so in its failures too now.

--- a/src/emulator/emulatedService/index.ts
+++ b/src/emulator/emulatedService/index.ts
@@ -127,8 +127,10 @@
         if (fault?.kind === "late") await this.ports.clock.sleep(fault.delayMs);
         if (fault?.kind === "lost") return res.reset();
         if (fault?.kind === "silent") return;
-        if (fault?.kind === "failed") return sendJson(res, fault.status, { error: "failed on demand" });
         const ownId = req.headers.find(([name]) => name === REQUEST_ID_HEADER)?.[1] ?? "";
+        if (fault?.kind === "failed") {
+            return sendJson(res, fault.status, { error: "failed on demand" }, [[REQUEST_ID_HEADER, ownId]]);
+        }
         const id = fault?.kind === "crossed" ? fault.id : ownId;
         sendJson(res, 200, { confirmed, run } satisfies ServiceAnswer, [[REQUEST_ID_HEADER, id]]);
     }
--- a/src/entry/sendService/index.ts
+++ b/src/entry/sendService/index.ts
@@ -1,7 +1,7 @@
 import { Either, Left, Right } from "purify-ts";
 import { Grant, toTarget } from "../../dispatch/index.js";
-import { promisesNotRun } from "../../execution/index.js";
-import { ByteBuffer, discardReply, findHeader, HttpError, HttpReply } from "../../ports/index.js";
+import { judgeReply, promisesNotRun } from "../../execution/index.js";
+import { ByteBuffer, discardReply, findHeader, findHeaders, HttpError, HttpReply } from "../../ports/index.js";
 import { REQUEST_ID_HEADER } from "../../protocol/index.js";
 import { RunningRequest } from "../../request/index.js";
 import { PathError } from "../../upstream/index.js";
@@ -41,7 +41,8 @@
  * Sends a call to the granted service and reads its complete answer.
  *
  * On a pooled connection that has become unresponsive, it is unknown whether a call arrived, so a non-repeatable call uses a
- * connection of its own. To detect answers to other requests, an answer that echoes a request id must echo this request's.
+ * connection of its own. To detect answers to other requests, an answer must name this call, and no other; one that names none is taken only
+ * on a connection that was opened for the call.
  *
  * @param onRelay - Called when the call is handed to another host that sends it on.
  */
@@ -102,10 +103,12 @@
     limitMs: number,
     { clock }: EntryContext,
 ): Promise<Either<ServiceCallError, ServiceAnswer>> {
-    const echoed = findHeader(reply.headers, REQUEST_ID_HEADER);
-    if (echoed !== undefined && echoed !== run.identity.id) {
+    const { status, connection } = reply;
+    const requests = findHeaders(reply.headers, REQUEST_ID_HEADER);
+    const { isOwn, owner } = judgeReply(run.identity.id, { status, requests, statesNotRun: false, connection });
+    if (!isOwn) {
         reply.reset();
-        return Left(new ServiceCallError(true, `the answer is that of ${echoed}`));
+        return Left(new ServiceCallError(true, `the answer names ${owner}`));
     }
     const limit = clock.after(limitMs, () => reply.reset());
     const body = await readWhole(reply, limitBytes);
