--- a/src/entry/engineStream/index.ts
+++ b/src/entry/engineStream/index.ts
@@ -1,6 +1,6 @@
 import { Either, Left, Right } from "purify-ts";
 import { Clock, HttpError, HttpReply } from "../../ports/index.js";
-import { EngineChunk, EngineUsage, STREAM_DONE } from "../../protocol/index.js";
+import { EngineChunk, engineFinishSchema, EngineUsage, engineUsageSchema, STREAM_DONE } from "../../protocol/index.js";
 import { PathError } from "../../upstream/index.js";
 
 /** An engine's answer that failed before or during the stream. */
@@ -9,7 +9,8 @@
      * @param reason - `unreachable`: the request could not be sent or got no response. `refused`: the engine answered with an
      * error status. `rejected`: the engine considers the request itself invalid, as any other engine would. `crossed`: an event
      * belongs to another request. `gap`: tokens are missing. `truncated`: the stream ended without its terminal event.
-     * `malformed`: an event could not be parsed, or the usage is missing. `stopped`: this host aborted the request.
+     * `malformed`: an event could not be parsed, the usage is missing, or an event follows the one with the usage. `stopped`: this host
+     * aborted the request.
      * @param connectionEnded - Whether the engine closed or reset the connection while it was handling the request.
      * @param isPathFailure - Whether the way to the engine failed, which says nothing about the engine.
      */
@@ -48,7 +49,9 @@
 
 /** Maximum time from the terminal event to the end of the body, in milliseconds. */
 const BODY_END_TIMEOUT_MS = 1_000;
-const EVENT_SEPARATOR = "\n\n";
+const LINE_FEED = "\n";
+const CARRIAGE_RETURN = "\r";
+const EVENT_SEPARATOR = LINE_FEED + LINE_FEED;
 /** Maximum length of an incomplete event, in characters. */
 const MAX_EVENT_CHARACTERS = 1024 * 1024;
 const DATA_PREFIX = "data:";
@@ -57,8 +60,8 @@
  * Reads an engine's answer up to its terminal event.
  *
  * Rejects anything but the whole answer to this request: an event with another request's id (a connection whose previous
- * answer was not read to its end), a jump in the offsets (lost events), and an end without `[DONE]` (an engine that crashed, or
- * an intermediary that closed the connection cleanly). Tokens delivered before a resume are skipped, so that the caller
+ * answer was not read to its end), a jump in the offsets (lost events), an end that does not follow the last token, and an end
+ * without `[DONE]` (an engine that crashed, or an intermediary that closed the connection cleanly). Tokens delivered before a resume are skipped, so that the caller
  * receives each token once.
  *
  * @param reply - The engine's reply, with its body unread.
@@ -123,11 +126,16 @@
     limit.cancel();
 }
 
-/** Splits text into events, and holds back the last one until it is complete. */
+/**
+ * Splits text into events, and holds back the last one until it is complete. Lines may end in LF, CR or both; those of the events end in
+ * LF.
+ */
 class EventSplitter {
     private held: string[] = [];
     private lastCharacter = "";
     private length = 0;
+    /** Whether the text so far ended in CR: an LF at the beginning of the next one ends the same line. */
+    private endsInCarriageReturn = false;
 
     /** Length of the incomplete event, in characters. */
     get heldLength(): number {
@@ -135,7 +143,8 @@
     }
 
     /** Adds text and returns the events that are complete now. Only the new text is searched. */
-    push(text: string): string[] {
+    push(received: string): string[] {
+        const text = this.unifyLineEnds(received);
         const searched = this.lastCharacter + text;
         this.lastCharacter = searched.slice(-1);
         this.held.push(text);
@@ -147,6 +156,21 @@
         this.length = rest.length;
         return events;
     }
+
+    private unifyLineEnds(received: string): string {
+        if (received === "") return received;
+        const text = this.endsInCarriageReturn && received.startsWith(LINE_FEED) ? received.slice(1) : received;
+        this.endsInCarriageReturn = received.endsWith(CARRIAGE_RETURN);
+        return text.includes(CARRIAGE_RETURN) ? text.replace(/\r\n?/g, LINE_FEED) : text;
+    }
+}
+
+/** Returns the data of an event; undefined where it has none, such as a comment. */
+function readData(event: string): string | undefined {
+    if (event.startsWith(DATA_PREFIX) && !event.includes(LINE_FEED)) return event.slice(DATA_PREFIX.length).trim();
+    const lines = event.split(LINE_FEED).filter(line => line.startsWith(DATA_PREFIX));
+    if (lines.length === 0) return undefined;
+    return lines.map(line => line.slice(DATA_PREFIX.length)).join(LINE_FEED).trim();
 }
 
 /** Parses events in order and passes their tokens to the sink. */
@@ -164,16 +188,27 @@
 
     /** Processes one event; returns an error if the event is invalid. */
     async handleEvent(event: string): Promise<EngineStreamError | undefined> {
-        if (!event.startsWith(DATA_PREFIX)) return undefined;
-        const data = event.slice(DATA_PREFIX.length).trim();
+        const data = readData(event);
+        if (data === undefined) return undefined;
         if (data === STREAM_DONE) return this.handleDone();
         const chunk = parseChunk(data);
         if (!chunk) return new EngineStreamError("malformed", data.slice(0, 80));
         if (chunk.id !== this.request) return new EngineStreamError("crossed", `an event of ${chunk.id}`);
-        const problem = await this.handleTokens(chunk);
-        const choice = chunk.choices[0];
-        if (choice.finish_reason && chunk.usage) this.last = { finishReason: choice.finish_reason, usage: chunk.usage };
-        return problem;
+        if (this.last) return new EngineStreamError("malformed", "an event behind the end of the answer");
+        return await this.handleTokens(chunk) ?? this.handleEnd(chunk);
+    }
+
+    /** Reads the finish reason and usage where an event has them: it ends the answer behind the last token. */
+    private handleEnd({ choices: [choice], usage, offset, tokens }: EngineChunk): EngineStreamError | undefined {
+        if (!choice.finish_reason || !usage) return undefined;
+        if (offset + tokens !== this.nextOffset) return this.reportGap(offset + tokens);
+        const finishReason = engineFinishSchema.safeParse(choice.finish_reason);
+        const counts = engineUsageSchema.safeParse(usage);
+        if (!finishReason.success || !counts.success) {
+            return new EngineStreamError("malformed", "an end whose finish reason or usage is none");
+        }
+        this.last = { finishReason: finishReason.data, usage: counts.data };
+        return undefined;
     }
 
     private handleDone(): EngineStreamError | undefined {
@@ -184,26 +219,32 @@
 
     private async handleTokens(chunk: EngineChunk): Promise<EngineStreamError | undefined> {
         if (chunk.tokens === 0 || chunk.offset + chunk.tokens <= this.nextOffset) return undefined;
-        if (chunk.offset !== this.nextOffset) {
-            return new EngineStreamError("gap", `token ${chunk.offset} where ${this.nextOffset} was due`);
-        }
+        if (chunk.offset !== this.nextOffset) return this.reportGap(chunk.offset);
         this.nextOffset += chunk.tokens;
         const wait = this.sink({ text: chunk.choices[0].delta.content ?? "", tokens: chunk.tokens });
         if (wait) await wait;
         return undefined;
     }
+
+    private reportGap(offset: number): EngineStreamError {
+        return new EngineStreamError("gap", `token ${offset} where ${this.nextOffset} was due`);
+    }
 }
 
 /** Checks only the fields in use, by hand: schema validation of each token would cost as much as all other work on it. */
 function parseChunk(data: string): EngineChunk | undefined {
     try {
         const chunk = JSON.parse(data) as EngineChunk;
-        const wellFormed = typeof chunk.id === "string" && Number.isInteger(chunk.offset)
-            && Number.isInteger(chunk.tokens)
-            && typeof chunk.choices?.[0]?.delta === "object";
-        return wellFormed ? chunk : undefined;
+        const content: unknown = chunk.choices[0].delta.content ?? "";
+        const isWellFormed = typeof chunk.id === "string" && typeof content === "string"
+            && isCount(chunk.offset) && isCount(chunk.tokens) && isCount(chunk.offset + chunk.tokens);
+        return isWellFormed ? chunk : undefined;
     }
     catch {
         return undefined;
     }
 }
+
+function isCount(value: number): boolean {
+    return Number.isSafeInteger(value) && value >= 0;
+}
--- a/src/entry/engineStream/test.ts
+++ b/src/entry/engineStream/test.ts
@@ -85,6 +85,89 @@
         });
     });
 
+    describe("an answer whose end does not follow its last token", () => {
+        it("is rejected where the token before its end is missing", async () => {
+            // Failure: a caller's answer lacks its last words and counts as complete, since only tokens are held against the offset.
+            const reply = replyOf(token(0), token(1), end(), DONE);
+            assert.deepEqual(await read(reply), { text: "t0 t1 ", result: "gap" });
+        });
+
+        it("is rejected where an engine that ignores the offset ends before it", async () => {
+            // Failure: a shorter answer of another run ends this one as complete.
+            const reply = replyOf(token(0), token(1), end().replace("\"offset\":3", "\"offset\":2"), DONE);
+            assert.deepEqual(await read(reply, 3), { text: "", result: "gap" });
+        });
+
+        it("is rejected where tokens follow its end", async () => {
+            // Failure: tokens of another run are appended to a complete answer.
+            const reply = replyOf(token(0), token(1), token(2), end(), token(3), DONE);
+            assert.deepEqual(await read(reply), { text: "t0 t1 t2 ", result: "malformed" });
+        });
+    });
+
+    describe("a malformed event", () => {
+        const malformed: readonly (readonly [name: string, from: string, to: string])[] = [
+            ["without a delta", "\"delta\":{\"content\":\"t1 \"}", "\"delta\":null"],
+            ["whose text is a number", "\"content\":\"t1 \"", "\"content\":7"],
+            ["with an offset below 0", "\"offset\":1", "\"offset\":-1"],
+            ["with an offset that is no exact number", "\"offset\":1", "\"offset\":1e300"],
+            ["with less than no tokens", "\"tokens\":1", "\"tokens\":-1"],
+            ["with a number of tokens that is not exact", "\"tokens\":1", "\"tokens\":1e300"],
+        ];
+        for (const [name, from, to] of malformed) {
+            it(`${name} is rejected`, async () => {
+                // Failure: the chat ends by an exception, or its counts and its text by what is no text and no count.
+                const event = token(1).replace(from, to);
+                assert.notEqual(event, token(1));
+                const reply = replyOf(token(0), event, token(1), token(2), end(), DONE);
+                assert.deepEqual(await read(reply), { text: "t0 ", result: "malformed" });
+            });
+        }
+
+        const ends: readonly (readonly [name: string, from: string, to: string])[] = [
+            ["an unknown finish reason", "\"stop\"", "7"],
+            ["a usage that is none", "\"completion_tokens\":3", "\"completion_tokens\":null"],
+            ["a usage below 0", "\"prompt_tokens\":3", "\"prompt_tokens\":-3"],
+        ];
+        for (const [name, from, to] of ends) {
+            it(`at the end, with ${name}, is rejected`, async () => {
+                // Failure: a workspace is charged by a usage that is no number.
+                const event = end().replace(from, to);
+                assert.notEqual(event, end());
+                const reply = replyOf(token(0), token(1), token(2), event, DONE);
+                assert.deepEqual(await read(reply), { text: "t0 t1 t2 ", result: "malformed" });
+            });
+        }
+    });
+
+    describe("the format of events", () => {
+        const formats: readonly (readonly [name: string, format: (event: string) => string])[] = [
+            ["comments between events", event => `: a comment\n\n${event}`],
+            ["comment lines within events", event => `: a comment\n${event}`],
+            ["other fields before the data", event => `event: message\nid: 1\n${event}`],
+            ["other fields behind the data", event => event.replace("\n\n", "\nretry: 100\n\n")],
+            ["no space before the data", event => event.replace("data: ", "data:")],
+            ["lines that end in CR and LF", event => event.replaceAll("\n", "\r\n")],
+            ["lines that end in CR", event => event.replaceAll("\n", "\r")],
+            ["data of several lines", event => event.replace("\"tokens\"", "\ndata: \"tokens\"")],
+        ];
+        for (const [name, format] of formats) {
+            it(`may have ${name}`, async () => {
+                // Failure: an event is passed over, so that tokens of an answer are missing or the whole answer is given up.
+                const whole = [token(0), token(1), token(2), end(), DONE].map(format).join("");
+                for (const reply of [replyOf(whole), replyOf(...whole)]) {
+                    assert.deepEqual(await read(reply), { text: "t0 t1 t2 ", result: "stop" });
+                }
+            });
+        }
+    });
+
+    it("refuses tokens that begin before the next one and end behind it", async () => {
+        // Failure: a caller receives the text of tokens twice, which cannot be divided.
+        const reply = replyOf(token(0), token(1), token(1).replace("\"tokens\":1", "\"tokens\":2"), end(), DONE);
+        assert.deepEqual(await read(reply), { text: "t0 t1 ", result: "gap" });
+    });
+
     describe("an event without end", () => {
         it("is rejected", async () => {
             // Failure: memory grows, and all that came is searched for each piece, for as long as an engine sends.
@@ -110,7 +193,7 @@
         // the HTTP client closes a connection whose body was not read to its end.
         let isReadToEnd = false;
         async function* body(): AsyncIterable<Uint8Array> {
-            yield Buffer.from(token(0) + end() + DONE);
+            yield Buffer.from(token(0) + token(1) + token(2) + end() + DONE);
             isReadToEnd = true;
         }
         await read({ ...replyOf(), body: body() });
