A call leaves a silent upstream only while its permit holds

Permits may lapse while a ticket waits (more entries share the slack), and the call then waited for a new one until its time was over, although its upstream might have gone on.

--- a/src/passthrough/repeatPermit/index.ts
+++ b/src/passthrough/repeatPermit/index.ts
@@ -17,6 +17,11 @@
         account.reserved++;
     }
 
+    /** Whether the repeat could be sent now: the budget may have shrunk since it was reserved. */
+    get isCovered(): boolean {
+        return this.isReserved && this.account.available(this.slackShare()) >= 1;
+    }
+
     /**
      * Counts the repeat as made now, right before it is sent. A permit lapses where the budget has shrunk since it was reserved.
      *
