What soaks between processes share stands beside them: sent calls, disturbed entries, records of faults

The schedule refusals sends calls, freezes and restarts entries and writes its faults; a second schedule with raw upstreams needs the same.

--- a/src/tools/rawUpstream/index.ts
+++ b/src/tools/rawUpstream/index.ts
@@ -8,6 +8,8 @@
     /** Id of the call; empty for requests that are no calls. */
     readonly id: string;
     readonly path: string;
+    /** Id of the event behind which a stream goes on; undefined: it begins. */
+    readonly lastEventId: string | undefined;
     /** Number of earlier requests on the connection. */
     readonly earlierRequests: number;
     /** Wall clock at its arrival, in milliseconds. */
@@ -20,12 +22,18 @@
     readonly runs: boolean;
     /** Bytes of the answer; undefined: none is sent. */
     readonly bytes?: string;
+    /** Further bytes of the answer, which are sent one after the other. */
+    readonly laterBytes?: readonly string[];
+    /** Pause before each of the further bytes, in milliseconds. */
+    readonly gapMs?: number;
     /** Time before the answer, in milliseconds. */
     readonly delayMs: number;
     /** When the answer is sent once more: after a time in milliseconds, or as soon as the next request on the connection has come. */
     readonly copy?: number | "next-request";
     /** Whether the connection is reset after the answer. */
     readonly resets: boolean;
+    /** Whether the connection is closed in order after the answer. */
+    readonly closes?: boolean;
 }
 
 /** A request that a raw upstream began to run. */
@@ -42,6 +50,8 @@
     readonly pool: string;
     readonly zone: string;
     readonly slots: number;
+    /** Undefined: not announced. */
+    readonly softwareVersion?: string;
     /** Where it announces itself. */
     readonly announceTo: readonly Address[];
     readonly reply: (request: RawRequest) => RawReply;
@@ -87,7 +97,7 @@
     }
 
     private announce(): void {
-        const { id, pool, zone, slots, announceTo } = this.options;
+        const { id, pool, zone, slots, softwareVersion, announceTo } = this.options;
         const { port } = this.server.address() as AddressInfo;
         const announcement: Announcement = {
             id,
@@ -103,6 +113,7 @@
             price_per_hour: 0,
             reclaimable: false,
             checks_fence: false,
+            software_version: softwareVersion,
         };
         const headers = { "content-type": "application/json" };
         const message = { method: "POST", headers, body: JSON.stringify(announcement) };
@@ -122,7 +133,7 @@
         if (request.id !== "") this.arrivals.push(request);
         const reply = this.options.reply(request);
         if (reply.runs) this.runs.push({ id: request.id, upstream: this.options.id, at: Date.now() });
-        setTimeout(() => connection.answer(reply), reply.delayMs);
+        setTimeout(() => void connection.answer(reply), reply.delayMs);
     }
 }
 
@@ -138,12 +149,18 @@
         socket.on("data", chunk => this.receive(chunk.toString("latin1")));
     }
 
-    answer({ bytes, copy, resets }: RawReply): void {
+    async answer({ bytes, laterBytes = [], gapMs = 0, copy, resets, closes }: RawReply): Promise<void> {
         if (this.socket.destroyed) return;
         if (bytes !== undefined) this.socket.write(bytes, "latin1");
+        for (const later of laterBytes) {
+            await new Promise(resolve => setTimeout(resolve, gapMs));
+            if (this.socket.destroyed) return;
+            this.socket.write(later, "latin1");
+        }
         if (bytes !== undefined && copy === "next-request") this.copies.push(bytes);
         if (bytes !== undefined && typeof copy === "number") this.sendLater(bytes, copy);
         if (resets) this.socket.resetAndDestroy();
+        else if (closes) this.socket.end();
     }
 
     private sendLater(bytes: string, ms: number): void {
@@ -166,7 +183,8 @@
             for (const copy of this.copies.splice(0)) this.socket.write(copy, "latin1");
             const [, path = ""] = head.split(" ", 2);
             const id = readHeader(head, CALL_HEADERS.request) ?? "";
-            this.handle({ path, id, earlierRequests: this.requests++, at: Date.now() });
+            const lastEventId = readHeader(head, CALL_HEADERS.lastEventId);
+            this.handle({ path, id, lastEventId, earlierRequests: this.requests++, at: Date.now() });
         }
     }
 }
--- a/src/tools/refusals/checkRefusals/index.ts
+++ b/src/tools/refusals/checkRefusals/index.ts
@@ -1,6 +1,8 @@
 import { promisesNotRun } from "../../../execution/index.js";
 import { findWorstRepeats } from "../../../faultInjection/index.js";
 import { RepeatLimits } from "../../../passthrough/index.js";
+import { CallEnd } from "../../exchangeCall/index.js";
+import { groupBy } from "../../groupBy/index.js";
 import { RawRun } from "../../rawUpstream/index.js";
 
 /** A request as its caller saw it. */
@@ -15,8 +17,7 @@
     /** Whether the answer states that the call has not run. */
     readonly statesNotRun: boolean;
     readonly body: string;
-    /** `cut`: the connection ended without a complete answer; `left`: the caller closed it; `unanswered`: the caller gave up. */
-    readonly end: "whole" | "cut" | "left" | "unanswered";
+    readonly end: CallEnd;
 }
 
 /** What a run is judged by: only what callers and upstreams saw. */
@@ -67,7 +68,7 @@
  * const faults = checkRefusals(record);
  */
 export function checkRefusals(record: RefusalRecord): RefusalFault[] {
-    const runs = groupRuns(record.runs);
+    const runs = groupBy(record.runs, ({ id }) => id);
     const faults = record.exchanges.flatMap(exchange =>
         listFaults(exchange, runs.get(exchange.request) ?? [], record.onceRoutes).map(fault => ({ exchange, ...fault }))
     );
@@ -81,16 +82,6 @@
     return [{ kind: "too-many-retries", detail: `${repeats} of ${allowed} allowed within a window` }];
 }
 
-function groupRuns(runs: readonly RawRun[]): Map<string, RawRun[]> {
-    const groups = new Map<string, RawRun[]>();
-    for (const run of runs) {
-        const group = groups.get(run.id);
-        if (group) group.push(run);
-        else groups.set(run.id, [run]);
-    }
-    return groups;
-}
-
 function listFaults(
     { request, route, status, statesNotRun, body, end }: RefusalExchange,
     runs: readonly RawRun[],
--- a/src/tools/refusals/refusalCaller/index.ts
+++ b/src/tools/refusals/refusalCaller/index.ts
@@ -1,6 +1,7 @@
-import { Agent, ClientRequest, IncomingMessage, request as sendHttp } from "node:http";
+import { Agent } from "node:http";
 import { CALL_HEADERS } from "../../../passthrough/index.js";
 import { Address, Random } from "../../../ports/index.js";
+import { exchangeCall } from "../../exchangeCall/index.js";
 import { makeRandom } from "../../makeRandom/index.js";
 import { RefusalExchange } from "../checkRefusals/index.js";
 import { REFUSAL_HOST, REFUSAL_ROUTES, RefusalCallerPlan, RefusalRoute } from "../refusalPlan/index.js";
@@ -13,8 +14,6 @@
     readonly record: (exchange: RefusalExchange) => void;
 }
 
-type Draft = { -readonly [Key in keyof RefusalExchange]: RefusalExchange[Key]; };
-
 const CONNECT_PAUSE_MS = 50;
 const MAX_PATIENCE_MS = 300;
 /** Far longer than the timeout of each route and the longest freeze. */
@@ -55,73 +54,29 @@
 
     /** Returns false when there was no connection. */
     private async sendOne(route: RefusalRoute): Promise<boolean> {
-        const draft: Draft = {
+        const sent = {
             request: `${this.name}-${++this.sentCount}`,
             route: route.name,
             entry: this.entry,
             sentAt: Date.now(),
-            statesNotRun: false,
-            body: "",
-            end: "cut",
         };
-        const isSent = await this.exchange(draft, "x".repeat(this.random.integer(...BODY_BYTES)));
-        if (isSent) this.surroundings.record(draft);
-        return isSent;
-    }
-
-    private exchange(draft: Draft, body: string): Promise<boolean> {
-        const req = sendHttp({
-            ...this.surroundings.addresses[this.entry],
+        const answer = await exchangeCall({
             agent: this.agent,
-            method: "POST",
-            path: `/${draft.route}/1`,
-            headers: {
-                "host": REFUSAL_HOST,
-                "content-length": Buffer.byteLength(body),
-                [CALL_HEADERS.request]: draft.request,
-            },
+            address: this.surroundings.addresses[this.entry],
+            path: `/${route.name}/1`,
+            headers: { host: REFUSAL_HOST, [CALL_HEADERS.request]: sent.request },
+            body: "x".repeat(this.random.integer(...BODY_BYTES)),
+            giveUpMs: GIVE_UP_MS,
+            leaveAfterMs: this.random.next() < this.plan.leaves ? this.random.between(0, MAX_PATIENCE_MS) : undefined,
         });
-        const timers = this.limitPatience(req, draft);
-        return new Promise(resolve => {
-            let hasConnection = true;
-            let answer: Promise<void> | undefined;
-            req.once("error", (err: NodeJS.ErrnoException) => hasConnection = err.code !== "ECONNREFUSED");
-            req.once("response", res => answer = readAnswer(draft, res));
-            req.once("close", async () => {
-                for (const timer of timers) clearTimeout(timer);
-                await answer;
-                resolve(hasConnection);
-            });
-            req.end(body);
-        });
-    }
-
-    /** Starts the timers that end a request without an answer. */
-    private limitPatience(req: ClientRequest, draft: Draft): NodeJS.Timeout[] {
-        const end = (kind: Draft["end"]): void => {
-            draft.end = kind;
-            req.destroy();
-        };
-        const timers = [setTimeout(() => end("unanswered"), GIVE_UP_MS)];
-        if (this.random.next() < this.plan.leaves) {
-            timers.push(setTimeout(() => end("left"), this.random.between(0, MAX_PATIENCE_MS)));
-        }
-        return timers;
+        if (!answer) return false;
+        const { status, headers, body, end } = answer;
+        const statesNotRun = headers[CALL_HEADERS.notRun] !== undefined;
+        this.surroundings.record({ ...sent, status, statesNotRun, body, end });
+        return true;
     }
 }
 
-/** Reads an answer to its end, whole or not. */
-async function readAnswer(draft: Draft, res: IncomingMessage): Promise<void> {
-    draft.status = res.statusCode;
-    draft.statesNotRun = res.headers[CALL_HEADERS.notRun] !== undefined;
-    const closed = new Promise<void>(resolve => res.once("close", resolve));
-    res.on("error", () => undefined);
-    res.setEncoding("latin1");
-    res.on("data", (chunk: string) => draft.body += chunk);
-    await closed;
-    if (res.complete) draft.end = "whole";
-}
-
 function sleep(ms: number): Promise<void> {
     return new Promise(resolve => setTimeout(resolve, ms));
 }
--- a/src/tools/refusals/refusalPlan/index.ts
+++ b/src/tools/refusals/refusalPlan/index.ts
@@ -1,22 +1,16 @@
 import { Random } from "../../../ports/index.js";
+import { EntryDisturbance } from "../../disturbedEntries/index.js";
 import { makeRandom } from "../../makeRandom/index.js";
 import { UpstreamHabit } from "../drawRawReply/index.js";
 
-/** A disturbance of an entry. Times are in milliseconds from the start of the play. */
-export interface EntryEvent {
+/** What happens to an entry. */
+export interface EntryEvent extends Omit<EntryDisturbance, "kind"> {
+    /** Time from the start of the play, in milliseconds. */
     readonly atMs: number;
-    readonly entry: number;
     readonly kind:
-        /** Its process stands still. */
-        | "freeze"
-        /** It is stopped as planned, and started again. */
-        | "stop"
-        /** Its process is killed, and started again. */
-        | "kill"
-        /** Callers send it large requests one after the other. */
+        | EntryDisturbance["kind"]
+        /** Callers send it large requests one after the other, for `durationMs`. */
         | "load";
-    /** Length of a freeze or load, in milliseconds. */
-    readonly durationMs: number;
 }
 
 /** A time from which upstreams behave in a certain way. */
--- a/src/tools/refusals/reportRefusals/index.ts
+++ b/src/tools/refusals/reportRefusals/index.ts
@@ -1,5 +1,3 @@
-import { mkdir, writeFile } from "node:fs/promises";
-import { join } from "node:path";
 import { RefusalReport } from "../runRefusals/index.js";
 
 /**
@@ -25,14 +23,3 @@
     );
     throw new Error([`${text}, ${faults.length} faults`, ...lines].join("\n"));
 }
-
-/**
- * Writes what the caller and the entries saw of each fault into a file of a folder.
- *
- * @param folder - Created where it does not exist.
- */
-export async function writeRefusalFaults(folder: string, seed: number, { faults, logs }: RefusalReport): Promise<void> {
-    const texts = faults.map((fault, index) => [JSON.stringify(fault), ...logs[index]].join("\n"));
-    await mkdir(folder, { recursive: true });
-    await writeFile(join(folder, `soak-refusals-${seed}.txt`), `${texts.join("\n\n")}\n`);
-}
--- a/src/tools/refusals/runRefusals/index.ts
+++ b/src/tools/refusals/runRefusals/index.ts
@@ -1,7 +1,8 @@
 import { DEFAULT_REPEAT_LIMITS } from "../../../passthrough/index.js";
+import { DisturbedEntries } from "../../disturbedEntries/index.js";
 import { ProcessFleet } from "../../fleet/index.js";
 import { makeRandom } from "../../makeRandom/index.js";
-import { Program, waitFor } from "../../processes/index.js";
+import { waitFor } from "../../processes/index.js";
 import { RawRequest, RawUpstream } from "../../rawUpstream/index.js";
 import { RoutedProcessFleet } from "../../routedProcesses/index.js";
 import { checkRefusals, RefusalExchange, RefusalFault, RefusalRecord } from "../checkRefusals/index.js";
@@ -35,8 +36,6 @@
 
 const BALANCER_MS = 500;
 const DRAIN_MS = 2_500;
-/** From SIGTERM until a process that hangs is killed. */
-const KILL_MS = 15_000;
 const START_LIMIT_MS = 30_000;
 /** After the last answer: longer than a call may still be on its way. */
 const SETTLE_MS = 3_000;
@@ -69,10 +68,7 @@
 /** One run, while it is played. */
 class RefusalRun {
     private readonly exchanges: RefusalExchange[] = [];
-    private readonly programs = new Map<Program, number>();
-    /** Processes that were told to end. */
-    private readonly ending = new Set<Program>();
-    private readonly endedEntries: number[] = [];
+    private readonly entries: DisturbedEntries;
     private readonly upstreams: RawUpstream[] = [];
     private readonly timers: NodeJS.Timeout[] = [];
     private readonly processes: ProcessFleet;
@@ -86,12 +82,12 @@
         private readonly seed: number,
     ) {
         this.processes = fleet.processes;
+        this.entries = new DisturbedEntries(fleet.processes);
     }
 
     async play(): Promise<RefusalReport> {
         await this.fleet.applyDocument(makeRefusalDocument());
         await this.startUpstreams();
-        for (const [entry, program] of this.processes.entries.entries()) this.followEntry(entry, program);
         await this.awaitArrivals();
         this.startedAt = Date.now();
         for (const event of this.plan.events) this.after(event.atMs, () => void this.disturb(event));
@@ -102,6 +98,7 @@
 
     async close(): Promise<void> {
         this.isOpen = false;
+        this.entries.close();
         for (const timer of this.timers) clearTimeout(timer);
         await Promise.all(this.upstreams.map(upstream => upstream.close()));
     }
@@ -144,30 +141,10 @@
         return this.upstreams.every(({ arrivals }) => arrivals.length > 0);
     }
 
-    /** Notes an entry's process that ends by itself, and starts the next one after each end. */
-    private followEntry(entry: number, program: Program): void {
-        this.programs.set(program, entry);
-        void program.exited.then(() => {
-            if (!this.isOpen) return;
-            if (!this.ending.has(program)) this.endedEntries.push(entry);
-            this.followEntry(entry, this.processes.startEntry(entry));
-        });
-    }
-
-    private async disturb({ kind, entry, durationMs }: EntryEvent): Promise<void> {
-        const program = this.processes.entries[entry];
-        if (kind === "load") return this.load(entry, durationMs);
-        if (kind === "freeze") {
-            program.signal("SIGSTOP");
-            await sleep(durationMs);
-            return program.signal("SIGCONT");
-        }
-        const isStarted = program.stdout.includes("\"ready\"");
-        if (!isStarted || this.ending.has(program)) return;
-        this.ending.add(program);
-        program.signal(kind === "kill" ? "SIGKILL" : "SIGTERM");
-        const kill = setTimeout(() => program.signal("SIGKILL"), KILL_MS);
-        void program.exited.then(() => clearTimeout(kill));
+    private disturb({ kind, entry, durationMs }: EntryEvent): Promise<void> {
+        return kind === "load"
+            ? this.load(entry, durationMs)
+            : this.entries.disturb({ kind, entry, durationMs });
     }
 
     private async load(entry: number, durationMs: number): Promise<void> {
@@ -208,12 +185,12 @@
     }
 
     private judge(): RefusalReport {
-        const { exchanges, endedEntries } = this;
+        const { exchanges } = this;
         const onceRoutes = new Set(REFUSAL_ROUTES.filter(({ kind }) => kind !== "idempotent").map(({ name }) => name));
         const record = {
             exchanges,
-            endedEntries,
             onceRoutes,
+            endedEntries: this.entries.ended,
             runs: this.upstreams.flatMap(({ runs }) => runs),
             arrivals: this.listArrivals(),
             repeats: DEFAULT_REPEAT_LIMITS,
@@ -229,9 +206,7 @@
     }
 
     private findLogLines({ exchange }: RefusalFault): string[] {
-        if (!exchange) return [];
-        const lines = [...this.programs.keys()].flatMap(({ stderr }) => stderr.split("\n"));
-        return lines.filter(line => line.includes(`"${exchange.request}"`));
+        return exchange ? this.entries.findLogLines(exchange.request) : [];
     }
 }
 
--- a/src/tools/soak/main.ts
+++ b/src/tools/soak/main.ts
@@ -15,8 +15,9 @@
     runReplicaSchedule,
     runSoftwareSchedule,
 } from "../../faultInjection/index.js";
-import { describeRefusals, runRefusals, writeRefusalFaults } from "../refusals/index.js";
+import { describeRefusals, runRefusals } from "../refusals/index.js";
 import { describeStops, runStops, writeStopFaults } from "../stops/index.js";
+import { writeFaults } from "../writeFaults/index.js";
 
 interface SoakOptions {
     readonly schedule: string;
@@ -77,7 +78,7 @@
     },
     "refusals": async (seed, { size, logs }) => {
         const report = await runRefusals(seed, { size });
-        if (logs !== undefined && report.faults.length > 0) await writeRefusalFaults(logs, seed, report);
+        if (logs !== undefined && report.faults.length > 0) await writeFaults(logs, "refusals", seed, report);
         return describeRefusals(report);
     },
 };
@@ -114,7 +115,10 @@
 });
 program.option("--signals <names>", "Which signals the schedule stops sends", { default: "SIGTERM,SIGHUP" });
 program.option("--tolerance <ms>", "By which a busy machine may be late in the schedule stops", { default: 500 });
-program.option("--logs <folder>", "Where the schedules stops and refusals write what is known of their faults");
+program.option(
+    "--logs <folder>",
+    "Where the schedules stops and refusals write what is known of their faults",
+);
 program.help();
 const { options } = program.parse();
 const problem = options.help ? undefined : findProblem(options);
