Soak of spoilt streams: raw upstreams beside entries that freeze and restart

Callers keep their connections, and take up streams that broke off. Entries are frozen, stopped and killed in series that overlap. The oracle has only what callers and upstreams saw; each event proves its run and its number.

--- /dev/null
+++ b/src/tools/garbledStreams/streamShapes/index.ts
@@ -0,0 +1,127 @@
+import { Framing, RawStream } from "../../formatRawStream/index.js";
+
+/** A stream as an upstream was asked for it. */
+export interface AskedStream {
+    /** Name of the run; its events are the same at each upstream. */
+    readonly run: string;
+    /** Number of events of the whole run. */
+    readonly total: number;
+    /** Number of the first event that is asked for, from 1. */
+    readonly from: number;
+}
+
+/** A kind of stream that a raw upstream sends. */
+export interface StreamShape {
+    readonly name: string;
+    /** Whether the upstream breaks its promise: the events asked for, in order, and then the end. */
+    readonly isFaulty: boolean;
+    /** Undefined: all. */
+    readonly framings?: readonly Framing[];
+    /** Whether it only makes a difference to a stream that goes on behind an event. */
+    readonly isForResumptions?: boolean;
+    /**
+     * Makes the stream.
+     *
+     * @param at - Number of the event that is spoilt.
+     */
+    readonly make: (asked: AskedStream, at: number, framing: Framing) => Omit<RawStream, "id" | "framing">;
+}
+
+/** Returns the lines of an event, which prove its run and its number. */
+export function listEventLines({ run, total }: Pick<AskedStream, "run" | "total">, number: number): string[] {
+    return [`id: ${number}`, `data: ${run} event ${number} of ${total}`];
+}
+
+const BYTE_ORDER_MARK = "\xef\xbb\xbf";
+const INVALID_UTF8 = "\xff\xfe\xc3(";
+
+/** All kinds of streams. */
+export const STREAM_SHAPES: readonly StreamShape[] = [
+    sound("whole", asked => ({ parts: listEvents(asked) })),
+    sound("comment before an event", instead((asked, at) => `: note\n${event(asked, at)}`)),
+    sound("comment between events", instead((asked, at) => `: note\n\n${event(asked, at)}`)),
+    sound("CRLF line ends", asked => ({ parts: listEvents(asked).map(text => text.replaceAll("\n", "\r\n")) })),
+    sound("CR line ends", asked => ({ parts: listEvents(asked).map(text => text.replaceAll("\n", "\r")) })),
+    sound("byte-order mark", asked => ({ parts: [BYTE_ORDER_MARK, ...listEvents(asked)] })),
+    {
+        ...sound("trailers", asked => ({ parts: listEvents(asked), trailers: ["x-note: 1", "id: 99"] })),
+        framings: ["chunked"],
+    },
+    {
+        ...sound("second answer behind the marked end", asked => ({
+            parts: listEvents(asked),
+            behind: secondAnswer(asked),
+        })),
+        framings: ["chunked", "length"],
+    },
+    faulty("garbage for an event", instead(() => "garbage\n\n")),
+    faulty("empty id", instead(asked => `id:\ndata: ${asked.run}\n\n`)),
+    faulty("id that is no number", instead(asked => `id: x7\ndata: ${asked.run}\n\n`)),
+    faulty("event without id", instead((asked, at) => `${listEventLines(asked, at)[1]}\n\n`)),
+    faulty("invalid UTF-8 for an event", instead(() => `${INVALID_UTF8}\n\n`)),
+    faulty("two ids in an event", instead((asked, at) => `id: ${at}\nid: ${at + 5}\ndata: ${asked.run}\n\n`)),
+    faulty("id behind a lone CR", instead((asked, at) => `id: ${at}\ndata: ${asked.run}\rid: ${at + 5}\n\n`)),
+    faulty("event once more", instead((asked, at) => event(asked, at) + event(asked, at))),
+    faulty("first event once more", instead((asked, at) => event(asked, at) + event(asked, 1))),
+    faulty("gap", instead((asked, at) => event(asked, at + 1))),
+    faulty("second answer for an event", endWith(asked => secondAnswer(asked))),
+    faulty("half an event, then the end", endWith(halfEvent)),
+    faulty("id line, then the end", endWith((asked, at) => `${listEventLines(asked, at)[0]}\n`)),
+    faulty("connection closed within an event", (asked, at) => ({
+        parts: [...listEvents(asked, at), halfEvent(asked, at)],
+        breaksOff: true,
+        excessLength: 1,
+    })),
+    faulty("second answer behind the last event", asked => ({ parts: [...listEvents(asked), secondAnswer(asked)] })),
+    faulty("bytes behind the last event", asked => ({ parts: [...listEvents(asked), "garbage"] })),
+    faulty("garbage behind the last event", asked => ({ parts: [...listEvents(asked), "garbage\n\n"] })),
+    {
+        ...faulty("stated length too long", asked => ({ parts: listEvents(asked), excessLength: 7 })),
+        framings: ["length"],
+    },
+    {
+        ...faulty("stated length too short", asked => ({ parts: listEvents(asked), excessLength: -7 })),
+        framings: ["length"],
+    },
+    faulty("no event", () => ({ parts: [] })),
+    { ...faulty("begins at 1", asked => ({ parts: listEvents({ ...asked, from: 1 }) })), isForResumptions: true },
+];
+
+function sound(name: string, make: StreamShape["make"]): StreamShape {
+    return { name, make, isFaulty: false };
+}
+
+function faulty(name: string, make: StreamShape["make"]): StreamShape {
+    return { name, make, isFaulty: true };
+}
+
+/** Sends a text in place of an event, and then the events behind it. */
+function instead(makeText: (asked: AskedStream, at: number) => string): StreamShape["make"] {
+    return (asked, at) => ({
+        parts: [...listEvents(asked, at), makeText(asked, at), ...listEvents({ ...asked, from: at + 1 })],
+    });
+}
+
+/** Sends a text in place of an event and of all events behind it. */
+function endWith(makeText: (asked: AskedStream, at: number) => string): StreamShape["make"] {
+    return (asked, at) => ({ parts: [...listEvents(asked, at), makeText(asked, at)] });
+}
+
+function event(asked: AskedStream, number: number): string {
+    return `${listEventLines(asked, number).join("\n")}\n\n`;
+}
+
+function halfEvent(asked: AskedStream, number: number): string {
+    return event(asked, number).slice(0, -4);
+}
+
+/** Lists the events asked for before one with a number. */
+function listEvents(asked: AskedStream, before = asked.total + 1): string[] {
+    const count = Math.max(0, before - asked.from);
+    return Array.from({ length: count }, (_, index) => event(asked, asked.from + index));
+}
+
+function secondAnswer({ run }: AskedStream): string {
+    const body = `id: 1\ndata: ${run} of another answer\n\n`;
+    return `HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+}
--- a/src/tools/index.ts
+++ b/src/tools/index.ts
@@ -4,6 +4,8 @@
 export * from "./exchangeCall/index.js";
 export * from "./findFreePorts/index.js";
 export * from "./fleet/index.js";
+export * from "./formatRawStream/index.js";
+export * from "./garbledStreams/index.js";
 export * from "./groupBy/index.js";
 export * from "./makeRandom/index.js";
 export * from "./processes/index.js";
--- a/src/tools/soak/main.ts
+++ b/src/tools/soak/main.ts
@@ -1,7 +1,7 @@
 /**
  * Runs random fault schedules, one per seed, against the control log, against routed calls, with hosts that lose their paths to upstreams,
- * with a loss of all power, with upstreams of several software versions, with failures that make hosts repeat calls, with separate processes that are stopped, or with upstreams that
- * refuse calls and repeat or garble their answers beside separate processes:
+ * with a loss of all power, with upstreams of several software versions, with failures that make hosts repeat calls, with separate processes that are stopped, with upstreams that
+ * refuse calls and repeat or garble their answers beside separate processes, or with upstreams that spoil their streams beside such:
  * `node dist/tools/soak/main.js --schedule calls --seeds 500 --from 1`.
  */
 import { cac } from "cac";
@@ -15,6 +15,7 @@
     runReplicaSchedule,
     runSoftwareSchedule,
 } from "../../faultInjection/index.js";
+import { describeGarbledStreams, runGarbledStreams } from "../garbledStreams/index.js";
 import { describeRefusals, runRefusals } from "../refusals/index.js";
 import { describeStops, runStops, writeStopFaults } from "../stops/index.js";
 import { writeFaults } from "../writeFaults/index.js";
@@ -23,13 +24,13 @@
     readonly schedule: string;
     readonly seeds: number;
     readonly from: number;
-    /** Factor on the number of processes and callers of the schedules `stops` and `refusals`. */
+    /** Factor on the number of processes and callers of the schedules `stops`, `refusals` and `garbled`. */
     readonly size: number;
     /** The signals of the schedule `stops`, separated by commas. */
     readonly signals: string;
     /** By which a busy machine may be late in the schedule `stops`, in milliseconds. */
     readonly tolerance: number;
-    /** Folder for what is known of each fault of the schedules `stops` and `refusals`. */
+    /** Folder for what is known of each fault of the schedules `stops`, `refusals` and `garbled`. */
     readonly logs?: string;
 }
 
@@ -81,6 +82,11 @@
         if (logs !== undefined && report.faults.length > 0) await writeFaults(logs, "refusals", seed, report);
         return describeRefusals(report);
     },
+    "garbled": async (seed, { size, logs }) => {
+        const report = await runGarbledStreams(seed, { size });
+        if (logs !== undefined && report.faults.length > 0) await writeFaults(logs, "garbled", seed, report);
+        return describeGarbledStreams(report);
+    },
 };
 
 function describeReplicaReport({ accepted, virtualMs }: ReplicaScheduleReport): string {
@@ -110,14 +116,14 @@
 program.option("--schedule <name>", `What runs: ${Object.keys(SCHEDULE_RUNNERS).join(", ")}`, { default: "log" });
 program.option("--seeds <count>", "How many seeds to run", { default: 100 });
 program.option("--from <seed>", "The first seed", { default: 1 });
-program.option("--size <factor>", "How many times as many processes the schedules stops and refusals have", {
+program.option("--size <factor>", "How many times as many processes the schedules stops, refusals and garbled have", {
     default: 1,
 });
 program.option("--signals <names>", "Which signals the schedule stops sends", { default: "SIGTERM,SIGHUP" });
 program.option("--tolerance <ms>", "By which a busy machine may be late in the schedule stops", { default: 500 });
 program.option(
     "--logs <folder>",
-    "Where the schedules stops and refusals write what is known of their faults",
+    "Where the schedules stops, refusals and garbled write what is known of their faults",
 );
 program.help();
 const { options } = program.parse();
