Table of spoilt streams: each shape in each framing, at one entry

tools/garbledStreams sends each shape at the beginning of a stream and as the rest of one, in each framing, on both routes. What the interface allows is no fault in it, nor in the schedule: streams that can't be resumed may have no ids and no events, so an event without an id is spoilt there only behind the first one, and no event only where streams can be resumed. Before, the schedule called these pieces that no run made, and untrue ends; nothing in the bytes shows it. Lines that end with a carriage return alone are not read (the entry takes such a stream for one that ends within an event): the shape counts as faulty, so that it must be broken off, and go on elsewhere where it can. Behind the last event nothing proves the end: all events must come and the stream is broken off; such streams are left out of the share that goes on.

--- a/src/tools/garbledStreams/drawGarbledReply/index.ts
+++ b/src/tools/garbledStreams/drawGarbledReply/index.ts
@@ -1,6 +1,7 @@
 import { Random } from "../../../ports/index.js";
 import { formatRawStream, Framing, FRAMINGS } from "../../formatRawStream/index.js";
 import { RawReply, RawRequest } from "../../rawUpstream/index.js";
+import { STREAM_ROUTES } from "../garblePlan/index.js";
 import { AskedStream, STREAM_SHAPES, StreamShape } from "../streamShapes/index.js";
 
 /** A stream that an upstream sent. */
@@ -36,29 +37,30 @@
     const framing = random.pick(FRAMINGS);
     const isLeft = asked.from <= asked.total;
     const shapes = random.next() < share && isLeft ? FAULTY_SHAPES : SOUND_SHAPES;
-    const shape = random.pick(shapes.filter(each => isFitting(each, asked, framing)));
     const at = isLeft ? random.integer(asked.from, asked.total + 1) : asked.from;
-    return { served: { ...asked, request: request.id, upstream, shape, framing, at }, reply: formatReply() };
-
-    function formatReply(): RawReply {
-        const stream = formatRawStream({ id: request.id, framing, ...makeStream(shape, asked, at, framing) });
-        const delayMs = random.between(0, MAX_WORK_MS);
-        return { ...stream, delayMs, gapMs: random.between(0, MAX_GAP_MS), runs: true, resets: false };
-    }
+    const shape = random.pick(shapes.filter(each => isFitting(each, asked, at, framing)));
+    const served = { ...asked, request: request.id, upstream, shape, framing, at };
+    const delayMs = random.between(0, MAX_WORK_MS);
+    return { served, reply: { ...formatServedStream(served), delayMs, gapMs: random.between(0, MAX_GAP_MS) } };
 }
 
-/** Reads which events a request asks for: its path ends in `/RUN/TOTAL`. */
-export function readAskedStream({ path, lastEventId }: Pick<RawRequest, "path" | "lastEventId">): AskedStream {
-    const [, , run, total] = path.split("/");
-    return { run, total: Number(total), from: (Number(lastEventId) || 0) + 1 };
+/** Formats a stream as an upstream sends it, without pauses. */
+export function formatServedStream(served: ServedStream): RawReply {
+    const { request, shape, framing, at } = served;
+    // Behind the last event there is nothing to spoil.
+    const stream = served.from > served.total ? { parts: [] } : shape.make(served, at, framing);
+    return { ...formatRawStream({ id: request, framing, ...stream }), delayMs: 0, runs: true, resets: false };
 }
 
-function isFitting({ framings, isForResumptions }: StreamShape, { from }: AskedStream, framing: Framing): boolean {
-    if (isForResumptions && from === 1) return false;
-    return framings === undefined || framings.includes(framing);
+/** Reads which events a request asks for: its path is `/ROUTE/RUN/TOTAL`. */
+export function readAskedStream({ path, lastEventId }: Pick<RawRequest, "path" | "lastEventId">): AskedStream {
+    const [, route, run, total] = path.split("/");
+    const isResumable = STREAM_ROUTES.some(each => each.name === route && each.isResumable);
+    return { run, isResumable, total: Number(total), from: (Number(lastEventId) || 0) + 1 };
 }
 
-/** Behind the last event there is nothing to spoil. */
-function makeStream(shape: StreamShape, asked: AskedStream, at: number, framing: Framing) {
-    return asked.from > asked.total ? { parts: [] } : shape.make(asked, at, framing);
+function isFitting(shape: StreamShape, asked: AskedStream, at: number, framing: Framing): boolean {
+    const { framings, isForResumptions } = shape;
+    if (isForResumptions && asked.from === 1) return false;
+    return (framings?.includes(framing) ?? true) && (shape.isFitting?.(asked, at) ?? true);
 }
--- a/src/tools/garbledStreams/streamShapes/index.ts
+++ b/src/tools/garbledStreams/streamShapes/index.ts
@@ -8,6 +8,8 @@
     readonly total: number;
     /** Number of the first event that is asked for, from 1. */
     readonly from: number;
+    /** Whether its route may be resumed. */
+    readonly isResumable: boolean;
 }
 
 /** A kind of stream that a raw upstream sends. */
@@ -19,6 +21,10 @@
     readonly framings?: readonly Framing[];
     /** Whether it only makes a difference to a stream that goes on behind an event. */
     readonly isForResumptions?: boolean;
+    /** Whether all events asked for come first. */
+    readonly isBehindLastEvent?: boolean;
+    /** Whether an event with a number can be spoilt in this way. Undefined: each can. */
+    readonly isFitting?: (asked: AskedStream, at: number) => boolean;
     /**
      * Makes the stream.
      *
@@ -41,7 +47,8 @@
     sound("comment before an event", instead((asked, at) => `: note\n${event(asked, at)}`)),
     sound("comment between events", instead((asked, at) => `: note\n\n${event(asked, at)}`)),
     sound("CRLF line ends", asked => ({ parts: listEvents(asked).map(text => text.replaceAll("\n", "\r\n")) })),
-    sound("CR line ends", asked => ({ parts: listEvents(asked).map(text => text.replaceAll("\n", "\r")) })),
+    // A carriage return alone ends no line that an entry reads.
+    faulty("CR line ends", asked => ({ parts: listEvents(asked).map(text => text.replaceAll("\n", "\r")) })),
     sound("byte-order mark", asked => ({ parts: [BYTE_ORDER_MARK, ...listEvents(asked)] })),
     {
         ...sound("trailers", asked => ({ parts: listEvents(asked), trailers: ["x-note: 1", "id: 99"] })),
@@ -57,7 +64,11 @@
     faulty("garbage for an event", instead(() => "garbage\n\n")),
     faulty("empty id", instead(asked => `id:\ndata: ${asked.run}\n\n`)),
     faulty("id that is no number", instead(asked => `id: x7\ndata: ${asked.run}\n\n`)),
-    faulty("event without id", instead((asked, at) => `${listEventLines(asked, at)[1]}\n\n`)),
+    {
+        ...faulty("event without id", instead((asked, at) => `${listEventLines(asked, at)[1]}\n\n`)),
+        // Streams that can't be resumed may have no ids, so that a first event without one is no fault.
+        isFitting: ({ isResumable }, at) => isResumable || at > 1,
+    },
     faulty("invalid UTF-8 for an event", instead(() => `${INVALID_UTF8}\n\n`)),
     faulty("two ids in an event", instead((asked, at) => `id: ${at}\nid: ${at + 5}\ndata: ${asked.run}\n\n`)),
     faulty("id behind a lone CR", instead((asked, at) => `id: ${at}\ndata: ${asked.run}\rid: ${at + 5}\n\n`)),
@@ -72,18 +83,24 @@
         breaksOff: true,
         excessLength: 1,
     })),
-    faulty("second answer behind the last event", asked => ({ parts: [...listEvents(asked), secondAnswer(asked)] })),
-    faulty("bytes behind the last event", asked => ({ parts: [...listEvents(asked), "garbage"] })),
-    faulty("garbage behind the last event", asked => ({ parts: [...listEvents(asked), "garbage\n\n"] })),
+    behindLastEvent("second answer behind the last event", asked => ({
+        parts: [...listEvents(asked), secondAnswer(asked)],
+    })),
+    behindLastEvent("bytes behind the last event", asked => ({ parts: [...listEvents(asked), "garbage"] })),
+    behindLastEvent("garbage behind the last event", asked => ({ parts: [...listEvents(asked), "garbage\n\n"] })),
     {
-        ...faulty("stated length too long", asked => ({ parts: listEvents(asked), excessLength: 7 })),
+        ...behindLastEvent("stated length too long", asked => ({ parts: listEvents(asked), excessLength: 7 })),
         framings: ["length"],
     },
     {
         ...faulty("stated length too short", asked => ({ parts: listEvents(asked), excessLength: -7 })),
         framings: ["length"],
     },
-    faulty("no event", () => ({ parts: [] })),
+    {
+        ...faulty("no event", () => ({ parts: [] })),
+        // Streams that can't be resumed may have no events.
+        isFitting: ({ isResumable }) => isResumable,
+    },
     { ...faulty("begins at 1", asked => ({ parts: listEvents({ ...asked, from: 1 }) })), isForResumptions: true },
 ];
 
@@ -95,6 +112,10 @@
     return { name, make, isFaulty: true };
 }
 
+function behindLastEvent(name: string, make: StreamShape["make"]): StreamShape {
+    return { ...faulty(name, make), isBehindLastEvent: true };
+}
+
 /** Sends a text in place of an event, and then the events behind it. */
 function instead(makeText: (asked: AskedStream, at: number) => string): StreamShape["make"] {
     return (asked, at) => ({
