Soak: hosts out of step while upstreams change their software, and all hosts killed at once

Tries that are refused although their version runs are counted and reported.

RoutedFleet stops single hosts as SIGSTOP does: their timers wait, what is sent to them arrives when they go on, and upstreams announce themselves to another control process meanwhile.

--- a/src/faultInjection/routedFleet/index.ts
+++ b/src/faultInjection/routedFleet/index.ts
@@ -20,7 +20,8 @@
 import { checkDocument } from "../../routing/index.js";
 import { DEFAULT_REGISTRY_TIMING } from "../../upstream/index.js";
 import { ZoneCommand } from "../../zone/index.js";
-import { CALL_TIMEOUT_MS, TestCall, TestCaller, TestReply } from "../testCaller/index.js";
+import { PausableClock } from "../pausableClock/index.js";
+import { CALL_TIMEOUT_MS, CALLER_HOST, TestCall, TestCaller, TestReply } from "../testCaller/index.js";
 
 const PORTS = { control: 7001, callers: 8080, peers: 7000, relay: 7002, upstream: 9000 } as const;
 const UPSTREAM_HOST_PREFIX = "10.0.9.";
@@ -30,6 +31,8 @@
 const ANNOUNCEMENT_INTERVAL_MS = 1_200;
 const REGISTRY_TIMING = { ...DEFAULT_REGISTRY_TIMING, silentAfterMs: 4 * ANNOUNCEMENT_INTERVAL_MS };
 const SEED_COUNT = 3;
+/** Number of upstreams that a host which stands still no longer reaches, those that start later included. */
+const MAX_FROZEN_UPSTREAMS = 64;
 const START_TIMEOUT_MS = 30_000;
 /** Those of a deployment with a handful of entries. */
 const REPEAT_LIMITS: RepeatLimits = { ratio: 0.2, windowMs: 10_000, slack: 54 };
@@ -82,6 +85,8 @@
     private readonly random: SeededRandom;
     private readonly caller = new TestCaller(this.clock, this.web);
     private readonly announcementsAbort = new AbortController();
+    private readonly frozenControls = new Set<number>();
+    private readonly hostClocks = new Map<string, PausableClock>();
     private startCount = 0;
 
     constructor(layout: Partial<RoutedFleetOptions> = {}) {
@@ -219,6 +224,36 @@
         for (const host of entries) this.fabric.isolate(host, [...entries, ...controls], isCut);
     }
 
+    /** Stops an entry as SIGSTOP does, or lets it go on: it finds what arrived meanwhile, and what it sent before arrives then. */
+    freezeEntry(number: number, isFrozen: boolean): void {
+        this.freezeHost(entryHost(number), isFrozen);
+    }
+
+    /** Stops a control host as SIGSTOP does, or lets it go on. */
+    freezeControl(number: number, isFrozen: boolean): void {
+        if (isFrozen) this.frozenControls.add(number);
+        else this.frozenControls.delete(number);
+        this.freezeHost(controlAddress(number).host, isFrozen);
+    }
+
+    private freezeHost(host: string, isFrozen: boolean): void {
+        const others = [
+            CALLER_HOST,
+            ...this.entries.map((_, entry) => entryHost(entry)),
+            ...this.controls.map((_, control) => controlAddress(control).host),
+            ...Array.from({ length: MAX_FROZEN_UPSTREAMS }, (_, upstream) => upstreamHost(upstream)),
+        ];
+        this.fabric.isolate(host, others, isFrozen);
+        if (isFrozen) this.clockOf(host).pause();
+        else this.clockOf(host).resume();
+    }
+
+    private clockOf(host: string): PausableClock {
+        const clock = this.hostClocks.get(host) ?? new PausableClock(this.clock);
+        this.hostClocks.set(host, clock);
+        return clock;
+    }
+
     async startEntry(number: number): Promise<void> {
         const host = entryHost(number);
         this.recordStart(host);
@@ -339,14 +374,19 @@
     }
 
     private liveControl(): number {
-        return this.controls.findIndex(control => control !== undefined);
+        return this.controls.findIndex((_, number) => this.isAnswering(number));
+    }
+
+    /** Whether a control process runs and does not stand still: upstreams announce themselves to another one otherwise. */
+    private isAnswering(number: number): boolean {
+        return this.controls[number] !== undefined && !this.frozenControls.has(number);
     }
 
     private async announcePeriodically(): Promise<void> {
         while (!this.announcementsAbort.signal.aborted) {
             for (const [number, upstream] of this.upstreams.entries()) {
                 if (!upstream.isUp) continue;
-                const live = this.controls.filter(control => control !== undefined);
+                const live = this.controls.filter((_, control) => this.isAnswering(control));
                 void live[number % live.length]?.routing!.publisher.receive(upstream.announce());
             }
             await this.clock.sleep(ANNOUNCEMENT_INTERVAL_MS, this.announcementsAbort.signal);
@@ -390,7 +430,7 @@
 
     private makePorts(host: string) {
         return {
-            clock: this.clock,
+            clock: this.clockOf(host),
             random: new SeededRandom(this.random.integer(1, 1_000_000)),
             network: this.fabric.network(host),
             http: this.web.http(host),
--- a/src/faultInjection/streamCaller/index.ts
+++ b/src/faultInjection/streamCaller/index.ts
@@ -42,6 +42,8 @@
     readonly maxTries: number;
     /** Pause before a stream that broke off is taken up, in milliseconds. */
     readonly pauseMs: number;
+    /** Returns the signal by which the caller leaves a try at an entry; undefined: it waits for the end of each. */
+    readonly signalOf?: (entry: number) => AbortSignal;
 }
 
 const MAX_RETRY_PAUSE_MS = 1_000;
@@ -77,7 +79,7 @@
 
 async function sendTry(
     fleet: RoutedFleet,
-    { request: name, path, key }: StreamRequest,
+    { request: name, path, key, signalOf }: StreamRequest,
     tries: StreamTry[],
     entry: number,
 ): Promise<TestReply> {
@@ -88,7 +90,7 @@
         ? [[CALL_HEADERS.lastEventId, String(last.id)], [CALL_HEADERS.resumes, began.request]]
         : [];
     const sentAt = fleet.clock.monotonic();
-    const reply = await fleet.startCall({ entry, path, key, request, headers });
+    const reply = await fleet.startCall({ entry, path, key, request, headers, signal: signalOf?.(entry) });
     const { status, isWhole } = reply;
     const events = status === 200 ? parseEvents(reply.body) : [];
     tries.push({ request, entry, sentAt, isResumption: began !== undefined, status, isWhole, events });
--- a/src/faultInjection/testCaller/index.ts
+++ b/src/faultInjection/testCaller/index.ts
@@ -1,7 +1,8 @@
 import { CALL_HEADERS } from "../../passthrough/index.js";
 import { Address, Clock, HeaderList, MemoryHttpFabric } from "../../ports/index.js";
 
-const CALLER_HOST = "10.0.8.1";
+/** Address of the host from which callers send. */
+export const CALLER_HOST = "10.0.8.1";
 /** Time limit of a call: for the head of its response, and where a test waits for it, for its end. */
 export const CALL_TIMEOUT_MS = 30_000;
 
--- a/src/tools/soak/main.ts
+++ b/src/tools/soak/main.ts
@@ -8,6 +8,7 @@
 import {
     ReplicaScheduleReport,
     runCallSchedule,
+    runHostSoftwareSchedule,
     runPathSchedule,
     runPowerSchedule,
     runRepeatSchedule,
@@ -51,6 +52,10 @@
         const { sent, begun, resumed, continued, whole } = await runSoftwareSchedule(seed);
         return `${begun} of ${sent} streams begun, ${continued} of ${resumed} went on, ${whole} whole`;
     },
+    "software-hosts": async seed => {
+        const { sent, whole, resumed, stopped, refusals } = await runHostSoftwareSchedule(seed);
+        return `${whole} of ${sent} streams whole, ${stopped} of ${resumed} that could go on did not, ${refusals} tries refused`;
+    },
     "replacement": async seed => {
         const { accepted, removals, restoredMs, virtualMs } = await runReplacementSchedule(seed);
         return `${accepted} accepted, ${removals} members removed, restored after ${restoredMs} ms, ${
