Soak: a host that stands still gets what was sent to it, also if its sender has ended the connection since

The in-memory fabric held data back at the sender, which drops it when it resets the connection, as behind a cut link. A stopped process still reads what its kernel had received before. Its timers run after that.

--- a/src/faultInjection/hostSoftwareSchedule/index.ts
+++ b/src/faultInjection/hostSoftwareSchedule/index.ts
@@ -86,7 +86,7 @@
     const run = await startRun(seed, random, drawPlan(random));
     const { fleet, plan } = run;
     for (let number = 0; number < EPISODE_COUNT; number++) {
-        await sendFor(run, random.between(300, 1_200));
+        await sendFor(run, random.integer(300, 1_200));
         await random.pick(EPISODES)(run);
         await sendFor(run, SETTLE_MS);
         run.focus = undefined;
@@ -147,7 +147,9 @@
     const end = fleet.clock.monotonic() + ms;
     while (fleet.clock.monotonic() < end) {
         streams.push(sendStream(run, streams.length));
-        await fleet.advance(Math.min(end - fleet.clock.monotonic(), random.between(0, 2_000 / plan.streamsPerS)));
+        await fleet.advance(
+            Math.min(end - fleet.clock.monotonic(), random.integer(1, Math.ceil(2_000 / plan.streamsPerS))),
+        );
     }
 }
 
@@ -193,7 +195,7 @@
             retired.add(number);
             await fleet.retireUpstream(number, RETIRE_AFTER_MS);
         }
-        await sendFor(run, random.between(20, 200));
+        await sendFor(run, random.integer(20, 200));
     }
 }
 
@@ -206,7 +208,7 @@
         await fleet.run(fleet.upstreams[number].crash());
         software[number] = version;
     }
-    await sendFor(run, random.between(200, RESTART_MS + 500));
+    await sendFor(run, random.integer(200, RESTART_MS + 500));
 }
 
 function listRunning({ fleet, retired }: HostRun): number[] {
@@ -223,10 +225,10 @@
 /** Changes upstreams' software and breaks streams off while a host is out of step, and shortly after. */
 async function changeSoftware(run: HostRun): Promise<void> {
     const { random } = run;
-    await sendFor(run, random.between(0, 1_000));
+    await sendFor(run, random.integer(0, 1_000));
     await random.pick([rollOut, rollOut, restartWithOther])(run);
     await breakStreams(run);
-    await sendFor(run, random.between(50, 1_500));
+    await sendFor(run, random.integer(50, 1_500));
 }
 
 const cutEntry: Episode = async run => {
@@ -272,13 +274,13 @@
 const killAll: Episode = async run => {
     const { fleet, random, plan } = run;
     await rollOut(run);
-    await sendFor(run, random.between(0, 300));
+    await sendFor(run, random.integer(0, 300));
     const entries = [...fleet.entries.keys()].filter(number => fleet.entries[number]);
     const controls = random.next() < 0.5 ? [...fleet.controls.keys()] : [];
     for (const number of entries) void fleet.killEntry(number);
     for (const number of controls) void fleet.killControl(number);
     if (random.next() < 0.5) await rollOutUnseen(run);
-    await fleet.advance(random.between(100, 2_500));
+    await fleet.advance(random.integer(100, 2_500));
     for (const disk of fleet.disks) disk.syncDurationMs = 1;
     await fleet.run(Promise.all(controls.map(number => fleet.startControl(number))));
     await fleet.run(Promise.all(entries.map(number => fleet.startEntry(number))));
--- a/src/faultInjection/routedFleet/index.ts
+++ b/src/faultInjection/routedFleet/index.ts
@@ -21,7 +21,7 @@
 import { DEFAULT_REGISTRY_TIMING } from "../../upstream/index.js";
 import { ZoneCommand } from "../../zone/index.js";
 import { PausableClock } from "../pausableClock/index.js";
-import { CALL_TIMEOUT_MS, CALLER_HOST, TestCall, TestCaller, TestReply } from "../testCaller/index.js";
+import { CALL_TIMEOUT_MS, TestCall, TestCaller, TestReply } from "../testCaller/index.js";
 
 const PORTS = { control: 7001, callers: 8080, peers: 7000, relay: 7002, upstream: 9000 } as const;
 const UPSTREAM_HOST_PREFIX = "10.0.9.";
@@ -31,8 +31,8 @@
 const ANNOUNCEMENT_INTERVAL_MS = 1_200;
 const REGISTRY_TIMING = { ...DEFAULT_REGISTRY_TIMING, silentAfterMs: 4 * ANNOUNCEMENT_INTERVAL_MS };
 const SEED_COUNT = 3;
-/** Number of upstreams that a host which stands still no longer reaches, those that start later included. */
-const MAX_FROZEN_UPSTREAMS = 64;
+/** Time in which a host that goes on reads what arrived while it stood still, in milliseconds. */
+const THAW_READ_MS = 2;
 const START_TIMEOUT_MS = 30_000;
 /** Those of a deployment with a handful of entries. */
 const REPEAT_LIMITS: RepeatLimits = { ratio: 0.2, windowMs: 10_000, slack: 54 };
@@ -237,15 +237,15 @@
     }
 
     private freezeHost(host: string, isFrozen: boolean): void {
-        const others = [
-            CALLER_HOST,
-            ...this.entries.map((_, entry) => entryHost(entry)),
-            ...this.controls.map((_, control) => controlAddress(control).host),
-            ...Array.from({ length: MAX_FROZEN_UPSTREAMS }, (_, upstream) => upstreamHost(upstream)),
-        ];
-        this.fabric.isolate(host, others, isFrozen);
-        if (isFrozen) this.clockOf(host).pause();
-        else this.clockOf(host).resume();
+        if (isFrozen) {
+            this.fabric.freeze(host);
+            this.clockOf(host).pause();
+        }
+        else {
+            // A process that goes on reads what has arrived before its timers run.
+            this.fabric.thaw(host);
+            this.clock.after(THAW_READ_MS, () => this.clockOf(host).resume());
+        }
     }
 
     private clockOf(host: string): PausableClock {
--- a/src/faultInjection/testCaller/index.ts
+++ b/src/faultInjection/testCaller/index.ts
@@ -1,8 +1,7 @@
 import { CALL_HEADERS } from "../../passthrough/index.js";
 import { Address, Clock, HeaderList, MemoryHttpFabric } from "../../ports/index.js";
 
-/** Address of the host from which callers send. */
-export const CALLER_HOST = "10.0.8.1";
+const CALLER_HOST = "10.0.8.1";
 /** Time limit of a call: for the head of its response, and where a test waits for it, for its end. */
 export const CALL_TIMEOUT_MS = 30_000;
 
--- a/src/ports/memoryFabric/index.ts
+++ b/src/ports/memoryFabric/index.ts
@@ -26,6 +26,8 @@
 export class MemoryFabric {
     private readonly listeners = new Map<string, AcceptHandler>();
     private readonly cuts = new Set<string>();
+    /** Hosts that stand still: what is sent to them waits there, also if its sender ends the connection meanwhile. */
+    private readonly frozen = new Set<string>();
     private readonly healActions = new Map<string, (() => void)[]>();
     private readonly refusals = new Set<string>();
     private readonly resetListeners = new Set<(from: string, to: string) => void>();
@@ -52,8 +54,12 @@
     heal(from: string, to: string): void {
         this.cuts.delete(linkKey(from, to));
         for (const pipe of this.pipes) pipe.flush();
-        const actions = this.healActions.get(linkKey(from, to)) ?? [];
-        this.healActions.delete(linkKey(from, to));
+        if (!this.isCut(from, to)) this.runHealActions(linkKey(from, to));
+    }
+
+    private runHealActions(key: string): void {
+        const actions = this.healActions.get(key) ?? [];
+        this.healActions.delete(key);
         for (const action of actions) action();
     }
 
@@ -63,6 +69,21 @@
         this.healActions.set(key, [...this.healActions.get(key) ?? [], action]);
     }
 
+    /** Has a host stand still: it neither sends nor receives. */
+    freeze(host: string): void {
+        this.frozen.add(host);
+    }
+
+    /** Lets a host go on that stood still: it receives what was sent to it meanwhile. */
+    thaw(host: string): void {
+        this.frozen.delete(host);
+        for (const pipe of this.pipes) pipe.flush();
+        for (const key of [...this.healActions.keys()]) {
+            const [from, to] = key.split(LINK_SEPARATOR);
+            if ((from === host || to === host) && !this.isCut(from, to)) this.runHealActions(key);
+        }
+    }
+
     /** Cuts, or heals, the links between a host and all others, in both directions. */
     isolate(host: string, others: readonly string[], isolated: boolean): void {
         for (const other of others) {
@@ -143,7 +164,12 @@
     }
 
     isCut(from: string, to: string): boolean {
-        return this.cuts.has(linkKey(from, to));
+        return this.cuts.has(linkKey(from, to)) || this.frozen.has(from) || this.frozen.has(to);
+    }
+
+    /** Whether bytes sent from one host to another arrive there at once or, where that host stands still, once it goes on. */
+    reaches(from: string, to: string): boolean {
+        return !this.cuts.has(linkKey(from, to)) && !this.frozen.has(from);
     }
 
     register(address: Address, accept: AcceptHandler): void {
@@ -167,8 +193,10 @@
     }
 }
 
+const LINK_SEPARATOR = ">";
+
 function linkKey(from: string, to: string): string {
-    return `${from}>${to}`;
+    return `${from}${LINK_SEPARATOR}${to}`;
 }
 
 class MemoryNetwork extends Network {
@@ -303,7 +331,7 @@
 
     reset(): void {
         // Data that is held back is dropped. The remote end is notified of the reset unless the link is cut.
-        const reachable = !this.outgoing["fabric"].isCut(this.outgoing.from, this.outgoing.to);
+        const reachable = this.outgoing["fabric"].reaches(this.outgoing.from, this.outgoing.to);
         this.incoming.end();
         if (reachable) this.outgoing.close();
         else this.outgoing.blackhole();
