Streams are not taken up at an upstream whose old announcement has waited on its way

Callers of a stream that broke off got the rest from another software version, with status 200 and nothing that showed it. Where: at an entry, or through the owner of the pool's queue, that had stood still for some seconds while an upstream came back with other software at its id.

Cause: an announcement's age was that at the publisher when it sent the update. The time for which the update then waited (at a host that stands still, or behind a cut link) was not counted, so that the upstream counted as certain to run the announced incarnation for up to half of the silence limit after it had ended.

Updates now carry the publisher's monotonic time. A subscriber measures by how much each took longer than the fastest one of late, and adds it to the age of the announcements; the reply to a subscription can't have been sent before the question. Whether an upstream is alive is judged as before. Cost: one number in each update, none where the publisher is of an earlier version.

--- a/src/discovery/announcementPublisher/index.ts
+++ b/src/discovery/announcementPublisher/index.ts
@@ -78,10 +78,9 @@
      * @returns Whether it may be confirmed to the upstream; otherwise the upstream should announce to another control process.
      */
     async receive(announcement: Announcement): Promise<boolean> {
-        const { registry, clock } = this.options;
-        registry.announce(announcement);
+        this.options.registry.announce(announcement);
         if (announcement.state === "ready") return true;
-        const update: AnnouncementUpdate = { records: [{ announcement, ageMs: 0 }], wallMs: clock.now() };
+        const update: AnnouncementUpdate = { records: [{ announcement, ageMs: 0 }], ...this.readClock() };
         const body = new EncodedBody(update);
         const confirmations = [...this.subscribers.keys()].map(channel =>
             channel.call(UPDATE_METHOD, body, CONFIRM_TIMEOUT_MS)
@@ -105,7 +104,7 @@
         this.subscribers.set(channel, { level, sentAt: clock.monotonic() });
         const { records } = registry.changesSince(0, "all");
         for (const record of records) this.updateReported(record);
-        return { records: records.map(record => trimRecord(record, level)), wallMs: clock.now() };
+        return { records: records.map(record => trimRecord(record, level)), ...this.readClock() };
     }
 
     private sendUpdates(): void {
@@ -132,7 +131,7 @@
         );
         if (due.length === 0) return;
         const trimmed = records.map(record => trimRecord(record, level));
-        const update: AnnouncementUpdate = { records: trimmed, lapsed: expired, wallMs: this.options.clock.now() };
+        const update: AnnouncementUpdate = { records: trimmed, lapsed: expired, ...this.readClock() };
         const body = new EncodedBody(update);
         for (const [channel, subscription] of due) {
             subscription.sentAt = now;
@@ -140,6 +139,11 @@
         }
     }
 
+    private readClock(): Pick<AnnouncementUpdate, "wallMs" | "sentMs"> {
+        const { clock } = this.options;
+        return { wallMs: clock.now(), sentMs: clock.monotonic() };
+    }
+
     private updateReported({ announcement, relayed }: AnnouncementRecord): void {
         const id = announcement.id as UpstreamId;
         if (announcement.state === "ready" && !relayed) this.reportedReady.add(id);
--- a/src/discovery/announcementPublisher/test.ts
+++ b/src/discovery/announcementPublisher/test.ts
@@ -11,6 +11,8 @@
 
 const ID = "u1" as UpstreamId;
 const HEARTBEAT_MS = 500;
+/** Round trip of a subscription, by which ages may be wrong, in milliseconds. */
+const MAX_AGE_ERROR_MS = 4;
 
 async function makePublishers(names: readonly string[]) {
     const clock = new VirtualClock();
@@ -105,6 +107,46 @@
         stop();
     });
 
+    describe("an announcement that waits on its way", () => {
+        /** Has an announcement wait for the entry, and returns its age as the entry takes it, in milliseconds. */
+        async function measureAge(
+            hold: (fabric: MemoryFabric, isHeld: boolean) => void,
+            heldMs: number,
+        ): Promise<number> {
+            const { clock, fabric, nodes: [control, entry], subscribe, stop } = await makePublishers([
+                "control",
+                "entry",
+            ]);
+            subscribe(1, 0);
+            await clock.advance(500);
+            await control.publisher.receive(makeAnnouncement({ sequence: 1 }));
+            await clock.advance(200);
+            hold(fabric, true);
+            await control.publisher.receive(makeAnnouncement({ sequence: 2 }));
+            const at = clock.monotonic();
+            await clock.advance(heldMs);
+            hold(fabric, false);
+            await clock.advance(2);
+            stop();
+            const { announcement, announcedAt } = entry.registry.get(ID)!;
+            assert.equal(announcement.sequence, 2);
+            return announcedAt - at;
+        }
+
+        it("keeps its age at a host that stood still", async () => {
+            // Failure: its upstream counted as one that runs now, and got the rest of a stream after it had come back with other software.
+            const hold = (fabric: MemoryFabric, isHeld: boolean): void =>
+                isHeld ? fabric.freeze("entry") : fabric.thaw("entry");
+            assert.ok(Math.abs(await measureAge(hold, 1_000)) <= MAX_AGE_ERROR_MS);
+        });
+
+        it("keeps its age behind a link that was cut", async () => {
+            // Failure: the same, at a host that was cut off for a moment.
+            const hold = (fabric: MemoryFabric, isHeld: boolean): void => fabric.isolate("entry", ["control"], isHeld);
+            assert.ok(Math.abs(await measureAge(hold, 1_000)) <= MAX_AGE_ERROR_MS);
+        });
+    });
+
     describe("a subscriber at level `membership`", () => {
         /**
          * Lets an upstream announce itself for `ms` milliseconds, with a changing load.
--- a/src/discovery/announcementSubscriber/index.ts
+++ b/src/discovery/announcementSubscriber/index.ts
@@ -12,6 +12,7 @@
     UPDATE_METHOD,
     UpdateLevel,
 } from "../announcementUpdate/index.js";
+import { TransitMeter } from "../transitMeter/index.js";
 
 const SUBSCRIBE_TIMEOUT_MS = 1_000;
 /** Interval at which the level of updates that this process needs is checked. */
@@ -57,6 +58,7 @@
 export class AnnouncementSubscriber {
     /** Channels to the publishers subscribed to, with the requested level. */
     private readonly levelByChannel = new Map<PeerChannel, UpdateLevel>();
+    private readonly meters = new WeakMap<PeerChannel, TransitMeter>();
     /** The publisher of each ready upstream. */
     private readonly sources = new Map<UpstreamId, UpstreamSource>();
 
@@ -72,6 +74,7 @@
     /** Subscribes to the publisher at the remote end of a channel until the channel ends. */
     async subscribe(channel: PeerChannel): Promise<void> {
         const level = this.options.requiredLevel?.() ?? "all";
+        const askedAt = this.options.clock.monotonic();
         const reply = await channel.call(SUBSCRIBE_METHOD, { level } satisfies SubscribeRequest, SUBSCRIBE_TIMEOUT_MS);
         if (reply.isLeft()) {
             // Without a subscription the channel would look healthy while upstreams stay unknown. The next channel tries again.
@@ -84,7 +87,9 @@
         }
         if (!this.levelByChannel.has(channel)) void channel.closed.then(() => this.removeChannel(channel));
         this.levelByChannel.set(channel, level);
-        this.applyUpdate(reply.unsafeCoerce() as AnnouncementUpdate, channel);
+        const update = reply.unsafeCoerce() as AnnouncementUpdate;
+        if (update.sentMs !== undefined) this.meterOf(channel).addLowerBound(update.sentMs, askedAt);
+        this.applyUpdate(update, channel);
     }
 
     /** Notifies all publishers that an upstream has stated in an answer that it is about to end. */
@@ -108,10 +113,18 @@
         }
     }
 
-    private applyUpdate({ records, lapsed: expired = [], wallMs }: AnnouncementUpdate, channel: PeerChannel): void {
+    private meterOf(channel: PeerChannel): TransitMeter {
+        const meter = this.meters.get(channel) ?? new TransitMeter();
+        this.meters.set(channel, meter);
+        return meter;
+    }
+
+    private applyUpdate(update: AnnouncementUpdate, channel: PeerChannel): void {
+        const { records, lapsed: expired = [], wallMs, sentMs } = update;
         const { registry, clock, onWallTime } = this.options;
         const now = clock.monotonic();
-        registry.merge(records);
+        const transitMs = sentMs === undefined ? 0 : this.meterOf(channel).measure(sentMs, now);
+        registry.merge(records, now - transitMs);
         for (const record of records) this.updateSource(record, channel);
         for (const { id, ageMs } of expired) {
             if (this.sources.get(id)?.channel !== channel) continue;
--- a/src/discovery/announcementUpdate/index.ts
+++ b/src/discovery/announcementUpdate/index.ts
@@ -50,4 +50,6 @@
     readonly lapsed?: readonly ExpiredUpstream[];
     /** The publisher's wall time at sending, in milliseconds since the epoch. */
     readonly wallMs: number;
+    /** The publisher's monotonic time at sending, in milliseconds; undefined from publishers of an earlier version. */
+    readonly sentMs?: number;
 }
