An answer with status 204 ends at its head, whatever length its head states

On Node.js 20.19.0 the parser reads a body behind a 204 that states a length or chunks, though the status excludes one. Bytes that belong to no request were forwarded as the body of a complete answer, and a 204 that stated a length and sent nothing kept its call waiting until the deadline.

The client now ends such an answer at its head and closes the connection. A length of 0, which some servers state, changes nothing.

--- a/src/ports/nodeHttpClient/index.ts
+++ b/src/ports/nodeHttpClient/index.ts
@@ -15,6 +15,7 @@
  */
 const MAX_RECENT_IDLE_MS = 300;
 const MIN_FINAL_STATUS = 200;
+const STATUS_NO_CONTENT = 204;
 /** Matches a list of transfer codings that marks the end of the body: others end with the connection. */
 const CHUNKED_LAST = /(^|,)\s*chunked\s*$/i;
 
@@ -93,11 +94,14 @@
                 clearTimeout(timer);
                 const endProbe = isSelfDelimited(message) ? undefined : new ConnectionEndProbe(message.socket);
                 message.once("close", () => call.signal?.removeEventListener("abort", abort));
+                const isExcess = declaresExcessBody(message);
+                // The parser reads such a body, whose bytes belong to no request.
+                if (isExcess) req.destroy();
                 resolve(Right({
                     status: message.statusCode!,
                     headers: toHeaderList(message.rawHeaders),
                     connection,
-                    body: readReplyBody(
+                    body: isExcess ? readNothing() : readReplyBody(
                         message,
                         async () => hasFailed || (await endProbe?.wasReset() ?? false),
                         () => reason,
@@ -122,6 +126,14 @@
     return headers["content-length"] !== undefined || CHUNKED_LAST.test(headers["transfer-encoding"] ?? "");
 }
 
+/** Whether a response's headers state a body that its status excludes. */
+function declaresExcessBody({ statusCode, headers }: IncomingMessage): boolean {
+    if (statusCode !== STATUS_NO_CONTENT) return false;
+    return headers["transfer-encoding"] !== undefined || Number(headers["content-length"] ?? 0) > 0;
+}
+
+async function* readNothing(): AsyncIterable<Uint8Array> {}
+
 /**
  * Detects whether a connection that has ended was reset instead of closed.
  *
--- a/src/ports/nodeHttpClient/test.ts
+++ b/src/ports/nodeHttpClient/test.ts
@@ -137,6 +137,23 @@
         });
     }
 
+    for (const header of ["Content-Length: 5", "Transfer-Encoding: chunked"]) {
+        it(`ends an answer with status 204 at its head, though that has ${header}`, async () => {
+            // Failure: a call waits until its deadline for a body that its status excludes, and the next answer's bytes are taken for it.
+            const bytes = `HTTP/1.1 204 No Content\r\n${header}\r\n\r\n`;
+            const answer = { name: header, bytes, ending: "silent", isCorrect: true, hasRest: true } as const;
+            const server = await WrongServer.start(answer);
+            try {
+                const fetched = fetchText(new NodeHttpClient(), server.address, WRONG_PATH, CORRECT_DEADLINE_MS);
+                assert.equal(await fetched, "whole: ");
+                assert.ok(await waitUntil(() => server.openCount === 0));
+            }
+            finally {
+                await server.close();
+            }
+        });
+    }
+
     it("ends each wrong or endless answer by its deadline, and uses its connection for nothing else", async () => {
         // Guards against requests that hang, connections that stay open, and bytes that reach another request.
         const answers = makeWrongAnswers(SEED, SAMPLE_SIZE);
