Timers with delays beyond 31 bits no longer run at once

A fleet document may give a route any time limit, and callers any deadline, so a limit may exceed 2^31 - 1 ms. The timers of Node.js then run their callback after 1 ms: the operator would see every call of such a route end as timed out, with a TimeoutOverflowWarning on standard error. The same held for each wait that a number from others lengthens.

All timers whose delay others can influence now go through startTimer, which waits in several steps. A delay that is not a number is unchanged.

--- a/src/ports/nodeHttpClient/index.ts
+++ b/src/ports/nodeHttpClient/index.ts
@@ -1,6 +1,7 @@
 import { Agent, IncomingMessage, request } from "node:http";
 import { Socket } from "node:net";
 import { Either, Left, Right } from "purify-ts";
+import { startTimer } from "../_lib/startTimer.js";
 import { toHeaderList } from "../_lib/toHeaderList.js";
 import { ConnectionHistory } from "../connectionHistory/index.js";
 import { ConnectionPool } from "../connectionPool/index.js";
@@ -51,15 +52,15 @@
                 reason = failureReason;
                 req.destroy(new Error(failureReason));
             };
-            let timer = setTimeout(() => cancel("timeout"), call.connectTimeoutMs);
+            let timer = startTimer(call.connectTimeoutMs, () => cancel("timeout"));
             const abort = (): void => cancel("aborted");
             call.signal?.addEventListener("abort", abort);
             req.on("socket", socket => {
                 connection = this.history.record(socket, call.id);
                 const startHeadTimeout = (): void => {
                     isConnected = true;
-                    clearTimeout(timer);
-                    timer = setTimeout(() => cancel("timeout"), call.headTimeoutMs);
+                    timer.cancel();
+                    timer = startTimer(call.headTimeoutMs, () => cancel("timeout"));
                 };
                 if (!socket.connecting) return startHeadTimeout();
                 call.onConnection?.("opening");
@@ -70,7 +71,7 @@
             });
             const fail = (detail: string): void => {
                 hasFailed = true;
-                clearTimeout(timer);
+                timer.cancel();
                 call.signal?.removeEventListener("abort", abort);
                 const failureReason = isConnected || reason !== "closed" ? reason : "refused";
                 const text = `${formatAddress(call.address)} ${detail}`;
@@ -90,7 +91,7 @@
                 // Of the interim statuses, Node takes 101 without an `Upgrade` header for a final one.
                 if (message.statusCode! < MIN_FINAL_STATUS) return cancel("malformed");
                 hasReply = true;
-                clearTimeout(timer);
+                timer.cancel();
                 const endProbe = isSelfDelimited(message) ? undefined : new ConnectionEndProbe(message.socket);
                 message.once("close", () => call.signal?.removeEventListener("abort", abort));
                 resolve(Right({
--- a/src/ports/nodeHttpClient/test.ts
+++ b/src/ports/nodeHttpClient/test.ts
@@ -1,5 +1,7 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
+import { createServer } from "node:http";
+import { AddressInfo } from "node:net";
 import { describe, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { Worker } from "node:worker_threads";
@@ -18,6 +20,8 @@
 /** Time after which a request counts as hanging, and a connection as left open, in milliseconds: far beyond the deadline. */
 const HANG_MS = 20_000;
 const POLL_MS = 10;
+/** One more than the longest delay that the timers of Node.js support, in milliseconds. */
+const OVERFLOWING_MS = 2 ** 31;
 /** Requests that are sent while the event loop stalls, the time for which it does so, and their connect timeout, in milliseconds. */
 const STALLED_REQUESTS = 300;
 const MAX_STALL_MS = 300;
@@ -113,6 +117,29 @@
 }
 
 describe("NodeHttpClient", () => {
+    it("waits for an answer whose time limit exceeds 31 bits", async () => {
+        // Failure: calls of a route with a time limit of a month end at once, though their upstream answers.
+        const server = createServer((_, res) => void setTimeout(() => res.end("late"), 50));
+        server.listen(0, "127.0.0.1");
+        await once(server, "listening");
+        try {
+            const { port } = server.address() as AddressInfo;
+            const sent = await new NodeHttpClient().send({
+                address: { host: "127.0.0.1", port },
+                method: "GET",
+                path: "/",
+                headers: [],
+                newConnection: true,
+                connectTimeoutMs: OVERFLOWING_MS,
+                headTimeoutMs: OVERFLOWING_MS,
+            });
+            assert.equal(await readReplyText(sent.unsafeCoerce()), "late");
+        }
+        finally {
+            server.close();
+        }
+    });
+
     const switches = [
         [
             "a header names the protocol",
--- a/src/ports/systemClock/index.ts
+++ b/src/ports/systemClock/index.ts
@@ -1,4 +1,5 @@
 import { performance } from "node:perf_hooks";
+import { startTimer } from "../_lib/startTimer.js";
 import { Clock, Timer } from "../clock/index.js";
 import { SleepDetector } from "../sleepDetector/index.js";
 
@@ -25,7 +26,6 @@
     }
 
     after(ms: number, callback: () => void): Timer {
-        const handle = setTimeout(callback, ms);
-        return { cancel: () => clearTimeout(handle) };
+        return startTimer(ms, callback);
     }
 }
--- a/src/ports/tcpNetwork/index.ts
+++ b/src/ports/tcpNetwork/index.ts
@@ -1,6 +1,7 @@
 import { createServer, Socket } from "node:net";
 import { Either, Left, Right } from "purify-ts";
 import { Mailbox } from "../_lib/mailbox.js";
+import { startTimer } from "../_lib/startTimer.js";
 import { Address, Connection, formatAddress, Listener, Network, NetworkError } from "../network/index.js";
 
 /**
@@ -38,9 +39,9 @@
     connect(address: Address, timeoutMs: number): Promise<Either<NetworkError, Connection>> {
         return new Promise(resolve => {
             const socket = new Socket({ allowHalfOpen: true });
-            const timer = setTimeout(() => fail("timeout"), timeoutMs);
+            const timer = startTimer(timeoutMs, () => fail("timeout"));
             const fail = (reason: NetworkError["reason"]): void => {
-                clearTimeout(timer);
+                timer.cancel();
                 socket.destroy();
                 resolve(Left(new NetworkError(reason, formatAddress(address))));
             };
@@ -49,7 +50,7 @@
                 (err: NodeJS.ErrnoException) => fail(err.code === "ECONNREFUSED" ? "refused" : "closed"),
             );
             socket.connect(address.port, address.host, () => {
-                clearTimeout(timer);
+                timer.cancel();
                 socket.removeAllListeners("error");
                 socket.setNoDelay(true);
                 resolve(Right(new TcpConnection(socket)));
