A malformed record in an update costs that record alone

Updates of announcements between hosts were taken as decoded. One entry without the expected fields threw while the list was applied. In the reply to a subscription the exception was unhandled, which ends the process under src/platform/main.ts, and again after each restart; in an update it was dropped by the channel, so that the records behind it and the publisher's confirmation of its upstreams were lost without a trace. A record of a negative age counted as heard in the future, so that its upstream never became silent.

Each record is now read on its own by the schema that upstreams' own announcements must satisfy, and what can't be used is left out, counted as entries_rejected and logged at most once in five seconds.

--- a/src/control/routingService/index.ts
+++ b/src/control/routingService/index.ts
@@ -3,6 +3,7 @@
 import { ZoneId } from "../../ids/index.js";
 import { Lifecycle } from "../../lifecycle/index.js";
 import { Logger } from "../../logging/index.js";
+import { Metrics } from "../../metrics/index.js";
 import { Address, Clock, formatAddress, Network, Random } from "../../ports/index.js";
 import { TrueTime } from "../../time/index.js";
 import { UpstreamRegistry } from "../../upstream/index.js";
@@ -65,6 +66,8 @@
     readonly clock: Clock;
     readonly random: Random;
     readonly logger: Logger;
+    /** Receives metrics; undefined: none are recorded. */
+    readonly metrics?: Metrics;
     readonly self: PeerIdentity;
     /** This process's own peer address. */
     readonly peerAddress: Address;
--- a/src/discovery/announcementSubscriber/index.ts
+++ b/src/discovery/announcementSubscriber/index.ts
@@ -1,10 +1,10 @@
 import { HostId, UpstreamId } from "../../ids/index.js";
-import { Logger } from "../../logging/index.js";
+import { Logger, RejectionLog } from "../../logging/index.js";
+import { Metrics } from "../../metrics/index.js";
 import { Clock } from "../../ports/index.js";
 import { AnnouncementRecord, UpstreamRegistry } from "../../upstream/index.js";
 import { PeerChannel, PeerRouter } from "../../wire/index.js";
 import {
-    AnnouncementUpdate,
     DEPARTURE_METHOD,
     DepartureNotice,
     SUBSCRIBE_METHOD,
@@ -12,6 +12,7 @@
     UPDATE_METHOD,
     UpdateLevel,
 } from "../announcementUpdate/index.js";
+import { readUpdate } from "../readUpdate/index.js";
 
 const SUBSCRIBE_TIMEOUT_MS = 1_000;
 /** Interval at which the level of updates that this process needs is checked. */
@@ -29,6 +30,8 @@
     /** Router on which the update method is registered. */
     readonly router: PeerRouter;
     readonly logger: Logger;
+    /** Receives the number of rejected entries; undefined: none is recorded. */
+    readonly metrics?: Metrics;
     /** Called with a publisher's wall time at sending, in milliseconds since the epoch. */
     readonly onWallTime: (host: HostId, wallMs: number) => void;
     /** Returns the level of updates that this process needs now; `all` if left out. */
@@ -59,9 +62,11 @@
     private readonly levelByChannel = new Map<PeerChannel, UpdateLevel>();
     /** The publisher of each ready upstream. */
     private readonly sources = new Map<UpstreamId, UpstreamSource>();
+    private readonly rejections: RejectionLog;
 
     constructor(private readonly options: AnnouncementSubscriberOptions) {
-        options.router.add(UPDATE_METHOD, (body, channel) => this.applyUpdate(body as AnnouncementUpdate, channel));
+        this.rejections = new RejectionLog(options);
+        options.router.add(UPDATE_METHOD, (body, channel) => this.applyUpdate(body, channel));
     }
 
     /** Number of publishers that this process is subscribed to. */
@@ -84,7 +89,7 @@
         }
         if (!this.levelByChannel.has(channel)) void channel.closed.then(() => this.removeChannel(channel));
         this.levelByChannel.set(channel, level);
-        this.applyUpdate(reply.unsafeCoerce() as AnnouncementUpdate, channel);
+        this.applyUpdate(reply.unsafeCoerce(), channel);
     }
 
     /** Notifies all publishers that an upstream has stated in an answer that it is about to end. */
@@ -108,7 +113,9 @@
         }
     }
 
-    private applyUpdate({ records, lapsed: expired = [], wallMs }: AnnouncementUpdate, channel: PeerChannel): void {
+    private applyUpdate(body: unknown, channel: PeerChannel): void {
+        const { records, lapsed: expired, wallMs, rejected, problem = "" } = readUpdate(body);
+        if (rejected > 0) this.rejections.record("announcement-updates", rejected, problem);
         const { registry, clock, onWallTime } = this.options;
         const now = clock.monotonic();
         registry.merge(records);
@@ -119,7 +126,7 @@
             registry.confirmAlive([id], now - ageMs);
         }
         registry.confirmAlive(this.listUpstreamsOf(channel), now);
-        if (channel.peer) onWallTime(channel.peer.host, wallMs);
+        if (channel.peer && wallMs !== undefined) onWallTime(channel.peer.host, wallMs);
     }
 
     private updateSource({ announcement, relayed }: AnnouncementRecord, channel: PeerChannel): void {
--- a/src/protocol/index.ts
+++ b/src/protocol/index.ts
@@ -4,3 +4,4 @@
 export * from "./engine/index.js";
 export * from "./platform/index.js";
 export * from "./prefixes/index.js";
+export * from "./readEntries/index.js";
