Announcements and heartbeats have bounds that hold at every host

Numbers at their limit, port 0 and 999.0.0.1 were accepted. Two loads of 1e308 add up to infinity, and the departure of an upstream got the sequence 2^53, which is no safe integer. A heartbeat's id could be longer than other hosts accept.

The bounds of numbers, durations and addresses stand in protocol/bounds. Both HTTP edges and the decoding between hosts use them through the schema of announcements. An address by name stays valid at the product's own interface, since upstreams are announced that way; a heartbeat needs an IP address.

--- a/src/platform/heartbeat/index.ts
+++ b/src/platform/heartbeat/index.ts
@@ -1,25 +1,35 @@
 import { Either } from "purify-ts";
 import * as z from "zod";
-import { parseAddress } from "../../ports/index.js";
-import { Announcement, LoadReport, MAX_SOFTWARE_VERSION_LENGTH } from "../../protocol/index.js";
+import {
+    Announcement,
+    announcementSchema,
+    ipAddressSchema,
+    LoadReport,
+    MAX_ORDINAL,
+    MAX_SOFTWARE_VERSION_LENGTH,
+} from "../../protocol/index.js";
 
 /** A heartbeat that is malformed, so that its upstream can't be used. */
 export class HeartbeatError extends Error {}
 
+/** Latest start time that an engine may state, in Unix milliseconds: a moment of the year 2109. */
+const MAX_BORN_MS = 2 ** 42;
+
+/** The bounds of numbers and texts are those of announcements, into which heartbeats are converted. */
 const heartbeatSchema = z.looseObject({
     /** The pool that the engine belongs to. */
     service: z.string().min(1),
     /** `IP:port` at which the engine accepts requests. */
-    address: z.string().refine(text => parseAddress(text) !== undefined, "no IP:port"),
+    address: ipAddressSchema,
     zone: z.string().min(1),
     /** Version of the engine's software. */
     version: z.string().optional(),
-    slots: z.int().min(1),
+    slots: z.int(),
     state: z.enum(["ready", "draining"]),
     /** Number of heartbeats that the engine has sent since its start. */
-    sequence: z.int().min(0),
+    sequence: z.int(),
     /** Start time of the engine, in Unix milliseconds. */
-    born: z.int().min(0).default(0),
+    born: z.int().max(MAX_BORN_MS).default(0),
     /** Remaining time for which the engine is cold after its start, in milliseconds. */
     coldRemainingMs: z.number().min(0).default(0),
     /** Sent by model engines only, so its presence distinguishes them from other services. */
@@ -40,9 +50,9 @@
  * @param body - JSON text.
  */
 export function parseHeartbeat(id: string, body: Uint8Array): Either<HeartbeatError, Announcement> {
-    return Either.encase(() => heartbeatSchema.parse(JSON.parse(Buffer.from(body).toString())))
-        .mapLeft(err => new HeartbeatError(describeError(err)))
-        .map(heartbeat => ({
+    return Either.encase(() => {
+        const heartbeat = heartbeatSchema.parse(JSON.parse(Buffer.from(body).toString()));
+        return announcementSchema.parse({
             id,
             incarnation: heartbeat.born,
             sequence: heartbeat.sequence,
@@ -59,7 +69,8 @@
             ...(heartbeat.coldRemainingMs > 0 ? { cold_ms: heartbeat.coldRemainingMs } : {}),
             ...(isUsableVersion(heartbeat.version) ? { software_version: heartbeat.version } : {}),
             ...(heartbeat.leaves_ms === undefined ? {} : { reclaim_in_ms: heartbeat.leaves_ms }),
-        }));
+        });
+    }).mapLeft(err => new HeartbeatError(describeError(err)));
 }
 
 /**
@@ -67,7 +78,7 @@
  * state `gone`.
  */
 export function makeGoneAnnouncement(last: Announcement): Announcement {
-    return { ...last, state: "gone", sequence: last.sequence + 1 };
+    return { ...last, state: "gone", sequence: Math.min(last.sequence + 1, MAX_ORDINAL) };
 }
 
 /** Whether a version can be compared: an empty or very long one counts as unknown. */
--- a/src/platform/heartbeat/test.ts
+++ b/src/platform/heartbeat/test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { announcementSchema, MAX_ORDINAL } from "../../protocol/index.js";
 import { makeGoneAnnouncement, parseHeartbeat } from "./index.js";
 
 const HEARTBEAT = {
@@ -61,6 +62,35 @@
         assert.ok(parseHeartbeat("i-1", Buffer.from("{")).isLeft());
     });
 
+    for (
+        const [name, part] of [
+            ["port 0", { address: "10.128.0.9:0" }],
+            ["an address out of range", { address: "999.0.0.1:8080" }],
+            ["a name in place of an address", { address: "engine.example:8080" }],
+            ["a sequence that can't grow", { sequence: Number.MAX_SAFE_INTEGER }],
+            ["a start that none can follow", { born: Number.MAX_SAFE_INTEGER }],
+            ["slots without end", { slots: Number.MAX_SAFE_INTEGER }],
+            ["a cold time without end", { coldRemainingMs: 1e308 }],
+            ["an end that never comes", { leaves_ms: 1e308 }],
+        ] as const
+    ) {
+        it(`refuses ${name}`, () => {
+            // Failure: the pool's owner gives all work to slots that don't exist, or no later heartbeat of the id counts.
+            assert.ok(parse({ ...HEARTBEAT, ...part }).isLeft());
+        });
+    }
+
+    it("refuses an id that no other host accepts", () => {
+        // Failure: the engine is confirmed here but known to no other host.
+        assert.ok(parseHeartbeat("i".repeat(129), Buffer.from(JSON.stringify(HEARTBEAT))).isLeft());
+    });
+
+    it("gives the departure after the last possible heartbeat a number that other hosts accept", () => {
+        // Failure: other hosts discard the departure and keep sending work to the engine.
+        const last = parse({ ...HEARTBEAT, sequence: MAX_ORDINAL }).unsafeCoerce();
+        assert.ok(announcementSchema.safeParse(makeGoneAnnouncement(last)).success);
+    });
+
     it("announces an engine as gone under its incarnation", () => {
         const known = parse(HEARTBEAT).unsafeCoerce();
         assert.deepEqual([makeGoneAnnouncement(known).state, makeGoneAnnouncement(known).incarnation], [
--- a/src/protocol/announcement/index.ts
+++ b/src/protocol/announcement/index.ts
@@ -3,17 +3,25 @@
  * each change of state. Upstreams are known from their announcements only; there is no configured list.
  */
 import * as z from "zod";
+import {
+    amountSchema,
+    durationSchema,
+    MAX_REQUESTS,
+    ordinalSchema,
+    requestCountSchema,
+    socketAddressSchema,
+} from "../bounds/index.js";
 
 /** Path at which announcements are accepted. */
 export const ANNOUNCE_PATH = "/upstreams/announce";
 
 /** Load of an upstream. `kv_used`: used share of the KV cache; `age_ms`: age of these values when they were sent. */
 export const loadReportSchema = z.object({
-    running: z.int().min(0),
-    queued: z.int().min(0),
+    running: requestCountSchema,
+    queued: requestCountSchema,
     kv_used: z.number().min(0).max(1),
-    tokens_per_second: z.number().min(0),
-    age_ms: z.number().min(0),
+    tokens_per_second: amountSchema,
+    age_ms: durationSchema,
 });
 export type LoadReport = z.infer<typeof loadReportSchema>;
 
@@ -22,7 +30,7 @@
  * the numbers means that events were lost.
  */
 export const cacheEventsSchema = z.object({
-    sequence: z.int().min(0),
+    sequence: ordinalSchema,
     events: z.array(z.object({ kind: z.enum(["stored", "evicted"]), prefix: z.string() })),
 });
 export type CacheEvents = z.infer<typeof cacheEventsSchema>;
@@ -34,9 +42,9 @@
 export const announcementSchema = z.object({
     id: z.string().min(1).max(128),
     /** Increases with each start of the upstream. */
-    incarnation: z.int().min(0),
+    incarnation: ordinalSchema,
     /** Increases with each announcement of one incarnation. */
-    sequence: z.int().min(0),
+    sequence: ordinalSchema,
     /** `leaving`: accepts no new requests; `gone`: the last announcement of this incarnation. */
     state: z.enum(["ready", "leaving", "gone"]),
     kind: z.enum(["engine", "service"]),
@@ -44,11 +52,11 @@
     pools: z.array(z.string()).min(1),
     zone: z.string(),
     /** `IP:port` at which it accepts requests. */
-    address: z.string(),
+    address: socketAddressSchema,
     /** Maximum number of requests that it runs concurrently. */
-    slots: z.int().min(1),
+    slots: z.int().min(1).max(MAX_REQUESTS),
     /** Price of an hour of running, in micro-credits. */
-    price_per_hour: z.number().min(0),
+    price_per_hour: amountSchema,
     /** Whether the platform may reclaim it at short notice. */
     reclaimable: z.boolean(),
     /** Whether it refuses orders with an old fencing token. */
@@ -56,10 +64,10 @@
     load: loadReportSchema,
     cache: cacheEventsSchema.optional(),
     /** Time for which it is still cold after its start, and can handle only few requests per second, in milliseconds. */
-    cold_ms: z.number().min(0).optional(),
+    cold_ms: durationSchema.optional(),
     /** Version of its software: a stream may be continued only by upstreams of the version that began it. Undefined: unknown. */
     software_version: z.string().min(1).max(MAX_SOFTWARE_VERSION_LENGTH).optional(),
     /** Time until the platform reclaims it, in milliseconds. */
-    reclaim_in_ms: z.number().min(0).optional(),
+    reclaim_in_ms: durationSchema.optional(),
 });
 export type Announcement = z.infer<typeof announcementSchema>;
