--- a/src/discovery/announcementSubscriber/index.ts
+++ b/src/discovery/announcementSubscriber/index.ts
@@ -1,10 +1,10 @@
 import { HostId, UpstreamId } from "../../ids/index.js";
-import { Logger } from "../../logging/index.js";
+import { Logger, RejectionLog } from "../../logging/index.js";
+import { Metrics } from "../../metrics/index.js";
 import { Clock } from "../../ports/index.js";
 import { AnnouncementRecord, UpstreamRegistry } from "../../upstream/index.js";
 import { PeerChannel, PeerRouter } from "../../wire/index.js";
 import {
-    AnnouncementUpdate,
     DEPARTURE_METHOD,
     DepartureNotice,
     SUBSCRIBE_METHOD,
@@ -12,6 +12,7 @@
     UPDATE_METHOD,
     UpdateLevel,
 } from "../announcementUpdate/index.js";
+import { readUpdate } from "../readUpdate/index.js";
 import { TransitMeter } from "../transitMeter/index.js";
 
 const SUBSCRIBE_TIMEOUT_MS = 1_000;
@@ -30,6 +31,8 @@
     /** Router on which the update method is registered. */
     readonly router: PeerRouter;
     readonly logger: Logger;
+    /** Receives the number of rejected entries; undefined: none is recorded. */
+    readonly metrics?: Metrics;
     /** Called with a publisher's wall time at sending, in milliseconds since the epoch. */
     readonly onWallTime: (host: HostId, wallMs: number) => void;
     /** Returns the level of updates that this process needs now; `all` if left out. */
@@ -61,9 +64,11 @@
     private readonly meters = new WeakMap<PeerChannel, TransitMeter>();
     /** The publisher of each ready upstream. */
     private readonly sources = new Map<UpstreamId, UpstreamSource>();
+    private readonly rejections: RejectionLog;
 
     constructor(private readonly options: AnnouncementSubscriberOptions) {
-        options.router.add(UPDATE_METHOD, (body, channel) => this.applyUpdate(body as AnnouncementUpdate, channel));
+        this.rejections = new RejectionLog(options);
+        options.router.add(UPDATE_METHOD, (body, channel) => this.applyUpdate(body, channel));
     }
 
     /** Number of publishers that this process is subscribed to. */
@@ -87,9 +92,7 @@
         }
         if (!this.levelByChannel.has(channel)) void channel.closed.then(() => this.removeChannel(channel));
         this.levelByChannel.set(channel, level);
-        const update = reply.unsafeCoerce() as AnnouncementUpdate;
-        if (update.sentMs !== undefined) this.meterOf(channel).addLowerBound(update.sentMs, askedAt);
-        this.applyUpdate(update, channel);
+        this.applyUpdate(reply.unsafeCoerce(), channel, askedAt);
     }
 
     /** Notifies all publishers that an upstream has stated in an answer that it is about to end. */
@@ -113,18 +116,27 @@
         }
     }
 
+    /** Returns for how long an update waited on its way, in milliseconds, as far as that is known. */
+    private measureTransit(channel: PeerChannel, sentMs: number | undefined, now: number, notBefore = now): number {
+        if (sentMs === undefined) return 0;
+        const meter = this.meterOf(channel);
+        meter.addLowerBound(sentMs, notBefore);
+        return meter.measure(sentMs, now);
+    }
+
     private meterOf(channel: PeerChannel): TransitMeter {
         const meter = this.meters.get(channel) ?? new TransitMeter();
         this.meters.set(channel, meter);
         return meter;
     }
 
-    private applyUpdate(update: AnnouncementUpdate, channel: PeerChannel): void {
-        const { records, lapsed: expired = [], wallMs, sentMs } = update;
+    /** @param notBefore - A moment before which the update was not sent, in milliseconds on this host's monotonic clock. */
+    private applyUpdate(body: unknown, channel: PeerChannel, notBefore?: number): void {
+        const { records, lapsed: expired, wallMs, sentMs, rejected, problem = "" } = readUpdate(body);
+        if (rejected > 0) this.rejections.record("announcement-updates", rejected, problem);
         const { registry, clock, onWallTime } = this.options;
         const now = clock.monotonic();
-        const transitMs = sentMs === undefined ? 0 : this.meterOf(channel).measure(sentMs, now);
-        registry.merge(records, now - transitMs);
+        registry.merge(records, now - this.measureTransit(channel, sentMs, now, notBefore));
         for (const record of records) this.updateSource(record, channel);
         for (const { id, ageMs } of expired) {
             if (this.sources.get(id)?.channel !== channel) continue;
@@ -132,7 +144,7 @@
             registry.confirmAlive([id], now - ageMs);
         }
         registry.confirmAlive(this.listUpstreamsOf(channel), now);
-        if (channel.peer) onWallTime(channel.peer.host, wallMs);
+        if (channel.peer && wallMs !== undefined) onWallTime(channel.peer.host, wallMs);
     }
 
     private updateSource({ announcement, relayed }: AnnouncementRecord, channel: PeerChannel): void {
