The length of an answer to HEAD, of a 304 and of a 204 is left as it is

Callers that asked for the size of a document by HEAD, or whether it has changed (304), were told a length of 0: the length of a buffered answer was always replaced by that of its body, which these answers do not have, and a 204 got a length that HTTP excludes.

The length is now replaced only where the answer has a body; a HEAD and a 304 keep what the upstream stated, and a 204 has none.

--- a/src/passthrough/attempt/index.ts
+++ b/src/passthrough/attempt/index.ts
@@ -55,6 +55,7 @@
 /** A complete answer of an upstream. */
 export interface BufferedAnswer {
     readonly status: number;
+    /** The headers for the caller, with the length. */
     readonly headers: HeaderList;
     readonly body: Uint8Array;
 }
--- a/src/passthrough/relayAnswer/index.ts
+++ b/src/passthrough/relayAnswer/index.ts
@@ -12,6 +12,9 @@
  */
 const MAX_BUFFERED_BYTES = 256 * 1024;
 const MIN_SERVER_ERROR_STATUS = 500;
+const STATUS_NO_CONTENT = 204;
+const STATUS_NOT_MODIFIED = 304;
+const LENGTH_HEADER = "content-length";
 
 /** Forwards an answer that is not a stream of events. */
 export async function relayAnswer(
@@ -40,7 +43,13 @@
     if (answer.sentStatus !== undefined) {
         return { kind: "answered", status: reply.status, deliver: () => answer.end() };
     }
-    return finishBuffered(ctx, attempt, { status: reply.status, headers, body: buffered.take() });
+    const { status } = reply;
+    const body = buffered.take();
+    return finishBuffered(ctx, attempt, {
+        status,
+        headers: replaceLength(headers, attempt.call.method, status, body),
+        body,
+    });
 }
 
 /** Ends an attempt whose answer would tell the caller that the call has not run, though its upstream does not state that. */
@@ -71,8 +80,15 @@
     return { kind: "answered", status, deliver: () => sendBuffered(answer, buffered) };
 }
 
-/** Sends a buffered answer to the caller, with its length. */
+/** Sends a buffered answer to the caller. */
 export function sendBuffered(answer: Attempt["answer"], { status, headers, body }: BufferedAnswer): void {
-    const rest = headers.filter(([name]) => name !== "content-length");
-    answer.sendWhole(status, [...rest, ["content-length", String(body.length)]], body);
+    answer.sendWhole(status, headers, body);
+}
+
+/** Returns headers with the length of the body; where method or status exclude a body, the length is that of another answer, and stays. */
+function replaceLength(headers: HeaderList, method: string, status: number, body: Uint8Array): HeaderList {
+    const rest = headers.filter(([name]) => name !== LENGTH_HEADER);
+    if (status === STATUS_NO_CONTENT) return rest;
+    if (method === "HEAD" || status === STATUS_NOT_MODIFIED) return headers;
+    return [...rest, [LENGTH_HEADER, String(body.length)]];
 }
--- a/src/passthrough/relayAnswer/test.ts
+++ b/src/passthrough/relayAnswer/test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { HttpReply, VirtualClock } from "../../ports/index.js";
+import { HeaderList, HttpReply, VirtualClock } from "../../ports/index.js";
 import { RunningRequest } from "../../request/index.js";
 import { Attempt, AttemptResult } from "../attempt/index.js";
 import { CallContext } from "../callContext/index.js";
@@ -41,17 +41,25 @@
     /** How often the next piece of the answer was expected anew. */
     expectations = 0;
     sentStatus: number | undefined;
+    /** The headers of an answer that was sent in one piece. */
+    sentHeaders: HeaderList | undefined;
     private readonly clock = new VirtualClock();
     readonly run = new RunningRequest({} as never, this.clock);
 
     /** @param reads - Whether the caller reads what it is sent. */
     constructor(private readonly reads: boolean) {}
 
-    relay({ reply }: AnswerDouble): Promise<AttemptResult> {
+    /** @param method - The method of the call. */
+    relay({ reply }: AnswerDouble, method = "GET", head = HEAD): Promise<AttemptResult> {
         const silence = { expectBeginning: () => this.expectations++, pause: () => undefined };
-        const call = { arrivedAt: 0 };
+        const call = { arrivedAt: 0, method };
         const attempt = { run: this.run, answer: this, stream: {}, call, silence } as unknown as Attempt;
-        return relayAnswer({ clock: this.clock } as unknown as CallContext, attempt, reply, HEAD);
+        return relayAnswer({ clock: this.clock } as unknown as CallContext, attempt, reply, head);
+    }
+
+    sendWhole(status: number, headers: HeaderList): void {
+        this.sentStatus = status;
+        this.sentHeaders = headers;
     }
 
     sendHead(status: number): void {
@@ -92,4 +100,36 @@
         assert.equal(result.kind, "answered");
         assert.ok(Buffer.concat(caller.received).equals(Buffer.alloc(400_000, "ab")));
     });
+
+    describe("the length of an answer", () => {
+        /** Relays an answer of one piece; returns the length that its caller is told. */
+        async function readLength(method: string, status: number, stated: HeaderList, body = ""): Promise<unknown> {
+            const caller = new CallerDouble(true);
+            const answer = new AnswerDouble(Buffer.from(body), body === "" ? 0 : 1);
+            const head = { headers: stated } as unknown as ReplyHead;
+            const result = await caller.relay({ reply: { ...answer.reply, status } } as AnswerDouble, method, head);
+            assert.equal(result.kind, "answered");
+            if (result.kind === "answered") result.deliver();
+            return caller.sentHeaders?.filter(([name]) => name === "content-length").map(([, length]) => length);
+        }
+
+        const STATED: HeaderList = [["content-length", "7"]];
+
+        it("is that of its body", async () => {
+            assert.deepEqual(await readLength("GET", 200, STATED, "abc"), ["3"]);
+        });
+
+        it("stays as stated where the method or the status excludes a body", async () => {
+            // Failure: a caller that asks for the size of a document by HEAD, or whether it has changed, is told that it is empty.
+            assert.deepEqual(await readLength("HEAD", 200, STATED), ["7"]);
+            assert.deepEqual(await readLength("GET", 304, STATED), ["7"]);
+            assert.deepEqual(await readLength("HEAD", 200, []), []);
+        });
+
+        it("is missing where the status excludes both", async () => {
+            // Failure: a caller waits for a body behind a 204, or takes the next answer's bytes for it.
+            assert.deepEqual(await readLength("GET", 204, STATED), []);
+            assert.deepEqual(await readLength("HEAD", 204, STATED), []);
+        });
+    });
 });
