--- a/src/discovery/readUpdate/index.ts
+++ b/src/discovery/readUpdate/index.ts
@@ -55,9 +55,7 @@
  */
 export function readUpdate(body: unknown): ReadUpdate {
     const update = updateSchema.safeParse(body);
-    if (!update.success) {
-        return { records: [], lapsed: [], wallMs: undefined, sentMs: undefined, rejected: 1, problem: "not an update" };
-    }
+    if (!update.success) return NOT_AN_UPDATE;
     const records = readRecords(update.data.records);
     const lapsed = readEntries(expiredSchema, update.data.lapsed ?? []);
     const wallMs = wallTimeSchema.safeParse(update.data.wallMs);
