An offer that can't be used costs that offer alone

OfferReader parsed the platform's offers as one list: with a single odd one the whole list was refused, so that no pool was planned and nothing was purchased or released in any zone while it was listed; the operator saw offers-unreadable.

Offers are read one by one with the shared bounds; the others are counted as entries_rejected and logged.

--- a/src/control/coverPolicy/test.ts
+++ b/src/control/coverPolicy/test.ts
@@ -28,7 +28,7 @@
     readonly clock = new VirtualClock();
     readonly web = new MemoryHttpFabric(new MemoryFabric(this.clock, () => 1));
     readonly policy = new CoverPolicy({
-        offers: new OfferReader(this.web.http("10.0.0.1"), this.clock, PLATFORM),
+        offers: new OfferReader(this.web.http("10.0.0.1"), this.clock, PLATFORM, { logger: new SilentLogger() }),
         offerPolicy: new CoverPurchase({ ...DEFAULT_COVER, holdMs: 0, defaultSlots: 4 }),
         forecast: DEFAULT_FORECAST,
         logger: new SilentLogger(),
--- a/src/daemon/runControl/index.ts
+++ b/src/daemon/runControl/index.ts
@@ -125,11 +125,11 @@
 }
 
 function makePurchasePolicy(
-    { http, clock, logger }: DaemonPorts,
+    { http, clock, logger, metrics }: DaemonPorts,
     platform: Address,
     purchases: "off" | "cover",
 ): ProvisioningPolicy {
     if (purchases === "off") return new NoProvisioning();
-    const offers = new OfferReader(http, clock, platform);
+    const offers = new OfferReader(http, clock, platform, { logger, metrics });
     return new CoverPolicy({ offers, offerPolicy: new CoverPurchase(), forecast: DEFAULT_FORECAST, logger });
 }
--- a/src/features/world/memoryFleet.ts
+++ b/src/features/world/memoryFleet.ts
@@ -275,7 +275,9 @@
         const { purchases } = this.layout;
         if (!purchases) return new NoProvisioning();
         return new CoverPolicy({
-            offers: new OfferReader(this.web.http(host), this.clock, { host: EMULATOR_HOST, port: PORTS.platform }),
+            offers: new OfferReader(this.web.http(host), this.clock, { host: EMULATOR_HOST, port: PORTS.platform }, {
+                logger: new SilentLogger(),
+            }),
             offerPolicy: new CoverPurchase({ ...DEFAULT_COVER, ...purchases.cover }),
             forecast: { ...DEFAULT_FORECAST, ...purchases.forecast },
             logger: new SilentLogger(),
--- a/src/protocol/platform/index.ts
+++ b/src/protocol/platform/index.ts
@@ -2,6 +2,7 @@
  * HTTP interface of the platform: orders for upstreams by availability zone, usage reports, and a rate-limited weight store.
  */
 import * as z from "zod";
+import { amountSchema, durationSchema, requestCountSchema } from "../bounds/index.js";
 
 /** Paths that the platform serves; `weights` is a prefix. */
 export const PLATFORM_PATHS = {
@@ -16,10 +17,10 @@
     zone: z.string(),
     pool: z.string(),
     reclaimable: z.boolean(),
-    available: z.int().min(0),
-    price_per_hour: z.number().min(0),
-    start_ms: z.number().min(0),
-    billed_minimum_ms: z.number().min(0),
+    available: requestCountSchema,
+    price_per_hour: amountSchema,
+    start_ms: durationSchema,
+    billed_minimum_ms: durationSchema,
 });
 export type Offer = z.infer<typeof offerSchema>;
 
