A malformed record among forwarded announcements costs that record alone

The owner of a pool's queue took the records that other entries forward as decoded; one without an announcement threw while the list was applied, and the records behind it were lost without a trace.

Forwarded records are read one by one as updates between control processes and entries are, counted and logged.

--- a/src/discovery/index.ts
+++ b/src/discovery/index.ts
@@ -2,3 +2,4 @@
 export * from "./announcementPublisher/index.js";
 export * from "./announcementSubscriber/index.js";
 export type { DepartureNotice, UpdateLevel } from "./announcementUpdate/index.js";
+export { readRecords } from "./readUpdate/index.js";
--- a/src/entry/announcementForwarder/index.ts
+++ b/src/entry/announcementForwarder/index.ts
@@ -1,6 +1,7 @@
-import { DepartureNotice } from "../../discovery/index.js";
+import { DepartureNotice, readRecords } from "../../discovery/index.js";
 import { PoolOwnerTable } from "../../dispatch/index.js";
 import { HostId, PoolId } from "../../ids/index.js";
+import { RejectionLog } from "../../logging/index.js";
 import { Announcement } from "../../protocol/index.js";
 import { AnnouncementRecord, UpstreamRegistry } from "../../upstream/index.js";
 import { PeerRouter } from "../../wire/index.js";
@@ -22,12 +23,15 @@
         private readonly directory: PeerDirectory,
         private readonly owners: PoolOwnerTable,
         private readonly self: HostId,
+        private readonly rejections: RejectionLog,
     ) {}
 
     /** Registers the method that accepts announcements forwarded by other entries. */
     addTo(router: PeerRouter): void {
         router.add(SPREAD_METHOD, body => {
-            this.registry.merge(body as AnnouncementRecord[]);
+            const { entries, rejected, problem = "" } = readRecords(body);
+            if (rejected > 0) this.rejections.record("forwarded-announcements", rejected, problem);
+            this.registry.merge(entries);
         });
         router.add(DEPARTURE_METHOD, body => {
             const { id, incarnation } = body as DepartureNotice;
--- a/src/entry/entryProcess/index.ts
+++ b/src/entry/entryProcess/index.ts
@@ -9,7 +9,7 @@
 } from "../../dispatch/index.js";
 import { ZoneId } from "../../ids/index.js";
 import { Lifecycle } from "../../lifecycle/index.js";
-import { Logger } from "../../logging/index.js";
+import { Logger, RejectionLog } from "../../logging/index.js";
 import { Metrics } from "../../metrics/index.js";
 import { CallDialect, DEFAULT_REPEAT_LIMITS, RepeatBudget } from "../../passthrough/index.js";
 import {
@@ -249,7 +249,13 @@
             time,
             onFinding: (...finding) => this.partMonitor.recordFinding(...finding),
         });
-        this.announcementForwarder = new AnnouncementForwarder(this.registry, this.directory, owners, self.host);
+        this.announcementForwarder = new AnnouncementForwarder(
+            this.registry,
+            this.directory,
+            owners,
+            self.host,
+            new RejectionLog(options),
+        );
         const positions = new PositionCounter();
         this.replicator = this.makeReplicator(positions);
         this.meter = new UsageMeter({ ...options, positions, replicator: this.replicator });
