A chat event whose delta is no object is malformed

Cause: since the text of an event is read by its own type, nothing asked for the type of the delta, which had to be an object before. A text or a list in its place counted as tokens without text, so that a caller's answer lacked a piece and ended as complete. Both new cases of engineStream failed before ("t0 t2 ", finish reason "stop").

--- a/src/entry/engineStream/index.ts
+++ b/src/entry/engineStream/index.ts
@@ -235,8 +235,10 @@
 function parseChunk(data: string): EngineChunk | undefined {
     try {
         const chunk = JSON.parse(data) as EngineChunk;
-        const content: unknown = chunk.choices[0].delta.content ?? "";
-        const isWellFormed = typeof chunk.id === "string" && typeof content === "string"
+        const { delta } = chunk.choices[0];
+        const content: unknown = delta.content ?? "";
+        const isDelta = typeof delta === "object" && !Array.isArray(delta);
+        const isWellFormed = typeof chunk.id === "string" && isDelta && typeof content === "string"
             && isCount(chunk.offset) && isCount(chunk.tokens) && isCount(chunk.offset + chunk.tokens);
         return isWellFormed ? chunk : undefined;
     }
--- a/src/entry/engineStream/test.ts
+++ b/src/entry/engineStream/test.ts
@@ -108,6 +108,8 @@
     describe("a malformed event", () => {
         const malformed: readonly (readonly [name: string, from: string, to: string])[] = [
             ["without a delta", "\"delta\":{\"content\":\"t1 \"}", "\"delta\":null"],
+            ["whose delta is a text", "\"delta\":{\"content\":\"t1 \"}", "\"delta\":\"t1 \""],
+            ["whose delta is a list", "\"delta\":{\"content\":\"t1 \"}", "\"delta\":[\"t1 \"]"],
             ["whose text is a number", "\"content\":\"t1 \"", "\"content\":7"],
             ["with an offset below 0", "\"offset\":1", "\"offset\":-1"],
             ["with an offset that is no exact number", "\"offset\":1", "\"offset\":1e300"],
