A chat event whose bytes are not UTF-8 is malformed

Cause: the decoder put a replacement character in place of each byte that is no text, so that JSON with garbage within a string stayed JSON. The new test of engineStream failed before: the chat went on with that text to a complete end. Letters split between pieces are read as before.

--- a/src/entry/engineStream/index.ts
+++ b/src/entry/engineStream/index.ts
@@ -1,3 +1,4 @@
+import { TextDecoder } from "node:util";
 import { Either, Left, Right } from "purify-ts";
 import { Clock, HttpError, HttpReply } from "../../ports/index.js";
 import { EngineChunk, engineFinishSchema, EngineUsage, engineUsageSchema, STREAM_DONE } from "../../protocol/index.js";
@@ -80,12 +81,14 @@
     clock: Clock,
 ): Promise<Either<EngineStreamError, EngineStreamEnd>> {
     const reader = new EventReader(request, offset, sink);
-    const decoder = new TextDecoder();
+    const decoder = new TextDecoder("utf-8", { fatal: true });
     const body = reply.body[Symbol.asyncIterator]();
     const splitter = new EventSplitter();
     try {
         for (let part = await body.next(); !part.done; part = await body.next()) {
-            for (const event of splitter.push(decoder.decode(part.value, { stream: true }))) {
+            const text = decode(decoder, part.value);
+            if (text === undefined) return Left(new EngineStreamError("malformed", "bytes that are not UTF-8"));
+            for (const event of splitter.push(text)) {
                 const problem = await reader.handleEvent(event);
                 if (problem) return Left(problem);
                 if (reader.end) {
@@ -110,6 +113,16 @@
     return Left(new EngineStreamError("truncated", "no terminal event"));
 }
 
+/** @returns undefined for bytes that are not UTF-8. */
+function decode(decoder: TextDecoder, bytes: Uint8Array): string | undefined {
+    try {
+        return decoder.decode(bytes, { stream: true });
+    }
+    catch {
+        return undefined;
+    }
+}
+
 /**
  * Reads the end of the body after the terminal event. A connection that is not read to the end of its body cannot be reused, and
  * each request would open a new one. A body that does not end in time, or continues, is reset.
--- a/src/entry/engineStream/test.ts
+++ b/src/entry/engineStream/test.ts
@@ -142,6 +142,27 @@
         }
     });
 
+    it("rejects an event whose bytes are not UTF-8", async () => {
+        // Failure: the caller gets replacement characters for bytes that no engine has written.
+        const bytes = Buffer.from(token(1));
+        bytes[bytes.indexOf("t1")] = 0xff;
+        async function* body(): AsyncIterable<Uint8Array> {
+            yield Buffer.from(token(0));
+            yield bytes;
+            yield Buffer.from(token(2) + end() + DONE);
+        }
+        assert.deepEqual(await read({ ...replyOf(), body: body() }), { text: "t0 ", result: "malformed" });
+    });
+
+    it("delivers letters of several bytes, wherever they are split", async () => {
+        const bytes = Buffer.from((token(0) + token(1) + token(2) + end() + DONE).replace("t1", "\u00e9\u{1f600}"));
+        async function* body(): AsyncIterable<Uint8Array> {
+            for (const byte of bytes) yield Uint8Array.of(byte);
+        }
+        const received = await read({ ...replyOf(), body: body() });
+        assert.deepEqual(received, { text: "t0 \u00e9\u{1f600} t2 ", result: "stop" });
+    });
+
     describe("the format of events", () => {
         const formats: readonly (readonly [name: string, format: (event: string) => string])[] = [
             ["comments between events", event => `: a comment\n\n${event}`],
