A stream of events is one whatever the case of its media type

Cause: the media type was compared as it stood. An answer of type Text/Event-Stream was held to its end as a plain one, and no event of it was judged. The new test of sendCall failed before: the caller got the garbage behind the event, and a complete answer.

--- a/src/passthrough/sendCall/index.ts
+++ b/src/passthrough/sendCall/index.ts
@@ -158,5 +158,5 @@
 }
 
 function isEventStream({ headers }: HttpReply): boolean {
-    return findHeader(headers, "content-type")?.startsWith("text/event-stream") ?? false;
+    return findHeader(headers, "content-type")?.toLowerCase().startsWith("text/event-stream") ?? false;
 }
--- /dev/null
+++ b/src/passthrough/sendCall/test.ts
@@ -0,0 +1,109 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { Right } from "purify-ts";
+import { HeaderList, HttpReply, VirtualClock } from "../../ports/index.js";
+import { Attempt, AttemptResult } from "../attempt/index.js";
+import { CallContext } from "../callContext/index.js";
+import { CALL_HEADERS, NativeDialect } from "../nativeDialect/index.js";
+import { createStreamState } from "../streamState/index.js";
+import { sendCall } from "./index.js";
+
+const REQUEST = "request-1";
+
+/** Sends a call of a resumable stream once for each reply, and records what its caller receives. */
+class Caller {
+    written = "";
+    sentStatus: number | undefined;
+    private readonly stream = createStreamState();
+
+    constructor(private readonly resumption?: object) {}
+
+    async send(contentType: string, ...parts: (string | Error)[]): Promise<AttemptResult> {
+        const reply = replyOf(contentType, parts);
+        const attempt = {
+            call: {
+                route: { name: "letters", kind: "stream", resumable: true },
+                pool: "ledger",
+                sharedParts: [],
+                head: { request: REQUEST, headers: [], lastEventId: this.resumption && "2" },
+                resumption: this.resumption,
+                body: Buffer.from(""),
+                method: "POST",
+                path: "/",
+                arrivedAt: 0,
+                deadlineAt: 60_000,
+            },
+            grant: { upstream: "i-1", incarnation: 1, priority: 0 },
+            run: { signal: new AbortController().signal, waitFor() {} },
+            answer: this.makeAnswer(),
+            stream: this.stream,
+            silence: { expectBeginning() {}, expectMore() {}, pause() {} },
+            tokensPerEvent: 1,
+        } as unknown as Attempt;
+        const result = await sendCall(makeContext(reply), attempt);
+        if (result.kind === "answered") result.deliver();
+        return result;
+    }
+
+    private makeAnswer(): unknown {
+        const sentStatus = (): number | undefined => this.sentStatus;
+        return {
+            get sentStatus() {
+                return sentStatus();
+            },
+            sendHead: (status: number) => this.sentStatus = status,
+            write: async (bytes: Uint8Array) => void (this.written += String(bytes)),
+            sendWhole: (status: number, _headers: HeaderList, body: Uint8Array) => {
+                this.sentStatus = status;
+                this.written += String(body);
+            },
+            end() {},
+        };
+    }
+}
+
+function replyOf(contentType: string, parts: readonly (string | Error)[]): HttpReply {
+    async function* body(): AsyncIterable<Uint8Array> {
+        for (const part of parts) {
+            if (part instanceof Error) throw part;
+            yield Buffer.from(part);
+        }
+    }
+    const headers: HeaderList = [
+        [CALL_HEADERS.request, REQUEST],
+        [CALL_HEADERS.signature, "1"],
+        ["content-type", contentType],
+        ["transfer-encoding", "chunked"],
+    ];
+    return { status: 200, headers, body: body(), reset() {} };
+}
+
+function makeContext(reply: HttpReply): CallContext {
+    return {
+        clock: new VirtualClock(),
+        time: { now: () => 0 },
+        upstreamHttp: { send: async () => Right(reply) },
+        dispatcher: { progress() {} },
+        software: { find: () => undefined, isMixed: () => false },
+        parts: { recordBegun() {} },
+        sendGuard: { recordAnswer() {} },
+        dialect: new NativeDialect(),
+        metrics: { count() {} },
+        logger: { warn() {} },
+    } as unknown as CallContext;
+}
+
+function event(id: number): string {
+    return `id: ${id}\ndata: event ${id}\n\n`;
+}
+
+describe("sendCall", () => {
+    describe("an answer to a call of a stream", () => {
+        it("is a stream of events whatever the case of its media type", async () => {
+            // Failure: the caller gets garbage, since the answer is not taken for a stream.
+            const caller = new Caller();
+            const result = await caller.send("Text/Event-Stream", `${event(1)}q8Zx\n\n`);
+            assert.deepEqual([result.kind, caller.written], ["ended", event(1)]);
+        });
+    });
+});
