No stream continues an answer that is no stream of events

Cause: a plain answer of more than 256 KiB on a resumable route is forwarded as it arrives. When it broke off, the call was sent to another upstream, whose events were written behind the broken body, and the answer ended as complete: only the opposite order was rejected. The new test of sendCall failed before (307221 bytes and a complete answer, where 307200 had come before the break).

--- a/src/passthrough/sendCall/index.ts
+++ b/src/passthrough/sendCall/index.ts
@@ -116,7 +116,7 @@
     head: ReplyHead,
 ): Promise<AttemptResult> | AttemptResult {
     const isStream = attempt.call.route.kind === "stream" && reply.status < 300 && isEventStream(reply);
-    if (isStream) return relayStream(ctx, attempt, reply, head);
+    if (isStream && !isHeldByAnswer(attempt)) return relayStream(ctx, attempt, reply, head);
     recordStart(ctx, attempt, ctx.time.now());
     if (reply.status < 300) ctx.parts.recordBegun(attempt.call);
     return attempt.answer.sentStatus === undefined
@@ -124,6 +124,11 @@
         : rejectContinuation(ctx, reply);
 }
 
+/** Whether the caller has a part of an answer that is no stream of events, and that no stream can continue. */
+function isHeldByAnswer({ answer, stream }: Attempt): boolean {
+    return answer.sentStatus !== undefined && stream.eventCount === 0;
+}
+
 /**
  * Prevents a failure's body from being appended to a partly sent stream, which would then look complete: only a stream
  * of events can continue it.
--- a/src/passthrough/sendCall/test.ts
+++ b/src/passthrough/sendCall/test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { Right } from "purify-ts";
-import { HeaderList, HttpReply, VirtualClock } from "../../ports/index.js";
+import { HeaderList, HttpError, HttpReply, VirtualClock } from "../../ports/index.js";
 import { Attempt, AttemptResult } from "../attempt/index.js";
 import { CallContext } from "../callContext/index.js";
 import { CALL_HEADERS, NativeDialect } from "../nativeDialect/index.js";
@@ -9,6 +9,7 @@
 import { sendCall } from "./index.js";
 
 const REQUEST = "request-1";
+const EVENT_STREAM = "text/event-stream";
 
 /** Sends a call of a resumable stream once for each reply, and records what its caller receives. */
 class Caller {
@@ -105,5 +106,15 @@
             const result = await caller.send("Text/Event-Stream", `${event(1)}q8Zx\n\n`);
             assert.deepEqual([result.kind, caller.written], ["ended", event(1)]);
         });
+
+        it("is not continued by a stream where the caller has a part of an answer that is none", async () => {
+            // Failure: the caller gets the events of one upstream behind the broken body of another one.
+            const caller = new Caller();
+            const half = "x".repeat(300 * 1024);
+            const broken = await caller.send("text/plain", half, new HttpError("closed", true, "broken off"));
+            assert.equal(broken.kind, "ended");
+            const result = await caller.send(EVENT_STREAM, event(1));
+            assert.deepEqual([result.kind, caller.written.length], ["ended", half.length]);
+        });
     });
 });
