A success without events is no rest of a stream

Cause: what a caller takes up again was asked for its kind only where this host had sent a part of it. A plain answer with status 200 went to a caller that had asked for the events behind one of its own, as a complete answer. The new test of sendCall failed before ("q8Zx", answered).

--- a/src/passthrough/sendCall/index.ts
+++ b/src/passthrough/sendCall/index.ts
@@ -119,9 +119,9 @@
     if (isStream && !isHeldByAnswer(attempt)) return relayStream(ctx, attempt, reply, head);
     recordStart(ctx, attempt, ctx.time.now());
     if (reply.status < 300) ctx.parts.recordBegun(attempt.call);
-    return attempt.answer.sentStatus === undefined
-        ? relayAnswer(ctx, attempt, reply, head)
-        : rejectContinuation(ctx, reply);
+    const isRest = attempt.answer.sentStatus !== undefined
+        || (attempt.call.resumption !== undefined && reply.status < 300);
+    return isRest ? rejectContinuation(ctx, reply) : relayAnswer(ctx, attempt, reply, head);
 }
 
 /** Whether the caller has a part of an answer that is no stream of events, and that no stream can continue. */
@@ -130,8 +130,8 @@
 }
 
 /**
- * Prevents a failure's body from being appended to a partly sent stream, which would then look complete: only a stream
- * of events can continue it.
+ * Prevents a failure's body from being appended to a partly sent stream, which would then look complete, and a success without events from being
+ * taken for the rest of a stream: only a stream of events can continue one.
  */
 function rejectContinuation(ctx: CallContext, reply: HttpReply): AttemptResult {
     void discardReply(reply, ctx.clock);
--- a/src/passthrough/sendCall/test.ts
+++ b/src/passthrough/sendCall/test.ts
@@ -107,6 +107,13 @@
             assert.deepEqual([result.kind, caller.written], ["ended", event(1)]);
         });
 
+        it("does not end the stream where it is no stream of events", async () => {
+            // Failure: a caller that takes up a stream gets bytes that prove nothing as its rest, and a complete answer.
+            const caller = new Caller({ attempt: "request-0" });
+            const result = await caller.send("text/plain", "q8Zx");
+            assert.deepEqual([result.kind, caller.written], ["ended", ""]);
+        });
+
         it("is not continued by a stream where the caller has a part of an answer that is none", async () => {
             // Failure: the caller gets the events of one upstream behind the broken body of another one.
             const caller = new Caller();
