A stream that ends with a line of comment is whole

Cause: what is left behind the last event counts as half an event, whatever it is, since a body that ends within one is no longer passed on. A comment without an empty line behind it was taken for that, and a whole stream was cut off. The new test of relayStream failed before (ended, where the answer had come to its end).

--- a/src/eventStream/eventScanner/index.ts
+++ b/src/eventStream/eventScanner/index.ts
@@ -3,6 +3,7 @@
 const LF = 0x0a;
 const CR = 0x0d;
 const NO_BYTES = Buffer.alloc(0);
+const COMMENT_LINES_PATTERN = /^(?::[^\n]*\n)*$/;
 const BYTE_ORDER_MARK = Buffer.from("\uFEFF");
 /** Maximum size of an event that is not complete, in bytes. */
 const MAX_EVENT_BYTES = 1024 * 1024;
@@ -24,9 +25,9 @@
     /** Whether no block has been returned. */
     private isAtStart = true;
 
-    /** Whether an incomplete event is held back. */
+    /** Whether an incomplete event is held back. Whole lines of comments are part of none. */
     get hasPartialEvent(): boolean {
-        return this.trimStart(this.partialEvent.view()).length > 0;
+        return !COMMENT_LINES_PATTERN.test(this.trimStart(this.partialEvent.view()).toString("latin1"));
     }
 
     /**
--- a/src/passthrough/relayStream/test.ts
+++ b/src/passthrough/relayStream/test.ts
@@ -204,6 +204,12 @@
             }
         }
 
+        it("leaves out a comment without an empty line behind it", async () => {
+            // Failure: a whole stream is cut off, since its upstream ends it with a comment.
+            const { result, written } = await play(`${event(1)}: end\n`);
+            assert.deepEqual([result.kind, written], ["answered", event(1)]);
+        });
+
         it("leaves comments out", async () => {
             const { result, written } = await play(`${event(1)}: note\n\n${event(2)}`);
             assert.deepEqual([result.kind, written], ["answered", event(1) + event(2)]);
