--- a/src/entry/engineStream/test.ts
+++ b/src/entry/engineStream/test.ts
@@ -108,6 +108,8 @@
     describe("a malformed event", () => {
         const malformed: readonly (readonly [name: string, from: string, to: string])[] = [
             ["without a delta", "\"delta\":{\"content\":\"t1 \"}", "\"delta\":null"],
+            ["whose delta is a text", "\"delta\":{\"content\":\"t1 \"}", "\"delta\":\"t1 \""],
+            ["whose delta is a list", "\"delta\":{\"content\":\"t1 \"}", "\"delta\":[\"t1 \"]"],
             ["whose text is a number", "\"content\":\"t1 \"", "\"content\":7"],
             ["with an offset below 0", "\"offset\":1", "\"offset\":-1"],
             ["with an offset that is no exact number", "\"offset\":1", "\"offset\":1e300"],
@@ -140,6 +142,27 @@
         }
     });
 
+    it("rejects an event whose bytes are not UTF-8", async () => {
+        // Failure: the caller gets replacement characters for bytes that no engine has written.
+        const bytes = Buffer.from(token(1));
+        bytes[bytes.indexOf("t1")] = 0xff;
+        async function* body(): AsyncIterable<Uint8Array> {
+            yield Buffer.from(token(0));
+            yield bytes;
+            yield Buffer.from(token(2) + end() + DONE);
+        }
+        assert.deepEqual(await read({ ...replyOf(), body: body() }), { text: "t0 ", result: "malformed" });
+    });
+
+    it("delivers letters of several bytes, wherever they are split", async () => {
+        const bytes = Buffer.from((token(0) + token(1) + token(2) + end() + DONE).replace("t1", "\u00e9\u{1f600}"));
+        async function* body(): AsyncIterable<Uint8Array> {
+            for (const byte of bytes) yield Uint8Array.of(byte);
+        }
+        const received = await read({ ...replyOf(), body: body() });
+        assert.deepEqual(received, { text: "t0 \u00e9\u{1f600} t2 ", result: "stop" });
+    });
+
     describe("the format of events", () => {
         const formats: readonly (readonly [name: string, format: (event: string) => string])[] = [
             ["comments between events", event => `: a comment\n\n${event}`],
