An odd entry in an engine's list of cached parts costs that entry alone

Operators of systems like this one saw lists given up for one odd entry. Here a list of cached parts with one entry of another form, or with a number that is no count, was given up as a whole, and prompts were sent to engines that had to read them again. Entries are now read one by one, as in updates between hosts; those left out are counted and logged at a limited rate.

--- a/src/entry/cacheDiscovery/index.ts
+++ b/src/entry/cacheDiscovery/index.ts
@@ -1,9 +1,10 @@
 import { Either, Left } from "purify-ts";
 import { LocalDispatcher, SendGuard } from "../../dispatch/index.js";
 import { HostId, PoolId } from "../../ids/index.js";
-import { Logger } from "../../logging/index.js";
+import { Logger, RejectionLog } from "../../logging/index.js";
 import { CallDialect } from "../../passthrough/index.js";
 import { Clock, readReplyText, readWithin } from "../../ports/index.js";
+import { ReadEntries } from "../../protocol/index.js";
 import { RouteTable } from "../../routing/index.js";
 import { PromptPart, Upstream, UpstreamHttp, UpstreamRegistry } from "../../upstream/index.js";
 import { FleetDispatcher } from "../fleetDispatcher/index.js";
@@ -50,7 +51,11 @@
     /** By pool and upstream, the incarnation in which the engine was queried. */
     private readonly queried = new Map<PoolId, Map<string, number>>();
 
-    constructor(private readonly options: CacheDiscoveryOptions) {}
+    private readonly rejections: RejectionLog;
+
+    constructor(private readonly options: CacheDiscoveryOptions) {
+        this.rejections = new RejectionLog(options);
+    }
 
     /** Queries new engines until the signal is aborted. */
     async run(signal: AbortSignal): Promise<void> {
@@ -99,7 +104,8 @@
         const { id } = upstream;
         listed
             .ifLeft(err => logger.warn("cache-not-listed", { pool, upstream: id, problem: err.message }))
-            .ifRight(parts => {
+            .ifRight(({ entries: parts, rejected, problem = "" }) => {
+                if (rejected > 0) this.rejections.record("cached-parts", rejected, problem);
                 local.recordHeldParts(pool, id, parts);
                 logger.info("cache-listed", { pool, upstream: id, parts: parts.length });
             });
@@ -109,7 +115,7 @@
         pool: PoolId,
         { id, address, announcement: { incarnation } }: Upstream,
         signal: AbortSignal,
-    ): Promise<Either<Error, PromptPart[]>> {
+    ): Promise<Either<Error, ReadEntries<PromptPart>>> {
         const { clock, upstreamHttp, dialect, sendGuard } = this.options;
         const target = { pool, upstream: id, incarnation, address };
         const sent = await upstreamHttp.send({
--- a/src/passthrough/callDialect/index.ts
+++ b/src/passthrough/callDialect/index.ts
@@ -2,6 +2,7 @@
 import { EventRules } from "../../eventStream/index.js";
 import { RequestId, UpstreamId, WorkspaceId } from "../../ids/index.js";
 import { Address, HeaderList, HttpReply, HttpRequest } from "../../ports/index.js";
+import { ReadEntries } from "../../protocol/index.js";
 import { PromptPart, UpstreamSignals } from "../../upstream/index.js";
 import { CallError } from "../callError/index.js";
 
@@ -115,6 +116,6 @@
     /** Creates the request for an engine's list of cached prompt parts. */
     abstract writeCacheQuery(upstream: UpstreamId): UpstreamQuery;
 
-    /** Parses the engine's answer to the cache query. */
-    abstract readCacheList(status: number, body: string): Either<CacheListError, PromptPart[]>;
+    /** Parses the engine's answer to the cache query; entries that can't be used are left out. */
+    abstract readCacheList(status: number, body: string): Either<CacheListError, ReadEntries<PromptPart>>;
 }
--- a/src/passthrough/nativeDialect/index.ts
+++ b/src/passthrough/nativeDialect/index.ts
@@ -3,7 +3,13 @@
 import { EventRules } from "../../eventStream/index.js";
 import { RequestId, UpstreamId } from "../../ids/index.js";
 import { findHeader, findHeaders, formatAddress, HeaderList, HttpReply, HttpRequest } from "../../ports/index.js";
-import { LEAVING_HEADER, REJECTION_LIMIT_HEADER, REQUEST_LIMIT_HEADER } from "../../protocol/index.js";
+import {
+    LEAVING_HEADER,
+    ReadEntries,
+    readEntries,
+    REJECTION_LIMIT_HEADER,
+    REQUEST_LIMIT_HEADER,
+} from "../../protocol/index.js";
 import { PromptPart } from "../../upstream/index.js";
 import {
     CacheListError,
@@ -49,9 +55,8 @@
 
 /** Path of an engine's list of cached prompt parts. */
 export const CACHE_PATH = "/sequoiamux/cache";
-const cacheListSchema = z.looseObject({
-    parts: z.array(z.looseObject({ id: z.string(), tokens: z.number().min(0) })),
-});
+const cacheListSchema = z.looseObject({ parts: z.array(z.unknown()) });
+const cachedPartSchema = z.looseObject({ id: z.string(), tokens: z.int().min(0) });
 
 const HEADERS_NOT_FORWARDED: ReadonlySet<string> = new Set([
     "authorization",
@@ -139,9 +144,10 @@
         return { method: "GET", path: CACHE_PATH, headers: [[CALL_HEADERS.upstream, upstream]] };
     }
 
-    readCacheList(status: number, body: string): Either<CacheListError, PromptPart[]> {
+    readCacheList(status: number, body: string): Either<CacheListError, ReadEntries<PromptPart>> {
         if (status !== STATUS_OK) return Left(new CacheListError(`status ${status}`));
         return Either.encase(() => cacheListSchema.parse(JSON.parse(body)).parts)
+            .map(parts => readEntries(cachedPartSchema, parts))
             .mapLeft(err => new CacheListError(err.message));
     }
 }
--- a/src/platform/platformDialect/index.ts
+++ b/src/platform/platformDialect/index.ts
@@ -15,6 +15,7 @@
     UpstreamQuery,
 } from "../../passthrough/index.js";
 import { findHeader, findHeaders, formatAddress, HeaderList, HttpReply, HttpRequest } from "../../ports/index.js";
+import { ReadEntries, readEntries } from "../../protocol/index.js";
 import { PromptPart } from "../../upstream/index.js";
 
 /** Names of the platform's headers. */
@@ -81,10 +82,10 @@
 };
 
 /** An engine's list of cached prompt parts. The fields `epoch` and `next`, for clients that follow changes, are not used. */
-const cacheListSchema = z.looseObject({
-    /** Per part: an empty string, the part's ID, its number of tokens, and the model. */
-    held: z.array(z.tuple([z.string(), z.string(), z.number().min(0)]).rest(z.unknown())),
-});
+const cacheListSchema = z.looseObject({ held: z.array(z.unknown()) });
+/** Per part: an empty string, the part's ID, its number of tokens, and the model. */
+const cachedPartSchema = z.tuple([z.string(), z.string(), z.int().min(0)]).rest(z.unknown())
+    .transform(([, id, tokens]): PromptPart => ({ id, tokens }));
 
 /** Reads and writes calls in the platform's header format. */
 export class PlatformDialect extends CallDialect {
@@ -155,10 +156,10 @@
         return { method: "GET", path: "/kv-list", headers: [[HEADER_NAMES.expectInstance, upstream]] };
     }
 
-    readCacheList(status: number, body: string): Either<CacheListError, PromptPart[]> {
+    readCacheList(status: number, body: string): Either<CacheListError, ReadEntries<PromptPart>> {
         if (status !== STATUS_OK) return Left(new CacheListError(`status ${status}`));
         return Either.encase(() => cacheListSchema.parse(JSON.parse(body)).held)
-            .map(held => held.map(([, id, tokens]) => ({ id, tokens })))
+            .map(held => readEntries(cachedPartSchema, held))
             .mapLeft(err => new CacheListError(err.message));
     }
 }
