A call that moves off a silent upstream has its repeat counted as it decides

A move now claims its repeat: it counts from there on, the send that follows uses it, and it is taken back where the call needs no send any more.

--- a/src/passthrough/repeatBudget/test.ts
+++ b/src/passthrough/repeatBudget/test.ts
@@ -69,6 +69,29 @@
         assert.equal(budget.describe(POOL).reserved, 0);
     });
 
+    it("lets one of two calls move where the budget covers one of their repeats only", async () => {
+        // Failure: both calls leave their silent upstreams, and one of them may be sent to no other until its time is over.
+        const clock = new VirtualClock();
+        let entries = 7;
+        const budget = new RepeatBudget(clock, LIMITS, () => entries);
+        await clock.advance(10_000);
+        const [first, second] = [budget.tryReserve(POOL)!, budget.tryReserve(POOL)!];
+        entries = 30;
+        assert.deepEqual([first.claim(), second.claim()], [true, false]);
+        assert.equal(first.tryUse(), true);
+        assert.deepEqual([budget.describe(POOL).repeats, budget.describe(POOL).reserved], [1, 0]);
+    });
+
+    it("takes back a claim that was not used", async () => {
+        const clock = new VirtualClock();
+        const budget = new RepeatBudget(clock, LIMITS, countEntries);
+        await clock.advance(10_000);
+        const permit = budget.tryReserve(POOL)!;
+        permit.claim();
+        permit.release();
+        assert.deepEqual([budget.countLeft(POOL), budget.describe(POOL).repeats], [6, 0]);
+    });
+
     it("starts without the slack, which it may have used before a restart", () => {
         const budget = new RepeatBudget(new VirtualClock(), LIMITS, countEntries);
         assert.equal(takeAll(budget), 0);
--- a/src/passthrough/repeatPermit/index.ts
+++ b/src/passthrough/repeatPermit/index.ts
@@ -11,15 +11,22 @@
 export class RepeatPermit {
     private isReserved = true;
     private charge: RepeatCharge | undefined;
+    /** Whether it counts as made for a send that has not begun. */
+    private isClaimed = false;
 
     /** @param slackShare - Returns the share of the slack that this entry may use in a window. */
     constructor(private readonly account: RepeatAccount, private readonly slackShare: () => number) {
         account.reserved++;
     }
 
-    /** Whether the repeat could be sent now: the budget may have shrunk since it was reserved. */
-    get isCovered(): boolean {
-        return this.isReserved && this.account.available(this.slackShare()) >= 1;
+    /**
+     * Counts the repeat as made now, for a send that follows at once: no other call can use it meanwhile.
+     *
+     * @returns Whether it may be sent.
+     */
+    claim(): boolean {
+        this.isClaimed = this.tryUse();
+        return this.isClaimed;
     }
 
     /**
@@ -28,6 +35,10 @@
      * @returns Whether it may be sent.
      */
     tryUse(): boolean {
+        if (this.isClaimed) {
+            this.isClaimed = false;
+            return true;
+        }
         if (!this.isReserved) return false;
         this.release();
         this.charge = this.account.tryCharge(this.slackShare());
@@ -45,6 +56,10 @@
 
     /** Returns a repeat that was not sent to the budget; without effect on one that was. */
     release(): void {
+        if (this.isClaimed) {
+            this.isClaimed = false;
+            this.restore();
+        }
         if (!this.isReserved) return;
         this.isReserved = false;
         this.account.reserved--;
--- a/src/passthrough/stallMove/index.ts
+++ b/src/passthrough/stallMove/index.ts
@@ -104,7 +104,7 @@
         const decision = await ctx.dispatcher.submit(makeTicket(this.task, ticketId, avoid), ticket.signal);
         const grant = decision.toMaybe().extract();
         const isWithdrawn = ticket.signal.aborted;
-        if (grant && !isWithdrawn && repeat.isCovered && this.isUsable(grant)) {
+        if (grant && !isWithdrawn && this.isUsable(grant) && repeat.claim()) {
             this.repeat = undefined;
             this.next = { ticketId, grant, repeat };
             run.cancel("stalled");
