--- a/src/control/replyParser/index.ts
+++ b/src/control/replyParser/index.ts
@@ -134,6 +134,8 @@
 }
 
 function readFraming(headers: readonly [string, string][]): Framing {
+    const lengthCount = headers.filter(([name]) => name === "content-length").length;
+    if (lengthCount > 1) throw new Error("HTTP response has several lengths");
     const length = findValue(headers, "content-length");
     const coding = findValue(headers, "transfer-encoding");
     if (length !== undefined && coding !== undefined) throw new Error("HTTP response has a length and a coding");
