Bodies of all callers of a process share one budget

Cause: each request may hold up to the body limit, and its buffer up to twice that while it grows; nothing adds these up over the process.

The fix: a budget that all HTTP servers of a process draw from, a third of what its host has beyond the process itself. An announced length is taken at the head, so that a caller learns before it sends its body; other bodies pay as they grow. Weighed: drawing as bytes arrive in both cases (60 bodies at once then grow to a sixtieth each and all are refused; with a reservation the first ones are served); refusing the newcomer in every case (bodies that stop short keep the room as long as they like); a share for each address or workspace (the balancer hides addresses, and routes without keys have no workspace). Large bodies leave a quarter to small ones, so that ordinary calls are served beside a crowd; where the budget is used up, the largest body whose caller has been silent for a second gives way. Whoever is refused gets 503, the word that nothing has run, and when to come back; an operator's document is never answered with a 4xx for want of room, and a relay answers that it has not sent the call. A single body of the full limit is served in calm (three tests), and settings with which it would not be are refused at the start.

--- a/src/control/trpcHttp/index.ts
+++ b/src/control/trpcHttp/index.ts
@@ -1,12 +1,24 @@
 import type { AnyTRPCRouter } from "@trpc/server";
 import { fetchRequestHandler } from "@trpc/server/adapters/fetch";
-import { Address, formatAddress, HeaderList, Http, HttpError, HttpHandler, readReplyText } from "../../ports/index.js";
+import {
+    Address,
+    BodyError,
+    formatAddress,
+    HeaderList,
+    Http,
+    HttpError,
+    HttpHandler,
+    readReplyText,
+} from "../../ports/index.js";
+import { OUTCOME_HEADER } from "../../protocol/index.js";
 
 /** Path prefix of tRPC procedures. */
 const ENDPOINT = "/operate";
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
 const CONNECT_TIMEOUT_MS = 2_000;
 const STATUS_TOO_LARGE = 413;
+const STATUS_UNAVAILABLE = 503;
+const NO_ROOM_HEADERS: HeaderList = [["retry-after", "1"], [OUTCOME_HEADER, "not-run"]];
 
 /**
  * Creates an HTTP handler that serves a tRPC router's procedures over the `Http` port.
@@ -21,9 +33,10 @@
 ): HttpHandler {
     return async (req, res) => {
         const body = await req.body(MAX_BODY_BYTES);
-        const bytes = body.toMaybe().extract();
-        if (!bytes) {
-            res.head(STATUS_TOO_LARGE, []);
+        if (body.isLeft()) {
+            const { reason } = body.extract() as BodyError;
+            if (reason === "over-capacity") res.head(STATUS_UNAVAILABLE, NO_ROOM_HEADERS);
+            else res.head(STATUS_TOO_LARGE, []);
             res.end();
             return;
         }
@@ -32,7 +45,7 @@
             req: new Request(`http://operator${req.path}`, {
                 method: req.method,
                 headers: req.headers.map(([name, value]): [string, string] => [name, value]),
-                ...(req.method === "GET" || req.method === "HEAD" ? {} : { body: Buffer.from(bytes) }),
+                ...(req.method === "GET" || req.method === "HEAD" ? {} : { body: Buffer.from(body.unsafeCoerce()) }),
             }),
             router,
             createContext,
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -3,7 +3,15 @@
 import { Incarnation } from "../ids/index.js";
 import { JsonLogger, Logger } from "../logging/index.js";
 import { StatsdMetrics } from "../metrics/index.js";
-import { DiskError, NodeHttp, SystemClock, SystemRandom, TcpNetwork } from "../ports/index.js";
+import {
+    CallerBudget,
+    deriveBudgetLimits,
+    DiskError,
+    NodeHttp,
+    SystemClock,
+    SystemRandom,
+    TcpNetwork,
+} from "../ports/index.js";
 import { Settings } from "../settings/index.js";
 import { StoreError } from "../store/index.js";
 import { DaemonPorts, DaemonProcess } from "./daemonPorts/index.js";
@@ -33,8 +41,9 @@
 }
 
 function makePorts(settings: Settings): DaemonPorts {
-    const { host, role, log, metrics } = settings;
+    const { host, role, limits, log, metrics } = settings;
     const clock = new SystemClock();
+    const budget = new CallerBudget(deriveBudgetLimits(limits.memoryMb), () => clock.monotonic());
     const random = new SystemRandom();
     const logger = new JsonLogger({ host: host.id, role, level: log.level, clock });
     const statsdMetrics = new StatsdMetrics({
@@ -48,7 +57,7 @@
         clock,
         random,
         network: new TcpNetwork(),
-        http: new NodeHttp(),
+        http: new NodeHttp(budget),
         logger,
         metrics: statsdMetrics,
         flushMetrics: () => statsdMetrics.close(),
--- a/src/passthrough/prepareCall/index.ts
+++ b/src/passthrough/prepareCall/index.ts
@@ -16,6 +16,13 @@
 const STALE_VIEW_RETRY_MS = 1_200;
 const STALE_VIEW_JITTER_MS = 800;
 
+/**
+ * Retry delay of calls for which the callers' budget has no room, in milliseconds: the time after which a stalled caller gives its room up.
+ * The jitter spreads the retries.
+ */
+const NO_ROOM_RETRY_MS = 500;
+const NO_ROOM_JITTER_MS = 500;
+
 /**
  * Maximum wait of a call for the first document after a start: a share of the caller's time limit, and an absolute
  * bound in milliseconds. When all processes have restarted, the control processes elect a holder within a second. A
@@ -77,12 +84,14 @@
     );
     if (read.isLeft()) return read as Either<CallError, never>;
     const { head, route, caller } = read.unsafeCoerce();
-    const body = await req.body(routes.limits.bodyBytes);
+    const body = (await req.body(routes.limits.bodyBytes)).mapLeft(err => toCallError(ctx, err));
+    if (body.isLeft()) return body as Either<CallError, never>;
+    const bytes = body.unsafeCoerce();
     const resolved = await resolveResumption(ctx, route, caller.workspace, head);
     if (resolved.isLeft()) return resolved as Either<CallError, never>;
     const resumption = resolved.unsafeCoerce();
     const limitMs = Math.min(route.timeoutMs, head.deadlineMs ?? Number.POSITIVE_INFINITY);
-    const prepared = body.mapLeft(toCallError).map((bytes): PreparedCall => ({
+    const call: PreparedCall = {
         ...caller,
         head,
         route,
@@ -95,11 +104,9 @@
         resumption,
         arrivedAt,
         deadlineAt: arrivedAt + limitMs,
-    }));
-    return prepared.chain(call => {
-        const err = checkQuarantine(ctx, call);
-        return err ? Left(err) : Right(call);
-    });
+    };
+    const err = checkQuarantine(ctx, call);
+    return err ? Left(err) : Right(call);
 }
 
 /**
@@ -199,8 +206,12 @@
     "too-large": "too-large",
     "timeout": "body-timeout",
     "closed": "body-timeout",
+    "over-capacity": "over-capacity",
 };
 
-function toCallError({ reason }: BodyError): CallError {
-    return new CallError(BODY_ERROR_KINDS[reason], `the body could not be read: ${reason}`);
+function toCallError({ random }: CallContext, { reason }: BodyError): CallError {
+    const retryAfterMs = reason === "over-capacity"
+        ? NO_ROOM_RETRY_MS + random.between(0, NO_ROOM_JITTER_MS)
+        : undefined;
+    return new CallError(BODY_ERROR_KINDS[reason], `the body could not be read: ${reason}`, retryAfterMs);
 }
--- a/src/platform/controlPlane/index.ts
+++ b/src/platform/controlPlane/index.ts
@@ -1,7 +1,7 @@
 import { RoutingService, UnknownZoneError } from "../../control/index.js";
 import { UpstreamId, ZoneId } from "../../ids/index.js";
 import { Logger } from "../../logging/index.js";
-import { HttpHandler, HttpRequest, HttpResponse } from "../../ports/index.js";
+import { BodyError, HttpHandler, HttpRequest, HttpResponse } from "../../ports/index.js";
 import { Announcement } from "../../protocol/index.js";
 import { makeGoneAnnouncement, parseHeartbeat } from "../heartbeat/index.js";
 import { parseFleetDocument } from "../parseFleetDocument/index.js";
@@ -40,7 +40,7 @@
     res: HttpResponse,
 ): Promise<void> {
     const body = await req.body(MAX_HEARTBEAT_BYTES);
-    if (body.isLeft()) return respond(res, 413, { error: "the body could not be read" });
+    if (body.isLeft()) return respondUnread(res, body.extract() as BodyError, 413);
     const heartbeat = parseHeartbeat(decodeURIComponent(id), body.unsafeCoerce());
     if (heartbeat.isLeft()) {
         const problem = heartbeat.extract().message;
@@ -90,7 +90,7 @@
     res: HttpResponse,
 ): Promise<void> {
     const body = await req.body(MAX_CONFIG_BYTES);
-    if (body.isLeft()) return respond(res, 400, { error: "the body could not be read in full" });
+    if (body.isLeft()) return respondUnread(res, body.extract() as BodyError, 400);
     const source = body.unsafeCoerce();
     const document = parseFleetDocument(source);
     if (document.isLeft()) {
@@ -109,6 +109,12 @@
     });
 }
 
+/** A call that there is no room for may be sent again, unlike one whose body can't be read. */
+function respondUnread(res: HttpResponse, { reason }: BodyError, status: number): void {
+    if (reason !== "over-capacity") return respond(res, status, { error: "the body could not be read in full" });
+    return respond(res, 503, { error: "this host holds as much for callers as it may" }, [RETRY_AFTER_HEADER]);
+}
+
 async function setEvacuation(
     routing: RoutingService,
     zone: ZoneId,
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -4,7 +4,9 @@
 import { BoundedOutput, JsonLogger, Logger } from "../logging/index.js";
 import { PromMetrics } from "../metrics/index.js";
 import {
+    CallerBudget,
     DEFAULT_HTTP_LIMITS,
+    deriveBudgetLimits,
     FileDisk,
     NodeHttp,
     SystemClock,
@@ -61,13 +63,14 @@
 
 function makePorts(settings: NodeSettings, clock: SystemClock, logger: Logger, metrics: PromMetrics): DaemonPorts {
     const random = new SystemRandom();
+    const budget = new CallerBudget(deriveBudgetLimits(settings.memoryMb), () => clock.monotonic());
     return {
         clock,
         random,
         logger,
         metrics,
         network: new TcpNetwork(),
-        http: new NodeHttp(),
+        http: new NodeHttp(budget),
         flushMetrics: async () => undefined,
         histograms: { list: () => [] },
         requestStop: () => void process.kill(process.pid, "SIGTERM"),
--- a/src/platform/nodeSettings/index.ts
+++ b/src/platform/nodeSettings/index.ts
@@ -42,6 +42,8 @@
     readonly platform: Address | undefined;
     /** Whether the platform refuses calls with an old fencing token. */
     readonly platformChecksFence: boolean;
+    /** Memory that a process may use (`limits.memoryMb`), in MB. */
+    readonly memoryMb: number;
     /** Grace period for a planned stop. */
     readonly graceMs: number;
     /** Maximum time from the acknowledgement of a key's withdrawal until every entry refuses the key. */
@@ -116,6 +118,7 @@
         toleratedLosses: readNumber("faultTolerance.machines", 1),
         platform: readAddress("cloudApi.address"),
         platformChecksFence: file.get("bounds.fencingRequired") === "true",
+        memoryMb: readNumber("limits.memoryMb", 350),
         graceMs: readSecondsAsMs("bounds.graceS", 8),
         revokeMs: readNumber("bounds.revokeMs", 5_000),
         dutyLeaseMs: readNumber("bounds.leaseMs", 3_000),
--- a/src/ports/http/index.ts
+++ b/src/ports/http/index.ts
@@ -68,8 +68,11 @@
 
 /** A failure to read the body of an incoming request. */
 export class BodyError extends Error {
-    /** @param reason - `too-large`, `timeout`, or `closed` if the caller closed the connection. */
-    constructor(readonly reason: "too-large" | "timeout" | "closed") {
+    /**
+     * @param reason - `too-large`, `timeout`, `closed` if the caller closed the connection, or `over-capacity` if callers hold as much as the
+     * process may hold for them.
+     */
+    constructor(readonly reason: "too-large" | "timeout" | "closed" | "over-capacity") {
         super(reason);
     }
 }
--- a/src/ports/index.ts
+++ b/src/ports/index.ts
@@ -3,9 +3,11 @@
  * implementation and an in-memory one, so that a whole fleet can run in one process under virtual time.
  */
 export * from "./byteBuffer/index.js";
+export * from "./callerBudget/index.js";
 export * from "./clock/index.js";
 export * from "./connectionHistory/index.js";
 export * from "./connectionPool/index.js";
+export * from "./deriveBudgetLimits/index.js";
 export * from "./disk/index.js";
 export * from "./fileDisk/index.js";
 export * from "./http/index.js";
--- a/src/ports/nodeHttp/index.ts
+++ b/src/ports/nodeHttp/index.ts
@@ -1,20 +1,28 @@
 import { Either } from "purify-ts";
+import { CallerBudget } from "../callerBudget/index.js";
 import { Http, HttpCall, HttpError, HttpHandler, HttpLimits, HttpListener, HttpReply } from "../http/index.js";
 import { Address } from "../network/index.js";
 import { NodeHttpClient } from "../nodeHttpClient/index.js";
 import { serveNodeHttp } from "../nodeHttpServer/index.js";
 
+const UNBOUNDED = new CallerBudget({ bytes: Number.POSITIVE_INFINITY }, () => performance.now());
+
 /**
  * HTTP server and client on `node:http`.
  *
  * @example
- * const http = new NodeHttp();
+ * const http = new NodeHttp(budget);
  */
 export class NodeHttp extends Http {
     private readonly client = new NodeHttpClient();
 
+    /** @param budget - Bounds what the callers of all its servers hold together; without it nothing does. */
+    constructor(private readonly budget = UNBOUNDED) {
+        super();
+    }
+
     serve(address: Address, limits: HttpLimits, handler: HttpHandler): Promise<HttpListener> {
-        return serveNodeHttp(address, limits, handler);
+        return serveNodeHttp(address, limits, handler, this.budget);
     }
 
     send(call: HttpCall): Promise<Either<HttpError, HttpReply>> {
--- a/src/ports/nodeHttpServer/index.ts
+++ b/src/ports/nodeHttpServer/index.ts
@@ -2,7 +2,8 @@
 import { Socket } from "node:net";
 import { Either, Left, Right } from "purify-ts";
 import { toHeaderList } from "../_lib/toHeaderList.js";
-import { ByteBuffer } from "../byteBuffer/index.js";
+import { BodyStorage } from "../bodyStorage/index.js";
+import { CallerBudget, CallerHolding } from "../callerBudget/index.js";
 import {
     BodyError,
     HeaderList,
@@ -28,12 +29,18 @@
 /**
  * Starts an HTTP server on `node:http`.
  *
+ * @param budget - Bounds what the callers of all servers of the process hold together.
  * @returns Its listener, once the address is bound.
  * @throws NetworkError when the address is in use.
  * @example
- * const listener = await serveNodeHttp(address, limits, handler);
+ * const listener = await serveNodeHttp(address, limits, handler, budget);
  */
-export function serveNodeHttp(address: Address, limits: HttpLimits, handler: HttpHandler): Promise<HttpListener> {
+export function serveNodeHttp(
+    address: Address,
+    limits: HttpLimits,
+    handler: HttpHandler,
+    budget: CallerBudget,
+): Promise<HttpListener> {
     const server = createServer({
         maxHeaderSize: limits.headerBytes,
         headersTimeout: limits.headerTimeoutMs,
@@ -44,14 +51,15 @@
         keepAliveTimeout: limits.idleTimeoutMs ?? DEFAULT_KEEP_ALIVE_MS,
         noDelay: true,
     });
-    const connections = new ServerConnections(server);
+    const connections = new ServerConnections(server, budget);
     answerClientErrors(server);
     limitBodyDiscard(server);
     // With a listener, Node does not destroy idle connections itself.
     server.on("timeout", (socket: Socket) => void readArrived().then(() => connections.endIfIdle(socket)));
     server.on("request", (req, res) => {
-        if (!connections.isServed(req, res)) return;
-        void runHandler(new NodeRequest(req, res), new NodeResponse(res, connections), handler);
+        const holding = connections.findHolding(req, res);
+        if (!holding) return;
+        void runHandler(new NodeRequest(req, res, holding), new NodeResponse(res, connections), handler);
     });
     return new Promise((resolve, reject) => {
         server.once("error", err => reject(new NetworkError("refused", err.message)));
@@ -127,7 +135,11 @@
     private readonly abort = new AbortController();
     readonly closed = this.abort.signal;
 
-    constructor(private readonly message: IncomingMessage, res: ServerResponse) {
+    constructor(
+        private readonly message: IncomingMessage,
+        private readonly res: ServerResponse,
+        private readonly holding: CallerHolding,
+    ) {
         super();
         this.method = message.method!;
         this.path = message.url!;
@@ -139,26 +151,34 @@
     }
 
     body(limitBytes: number): Promise<Either<BodyError, Uint8Array>> {
+        const { message, holding, res } = this;
+        const storage = new BodyStorage(holding, limitBytes);
+        res.once("close", () => storage.drop());
         return new Promise(resolve => {
-            const received = new ByteBuffer();
-            let size = 0;
-            // A content length over the limit is refused before any of the body is read.
-            if (Number(this.message.headers["content-length"] ?? 0) > limitBytes) {
-                resolve(Left(new BodyError("too-large")));
-                return;
-            }
-            this.message.on("data", (chunk: Buffer) => {
-                size += chunk.length;
-                if (size <= limitBytes) {
-                    received.append(chunk);
-                    return;
-                }
-                received.take();
-                resolve(Left(new BodyError("too-large")));
+            let isRefused = false;
+            const refuse = (reason: BodyError["reason"]): void => {
+                isRefused = true;
+                holding.awaitNothing();
+                storage.drop();
+                resolve(Left(new BodyError(reason)));
+            };
+            const refusal = storage.reserve(Number(message.headers["content-length"] ?? 0));
+            if (refusal) return refuse(refusal);
+            const awaitMore = (): void => holding.awaitBody(() => refuse("over-capacity"));
+            awaitMore();
+            message.on("data", (chunk: Buffer) => {
+                if (isRefused) return;
+                const overflow = storage.append(chunk);
+                if (overflow) return refuse(overflow);
+                awaitMore();
+            });
+            message.on("end", () => {
+                if (isRefused) return;
+                holding.awaitNothing();
+                resolve(Right(storage.view()));
             });
-            this.message.on("end", () => resolve(Right(received.take())));
-            this.message.on("close", () => {
-                if (!this.message.complete) resolve(Left(new BodyError("closed")));
+            message.on("close", () => {
+                if (!message.complete && !isRefused) refuse("closed");
             });
         });
     }
--- a/src/ports/nodeHttpServer/test.ts
+++ b/src/ports/nodeHttpServer/test.ts
@@ -4,6 +4,7 @@
 import { afterEach, describe, it } from "node:test";
 import { setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
+import { CallerBudget } from "../callerBudget/index.js";
 import { HttpHandler, HttpLimits, HttpListener } from "../http/index.js";
 import { serveNodeHttp } from "./index.js";
 
@@ -18,6 +19,7 @@
 const SHORT_LIMITS: HttpLimits = { ...LIMITS, headerTimeoutMs: 20, idleTimeoutMs: 20 };
 /** Longer than the interval at which timeouts are checked, which is a sixth of the first limits. */
 const SILENCE_MS = 1_500;
+const BUDGET = new CallerBudget({ bytes: Number.POSITIVE_INFINITY }, () => performance.now());
 const CHUNKS = 200_000;
 const CHUNKS_PER_WRITE = 1_000;
 /** Heap that the body and the state of its connection may take, in bytes; a buffer for each chunk takes ten times as much. */
@@ -48,7 +50,7 @@
             await req.body(CHUNKS);
             res.head(200, [["connection", "close"]]);
             res.end();
-        });
+        }, BUDGET);
         const socket = connect(listener.address.port, "127.0.0.1");
         socket.write("POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n");
         const before = measureHeap();
@@ -65,11 +67,88 @@
     });
 });
 
+describe("the budget of a server's callers", () => {
+    const BODY_BYTES = 1_000;
+    const HEAD = `POST / HTTP/1.1\r\nhost: a\r\ncontent-length: ${BODY_BYTES}\r\n\r\n`;
+    const BODY = "x".repeat(BODY_BYTES);
+    let now = 0;
+    let budget: CallerBudget;
+    let listener: HttpListener;
+
+    async function open(limitBytes = BODY_BYTES, budgetBytes = BODY_BYTES): Promise<void> {
+        now = 0;
+        budget = new CallerBudget({ bytes: budgetBytes }, () => now);
+        listener = await serveNodeHttp({ host: "127.0.0.1", port: 0 }, LIMITS, async (req, res) => {
+            const body = await req.body(limitBytes);
+            const text = body.caseOf({ Left: ({ reason }) => reason as string, Right: ({ length }) => String(length) });
+            res.head(200, [["connection", "close"], ["content-length", String(text.length)]]);
+            res.end(text);
+        }, budget);
+    }
+
+    function connectAndSend(text: string): Socket {
+        const socket = connect(listener.address.port, "127.0.0.1");
+        socket.on("error", () => undefined);
+        socket.write(text);
+        return socket;
+    }
+
+    async function exchange(text: string): Promise<string> {
+        return (await readToEnd(connectAndSend(text))).split("\r\n\r\n")[1];
+    }
+
+    async function awaitBytes(bytes: number): Promise<void> {
+        while (budget.bytes !== bytes) await sleep(1);
+    }
+
+    afterEach(() => listener.close());
+
+    it("holds a body until its answer has been sent", TEST_TIMEOUT, async () => {
+        // Failure: room that is never given back, so that in the end everybody is refused.
+        await open();
+        for (let count = 0; count < 3; count++) assert.equal(await exchange(HEAD + BODY), String(BODY_BYTES));
+        await awaitBytes(0);
+    });
+
+    it("refuses a body that it has no room for, before the body has come", TEST_TIMEOUT, async () => {
+        // Failure: bodies are held without a bound on their sum.
+        await open();
+        const first = connectAndSend(HEAD);
+        await awaitBytes(BODY_BYTES);
+        assert.equal(await exchange(HEAD), "over-capacity");
+        first.write(BODY);
+        assert.match(await readToEnd(first), /1000$/);
+        await awaitBytes(0);
+    });
+
+    it("takes the room of a body whose caller is stalled", TEST_TIMEOUT, async () => {
+        // Failure: bodies that stop short of their end keep others out for as long as they like.
+        await open();
+        const stalled = connectAndSend(HEAD + BODY.slice(1));
+        await awaitBytes(BODY_BYTES);
+        now += 1_000;
+        assert.equal(await exchange(HEAD + BODY), String(BODY_BYTES));
+        assert.match(await readToEnd(stalled), /over-capacity$/);
+    });
+
+    it("gets back the room of a body that is refused, or whose caller has left", TEST_TIMEOUT, async () => {
+        // Failure: a path on which room is not given back.
+        await open(BODY_BYTES / 2, 2 * BODY_BYTES);
+        assert.equal(await exchange(HEAD), "too-large");
+        const chunked = "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n";
+        assert.equal(await exchange(`${chunked}3e8\r\n${BODY}\r\n0\r\n\r\n`), "too-large");
+        const leaving = connectAndSend(`${chunked}64\r\n${BODY.slice(0, 100)}\r\n`);
+        while (budget.bytes === 0) await sleep(1);
+        leaving.resetAndDestroy();
+        await awaitBytes(0);
+    });
+});
+
 describe("shorter limits that are set while a server runs", () => {
     let listener: HttpListener | undefined;
 
     async function open(handler: HttpHandler): Promise<Socket> {
-        listener = await serveNodeHttp({ host: "127.0.0.1", port: 0 }, LIMITS, handler);
+        listener = await serveNodeHttp({ host: "127.0.0.1", port: 0 }, LIMITS, handler, BUDGET);
         return connect(listener.address.port, "127.0.0.1");
     }
 
@@ -119,7 +198,7 @@
             await sleep(SETTLE_MS);
             res.head(200, []);
             res.end();
-        });
+        }, BUDGET);
         const socket = connect(listener.address.port, "127.0.0.1");
         socket.on("error", () => undefined);
         socket.write(FIRST + BROKEN_BODY);
--- a/src/ports/serverConnections/index.ts
+++ b/src/ports/serverConnections/index.ts
@@ -1,5 +1,6 @@
 import { IncomingMessage, Server, ServerResponse } from "node:http";
 import { Socket } from "node:net";
+import { CallerBudget, CallerHolding } from "../callerBudget/index.js";
 import { OpenAnswers } from "../http/index.js";
 
 /** Time for which a connection is still read after its end was sent, in milliseconds. */
@@ -13,6 +14,7 @@
     isEnding: boolean;
     /** Bytes received until the latest response had been sent. */
     bytesAnswered: number;
+    readonly holding: CallerHolding;
 }
 
 /**
@@ -22,7 +24,7 @@
  * keeps one whose response ends after `closeIdleConnections`. Here a connection ends after its last response was sent.
  *
  * @example
- * const connections = new ServerConnections(server);
+ * const connections = new ServerConnections(server, budget);
  * connections.announceClose();
  * connections.endIdle();
  * await connections.whenAnswered();
@@ -33,7 +35,7 @@
     private isClosing = false;
     private waiters: (() => void)[] = [];
 
-    constructor(server: Server) {
+    constructor(server: Server, private readonly budget: CallerBudget) {
         // `Server.close` calls it.
         server.closeIdleConnections = () => this.endIdle();
         server.on("connection", (socket: Socket) => this.add(socket));
@@ -41,11 +43,12 @@
     }
 
     /**
-     * Whether a request may be handled. One that comes after its caller was told that the connection ends is not handled: its answer
-     * could not be sent.
+     * Returns what the connection of a request holds; undefined for a request that must not be handled. One that comes after its caller was
+     * told that the connection ends is not: its answer could not be sent.
      */
-    isServed({ socket }: IncomingMessage, res: ServerResponse): boolean {
-        return this.states.get(socket)?.open.has(res) ?? false;
+    findHolding({ socket }: IncomingMessage, res: ServerResponse): CallerHolding | undefined {
+        const state = this.states.get(socket);
+        return state?.open.has(res) ? state.holding : undefined;
     }
 
     /**
@@ -104,8 +107,12 @@
     }
 
     private add(socket: Socket): void {
-        this.states.set(socket, { open: new Set(), isEnding: false, bytesAnswered: 0 });
-        socket.once("close", () => this.states.delete(socket));
+        const holding = this.budget.open();
+        this.states.set(socket, { open: new Set(), isEnding: false, bytesAnswered: 0, holding });
+        socket.once("close", () => {
+            this.states.delete(socket);
+            holding.close();
+        });
     }
 
     private addResponse({ socket }: IncomingMessage, res: ServerResponse): void {
--- a/src/relay/relayServer/index.ts
+++ b/src/relay/relayServer/index.ts
@@ -5,6 +5,7 @@
 import { Logger } from "../../logging/index.js";
 import { Metrics } from "../../metrics/index.js";
 import {
+    BodyError,
     Clock,
     findHeader,
     formatAddress,
@@ -91,9 +92,9 @@
     readonly handler: HttpHandler = async (req, res) => {
         if (!this.isAllowed(req)) return sendStatus(req, res, 403);
         if (req.method !== RELAY_METHOD || req.path !== RELAY_PATH) return sendStatus(req, res, 404);
-        const bytes = (await req.body(MAX_REQUEST_BYTES)).toMaybe().extract();
-        if (!bytes) return sendStatus(req, res, 413);
-        const { message, body } = splitRelayRequest(bytes);
+        const read = await req.body(MAX_REQUEST_BYTES);
+        if (read.isLeft()) return answerUnread(read.extract() as BodyError, req, res);
+        const { message, body } = splitRelayRequest(read.unsafeCoerce());
         const request = message as RelayRequest;
         if (request.kind === "probe") return this.answerProbe(request.target, req, res);
         return this.relay(request, body, req, res);
@@ -261,6 +262,12 @@
     return exchange === undefined ? [CONTENT_TYPE] : [CONTENT_TYPE, [RELAY_EXCHANGE_HEADER, exchange]];
 }
 
+function answerUnread({ reason }: BodyError, req: HttpRequest, res: HttpResponse): void {
+    if (reason !== "over-capacity") return sendStatus(req, res, 413);
+    res.head(200, answerHeaders(req));
+    res.end(encodeAnswer({ kind: "not-sent", reason: "full", detail: "callers' budget is used up" }));
+}
+
 function sendStatus(req: HttpRequest, res: HttpResponse, status: number): void {
     res.head(status, [...answerHeaders(req), ["content-length", "0"]]);
     res.end();
--- a/src/settings/parseSettings/index.ts
+++ b/src/settings/parseSettings/index.ts
@@ -1,8 +1,8 @@
 import { Either, Left, Right } from "purify-ts";
-import { formatAddress } from "../../ports/index.js";
+import { formatAddress, minMemoryMb } from "../../ports/index.js";
 import { IniEntry, IniFile, readIni } from "../_lib/readIni.js";
 import { listSettingRows, SettingRow, toIniName } from "../_lib/settingRows.js";
-import { controlSchema, entrySchema, Settings } from "../schema/index.js";
+import { controlSchema, entrySchema, EntrySettings, Settings } from "../schema/index.js";
 
 /** One problem in a settings file; `message` is a single line for the operator. */
 export class SettingsError extends Error {
@@ -111,7 +111,7 @@
         const problem = `expected at least twice heartbeat_ms (${2 * heartbeatMs}), found "${silenceMs}"`;
         conflicts.push(new SettingsError(fileName, "timing", "silence_ms", problem));
     }
-    if (settings.role === "entry") return conflicts;
+    if (settings.role === "entry") return [...conflicts, ...findMemoryConflicts(settings, fileName)];
     if (!settings.control.members.some(member => member.host === settings.host.id)) {
         const problem = `expected this host, ${settings.host.id}, among them`;
         conflicts.push(new SettingsError(fileName, "control", "members", problem));
@@ -119,6 +119,15 @@
     return conflicts;
 }
 
+/** Finds a limit of bodies that the host has no memory for. */
+function findMemoryConflicts({ limits }: EntrySettings, fileName: string): SettingsError[] {
+    const { memoryMb, bodyBytes } = limits;
+    const neededMb = minMemoryMb(bodyBytes);
+    if (memoryMb >= neededMb) return [];
+    const problem = `expected at least ${neededMb} for one body of body_bytes (${bodyBytes}), found "${memoryMb}"`;
+    return [new SettingsError(fileName, "limits", "memory_mb", problem)];
+}
+
 function findListenConflicts(settings: Settings, fileName: string): SettingsError[] {
     const settingByAddress = new Map<string, string>();
     const conflicts: SettingsError[] = [];
--- a/src/settings/parseSettings/test.ts
+++ b/src/settings/parseSettings/test.ts
@@ -116,6 +116,11 @@
                 `${ENTRY}[timing]\nsilence_ms = 900`,
                 /silence_ms: expected at least twice/,
             ],
+            [
+                "a host without the memory for one body",
+                `${ENTRY}[limits]\nmemory_mb = 200\nbody_bytes = 67108864`,
+                /memory_mb: expected at least 622 for one body of body_bytes/,
+            ],
             [
                 "a section of the other role",
                 `${ENTRY}[data]\nfolder = x`,
--- a/src/settings/schema/index.ts
+++ b/src/settings/schema/index.ts
@@ -66,7 +66,7 @@
     memoryMb: withDefault(
         wholeNumber(128, 1_048_576),
         "350",
-        "The memory that this process may use, in MB.",
+        "The memory that this process may use, in MB. What callers may hold together is derived from it: a third of what is beyond 110 MB.",
     ),
     descriptors: withDefault(
         wholeNumber(128, 1_048_576),
--- a/src/tools/crowds/crowd/index.ts
+++ b/src/tools/crowds/crowd/index.ts
@@ -19,6 +19,7 @@
 /** A crowd that goes on sending counts as settled after this long, in milliseconds. */
 const MAX_SETTLE_MS = 10_000;
 const POLL_MS = 50;
+const MAX_ANSWER_LENGTH = 1_000;
 const STATUS_PATTERN = /HTTP\/1\.1 (\d{3})/g;
 
 /**
@@ -51,6 +52,11 @@
         }
     }
 
+    /** Resolves when each connection has an answer or is closed. */
+    async awaitAnswers(): Promise<void> {
+        while (this.members.some(({ statuses, isClosed }) => statuses.length === 0 && !isClosed)) await sleep(POLL_MS);
+    }
+
     /** Whether some connection still has something to send. */
     get isSending(): boolean {
         return this.members.some(({ isSending }) => isSending);
@@ -72,6 +78,12 @@
         return [...counts].map(([name, number]) => `${name}: ${number}`).join(", ") || "no answers";
     }
 
+    /** Returns the answers with a status that say nothing about when to come back, or that don't say that the request has not run. */
+    findBareRefusals(status: string): string[] {
+        const texts = this.members.map(({ answer }) => answer).filter(text => text.startsWith(`HTTP/1.1 ${status}`));
+        return texts.filter(text => !/^retry-after: /im.test(text) || !/not-run/.test(text));
+    }
+
     /** Resets all connections. */
     async leave(): Promise<void> {
         await Promise.all(this.members.map(member => member.leave()));
@@ -81,6 +93,8 @@
 class CrowdMember {
     readonly statuses: string[] = [];
     isSending = true;
+    /** The beginning of the first answer. */
+    answer = "";
     private readonly socket: Socket;
     private readonly closed: Promise<void>;
     private wake = (): void => undefined;
@@ -118,6 +132,7 @@
     }
 
     private readStatuses(chunk: Buffer): void {
+        if (this.answer.length < MAX_ANSWER_LENGTH) this.answer += chunk.toString("latin1");
         for (const [, status] of chunk.toString("latin1").matchAll(STATUS_PATTERN)) this.statuses.push(status);
     }
 }
--- a/src/tools/crowds/crowdFleet/index.ts
+++ b/src/tools/crowds/crowdFleet/index.ts
@@ -11,6 +11,8 @@
 export const CROWD_HOST = "orders.example";
 /** Path of the calls that a crowd sends; their upstream works for seconds. */
 export const BULK_PATH = "/bulk/1";
+/** Path of ordinary calls. */
+export const ORDINARY_PATH = "/orders/1";
 /** The largest body of the document, in bytes. */
 export const BODY_LIMIT_BYTES = 4 * 1024 * 1024;
 
@@ -20,7 +22,6 @@
 export const DESCRIPTORS = 400;
 
 const HEAP_MB = { entry: 96, control: 160 } as const;
-const ORDINARY_PATH = "/orders/1";
 const ROUTE_TIMEOUT_MS = 20_000;
 const BULK_WORK_MS = 4_000;
 const ORDINARY_WORK_MS = 10;
--- a/src/tools/crowds/test.ts
+++ b/src/tools/crowds/test.ts
@@ -4,7 +4,15 @@
 import { ANNOUNCE_PATH } from "../../protocol/index.js";
 import { CallAnswer } from "../exchangeCall/index.js";
 import { Crowd } from "./crowd/index.js";
-import { BODY_LIMIT_BYTES, BULK_PATH, CROWD_HOST, CrowdFleet, DESCRIPTORS, MEMORY_MB } from "./crowdFleet/index.js";
+import {
+    BODY_LIMIT_BYTES,
+    BULK_PATH,
+    CROWD_HOST,
+    CrowdFleet,
+    DESCRIPTORS,
+    MEMORY_MB,
+    ORDINARY_PATH,
+} from "./crowdFleet/index.js";
 import {
     CrowdBytes,
     CrowdRequest,
@@ -83,6 +91,14 @@
     },
 ];
 
+const ORDINARY: CrowdRequest = { ...BULK, path: ORDINARY_PATH };
+
+const CALM: Readonly<Record<string, (id: string) => CrowdBytes>> = {
+    "a body of the full limit with a length": id => sendWithLength(ORDINARY, id),
+    "a body of the full limit in large chunks": id => sendInChunks(ORDINARY, id, LARGE_CHUNK_BYTES),
+    "a body of small chunks": id => sendInChunks({ ...ORDINARY, bodyBytes: SMALL_BODY_CHUNKS }, id, 1),
+};
+
 const CHUNKS: readonly CrowdCase[] = [
     {
         name: "bodies in chunks of one byte that stop short of their end",
@@ -194,11 +210,23 @@
         await gathered.settle();
         await assertServed("beside the crowd");
         assertWithinHosts(t);
+        assert.deepEqual(gathered.findBareRefusals("503"), []);
         await gathered.leave();
         await assertServed("after the crowd");
         assertWithinHosts(t);
     }
 
+    describe("of one caller", () => {
+        for (const [name, bytesOf] of Object.entries(CALM)) {
+            it(`are served: ${name}`, TEST_LIMIT, async () => {
+                // Failure: a bound on what all callers hold refuses a caller within the documented limits.
+                const gathered = gather({ name, bytesOf, connections: 1, address: ({ routes }) => routes });
+                await gathered.awaitAnswers();
+                assert.equal(gathered.describe(), "200: 1");
+            });
+        }
+    });
+
     describe("of large bodies", () => {
         for (const crowdCase of BODIES) {
             it(`are borne: ${crowdCase.name}`, TEST_LIMIT, async t => {
