The bytes of callers' connections are parsed in small steps, by turns

Cause: each chunk costs the parser and its listeners far more than its byte (about 3 us against six bytes on the wire), and Node parses all that has arrived on a connection, up to 2 MB a turn of the event loop, before anything of another one.

Unit test of the intake: a body of 100,000 chunks takes 8 turns of the event loop on the code before, 50 at least now.

The fix: what is read of a connection is handed to the parser in steps, a head with the beginning of its body, or 64 chunks, and a queue of the process runs 16 steps a turn. An ordinary request is one step, in the turn in which it arrives. Nothing is read from a connection that has bytes waiting, and the budget pays for these. To know where heads, bodies and chunks end, the bytes are scanned; the scanner judges nothing, so that only Node's parser decides what a request is.

Weighed: pausing the request's stream (Node parses a whole read of 64 KB all the same, and up to 32 of them); a stream of our own between the socket and the server (two more layers for each write of each answer); joining small chunks before the parser (a second judgement of framing, which invites smuggling).

--- /dev/null
+++ b/src/ports/connectionIntake/test.ts
@@ -0,0 +1,100 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { connect, Socket } from "node:net";
+import { after, before, describe, it } from "node:test";
+import { HttpListener } from "../http/index.js";
+import { NodeHttp } from "../nodeHttp/index.js";
+
+const TEST_TIMEOUT = { timeout: 60_000 };
+const LIMITS = { headerBytes: 16_384, headerTimeoutMs: 20_000, requestTimeoutMs: 20_000 };
+const LIMIT_BYTES = 1_000_000;
+const CHUNKS = 100_000;
+const MAX_CHUNKS_PER_TURN = 2_000;
+
+describe("ConnectionIntake", () => {
+    let listener: HttpListener;
+
+    before(async () => {
+        listener = await new NodeHttp().serve({ host: "127.0.0.1", port: 0 }, LIMITS, async (req, res) => {
+            const body = await req.body(LIMIT_BYTES);
+            const answer = Buffer.from(body.map(bytes => `${req.path} ${bytes.length};`).orDefault("none;"));
+            res.head(200, [["content-length", String(answer.length)]]);
+            res.end(answer);
+        });
+    });
+
+    after(() => listener.close());
+
+    async function open(): Promise<Socket> {
+        const socket = connect({ port: listener.address.port, host: "127.0.0.1", noDelay: true });
+        await once(socket, "connect");
+        return socket;
+    }
+
+    async function readUntil(socket: Socket, pattern: RegExp): Promise<string> {
+        let text = "";
+        for await (const chunk of socket.iterator({ destroyOnReturn: false })) {
+            text += chunk;
+            if (pattern.test(text)) return text;
+        }
+        return text;
+    }
+
+    function formatChunked(path: string, sizes: readonly number[]): string {
+        const chunks = sizes.map(size => `${size.toString(16)}\r\n${"x".repeat(size)}\r\n`).join("");
+        return `POST ${path} HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n${chunks}0\r\n\r\n`;
+    }
+
+    function formatWithLength(path: string, bytes: number): string {
+        return `POST ${path} HTTP/1.1\r\nhost: a\r\ncontent-length: ${bytes}\r\n\r\n${"x".repeat(bytes)}`;
+    }
+
+    it("lets other events in between the chunks of a body", TEST_TIMEOUT, async () => {
+        // Failure: the event loop parses thousands of chunks of one connection before it reads any other request.
+        const socket = await open();
+        let turns = 0;
+        let isServed = false;
+        const countTurn = (): void => {
+            turns++;
+            if (!isServed) setImmediate(countTurn);
+        };
+        socket.write(formatChunked("/slow", new Array<number>(CHUNKS).fill(1)));
+        countTurn();
+        await readUntil(socket, /\/slow 100000;/);
+        isServed = true;
+        assert.ok(turns > CHUNKS / MAX_CHUNKS_PER_TURN, `${turns} turns`);
+        socket.destroy();
+    });
+
+    it("hands over all requests whole, however they are framed and split", TEST_TIMEOUT, async () => {
+        // Failure: bytes are lost, or handed over twice, where a read is handed over in parts.
+        const framed = fc.oneof(
+            fc.nat(5_000).map(bytes => ({ bytes, format: (path: string) => formatWithLength(path, bytes) })),
+            fc.array(fc.integer({ min: 1, max: 400 }), { maxLength: 300 }).map(sizes => ({
+                bytes: sizes.reduce((sum, size) => sum + size, 0),
+                format: (path: string) => formatChunked(path, sizes),
+            })),
+        );
+        const requests = fc.array(framed, { minLength: 1, maxLength: 12 });
+        await fc.assert(
+            fc.asyncProperty(requests, fc.integer({ min: 1, max: 20_000 }), async (sent, partLength) => {
+                const socket = await open();
+                const text = sent.map(({ format }, number) => format(`/${number}`)).join("");
+                for (let at = 0; at < text.length; at += partLength) socket.write(text.slice(at, at + partLength));
+                const answers = await readUntil(socket, new RegExp(`/${sent.length - 1} \\d+;`));
+                const bodies = [...answers.matchAll(/\/\d+ \d+;/g)].map(([body]) => body);
+                assert.deepEqual(bodies, sent.map(({ bytes }, number) => `/${number} ${bytes};`));
+                socket.destroy();
+            }),
+            { numRuns: 40 },
+        );
+    });
+
+    it("still sees the end of a connection behind its last request", TEST_TIMEOUT, async () => {
+        // Failure: a caller that sends its end right behind its request gets no answer, or its connection is never closed.
+        const socket = await open();
+        socket.end(formatChunked("/last", new Array<number>(1_000).fill(1)));
+        assert.match(await readUntil(socket, /never/), /\/last 1000;$/);
+    });
+});
--- a/src/ports/nodeHttp/index.ts
+++ b/src/ports/nodeHttp/index.ts
@@ -4,6 +4,8 @@
 import { Address } from "../network/index.js";
 import { NodeHttpClient } from "../nodeHttpClient/index.js";
 import { serveNodeHttp } from "../nodeHttpServer/index.js";
+import { ServerResources } from "../serverConnections/index.js";
+import { TurnQueue } from "../turnQueue/index.js";
 
 const UNBOUNDED = new CallerBudget({ bytes: Number.POSITIVE_INFINITY }, () => performance.now());
 
@@ -16,13 +18,16 @@
 export class NodeHttp extends Http {
     private readonly client = new NodeHttpClient();
 
+    private readonly resources: ServerResources;
+
     /** @param budget - Bounds what the callers of all its servers hold together; without it nothing does. */
-    constructor(private readonly budget = UNBOUNDED) {
+    constructor(budget = UNBOUNDED) {
         super();
+        this.resources = { budget, queue: new TurnQueue() };
     }
 
     serve(address: Address, limits: HttpLimits, handler: HttpHandler): Promise<HttpListener> {
-        return serveNodeHttp(address, limits, handler, this.budget);
+        return serveNodeHttp(address, limits, handler, this.resources);
     }
 
     send(call: HttpCall): Promise<Either<HttpError, HttpReply>> {
--- a/src/ports/nodeHttpServer/index.ts
+++ b/src/ports/nodeHttpServer/index.ts
@@ -3,7 +3,7 @@
 import { Either, Left, Right } from "purify-ts";
 import { toHeaderList } from "../_lib/toHeaderList.js";
 import { BodyStorage } from "../bodyStorage/index.js";
-import { CallerBudget, CallerHolding } from "../callerBudget/index.js";
+import { CallerHolding } from "../callerBudget/index.js";
 import {
     BodyError,
     HeaderList,
@@ -14,7 +14,7 @@
     HttpResponse,
 } from "../http/index.js";
 import { Address, NetworkError } from "../network/index.js";
-import { ServerConnections } from "../serverConnections/index.js";
+import { ServerConnections, ServerResources } from "../serverConnections/index.js";
 import { answerClientErrors, limitBodyDiscard } from "../serverGuards/index.js";
 
 /** Maximum idle time of a caller's connection where the limits have none: Node's default. */
@@ -29,17 +29,17 @@
 /**
  * Starts an HTTP server on `node:http`.
  *
- * @param budget - Bounds what the callers of all servers of the process hold together.
+ * @param resources - What all servers of the process share.
  * @returns Its listener, once the address is bound.
  * @throws NetworkError when the address is in use.
  * @example
- * const listener = await serveNodeHttp(address, limits, handler, budget);
+ * const listener = await serveNodeHttp(address, limits, handler, resources);
  */
 export function serveNodeHttp(
     address: Address,
     limits: HttpLimits,
     handler: HttpHandler,
-    budget: CallerBudget,
+    resources: ServerResources,
 ): Promise<HttpListener> {
     const server = createServer({
         maxHeaderSize: limits.headerBytes,
@@ -51,7 +51,7 @@
         keepAliveTimeout: limits.idleTimeoutMs ?? DEFAULT_KEEP_ALIVE_MS,
         noDelay: true,
     });
-    const connections = new ServerConnections(server, budget);
+    const connections = new ServerConnections(server, resources);
     answerClientErrors(server);
     limitBodyDiscard(server);
     // With a listener, Node does not destroy idle connections itself.
--- a/src/ports/nodeHttpServer/test.ts
+++ b/src/ports/nodeHttpServer/test.ts
@@ -6,6 +6,8 @@
 import { runInNewContext } from "node:vm";
 import { CallerBudget } from "../callerBudget/index.js";
 import { HttpHandler, HttpLimits, HttpListener } from "../http/index.js";
+import { ServerResources } from "../serverConnections/index.js";
+import { TurnQueue } from "../turnQueue/index.js";
 import { serveNodeHttp } from "./index.js";
 
 /** Aborts a test that hangs. */
@@ -19,7 +21,10 @@
 const SHORT_LIMITS: HttpLimits = { ...LIMITS, headerTimeoutMs: 20, idleTimeoutMs: 20 };
 /** Longer than the interval at which timeouts are checked, which is a sixth of the first limits. */
 const SILENCE_MS = 1_500;
-const BUDGET = new CallerBudget({ bytes: Number.POSITIVE_INFINITY }, () => performance.now());
+const RESOURCES: ServerResources = {
+    budget: new CallerBudget({ bytes: Number.POSITIVE_INFINITY }, () => performance.now()),
+    queue: new TurnQueue(),
+};
 const CHUNKS = 200_000;
 const CHUNKS_PER_WRITE = 1_000;
 /** Heap that the body and the state of its connection may take, in bytes; a buffer for each chunk takes ten times as much. */
@@ -50,7 +55,7 @@
             await req.body(CHUNKS);
             res.head(200, [["connection", "close"]]);
             res.end();
-        }, BUDGET);
+        }, RESOURCES);
         const socket = connect(listener.address.port, "127.0.0.1");
         socket.write("POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n");
         const before = measureHeap();
@@ -83,7 +88,7 @@
             const text = body.caseOf({ Left: ({ reason }) => reason as string, Right: ({ length }) => String(length) });
             res.head(200, [["connection", "close"], ["content-length", String(text.length)]]);
             res.end(text);
-        }, budget);
+        }, { budget, queue: new TurnQueue() });
     }
 
     function connectAndSend(text: string): Socket {
@@ -148,7 +153,7 @@
     let listener: HttpListener | undefined;
 
     async function open(handler: HttpHandler): Promise<Socket> {
-        listener = await serveNodeHttp({ host: "127.0.0.1", port: 0 }, LIMITS, handler, BUDGET);
+        listener = await serveNodeHttp({ host: "127.0.0.1", port: 0 }, LIMITS, handler, RESOURCES);
         return connect(listener.address.port, "127.0.0.1");
     }
 
@@ -198,7 +203,7 @@
             await sleep(SETTLE_MS);
             res.head(200, []);
             res.end();
-        }, BUDGET);
+        }, RESOURCES);
         const socket = connect(listener.address.port, "127.0.0.1");
         socket.on("error", () => undefined);
         socket.write(FIRST + BROKEN_BODY);
--- a/src/ports/serverConnections/index.ts
+++ b/src/ports/serverConnections/index.ts
@@ -1,7 +1,10 @@
 import { IncomingMessage, Server, ServerResponse } from "node:http";
 import { Socket } from "node:net";
 import { CallerBudget, CallerHolding } from "../callerBudget/index.js";
+import { ConnectionIntake } from "../connectionIntake/index.js";
 import { OpenAnswers } from "../http/index.js";
+import { BodyFraming } from "../requestBounds/index.js";
+import { TurnQueue } from "../turnQueue/index.js";
 
 /** Time for which a connection is still read after its end was sent, in milliseconds. */
 const LINGER_MS = 1_000;
@@ -12,9 +15,18 @@
     readonly open: Set<ServerResponse>;
     /** Whether the caller has been told that the connection ends, or its end was sent. */
     isEnding: boolean;
-    /** Bytes received until the latest response had been sent. */
+    /** Bytes that had been parsed when the latest response had been sent. */
     bytesAnswered: number;
     readonly holding: CallerHolding;
+    readonly intake: ConnectionIntake;
+}
+
+/** What all HTTP servers of a process share. */
+export interface ServerResources {
+    /** Bounds what their callers hold together. */
+    readonly budget: CallerBudget;
+    /** Turns in which their connections are parsed. */
+    readonly queue: TurnQueue;
 }
 
 /**
@@ -24,7 +36,7 @@
  * keeps one whose response ends after `closeIdleConnections`. Here a connection ends after its last response was sent.
  *
  * @example
- * const connections = new ServerConnections(server, budget);
+ * const connections = new ServerConnections(server, resources);
  * connections.announceClose();
  * connections.endIdle();
  * await connections.whenAnswered();
@@ -35,7 +47,7 @@
     private isClosing = false;
     private waiters: (() => void)[] = [];
 
-    constructor(server: Server, private readonly budget: CallerBudget) {
+    constructor(server: Server, private readonly resources: ServerResources) {
         // `Server.close` calls it.
         server.closeIdleConnections = () => this.endIdle();
         server.on("connection", (socket: Socket) => this.add(socket));
@@ -107,17 +119,21 @@
     }
 
     private add(socket: Socket): void {
-        const holding = this.budget.open();
-        this.states.set(socket, { open: new Set(), isEnding: false, bytesAnswered: 0, holding });
+        const { budget, queue } = this.resources;
+        const holding = budget.open();
+        const intake = new ConnectionIntake(socket, holding, queue);
+        this.states.set(socket, { open: new Set(), isEnding: false, bytesAnswered: 0, holding, intake });
         socket.once("close", () => {
             this.states.delete(socket);
             holding.close();
         });
     }
 
-    private addResponse({ socket }: IncomingMessage, res: ServerResponse): void {
+    private addResponse(req: IncomingMessage, res: ServerResponse): void {
+        const { socket } = req;
         const state = this.states.get(socket);
         if (!state) return;
+        state.intake.beginBody(findFraming(req));
         if (state.isEnding) {
             if (state.open.size === 0) socket.destroy();
             return;
@@ -131,7 +147,7 @@
     private removeResponse(socket: Socket, state: ConnectionState, res: ServerResponse): void {
         if (!state.open.delete(res)) return;
         this.open.delete(res);
-        state.bytesAnswered = socket.bytesRead;
+        state.bytesAnswered = state.intake.parsedBytes;
         if (this.isClosing && state.open.size === 0) this.end(socket);
         if (this.open.size > 0) return;
         for (const resolve of this.waiters.splice(0)) resolve();
@@ -147,3 +163,8 @@
         socket.once("close", () => clearTimeout(timer));
     }
 }
+
+function findFraming({ headers }: IncomingMessage): BodyFraming {
+    if (headers["transfer-encoding"] !== undefined) return { kind: "chunked" };
+    return { kind: "length", bytes: Number(headers["content-length"] ?? 0) };
+}
