Of a refused body a part is still read, not all of it

Cause: behind a refusal the server read on for a second, as fast as the caller sent, and each read stays in memory until it is collected.

The fix: once the answer has been sent, 256 KiB more are taken, so that a caller that had sent an ordinary body before it could read the answer keeps its connection; then the connection is not read any more, and closed after the second it had before. Closing at once could lose the answer to a caller that is still sending.

--- a/src/ports/connectionIntake/index.ts
+++ b/src/ports/connectionIntake/index.ts
@@ -23,6 +23,8 @@
     /** Bytes of these that the holding has paid for. */
     private paidBytes = 0;
     private hasEnded = false;
+    /** Bytes of a body that nobody needs that are still taken. */
+    private unneededLeft = Number.POSITIVE_INFINITY;
     private isQueued = false;
     private isStepping = false;
 
@@ -54,9 +56,19 @@
 
     /** Records how the body of the request is framed whose head has just been parsed. */
     beginBody(framing: BodyFraming): void {
+        this.unneededLeft = Number.POSITIVE_INFINITY;
         this.bounds.beginBody(framing);
     }
 
+    /**
+     * Stops reading once more of the present body has come than the caller may have sent before it could read the answer.
+     *
+     * @param maxBytes - Maximum number of these bytes.
+     */
+    limitRest(maxBytes: number): void {
+        this.unneededLeft = maxBytes;
+    }
+
     /** Hands over a head with the beginning of its body, or more of a body. Returns whether more can be handed over. */
     step(): boolean {
         this.isQueued = false;
@@ -75,6 +87,7 @@
     private handOver(): void {
         const bytes = this.held!;
         const length = this.bounds.measure(bytes, CHUNKS_PER_STEP);
+        this.unneededLeft -= length;
         this.held = length < bytes.length ? bytes.subarray(length) : undefined;
         this.push(bytes.subarray(0, length));
     }
@@ -113,7 +126,7 @@
 
     /** The server pauses the stream while its callers don't read their answers, or its handler the body. */
     private mayStep(): boolean {
-        return this.held !== undefined && !this.socket.destroyed && !this.socket.isPaused();
+        return this.held !== undefined && this.unneededLeft > 0 && !this.socket.destroyed && !this.socket.isPaused();
     }
 }
 
--- a/src/ports/connectionIntake/test.ts
+++ b/src/ports/connectionIntake/test.ts
@@ -1,10 +1,15 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { once } from "node:events";
-import { connect, Socket } from "node:net";
+import { createServer, Server } from "node:http";
+import { AddressInfo, connect, Socket } from "node:net";
 import { after, before, describe, it } from "node:test";
+import { CallerBudget } from "../callerBudget/index.js";
 import { HttpListener } from "../http/index.js";
 import { NodeHttp } from "../nodeHttp/index.js";
+import { ServerConnections } from "../serverConnections/index.js";
+import { limitBodyDiscard } from "../serverGuards/index.js";
+import { TurnQueue } from "../turnQueue/index.js";
 
 const TEST_TIMEOUT = { timeout: 60_000 };
 const LIMITS = { headerBytes: 16_384, headerTimeoutMs: 20_000, requestTimeoutMs: 20_000 };
@@ -12,6 +17,53 @@
 const CHUNKS = 100_000;
 const MAX_CHUNKS_PER_TURN = 2_000;
 
+describe("the rest of a body that was refused", () => {
+    const MAX_READ_BYTES = 512 * 1_024;
+    let server: Server;
+    let accepted: Socket | undefined;
+
+    before(async () => {
+        server = createServer();
+        const resources = { budget: new CallerBudget({ bytes: LIMIT_BYTES }, () => 0), queue: new TurnQueue() };
+        limitBodyDiscard(server, new ServerConnections(server, resources));
+        server.on("connection", socket => accepted = socket);
+        server.on("request", (_, res) => res.writeHead(413, { "content-length": 0 }).end());
+        server.listen(0, "127.0.0.1");
+        await once(server, "listening");
+    });
+
+    after(() => server.close());
+
+    async function send(bodyBytes: number): Promise<Socket> {
+        const socket = connect((server.address() as AddressInfo).port, "127.0.0.1");
+        socket.on("error", () => undefined);
+        socket.write(`POST / HTTP/1.1\r\nhost: a\r\ncontent-length: ${bodyBytes}\r\n\r\n`);
+        socket.write("x".repeat(bodyBytes));
+        await once(socket, "data");
+        return socket;
+    }
+
+    it("is read as far as a caller may have sent it before the answer", TEST_TIMEOUT, async () => {
+        // Failure: a caller with an ordinary body loses its connection, and perhaps the answer, with each refusal.
+        const socket = await send(200_000);
+        while (accepted!.bytesRead < 200_000) await nextTurn();
+        socket.write("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n");
+        assert.match(String(await once(socket, "data")), /^HTTP\/1.1 413 /);
+        socket.destroy();
+    });
+
+    it("is not read beyond that", TEST_TIMEOUT, async () => {
+        // Failure: bytes that are read only to be thrown away take memory faster than it is collected.
+        const socket = await send(16 * LIMIT_BYTES);
+        await new Promise(resolve => socket.once("close", resolve));
+        assert.ok(accepted!.bytesRead < MAX_READ_BYTES, `${accepted!.bytesRead} bytes`);
+    });
+});
+
+function nextTurn(): Promise<void> {
+    return new Promise(resolve => setImmediate(resolve));
+}
+
 describe("ConnectionIntake", () => {
     let listener: HttpListener;
 
--- a/src/ports/nodeHttpServer/index.ts
+++ b/src/ports/nodeHttpServer/index.ts
@@ -53,7 +53,7 @@
     });
     const connections = new ServerConnections(server, resources);
     answerClientErrors(server);
-    limitBodyDiscard(server);
+    limitBodyDiscard(server, connections);
     // With a listener, Node does not destroy idle connections itself.
     server.on("timeout", (socket: Socket) => void readArrived().then(() => connections.endIfIdle(socket)));
     server.on("request", (req, res) => {
--- a/src/ports/serverConnections/index.ts
+++ b/src/ports/serverConnections/index.ts
@@ -76,6 +76,11 @@
         return state.isEnding;
     }
 
+    /** Bounds what is still read of the body of a request that has been answered, in bytes. */
+    limitRest({ socket }: IncomingMessage, maxBytes: number): void {
+        this.states.get(socket)?.intake.limitRest(maxBytes);
+    }
+
     /** Closes each connection as soon as its responses have been sent, from now on. */
     announceClose(): void {
         this.isClosing = true;
--- a/src/ports/serverGuards/index.ts
+++ b/src/ports/serverGuards/index.ts
@@ -1,6 +1,7 @@
 import { randomBytes } from "node:crypto";
 import { IncomingMessage, Server, ServerResponse } from "node:http";
 import { Socket } from "node:net";
+import { ServerConnections } from "../serverConnections/index.js";
 
 /** Response to a request that could not be received or parsed. */
 interface ClientErrorResponse {
@@ -33,8 +34,9 @@
     ERR_HTTP_REQUEST_TIMEOUT: REQUEST_TIMEOUT,
 };
 const REQUEST_ID_BYTES = 16;
-/** Time for which the rest of a body is read and discarded after its request was answered. */
+/** Time for which the rest of a body is read and discarded after its request was answered, and maximum size of what is read. */
 const BODY_DISCARD_MS = 1_000;
+const MAX_DISCARDED_BYTES = 256 * 1_024;
 
 /**
  * Answers requests that Node itself refuses (headers too large, request too slow, invalid HTTP) with the system's usual
@@ -65,12 +67,13 @@
  *
  * Otherwise a caller could go on sending for minutes after its request was refused, since Node reads the whole body to keep
  * the connection. The rest is discarded for a short time first: closing at once could lose the response to a caller that is
- * still sending.
+ * still sending. Of a large body only a part is read, since what is discarded takes memory until it is collected.
  */
-export function limitBodyDiscard(server: Server): void {
+export function limitBodyDiscard(server: Server, connections: ServerConnections): void {
     server.on("request", (req: IncomingMessage, res: ServerResponse) => {
         res.once("finish", () => {
             if (req.complete) return;
+            connections.limitRest(req, MAX_DISCARDED_BYTES);
             const timer = setTimeout(() => req.socket.destroy(), BODY_DISCARD_MS);
             req.once("end", () => clearTimeout(timer));
             req.once("close", () => {
