What callers have sent and nobody needs is collected in time

Cause: buffers lie outside the heap, and Node collects them by what the heap needs. Each read leaves 64 KB, and each part of a body as much again.

--- a/src/ports/connectionIntake/index.ts
+++ b/src/ports/connectionIntake/index.ts
@@ -1,8 +1,19 @@
 import { Socket } from "node:net";
-import { CallerHolding } from "../callerBudget/index.js";
+import { CallerBudget, CallerHolding } from "../callerBudget/index.js";
+import { ReceivedGarbage } from "../receivedGarbage/index.js";
 import { BodyFraming, RequestBounds } from "../requestBounds/index.js";
 import { SteppedTask, TurnQueue } from "../turnQueue/index.js";
 
+/** What the connections of all HTTP servers of a process share. */
+export interface ServerResources {
+    /** Bounds what their callers hold together. */
+    readonly budget: CallerBudget;
+    /** Turns in which they are parsed. */
+    readonly queue: TurnQueue;
+    /** What was read of them and is not needed any more. */
+    readonly garbage: ReceivedGarbage;
+}
+
 /** Number of chunks that are parsed in one step: each costs far more than its bytes. */
 const CHUNKS_PER_STEP = 64;
 
@@ -12,7 +23,7 @@
  * Node parses all that has arrived at once: thousands of chunks, or of requests, of one connection before anything of another one.
  *
  * @example
- * const intake = new ConnectionIntake(socket, holding, queue);
+ * const intake = new ConnectionIntake(socket, holding, resources);
  * intake.beginBody({ kind: "chunked" });
  */
 export class ConnectionIntake implements SteppedTask {
@@ -35,7 +46,7 @@
     constructor(
         private readonly socket: Socket,
         private readonly holding: CallerHolding,
-        private readonly queue: TurnQueue,
+        private readonly resources: ServerResources,
     ) {
         this.push = socket.push.bind(socket);
         const read = socket._read.bind(socket);
@@ -99,8 +110,9 @@
             return this.held === undefined && this.push(bytes);
         }
         if (bytes.length === 0) return true;
+        this.resources.garbage.add(bytes.length);
         this.held = this.held ? Buffer.concat([this.held, bytes]) : bytes;
-        if (!this.isQueued && !this.isStepping && this.step()) this.queue.add(this);
+        if (!this.isQueued && !this.isStepping && this.step()) this.resources.queue.add(this);
         this.pay();
         return this.held === undefined;
     }
@@ -121,7 +133,7 @@
     private wake(): void {
         if (this.isQueued || !this.mayStep()) return;
         this.isQueued = true;
-        this.queue.add(this);
+        this.resources.queue.add(this);
     }
 
     /** The server pauses the stream while its callers don't read their answers, or its handler the body. */
--- a/src/ports/connectionIntake/test.ts
+++ b/src/ports/connectionIntake/test.ts
@@ -7,6 +7,7 @@
 import { CallerBudget } from "../callerBudget/index.js";
 import { HttpListener } from "../http/index.js";
 import { NodeHttp } from "../nodeHttp/index.js";
+import { ReceivedGarbage } from "../receivedGarbage/index.js";
 import { ServerConnections } from "../serverConnections/index.js";
 import { limitBodyDiscard } from "../serverGuards/index.js";
 import { TurnQueue } from "../turnQueue/index.js";
@@ -24,7 +25,11 @@
 
     before(async () => {
         server = createServer();
-        const resources = { budget: new CallerBudget({ bytes: LIMIT_BYTES }, () => 0), queue: new TurnQueue() };
+        const resources = {
+            budget: new CallerBudget({ bytes: LIMIT_BYTES }, () => 0),
+            queue: new TurnQueue(),
+            garbage: new ReceivedGarbage(),
+        };
         limitBodyDiscard(server, new ServerConnections(server, resources));
         server.on("connection", socket => accepted = socket);
         server.on("request", (_, res) => res.writeHead(413, { "content-length": 0 }).end());
--- a/src/ports/nodeHttp/index.ts
+++ b/src/ports/nodeHttp/index.ts
@@ -1,10 +1,11 @@
 import { Either } from "purify-ts";
 import { CallerBudget } from "../callerBudget/index.js";
+import { ServerResources } from "../connectionIntake/index.js";
 import { Http, HttpCall, HttpError, HttpHandler, HttpLimits, HttpListener, HttpReply } from "../http/index.js";
 import { Address } from "../network/index.js";
 import { NodeHttpClient } from "../nodeHttpClient/index.js";
 import { serveNodeHttp } from "../nodeHttpServer/index.js";
-import { ServerResources } from "../serverConnections/index.js";
+import { ReceivedGarbage } from "../receivedGarbage/index.js";
 import { TurnQueue } from "../turnQueue/index.js";
 
 const UNBOUNDED = new CallerBudget({ bytes: Number.POSITIVE_INFINITY }, () => performance.now());
@@ -23,7 +24,7 @@
     /** @param budget - Bounds what the callers of all its servers hold together; without it nothing does. */
     constructor(budget = UNBOUNDED) {
         super();
-        this.resources = { budget, queue: new TurnQueue() };
+        this.resources = { budget, queue: new TurnQueue(), garbage: new ReceivedGarbage() };
     }
 
     serve(address: Address, limits: HttpLimits, handler: HttpHandler): Promise<HttpListener> {
--- a/src/ports/nodeHttpServer/index.ts
+++ b/src/ports/nodeHttpServer/index.ts
@@ -4,6 +4,7 @@
 import { toHeaderList } from "../_lib/toHeaderList.js";
 import { BodyStorage } from "../bodyStorage/index.js";
 import { CallerHolding } from "../callerBudget/index.js";
+import { ServerResources } from "../connectionIntake/index.js";
 import {
     BodyError,
     HeaderList,
@@ -14,7 +15,7 @@
     HttpResponse,
 } from "../http/index.js";
 import { Address, NetworkError } from "../network/index.js";
-import { ServerConnections, ServerResources } from "../serverConnections/index.js";
+import { ServerConnections } from "../serverConnections/index.js";
 import { answerClientErrors, limitBodyDiscard } from "../serverGuards/index.js";
 
 /** Maximum idle time of a caller's connection where the limits have none: Node's default. */
--- a/src/ports/nodeHttpServer/test.ts
+++ b/src/ports/nodeHttpServer/test.ts
@@ -5,8 +5,9 @@
 import { setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
 import { CallerBudget } from "../callerBudget/index.js";
+import { ServerResources } from "../connectionIntake/index.js";
 import { HttpHandler, HttpLimits, HttpListener } from "../http/index.js";
-import { ServerResources } from "../serverConnections/index.js";
+import { ReceivedGarbage } from "../receivedGarbage/index.js";
 import { TurnQueue } from "../turnQueue/index.js";
 import { serveNodeHttp } from "./index.js";
 
@@ -24,6 +25,7 @@
 const RESOURCES: ServerResources = {
     budget: new CallerBudget({ bytes: Number.POSITIVE_INFINITY }, () => performance.now()),
     queue: new TurnQueue(),
+    garbage: new ReceivedGarbage(),
 };
 const CHUNKS = 200_000;
 const CHUNKS_PER_WRITE = 1_000;
@@ -88,7 +90,7 @@
             const text = body.caseOf({ Left: ({ reason }) => reason as string, Right: ({ length }) => String(length) });
             res.head(200, [["connection", "close"], ["content-length", String(text.length)]]);
             res.end(text);
-        }, { budget, queue: new TurnQueue() });
+        }, { budget, queue: new TurnQueue(), garbage: new ReceivedGarbage() });
     }
 
     function connectAndSend(text: string): Socket {
--- a/src/ports/serverConnections/index.ts
+++ b/src/ports/serverConnections/index.ts
@@ -1,10 +1,9 @@
 import { IncomingMessage, Server, ServerResponse } from "node:http";
 import { Socket } from "node:net";
-import { CallerBudget, CallerHolding } from "../callerBudget/index.js";
-import { ConnectionIntake } from "../connectionIntake/index.js";
+import { CallerHolding } from "../callerBudget/index.js";
+import { ConnectionIntake, ServerResources } from "../connectionIntake/index.js";
 import { OpenAnswers } from "../http/index.js";
 import { BodyFraming } from "../requestBounds/index.js";
-import { TurnQueue } from "../turnQueue/index.js";
 
 /** Time for which a connection is still read after its end was sent, in milliseconds. */
 const LINGER_MS = 1_000;
@@ -21,14 +20,6 @@
     readonly intake: ConnectionIntake;
 }
 
-/** What all HTTP servers of a process share. */
-export interface ServerResources {
-    /** Bounds what their callers hold together. */
-    readonly budget: CallerBudget;
-    /** Turns in which their connections are parsed. */
-    readonly queue: TurnQueue;
-}
-
 /**
  * The connections of an HTTP server and their open responses.
  *
@@ -124,9 +115,8 @@
     }
 
     private add(socket: Socket): void {
-        const { budget, queue } = this.resources;
-        const holding = budget.open();
-        const intake = new ConnectionIntake(socket, holding, queue);
+        const holding = this.resources.budget.open();
+        const intake = new ConnectionIntake(socket, holding, this.resources);
         this.states.set(socket, { open: new Set(), isEnding: false, bytesAnswered: 0, holding, intake });
         socket.once("close", () => {
             this.states.delete(socket);
