A connection has at most eight requests under way

Cause: Node hands over every request that a read contains, thousands in 64 KB, and each is a call of its own at once.

Unit tests: of 100 pipelined requests 8 are under way, all are answered in order; a planned stop still serves those that wait.

The fix: a connection is not parsed beyond eight requests without their answers. Answers go out in their order, so a caller loses nothing by it but the work done ahead. Weighed: one at a time (a caller that pipelines a few waits for each); closing the connection (a caller within HTTP loses requests).

Open: a connection with more than eight is not read meanwhile, so that its end is noticed when one of its answers is sent.

--- a/src/ports/connectionIntake/index.ts
+++ b/src/ports/connectionIntake/index.ts
@@ -16,6 +16,8 @@
 
 /** Number of chunks that are parsed in one step: each costs far more than its bytes. */
 const CHUNKS_PER_STEP = 64;
+/** Number of a connection's requests that are under way at a time; the next ones wait unread, since answers go out in order. */
+const MAX_REQUESTS_UNDER_WAY = 8;
 
 /**
  * Hands the bytes of a connection to the HTTP parser in small steps. The connection is not read meanwhile.
@@ -24,7 +26,7 @@
  *
  * @example
  * const intake = new ConnectionIntake(socket, holding, resources);
- * intake.beginBody({ kind: "chunked" });
+ * intake.beginRequest({ kind: "chunked" });
  */
 export class ConnectionIntake implements SteppedTask {
     private readonly bounds = new RequestBounds();
@@ -34,6 +36,7 @@
     /** Bytes of these that the holding has paid for. */
     private paidBytes = 0;
     private hasEnded = false;
+    private requestsUnderWay = 0;
     /** Bytes of a body that nobody needs that are still taken. */
     private unneededLeft = Number.POSITIVE_INFINITY;
     private isQueued = false;
@@ -65,12 +68,24 @@
         return this.socket.bytesRead - (this.held?.length ?? 0);
     }
 
-    /** Records how the body of the request is framed whose head has just been parsed. */
-    beginBody(framing: BodyFraming): void {
+    /** Whether bytes that have arrived wait to be parsed. */
+    get hasWaiting(): boolean {
+        return this.held !== undefined;
+    }
+
+    /** Records a request whose head has just been parsed, and how its body is framed. */
+    beginRequest(framing: BodyFraming): void {
+        this.requestsUnderWay++;
         this.unneededLeft = Number.POSITIVE_INFINITY;
         this.bounds.beginBody(framing);
     }
 
+    /** Records that a request has its whole answer. */
+    endRequest(): void {
+        this.requestsUnderWay--;
+        this.wake();
+    }
+
     /**
      * Stops reading once more of the present body has come than the caller may have sent before it could read the answer.
      *
@@ -136,9 +151,14 @@
         this.resources.queue.add(this);
     }
 
-    /** The server pauses the stream while its callers don't read their answers, or its handler the body. */
     private mayStep(): boolean {
-        return this.held !== undefined && this.unneededLeft > 0 && !this.socket.destroyed && !this.socket.isPaused();
+        return this.held !== undefined && !this.socket.destroyed && this.isWanted();
+    }
+
+    /** The server pauses the stream while the caller doesn't read its answers, or the handler the body. */
+    private isWanted(): boolean {
+        if (this.bounds.isInHead && this.requestsUnderWay >= MAX_REQUESTS_UNDER_WAY) return false;
+        return this.unneededLeft > 0 && !this.socket.isPaused();
     }
 }
 
--- a/src/ports/connectionIntake/test.ts
+++ b/src/ports/connectionIntake/test.ts
@@ -4,8 +4,9 @@
 import { createServer, Server } from "node:http";
 import { AddressInfo, connect, Socket } from "node:net";
 import { after, before, describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { CallerBudget } from "../callerBudget/index.js";
-import { HttpListener } from "../http/index.js";
+import { HttpListener, HttpRequest, HttpResponse } from "../http/index.js";
 import { NodeHttp } from "../nodeHttp/index.js";
 import { ReceivedGarbage } from "../receivedGarbage/index.js";
 import { ServerConnections } from "../serverConnections/index.js";
@@ -16,6 +17,9 @@
 const LIMITS = { headerBytes: 16_384, headerTimeoutMs: 20_000, requestTimeoutMs: 20_000 };
 const LIMIT_BYTES = 1_000_000;
 const CHUNKS = 100_000;
+const PIPELINED = 100;
+const MAX_UNDER_WAY = 8;
+const WORK_MS = 2;
 const MAX_CHUNKS_PER_TURN = 2_000;
 
 describe("the rest of a body that was refused", () => {
@@ -71,16 +75,23 @@
 
 describe("ConnectionIntake", () => {
     let listener: HttpListener;
+    let underWay = 0;
+    let mostUnderWay = 0;
 
     before(async () => {
-        listener = await new NodeHttp().serve({ host: "127.0.0.1", port: 0 }, LIMITS, async (req, res) => {
-            const body = await req.body(LIMIT_BYTES);
-            const answer = Buffer.from(body.map(bytes => `${req.path} ${bytes.length};`).orDefault("none;"));
-            res.head(200, [["content-length", String(answer.length)]]);
-            res.end(answer);
-        });
+        listener = await new NodeHttp().serve({ host: "127.0.0.1", port: 0 }, LIMITS, handle);
     });
 
+    async function handle(req: HttpRequest, res: HttpResponse): Promise<void> {
+        mostUnderWay = Math.max(mostUnderWay, ++underWay);
+        const body = await req.body(LIMIT_BYTES);
+        if (req.path !== "/last") await sleep(WORK_MS);
+        const answer = Buffer.from(body.map(bytes => `${req.path} ${bytes.length};`).orDefault("none;"));
+        underWay--;
+        res.head(200, [["content-length", String(answer.length)]]);
+        res.end(answer);
+    }
+
     after(() => listener.close());
 
     async function open(): Promise<Socket> {
@@ -148,6 +159,30 @@
         );
     });
 
+    it("has a bounded number of a connection's requests under way, and serves all in order", TEST_TIMEOUT, async () => {
+        // Failure: thousands of requests of one connection are under way at once, and the heap is used up.
+        mostUnderWay = 0;
+        const socket = await open();
+        const paths = Array.from({ length: PIPELINED }, (_, number) => `/${number}`);
+        socket.write(paths.map(path => formatWithLength(path, 10)).join(""));
+        const answers = await readUntil(socket, new RegExp(`/${PIPELINED - 1} 10;`));
+        assert.deepEqual([...answers.matchAll(/(\/\d+) 10;/g)].map(([, path]) => path), paths);
+        assert.equal(mostUnderWay, MAX_UNDER_WAY);
+        socket.destroy();
+    });
+
+    it("serves requests that wait when its server closes its connections", TEST_TIMEOUT, async () => {
+        // Failure: a planned stop closes a connection on which requests have arrived, without an answer.
+        const count = 2 * MAX_UNDER_WAY;
+        const stopping = await new NodeHttp().serve({ host: "127.0.0.1", port: 0 }, LIMITS, handle);
+        const socket = connect(stopping.address.port, "127.0.0.1");
+        socket.write(Array.from({ length: count }, (_, number) => formatWithLength(`/${number}`, 10)).join(""));
+        const answers = readUntil(socket, /never/);
+        while (stopping.countOpenAnswers().requests === 0) await nextTurn();
+        await stopping.stopAccepting();
+        assert.equal([...(await answers).matchAll(/(\/\d+) 10;/g)].length, count);
+    });
+
     it("still sees the end of a connection behind its last request", TEST_TIMEOUT, async () => {
         // Failure: a caller that sends its end right behind its request gets no answer, or its connection is never closed.
         const socket = await open();
--- a/src/ports/serverConnections/index.ts
+++ b/src/ports/serverConnections/index.ts
@@ -128,7 +128,7 @@
         const { socket } = req;
         const state = this.states.get(socket);
         if (!state) return;
-        state.intake.beginBody(findFraming(req));
+        state.intake.beginRequest(findFraming(req));
         if (state.isEnding) {
             if (state.open.size === 0) socket.destroy();
             return;
@@ -143,7 +143,8 @@
         if (!state.open.delete(res)) return;
         this.open.delete(res);
         state.bytesAnswered = state.intake.parsedBytes;
-        if (this.isClosing && state.open.size === 0) this.end(socket);
+        state.intake.endRequest();
+        if (this.isClosing && state.open.size === 0 && !state.intake.hasWaiting) this.end(socket);
         if (this.open.size > 0) return;
         for (const resolve of this.waiters.splice(0)) resolve();
     }
