Requests that wait are served before a server's connection ends

Cause: the response that ends last of those under way decides to end the connection, and requests that have arrived but are not parsed yet were not counted.

--- a/src/ports/connectionIntake/test.ts
+++ b/src/ports/connectionIntake/test.ts
@@ -174,12 +174,19 @@
     it("serves requests that wait when its server closes its connections", TEST_TIMEOUT, async () => {
         // Failure: a planned stop closes a connection on which requests have arrived, without an answer.
         const count = 2 * MAX_UNDER_WAY;
-        const stopping = await new NodeHttp().serve({ host: "127.0.0.1", port: 0 }, LIMITS, handle);
+        let release = (): void => undefined;
+        const released = new Promise<void>(resolve => release = resolve);
+        const stopping = await new NodeHttp().serve({ host: "127.0.0.1", port: 0 }, LIMITS, async (req, res) => {
+            await released;
+            return handle(req, res);
+        });
         const socket = connect(stopping.address.port, "127.0.0.1");
         socket.write(Array.from({ length: count }, (_, number) => formatWithLength(`/${number}`, 10)).join(""));
         const answers = readUntil(socket, /never/);
-        while (stopping.countOpenAnswers().requests === 0) await nextTurn();
-        await stopping.stopAccepting();
+        while (stopping.countOpenAnswers().requests < MAX_UNDER_WAY) await nextTurn();
+        const stopped = stopping.stopAccepting();
+        release();
+        await stopped;
         assert.equal([...(await answers).matchAll(/(\/\d+) 10;/g)].length, count);
     });
 
--- a/src/ports/serverConnections/index.ts
+++ b/src/ports/serverConnections/index.ts
@@ -56,13 +56,14 @@
 
     /**
      * Decides whether a response ends its connection, when its head is sent. A response does not if later requests on its connection
-     * are being handled.
+     * are being handled, or have arrived and wait.
      *
      * @param isWanted - Whether the handler wants the connection to end.
      */
     decideEnd(res: ServerResponse, isWanted: boolean): boolean {
         const state = this.states.get(res.req.socket);
         if (!state || [...state.open].at(-1) !== res) return false;
+        if (state.intake.hasWaiting && res.shouldKeepAlive) return false;
         state.isEnding ||= isWanted || this.isClosing || !res.shouldKeepAlive;
         return state.isEnding;
     }
