Requests under way count in the callers' budget

Unit test: a request without room is refused, with a body or without, and its room comes back.

The fix: a request under way takes 24 KiB of the budget until its answer has been sent. Where there is no room, it is refused where its body is read, with 503 as other requests; health and readiness checks read no body and are always answered.

--- a/src/ports/callerBudget/index.ts
+++ b/src/ports/callerBudget/index.ts
@@ -1,12 +1,17 @@
 /** What the callers of a process may hold together. */
 export interface BudgetLimits {
-    /** Memory for the bodies of their requests, in bytes. */
+    /** Memory for their requests, in bytes. */
     readonly bytes: number;
 }
 
-/** Maximum size of a holding that may use the whole budget, in bytes; larger ones leave a part of it to others. */
-const SMALL_HOLDING_BYTES = 128 * 1_024;
-/** Part of the budget that large holdings may use. */
+/** Parts of the budget that holdings up to a size, in bytes, may use: the larger one is, the more it leaves to others. */
+const USABLE_RATIOS: readonly (readonly [maxBytes: number, ratio: number])[] = [
+    // One ordinary request.
+    [64 * 1_024, 1],
+    // A long prompt, or several requests.
+    [128 * 1_024, 7 / 8],
+];
+/** Part of the budget that larger holdings may use. */
 export const MAX_LARGE_HOLDINGS_RATIO = 3 / 4;
 /** Time without a byte after which a caller counts as stalled, in milliseconds. */
 const STALLED_AFTER_MS = 1_000;
@@ -14,7 +19,7 @@
 /**
  * Bounds what all callers of a process hold together, since limits of single requests don't bound the sum of many.
  *
- * Large holdings leave a part of the budget to small ones, so that a crowd of large bodies does not take the room of ordinary requests. When
+ * Larger holdings leave a part of the budget to smaller ones, so that a crowd does not take the room of ordinary requests. When
  * the budget is used up, the largest holding whose caller is stalled gives way: a caller that sends nothing would otherwise keep its room
  * for as long as it likes.
  *
@@ -63,9 +68,9 @@
     }
 
     private fits(holding: CallerHolding, bytes: number): boolean {
-        const isSmall = holding.bytes + bytes <= SMALL_HOLDING_BYTES;
-        const usableRatio = isSmall ? 1 : MAX_LARGE_HOLDINGS_RATIO;
-        return this.heldBytes + bytes <= usableRatio * this.limits.bytes;
+        const size = holding.bytes + bytes;
+        const [, ratio] = USABLE_RATIOS.find(([maxBytes]) => size <= maxBytes) ?? [size, MAX_LARGE_HOLDINGS_RATIO];
+        return this.heldBytes + bytes <= ratio * this.limits.bytes;
     }
 
     /** Returns the largest holding whose caller is stalled. */
--- a/src/ports/callerBudget/test.ts
+++ b/src/ports/callerBudget/test.ts
@@ -5,7 +5,7 @@
 
 const LIMIT_BYTES = 1_024 * 1_024;
 const LARGE_BYTES = 256 * 1_024;
-const SMALL_BYTES = 64 * 1_024;
+const SMALL_BYTES = 32 * 1_024;
 const STALLED_MS = 1_000;
 
 describe("CallerBudget", () => {
@@ -51,10 +51,17 @@
             assert.equal(open().tryGrow(1), false);
         });
 
+        it("is left to connections with one request where others have several", () => {
+            // Failure: a crowd that pipelines small requests takes the room of ordinary ones.
+            const crowd = Array.from({ length: 8 }, () => budget.open());
+            for (let count = 0; count < 4; count++) for (const holding of crowd) holding.tryGrow(SMALL_BYTES);
+            assert.equal(open().tryGrow(SMALL_BYTES), true);
+        });
+
         it("does not let a holding grow beyond its share in small steps", () => {
             // Failure: a body in small chunks takes the room that is left to small ones.
             for (let count = 0; count < 3; count++) open(LARGE_BYTES);
-            const growing = open(2 * SMALL_BYTES);
+            const growing = open(4 * SMALL_BYTES);
             assert.equal(growing.tryGrow(1), false);
         });
 
--- a/src/ports/nodeHttpServer/index.ts
+++ b/src/ports/nodeHttpServer/index.ts
@@ -3,7 +3,6 @@
 import { Either, Left, Right } from "purify-ts";
 import { toHeaderList } from "../_lib/toHeaderList.js";
 import { BodyStorage } from "../bodyStorage/index.js";
-import { CallerHolding } from "../callerBudget/index.js";
 import { ServerResources } from "../connectionIntake/index.js";
 import {
     BodyError,
@@ -15,7 +14,7 @@
     HttpResponse,
 } from "../http/index.js";
 import { Address, NetworkError } from "../network/index.js";
-import { ServerConnections } from "../serverConnections/index.js";
+import { OpenRequest, ServerConnections } from "../serverConnections/index.js";
 import { answerClientErrors, limitBodyDiscard } from "../serverGuards/index.js";
 
 /** Maximum idle time of a caller's connection where the limits have none: Node's default. */
@@ -58,9 +57,9 @@
     // With a listener, Node does not destroy idle connections itself.
     server.on("timeout", (socket: Socket) => void readArrived().then(() => connections.endIfIdle(socket)));
     server.on("request", (req, res) => {
-        const holding = connections.findHolding(req, res);
-        if (!holding) return;
-        void runHandler(new NodeRequest(req, res, holding), new NodeResponse(res, connections), handler);
+        const request = connections.find(req, res);
+        if (!request) return;
+        void runHandler(new NodeRequest(req, res, request), new NodeResponse(res, connections), handler);
     });
     return new Promise((resolve, reject) => {
         server.once("error", err => reject(new NetworkError("refused", err.message)));
@@ -139,7 +138,7 @@
     constructor(
         private readonly message: IncomingMessage,
         private readonly res: ServerResponse,
-        private readonly holding: CallerHolding,
+        private readonly request: OpenRequest,
     ) {
         super();
         this.method = message.method!;
@@ -152,7 +151,9 @@
     }
 
     body(limitBytes: number): Promise<Either<BodyError, Uint8Array>> {
-        const { message, holding, res } = this;
+        const { message, res } = this;
+        const { holding, hasRoom } = this.request;
+        if (!hasRoom) return Promise.resolve(Left(new BodyError("over-capacity")));
         const storage = new BodyStorage(holding, limitBytes);
         res.once("close", () => storage.drop());
         return new Promise(resolve => {
--- a/src/ports/nodeHttpServer/test.ts
+++ b/src/ports/nodeHttpServer/test.ts
@@ -75,14 +75,17 @@
 });
 
 describe("the budget of a server's callers", () => {
-    const BODY_BYTES = 1_000;
+    const BODY_BYTES = 20_000;
+    const REQUEST_BYTES = 24 * 1_024;
+    /** Room for one body and two requests. */
+    const ROOM_BYTES = BODY_BYTES + 2 * REQUEST_BYTES;
     const HEAD = `POST / HTTP/1.1\r\nhost: a\r\ncontent-length: ${BODY_BYTES}\r\n\r\n`;
     const BODY = "x".repeat(BODY_BYTES);
     let now = 0;
     let budget: CallerBudget;
     let listener: HttpListener;
 
-    async function open(limitBytes = BODY_BYTES, budgetBytes = BODY_BYTES): Promise<void> {
+    async function open(limitBytes = BODY_BYTES, budgetBytes = ROOM_BYTES): Promise<void> {
         now = 0;
         budget = new CallerBudget({ bytes: budgetBytes }, () => now);
         listener = await serveNodeHttp({ host: "127.0.0.1", port: 0 }, LIMITS, async (req, res) => {
@@ -121,10 +124,10 @@
         // Failure: bodies are held without a bound on their sum.
         await open();
         const first = connectAndSend(HEAD);
-        await awaitBytes(BODY_BYTES);
+        await awaitBytes(BODY_BYTES + REQUEST_BYTES);
         assert.equal(await exchange(HEAD), "over-capacity");
         first.write(BODY);
-        assert.match(await readToEnd(first), /1000$/);
+        assert.match(await readToEnd(first), /20000$/);
         await awaitBytes(0);
     });
 
@@ -132,20 +135,31 @@
         // Failure: bodies that stop short of their end keep others out for as long as they like.
         await open();
         const stalled = connectAndSend(HEAD + BODY.slice(1));
-        await awaitBytes(BODY_BYTES);
+        await awaitBytes(BODY_BYTES + REQUEST_BYTES);
         now += 1_000;
         assert.equal(await exchange(HEAD + BODY), String(BODY_BYTES));
         assert.match(await readToEnd(stalled), /over-capacity$/);
     });
 
+    it("refuses a request that it has no room for, with a body or without", TEST_TIMEOUT, async () => {
+        // Failure: requests under way take memory without a bound on their number.
+        await open(BODY_BYTES, REQUEST_BYTES + 1);
+        const first = connectAndSend("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n\r\n");
+        await awaitBytes(REQUEST_BYTES + 1);
+        assert.equal(await exchange("GET / HTTP/1.1\r\nhost: a\r\n\r\n"), "over-capacity");
+        first.destroy();
+        await awaitBytes(0);
+        assert.equal(await exchange("GET / HTTP/1.1\r\nhost: a\r\n\r\n"), "0");
+    });
+
     it("gets back the room of a body that is refused, or whose caller has left", TEST_TIMEOUT, async () => {
         // Failure: a path on which room is not given back.
-        await open(BODY_BYTES / 2, 2 * BODY_BYTES);
+        await open(BODY_BYTES / 2);
         assert.equal(await exchange(HEAD), "too-large");
         const chunked = "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n";
-        assert.equal(await exchange(`${chunked}3e8\r\n${BODY}\r\n0\r\n\r\n`), "too-large");
+        assert.equal(await exchange(`${chunked}4e20\r\n${BODY}\r\n0\r\n\r\n`), "too-large");
         const leaving = connectAndSend(`${chunked}64\r\n${BODY.slice(0, 100)}\r\n`);
-        while (budget.bytes === 0) await sleep(1);
+        while (budget.bytes <= REQUEST_BYTES) await sleep(1);
         leaving.resetAndDestroy();
         await awaitBytes(0);
     });
--- a/src/ports/serverConnections/index.ts
+++ b/src/ports/serverConnections/index.ts
@@ -8,10 +8,21 @@
 /** Time for which a connection is still read after its end was sent, in milliseconds. */
 const LINGER_MS = 1_000;
 
+/** Memory of a request under way without its body, in bytes. */
+const REQUEST_BYTES = 24 * 1_024;
+
+/** A request under way. */
+export interface OpenRequest {
+    /** What its connection holds. */
+    readonly holding: CallerHolding;
+    /** Whether there was room for it. One without room is refused. */
+    readonly hasRoom: boolean;
+}
+
 /** State of one connection. */
 interface ConnectionState {
-    /** Responses that have not been sent whole, in the order of their requests. */
-    readonly open: Set<ServerResponse>;
+    /** Requests whose responses have not been sent whole, in their order. */
+    readonly open: Map<ServerResponse, OpenRequest>;
     /** Whether the caller has been told that the connection ends, or its end was sent. */
     isEnding: boolean;
     /** Bytes that had been parsed when the latest response had been sent. */
@@ -46,12 +57,11 @@
     }
 
     /**
-     * Returns what the connection of a request holds; undefined for a request that must not be handled. One that comes after its caller was
-     * told that the connection ends is not: its answer could not be sent.
+     * Returns a request that has begun; undefined for one that must not be handled. One that comes after its caller was told that the
+     * connection ends is not: its answer could not be sent.
      */
-    findHolding({ socket }: IncomingMessage, res: ServerResponse): CallerHolding | undefined {
-        const state = this.states.get(socket);
-        return state?.open.has(res) ? state.holding : undefined;
+    find({ socket }: IncomingMessage, res: ServerResponse): OpenRequest | undefined {
+        return this.states.get(socket)?.open.get(res);
     }
 
     /**
@@ -62,7 +72,7 @@
      */
     decideEnd(res: ServerResponse, isWanted: boolean): boolean {
         const state = this.states.get(res.req.socket);
-        if (!state || [...state.open].at(-1) !== res) return false;
+        if (!state || [...state.open.keys()].at(-1) !== res) return false;
         if (state.intake.hasWaiting && res.shouldKeepAlive) return false;
         state.isEnding ||= isWanted || this.isClosing || !res.shouldKeepAlive;
         return state.isEnding;
@@ -118,7 +128,7 @@
     private add(socket: Socket): void {
         const holding = this.resources.budget.open();
         const intake = new ConnectionIntake(socket, holding, this.resources);
-        this.states.set(socket, { open: new Set(), isEnding: false, bytesAnswered: 0, holding, intake });
+        this.states.set(socket, { open: new Map(), isEnding: false, bytesAnswered: 0, holding, intake });
         socket.once("close", () => {
             this.states.delete(socket);
             holding.close();
@@ -134,15 +144,19 @@
             if (state.open.size === 0) socket.destroy();
             return;
         }
-        state.open.add(res);
+        const hasRoom = state.holding.tryGrow(REQUEST_BYTES);
+        state.open.set(res, { holding: state.holding, hasRoom });
         this.open.add(res);
         res.once("finish", () => this.removeResponse(socket, state, res));
         res.once("close", () => this.removeResponse(socket, state, res));
     }
 
     private removeResponse(socket: Socket, state: ConnectionState, res: ServerResponse): void {
-        if (!state.open.delete(res)) return;
+        const request = state.open.get(res);
+        if (!request) return;
+        state.open.delete(res);
         this.open.delete(res);
+        if (request.hasRoom) state.holding.shrink(REQUEST_BYTES);
         state.bytesAnswered = state.intake.parsedBytes;
         state.intake.endRequest();
         if (this.isClosing && state.open.size === 0 && !state.intake.hasWaiting) this.end(socket);
--- a/src/tools/crowds/test.ts
+++ b/src/tools/crowds/test.ts
@@ -136,6 +136,12 @@
         address: ({ routes }) => routes,
         bytesOf: id => sendPipelined({ ...BULK, bodyBytes: 0 }, id, 4_000),
     },
+    {
+        name: "as many requests under way as connections allow",
+        connections: 2 * MANY_CONNECTIONS,
+        address: ({ routes }) => routes,
+        bytesOf: id => sendPipelined({ ...BULK, bodyBytes: PIPELINED_BODY_BYTES }, id, 8),
+    },
     {
         name: "pipelined announcements at an entry",
         connections: MANY_CONNECTIONS,
