--- a/src/eventStream/eventReader/index.ts
+++ b/src/eventStream/eventReader/index.ts
@@ -3,9 +3,11 @@
 import { EventId } from "../../ids/index.js";
 import { EventError } from "../eventError/index.js";
 import { EventScanner, MAX_EVENT_BYTES, StreamBlock } from "../eventScanner/index.js";
-import { EventSequence } from "../eventSequence/index.js";
+import { EventSequence, JudgedEvent } from "../eventSequence/index.js";
 
 const NO_BYTES = new Uint8Array();
+/** Maximum size of the blocks that wait for the next event, in bytes. */
+const MAX_WAITING_BYTES = 2 * MAX_EVENT_BYTES;
 
 /** The events that some received bytes complete, up to the first block that is not the next event. */
 export interface ReadEvents {
@@ -30,6 +32,8 @@
     /** Blocks that wait for the next event. */
     private readonly waiting: Uint8Array[] = [];
     private waitingBytes = 0;
+    /** Number of events among them. */
+    private waitingEvents = 0;
 
     /** @param hasBegun - Whether the caller has received a part of the stream, of which this answer is the rest. */
     constructor(private readonly sequence: EventSequence, private hasBegun: boolean) {}
@@ -43,13 +47,13 @@
             const judged = this.judge(block);
             if (judged.isLeft()) return makeEvents(ready, count, lastId, judged.extract() as EventError);
             const event = judged.unsafeCoerce();
-            if (event === undefined) {
-                this.addPadding(ready, block);
+            if (event.kind !== "next") {
+                this.addWaiting(ready, block, event.kind);
                 continue;
             }
+            count += this.waitingEvents + 1;
             ready.push(...this.takeWaiting(), block.bytes);
             this.hasBegun = true;
-            count++;
             lastId = event.id;
         }
         return makeEvents(ready, count, lastId, this.findExcess());
@@ -62,36 +66,40 @@
      */
     end(): Either<EventError, Uint8Array> {
         if (this.scanner.hasPartialEvent) return Left(new EventError("partial", "the stream ends within an event"));
-        return Right(join(this.takeWaiting()));
+        const error = this.sequence.findEndError();
+        return error ? Left(error) : Right(join(this.takeWaiting()));
     }
 
-    /** Judges a block. Returns undefined for one that is no event. */
-    private judge({ bytes, kind }: StreamBlock): Either<EventError, { readonly id: EventId | undefined; } | undefined> {
-        if (kind === "event") {
-            return this.sequence.judge(bytes).map(event => event.kind === "next" ? event : undefined);
-        }
-        return isUtf8(bytes) ? Right(undefined) : Left(new EventError("malformed", "bytes that are not UTF-8"));
+    private judge({ bytes, kind }: StreamBlock): Either<EventError, JudgedEvent> {
+        if (kind === "event") return this.sequence.judge(bytes);
+        return isUtf8(bytes)
+            ? Right({ kind: "comment" })
+            : Left(new EventError("malformed", "bytes that are not UTF-8"));
     }
 
-    private addPadding(ready: Uint8Array[], { bytes, kind }: StreamBlock): void {
-        if (this.hasBegun) {
-            // Within a stream, the mark would be part of the next line.
-            if (kind !== "byte-order-mark") ready.push(bytes);
+    /** Adds a block that is not the next event: an event that is not proved waits, and so does what follows it. */
+    private addWaiting(ready: Uint8Array[], { bytes, kind }: StreamBlock, judged: "unproven" | "comment"): void {
+        // Within a stream, the mark would be part of the next line.
+        if (kind === "byte-order-mark" && this.hasBegun) return;
+        if (judged === "comment" && this.hasBegun && this.waitingEvents === 0) {
+            ready.push(bytes);
             return;
         }
+        if (judged === "unproven") this.waitingEvents++;
         this.waiting.push(bytes);
         this.waitingBytes += bytes.length;
     }
 
     private takeWaiting(): Uint8Array[] {
         this.waitingBytes = 0;
+        this.waitingEvents = 0;
         return this.waiting.splice(0);
     }
 
     private findExcess(): EventError | undefined {
         if (this.scanner.isOversized) return new EventError("malformed", "an event above the maximum size");
-        return this.waitingBytes > MAX_EVENT_BYTES
-            ? new EventError("malformed", "more bytes without an event than an event may have")
+        return this.waitingBytes > MAX_WAITING_BYTES
+            ? new EventError("malformed", "too many bytes before the next event")
             : undefined;
     }
 }
--- a/src/eventStream/eventSequence/index.ts
+++ b/src/eventStream/eventSequence/index.ts
@@ -2,12 +2,18 @@
 import { EventId } from "../../ids/index.js";
 import { EventError } from "../eventError/index.js";
 import { EventRules } from "../eventRules/index.js";
-import { parseEvent } from "../parseEvent/index.js";
+import { ParsedEvent, parseEvent } from "../parseEvent/index.js";
 
 const EVENT_ID_PATTERN = /^[1-9]\d{0,14}$/;
 
-/** What a block of a stream proves to be: its next event, or a comment, which is part of no event. */
-export type JudgedEvent = { readonly kind: "next"; readonly id: EventId | undefined; } | { readonly kind: "comment"; };
+/**
+ * What a block of a stream proves to be: its next event; an event that the next one has to prove; or a comment, which is part of no
+ * event. With a next event, all events before it are proved.
+ */
+export type JudgedEvent =
+    | { readonly kind: "next"; readonly id: EventId | undefined; }
+    | { readonly kind: "unproven"; }
+    | { readonly kind: "comment"; };
 
 /**
  * Parses the id of an event: a number from 1.
@@ -33,6 +39,8 @@
 export class EventSequence {
     /** Whether the events have ids; undefined before the first one, where both are allowed. */
     private isNumbered: boolean | undefined;
+    /** Whether the last event may be two events, of which the first lacks its end. */
+    private isLastUnproven = false;
 
     /** @param lastId - The event before the first one that is due; undefined at the beginning of a stream. */
     constructor(private readonly rules: EventRules, private lastId: EventId | undefined) {
@@ -41,10 +49,27 @@
 
     /** Judges the next block; one that is rejected changes nothing. */
     judge(block: Buffer): Either<EventError, JudgedEvent> {
-        return parseEvent(block, this.rules).chain(({ isComment, id }): Either<EventError, JudgedEvent> => {
-            if (isComment) return Right({ kind: "comment" });
-            this.isNumbered ??= id !== undefined;
-            return this.isNumbered ? this.judgeId(id) : this.judgeUnnumbered(id);
+        return parseEvent(block, this.rules).chain((event): Either<EventError, JudgedEvent> => {
+            if (event.isComment) return Right({ kind: "comment" });
+            this.isNumbered ??= event.id !== undefined;
+            return this.isNumbered ? this.judgeNumbered(event) : this.judgeUnnumbered(event.id);
+        });
+    }
+
+    /** Returns why the stream can't end here; undefined where it can. */
+    findEndError(): EventError | undefined {
+        return this.isLastUnproven
+            ? new EventError("unproven", "an event with the id of the next one in it")
+            : undefined;
+    }
+
+    private judgeNumbered({ id, enclosedIds }: ParsedEvent): Either<EventError, JudgedEvent> {
+        if (enclosedIds.some(enclosed => String(enclosed) === id)) {
+            return reject("malformed", `an event with its own id ${id} in another field`);
+        }
+        return this.judgeId(id).map(event => {
+            this.isLastUnproven = enclosedIds.includes(this.lastId! + 1);
+            return this.isLastUnproven ? { kind: "unproven" } : event;
         });
     }
 
--- a/src/eventStream/eventSequence/test.ts
+++ b/src/eventStream/eventSequence/test.ts
@@ -3,8 +3,8 @@
 import { EventId } from "../../ids/index.js";
 import { EventSequence, parseEventId } from "./index.js";
 
-const NUMBERED = { mayOmitIds: false, maxDataLines: 1 };
-const ANY = { mayOmitIds: true, maxDataLines: 1 };
+const NUMBERED = { mayOmitIds: false };
+const ANY = { mayOmitIds: true };
 
 function judgeAll(sequence: EventSequence, blocks: readonly string[]): string[] {
     return blocks.map(block =>
@@ -38,6 +38,8 @@
             ["the last event once more", event(2), "repeated"],
             ["the first event once more", event(1), "repeated"],
             ["a later event", event(4), "skipped"],
+            ["an id in front of another one", "id: 3id: 4\ndata: x\n\n", "bad-id"],
+            ["half an event in front of itself", "id: 3\ndata: haid: 3\ndata: x\n\n", "malformed"],
         ];
         for (const [name, block, kind] of faults) {
             it(`rejects ${name}, and still expects the next one`, () => {
@@ -54,6 +56,28 @@
         });
     });
 
+    describe("events with the id of the next one in them", () => {
+        const merged = "id: 2\ndata: haid: 3\ndata: x\n\n";
+
+        it("are proved by the next event", () => {
+            const sequence = new EventSequence(NUMBERED, undefined);
+            assert.deepEqual(judgeAll(sequence, [event(1), merged, event(3)]), ["next", "unproven", "next"]);
+            assert.equal(sequence.findEndError(), undefined);
+        });
+
+        it("are two events where another one follows", () => {
+            // Failure: an event that lost its end reaches the caller, with the next one as its text.
+            const sequence = new EventSequence(NUMBERED, undefined);
+            assert.deepEqual(judgeAll(sequence, [event(1), merged, event(4)]), ["next", "unproven", "skipped"]);
+        });
+
+        it("do not end a stream", () => {
+            const sequence = new EventSequence(NUMBERED, undefined);
+            judgeAll(sequence, [event(1), merged]);
+            assert.equal(sequence.findEndError()?.kind, "unproven");
+        });
+    });
+
     describe("events without ids", () => {
         it("accepts them where the rules allow it, and no ids among them", () => {
             const sequence = new EventSequence(ANY, undefined);
--- a/src/eventStream/parseEvent/index.ts
+++ b/src/eventStream/parseEvent/index.ts
@@ -1,21 +1,26 @@
 import { isUtf8 } from "node:buffer";
 import { Either, Left, Right } from "purify-ts";
 import { EventError } from "../eventError/index.js";
-import { EventRules } from "../eventRules/index.js";
+import { EventRules, FirstField } from "../eventRules/index.js";
 
 const LINE_END_PATTERN = /\r\n|\r|\n/;
+const ID_AT_LINE_END_PATTERN = /id: ?(\d{1,15})$/;
 
 /** The parts of a block by which it is judged. */
 export interface ParsedEvent {
     /** Whether it has neither an id nor data, and only comments or the time after which callers reconnect. */
     readonly isComment: boolean;
     readonly id: string | undefined;
+    /**
+     * Ids that end a line of another field, with lines behind it: an event that lost its end in front of the next one looks like this, and so may
+     * text.
+     */
+    readonly enclosedIds: readonly number[];
 }
 
-interface FieldCounts {
-    ids: string[];
-    dataLines: number;
-    eventLines: number;
+interface Field {
+    readonly name: string;
+    readonly value: string;
 }
 
 /**
@@ -25,41 +30,50 @@
  * @example
  * parseEvent(Buffer.from("id: 7\ndata: x\n\n"), rules).map(({ id }) => id);
  */
-export function parseEvent(block: Buffer, rules: EventRules): Either<EventError, ParsedEvent> {
+export function parseEvent(block: Buffer, { firstField }: EventRules): Either<EventError, ParsedEvent> {
     if (!isUtf8(block)) return reject("bytes that are not UTF-8");
-    const lines = splitLines(block.toString("latin1"));
-    const fields = lines.filter(line => line !== "" && !line.startsWith(":"));
-    if (fields.length > 0 && rules.firstLine?.test(fields[0])) fields.shift();
-    const counts: FieldCounts = { ids: [], dataLines: 0, eventLines: 0 };
-    for (const line of fields) {
-        if (!countField(line, counts)) return reject("a line that is no field of an event");
-    }
-    return checkCounts(counts, rules);
+    const lines = splitLines(block.toString("latin1")).filter(line => line !== "" && !line.startsWith(":"));
+    const fields = lines.map(parseField);
+    if (firstField && fields.length > 0 && isFirstField(fields[0], firstField)) fields.shift();
+    if (!fields.every(isField)) return reject("a line that is no field of an event");
+    return checkFields(fields).map(event => ({ ...event, enclosedIds: findEnclosedIds(lines) }));
 }
 
 function splitLines(text: string): string[] {
     return text.includes("\r") ? text.split(LINE_END_PATTERN) : text.split("\n");
 }
 
-/** @returns Whether the line is a field of an event. */
-function countField(line: string, counts: FieldCounts): boolean {
+function parseField(line: string): Field {
     const colonAt = line.indexOf(":");
-    const name = colonAt < 0 ? line : line.slice(0, colonAt);
-    const value = colonAt < 0 ? "" : line.slice(line[colonAt + 1] === " " ? colonAt + 2 : colonAt + 1);
-    if (name === "data") counts.dataLines++;
-    else if (name === "id") counts.ids.push(value);
-    else if (name === "event") counts.eventLines++;
-    else return name === "retry" && /^\d+$/.test(value);
-    return true;
+    if (colonAt < 0) return { name: line, value: "" };
+    return { name: line.slice(0, colonAt), value: line.slice(line[colonAt + 1] === " " ? colonAt + 2 : colonAt + 1) };
 }
 
-function checkCounts({ ids, dataLines, eventLines }: FieldCounts, rules: EventRules): Either<EventError, ParsedEvent> {
+function isFirstField({ name, value }: Field, first: FirstField): boolean {
+    return name === first.name && first.value.test(value);
+}
+
+function isField({ name, value }: Field): boolean {
+    if (name === "retry") return /^\d+$/.test(value);
+    return name === "data" || name === "id" || name === "event";
+}
+
+function checkFields(fields: readonly Field[]): Either<EventError, Omit<ParsedEvent, "enclosedIds">> {
+    const ids = fields.filter(({ name }) => name === "id");
+    const types = fields.filter(({ name }) => name === "event");
+    const hasData = fields.some(({ name }) => name === "data");
     if (ids.length > 1) return reject("an event with several ids");
-    if (eventLines > 1) return reject("an event with several types");
-    if (dataLines > rules.maxDataLines) return reject(`an event with ${dataLines} data lines`);
-    const isComment = ids.length + dataLines + eventLines === 0;
-    if (dataLines === 0 && !isComment) return reject("an event without data");
-    return Right({ isComment, id: ids.at(0) });
+    if (types.length > 1) return reject("an event with several types");
+    const isComment = ids.length + types.length === 0 && !hasData;
+    if (!hasData && !isComment) return reject("an event without data");
+    return Right({ isComment, id: ids.at(0)?.value });
+}
+
+function findEnclosedIds(lines: readonly string[]): number[] {
+    return lines.slice(0, -1).flatMap(line => {
+        const id = line.startsWith("id:") ? undefined : ID_AT_LINE_END_PATTERN.exec(line)?.[1];
+        return id === undefined ? [] : [Number(id)];
+    });
 }
 
 function reject(detail: string): Either<EventError, never> {
--- a/src/eventStream/parseEvent/test.ts
+++ b/src/eventStream/parseEvent/test.ts
@@ -2,10 +2,16 @@
 import { describe, it } from "node:test";
 import { parseEvent } from "./index.js";
 
-const RULES = { mayOmitIds: true, maxDataLines: 2, firstLine: /^weights: \d+$/ };
+const RULES = { mayOmitIds: true, firstField: { name: "weights", value: /^\d+$/ } };
 
 function parse(text: string | Buffer): unknown {
-    return parseEvent(Buffer.from(text as string), RULES).mapLeft(({ kind }) => kind).extract();
+    return parseEvent(Buffer.from(text as string), RULES)
+        .map(({ isComment, id }) => ({ isComment, id }))
+        .mapLeft(({ kind }) => kind).extract();
+}
+
+function findEnclosedIds(text: string): readonly number[] {
+    return parseEvent(Buffer.from(text), RULES).unsafeCoerce().enclosedIds;
 }
 
 describe("parseEvent", () => {
@@ -18,6 +24,7 @@
             ["a type, a reconnection time and a comment", ": note\nevent: a\nretry: 10\nid: 7\ndata: x\n\n"],
             ["the line that an event may have before its fields", "weights: 3\nid: 7\ndata: x\n\n"],
             ["several data lines", "id: 7\ndata: x\ndata\n\n"],
+            ["many data lines", `id: 7\n${"data: x\n".repeat(40)}\n`],
             ["text of several bytes a character", "id: 7\ndata: \u00e6\u4e2d\n\n"],
         ];
         for (const [name, text] of events) {
@@ -39,6 +46,20 @@
         });
     });
 
+    describe("ids within an event", () => {
+        it("are those that end a line of another field, with lines behind it", () => {
+            // Failure: an event that lost its end in front of the next one can't be told from one with several data lines.
+            assert.deepEqual(findEnclosedIds("id: 7\ndata: haid: 8\ndata: x\n\n"), [8]);
+            assert.deepEqual(findEnclosedIds("id: 7\ndata: haid:8\r\nevent: y\r\ndata: x\r\n\r\n"), [8]);
+        });
+
+        it("are not the event's own, nor text at its end", () => {
+            assert.deepEqual(findEnclosedIds("event: x\nid: 7\ndata: x\n\n"), []);
+            assert.deepEqual(findEnclosedIds("id: 7\ndata: a\ndata: id: 8\n\n"), []);
+            assert.deepEqual(findEnclosedIds("id: 7\ndata: id: 8 of 9\ndata: b\n\n"), []);
+        });
+    });
+
     describe("bytes that are no event", () => {
         // Failure: a block counts as an event because it stands where one is due.
         const blocks: readonly [string, string | Buffer][] = [
@@ -48,7 +69,6 @@
             ["an id without data", "id: 7\n\n"],
             ["two ids", "id: 7\nid: 8\ndata: x\n\n"],
             ["half an event, then a whole one", "id: 7\nda\nid: 8\ndata: x\n\n"],
-            ["more data lines than an event has", "id: 7\ndata: x\ndata: y\ndata: z\n\n"],
             ["a second id behind a CR alone", "id: 7\ndata: x\rid: 8\n\n"],
             ["the first line in another place", "id: 7\nweights: 3\ndata: x\n\n"],
             ["a reconnection time that is no number", "retry: soon\n\n"],
--- a/src/passthrough/nativeDialect/index.ts
+++ b/src/passthrough/nativeDialect/index.ts
@@ -128,7 +128,7 @@
     }
 
     eventRules(isResumable: boolean): EventRules {
-        return { mayOmitIds: !isResumable, maxDataLines: Number.POSITIVE_INFINITY };
+        return { mayOmitIds: !isResumable };
     }
 
     writeError(err: CallError, request: RequestId | undefined): ErrorReply {
--- a/src/passthrough/relayStream/test.ts
+++ b/src/passthrough/relayStream/test.ts
@@ -197,6 +197,8 @@
             ["a later event", event(4)],
             ["the head of a second answer", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"],
             ["half an event and a whole one", `id: 3\nda${event(3)}`],
+            ["half an event and the next one", `id: 3\ndata: ha${event(4)}${event(5)}`],
+            ["half an event and itself", `id: 3\ndata: ha${event(3)}`],
         ];
         for (const framing of FRAMINGS) {
             for (const [name, block] of faults) {
@@ -228,6 +230,24 @@
         });
     });
 
+    describe("events as the media type allows them", () => {
+        const forms: readonly (readonly [string, string])[] = [
+            ["two data lines", "id: 2\ndata: first\ndata: second\n\n"],
+            ["forty data lines", `id: 2\n${"data: line\n".repeat(40)}\n`],
+            ["a data line with the id of the next event", "id: 2\ndata: - id: 3\ndata:   name: x\n\n"],
+        ];
+        for (const framing of FRAMINGS) {
+            for (const [name, form] of forms) {
+                it(`reach the caller with ${name}, framed by ${framing}`, async () => {
+                    // Failure: the stream of a sound upstream is cut, since an event has a form that others have not.
+                    const body = event(1) + form + event(3);
+                    const { result, written, stream } = await play(body, { framing });
+                    assert.deepEqual([result.kind, written, stream.eventCount], ["answered", body, 3]);
+                });
+            }
+        }
+    });
+
     describe("bytes that are part of no event", () => {
         const bodies: readonly (readonly [string, string])[] = [
             ["a comment before the first event", `: wait\n\n${event(1)}${event(2)}`],
--- a/src/platform/platformDialect/index.ts
+++ b/src/platform/platformDialect/index.ts
@@ -77,8 +77,7 @@
 /** Engines number all events of a stream, and write the version of their weights before the event at which it changes. */
 const EVENT_RULES: EventRules = {
     mayOmitIds: false,
-    maxDataLines: 1,
-    firstLine: /^sequoiamux-weight-versions: ?\d+$/,
+    firstField: { name: "sequoiamux-weight-versions", value: /^\d+$/ },
 };
 
 /** An engine's list of cached prompt parts. The fields `epoch` and `next`, for clients that follow changes, are not used. */
--- a/src/tools/garbledStreams/drawGarbledReply/index.ts
+++ b/src/tools/garbledStreams/drawGarbledReply/index.ts
@@ -3,6 +3,7 @@
 import { RawReply, RawRequest } from "../../rawUpstream/index.js";
 import { STREAM_ROUTES } from "../garblePlan/index.js";
 import { AskedStream, STREAM_SHAPES, StreamShape } from "../streamShapes/index.js";
+import { findStreamStyle } from "../streamStyles/index.js";
 
 /** A stream that an upstream sent. */
 export interface ServedStream extends AskedStream {
@@ -52,11 +53,12 @@
     return { ...formatRawStream({ id: request, framing, ...stream }), delayMs: 0, runs: true, resets: false };
 }
 
-/** Reads which events a request asks for: its path is `/ROUTE/RUN/TOTAL`. */
+/** Reads which events a request asks for: its path is `/ROUTE/RUN/TOTAL/STYLE`. */
 export function readAskedStream({ path, lastEventId }: Pick<RawRequest, "path" | "lastEventId">): AskedStream {
-    const [, route, run, total] = path.split("/");
+    const [, route, run, total, style] = path.split("/");
     const isResumable = STREAM_ROUTES.some(each => each.name === route && each.isResumable);
-    return { run, isResumable, total: Number(total), from: (Number(lastEventId) || 0) + 1 };
+    const from = (Number(lastEventId) || 0) + 1;
+    return { run, isResumable, from, total: Number(total), style: findStreamStyle(style) };
 }
 
 function isFitting(shape: StreamShape, asked: AskedStream, at: number, framing: Framing): boolean {
--- a/src/tools/garbledStreams/index.ts
+++ b/src/tools/garbledStreams/index.ts
@@ -4,3 +4,4 @@
 export * from "./reportGarbledStreams/index.js";
 export * from "./runGarbledStreams/index.js";
 export * from "./streamShapes/index.js";
+export * from "./streamStyles/index.js";
--- a/src/tools/garbledStreams/streamCaller/index.ts
+++ b/src/tools/garbledStreams/streamCaller/index.ts
@@ -6,6 +6,7 @@
 import { findPieceFault, StreamExchange } from "../checkGarbledStreams/index.js";
 import { STREAM_HOST, STREAM_ROUTES, StreamCallerPlan, StreamRoute } from "../garblePlan/index.js";
 import { readEvents } from "../readEvents/index.js";
+import { STREAM_STYLES } from "../streamStyles/index.js";
 
 /** What a caller needs to know of the fleet. */
 export interface StreamSurroundings {
@@ -63,9 +64,10 @@
     private async readStream(route: StreamRoute): Promise<void> {
         const run = `${this.name}-${++this.sentCount}`;
         const total = this.random.integer(...EVENTS);
+        const style = this.random.pick(STREAM_STYLES);
         let progress: Progress = { received: 0 };
         for (let attempt = 1; attempt <= MAX_TRIES; attempt++) {
-            const exchange = await this.send(route, { run, total, request: `${run}-${attempt}` }, progress);
+            const exchange = await this.send(route, { run, total, style, request: `${run}-${attempt}` }, progress);
             if (!exchange) return sleep(CONNECT_PAUSE_MS);
             const events = exchange.status === 200 ? readEvents(exchange.body).events.length : 0;
             const received = progress.received + events;
@@ -78,7 +80,7 @@
     /** Returns undefined when there was no connection. */
     private async send(
         route: StreamRoute,
-        stream: Pick<StreamExchange, "run" | "total" | "request">,
+        stream: Pick<StreamExchange, "run" | "total" | "style" | "request">,
         { received, begunBy }: Progress,
     ): Promise<StreamExchange | undefined> {
         const isConnected = Object.keys(this.agent.freeSockets).length > 0;
@@ -90,7 +92,7 @@
         const answer = await exchangeCall({
             agent: this.agent,
             address: this.surroundings.addresses[this.entry],
-            path: `/${route.name}/${stream.run}/${stream.total}`,
+            path: `/${route.name}/${stream.run}/${stream.total}/${stream.style.name}`,
             headers: { host: STREAM_HOST, [CALL_HEADERS.request]: stream.request, ...resumption },
             body: stream.run,
             giveUpMs: GIVE_UP_MS,
--- a/src/tools/garbledStreams/streamShapes/index.ts
+++ b/src/tools/garbledStreams/streamShapes/index.ts
@@ -1,4 +1,5 @@
 import { Framing, RawStream } from "../../formatRawStream/index.js";
+import { StreamStyle } from "../streamStyles/index.js";
 
 /** A stream as an upstream was asked for it. */
 export interface AskedStream {
@@ -10,8 +11,12 @@
     readonly from: number;
     /** Whether its route may be resumed. */
     readonly isResumable: boolean;
+    readonly style: StreamStyle;
 }
 
+/** What determines the events of a run. */
+export type RunOfEvents = Pick<AskedStream, "run" | "total" | "style">;
+
 /** A kind of stream that a raw upstream sends. */
 export interface StreamShape {
     readonly name: string;
@@ -34,8 +39,13 @@
 }
 
 /** Returns the lines of an event, which prove its run and its number. */
-export function listEventLines({ run, total }: Pick<AskedStream, "run" | "total">, number: number): string[] {
-    return [`id: ${number}`, `data: ${run} event ${number} of ${total}`];
+export function listEventLines({ run, total, style }: RunOfEvents, number: number): string[] {
+    return [
+        `id: ${number}`,
+        ...style.linesBefore,
+        `data: ${run} event ${number} of ${total}`,
+        ...style.linesBehind,
+    ];
 }
 
 const BYTE_ORDER_MARK = "\xef\xbb\xbf";
@@ -65,7 +75,7 @@
     faulty("empty id", instead(asked => `id:\ndata: ${asked.run}\n\n`)),
     faulty("id that is no number", instead(asked => `id: x7\ndata: ${asked.run}\n\n`)),
     {
-        ...faulty("event without id", instead((asked, at) => `${listEventLines(asked, at)[1]}\n\n`)),
+        ...faulty("event without id", instead((asked, at) => `${listEventLines(asked, at).slice(1).join("\n")}\n\n`)),
         // Streams that can't be resumed may have no ids, so that a first event without one is no fault.
         isFitting: ({ isResumable }, at) => isResumable || at > 1,
     },
@@ -77,6 +87,8 @@
     faulty("gap", instead((asked, at) => event(asked, at + 1))),
     faulty("second answer for an event", endWith(asked => secondAnswer(asked))),
     faulty("half an event, then the end", endWith(halfEvent)),
+    faulty("half an event, then the next ones", instead(halfEvent)),
+    faulty("half an event, then itself", instead((asked, at) => halfEvent(asked, at) + event(asked, at))),
     faulty("id line, then the end", endWith((asked, at) => `${listEventLines(asked, at)[0]}\n`)),
     faulty("connection closed within an event", (asked, at) => ({
         parts: [...listEvents(asked, at), halfEvent(asked, at)],
@@ -132,8 +144,11 @@
     return `${listEventLines(asked, number).join("\n")}\n\n`;
 }
 
+/** An event that ends within its first line of data. */
 function halfEvent(asked: AskedStream, number: number): string {
-    return event(asked, number).slice(0, -4);
+    const { style } = asked;
+    const lines = listEventLines(asked, number);
+    return lines.slice(0, lines.length - style.linesBehind.length).join("\n").slice(0, -2);
 }
 
 /** Lists the events asked for before one with a number. */
--- a/src/tools/garbledStreams/test.ts
+++ b/src/tools/garbledStreams/test.ts
@@ -11,6 +11,7 @@
 import { formatServedStream, readAskedStream, ServedStream } from "./drawGarbledReply/index.js";
 import { makeStreamDocument, STREAM_HOST, STREAM_POOL, STREAM_ROUTES } from "./garblePlan/index.js";
 import { STREAM_SHAPES, StreamShape } from "./streamShapes/index.js";
+import { STREAM_STYLES } from "./streamStyles/index.js";
 
 const ZONES = ["keflavik", "grindavik", "vogar"];
 const START_LIMIT_MS = 20_000;
@@ -24,6 +25,7 @@
 const CONCURRENCY = 30;
 const [RESUMABLE, NOT_RESUMABLE] = STREAM_ROUTES;
 const [WHOLE] = STREAM_SHAPES;
+const [PLAIN] = STREAM_STYLES;
 const BROKEN_OFF = STREAM_SHAPES.find(({ name }) => name === "connection closed within an event")!;
 
 describe("streams of upstreams that spoil them", () => {
@@ -78,6 +80,7 @@
         { name, isResumable }: typeof RESUMABLE,
         shapes: readonly StreamShape[],
         framing: Framing,
+        style = PLAIN,
     ): Promise<StreamExchange> {
         const request = `stream-${++sentCount}`;
         plans.set(request, { framing, shapes: [...shapes] });
@@ -85,14 +88,14 @@
         const answer = await exchangeCall({
             agent,
             address: fleet.processes.routeAddresses[0],
-            path: `/${name}/${request}/${TOTAL}`,
+            path: `/${name}/${request}/${TOTAL}/${style.name}`,
             headers: { host: STREAM_HOST, [CALL_HEADERS.request]: request },
             body: request,
             giveUpMs: GIVE_UP_MS,
         });
         assert.ok(answer, "the entry accepts no connection");
         const { status, body, end } = answer;
-        const asked = { run: request, total: TOTAL, from: 1 };
+        const asked = { run: request, total: TOTAL, from: 1, style };
         return { ...asked, request, route: name, isResumable, entry: 0, sentAt, status, body, end };
     }
 
@@ -116,9 +119,37 @@
         assert.deepEqual(others.map(({ status, end, body }) => `${status} ${end} ${JSON.stringify(body)}`), []);
     }
 
+    for (const style of STREAM_STYLES) {
+        describe(`events written in the style ${style.name}`, () => {
+            before(async () => {
+                served = [];
+                await sendWholeStreams(MIN_WHOLE_STREAMS);
+            });
+
+            for (const route of STREAM_ROUTES) {
+                it(`reach the callers of ${route.name}`, async () => {
+                    // Failure: the stream of a sound upstream is cut, since its events have another form.
+                    const exchanges = await Promise.all(FRAMINGS.map(framing => sendStream(route, [], framing, style)));
+                    assertNoFaults(exchanges);
+                    assertComplete(exchanges);
+                });
+            }
+
+            it("go on at another upstream where the first one breaks off", async () => {
+                // Failure: the next upstream is asked for another event than the one that is due, or its part is rejected.
+                const shapes = [BROKEN_OFF, BROKEN_OFF];
+                const send = (framing: Framing) => sendStream(RESUMABLE, [...shapes], framing, style);
+                const exchanges = await Promise.all(FRAMINGS.map(send));
+                assertNoFaults(exchanges);
+                assertComplete(exchanges);
+            });
+        });
+    }
+
     for (const shape of STREAM_SHAPES) {
         const isFitting = (isResumable: boolean): boolean =>
-            shape.isFitting?.({ isResumable, run: "stream", total: TOTAL, from: 1 }, 1 + EVENTS_BEFORE) ?? true;
+            shape.isFitting?.({ isResumable, run: "stream", total: TOTAL, from: 1, style: PLAIN }, 1 + EVENTS_BEFORE)
+                ?? true;
         const framings = FRAMINGS.filter(framing => shape.framings?.includes(framing) ?? true);
         const send = (route: typeof RESUMABLE, shapes: readonly StreamShape[]): Promise<StreamExchange[]> =>
             Promise.all(framings.map(framing => sendStream(route, shapes, framing)));
