--- a/src/eventStream/parseEvent/index.ts
+++ b/src/eventStream/parseEvent/index.ts
@@ -4,6 +4,10 @@
 import { EventRules, FirstField } from "../eventRules/index.js";
 
 const LINE_END_PATTERN = /\r\n|\r|\n/;
+/** Names of fields that other senders may add, and that readers ignore. */
+const OTHER_FIELD_PATTERN = /^[a-z][\w.-]*$/i;
+const STATUS_LINE_PATTERN = /HTTP\/1\.[01] \d{3}/;
+const KNOWN_FIELDS: ReadonlySet<string> = new Set(["data", "id", "event", "retry"]);
 const ID_AT_LINE_END_PATTERN = /id: ?(\d{1,15})$/;
 
 /** The parts of a block by which it is judged. */
@@ -20,7 +24,8 @@
 
 interface Field {
     readonly name: string;
-    readonly value: string;
+    /** Undefined: the line has no colon. */
+    readonly value: string | undefined;
 }
 
 /**
@@ -35,7 +40,10 @@
     const lines = splitLines(block.toString("latin1")).filter(line => line !== "" && !line.startsWith(":"));
     const fields = lines.map(parseField);
     if (firstField && fields.length > 0 && isFirstField(fields[0], firstField)) fields.shift();
-    if (!fields.every(isField)) return reject("a line that is no field of an event");
+    if (!fields.every(field => isField(field, firstField))) return reject("a line that is no field of an event");
+    if (fields.some((field, index) => isHeadOfAnswer(field, fields.at(index + 1)))) {
+        return reject("the head of an answer");
+    }
     return checkFields(fields).map(event => ({ ...event, enclosedIds: findEnclosedIds(lines) }));
 }
 
@@ -45,28 +53,36 @@
 
 function parseField(line: string): Field {
     const colonAt = line.indexOf(":");
-    if (colonAt < 0) return { name: line, value: "" };
+    if (colonAt < 0) return { name: line, value: undefined };
     return { name: line.slice(0, colonAt), value: line.slice(line[colonAt + 1] === " " ? colonAt + 2 : colonAt + 1) };
 }
 
 function isFirstField({ name, value }: Field, first: FirstField): boolean {
-    return name === first.name && first.value.test(value);
+    return name === first.name && value !== undefined && first.value.test(value);
 }
 
-function isField({ name, value }: Field): boolean {
-    if (name === "retry") return /^\d+$/.test(value);
-    return name === "data" || name === "id" || name === "event";
+function isField({ name, value }: Field, first: FirstField | undefined): boolean {
+    if (name === "retry") return /^\d+$/.test(value ?? "");
+    if (KNOWN_FIELDS.has(name)) return true;
+    // A line without a colon is a field by the format as well, but any text is.
+    return value !== undefined && OTHER_FIELD_PATTERN.test(name) && name !== first?.name;
+}
+
+/** Whether an answer's status line ends a field, and its headers, which look like fields, follow. */
+function isHeadOfAnswer({ value }: Field, next: Field | undefined): boolean {
+    return next !== undefined && !KNOWN_FIELDS.has(next.name) && STATUS_LINE_PATTERN.test(value ?? "");
 }
 
 function checkFields(fields: readonly Field[]): Either<EventError, Omit<ParsedEvent, "enclosedIds">> {
     const ids = fields.filter(({ name }) => name === "id");
     const types = fields.filter(({ name }) => name === "event");
     const hasData = fields.some(({ name }) => name === "data");
+    const hasOther = fields.some(({ name }) => !KNOWN_FIELDS.has(name));
     if (ids.length > 1) return reject("an event with several ids");
     if (types.length > 1) return reject("an event with several types");
-    const isComment = ids.length + types.length === 0 && !hasData;
+    const isComment = ids.length + types.length === 0 && !hasData && !hasOther;
     if (!hasData && !isComment) return reject("an event without data");
-    return Right({ isComment, id: ids.at(0)?.value });
+    return Right({ isComment, id: ids.length > 0 ? ids[0].value ?? "" : undefined });
 }
 
 function findEnclosedIds(lines: readonly string[]): number[] {
--- a/src/eventStream/parseEvent/test.ts
+++ b/src/eventStream/parseEvent/test.ts
@@ -25,6 +25,8 @@
             ["the line that an event may have before its fields", "weights: 3\nid: 7\ndata: x\n\n"],
             ["several data lines", "id: 7\ndata: x\ndata\n\n"],
             ["many data lines", `id: 7\n${"data: x\n".repeat(40)}\n`],
+            ["fields that readers ignore", "note: x\nid: 7\nmeta:\ndata: x\nx-trace.id: y\n\n"],
+            ["a status line in its text", "id: 7\ndata: HTTP/1.1 200 OK\ndata: content-type: x\n\n"],
             ["text of several bytes a character", "id: 7\ndata: \u00e6\u4e2d\n\n"],
         ];
         for (const [name, text] of events) {
@@ -67,6 +69,10 @@
             ["bytes that are not UTF-8", Buffer.from("id: 7\ndata: \xff\xfe\n\n", "latin1")],
             ["the head of an answer", "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n"],
             ["an id without data", "id: 7\n\n"],
+            ["a field that readers ignore, alone", "note: x\n\n"],
+            ["a line without a colon", "id: 7\nnote\ndata: x\n\n"],
+            ["a name that no field has", "id: 7\n{\"a\": 1}\ndata: x\n\n"],
+            ["half an event, then the head of an answer", "id: 7\ndata: haHTTP/1.1 200 OK\r\nx-note: 1\r\n\r\n"],
             ["two ids", "id: 7\nid: 8\ndata: x\n\n"],
             ["half an event, then a whole one", "id: 7\nda\nid: 8\ndata: x\n\n"],
             ["a second id behind a CR alone", "id: 7\ndata: x\rid: 8\n\n"],
--- a/src/passthrough/relayStream/test.ts
+++ b/src/passthrough/relayStream/test.ts
@@ -196,6 +196,7 @@
             ["the first event once more", event(1)],
             ["a later event", event(4)],
             ["the head of a second answer", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"],
+            ["half an event and the head of a second answer", "id: 3\ndata: haHTTP/1.1 200 OK\r\nx-note: 1\r\n\r\n"],
             ["half an event and a whole one", `id: 3\nda${event(3)}`],
             ["half an event and the next one", `id: 3\ndata: ha${event(4)}${event(5)}`],
             ["half an event and itself", `id: 3\ndata: ha${event(3)}`],
@@ -234,6 +235,7 @@
         const forms: readonly (readonly [string, string])[] = [
             ["two data lines", "id: 2\ndata: first\ndata: second\n\n"],
             ["forty data lines", `id: 2\n${"data: line\n".repeat(40)}\n`],
+            ["a field that readers ignore", "id: 2\nnote: x\ndata: event 2\nmeta: y\n\n"],
             ["a data line with the id of the next event", "id: 2\ndata: - id: 3\ndata:   name: x\n\n"],
         ];
         for (const framing of FRAMINGS) {
--- a/src/tools/garbledStreams/streamShapes/index.ts
+++ b/src/tools/garbledStreams/streamShapes/index.ts
@@ -87,6 +87,7 @@
     faulty("gap", instead((asked, at) => event(asked, at + 1))),
     faulty("second answer for an event", endWith(asked => secondAnswer(asked))),
     faulty("half an event, then the end", endWith(halfEvent)),
+    faulty("half an event, then a second answer", endWith((asked, at) => halfEvent(asked, at) + secondAnswer(asked))),
     faulty("half an event, then the next ones", instead(halfEvent)),
     faulty("half an event, then itself", instead((asked, at) => halfEvent(asked, at) + event(asked, at))),
     faulty("id line, then the end", endWith((asked, at) => `${listEventLines(asked, at)[0]}\n`)),
--- a/src/tools/garbledStreams/streamStyles/index.ts
+++ b/src/tools/garbledStreams/streamStyles/index.ts
@@ -15,6 +15,8 @@
     PLAIN,
     { ...PLAIN, name: "two-data-lines", linesBehind: ["data: second line"] },
     { ...PLAIN, name: "many-data-lines", linesBehind: Array.from({ length: LONG_TEXT_LINES }, () => "data: line") },
+    { ...PLAIN, name: "all-fields", linesBefore: ["event: part", "retry: 100"] },
+    { ...PLAIN, name: "unknown-fields", linesBefore: ["note: x"], linesBehind: ["meta: y"] },
 ];
 
 /**
--- a/src/tools/garbledStreams/test.ts
+++ b/src/tools/garbledStreams/test.ts
@@ -137,9 +137,9 @@
 
             it("go on at another upstream where the first one breaks off", async () => {
                 // Failure: the next upstream is asked for another event than the one that is due, or its part is rejected.
-                const shapes = [BROKEN_OFF, BROKEN_OFF];
-                const send = (framing: Framing) => sendStream(RESUMABLE, [...shapes], framing, style);
-                const exchanges = await Promise.all(FRAMINGS.map(send));
+                const exchanges = await Promise.all(
+                    FRAMINGS.map(framing => sendStream(RESUMABLE, [BROKEN_OFF], framing, style)),
+                );
                 assertNoFaults(exchanges);
                 assertComplete(exchanges);
             });
