--- a/src/entry/routeService/index.ts
+++ b/src/entry/routeService/index.ts
@@ -1,6 +1,7 @@
 import { ControlClient, ViewCache } from "../../control/index.js";
 import { AnnouncementSubscriber, DepartureNotice, UpdateLevel } from "../../discovery/index.js";
 import { Dispatcher, SendGuard } from "../../dispatch/index.js";
+import { PoolNumberings } from "../../eventStream/index.js";
 import { ZoneId } from "../../ids/index.js";
 import { Lifecycle } from "../../lifecycle/index.js";
 import { Logger } from "../../logging/index.js";
@@ -155,6 +156,7 @@
             view,
             starts: this.startMeter,
             durations: new CallDurations(),
+            numberings: new PoolNumberings(),
             durability: this.options.replicator,
         });
         const listener = await http.serve(callers, toHttpLimits(DEFAULT_CALLER_LIMITS), handler);
--- a/src/eventStream/eventReader/test.ts
+++ b/src/eventStream/eventReader/test.ts
@@ -111,7 +111,7 @@
         assert.deepEqual([String(bytes), lastId, error?.kind], [event(1), 1, "malformed"]);
     });
 
-    it("returns a prefix of the true events, whatever stands in place of the others", () => {
+    it("returns true events in equal steps, whatever stands in place of the others", () => {
         // Failure: bytes that no run made reach the caller.
         const spoilt = fc.array(fc.oneof(fc.nat(5).map(id => event(id)), fc.string(), fc.constant("\n\n")));
         fc.assert(
@@ -122,8 +122,11 @@
                 const first = reader.push(sent.subarray(0, cut));
                 const second = first.error ? undefined : reader.push(sent.subarray(cut));
                 const read = dropPadding(String(first.bytes) + String(second?.bytes ?? ""));
-                const expected = Array.from({ length: 9 }, (_, index) => event(index + 1)).join("");
-                return expected.startsWith(read) && read.length >= truth.length;
+                const ids = [...read.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
+                const step = good >= 2 ? 1 : ids[1] - ids[0];
+                const isEven = ids.every((id, index) => index === 0 || id - ids[index - 1] === step);
+                return read.startsWith(truth) && read === ids.map(event).join("") && isEven
+                    && !(ids[0] > 1 && ids[0] !== step);
             }),
             { seed: SEED, numRuns: 2_000 },
         );
--- a/src/eventStream/eventRules/index.ts
+++ b/src/eventStream/eventRules/index.ts
@@ -6,7 +6,7 @@
 
 /** What a dialect promises of the events of a stream, beside the format of server-sent events. */
 export interface EventRules {
-    /** Whether no event of a stream needs an id. Where events have ids, these are consecutive numbers from 1. */
+    /** Whether no event of a stream needs an id. Where events have ids, these are numbers that rise in equal steps. */
     readonly mayOmitIds: boolean;
     /** Undefined: none. */
     readonly firstField?: FirstField;
--- a/src/eventStream/eventSequence/index.ts
+++ b/src/eventStream/eventSequence/index.ts
@@ -1,10 +1,11 @@
 import { Either, Left, Right } from "purify-ts";
 import { EventId } from "../../ids/index.js";
 import { EventError } from "../eventError/index.js";
+import { EventNumbering, KnownNumbering } from "../eventNumbering/index.js";
 import { EventRules } from "../eventRules/index.js";
 import { ParsedEvent, parseEvent } from "../parseEvent/index.js";
 
-const EVENT_ID_PATTERN = /^[1-9]\d{0,14}$/;
+const EVENT_ID_PATTERN = /^(?:0|[1-9]\d{0,14})$/;
 
 /**
  * What a block of a stream proves to be: its next event; an event that the next one has to prove; or a comment, which is part of no
@@ -16,7 +17,7 @@
     | { readonly kind: "comment"; };
 
 /**
- * Parses the id of an event: a number from 1.
+ * Parses the id of an event: a whole number from 0.
  *
  * @returns undefined for any other text.
  * @example
@@ -41,10 +42,17 @@
     private isNumbered: boolean | undefined;
     /** Whether the last event may be two events, of which the first lacks its end. */
     private isLastUnproven = false;
+    private readonly numbering: EventNumbering;
 
     /** @param lastId - The event before the first one that is due; undefined at the beginning of a stream. */
-    constructor(private readonly rules: EventRules, private lastId: EventId | undefined) {
+    constructor(private readonly rules: EventRules, lastId: EventId | undefined, known: KnownNumbering = {}) {
         this.isNumbered = lastId !== undefined || !rules.mayOmitIds ? true : undefined;
+        this.numbering = new EventNumbering(lastId, known);
+    }
+
+    /** What each id adds to the one before; undefined while it is not proved. */
+    get step(): number | undefined {
+        return this.numbering.step;
     }
 
     /** Judges the next block; one that is rejected changes nothing. */
@@ -58,9 +66,12 @@
 
     /** Returns why the stream can't end here; undefined where it can. */
     findEndError(): EventError | undefined {
-        return this.isLastUnproven
-            ? new EventError("unproven", "an event with the id of the next one in it")
-            : undefined;
+        if (this.isLastUnproven) return new EventError("unproven", "an event with the id of the next one in it");
+        if (!this.numbering.isWaiting) return undefined;
+        return new EventError(
+            "unproven",
+            `the end behind events of another numbering where ${this.numbering.due} was due`,
+        );
     }
 
     private judgeNumbered({ id, enclosedIds }: ParsedEvent): Either<EventError, JudgedEvent> {
@@ -68,7 +79,7 @@
             return reject("malformed", `an event with its own id ${id} in another field`);
         }
         return this.judgeId(id).map(event => {
-            this.isLastUnproven = enclosedIds.includes(this.lastId! + 1);
+            this.isLastUnproven = enclosedIds.includes(this.numbering.due);
             return this.isLastUnproven ? { kind: "unproven" } : event;
         });
     }
@@ -80,14 +91,15 @@
     }
 
     private judgeId(text: string | undefined): Either<EventError, JudgedEvent> {
-        const due = (this.lastId ?? 0) + 1;
+        const { due } = this.numbering;
         if (text === undefined) return reject("no-id", `an event without an id where ${due} was due`);
         const id = parseEventId(text);
         if (id === undefined) return reject("bad-id", `an event whose id is no number where ${due} was due`);
-        if (id < due) return reject("repeated", `event ${id} where ${due} was due`);
-        if (id > due) return reject("skipped", `event ${id} where ${due} was due`);
-        this.lastId = id;
-        return Right({ kind: "next", id });
+        const verdict = this.numbering.judge(id);
+        if (verdict === "next") return Right({ kind: "next", id });
+        return verdict === "unproven"
+            ? Right({ kind: "unproven" })
+            : reject(verdict, `event ${id} where ${due} was due`);
     }
 }
 
--- a/src/ids/index.ts
+++ b/src/ids/index.ts
@@ -34,7 +34,7 @@
 export type SoftwareVersion = Brand<string, "SoftwareVersion">;
 /** Id of a pool of interchangeable upstreams: the name of a model or a service. */
 export type PoolId = Brand<string, "PoolId">;
-/** Number of an event in its stream, from 1. */
+/** Number of an event in its stream, from 0; it rises from event to event. */
 export type EventId = Brand<number, "EventId">;
 /** Name of a service class of a template. */
 export type ClassName = Brand<string, "ClassName">;
--- a/src/passthrough/callContext/index.ts
+++ b/src/passthrough/callContext/index.ts
@@ -1,4 +1,5 @@
 import { Dispatcher, SendGuard } from "../../dispatch/index.js";
+import { PoolNumberings } from "../../eventStream/index.js";
 import { HostId, ZoneId } from "../../ids/index.js";
 import { Logger } from "../../logging/index.js";
 import { Metrics } from "../../metrics/index.js";
@@ -55,6 +56,8 @@
     readonly crashes: CrashGuard;
     readonly parts: PartGuard;
     readonly starts: StartMeter;
+    /** How the streams of each pool number their events. */
+    readonly numberings: PoolNumberings;
     /** Remembers where streams began. */
     readonly streams: StreamStartRegistry;
     /** Holds back answers until their starts are durable. */
--- a/src/passthrough/relayStream/index.ts
+++ b/src/passthrough/relayStream/index.ts
@@ -1,10 +1,11 @@
-import { EventError, EventReader, EventSequence, parseEventId, ReadEvents } from "../../eventStream/index.js";
+import { EventError, EventReader, EventSequence, ReadEvents } from "../../eventStream/index.js";
 import { findHeader, HttpError, HttpReply } from "../../ports/index.js";
 import { Attempt, AttemptResult } from "../attempt/index.js";
 import { CallContext } from "../callContext/index.js";
 import { ReplyHead } from "../callDialect/index.js";
 import { endWithHttpError } from "../endWithHttpError/index.js";
 import { recordUnproven } from "../recordUnproven/index.js";
+import { findLastEventId } from "../resolveResumption/index.js";
 import { StreamBeginning } from "../streamBeginning/index.js";
 import { writeToCaller } from "../writeToCaller/index.js";
 
@@ -22,12 +23,14 @@
     head: ReplyHead,
 ): Promise<AttemptResult> {
     const { answer, stream, silence } = attempt;
-    const reader = makeReader(ctx, attempt);
+    const sequence = makeSequence(ctx, attempt);
+    const reader = new EventReader(sequence, stream.isHeadSent);
     const { eventCount: earlierEvents } = stream;
     const beginning = new StreamBeginning(ctx, attempt);
     try {
         for await (const chunk of reply.body) {
             const events = reader.push(chunk);
+            stream.idStep = sequence.step;
             if (events.count > 0) {
                 await forward(ctx, attempt, events, beginning, () => sendStreamHead(attempt, reply, head));
             }
@@ -56,10 +59,10 @@
     return { kind: "answered", status: reply.status, deliver: () => answer.end(rest.unsafeCoerce()) };
 }
 
-function makeReader(ctx: CallContext, { call, stream }: Attempt): EventReader {
-    const lastId = stream.lastEventId ?? parseEventId(call.head.lastEventId ?? "");
-    const sequence = new EventSequence(ctx.dialect.eventRules(call.route.resumable), lastId);
-    return new EventReader(sequence, stream.isHeadSent);
+function makeSequence(ctx: CallContext, { call, stream }: Attempt): EventSequence {
+    const { route: { resumable }, pool } = call;
+    const known = { step: stream.idStep, history: ctx.numberings.of(pool) };
+    return new EventSequence(ctx.dialect.eventRules(resumable), stream.lastEventId ?? findLastEventId(call), known);
 }
 
 /** Forwards complete events to the caller, and waits until it can receive more. */
--- a/src/passthrough/relayStream/test.ts
+++ b/src/passthrough/relayStream/test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { PoolNumberings } from "../../eventStream/index.js";
 import { EventId } from "../../ids/index.js";
 import { HeaderList, HttpReply, VirtualClock } from "../../ports/index.js";
 import { Attempt, AttemptResult, SilenceWatch } from "../attempt/index.js";
@@ -29,7 +30,7 @@
     }
 }
 
-function makeContext(clock: VirtualClock): CallContext {
+function makeContext(clock: VirtualClock, numberings = new PoolNumberings()): CallContext {
     return {
         clock,
         time: { now: () => 0 },
@@ -37,6 +38,7 @@
         software: { find: () => undefined, isMixed: () => false },
         parts: { recordBegun() {} },
         dialect: new NativeDialect(),
+        numberings,
         metrics: { count() {} },
         logger: { warn() {} },
     } as unknown as CallContext;
@@ -95,6 +97,8 @@
     /** The last event that the caller says it has. */
     readonly lastEventId?: string;
     readonly stream?: StreamState;
+    /** How earlier streams numbered their events. */
+    readonly numberings?: PoolNumberings;
 }
 
 /** Relays a body that arrives in one piece. */
@@ -127,7 +131,7 @@
     })();
     const reset = (): void => void (isReset = true);
     const reply: HttpReply = { status: 200, headers: FRAMING_HEADERS[framing], body, reset };
-    const result = await relayStream(makeContext(new VirtualClock()), attempt, reply, NO_HEAD);
+    const result = await relayStream(makeContext(new VirtualClock(), options.numberings), attempt, reply, NO_HEAD);
     if (result.kind === "answered") result.deliver();
     return { result, steps: written, written: written.join(""), stream, isReset };
 }
@@ -250,6 +254,54 @@
         }
     });
 
+    describe("numberings", () => {
+        const numberings: readonly (readonly [string, readonly number[]])[] = [
+            ["from 0", [0, 1, 2, 3]],
+            ["from 0 by 4", [0, 4, 8, 12]],
+            ["from 1 by 4", [1, 5, 9, 13]],
+            ["by 4", [4, 8, 12, 16]],
+            ["from 1,000", [1_000, 1_001, 1_002, 1_003]],
+            ["from 1,000 by 10", [1_000, 1_010, 1_020, 1_030]],
+        ];
+        for (const framing of FRAMINGS) {
+            for (const [name, ids] of numberings) {
+                it(`reach the caller: ${name}, framed by ${framing}`, async () => {
+                    // Failure: the stream of a sound upstream is cut, since its ids are not those that others write.
+                    const body = ids.map(event).join("");
+                    const { result, written, stream } = await play(body, { framing });
+                    assert.deepEqual([result.kind, written, stream.lastEventId], ["answered", body, ids.at(-1)]);
+                });
+
+                it(`break off where an event is missing: ${name}, framed by ${framing}`, async () => {
+                    // Failure: a piece is missing, and the answer ends as complete.
+                    const { result, written } = await play([ids[0], ids[1], ids[3]].map(event).join(""), { framing });
+                    assert.equal(result.kind, "ended");
+                    assert.ok([ids[0], ids[1]].map(event).join("").startsWith(written), written);
+                });
+            }
+        }
+
+        it("go on with their step at another upstream", async () => {
+            const begun = (await play(event(4) + event(8), { framing: "close" })).stream;
+            assert.equal((await play(event(12) + event(16), { stream: begun })).result.kind, "answered");
+            for (const wrong of [9, 16]) {
+                // Failure: the rest of another upstream does not begin where the caller's part ends.
+                const { result, written } = await play(event(wrong), {
+                    stream: { ...begun, lastEventId: 8 as EventId },
+                });
+                assert.deepEqual([result.kind, written], ["ended", ""]);
+            }
+        });
+
+        it("pass without a wait once the pool's streams have shown theirs", async () => {
+            const numberings = new PoolNumberings();
+            await play([4, 8, 12].map(event).join(""), { numberings });
+            const { steps } = await playParts([4, 8].map(event), { numberings });
+            assert.deepEqual(steps.slice(0, 2), [event(4), event(8)]);
+            assert.equal((await play(event(4), { numberings })).result.kind, "answered");
+        });
+    });
+
     describe("bytes that are part of no event", () => {
         const bodies: readonly (readonly [string, string])[] = [
             ["a comment before the first event", `: wait\n\n${event(1)}${event(2)}`],
--- a/src/passthrough/sendCall/index.ts
+++ b/src/passthrough/sendCall/index.ts
@@ -9,6 +9,7 @@
 import { recordStart } from "../recordStart/index.js";
 import { relayAnswer } from "../relayAnswer/index.js";
 import { relayStream } from "../relayStream/index.js";
+import { findLastEventId } from "../resolveResumption/index.js";
 
 /** Timeout for connecting to an upstream, in milliseconds: less than the first retransmission of a lost SYN. */
 const CONNECT_TIMEOUT_MS = 250;
@@ -41,7 +42,7 @@
             deadlineMs: remainingMs,
             priority: grant.priority,
             fetchFrom: grant.fetchFrom,
-            lastEventId: attempt.stream.lastEventId?.toString() ?? call.head.lastEventId,
+            lastEventId: findLastEvent(attempt),
         }),
         body: call.body.length > 0 || !METHODS_WITHOUT_BODY.includes(call.method) ? call.body : undefined,
         newConnection: false,
@@ -57,6 +58,12 @@
     return handleReply(ctx, attempt, sent);
 }
 
+/** Returns what the upstream is told of the last event. */
+function findLastEvent({ call, stream }: Attempt): string | undefined {
+    if (call.route.kind !== "stream") return call.head.lastEventId;
+    return (stream.lastEventId ?? findLastEventId(call))?.toString();
+}
+
 async function handleReply(
     ctx: CallContext,
     attempt: Attempt,
--- a/src/passthrough/sendCall/test.ts
+++ b/src/passthrough/sendCall/test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { Right } from "purify-ts";
+import { PoolNumberings } from "../../eventStream/index.js";
 import { HeaderList, HttpError, HttpReply, VirtualClock } from "../../ports/index.js";
 import { Attempt, AttemptResult } from "../attempt/index.js";
 import { CallContext } from "../callContext/index.js";
@@ -89,6 +90,7 @@
         parts: { recordBegun() {} },
         sendGuard: { recordAnswer() {} },
         dialect: new NativeDialect(),
+        numberings: new PoolNumberings(),
         metrics: { count() {} },
         logger: { warn() {} },
     } as unknown as CallContext;
--- a/src/passthrough/streamState/index.ts
+++ b/src/passthrough/streamState/index.ts
@@ -6,6 +6,8 @@
     eventCount: number;
     /** The id of the last event; undefined before it, and where events have no ids. */
     lastEventId: EventId | undefined;
+    /** What each id adds to the one before; undefined while it is not proved. */
+    idStep: number | undefined;
     /** Version of the software of the upstream that sent the first event; undefined before it, or where it is unknown. */
     startedBy: SoftwareVersion | undefined;
     /** Whether the head of the answer has been sent to the caller. */
@@ -26,6 +28,7 @@
     return {
         eventCount: 0,
         lastEventId: undefined,
+        idStep: undefined,
         startedBy: undefined,
         isHeadSent: false,
         firstEventMs: undefined,
--- a/src/tools/garbledStreams/drawGarbledReply/index.ts
+++ b/src/tools/garbledStreams/drawGarbledReply/index.ts
@@ -3,7 +3,7 @@
 import { RawReply, RawRequest } from "../../rawUpstream/index.js";
 import { STREAM_ROUTES } from "../garblePlan/index.js";
 import { AskedStream, STREAM_SHAPES, StreamShape } from "../streamShapes/index.js";
-import { findStreamStyle } from "../streamStyles/index.js";
+import { findStreamStyle, numberOf } from "../streamStyles/index.js";
 
 /** A stream that an upstream sent. */
 export interface ServedStream extends AskedStream {
@@ -55,10 +55,11 @@
 
 /** Reads which events a request asks for: its path is `/ROUTE/RUN/TOTAL/STYLE`. */
 export function readAskedStream({ path, lastEventId }: Pick<RawRequest, "path" | "lastEventId">): AskedStream {
-    const [, route, run, total, style] = path.split("/");
+    const [, route, run, total, styleName] = path.split("/");
+    const style = findStreamStyle(styleName);
     const isResumable = STREAM_ROUTES.some(each => each.name === route && each.isResumable);
-    const from = (Number(lastEventId) || 0) + 1;
-    return { run, isResumable, from, total: Number(total), style: findStreamStyle(style) };
+    const from = lastEventId === undefined ? 1 : numberOf(style, Number(lastEventId)) + 1;
+    return { run, isResumable, from, style, total: Number(total) };
 }
 
 function isFitting(shape: StreamShape, asked: AskedStream, at: number, framing: Framing): boolean {
--- a/src/tools/garbledStreams/streamCaller/index.ts
+++ b/src/tools/garbledStreams/streamCaller/index.ts
@@ -6,7 +6,7 @@
 import { findPieceFault, StreamExchange } from "../checkGarbledStreams/index.js";
 import { STREAM_HOST, STREAM_ROUTES, StreamCallerPlan, StreamRoute } from "../garblePlan/index.js";
 import { readEvents } from "../readEvents/index.js";
-import { STREAM_STYLES } from "../streamStyles/index.js";
+import { idOf, STREAM_STYLES } from "../streamStyles/index.js";
 
 /** What a caller needs to know of the fleet. */
 export interface StreamSurroundings {
@@ -87,7 +87,7 @@
         if (!isConnected) this.entry = this.random.integer(0, this.surroundings.addresses.length);
         const resumption: Record<string, string> = begunBy === undefined
             ? {}
-            : { [CALL_HEADERS.lastEventId]: String(received), [CALL_HEADERS.resumes]: begunBy };
+            : { [CALL_HEADERS.lastEventId]: String(idOf(stream.style, received)), [CALL_HEADERS.resumes]: begunBy };
         const sentAt = Date.now();
         const answer = await exchangeCall({
             agent: this.agent,
--- a/src/tools/garbledStreams/streamShapes/index.ts
+++ b/src/tools/garbledStreams/streamShapes/index.ts
@@ -1,5 +1,5 @@
 import { Framing, RawStream } from "../../formatRawStream/index.js";
-import { StreamStyle } from "../streamStyles/index.js";
+import { idOf, StreamStyle } from "../streamStyles/index.js";
 
 /** A stream as an upstream was asked for it. */
 export interface AskedStream {
@@ -41,7 +41,7 @@
 /** Returns the lines of an event, which prove its run and its number. */
 export function listEventLines({ run, total, style }: RunOfEvents, number: number): string[] {
     return [
-        `id: ${number}`,
+        `id: ${idOf(style, number)}`,
         ...style.linesBefore,
         `data: ${run} event ${number} of ${total}`,
         ...style.linesBehind,
@@ -80,11 +80,21 @@
         isFitting: ({ isResumable }, at) => isResumable || at > 1,
     },
     faulty("invalid UTF-8 for an event", instead(() => `${INVALID_UTF8}\n\n`)),
-    faulty("two ids in an event", instead((asked, at) => `id: ${at}\nid: ${at + 5}\ndata: ${asked.run}\n\n`)),
-    faulty("id behind a lone CR", instead((asked, at) => `id: ${at}\ndata: ${asked.run}\rid: ${at + 5}\n\n`)),
+    faulty(
+        "two ids in an event",
+        instead((asked, at) => `${idLine(asked, at)}\n${idLine(asked, at + 5)}\ndata: ${asked.run}\n\n`),
+    ),
+    faulty(
+        "id behind a lone CR",
+        instead((asked, at) => `${idLine(asked, at)}\ndata: ${asked.run}\r${idLine(asked, at + 5)}\n\n`),
+    ),
     faulty("event once more", instead((asked, at) => event(asked, at) + event(asked, at))),
     faulty("first event once more", instead((asked, at) => event(asked, at) + event(asked, 1))),
-    faulty("gap", instead((asked, at) => event(asked, at + 1))),
+    {
+        ...faulty("gap", instead((asked, at) => event(asked, at + 1))),
+        // A stream that lacks its first event can't be told from one that begins there, but for streams that begin at 1 or at their step.
+        isFitting: ({ style: { firstId, step } }, at) => at > 1 || firstId === (step === 1 ? 1 : step),
+    },
     faulty("second answer for an event", endWith(asked => secondAnswer(asked))),
     faulty("half an event, then the end", endWith(halfEvent)),
     faulty("half an event, then a second answer", endWith((asked, at) => halfEvent(asked, at) + secondAnswer(asked))),
@@ -141,6 +151,10 @@
     return (asked, at) => ({ parts: [...listEvents(asked, at), makeText(asked, at)] });
 }
 
+function idLine({ style }: AskedStream, number: number): string {
+    return `id: ${idOf(style, number)}`;
+}
+
 function event(asked: AskedStream, number: number): string {
     return `${listEventLines(asked, number).join("\n")}\n\n`;
 }
