--- a/src/emulator/emulatedCallUpstream/index.ts
+++ b/src/emulator/emulatedCallUpstream/index.ts
@@ -2,6 +2,8 @@
 import {
     Address,
     Clock,
+    decodeHeaderText,
+    encodeHeaderText,
     findHeader,
     HeaderList,
     Http,
@@ -294,7 +296,7 @@
             retryAfter,
             statesDeparture: this.isLeaving,
         });
-        const expected = findHeader(req.headers, CALL_HEADERS.upstream);
+        const expected = decodeHeaderText(findHeader(req.headers, CALL_HEADERS.upstream) ?? "");
         if (expected !== this.options.id) return this.sendNotRun(res, request, 421);
         if (req.path === CACHE_PATH) return this.sendCachedParts(res);
         if (retryAfter !== undefined) return this.sendNotRun(res, request, 503, [["retry-after", retryAfter]]);
@@ -303,7 +305,8 @@
         const engine = this.engines.at(-1);
         if (engine ? engine.isFull : this.openResponses.size >= this.room) return this.reject(res, request);
         const body = (await req.body(MAX_BODY_BYTES)).map(bytes => Buffer.from(bytes).toString()).orDefault("");
-        const workspace = findHeader(req.headers, CALL_HEADERS.workspace);
+        const workspaceHeader = findHeader(req.headers, CALL_HEADERS.workspace);
+        const workspace = workspaceHeader === undefined ? undefined : decodeHeaderText(workspaceHeader);
         const at = this.options.clock.monotonic();
         const run: CallRun = { request, workspace, path: req.path, body, headers: req.headers, at };
         this.runs.push(run);
@@ -418,7 +421,7 @@
     private answerHeaders(request: string): [string, string][] {
         const headers: [string, string][] = [
             [CALL_HEADERS.request, request],
-            [CALL_HEADERS.signature, `${this.options.id}/${request}`],
+            [CALL_HEADERS.signature, encodeHeaderText(`${this.options.id}/${request}`)],
             ...this.stateHeaders(),
         ];
         if (this.requestLimit !== undefined) headers.push([CALL_HEADERS.requestLimit, String(this.requestLimit)]);
--- /dev/null
+++ b/src/entry/unusualNames/test.ts
@@ -0,0 +1,72 @@
+import assert from "node:assert/strict";
+import { afterEach, describe, it } from "node:test";
+import { RoutedFleet, RoutedFleetOptions, TestReply } from "../../faultInjection/index.js";
+
+const KEY = "plain-key";
+const NAMES = ["Huế", "Café", "Cafe\u0301", "名前", "emoji \u{1F600}", "100%", "a|b:c,d#e"];
+
+function makeRoute(parts: object = {}): object {
+    return {
+        name: "status",
+        host: "shop.example",
+        pathPrefix: "/status/",
+        kind: "idempotent",
+        timeoutMs: 2_000,
+        targetMs: 300,
+        tier: 1,
+        attempts: 2,
+        resumable: false,
+        keyless: false,
+        targets: [{ pool: "ledger", weight: 1 }],
+        ...parts,
+    };
+}
+
+function makeDocument(parts: Record<string, unknown> = {}): unknown {
+    return {
+        version: 1,
+        routes: [makeRoute()],
+        pools: [{ pool: "ledger", connections: 100 }],
+        limits: { headerBytes: 16_384, bodyBytes: 1_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+        workspaces: [{ workspace: "butcher", keys: [KEY] }],
+        ...parts,
+    };
+}
+
+describe("names that not every header, path or object can hold", () => {
+    let fleet: RoutedFleet;
+
+    async function startFleet(document: unknown, layout: Partial<RoutedFleetOptions> = {}): Promise<void> {
+        fleet = new RoutedFleet({ controls: 3, ...layout });
+        await fleet.start(document);
+    }
+
+    function call(key: string, path = "/status/1", host?: string): Promise<TestReply> {
+        return fleet.call({ entry: 0, path, key, host });
+    }
+
+    /** Workspaces that upstreams were told, one for each run. */
+    function listWorkspaces(): (string | undefined)[] {
+        return fleet.upstreams.flatMap(({ runs }) => runs.map(({ workspace }) => workspace));
+    }
+
+    afterEach(() => fleet.close());
+
+    describe("workspaces", () => {
+        it("are told to upstreams as they are, in one encoding", async () => {
+            // Failure: each request of such a workspace gets a 500, or two names reach upstreams as one.
+            const workspaces = NAMES.map((workspace, number) => ({ workspace, keys: [`key-${number}`] }));
+            await startFleet(makeDocument({ workspaces }));
+            for (const number of NAMES.keys()) assert.equal((await call(`key-${number}`)).status, 200);
+            assert.deepEqual(listWorkspaces().sort(), [...NAMES].sort());
+        });
+    });
+
+    describe("upstreams", () => {
+        it("are addressed by their ids as they are", async () => {
+            // Failure: an upstream is announced and granted, and no request can be sent to it.
+            await startFleet(makeDocument(), { upstreams: [{ id: "máy-chủ-1" }] });
+            assert.equal((await call(KEY)).status, 200);
+        });
+    });
+});
--- a/src/faultInjection/testCaller/index.ts
+++ b/src/faultInjection/testCaller/index.ts
@@ -1,5 +1,5 @@
 import { CALL_HEADERS } from "../../passthrough/index.js";
-import { Address, Clock, HeaderList, MemoryHttpFabric } from "../../ports/index.js";
+import { Address, Clock, encodeHeaderText, HeaderList, MemoryHttpFabric } from "../../ports/index.js";
 
 const CALLER_HOST = "10.0.8.1";
 /** Time limit of a call: for the head of its response, and where a test waits for it, for its end. */
@@ -10,6 +10,8 @@
     /** Index of the entry process. */
     readonly entry: number;
     readonly path: string;
+    /** The `Host` header; by default that of all routes of tests. */
+    readonly host?: string;
     readonly method?: string;
     readonly body?: string;
     /** The caller's API key, sent as a bearer token. */
@@ -49,7 +51,7 @@
      */
     async send(
         address: Address,
-        { path, method = "POST", body = "", key, headers = [], ...rest }: TestCall,
+        { path, host = "shop.example", method = "POST", body = "", key, headers = [], ...rest }: TestCall,
     ): Promise<TestReply> {
         const startedAt = this.clock.monotonic();
         const request = rest.request ?? `call-${++this.generatedIds}`;
@@ -58,9 +60,9 @@
             method,
             path,
             headers: [
-                ["host", "shop.example"],
+                ["host", encodeHeaderText(host)],
                 [CALL_HEADERS.request, request],
-                ...(key === undefined ? [] : [["authorization", `Bearer ${key}`] as const]),
+                ...(key === undefined ? [] : [["authorization", encodeHeaderText(`Bearer ${key}`)] as const]),
                 ...headers,
             ],
             body: Buffer.from(body),
--- a/src/passthrough/nativeDialect/index.ts
+++ b/src/passthrough/nativeDialect/index.ts
@@ -2,7 +2,15 @@
 import * as z from "zod";
 import { EventRules } from "../../eventStream/index.js";
 import { RequestId, UpstreamId } from "../../ids/index.js";
-import { findHeader, findHeaders, formatAddress, HeaderList, HttpReply, HttpRequest } from "../../ports/index.js";
+import {
+    encodeHeaderText,
+    findHeader,
+    findHeaders,
+    formatAddress,
+    HeaderList,
+    HttpReply,
+    HttpRequest,
+} from "../../ports/index.js";
 import {
     LEAVING_HEADER,
     ReadEntries,
@@ -107,10 +115,10 @@
         const { upstream, workspace, deadlineMs, priority, lastEventId, fetchFrom } = fields;
         const added: [string, string][] = [
             [CALL_HEADERS.deadlineMs, String(deadlineMs)],
-            [CALL_HEADERS.upstream, upstream],
+            [CALL_HEADERS.upstream, encodeHeaderText(upstream)],
             [CALL_HEADERS.priority, String(priority)],
         ];
-        if (workspace !== undefined) added.push([CALL_HEADERS.workspace, workspace]);
+        if (workspace !== undefined) added.push([CALL_HEADERS.workspace, encodeHeaderText(workspace)]);
         if (lastEventId !== undefined) added.push([CALL_HEADERS.lastEventId, lastEventId]);
         if (fetchFrom !== undefined) added.push([CALL_HEADERS.fetchFrom, formatAddress(fetchFrom)]);
         return [...head.headers, ...added];
@@ -141,7 +149,7 @@
     }
 
     writeCacheQuery(upstream: UpstreamId): UpstreamQuery {
-        return { method: "GET", path: CACHE_PATH, headers: [[CALL_HEADERS.upstream, upstream]] };
+        return { method: "GET", path: CACHE_PATH, headers: [[CALL_HEADERS.upstream, encodeHeaderText(upstream)]] };
     }
 
     readCacheList(status: number, body: string): Either<CacheListError, ReadEntries<PromptPart>> {
--- a/src/platform/heartbeat/test.ts
+++ b/src/platform/heartbeat/test.ts
@@ -85,6 +85,14 @@
         assert.ok(parseHeartbeat("i".repeat(129), Buffer.from(JSON.stringify(HEARTBEAT))).isLeft());
     });
 
+    it("refuses an id that a header can't hold", () => {
+        // Failure: requests are granted to the engine, and none can be sent, since each names it in a header.
+        for (const id of ["i-1\r\nx: 1", " i-1", "i-1 ", "\u0000", ""]) {
+            assert.ok(parseHeartbeat(id, Buffer.from(JSON.stringify(HEARTBEAT))).isLeft(), JSON.stringify(id));
+        }
+        assert.ok(parseHeartbeat("máy-chủ-1", Buffer.from(JSON.stringify(HEARTBEAT))).isRight());
+    });
+
     it("gives the departure after the last possible heartbeat a number that other hosts accept", () => {
         // Failure: other hosts discard the departure and keep sending work to the engine.
         const last = parse({ ...HEARTBEAT, sequence: MAX_ORDINAL }).unsafeCoerce();
--- a/src/platform/parseFleetDocument/index.ts
+++ b/src/platform/parseFleetDocument/index.ts
@@ -1,4 +1,5 @@
-import { Either } from "purify-ts";
+import { isUtf8 } from "node:buffer";
+import { Either, Left } from "purify-ts";
 import * as z from "zod";
 import { CallKind, checkDocument, DEFAULT_CALLER_LIMITS, DocumentError, FleetDocument } from "../../routing/index.js";
 
@@ -88,6 +89,7 @@
 }
 
 function parseJson(source: Uint8Array): Either<DocumentError, unknown> {
+    if (!isUtf8(source)) return Left(new DocumentError("not JSON: bytes that are not UTF-8"));
     return Either.encase(() => JSON.parse(Buffer.from(source).toString()) as unknown)
         .mapLeft(err => new DocumentError(`not JSON: ${err.message}`));
 }
--- a/src/platform/parseFleetDocument/test.ts
+++ b/src/platform/parseFleetDocument/test.ts
@@ -56,6 +56,12 @@
         assert.equal(pools[1].cold, undefined);
     });
 
+    it("rejects bytes that are not UTF-8", () => {
+        // Failure: two names that differ in such bytes are read as one.
+        const source = Buffer.from(JSON.stringify(CONFIG).replace("hule930", "hule\xff"), "latin1");
+        assert.match(parseFleetDocument(source).swap().map(err => err.message).orDefault(""), /not UTF-8/);
+    });
+
     it("accepts unknown fields", () => {
         assert.ok(parse({ ...CONFIG, later: { more: 1 }, routes: [{ ...ROUTE, later: 1 }] }).isRight());
     });
--- a/src/platform/platformDialect/index.ts
+++ b/src/platform/platformDialect/index.ts
@@ -14,7 +14,15 @@
     UpstreamCallFields,
     UpstreamQuery,
 } from "../../passthrough/index.js";
-import { findHeader, findHeaders, formatAddress, HeaderList, HttpReply, HttpRequest } from "../../ports/index.js";
+import {
+    encodeHeaderText,
+    findHeader,
+    findHeaders,
+    formatAddress,
+    HeaderList,
+    HttpReply,
+    HttpRequest,
+} from "../../ports/index.js";
 import { ReadEntries, readEntries } from "../../protocol/index.js";
 import { PromptPart } from "../../upstream/index.js";
 
@@ -118,10 +126,10 @@
         const { upstream, workspace, deadlineMs, priority, lastEventId, fetchFrom } = fields;
         const added: [string, string][] = [
             [HEADER_NAMES.deadline, String(deadlineMs)],
-            [HEADER_NAMES.expectInstance, upstream],
+            [HEADER_NAMES.expectInstance, encodeHeaderText(upstream)],
             [HEADER_NAMES.priority, String(priority)],
         ];
-        if (workspace !== undefined) added.push([HEADER_NAMES.tenant, workspace]);
+        if (workspace !== undefined) added.push([HEADER_NAMES.tenant, encodeHeaderText(workspace)]);
         if (lastEventId !== undefined) added.push([HEADER_NAMES.lastEventId, lastEventId]);
         if (fetchFrom !== undefined) added.push([HEADER_NAMES.fetchFrom, formatAddress(fetchFrom)]);
         return [...head.headers, ...added];
@@ -152,7 +160,11 @@
     }
 
     writeCacheQuery(upstream: UpstreamId): UpstreamQuery {
-        return { method: "GET", path: "/kv-list", headers: [[HEADER_NAMES.expectInstance, upstream]] };
+        return {
+            method: "GET",
+            path: "/kv-list",
+            headers: [[HEADER_NAMES.expectInstance, encodeHeaderText(upstream)]],
+        };
     }
 
     readCacheList(status: number, body: string): Either<CacheListError, ReadEntries<PromptPart>> {
--- a/src/platform/platformDialect/test.ts
+++ b/src/platform/platformDialect/test.ts
@@ -73,6 +73,19 @@
         });
     });
 
+    describe("names in a head for an upstream", () => {
+        it("are sent as UTF-8", () => {
+            // Failure: a letter beyond Latin-1 makes each request fail, and one within it is sent in another encoding.
+            const head = dialect.readHead(makeRequest([ATTEMPT_HEADER])).unsafeCoerce();
+            const names = { workspace: "Huế" as WorkspaceId, upstream: "é-1" as UpstreamId };
+            const sent = new Map(dialect.writeHead(head, { ...SEND_MARKS, ...names }));
+            const decode = (name: string): string => Buffer.from(sent.get(name)!, "latin1").toString();
+            assert.equal(decode("sequoiamux-tenant"), "Huế");
+            assert.equal(decode("sequoiamux-expect-instance"), "é-1");
+            assert.equal(dialect.writeCacheQuery(names.upstream).headers[0][1], sent.get("sequoiamux-expect-instance"));
+        });
+    });
+
     describe("an upstream's head", () => {
         it("distinguishes a refusal from an answer", () => {
             assert.equal(dialect.readReply(makeReply(503, [["sequoiamux-not-executed", "1"]])).refused, true);
--- a/src/ports/index.ts
+++ b/src/ports/index.ts
@@ -10,6 +10,7 @@
 export * from "./deriveBudgetLimits/index.js";
 export * from "./disk/index.js";
 export * from "./fileDisk/index.js";
+export * from "./headerText/index.js";
 export * from "./http/index.js";
 export * from "./memoryDisk/index.js";
 export * from "./memoryFabric/index.js";
--- a/src/ports/memoryHttpFabric/index.ts
+++ b/src/ports/memoryHttpFabric/index.ts
@@ -1,3 +1,4 @@
+import { validateHeaderValue } from "node:http";
 import { Either, Left, Right } from "purify-ts";
 import { Mailbox } from "../_lib/mailbox.js";
 import { serveRawConnection } from "../_lib/serveRawConnection.js";
@@ -188,6 +189,8 @@
         const serverHost = call.address.host;
         const target = formatAddress(call.address);
         if (call.signal?.aborted) return Left(new HttpError("aborted", false, target));
+        // As Node does: it throws.
+        for (const [name, value] of call.headers) validateHeaderValue(name, value);
         const maxIdleMs = call.recentlyUsedOnly ? MAX_RECENT_IDLE_MS : MAX_POOL_IDLE_MS;
         const kept = call.newConnection ? undefined : this.httpFabric.takeConnection(
             this.host,
@@ -407,6 +410,7 @@
     }
 
     head(status: number, headers: HeaderList): void {
+        for (const [name, value] of headers) validateHeaderValue(name, value);
         this.isHeadSent = true;
         this.exchange.sendHead({ status, headers });
     }
--- a/src/protocol/announcement/index.ts
+++ b/src/protocol/announcement/index.ts
@@ -3,6 +3,7 @@
  * each change of state. Upstreams are known from their announcements only; there is no configured list.
  */
 import * as z from "zod";
+import { isHeaderText } from "../../ports/index.js";
 import {
     amountSchema,
     durationSchema,
@@ -40,7 +41,8 @@
 
 /** One announcement. It replaces those with a lower (incarnation, sequence). */
 export const announcementSchema = z.object({
-    id: z.string().min(1).max(128),
+    /** Sent to it in a header of each request. */
+    id: z.string().max(128).refine(isHeaderText, "a header can't hold it"),
     /** Increases with each start of the upstream. */
     incarnation: ordinalSchema,
     /** Increases with each announcement of one incarnation. */
--- a/src/relay/relayClient/index.ts
+++ b/src/relay/relayClient/index.ts
@@ -1,7 +1,7 @@
 import { Either, Left, Right } from "purify-ts";
 import { HostId, UpstreamId, ZoneId } from "../../ids/index.js";
 import { Metrics } from "../../metrics/index.js";
-import { Clock, formatAddress, Http, HttpError } from "../../ports/index.js";
+import { Clock, encodeHeaderText, formatAddress, Http, HttpError } from "../../ports/index.js";
 import { PathError, UpstreamCall, UpstreamReply } from "../../upstream/index.js";
 import { makeRelayCall } from "../relayCall/index.js";
 import { RelayHost } from "../relayDirectory/index.js";
@@ -82,7 +82,7 @@
     private async ask(relay: RelayHost, call: UpstreamCall, elapsedMs: number): Promise<RelayAttempt> {
         const { http, picker, self } = this.options;
         const end = picker.begin(relay.host);
-        const exchange = `${self}/${++this.exchangeCount}`;
+        const exchange = encodeHeaderText(`${self}/${++this.exchangeCount}`);
         const sent = await http.send(makeRelayCall(relay, self, call, elapsedMs, exchange));
         if (sent.isLeft()) {
             end();
--- a/src/routing/checkDocument/index.ts
+++ b/src/routing/checkDocument/index.ts
@@ -1,4 +1,5 @@
 import { Either, Left, Right } from "purify-ts";
+import { isHeaderText } from "../../ports/index.js";
 import { FleetDocument, fleetDocumentSchema, Route } from "../fleetDocument/index.js";
 
 /** Reason for which a document is rejected as a whole. */
@@ -19,7 +20,7 @@
         return Left(new DocumentError(`${issue.path.join(".") || "document"}: ${issue.message}`));
     }
     const document = parsed.data;
-    const fault = findRouteFault(document) ?? findKeyFault(document);
+    const fault = findRouteFault(document) ?? findNameFault(document) ?? findKeyFault(document);
     return fault === undefined ? Right(document) : Left(new DocumentError(fault));
 }
 
@@ -38,6 +39,16 @@
     return undefined;
 }
 
+/** Finds a text that could not be used: upstreams get the names of workspaces in a header, and callers send keys in one. */
+function findNameFault({ workspaces = [] }: FleetDocument): string | undefined {
+    for (const { workspace, keys } of workspaces) {
+        if (!isHeaderText(workspace)) return `workspace ${JSON.stringify(workspace)}: a header can't hold its name`;
+        // The message must not contain the key, since it ends up in logs.
+        if (!keys.every(isHeaderText)) return `workspace ${workspace}: a header can't hold one of its keys`;
+    }
+    return undefined;
+}
+
 function findKeyFault({ workspaces = [] }: FleetDocument): string | undefined {
     const owners = new Map<string, string>();
     const names = new Set<string>();
--- a/src/routing/checkDocument/test.ts
+++ b/src/routing/checkDocument/test.ts
@@ -38,6 +38,31 @@
         });
     });
 
+    describe("texts that a header can't hold", () => {
+        const faultOfWorkspace = (workspace: string, key = "k"): string =>
+            faultOf(makeDocument({ workspaces: [{ workspace, keys: [key] }] }));
+
+        it("accepts names and keys of any letters", () => {
+            for (const text of ["Huế", "Café", "名前", "a b", "100%", "__proto__"]) {
+                assert.equal(faultOfWorkspace(text, text), "good");
+            }
+        });
+
+        it("rejects names that would end a header or change on their way", () => {
+            // Failure: the document is accepted, and no request of the workspace can ever be served.
+            assert.match(faultOfWorkspace("a\r\nx: 1"), /^workspace "a\\r\\nx: 1": a header can't hold its name$/);
+            for (const text of ["a\nb", "a\u0000", " a", "a ", "\ud800"]) {
+                assert.match(faultOfWorkspace(text), /its name$/);
+            }
+        });
+
+        it("rejects such keys without repeating them", () => {
+            for (const key of ["secret\n", " secret", "secret\u007f"]) {
+                assert.equal(faultOfWorkspace("a", key), "workspace a: a header can't hold one of its keys");
+            }
+        });
+    });
+
     describe("values that are not documents", () => {
         for (const value of [undefined, "text", [], {}, { version: 1 }, { ...makeDocument(), version: "1" }]) {
             it(`rejects ${JSON.stringify(value)?.slice(0, 40)} with one reason`, () => {
