--- a/src/entry/unusualNames/test.ts
+++ b/src/entry/unusualNames/test.ts
@@ -62,6 +62,17 @@
         });
     });
 
+    describe("keys", () => {
+        it("identify their workspace", async () => {
+            // Failure: a key beyond ASCII is acknowledged, and requests with it get 401.
+            const keys = ["ключ", "clé", "two words", "__proto__", "\u{1F511}"];
+            const workspaces = keys.map((key, number) => ({ workspace: `butcher-${number}`, keys: [key] }));
+            await startFleet(makeDocument({ workspaces }));
+            for (const key of keys) assert.equal((await call(key)).status, 200, key);
+            assert.deepEqual(listWorkspaces().sort(), workspaces.map(({ workspace }) => workspace));
+        });
+    });
+
     describe("upstreams", () => {
         it("are addressed by their ids as they are", async () => {
             // Failure: an upstream is announced and granted, and no request can be sent to it.
--- a/src/passthrough/nativeDialect/index.ts
+++ b/src/passthrough/nativeDialect/index.ts
@@ -3,6 +3,7 @@
 import { EventRules } from "../../eventStream/index.js";
 import { RequestId, UpstreamId } from "../../ids/index.js";
 import {
+    decodeHeaderText,
     encodeHeaderText,
     findHeader,
     findHeaders,
@@ -80,7 +81,7 @@
 const STATUS_OK = 200;
 const STATUS_MISDIRECTED = 421;
 const MS_PER_SECOND = 1_000;
-const BEARER_PATTERN = /^bearer +(\S+)$/i;
+const BEARER_PATTERN = /^bearer +(\S.*)$/i;
 
 /** Sequoiamux's own dialect of routed calls: keys as bearer tokens, and headers that begin with `x-sequoiamux-`. */
 export class NativeDialect extends CallDialect {
@@ -100,7 +101,7 @@
             promptTokens,
             maxTokens,
             request: request as RequestId,
-            key: BEARER_PATTERN.exec(findHeader(headers, "authorization") ?? "")?.[1],
+            key: BEARER_PATTERN.exec(decodeHeaderText(findHeader(headers, "authorization") ?? ""))?.[1],
             deadlineMs: deadline === undefined ? undefined : Number(deadline),
             model: findHeader(headers, CALL_HEADERS.model),
             hintedTokens: undefined,
--- a/src/platform/platformDialect/index.ts
+++ b/src/platform/platformDialect/index.ts
@@ -15,6 +15,7 @@
     UpstreamQuery,
 } from "../../passthrough/index.js";
 import {
+    decodeHeaderText,
     encodeHeaderText,
     findHeader,
     findHeaders,
@@ -79,7 +80,7 @@
 const MS_PER_SECOND = 1_000;
 const PRIORITY_CLASS_COUNT = 10;
 const ATTEMPT_ID_PATTERN = /^[\x21-\x7e]{1,200}$/;
-const AUTHORIZATION_PATTERN = /^token +(\S+)$/i;
+const AUTHORIZATION_PATTERN = /^token +(\S.*)$/i;
 const PROMPT_PART_PATTERN = /^([0-9a-f]+):(\d+)$/i;
 
 /** Engines number all events of a stream, and write the version of their weights before the event at which it changes. */
@@ -105,20 +106,20 @@
         if (attempts.length !== 1 || !ATTEMPT_ID_PATTERN.test(attempts[0][1])) {
             return Left(new CallError("malformed", `a call needs one ${HEADER_NAMES.attempt} header`));
         }
-        const key = AUTHORIZATION_PATTERN.exec(findHeader(headers, "authorization") ?? "")?.[1];
+        const sentKey = AUTHORIZATION_PATTERN.exec(findHeader(headers, "authorization") ?? "")?.[1];
         const [promptTokens = 0, maxTokens = 0] = parseNumbers(findHeader(headers, HEADER_NAMES.usage));
         return Right({
-            key,
             promptTokens,
             maxTokens,
             request: attempts[0][1] as RequestId,
+            key: sentKey === undefined ? undefined : decodeHeaderText(sentKey),
             deadlineMs: parseNumbers(findHeader(headers, HEADER_NAMES.deadline)).at(0),
             hintedTokens: parseNumbers(findHeader(headers, HEADER_NAMES.lengthHint)).at(0),
             model: findHeader(headers, HEADER_NAMES.model),
             parts: parsePromptParts(findHeader(headers, HEADER_NAMES.prefix)),
             lastEventId: findHeader(headers, HEADER_NAMES.lastEventId),
             resumes: findHeaders(headers, HEADER_NAMES.resumes) as RequestId[],
-            headers: dropHeadersWithKey(endToEndHeaders(headers, RESERVED_HEADERS), key),
+            headers: dropHeadersWithKey(endToEndHeaders(headers, RESERVED_HEADERS), sentKey),
         });
     }
 
@@ -187,7 +188,13 @@
     });
 }
 
-/** Removes headers whose value contains the caller's API key: the key must not reach the upstream in any header. */
-function dropHeadersWithKey(headers: HeaderList, key: string | undefined): HeaderList {
-    return key === undefined ? headers : headers.filter(([, value]) => !value.includes(key));
+/**
+ * Removes headers whose value contains the caller's API key, in either encoding: the key must not reach the upstream in any header.
+ *
+ * @param sentKey - The key as it was sent.
+ */
+function dropHeadersWithKey(headers: HeaderList, sentKey: string | undefined): HeaderList {
+    if (sentKey === undefined) return headers;
+    const key = decodeHeaderText(sentKey);
+    return headers.filter(([, value]) => !value.includes(sentKey) && !decodeHeaderText(value).includes(key));
 }
--- a/src/platform/platformDialect/test.ts
+++ b/src/platform/platformDialect/test.ts
@@ -48,6 +48,28 @@
             }
         });
 
+        it("has its key in UTF-8, or in Latin-1 where it is not UTF-8", () => {
+            // Failure: a key beyond ASCII is acknowledged, and requests with it get 401.
+            const keyOf = (value: string): string | undefined =>
+                dialect.readHead(makeRequest([ATTEMPT_HEADER, ["authorization", `Token ${value}`]])).unsafeCoerce().key;
+            assert.equal(keyOf(Buffer.from("ключ").toString("latin1")), "ключ");
+            assert.equal(keyOf(Buffer.from("clé").toString("latin1")), "clé");
+            assert.equal(keyOf("cl\xe9"), "clé");
+            assert.equal(keyOf("two words"), "two words");
+        });
+
+        it("is forwarded without the key in any encoding", () => {
+            // Failure: a key that is compared in one encoding reaches an engine in the other.
+            const sent = Buffer.from("clé").toString("latin1");
+            const copies: HeaderList = [["x-a", `a ${sent}`], ["x-b", "cl\xe9"], ["x-own", "kept"]];
+            for (const key of [sent, "cl\xe9"]) {
+                const head = dialect.readHead(
+                    makeRequest([ATTEMPT_HEADER, ["authorization", `Token ${key}`], ...copies]),
+                );
+                assert.deepEqual(head.unsafeCoerce().headers, [ATTEMPT_HEADER, ["x-own", "kept"]]);
+            }
+        });
+
         it("is forwarded without the key and the reserved headers", () => {
             // A caller sends another workspace, an engine's memory and a lease, and repeats its key in a header of its own.
             // Without the filter, an engine would accept these as set by the system, or receive the key.
