--- a/src/control/lateStarts/index.ts
+++ b/src/control/lateStarts/index.ts
@@ -1,5 +1,15 @@
 import { FencingToken } from "../../ids/index.js";
-import { EntryRunKey, RunStarts, StartCounts, StartWindowCounts } from "../../usage/index.js";
+import {
+    addCounts,
+    countOf,
+    EntryRunKey,
+    hasNoCounts,
+    listCounts,
+    makeCounts,
+    RunStarts,
+    StartCounts,
+    StartWindowCounts,
+} from "../../usage/index.js";
 import { HolderTerm } from "../holderTerm/index.js";
 
 /** Closed windows for which late starts are still counted. */
@@ -51,7 +61,7 @@
         this.beginTerm(term);
         const increases = closed.map(counts => this.countIncrease(run, counts));
         const sum = increases.reduce(addCounts, {});
-        if (Object.keys(sum).length === 0) return undefined;
+        if (hasNoCounts(sum)) return undefined;
         const totals = addCounts(this.carried.countsOf(run, openWindow), sum);
         this.carried.merge(run, [{ window: openWindow, counts: totals }]);
         return { window: openWindow, counts: totals };
@@ -70,15 +80,8 @@
         const previous = included.countsOf(run, window);
         const [increased] = included.merge(run, [{ window, counts }]);
         if (!increased) return {};
-        const increases = Object.entries(increased.counts).map(([name, count]) => {
-            return [name, count - (previous[name as keyof StartCounts] ?? 0)];
-        });
-        return Object.fromEntries(increases) as StartCounts;
+        return makeCounts(
+            listCounts(increased.counts).map(([workspace, count]) => [workspace, count - countOf(previous, workspace)]),
+        );
     }
 }
-
-function addCounts(a: StartCounts, b: StartCounts): StartCounts {
-    const sums: Record<string, number> = { ...a };
-    for (const [name, count] of Object.entries(b)) sums[name] = (sums[name] ?? 0) + count;
-    return sums as StartCounts;
-}
--- a/src/entry/unusualNames/test.ts
+++ b/src/entry/unusualNames/test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { afterEach, describe, it } from "node:test";
-import { RoutedFleet, RoutedFleetOptions, TestReply } from "../../faultInjection/index.js";
+import { countStarts, RoutedFleet, RoutedFleetOptions, TestReply } from "../../faultInjection/index.js";
+import { WorkspaceId } from "../../ids/index.js";
 
 const KEY = "plain-key";
 const NAMES = ["Huế", "Café", "Cafe\u0301", "名前", "emoji \u{1F600}", "100%", "a|b:c,d#e"];
@@ -60,6 +61,15 @@
             for (const number of NAMES.keys()) assert.equal((await call(`key-${number}`)).status, 200);
             assert.deepEqual(listWorkspaces().sort(), [...NAMES].sort());
         });
+
+        it("are billed also where each object has a property of their name", async () => {
+            // Failure: the requests of a workspace run, and no report of usage has them.
+            const names = ["__proto__", "toString", "constructor", "hasOwnProperty"] as WorkspaceId[];
+            await startFleet(makeDocument({ workspaces: names.map(name => ({ workspace: name, keys: [name] })) }));
+            for (const name of [...names, ...names]) assert.equal((await call(name)).status, 200);
+            await fleet.advance(2_000);
+            assert.deepEqual(names.map(name => countStarts(fleet, name)), [2, 2, 2, 2]);
+        });
     });
 
     describe("keys", () => {
--- a/src/faultInjection/index.ts
+++ b/src/faultInjection/index.ts
@@ -2,6 +2,7 @@
 export * from "./callSchedule/index.js";
 export * from "./checkRepeats/index.js";
 export * from "./checkStreams/index.js";
+export * from "./countStarts/index.js";
 export * from "./hostSoftwareSchedule/index.js";
 export * from "./pathSchedule/index.js";
 export * from "./pausableClock/index.js";
--- a/src/platform/platformCalls/index.ts
+++ b/src/platform/platformCalls/index.ts
@@ -1,6 +1,7 @@
 import { FencedCall, HolderTerm, RoutingPlatform } from "../../control/index.js";
 import { HostId } from "../../ids/index.js";
-import { Address, HeaderList } from "../../ports/index.js";
+import { Address, encodeHeaderText, HeaderList } from "../../ports/index.js";
+import { listCounts } from "../../usage/index.js";
 
 /**
  * Creates the functions that build the holder's calls to the platform.
@@ -19,7 +20,10 @@
         body,
     });
     return {
-        describeStarts: ({ window, counts }, term) => call("/usage", { windowId: window, counts }, term),
+        describeStarts: ({ window, counts }, term) => {
+            const body = { windowId: window, counts: Object.fromEntries(listCounts(counts)) };
+            return call("/usage", body, term);
+        },
         describeSize: ({ pool, zone, count, reclaimable }, term) => {
             // Reclaimable and steady instances are ordered and counted separately; steady ones omit the `spot` field.
             const kind = reclaimable ? { spot: true } : {};
@@ -30,5 +34,5 @@
 
 /** Identifies the calling host and its term of the control lease. */
 function makeFencingHeaders(self: HostId, { token }: HolderTerm): HeaderList {
-    return [["sequoiamux-duty-holder", self], ["sequoiamux-fencing-token", String(token)]];
+    return [["sequoiamux-duty-holder", encodeHeaderText(self)], ["sequoiamux-fencing-token", String(token)]];
 }
--- a/src/usage/index.ts
+++ b/src/usage/index.ts
@@ -6,6 +6,7 @@
 export * from "./runStarts/index.js";
 export * from "./sequenceSet/index.js";
 export * from "./spendLedger/index.js";
+export * from "./startCounts/index.js";
 export * from "./startLedger/index.js";
 export * from "./startMeter/index.js";
 export * from "./usageCommands/index.js";
--- a/src/usage/runStarts/index.ts
+++ b/src/usage/runStarts/index.ts
@@ -1,5 +1,5 @@
 import { WorkspaceId } from "../../ids/index.js";
-import { StartCounts } from "../startLedger/index.js";
+import { countOf, hasNoCounts, listCounts, makeCounts, StartCounts } from "../startCounts/index.js";
 import { StartWindowCounts } from "../startMeter/index.js";
 
 /** Identifies one run of an entry process: its host and incarnation, separated by a space. */
@@ -49,7 +49,7 @@
             const previous = stored.get(window) ?? {};
             const increased = selectIncreased(previous, counts);
             stored.set(window, { ...previous, ...increased });
-            return Object.keys(increased).length > 0 ? [{ window, counts: increased }] : [];
+            return hasNoCounts(increased) ? [] : [{ window, counts: increased }];
         });
     }
 
@@ -65,7 +65,7 @@
 
     /** Whether the stored counts of a run in a window are at least these. */
     covers(run: EntryRunKey, { window, counts }: StartWindowCounts): boolean {
-        return Object.keys(selectIncreased(this.countsOf(run, window), counts)).length === 0;
+        return hasNoCounts(selectIncreased(this.countsOf(run, window), counts));
     }
 
     /** Lists the counts of every run. */
@@ -78,14 +78,13 @@
 
     /** Returns the request starts in a window, summed over all runs. */
     sum(window: number): StartCounts {
-        const sums: Record<WorkspaceId, number> = {};
+        const sums = new Map<WorkspaceId, number>();
         for (const windows of this.runs.values()) {
-            for (const [key, count] of Object.entries(windows.get(window) ?? {})) {
-                const workspace = key as WorkspaceId;
-                sums[workspace] = (sums[workspace] ?? 0) + count;
+            for (const [workspace, count] of listCounts(windows.get(window) ?? {})) {
+                sums.set(workspace, (sums.get(workspace) ?? 0) + count);
             }
         }
-        return sums;
+        return makeCounts(sums);
     }
 
     /** Returns the earliest window that has counts; undefined when there are none. */
@@ -115,6 +114,5 @@
 }
 
 function selectIncreased(previous: StartCounts, counts: StartCounts): StartCounts {
-    const increased = Object.entries(counts).filter(([name, count]) => count > (previous[name as WorkspaceId] ?? 0));
-    return Object.fromEntries(increased) as StartCounts;
+    return makeCounts(listCounts(counts).filter(([workspace, count]) => count > countOf(previous, workspace)));
 }
--- a/src/usage/runStarts/test.ts
+++ b/src/usage/runStarts/test.ts
@@ -1,7 +1,7 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { StartCounts } from "../startLedger/index.js";
+import { StartCounts } from "../startCounts/index.js";
 import { RunStarts } from "./index.js";
 
 function counts(parts: Record<string, number>): StartCounts {
--- a/src/usage/startLedger/index.ts
+++ b/src/usage/startLedger/index.ts
@@ -1,11 +1,8 @@
-import { WorkspaceId } from "../../ids/index.js";
+import { StartCounts } from "../startCounts/index.js";
 
 /** Reported windows kept, so that none of them is closed twice. */
 const MAX_REPORTED_COUNT = 1_000;
 
-/** Number of requests that started to run, by workspace. */
-export type StartCounts = Readonly<Record<WorkspaceId, number>>;
-
 /** Closes a window: its counts never change after this log entry. */
 export interface CloseStartsCommand {
     readonly kind: "starts.close";
--- a/src/usage/startMeter/index.ts
+++ b/src/usage/startMeter/index.ts
@@ -1,6 +1,6 @@
 import { WorkspaceId } from "../../ids/index.js";
 import { PositionCounter } from "../positionCounter/index.js";
-import { StartCounts } from "../startLedger/index.js";
+import { makeCounts, StartCounts } from "../startCounts/index.js";
 
 /** Windows older than this are closed on every host and are dropped. */
 const RETENTION_MS = 60_000;
@@ -63,8 +63,7 @@
         return [...this.windows].flatMap(([window, totals]) => {
             const changed = [...totals].filter(([, { changedAt }]) => changedAt > after);
             if (changed.length === 0) return [];
-            const counts = changed.map(([workspace, { count }]) => [workspace, count]);
-            return [{ window, counts: Object.fromEntries(counts) as StartCounts }];
+            return [{ window, counts: makeCounts(changed.map(([workspace, { count }]) => [workspace, count])) }];
         });
     }
 
