--- a/src/entry/unusualNames/test.ts
+++ b/src/entry/unusualNames/test.ts
@@ -83,6 +83,26 @@
         });
     });
 
+    describe("hosts and path prefixes", () => {
+        it("lead to their route, in each form in which callers send them", async () => {
+            // Failure: a route that was added is acknowledged, and requests for it get 404.
+            const routes = [
+                makeRoute({ name: "host", host: "Bücher.example", pathPrefix: "/" }),
+                makeRoute({ name: "path", pathPrefix: "/café/" }),
+                makeRoute({ name: "rest", pathPrefix: "/" }),
+            ];
+            await startFleet(makeDocument({ routes }));
+            for (const host of ["bücher.example", "BÜCHER.example:80", "xn--bcher-kva.example"]) {
+                assert.equal((await call(KEY, "/1", host)).status, 200, host);
+            }
+            const bytes = Buffer.from("/café/1").toString("latin1");
+            for (const path of [bytes, "/caf\xe9/1", "/caf%C3%A9/1", "/caf%c3%a9/1"]) {
+                assert.equal((await call(KEY, path)).status, 200, path);
+            }
+            assert.equal((await call(KEY, "/1", "other.example")).status, 404);
+        });
+    });
+
     describe("upstreams", () => {
         it("are addressed by their ids as they are", async () => {
             // Failure: an upstream is announced and granted, and no request can be sent to it.
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -4,4 +4,5 @@
 export * from "./documentStore/index.js";
 export * from "./fixtures/index.js";
 export * from "./fleetDocument/index.js";
+export * from "./routeMatcher/index.js";
 export * from "./routeTable/index.js";
--- a/src/routing/routeTable/index.ts
+++ b/src/routing/routeTable/index.ts
@@ -1,7 +1,11 @@
+import { domainToASCII } from "node:url";
 import { PoolId, WorkspaceId } from "../../ids/index.js";
-import { Random } from "../../ports/index.js";
+import { decodeHeaderText, Random } from "../../ports/index.js";
 import { CallRanks } from "../callRanks/index.js";
 import { CallerLimits, FleetDocument, PoolSpec, Route } from "../fleetDocument/index.js";
+import { RouteMatcher } from "../routeMatcher/index.js";
+
+const ASCII_PATTERN = /^[\x00-\x7f]*$/;
 
 /** The workspace that a key belongs to. */
 export interface KeyOwner {
@@ -23,7 +27,7 @@
     readonly requiresKeys: boolean;
     /** Ranks of calls by urgency. */
     readonly ranks: CallRanks;
-    private readonly routesByHost = new Map<string, Route[]>();
+    private readonly routesByHost = new Map<string, RouteMatcher[]>();
     private readonly owners = new Map<string, KeyOwner>();
     private readonly pools = new Map<PoolId, PoolSpec>();
 
@@ -35,7 +39,7 @@
         this.ranks = new CallRanks(document);
         for (const route of routes) this.addRoute(route);
         for (const list of this.routesByHost.values()) {
-            list.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+            list.sort((a, b) => b.length - a.length);
         }
         for (const spec of pools) this.pools.set(spec.pool, spec);
         for (const { workspace, keys, tier } of workspaces ?? []) {
@@ -50,9 +54,9 @@
      * @param path - Path and query, as sent.
      */
     findRoute(host: string, path: string): Route | undefined {
-        const routes = this.routesByHost.get(stripPort(host).toLowerCase());
+        const matchers = this.routesByHost.get(toHostKey(stripPort(decodeHeaderText(host))));
         const pathname = path.split("?", 1)[0];
-        return routes?.find(({ pathPrefix }) => pathname.startsWith(pathPrefix));
+        return matchers?.find(matcher => matcher.matches(pathname))?.route;
     }
 
     /** Returns the owner of a key; undefined if the key is unknown. */
@@ -69,10 +73,11 @@
     }
 
     private addRoute(route: Route): void {
-        const host = route.host.toLowerCase();
+        const host = toHostKey(route.host);
         const known = this.routesByHost.get(host);
-        if (known) known.push(route);
-        else this.routesByHost.set(host, [route]);
+        const matcher = new RouteMatcher(route);
+        if (known) known.push(matcher);
+        else this.routesByHost.set(host, [matcher]);
     }
 }
 
@@ -93,6 +98,12 @@
     return targets.findLast(({ weight }) => weight > 0)!.pool;
 }
 
+/** Returns the form of a host name by which names are compared: in lower case, and in ASCII as most callers send it. */
+function toHostKey(host: string): string {
+    const key = host.toLowerCase();
+    return ASCII_PATTERN.test(key) ? key : domainToASCII(key) || key;
+}
+
 function stripPort(host: string): string {
     const colon = host.lastIndexOf(":");
     return colon < 0 || host.endsWith("]") ? host : host.slice(0, colon);
