--- a/src/platform/controlPlane/index.ts
+++ b/src/platform/controlPlane/index.ts
@@ -1,7 +1,8 @@
+import { Either } from "purify-ts";
 import { RoutingService, UnknownZoneError } from "../../control/index.js";
 import { UpstreamId, ZoneId } from "../../ids/index.js";
 import { Logger } from "../../logging/index.js";
-import { BodyError, HttpHandler, HttpRequest, HttpResponse } from "../../ports/index.js";
+import { BodyError, decodeHeaderText, HttpHandler, HttpRequest, HttpResponse } from "../../ports/index.js";
 import { Announcement } from "../../protocol/index.js";
 import { makeGoneAnnouncement, parseHeartbeat } from "../heartbeat/index.js";
 import { parseFleetDocument } from "../parseFleetDocument/index.js";
@@ -27,7 +28,7 @@
         if (req.method === "POST" && req.path === "/config/replace") return replaceConfig(routing, logger, req, res);
         if (req.method === "GET" && req.path.split("?")[0] === "/config/read") return readConfig(routing, res);
         const [, zone, step] = EVACUATION_PATH.exec(req.path) ?? [];
-        if (req.method === "POST" && step) return setEvacuation(routing, decodeURIComponent(zone) as ZoneId, step, res);
+        if (req.method === "POST" && step) return setEvacuation(routing, decodeSegment(zone) as ZoneId, step, res);
         return respond(res, 404, { error: "not found" });
     };
 }
@@ -41,7 +42,7 @@
 ): Promise<void> {
     const body = await req.body(MAX_HEARTBEAT_BYTES);
     if (body.isLeft()) return respondUnread(res, body.extract() as BodyError, 413);
-    const heartbeat = parseHeartbeat(decodeURIComponent(id), body.unsafeCoerce());
+    const heartbeat = parseHeartbeat(decodeSegment(id), body.unsafeCoerce());
     if (heartbeat.isLeft()) {
         const problem = heartbeat.extract().message;
         logger.warn("heartbeat-unreadable", { upstream: id, problem });
@@ -60,7 +61,7 @@
     id: string,
     res: HttpResponse,
 ): Promise<void> {
-    const known = routing.registry.get(decodeURIComponent(id) as UpstreamId);
+    const known = routing.registry.get(decodeSegment(id) as UpstreamId);
     if (!known) {
         logger.warn("departure-unknown", { upstream: id });
         return respond(res, 503, { error: "this instance is not known here" }, [RETRY_AFTER_HEADER]);
@@ -109,6 +110,12 @@
     });
 }
 
+/** Decodes a part of a path; one whose percent signs encode nothing is taken as it is. */
+function decodeSegment(segment: string): string {
+    const text = decodeHeaderText(segment);
+    return Either.encase(() => decodeURIComponent(text)).orDefault(text);
+}
+
 /** A call that there is no room for may be sent again, unlike one whose body can't be read. */
 function respondUnread(res: HttpResponse, { reason }: BodyError, status: number): void {
     if (reason !== "over-capacity") return respond(res, status, { error: "the body could not be read in full" });
