--- a/src/passthrough/attempt/index.ts
+++ b/src/passthrough/attempt/index.ts
@@ -75,6 +75,8 @@
         readonly detail: string;
         /** The upstream's failure answer, forwarded when no attempt succeeds. */
         readonly failure?: BufferedAnswer;
+        /** Whether this host can't send the call to any upstream, which says nothing about them. */
+        readonly isUnsendable?: boolean;
         /** Whether the upstream turned the call away and asked this host to back off. */
         readonly isTurnedAway?: boolean;
         /** Whether another upstream has the address. */
--- a/src/passthrough/endWithHttpError/index.ts
+++ b/src/passthrough/endWithHttpError/index.ts
@@ -16,5 +16,6 @@
 export function endWithHttpError(end: AttemptEnd, err: HttpError): AttemptResult {
     const isPathFailure = err instanceof PathError;
     const connectionEnded = err.reason === "closed" && !isPathFailure;
-    return { kind: "ended", end, detail: err.message, connectionEnded, isPathFailure };
+    const isUnsendable = err.reason === "malformed" && !err.mayHaveBeenSent && !isPathFailure;
+    return { kind: "ended", end, detail: err.message, connectionEnded, isPathFailure, isUnsendable };
 }
--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -166,6 +166,10 @@
         return { end: makeCallEnd("answered", result.status, progress) };
     }
     recordAttempt(task, attempt, result);
+    if (result.isUnsendable) {
+        returnMove(task, next);
+        return { end: await failNotRun(task, new CallError("malformed", result.detail)) };
+    }
     if (run.isCancelled) {
         returnMove(task, next);
         return { end: endCancelled(task) };
@@ -381,6 +385,7 @@
     if (result.kind === "answered") return "answered";
     if (run.cancelReason === "caller-gone") return idleMs >= UNRESPONSIVE_AFTER_MS ? "failed" : "cancelled";
     if (run.cancelReason === "stopping") return "cancelled";
+    if (result.isUnsendable) return "unused";
     if (result.end === "refused") return result.misdirected ? "failed" : "refused";
     if (result.isTurnedAway) return "refused";
     return result.end === "failed" ? "errored" : "failed";
--- a/src/ports/memoryHttpFabric/index.ts
+++ b/src/ports/memoryHttpFabric/index.ts
@@ -189,8 +189,8 @@
         const serverHost = call.address.host;
         const target = formatAddress(call.address);
         if (call.signal?.aborted) return Left(new HttpError("aborted", false, target));
-        // As Node does: it throws.
-        for (const [name, value] of call.headers) validateHeaderValue(name, value);
+        const fault = findHeaderFault(call.headers);
+        if (fault !== undefined) return Left(new HttpError("malformed", false, fault));
         const maxIdleMs = call.recentlyUsedOnly ? MAX_RECENT_IDLE_MS : MAX_POOL_IDLE_MS;
         const kept = call.newConnection ? undefined : this.httpFabric.takeConnection(
             this.host,
@@ -410,7 +410,8 @@
     }
 
     head(status: number, headers: HeaderList): void {
-        for (const [name, value] of headers) validateHeaderValue(name, value);
+        const fault = findHeaderFault(headers);
+        if (fault !== undefined) throw new TypeError(fault);
         this.isHeadSent = true;
         this.exchange.sendHead({ status, headers });
     }
@@ -446,3 +447,14 @@
 function toBytes(chunk: string | Uint8Array): Uint8Array {
     return typeof chunk === "string" ? Buffer.from(chunk) : chunk;
 }
+
+/** Returns why Node would not send headers; undefined where it would. */
+function findHeaderFault(headers: HeaderList): string | undefined {
+    try {
+        for (const [name, value] of headers) validateHeaderValue(name, value);
+        return undefined;
+    }
+    catch (err) {
+        return (err as Error).message;
+    }
+}
--- a/src/ports/nodeHttpClient/index.ts
+++ b/src/ports/nodeHttpClient/index.ts
@@ -32,9 +32,19 @@
     private readonly pool = new ConnectionPool(MAX_POOL_IDLE_MS, this.history);
     private readonly recentPool = new ConnectionPool(MAX_RECENT_IDLE_MS, this.history);
 
-    /** Sends a request; resolves once the response's headers have arrived. */
-    send(call: HttpCall): Promise<Either<HttpError, HttpReply>> {
-        if (call.signal?.aborted) return Promise.resolve(Left(new HttpError("aborted", false, "before sending")));
+    /** Sends a request; resolves once the response's headers have arrived. Never rejects. */
+    async send(call: HttpCall): Promise<Either<HttpError, HttpReply>> {
+        if (call.signal?.aborted) return Left(new HttpError("aborted", false, "before sending"));
+        try {
+            return await this.sendRequest(call);
+        }
+        catch (err) {
+            // Node throws before it opens a connection: on a header, a path or a method that it can't send.
+            return Left(new HttpError("malformed", false, (err as Error).message));
+        }
+    }
+
+    private sendRequest(call: HttpCall): Promise<Either<HttpError, HttpReply>> {
         return new Promise(resolve => {
             let isConnected = false;
             let hasReply = false;
--- a/src/ports/nodeHttpClient/test.ts
+++ b/src/ports/nodeHttpClient/test.ts
@@ -181,6 +181,33 @@
         });
     }
 
+    describe("a request that can't be sent", () => {
+        const unsendable: readonly (readonly [string, object])[] = [
+            ["a letter beyond Latin-1 in a header", { headers: [["x-name", "Hu\u1ebf"]] }],
+            ["a line break in a header", { headers: [["x-name", "a\r\nx: 1"]] }],
+            ["a header without a name", { headers: [["", "a"]] }],
+            ["a blank in its path", { path: "/a b" }],
+            ["a blank in its method", { method: "GE T" }],
+        ];
+        for (const [name, part] of unsendable) {
+            it(`is an error of which nothing was sent: ${name}`, async () => {
+                // Failure: the client throws, and whatever its caller holds for the request is never given back.
+                const sent = await new NodeHttpClient().send({
+                    address: { host: "127.0.0.1", port: 9 },
+                    method: "GET",
+                    path: "/",
+                    headers: [],
+                    newConnection: true,
+                    connectTimeoutMs: 1_000,
+                    headTimeoutMs: 1_000,
+                    ...part,
+                });
+                const err = sent.swap().unsafeCoerce();
+                assert.deepEqual([err.reason, err.mayHaveBeenSent], ["malformed", false]);
+            });
+        }
+    });
+
     it("ends each wrong or endless answer by its deadline, and uses its connection for nothing else", async () => {
         // Guards against requests that hang, connections that stay open, and bytes that reach another request.
         const answers = makeWrongAnswers(SEED, SAMPLE_SIZE);
