--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -5,6 +5,7 @@
 export * from "./dispatchObserver/index.js";
 export * from "./dispatchPolicies/index.js";
 export * from "./failureOutcome/index.js";
+export * from "./grantScope/index.js";
 export * from "./lengthEstimator/index.js";
 export * from "./localDispatcher/index.js";
 export * from "./order/index.js";
--- a/src/entry/entryProcess/index.ts
+++ b/src/entry/entryProcess/index.ts
@@ -288,6 +288,12 @@
         return this.draining;
     }
 
+    /** Returns how many grants of this process's queues have not ended, and how many grants its own requests use. */
+    countSlots(): { readonly granted: number; readonly used: number; } {
+        const granted = this.local.pools().reduce((sum, pool) => sum + this.local.countRunning(pool), 0);
+        return { granted, used: this.dispatcher.listRunning().length };
+    }
+
     /**
      * Prepares a planned stop: waits for the load balancer to notice, hands the queues over, and waits for running work to end.
      *
--- a/src/entry/runChat/index.ts
+++ b/src/entry/runChat/index.ts
@@ -3,6 +3,7 @@
     CompletionOutcome,
     findFailureOutcome,
     Grant,
+    GrantScope,
     Refusal,
     Ticket,
     toTarget,
@@ -45,8 +46,16 @@
  * @example
  * const { outcome } = await runChat({ ctx, prepared, run, sink, self });
  */
-export function runChat(options: ChatOptions): Promise<ChatResult> {
-    return new ChatTask(options).run();
+export async function runChat(options: ChatOptions): Promise<ChatResult> {
+    const grants = new GrantScope(options.ctx.dispatcher);
+    const task = new ChatTask({ ...options, ctx: { ...options.ctx, dispatcher: grants } });
+    try {
+        return await task.run();
+    }
+    finally {
+        grants.close();
+        task.releaseAttempt();
+    }
 }
 
 class ChatTask {
@@ -83,6 +92,12 @@
         }
     }
 
+    /** Gives back an attempt that was reserved and not made. */
+    releaseAttempt(): void {
+        if (this.hasReservedAttempt) this.options.ctx.retryBudget.giveBack();
+        this.hasReservedAttempt = false;
+    }
+
     private async attempt(grant: Grant): Promise<ChatAttempt> {
         const { ctx, prepared, run, sink } = this.options;
         run.recordGrant(grant);
@@ -201,9 +216,8 @@
 
     /** Completes the answer. The usage is durable before the last event is sent to the caller, unless that takes too long. */
     private async finish({ usage, finishReason }: EngineStreamEnd): Promise<ChatResult> {
-        const { ctx, run, sink } = this.options;
+        const { run, sink } = this.options;
         run.hasAnswerBegun = true;
-        if (this.hasReservedAttempt) ctx.retryBudget.giveBack();
         await this.recordUsage(usage.prompt_tokens, sink.tokens);
         // After a resume the engine counts cached tokens of a prompt that includes part of the answer.
         const cached_tokens = this.attemptCount === 1 ? usage.cached_tokens : 0;
--- a/src/entry/runChat/test.ts
+++ b/src/entry/runChat/test.ts
@@ -3,6 +3,7 @@
 import { Either, Right } from "purify-ts";
 import {
     AttemptBudget,
+    Completion,
     DEFAULT_RETRY_LIMITS,
     Dispatcher,
     Grant,
@@ -30,9 +31,12 @@
 /** Grants each ticket the first engine that it does not avoid. */
 class FirstUntried extends Dispatcher {
     readonly tickets: Ticket[] = [];
+    /** Requests whose grant has not been completed. */
+    readonly running = new Set<RequestId>();
 
     async submit(ticket: Ticket): Promise<Either<Refusal, Grant>> {
         this.tickets.push(ticket);
+        this.running.add(ticket.request);
         const upstream = (ENGINES.find(id => !ticket.avoid.includes(id as UpstreamId)) ?? ENGINES[0]) as UpstreamId;
         return Right({
             request: ticket.request,
@@ -46,7 +50,9 @@
         });
     }
 
-    complete(): void {}
+    complete({ request }: Completion): void {
+        this.running.delete(request);
+    }
 
     progress(): void {}
 
@@ -92,6 +98,8 @@
             takesMs?: number;
             preemptAt?: number[];
             breaks?: string[];
+            /** Replaces dependencies. */
+            ctxParts?: object;
         } = {},
     ) {
         const { attempts = 4, isBudgetSpent = false, engines = ENGINES, takesMs = 0, preemptAt = [], breaks = [] } =
@@ -104,11 +112,12 @@
         for (const token of breaks) upstreamHttp.breaks.add(token);
         const retryBudget = new AttemptBudget(clock, { ...DEFAULT_RETRY_LIMITS, perSecond: 0 });
         while (isBudgetSpent && retryBudget.tryTake(true));
+        const dispatcher = new FirstUntried();
         const ctx = {
             clock,
             upstreamHttp,
             retryBudget,
-            dispatcher: new FirstUntried(),
+            dispatcher,
             sendGuard: new NoSendGuard(),
             software: new SoftwareView(registry),
             metrics: new NoMetrics(),
@@ -117,6 +126,7 @@
             crashGuard: { quarantineLeftMs: () => undefined, recordServed() {}, recordConnectionEnd() {} },
             partGuard: { findQuarantine: () => undefined, recordBegun() {}, recordUnanswered() {} },
             limits: { ...DEFAULT_ENTRY_LIMITS, attempts },
+            ...options.ctxParts,
         } as unknown as EntryContext;
         const [classView] = HOTEL.classes;
         const identity = { workspace: HOTEL.id, className: classView.name, tier: classView.tier, pool: POOL };
@@ -135,8 +145,9 @@
         const self = "entry-1" as HostId;
         for (const ms of preemptAt) clock.after(ms, () => run.cancel("preempted"));
         const running = runChat({ ctx, prepared: prepared as unknown as PreparedChat, run, sink, self });
-        const { outcome } = await clock.runUntil(running, RUN_TIMEOUT_MS);
-        return { outcome, text: sink.text, end: sink.end, runs: upstreamHttp.runs };
+        const result = await clock.runUntil(running.catch(() => undefined), RUN_TIMEOUT_MS);
+        const slots = dispatcher.running.size;
+        return { outcome: result?.outcome, text: sink.text, end: sink.end, runs: upstreamHttp.runs, slots };
     }
 
     describe("an engine that falls silent in the middle of an answer", () => {
@@ -182,4 +193,23 @@
         assert.deepEqual([outcome, text, runs.at(-1)], ["answered", WHOLE, "u2 from 3"]);
         assert.equal(runs.length, 5);
     });
+
+    describe("an error that no code expects", () => {
+        const throwing = (): never => {
+            throw new Error("by the test");
+        };
+        const parts: readonly (readonly [string, object])[] = [
+            ["before sending", { crashGuard: { quarantineLeftMs: throwing } }],
+            ["while it is sent", { upstreamHttp: { send: throwing } }],
+            ["behind the answer", { crashGuard: { quarantineLeftMs: () => undefined, recordServed: throwing } }],
+            ["in a metric", { metrics: { histogram: throwing, count: throwing } }],
+        ];
+        for (const [name, ctxParts] of parts) {
+            it(`keeps no slot: ${name}`, async () => {
+                // Failure: the slot of a chat counts as taken for good.
+                const { outcome, slots } = await play({}, { ctxParts });
+                assert.deepEqual([outcome, slots], [undefined, 0]);
+            });
+        }
+    });
 });
--- a/src/entry/runService/index.ts
+++ b/src/entry/runService/index.ts
@@ -1,4 +1,4 @@
-import { Completion, findFailureOutcome, Grant, Refusal, Ticket, toTarget } from "../../dispatch/index.js";
+import { Completion, findFailureOutcome, Grant, GrantScope, Refusal, Ticket, toTarget } from "../../dispatch/index.js";
 import { UpstreamId } from "../../ids/index.js";
 import { Outcome } from "../../protocol/index.js";
 import { RunningRequest } from "../../request/index.js";
@@ -26,6 +26,21 @@
     prepared: PreparedService,
     run: RunningRequest,
     self: PeerIdentity,
+): Promise<ServiceResult> {
+    const grants = new GrantScope(ctx.dispatcher);
+    try {
+        return await runWith({ ...ctx, dispatcher: grants }, prepared, run, self);
+    }
+    finally {
+        grants.close();
+    }
+}
+
+async function runWith(
+    ctx: EntryContext,
+    prepared: PreparedService,
+    run: RunningRequest,
+    self: PeerIdentity,
 ): Promise<ServiceResult> {
     if (!prepared.call) return runRepeatable(ctx, prepared, run, self);
     const waitMs = prepared.classView.maxWaitMs;
@@ -33,7 +48,13 @@
     if (opened.isLeft()) return errorResult(opened.extract() as CallerError);
     const call = opened.unsafeCoerce();
     if (call.kind === "answered") return { kind: "answer", answer: call.answer, replayed: true };
-    return runOnce(ctx, prepared, run, self, call.record);
+    try {
+        return await runOnce(ctx, prepared, run, self, call.record);
+    }
+    catch (err) {
+        await call.record.finish("unknown");
+        throw err;
+    }
 }
 
 /** Runs a non-repeatable call. The answer is committed before it is returned, so that a resend gets the same answer. */
--- a/src/entry/serveChat/index.ts
+++ b/src/entry/serveChat/index.ts
@@ -51,9 +51,15 @@
         return { outcome: err.outcome, tokens: 0 };
     }
     const sink = makeSink(ctx, prepared, run, res);
-    const { outcome, billedTokens } = await runChat({ ctx, prepared, run, sink, self });
-    ctx.spendLimiter.settle(prepared.workspace, reserved.unsafeCoerce(), billedTokens);
-    return { outcome, tokens: sink.tokens };
+    let usedTokens = 0;
+    try {
+        const { outcome, billedTokens } = await runChat({ ctx, prepared, run, sink, self });
+        usedTokens = billedTokens;
+        return { outcome, tokens: sink.tokens };
+    }
+    finally {
+        ctx.spendLimiter.settle(prepared.workspace, reserved.unsafeCoerce(), usedTokens);
+    }
 }
 
 function makeSink(ctx: EntryContext, { chat }: PreparedChat, run: RunningRequest, res: HttpResponse): ChatSink {
--- a/src/faultInjection/callSchedule/index.ts
+++ b/src/faultInjection/callSchedule/index.ts
@@ -2,9 +2,11 @@
 import { makeDocument, makeRoute } from "../../routing/index.js";
 import { checkFleetRepeats } from "../checkRepeats/index.js";
 import { checkSignals } from "../checkSignals/index.js";
+import { checkSlots } from "../checkSlots/index.js";
 import { InvariantError } from "../recordingStateMachine/index.js";
 import { RoutedFleet } from "../routedFleet/index.js";
 import { TestReply } from "../testCaller/index.js";
+import { ThrowingDialect } from "../throwingDialect/index.js";
 
 /** Result of one run. */
 export interface CallScheduleReport {
@@ -34,6 +36,8 @@
 const RECONNECT_MS = 3_000;
 /** Time in which the calls of the fault-free phase get the crashing request quarantined even if no earlier crash is known. */
 const QUARANTINE_DETECTION_MS = 6_000;
+/** Share of the steps of calls that throw an error that no code expects. */
+const ERROR_SHARE = 0.03;
 const LIMIT_REQUESTS_PER_S = 1.5;
 const LIMIT_CHECK_SPAN_MS = 4_000;
 /** Tolerance over the limit within `LIMIT_CHECK_SPAN_MS`: half as much again, and a few requests more. */
@@ -93,7 +97,11 @@
     const random = new SeededRandom(seed);
     const upstreamOptions = { slots: 24, workMs: 80, crashesOn: CRASHING_BODY, restartMs: 2_500 };
     const upstreams = Array.from({ length: UPSTREAM_COUNT }, () => upstreamOptions);
-    const fleet = new RoutedFleet({ seed, controls: CONTROL_COUNT, entries: ENTRY_COUNT, upstreams, queueHosts: true });
+    const errors = new SeededRandom(seed);
+    let errorShare = ERROR_SHARE;
+    const dialect = new ThrowingDialect(() => errors.next() < errorShare);
+    const layout = { seed, upstreams, dialect, controls: CONTROL_COUNT, entries: ENTRY_COUNT, queueHosts: true };
+    const fleet = new RoutedFleet(layout);
     const run: CallScheduleRun = { fleet, random, sent: [], cut: new Set(), limitedUpstream: 0 };
     await fleet.start(makeDocument({ routes: [makeRoute({ kind: "once", attempts: 1, timeoutMs: 4_000 })] }));
     await moveRequestLimit(run);
@@ -102,9 +110,11 @@
         await advanceUnderCalls(run, random.between(300, 2_500));
     }
     await endFaults(run);
+    errorShare = 0;
     const faultFreeSince = fleet.clock.monotonic();
     await advanceUnderCalls(run, FAULT_FREE_MS);
     const replies = await fleet.run(Promise.all(run.sent.map(({ reply }) => reply)));
+    await checkSlots(fleet);
     checkFleetRepeats(fleet);
     checkAtMostOnce(run, replies);
     checkQuarantine(run, faultFreeSince);
--- a/src/faultInjection/hostSoftwareSchedule/index.ts
+++ b/src/faultInjection/hostSoftwareSchedule/index.ts
@@ -1,6 +1,7 @@
 import { PoolId } from "../../ids/index.js";
 import { SeededRandom } from "../../ports/index.js";
 import { makeDocument, makeRoute } from "../../routing/index.js";
+import { checkSlots } from "../checkSlots/index.js";
 import { checkRefusals, checkStream } from "../checkStreams/index.js";
 import { RoutedFleet } from "../routedFleet/index.js";
 import { callStream, StreamOutcome } from "../streamCaller/index.js";
@@ -93,6 +94,7 @@
     }
     const streams = await fleet.run(Promise.all(run.streams), MAX_STREAM_MS);
     const ran = new Set(fleet.upstreams.flatMap(({ runs }) => runs.map(({ request }) => request)));
+    await checkSlots(fleet);
     await fleet.close();
     for (const stream of streams) {
         checkStream(stream, plan.events);
--- a/src/faultInjection/index.ts
+++ b/src/faultInjection/index.ts
@@ -1,6 +1,7 @@
 /** Simulated fleets of real processes over in-memory ports, with faults drawn from a seed or injected by a test. */
 export * from "./callSchedule/index.js";
 export * from "./checkRepeats/index.js";
+export * from "./checkSlots/index.js";
 export * from "./checkStreams/index.js";
 export * from "./countStarts/index.js";
 export * from "./hostSoftwareSchedule/index.js";
@@ -19,3 +20,4 @@
 export * from "./softwareSchedule/index.js";
 export * from "./streamCaller/index.js";
 export * from "./testCaller/index.js";
+export * from "./throwingDialect/index.js";
--- a/src/faultInjection/pathSchedule/index.ts
+++ b/src/faultInjection/pathSchedule/index.ts
@@ -2,6 +2,7 @@
 import { PathLoss, SeededRandom } from "../../ports/index.js";
 import { makeDocument, makeRoute } from "../../routing/index.js";
 import { checkFleetRepeats } from "../checkRepeats/index.js";
+import { checkSlots } from "../checkSlots/index.js";
 import { countStarts } from "../countStarts/index.js";
 import { InvariantError } from "../recordingStateMachine/index.js";
 import { RoutedFleet } from "../routedFleet/index.js";
@@ -109,6 +110,7 @@
     // The last counts are on their way to the control log.
     await fleet.advance(CONTACT_MS);
     const counted = countStarts(fleet, WORKSPACE);
+    await checkSlots(fleet);
     await fleet.close();
     checkFleetRepeats(fleet);
     const ran = checkAtMostOnce(run, replies);
--- a/src/faultInjection/powerSchedule/index.ts
+++ b/src/faultInjection/powerSchedule/index.ts
@@ -2,6 +2,7 @@
 import { SeededRandom } from "../../ports/index.js";
 import { makeDocument, makeRoute } from "../../routing/index.js";
 import { checkFleetRepeats } from "../checkRepeats/index.js";
+import { checkSlots } from "../checkSlots/index.js";
 import { countStarts } from "../countStarts/index.js";
 import { InvariantError } from "../recordingStateMachine/index.js";
 import { controlAddress, RoutedFleet } from "../routedFleet/index.js";
@@ -83,6 +84,7 @@
         counted: countStarts(fleet, WORKSPACE),
         virtualMs: fleet.clock.monotonic(),
     };
+    await checkSlots(fleet);
     await fleet.close();
     checkFleetRepeats(fleet);
     checkCounts(report, plan);
--- a/src/faultInjection/repeatSchedule/index.ts
+++ b/src/faultInjection/repeatSchedule/index.ts
@@ -2,6 +2,7 @@
 import { SeededRandom } from "../../ports/index.js";
 import { makeDocument, makeRoute } from "../../routing/index.js";
 import { checkFleetRepeats } from "../checkRepeats/index.js";
+import { checkSlots } from "../checkSlots/index.js";
 import { RepeatLoad } from "../repeatLoad/index.js";
 import { RoutedFleet } from "../routedFleet/index.js";
 
@@ -75,6 +76,7 @@
     await advance(run, FAULT_FREE_MS);
     const { fleet, load } = run;
     const replies = await fleet.run(Promise.all(load.replies));
+    await checkSlots(fleet);
     await fleet.close();
     const { repeats, allowed } = checkFleetRepeats(fleet);
     const answered = replies.filter(({ status }) => status === 200).length;
--- a/src/faultInjection/routedFleet/index.ts
+++ b/src/faultInjection/routedFleet/index.ts
@@ -5,7 +5,7 @@
 import { HostId, Incarnation, PoolId, ZoneId } from "../../ids/index.js";
 import { Logger, SilentLogger } from "../../logging/index.js";
 import { NoMetrics } from "../../metrics/index.js";
-import { CALL_HEADERS, NativeDialect, RepeatLimits } from "../../passthrough/index.js";
+import { CALL_HEADERS, CallDialect, NativeDialect, RepeatLimits } from "../../passthrough/index.js";
 import {
     Address,
     DEFAULT_HTTP_LIMITS,
@@ -54,6 +54,8 @@
     readonly logger?: Logger;
     /** Limits on retries of a pool, for all entries together. */
     readonly repeats: RepeatLimits;
+    /** Of the entries; undefined: our own. */
+    readonly dialect?: CallDialect;
     /** The zone of each entry; undefined: all are in the upstreams' zone. */
     readonly entryZones?: readonly string[];
 }
@@ -274,7 +276,7 @@
             balancerMs: 500,
             routes: {
                 callers: { host, port: PORTS.callers },
-                dialect: new NativeDialect(),
+                dialect: this.layout.dialect ?? new NativeDialect(),
                 repeats: this.layout.repeats,
                 startsWindowMs: 5_000,
             },
--- a/src/faultInjection/softwareSchedule/index.ts
+++ b/src/faultInjection/softwareSchedule/index.ts
@@ -2,6 +2,7 @@
 import { SeededRandom } from "../../ports/index.js";
 import { makeDocument, makeRoute } from "../../routing/index.js";
 import { checkFleetRepeats } from "../checkRepeats/index.js";
+import { checkSlots } from "../checkSlots/index.js";
 import { checkRefusals, checkStream, ResumptionTally, tallyResumptions } from "../checkStreams/index.js";
 import { InvariantError } from "../recordingStateMachine/index.js";
 import { RoutedFleet } from "../routedFleet/index.js";
@@ -103,6 +104,7 @@
     await sendFor(run, FAULT_FREE_MS);
     const streams = await fleet.run(Promise.all(run.streams), MAX_STREAM_MS);
     const ran = new Set(fleet.upstreams.flatMap(({ runs }) => runs.map(({ request }) => request)));
+    await checkSlots(fleet);
     await fleet.close();
     checkFleetRepeats(fleet);
     for (const stream of streams) {
--- a/src/passthrough/callError/index.ts
+++ b/src/passthrough/callError/index.ts
@@ -19,7 +19,8 @@
     | "stopping-running"
     | "timeout-waiting"
     | "timeout-running"
-    | "upstream-lost";
+    | "upstream-lost"
+    | "internal";
 
 interface ErrorSpec {
     readonly status: number;
@@ -45,6 +46,7 @@
     "timeout-running": { status: 504, notRun: false },
     "stopping-running": { status: 502, notRun: false },
     "upstream-lost": { status: 502, notRun: false },
+    "internal": { status: 500, notRun: false },
 };
 
 /** Retry delay of calls that a stopping host does not run, in milliseconds: a new connection leads to another host. */
--- a/src/passthrough/callTask/index.ts
+++ b/src/passthrough/callTask/index.ts
@@ -25,6 +25,11 @@
     readonly grant: Grant;
 }
 
+/** A grant for another upstream at which a call goes on, and the repeat that this takes from the budget. */
+export interface MoveGrant extends HeldGrant {
+    readonly repeat: RepeatPermit;
+}
+
 /** A repeat that was decided and not yet sent, for logs. */
 export interface PendingRepeat {
     /** The end of the attempt that is repeated; `stalled` for one that is cancelled for it. */
@@ -63,6 +68,10 @@
     pendingRepeat: PendingRepeat | undefined;
     /** The permit for the next send, or that of the last one. */
     permit: RepeatPermit | undefined;
+    /** The grant with which the call leaves a silent upstream; undefined while there is none, and once it is used or returned. */
+    move: MoveGrant | undefined;
+    /** Settles once the end of the last attempt has been reported; it never rejects. */
+    reported: Promise<void>;
 }
 
 /** A call that has not received its final answer. */
@@ -94,6 +103,8 @@
         lastDetail: "",
         pendingRepeat: undefined,
         permit: undefined,
+        move: undefined,
+        reported: Promise.resolve(),
     };
 }
 
--- a/src/passthrough/runCall/index.ts
+++ b/src/passthrough/runCall/index.ts
@@ -1,4 +1,12 @@
-import { findFailureOutcome, Grant, recordDecline, Refusal, SendBlock, toTarget } from "../../dispatch/index.js";
+import {
+    findFailureOutcome,
+    Grant,
+    GrantScope,
+    recordDecline,
+    Refusal,
+    SendBlock,
+    toTarget,
+} from "../../dispatch/index.js";
 import { HostId, RequestId, SoftwareVersion } from "../../ids/index.js";
 import { RunningRequest } from "../../request/index.js";
 import { PromptPart } from "../../upstream/index.js";
@@ -14,12 +22,14 @@
     GrantEnd,
     HeldGrant,
     makeTicket,
+    MoveGrant,
     requiredSoftware,
     returnGrant,
     tokensPerEventOf,
 } from "../callTask/index.js";
 import { AttemptEnd, chooseNextStep, NextStep } from "../nextStep/index.js";
 import { checkQuarantine, PreparedCall, recheckKey } from "../prepareCall/index.js";
+import { recordInternalError } from "../recordInternalError/index.js";
 import {
     describeBudget,
     readBudget,
@@ -30,7 +40,7 @@
 import { sendBuffered } from "../relayAnswer/index.js";
 import { RepeatPermit } from "../repeatPermit/index.js";
 import { sendCall } from "../sendCall/index.js";
-import { MoveGrant, StallMove } from "../stallMove/index.js";
+import { StallMove } from "../stallMove/index.js";
 import { mayEndInTime } from "../stopMargin/index.js";
 import { StreamState } from "../streamState/index.js";
 import { toUpstreamPriority } from "../upstreamPriority/index.js";
@@ -84,13 +94,16 @@
     run: RunningRequest,
     answer: CallAnswer,
 ): Promise<CallEnd> {
-    const task: CallTask = { ctx, call, run, answer, progress: createProgress() };
+    const grants = new GrantScope(ctx.dispatcher);
+    const progress = createProgress();
     ctx.repeats.recordRequest(call.pool);
     try {
-        return await runAttempts(task);
+        return await runAttempts({ ctx: { ...ctx, dispatcher: grants }, call, run, answer, progress });
     }
     finally {
-        task.progress.permit?.release();
+        progress.permit?.release();
+        progress.move?.repeat.release();
+        void progress.reported.finally(() => grants.close());
     }
 }
 
@@ -111,6 +124,7 @@
  */
 async function attemptOnce(task: CallTask, moved: MoveGrant | undefined): Promise<AttemptOutcome> {
     if (!moved) return requestGrant(task);
+    task.progress.move = undefined;
     recordRepeatDecided(task, "stalled");
     holdPermit(task, moved.repeat);
     return sendGranted(task, moved);
@@ -151,14 +165,14 @@
     const { eventCount } = progress.stream;
     const move = new StallMove(task, grant);
     const attempt = makeAttempt(task, { ticketId, grant }, move);
-    const result = await sendCall(ctx, attempt);
-    const next = move.end();
+    const result = await sendCall(ctx, attempt).finally(() => progress.move = move.end());
+    const next = progress.move;
     progress.relay = attempt.relay ?? progress.relay;
-    const completed = completeAttempt(task, attempt, result, sentAt);
+    progress.reported = completeAttempt(task, attempt, result, sentAt);
     recordForCrashGuards(task, grant, result, progress.stream.eventCount > eventCount);
     if (result.kind === "ended" && result.end === "not-sent") progress.permit?.restore();
     if (result.kind === "answered") {
-        returnMove(task, next);
+        returnMove(task);
         run.waitFor("durability");
         run.hasAnswerBegun = true;
         await waitDurable(task);
@@ -167,11 +181,11 @@
     }
     recordAttempt(task, attempt, result);
     if (result.isUnsendable) {
-        returnMove(task, next);
+        returnMove(task);
         return { end: await failNotRun(task, new CallError("malformed", result.detail)) };
     }
     if (run.isCancelled) {
-        returnMove(task, next);
+        returnMove(task);
         return { end: endCancelled(task) };
     }
     progress.avoid.push(grant.upstream);
@@ -181,7 +195,7 @@
     }
     const outcome = await goOn(task, result.end);
     // The owner of the queue must know how the attempt ended before it chooses another upstream.
-    if (!outcome.end) await completed;
+    if (!outcome.end) await progress.reported;
     return outcome;
 }
 
@@ -226,10 +240,13 @@
 }
 
 /** Returns the grant for another upstream, where the call needs none any more. */
-function returnMove(task: CallTask, next: MoveGrant | undefined): void {
-    if (!next) return;
-    next.repeat.release();
-    returnGrant(task, next);
+function returnMove(task: CallTask): void {
+    const { progress } = task;
+    const { move } = progress;
+    if (!move) return;
+    progress.move = undefined;
+    move.repeat.release();
+    returnGrant(task, move);
 }
 
 /** Sets the priority that the upstream is told, by the rank of the call in the document in force. */
@@ -241,18 +258,31 @@
 /** Reports the outcome of an attempt to the owner of the queue; finding it out may take a moment where the attempt failed. */
 async function completeAttempt(task: CallTask, attempt: Attempt, result: AttemptResult, sentAt: number): Promise<void> {
     const { ctx, call, run, progress } = task;
-    const { grant, relay } = attempt;
     const idleMs = ctx.clock.monotonic() - Math.max(sentAt, progress.stream.lastEventAt);
     const outcome = outcomeOf(result, run, idleMs);
     const ended = { stream: { ...progress.stream }, tries: progress.tries };
-    const complete = (end: GrantEnd): void => completeGrant(task, attempt, end, ended, sentAt);
-    if (result.kind === "answered" || outcome !== "failed" || result.misdirected) return complete({ outcome });
+    try {
+        const end = findGrantEnd(task, attempt, result, { outcome, sentAt });
+        completeGrant(task, attempt, end instanceof Promise ? await end : end, ended, sentAt);
+    }
+    catch (err) {
+        // The call's other grants end with it, and so does this one.
+        recordInternalError(ctx, call.head.request, err);
+    }
+}
+
+function findGrantEnd(
+    { ctx, call }: CallTask,
+    { grant, relay }: Attempt,
+    result: AttemptResult,
+    { outcome, sentAt }: Pick<GrantEnd, "outcome"> & { readonly sentAt: number; },
+): Promise<GrantEnd> | GrantEnd {
+    if (result.kind === "answered" || outcome !== "failed" || result.misdirected) return { outcome };
     const { end, connectionEnded = false, isPathFailure = false, isUpstreamFault = false } = result;
-    if (isUpstreamFault) return complete({ outcome });
+    if (isUpstreamFault) return { outcome };
     const mayHaveBeenSent = end !== "not-sent";
     const failure = { isPathFailure, mayHaveBeenSent, isRelayed: relay !== undefined, connectionEnded, sentAt };
-    const target = toTarget(call.pool, grant);
-    complete(await findFailureOutcome(ctx.upstreamHttp, target, failure));
+    return findFailureOutcome(ctx.upstreamHttp, toTarget(call.pool, grant), failure);
 }
 
 /**
--- a/src/passthrough/sendCall/index.ts
+++ b/src/passthrough/sendCall/index.ts
@@ -55,7 +55,13 @@
         deadlineHeader: ctx.dialect.deadlineHeader,
         onRelay: relay => attempt.relay = relay,
     });
-    return handleReply(ctx, attempt, sent);
+    try {
+        return await handleReply(ctx, attempt, sent);
+    }
+    catch (err) {
+        sent.ifRight(reply => reply.reset());
+        throw err;
+    }
 }
 
 /** Returns what the upstream is told of the last event. */
--- a/src/passthrough/serveCalls/index.ts
+++ b/src/passthrough/serveCalls/index.ts
@@ -7,6 +7,7 @@
 import { CallHead } from "../callDialect/index.js";
 import { CallError, makeStoppingError } from "../callError/index.js";
 import { prepareCall, PreparedCall } from "../prepareCall/index.js";
+import { recordInternalError } from "../recordInternalError/index.js";
 import { CallEnd, runCall } from "../runCall/index.js";
 import { mayEndInTime } from "../stopMargin/index.js";
 
@@ -20,16 +21,33 @@
     return async (req, res) => {
         const answer = new CallAnswer({ res, dialect: ctx.dialect, isDraining: ctx.isDraining });
         const head = ctx.dialect.readHead(req);
-        if (ctx.isRefusing()) return refuse(ctx, head, answer, makeStoppingError(false));
-        const refusal = (): Either<CallError, PreparedCall> => Left(makeStoppingError(false));
-        const prepared = await orOnAbort(prepareCall(ctx, req, head), ctx.exitSignal, refusal);
-        if (prepared.isLeft()) return refuse(ctx, head, answer, prepared.extract() as CallError);
-        const call = prepared.unsafeCoerce();
-        if (!mayEndInTime(ctx, call)) return refuse(ctx, head, answer, makeStoppingError(false));
-        await trackCall(ctx, req, answer, call);
+        try {
+            await serveCall(ctx, req, head, answer);
+        }
+        catch (err) {
+            const request = head.map(read => read.request).toMaybe().extract();
+            recordInternalError(ctx, request, err);
+            ctx.metrics.count("calls", 1, { outcome: "internal" });
+            answer.sendError(new CallError("internal", "an internal error"), request);
+        }
     };
 }
 
+async function serveCall(
+    ctx: CallContext,
+    req: HttpRequest,
+    head: Either<CallError, CallHead>,
+    answer: CallAnswer,
+): Promise<void> {
+    if (ctx.isRefusing()) return refuse(ctx, head, answer, makeStoppingError(false));
+    const refusal = (): Either<CallError, PreparedCall> => Left(makeStoppingError(false));
+    const prepared = await orOnAbort(prepareCall(ctx, req, head), ctx.exitSignal, refusal);
+    if (prepared.isLeft()) return refuse(ctx, head, answer, prepared.extract() as CallError);
+    const call = prepared.unsafeCoerce();
+    if (!mayEndInTime(ctx, call)) return refuse(ctx, head, answer, makeStoppingError(false));
+    await trackCall(ctx, req, answer, call);
+}
+
 function refuse(
     ctx: CallContext,
     readHead: Either<CallError, CallHead>,
--- a/src/passthrough/stallMove/index.ts
+++ b/src/passthrough/stallMove/index.ts
@@ -2,9 +2,10 @@
 import { RequestId } from "../../ids/index.js";
 import { Timer } from "../../ports/index.js";
 import { SilenceWatch } from "../attempt/index.js";
-import { CallTask, HeldGrant, makeTicket, requiredSoftware, returnGrant } from "../callTask/index.js";
+import { CallTask, makeTicket, MoveGrant, requiredSoftware, returnGrant } from "../callTask/index.js";
 import { chooseNextStep } from "../nextStep/index.js";
 import { checkQuarantine, recheckKey } from "../prepareCall/index.js";
+import { recordInternalError } from "../recordInternalError/index.js";
 import { RepeatPermit } from "../repeatPermit/index.js";
 
 /** Without a first byte for this many targets, another upstream is sought. */
@@ -15,11 +16,6 @@
 /** Minimum pause that counts as a stall, in milliseconds: upstreams that work may be silent for a second or so. */
 const MIN_STALL_MS = 1_600;
 
-/** A grant for the upstream at which a call goes on, and the repeat that this takes from the budget. */
-export interface MoveGrant extends HeldGrant {
-    readonly repeat: RepeatPermit;
-}
-
 /**
  * Moves a call off an upstream that has fallen silent, as soon as another one is granted.
  *
@@ -89,7 +85,10 @@
     }
 
     private arm(): void {
-        this.timer = this.task.ctx.clock.after(this.limitMs, () => void this.seekGrant());
+        this.timer = this.task.ctx.clock.after(
+            this.limitMs,
+            () => void this.seekGrant().catch(err => this.giveUp(err)),
+        );
     }
 
     private async seekGrant(): Promise<void> {
@@ -116,6 +115,12 @@
         this.arm();
     }
 
+    /** Leaves the attempt as it is after an internal error. */
+    private giveUp(err: unknown): void {
+        this.pause();
+        recordInternalError(this.task.ctx, this.task.call.head.request, err);
+    }
+
     /** Takes a repeat from the budget if the call may run at another upstream now, and one is known. */
     private reserveRepeat(): RepeatPermit | undefined {
         const { ctx, call, answer, progress: { stream, begun, tries } } = this.task;
