A ticket that its entry withdraws as it is granted keeps no slot

Cause: an entry that hears nothing for 120 ms withdraws its ticket and ignores a later reply. An owner that stands still reads the ticket and its withdrawal in one go. The ticket is granted at once, but the grant reaches the ticket server a turn of the microtask queue later; the withdrawal in between finds no grant to end, and the reply is ignored: nobody ends the grant. The same where a request ends and hands its slot to a ticket that is withdrawn right behind it.

The fix: a grant whose ticket has been withdrawn, or whose channel has ended, by the time it reaches the ticket server ends there.

--- a/src/entry/ticketServer/index.ts
+++ b/src/entry/ticketServer/index.ts
@@ -136,7 +136,8 @@
         }
         const grant = decision.extract() as Grant;
         remote.grant = grant;
-        if (!channel.isOpen) this.abandon(ticket.request, remote);
+        // The entry may have withdrawn the ticket since the decision, and then ignores the reply.
+        if (!channel.isOpen || remote.abort.signal.aborted) this.abandon(ticket.request, remote);
         return { kind: "grant", grant };
     }
 
