--- a/src/dispatch/dispatchObserver/index.ts
+++ b/src/dispatch/dispatchObserver/index.ts
@@ -15,6 +15,13 @@
 
     ejected(_upstream: UpstreamId): void {}
 
+    /**
+     * Called when a grant is ended since its request must have ended, though its entry has not said so.
+     *
+     * @param _heldMs - Time since it was granted, in milliseconds.
+     */
+    grantExpired(_running: WaitingTicket, _upstream: UpstreamId, _heldMs: number): void {}
+
     /**
      * Called when an upstream gets no requests for a time because it failed one.
      *
--- a/src/dispatch/localDispatcher/index.ts
+++ b/src/dispatch/localDispatcher/index.ts
@@ -36,6 +36,8 @@
 
 /** Interval between reviews of the waiting tickets, in milliseconds. */
 const TICK_MS = 25;
+/** Ticks between two reviews of the granted requests. */
+const GRANT_REVIEW_TICKS = 20;
 
 /**
  * The queues of all pools that one process owns. It does no networking: whoever receives tickets from other entries
@@ -53,7 +55,9 @@
     private readonly prefixes = new PrefixIndex();
     private readonly seenIncarnations = new Map<string, number>();
     private readonly preemptListeners: ((request: RequestId) => void)[] = [];
+    private readonly expiryListeners: ((request: RequestId) => void)[] = [];
     private readonly startedAt: number;
+    private ticks = 0;
     private timer: Timer | undefined;
     private isClosed = false;
 
@@ -71,14 +75,17 @@
         const decision = queue.submit(ticket, signal);
         this.armTimer();
         const settled = await decision;
-        settled.ifRight(() => this.poolOfRequest.set(ticket.request, ticket.pool));
+        if (queue.isRunning(ticket.request)) this.poolOfRequest.set(ticket.request, ticket.pool);
         return settled;
     }
 
     complete(completion: Completion): void {
-        const pool = this.poolOfRequest.get(completion.request);
+        const { request } = completion;
+        const pool = this.poolOfRequest.get(request);
         if (pool === undefined) return;
-        if (this.queueOf(pool).complete(completion)) this.poolOfRequest.delete(completion.request);
+        const queue = this.queueOf(pool);
+        queue.complete(completion);
+        if (!queue.isRunning(request)) this.poolOfRequest.delete(request);
     }
 
     progress(request: RequestId, tokens: number): void {
@@ -123,11 +130,17 @@
      * @param previousOwner - The owner that counted it until now, where that is another host.
      */
     adopt(ticket: Ticket, grant: Grant, runningMs: number, previousOwner?: HostId): void {
-        this.poolOfRequest.set(ticket.request, ticket.pool);
-        this.queueOf(ticket.pool).adopt(ticket, grant, runningMs, previousOwner);
+        const queue = this.queueOf(ticket.pool);
+        queue.adopt(ticket, grant, runningMs, previousOwner);
+        if (queue.isRunning(ticket.request)) this.poolOfRequest.set(ticket.request, ticket.pool);
         this.armTimer();
     }
 
+    /** Registers a listener that is called with each request whose grant was ended, since the request must have ended. */
+    onGrantExpired(listener: (request: RequestId) => void): void {
+        this.expiryListeners.push(listener);
+    }
+
     /** Returns what this process has granted in a pool, and what waits here; undefined where it has had no ticket. */
     describeState(pool: PoolId): QueueState | undefined {
         return this.queues.get(pool)?.describeState();
@@ -260,12 +273,21 @@
     private tick(): void {
         this.timer = undefined;
         this.options.registry.expire();
+        const isReview = this.ticks++ % GRANT_REVIEW_TICKS === 0;
         let isBusy = false;
         for (const queue of this.queues.values()) {
             if (queue.isIdle) continue;
+            if (isReview) this.expireGrants(queue);
             queue.tick();
             isBusy = true;
         }
         if (isBusy) this.armTimer();
     }
+
+    private expireGrants(queue: PoolQueue): void {
+        for (const request of queue.expireGrants()) {
+            this.poolOfRequest.delete(request);
+            for (const listener of this.expiryListeners) listener(request);
+        }
+    }
 }
--- a/src/dispatch/localDispatcher/test.ts
+++ b/src/dispatch/localDispatcher/test.ts
@@ -14,10 +14,17 @@
 type Decision = Either<Refusal, Grant>;
 
 class BackOffRecorder extends DispatchObserver {
+    /** Requests whose grant has expired, with the time for which it was held, in milliseconds. */
+    readonly expired: string[] = [];
+
     constructor(private readonly backOffs: string[]) {
         super();
     }
 
+    override grantExpired({ ticket: { request } }: WaitingTicket, upstream: UpstreamId, heldMs: number): void {
+        this.expired.push(`${request} at ${upstream} after ${heldMs} ms`);
+    }
+
     override backedOff({ ticket: { request } }: WaitingTicket, upstream: UpstreamId, backOffMs: number): void {
         this.backOffs.push(`${upstream} ${backOffMs} ms by ${request}`);
     }
@@ -31,12 +38,13 @@
     readonly preempted: string[] = [];
     /** Back-offs of upstreams, with the request that began each. */
     readonly backOffs: string[] = [];
+    readonly observer = new BackOffRecorder(this.backOffs);
     readonly dispatcher = new LocalDispatcher({
         clock: this.clock,
         random: new SeededRandom(1),
         registry: this.registry,
         zone: "vogar" as ZoneId,
-        observer: new BackOffRecorder(this.backOffs),
+        observer: this.observer,
     });
     private sequence = 1;
 
@@ -202,6 +210,38 @@
         });
     });
 
+    describe("a grant whose end is not reported", () => {
+        it("ends soon after its request must have ended", async () => {
+            // Failure: an entry that lives and has lost track of a grant keeps the slot for good.
+            const pool = new TestPool(1);
+            void pool.submit({ request: "forgotten", lifeMs: 1_000 });
+            await pool.clock.advance(2_900);
+            pool.announce(1);
+            assert.equal(pool.dispatcher.countRunning(makeTicket({}).pool), 1);
+            void pool.submit({ request: "next", maxWaitMs: 20_000, firstTokenMs: 20_000 });
+            await pool.clock.advance(1_000);
+            assert.deepEqual(pool.settled, ["forgotten", "next"]);
+            assert.equal(pool.observer.expired.length, 1);
+            assert.match(pool.observer.expired[0], /^forgotten at u1 after 3\d\d\d ms$/);
+        });
+
+        it("does not hide the end of another request", async () => {
+            const pool = new TestPool(3);
+            const expired: string[] = [];
+            pool.dispatcher.onGrantExpired(request => expired.push(request));
+            void pool.submit({ request: "forgotten", lifeMs: 1_000 });
+            void pool.submit({ request: "long", lifeMs: 60_000 });
+            void pool.submit({ request: "unlimited" });
+            await pool.clock.advance(10_000);
+            pool.complete("forgotten");
+            assert.deepEqual(expired, ["forgotten"]);
+            assert.equal(pool.dispatcher.countRunning(makeTicket({}).pool), 2);
+            pool.complete("long");
+            pool.complete("unlimited");
+            assert.equal(pool.dispatcher.countRunning(makeTicket({}).pool), 0);
+        });
+    });
+
     describe("preemption", () => {
         it("preempts the resumable request of the lowest tier for a target at risk", async () => {
             const pool = new TestPool(2);
--- a/src/dispatch/poolQueue/index.ts
+++ b/src/dispatch/poolQueue/index.ts
@@ -37,6 +37,8 @@
     unused: undefined,
 };
 
+/** Time in which the end of a request reaches the owner of its queue, in milliseconds. */
+const END_REPORT_MS = 2_000;
 /** Ticks between two reviews of the pool's upstreams for stragglers. */
 const STRAGGLER_REVIEW_TICKS = 4;
 /**
@@ -122,6 +124,11 @@
         return this.decisions.listTickets().filter(waiting => !this.held.has(waiting) && !this.bound.has(waiting));
     }
 
+    /** Whether a granted request has not been completed. */
+    isRunning(request: RequestId): boolean {
+        return this.running.get(request) !== undefined;
+    }
+
     /** Returns the tickets of the running requests in no particular order. */
     listRunning(): WaitingTicket[] {
         return [...this.running.values()].map(({ waiting }) => waiting);
@@ -237,12 +244,7 @@
             }
         }
         const lost = [...this.running.values()].filter(({ waiting }) => waiting.ticket.origin === host);
-        for (const { waiting, load, tokens } of lost) {
-            const { request, promptTokens } = waiting.ticket;
-            const upstream = load.upstream.id;
-            const usage = { promptTokens, cachedTokens: 0, completionTokens: tokens };
-            this.complete({ request, upstream, outcome: "cancelled", ...usage });
-        }
+        for (const running of lost) this.endRunning(running);
         return lost.map(({ waiting }) => waiting.ticket.request);
     }
 
@@ -341,6 +343,22 @@
         this.preempter.preemptForWaiting(this.order.highestTierFirst());
     }
 
+    /**
+     * Ends the grants whose requests must have ended, though their entries have not said so: an entry may live and have lost track of a
+     * grant.
+     *
+     * @returns The requests whose grants were ended.
+     */
+    expireGrants(): readonly RequestId[] {
+        const now = this.options.clock.monotonic();
+        const expired = [...this.running.values()].filter(({ waiting }) => now > waiting.endsBy + END_REPORT_MS);
+        for (const running of expired) {
+            this.options.observer.grantExpired(running.waiting, running.load.upstream.id, now - running.grantedAt);
+            this.endRunning(running);
+        }
+        return expired.map(({ waiting }) => waiting.ticket.request);
+    }
+
     /** Refuses all waiting tickets because the process is about to stop: another entry takes over the queue. */
     drain(): void {
         for (const waiting of this.decisions.listTickets()) {
@@ -348,6 +366,13 @@
         }
     }
 
+    /** Ends a grant of which its entry reports no end. */
+    private endRunning({ waiting, load, tokens }: RunningRequest): void {
+        const { request, promptTokens } = waiting.ticket;
+        const usage = { promptTokens, cachedTokens: 0, completionTokens: tokens };
+        this.complete({ request, upstream: load.upstream.id, outcome: "cancelled", ...usage });
+    }
+
     private checkSubmitted(waiting: WaitingTicket, { aborted }: AbortSignal): Refusal | undefined {
         if (aborted) return makeRefusal(waiting, "cancelled", 0, "the caller has gone");
         return isBound(waiting) ? undefined : this.admission.checkNew(waiting);
@@ -445,12 +470,16 @@
         this.backOffs.recordGrant(ticket.origin, load.upstream.id, now);
         this.options.members.refresh(load);
         this.options.prefixes.record(ticket.prefixes, load.upstream.id);
+        const earlier = this.running.get(ticket.request);
+        // An entry submits a ticket once more only when it has given up the decision on the first.
+        if (earlier) this.endRunning(earlier);
         this.running.add({ waiting, load, grantedAt: now, tokens: 0, isPreempted: false, release });
         const reason = choice.reason + this.options.members.describeLimits()
             + this.picker.describeBackOffs(ticket, now);
         const grant = makeGrant(waiting, { ...choice, reason }, now, software);
         this.options.observer.granted(waiting, grant);
-        this.decisions.settle(waiting, Right(grant));
+        const isWanted = this.decisions.settle(waiting, Right(grant));
+        if (!isWanted) this.endRunning(this.running.get(ticket.request)!);
     }
 
     private refuseLateTickets(): void {
--- a/src/dispatch/ticket/index.ts
+++ b/src/dispatch/ticket/index.ts
@@ -36,6 +36,8 @@
     readonly guaranteedShare: number;
     /** Time from the request's arrival to the creation of this ticket, in milliseconds. */
     readonly ageMs: number;
+    /** Time after which the request has ended in any case, from the creation of this ticket, in milliseconds; undefined: no limit. */
+    readonly lifeMs?: number;
     /** Hashes of the prompt's prefixes, the shortest first. */
     readonly prefixes: readonly string[];
     /** The parts of the prompt with their sizes, where known. */
--- a/src/dispatch/waitingTicket/index.ts
+++ b/src/dispatch/waitingTicket/index.ts
@@ -15,6 +15,8 @@
     readonly targetAt: number;
     /** Monotonic time at which its wait expires, in milliseconds. */
     readonly expiresAt: number;
+    /** Monotonic time at which the request has ended in any case, in milliseconds; infinite where it has no time limit. */
+    readonly endsBy: number;
     /** The predicted length of the answer, in tokens. */
     readonly predictedTokens: number;
     /** The predicted cost, in answer tokens. */
@@ -36,6 +38,7 @@
         arrivedAt,
         targetAt: arrivedAt + ticket.firstTokenMs,
         expiresAt: now + findWaitLeftMs(ticket),
+        endsBy: now + (ticket.lifeMs ?? Number.POSITIVE_INFINITY),
         predictedTokens,
         cost: costInTokens(ticket.promptTokens, predictedTokens),
     };
--- a/src/entry/fleetDispatcher/index.ts
+++ b/src/entry/fleetDispatcher/index.ts
@@ -51,6 +51,8 @@
 /** Added to a ticket's longest wait for the round trip to the owner, in milliseconds. */
 const REPLY_SLACK_MS = 500;
 const PROGRESS_INTERVAL_MS = 200;
+/** Time behind the end of a request within which its grant is completed, in milliseconds. */
+const END_REPORT_MS = 2_000;
 /** After this many unresponsive owners, or attempts in total, this host decides on its own. */
 const MAX_UNRESPONSIVE_OWNERS = 2;
 const MAX_OWNER_ATTEMPTS = 8;
@@ -165,16 +167,18 @@
         logger.info("queue-owner-suspected", { pool, owner, next: this.ownerOf(pool), ...evidence });
     }
 
-    /** Updates a ticket's age, and adds the limits and back-offs that this host knows: the deciding host, such as a new owner, may not know them. */
+    /** Updates a ticket's age and the rest of its life, and adds the limits and back-offs that this host knows: the deciding host, such as a new owner, may not know them. */
     private refreshTicket(ticket: Ticket, startedAt: number): Ticket {
         const { signals, clock } = this.options;
         const limits = signals.listLimits(ticket.pool);
         const rejectionLimits = signals.listRejectionLimits(ticket.pool);
         const backOffs = signals.listBackOffs(ticket.pool);
-        const ageMs = ticket.ageMs + clock.monotonic() - startedAt;
+        const passedMs = clock.monotonic() - startedAt;
+        const { lifeMs } = ticket;
         return {
             ...ticket,
-            ageMs,
+            ageMs: ticket.ageMs + passedMs,
+            ...(lifeMs === undefined ? {} : { lifeMs: lifeMs - passedMs }),
             ...(limits.length > 0 ? { limits } : {}),
             ...(rejectionLimits.length > 0 ? { rejectionLimits } : {}),
             ...(backOffs.length > 0 ? { backOffs } : {}),
@@ -239,10 +243,28 @@
             this.pendingProgress.clear();
             this.openOwnerLinks();
             this.suspectLostOwners();
+            this.endExpired();
             this.reassignGrants();
         }
     }
 
+    /** Ends the grants whose requests must have ended: they would be reported to each new owner of their queue. */
+    private endExpired(): void {
+        const now = this.options.clock.monotonic();
+        for (const [request, { ticket, grant: { upstream }, grantedAt }] of [...this.runningGrants]) {
+            if (now - grantedAt <= (ticket.lifeMs ?? Number.POSITIVE_INFINITY) + END_REPORT_MS) continue;
+            this.options.logger.warn("grant-unended", { request, upstream, pool: ticket.pool });
+            this.complete({
+                request,
+                upstream,
+                outcome: "cancelled",
+                promptTokens: 0,
+                cachedTokens: 0,
+                completionTokens: 0,
+            });
+        }
+    }
+
     /** Opens the links to possible owners in advance: links open on first use, and a ticket would wait for that. */
     private openOwnerLinks(): void {
         const { directory, self, pools } = this.options;
--- a/src/entry/ticketServer/index.ts
+++ b/src/entry/ticketServer/index.ts
@@ -94,6 +94,10 @@
             if (ticket) ticket.channel.notify(DISPATCH_METHODS.preempt, request);
             else onLocalPreempt(request);
         });
+        local.onGrantExpired(request => {
+            const remote = this.remoteTickets.get(request);
+            if (remote) this.forget(request, remote);
+        });
     }
 
     /** Registers the methods that entries call. */
@@ -156,6 +160,12 @@
     }
 
     private track(request: RequestId, channel: PeerChannel): RemoteTicket {
+        const earlier = this.remoteTickets.get(request);
+        // An entry submits a ticket once more only when it has given up the decision on the first, maybe on another connection.
+        if (earlier) {
+            this.abandon(request, earlier);
+            this.forget(request, earlier);
+        }
         const remote: RemoteTicket = { channel, abort: new AbortController() };
         this.remoteTickets.set(request, remote);
         const known = this.byChannel.get(channel);
--- a/src/entry/ticketServer/test.ts
+++ b/src/entry/ticketServer/test.ts
@@ -81,6 +81,35 @@
         for (let turn = 0; turn < count; turn++) await undefined;
     }
 
+    describe("a ticket that comes once more", () => {
+        it("keeps one slot, where the first was granted on a connection that its entry has given up", async () => {
+            // Failure: the slot of the first grant is taken for good, since the second one has its place.
+            start();
+            const [first, second] = [new TestChannel(), new TestChannel()];
+            await submit("a", first);
+            await submit("a", second);
+            assert.equal(local.countRunning(POOL), 1);
+            first.close();
+            await takeTurns(MAX_TURNS);
+            assert.equal(local.countRunning(POOL), 1);
+            second.close();
+            await takeTurns(MAX_TURNS);
+            assert.equal(local.countRunning(POOL), 0);
+        });
+
+        it("keeps one place in the queue, where the first has not been granted", async () => {
+            start();
+            const channel = new TestChannel();
+            await Promise.all([submit("a", channel), submit("b", channel)]);
+            const replies = [submit("c", channel), submit("c", channel)];
+            await takeTurns(MAX_TURNS);
+            assert.equal(local.countWaiting(POOL), 1);
+            cancel("c", channel);
+            await Promise.all(replies);
+            assert.equal(local.countWaiting(POOL), 0);
+        });
+    });
+
     describe("a ticket that its entry withdraws", () => {
         for (let turns = 0; turns < MAX_TURNS; turns++) {
             it(`keeps no slot, ${turns} turns behind its submission`, async () => {
--- a/src/passthrough/callTask/index.ts
+++ b/src/passthrough/callTask/index.ts
@@ -137,6 +137,7 @@
         maxWaitMs: MAX_WAIT_RATIO * (call.deadlineAt - call.arrivedAt),
         guaranteedShare: 0,
         ageMs: now - call.arrivedAt,
+        lifeMs: call.deadlineAt - now,
         prefixes: [],
         parts: head.parts,
         gapMs: route.kind === "stream" ? route.gapMs : undefined,
