Metrics: slots that a queue's owner counts, beside those in use, and why upstreams get nothing

A service that refuses everything has several causes that looked the same from outside: slots that never came back, upstreams that rest or state limits, a queue whose owner has changed, a pool without upstreams.

--- a/src/dispatch/localDispatcher/index.ts
+++ b/src/dispatch/localDispatcher/index.ts
@@ -7,7 +7,7 @@
 import { DEFAULT_POLICIES, DispatchPolicies } from "../dispatchPolicies/index.js";
 import { LengthEstimator } from "../lengthEstimator/index.js";
 import { QueueState } from "../otherOwners/index.js";
-import { PoolQueue } from "../poolQueue/index.js";
+import { PoolQueue, SlotUse } from "../poolQueue/index.js";
 import { Completion, Grant, Refusal, Ticket } from "../ticket/index.js";
 import { WaitingTicket } from "../waitingTicket/index.js";
 
@@ -152,6 +152,11 @@
         this.armTimer();
     }
 
+    /** Returns which slots of a pool this process counts as taken; undefined where it has had no ticket. */
+    describeSlots(pool: PoolId): SlotUse | undefined {
+        return this.queues.get(pool)?.describeSlots();
+    }
+
     /** Returns the waiting tickets of all queues in no particular order. */
     listWaiting(): WaitingTicket[] {
         return [...this.queues.values()].flatMap(queue => queue.listWaiting());
--- a/src/dispatch/poolQueue/index.ts
+++ b/src/dispatch/poolQueue/index.ts
@@ -27,6 +27,18 @@
 import { UpstreamPicker } from "../upstreamPicker/index.js";
 import { costInTokens, makeWaitingTicket, WaitingTicket } from "../waitingTicket/index.js";
 
+/** The slots of a pool, as the owner of its queue counts them. */
+export interface SlotUse {
+    /** Grants that have not ended, by the host of their requests. */
+    readonly granted: ReadonlyMap<HostId, number>;
+    /** Time since the oldest of them, in milliseconds; 0 where there is none. */
+    readonly oldestMs: number;
+    /** Tickets that wait. */
+    readonly waiting: number;
+    /** Upstreams by what keeps them from getting a request; `free` where nothing does. */
+    readonly upstreams: ReadonlyMap<string, number>;
+}
+
 /** Whether an outcome counts as a failure of the upstream; undefined when it says nothing about it. */
 const OUTCOME_IS_FAILURE: Readonly<Record<Completion["outcome"], boolean | undefined>> = {
     answered: false,
@@ -256,6 +268,18 @@
         return this.choice.prefillLoad(this.options.clock.monotonic());
     }
 
+    /** Returns which slots this owner counts as taken, and why upstreams get nothing. */
+    describeSlots(): SlotUse {
+        const now = this.options.clock.monotonic();
+        const running = [...this.running.values()];
+        return {
+            granted: countBy(running.map(({ waiting }) => waiting.ticket.origin)),
+            oldestMs: Math.max(0, ...running.map(({ grantedAt }) => now - grantedAt)),
+            waiting: this.decisions.size,
+            upstreams: countBy(this.options.members.all.map(load => load.describeState(now))),
+        };
+    }
+
     /** Returns what this owner has granted, and what waits here, for other owners of the queue. */
     describeState(): QueueState {
         const now = this.options.clock.monotonic();
@@ -573,6 +597,12 @@
     }
 }
 
+function countBy<Key>(keys: readonly Key[]): ReadonlyMap<Key, number> {
+    const counts = new Map<Key, number>();
+    for (const key of keys) counts.set(key, (counts.get(key) ?? 0) + 1);
+    return counts;
+}
+
 /** Whether a ticket is of a stream that certain software must continue. */
 function isBound({ ticket }: WaitingTicket): boolean {
     return ticket.software !== undefined;
--- a/src/entry/entryProcess/index.ts
+++ b/src/entry/entryProcess/index.ts
@@ -47,6 +47,7 @@
 import { PartMonitor } from "../partMonitor/index.js";
 import { PeerDirectory } from "../peerDirectory/index.js";
 import { PeerUsageBackup } from "../peerUsageBackup/index.js";
+import { QueueMonitor } from "../queueMonitor/index.js";
 import { readNativeSignals } from "../reportSignals/index.js";
 import { RouteService, RouteServiceSettings } from "../routeService/index.js";
 import { SendAllowance } from "../sendAllowance/index.js";
@@ -127,6 +128,7 @@
     readonly replicator: UsageReplicator;
     /** Service for calls routed by the fleet document; undefined where the options have no `routes`. */
     readonly routeService: RouteService | undefined;
+    private readonly decisions: DispatchLog;
     private readonly lifecycle = new Lifecycle();
     private readonly router = new PeerRouter();
     private readonly cache = new ViewCache();
@@ -185,13 +187,14 @@
         const owners = new PoolOwnerTable(region);
         this.registry = new UpstreamRegistry({ clock, timing: options.registryTiming });
         this.software = new SoftwareView(this.registry);
+        this.decisions = new DispatchLog(options.logger, options.metrics);
         this.local = new LocalDispatcher({
             clock,
             random,
             zone,
             registry: this.registry,
             policies: options.routes && ROUTED_POLICIES,
-            observer: new DispatchLog(options.logger, options.metrics),
+            observer: this.decisions,
             capacityOf: pool => this.cache.routes?.findPool(pool)?.engine?.kvTokens,
             coldRateOf: pool => this.sendAllowance.coldRateOf(pool),
             limitShareOf: pool => this.sendAllowance.limitShareOf(pool),
@@ -401,6 +404,7 @@
         lifecycle.run(running => this.crashMonitor.run(running), onError);
         lifecycle.run(running => this.partMonitor.run(running), onError);
         lifecycle.run(running => this.access.paths.run(running), onError);
+        lifecycle.run(running => this.makeQueueMonitor().run(running), onError);
         lifecycle.run(running => backupStore.run(running), onError);
         const { traffic } = this.router;
         lifecycle.run(running => reportTraffic({ ...options, traffic }, running), onError);
@@ -472,6 +476,11 @@
         });
     }
 
+    private makeQueueMonitor(): QueueMonitor {
+        const { local, decisions } = this;
+        return new QueueMonitor({ ...this.options, local, decisions, listUsed: () => this.dispatcher.listUsed() });
+    }
+
     private makeContext(): EntryContext {
         return {
             ...this.options,
--- a/src/entry/fleetDispatcher/index.ts
+++ b/src/entry/fleetDispatcher/index.ts
@@ -14,6 +14,7 @@
 import { Clock } from "../../ports/index.js";
 import { PeerError, PeerLink, PeerRouter } from "../../wire/index.js";
 import { PeerDirectory } from "../peerDirectory/index.js";
+import { UsedGrant } from "../queueMonitor/index.js";
 import { SignalExchange } from "../signalExchange/index.js";
 import { AdoptNotice, DISPATCH_METHODS, TicketReply } from "../ticketServer/index.js";
 
@@ -112,6 +113,16 @@
         return [...this.runningGrants.values()].map(({ grant }) => grant.upstream);
     }
 
+    /** Lists the grants in use, with the time for which each has been held. */
+    listUsed(): UsedGrant[] {
+        const now = this.options.clock.monotonic();
+        return [...this.runningGrants.values()].map(({ ticket: { pool }, grant: { upstream }, grantedAt }) => ({
+            pool,
+            upstream,
+            heldMs: now - grantedAt,
+        }));
+    }
+
     /**
      * Returns this host's rank as owner of a pool's queue, according to its own view: 0 for the owner, 1 for its successor. Undefined where
      * hosts of its kind own no queues.
--- a/src/upstream/upstreamLoad/index.ts
+++ b/src/upstream/upstreamLoad/index.ts
@@ -172,6 +172,19 @@
         return now < this.upstream.coldUntil;
     }
 
+    /** Returns what keeps it from getting a request now; `free` where nothing does. */
+    describeState(now: number): string {
+        const { upstream } = this;
+        if (upstream.state !== "ready") return upstream.state;
+        if (!upstream.isGrantable) return upstream.isZoneEvacuated ? "evacuated" : "reclaimed";
+        if (now < this.busyUntil) return "busy";
+        if (!this.ignoresBackoff && this.isBackingOff(now)) return "backing-off";
+        if (this.freeSlots(now) >= 1) return "free";
+        if (this.isEjected) return "ejected";
+        if (this.isAtLimit(now)) return "at-limit";
+        return this.isCold(now) && this.outstanding < upstream.slots ? "cold" : "full";
+    }
+
     /** Whether it may get work at all, busy or not. */
     isReady(now: number): boolean {
         return this.acceptsWork(now) && !this.isEjected;
