MIXED: an answer with a status that HTTP does not have is no answer

What callers saw: an engine in trouble answers with status 600 or 999, and callers get it as an answer. 000 and 099 were no answers before.

Cause: Node's parser takes any three digits from 100 on for a status.

Evidence: the two statuses, with four endings of the connection each, count as whole in the client's test on the code before.

The fix: a status above 599 makes an answer malformed, as one below 200 does.

--- a/src/ports/nodeHttpClient/index.ts
+++ b/src/ports/nodeHttpClient/index.ts
@@ -16,6 +16,7 @@
  */
 const MAX_RECENT_IDLE_MS = 300;
 const MIN_FINAL_STATUS = 200;
+const MAX_STATUS = 599;
 const STATUS_NO_CONTENT = 204;
 /** Matches a list of transfer codings that marks the end of the body: others end with the connection. */
 const CHUNKED_LAST = /(^|,)\s*chunked\s*$/i;
@@ -99,8 +100,9 @@
                 if (!hasReply && !hasFailed) fail("no response");
             });
             req.on("response", message => {
-                // Of the interim statuses, Node takes 101 without an `Upgrade` header for a final one.
-                if (message.statusCode! < MIN_FINAL_STATUS) return cancel("malformed");
+                // Node takes any three digits for a status, and 101 without an `Upgrade` header for a final one.
+                const status = message.statusCode!;
+                if (status < MIN_FINAL_STATUS || status > MAX_STATUS) return cancel("malformed");
                 hasReply = true;
                 timer.cancel();
                 const endProbe = isSelfDelimited(message) ? undefined : new ConnectionEndProbe(message.socket);
@@ -109,7 +111,7 @@
                 // The parser reads such a body, whose bytes belong to no request.
                 if (isExcess) req.destroy();
                 resolve(Right({
-                    status: message.statusCode!,
+                    status,
                     headers: toHeaderList(message.rawHeaders),
                     connection,
                     body: isExcess ? readNothing() : readReplyBody(
