--- a/src/entry/routeService/index.ts
+++ b/src/entry/routeService/index.ts
@@ -7,7 +7,7 @@
 import { Logger } from "../../logging/index.js";
 import { Metrics } from "../../metrics/index.js";
 import { CallDialect, CallDurations, RepeatBudget, RepeatLimits, serveCalls } from "../../passthrough/index.js";
-import { Address, Clock, formatAddress, Http, HttpLimits, HttpListener, Random } from "../../ports/index.js";
+import { Address, Clock, formatAddress, HeldBytes, Http, HttpLimits, HttpListener, Random } from "../../ports/index.js";
 import { CrashGuard, PartGuard } from "../../quarantine/index.js";
 import { RequestRegistry } from "../../request/index.js";
 import { StreamStartRegistry } from "../../resumption/index.js";
@@ -157,6 +157,7 @@
             starts: this.startMeter,
             durations: new CallDurations(),
             numberings: new PoolNumberings(),
+            heldBytes: new HeldBytes(),
             durability: this.options.replicator,
         });
         const listener = await http.serve(callers, toHttpLimits(DEFAULT_CALLER_LIMITS), handler);
--- a/src/eventStream/eventReader/index.ts
+++ b/src/eventStream/eventReader/index.ts
@@ -1,6 +1,7 @@
 import { isUtf8 } from "node:buffer";
 import { Either, Left, Right } from "purify-ts";
 import { EventId } from "../../ids/index.js";
+import { HeldShare } from "../../ports/index.js";
 import { EventError } from "../eventError/index.js";
 import { EventScanner, MAX_EVENT_BYTES, StreamBlock } from "../eventScanner/index.js";
 import { EventSequence, JudgedEvent } from "../eventSequence/index.js";
@@ -35,8 +36,15 @@
     /** Number of events among them. */
     private waitingEvents = 0;
 
-    /** @param hasBegun - Whether the caller has received a part of the stream, of which this answer is the rest. */
-    constructor(private readonly sequence: EventSequence, private hasBegun: boolean) {}
+    /**
+     * @param hasBegun - Whether the caller has received a part of the stream, of which this answer is the rest.
+     * @param share - Room for the bytes that are held back.
+     */
+    constructor(
+        private readonly sequence: EventSequence,
+        private hasBegun: boolean,
+        private readonly share: Pick<HeldShare, "resize"> = { resize: () => true },
+    ) {}
 
     /** Adds received bytes and returns the events that are complete now. */
     push(chunk: Uint8Array): ReadEvents {
@@ -98,9 +106,13 @@
 
     private findExcess(): EventError | undefined {
         if (this.scanner.isOversized) return new EventError("malformed", "an event above the maximum size");
-        return this.waitingBytes > MAX_WAITING_BYTES
-            ? new EventError("malformed", "too many bytes before the next event")
-            : undefined;
+        if (this.waitingBytes > MAX_WAITING_BYTES) {
+            return new EventError("malformed", "too many bytes before the next event");
+        }
+        const heldBytes = this.scanner.heldBytes + this.waitingBytes;
+        return this.share.resize(heldBytes)
+            ? undefined
+            : new EventError("no-room", `no room for ${heldBytes} bytes before the next event`);
     }
 }
 
--- a/src/eventStream/eventScanner/index.ts
+++ b/src/eventStream/eventScanner/index.ts
@@ -47,6 +47,11 @@
         return this.partial.length > 0;
     }
 
+    /** Bytes that are held back. */
+    get heldBytes(): number {
+        return this.partial.length;
+    }
+
     /** Whether the incomplete event is larger than the maximum; its stream must not be read on. */
     get isOversized(): boolean {
         return this.partial.length > MAX_EVENT_BYTES;
--- a/src/passthrough/callContext/index.ts
+++ b/src/passthrough/callContext/index.ts
@@ -3,7 +3,7 @@
 import { HostId, ZoneId } from "../../ids/index.js";
 import { Logger } from "../../logging/index.js";
 import { Metrics } from "../../metrics/index.js";
-import { Clock, Random } from "../../ports/index.js";
+import { Clock, HeldBytes, Random } from "../../ports/index.js";
 import { CrashGuard, PartGuard } from "../../quarantine/index.js";
 import { RequestRegistry } from "../../request/index.js";
 import { StreamStartRegistry } from "../../resumption/index.js";
@@ -58,6 +58,8 @@
     readonly starts: StartMeter;
     /** How the streams of each pool number their events. */
     readonly numberings: PoolNumberings;
+    /** Bounds what is held of upstreams' answers. */
+    readonly heldBytes: HeldBytes;
     /** Remembers where streams began. */
     readonly streams: StreamStartRegistry;
     /** Holds back answers until their starts are durable. */
--- a/src/passthrough/relayAnswer/index.ts
+++ b/src/passthrough/relayAnswer/index.ts
@@ -26,6 +26,7 @@
     const { answer, silence } = attempt;
     if (promisesNotRun(reply.status)) return withholdPromise(ctx, reply);
     const buffered = new ByteBuffer();
+    const share = ctx.heldBytes.open();
     try {
         for await (const chunk of reply.body) {
             if (answer.sentStatus !== undefined) {
@@ -34,12 +35,16 @@
             }
             buffered.append(chunk);
             silence.expectBeginning();
-            if (buffered.length > MAX_BUFFERED_BYTES) await startUnbuffered(attempt, reply, headers, buffered.take());
+            const isHeld = buffered.length <= MAX_BUFFERED_BYTES && share.resize(buffered.length);
+            if (!isHeld) await startUnbuffered(attempt, reply, headers, buffered.take());
         }
     }
     catch (err) {
         return endWithHttpError("lost", err as HttpError);
     }
+    finally {
+        share.close();
+    }
     if (answer.sentStatus !== undefined) {
         return { kind: "answered", status: reply.status, deliver: () => answer.end() };
     }
--- a/src/passthrough/relayAnswer/test.ts
+++ b/src/passthrough/relayAnswer/test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { HeaderList, HttpReply, VirtualClock } from "../../ports/index.js";
+import { HeaderList, HeldBytes, HttpReply, VirtualClock } from "../../ports/index.js";
 import { RunningRequest } from "../../request/index.js";
 import { Attempt, AttemptResult } from "../attempt/index.js";
 import { CallContext } from "../callContext/index.js";
@@ -54,7 +54,12 @@
         const silence = { expectBeginning: () => this.expectations++, pause: () => undefined };
         const call = { arrivedAt: 0, method };
         const attempt = { run: this.run, answer: this, stream: {}, call, silence } as unknown as Attempt;
-        return relayAnswer({ clock: this.clock } as unknown as CallContext, attempt, reply, head);
+        return relayAnswer(
+            { clock: this.clock, heldBytes: new HeldBytes() } as unknown as CallContext,
+            attempt,
+            reply,
+            head,
+        );
     }
 
     sendWhole(status: number, headers: HeaderList): void {
--- a/src/passthrough/relayStream/index.ts
+++ b/src/passthrough/relayStream/index.ts
@@ -24,7 +24,8 @@
 ): Promise<AttemptResult> {
     const { answer, stream, silence } = attempt;
     const sequence = makeSequence(ctx, attempt);
-    const reader = new EventReader(sequence, stream.isHeadSent);
+    const share = ctx.heldBytes.open();
+    const reader = new EventReader(sequence, stream.isHeadSent, share);
     const { eventCount: earlierEvents } = stream;
     const beginning = new StreamBeginning(ctx, attempt);
     try {
@@ -46,6 +47,7 @@
     finally {
         silence.pause();
         beginning.record();
+        share.close();
     }
     const rest = reader.end();
     if (rest.isLeft()) {
@@ -103,7 +105,14 @@
 ): Extract<AttemptResult, { kind: "ended"; }> {
     recordUnproven(ctx, attempt, { kind, detail });
     reply.reset();
-    return { kind: "ended", end: attemptEndOf(attempt), detail, isUpstreamFault: true };
+    const isOwnLimit = kind === "no-room";
+    return {
+        kind: "ended",
+        end: attemptEndOf(attempt),
+        detail,
+        isUpstreamFault: !isOwnLimit,
+        isPathFailure: isOwnLimit,
+    };
 }
 
 /** Ends an attempt whose answer ended, although its body does not prove to be whole. */
--- a/src/passthrough/relayStream/test.ts
+++ b/src/passthrough/relayStream/test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from "node:test";
 import { PoolNumberings } from "../../eventStream/index.js";
 import { EventId } from "../../ids/index.js";
-import { HeaderList, HttpReply, VirtualClock } from "../../ports/index.js";
+import { HeaderList, HeldBytes, HttpReply, VirtualClock } from "../../ports/index.js";
 import { Attempt, AttemptResult, SilenceWatch } from "../attempt/index.js";
 import { CallContext } from "../callContext/index.js";
 import { ReplyHead } from "../callDialect/index.js";
@@ -39,6 +39,7 @@
         parts: { recordBegun() {} },
         dialect: new NativeDialect(),
         numberings,
+        heldBytes: new HeldBytes(),
         metrics: { count() {} },
         logger: { warn() {} },
     } as unknown as CallContext;
--- a/src/passthrough/runCall/test.ts
+++ b/src/passthrough/runCall/test.ts
@@ -6,7 +6,7 @@
 import { ClassName, KeyHash, PoolId, RequestId, UpstreamId, WorkspaceId } from "../../ids/index.js";
 import { SilentLogger } from "../../logging/index.js";
 import { NoMetrics } from "../../metrics/index.js";
-import { HttpError, HttpReply, VirtualClock } from "../../ports/index.js";
+import { HeldBytes, HttpError, HttpReply, VirtualClock } from "../../ports/index.js";
 import { RunningRequest } from "../../request/index.js";
 import { CallAnswer } from "../callAnswer/index.js";
 import { CallContext } from "../callContext/index.js";
@@ -180,6 +180,7 @@
         clock,
         repeats,
         numberings: new PoolNumberings(),
+        heldBytes: new HeldBytes(),
         dispatcher: {
             submit: async ({ request }: Ticket) => {
                 open.set(request, `u${open.size + 1}`);
--- a/src/passthrough/sendCall/test.ts
+++ b/src/passthrough/sendCall/test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from "node:test";
 import { Right } from "purify-ts";
 import { PoolNumberings } from "../../eventStream/index.js";
-import { HeaderList, HttpError, HttpReply, VirtualClock } from "../../ports/index.js";
+import { HeaderList, HeldBytes, HttpError, HttpReply, VirtualClock } from "../../ports/index.js";
 import { Attempt, AttemptResult } from "../attempt/index.js";
 import { CallContext } from "../callContext/index.js";
 import { CALL_HEADERS, NativeDialect } from "../nativeDialect/index.js";
@@ -91,6 +91,7 @@
         sendGuard: { recordAnswer() {} },
         dialect: new NativeDialect(),
         numberings: new PoolNumberings(),
+        heldBytes: new HeldBytes(),
         metrics: { count() {} },
         logger: { warn() {} },
     } as unknown as CallContext;
--- a/src/ports/index.ts
+++ b/src/ports/index.ts
@@ -11,6 +11,7 @@
 export * from "./disk/index.js";
 export * from "./fileDisk/index.js";
 export * from "./headerText/index.js";
+export * from "./heldBytes/index.js";
 export * from "./http/index.js";
 export * from "./memoryDisk/index.js";
 export * from "./memoryFabric/index.js";
--- a/src/ports/nodeHttp/index.ts
+++ b/src/ports/nodeHttp/index.ts
@@ -17,14 +17,14 @@
  * const http = new NodeHttp(budget);
  */
 export class NodeHttp extends Http {
-    private readonly client = new NodeHttpClient();
-
+    private readonly client: NodeHttpClient;
     private readonly resources: ServerResources;
 
     /** @param budget - Bounds what the callers of all its servers hold together; without it nothing does. */
     constructor(budget = UNBOUNDED) {
         super();
         this.resources = { budget, queue: new TurnQueue(), garbage: new ReceivedGarbage() };
+        this.client = new NodeHttpClient(this.resources.garbage);
     }
 
     serve(address: Address, limits: HttpLimits, handler: HttpHandler): Promise<HttpListener> {
--- a/src/ports/nodeHttpClient/index.ts
+++ b/src/ports/nodeHttpClient/index.ts
@@ -7,6 +7,7 @@
 import { ConnectionPool } from "../connectionPool/index.js";
 import { ConnectionUse, HeaderList, HttpCall, HttpError, HttpReply } from "../http/index.js";
 import { formatAddress } from "../network/index.js";
+import { ReceivedGarbage } from "../receivedGarbage/index.js";
 
 /** Maximum idle time of a pooled connection: a middlebox may have dropped its state for one that was idle for longer. */
 const MAX_POOL_IDLE_MS = 2_000;
@@ -33,6 +34,9 @@
     private readonly pool = new ConnectionPool(MAX_POOL_IDLE_MS, this.history);
     private readonly recentPool = new ConnectionPool(MAX_RECENT_IDLE_MS, this.history);
 
+    /** @param garbage - Collects the bytes of responses that nobody needs any more. */
+    constructor(private readonly garbage = new ReceivedGarbage()) {}
+
     /** Sends a request; resolves once the response's headers have arrived. Never rejects. */
     async send(call: HttpCall): Promise<Either<HttpError, HttpReply>> {
         if (call.signal?.aborted) return Left(new HttpError("aborted", false, "before sending"));
@@ -116,6 +120,7 @@
                     connection,
                     body: isExcess ? readNothing() : readReplyBody(
                         message,
+                        this.garbage,
                         async () => hasFailed || (await endProbe?.wasReset() ?? false),
                         () => reason,
                     ),
@@ -184,16 +189,21 @@
  * Prevents a truncated body from passing as complete: a response without a length ends with its connection, and Node
  * reports it as complete even if that connection was reset.
  *
+ * @param garbage - Told of each part of the body.
  * @param endedAbnormally - Returns whether the connection failed or was reset.
  * @param reason - Returns the reason for an error that the stream reports.
  */
 async function* readReplyBody(
     message: IncomingMessage,
+    garbage: ReceivedGarbage,
     endedAbnormally: () => Promise<boolean>,
     reason: () => HttpError["reason"],
 ): AsyncIterable<Uint8Array> {
     try {
-        for await (const chunk of message) yield chunk as Uint8Array;
+        for await (const chunk of message as AsyncIterable<Uint8Array>) {
+            garbage.add(chunk.length);
+            yield chunk;
+        }
     }
     catch (err) {
         throw new HttpError(reason(), true, (err as Error).message);
--- a/src/tools/rawUpstream/index.ts
+++ b/src/tools/rawUpstream/index.ts
@@ -26,6 +26,8 @@
     readonly laterBytes?: readonly string[];
     /** Pause before each of the further bytes, in milliseconds. */
     readonly gapMs?: number;
+    /** Sent again and again behind all other bytes, until the connection ends. */
+    readonly endless?: string;
     /** Time before the answer, in milliseconds. */
     readonly delayMs: number;
     /** When the answer is sent once more: after a time in milliseconds, or as soon as the next request on the connection has come. */
@@ -149,7 +151,7 @@
         socket.on("data", chunk => this.receive(chunk.toString("latin1")));
     }
 
-    async answer({ bytes, laterBytes = [], gapMs = 0, copy, resets, closes }: RawReply): Promise<void> {
+    async answer({ bytes, laterBytes = [], gapMs = 0, endless, copy, resets, closes }: RawReply): Promise<void> {
         if (this.socket.destroyed) return;
         if (bytes !== undefined) this.socket.write(bytes, "latin1");
         for (const later of laterBytes) {
@@ -157,12 +159,22 @@
             if (this.socket.destroyed) return;
             this.socket.write(later, "latin1");
         }
+        if (endless !== undefined) await this.sendEndlessly(endless);
         if (bytes !== undefined && copy === "next-request") this.copies.push(bytes);
         if (bytes !== undefined && typeof copy === "number") this.sendLater(bytes, copy);
         if (resets) this.socket.resetAndDestroy();
         else if (closes) this.socket.end();
     }
 
+    private async sendEndlessly(bytes: string): Promise<void> {
+        const closed = new Promise<void>(resolve => this.socket.once("close", () => resolve()));
+        while (!this.socket.destroyed) {
+            const drained = new Promise<void>(resolve => this.socket.once("drain", () => resolve()));
+            if (this.socket.write(bytes, "latin1")) await new Promise(resolve => setImmediate(resolve));
+            else await Promise.race([drained, closed]);
+        }
+    }
+
     private sendLater(bytes: string, ms: number): void {
         const send = (): void => {
             if (!this.socket.destroyed) this.socket.write(bytes, "latin1");
