A call whose body comes slowly is answered when its time is over

Cause: the call's time is watched once the call is prepared, and that waits for the body, with a limit of 30 s whatever the route says.

The fix: the body is waited for as long as the call's time lasts. Then it is refused with 408, which is true: nothing of it has been sent.

--- a/src/passthrough/prepareCall/index.ts
+++ b/src/passthrough/prepareCall/index.ts
@@ -2,6 +2,7 @@
 import { PartId, PoolId, RequestFingerprint, WorkspaceId } from "../../ids/index.js";
 import { BodyError, findHeader, HttpRequest } from "../../ports/index.js";
 import { fingerprintRequest } from "../../quarantine/index.js";
+import { orOnAbort } from "../../request/index.js";
 import { StreamStart } from "../../resumption/index.js";
 import { pickTargetPool, Route, RouteTable } from "../../routing/index.js";
 import { CallContext } from "../callContext/index.js";
@@ -84,13 +85,13 @@
     );
     if (read.isLeft()) return read as Either<CallError, never>;
     const { head, route, caller } = read.unsafeCoerce();
-    const body = (await req.body(routes.limits.bodyBytes)).mapLeft(err => toCallError(ctx, err));
+    const limitMs = Math.min(route.timeoutMs, head.deadlineMs ?? Number.POSITIVE_INFINITY);
+    const body = (await readBody(ctx, req, routes.limits.bodyBytes, limitMs)).mapLeft(err => toCallError(ctx, err));
     if (body.isLeft()) return body as Either<CallError, never>;
     const bytes = body.unsafeCoerce();
     const resolved = await resolveResumption(ctx, route, caller.workspace, head);
     if (resolved.isLeft()) return resolved as Either<CallError, never>;
     const resumption = resolved.unsafeCoerce();
-    const limitMs = Math.min(route.timeoutMs, head.deadlineMs ?? Number.POSITIVE_INFINITY);
     const call: PreparedCall = {
         ...caller,
         head,
@@ -109,6 +110,20 @@
     return err ? Left(err) : Right(call);
 }
 
+/** Reads the body of a call. One that has not come whole when the call's time is over never will have run. */
+async function readBody(
+    ctx: CallContext,
+    req: HttpRequest,
+    limitBytes: number,
+    limitMs: number,
+): Promise<Either<BodyError, Uint8Array>> {
+    const limit = new AbortController();
+    const timer = ctx.clock.after(limitMs, () => limit.abort());
+    const body = await orOnAbort(req.body(limitBytes), limit.signal, () => Left(new BodyError("timeout")));
+    timer.cancel();
+    return body;
+}
+
 /**
  * Holds a call that arrived before the first document, and returns the document.
  *
