--- a/src/passthrough/nativeDialect/index.ts
+++ b/src/passthrough/nativeDialect/index.ts
@@ -81,6 +81,8 @@
 const STATUS_OK = 200;
 const STATUS_MISDIRECTED = 421;
 const MS_PER_SECOND = 1_000;
+/** Largest number of tokens or milliseconds of a call, far from where sums lose their precision. */
+const MAX_AMOUNT = 1e12;
 const BEARER_PATTERN = /^bearer +(\S.*)$/i;
 
 /** Sequoiamux's own dialect of routed calls: keys as bearer tokens, and headers that begin with `x-sequoiamux-`. */
@@ -97,7 +99,13 @@
             Number,
         );
         const deadline = findHeader(headers, CALL_HEADERS.deadlineMs);
+        const parts = readParts(findHeader(headers, CALL_HEADERS.parts));
+        const amounts = [promptTokens, maxTokens, Number(deadline ?? 0), ...parts.map(({ tokens }) => tokens)];
+        if (!amounts.every(isAmount)) {
+            return Left(new CallError("malformed", "tokens and deadlines are numbers from 0"));
+        }
         return Right({
+            parts,
             promptTokens,
             maxTokens,
             request: request as RequestId,
@@ -105,7 +113,6 @@
             deadlineMs: deadline === undefined ? undefined : Number(deadline),
             model: findHeader(headers, CALL_HEADERS.model),
             hintedTokens: undefined,
-            parts: readParts(findHeader(headers, CALL_HEADERS.parts)),
             lastEventId: findHeader(headers, CALL_HEADERS.lastEventId),
             resumes: findHeaders(headers, CALL_HEADERS.resumes) as RequestId[],
             headers: endToEndHeaders(headers, HEADERS_NOT_FORWARDED),
@@ -161,6 +168,10 @@
     }
 }
 
+function isAmount(value: number): boolean {
+    return value >= 0 && value <= MAX_AMOUNT;
+}
+
 function readParts(text: string | undefined): PromptPart[] {
     if (!text) return [];
     return text.split(",").map(entry => {
