--- a/src/control/replyParser/index.ts
+++ b/src/control/replyParser/index.ts
@@ -1,17 +1,14 @@
-import { ByteBuffer } from "../../ports/index.js";
+import { ByteBuffer, HeaderList, ResponseHead, takeResponseHead } from "../../ports/index.js";
 import { FencedReply } from "../fencedSender/index.js";
 
 const LINE_END = "\r\n";
 const HEAD_END = "\r\n\r\n";
-/** Maximum size of a head, a chunk's first line, or the trailers, in bytes. */
+/** Maximum size of a chunk's first line, or the trailers, in bytes. */
 const MAX_LINES_BYTES = 16 * 1024;
 /** Maximum size of an answer with all that belongs to it, in bytes. */
 const MAX_REPLY_BYTES = 4 * 1024 * 1024;
-const MIN_FINAL_STATUS = 200;
-const SWITCHING_PROTOCOLS = 101;
 const STATUSES_WITHOUT_BODY: readonly number[] = [204, 304];
 const MS_PER_SECOND = 1_000;
-const STATUS_LINE = /^HTTP\/1\.[01] ([1-5]\d\d)(?: |$)/;
 const CHUNK_SIZE = /^([0-9a-f]{1,8})[ \t]*(?:;|$)/i;
 const LENGTH = /^\d{1,15}$/;
 
@@ -48,7 +45,7 @@
         this.receivedBytes += bytes.length;
         if (this.receivedBytes > MAX_REPLY_BYTES) throw new Error("HTTP response is too large");
         this.received.append(bytes);
-        this.head ??= this.parseHead();
+        this.head ??= this.takeHead();
         if (!this.head) return undefined;
         return this.hasWholeBody(this.head) ? this.makeReply(this.head) : undefined;
     }
@@ -58,15 +55,10 @@
         return this.head?.framing === "connection" ? this.makeReply(this.head) : undefined;
     }
 
-    /** Takes the first final head; undefined while it is not complete. */
-    private parseHead(): Head | undefined {
-        for (;;) {
-            const lines = this.takeLines(HEAD_END);
-            if (!lines) return undefined;
-            const head = readHead(lines);
-            if (head.status === SWITCHING_PROTOCOLS) throw new Error("HTTP response changes the protocol");
-            if (head.status >= MIN_FINAL_STATUS) return head;
-        }
+    private takeHead(): Head | undefined {
+        const taken = takeResponseHead(this.received).mapLeft(detail => new Error(`HTTP response has ${detail}`));
+        const head = taken.unsafeCoerce();
+        return head && readHead(head);
     }
 
     private hasWholeBody({ status, framing }: Head): boolean {
@@ -124,16 +116,12 @@
     }
 }
 
-function readHead(text: string): Head {
-    const [statusLine, ...lines] = text.split(LINE_END);
-    const status = Number(STATUS_LINE.exec(statusLine)?.[1]);
-    if (!status) throw new Error("HTTP response has no status line");
-    const headers = lines.map(splitHeader);
+function readHead({ status, headers }: ResponseHead): Head {
     const retryAfterMs = Number(findValue(headers, "retry-after")) * MS_PER_SECOND;
     return { status, framing: readFraming(headers), retryAfterMs: retryAfterMs > 0 ? retryAfterMs : undefined };
 }
 
-function readFraming(headers: readonly [string, string][]): Framing {
+function readFraming(headers: HeaderList): Framing {
     const lengthCount = headers.filter(([name]) => name === "content-length").length;
     if (lengthCount > 1) throw new Error("HTTP response has several lengths");
     const length = findValue(headers, "content-length");
@@ -145,14 +133,8 @@
     return Number(length);
 }
 
-function splitHeader(line: string): [string, string] {
-    const colon = line.indexOf(":");
-    if (colon <= 0 || line.includes("\0")) throw new Error("HTTP response has an invalid header");
-    return [line.slice(0, colon).toLowerCase(), line.slice(colon + 1).trim()];
-}
-
 /** @throws Error when headers of that name have different values. */
-function findValue(headers: readonly [string, string][], name: string): string | undefined {
+function findValue(headers: HeaderList, name: string): string | undefined {
     const values = new Set(headers.filter(([key]) => key === name).map(([, value]) => value));
     if (values.size > 1) throw new Error(`HTTP response has several values of ${name}`);
     return [...values][0];
--- a/src/ports/index.ts
+++ b/src/ports/index.ts
@@ -21,6 +21,7 @@
 export * from "./nodeHttp/index.js";
 export * from "./random/index.js";
 export * from "./replyLimits/index.js";
+export * from "./responseHead/index.js";
 export * from "./seededRandom/index.js";
 export * from "./sleepDetector/index.js";
 export * from "./systemClock/index.js";
--- a/src/ports/nodeHttpClient/index.ts
+++ b/src/ports/nodeHttpClient/index.ts
@@ -2,9 +2,9 @@
 import { Socket } from "node:net";
 import { Either, Left, Right } from "purify-ts";
 import { startTimer } from "../_lib/startTimer.js";
-import { toHeaderList } from "../_lib/toHeaderList.js";
 import { ConnectionHistory } from "../connectionHistory/index.js";
 import { ConnectionPool } from "../connectionPool/index.js";
+import { HeadWatch } from "../headWatch/index.js";
 import { ConnectionUse, HeaderList, HttpCall, HttpError, HttpReply } from "../http/index.js";
 import { formatAddress } from "../network/index.js";
 import { ReceivedGarbage } from "../receivedGarbage/index.js";
@@ -16,8 +16,6 @@
  * server has closed.
  */
 const MAX_RECENT_IDLE_MS = 300;
-const MIN_FINAL_STATUS = 200;
-const MAX_STATUS = 599;
 const STATUS_NO_CONTENT = 204;
 /** Matches a list of transfer codings that marks the end of the body: others end with the connection. */
 const CHUNKED_LAST = /(^|,)\s*chunked\s*$/i;
@@ -56,6 +54,7 @@
             let hasFailed = false;
             let reason: HttpError["reason"] = "closed";
             let connection: ConnectionUse | undefined;
+            let watch: HeadWatch | undefined;
             const req = request({
                 host: call.address.host,
                 port: call.address.port,
@@ -64,15 +63,16 @@
                 headers: addRequiredHeaders(call).flat() as unknown as string[],
                 agent: this.chooseAgent(call),
             });
-            const cancel = (failureReason: HttpError["reason"]): void => {
+            const cancel = (failureReason: HttpError["reason"], detail: string = failureReason): void => {
                 reason = failureReason;
-                req.destroy(new Error(failureReason));
+                req.destroy(new Error(detail));
             };
             let timer = startTimer(call.connectTimeoutMs, () => cancel("timeout"));
             const abort = (): void => cancel("aborted");
             call.signal?.addEventListener("abort", abort);
             req.on("socket", socket => {
                 connection = this.history.record(socket, call.id);
+                watch = new HeadWatch(socket, detail => cancel("malformed", detail));
                 const startHeadTimeout = (): void => {
                     isConnected = true;
                     timer.cancel();
@@ -104,9 +104,9 @@
                 if (!hasReply && !hasFailed) fail("no response");
             });
             req.on("response", message => {
-                // Node takes any three digits for a status, and 101 without an `Upgrade` header for a final one.
-                const status = message.statusCode!;
-                if (status < MIN_FINAL_STATUS || status > MAX_STATUS) return cancel("malformed");
+                const head = watch?.head;
+                // Node's parser ended the head at another place, or has taken an interim one for final.
+                if (!head || head.status !== message.statusCode) return cancel("malformed", "no final head");
                 hasReply = true;
                 timer.cancel();
                 const endProbe = isSelfDelimited(message) ? undefined : new ConnectionEndProbe(message.socket);
@@ -115,8 +115,8 @@
                 // The parser reads such a body, whose bytes belong to no request.
                 if (isExcess) req.destroy();
                 resolve(Right({
-                    status,
-                    headers: toHeaderList(message.rawHeaders),
+                    status: head.status,
+                    headers: head.headers,
                     connection,
                     body: isExcess ? readNothing() : readReplyBody(
                         message,
--- a/src/tools/fleet/index.ts
+++ b/src/tools/fleet/index.ts
@@ -35,6 +35,8 @@
     readonly limits?: Readonly<Record<Role, Readonly<Record<string, string>>>>;
     /** Maximum size of the heap of each entry and of each control process, in MB; undefined: that of Node.js. */
     readonly heapMb?: Readonly<Record<Role, number>>;
+    /** Further flags of Node.js for each entry and for each control process. */
+    readonly nodeFlags?: Readonly<Record<Role, readonly string[]>>;
 }
 
 type Role = "entry" | "control";
@@ -164,8 +166,9 @@
 
     private startDaemon(role: Role, settingsPath: string): Program {
         const heapMb = this.plan.heapMb?.[role];
-        const nodeFlags = heapMb === undefined ? [] : [`--max-old-space-size=${heapMb}`];
-        return new Program("daemon/main.js", ["--settings", settingsPath], nodeFlags);
+        const heapFlags = heapMb === undefined ? [] : [`--max-old-space-size=${heapMb}`];
+        const otherFlags = this.plan.nodeFlags?.[role] ?? [];
+        return new Program("daemon/main.js", ["--settings", settingsPath], [...heapFlags, ...otherFlags]);
     }
 
     /** Deletes a control process's data folder, as if its disk had been replaced. */
--- a/src/tools/rawAnswer/index.ts
+++ b/src/tools/rawAnswer/index.ts
@@ -12,6 +12,8 @@
     readonly body: string;
     /** Whether the body is a stream of events. */
     readonly isStream: boolean;
+    /** Further lines of the head, as they are sent. */
+    readonly fields: readonly string[];
     /** Number of bytes of the body that are not sent. */
     readonly missingBytes: number;
 }
@@ -33,16 +35,18 @@
         isSigned: true,
         body: BODY,
         isStream: false,
+        fields: [],
         missingBytes: 0,
         ...parts,
     };
-    const { status, ids, statesNotRun, isSigned, body, isStream, missingBytes } = answer;
+    const { status, ids, statesNotRun, isSigned, body, isStream, fields, missingBytes } = answer;
     return [
         `HTTP/1.1 ${status} Status`,
         ...ids.map(id => `${CALL_HEADERS.request}: ${id}`),
         ...(statesNotRun ? [`${CALL_HEADERS.notRun}: 1`] : []),
         ...(isSigned ? [`${CALL_HEADERS.signature}: raw`] : []),
         ...(isStream ? ["content-type: text/event-stream"] : []),
+        ...fields,
         `content-length: ${body.length}`,
         "",
         body.slice(0, body.length - missingBytes),
