--- a/src/control/connectionSender/test.ts
+++ b/src/control/connectionSender/test.ts
@@ -72,9 +72,7 @@
         // Guards against requests that hang, connections that stay open, and wrong bytes that count as an answer.
         const answers = makeWrongAnswers(SEED, SAMPLE_SIZE);
         // A connection does not tell a reset from a close.
-        const told = answers.filter(({ name }) =>
-            !/(no length|neither length nor body|does not end itself), reset/.test(name)
-        );
+        const told = answers.filter(({ name }) => !/(no length|neither length nor body), reset/.test(name));
         const faults: string[] = [];
         const queue = [...told];
         const work = async (): Promise<void> => {
--- a/src/control/replyParser/index.ts
+++ b/src/control/replyParser/index.ts
@@ -1,4 +1,12 @@
-import { ByteBuffer, HeaderList, ResponseHead, takeResponseHead } from "../../ports/index.js";
+import { Either } from "purify-ts";
+import {
+    BodyFraming,
+    ByteBuffer,
+    HeaderList,
+    readBodyFraming,
+    ResponseHead,
+    takeResponseHead,
+} from "../../ports/index.js";
 import { FencedReply } from "../fencedSender/index.js";
 
 const LINE_END = "\r\n";
@@ -7,17 +15,14 @@
 const MAX_LINES_BYTES = 16 * 1024;
 /** Maximum size of an answer with all that belongs to it, in bytes. */
 const MAX_REPLY_BYTES = 4 * 1024 * 1024;
-const STATUSES_WITHOUT_BODY: readonly number[] = [204, 304];
 const MS_PER_SECOND = 1_000;
 const CHUNK_SIZE = /^([0-9a-f]{1,8})[ \t]*(?:;|$)/i;
-const LENGTH = /^\d{1,15}$/;
-
-/** Where a body ends: after a number of bytes, after its last chunk, or with its connection. */
-type Framing = number | "chunked" | "connection";
+/** The method of fenced calls. */
+const METHOD = "POST";
 
 interface Head {
     readonly status: number;
-    readonly framing: Framing;
+    readonly framing: BodyFraming;
     readonly retryAfterMs: number | undefined;
 }
 
@@ -56,13 +61,11 @@
     }
 
     private takeHead(): Head | undefined {
-        const taken = takeResponseHead(this.received).mapLeft(detail => new Error(`HTTP response has ${detail}`));
-        const head = taken.unsafeCoerce();
+        const head = orThrow(takeResponseHead(this.received));
         return head && readHead(head);
     }
 
-    private hasWholeBody({ status, framing }: Head): boolean {
-        if (STATUSES_WITHOUT_BODY.includes(status)) return true;
+    private hasWholeBody({ framing }: Head): boolean {
         if (framing === "chunked") return this.takeChunks();
         this.body.append(this.received.take());
         return framing !== "connection" && this.body.length >= framing;
@@ -116,21 +119,18 @@
     }
 }
 
-function readHead({ status, headers }: ResponseHead): Head {
-    const retryAfterMs = Number(findValue(headers, "retry-after")) * MS_PER_SECOND;
-    return { status, framing: readFraming(headers), retryAfterMs: retryAfterMs > 0 ? retryAfterMs : undefined };
+function readHead(head: ResponseHead): Head {
+    const retryAfterMs = Number(findValue(head.headers, "retry-after")) * MS_PER_SECOND;
+    return {
+        status: head.status,
+        framing: orThrow(readBodyFraming(head, METHOD)),
+        retryAfterMs: retryAfterMs > 0 ? retryAfterMs : undefined,
+    };
 }
 
-function readFraming(headers: HeaderList): Framing {
-    const lengthCount = headers.filter(([name]) => name === "content-length").length;
-    if (lengthCount > 1) throw new Error("HTTP response has several lengths");
-    const length = findValue(headers, "content-length");
-    const coding = findValue(headers, "transfer-encoding");
-    if (length !== undefined && coding !== undefined) throw new Error("HTTP response has a length and a coding");
-    if (coding !== undefined) return coding.toLowerCase() === "chunked" ? "chunked" : "connection";
-    if (length === undefined) return "connection";
-    if (!LENGTH.test(length)) throw new Error("HTTP response has an invalid length");
-    return Number(length);
+/** @throws Error with the detail of a Left. */
+function orThrow<Value>(result: Either<string, Value>): Value {
+    return result.mapLeft(detail => new Error(`HTTP response has ${detail}`)).unsafeCoerce();
 }
 
 /** @throws Error when headers of that name have different values. */
--- a/src/ports/index.ts
+++ b/src/ports/index.ts
@@ -2,6 +2,7 @@
  * Ports to the operating system: time, randomness, byte streams, HTTP and files. Each port is an abstract class with a real
  * implementation and an in-memory one, so that a whole fleet can run in one process under virtual time.
  */
+export * from "./bodyFraming/index.js";
 export * from "./byteBuffer/index.js";
 export * from "./callerBudget/index.js";
 export * from "./clock/index.js";
--- a/src/ports/nodeHttpClient/index.ts
+++ b/src/ports/nodeHttpClient/index.ts
@@ -2,6 +2,7 @@
 import { Socket } from "node:net";
 import { Either, Left, Right } from "purify-ts";
 import { startTimer } from "../_lib/startTimer.js";
+import { readBodyFraming } from "../bodyFraming/index.js";
 import { ConnectionHistory } from "../connectionHistory/index.js";
 import { ConnectionPool } from "../connectionPool/index.js";
 import { HeadWatch } from "../headWatch/index.js";
@@ -17,8 +18,6 @@
  */
 const MAX_RECENT_IDLE_MS = 300;
 const STATUS_NO_CONTENT = 204;
-/** Matches a list of transfer codings that marks the end of the body: others end with the connection. */
-const CHUNKED_LAST = /(^|,)\s*chunked\s*$/i;
 
 /**
  * HTTP client on `node:http` with a pool of kept connections.
@@ -107,9 +106,12 @@
                 const head = watch?.head;
                 // Node's parser ended the head at another place, or has taken an interim one for final.
                 if (!head || head.status !== message.statusCode) return cancel("malformed", "no final head");
+                const framing = readBodyFraming(head, call.method);
+                if (framing.isLeft()) return cancel("malformed", framing.extract() as string);
                 hasReply = true;
                 timer.cancel();
-                const endProbe = isSelfDelimited(message) ? undefined : new ConnectionEndProbe(message.socket);
+                const endsWithConnection = framing.extract() === "connection";
+                const endProbe = endsWithConnection ? new ConnectionEndProbe(message.socket) : undefined;
                 message.once("close", () => call.signal?.removeEventListener("abort", abort));
                 const isExcess = declaresExcessBody(message);
                 // The parser reads such a body, whose bytes belong to no request.
@@ -139,11 +141,6 @@
     }
 }
 
-/** Whether a response's headers delimit its body, so that it does not end with its connection. */
-function isSelfDelimited({ headers }: IncomingMessage): boolean {
-    return headers["content-length"] !== undefined || CHUNKED_LAST.test(headers["transfer-encoding"] ?? "");
-}
-
 /** Whether a response's headers state a body that its status excludes. */
 function declaresExcessBody({ statusCode, headers }: IncomingMessage): boolean {
     if (statusCode !== STATUS_NO_CONTENT) return false;
