--- a/src/control/replyParser/index.ts
+++ b/src/control/replyParser/index.ts
@@ -2,6 +2,7 @@
 import {
     BodyFraming,
     ByteBuffer,
+    ChunkDecoder,
     HeaderList,
     readBodyFraming,
     ResponseHead,
@@ -9,14 +10,9 @@
 } from "../../ports/index.js";
 import { FencedReply } from "../fencedSender/index.js";
 
-const LINE_END = "\r\n";
-const HEAD_END = "\r\n\r\n";
-/** Maximum size of a chunk's first line, or the trailers, in bytes. */
-const MAX_LINES_BYTES = 16 * 1024;
 /** Maximum size of an answer with all that belongs to it, in bytes. */
 const MAX_REPLY_BYTES = 4 * 1024 * 1024;
 const MS_PER_SECOND = 1_000;
-const CHUNK_SIZE = /^([0-9a-f]{1,8})[ \t]*(?:;|$)/i;
 /** The method of fenced calls. */
 const METHOD = "POST";
 
@@ -38,7 +34,7 @@
     private readonly body = new ByteBuffer();
     private receivedBytes = 0;
     private head: Head | undefined;
-    private hasLastChunk = false;
+    private readonly chunks = new ChunkDecoder();
 
     /**
      * Adds received bytes.
@@ -66,51 +62,13 @@
     }
 
     private hasWholeBody({ framing }: Head): boolean {
-        if (framing === "chunked") return this.takeChunks();
-        this.body.append(this.received.take());
-        return framing !== "connection" && this.body.length >= framing;
-    }
-
-    /** @returns Whether the last chunk and the trailers have arrived. */
-    private takeChunks(): boolean {
-        while (!this.hasLastChunk) {
-            const line = this.peekLines(LINE_END);
-            if (line === undefined) return false;
-            const size = parseInt(CHUNK_SIZE.exec(line)?.[1] ?? "", 16);
-            if (Number.isNaN(size)) throw new Error("HTTP response has an invalid chunk size");
-            this.hasLastChunk = size === 0;
-            const start = line.length + LINE_END.length;
-            // The line end of the last chunk is that before the trailers, so that an empty line follows in any case.
-            if (this.hasLastChunk) this.received.take(line.length);
-            else if (!this.takeChunk(start, size)) return false;
-        }
-        return this.takeLines(HEAD_END) !== undefined;
-    }
-
-    private takeChunk(start: number, size: number): boolean {
-        const end = start + size + LINE_END.length;
-        if (this.received.length < end) return false;
-        const chunk = this.received.take(end);
-        if (chunk.toString("latin1", start + size) !== LINE_END) {
-            throw new Error("HTTP response has a chunk of another size");
+        const bytes = this.received.take();
+        if (framing === "chunked") {
+            this.body.append(orThrow(this.chunks.push(bytes)));
+            return this.chunks.isComplete;
         }
-        this.body.append(chunk.subarray(start, start + size));
-        return true;
-    }
-
-    private takeLines(end: string): string | undefined {
-        const lines = this.peekLines(end);
-        if (lines !== undefined) this.received.take(lines.length + end.length);
-        return lines;
-    }
-
-    /** Returns what comes before an end of lines; undefined while that has not arrived. */
-    private peekLines(end: string): string | undefined {
-        const lines = this.received.view().subarray(0, MAX_LINES_BYTES);
-        const endAt = lines.indexOf(end);
-        if (endAt >= 0) return lines.toString("latin1", 0, endAt);
-        if (lines.length === MAX_LINES_BYTES) throw new Error("HTTP response has lines without end");
-        return undefined;
+        this.body.append(bytes);
+        return framing !== "connection" && this.body.length >= framing;
     }
 
     private makeReply({ status, framing, retryAfterMs }: Head): FencedReply {
--- a/src/ports/bodyFraming/index.ts
+++ b/src/ports/bodyFraming/index.ts
@@ -21,7 +21,10 @@
  * @example
  * const framing = readBodyFraming(head, "GET");
  */
-export function readBodyFraming({ status, headers }: ResponseHead, method: string): Either<string, BodyFraming> {
+export function readBodyFraming(
+    { status, headers }: Pick<ResponseHead, "status" | "headers">,
+    method: string,
+): Either<string, BodyFraming> {
     if (method === "HEAD" || STATUSES_WITHOUT_BODY.includes(status)) return Right(0);
     const lengths = findHeaders(headers, "content-length");
     const codings = findCodings(headers);
--- a/src/ports/headWatch/test.ts
+++ b/src/ports/headWatch/test.ts
@@ -18,7 +18,7 @@
         const watch = new HeadWatch(socket, assert.fail);
         receive(socket, HEAD.slice(0, 20));
         receive(socket, `${HEAD.slice(20)}body`);
-        assert.deepEqual(seen, [undefined, { status: 200, headers: [["x-a", "b"]] }]);
+        assert.deepEqual(seen, [undefined, { status: 200, headers: [["x-a", "b"]], lines: ["X-A: b"] }]);
     });
 
     it("reports bytes that are no response once", () => {
--- a/src/ports/index.ts
+++ b/src/ports/index.ts
@@ -5,6 +5,7 @@
 export * from "./bodyFraming/index.js";
 export * from "./byteBuffer/index.js";
 export * from "./callerBudget/index.js";
+export * from "./chunkDecoder/index.js";
 export * from "./clock/index.js";
 export * from "./connectionHistory/index.js";
 export * from "./connectionPool/index.js";
--- a/src/ports/nodeHttpClient/index.ts
+++ b/src/ports/nodeHttpClient/index.ts
@@ -3,12 +3,14 @@
 import { Either, Left, Right } from "purify-ts";
 import { startTimer } from "../_lib/startTimer.js";
 import { readBodyFraming } from "../bodyFraming/index.js";
+import { ChunkDecoder } from "../chunkDecoder/index.js";
 import { ConnectionHistory } from "../connectionHistory/index.js";
 import { ConnectionPool } from "../connectionPool/index.js";
 import { HeadWatch } from "../headWatch/index.js";
 import { ConnectionUse, HeaderList, HttpCall, HttpError, HttpReply } from "../http/index.js";
 import { formatAddress } from "../network/index.js";
 import { ReceivedGarbage } from "../receivedGarbage/index.js";
+import { ResponseHead } from "../responseHead/index.js";
 
 /** Maximum idle time of a pooled connection: a middlebox may have dropped its state for one that was idle for longer. */
 const MAX_POOL_IDLE_MS = 2_000;
@@ -18,6 +20,9 @@
  */
 const MAX_RECENT_IDLE_MS = 300;
 const STATUS_NO_CONTENT = 204;
+/** Matches a line that states transfer codings; Node's parser skips those without a value. */
+const CODING_FIELD = /^transfer-encoding:[ \t]*[^ \t]/i;
+const CODING_KNOWN_TO_NODE = /chunked *$/i;
 
 /**
  * HTTP client on `node:http` with a pool of kept connections.
@@ -116,16 +121,18 @@
                 const isExcess = declaresExcessBody(message);
                 // The parser reads such a body, whose bytes belong to no request.
                 if (isExcess) req.destroy();
+                const body = isExcess ? readNothing() : readReplyBody(
+                    message,
+                    this.garbage,
+                    async () => hasFailed || (await endProbe?.wasReset() ?? false),
+                    () => reason,
+                );
+                const hasChunks = framing.extract() === "chunked" && !isCodingKnownToNode(head);
                 resolve(Right({
                     status: head.status,
                     headers: head.headers,
                     connection,
-                    body: isExcess ? readNothing() : readReplyBody(
-                        message,
-                        this.garbage,
-                        async () => hasFailed || (await endProbe?.wasReset() ?? false),
-                        () => reason,
-                    ),
+                    body: hasChunks ? decodeChunks(body) : body,
                     reset: () => req.destroy(),
                 }));
             });
@@ -141,6 +148,12 @@
     }
 }
 
+/** Whether Node's parser undoes the chunks of a response: it does not where a tab or a comma follows the name of the coding. */
+function isCodingKnownToNode({ lines }: ResponseHead): boolean {
+    const codings = lines.filter(line => CODING_FIELD.test(line));
+    return CODING_KNOWN_TO_NODE.test(codings.at(-1)!);
+}
+
 /** Whether a response's headers state a body that its status excludes. */
 function declaresExcessBody({ statusCode, headers }: IncomingMessage): boolean {
     if (statusCode !== STATUS_NO_CONTENT) return false;
@@ -207,3 +220,19 @@
     }
     if (!message.complete || await endedAbnormally()) throw new HttpError("closed", true, "the body was cut off");
 }
+
+/**
+ * Undoes the chunks of a body that Node's parser has left as they came. For Node such a body ends with its connection, which is closed
+ * behind the last chunk.
+ *
+ * @throws HttpError where the bytes are no chunks, or end before the last one.
+ */
+async function* decodeChunks(body: AsyncIterable<Uint8Array>): AsyncIterable<Uint8Array> {
+    const decoder = new ChunkDecoder();
+    for await (const bytes of body) {
+        const data = decoder.push(bytes).mapLeft(detail => new HttpError("malformed", true, detail)).unsafeCoerce();
+        if (data.length > 0) yield data;
+        if (decoder.isComplete) return;
+    }
+    throw new HttpError("closed", true, "the body was cut off");
+}
--- a/src/ports/responseHead/index.ts
+++ b/src/ports/responseHead/index.ts
@@ -6,6 +6,8 @@
 export interface ResponseHead {
     readonly status: number;
     readonly headers: HeaderList;
+    /** The fields as they were received, without line ends. */
+    readonly lines: readonly string[];
 }
 
 const LINE_END = "\r\n";
@@ -59,8 +61,19 @@
     const [statusLine, ...lines] = text.split(LINE_END);
     const status = STATUS_LINE.exec(statusLine)?.[1];
     if (status === undefined) return Left("no status line");
-    if (!lines.every(line => FIELD_LINE.test(line))) return Left("a line of the head that is no field");
-    return Right({ status: Number(status), headers: lines.map(splitField) });
+    if (!lines.every(isFieldLine)) return Left("a line of the head that is no field");
+    return Right({ status: Number(status), headers: lines.map(splitField), lines });
+}
+
+/**
+ * Whether a line of a head, or of trailers, is a field.
+ *
+ * @param line - Without its line end, one character for each byte.
+ * @example
+ * if (!isFieldLine(line)) return Left("a trailer that is no field");
+ */
+export function isFieldLine(line: string): boolean {
+    return FIELD_LINE.test(line);
 }
 
 function splitField(line: string): [name: string, value: string] {
--- a/src/ports/responseHead/test.ts
+++ b/src/ports/responseHead/test.ts
@@ -21,7 +21,8 @@
     it("returns the status and the headers of a head, and leaves what follows it", () => {
         const received = hold("HTTP/1.1 200 OK\r\nX-A: b\r\nx-a:c\r\nX-Empty:\r\n\r\nbody");
         const head = takeResponseHead(received).unsafeCoerce();
-        assert.deepEqual(head, { status: 200, headers: [["x-a", "b"], ["x-a", "c"], ["x-empty", ""]] });
+        const headers = [["x-a", "b"], ["x-a", "c"], ["x-empty", ""]];
+        assert.deepEqual(head, { status: 200, headers, lines: ["X-A: b", "x-a:c", "X-Empty:"] });
         assert.equal(received.take().toString(), "body");
     });
 
@@ -33,7 +34,7 @@
     it("drops interim heads", () => {
         const interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
         const head = takeResponseHead(hold(`${interim}HTTP/1.0 204\r\n\r\n`)).unsafeCoerce();
-        assert.deepEqual(head, { status: 204, headers: [] });
+        assert.deepEqual(head, { status: 204, headers: [], lines: [] });
     });
 
     it("waits for a head that comes byte by byte", () => {
@@ -44,7 +45,8 @@
             assert.equal(takeResponseHead(received).unsafeCoerce(), undefined);
         }
         received.append(bytes.subarray(-1));
-        assert.deepEqual(takeResponseHead(received).unsafeCoerce(), { status: 404, headers: [["x-a", "b"]] });
+        const head = { status: 404, headers: [["x-a", "b"]], lines: ["X-A: b"] };
+        assert.deepEqual(takeResponseHead(received).unsafeCoerce(), head);
     });
 
     describe("lines that are no fields", () => {
