--- a/src/ports/nodeHttpClient/index.ts
+++ b/src/ports/nodeHttpClient/index.ts
@@ -2,6 +2,7 @@
 import { Socket } from "node:net";
 import { Either, Left, Right } from "purify-ts";
 import { startTimer } from "../_lib/startTimer.js";
+import { toHeaderList } from "../_lib/toHeaderList.js";
 import { readBodyFraming } from "../bodyFraming/index.js";
 import { ChunkDecoder } from "../chunkDecoder/index.js";
 import { ConnectionHistory } from "../connectionHistory/index.js";
@@ -10,7 +11,7 @@
 import { ConnectionUse, HeaderList, HttpCall, HttpError, HttpReply } from "../http/index.js";
 import { formatAddress } from "../network/index.js";
 import { ReceivedGarbage } from "../receivedGarbage/index.js";
-import { ResponseHead } from "../responseHead/index.js";
+import { isFieldLine, ResponseHead } from "../responseHead/index.js";
 
 /** Maximum idle time of a pooled connection: a middlebox may have dropped its state for one that was idle for longer. */
 const MAX_POOL_IDLE_MS = 2_000;
@@ -117,6 +118,10 @@
                 timer.cancel();
                 const endsWithConnection = framing.extract() === "connection";
                 const endProbe = endsWithConnection ? new ConnectionEndProbe(message.socket) : undefined;
+                // Must run before Node's own listener, which returns the connection to the pool.
+                message.prependOnceListener("end", () => {
+                    if (!areTrailersValid(message)) message.socket.destroy();
+                });
                 message.once("close", () => call.signal?.removeEventListener("abort", abort));
                 const isExcess = declaresExcessBody(message);
                 // The parser reads such a body, whose bytes belong to no request.
@@ -219,6 +224,11 @@
         throw new HttpError(reason(), true, (err as Error).message);
     }
     if (!message.complete || await endedAbnormally()) throw new HttpError("closed", true, "the body was cut off");
+    if (!areTrailersValid(message)) throw new HttpError("malformed", true, "a trailer that is no field");
+}
+
+function areTrailersValid({ rawTrailers }: IncomingMessage): boolean {
+    return toHeaderList(rawTrailers).every(([name, value]) => isFieldLine(`${name}:${value}`));
 }
 
 /**
