--- a/src/ports/responseHead/index.ts
+++ b/src/ports/responseHead/index.ts
@@ -15,6 +15,7 @@
 /** Maximum size of a head, in bytes: more than Node's parser takes, which counts names and values alone. */
 const MAX_HEAD_BYTES = 64 * 1024;
 const MIN_FINAL_STATUS = 200;
+const MAX_STATUS = 599;
 const STATUS_SWITCHING_PROTOCOLS = 101;
 const CR = 0x0d;
 const LF = 0x0a;
@@ -76,6 +77,24 @@
     return FIELD_LINE.test(line);
 }
 
+/**
+ * Whether a head that another process has read is one: a final status, and fields alone.
+ *
+ * @param head - Decoded from that process's message.
+ * @example
+ * if (!isResponseHead(answer)) return new HttpError("malformed", true, "a head that is none");
+ */
+export function isResponseHead({ status, headers }: { readonly status: unknown; readonly headers: unknown; }): boolean {
+    const isFinal = Number.isInteger(status) && Number(status) >= MIN_FINAL_STATUS && Number(status) <= MAX_STATUS;
+    return isFinal && Array.isArray(headers) && headers.every(isField);
+}
+
+function isField(field: unknown): boolean {
+    if (!Array.isArray(field) || field.length !== 2) return false;
+    const [name, value] = field;
+    return typeof name === "string" && typeof value === "string" && isFieldLine(`${name}:${value}`);
+}
+
 function splitField(line: string): [name: string, value: string] {
     const colon = line.indexOf(":");
     return [line.slice(0, colon).toLowerCase(), trimBlanks(line.slice(colon + 1))];
--- a/src/ports/responseHead/test.ts
+++ b/src/ports/responseHead/test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from "node:test";
 import { ByteBuffer } from "../byteBuffer/index.js";
 import { WRONG_FIELDS } from "../wrongAnswer/index.js";
-import { takeResponseHead } from "./index.js";
+import { isResponseHead, takeResponseHead } from "./index.js";
 
 const MAX_HEAD_BYTES = 64 * 1024;
 
@@ -93,3 +93,23 @@
         });
     }
 });
+
+describe("isResponseHead", () => {
+    it("takes final statuses with fields alone", () => {
+        assert.equal(isResponseHead({ status: 200, headers: [] }), true);
+        assert.equal(isResponseHead({ status: 599, headers: [["x-a", ""], ["x-b", "c \t\xff"]] }), true);
+    });
+
+    it("refuses other statuses, and headers that are no fields", () => {
+        // Failure: a head that can't be written to the caller.
+        for (const status of [199, 600, 200.5, "200", undefined]) {
+            assert.equal(isResponseHead({ status, headers: [] }), false);
+        }
+        const wrong = [undefined, {}, [[]], [["x-a"]], [["x a", "b"]], [["x-a", "b\n"]], [["x-a", 1]], [[
+            "x-a",
+            "b",
+            "c",
+        ]]];
+        for (const headers of wrong) assert.equal(isResponseHead({ status: 200, headers }), false);
+    });
+});
--- a/src/relay/relayReply/index.ts
+++ b/src/relay/relayReply/index.ts
@@ -1,5 +1,5 @@
 import { HostId } from "../../ids/index.js";
-import { findHeader, HttpError, HttpReply } from "../../ports/index.js";
+import { findHeader, HttpError, HttpReply, isResponseHead } from "../../ports/index.js";
 import { PathError, UpstreamReply } from "../../upstream/index.js";
 import { decodeRelayMessage, FRAME_KINDS, readRelayFrames, RelayFrame } from "../relayFrame/index.js";
 import {
@@ -100,7 +100,10 @@
 
 function toAnswer(message: unknown): RelayAnswer | HttpError {
     const isAnswer = typeof message === "object" && Boolean(message);
-    return isAnswer ? message as RelayAnswer : new PathError("malformed", true, "the relay's message is no answer");
+    if (!isAnswer) return new PathError("malformed", true, "the relay's message is no answer");
+    const answer = message as RelayAnswer;
+    if (answer.kind !== "reply" || isResponseHead(answer)) return answer;
+    return new HttpError("malformed", true, "the upstream's head, by way of a relay, is none");
 }
 
 /** Reads the upstream's body. Without its last frame it is not complete. */
--- a/src/relay/relayReply/test.ts
+++ b/src/relay/relayReply/test.ts
@@ -67,6 +67,30 @@
         assert.ok(relay.isClosed && relay.pieces < MAX_PIECES, `${relay.pieces} pieces`);
     });
 
+    describe("an upstream's head that is none", () => {
+        const wrong: readonly (readonly [name: string, head: { status: unknown; headers: unknown; }])[] = [
+            ["a blank in a name", { status: 200, headers: [["x a", "b"]] }],
+            ["no name", { status: 200, headers: [["", "b"]] }],
+            ["a line break in a value", { status: 200, headers: [["x-a", "b\r\nx-c: d"]] }],
+            ["a control byte in a value", { status: 200, headers: [["x-a", "\0"]] }],
+            ["a value that is no text", { status: 200, headers: [["x-a", 1]] }],
+            ["headers that are no list", { status: 200, headers: { "x-a": "b" } }],
+            ["an interim status", { status: 103, headers: [] }],
+            ["a status that HTTP does not have", { status: 600, headers: [] }],
+            ["no status", { status: undefined, headers: [] }],
+        ];
+        for (const [name, head] of wrong) {
+            it(`is no answer: ${name}`, async () => {
+                // Failure: the head can't be written to the caller, whose connection is closed without an answer.
+                const first = encodeRelayMessage(FRAME_KINDS.message, { kind: "reply", ...head });
+                const relay = new RelayAnswerDouble([first, DATA, encodeRelayFrame(FRAME_KINDS.end)]);
+                let ended = 0;
+                const attempt = await readRelayReply(relay.reply, RELAY, EXCHANGE, () => ended++);
+                assert.deepEqual([attempt.kind, relay.isClosed, ended], ["lost", true, 1]);
+            });
+        }
+    });
+
     for (const exchange of ["host-1/2", undefined]) {
         const name = exchange === undefined ? "no request" : "another request";
         it(`takes an upstream's answer for lost where the relay's answer names ${name}`, async () => {
