--- a/src/ports/nodeHttpClient/index.ts
+++ b/src/ports/nodeHttpClient/index.ts
@@ -3,13 +3,13 @@
 import { Either, Left, Right } from "purify-ts";
 import { startTimer } from "../_lib/startTimer.js";
 import { toHeaderList } from "../_lib/toHeaderList.js";
-import { readBodyFraming } from "../bodyFraming/index.js";
+import { BodyFraming, readBodyFraming } from "../bodyFraming/index.js";
 import { ChunkDecoder } from "../chunkDecoder/index.js";
 import { ConnectionHistory } from "../connectionHistory/index.js";
 import { ConnectionPool } from "../connectionPool/index.js";
-import { HeadWatch } from "../headWatch/index.js";
 import { ConnectionUse, HeaderList, HttpCall, HttpError, HttpReply } from "../http/index.js";
 import { formatAddress } from "../network/index.js";
+import { RawHeadReader } from "../rawHeadReader/index.js";
 import { ReceivedGarbage } from "../receivedGarbage/index.js";
 import { isFieldLine, ResponseHead } from "../responseHead/index.js";
 
@@ -59,7 +59,7 @@
             let hasFailed = false;
             let reason: HttpError["reason"] = "closed";
             let connection: ConnectionUse | undefined;
-            let watch: HeadWatch | undefined;
+            let headReader: RawHeadReader | undefined;
             const req = request({
                 host: call.address.host,
                 port: call.address.port,
@@ -77,7 +77,7 @@
             call.signal?.addEventListener("abort", abort);
             req.on("socket", socket => {
                 connection = this.history.record(socket, call.id);
-                watch = new HeadWatch(socket, detail => cancel("malformed", detail));
+                headReader = new RawHeadReader(socket, detail => cancel("malformed", detail));
                 const startHeadTimeout = (): void => {
                     isConnected = true;
                     timer.cancel();
@@ -109,20 +109,14 @@
                 if (!hasReply && !hasFailed) fail("no response");
             });
             req.on("response", message => {
-                const head = watch?.head;
-                // Node's parser ended the head at another place, or has taken an interim one for final.
-                if (!head || head.status !== message.statusCode) return cancel("malformed", "no final head");
-                const framing = readBodyFraming(head, call.method);
-                if (framing.isLeft()) return cancel("malformed", framing.extract() as string);
+                const checked = checkResponse(message, headReader?.head, call.method);
+                if (checked.isLeft()) return cancel("malformed", checked.extract() as string);
+                const { head, framing } = checked.unsafeCoerce();
                 hasReply = true;
                 timer.cancel();
-                const endsWithConnection = framing.extract() === "connection";
-                const endProbe = endsWithConnection ? new ConnectionEndProbe(message.socket) : undefined;
-                // Must run before Node's own listener, which returns the connection to the pool.
-                message.prependOnceListener("end", () => {
-                    if (!areTrailersValid(message)) message.socket.destroy();
-                });
+                closeBehindWrongTrailers(message);
                 message.once("close", () => call.signal?.removeEventListener("abort", abort));
+                const endProbe = framing === "connection" ? new ConnectionEndProbe(message.socket) : undefined;
                 const isExcess = declaresExcessBody(message);
                 // The parser reads such a body, whose bytes belong to no request.
                 if (isExcess) req.destroy();
@@ -132,7 +126,7 @@
                     async () => hasFailed || (await endProbe?.wasReset() ?? false),
                     () => reason,
                 );
-                const hasChunks = framing.extract() === "chunked" && !isCodingKnownToNode(head);
+                const hasChunks = framing === "chunked" && !isCodingKnownToNode(head);
                 resolve(Right({
                     status: head.status,
                     headers: head.headers,
@@ -153,12 +147,45 @@
     }
 }
 
+/** A response of which is known where its body ends. */
+interface CheckedResponse {
+    readonly head: ResponseHead;
+    readonly framing: BodyFraming;
+}
+
+/**
+ * Compares a response that Node reports with what its bytes say.
+ *
+ * @param head - The head that was read from the bytes; undefined where they hold none.
+ * @returns Left: why the response is malformed.
+ */
+function checkResponse(
+    { statusCode }: IncomingMessage,
+    head: ResponseHead | undefined,
+    method: string,
+): Either<string, CheckedResponse> {
+    // Node's parser ended the head at another place, or has taken an interim one for final.
+    if (!head || head.status !== statusCode) return Left("no final head");
+    return readBodyFraming(head, method).map(framing => ({ head, framing }));
+}
+
 /** Whether Node's parser undoes the chunks of a response: it does not where a tab or a comma follows the name of the coding. */
 function isCodingKnownToNode({ lines }: ResponseHead): boolean {
     const codings = lines.filter(line => CODING_FIELD.test(line));
     return CODING_KNOWN_TO_NODE.test(codings.at(-1)!);
 }
 
+/** Closes the connection of a response with wrong trailers at its end, before Node's own listener returns it to the pool. */
+function closeBehindWrongTrailers(message: IncomingMessage): void {
+    message.prependOnceListener("end", () => {
+        if (!areTrailersValid(message)) message.socket.destroy();
+    });
+}
+
+function areTrailersValid({ rawTrailers }: IncomingMessage): boolean {
+    return toHeaderList(rawTrailers).every(([name, value]) => isFieldLine(`${name}:${value}`));
+}
+
 /** Whether a response's headers state a body that its status excludes. */
 function declaresExcessBody({ statusCode, headers }: IncomingMessage): boolean {
     if (statusCode !== STATUS_NO_CONTENT) return false;
@@ -227,10 +254,6 @@
     if (!areTrailersValid(message)) throw new HttpError("malformed", true, "a trailer that is no field");
 }
 
-function areTrailersValid({ rawTrailers }: IncomingMessage): boolean {
-    return toHeaderList(rawTrailers).every(([name, value]) => isFieldLine(`${name}:${value}`));
-}
-
 /**
  * Undoes the chunks of a body that Node's parser has left as they came. For Node such a body ends with its connection, which is closed
  * behind the last chunk.
--- a/src/ports/headWatch/index.ts
+++ b/src/ports/rawHeadReader/index.ts
@@ -9,10 +9,10 @@
  * the headers that they report.
  *
  * @example
- * const watch = new HeadWatch(socket, detail => cancel(detail));
- * req.on("response", () => use(watch.head));
+ * const reader = new RawHeadReader(socket, detail => cancel(detail));
+ * req.on("response", () => use(reader.head));
  */
-export class HeadWatch {
+export class RawHeadReader {
     private readonly received = new ByteBuffer();
     private wholeHead: ResponseHead | undefined;
 
--- a/src/ports/headWatch/test.ts
+++ b/src/ports/rawHeadReader/test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { Socket } from "node:net";
 import { describe, it } from "node:test";
-import { HeadWatch } from "./index.js";
+import { RawHeadReader } from "./index.js";
 
 const HEAD = "HTTP/1.1 200 OK\r\nX-A: b\r\n\r\n";
 
@@ -9,13 +9,13 @@
     socket.emit("data", Buffer.from(text, "latin1"));
 }
 
-describe("HeadWatch", () => {
+describe("RawHeadReader", () => {
     it("has the head by the time that listeners before it are called", () => {
         // Failure: Node's parser reports a response whose head has not been checked.
         const socket = new Socket();
         const seen: unknown[] = [];
-        socket.on("data", () => seen.push(watch.head));
-        const watch = new HeadWatch(socket, assert.fail);
+        socket.on("data", () => seen.push(reader.head));
+        const reader = new RawHeadReader(socket, assert.fail);
         receive(socket, HEAD.slice(0, 20));
         receive(socket, `${HEAD.slice(20)}body`);
         assert.deepEqual(seen, [undefined, { status: 200, headers: [["x-a", "b"]], lines: ["X-A: b"] }]);
@@ -24,17 +24,17 @@
     it("reports bytes that are no response once", () => {
         const socket = new Socket();
         const faults: string[] = [];
-        const watch = new HeadWatch(socket, detail => faults.push(detail));
+        const reader = new RawHeadReader(socket, detail => faults.push(detail));
         receive(socket, "HTTP/1.1 200 OK\r\nX A: b\r\n\r\n");
         receive(socket, HEAD);
-        assert.deepEqual([faults, watch.head], [["a line of the head that is no field"], undefined]);
+        assert.deepEqual([faults, reader.head], [["a line of the head that is no field"], undefined]);
     });
 
     for (const [name, text] of [["a head", HEAD], ["bytes that are no response", "SSH-2.0-x\r\n\r\n"]] as const) {
         it(`leaves no listener for data behind ${name}`, () => {
             // Failure: a kept connection gets slower and holds more memory with each request.
             const socket = new Socket();
-            new HeadWatch(socket, () => undefined);
+            new RawHeadReader(socket, () => undefined);
             receive(socket, text);
             assert.equal(socket.listenerCount("data"), 0);
         });
@@ -43,7 +43,7 @@
     it("lets a connection fail that no one else listens to any more", () => {
         // Failure: an error without a listener ends the process, where the same bytes change the protocol.
         const socket = new Socket();
-        new HeadWatch(socket, () => undefined);
+        new RawHeadReader(socket, () => undefined);
         receive(socket, "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n");
         assert.doesNotThrow(() => socket.emit("error", new Error("closed")));
     });
