--- a/src/ports/bodyFraming/index.ts
+++ b/src/ports/bodyFraming/index.ts
@@ -13,11 +13,11 @@
 /**
  * Determines where the body of a response ends (RFC 9112, section 6.3).
  *
- * Prevents bytes from passing as a body that are not: the chunks of a coding that is not recognised, or a body in a coding that nobody
- * undoes, since the header that names it is not passed on. Of transfer codings only `chunked` is undone.
+ * Prevents bytes from passing as a body that are not: the chunks of a coding that is not recognised, or bytes in a coding that nobody
+ * decodes, since the header that names it is not passed on. Only `chunked` is supported.
  *
  * @param method - The method of the request.
- * @returns Left: why that can't be told.
+ * @returns Left: why the response is malformed.
  * @example
  * const framing = readBodyFraming(head, "GET");
  */
@@ -29,7 +29,7 @@
     const lengths = findHeaders(headers, "content-length");
     const codings = findCodings(headers);
     if (codings && lengths.length > 0) return Left("a length and a transfer coding");
-    if (codings) return isChunkedAlone(codings) ? Right(CHUNKED) : Left("a transfer coding that is not known");
+    if (codings) return isChunkedAlone(codings) ? Right(CHUNKED) : Left("an unsupported transfer coding");
     if (lengths.length === 0) return Right("connection");
     if (lengths.length > 1) return Left("several lengths");
     return LENGTH.test(lengths[0]) ? Right(Number(lengths[0])) : Left("an invalid length");
--- a/src/ports/bodyFraming/test.ts
+++ b/src/ports/bodyFraming/test.ts
@@ -18,19 +18,19 @@
         assert.equal(readFraming([["content-type", "text/plain"]]), "connection");
     });
 
-    it("knows the coding in any case, and beside empty elements of its list", () => {
+    it("recognises chunked in any case, and beside empty elements of its list", () => {
         for (const values of [["Chunked"], ["chunked,"], [" , \t,chunked"], ["", "chunked"], ["chunked", ","]]) {
             assert.equal(readCodings(...values), "chunked", values.join(" | "));
         }
     });
 
     it("refuses other codings, several, and none", () => {
-        // Failure: chunks, or bytes in a coding that nobody undoes, pass as the body.
+        // Failure: chunks, or bytes in a coding that nobody decodes, pass as the body.
         const wrong = [[""], [","], ["gzip"], ["gzip, chunked"], ["chunked, chunked"], ["chunked", "chunked"], [
             "chunked\xa0",
         ]];
         for (const values of wrong) {
-            assert.equal(readCodings(...values), "a transfer coding that is not known", values.join(" | "));
+            assert.equal(readCodings(...values), "an unsupported transfer coding", values.join(" | "));
         }
     });
 
--- a/src/ports/chunkDecoder/index.ts
+++ b/src/ports/chunkDecoder/index.ts
@@ -11,7 +11,7 @@
 type Part = "size" | "data" | "data-end" | "trailer" | "nothing";
 
 /**
- * Undoes the transfer coding `chunked` (RFC 9112, section 7.1) as the bytes arrive.
+ * Decodes the transfer coding `chunked` (RFC 9112, section 7.1) as the bytes arrive.
  *
  * @example
  * const data = decoder.push(bytes);
@@ -31,7 +31,7 @@
     /**
      * Adds received bytes.
      *
-     * @returns The data that they hold; bytes behind the end are ignored. Left: why they are no chunks.
+     * @returns The data that they hold; bytes behind the end are ignored. Left: why they are malformed.
      */
     push(bytes: Uint8Array): Either<string, Uint8Array> {
         this.received.append(bytes);
@@ -80,8 +80,8 @@
 
     private checkTrailer(line: string): Either<string, boolean> {
         this.trailerBytes += line.length + LINE_END.length;
-        if (this.trailerBytes > MAX_LINES_BYTES) return Left("trailers without end");
-        if (line !== "" && !isFieldLine(line)) return Left("a trailer that is no field");
+        if (this.trailerBytes > MAX_LINES_BYTES) return Left("trailers that are too large");
+        if (line !== "" && !isFieldLine(line)) return Left("an invalid trailer field");
         if (line === "") this.next = "nothing";
         return Right(true);
     }
@@ -90,7 +90,7 @@
     private takeLine(): Either<string, string | undefined> {
         const bytes = this.received.view().subarray(0, MAX_LINES_BYTES);
         const end = bytes.indexOf(LINE_END);
-        if (end < 0) return bytes.length < MAX_LINES_BYTES ? Right(undefined) : Left("a line without end");
+        if (end < 0) return bytes.length < MAX_LINES_BYTES ? Right(undefined) : Left("a line that is too long");
         this.received.take(end + LINE_END.length);
         return Right(bytes.toString("latin1", 0, end));
     }
--- a/src/ports/chunkDecoder/test.ts
+++ b/src/ports/chunkDecoder/test.ts
@@ -9,7 +9,7 @@
     return Buffer.from(decoder.push(Buffer.from(text, "latin1")).unsafeCoerce()).toString("latin1");
 }
 
-/** Returns why a text is no chunks; undefined where it may be. */
+/** Returns why a text is malformed; undefined where it is not. */
 function findFault(text: string): string | undefined {
     return new ChunkDecoder().push(Buffer.from(text, "latin1")).swap().toMaybe().extract();
 }
@@ -44,9 +44,9 @@
         ["a size that is none", "xyz\r\nhello\r\n", "an invalid chunk size"],
         ["an empty size", "\r\nhello\r\n", "an invalid chunk size"],
         ["a size over 32 bits", "fffffffff\r\nhello\r\n", "an invalid chunk size"],
-        ["a blank in the name of a trailer", "0\r\nX A: b\r\n\r\n", "a trailer that is no field"],
-        ["an extension without end", `5;${"a".repeat(MAX_LINES_BYTES)}`, "a line without end"],
-        ["trailers without end", `0\r\n${"X-A: b\r\n".repeat(MAX_LINES_BYTES / 6)}`, "trailers without end"],
+        ["a blank in the name of a trailer", "0\r\nX A: b\r\n\r\n", "an invalid trailer field"],
+        ["an extension without end", `5;${"a".repeat(MAX_LINES_BYTES)}`, "a line that is too long"],
+        ["trailers without end", `0\r\n${"X-A: b\r\n".repeat(MAX_LINES_BYTES / 6)}`, "trailers that are too large"],
     ] as const;
     for (const [name, text, fault] of wrong) {
         it(`refuses ${name}`, () => {
--- a/src/ports/nodeHttp/test.ts
+++ b/src/ports/nodeHttp/test.ts
@@ -209,8 +209,8 @@
         ["reset", (socket: Socket) => void socket.resetAndDestroy()],
     ] as const;
     for (const [name, end] of endings) {
-        it(`are malformed with a transfer coding that is not known, where their connection is ${name}`, async () => {
-            // Failure: bytes in a coding that nobody undoes count as a body, or a truncated response as complete.
+        it(`are malformed with an unsupported transfer coding, where their connection is ${name}`, async () => {
+            // Failure: bytes in a coding that nobody decodes count as a body, or a truncated response as complete.
             assert.equal(await readFrom(end, 0, "Transfer-Encoding: gzip\r\n"), "cut: malformed");
         });
     }
--- a/src/ports/nodeHttpClient/index.ts
+++ b/src/ports/nodeHttpClient/index.ts
@@ -23,7 +23,7 @@
 const STATUS_NO_CONTENT = 204;
 /** Matches a line that states transfer codings; Node's parser skips those without a value. */
 const CODING_FIELD = /^transfer-encoding:[ \t]*[^ \t]/i;
-const CODING_KNOWN_TO_NODE = /chunked *$/i;
+const CODING_DECODED_BY_NODE = /chunked *$/i;
 
 /**
  * HTTP client on `node:http` with a pool of kept connections.
@@ -114,7 +114,7 @@
                 const { head, framing } = checked.unsafeCoerce();
                 hasReply = true;
                 timer.cancel();
-                closeBehindWrongTrailers(message);
+                closeAfterInvalidTrailers(message);
                 message.once("close", () => call.signal?.removeEventListener("abort", abort));
                 const endProbe = framing === "connection" ? new ConnectionEndProbe(message.socket) : undefined;
                 const isExcess = declaresExcessBody(message);
@@ -126,12 +126,12 @@
                     async () => hasFailed || (await endProbe?.wasReset() ?? false),
                     () => reason,
                 );
-                const hasChunks = framing === "chunked" && !isCodingKnownToNode(head);
+                const isEncoded = framing === "chunked" && !isDecodedByNode(head);
                 resolve(Right({
                     status: head.status,
                     headers: head.headers,
                     connection,
-                    body: hasChunks ? decodeChunks(body) : body,
+                    body: isEncoded ? decodeChunks(body) : body,
                     reset: () => req.destroy(),
                 }));
             });
@@ -147,7 +147,7 @@
     }
 }
 
-/** A response of which is known where its body ends. */
+/** A valid head, and where its body ends. */
 interface CheckedResponse {
     readonly head: ResponseHead;
     readonly framing: BodyFraming;
@@ -165,18 +165,18 @@
     method: string,
 ): Either<string, CheckedResponse> {
     // Node's parser ended the head at another place, or has taken an interim one for final.
-    if (!head || head.status !== statusCode) return Left("no final head");
+    if (!head || head.status !== statusCode) return Left("a head that Node's parser reads differently");
     return readBodyFraming(head, method).map(framing => ({ head, framing }));
 }
 
-/** Whether Node's parser undoes the chunks of a response: it does not where a tab or a comma follows the name of the coding. */
-function isCodingKnownToNode({ lines }: ResponseHead): boolean {
+/** Whether Node's parser decodes the chunks of a response: it does not where a tab or a comma follows the name of the coding. */
+function isDecodedByNode({ lines }: ResponseHead): boolean {
     const codings = lines.filter(line => CODING_FIELD.test(line));
-    return CODING_KNOWN_TO_NODE.test(codings.at(-1)!);
+    return CODING_DECODED_BY_NODE.test(codings.at(-1)!);
 }
 
-/** Closes the connection of a response with wrong trailers at its end, before Node's own listener returns it to the pool. */
-function closeBehindWrongTrailers(message: IncomingMessage): void {
+/** Closes the connection of a response with invalid trailers at its end, before Node's own listener returns it to the pool. */
+function closeAfterInvalidTrailers(message: IncomingMessage): void {
     message.prependOnceListener("end", () => {
         if (!areTrailersValid(message)) message.socket.destroy();
     });
@@ -251,14 +251,14 @@
         throw new HttpError(reason(), true, (err as Error).message);
     }
     if (!message.complete || await endedAbnormally()) throw new HttpError("closed", true, "the body was cut off");
-    if (!areTrailersValid(message)) throw new HttpError("malformed", true, "a trailer that is no field");
+    if (!areTrailersValid(message)) throw new HttpError("malformed", true, "an invalid trailer field");
 }
 
 /**
- * Undoes the chunks of a body that Node's parser has left as they came. For Node such a body ends with its connection, which is closed
+ * Decodes the chunks of a body that Node's parser has left as they came. For Node such a body ends with its connection, which is closed
  * behind the last chunk.
  *
- * @throws HttpError where the bytes are no chunks, or end before the last one.
+ * @throws HttpError where the chunks are malformed, or end before the last one.
  */
 async function* decodeChunks(body: AsyncIterable<Uint8Array>): AsyncIterable<Uint8Array> {
     const decoder = new ChunkDecoder();
--- a/src/ports/nodeHttpClient/test.ts
+++ b/src/ports/nodeHttpClient/test.ts
@@ -140,7 +140,7 @@
         assert.deepEqual(await findFaults(answers), []);
     });
 
-    it("takes no wrong head for an answer where the parser of Node.js does", async () => {
+    it("rejects the same wrong answers where the parser of Node.js is tolerant", async () => {
         // Guards against answers with headers or a body that are not the upstream's, on versions of Node.js with a tolerant parser.
         const worker = new Worker(new URL("./fixtures/worker.js", import.meta.url), {
             execArgv: ["--insecure-http-parser"],
--- a/src/ports/rawHeadReader/test.ts
+++ b/src/ports/rawHeadReader/test.ts
@@ -27,7 +27,7 @@
         const reader = new RawHeadReader(socket, detail => faults.push(detail));
         receive(socket, "HTTP/1.1 200 OK\r\nX A: b\r\n\r\n");
         receive(socket, HEAD);
-        assert.deepEqual([faults, reader.head], [["a line of the head that is no field"], undefined]);
+        assert.deepEqual([faults, reader.head], [["an invalid header field"], undefined]);
     });
 
     for (const [name, text] of [["a head", HEAD], ["bytes that are no response", "SSH-2.0-x\r\n\r\n"]] as const) {
--- a/src/ports/responseHead/index.ts
+++ b/src/ports/responseHead/index.ts
@@ -22,12 +22,12 @@
 const STATUS_LINE = /^HTTP\/1\.[01] ([1-5]\d\d)(?: |$)/;
 /** A token, a colon, and a value without control bytes other than the tab (RFC 9110, sections 5.1 and 5.5). */
 const FIELD_LINE = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t\x20-\x7e\x80-\xff]*$/;
-const BLANKS: ReadonlySet<string> = new Set([" ", "\t"]);
+const WHITESPACE: ReadonlySet<string> = new Set([" ", "\t"]);
 
 /**
  * Takes the first final head off the bytes that a connection has received. Interim heads before it are dropped.
  *
- * Prevents a wrong head from passing on a version of Node.js whose parser is tolerant: it may take a line that is no field for another
+ * Prevents a wrong head from passing on a version of Node.js whose parser is tolerant: it may take an invalid line for another
  * field or for a part of the one before, or end the head there, so that headers and body are not those that were sent. Folded lines are
  * refused as well (RFC 9112, section 5.2): other readers may take them for fields.
  *
@@ -41,7 +41,7 @@
         skipEmptyLines(received);
         const bytes = received.view().subarray(0, MAX_HEAD_BYTES);
         const end = bytes.indexOf(HEAD_END);
-        if (end < 0) return bytes.length < MAX_HEAD_BYTES ? Right(undefined) : Left("a head without end");
+        if (end < 0) return bytes.length < MAX_HEAD_BYTES ? Right(undefined) : Left("a head that is too large");
         const parsed = parseHead(bytes.toString("latin1", 0, end));
         if (parsed.isLeft()) return parsed;
         received.take(end + HEAD_END.length);
@@ -61,28 +61,28 @@
 function parseHead(text: string): Either<string, ResponseHead> {
     const [statusLine, ...lines] = text.split(LINE_END);
     const status = STATUS_LINE.exec(statusLine)?.[1];
-    if (status === undefined) return Left("no status line");
-    if (!lines.every(isFieldLine)) return Left("a line of the head that is no field");
+    if (status === undefined) return Left("an invalid status line");
+    if (!lines.every(isFieldLine)) return Left("an invalid header field");
     return Right({ status: Number(status), headers: lines.map(splitField), lines });
 }
 
 /**
- * Whether a line of a head, or of trailers, is a field.
+ * Whether a line of a head, or of trailers, is a valid field.
  *
  * @param line - Without its line end, one character for each byte.
  * @example
- * if (!isFieldLine(line)) return Left("a trailer that is no field");
+ * if (!isFieldLine(line)) return Left("an invalid trailer field");
  */
 export function isFieldLine(line: string): boolean {
     return FIELD_LINE.test(line);
 }
 
 /**
- * Whether a head that another process has read is one: a final status, and fields alone.
+ * Whether a head that another process has read is valid: a final status, and valid fields.
  *
  * @param head - Decoded from that process's message.
  * @example
- * if (!isResponseHead(answer)) return new HttpError("malformed", true, "a head that is none");
+ * if (!isResponseHead(answer)) return new HttpError("malformed", true, "an invalid head");
  */
 export function isResponseHead({ status, headers }: { readonly status: unknown; readonly headers: unknown; }): boolean {
     const isFinal = Number.isInteger(status) && Number(status) >= MIN_FINAL_STATUS && Number(status) <= MAX_STATUS;
@@ -97,14 +97,14 @@
 
 function splitField(line: string): [name: string, value: string] {
     const colon = line.indexOf(":");
-    return [line.slice(0, colon).toLowerCase(), trimBlanks(line.slice(colon + 1))];
+    return [line.slice(0, colon).toLowerCase(), trimWhitespace(line.slice(colon + 1))];
 }
 
-/** Removes the blanks that HTTP allows around a value. `trim` would remove bytes beyond ASCII that belong to it. */
-function trimBlanks(text: string): string {
+/** Removes the whitespace that HTTP allows around a value. `trim` would remove bytes beyond ASCII that belong to it. */
+function trimWhitespace(text: string): string {
     let start = 0;
     let end = text.length;
-    while (start < end && BLANKS.has(text[start])) start++;
-    while (end > start && BLANKS.has(text[end - 1])) end--;
+    while (start < end && WHITESPACE.has(text[start])) start++;
+    while (end > start && WHITESPACE.has(text[end - 1])) end--;
     return text.slice(start, end);
 }
--- a/src/ports/responseHead/test.ts
+++ b/src/ports/responseHead/test.ts
@@ -26,7 +26,7 @@
         assert.equal(received.take().toString(), "body");
     });
 
-    it("removes the blanks around a value, and no byte of the value itself", () => {
+    it("removes the whitespace around a value, and no byte of the value itself", () => {
         const received = hold("HTTP/1.1 200 OK\r\nX-A: \t\xa0b \t c\xff\t \r\n\r\n");
         assert.deepEqual(takeResponseHead(received).unsafeCoerce()?.headers, [["x-a", "\xa0b \t c\xff"]]);
     });
@@ -49,11 +49,11 @@
         assert.deepEqual(takeResponseHead(received).unsafeCoerce(), head);
     });
 
-    describe("lines that are no fields", () => {
+    describe("invalid fields", () => {
         for (const [name, line] of WRONG_FIELDS) {
             it(`refuses ${name}`, () => {
                 // Failure: the line is passed on, changes another field, or moves the beginning of the body.
-                assert.equal(findFault(line), "a line of the head that is no field");
+                assert.equal(findFault(line), "an invalid header field");
             });
         }
 
--- a/src/relay/relayReply/index.ts
+++ b/src/relay/relayReply/index.ts
@@ -103,7 +103,7 @@
     if (!isAnswer) return new PathError("malformed", true, "the relay's message is no answer");
     const answer = message as RelayAnswer;
     if (answer.kind !== "reply" || isResponseHead(answer)) return answer;
-    return new HttpError("malformed", true, "the upstream's head, by way of a relay, is none");
+    return new HttpError("malformed", true, "an invalid head of the upstream, by way of a relay");
 }
 
 /** Reads the upstream's body. Without its last frame it is not complete. */
--- a/src/relay/relayReply/test.ts
+++ b/src/relay/relayReply/test.ts
@@ -67,7 +67,7 @@
         assert.ok(relay.isClosed && relay.pieces < MAX_PIECES, `${relay.pieces} pieces`);
     });
 
-    describe("an upstream's head that is none", () => {
+    describe("an invalid head of the upstream", () => {
         const wrong: readonly (readonly [name: string, head: { status: unknown; headers: unknown; }])[] = [
             ["a blank in a name", { status: 200, headers: [["x a", "b"]] }],
             ["no name", { status: 200, headers: [["", "b"]] }],
--- a/src/tools/wrongHeads/test.ts
+++ b/src/tools/wrongHeads/test.ts
@@ -15,10 +15,10 @@
 const GIVE_UP_MS = 20_000;
 const PAUSE_MS = 20;
 const STATUS_BAD_GATEWAY = 502;
-/** Entries whose parser of HTTP is as tolerant as that of older versions of Node.js. */
+/** Makes the parser of HTTP as tolerant as that of older versions of Node.js. */
 const TOLERANT_PARSER = ["--insecure-http-parser"];
 
-describe("answers of upstreams with a line in their head that is no field", () => {
+describe("answers of upstreams with an invalid header field", () => {
     let fleet: RoutedProcessFleet;
     let upstream: RawUpstream;
     let wrongLine: string | undefined;
@@ -78,7 +78,7 @@
     }
 
     for (const kind of KINDS) {
-        it(`reach no caller of a route of kind ${kind}, whatever the parser of Node.js takes for a head`, async () => {
+        it(`reach no caller of a route of kind ${kind}, whatever the parser of Node.js accepts`, async () => {
             // Guards against callers that get a wrong line, a body that is not the upstream's, or a connection closed without an answer.
             const faults: string[] = [];
             for (const [name, line] of WRONG_FIELDS) {
