--- a/src/ports/responseHead/index.ts
+++ b/src/ports/responseHead/index.ts
@@ -19,7 +19,8 @@
 const STATUS_SWITCHING_PROTOCOLS = 101;
 const CR = 0x0d;
 const LF = 0x0a;
-const STATUS_LINE = /^HTTP\/1\.[01] ([1-5]\d\d)(?: |$)/;
+/** A version, a status, and a reason without control bytes other than the tab (RFC 9112, section 4). */
+const STATUS_LINE = /^HTTP\/1\.[01] ([1-5]\d\d)(?: [\t\x20-\x7e\x80-\xff]*)?$/;
 /** A token, a colon, and a value without control bytes other than the tab (RFC 9110, sections 5.1 and 5.5). */
 const FIELD_LINE = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t\x20-\x7e\x80-\xff]*$/;
 const WHITESPACE: ReadonlySet<string> = new Set([" ", "\t"]);
